Set down the shape: folders, core types and aggregates

Cause: everything later hangs on these names. Each folder is one aggregate with its own rules (catalogue, replica, subscription, membership, routing, admission, call), its data are NamedTuples, and what varies is a closed set of data classes that the code matches on. Ruled out: a core of pure state machines, and one module of models.

--- /dev/null
+++ b/cowslipvane/__init__.py
@@ -0,0 +1,3 @@
+"""A configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/cowslipvane/admission/__init__.py
@@ -0,0 +1,5 @@
+"""The owner's admission: the slots of its upstream, the queue before them, and its drain."""
+
+from cowslipvane.admission._admission import Admission, Reply, Work
+
+__all__ = ["Admission", "Reply", "Work"]
--- /dev/null
+++ b/cowslipvane/call/_call.py
@@ -0,0 +1,63 @@
+"""The call: what was tried, and whether another attempt is allowed."""
+
+from __future__ import annotations
+
+from cowslipvane.call._messages import AttemptId, Request
+from cowslipvane.refusal import Refusal, explain
+from cowslipvane.routing import ServiceRules
+from cowslipvane.types import HostName, RequestId, Seconds, Verdict
+
+
+class Call:
+    """One caller's request and its attempts."""
+
+    def __init__(
+        self, *, request_id: RequestId, request: Request, rules: ServiceRules, deadline: float
+    ) -> None:
+        self._request_id = request_id
+        self._request = request
+        self._rules = rules
+        self._deadline = deadline
+        self._tried: list[HostName] = []
+
+    @property
+    def request_id(self) -> RequestId:
+        """Return the request's id."""
+        return self._request_id
+
+    @property
+    def request(self) -> Request:
+        """Return the request."""
+        return self._request
+
+    @property
+    def rules(self) -> ServiceRules:
+        """Return the service and its policies."""
+        return self._rules
+
+    @property
+    def tried(self) -> tuple[HostName, ...]:
+        """Return the hosts of the attempts so far."""
+        return tuple(self._tried)
+
+    def time_left(self, now: float) -> Seconds:
+        """Return the time until the deadline."""
+        return self._deadline - now
+
+    def begin_attempt(self, host: HostName) -> AttemptId:
+        """Count a new attempt at a host."""
+        self._tried.append(host)
+        return AttemptId(self._request_id, len(self._tried))
+
+    def may_try_again(self, refusal: Refusal) -> bool:
+        """Return whether another attempt is allowed after a refusal."""
+        verdict = explain(refusal).verdict
+        if verdict is Verdict.NOT_RUN:
+            return True
+        return self._is_idempotent and len(self._tried) < self._rules.retry.attempts
+
+    @property
+    def _is_idempotent(self) -> bool:
+        """Return whether the operator lets this request run more than once."""
+        retry = self._rules.retry
+        return self._request.method in retry.methods and not retry.idempotency_key
--- /dev/null
+++ b/cowslipvane/refusal/_refusals.py
@@ -0,0 +1,152 @@
+"""Refusals as data classes, and the sentence, status and verdict of each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from cowslipvane.types import HostName, Seconds, ServiceName, Verdict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoConfiguration:
+    """The proxy holds no accepted configuration yet."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoRoute:
+    """No route matches the request."""
+
+    host: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoUpstream:
+    """No upstream of the service can take the request."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Draining:
+    """The upstream is leaving and starts no new request."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueFull:
+    """The queue of the upstream is full."""
+
+    service: ServiceName
+    retry_after: Seconds
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeadlinePassed:
+    """The deadline passed before an answer came."""
+
+    service: ServiceName
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BodyTooLarge:
+    """The request's body is larger than its route allows."""
+
+    limit: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamLost:
+    """The connection to the upstream broke before the whole answer came."""
+
+    service: ServiceName
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerUnreachable:
+    """The proxy that owns the upstream can't be reached."""
+
+    host: HostName
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerGone:
+    """The caller closed its connection before an answer came."""
+
+    verdict: Verdict
+
+
+Refusal = (
+    NoConfiguration
+    | NoRoute
+    | NoUpstream
+    | Draining
+    | QueueFull
+    | DeadlinePassed
+    | BodyTooLarge
+    | UpstreamLost
+    | OwnerUnreachable
+    | CallerGone
+)
+
+
+class Explanation(NamedTuple):
+    """What a refusal says to a caller and to staff."""
+
+    code: str
+    status: int
+    sentence: str
+    verdict: Verdict
+    retry_after: Seconds | None
+
+
+_WHETHER_IT_RAN = {
+    Verdict.RAN: "The request was run.",
+    Verdict.NOT_RUN: "The request was not run.",
+    Verdict.MAY_HAVE_RUN: "The request may have run: check before you send it again.",
+}
+
+
+def explain(refusal: Refusal) -> Explanation:
+    """Return the one explanation of a refusal."""
+    code, status, cause, verdict, retry_after = _entry(refusal)
+    return Explanation(code, status, f"{cause} {_WHETHER_IT_RAN[verdict]}", verdict, retry_after)
+
+
+def _entry(refusal: Refusal) -> tuple[str, int, str, Verdict, Seconds | None]:
+    """Return code, HTTP status, cause, verdict and advice on when to retry, in seconds."""
+    not_run = Verdict.NOT_RUN
+    match refusal:
+        case NoConfiguration():
+            cause = "This proxy has not yet received a configuration."
+            return "no-configuration", 503, cause, not_run, 1.0
+        case NoRoute(host=host, path=path):
+            return "no-route", 404, f"No route serves {path} on {host}.", not_run, None
+        case NoUpstream(service=service):
+            cause = f"No upstream of service {service} can take the request now."
+            return "no-upstream", 503, cause, not_run, 1.0
+        case Draining(service=service):
+            cause = f"The chosen upstream of service {service} is leaving."
+            return "draining", 503, cause, not_run, 0.0
+        case QueueFull(service=service, retry_after=retry_after):
+            cause = f"Service {service} has more requests waiting than it can serve in time."
+            return "queue-full", 503, cause, not_run, retry_after
+        case DeadlinePassed(service=service, verdict=verdict):
+            cause = f"Service {service} did not answer before the deadline."
+            return "deadline-passed", 504, cause, verdict, None
+        case BodyTooLarge(limit=limit):
+            return "body-too-large", 413, f"The body is over {limit} bytes.", not_run, None
+        case UpstreamLost(service=service, verdict=verdict):
+            cause = f"The connection to an upstream of service {service} was lost."
+            return "upstream-lost", 502, cause, verdict, None
+        case OwnerUnreachable(host=host, verdict=verdict):
+            cause = f"The proxy on host {host} could not be reached."
+            return "owner-unreachable", 502, cause, verdict, None
+        case CallerGone(verdict=verdict):
+            cause = "The caller closed its connection before the answer came."
+            return "caller-gone", 499, cause, verdict, None
--- /dev/null
+++ b/cowslipvane/replica/_messages.py
@@ -0,0 +1,92 @@
+"""Log entries, and the messages between replicas."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from cowslipvane.catalogue import Change
+from cowslipvane.types import Address, HostName, Version
+
+
+class Voter(NamedTuple):
+    """A member of the group and where its peers reach it."""
+
+    host: HostName
+    address: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Noop:
+    """Opens a leader's term, so that older entries commit."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Write:
+    """Puts an operator's change to the catalogue."""
+
+    change: Change
+
+
+Command = Noop | Write
+
+
+class Entry(NamedTuple):
+    """A command at its position in the log, counted from 1."""
+
+    position: int
+    term: int
+    command: Command
+    stamped_at: float
+
+
+class Report(NamedTuple):
+    """What one proxy has in force, and since when."""
+
+    host: HostName
+    version: Version
+    applied_at: float
+    operators: Address
+    rejected: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Vote:
+    """Asks for a vote in a term."""
+
+    term: int
+    candidate: HostName
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VoteReply:
+    """Answers a request for a vote."""
+
+    term: int
+    voter: HostName
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Append:
+    """Sends entries that follow the previous one, and how far the log is committed."""
+
+    term: int
+    leader: HostName
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AppendReply:
+    """Says up to which index the follower's synced log matches the leader's."""
+
+    term: int
+    voter: HostName
+    matched: bool
+    index: int
+    reports: tuple[Report, ...] = ()
--- /dev/null
+++ b/cowslipvane/settings/_load.py
@@ -0,0 +1,162 @@
+"""Reading settings: every fault is found, each in one line."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Any, get_args, get_type_hints
+
+from cattrs import Converter, transform_error
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.gen import make_dict_structure_fn
+
+from cowslipvane.settings._settings import Allowed, Listen, Role, Settings, Timing
+from cowslipvane.types import Address
+
+_MAX_PORT = 65535
+
+
+class SettingsFault(Exception):
+    """Settings that can't be used; faults has a line for each reason."""
+
+    def __init__(self, *, faults: tuple[str, ...]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+def load(path: Path) -> Settings:
+    """Return the settings in a file; raise SettingsFault with every reason why not."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsFault(faults=(f"{path}: can't be read: {error}",)) from error
+    try:
+        values = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsFault(faults=(f"{path}: is no TOML: {error}",)) from error
+    return parse(values, str(path))
+
+
+def parse(values: dict[str, Any], source: str) -> Settings:
+    """Return settings from TOML values; source names them in faults."""
+    try:
+        settings = _CONVERTER.structure(values, Settings)
+    except Exception as error:
+        faults = transform_error(error, path="", format_exception=_worded)
+        raise SettingsFault(
+            faults=tuple(f"{source}: {_as_line(fault)}" for fault in faults)
+        ) from None
+    faults = [f"{source}: {fault}" for fault in _rules_broken(settings)]
+    if faults:
+        raise SettingsFault(faults=tuple(faults))
+    return settings
+
+
+def _rules_broken(settings: Settings) -> list[str]:
+    """Return what is wrong between settings that are each allowed."""
+    faults = []
+    if not settings.roles:
+        faults.append(f"roles: found none; allowed are {', '.join(get_args(Role))}")
+    if "replica" in settings.roles and not settings.data_folder:
+        faults.append("data_folder: found none; a replica needs a folder on a disk")
+    if "proxy" in settings.roles and settings.listen.callers is None:
+        faults.append("listen.callers: found none; a proxy needs IP:PORT for its callers")
+    if settings.timing.heartbeat * 2 > settings.timing.election_timeout:
+        faults.append(
+            f"timing.heartbeat: found {settings.timing.heartbeat}; allowed is at most half of"
+            f" timing.election_timeout ({settings.timing.election_timeout})"
+        )
+    return faults
+
+
+def _address(value: Any, _: Any) -> Address:
+    """Return the address in a text IP:PORT."""
+    allowed = "allowed is IP:PORT, such as 127.0.0.1:8080"
+    if not isinstance(value, str) or ":" not in value:
+        raise ValueError(f"found {value!r}; {allowed}")
+    ip, _, port = value.rpartition(":")
+    ip = ip.strip("[]")
+    try:
+        ipaddress.ip_address(ip)
+        number = int(port)
+    except ValueError:
+        raise ValueError(f"found {value!r}; {allowed}") from None
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError(f"found port {number}; allowed is 1 to {_MAX_PORT}")
+    return Address(ip, number)
+
+
+def _text(value: Any, _: Any) -> str:
+    """Return a text as it is."""
+    if not isinstance(value, str):
+        raise ValueError(f"found {value!r}; allowed is a text")
+    return value
+
+
+def _role(value: Any, _: Any) -> Any:
+    """Return the name of a role."""
+    if value not in get_args(Role):
+        raise ValueError(f"found {value!r}; allowed are {', '.join(get_args(Role))}")
+    return value
+
+
+def _timing(value: Any, _: Any) -> Timing:
+    """Return the times, each within its range."""
+    fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(Timing)}
+    if not isinstance(value, dict):
+        raise ValueError(f"found {value!r}; allowed is a table")
+    faults = [ValueError(f"timing.{name}: is no known key") for name in value if name not in fields]
+    for name in value.keys() & fields.keys():
+        if not _in_range(value[name], fields[name]):
+            faults.append(ValueError(f"timing.{name}: {_out_of_range(value[name], fields[name])}"))
+    if faults:
+        raise ExceptionGroup("timing", faults)
+    return Timing(**{name: float(item) for name, item in value.items()})
+
+
+def _in_range(value: Any, allowed: Allowed) -> bool:
+    """Return whether a value is a number within its range."""
+    return type(value) in (int, float) and allowed.low <= value <= allowed.high
+
+
+def _out_of_range(value: Any, allowed: Allowed) -> str:
+    """Return what was found and what is allowed."""
+    return f"found {value!r}; allowed is {allowed.low:g} to {allowed.high:g} {allowed.unit}"
+
+
+def _worded(error: BaseException, _: type | None) -> str:
+    """Return what an error says to whoever wrote the settings."""
+    match error:
+        case KeyError():
+            return f"found no {error.args[0]}; it is needed"
+        case ForbiddenExtraKeysError():
+            return f"found {', '.join(sorted(error.extra_fields))}; no such key is known"
+        case ExceptionGroup():
+            return "; ".join(str(inner) for inner in error.exceptions)
+        case _:
+            return str(error)
+
+
+def _as_line(fault: str) -> str:
+    """Return a fault with its key in front."""
+    message, _, key = fault.rpartition(" @ ")
+    return f"{key.removeprefix('.')}: {message}" if key else message
+
+
+def _make_converter() -> Converter:
+    """Return the converter from TOML values to settings."""
+    converter = Converter(detailed_validation=True, forbid_extra_keys=True)
+    converter.register_structure_hook(Address, _address)
+    converter.register_structure_hook(str, _text)
+    converter.register_structure_hook_func(lambda kind: kind == Role, _role)
+    converter.register_structure_hook(Timing, _timing)
+    for kind in (Listen, Settings):
+        get_type_hints(kind)
+        hook = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True)
+        converter.register_structure_hook(kind, hook)
+    return converter
+
+
+_CONVERTER = _make_converter()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cowslipvane."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for the developers: the demo, the benchmark, the test runner."""
