Build one path end to end from tasks, one for each connection and peer

Cause: the thin path must run as separate processes before anything deepens. Ruled out: a task for each message. A slot of a worker is a task with its own connection, so what it runs needs no other; a pull doubles as acknowledgement.

--- /dev/null
+++ b/cowslipvane/daemon.py
@@ -0,0 +1,245 @@
+"""The one process of a host's slot: its listeners, and the tasks of its roles."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from aiohttp import web
+from websockets.asyncio.server import ServerConnection, serve
+
+from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.membership import Member, Membership
+from cowslipvane.replica import Replica
+from cowslipvane.routing import Chooser
+from cowslipvane.settings import Settings
+from cowslipvane.storage import DataFolder, FileJournal
+from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._callers import Callers
+from cowslipvane.tasks._members import Members
+from cowslipvane.tasks._operators import Operators
+from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._peers import Peers, serve_calls
+from cowslipvane.tasks._publisher import Publisher
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.tasks._signal import Signal
+from cowslipvane.tasks._subscriber import Subscriber
+from cowslipvane.types import Address, Seconds
+from cowslipvane.wire import Link, LinkClosed, Malformed
+from cowslipvane.wire._link import MAX_MESSAGE_BYTES
+
+# A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
+LEAVING_TIME: Seconds = 1.0
+
+
+class Daemon:
+    """One process with the roles that its settings give it."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        self._settings = settings
+        self._rng = random.Random()
+        self._events = EventLog(
+            host=settings.host,
+            data_centre=settings.data_centre,
+            process=os.getpid(),
+            clock=HybridClock(),
+        )
+        own = Member(
+            settings.host,
+            settings.data_centre,
+            time.time_ns(),
+            0,
+            settings.listen.peers,
+            settings.listen.operators,
+            "up",
+            None,
+        )
+        self._members = Members(
+            membership=Membership(own=own, now=time.monotonic()),
+            seeds=settings.seeds,
+            interval=settings.timing.exchange,
+            events=self._events,
+        )
+        self._stop = Signal()
+        self._stopping = False
+        self._replication: Replication | None = None
+        self._publisher: Publisher | None = None
+        self._owner: Owner | None = None
+        self._callers: Callers | None = None
+        self._subscription: Subscription | None = None
+        self._peers = Peers()
+
+    async def run(self) -> None:
+        """Serve until a signal or an operator stops the process."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        async with AsyncExitStack() as stack:
+            tasks = [self._members.run()]
+            if "replica" in self._settings.roles:
+                tasks.append(self._start_replica(stack))
+            if "proxy" in self._settings.roles:
+                tasks.extend(self._start_proxy())
+            await self._listen(stack)
+            stack.push_async_callback(self._peers.close)
+            await self._serve(tasks, stack)
+
+    def stop(self) -> None:
+        """Leave: start nothing new, let what runs end, then exit."""
+        self._stopping = True
+        self._stop.send()
+
+    async def _serve(self, tasks: list[Coroutine[Any, Any, None]], stack: AsyncExitStack) -> None:
+        """Run the tasks of the roles until a stop is over, or one of them fails."""
+        self._events.record("started")
+        running = [asyncio.ensure_future(task) for task in tasks]
+        leaving = asyncio.create_task(self._leave())
+        try:
+            done, _ = await asyncio.wait([*running, leaving], return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+        self._events.record("stopped")
+
+    async def _leave(self) -> None:
+        """Wait for a stop and see it through."""
+        while not self._stopping:
+            await self._stop.wait()
+        give_up = time.monotonic() + self._settings.timing.grace
+        if self._callers is None or self._owner is None:
+            return
+        self._callers.stop()
+        await self._owner.drain()
+        await asyncio.sleep(LEAVING_TIME)
+        left = max(0.0, give_up - time.monotonic())
+        if not await self._callers.wait_idle(left) or not await self._owner.wait_idle(left):
+            self._events.record("cut", reason="the grace period is over")
+
+    def _start_replica(self, stack: AsyncExitStack) -> Coroutine[Any, Any, None]:
+        """Open the data folder and return the replica's task."""
+        folder = DataFolder(path=Path(self._settings.data_folder))
+        identity = folder.open()
+        stack.callback(folder.close)
+        journal = FileJournal(path=folder.journal_path)
+        stack.callback(journal.close)
+        replica = Replica(
+            host=identity.host,
+            voters=identity.voters,
+            journal=journal,
+            recovered=journal.recover(),
+            election_timeout=self._settings.timing.election_timeout,
+            rng=self._rng,
+            now=time.monotonic(),
+        )
+        self._replication = Replication(
+            replica=replica, journal=journal, timing=self._settings.timing, events=self._events
+        )
+        self._publisher = Publisher(
+            replication=self._replication, pull_wait=self._settings.timing.pull_wait
+        )
+        return self._replication.run()
+
+    def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
+        """Build the proxy's parts and return their tasks."""
+        subscription = Subscription()
+        self._subscription = subscription
+        self._owner = Owner(
+            members=self._members,
+            events=self._events,
+            worker_lease=self._settings.timing.worker_lease,
+        )
+        self._callers = Callers(
+            subscription=subscription,
+            membership=self._members.membership,
+            owner=self._owner,
+            peers=self._peers,
+            chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
+            events=self._events,
+            rng=self._rng,
+        )
+        subscriber = Subscriber(
+            subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
+        )
+        return [self._owner.run(), subscriber.run()]
+
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        """Open the listeners for peers, operators and callers."""
+        listen = self._settings.listen
+        operators = Operators(
+            membership=self._members.membership,
+            events=self._events,
+            replication=self._replication,
+            subscription=self._subscription,
+            owner=self._owner,
+            drain=self.stop,
+        )
+        await stack.enter_async_context(
+            serve(
+                self._serve_peer,
+                listen.peers.ip,
+                listen.peers.port,
+                ping_interval=None,
+                compression=None,
+                max_size=MAX_MESSAGE_BYTES,
+            )
+        )
+        await stack.enter_async_context(_HttpListener(operators.handle, listen.operators))
+        if self._callers is not None and listen.callers is not None:
+            await stack.enter_async_context(_HttpListener(self._callers.handle, listen.callers))
+
+    async def _serve_peer(self, connection: ServerConnection) -> None:
+        """Serve one connection of a peer, by the path that it asked for."""
+        link = Link(connection=connection)
+        path = connection.request.path if connection.request else ""
+        try:
+            match path:
+                case "/replica" if self._replication:
+                    await self._replication.serve(link)
+                case "/subscribe" if self._publisher:
+                    await self._publisher.serve(link)
+                case "/members":
+                    await self._members.serve(link)
+                case "/calls" if self._owner:
+                    await serve_calls(link, self._owner)
+        except LinkClosed:
+            return
+        except Malformed as error:
+            self._events.record("malformed", path=path, reason=str(error))
+
+
+class _HttpListener:
+    """An aiohttp low-level server on one address."""
+
+    def __init__(self, handler: object, address: Address) -> None:
+        self._server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
+        self._address = address
+        self._listener: asyncio.Server | None = None
+
+    async def __aenter__(self) -> None:
+        """Begin to listen."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, self._address.ip, self._address.port, reuse_address=True
+        )
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the listener and its connections."""
+        assert self._listener is not None
+        self._listener.close()
+        await self._server.shutdown(timeout=1.0)
--- /dev/null
+++ b/cowslipvane/tasks/_callers.py
@@ -0,0 +1,283 @@
+"""The callers' side: the task of each HTTP connection carries its call straight down."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+
+from aiohttp import web
+
+from cowslipvane.call import (
+    Answer,
+    AttemptId,
+    Call,
+    Chunk,
+    Offer,
+    OwnerMessage,
+    Refused,
+    Request,
+    end_to_end,
+)
+from cowslipvane.events import EventLog
+from cowslipvane.membership import Member, Membership
+from cowslipvane.refusal import (
+    BodyTooLarge,
+    DeadlinePassed,
+    NoConfiguration,
+    NoRoute,
+    NoUpstream,
+    Refusal,
+    explain,
+)
+from cowslipvane.routing import Chooser, Load, RoutingTable, ServiceRules
+from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._peers import Mailbox, Peers
+from cowslipvane.tasks._signal import Signal
+from cowslipvane.types import Header, Headers, RequestId, Seconds, Verdict
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class Broken(Exception):
+    """An answer that has begun can't be completed; its connection must be cut."""
+
+
+class Callers:
+    """Takes callers' requests, finds owners for them, and answers."""
+
+    def __init__(
+        self,
+        *,
+        subscription: Subscription,
+        membership: Membership,
+        owner: Owner,
+        peers: Peers,
+        chooser: Chooser,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._subscription = subscription
+        self._membership = membership
+        self._owner = owner
+        self._peers = peers
+        self._chooser = chooser
+        self._events = events
+        self._rng = rng
+        self._under_way = 0
+        self._ended = Signal()
+        self._stopping = False
+
+    async def wait_idle(self, timeout: Seconds) -> bool:
+        """Return whether no call is under way within the timeout."""
+        give_up = time.monotonic() + timeout
+        while self._under_way and time.monotonic() < give_up:
+            await self._ended.wait(give_up - time.monotonic())
+        return not self._under_way
+
+    def stop(self) -> None:
+        """Close each connection after the answer that it waits for."""
+        self._stopping = True
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        self._under_way += 1
+        try:
+            return await self._handle(http, RequestId(uuid.uuid4().hex))
+        finally:
+            self._under_way -= 1
+            self._ended.send()
+
+    async def _handle(self, http: web.BaseRequest, request_id: RequestId) -> web.StreamResponse:
+        """Route a request, and carry it or refuse it."""
+        table = self._subscription.table
+        if table is None:
+            return self._refuse(request_id, NoConfiguration())
+        headers = end_to_end(http.headers.items())
+        rules = self._route(table, http, headers)
+        if rules is None:
+            host = http.headers.get("Host", "")
+            return self._refuse(request_id, NoRoute(host=host, path=http.path))
+        body = await self._body(http, rules)
+        if body is None:
+            limit = rules.traffic.max_body_bytes
+            return self._refuse(request_id, BodyTooLarge(limit=limit), close=True)
+        headers = (*headers, Header(REQUEST_ID_HEADER, request_id))
+        request = Request(http.method, http.raw_path, headers, body)
+        deadline = time.monotonic() + rules.traffic.timeout
+        call = Call(request_id=request_id, request=request, rules=rules, deadline=deadline)
+        return await self._carry(call, http)
+
+    def _route(
+        self, table: RoutingTable, http: web.BaseRequest, headers: Headers
+    ) -> ServiceRules | None:
+        """Return the service for a request."""
+        host = http.headers.get("Host", "").rpartition(":")[0] or http.headers.get("Host", "")
+        return table.route(
+            host=host, path=http.path, method=http.method, headers=headers, rng=self._rng
+        )
+
+    async def _body(self, http: web.BaseRequest, rules: ServiceRules) -> bytes | None:
+        """Return the whole body, or None when it is over the route's limit."""
+        limit = rules.traffic.max_body_bytes
+        if not http.can_read_body:
+            return b""
+        if (http.content_length or 0) > limit:
+            return None
+        body = bytearray()
+        while chunk := await http.content.readany():
+            body += chunk
+            if len(body) > limit:
+                return None
+        return bytes(body)
+
+    async def _carry(self, call: Call, http: web.BaseRequest) -> web.StreamResponse:
+        """Try owners until one answers or the call may not be tried again."""
+        refusal: Refusal = NoUpstream(service=call.rules.service)
+        while call.time_left(time.monotonic()) > 0:
+            owner = self._choose(call)
+            if owner is None:
+                break
+            outcome = await self._attempt(call, owner, http)
+            if isinstance(outcome, web.StreamResponse):
+                return outcome
+            refusal = outcome
+            if not call.may_try_again(refusal):
+                break
+        return self._refuse(call.request_id, refusal)
+
+    def _choose(self, call: Call) -> Member | None:
+        """Return the owner for the next attempt."""
+        table = self._subscription.table
+        owners = self._membership.owners(call.rules.service, time.monotonic())
+        allowed = [owner for owner in owners if table is None or not table.is_out(owner.host)]
+        return self._chooser.choose(allowed, call.tried)
+
+    async def _attempt(
+        self, call: Call, member: Member, http: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        """Hand a call to one owner; return the answer sent, or the refusal."""
+        attempt = call.begin_attempt(member.host)
+        request_id = call.request_id
+        self._events.record("attempt", request=request_id, owner=member.host)
+        mailbox: Mailbox = asyncio.Queue()
+        self._chooser.begin(member.host)
+        load: Load | None = None
+        answered = False
+        try:
+            async with asyncio.timeout(call.time_left(time.monotonic())):
+                await self._hand_over(call, member, attempt, mailbox)
+                first = await mailbox.get()
+            match first:
+                case Answer(status=status, load=load):
+                    answered = True
+                    self._events.record("answered", request=request_id, status=str(status))
+                    return await self._send_answer(http, call, first, mailbox)
+                case Refused(refusal=refusal, load=load):
+                    answered = True
+                    return refusal
+                case Chunk():
+                    raise Broken("a body came before its answer")
+        except TimeoutError:
+            return DeadlinePassed(service=call.rules.service, verdict=Verdict.MAY_HAVE_RUN)
+        finally:
+            self._chooser.end(member.host, load)
+            if not answered:
+                await self._give_up(member, attempt)
+
+    async def _hand_over(
+        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+    ) -> None:
+        """Offer an attempt to the owner here or on another host."""
+        offer = Offer(
+            attempt=attempt,
+            service=call.rules.service,
+            request=call.request,
+            timeout=call.time_left(time.monotonic()),
+        )
+        if member.host == self._membership.own.host:
+            await self._owner.offer(offer, mailbox.put)
+        else:
+            await self._peers.link(member).offer(offer, mailbox)
+
+    async def _give_up(self, member: Member, attempt: AttemptId) -> None:
+        """Tell the owner that nobody waits for an attempt."""
+        if member.host == self._membership.own.host:
+            self._owner.cancel(attempt)
+        else:
+            await self._peers.link(member).cancel(attempt)
+
+    async def _send_answer(
+        self, http: web.BaseRequest, call: Call, answer: Answer, mailbox: Mailbox
+    ) -> web.StreamResponse:
+        """Pass the upstream's answer on to the caller."""
+        fields = [(header.name, header.value) for header in answer.headers]
+        if not answer.more:
+            response = web.Response(status=answer.status, body=answer.body)
+            _set_fields(response, fields, call.request_id)
+            return self._closing(response)
+        stream = web.StreamResponse(status=answer.status)
+        _set_fields(stream, fields, call.request_id)
+        self._closing(stream)
+        await stream.prepare(http)
+        await stream.write(answer.body)
+        more = True
+        while more:
+            body, more = _next_part(await mailbox.get())
+            await stream.write(body)
+        await stream.write_eof()
+        return stream
+
+    def _refuse(
+        self, request_id: RequestId, refusal: Refusal, *, close: bool = False
+    ) -> web.Response:
+        """Answer with a refusal and its explanation."""
+        told = explain(refusal)
+        self._events.record(
+            "refused",
+            request=request_id,
+            code=told.code,
+            sentence=told.sentence,
+            verdict=told.verdict.value,
+        )
+        form = {
+            "code": told.code,
+            "sentence": told.sentence,
+            "verdict": told.verdict.value,
+            "request": request_id,
+        }
+        response = web.json_response(form, status=told.status)
+        response.headers[REQUEST_ID_HEADER] = request_id
+        if told.retry_after is not None:
+            response.headers["Retry-After"] = str(round(told.retry_after + 0.5))
+        if close:
+            response.force_close()
+        self._closing(response)
+        return response
+
+    def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Close the connection after a response, when the process is stopping."""
+        if self._stopping:
+            response.force_close()
+        return response
+
+
+def _set_fields(
+    response: web.StreamResponse, fields: list[tuple[str, str]], request_id: RequestId
+) -> None:
+    """Give a response the upstream's header fields and the request's id."""
+    response.headers.extend(fields)
+    response.headers[REQUEST_ID_HEADER] = request_id
+
+
+def _next_part(message: OwnerMessage) -> tuple[bytes, bool]:
+    """Return a further part of a body, and whether more follow."""
+    match message:
+        case Chunk(body=body, more=more):
+            return body, more
+        case Refused(refusal=refusal):
+            raise Broken(explain(refusal).sentence)
+        case Answer():
+            raise Broken("a second answer came to one attempt")
--- /dev/null
+++ b/cowslipvane/wire/__init__.py
@@ -0,0 +1,41 @@
+"""The encoding of messages, apart from every decision."""
+
+from cowslipvane.wire._codec import (
+    Malformed,
+    Message,
+    decode,
+    decode_as,
+    encode,
+    encode_plain,
+    register,
+)
+from cowslipvane.wire._forms import (
+    FaultForm,
+    OutcomeForm,
+    ResourceForm,
+    fault_forms,
+    outcome_form,
+    read_change,
+    resource_form,
+)
+from cowslipvane.wire._link import Link, LinkClosed, connect
+
+__all__ = [
+    "FaultForm",
+    "OutcomeForm",
+    "ResourceForm",
+    "fault_forms",
+    "outcome_form",
+    "read_change",
+    "resource_form",
+    "Link",
+    "LinkClosed",
+    "Malformed",
+    "Message",
+    "connect",
+    "decode",
+    "decode_as",
+    "encode",
+    "encode_plain",
+    "register",
+]
--- /dev/null
+++ b/cowslipvane/wire/_codec.py
@@ -0,0 +1,167 @@
+"""CBOR for typed messages: a dataclass travels as its tag and the list of its fields."""
+
+from __future__ import annotations
+
+import dataclasses
+import types
+from collections.abc import Callable
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import cbor2
+from cattrs import BaseConverter, Converter
+
+Message = Any
+T = TypeVar("T")
+
+
+class Malformed(ValueError):
+    """Bytes that are no message of this protocol."""
+
+
+def _union_members(kind: Any) -> tuple[type, ...]:
+    """Return the data classes of a union that has nothing else, or nothing."""
+    if get_origin(kind) not in (Union, types.UnionType):
+        return ()
+    members = get_args(kind)
+    return members if all(dataclasses.is_dataclass(member) for member in members) else ()
+
+
+def _strict(kind: type, *allowed: type) -> Callable[[Any, Any], Any]:
+    """Return a hook that takes a value of the allowed types and converts nothing else."""
+
+    def structure(value: Any, _: Any) -> Any:
+        if type(value) not in (kind, *allowed):
+            raise Malformed(f"found {type(value).__name__}, expected {kind.__name__}")
+        return kind(value)
+
+    return structure
+
+
+def _union_structure(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
+    """Return a hook that reads a tagged data class of a union."""
+    by_tag = {member.__name__: member for member in _union_members(kind)}
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, list | tuple) or len(value) != 2 or value[0] not in by_tag:
+            raise Malformed(f"expected one of {', '.join(sorted(by_tag))}")
+        return converter.structure(value[1], by_tag[value[0]])
+
+    return structure
+
+
+def _union_unstructure(converter: BaseConverter) -> Callable[[Any], Any]:
+    """Return a hook that writes a data class of a union with its tag."""
+
+    def unstructure(value: Any) -> Any:
+        return [type(value).__name__, converter.unstructure(value, type(value))]
+
+    return unstructure
+
+
+def _is_record(kind: Any) -> bool:
+    """Return whether a type is a data class or a NamedTuple."""
+    if not isinstance(kind, type):
+        return False
+    return dataclasses.is_dataclass(kind) or (issubclass(kind, tuple) and hasattr(kind, "_fields"))
+
+
+def _field_types(kind: type) -> tuple[tuple[str, Any], ...]:
+    """Return the names and types of a record's fields."""
+    hints = get_type_hints(kind)
+    names = (
+        tuple(field.name for field in dataclasses.fields(kind))
+        if dataclasses.is_dataclass(kind)
+        else kind._fields  # type: ignore[attr-defined]
+    )
+    return tuple((name, hints[name]) for name in names)
+
+
+def _record_structure(converter: BaseConverter, kind: type) -> Callable[[Any, Any], Any]:
+    """Return a hook that reads a record from the list of its fields."""
+    fields = _field_types(kind)
+    hooks = tuple((name, field, converter.get_structure_hook(field)) for name, field in fields)
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, list | tuple) or len(value) != len(hooks):
+            raise Malformed(f"expected the {len(hooks)} fields of {kind.__name__}")
+        read = {
+            name: hook(item, field) for (name, field, hook), item in zip(hooks, value, strict=True)
+        }
+        return kind(**read)
+
+    return structure
+
+
+def _record_unstructure(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
+    """Return a hook that writes a record as the list of its fields."""
+    fields = _field_types(kind)
+    hooks = tuple((name, converter.get_unstructure_hook(field)) for name, field in fields)
+    return lambda value: [hook(getattr(value, name)) for name, hook in hooks]
+
+
+def make_converter() -> Converter:
+    """Return the converter between messages and what CBOR can hold."""
+    converter = Converter(detailed_validation=False)
+    for kind, allowed in ((int, ()), (str, ()), (bytes, ()), (bool, ()), (float, (int,))):
+        converter.register_structure_hook(kind, _strict(kind, *allowed))
+        converter.register_unstructure_hook(kind, lambda value: value)
+    converter.register_structure_hook_factory(
+        _is_record, lambda kind: _record_structure(converter, kind)
+    )
+    converter.register_unstructure_hook_factory(
+        _is_record, lambda kind: _record_unstructure(converter, kind)
+    )
+    converter.register_structure_hook_factory(
+        lambda kind: bool(_union_members(kind)), lambda kind: _union_structure(converter, kind)
+    )
+    converter.register_unstructure_hook_factory(
+        lambda kind: bool(_union_members(kind)), lambda kind: _union_unstructure(converter)
+    )
+    return converter
+
+
+_CONVERTER = make_converter()
+_MESSAGES: dict[str, type] = {}
+
+
+def register(*kinds: type) -> None:
+    """Let messages of these data classes travel between processes."""
+    _MESSAGES.update((kind.__name__, kind) for kind in kinds)
+
+
+def encode(message: Message) -> bytes:
+    """Return a registered message as bytes."""
+    kind = type(message)
+    return cbor2.dumps([kind.__name__, _CONVERTER.unstructure(message, kind)])
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in the bytes; raise Malformed when there is none."""
+    try:
+        tag, fields = cbor2.loads(data)
+        kind = _MESSAGES[tag]
+    except Exception as error:
+        raise Malformed(f"no known message: {error}") from error
+    return _structure(kind, fields)
+
+
+def encode_plain(value: Any) -> bytes:
+    """Return a value without a tag, for a reader that knows its type."""
+    return cbor2.dumps(_CONVERTER.unstructure(value, type(value)))
+
+
+def decode_as(kind: type[T], data: bytes) -> T:
+    """Return the value of a known type; raise Malformed when it isn't one."""
+    try:
+        fields = cbor2.loads(data)
+    except Exception as error:
+        raise Malformed(f"no CBOR: {error}") from error
+    return _structure(kind, fields)
+
+
+def _structure(kind: type[T], fields: Any) -> T:
+    """Return fields as a type; raise Malformed when they don't fit."""
+    try:
+        return _CONVERTER.structure(fields, kind)
+    except Exception as error:
+        raise Malformed(f"no {kind.__name__}: {error}") from error
