--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,299 @@
+"""A fleet of real processes on loopback: the hosts of an example, moved to free addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+from cowslipvane.client import Client, Unreachable
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLES = ROOT / "examples"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+_FIRST_PORT = 10_000
+_POLL_S = 0.02
+
+
+class Host(NamedTuple):
+    """A host of the fleet: its settings, and the stand-in worker beside it."""
+
+    name: str
+    settings: dict[str, Any]
+    worker: dict[str, Any]
+
+    @property
+    def is_replica(self) -> bool:
+        """Return whether the host keeps the accepted configuration."""
+        return "replica" in self.settings["roles"]
+
+
+def example_hosts(deployment: str) -> list[Host]:
+    """Return the hosts of a deployment under examples/."""
+    workers = tomllib.loads((EXAMPLES / deployment / "workers.toml").read_text())
+    hosts = []
+    for path in sorted((EXAMPLES / deployment / "hosts").glob("*.toml")):
+        settings = tomllib.loads(path.read_text())
+        hosts.append(Host(settings["host"], settings, workers.get(settings["host"], {})))
+    return hosts
+
+
+class Fleet:
+    """Starts, fails and stops the processes of some hosts."""
+
+    def __init__(self, *, hosts: Iterable[Host], timing: dict[str, float] | None = None) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="cowslipvane-")
+        self.folder = Path(self._folder.name)
+        self.hosts = {host.name: host for host in hosts}
+        self._timing = timing or {}
+        self._ip, self._next_port = _free_ip(), _FIRST_PORT
+        self._addresses = {
+            host: {name: self._address() for name in ("callers", "operators", "peers", "worker")}
+            for host in self.hosts
+        }
+        self._daemons: dict[str, subprocess.Popen[bytes]] = {}
+        self._workers: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        """Return the fleet."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Leave no process and no file behind."""
+        for process in [*self._daemons.values(), *self._workers.values()]:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    @property
+    def replicas(self) -> list[str]:
+        """Return the hosts that keep the accepted configuration."""
+        return [host.name for host in self.hosts.values() if host.is_replica]
+
+    @property
+    def alive(self) -> list[str]:
+        """Return the hosts whose daemon runs."""
+        return [host for host, daemon in self._daemons.items() if daemon.poll() is None]
+
+    def address(self, host: str, listener: str) -> str:
+        """Return IP:PORT of a host's listener."""
+        return self._addresses[host][listener]
+
+    def operators(self) -> tuple[str, ...]:
+        """Return the operators' addresses of the replicas."""
+        return tuple(self.address(host, "operators") for host in self.replicas)
+
+    def client(self, timeout: float = 20.0) -> Client:
+        """Return an operator's client for the replicas."""
+        return Client(servers=self.operators(), timeout=timeout)
+
+    def create(self) -> None:
+        """Make the replicas' data folders part of one new group."""
+        voters = [f"--voter={host}={self.address(host, 'peers')}" for host in self.replicas]
+        for host in self.replicas:
+            settings = ["--settings", str(self._write_settings(host))]
+            self.command("replica", "create", "--group", "fleet", *settings, *voters)
+
+    def command(self, *arguments: str) -> str:
+        """Run the command line and return what it printed; raise when it fails."""
+        command = [sys.executable, "-m", "cowslipvane", *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, check=False, cwd=ROOT)
+        if done.returncode:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.stderr or done.stdout}")
+        return done.stdout
+
+    def start(self, *hosts: str) -> None:
+        """Start daemons and workers, of all hosts unless some are named."""
+        for host in hosts or self.hosts:
+            self.start_daemon(host)
+        for host in hosts or self.hosts:
+            self.start_worker(host)
+
+    def start_daemon(self, host: str) -> None:
+        """Start the daemon of a host."""
+        settings = self._write_settings(host)
+        self._daemons[host] = self._spawn(
+            f"{host}.daemon", "-m", "cowslipvane", "run", "--settings", str(settings)
+        )
+
+    def start_worker(self, host: str) -> None:
+        """Start the stand-in worker of a host, if it has one."""
+        traits = self.hosts[host].worker
+        if not traits:
+            return
+        options = [
+            part
+            for name, value in traits.items()
+            for part in (f"--{name.replace('_', '-')}", str(value))
+        ]
+        self._workers[host] = self._spawn(
+            f"{host}.worker",
+            "-m",
+            "tools.worker",
+            "--address",
+            self.address(host, "worker"),
+            "--proxy",
+            self.address(host, "operators"),
+            "--ledger",
+            str(self.folder / f"{host}.ledger"),
+            *options,
+        )
+
+    def signal_daemon(self, host: str, number: signal.Signals) -> None:
+        """Send a signal to a host's daemon."""
+        self._daemons[host].send_signal(number)
+
+    def signal_worker(self, host: str, number: signal.Signals) -> None:
+        """Send a signal to a host's worker."""
+        self._workers[host].send_signal(number)
+
+    def kill(self, host: str) -> None:
+        """Kill the daemon and the worker of a host."""
+        for processes in (self._daemons, self._workers):
+            if host in processes:
+                processes[host].kill()
+                processes[host].wait()
+
+    def kill_daemon(self, host: str) -> None:
+        """Kill the daemon of a host."""
+        self._daemons[host].kill()
+        self._daemons[host].wait()
+
+    def stop(self) -> dict[str, int]:
+        """Stop all daemons as planned, then the workers, and return the daemons' exit codes."""
+        live = self.alive
+        for host in live:
+            self.signal_daemon(host, signal.SIGTERM)
+        codes = {host: self._daemons[host].wait(STOP_TIMEOUT_S) for host in live}
+        for worker in self._workers.values():
+            if worker.poll() is None:
+                worker.terminate()
+            worker.wait(STOP_TIMEOUT_S)
+        return codes
+
+    def ledger(self, *hosts: str) -> list[dict[str, Any]]:
+        """Return what the stand-in workers ran."""
+        lines = []
+        for host in hosts or self.hosts:
+            path = self.folder / f"{host}.ledger"
+            if path.exists():
+                lines += [{**json.loads(line), "host": host} for line in path.open()]
+        return lines
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the events that all daemons wrote."""
+        found = []
+        for host in self.hosts:
+            path = self.folder / f"{host}.events"
+            if path.exists():
+                found += [json.loads(line)["event"] for line in path.open() if line.endswith("\n")]
+        return sorted(found, key=lambda event: (event["wall"], event["logical"]))
+
+    def errors(self) -> str:
+        """Return what the processes wrote to standard error."""
+        texts = [path.read_text() for path in sorted(self.folder.glob("*.err"))]
+        return "".join(texts)
+
+    async def until_leader(self) -> dict[str, Any]:
+        """Return the status of the leader, once there is one."""
+        return await self._until(lambda status: status.get("replica", {}).get("holds_lease", False))
+
+    async def until_members(self, workers: int) -> dict[str, Any]:
+        """Return the leader's status once it knows of that many workers."""
+
+        def all_there(status: dict[str, Any]) -> bool:
+            return sum(bool(member["service"]) for member in status["members"]) >= workers
+
+        return await self._until(all_there)
+
+    async def until_in_force(self, version: int, hosts: Iterable[str]) -> float:
+        """Return when a version was in force on the last of some hosts, as wall time."""
+        wanted = set(hosts)
+
+        def everywhere(status: dict[str, Any]) -> bool:
+            reports = status.get("replica", {}).get("reports", [])
+            return wanted <= {item["host"] for item in reports if item["version"] >= version}
+
+        status = await self._until(everywhere)
+        reports = status["replica"]["reports"]
+        return float(max(item["applied_at"] for item in reports if item["host"] in wanted))
+
+    async def _until(self, holds: Any) -> dict[str, Any]:
+        """Return the leader's status once something holds of it."""
+        give_up = time.monotonic() + START_TIMEOUT_S
+        status: dict[str, Any] = {}
+        async with self.client(timeout=2.0) as client:
+            while time.monotonic() < give_up:
+                try:
+                    status = await client.status()
+                    if holds(status):
+                        return status
+                except Unreachable:
+                    pass
+                await asyncio.sleep(_POLL_S)
+        raise TimeoutError(f"waited {START_TIMEOUT_S} s in vain; last seen: {status}")
+
+    def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        """Start a Python process whose errors go to a file."""
+        with (self.folder / f"{name}.err").open("ab") as errors:
+            return subprocess.Popen([sys.executable, *arguments], stderr=errors, cwd=ROOT)
+
+    def _address(self) -> str:
+        """Return an address that nothing else listens on."""
+        self._next_port += 1
+        return f"{self._ip}:{self._next_port}"
+
+    def _write_settings(self, host: str) -> Path:
+        """Write a host's settings with the addresses of this fleet."""
+        mine = self._addresses[host]
+        settings = self.hosts[host].settings
+        seeds = [self.address(replica, "peers") for replica in self.replicas]
+        listen = {name: mine[name] for name in ("callers", "operators", "peers")}
+        lines = [
+            f"host = {json.dumps(host)}",
+            f"data_centre = {json.dumps(settings['data_centre'])}",
+            f"roles = {json.dumps(settings['roles'])}",
+            f"seeds = {json.dumps(seeds)}",
+            f"data_folder = {json.dumps(str(self.folder / f'{host}.data'))}",
+            f"event_file = {json.dumps(str(self.folder / f'{host}.events'))}",
+            "[listen]",
+            *(f"{name} = {json.dumps(value)}" for name, value in listen.items()),
+            "[timing]",
+            *(f"{name} = {value}" for name, value in self._timing.items()),
+        ]
+        path = self.folder / f"{host}.toml"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+
+def _free_ip() -> str:
+    """Return a loopback address that no other fleet is likely to use."""
+    # Clients on loopback connect from 127.0.0.1, so their ports can't take a listener's.
+    rng = random.Random(os.urandom(8))
+    while True:
+        ip = f"127.{rng.randint(16, 250)}.{rng.randint(0, 250)}.{rng.randint(1, 250)}"
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, _FIRST_PORT + 1))
+            except OSError:
+                continue
+            return ip
