--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,72 @@
+"""Tests of the settings."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from cowslipvane.settings import SettingsFault, load
+from tools.fleet import EXAMPLES
+
+GOOD = """
+host = "a"
+data_centre = "b"
+roles = ["proxy"]
+[listen]
+callers = "127.0.0.1:1001"
+operators = "127.0.0.1:1002"
+peers = "127.0.0.1:1003"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Every fault is found, each in one line that says what to do."""
+
+    def faults(self, text: str) -> tuple[str, ...]:
+        """Return the faults of a settings file, without its name."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(text)
+            try:
+                load(path)
+            except SettingsFault as error:
+                return tuple(fault.removeprefix(f"{path}: ") for fault in error.faults)
+        return ()
+
+    def test_good_settings_load(self) -> None:
+        """Good settings have no fault."""
+        self.assertEqual(self.faults(GOOD), ())
+
+    def test_examples_load(self) -> None:
+        """The settings that ship are good."""
+        paths = sorted(EXAMPLES.glob("*/hosts/*.toml"))
+        self.assertEqual(len(paths), 30)
+        for path in paths:
+            load(path)
+
+    def test_a_fault_names_key_found_and_allowed(self) -> None:
+        """A fault says all that is needed to mend it."""
+        bad = GOOD.replace('"127.0.0.1:1002"', '"here"')
+        self.assertEqual(
+            self.faults(bad),
+            ("listen.operators: found 'here'; allowed is IP:PORT, such as 127.0.0.1:8080",),
+        )
+
+    def test_all_faults_come_together(self) -> None:
+        """No fault hides another."""
+        bad = GOOD.replace('host = "a"', "host = 1").replace('["proxy"]', '["king"]')
+        self.assertEqual(len(self.faults(bad)), 2)
+
+    def test_an_unknown_key_is_a_fault(self) -> None:
+        """A misspelt key isn't passed over."""
+        self.assertEqual(
+            self.faults("colour = 1\n" + GOOD), ("found colour; no such key is known",)
+        )
+
+    def test_a_time_out_of_range_is_a_fault(self) -> None:
+        """A range has its unit."""
+        found = self.faults(GOOD + "[timing]\ngrace = -1\n")
+        self.assertEqual(found, ("timing: timing.grace: found -1; allowed is 0 to 3600 s",))
+
+
+if __name__ == "__main__":
+    unittest.main()
