Split the command line and the operators' API by what they are about

Cause: each of these modules served every aggregate, so that every later change would meet in them. Ruled out: one class for each command; functions by aggregate read shorter.

--- /dev/null
+++ b/cowslipvane/cmdline/_main.py
@@ -0,0 +1,20 @@
+"""The group of all commands."""
+
+from __future__ import annotations
+
+import click
+
+from cowslipvane.cmdline._explain import explain
+from cowslipvane.cmdline._process import check, run, status
+from cowslipvane.cmdline._replica import replica
+from cowslipvane.cmdline._resources import apply, get, watch
+
+
+@click.group()
+@click.version_option(package_name="cowslipvane")
+def main() -> None:
+    """Distribute routing configuration to every proxy of a service mesh."""
+
+
+for _command in (apply, check, explain, get, replica, run, status, watch):
+    main.add_command(_command)
--- /dev/null
+++ b/cowslipvane/cmdline/_options.py
@@ -0,0 +1,46 @@
+"""Options that several commands share, and how a failed command ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+from cowslipvane import commands
+from cowslipvane.settings import Settings
+
+EXIT_BAD_INPUT = 2
+T = TypeVar("T")
+
+server_option = click.option(
+    "--server",
+    "servers",
+    multiple=True,
+    required=True,
+    envvar="COWSLIPVANE_SERVERS",
+    help="IP:PORT of a process's operators' listener; give several to survive failures.",
+)
+settings_option = click.option(
+    "--settings", "path", required=True, type=click.Path(path_type=Path), help="A TOML file."
+)
+
+
+def ask(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a command and turn its failure into one line."""
+    try:
+        return asyncio.run(coroutine)
+    except commands.CommandFailed as error:
+        raise click.ClickException(str(error)) from error
+
+
+def read_settings(path: Path) -> Settings:
+    """Return the settings in a file, or exit with a line for each fault."""
+    try:
+        return commands.read_settings(path)
+    except commands.SettingsFault as error:
+        for fault in error.faults:
+            click.echo(fault, err=True)
+        raise SystemExit(EXIT_BAD_INPUT) from None
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -10,10 +10,8 @@
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from pathlib import Path
-from types import TracebackType
 from typing import Any
 
-from aiohttp import web
 from websockets.asyncio.server import ServerConnection, serve
 
 from cowslipvane.events import EventLog, HybridClock
@@ -24,15 +22,18 @@
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
+from cowslipvane.tasks._http import HttpListener
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers, serve_calls
+from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import Replication
+from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
-from cowslipvane.types import Address, Seconds
+from cowslipvane.types import Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed
 from cowslipvane.wire._link import MAX_MESSAGE_BYTES
 
@@ -177,14 +178,6 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
         listen = self._settings.listen
-        operators = Operators(
-            membership=self._members.membership,
-            events=self._events,
-            replication=self._replication,
-            subscription=self._subscription,
-            owner=self._owner,
-            drain=self.stop,
-        )
         await stack.enter_async_context(
             serve(
                 self._serve_peer,
@@ -195,9 +188,32 @@
                 max_size=MAX_MESSAGE_BYTES,
             )
         )
-        await stack.enter_async_context(_HttpListener(operators.handle, listen.operators))
+        await stack.enter_async_context(
+            HttpListener(handler=self._operators().handle, address=listen.operators)
+        )
         if self._callers is not None and listen.callers is not None:
-            await stack.enter_async_context(_HttpListener(self._callers.handle, listen.callers))
+            await stack.enter_async_context(
+                HttpListener(handler=self._callers.handle, address=listen.callers)
+            )
+
+    def _operators(self) -> Operators:
+        """Return what answers operators."""
+        process = ProcessApi(
+            membership=self._members.membership,
+            events=self._events,
+            replication=self._replication,
+            subscription=self._subscription,
+            owner=self._owner,
+            drain=self.stop,
+        )
+        if self._replication is None:
+            return Operators(process=process, resources=None)
+        resources = ResourceApi(
+            membership=self._members.membership,
+            events=self._events,
+            replication=self._replication,
+        )
+        return Operators(process=process, resources=resources)
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
@@ -217,30 +233,3 @@
             return
         except Malformed as error:
             self._events.record("malformed", path=path, reason=str(error))
-
-
-class _HttpListener:
-    """An aiohttp low-level server on one address."""
-
-    def __init__(self, handler: object, address: Address) -> None:
-        self._server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
-        self._address = address
-        self._listener: asyncio.Server | None = None
-
-    async def __aenter__(self) -> None:
-        """Begin to listen."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, self._address.ip, self._address.port, reuse_address=True
-        )
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the listener and its connections."""
-        assert self._listener is not None
-        self._listener.close()
-        await self._server.shutdown(timeout=1.0)
--- a/cowslipvane/storage/__init__.py
+++ b/cowslipvane/storage/__init__.py
@@ -1,6 +1,12 @@
 """What a host with a disk keeps in its data folder."""
 
-from cowslipvane.storage._folder import DataFolder, FolderBusy, FolderDamaged, FolderEmpty
+from cowslipvane.storage._folder import (
+    DataFolder,
+    FolderBusy,
+    FolderDamaged,
+    FolderEmpty,
+    Identity,
+)
 from cowslipvane.storage._journal import FileJournal
 
-__all__ = ["DataFolder", "FileJournal", "FolderBusy", "FolderDamaged", "FolderEmpty"]
+__all__ = ["DataFolder", "FileJournal", "FolderBusy", "FolderDamaged", "FolderEmpty", "Identity"]
--- /dev/null
+++ b/cowslipvane/tasks/_http.py
@@ -0,0 +1,45 @@
+"""HTTP for the listeners of operators and callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+
+from aiohttp import web
+
+from cowslipvane.types import Address
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class HttpListener:
+    """An aiohttp low-level server on one address."""
+
+    def __init__(self, *, handler: Handler, address: Address) -> None:
+        self._server = web.Server(handler, access_log=None)
+        self._address = address
+        self._listener: asyncio.Server | None = None
+
+    async def __aenter__(self) -> None:
+        """Begin to listen."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, self._address.ip, self._address.port, reuse_address=True
+        )
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the listener and its connections."""
+        assert self._listener is not None
+        self._listener.close()
+        await self._server.shutdown(timeout=1.0)
+
+
+def error_response(status: int, sentence: str) -> web.Response:
+    """Return an error that says what to do."""
+    return web.json_response({"outcome": "not run", "sentence": sentence}, status=status)
--- /dev/null
+++ b/cowslipvane/tasks/_process_api.py
@@ -0,0 +1,115 @@
+"""The API of any process: its status, its events, its metrics, and its worker."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import prometheus_client
+from aiohttp import web
+
+from cowslipvane.events import EventLog
+from cowslipvane.membership import Member, Membership, Worker
+from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.types import Address, ServiceName
+
+
+class ProcessApi:
+    """Answers operators who ask about this process, and the worker on this host."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        events: EventLog,
+        replication: Replication | None,
+        subscription: Subscription | None,
+        owner: Owner | None,
+        drain: Callable[[], None],
+    ) -> None:
+        self._membership = membership
+        self._events = events
+        self._replication = replication
+        self._subscription = subscription
+        self._owner = owner
+        self._drain = drain
+
+    async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
+        """Answer by method and path, or return None when the path is none of this API."""
+        match http.method, parts:
+            case "GET", ["status"]:
+                return web.json_response(self._status())
+            case "GET", ["events"]:
+                request = http.query.get("request", "")
+                return web.json_response(list(self._events.select(request=request)))
+            case "POST", ["worker"]:
+                return await self._announce(await http.json())
+            case "POST", ["drain"]:
+                self._drain()
+                return web.json_response({"state": "leaving"})
+            case "GET", ["metrics"]:
+                text = prometheus_client.generate_latest()
+                return web.Response(body=text, content_type="text/plain")
+            case _:
+                return None
+
+    def _status(self) -> dict[str, Any]:
+        """Return what this process knows of itself and the others."""
+        own = self._membership.own
+        status: dict[str, Any] = {
+            "host": own.host,
+            "data_centre": own.data_centre,
+            "state": own.state,
+            "members": [self._member_form(member) for member in self._membership.members],
+        }
+        if self._subscription is not None:
+            status["in_force"] = self._subscription.version
+        if self._owner is not None:
+            status["load"] = self._owner.load._asdict()
+        if self._replication is not None:
+            status["replica"] = self._replica_form(self._replication)
+        return status
+
+    def _member_form(self, member: Member) -> dict[str, Any]:
+        """Return a member as JSON."""
+        return {
+            "host": member.host,
+            "data_centre": member.data_centre,
+            "state": member.state,
+            "alive": self._membership.is_alive(member.host, time.monotonic()),
+            "operators": str(member.operators),
+            "service": member.worker.service if member.worker else "",
+        }
+
+    def _replica_form(self, replication: Replication) -> dict[str, Any]:
+        """Return the replica's part of the status."""
+        replica = replication.replica
+        return {
+            "role": type(replica.role).__name__.lower(),
+            "term": replica.term,
+            "leader": replica.leader,
+            "holds_lease": replica.holds_lease(time.monotonic()),
+            "accepted": replica.catalogue.version,
+            "reports": [
+                {"host": report.host, "version": report.version, "applied_at": report.applied_at}
+                for report in replica.reports.values()
+            ],
+        }
+
+    async def _announce(self, form: Any) -> web.Response:
+        """Take the announcement of the worker on this host."""
+        if self._owner is None:
+            return error_response(404, "this process is no proxy; announce to the one on this host")
+        ip, _, port = str(form["address"]).rpartition(":")
+        worker = Worker(
+            ServiceName(str(form["service"])),
+            Address(ip, int(port)),
+            int(form["slots"]),
+            int(form["connections"]),
+        )
+        await self._owner.announce(worker)
+        return web.json_response({"state": self._membership.own.state})
