Keep no cookies between calls to a worker

Cause: the session to a worker had a cookie jar, so that a cookie set in one caller's answer would travel with another caller's request. Found by reading; the test of the call path will hold it.

--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -63,6 +63,8 @@
             f"http://{worker.address}",
             connector=connector,
             auto_decompress=False,
+            # A jar would send one caller's cookies with another caller's request.
+            cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         )
