Name the owner in each answer, so that a caller can save the hop

Cause: a call through another proxy costs a process more than one through the owner; what was measured before: owner +1.00 ms, hop +1.84 ms at the median.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -60,6 +60,7 @@
             0,
             settings.listen.peers,
             settings.listen.operators,
+            settings.listen.callers,
             "up",
             None,
         )
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -26,6 +26,7 @@
     counter: int
     peers: Address
     operators: Address
+    callers: Address | None
     state: Literal["up", "leaving", "gone"]
     worker: Worker | None
 
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -6,6 +6,7 @@
 import random
 import time
 import uuid
+from collections.abc import Mapping
 
 from aiohttp import web
 
@@ -39,6 +40,8 @@
 from cowslipvane.types import Header, Headers, RequestId, Seconds, Verdict
 
 REQUEST_ID_HEADER = "X-Request-Id"
+# Names the proxy that owns the upstream: a caller that goes there next saves a hop.
+OWNER_HEADER = "X-Cowslipvane-Owner"
 
 
 class Broken(Exception):
@@ -174,7 +177,7 @@
                 case Answer(status=status, load=load):
                     answered = True
                     self._events.record("answered", request=request_id, status=str(status))
-                    return await self._send_answer(http, call, first, mailbox)
+                    return await self._send_answer(http, call, member, first, mailbox)
                 case Refused(refusal=refusal, load=load):
                     answered = True
                     return refusal
@@ -210,16 +213,24 @@
             await self._peers.link(member).cancel(attempt)
 
     async def _send_answer(
-        self, http: web.BaseRequest, call: Call, answer: Answer, mailbox: Mailbox
+        self,
+        http: web.BaseRequest,
+        call: Call,
+        member: Member,
+        answer: Answer,
+        mailbox: Mailbox,
     ) -> web.StreamResponse:
         """Pass the upstream's answer on to the caller."""
+        own: dict[str, str] = {REQUEST_ID_HEADER: call.request_id}
+        if member.callers is not None:
+            own[OWNER_HEADER] = str(member.callers)
         fields = [(header.name, header.value) for header in answer.headers]
         if not answer.more:
             response = web.Response(status=answer.status, body=answer.body)
-            _set_fields(response, fields, call.request_id)
+            _set_fields(response, fields, own)
             return self._closing(response)
         stream = web.StreamResponse(status=answer.status)
-        _set_fields(stream, fields, call.request_id)
+        _set_fields(stream, fields, own)
         self._closing(stream)
         await stream.prepare(http)
         await stream.write(answer.body)
@@ -265,11 +276,11 @@
 
 
 def _set_fields(
-    response: web.StreamResponse, fields: list[tuple[str, str]], request_id: RequestId
+    response: web.StreamResponse, fields: list[tuple[str, str]], own: Mapping[str, str]
 ) -> None:
-    """Give a response the upstream's header fields and the request's id."""
+    """Give a response the upstream's header fields, and the system's own over them."""
     response.headers.extend(fields)
-    response.headers[REQUEST_ID_HEADER] = request_id
+    response.headers.update(own)
 
 
 def _next_part(message: OwnerMessage) -> tuple[bytes, bool]:
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -90,9 +90,13 @@
             "path": http.path,
             "mark": http.headers.get("X-Mark", ""),
             "received": len(body),
+            "cookie": http.headers.get("Cookie", ""),
             "padding": "x" * size,
         }
-        return web.json_response(answer)
+        response = web.json_response(answer)
+        if "X-Set-Cookie" in http.headers:
+            response.headers["Set-Cookie"] = http.headers["X-Set-Cookie"]
+        return response
 
     def _write(self, http: web.BaseRequest, what: str) -> None:
         """Write a line to the ledger at once, so that it outlives a kill."""
