Separate carrying a call from answering its caller

Cause: tasks/_callers.py held HTTP, attempts and hand-over in one class, so that another front end could not have used the attempts. Ruled out: carrying inside the call's aggregate, which may not wait.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -22,6 +22,7 @@
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
+from cowslipvane.tasks._carrier import Carrier
 from cowslipvane.tasks._http import HttpListener
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
@@ -162,14 +163,16 @@
             events=self._events,
             worker_lease=self._settings.timing.worker_lease,
         )
-        self._callers = Callers(
+        carrier = Carrier(
             subscription=subscription,
             membership=self._members.membership,
             owner=self._owner,
             peers=self._peers,
             chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
             events=self._events,
-            rng=self._rng,
+        )
+        self._callers = Callers(
+            subscription=subscription, carrier=carrier, events=self._events, rng=self._rng
         )
         subscriber = Subscriber(
             subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 import uuid
@@ -11,43 +10,29 @@
 from aiohttp import web
 
 from cowslipvane.call import (
-    Answer,
-    AttemptId,
     Call,
-    Chunk,
-    Offer,
-    OwnerMessage,
-    Refused,
     Request,
     end_to_end,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import (
     BodyTooLarge,
-    DeadlinePassed,
     NoConfiguration,
     NoRoute,
-    NoUpstream,
     Refusal,
     explain,
 )
-from cowslipvane.routing import Chooser, Load, RoutingTable, ServiceRules
+from cowslipvane.routing import RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._peers import Mailbox, Peers
+from cowslipvane.tasks._carrier import Carrier, Served, next_part
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Header, Headers, RequestId, Seconds, Verdict
+from cowslipvane.types import Header, Headers, RequestId, Seconds
 
 REQUEST_ID_HEADER = "X-Request-Id"
 # Names the proxy that owns the upstream: a caller that goes there next saves a hop.
 OWNER_HEADER = "X-Cowslipvane-Owner"
 
 
-class Broken(Exception):
-    """An answer that has begun can't be completed; its connection must be cut."""
-
-
 class Callers:
     """Takes callers' requests, finds owners for them, and answers."""
 
@@ -55,18 +40,12 @@
         self,
         *,
         subscription: Subscription,
-        membership: Membership,
-        owner: Owner,
-        peers: Peers,
-        chooser: Chooser,
+        carrier: Carrier,
         events: EventLog,
         rng: random.Random,
     ) -> None:
         self._subscription = subscription
-        self._membership = membership
-        self._owner = owner
-        self._peers = peers
-        self._chooser = chooser
+        self._carrier = carrier
         self._events = events
         self._rng = rng
         self._under_way = 0
@@ -111,7 +90,11 @@
         request = Request(http.method, http.raw_path, headers, body)
         deadline = time.monotonic() + rules.traffic.timeout
         call = Call(request_id=request_id, request=request, rules=rules, deadline=deadline)
-        return await self._carry(call, http)
+        match await self._carrier.carry(call):
+            case Served() as served:
+                return await self._send_answer(http, call, served)
+            case refusal:
+                return self._refuse(request_id, refusal)
 
     def _route(
         self, table: RoutingTable, http: web.BaseRequest, headers: Headers
@@ -136,94 +119,17 @@
                 return None
         return bytes(body)
 
-    async def _carry(self, call: Call, http: web.BaseRequest) -> web.StreamResponse:
-        """Try owners until one answers or the call may not be tried again."""
-        refusal: Refusal = NoUpstream(service=call.rules.service)
-        while call.time_left(time.monotonic()) > 0:
-            owner = self._choose(call)
-            if owner is None:
-                break
-            outcome = await self._attempt(call, owner, http)
-            if isinstance(outcome, web.StreamResponse):
-                return outcome
-            refusal = outcome
-            if not call.may_try_again(refusal):
-                break
-        return self._refuse(call.request_id, refusal)
-
-    def _choose(self, call: Call) -> Member | None:
-        """Return the owner for the next attempt."""
-        table = self._subscription.table
-        owners = self._membership.owners(call.rules.service, time.monotonic())
-        allowed = [owner for owner in owners if table is None or not table.is_out(owner.host)]
-        return self._chooser.choose(allowed, call.tried)
-
-    async def _attempt(
-        self, call: Call, member: Member, http: web.BaseRequest
-    ) -> web.StreamResponse | Refusal:
-        """Hand a call to one owner; return the answer sent, or the refusal."""
-        attempt = call.begin_attempt(member.host)
-        request_id = call.request_id
-        self._events.record("attempt", request=request_id, owner=member.host)
-        mailbox: Mailbox = asyncio.Queue()
-        self._chooser.begin(member.host)
-        load: Load | None = None
-        answered = False
-        try:
-            async with asyncio.timeout(call.time_left(time.monotonic())):
-                await self._hand_over(call, member, attempt, mailbox)
-                first = await mailbox.get()
-            match first:
-                case Answer(status=status, load=load):
-                    answered = True
-                    self._events.record("answered", request=request_id, status=str(status))
-                    return await self._send_answer(http, call, member, first, mailbox)
-                case Refused(refusal=refusal, load=load):
-                    answered = True
-                    return refusal
-                case Chunk():
-                    raise Broken("a body came before its answer")
-        except TimeoutError:
-            return DeadlinePassed(service=call.rules.service, verdict=Verdict.MAY_HAVE_RUN)
-        finally:
-            self._chooser.end(member.host, load)
-            if not answered:
-                await self._give_up(member, attempt)
-
-    async def _hand_over(
-        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
-    ) -> None:
-        """Offer an attempt to the owner here or on another host."""
-        offer = Offer(
-            attempt=attempt,
-            service=call.rules.service,
-            request=call.request,
-            timeout=call.time_left(time.monotonic()),
-        )
-        if member.host == self._membership.own.host:
-            await self._owner.offer(offer, mailbox.put)
-        else:
-            await self._peers.link(member).offer(offer, mailbox)
-
-    async def _give_up(self, member: Member, attempt: AttemptId) -> None:
-        """Tell the owner that nobody waits for an attempt."""
-        if member.host == self._membership.own.host:
-            self._owner.cancel(attempt)
-        else:
-            await self._peers.link(member).cancel(attempt)
-
     async def _send_answer(
         self,
         http: web.BaseRequest,
         call: Call,
-        member: Member,
-        answer: Answer,
-        mailbox: Mailbox,
+        served: Served,
     ) -> web.StreamResponse:
         """Pass the upstream's answer on to the caller."""
+        answer = served.answer
         own: dict[str, str] = {REQUEST_ID_HEADER: call.request_id}
-        if member.callers is not None:
-            own[OWNER_HEADER] = str(member.callers)
+        if served.owner.callers is not None:
+            own[OWNER_HEADER] = str(served.owner.callers)
         fields = [(header.name, header.value) for header in answer.headers]
         if not answer.more:
             response = web.Response(status=answer.status, body=answer.body)
@@ -233,11 +139,17 @@
         _set_fields(stream, fields, own)
         self._closing(stream)
         await stream.prepare(http)
-        await stream.write(answer.body)
-        more = True
-        while more:
-            body, more = _next_part(await mailbox.get())
-            await stream.write(body)
+        whole = False
+        try:
+            await stream.write(answer.body)
+            more = True
+            while more:
+                body, more = next_part(await served.mailbox.get())
+                await stream.write(body)
+            whole = True
+        finally:
+            if not whole:
+                await self._carrier.give_up(served)
         await stream.write_eof()
         return stream
 
@@ -281,14 +193,3 @@
     """Give a response the upstream's header fields, and the system's own over them."""
     response.headers.extend(fields)
     response.headers.update(own)
-
-
-def _next_part(message: OwnerMessage) -> tuple[bytes, bool]:
-    """Return a further part of a body, and whether more follow."""
-    match message:
-        case Chunk(body=body, more=more):
-            return body, more
-        case Refused(refusal=refusal):
-            raise Broken(explain(refusal).sentence)
-        case Answer():
-            raise Broken("a second answer came to one attempt")
