--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,26 @@
+"""What the operating system says of a process."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_BYTES_PER_KIB = 1024
+
+
+class Usage(NamedTuple):
+    """Processor time in seconds and resident memory in bytes of one process."""
+
+    processor_s: float
+    resident: int
+
+
+def usage(pid: int) -> Usage:
+    """Return what a process has used since its start."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    status = Path(f"/proc/{pid}/status").read_text().splitlines()
+    resident = next(line for line in status if line.startswith("VmRSS:"))
+    return Usage(ticks / _TICKS_PER_S, int(resident.split()[1]) * _BYTES_PER_KIB)
