Keep a voter's promise to its leader, canvass before an election, make a failed sync fatal

Cause: a voter refused votes only while it knew a leader, so a restarted voter, or one that had learnt a later term, could elect another while the old leader still held its lease. A replica that came back deposed a healthy leader by its term. A candidate asked for votes before its own ballot was synced, so a crash could make it stand twice in one term. A leader without a quorum stayed leader for ever. A heartbeat was acknowledged without a sync, although it could bring a new term or vouch for entries that another connection's task had not synced yet. A quick loss and regain of leadership was missed.

A log that differs is gone back a term at a time. The log is a class of its own.

Ruled out: answering heartbeats before the sync, since a term that is lost in a crash would let an older leader replace what was acknowledged. A replica whose disk stalls for longer than the election timeout counts as out of contact.

Tests: 20 new in test_replica and test_journal, all pass. Seen to fail with the protection taken out, each alone: silence after a restart, the promise after a later term, a leader in contact deposed, pre-vote without silence, votes asked for before the own ballot, a stranger's vote, commit of an old term by counting, a lease longer than the promise, no step-down, a late refusal, a reply of an older term, an unsynced own entry, a short write, a forgotten failure, damage before the last record, a tail left uncut, a cancelled sync that takes its records along. test_path passes.

--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -6,6 +6,8 @@
     Command,
     Entry,
     Noop,
+    PreVote,
+    PreVoteReply,
     Report,
     Vote,
     Voter,
@@ -13,7 +15,7 @@
     Write,
 )
 from cowslipvane.replica._replica import Ballot, Journal, Recovered, Replica
-from cowslipvane.replica._roles import Candidate, Follower, Leader
+from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate
 
 __all__ = [
     "Append",
@@ -26,6 +28,9 @@
     "Journal",
     "Leader",
     "Noop",
+    "PreCandidate",
+    "PreVote",
+    "PreVoteReply",
     "Recovered",
     "Replica",
     "Report",
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -50,6 +50,26 @@
     rejected: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PreVote:
+    """Asks whether a vote in a term would be granted; the answer binds nobody."""
+
+    term: int
+    candidate: HostName
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PreVoteReply:
+    """Says whether a vote in the proposed term would be granted, and the voter's own term."""
+
+    term: int
+    proposed: int
+    voter: HostName
+    granted: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Vote:
     """Asks for a vote in a term."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -6,24 +6,34 @@
 from typing import NamedTuple, Protocol
 
 from cowslipvane.catalogue import Catalogue, Change
+from cowslipvane.replica._log import Log
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
     Command,
     Entry,
     Noop,
+    PreVote,
+    PreVoteReply,
     Report,
     Vote,
     Voter,
     VoteReply,
     Write,
 )
-from cowslipvane.replica._roles import Candidate, Follower, Leader, Role
+from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate, Role
 from cowslipvane.types import HostName, Seconds
 
 # Entries in one Append message.
 MAX_APPEND_ENTRIES = 200
 
+# An election waits one election timeout plus a random share of this many more.
+ELECTION_SPREAD = 0.5
+
+# Share of the election timeout for which a leader trusts that a voter it has heard from
+# elects nobody else; the rest covers clocks that run at different rates.
+LEASE_SHARE = 0.9
+
 
 class Ballot(NamedTuple):
     """The term, and whom this replica voted for in it."""
@@ -49,7 +59,10 @@
         """Record entries; an entry replaces all at its index and after."""
 
     async def sync(self) -> None:
-        """Return once everything recorded before the call is on the disk."""
+        """Return once everything recorded before the call is on the disk, or raise."""
+
+    async def watch(self) -> None:
+        """Wait for a failed write and raise, so that the process stops."""
 
 
 class Replica:
@@ -71,7 +84,7 @@
         self._journal = journal
         self._term = recovered.ballot.term
         self._voted_for = recovered.ballot.voted_for
-        self._entries = list(recovered.entries)
+        self._log = Log(base_index=0, base_term=0, entries=recovered.entries)
         self._synced = self.last_index
         self._commit = 0
         self._applied = 0
@@ -79,6 +92,8 @@
         self._role: Role = Follower()
         self._election_timeout = election_timeout
         self._rng = rng
+        # Before a restart this voter may have answered a leader, which counts on it for an
+        # election timeout; so a start counts as hearing from a leader.
         self._heard_leader_at = now
         self._election_at = 0.0
         self._delay_election(now)
@@ -117,7 +132,7 @@
     @property
     def last_index(self) -> int:
         """Return the index of the last entry of the log."""
-        return len(self._entries)
+        return self._log.last_index
 
     @property
     def election_at(self) -> float:
@@ -137,15 +152,29 @@
                 return self._host
             case Follower(leader=leader):
                 return leader
-            case Candidate():
+            case PreCandidate() | Candidate():
                 return None
 
     def holds_lease(self, now: float) -> bool:
         """Return whether no other replica can have become leader by now."""
-        if not isinstance(self._role, Leader) or self._term_of(self._commit) != self._term:
+        if not isinstance(self._role, Leader) or self._log.term_of(self._commit) != self._term:
+            return False
+        return now < self._quorum_contact(self._role, now) + self._election_timeout * LEASE_SHARE
+
+    def check_contact(self, now: float) -> bool:
+        """Stop leading when no quorum was in contact for too long; return whether it stopped."""
+        if not isinstance(self._role, Leader) or self._has_contact(self._role, now):
             return False
-        contacts = sorted(self._contact(self._role, voter, now) for voter in self._voters)
-        return now < contacts[-self._majority] + self._election_timeout
+        self._role = Follower()
+        self._delay_election(now)
+        return True
+
+    def canvass(self, now: float) -> None:
+        """Ask the voters whether they would elect this replica, in the term it is in."""
+        self._role = PreCandidate(votes={self._host})
+        self._delay_election(now)
+        if self._is_quorum(self._role.votes):
+            self.stand(now)
 
     def stand(self, now: float) -> None:
         """Become a candidate in a new term."""
@@ -153,6 +182,27 @@
         self._role = Candidate(votes=set())
         self._delay_election(now)
 
+    def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
+        """Say whether a vote would be granted; this changes nothing."""
+        granted = (
+            request.term > self._term
+            and not self._hears_leader(now)
+            and (request.last_term, request.last_index) >= self._position
+        )
+        return PreVoteReply(
+            term=self._term, proposed=request.term, voter=self._host, granted=granted
+        )
+
+    def count_pre_vote(self, reply: PreVoteReply, now: float) -> None:
+        """Count a willing voter, and stand once a majority is willing."""
+        self._observe_term(reply.term)
+        if not isinstance(self._role, PreCandidate) or reply.proposed != self._term + 1:
+            return
+        if reply.granted:
+            self._role.votes.add(reply.voter)
+        if self._is_quorum(self._role.votes):
+            self.stand(now)
+
     def count_own_vote(self, term: int, now: float) -> None:
         """Count the replica's vote for itself, once its ballot is synced."""
         self.count_vote(VoteReply(term=term, voter=self._host, granted=True), now)
@@ -162,14 +212,14 @@
         if self._hears_leader(now):
             return VoteReply(term=self._term, voter=self._host, granted=False)
         self._observe_term(request.term)
-        current = (self._term_of(self.last_index), self.last_index)
         granted = (
             request.term == self._term
             and self._voted_for in (None, request.candidate)
-            and (request.last_term, request.last_index) >= current
+            and (request.last_term, request.last_index) >= self._position
         )
         if granted:
             self._set_ballot(Ballot(self._term, request.candidate))
+            self._role = Follower()
             self._delay_election(now)
         return VoteReply(term=self._term, voter=self._host, granted=granted)
 
@@ -179,7 +229,7 @@
         if not isinstance(self._role, Candidate) or reply.term != self._term or not reply.granted:
             return
         self._role.votes.add(reply.voter)
-        if len(self._role.votes) >= self._majority:
+        if self._is_quorum(self._role.votes):
             self._lead(now)
 
     def consider_append(self, append: Append, now: float) -> AppendReply:
@@ -192,8 +242,10 @@
         self._delay_election(now)
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
-        if self._term_of(append.previous_index) != append.previous_term:
-            return self._append_reply(matched=False, index=append.previous_index - 1)
+        if self._log.term_of(append.previous_index) != append.previous_term:
+            # The leader may have nothing of this term, so it goes back the whole term at once.
+            index = self._log.start_of_term(append.previous_index) - 1
+            return self._append_reply(matched=False, index=max(index, self._commit))
         self._take_entries(append.entries)
         matched = append.previous_index + len(append.entries)
         self._commit_to(min(append.commit, matched))
@@ -208,21 +260,33 @@
             term=self._term,
             leader=self._host,
             previous_index=first - 1,
-            previous_term=self._term_of(first - 1),
-            entries=tuple(self._entries[first - 1 : first - 1 + MAX_APPEND_ENTRIES]),
+            previous_term=self._log.term_of(first - 1),
+            entries=self._log.after(first - 1, MAX_APPEND_ENTRIES),
             commit=self._commit,
         )
 
-    def vote_for(self, voter: HostName) -> Vote | None:
+    def vote_for(self, voter: HostName) -> PreVote | Vote | None:
         """Return the request that a voter has not granted yet, or None."""
-        if not isinstance(self._role, Candidate) or voter in self._role.votes:
-            return None
-        return Vote(
-            term=self._term,
-            candidate=self._host,
-            last_index=self.last_index,
-            last_term=self._term_of(self.last_index),
-        )
+        last_term, last_index = self._position
+        match self._role:
+            case PreCandidate(votes=votes) if voter not in votes:
+                return PreVote(
+                    term=self._term + 1,
+                    candidate=self._host,
+                    last_index=last_index,
+                    last_term=last_term,
+                )
+            # A candidate whose own ballot isn't synced could forget that it stood in this
+            # term, and stand in it again with another log; so it asks for no vote before.
+            case Candidate(votes=votes) if voter not in votes and self._host in votes:
+                return Vote(
+                    term=self._term,
+                    candidate=self._host,
+                    last_index=last_index,
+                    last_term=last_term,
+                )
+            case _:
+                return None
 
     def wants(self, voter: HostName) -> bool:
         """Return whether a voter lacks entries or the newest commit index of this leader."""
@@ -237,7 +301,8 @@
         role.contact[reply.voter] = max(sent_at, role.contact.get(reply.voter, 0.0))
         self._reports.update((report.host, report) for report in reply.reports)
         if not reply.matched:
-            role.next_index[reply.voter] = max(1, min(reply.index + 1, self.last_index))
+            known = role.match_index[reply.voter]
+            role.next_index[reply.voter] = max(known + 1, min(reply.index + 1, self.last_index))
             return
         role.match_index[reply.voter] = max(role.match_index[reply.voter], reply.index)
         role.next_index[reply.voter] = role.match_index[reply.voter] + 1
@@ -264,17 +329,39 @@
         """Return how many voters make a quorum."""
         return len(self._voters) // 2 + 1
 
+    @property
+    def _position(self) -> tuple[int, int]:
+        """Return term and index of the last entry, by which logs are compared."""
+        return self._log.last_term, self._log.last_index
+
+    def _is_quorum(self, hosts: set[HostName]) -> bool:
+        """Return whether hosts include a majority of the voters."""
+        return len(hosts & {voter.host for voter in self._voters}) >= self._majority
+
+    def _quorum_contact(self, role: Leader, now: float) -> float:
+        """Return since when a majority has answered this leader."""
+        contacts = sorted(self._contact(role, voter, now) for voter in self._voters)
+        return contacts[-self._majority]
+
+    def _has_contact(self, role: Leader, now: float) -> bool:
+        """Return whether a majority answered this leader within the election timeout."""
+        return now < max(role.since, self._quorum_contact(role, now)) + self._election_timeout
+
     def _contact(self, role: Leader, voter: Voter, now: float) -> float:
         """Return when this leader last sent what a voter has since answered."""
         return now if voter.host == self._host else role.contact.get(voter.host, 0.0)
 
     def _hears_leader(self, now: float) -> bool:
         """Return whether a leader was heard too recently to vote for another."""
-        return now < self._heard_leader_at + self._election_timeout and self.leader is not None
+        if isinstance(self._role, Leader):
+            return self._has_contact(self._role, now)
+        return now < self._heard_leader_at + self._election_timeout
 
     def _delay_election(self, now: float) -> None:
-        """Put the next election off by a random time of one to two timeouts."""
-        self._election_at = now + self._election_timeout * (1 + self._rng.random())
+        """Put the next election off by one election timeout and a random time."""
+        self._election_at = now + self._election_timeout * (
+            1 + ELECTION_SPREAD * self._rng.random()
+        )
 
     def _set_ballot(self, ballot: Ballot) -> None:
         """Take and record a ballot."""
@@ -292,26 +379,22 @@
         """Become the leader and open the term with an entry of its own."""
         others = [voter.host for voter in self._voters if voter.host != self._host]
         next_index = dict.fromkeys(others, self.last_index + 1)
-        self._role = Leader(next_index=next_index, match_index=dict.fromkeys(others, 0))
+        self._role = Leader(since=now, next_index=next_index, match_index=dict.fromkeys(others, 0))
         self._append_own(Noop(), now)
 
     def _append_own(self, command: Command, stamped_at: float) -> int:
         """Append a command of this leader to its log."""
         entry = Entry(self.last_index + 1, self._term, command, stamped_at)
-        self._entries.append(entry)
+        self._log.append(entry)
         self._journal.record_entries((entry,))
         return entry.position
 
     def _take_entries(self, entries: tuple[Entry, ...]) -> None:
         """Keep the entries that match the log and replace it from the first that doesn't."""
-        for position, entry in enumerate(entries):
-            if entry.position <= self.last_index and self._term_of(entry.position) == entry.term:
-                continue
-            del self._entries[entry.position - 1 :]
-            self._entries.extend(entries[position:])
-            self._synced = min(self._synced, entry.position - 1)
-            self._journal.record_entries(entries[position:])
-            return
+        new = self._log.replace(entries)
+        if new:
+            self._synced = min(self._synced, new[0].position - 1)
+            self._journal.record_entries(new)
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append message."""
@@ -320,10 +403,6 @@
             term=self._term, voter=self._host, matched=matched, index=index, reports=reports
         )
 
-    def _term_of(self, index: int) -> int:
-        """Return the term of the entry at an index, 0 before the first."""
-        return self._entries[index - 1].term if index else 0
-
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if it ends in an entry of this term."""
         assert isinstance(self._role, Leader)
@@ -331,15 +410,15 @@
         index = synced[-self._majority]
         # An entry of an older term commits only under one of this term, because a later
         # leader could otherwise still replace it although a majority holds it.
-        if index > self._commit and self._term_of(index) == self._term:
+        if index > self._commit and self._log.term_of(index) == self._term:
             self._commit_to(index)
 
     def _commit_to(self, index: int) -> None:
         """Apply the log to the catalogue up to a committed index."""
         self._commit = max(self._commit, index)
         while self._applied < self._commit:
-            entry = self._entries[self._applied]
             self._applied += 1
+            entry = self._log.entry(self._applied)
             match entry.command:
                 case Write(change=change):
                     self._catalogue.apply(change, accepted_at=entry.stamped_at)
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -14,6 +14,13 @@
     leader: HostName | None = None
 
 
+@dataclass(slots=True, kw_only=True)
+class PreCandidate:
+    """Asks who would vote for it in the next term, and disturbs no leader meanwhile."""
+
+    votes: set[HostName]
+
+
 @dataclass(slots=True, kw_only=True)
 class Candidate:
     """Collects votes for its term."""
@@ -25,9 +32,10 @@
 class Leader:
     """Replicates its log: next and matching index, and last answered contact, by voter."""
 
+    since: float
     next_index: dict[HostName, int]
     match_index: dict[HostName, int]
     contact: dict[HostName, float] = field(default_factory=dict)
 
 
-Role = Follower | Candidate | Leader
+Role = Follower | PreCandidate | Candidate | Leader
--- a/cowslipvane/storage/__init__.py
+++ b/cowslipvane/storage/__init__.py
@@ -7,6 +7,14 @@
     FolderEmpty,
     Identity,
 )
-from cowslipvane.storage._journal import FileJournal
+from cowslipvane.storage._journal import FileJournal, JournalFailed
 
-__all__ = ["DataFolder", "FileJournal", "FolderBusy", "FolderDamaged", "FolderEmpty", "Identity"]
+__all__ = [
+    "DataFolder",
+    "FileJournal",
+    "FolderBusy",
+    "FolderDamaged",
+    "FolderEmpty",
+    "Identity",
+    "JournalFailed",
+]
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -6,6 +6,7 @@
 import os
 import struct
 import zlib
+from collections import deque
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -20,6 +21,10 @@
 _ENTRY = b"E"
 
 
+class JournalFailed(Exception):
+    """The disk refused a write or a sync; what it holds since then isn't known."""
+
+
 class FileJournal:
     """Ballots and entries in one append-only file."""
 
@@ -30,7 +35,12 @@
         if created:
             os.fsync(self._file)
             sync_folder(path.parent)
-        self._pending: list[bytes] = []
+        self._pending: deque[bytes] = deque()
+        self._recorded = 0
+        self._synced = 0
+        self._failure: OSError | None = None
+        self._failed = asyncio.Event()
+        # One thread writes, so records reach the file in the order of the calls.
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
 
     def recover(self) -> Recovered:
@@ -54,57 +64,98 @@
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
-        self._pending.append(_framed(_BALLOT + encode_plain(ballot)))
+        self._record(_BALLOT + encode_plain(ballot))
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
         """Record entries; an entry replaces all at its index and after."""
-        self._pending.extend(_framed(_ENTRY + encode_plain(entry)) for entry in entries)
+        for entry in entries:
+            self._record(_ENTRY + encode_plain(entry))
 
     async def sync(self) -> None:
-        """Return once everything recorded before the call is on the disk."""
-        # One thread writes in order, so a sync also covers what earlier calls handed over.
-        data, self._pending = b"".join(self._pending), []
+        """Return once everything recorded before the call is on the disk, or raise."""
+        recorded = self._recorded
+        if self._failure is None and self._synced >= recorded:
+            return
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk, self._write, data)
+        try:
+            await loop.run_in_executor(self._disk, self._write_pending)
+        except OSError as error:
+            self._failed.set()
+            raise JournalFailed(f"{self._path}: {error}") from error
+
+    async def watch(self) -> None:
+        """Wait for a failed write and raise, so that the process stops."""
+        await self._failed.wait()
+        raise JournalFailed(f"{self._path}: {self._failure}; the process must stop")
 
     def close(self) -> None:
         """Finish writing and close the file."""
         self._disk.shutdown()
         os.close(self._file)
 
-    def _write(self, data: bytes) -> None:
-        """Append and sync on the disk's thread."""
-        if data:
-            os.write(self._file, data)
+    def _record(self, body: bytes) -> None:
+        """Put a record behind those that wait to be written."""
+        self._pending.append(_framed(body))
+        self._recorded += 1
+
+    def _write_pending(self) -> None:
+        """Append and sync, on the disk's thread, all that is recorded."""
+        # After a failed sync the system may have dropped the pages, and the next sync would
+        # pass without them; so a failure is for good.
+        if self._failure is not None:
+            raise self._failure
+        records = [self._pending.popleft() for _ in range(len(self._pending))]
+        if not records:
+            return
+        try:
+            write_whole(self._file, b"".join(records))
             os.fdatasync(self._file)
+        except OSError as error:
+            self._failure = error
+            raise
+        self._synced += len(records)
 
     def _cut_tail(self, data: bytes, end: int) -> None:
         """Cut a record that a crash left torn; refuse damage before the last record."""
-        if any(True for _ in _records_after_damage(data, end)):
+        if _has_record_after(data, end):
             raise FolderDamaged(f"{self._path} is damaged at byte {end}; replace this replica")
         os.ftruncate(self._file, end)
         os.fsync(self._file)
 
 
+def write_whole(file: int, data: bytes) -> None:
+    """Write all of the data, also where the system takes a part at a time."""
+    left = memoryview(data)
+    while left:
+        left = left[os.write(file, left) :]
+
+
 def _framed(body: bytes) -> bytes:
     """Return a record with its length and checksum."""
     return _HEADER.pack(len(body), zlib.crc32(body)) + body
 
 
+def _record_at(data: memoryview, start: int) -> memoryview | None:
+    """Return the body of the whole record that starts here, or None."""
+    if start + _HEADER.size > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, start)
+    body = data[start + _HEADER.size : start + _HEADER.size + length]
+    if length == 0 or len(body) < length or bytes(body[:1]) not in (_BALLOT, _ENTRY):
+        return None
+    return body if zlib.crc32(body) == checksum else None
+
+
 def _records(data: bytes) -> Iterator[tuple[int, bytes, bytes]]:
     """Yield the end, kind and body of each whole record up to the first that isn't."""
     start = 0
-    while start + _HEADER.size <= len(data):
-        length, checksum = _HEADER.unpack_from(data, start)
-        start += _HEADER.size
-        body = data[start : start + length]
-        if length == 0 or len(body) < length or zlib.crc32(body) != checksum:
-            return
-        start += length
-        yield start, body[:1], body[1:]
+    while (body := _record_at(memoryview(data), start)) is not None:
+        start += _HEADER.size + len(body)
+        yield start, bytes(body[:1]), bytes(body[1:])
 
 
-def _records_after_damage(data: bytes, end: int) -> Iterator[tuple[int, bytes, bytes]]:
-    """Yield whole records that stand behind a damaged one."""
-    for start in range(end + 1, len(data)):
-        yield from _records(data[start:])
+def _has_record_after(data: bytes, end: int) -> bool:
+    """Return whether a whole record stands behind a damaged one."""
+    # Only the torn last write is searched to its end: elsewhere the next record ends the search.
+    view = memoryview(data)
+    return any(_record_at(view, start) is not None for start in range(end + 1, len(data)))
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -11,8 +11,11 @@
 from cowslipvane.replica import (
     Append,
     AppendReply,
+    Candidate,
     Journal,
     Leader,
+    PreVote,
+    PreVoteReply,
     Replica,
     Vote,
     Voter,
@@ -23,7 +26,7 @@
 from cowslipvane.types import HostName, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-register(Append, AppendReply, Vote, VoteReply)
+register(Append, AppendReply, PreVote, PreVoteReply, Vote, VoteReply)
 
 WRITE_TIMEOUT: Seconds = 5.0
 
@@ -51,7 +54,8 @@
         self._timing = timing
         self._events = events
         self._changed = Signal()
-        self._was_leader = False
+        self._stood_in = 0
+        self._led_in = 0
 
     @property
     def replica(self) -> Replica:
@@ -66,6 +70,7 @@
     async def run(self) -> None:
         """Run the tasks of this replica until they are cancelled."""
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._journal.watch())
             tasks.create_task(self._watch_leader())
             for voter in self._replica.voters:
                 if voter.host != self._replica.host:
@@ -75,6 +80,8 @@
         """Answer one voter's requests, in order."""
         while True:
             match await link.receive():
+                case PreVote() as request:
+                    await link.send(self._replica.consider_pre_vote(request, time.monotonic()))
                 case Vote() as request:
                     await link.send(await self._answer_vote(request))
                 case Append() as append:
@@ -98,7 +105,7 @@
             outcome = self._replica.catalogue.outcome(change.operation_id)
             if outcome is not None:
                 return outcome
-            if self._replica.term != term:
+            if self._replica.term != term or not isinstance(self._replica.role, Leader):
                 return Unknown()
             await self._changed.wait(deadline - time.monotonic())
         return Unknown()
@@ -113,27 +120,29 @@
         """Take entries and sync them."""
         before = self._replica.commit, self._replica.leader
         reply = self._replica.consider_append(append, time.monotonic())
-        if append.entries:
-            await self._journal.sync()
-            self._replica.count_synced(reply.index)
+        # Also a message without entries may bring a new term, or vouch for entries that another
+        # connection's task has recorded and not synced yet.
+        await self._journal.sync()
         if before != (self._replica.commit, self._replica.leader):
             self._changed.send()
         return reply
 
     async def _watch_leader(self) -> None:
-        """Stand for election whenever the leader has been silent for too long."""
+        """Canvass whenever the leader has been silent, and stop leading without a quorum."""
         while True:
             now = time.monotonic()
-            if isinstance(self._replica.role, Leader) or now < self._replica.election_at:
-                wait = max(self._replica.election_at - now, self._timing.heartbeat)
-                await asyncio.sleep(wait)
+            if isinstance(self._replica.role, Leader):
+                if self._replica.check_contact(now):
+                    self._events.record("no quorum", term=str(self._replica.term))
+                    self._changed.send()
+                await asyncio.sleep(self._timing.heartbeat)
                 continue
-            self._replica.stand(now)
-            term = self._replica.term
-            self._events.record("candidate", term=str(term))
-            await self._journal.sync()
-            self._replica.count_own_vote(term, time.monotonic())
-            await self._note_leadership()
+            if now < self._replica.election_at:
+                # A leader may emerge meanwhile in another task, and then needs watching.
+                await asyncio.sleep(min(self._replica.election_at - now, self._timing.heartbeat))
+                continue
+            self._replica.canvass(now)
+            await self._follow_up()
             self._changed.send()
 
     async def _follow(self, voter: Voter) -> None:
@@ -165,23 +174,30 @@
         match reply:
             case AppendReply():
                 self._replica.count_append(reply, sent_at=sent_at)
+            case PreVoteReply():
+                self._replica.count_pre_vote(reply, time.monotonic())
             case VoteReply():
                 self._replica.count_vote(reply, time.monotonic())
             case _:
                 raise Malformed("a voter answered with another message")
-        await self._note_leadership()
+        await self._follow_up()
         if self._replica.commit != commit:
             self._changed.send()
 
-    async def _note_leadership(self) -> None:
-        """Sync the first entry of a term that this replica has come to lead."""
-        leads = isinstance(self._replica.role, Leader)
-        if leads and not self._was_leader:
-            self._was_leader = True
+    async def _follow_up(self) -> None:
+        """Sync what a role has recorded that the replica has come to in this term."""
+        term = self._replica.term
+        if isinstance(self._replica.role, Candidate) and self._stood_in != term:
+            self._stood_in = term
+            self._events.record("candidate", term=str(term))
+            await self._journal.sync()
+            self._replica.count_own_vote(term, time.monotonic())
+            self._changed.send()
+        if isinstance(self._replica.role, Leader) and self._led_in != self._replica.term:
+            self._led_in = self._replica.term
             self._events.record("leader", term=str(self._replica.term))
             self._changed.send()
             await self._sync_own(self._replica.last_index, self._replica.term)
-        self._was_leader = leads
 
     async def _sync_own(self, index: int, term: int) -> None:
         """Sync the leader's own log and count it towards the majority."""
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,111 @@
+"""Tests of the journal on a real file system, with faults put into the system calls."""
+
+import asyncio
+import os
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from cowslipvane.replica import Ballot, Entry, Noop, Recovered
+from cowslipvane.storage import FileJournal, FolderDamaged, JournalFailed
+from cowslipvane.types import HostName
+
+BALLOT = Ballot(3, HostName("a"))
+ENTRIES = tuple(Entry(index, 3, Noop(), 1.0) for index in range(1, 6))
+
+
+class JournalTest(unittest.IsolatedAsyncioTestCase):
+    """What a crash or a bad disk leaves is cut, told, or fatal."""
+
+    async def asyncSetUp(self) -> None:
+        """Write a ballot and some entries."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "journal"
+        self.journal = self.open()
+        self.journal.record_ballot(BALLOT)
+        self.journal.record_entries(ENTRIES)
+        await self.journal.sync()
+
+    def open(self) -> FileJournal:
+        """Open the journal."""
+        journal = FileJournal(path=self.path)
+        self.addCleanup(journal.close)
+        return journal
+
+    async def test_a_torn_tail_is_cut_at_every_length(self) -> None:
+        """What was whole stays, and the journal can be appended to."""
+        whole = self.path.read_bytes()
+        last = len(whole) // 6
+        for cut in range(1, last):
+            self.path.write_bytes(whole[:-cut])
+            journal = self.open()
+            self.assertEqual(journal.recover(), Recovered(BALLOT, ENTRIES[:4]))
+            journal.record_entries(ENTRIES[4:])
+            await journal.sync()
+            self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES))
+
+    async def test_damage_before_the_last_record_is_told(self) -> None:
+        """Each flipped byte there is refused rather than cut."""
+        whole = self.path.read_bytes()
+        self.path.write_bytes(whole[:-1])
+        self.open().recover()
+        last_record = len(self.path.read_bytes())
+        for position in range(0, last_record, 3):
+            damaged = bytearray(whole)
+            damaged[position] ^= 0x41
+            self.path.write_bytes(bytes(damaged))
+            with self.assertRaises(FolderDamaged, msg=f"byte {position}"):
+                self.open().recover()
+
+    async def test_short_writes_are_continued(self) -> None:
+        """A system that takes a few bytes at a time loses nothing."""
+        write = os.write
+        more = tuple(Entry(index, 3, Noop(), 1.0) for index in range(6, 9))
+        with mock.patch("os.write", lambda file, data: write(file, bytes(data[:5]))):
+            self.journal.record_entries(more)
+            await self.journal.sync()
+        self.assertEqual(self.open().recover(), Recovered(BALLOT, (*ENTRIES, *more)))
+
+    async def test_a_failed_sync_is_for_good(self) -> None:
+        """No later sync passes, and whoever watches is told."""
+        with mock.patch("os.fdatasync", side_effect=OSError("no disk")):
+            self.journal.record_ballot(Ballot(4, None))
+            with self.assertRaises(JournalFailed):
+                await self.journal.sync()
+        with self.assertRaises(JournalFailed):
+            await self.journal.sync()
+        self.journal.record_ballot(Ballot(5, None))
+        with self.assertRaises(JournalFailed):
+            await self.journal.sync()
+        with self.assertRaises(JournalFailed):
+            await self.journal.watch()
+
+    async def test_a_cancelled_sync_loses_no_record(self) -> None:
+        """The next sync writes what the cancelled one would have."""
+        fdatasync, disk_ready = os.fdatasync, threading.Event()
+
+        def slow_fdatasync(file: int) -> None:
+            disk_ready.wait()
+            fdatasync(file)
+
+        with mock.patch("os.fdatasync", slow_fdatasync):
+            self.journal.record_entries((Entry(6, 3, Noop(), 1.0),))
+            first = asyncio.create_task(self.journal.sync())
+            await asyncio.sleep(0)
+            self.journal.record_ballot(Ballot(4, None))
+            second = asyncio.create_task(self.journal.sync())
+            await asyncio.sleep(0)
+            second.cancel()
+            await asyncio.gather(second, return_exceptions=True)
+            disk_ready.set()
+            await first
+        self.journal.record_entries((Entry(7, 4, Noop(), 1.0),))
+        await self.journal.sync()
+        self.assertEqual(self.open().recover().ballot, Ballot(4, None))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,265 @@
+"""Tests of the replica's rules, with journals in memory."""
+
+import random
+import unittest
+
+from cowslipvane.catalogue import Accepted, Change, Key, Service
+from cowslipvane.replica import (
+    Append,
+    AppendReply,
+    Ballot,
+    Candidate,
+    Entry,
+    Follower,
+    Leader,
+    Noop,
+    PreCandidate,
+    PreVote,
+    PreVoteReply,
+    Recovered,
+    Replica,
+    Vote,
+    Voter,
+    VoteReply,
+)
+from cowslipvane.types import Address, HostName, OperationId, Version
+
+TIMEOUT = 1.0
+HOSTS = tuple(HostName(name) for name in "abc")
+A, B, C = HOSTS
+
+
+class MemoryJournal:
+    """Remembers what was recorded, and how much of it is synced."""
+
+    def __init__(self) -> None:
+        self.ballots: list[Ballot] = []
+        self.entries: list[Entry] = []
+
+    def record_ballot(self, ballot: Ballot) -> None:
+        """Record a new ballot."""
+        self.ballots.append(ballot)
+
+    def record_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Record entries."""
+        self.entries.extend(entries)
+
+    async def sync(self) -> None:
+        """Return at once."""
+
+    async def watch(self) -> None:
+        """Return at once."""
+
+
+def make_replica(
+    host: HostName = A, *, now: float = 0.0, term: int = 0, entry_terms: tuple[int, ...] = ()
+) -> Replica:
+    """Return a replica of three, recovered with entries of some terms."""
+    entries = tuple(
+        Entry(i, entry_term, Noop(), 0.0) for i, entry_term in enumerate(entry_terms, 1)
+    )
+    return Replica(
+        host=host,
+        voters=tuple(Voter(name, Address("127.0.0.1", 1)) for name in HOSTS),
+        journal=MemoryJournal(),
+        recovered=Recovered(Ballot(term, None), entries),
+        election_timeout=TIMEOUT,
+        rng=random.Random(7),
+        now=now,
+    )
+
+
+def elect(replica: Replica, *voters: HostName, now: float) -> None:
+    """Let a replica be elected by itself and others."""
+    replica.stand(now)
+    for voter in (replica.host, *voters):
+        replica.count_vote(VoteReply(term=replica.term, voter=voter, granted=True), now)
+
+
+def vote(term: int, *, candidate: HostName = B, index: int = 0, last_term: int = 0) -> Vote:
+    """Return a request for a vote."""
+    return Vote(term=term, candidate=candidate, last_index=index, last_term=last_term)
+
+
+def heartbeat(term: int, *, leader: HostName = B, commit: int = 0) -> Append:
+    """Return an Append without entries."""
+    return Append(
+        term=term, leader=leader, previous_index=0, previous_term=0, entries=(), commit=commit
+    )
+
+
+def matched(voter: HostName, term: int, index: int) -> AppendReply:
+    """Return the reply of a voter that has the log up to an index."""
+    return AppendReply(term=term, voter=voter, matched=True, index=index)
+
+
+class VotingTest(unittest.TestCase):
+    """Who votes for whom, and when."""
+
+    def test_a_restarted_voter_is_silent_for_an_election_timeout(self) -> None:
+        """It may have promised a leader, before the restart, to elect nobody else."""
+        replica = make_replica(now=10.0)
+        self.assertFalse(replica.consider_vote(vote(1), 10.0 + TIMEOUT * 0.99).granted)
+        self.assertTrue(replica.consider_vote(vote(1), 10.0 + TIMEOUT).granted)
+
+    def test_a_voter_that_forgot_its_leader_still_keeps_its_promise(self) -> None:
+        """A later term learnt from a reply frees no voter."""
+        replica = make_replica()
+        replica.consider_append(heartbeat(1), 5.0)
+        replica.count_vote(VoteReply(term=4, voter=C, granted=False), 5.1)
+        self.assertFalse(replica.consider_vote(vote(5), 5.0 + TIMEOUT * 0.99).granted)
+        self.assertTrue(replica.consider_vote(vote(5), 5.0 + TIMEOUT).granted)
+
+    def test_a_leader_in_contact_is_not_deposed_by_a_candidate(self) -> None:
+        """Neither its vote nor its term changes."""
+        replica = make_replica()
+        elect(replica, B, now=2.0)
+        replica.count_append(matched(B, 1, 1), sent_at=4.0)
+        self.assertFalse(
+            replica.consider_vote(vote(9, candidate=C, index=9, last_term=8), 4.5).granted
+        )
+        self.assertEqual((replica.term, type(replica.role)), (1, Leader))
+
+    def test_a_pre_vote_changes_nothing_and_needs_silence_and_a_whole_log(self) -> None:
+        """A replica that comes back disturbs no healthy leader."""
+        replica = make_replica(term=3, entry_terms=(1, 3))
+        replica.consider_append(heartbeat(3), 5.0)
+        ask = PreVote(term=9, candidate=C, last_index=2, last_term=3)
+        self.assertFalse(replica.consider_pre_vote(ask, 5.5).granted)
+        self.assertTrue(replica.consider_pre_vote(ask, 6.0).granted)
+        behind = PreVote(term=9, candidate=C, last_index=9, last_term=2)
+        self.assertFalse(replica.consider_pre_vote(behind, 6.0).granted)
+        self.assertEqual((replica.term, replica.leader), (3, B))
+
+    def test_a_canvass_keeps_the_term_until_a_majority_is_willing(self) -> None:
+        """Only then does the replica stand."""
+        replica = make_replica(term=3)
+        replica.canvass(2.0)
+        refused = PreVoteReply(term=3, proposed=4, voter=B, granted=False)
+        replica.count_pre_vote(refused, 2.0)
+        self.assertEqual((replica.term, type(replica.role)), (3, PreCandidate))
+        replica.count_pre_vote(PreVoteReply(term=3, proposed=4, voter=C, granted=True), 2.0)
+        self.assertEqual((replica.term, type(replica.role)), (4, Candidate))
+
+    def test_a_candidate_asks_for_votes_only_after_its_own_ballot_is_synced(self) -> None:
+        """Else a crash could make it stand twice in one term."""
+        replica = make_replica()
+        replica.stand(2.0)
+        self.assertIsNone(replica.vote_for(B))
+        replica.count_own_vote(1, 2.0)
+        self.assertIsInstance(replica.vote_for(B), Vote)
+
+    def test_a_vote_of_an_older_term_or_of_a_stranger_counts_nothing(self) -> None:
+        """Late replies don't elect."""
+        replica = make_replica()
+        replica.stand(2.0)
+        replica.stand(3.0)
+        replica.count_own_vote(2, 3.0)
+        replica.count_vote(VoteReply(term=1, voter=B, granted=True), 3.0)
+        replica.count_vote(VoteReply(term=2, voter=HostName("x"), granted=True), 3.0)
+        self.assertIsInstance(replica.role, Candidate)
+        replica.count_vote(VoteReply(term=2, voter=B, granted=True), 3.0)
+        self.assertIsInstance(replica.role, Leader)
+
+
+class LeadingTest(unittest.TestCase):
+    """What a leader commits, and for how long it may answer as one."""
+
+    def setUp(self) -> None:
+        """Elect a leader in term 3 whose log ends in an entry of term 2."""
+        self.replica = make_replica(term=2, entry_terms=(1, 2))
+        elect(self.replica, B, now=10.0)
+
+    def test_entries_of_an_older_term_commit_only_under_one_of_this_term(self) -> None:
+        """A majority that has an old entry isn't enough."""
+        self.replica.count_synced(3)
+        self.replica.count_append(matched(B, 3, 2), sent_at=10.0)
+        self.assertEqual(self.replica.commit, 0)
+        self.replica.count_append(matched(B, 3, 3), sent_at=10.0)
+        self.assertEqual(self.replica.commit, 3)
+
+    def test_the_leaders_own_entry_counts_only_when_synced(self) -> None:
+        """One voter and an unsynced leader are no majority."""
+        self.replica.count_append(matched(B, 3, 3), sent_at=10.0)
+        self.assertEqual(self.replica.commit, 0)
+
+    def test_a_reply_of_an_older_term_counts_nothing(self) -> None:
+        """What a voter had then it may have lost since."""
+        self.replica.count_synced(3)
+        self.replica.count_append(matched(B, 2, 3), sent_at=10.0)
+        self.assertEqual(self.replica.commit, 0)
+        self.assertFalse(self.replica.holds_lease(10.0))
+
+    def test_the_lease_ends_before_a_voter_may_elect_another(self) -> None:
+        """The bound is counted from the sending of the last answered message."""
+        self.replica.count_synced(3)
+        self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
+        voter = make_replica(B)
+        voter.consider_append(heartbeat(3, leader=A), 20.0)
+        self.assertTrue(self.replica.holds_lease(20.5))
+        times = [20.0 + step / 100 for step in range(300)]
+        leased = [now for now in times if self.replica.holds_lease(now)]
+        electing = [
+            now
+            for now in times
+            if voter.consider_pre_vote(
+                PreVote(term=9, candidate=C, last_index=9, last_term=9), now
+            ).granted
+        ]
+        self.assertLess(max(leased), min(electing) - TIMEOUT * 0.05)
+
+    def test_a_leader_without_a_quorum_steps_down(self) -> None:
+        """It names no leader, and takes no change."""
+        self.replica.count_append(matched(B, 3, 3), sent_at=10.5)
+        self.assertFalse(self.replica.check_contact(11.4))
+        self.assertTrue(self.replica.check_contact(11.5))
+        self.assertEqual((type(self.replica.role), self.replica.leader), (Follower, None))
+        change = Change(OperationId("x"), Version(0), ())
+        self.assertIsNone(self.replica.propose(change, stamped_at=0.0))
+
+    def test_a_change_is_accepted_when_a_majority_has_it(self) -> None:
+        """The outcome is known from the commit on."""
+        change = Change(OperationId("x"), Version(0), ((Key("service", "s"), Service()),))
+        index = self.replica.propose(change, stamped_at=5.0)
+        assert index is not None
+        self.replica.count_synced(index)
+        self.assertIsNone(self.replica.catalogue.outcome(OperationId("x")))
+        self.replica.count_append(matched(C, 3, index), sent_at=10.0)
+        self.assertEqual(
+            self.replica.catalogue.outcome(OperationId("x")),
+            Accepted(version=Version(1), accepted_at=5.0),
+        )
+
+
+class FollowingTest(unittest.TestCase):
+    """How a log that differs is mended."""
+
+    def test_a_conflicting_term_is_skipped_at_once(self) -> None:
+        """Three rounds mend a log that differs in two terms, and nothing matched is resent."""
+        leader = make_replica(A, term=8, entry_terms=(1, 1, 5, 6, 6, 6))
+        follower = make_replica(B, term=4, entry_terms=(1, 1, 2, 2, 3, 3, 4))
+        elect(leader, C, now=10.0)
+        rounds = 0
+        while leader.wants(B):
+            append = leader.append_for(B)
+            assert append is not None
+            leader.count_append(follower.consider_append(append, 10.0), sent_at=10.0)
+            rounds += 1
+        self.assertEqual((follower.last_index, follower.term, rounds), (7, 9, 3))
+        leader.count_synced(7)
+        self.assertEqual(leader.commit, 7)
+
+    def test_a_late_refusal_does_not_take_back_what_matched(self) -> None:
+        """Refusals that cross an acknowledgement are harmless."""
+        leader = make_replica(A, term=8, entry_terms=(1, 1))
+        elect(leader, C, now=10.0)
+        leader.count_append(matched(B, 9, 3), sent_at=10.0)
+        late = AppendReply(term=9, voter=B, matched=False, index=0)
+        leader.count_append(late, sent_at=10.0)
+        append = leader.append_for(B)
+        assert append is not None
+        self.assertEqual(append.previous_index, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
