--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -24,13 +24,22 @@
     Upstream,
     kind_of,
 )
+from cowslipvane.catalogue._state import (
+    CatalogueState,
+    Decision,
+    Writer,
+    export_state,
+    import_state,
+)
 
 __all__ = [
     "KINDS",
     "Accepted",
     "Catalogue",
+    "CatalogueState",
     "Change",
     "Conflict",
+    "Decision",
     "Delta",
     "Fault",
     "Invalid",
@@ -45,5 +54,8 @@
     "Target",
     "TrafficPolicy",
     "Upstream",
+    "Writer",
+    "export_state",
+    "import_state",
     "kind_of",
 ]
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -11,6 +11,9 @@
 # Changes kept for deltas; a subscriber that is further behind gets a snapshot.
 HISTORY_CHANGES = 1000
 
+# Time in seconds, by the stamps of the log, for which the answer to an operation is kept.
+OUTCOME_LIFETIME = 24 * 3600.0
+
 
 class Change(NamedTuple):
     """What an operator asks for, based on the version that the operator saw."""
@@ -79,6 +82,7 @@
         self._resources: dict[Key, Resource] = {}
         self._writers: dict[Key, tuple[OperationId, Version]] = {}
         self._outcomes: dict[OperationId, Outcome] = {}
+        self._decided_at: dict[OperationId, float] = {}
         self._steps: list[_Step] = []
 
     @property
@@ -91,6 +95,32 @@
         """Return the resources by key."""
         return self._resources
 
+    @property
+    def writers(self) -> dict[Key, tuple[OperationId, Version]]:
+        """Return which operation last touched each resource, and in which version."""
+        return self._writers
+
+    @property
+    def decisions(self) -> dict[OperationId, tuple[Outcome, float]]:
+        """Return the answers that are kept and when they were given, the oldest first."""
+        return {name: (self._outcomes[name], at) for name, at in self._decided_at.items()}
+
+    def restore(
+        self,
+        *,
+        version: Version,
+        resources: dict[Key, Resource],
+        writers: dict[Key, tuple[OperationId, Version]],
+        decisions: dict[OperationId, tuple[Outcome, float]],
+    ) -> None:
+        """Take the state of another catalogue; the history for deltas begins anew."""
+        self._version = version
+        self._resources = resources
+        self._writers = writers
+        self._outcomes = {name: outcome for name, (outcome, _) in decisions.items()}
+        self._decided_at = {name: decided_at for name, (_, decided_at) in decisions.items()}
+        self._steps.clear()
+
     def outcome(self, operation_id: OperationId) -> Outcome | None:
         """Return the first answer to an operation, if it has been decided."""
         return self._outcomes.get(operation_id)
@@ -115,6 +145,21 @@
         return tuple(faults)
 
     def apply(self, change: Change, *, accepted_at: float) -> Outcome:
+        """Decide a change, and forget answers that were given too long before."""
+        self._forget_before(accepted_at - OUTCOME_LIFETIME)
+        outcome = self._decide(change, accepted_at=accepted_at)
+        self._decided_at.setdefault(change.operation_id, accepted_at)
+        return outcome
+
+    def _forget_before(self, time: float) -> None:
+        """Forget the answers given before a time, by the log's stamps alone."""
+        while self._decided_at:
+            operation_id, decided_at = next(iter(self._decided_at.items()))
+            if decided_at >= time:
+                return
+            del self._decided_at[operation_id], self._outcomes[operation_id]
+
+    def _decide(self, change: Change, *, accepted_at: float) -> Outcome:
         """Decide a change and, when it is accepted, take it in under the next version."""
         refused = self.judge(change)
         if refused is not None:
--- /dev/null
+++ b/cowslipvane/catalogue/_state.py
@@ -0,0 +1,58 @@
+"""The state of a catalogue as a value, for snapshots of the log that built it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cowslipvane.catalogue._catalogue import Catalogue, Outcome
+from cowslipvane.catalogue._resources import Key, Resource
+from cowslipvane.types import OperationId, Version
+
+
+class Writer(NamedTuple):
+    """The operation that last wrote or deleted a resource."""
+
+    key: Key
+    operation_id: OperationId
+    version: Version
+
+
+class Decision(NamedTuple):
+    """The first answer to an operation, and when it was given, as wall time."""
+
+    operation_id: OperationId
+    outcome: Outcome
+    decided_at: float
+
+
+class CatalogueState(NamedTuple):
+    """Everything on which later decisions depend; steps for deltas are left out."""
+
+    version: Version
+    resources: tuple[Resource, ...]
+    writers: tuple[Writer, ...]
+    decisions: tuple[Decision, ...]
+
+
+def export_state(catalogue: Catalogue) -> CatalogueState:
+    """Return a catalogue's state."""
+    writers = tuple(Writer(key, *writer) for key, writer in catalogue.writers.items())
+    decisions = tuple(
+        Decision(operation_id, outcome, decided_at)
+        for operation_id, (outcome, decided_at) in catalogue.decisions.items()
+    )
+    resources = tuple(catalogue.resources.values())
+    return CatalogueState(catalogue.version, resources, writers, decisions)
+
+
+def import_state(catalogue: Catalogue, state: CatalogueState) -> None:
+    """Replace what a catalogue holds by a state."""
+    catalogue.restore(
+        version=state.version,
+        resources={resource.key: resource for resource in state.resources},
+        writers={writer.key: (writer.operation_id, writer.version) for writer in state.writers},
+        decisions={
+            decision.operation_id: (decision.outcome, decision.decided_at)
+            for decision in state.decisions
+        },
+    )
--- a/cowslipvane/commands/_replica.py
+++ b/cowslipvane/commands/_replica.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import uuid
 from pathlib import Path
 
 from cowslipvane.commands._errors import CommandFailed
 from cowslipvane.replica import Voter
 from cowslipvane.settings import Settings
 from cowslipvane.storage import DataFolder, FolderBusy, Identity
-from cowslipvane.types import Address, HostName
+from cowslipvane.types import Address, HostName, ReplicaId
 
 
 def create_replica(settings: Settings, group: str, voters: tuple[str, ...]) -> None:
@@ -18,7 +19,7 @@
         raise CommandFailed(f"no --voter names this host, {settings.host}; add it")
     folder = DataFolder(path=Path(settings.data_folder))
     try:
-        folder.create(Identity(group, settings.host, members))
+        folder.create(Identity(group, settings.host, ReplicaId(uuid.uuid4().hex), members))
     except FolderBusy as error:
         raise CommandFailed(str(error)) from error
 
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -139,7 +139,8 @@
         stack.callback(journal.close)
         replica = Replica(
             host=identity.host,
-            voters=identity.voters,
+            replica_id=identity.replica_id,
+            founders=identity.founders,
             journal=journal,
             recovered=journal.recover(),
             election_timeout=self._settings.timing.election_timeout,
@@ -147,7 +148,11 @@
             now=time.monotonic(),
         )
         self._replication = Replication(
-            replica=replica, journal=journal, timing=self._settings.timing, events=self._events
+            replica=replica,
+            group_name=identity.group,
+            journal=journal,
+            timing=self._settings.timing,
+            events=self._events,
         )
         self._publisher = Publisher(
             replication=self._replication, pull_wait=self._settings.timing.pull_wait
--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -1,16 +1,27 @@
 """A replica of the accepted configuration: its log, terms, quorum and group."""
 
+from cowslipvane.replica._group import (
+    Add,
+    Group,
+    GroupChange,
+    GroupRefused,
+    Promote,
+    Remove,
+    Voter,
+)
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
     Command,
     Entry,
+    Install,
+    LogSnapshot,
     Noop,
     PreVote,
     PreVoteReply,
+    Regroup,
     Report,
     Vote,
-    Voter,
     VoteReply,
     Write,
 )
@@ -18,6 +29,7 @@
 from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate
 
 __all__ = [
+    "Add",
     "Append",
     "AppendReply",
     "Ballot",
@@ -25,13 +37,21 @@
     "Command",
     "Entry",
     "Follower",
+    "Group",
+    "GroupChange",
+    "GroupRefused",
+    "Install",
     "Journal",
     "Leader",
+    "LogSnapshot",
     "Noop",
     "PreCandidate",
     "PreVote",
     "PreVoteReply",
+    "Promote",
     "Recovered",
+    "Regroup",
+    "Remove",
     "Replica",
     "Report",
     "Vote",
--- a/cowslipvane/replica/_log.py
+++ b/cowslipvane/replica/_log.py
@@ -53,6 +53,13 @@
         assert entry.position == self.last_index + 1
         self._entries.append(entry)
 
+    def compact(self, index: int, term: int) -> None:
+        """Drop the entries up to an index; drop all when the log doesn't lead through it."""
+        leads_through = index <= self.last_index and self.term_of(index) == term
+        self._entries = list(self.after(index)) if leads_through else []
+        self._base_index = index
+        self._base_term = term
+
     def replace(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
         """Take entries in, drop what they contradict, and return those that were new."""
         for number, entry in enumerate(entries):
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -5,17 +5,11 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from cowslipvane.catalogue import Change
+from cowslipvane.catalogue import CatalogueState, Change
+from cowslipvane.replica._group import Group
 from cowslipvane.types import Address, HostName, Version
 
 
-class Voter(NamedTuple):
-    """A member of the group and where its peers reach it."""
-
-    host: HostName
-    address: Address
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Noop:
     """Opens a leader's term, so that older entries commit."""
@@ -28,7 +22,14 @@
     change: Change
 
 
-Command = Noop | Write
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Regroup:
+    """Puts a group in force, from this entry on."""
+
+    group: Group
+
+
+Command = Noop | Write | Regroup
 
 
 class Entry(NamedTuple):
@@ -40,6 +41,15 @@
     stamped_at: float
 
 
+class LogSnapshot(NamedTuple):
+    """What the committed log up to a position has built, in place of its entries."""
+
+    position: int
+    term: int
+    group: Group
+    catalogue: CatalogueState
+
+
 class Report(NamedTuple):
     """What one proxy has in force, and since when."""
 
@@ -101,6 +111,15 @@
     commit: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Install:
+    """Sends a snapshot to a follower that lacks entries which were compacted away."""
+
+    term: int
+    leader: HostName
+    snapshot: LogSnapshot
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AppendReply:
     """Says up to which index the follower's synced log matches the leader's."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -5,24 +5,36 @@
 import random
 from typing import NamedTuple, Protocol
 
-from cowslipvane.catalogue import Catalogue, Change
+from cowslipvane.catalogue import Catalogue, Change, export_state, import_state
+from cowslipvane.replica._group import (
+    UNBOUND,
+    Group,
+    GroupChange,
+    GroupHistory,
+    GroupRefused,
+    Promote,
+    Voter,
+    changed_group,
+)
 from cowslipvane.replica._log import Log
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
     Command,
     Entry,
+    Install,
+    LogSnapshot,
     Noop,
     PreVote,
     PreVoteReply,
+    Regroup,
     Report,
     Vote,
-    Voter,
     VoteReply,
     Write,
 )
 from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate, Role
-from cowslipvane.types import HostName, Seconds
+from cowslipvane.types import HostName, ReplicaId, Seconds
 
 # Entries in one Append message.
 MAX_APPEND_ENTRIES = 200
@@ -34,6 +46,9 @@
 # elects nobody else; the rest covers clocks that run at different rates.
 LEASE_SHARE = 0.9
 
+# Applied entries after which the log is replaced by a snapshot.
+COMPACT_AFTER_ENTRIES = 1000
+
 
 class Ballot(NamedTuple):
     """The term, and whom this replica voted for in it."""
@@ -47,6 +62,7 @@
 
     ballot: Ballot
     entries: tuple[Entry, ...]
+    snapshot: LogSnapshot | None = None
 
 
 class Journal(Protocol):
@@ -58,6 +74,11 @@
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
         """Record entries; an entry replaces all at its index and after."""
 
+    def record_snapshot(
+        self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
+    ) -> None:
+        """Record a snapshot, and begin the record anew with a ballot and the later entries."""
+
     async def sync(self) -> None:
         """Return once everything recorded before the call is on the disk, or raise."""
 
@@ -72,23 +93,33 @@
         self,
         *,
         host: HostName,
-        voters: tuple[Voter, ...],
+        replica_id: ReplicaId,
+        founders: tuple[Voter, ...],
         journal: Journal,
         recovered: Recovered,
         election_timeout: Seconds,
         rng: random.Random,
         now: float,
+        compact_after: int = COMPACT_AFTER_ENTRIES,
     ) -> None:
         self._host = host
-        self._voters = voters
+        self._replica_id = replica_id
         self._journal = journal
         self._term = recovered.ballot.term
         self._voted_for = recovered.ballot.voted_for
-        self._log = Log(base_index=0, base_term=0, entries=recovered.entries)
-        self._synced = self.last_index
-        self._commit = 0
-        self._applied = 0
         self._catalogue = Catalogue()
+        base = recovered.snapshot or LogSnapshot(
+            0, 0, Group(founders), export_state(self._catalogue)
+        )
+        import_state(self._catalogue, base.catalogue)
+        self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
+        self._groups = GroupHistory(index=base.position, group=base.group)
+        self._note_groups(recovered.entries)
+        self._identities = {host: replica_id}
+        self._compact_after = compact_after
+        self._synced = self.last_index
+        self._commit = base.position
+        self._applied = base.position
         self._role: Role = Follower()
         self._election_timeout = election_timeout
         self._rng = rng
@@ -105,9 +136,20 @@
         return self._host
 
     @property
-    def voters(self) -> tuple[Voter, ...]:
-        """Return the members of the group."""
-        return self._voters
+    def replica_id(self) -> ReplicaId:
+        """Return the identity of this replica's data folder."""
+        return self._replica_id
+
+    @property
+    def group(self) -> Group:
+        """Return the group in force, which may not be committed yet."""
+        return self._groups.current
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this replica votes, under the identity of its data folder."""
+        own = self.group.voter(self._host)
+        return own is not None and own.replica_id in (UNBOUND, self._replica_id)
 
     @property
     def role(self) -> Role:
@@ -163,7 +205,10 @@
 
     def check_contact(self, now: float) -> bool:
         """Stop leading when no quorum was in contact for too long; return whether it stopped."""
-        if not isinstance(self._role, Leader) or self._has_contact(self._role, now):
+        if not isinstance(self._role, Leader):
+            return False
+        removed = not self.is_voter and self._groups.changed_at <= self._commit
+        if not removed and self._has_contact(self._role, now):
             return False
         self._role = Follower()
         self._delay_election(now)
@@ -171,8 +216,10 @@
 
     def canvass(self, now: float) -> None:
         """Ask the voters whether they would elect this replica, in the term it is in."""
-        self._role = PreCandidate(votes={self._host})
         self._delay_election(now)
+        if not self.is_voter:
+            return
+        self._role = PreCandidate(votes={self._host})
         if self._is_quorum(self._role.votes):
             self.stand(now)
 
@@ -242,7 +289,9 @@
         self._delay_election(now)
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
-        if self._log.term_of(append.previous_index) != append.previous_term:
+        # What lies before the base is committed, so it is the same in every log.
+        reaches_back = append.previous_index < self._log.base_index
+        if not reaches_back and self._log.term_of(append.previous_index) != append.previous_term:
             # The leader may have nothing of this term, so it goes back the whole term at once.
             index = self._log.start_of_term(append.previous_index) - 1
             return self._append_reply(matched=False, index=max(index, self._commit))
@@ -251,11 +300,32 @@
         self._commit_to(min(append.commit, matched))
         return self._append_reply(matched=True, index=matched)
 
-    def append_for(self, voter: HostName) -> Append | None:
+    def consider_install(self, install: Install, now: float) -> AppendReply:
+        """Take a snapshot from the leader; the reply may leave only after a sync."""
+        self._observe_term(install.term)
+        if install.term < self._term:
+            return self._append_reply(matched=False, index=0)
+        self._role = Follower(leader=install.leader)
+        self._heard_leader_at = now
+        self._delay_election(now)
+        snapshot = install.snapshot
+        if snapshot.position > self._commit:
+            import_state(self._catalogue, snapshot.catalogue)
+            self._log.compact(snapshot.position, snapshot.term)
+            self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
+            self._note_groups(self._log.after(snapshot.position))
+            self._commit = self._applied = snapshot.position
+            self._synced = min(self._synced, self.last_index)
+            self._record_snapshot(snapshot)
+        return self._append_reply(matched=True, index=snapshot.position)
+
+    def append_for(self, voter: HostName) -> Append | Install | None:
         """Return what a voter needs next, or None when this replica doesn't lead."""
         if not isinstance(self._role, Leader):
             return None
-        first = self._role.next_index[voter]
+        first = self._role.next_index.setdefault(voter, max(1, self.last_index))
+        if first <= self._log.base_index:
+            return Install(term=self._term, leader=self._host, snapshot=self._snapshot())
         return Append(
             term=self._term,
             leader=self._host,
@@ -290,7 +360,9 @@
 
     def wants(self, voter: HostName) -> bool:
         """Return whether a voter lacks entries or the newest commit index of this leader."""
-        return isinstance(self._role, Leader) and self._role.next_index[voter] <= self.last_index
+        if not isinstance(self._role, Leader):
+            return False
+        return self._role.next_index.get(voter, 0) <= self.last_index
 
     def count_append(self, reply: AppendReply, *, sent_at: float) -> None:
         """Count what a voter has synced, and commit what a majority has."""
@@ -301,13 +373,54 @@
         role.contact[reply.voter] = max(sent_at, role.contact.get(reply.voter, 0.0))
         self._reports.update((report.host, report) for report in reply.reports)
         if not reply.matched:
-            known = role.match_index[reply.voter]
+            known = role.match_index.get(reply.voter, 0)
             role.next_index[reply.voter] = max(known + 1, min(reply.index + 1, self.last_index))
             return
-        role.match_index[reply.voter] = max(role.match_index[reply.voter], reply.index)
+        role.match_index[reply.voter] = max(role.match_index.get(reply.voter, 0), reply.index)
         role.next_index[reply.voter] = role.match_index[reply.voter] + 1
         self._commit_majority()
 
+    def recognizes(self, host: HostName, replica_id: ReplicaId) -> bool:
+        """Return whether an identity is the member on a host; a founder's first one is."""
+        member = self.group.member(host)
+        if member is None:
+            return False
+        return replica_id == (member.replica_id or self._identities.setdefault(host, replica_id))
+
+    def regroup(self, change: GroupChange, *, stamped_at: float) -> int | GroupRefused:
+        """Append a change of the group, one at a time, and return its index."""
+        if not isinstance(self._role, Leader):
+            return GroupRefused(reason="this replica doesn't lead")
+        group = changed_group(self.group, change)
+        if isinstance(group, GroupRefused):
+            return group
+        if group == self.group:
+            return self._groups.changed_at
+        if self._groups.changed_at > self._commit:
+            return GroupRefused(reason="another change of the group is under way; try again")
+        # Until an entry of its own term is committed, a leader can't know whether a change of
+        # an earlier leader still stands, and two changes at once may have disjoint quorums.
+        if self._log.term_of(self._commit) != self._term:
+            return GroupRefused(
+                reason="this leader has committed nothing of its term yet; try again"
+            )
+        self._forget_progress(self._role, group)
+        return self._append_own(Regroup(group=group), stamped_at)
+
+    def tend_group(self, *, stamped_at: float) -> int | None:
+        """Bind founders that have been met, or promote a learner that has all; return the index."""
+        if not isinstance(self._role, Leader) or self._groups.changed_at > self._commit:
+            return None
+        bound = self.group.bound(self._identities)
+        if bound != self.group and sum(bool(v.replica_id) for v in bound.voters) >= bound.majority:
+            return self._append_own(Regroup(group=bound), stamped_at)
+        for learner in self.group.learners:
+            if self._role.match_index.get(learner.host, 0) < max(self._commit, 1):
+                continue
+            promoted = self.regroup(Promote(learner=learner), stamped_at=stamped_at)
+            return promoted if isinstance(promoted, int) else None
+        return None
+
     def propose(self, change: Change, *, stamped_at: float) -> int | None:
         """Append a change to the leader's log and return its index; None when not the leader."""
         if not isinstance(self._role, Leader):
@@ -324,11 +437,6 @@
         """Keep what a proxy says that it has in force."""
         self._reports[report.host] = report
 
-    @property
-    def _majority(self) -> int:
-        """Return how many voters make a quorum."""
-        return len(self._voters) // 2 + 1
-
     @property
     def _position(self) -> tuple[int, int]:
         """Return term and index of the last entry, by which logs are compared."""
@@ -336,12 +444,12 @@
 
     def _is_quorum(self, hosts: set[HostName]) -> bool:
         """Return whether hosts include a majority of the voters."""
-        return len(hosts & {voter.host for voter in self._voters}) >= self._majority
+        return len(hosts & {voter.host for voter in self.group.voters}) >= self.group.majority
 
     def _quorum_contact(self, role: Leader, now: float) -> float:
         """Return since when a majority has answered this leader."""
-        contacts = sorted(self._contact(role, voter, now) for voter in self._voters)
-        return contacts[-self._majority]
+        contacts = sorted(self._contact(role, voter, now) for voter in self.group.voters)
+        return contacts[-self.group.majority]
 
     def _has_contact(self, role: Leader, now: float) -> bool:
         """Return whether a majority answered this leader within the election timeout."""
@@ -377,15 +485,14 @@
 
     def _lead(self, now: float) -> None:
         """Become the leader and open the term with an entry of its own."""
-        others = [voter.host for voter in self._voters if voter.host != self._host]
-        next_index = dict.fromkeys(others, self.last_index + 1)
-        self._role = Leader(since=now, next_index=next_index, match_index=dict.fromkeys(others, 0))
+        self._role = Leader(since=now)
         self._append_own(Noop(), now)
 
     def _append_own(self, command: Command, stamped_at: float) -> int:
         """Append a command of this leader to its log."""
         entry = Entry(self.last_index + 1, self._term, command, stamped_at)
         self._log.append(entry)
+        self._note_groups((entry,))
         self._journal.record_entries((entry,))
         return entry.position
 
@@ -393,6 +500,8 @@
         """Keep the entries that match the log and replace it from the first that doesn't."""
         new = self._log.replace(entries)
         if new:
+            self._groups.drop_from(new[0].position)
+            self._note_groups(new)
             self._synced = min(self._synced, new[0].position - 1)
             self._journal.record_entries(new)
 
@@ -406,8 +515,9 @@
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if it ends in an entry of this term."""
         assert isinstance(self._role, Leader)
-        synced = sorted([self._synced, *self._role.match_index.values()])
-        index = synced[-self._majority]
+        role = self._role
+        synced = sorted(self._synced_by(role, voter) for voter in self.group.voters)
+        index = synced[-self.group.majority]
         # An entry of an older term commits only under one of this term, because a later
         # leader could otherwise still replace it although a majority holds it.
         if index > self._commit and self._log.term_of(index) == self._term:
@@ -422,5 +532,52 @@
             match entry.command:
                 case Write(change=change):
                     self._catalogue.apply(change, accepted_at=entry.stamped_at)
-                case Noop():
+                case Noop() | Regroup():
+                    pass
+        if self._applied - self._log.base_index >= self._compact_after:
+            self._compact()
+
+    def _forget_progress(self, role: Leader, group: Group) -> None:
+        """Forget what a host's former identity has synced, where a group has another or none."""
+        for member in self.group.members:
+            if group.member(member.host) != member:
+                role.next_index.pop(member.host, None)
+                role.match_index.pop(member.host, None)
+                role.contact.pop(member.host, None)
+
+    def _synced_by(self, role: Leader, voter: Voter) -> int:
+        """Return up to which index a voter has synced this leader's log."""
+        # A founder whose identity isn't in the log could come back with an empty disk unnoticed.
+        if not voter.replica_id:
+            return 0
+        return self._synced if voter.host == self._host else role.match_index.get(voter.host, 0)
+
+    def _snapshot(self) -> LogSnapshot:
+        """Return what the applied log has built."""
+        return LogSnapshot(
+            self._applied,
+            self._log.term_of(self._applied),
+            self._groups.at(self._applied),
+            export_state(self._catalogue),
+        )
+
+    def _compact(self) -> None:
+        """Replace the applied entries by a snapshot."""
+        snapshot = self._snapshot()
+        self._log.compact(snapshot.position, snapshot.term)
+        self._groups.compact(snapshot.position)
+        self._record_snapshot(snapshot)
+
+    def _record_snapshot(self, snapshot: LogSnapshot) -> None:
+        """Record a snapshot and what follows it."""
+        ballot = Ballot(self._term, self._voted_for)
+        self._journal.record_snapshot(snapshot, ballot, self._log.after(snapshot.position))
+
+    def _note_groups(self, entries: tuple[Entry, ...]) -> None:
+        """Put the groups in force that entries name."""
+        for entry in entries:
+            match entry.command:
+                case Regroup(group=group):
+                    self._groups.add(entry.position, group)
+                case Write() | Noop():
                     pass
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -33,8 +33,8 @@
     """Replicates its log: next and matching index, and last answered contact, by voter."""
 
     since: float
-    next_index: dict[HostName, int]
-    match_index: dict[HostName, int]
+    next_index: dict[HostName, int] = field(default_factory=dict)
+    match_index: dict[HostName, int] = field(default_factory=dict)
     contact: dict[HostName, float] = field(default_factory=dict)
 
 
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cowslipvane.replica import Voter
-from cowslipvane.types import HostName
+from cowslipvane.types import HostName, ReplicaId
 from cowslipvane.wire import decode_as, encode_plain
 
 
@@ -29,7 +29,8 @@
 
     group: str
     host: HostName
-    voters: tuple[Voter, ...]
+    replica_id: ReplicaId
+    founders: tuple[Voter, ...]
 
 
 class DataFolder:
@@ -49,12 +50,15 @@
         self._path.mkdir(parents=True, exist_ok=True)
         if self._identity_path.exists():
             raise FolderBusy(f"{self._path} already belongs to a group; give an empty folder")
+        write_synced(self.journal_path, b"")
         write_synced(self._identity_path, encode_plain(identity))
 
     def open(self) -> Identity:
         """Lock the folder and return whose it is."""
         if not self._identity_path.exists():
             raise FolderEmpty(f"{self._path} holds no replica; run 'cowslipvane replica create'")
+        if not self.journal_path.exists():
+            raise FolderDamaged(f"{self._path} has lost its journal; replace this replica")
         self._lock = os.open(self._path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -12,21 +12,24 @@
     Append,
     AppendReply,
     Candidate,
+    Group,
+    GroupChange,
+    GroupRefused,
+    Install,
     Journal,
     Leader,
     PreVote,
     PreVoteReply,
     Replica,
     Vote,
-    Voter,
     VoteReply,
 )
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import HostName, Seconds
+from cowslipvane.types import HostName, ReplicaId, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-register(Append, AppendReply, PreVote, PreVoteReply, Vote, VoteReply)
+register(Append, AppendReply, Install, PreVote, PreVoteReply, Vote, VoteReply)
 
 WRITE_TIMEOUT: Seconds = 5.0
 
@@ -43,13 +46,53 @@
     """It isn't known whether the change was accepted; ask again with the same operation id."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Regrouped:
+    """The change of the group is accepted; a learner becomes a voter once it has everything."""
+
+    group: Group
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Greeting:
+    """Opens a connection: the group, and the identity that the member should have, if known."""
+
+    group: str
+    wanted: ReplicaId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Welcome:
+    """Answers a greeting with the identity of the data folder here."""
+
+    replica_id: ReplicaId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stranger:
+    """Answers a greeting that is meant for another group or another data folder."""
+
+    group: str
+    replica_id: ReplicaId
+
+
+register(Greeting, Welcome, Stranger)
+
+
 class Replication:
     """Drives one replica: carries its messages and syncs its journal."""
 
     def __init__(
-        self, *, replica: Replica, journal: Journal, timing: Timing, events: EventLog
+        self,
+        *,
+        replica: Replica,
+        group_name: str,
+        journal: Journal,
+        timing: Timing,
+        events: EventLog,
     ) -> None:
         self._replica = replica
+        self._group_name = group_name
         self._journal = journal
         self._timing = timing
         self._events = events
@@ -72,12 +115,12 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._journal.watch())
             tasks.create_task(self._watch_leader())
-            for voter in self._replica.voters:
-                if voter.host != self._replica.host:
-                    tasks.create_task(self._follow(voter))
+            await self._keep_followers(tasks)
 
     async def serve(self, link: Link) -> None:
-        """Answer one voter's requests, in order."""
+        """Answer one member's requests, in order."""
+        if not await self._welcome(link):
+            return
         while True:
             match await link.receive():
                 case PreVote() as request:
@@ -86,6 +129,8 @@
                     await link.send(await self._answer_vote(request))
                 case Append() as append:
                     await link.send(await self._answer_append(append))
+                case Install() as install:
+                    await link.send(await self._answer_append(install))
                 case _:
                     return
 
@@ -110,16 +155,38 @@
             await self._changed.wait(deadline - time.monotonic())
         return Unknown()
 
+    async def regroup(self, change: GroupChange) -> Regrouped | GroupRefused | NotLeader | Unknown:
+        """Replicate a change of the group and return once a majority has it synced."""
+        index = self._replica.regroup(change, stamped_at=time.time())
+        if not isinstance(self._replica.role, Leader):
+            return NotLeader(leader=self._replica.leader)
+        if isinstance(index, GroupRefused):
+            return index
+        term = self._replica.term
+        self._changed.send()
+        await self._sync_own(index, term)
+        deadline = time.monotonic() + WRITE_TIMEOUT
+        while self._replica.commit < index:
+            left = deadline - time.monotonic()
+            if left <= 0 or self._replica.term != term:
+                return Unknown()
+            await self._changed.wait(left)
+        return Regrouped(group=self._replica.group) if self._replica.term == term else Unknown()
+
     async def _answer_vote(self, request: Vote) -> VoteReply:
         """Decide on a vote and sync it."""
         reply = self._replica.consider_vote(request, time.monotonic())
         await self._journal.sync()
         return reply
 
-    async def _answer_append(self, append: Append) -> AppendReply:
-        """Take entries and sync them."""
+    async def _answer_append(self, append: Append | Install) -> AppendReply:
+        """Take entries or a snapshot and sync them."""
         before = self._replica.commit, self._replica.leader
-        reply = self._replica.consider_append(append, time.monotonic())
+        match append:
+            case Append():
+                reply = self._replica.consider_append(append, time.monotonic())
+            case Install():
+                reply = self._replica.consider_install(append, time.monotonic())
         # Also a message without entries may bring a new term, or vouch for entries that another
         # connection's task has recorded and not synced yet.
         await self._journal.sync()
@@ -145,28 +212,67 @@
             await self._follow_up()
             self._changed.send()
 
-    async def _follow(self, voter: Voter) -> None:
-        """Keep one connection to a voter and send it what it needs."""
+    async def _keep_followers(self, tasks: asyncio.TaskGroup) -> None:
+        """Keep a task for each other member of the group; one that is removed ends by itself."""
+        followers: dict[HostName, asyncio.Task[None]] = {}
         while True:
+            for member in self._replica.group.members:
+                follower = followers.get(member.host)
+                if member.host != self._replica.host and (follower is None or follower.done()):
+                    followers[member.host] = tasks.create_task(self._follow(member.host))
+            await self._changed.wait()
+
+    async def _follow(self, host: HostName) -> None:
+        """Keep one connection to a member, as long as it is one, and send it what it needs."""
+        while (member := self._replica.group.member(host)) is not None:
             try:
-                async with connect(voter.address, "/replica") as link:
-                    await self._converse(voter, link)
+                async with connect(member.address, "/replica") as link:
+                    replica_id = await self._greet(link, member.replica_id)
+                    await self._converse(host, replica_id, link)
             except (LinkClosed, Malformed, TimeoutError):
                 await asyncio.sleep(self._timing.heartbeat)
 
-    async def _converse(self, voter: Voter, link: Link) -> None:
-        """Send one request at a time and count its reply."""
-        while True:
-            request = self._replica.append_for(voter.host) or self._replica.vote_for(voter.host)
+    async def _greet(self, link: Link, wanted: ReplicaId) -> ReplicaId:
+        """Return the identity that answers; raise LinkClosed when it is another."""
+        await link.send(Greeting(group=self._group_name, wanted=wanted))
+        match await asyncio.wait_for(link.receive(), self._timing.election_timeout):
+            case Welcome(replica_id=replica_id):
+                return replica_id
+            case Stranger(group=group, replica_id=replica_id):
+                raise LinkClosed(f"replica {replica_id} of group {group} answers")
+            case _:
+                raise Malformed("a member answered a greeting with another message")
+
+    async def _welcome(self, link: Link) -> bool:
+        """Answer a greeting and return whether it is meant for this replica."""
+        own = self._replica.replica_id
+        match await link.receive():
+            case Greeting(group=group, wanted=wanted):
+                meant = group == self._group_name and wanted in ("", own)
+            case _:
+                return False
+        if meant:
+            await link.send(Welcome(replica_id=own))
+        else:
+            await link.send(Stranger(group=self._group_name, replica_id=own))
+        return meant
+
+    async def _converse(self, host: HostName, replica_id: ReplicaId, link: Link) -> None:
+        """Send one request at a time and count its reply, while the identity is the member's."""
+        while self._replica.recognizes(host, replica_id):
+            request = self._replica.append_for(host) or self._replica.vote_for(host)
             if request is None:
                 await self._changed.wait(self._timing.heartbeat)
                 continue
             sent_at = time.monotonic()
             await link.send(request)
             reply = await asyncio.wait_for(link.receive(), self._timing.election_timeout)
+            if not self._replica.recognizes(host, replica_id):
+                break
             await self._count(reply, sent_at)
-            if not self._replica.wants(voter.host):
+            if not self._replica.wants(host):
                 await self._changed.wait(self._timing.heartbeat)
+        raise LinkClosed(f"replica {replica_id} is not the member on {host}")
 
     async def _count(self, reply: object, sent_at: float) -> None:
         """Count a voter's reply."""
@@ -181,6 +287,10 @@
             case _:
                 raise Malformed("a voter answered with another message")
         await self._follow_up()
+        index = self._replica.tend_group(stamped_at=time.time())
+        if index is not None:
+            self._changed.send()
+            await self._sync_own(index, self._replica.term)
         if self._replica.commit != commit:
             self._changed.send()
 
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -10,6 +10,7 @@
 ServiceName = NewType("ServiceName", str)
 RequestId = NewType("RequestId", str)
 OperationId = NewType("OperationId", str)
+ReplicaId = NewType("ReplicaId", str)
 Version = NewType("Version", int)
 Seconds = float
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -16,7 +16,10 @@
     Snapshot,
     Spec,
     Target,
+    export_state,
+    import_state,
 )
+from cowslipvane.catalogue._catalogue import OUTCOME_LIFETIME
 from cowslipvane.types import OperationId, ServiceName, Version
 
 
@@ -101,6 +104,28 @@
         self.apply(change("a", 0, service("stock")))
         self.assertIsInstance(self.catalogue.since(Version(7)), Snapshot)
 
+    def test_an_answer_is_kept_for_its_lifetime_and_no_longer(self) -> None:
+        """By the stamps alone, so that every replica forgets at the same entry."""
+        catalogue = Catalogue()
+        first = catalogue.apply(change("first", 0, service("s")), accepted_at=0.0)
+        resent = catalogue.apply(change("first", 0, service("s")), accepted_at=OUTCOME_LIFETIME)
+        self.assertEqual(resent, first)
+        catalogue.apply(change("later", 1, service("t")), accepted_at=OUTCOME_LIFETIME + 1)
+        self.assertIsNone(catalogue.outcome(OperationId("first")))
+        self.assertIsNotNone(catalogue.outcome(OperationId("later")))
+
+    def test_a_restored_catalogue_decides_as_the_one_it_came_from(self) -> None:
+        """Resources, writers and answers are in the state."""
+        catalogue = Catalogue()
+        catalogue.apply(change("first", 0, service("s")), accepted_at=1.0)
+        catalogue.apply(change("gone", 1, deletes=(Key("service", "s"),)), accepted_at=2.0)
+        other = Catalogue()
+        import_state(other, export_state(catalogue))
+        for later in (change("first", 0, service("s")), change("racer", 1, service("s"))):
+            self.assertEqual(other.judge(later), catalogue.judge(later))
+            self.assertIsNotNone(other.judge(later))
+        self.assertEqual(export_state(other), export_state(catalogue))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,13 +8,16 @@
 from pathlib import Path
 from unittest import mock
 
-from cowslipvane.replica import Ballot, Entry, Noop, Recovered
-from cowslipvane.storage import FileJournal, FolderDamaged, JournalFailed
-from cowslipvane.types import HostName
+from cowslipvane.catalogue import Catalogue, export_state
+from cowslipvane.replica import Ballot, Entry, Group, LogSnapshot, Noop, Recovered
+from cowslipvane.storage import DataFolder, FileJournal, FolderDamaged, Identity, JournalFailed
+from cowslipvane.types import HostName, ReplicaId
 
 BALLOT = Ballot(3, HostName("a"))
 ENTRIES = tuple(Entry(index, 3, Noop(), 1.0) for index in range(1, 6))
 
+SNAPSHOT = LogSnapshot(3, 3, Group(()), export_state(Catalogue()))
+
 
 class JournalTest(unittest.IsolatedAsyncioTestCase):
     """What a crash or a bad disk leaves is cut, told, or fatal."""
@@ -106,6 +109,65 @@
         await self.journal.sync()
         self.assertEqual(self.open().recover().ballot, Ballot(4, None))
 
+    async def compact(self) -> None:
+        """Record a snapshot up to entry 3, with entries 4 and 5 behind it."""
+        self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[3:])
+        await self.journal.sync()
+
+    async def test_snapshot_and_journal_are_recovered_together(self) -> None:
+        """Also with entries that were appended after the compaction."""
+        await self.compact()
+        more = Entry(6, 3, Noop(), 1.0)
+        self.journal.record_entries((more,))
+        await self.journal.sync()
+        recovered = Recovered(BALLOT, (*ENTRIES[3:], more), SNAPSHOT)
+        self.assertEqual(self.open().recover(), recovered)
+
+    async def test_a_crash_between_snapshot_and_journal_loses_nothing(self) -> None:
+        """The older journal's entries behind the snapshot stay."""
+        older = self.path.read_bytes()
+        await self.compact()
+        self.path.write_bytes(older)
+        self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES[3:], SNAPSHOT))
+
+    async def test_an_older_journal_that_differs_from_the_snapshot_is_dropped(self) -> None:
+        """An installed snapshot goes before entries that the group never accepted."""
+        older = self.path.read_bytes()
+        installed = SNAPSHOT._replace(term=9)
+        self.journal.record_snapshot(installed, BALLOT, ())
+        await self.journal.sync()
+        self.path.write_bytes(older)
+        self.assertEqual(self.open().recover(), Recovered(BALLOT, (), installed))
+
+    async def test_a_lost_or_damaged_snapshot_is_told(self) -> None:
+        """The journal alone doesn't pass for the whole."""
+        self.journal.record_snapshot(SNAPSHOT, BALLOT, ())
+        await self.journal.sync()
+        snapshot = self.path.with_name("snapshot")
+        whole = snapshot.read_bytes()
+        for damaged in (b"", whole[:-1], whole[:-1] + b"?"):
+            snapshot.write_bytes(damaged)
+            with self.assertRaisesRegex(FolderDamaged, "snapshot is damaged"):
+                self.open().recover()
+        snapshot.unlink()
+        with self.assertRaises(FolderDamaged):
+            self.open().recover()
+
+    async def test_a_gap_behind_the_snapshot_is_told(self) -> None:
+        """An older snapshot doesn't do for a newer journal."""
+        self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[4:])
+        await self.journal.sync()
+        with self.assertRaises(FolderDamaged):
+            self.open().recover()
+
+    async def test_a_folder_that_lost_its_journal_is_told(self) -> None:
+        """An identity without a journal isn't a voter that has promised nothing."""
+        folder = DataFolder(path=self.path.parent / "data")
+        folder.create(Identity("group", HostName("a"), ReplicaId("x"), ()))
+        folder.journal_path.unlink()
+        with self.assertRaises(FolderDamaged):
+            folder.open()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,38 +3,55 @@
 import random
 import unittest
 
-from cowslipvane.catalogue import Accepted, Change, Key, Service
+from cowslipvane.catalogue import Accepted, Change, Key, Service, export_state
 from cowslipvane.replica import (
+    Add,
     Append,
     AppendReply,
     Ballot,
     Candidate,
     Entry,
     Follower,
+    GroupChange,
+    GroupRefused,
+    Install,
     Leader,
+    LogSnapshot,
     Noop,
     PreCandidate,
     PreVote,
     PreVoteReply,
     Recovered,
+    Remove,
     Replica,
     Vote,
     Voter,
     VoteReply,
 )
-from cowslipvane.types import Address, HostName, OperationId, Version
+from cowslipvane.types import Address, HostName, OperationId, ReplicaId, Version
 
 TIMEOUT = 1.0
 HOSTS = tuple(HostName(name) for name in "abc")
 A, B, C = HOSTS
 
 
+def replica_id(host: str) -> ReplicaId:
+    """Return the identity of the data folder on a host."""
+    return ReplicaId(f"id-{host}")
+
+
+def member(host: str) -> Voter:
+    """Return a member of the group that has been met."""
+    return Voter(HostName(host), Address("127.0.0.1", 1), replica_id(host))
+
+
 class MemoryJournal:
     """Remembers what was recorded, and how much of it is synced."""
 
     def __init__(self) -> None:
         self.ballots: list[Ballot] = []
         self.entries: list[Entry] = []
+        self.snapshots: list[LogSnapshot] = []
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
@@ -44,6 +61,12 @@
         """Record entries."""
         self.entries.extend(entries)
 
+    def record_snapshot(
+        self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
+    ) -> None:
+        """Record a snapshot."""
+        self.snapshots.append(snapshot)
+
     async def sync(self) -> None:
         """Return at once."""
 
@@ -52,7 +75,14 @@
 
 
 def make_replica(
-    host: HostName = A, *, now: float = 0.0, term: int = 0, entry_terms: tuple[int, ...] = ()
+    host: HostName = A,
+    *,
+    now: float = 0.0,
+    term: int = 0,
+    entry_terms: tuple[int, ...] = (),
+    own_id: ReplicaId | None = None,
+    founders: tuple[Voter, ...] = (),
+    compact_after: int = 100,
 ) -> Replica:
     """Return a replica of three, recovered with entries of some terms."""
     entries = tuple(
@@ -60,12 +90,14 @@
     )
     return Replica(
         host=host,
-        voters=tuple(Voter(name, Address("127.0.0.1", 1)) for name in HOSTS),
+        replica_id=own_id or replica_id(host),
+        founders=founders or tuple(member(name) for name in HOSTS),
         journal=MemoryJournal(),
         recovered=Recovered(Ballot(term, None), entries),
         election_timeout=TIMEOUT,
         rng=random.Random(7),
         now=now,
+        compact_after=compact_after,
     )
 
 
@@ -242,7 +274,7 @@
         rounds = 0
         while leader.wants(B):
             append = leader.append_for(B)
-            assert append is not None
+            assert isinstance(append, Append)
             leader.count_append(follower.consider_append(append, 10.0), sent_at=10.0)
             rounds += 1
         self.assertEqual((follower.last_index, follower.term, rounds), (7, 9, 3))
@@ -257,9 +289,186 @@
         late = AppendReply(term=9, voter=B, matched=False, index=0)
         leader.count_append(late, sent_at=10.0)
         append = leader.append_for(B)
-        assert append is not None
+        assert isinstance(append, Append)
         self.assertEqual(append.previous_index, 3)
 
 
+def put(name: str, based_on: int) -> Change:
+    """Return a change that puts a service."""
+    return Change(OperationId(name), Version(based_on), ((Key("service", "s"), Service()),))
+
+
+def leader_of_changes(count: int, *, compact_after: int) -> Replica:
+    """Return a leader that has accepted some changes, with one follower's help."""
+    leader = make_replica(compact_after=compact_after)
+    elect(leader, B, now=10.0)
+    for number in range(count):
+        index = leader.propose(put(f"op{number}", number), stamped_at=float(number))
+        assert index is not None
+        leader.count_synced(index)
+        leader.count_append(matched(B, 1, index), sent_at=10.0)
+    return leader
+
+
+def snapshot_for(leader: Replica, follower: HostName) -> Install:
+    """Return what a leader sends to a follower whose log is empty."""
+    refusal = AppendReply(term=1, voter=follower, matched=False, index=0)
+    leader.count_append(refusal, sent_at=10.0)
+    install = leader.append_for(follower)
+    assert isinstance(install, Install)
+    return install
+
+
+class CompactionTest(unittest.TestCase):
+    """A snapshot stands in for the entries that it covers."""
+
+    def test_a_follower_too_far_behind_gets_a_snapshot_and_the_rest(self) -> None:
+        """It answers a resent operation as the leader does, and counts towards the majority."""
+        leader = leader_of_changes(12, compact_after=10)
+        follower = make_replica(C)
+        install = snapshot_for(leader, C)
+        leader.count_append(follower.consider_install(install, 10.0), sent_at=10.0)
+        append = leader.append_for(C)
+        assert isinstance(append, Append)
+        leader.count_append(follower.consider_append(append, 10.0), sent_at=10.0)
+        self.assertEqual(export_state(follower.catalogue), export_state(leader.catalogue))
+        again = follower.catalogue.apply(put("op3", 3), accepted_at=99.0)
+        self.assertEqual(again, Accepted(version=Version(4), accepted_at=3.0))
+        self.assertEqual((follower.commit, follower.group), (leader.commit, leader.group))
+
+    def test_an_older_snapshot_takes_nothing_back(self) -> None:
+        """A snapshot that arrives late is acknowledged and left."""
+        leader = leader_of_changes(12, compact_after=5)
+        old = snapshot_for(leader_of_changes(6, compact_after=5), C)
+        new = snapshot_for(leader, C)
+        follower = make_replica(C)
+        follower.consider_install(new, 10.0)
+        reply = follower.consider_install(old, 10.0)
+        self.assertTrue(reply.matched)
+        self.assertEqual(follower.catalogue.version, leader.catalogue.version)
+
+    def test_a_snapshot_replaces_a_log_that_differs(self) -> None:
+        """Entries behind it stay only where the log leads through it."""
+        leader = leader_of_changes(12, compact_after=10)
+        install = snapshot_for(leader, C)
+        differs = make_replica(C, entry_terms=(0,) * 20)
+        differs.consider_install(install, 10.0)
+        self.assertEqual(differs.last_index, install.snapshot.position)
+        same = make_replica(C, entry_terms=(1,) * 20)
+        same.consider_install(install, 10.0)
+        self.assertEqual(same.last_index, 20)
+
+
+class GroupTest(unittest.TestCase):
+    """Changes of the group, one at a time."""
+
+    def setUp(self) -> None:
+        """Elect a leader with one committed entry of its term."""
+        self.leader = leader_of_changes(1, compact_after=100)
+
+    def regroup(self, change: GroupChange) -> int | GroupRefused:
+        """Ask the leader for a change of the group."""
+        return self.leader.regroup(change, stamped_at=0.0)
+
+    def ack(self, *hosts: str) -> None:
+        """Let the leader and some hosts have synced everything."""
+        index = self.leader.last_index
+        self.leader.count_synced(index)
+        for host in hosts:
+            self.leader.append_for(HostName(host))
+            self.leader.count_append(matched(HostName(host), 1, index), sent_at=10.0)
+
+    def test_a_learner_counts_only_once_it_has_everything(self) -> None:
+        """Its acknowledgement makes no majority before, and it is promoted then."""
+        self.regroup(Add(learner=member("d")))
+        committed = self.leader.commit
+        self.ack("d")
+        self.assertEqual(self.leader.commit, committed)
+        self.ack("b")
+        self.assertGreater(self.leader.commit, committed)
+        self.assertEqual(len(self.leader.group.voters), 3)
+        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0))
+        self.assertEqual([voter.host for voter in self.leader.group.voters], [*HOSTS, "d"])
+
+    def test_a_learner_that_lacks_entries_is_not_promoted(self) -> None:
+        """Being a member is not enough."""
+        self.regroup(Add(learner=member("d")))
+        self.ack("b")
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0))
+
+    def test_a_second_change_waits_for_the_first(self) -> None:
+        """Two at once could have quorums without a common member."""
+        self.assertIsInstance(self.regroup(Remove(host=C)), int)
+        self.assertIsInstance(self.regroup(Add(learner=member("d"))), GroupRefused)
+        self.ack("b")
+        self.assertIsInstance(self.regroup(Add(learner=member("d"))), int)
+
+    def test_a_new_leader_changes_nothing_before_it_has_committed(self) -> None:
+        """It can't know yet which group stands."""
+        leader = make_replica()
+        elect(leader, B, now=10.0)
+        refused = leader.regroup(Remove(host=C), stamped_at=0.0)
+        self.assertIsInstance(refused, GroupRefused)
+
+    def test_a_replaced_disk_is_a_new_identity_that_has_synced_nothing(self) -> None:
+        """What the former identity on the host had acknowledged counts no more."""
+        self.ack("b", "c")
+        new = member("c")._replace(replica_id=ReplicaId("new"))
+        self.regroup(Add(learner=new))
+        self.ack("b")
+        self.assertFalse(self.leader.recognizes(C, replica_id(C)))
+        self.assertTrue(self.leader.recognizes(C, ReplicaId("new")))
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0))
+        refusal = AppendReply(term=1, voter=C, matched=False, index=0)
+        self.leader.count_append(refusal, sent_at=10.0)
+        append = self.leader.append_for(C)
+        assert isinstance(append, Append)
+        self.assertEqual(append.previous_index, 0)
+        self.ack("c")
+        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0))
+
+    def test_a_replica_under_a_foreign_identity_never_stands(self) -> None:
+        """A disk that happens to be empty isn't the voter that was on its host."""
+        replica = make_replica(own_id=ReplicaId("foreign"))
+        replica.canvass(5.0)
+        self.assertIsInstance(replica.role, Follower)
+
+    def test_founders_count_only_once_their_identity_is_in_the_log(self) -> None:
+        """The first entry of a new group binds those that were met."""
+        founders = tuple(member(host)._replace(replica_id=ReplicaId("")) for host in HOSTS)
+        leader = make_replica(founders=founders)
+        elect(leader, B, now=10.0)
+        self.assertTrue(leader.recognizes(B, replica_id(B)))
+        self.assertFalse(leader.recognizes(B, ReplicaId("other")))
+        leader.count_synced(1)
+        leader.count_append(matched(B, 1, 1), sent_at=10.0)
+        self.assertEqual(leader.commit, 0)
+        index = leader.tend_group(stamped_at=0.0)
+        assert index is not None
+        leader.count_synced(index)
+        leader.count_append(matched(B, 1, index), sent_at=10.0)
+        self.assertEqual(leader.commit, index)
+        self.assertEqual([voter.replica_id for voter in leader.group.voters], ["id-a", "id-b", ""])
+
+    def test_a_truncated_change_of_the_group_is_undone(self) -> None:
+        """The group in force is the one that the log names last."""
+        self.regroup(Remove(host=C))
+        self.assertEqual(len(self.leader.group.voters), 2)
+        index = self.leader.last_index
+        entry = Entry(index, 2, Noop(), 0.0)
+        other = Append(
+            term=2, leader=B, previous_index=index - 1, previous_term=1, entries=(entry,), commit=0
+        )
+        self.leader.consider_append(other, 20.0)
+        self.assertEqual(len(self.leader.group.voters), 3)
+
+    def test_a_leader_that_is_removed_steps_down_when_that_is_committed(self) -> None:
+        """Until then it leads the change."""
+        self.regroup(Remove(host=A))
+        self.assertFalse(self.leader.check_contact(10.1))
+        self.ack("b", "c")
+        self.assertTrue(self.leader.check_contact(10.1))
+
+
 if __name__ == "__main__":
     unittest.main()
