--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -48,6 +48,14 @@
         """Return the accepted resources and their version."""
         return await self._ask("GET", "/v1/resources", None)
 
+    async def replicas(self) -> dict[str, Any]:
+        """Return the group of replicas."""
+        return await self._ask("GET", "/v1/replicas", None)
+
+    async def regroup(self, form: dict[str, Any]) -> dict[str, Any]:
+        """Send a change of the group until its outcome is known."""
+        return await self._ask("POST", "/v1/replicas", form)
+
     async def status(self) -> dict[str, Any]:
         """Return the status of the leader, or of a process that answers."""
         fallback: dict[str, Any] = {}
--- a/cowslipvane/cmdline/_replica.py
+++ b/cowslipvane/cmdline/_replica.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import read_settings, settings_option
+from cowslipvane.cmdline._options import ask, read_settings, server_option, settings_option
+
+id_option = click.option(
+    "--id", "replica_id", required=True, help="The identity that 'replica join' printed."
+)
 
 
 @click.group()
@@ -25,3 +30,49 @@
         commands.create_replica(read_settings(path), group, voters)
     except commands.CommandFailed as error:
         raise click.ClickException(str(error)) from error
+
+
+@replica.command()
+@settings_option
+@click.option("--group", required=True, help="The name that the group was created with.")
+def join(path: Path, group: str) -> None:
+    """Prepare an empty data folder for a group, and print the identity to add or replace with."""
+    try:
+        click.echo(commands.join_replica(read_settings(path), group))
+    except commands.CommandFailed as error:
+        raise click.ClickException(str(error)) from error
+
+
+@replica.command(name="list")
+@server_option
+def list_(servers: tuple[str, ...]) -> None:
+    """Print the group of replicas."""
+    click.echo(json.dumps(ask(commands.list_replicas(servers)), indent=2))
+
+
+@replica.command()
+@server_option
+@id_option
+@click.argument("member")
+def add(servers: tuple[str, ...], replica_id: str, member: str) -> None:
+    """Add a replica, MEMBER as HOST=IP:PORT, and wait until it votes."""
+    group = ask(commands.take_replica(servers, "add", member, replica_id))
+    click.echo(json.dumps(group, indent=2))
+
+
+@replica.command()
+@server_option
+@id_option
+@click.argument("member")
+def replace(servers: tuple[str, ...], replica_id: str, member: str) -> None:
+    """Replace the replica on a host that lost its disk, MEMBER as HOST=IP:PORT."""
+    group = ask(commands.take_replica(servers, "replace", member, replica_id))
+    click.echo(json.dumps(group, indent=2))
+
+
+@replica.command()
+@server_option
+@click.argument("host")
+def remove(servers: tuple[str, ...], host: str) -> None:
+    """Take the replica on a host out of the group."""
+    click.echo(json.dumps(ask(commands.remove_replica(servers, host)), indent=2))
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -3,7 +3,13 @@
 from cowslipvane.commands._errors import CommandFailed
 from cowslipvane.commands._explain import explain
 from cowslipvane.commands._process import describe, read_settings, run, status
-from cowslipvane.commands._replica import create_replica
+from cowslipvane.commands._replica import (
+    create_replica,
+    join_replica,
+    list_replicas,
+    remove_replica,
+    take_replica,
+)
 from cowslipvane.commands._resources import apply, get, read_resources, watch
 from cowslipvane.settings import SettingsFault
 
@@ -15,9 +21,13 @@
     "describe",
     "explain",
     "get",
+    "join_replica",
+    "list_replicas",
     "read_resources",
     "read_settings",
+    "remove_replica",
     "run",
     "status",
+    "take_replica",
     "watch",
 ]
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -30,6 +30,7 @@
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
+from cowslipvane.tasks._replica_api import ReplicaApi
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
@@ -216,13 +217,18 @@
             drain=self.stop,
         )
         if self._replication is None:
-            return Operators(process=process, resources=None)
+            return Operators(process=process, resources=None, replicas=None)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
             replication=self._replication,
         )
-        return Operators(process=process, resources=resources)
+        replicas = ReplicaApi(
+            membership=self._members.membership,
+            events=self._events,
+            replication=self._replication,
+        )
+        return Operators(process=process, resources=resources, replicas=replicas)
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -7,6 +7,7 @@
     GroupRefused,
     Promote,
     Remove,
+    Replace,
     Voter,
 )
 from cowslipvane.replica._messages import (
@@ -52,6 +53,7 @@
     "Recovered",
     "Regroup",
     "Remove",
+    "Replace",
     "Replica",
     "Report",
     "Vote",
--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -110,7 +110,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Add:
-    """Takes a replica in as a learner, in place of any other identity on its host."""
+    """Takes a replica in as a learner, on a host that has none."""
+
+    learner: Voter
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replace:
+    """Takes a replica in as a learner, in place of another identity on its host."""
 
     learner: Voter
 
@@ -129,7 +136,7 @@
     host: HostName
 
 
-GroupChange = Add | Promote | Remove
+GroupChange = Add | Replace | Promote | Remove
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,13 +149,18 @@
 def changed_group(group: Group, change: GroupChange) -> Group | GroupRefused:
     """Return the group after a change of at most one voter."""
     match change:
-        case Add(learner=learner):
+        case Add(learner=learner) | Replace(learner=learner):
             if learner in group.members:
                 return group
             if any(member.replica_id == learner.replica_id for member in group.members):
                 return GroupRefused(
                     reason=f"replica {learner.replica_id} is a member on another host"
                 )
+            held = group.member(learner.host)
+            if held is not None and isinstance(change, Add):
+                return GroupRefused(reason=f"{learner.host} has a replica; replace it")
+            if held is None and isinstance(change, Replace):
+                return GroupRefused(reason=f"{learner.host} has no replica; add it")
             changed = group.with_learner(learner)
         case Promote(learner=learner):
             changed = group.promoted(learner)
--- /dev/null
+++ b/cowslipvane/tasks/_replica_api.py
@@ -0,0 +1,60 @@
+"""The API of the group of replicas."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from aiohttp import web
+
+from cowslipvane.events import EventLog
+from cowslipvane.membership import Membership
+from cowslipvane.replica import GroupRefused
+from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._redirect import leader_redirect
+from cowslipvane.tasks._replication import NotLeader, Regrouped, Replication, Unknown
+from cowslipvane.wire import group_form, read_group_change
+
+_PATH = "/v1/replicas"
+
+
+class ReplicaApi:
+    """Answers operators who list, add, replace and remove replicas."""
+
+    def __init__(
+        self, *, membership: Membership, events: EventLog, replication: Replication
+    ) -> None:
+        self._membership = membership
+        self._events = events
+        self._replication = replication
+
+    async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
+        """Answer by method and path, or return None when the path is none of this API."""
+        match http.method, parts:
+            case "GET", ["replicas"]:
+                return self._group()
+            case "POST", ["replicas"]:
+                return await self._regroup(await http.json())
+            case _:
+                return None
+
+    def _group(self) -> web.Response:
+        """Return the group, from a leader that surely still is one."""
+        replica = self._replication.replica
+        if not replica.holds_lease(time.monotonic()):
+            return leader_redirect(self._membership, _PATH, replica.leader)
+        return web.json_response({"leader": replica.host, **group_form(replica.group)})
+
+    async def _regroup(self, form: Any) -> web.Response:
+        """Change the group; the answer says whether it was run."""
+        match await self._replication.regroup(read_group_change(form)):
+            case NotLeader(leader=leader):
+                return leader_redirect(self._membership, _PATH, leader)
+            case Unknown():
+                sentence = "unknown: ask for the group, or send the same change again"
+                return web.json_response({"outcome": "unknown", "sentence": sentence}, status=504)
+            case GroupRefused(reason=reason):
+                return error_response(409, f"not run: {reason}")
+            case Regrouped(group=group):
+                self._events.record("regrouped", change=str(form["change"]), host=str(form["host"]))
+                return web.json_response({"outcome": "accepted", **group_form(group)})
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -12,7 +12,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
 from cowslipvane.replica import Leader
-from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._redirect import leader_redirect
 from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
 from cowslipvane.types import HostName
 from cowslipvane.wire import outcome_form, read_change, resource_form
@@ -76,15 +76,7 @@
 
     def _redirect(self, path: str, leader: HostName | None) -> web.Response:
         """Send an operator on to the leader, or tell when to come again."""
-        member = self._membership.member(leader) if leader else None
-        if member is None or member.host == self._membership.own.host:
-            response = error_response(503, "not run: no leader is known here now; try again")
-            response.headers["Retry-After"] = "1"
-            return response
-        location = f"http://{member.operators}{path}"
-        return web.json_response(
-            {"outcome": "not run", "leader": leader}, status=307, headers={"Location": location}
-        )
+        return leader_redirect(self._membership, path, leader)
 
     async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
         """Stream a line for each version from the one that the operator holds."""
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -18,10 +18,15 @@
     read_change,
     resource_form,
 )
+from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
 from cowslipvane.wire._link import Link, LinkClosed, connect
 
 __all__ = [
     "FaultForm",
+    "GroupForm",
+    "MemberForm",
+    "group_form",
+    "read_group_change",
     "OutcomeForm",
     "ResourceForm",
     "fault_forms",
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -23,6 +23,7 @@
     PreVoteReply,
     Recovered,
     Remove,
+    Replace,
     Replica,
     Vote,
     Voter,
@@ -414,7 +415,7 @@
         """What the former identity on the host had acknowledged counts no more."""
         self.ack("b", "c")
         new = member("c")._replace(replica_id=ReplicaId("new"))
-        self.regroup(Add(learner=new))
+        self.regroup(Replace(learner=new))
         self.ack("b")
         self.assertFalse(self.leader.recognizes(C, replica_id(C)))
         self.assertTrue(self.leader.recognizes(C, ReplicaId("new")))
