--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -6,13 +6,22 @@
 import json
 from collections.abc import AsyncIterator
 from types import TracebackType
-from typing import Any, Self
+from typing import Any, NamedTuple, Self
 
 import aiohttp
 
 from cowslipvane.types import Seconds
 
 RETRY_WAIT: Seconds = 0.2
+_OK = 200
+_NO_ANSWER = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+class Everywhere(NamedTuple):
+    """What each process answered by its host, and why the others did not."""
+
+    answers: dict[str, Any]
+    silent: dict[str, str]
 
 
 class Unreachable(Exception):
@@ -50,35 +59,52 @@
 
     async def status(self) -> dict[str, Any]:
         """Return the status of the leader, or of a process that answers."""
-        fallback: dict[str, Any] = {}
-        for server in self._servers:
-            try:
-                _, status = await self._send("GET", server, "/v1/status", None)
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                continue
+        found = await self._statuses()
+        for status in found:
             if status.get("replica", {}).get("holds_lease"):
-                return dict(status)
-            fallback = status
-        if not fallback:
-            raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
-        return fallback
-
-    async def events(self, request: str) -> list[dict[str, Any]]:
-        """Return the events of a request from every process that is known and answers."""
-        status = await self.status()
-        addresses = {member["operators"] for member in status["members"]}
-        path = f"/v1/events?request={request}"
-        answers = await asyncio.gather(
-            *(self._send("GET", address, path, None) for address in sorted(addresses)),
+                return status
+        return found[0]
+
+    async def members(self) -> list[dict[str, Any]]:
+        """Return every member that any of the servers knows, the first by name first."""
+        known: dict[str, dict[str, Any]] = {}
+        for status in await self._statuses():
+            for member in status["members"]:
+                held = known.get(member["host"])
+                if held is None or member["alive"] and not held["alive"]:
+                    known[member["host"]] = member
+        return [known[host] for host in sorted(known)]
+
+    async def everywhere(self, path: str) -> Everywhere:
+        """Ask every process that the servers know, and return who answered what."""
+        members = await self.members()
+        results = await asyncio.gather(
+            *(self._send("GET", member["operators"], path, None) for member in members),
             return_exceptions=True,
         )
-        found = [
-            event
-            for answer in answers
-            if not isinstance(answer, BaseException)
-            for event in answer[1]
-        ]
-        return sorted(found, key=lambda event: (event["wall"], event["logical"]))
+        answers: dict[str, Any] = {}
+        silent: dict[str, str] = {}
+        for member, result in zip(members, results, strict=True):
+            match result:
+                case BaseException():
+                    silent[member["host"]] = str(result) or type(result).__name__
+                case (200, form):
+                    answers[member["host"]] = form
+                case (status, _):
+                    silent[member["host"]] = f"answered with HTTP status {status}"
+        return Everywhere(answers, silent)
+
+    async def ask(self, method: str, path: str) -> dict[str, Any]:
+        """Ask the first server that answers, whatever its role."""
+        for server in self._servers:
+            try:
+                status, answer = await self._send(method, server, path, None)
+            except _NO_ANSWER:
+                continue
+            if status != _OK:
+                raise Unreachable(f"{server}: {answer.get('sentence', f'HTTP status {status}')}")
+            return dict(answer)
+        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
 
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
         """Yield what is accepted and where it is in force, as it changes."""
@@ -88,6 +114,20 @@
             async for line in response.content:
                 yield json.loads(line)
 
+    async def _statuses(self) -> list[dict[str, Any]]:
+        """Return the status of each server that answers."""
+        results = await asyncio.gather(
+            *(self._send("GET", server, "/v1/status", None) for server in self._servers),
+            return_exceptions=True,
+        )
+        answers = [result for result in results if not isinstance(result, BaseException)]
+        found = [dict(form) for status, form in answers if status == _OK]
+        if found:
+            return found
+        if answers:
+            raise Unreachable(str(answers[0][1].get("sentence", answers[0])))
+        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
+
     async def _ask(self, method: str, path: str, form: dict[str, Any] | None) -> dict[str, Any]:
         """Ask one server after another until one answers for good."""
         give_up = asyncio.get_running_loop().time() + self._timeout
@@ -95,7 +135,7 @@
             for server in self._servers:
                 try:
                     status, answer = await self._send(method, server, path, form)
-                except (aiohttp.ClientError, TimeoutError, OSError):
+                except _NO_ANSWER:
                     continue
                 if status not in (503, 504):
                     return dict(answer)
--- a/cowslipvane/cmdline/_main.py
+++ b/cowslipvane/cmdline/_main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from cowslipvane.cmdline._explain import explain
+from cowslipvane.cmdline._explain import explain, timeline
 from cowslipvane.cmdline._process import check, run, status
 from cowslipvane.cmdline._replica import replica
 from cowslipvane.cmdline._resources import apply, get, watch
@@ -16,5 +16,5 @@
     """Distribute routing configuration to every proxy of a service mesh."""
 
 
-for _command in (apply, check, explain, get, replica, run, status, watch):
+for _command in (apply, check, explain, get, replica, run, status, timeline, watch):
     main.add_command(_command)
--- a/cowslipvane/cmdline/_options.py
+++ b/cowslipvane/cmdline/_options.py
@@ -23,6 +23,12 @@
     envvar="COWSLIPVANE_SERVERS",
     help="IP:PORT of a process's operators' listener; give several to survive failures.",
 )
+output_option = click.option(
+    "--output",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    help="A table for people, or JSON for programs.",
+)
 settings_option = click.option(
     "--settings", "path", required=True, type=click.Path(path_type=Path), help="A TOML file."
 )
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -1,23 +1,37 @@
 """What the commands do, apart from the command line that calls them."""
 
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._explain import explain
+from cowslipvane.commands._explain import Account, account_of, explain
+from cowslipvane.commands._picture import picture
 from cowslipvane.commands._process import describe, read_settings, run, status
 from cowslipvane.commands._replica import create_replica
 from cowslipvane.commands._resources import apply, get, read_resources, watch
+from cowslipvane.commands._timeline import (
+    Filter,
+    Timeline,
+    timeline_of_files,
+    timeline_of_processes,
+)
 from cowslipvane.settings import SettingsFault
 
 __all__ = [
+    "Account",
     "CommandFailed",
+    "Filter",
     "SettingsFault",
+    "Timeline",
+    "account_of",
     "apply",
     "create_replica",
     "describe",
     "explain",
     "get",
+    "picture",
     "read_resources",
     "read_settings",
     "run",
     "status",
+    "timeline_of_files",
+    "timeline_of_processes",
     "watch",
 ]
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -1,25 +1,72 @@
-"""Commands that explain what became of requests."""
+"""The explanation of what became of a request."""
 
 from __future__ import annotations
 
-from typing import Any
+import json
+from typing import NamedTuple
 
-from cowslipvane.commands._errors import CommandFailed, client_of
+from cowslipvane.commands._errors import CommandFailed
+from cowslipvane.commands._timeline import Filter, Timeline, event_line, timeline_of_processes
+from cowslipvane.events import EventForm
+from cowslipvane.types import Verdict
 
+_UNKNOWN = (
+    "The request was handed to an upstream, and no answer is on record."
+    " The request may have run: check before you send it again."
+)
 
-async def explain(servers: tuple[str, ...], request: str) -> str:
-    """Return the sentence that a caller was told, and the events behind it."""
-    async with client_of(servers) as client:
-        events = await client.events(request)
-    if not events:
-        raise CommandFailed(f"no process remembers request {request}; check the id")
-    sentences = [event["detail"]["sentence"] for event in events if event["kind"] == "refused"]
-    lines = sentences or ["The request was answered by its upstream."]
-    lines += [f"  {_event_line(event)}" for event in events]
-    return "\n".join(lines)
 
+class Account(NamedTuple):
+    """What was asked, what was decided, whether it ran, and what to tell the caller."""
 
-def _event_line(event: dict[str, Any]) -> str:
-    """Return one event as a line."""
-    detail = " ".join(f"{name}={value}" for name, value in event["detail"].items())
-    return f"{event['wall']:.6f} {event['host']} {event['kind']} {detail}"
+    request: str
+    asked: str
+    decision: str
+    verdict: str
+    sentence: str
+    events: list[EventForm]
+
+    def as_json(self) -> str:
+        """Return the account for programs."""
+        return json.dumps(self._asdict(), indent=2)
+
+    def as_text(self) -> str:
+        """Return the account for people."""
+        lines = [
+            self.sentence,
+            f"  asked:    {self.asked}",
+            f"  decided:  {self.decision}",
+            f"  whether it ran: {self.verdict}",
+        ]
+        return "\n".join([*lines, *(f"  {event_line(event)}" for event in self.events)])
+
+
+async def explain(servers: tuple[str, ...], request: str) -> Account:
+    """Return the account of a request from every process that remembers it."""
+    return account_of(request, await timeline_of_processes(servers, Filter(request=request)))
+
+
+def account_of(request: str, timeline: Timeline) -> Account:
+    """Return the account that the events of a request give; raise CommandFailed without any."""
+    if not timeline.events:
+        missing = f" ({'; '.join(timeline.gaps)})" if timeline.gaps else ""
+        raise CommandFailed(f"no process remembers request {request}; check the id{missing}")
+    asked = next((it["detail"]["asked"] for it in timeline.events if "asked" in it["detail"]), "?")
+    refusals = [event for event in timeline.events if event["kind"] == "refusal"]
+    verdicts = [event for event in timeline.events if event["kind"] == "verdict"]
+    match refusals, verdicts:
+        case [first, *_], _:
+            # What the caller was told stands, whatever else comes to light.
+            detail = first["detail"]
+            decision = f"refused as {detail['code']}"
+            verdict, sentence = detail["verdict"], detail["sentence"]
+        case [], [*_, last] if last["detail"]["verdict"] == Verdict.RAN.value:
+            owner, status = last["detail"]["owner"], last["detail"]["outcome"]
+            decision = f"answered with HTTP status {status}"
+            verdict = Verdict.RAN.value
+            sentence = (
+                f"The upstream on {owner} answered with status {status}. The request was run."
+            )
+        case _:
+            decision, verdict, sentence = "unknown", Verdict.MAY_HAVE_RUN.value, _UNKNOWN
+    return Account(request, asked, decision, verdict, sentence, timeline.events)
--- /dev/null
+++ b/cowslipvane/commands/_picture.py
@@ -0,0 +1,116 @@
+"""The time line as one HTML page that needs nothing else: a row for each process."""
+
+from __future__ import annotations
+
+import datetime
+from html import escape
+from xml.etree import ElementTree as Xml
+
+from cowslipvane.commands._timeline import Timeline, event_line
+from cowslipvane.events import EVENT_KINDS, EventForm
+
+# Lengths in pixels.
+_LABEL_WIDTH = 190
+_PLOT_WIDTH = 1000
+_ROW_HEIGHT = 34
+_TOP = 40
+_RADIUS = 5
+_TICKS = 6
+# Colours that most readers can tell apart, by kind; the other kinds are grey.
+_COLOURS = {
+    "accepted": "#0072b2",
+    "applied": "#56b4e9",
+    "attempt": "#e69f00",
+    "leader": "#000000",
+    "leaving": "#f0e442",
+    "member": "#009e73",
+    "refusal": "#d55e00",
+    "rejected": "#cc0000",
+    "verdict": "#cc79a7",
+}
+_OTHER_COLOUR = "#999999"
+_STYLE = (
+    "body{font:14px sans-serif;margin:1.5em;color:#111;background:#fff}"
+    "text{font:12px sans-serif;fill:#111}li.gap{color:#a00}td{padding:0 .8em;font-size:12px}"
+)
+
+
+def picture(timeline: Timeline) -> str:
+    """Return the page."""
+    gaps = "".join(f'<li class="gap">{escape(gap)}</li>' for gap in timeline.gaps)
+    rows = "".join(f"<tr><td>{escape(event_line(event))}</td></tr>" for event in timeline.events)
+    return (
+        '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8"/>'
+        f"<title>Time line</title><style>{_STYLE}</style></head><body>"
+        f"<h1>Time line: {len(timeline.events)} events</h1>"
+        f"{Xml.tostring(_plot(timeline.events), encoding='unicode')}"
+        f"<ul>{gaps}</ul><table>{rows}</table></body></html>\n"
+    )
+
+
+def _plot(events: list[EventForm]) -> Xml.Element:
+    """Return the plot of events by time and process, with a legend."""
+    hosts = sorted({(event["data_centre"], event["host"], event["process"]) for event in events})
+    bottom = _TOP + _ROW_HEIGHT * len(hosts)
+    size = {"width": str(_LABEL_WIDTH + _PLOT_WIDTH + 40), "height": str(bottom + 70)}
+    svg = Xml.Element("svg", {"xmlns": "http://www.w3.org/2000/svg", "role": "img", **size})
+    first = min((event["wall"] for event in events), default=0.0)
+    span = max((event["wall"] for event in events), default=0.0) - first or 1.0
+    _draw_axis(svg, first, span, bottom)
+    for row, (data_centre, host, process) in enumerate(hosts):
+        y = _TOP + _ROW_HEIGHT * row + _ROW_HEIGHT // 2
+        _draw_line(svg, (_LABEL_WIDTH, y), (_LABEL_WIDTH + _PLOT_WIDTH, y))
+        _draw_text(svg, (4, y - 2), host)
+        _draw_text(svg, (4, y + 11), f"{data_centre}, process {process}")
+    rows = {key: number for number, key in enumerate(hosts)}
+    for event in events:
+        row = rows[event["data_centre"], event["host"], event["process"]]
+        x = _LABEL_WIDTH + _PLOT_WIDTH * (event["wall"] - first) / span
+        _draw_event(svg, event, (x, _TOP + _ROW_HEIGHT * row + _ROW_HEIGHT / 2))
+    _draw_legend(svg, events, bottom + 45)
+    return svg
+
+
+def _draw_axis(svg: Xml.Element, first: float, span: float, bottom: int) -> None:
+    """Draw the times, as seconds after the first event."""
+    start = datetime.datetime.fromtimestamp(first, datetime.UTC)
+    _draw_text(svg, (4, 16), f"{start:%Y-%m-%d %H:%M:%S} UTC")
+    for tick in range(_TICKS):
+        x = _LABEL_WIDTH + _PLOT_WIDTH * tick / (_TICKS - 1)
+        _draw_line(svg, (x, _TOP - 6), (x, bottom))
+        _draw_text(svg, (x - 10, _TOP - 12), f"+{span * tick / (_TICKS - 1):.3g} s")
+
+
+def _draw_event(svg: Xml.Element, event: EventForm, at: tuple[float, float]) -> None:
+    """Draw one event as a dot that tells of itself under the pointer."""
+    x, y = at
+    place = {"cx": f"{x:.1f}", "cy": f"{y:.1f}", "r": str(_RADIUS)}
+    colour = _COLOURS.get(event["kind"], _OTHER_COLOUR)
+    shape = {"fill": colour, "fill-opacity": "0.75", "class": "event"}
+    dot = Xml.SubElement(svg, "circle", {**place, **shape})
+    Xml.SubElement(dot, "title").text = event_line(event)
+
+
+def _draw_legend(svg: Xml.Element, events: list[EventForm], y: int) -> None:
+    """Draw the colour of each kind that occurs."""
+    present = {event["kind"] for event in events}
+    shown = [kind for kind in EVENT_KINDS if kind in present]
+    for number, kind in enumerate(shown):
+        x = _LABEL_WIDTH + 90 * (number % 11)
+        line = y + 16 * (number // 11)
+        place = {"cx": str(x), "cy": str(line - 4), "r": str(_RADIUS)}
+        Xml.SubElement(svg, "circle", {**place, "fill": _COLOURS.get(kind, _OTHER_COLOUR)})
+        _draw_text(svg, (x + 9, line), kind)
+
+
+def _draw_line(svg: Xml.Element, start: tuple[float, float], end: tuple[float, float]) -> None:
+    """Draw a thin line."""
+    ends = {"x1": start[0], "y1": start[1], "x2": end[0], "y2": end[1]}
+    places = {name: f"{value:.1f}" for name, value in ends.items()}
+    Xml.SubElement(svg, "line", {**places, "stroke": "#ddd"})
+
+
+def _draw_text(svg: Xml.Element, at: tuple[float, float], text: str) -> None:
+    """Write a text."""
+    label = Xml.SubElement(svg, "text", {"x": f"{at[0]:.1f}", "y": f"{at[1]:.1f}"})
+    label.text = text
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 import json
-import logging
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +24,6 @@
 
 def run(settings: Settings) -> None:
     """Run a daemon until it is stopped."""
-    _log_events(settings)
     asyncio.run(_run(settings))
 
 
@@ -41,17 +39,3 @@
     from cowslipvane.daemon import Daemon  # noqa: PLC0415
 
     await Daemon(settings=settings).run()
-
-
-def _log_events(settings: Settings) -> None:
-    """Write events as JSON lines to the event file, if the settings name one."""
-    if not settings.event_file:
-        return
-    from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
-
-    handler = logging.FileHandler(settings.event_file)
-    handler.setFormatter(JsonFormatter("%(message)s"))
-    logger = logging.getLogger("cowslipvane.events")
-    logger.addHandler(handler)
-    logger.setLevel(logging.INFO)
-    logger.propagate = False
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -14,7 +14,7 @@
 
 from websockets.asyncio.server import ServerConnection, serve
 
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
@@ -34,9 +34,10 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
+from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed
-from cowslipvane.wire._link import MAX_MESSAGE_BYTES
+from cowslipvane.wire._link import MAX_MESSAGE_BYTES, process_clock
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
@@ -48,11 +49,12 @@
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
         self._rng = random.Random()
+        self._clock = HybridClock()
         self._events = EventLog(
-            host=settings.host,
-            data_centre=settings.data_centre,
-            process=os.getpid(),
-            clock=HybridClock(),
+            origin=Origin(settings.host, settings.data_centre, os.getpid()),
+            clock=self._clock,
+            file=_event_file(settings),
+            memory=int(settings.limits.events_in_memory),
         )
         own = Member(
             settings.host,
@@ -71,6 +73,7 @@
             interval=settings.timing.exchange,
             events=self._events,
         )
+        self._witness = Witness(membership=self._members.membership, events=self._events)
         self._stop = Signal()
         self._stopping = False
         self._replication: Replication | None = None
@@ -82,11 +85,12 @@
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
+        process_clock.set(self._clock)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         async with AsyncExitStack() as stack:
-            tasks = [self._events.run(), self._members.run()]
+            tasks = [self._events.run(), self._members.run(), self._witness.run()]
             if "replica" in self._settings.roles:
                 tasks.append(self._start_replica(stack))
             if "proxy" in self._settings.roles:
@@ -221,7 +225,7 @@
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
-        link = Link(connection=connection)
+        link = Link(connection=connection, clock=self._clock)
         path = connection.request.path if connection.request else ""
         try:
             match path:
@@ -231,9 +235,19 @@
                     await self._publisher.serve(link)
                 case "/members":
                     await self._members.serve(link)
+                case "/events":
+                    await self._witness.serve(link)
                 case "/calls" if self._owner:
                     await serve_calls(link, self._owner)
         except LinkClosed:
             return
         except Malformed as error:
             self._events.record("malformed", path=path, reason=str(error))
+
+
+def _event_file(settings: Settings) -> EventFile | None:
+    """Open the event file, if the settings name one."""
+    if not settings.event_file:
+        return None
+    max_bytes = int(settings.limits.event_file_bytes)
+    return EventFile(path=Path(settings.event_file), max_bytes=max_bytes)
--- /dev/null
+++ b/cowslipvane/events/_file.py
@@ -0,0 +1,114 @@
+"""The event file of one process: JSON lines, with an older file beside it, bounded in size."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+from collections import deque
+from collections.abc import Iterable
+from logging.handlers import RotatingFileHandler
+from pathlib import Path
+
+from cowslipvane.events._event import EventForm
+
+
+class EventFile:
+    """Appends events to a file, and starts a new one when the file has grown to its limit."""
+
+    def __init__(self, *, path: Path, max_bytes: int) -> None:
+        # Only a process that writes events needs the formatter.
+        from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
+
+        self._path = path
+        self._handler = _Rotating(path, max_bytes)
+        self._handler.setFormatter(JsonFormatter("%(message)s"))
+
+    @property
+    def dropped(self) -> int:
+        """Return how many events were deleted with older files."""
+        return self._handler.dropped
+
+    @property
+    def failed(self) -> int:
+        """Return how many events could not be written, as on a full disk."""
+        return self._handler.failed
+
+    def write(self, forms: Iterable[EventForm]) -> None:
+        """Append events."""
+        for form in forms:
+            fields = {"msg": form["kind"], "levelno": logging.INFO, "event": form}
+            self._handler.handle(logging.makeLogRecord(fields))
+
+    def tail(self, count: int) -> list[EventForm]:
+        """Return the newest events of the files, oldest first."""
+        return list(deque(read_events([older(self._path), self._path]), maxlen=count))
+
+    def close(self) -> None:
+        """Close the file."""
+        self._handler.close()
+
+
+class _Rotating(RotatingFileHandler):
+    """Keeps one older file, and counts what is deleted with the one before it."""
+
+    def __init__(self, path: Path, max_bytes: int) -> None:
+        self.dropped = 0
+        self.failed = 0
+        self._newer, self._older = _count_lines(path), _count_lines(older(path))
+        super().__init__(path, maxBytes=max_bytes, backupCount=1, encoding="utf-8")
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        self._newer += 1
+        super().emit(record)
+
+    def doRollover(self) -> None:  # noqa: N802
+        """Delete the older file, and start a new one with the line that is being written."""
+        super().doRollover()
+        self.dropped += self._older
+        self._older, self._newer = self._newer - 1, 1
+
+    def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802
+        """Count a line that could not be written; the events in memory still have it."""
+        self.failed += 1
+        # What the stream still holds would grow with every line that can't be written.
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            with contextlib.suppress(OSError):
+                stream.close()
+
+
+def older(path: Path) -> Path:
+    """Return where the file before an event file is kept."""
+    return path.with_name(f"{path.name}.1")
+
+
+def read_events(paths: Iterable[Path]) -> Iterable[EventForm]:
+    """Yield the events in files, passing over what is cut off or damaged."""
+    for path in paths:
+        if not path.is_file():
+            continue
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            for line in lines:
+                form = _read_line(line)
+                if form is not None:
+                    yield form
+
+
+def _read_line(line: str) -> EventForm | None:
+    """Return the event in a line, or None when the line holds none."""
+    try:
+        form: EventForm = json.loads(line)["event"]
+        whole = form.keys() >= EventForm.__required_keys__
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        return None
+    return form if whole else None
+
+
+def _count_lines(path: Path) -> int:
+    """Return how many lines a file has; none when there is no file."""
+    if not path.is_file():
+        return 0
+    with path.open("rb") as lines:
+        return sum(1 for _ in lines)
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -3,75 +3,77 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import islice
-from typing import NamedTuple, TypedDict
 
 from cowslipvane.events._clock import HybridClock, Stamp
-from cowslipvane.types import DataCentre, HostName, Seconds
+from cowslipvane.events._event import Event, EventForm, EventKind, Origin, event_form
+from cowslipvane.events._file import EventFile
+from cowslipvane.types import Seconds
 
 # Time between writes of new events to the event file.
 WRITE_EVERY: Seconds = 0.2
-# Events kept in memory; older ones are dropped and counted.
+# Events kept in memory by default; older ones are dropped and counted.
 MEMORY_EVENTS = 4000
-
-
-class EventForm(TypedDict):
-    """An event as JSON."""
-
-    kind: str
-    wall: float
-    logical: int
-    host: str
-    data_centre: str
-    process: int
-    request: str
-    version: int
-    detail: dict[str, str]
-
-
-class Event(NamedTuple):
-    """Something that a process did or decided."""
-
-    kind: str
-    stamp: Stamp
-    request: str
-    version: int
-    detail: dict[str, str]
+# Events of other processes, and of this one before it restarted, that are kept beside its own.
+KEPT_EVENTS = 1000
+# Refusals that wait to be copied to another process; more are dropped and counted.
+UNCOPIED_EVENTS = 500
 
 
 class EventLog:
-    """The newest events of this process."""
+    """The newest events of this process, and copies that it keeps for others."""
 
     def __init__(
-        self, *, host: HostName, data_centre: DataCentre, process: int, clock: HybridClock
+        self,
+        *,
+        origin: Origin,
+        clock: HybridClock,
+        file: EventFile | None = None,
+        memory: int = MEMORY_EVENTS,
     ) -> None:
-        self._host = host
-        self._data_centre = data_centre
-        self._process = process
+        self._origin = origin
         self._clock = clock
-        self._events: deque[Event] = deque(maxlen=MEMORY_EVENTS)
+        self._file = file
+        self._events: deque[Event] = deque(maxlen=memory)
+        self._kept: deque[EventForm] = deque(maxlen=KEPT_EVENTS)
+        self._uncopied: deque[Event] = deque(maxlen=UNCOPIED_EVENTS)
         self._recorded = 0
         self._written = 0
         self._unwritten = 0
-        self._logger = logging.getLogger("cowslipvane.events")
+        self._copied_away = 0
+        if file is not None:
+            self._restore(file.tail(KEPT_EVENTS))
 
     @property
-    def dropped(self) -> int:
-        """Return how many events are no longer in memory."""
-        return self._recorded - len(self._events)
+    def origin(self) -> Origin:
+        """Return the process whose events these are."""
+        return self._origin
 
     @property
-    def unwritten(self) -> int:
-        """Return how many events left memory before they were written."""
-        return self._unwritten
-
-    def record(self, kind: str, *, request: str = "", version: int = 0, **detail: str) -> None:
+    def counts(self) -> dict[str, int]:
+        """Return how many events were recorded, and how many are lost where."""
+        return {
+            "recorded": self._recorded,
+            "dropped_from_memory": self._recorded - len(self._events),
+            "dropped_from_file": self._file.dropped if self._file else 0,
+            "never_written": self._unwritten + (self._file.failed if self._file else 0),
+            "never_copied": self._copied_away,
+            "kept_for_others": len(self._kept),
+            "clocks_refused": self._clock.refused,
+        }
+
+    def record(
+        self, kind: EventKind, *, request: str = "", version: int = 0, **detail: str
+    ) -> None:
         """Record an event."""
-        self._events.append(Event(kind, self._clock.now(), request, version, detail))
+        event = Event(kind, self._clock.now(), request, version, detail)
+        self._events.append(event)
         self._recorded += 1
+        if kind == "refusal":
+            self._copied_away += len(self._uncopied) == self._uncopied.maxlen
+            self._uncopied.append(event)
 
     async def run(self) -> None:
         """Write new events as JSON lines, aside from what recorded them."""
@@ -85,29 +87,45 @@
     def write(self) -> None:
         """Write the events that were recorded since the last write."""
         new = min(self._recorded - self._written, len(self._events))
-        self._unwritten += self._recorded - self._written - new
+        if self._file is not None:
+            self._unwritten += self._recorded - self._written - new
+            fresh = islice(self._events, len(self._events) - new, None)
+            self._file.write(event_form(self._origin, event) for event in fresh)
         self._written = self._recorded
-        if not self._logger.isEnabledFor(logging.INFO):
-            return
-        for event in islice(self._events, len(self._events) - new, None):
-            self._logger.info(event.kind, extra={"event": self.form(event)})
 
-    def select(self, *, request: str = "") -> Iterator[EventForm]:
-        """Yield the events in memory, of one request if it is named."""
+    def take_uncopied(self) -> tuple[Event, ...]:
+        """Return the refusals that no other process has yet, and forget that they wait."""
+        events = tuple(self._uncopied)
+        self._uncopied.clear()
+        return events
+
+    def put_back(self, events: tuple[Event, ...]) -> None:
+        """Let refusals wait again, because they could not be copied."""
+        room = UNCOPIED_EVENTS - len(self._uncopied)
+        kept = events[-room:] if room else ()
+        self._copied_away += len(events) - len(kept)
+        self._uncopied.extendleft(reversed(kept))
+
+    def keep(self, origin: Origin, events: Iterable[Event]) -> None:
+        """Keep copies of another process's events."""
+        self._kept.extend(event_form(origin, event) for event in events)
+
+    def select(self, *, request: str = "", version: int = 0) -> Iterator[EventForm]:
+        """Yield the events in memory, of one request or version if it is named."""
+        for form in self._kept:
+            if _matches(form["request"], form["version"], request, version):
+                yield form
         for event in self._events:
-            if not request or event.request == request:
-                yield self.form(event)
-
-    def form(self, event: Event) -> EventForm:
-        """Return an event as JSON."""
-        return EventForm(
-            kind=event.kind,
-            wall=event.stamp.wall,
-            logical=event.stamp.logical,
-            host=self._host,
-            data_centre=self._data_centre,
-            process=self._process,
-            request=event.request,
-            version=event.version,
-            detail=event.detail,
-        )
+            if _matches(event.request, event.version, request, version):
+                yield event_form(self._origin, event)
+
+    def _restore(self, forms: list[EventForm]) -> None:
+        """Take in what this host's process wrote before it restarted."""
+        self._kept.extend(forms)
+        for form in forms:
+            self._clock.observe(Stamp(form["wall"], form["logical"]))
+
+
+def _matches(request: str, version: int, wanted_request: str, wanted_version: int) -> bool:
+    """Return whether an event is about what is wanted; empty and 0 want anything."""
+    return wanted_request in ("", request) and wanted_version in (0, version)
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -6,16 +6,17 @@
 import ipaddress
 import tomllib
 from pathlib import Path
-from typing import Any, get_args, get_type_hints
+from typing import Any, TypeVar, get_args, get_type_hints
 
 from cattrs import Converter, transform_error
 from cattrs.errors import ForbiddenExtraKeysError
 from cattrs.gen import make_dict_structure_fn
 
-from cowslipvane.settings._settings import Allowed, Listen, Role, Settings, Timing
+from cowslipvane.settings._settings import Allowed, Limits, Listen, Role, Settings, Timing
 from cowslipvane.types import Address
 
 _MAX_PORT = 65535
+T = TypeVar("T", Timing, Limits)
 
 
 class SettingsFault(Exception):
@@ -102,18 +103,21 @@
     return value
 
 
-def _timing(value: Any, _: Any) -> Timing:
-    """Return the times, each within its range."""
-    fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(Timing)}
+def _numbers(value: Any, kind: type[T]) -> T:
+    """Return a table of numbers, each within its range."""
+    table = kind.__name__.lower()
+    fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(kind)}
     if not isinstance(value, dict):
         raise ValueError(f"found {value!r}; allowed is a table")
-    faults = [ValueError(f"timing.{name}: is no known key") for name in value if name not in fields]
+    faults = [
+        ValueError(f"{table}.{name}: is no known key") for name in value if name not in fields
+    ]
     for name in value.keys() & fields.keys():
         if not _in_range(value[name], fields[name]):
-            faults.append(ValueError(f"timing.{name}: {_out_of_range(value[name], fields[name])}"))
+            faults.append(ValueError(f"{table}.{name}: {_out_of_range(value[name], fields[name])}"))
     if faults:
-        raise ExceptionGroup("timing", faults)
-    return Timing(**{name: float(item) for name, item in value.items()})
+        raise ExceptionGroup(table, faults)
+    return kind(**{name: float(item) for name, item in value.items()})
 
 
 def _in_range(value: Any, allowed: Allowed) -> bool:
@@ -151,7 +155,8 @@
     converter.register_structure_hook(Address, _address)
     converter.register_structure_hook(str, _text)
     converter.register_structure_hook_func(lambda kind: kind == Role, _role)
-    converter.register_structure_hook(Timing, _timing)
+    for numbers in (Timing, Limits):
+        converter.register_structure_hook(numbers, _numbers)
     for kind in (Listen, Settings):
         get_type_hints(kind)
         hook = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -59,6 +59,18 @@
     )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """Bounds on what the process keeps."""
+
+    event_file_bytes: float = number(
+        16e6, low=1e4, high=1e9, unit="bytes", about="size at which an event file is put aside"
+    )
+    events_in_memory: float = number(
+        4000, low=100, high=1e6, unit="events", about="events kept in memory; older ones drop out"
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """The settings of one process."""
@@ -71,3 +83,4 @@
     data_folder: str = ""
     event_file: str = ""
     timing: Timing = dataclasses.field(default_factory=Timing)
+    limits: Limits = dataclasses.field(default_factory=Limits)
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -76,16 +76,16 @@
         """Route a request, and carry it or refuse it."""
         table = self._subscription.table
         if table is None:
-            return self._refuse(request_id, NoConfiguration())
+            return self._refuse(http, request_id, NoConfiguration())
         headers = end_to_end(http.headers.items())
         rules = self._route(table, http, headers)
         if rules is None:
             host = http.headers.get("Host", "")
-            return self._refuse(request_id, NoRoute(host=host, path=http.path))
+            return self._refuse(http, request_id, NoRoute(host=host, path=http.path))
         body = await self._body(http, rules)
         if body is None:
             limit = rules.traffic.max_body_bytes
-            return self._refuse(request_id, BodyTooLarge(limit=limit), close=True)
+            return self._refuse(http, request_id, BodyTooLarge(limit=limit), close=True)
         headers = (*headers, Header(REQUEST_ID_HEADER, request_id))
         request = Request(http.method, http.raw_path, headers, body)
         deadline = time.monotonic() + rules.traffic.timeout
@@ -94,7 +94,7 @@
             case Served() as served:
                 return await self._send_answer(http, call, served)
             case refusal:
-                return self._refuse(request_id, refusal)
+                return self._refuse(http, request_id, refusal)
 
     def _route(
         self, table: RoutingTable, http: web.BaseRequest, headers: Headers
@@ -154,13 +154,20 @@
         return stream
 
     def _refuse(
-        self, request_id: RequestId, refusal: Refusal, *, close: bool = False
+        self,
+        http: web.BaseRequest,
+        request_id: RequestId,
+        refusal: Refusal,
+        *,
+        close: bool = False,
     ) -> web.Response:
         """Answer with a refusal and its explanation."""
         told = explain(refusal)
         self._events.record(
-            "refused",
+            "refusal",
             request=request_id,
+            asked=f"{http.method} {http.path}",
+            status=str(told.status),
             code=told.code,
             sentence=told.sentence,
             verdict=told.verdict.value,
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -81,7 +81,8 @@
         """Hand a call to one owner; return its answer, or the refusal."""
         attempt = call.begin_attempt(member.host)
         request_id = call.request_id
-        self._events.record("attempt", request=request_id, owner=member.host)
+        asked = f"{call.request.method} {call.request.path.partition('?')[0]}"
+        self._events.record("attempt", request=request_id, owner=member.host, asked=asked)
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
         load: Load | None = None
@@ -93,19 +94,32 @@
             told = True
             match first:
                 case Answer(status=status, load=load):
-                    self._events.record("answered", request=request_id, status=str(status))
+                    self._note(call, member, Verdict.RAN, str(status))
                     return Served(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
+                    told_by_owner = explain(refusal)
+                    self._note(call, member, told_by_owner.verdict, told_by_owner.code)
                     return refusal
                 case Chunk():
                     raise Broken("a body came before its answer")
         except TimeoutError:
+            self._note(call, member, Verdict.MAY_HAVE_RUN, "deadline-passed")
             return DeadlinePassed(service=call.rules.service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
             self._chooser.end(member.host, load)
             if not told:
                 await self._cancel(member, attempt)
 
+    def _note(self, call: Call, member: Member, verdict: Verdict, outcome: str) -> None:
+        """Record whether an attempt ran, with the answer's status or the refusal's code."""
+        self._events.record(
+            "verdict",
+            request=call.request_id,
+            owner=member.host,
+            verdict=verdict.value,
+            outcome=outcome,
+        )
+
     async def _hand_over(
         self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> None:
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -44,8 +44,7 @@
             case "GET", ["status"]:
                 return web.json_response(self._status())
             case "GET", ["events"]:
-                request = http.query.get("request", "")
-                return web.json_response(list(self._events.select(request=request)))
+                return web.json_response(self._events_form(http))
             case "POST", ["worker"]:
                 return await self._announce(await http.json())
             case "POST", ["drain"]:
@@ -57,6 +56,12 @@
             case _:
                 return None
 
+    def _events_form(self, http: web.BaseRequest) -> dict[str, Any]:
+        """Return the events that a query asks for, and how many are lost."""
+        request, version = http.query.get("request", ""), int(http.query.get("version", "0"))
+        found = list(self._events.select(request=request, version=version))
+        return {"host": self._membership.own.host, "events": found, "counts": self._events.counts}
+
     def _status(self) -> dict[str, Any]:
         """Return what this process knows of itself and the others."""
         own = self._membership.own
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -40,6 +40,8 @@
             if left <= 0:
                 return Current(version=catalogue.version)
             await self._replication.changed.wait(left)
+        # The event's stamp must come before the stamp of the message that tells a proxy.
+        self._replication.note_accepted()
         match catalogue.since(version):
             case Delta() as delta:
                 return PullDelta(delta=delta)
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -52,6 +52,7 @@
         self._events = events
         self._changed = Signal()
         self._was_leader = False
+        self._noted = replica.catalogue.version
 
     @property
     def replica(self) -> Replica:
@@ -103,6 +104,13 @@
             await self._changed.wait(deadline - time.monotonic())
         return Unknown()
 
+    def note_accepted(self) -> None:
+        """Record the versions that were accepted since the last call."""
+        version = self._replica.catalogue.version
+        if version > self._noted:
+            self._events.record("accepted", version=version, after=str(self._noted))
+            self._noted = version
+
     async def _answer_vote(self, request: Vote) -> VoteReply:
         """Decide on a vote and sync it."""
         reply = self._replica.consider_vote(request, time.monotonic())
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -67,7 +67,7 @@
                 sentence = "unknown: ask again with the same operation_id"
                 return web.json_response({"outcome": "unknown", "sentence": sentence}, status=504)
             case Accepted():
-                self._events.record("accepted", version=outcome.version)
+                self._replication.note_accepted()
                 return web.json_response(outcome_form(outcome))
             case Conflict():
                 return web.json_response(outcome_form(outcome), status=409)
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -2,18 +2,27 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from contextvars import ContextVar
 
 import websockets
 from websockets.asyncio.client import connect as websocket_connect
 from websockets.asyncio.connection import Connection
 
+from cowslipvane.events import HybridClock, Stamp
 from cowslipvane.types import Address, Seconds
-from cowslipvane.wire._codec import Message, decode, encode
+from cowslipvane.wire._codec import Malformed, Message, decode, encode
 
 CONNECT_TIMEOUT: Seconds = 2.0
 MAX_MESSAGE_BYTES = 16 << 20
+# Every message ends with its sender's stamp: wall time in seconds, and the logical count.
+_STAMP = struct.Struct(">dI")
+_MAX_LOGICAL = 2**32 - 1
+
+# The clock of the process whose tasks run in this context; links that they open carry its stamps.
+process_clock: ContextVar[HybridClock | None] = ContextVar("process_clock", default=None)
 
 
 class LinkClosed(Exception):
@@ -23,13 +32,16 @@
 class Link:
     """One connection to a peer, for messages in both directions."""
 
-    def __init__(self, *, connection: Connection) -> None:
+    def __init__(self, *, connection: Connection, clock: HybridClock | None = None) -> None:
         self._connection = connection
+        self._clock = clock or process_clock.get() or HybridClock()
 
     async def send(self, message: Message) -> None:
         """Send one message."""
+        wall, logical = self._clock.now()
+        stamp = _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
         try:
-            await self._connection.send(encode(message))
+            await self._connection.send(encode(message) + stamp)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
 
@@ -39,7 +51,11 @@
             data = await self._connection.recv(decode=False)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
-        return decode(data)
+        if len(data) < _STAMP.size:
+            raise Malformed("a message without a stamp")
+        message = decode(data[: -_STAMP.size])
+        self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
+        return message
 
     async def close(self) -> None:
         """Close the connection."""
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,144 @@
+"""Tests of the events: their order, their bounds, and their file."""
+
+import math
+import tempfile
+import unittest
+from pathlib import Path
+
+from cowslipvane.events import (
+    EventFile,
+    EventForm,
+    EventLog,
+    HybridClock,
+    Origin,
+    Stamp,
+    older,
+    read_events,
+)
+from cowslipvane.types import DataCentre, HostName
+
+ORIGIN = Origin(HostName("a"), DataCentre("east"), 7)
+
+
+def new_log(file: EventFile | None = None, memory: int = 100) -> EventLog:
+    """Return an empty log."""
+    return EventLog(origin=ORIGIN, clock=HybridClock(), file=file, memory=memory)
+
+
+class ClockTest(unittest.TestCase):
+    """Causes sort before effects, whatever the clocks say."""
+
+    def test_an_effect_sorts_after_its_cause_on_a_host_with_a_late_clock(self) -> None:
+        """A stamp taken in is earlier than every stamp given later."""
+        early, late = HybridClock(wall=lambda: 1000.0), HybridClock(wall=lambda: 10.0)
+        early.observe(late.now())
+        cause = early.now()
+        late.observe(Stamp(990.0, 5))
+        late.observe(cause)
+        self.assertGreater(late.now(), cause)
+
+    def test_a_broken_clock_spoils_no_other(self) -> None:
+        """Stamps that can't be right are refused and counted."""
+        clock = HybridClock(wall=lambda: 1000.0)
+        for wall, logical in ((math.inf, 0), (math.nan, 0), (1e9, 0), (1000.0, 1 << 32)):
+            clock.observe(Stamp(wall, logical))
+        self.assertEqual(clock.now(), Stamp(1000.0, 0))
+        self.assertEqual(clock.refused, 4)
+
+
+class LogTest(unittest.TestCase):
+    """Memory is bounded, and what is lost is counted."""
+
+    def test_memory_is_bounded_and_drops_are_counted(self) -> None:
+        """The newest events stay."""
+        log = new_log(memory=10)
+        for version in range(1, 26):
+            log.record("accepted", version=version)
+        self.assertEqual([form["version"] for form in log.select()], list(range(16, 26)))
+        self.assertEqual(log.counts["dropped_from_memory"], 15)
+
+    def test_refusals_that_could_not_be_copied_wait_within_bounds(self) -> None:
+        """Too many are dropped and counted, the oldest first."""
+        log = new_log(memory=5000)
+        for number in range(400):
+            log.record("refusal", request=str(number))
+        taken = log.take_uncopied()
+        for number in range(400, 600):
+            log.record("refusal", request=str(number))
+        log.put_back(taken)
+        waiting = [event.request for event in log.take_uncopied()]
+        self.assertEqual(waiting, [str(number) for number in range(100, 600)])
+        self.assertEqual(log.counts["never_copied"], 100)
+
+    def test_copies_are_found_with_the_process_that_they_come_from(self) -> None:
+        """A witness answers for another process."""
+        source, witness = new_log(), new_log()
+        source.record("refusal", request="r1", sentence="no")
+        witness.keep(Origin(HostName("b"), DataCentre("west"), 9), source.take_uncopied())
+        (form,) = witness.select(request="r1")
+        self.assertEqual(
+            (form["host"], form["process"], form["detail"]), ("b", 9, {"sentence": "no"})
+        )
+
+
+class FileTest(unittest.TestCase):
+    """The file is bounded, survives a restart, and may be damaged."""
+
+    def setUp(self) -> None:
+        """Make a folder."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "events"
+
+    def open(self, max_bytes: int = 1 << 20) -> EventFile:
+        """Open the file."""
+        file = EventFile(path=self.path, max_bytes=max_bytes)
+        self.addCleanup(file.close)
+        return file
+
+    def write(self, count: int, file: EventFile) -> list[EventForm]:
+        """Write events through a log, and return them."""
+        log = new_log(file, memory=1000)
+        for number in range(count):
+            log.record("refusal", request=str(number))
+        log.write()
+        return [form for form in log.select()][-count:]
+
+    def test_disk_is_bounded_and_what_is_dropped_is_counted(self) -> None:
+        """Two files are kept, and every event is in them or counted."""
+        file = self.open(max_bytes=20_000)
+        self.write(500, file)
+        kept = list(read_events([older(self.path), self.path]))
+        self.assertLess(self.path.stat().st_size + older(self.path).stat().st_size, 40_000)
+        self.assertGreater(file.dropped, 0)
+        self.assertEqual(len(kept) + file.dropped, 500)
+
+    def test_a_restarted_process_remembers(self) -> None:
+        """The newest events of the file are found again, and come before new ones."""
+        written = self.write(20, self.open())
+        log = new_log(self.open())
+        log.record("started")
+        forms = list(log.select())
+        self.assertEqual(forms[:-1], written)
+        stamps = [(form["wall"], form["logical"]) for form in forms]
+        self.assertEqual(stamps, sorted(stamps))
+
+    def test_damaged_lines_are_passed_over(self) -> None:
+        """A line that is cut off hides no other."""
+        self.write(3, self.open())
+        text = self.path.read_text()
+        self.path.write_text("[" * 100_000 + "\n{}\n7\n\x00\n" + text + text[:40])
+        self.assertEqual(len(list(read_events([self.path]))), 3)
+
+    def test_a_full_disk_loses_lines_and_counts_them(self) -> None:
+        """A write that fails reaches nobody but the count."""
+        file = EventFile(path=Path("/dev/full"), max_bytes=1 << 20)
+        log = new_log(file)
+        log.record("started")
+        log.write()
+        self.assertEqual(log.counts["never_written"], 1)
+        self.assertEqual(len(list(log.select())), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,178 @@
+"""Tests of the time line, its picture, and the explanation of a request."""
+
+import re
+import unittest
+from html.parser import HTMLParser
+from xml.etree import ElementTree as Xml
+
+from websockets.asyncio.server import ServerConnection, serve
+
+from cowslipvane.commands import CommandFailed, Filter, Timeline, account_of, picture
+from cowslipvane.commands._timeline import merge
+from cowslipvane.events import EventForm, EventLog, HybridClock, Origin
+from cowslipvane.membership import Exchange
+from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
+from cowslipvane.types import Address, DataCentre, HostName
+from cowslipvane.wire import Link, LinkClosed, Malformed, connect
+from cowslipvane.wire._link import process_clock
+
+ANY = Filter()
+
+
+def form(
+    kind: str,
+    wall: float,
+    *,
+    host: str = "a",
+    request: str = "",
+    version: int = 0,
+    detail: dict[str, str] | None = None,
+) -> EventForm:
+    """Return an event."""
+    return EventForm(
+        kind=kind,
+        wall=wall,
+        logical=0,
+        host=host,
+        data_centre="east",
+        process=1,
+        request=request,
+        version=version,
+        detail=detail or {},
+    )
+
+
+REFUSAL = form(
+    "refusal",
+    3.0,
+    request="r1",
+    detail={"asked": "GET /x", "code": "draining", "verdict": "not run", "sentence": "No."},
+)
+ATTEMPT = form("attempt", 1.0, request="r1", detail={"owner": "b", "asked": "GET /x"})
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Causes come before effects over a real link between skewed clocks."""
+
+    async def test_a_message_carries_the_order_to_a_host_whose_clock_is_late(self) -> None:
+        """An event recorded after a message arrives sorts after those before it was sent."""
+        clocks = {
+            "ahead": HybridClock(wall=lambda: 1000.0),
+            "late": HybridClock(wall=lambda: 10.0),
+        }
+        logs = {
+            name: EventLog(origin=Origin(HostName(name), DataCentre("east"), 1), clock=clock)
+            for name, clock in clocks.items()
+        }
+
+        async def answer(connection: ServerConnection) -> None:
+            """Record the effect of a message."""
+            link = Link(connection=connection, clock=clocks["late"])
+            await link.receive()
+            logs["late"].record("applied", version=1)
+
+        process_clock.set(clocks["ahead"])
+        async with serve(answer, "127.0.0.1", 0) as server:
+            port = next(iter(server.sockets)).getsockname()[1]
+            logs["ahead"].record("accepted", version=1)
+            async with connect(Address("127.0.0.1", port), "/") as link:
+                await link.send(Exchange(sender=HostName("ahead"), members=()))
+                with self.assertRaises(LinkClosed):
+                    await link.receive()
+        events = merge([event for log in logs.values() for event in log.select()], ANY)
+        self.assertEqual([event["kind"] for event in events], ["accepted", "applied"])
+
+    async def test_a_message_without_a_stamp_is_malformed(self) -> None:
+        """Bytes too short for a stamp are refused."""
+
+        async def answer(connection: ServerConnection) -> None:
+            """Send nonsense."""
+            await connection.send(b"\x80")
+
+        async with serve(answer, "127.0.0.1", 0) as server:
+            port = next(iter(server.sockets)).getsockname()[1]
+            async with connect(Address("127.0.0.1", port), "/") as link:
+                with self.assertRaises(Malformed):
+                    await link.receive()
+
+
+class FilterTest(unittest.TestCase):
+    """Events are merged, each once, and filtered."""
+
+    def test_copies_of_one_event_count_once(self) -> None:
+        """A witness's copy is the same event."""
+        self.assertEqual(merge([REFUSAL, ATTEMPT, REFUSAL.copy()], ANY), [ATTEMPT, REFUSAL])
+
+    def test_each_filter_takes_what_it_names(self) -> None:
+        """Request, version, upstream and times."""
+        applied = form("applied", 2.0, host="c", version=4)
+        events = [ATTEMPT, applied, REFUSAL]
+        cases = {
+            Filter(request="r1"): [ATTEMPT, REFUSAL],
+            Filter(version=4): [applied],
+            Filter(upstream="b"): [ATTEMPT],
+            Filter(upstream="c"): [applied],
+            Filter(since=1.5, until=2.5): [applied],
+        }
+        for wanted, found in cases.items():
+            self.assertEqual(merge(events, wanted), found, wanted)
+
+
+class AccountTest(unittest.TestCase):
+    """The account of a request is the same each time."""
+
+    def test_a_refusal_stands_whatever_else_is_known(self) -> None:
+        """The account doesn't depend on which processes still answer."""
+        whole = account_of("r1", Timeline([ATTEMPT, REFUSAL], []))
+        part = account_of("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
+        self.assertEqual(whole[:5], part[:5])
+        self.assertEqual(whole[1:5], ("GET /x", "refused as draining", "not run", "No."))
+
+    def test_an_attempt_without_an_answer_may_have_run(self) -> None:
+        """Nothing on record is no ground to say that it was not run."""
+        self.assertEqual(account_of("r1", Timeline([ATTEMPT], [])).verdict, "may have run")
+
+    def test_a_served_request_was_run(self) -> None:
+        """The status is told."""
+        detail = {"owner": "b", "verdict": "ran", "outcome": "200"}
+        verdict = form("verdict", 2.0, request="r1", detail=detail)
+        account = account_of("r1", Timeline([ATTEMPT, verdict], []))
+        self.assertEqual(
+            (account.verdict, account.decision), ("ran", "answered with HTTP status 200")
+        )
+
+    def test_an_unknown_request_is_no_account(self) -> None:
+        """Processes that did not answer are named."""
+        with self.assertRaisesRegex(CommandFailed, "check the id.*b did not answer"):
+            account_of("r1", Timeline([], ["b did not answer: gone"]))
+
+
+class PictureTest(unittest.TestCase):
+    """The picture is one page that needs nothing else."""
+
+    def test_the_page_parses_and_has_a_row_for_each_process(self) -> None:
+        """Each event is a dot inside the plot, and texts are escaped."""
+        odd = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
+        page = picture(Timeline([ATTEMPT, REFUSAL, odd], ["<gap>"]))
+        HTMLParser().feed(page)
+        drawing = re.search(r"<svg.*</svg>", page, re.DOTALL)
+        assert drawing is not None
+        svg = Xml.fromstring(drawing.group())
+        space = "{http://www.w3.org/2000/svg}"
+        texts = [item.text for item in svg.iter(f"{space}text")]
+        self.assertEqual([host for host in texts if host in ("a", "<b>")], ["<b>", "a"])
+        dots = [item for item in svg.iter(f"{space}circle") if item.get("class") == "event"]
+        self.assertEqual(len(dots), 3)
+        for dot in dots:
+            self.assertLess(float(dot.attrib["cx"]), float(svg.attrib["width"]))
+            self.assertLess(float(dot.attrib["cy"]), float(svg.attrib["height"]))
+        for outside in ("<script", "src=", "href=", "url(", "<gap>"):
+            self.assertNotIn(outside, page)
+
+    def test_an_empty_time_line_is_a_page_too(self) -> None:
+        """Nothing to draw is no failure."""
+        self.assertIn("0 events", picture(Timeline([], [])))
+
+
+if __name__ == "__main__":
+    unittest.main()
