Add drain, debug, check of resources, completion, tables, and the token

Cause: an operator could neither take a host out nor see what a process knows of itself; output was JSON for people too; anybody who reached a listener of operators or peers could change anything; no page listed commands and settings. The client follows a leader's redirect itself, because the library drops the token on the way. A worker on the same host needs no token.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: help env test check format demo bench clean
+.PHONY: help env test check format docs demo bench clean
 
 help:  ## List the chores.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -29,6 +29,9 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/black .
 
+docs: env  ## Write the reference pages from the code.
+	$(BIN)/python -m tools.reference
+
 demo: env  ## Start the whole path, drive it, and print what it saw.
 	$(BIN)/python -m tools.demo
 
--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -9,11 +9,17 @@
 from typing import Any, NamedTuple, Self
 
 import aiohttp
+from yarl import URL
 
+from cowslipvane.settings import Token
 from cowslipvane.types import Seconds
 
 RETRY_WAIT: Seconds = 0.2
+# A change of leader between two answers may send a request on more than once.
+MAX_REDIRECTS = 4
 _OK = 200
+_REDIRECT = 307
+_NO_LEADER = 503
 _NO_ANSWER = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
@@ -31,10 +37,14 @@
 class Client:
     """Talks to the processes at the given operators' addresses, in turn until one answers."""
 
-    def __init__(self, *, servers: tuple[str, ...], timeout: Seconds = 10.0) -> None:
+    def __init__(
+        self, *, servers: tuple[str, ...], timeout: Seconds = 10.0, token: Token | None = None
+    ) -> None:
         self._servers = servers
         self._timeout = timeout
-        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=timeout))
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=timeout), headers=token.fields if token else None
+        )
 
     async def __aenter__(self) -> Self:
         """Return the client."""
@@ -145,7 +155,14 @@
     async def _send(
         self, method: str, server: str, path: str, form: dict[str, Any] | None
     ) -> tuple[int, Any]:
-        """Send one request and return status and JSON."""
-        url = f"http://{server}{path}"
-        async with self._session.request(method, url, json=form) as response:
-            return response.status, await response.json(content_type=None)
+        """Send one request, on to the leader where that is said, and return status and JSON."""
+        url = URL(f"http://{server}{path}")
+        # The library would not show the token again after a redirect.
+        for _ in range(MAX_REDIRECTS):
+            async with self._session.request(
+                method, url, json=form, allow_redirects=False
+            ) as response:
+                if response.status != _REDIRECT:
+                    return response.status, await response.json(content_type=None)
+                url = url.join(URL(response.headers["Location"]))
+        return _NO_LEADER, {"sentence": "not run: each replica named another as the leader"}
--- a/cowslipvane/cmdline/_main.py
+++ b/cowslipvane/cmdline/_main.py
@@ -5,7 +5,7 @@
 import click
 
 from cowslipvane.cmdline._explain import explain, timeline
-from cowslipvane.cmdline._process import check, run, status
+from cowslipvane.cmdline._process import check, completion, debug, drain, run, status
 from cowslipvane.cmdline._replica import replica
 from cowslipvane.cmdline._resources import apply, get, watch
 
@@ -16,5 +16,19 @@
     """Distribute routing configuration to every proxy of a service mesh."""
 
 
-for _command in (apply, check, explain, get, replica, run, status, timeline, watch):
+_COMMANDS = (
+    apply,
+    check,
+    completion,
+    debug,
+    drain,
+    explain,
+    get,
+    replica,
+    run,
+    status,
+    timeline,
+    watch,
+)
+for _command in _COMMANDS:
     main.add_command(_command)
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -1,9 +1,10 @@
 """What the commands do, apart from the command line that calls them."""
 
+from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
 from cowslipvane.commands._explain import Account, account_of, explain
 from cowslipvane.commands._picture import picture
-from cowslipvane.commands._process import describe, read_settings, run, status
+from cowslipvane.commands._process import debug, describe, drain, read_settings, run, status
 from cowslipvane.commands._replica import create_replica
 from cowslipvane.commands._resources import apply, get, read_resources, watch
 from cowslipvane.commands._timeline import (
@@ -16,14 +17,18 @@
 
 __all__ = [
     "Account",
+    "CheckReport",
     "CommandFailed",
     "Filter",
     "SettingsFault",
     "Timeline",
     "account_of",
     "apply",
+    "check",
     "create_replica",
+    "debug",
     "describe",
+    "drain",
     "explain",
     "get",
     "picture",
--- /dev/null
+++ b/cowslipvane/commands/_check.py
@@ -0,0 +1,48 @@
+"""The check of settings and resource files, without any process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from cowslipvane.catalogue import Catalogue, Fault, Invalid
+from cowslipvane.commands._errors import CommandFailed
+from cowslipvane.commands._process import describe
+from cowslipvane.commands._resources import read_resources
+from cowslipvane.settings import SettingsFault, load
+from cowslipvane.wire import read_change
+
+
+class CheckReport(NamedTuple):
+    """The settings in effect, and a line for each fault of all files."""
+
+    effective: list[str]
+    faults: list[str]
+
+
+def check(settings: tuple[Path, ...], resources: tuple[Path, ...]) -> CheckReport:
+    """Return everything that is wrong with files."""
+    report = CheckReport([], [])
+    for path in settings:
+        try:
+            report.effective.append(describe(load(path)))
+        except SettingsFault as error:
+            report.faults.extend(error.faults)
+    for path in resources:
+        try:
+            form = read_resources(path)
+        except CommandFailed as error:
+            report.faults.append(str(error))
+            continue
+        report.faults.extend(f"{path}: {it.path}: {it.message}" for it in resource_faults(form))
+    return report
+
+
+def resource_faults(form: dict[str, Any]) -> tuple[Fault, ...]:
+    """Return what is wrong with resources that are applied to an empty catalogue."""
+    change = read_change({**form, "operation_id": "check", "based_on": 0})
+    match change:
+        case Invalid(faults=faults):
+            return faults
+        case _:
+            return Catalogue().faults(change)
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -1,4 +1,4 @@
-"""Commands on one process: run it, describe it, ask for its status."""
+"""Commands on processes: run one, describe it, ask what it knows, take it out."""
 
 from __future__ import annotations
 
@@ -8,8 +8,14 @@
 from pathlib import Path
 from typing import Any
 
-from cowslipvane.commands._errors import client_of
-from cowslipvane.settings import Settings, load
+from cowslipvane.client import Client, Unreachable
+from cowslipvane.commands._errors import CommandFailed, client_of
+from cowslipvane.settings import Settings, TokenFault, load
+from cowslipvane.storage import FolderBusy, FolderDamaged, FolderEmpty
+from cowslipvane.types import Seconds
+
+# Time between looks at a process that is being drained.
+DRAIN_POLL: Seconds = 0.2
 
 
 def read_settings(path: Path) -> Settings:
@@ -23,8 +29,15 @@
 
 
 def run(settings: Settings) -> None:
-    """Run a daemon until it is stopped."""
-    asyncio.run(_run(settings))
+    """Run a daemon until it is stopped; raise CommandFailed when it can't begin."""
+    try:
+        asyncio.run(_run(settings))
+    except (FolderBusy, FolderDamaged, FolderEmpty) as error:
+        raise CommandFailed(str(error)) from error
+    except TokenFault as error:
+        raise CommandFailed(str(error)) from error
+    except OSError as error:
+        raise CommandFailed(f"host {settings.host} can't run: {error}") from error
 
 
 async def status(servers: tuple[str, ...]) -> dict[str, Any]:
@@ -33,6 +46,43 @@
         return await client.status()
 
 
+async def drain(servers: tuple[str, ...], host: str, wait: bool) -> dict[str, str]:
+    """Take a host's process out; wait until it has ended if that is asked."""
+    async with client_of((await _operators(servers, host),)) as client:
+        await client.ask("POST", "/v1/drain")
+        if wait:
+            await _until_ended(client)
+    return {"host": host, "state": "ended" if wait else "leaving"}
+
+
+async def debug(servers: tuple[str, ...], host: str | None) -> dict[str, Any]:
+    """Return what a process knows of itself."""
+    if host is not None:
+        servers = (await _operators(servers, host),)
+    async with client_of(servers) as client:
+        return await client.ask("GET", "/v1/debug")
+
+
+async def _operators(servers: tuple[str, ...], host: str) -> str:
+    """Return the operators' address of a host."""
+    async with client_of(servers) as client:
+        members = await client.members()
+    known = {member["host"]: str(member["operators"]) for member in members}
+    if host not in known:
+        raise CommandFailed(f"no host {host} is known; known are {', '.join(sorted(known))}")
+    return known[host]
+
+
+async def _until_ended(client: Client) -> None:
+    """Return once a process answers no more."""
+    while True:
+        try:
+            await client.ask("GET", "/v1/status")
+        except Unreachable:
+            return
+        await asyncio.sleep(DRAIN_POLL)
+
+
 async def _run(settings: Settings) -> None:
     """Build the daemon inside the event loop, and run it."""
     # Other commands need not load what only a daemon needs.
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -7,22 +7,26 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.server import ServerConnection, serve
+from websockets.http11 import Request, Response
 
 from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
-from cowslipvane.settings import Settings
+from cowslipvane.settings import AUTHORIZATION, Settings, read_token
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
 from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._debug import debug_form
 from cowslipvane.tasks._http import HttpListener
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
@@ -37,10 +41,12 @@
 from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed
-from cowslipvane.wire._link import MAX_MESSAGE_BYTES, process_clock
+from cowslipvane.wire._link import MAX_MESSAGE_BYTES, LinkIdentity, link_identity
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
+# The paths of the peers' listener.
+_PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls")
 
 
 class Daemon:
@@ -50,6 +56,8 @@
         self._settings = settings
         self._rng = random.Random()
         self._clock = HybridClock()
+        token_file = settings.security.token_file
+        self._token = read_token(Path(token_file)) if token_file else None
         self._events = EventLog(
             origin=Origin(settings.host, settings.data_centre, os.getpid()),
             clock=self._clock,
@@ -74,6 +82,8 @@
             events=self._events,
         )
         self._witness = Witness(membership=self._members.membership, events=self._events)
+        self._started_at = time.monotonic()
+        self._connections: Counter[str] = Counter()
         self._stop = Signal()
         self._stopping = False
         self._replication: Replication | None = None
@@ -85,16 +95,20 @@
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
-        process_clock.set(self._clock)
+        link_identity.set(LinkIdentity(self._clock, self._token))
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         async with AsyncExitStack() as stack:
-            tasks = [self._events.run(), self._members.run(), self._witness.run()]
+            tasks: list[Coroutine[Any, Any, None]] = []
             if "replica" in self._settings.roles:
                 tasks.append(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
+            tasks += [self._events.run(), self._members.run(), self._witness.run()]
+            for task in tasks:
+                # A task that never began, because a listener could not, needs to be closed.
+                stack.callback(task.close)
             await self._listen(stack)
             stack.push_async_callback(self._peers.close)
             await self._serve(tasks, stack)
@@ -193,6 +207,7 @@
                 listen.peers.port,
                 ping_interval=None,
                 compression=None,
+                process_request=self._authenticate_peer,
                 max_size=MAX_MESSAGE_BYTES,
             )
         )
@@ -213,20 +228,41 @@
             subscription=self._subscription,
             owner=self._owner,
             drain=self.stop,
+            debug=self._debug,
         )
         if self._replication is None:
-            return Operators(process=process, resources=None)
+            return Operators(process=process, resources=None, token=self._token)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
             replication=self._replication,
         )
-        return Operators(process=process, resources=resources)
+        return Operators(process=process, resources=resources, token=self._token)
+
+    def _debug(self) -> dict[str, Any]:
+        """Return what this process knows of itself."""
+        return debug_form(
+            settings=self._settings,
+            membership=self._members.membership,
+            events=self._events,
+            connections=self._connections,
+            started_at=self._started_at,
+        )
+
+    async def _authenticate_peer(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        """Turn a peer away that doesn't show the token."""
+        if self._token is None or self._token.is_shown_by(request.headers.get(AUTHORIZATION)):
+            return None
+        self._events.record("malformed", path=request.path, reason="a peer showed no valid token")
+        return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
         link = Link(connection=connection, clock=self._clock)
         path = connection.request.path if connection.request else ""
+        self._connections[path if path in _PATHS else "other"] += 1
         try:
             match path:
                 case "/replica" if self._replication:
@@ -243,6 +279,8 @@
             return
         except Malformed as error:
             self._events.record("malformed", path=path, reason=str(error))
+        finally:
+            self._connections[path if path in _PATHS else "other"] -= 1
 
 
 def _event_file(settings: Settings) -> EventFile | None:
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -12,7 +12,7 @@
 from cattrs.errors import ForbiddenExtraKeysError
 from cattrs.gen import make_dict_structure_fn
 
-from cowslipvane.settings._settings import Allowed, Limits, Listen, Role, Settings, Timing
+from cowslipvane.settings._settings import Allowed, Limits, Listen, Role, Security, Settings, Timing
 from cowslipvane.types import Address
 
 _MAX_PORT = 65535
@@ -64,6 +64,17 @@
         faults.append("data_folder: found none; a replica needs a folder on a disk")
     if "proxy" in settings.roles and settings.listen.callers is None:
         faults.append("listen.callers: found none; a proxy needs IP:PORT for its callers")
+    security = settings.security
+    if not security.token_file and not security.allow_unauthenticated:
+        faults += [
+            f"listen.{name}: found {address}; beyond loopback set security.token_file, or"
+            " security.allow_unauthenticated = true"
+            for name, address in (
+                ("operators", settings.listen.operators),
+                ("peers", settings.listen.peers),
+            )
+            if not ipaddress.ip_address(address.ip).is_loopback
+        ]
     if settings.timing.heartbeat * 2 > settings.timing.election_timeout:
         faults.append(
             f"timing.heartbeat: found {settings.timing.heartbeat}; allowed is at most half of"
@@ -96,6 +107,13 @@
     return value
 
 
+def _flag(value: Any, _: Any) -> bool:
+    """Return true or false as it is."""
+    if not isinstance(value, bool):
+        raise ValueError(f"found {value!r}; allowed is true or false")
+    return value
+
+
 def _role(value: Any, _: Any) -> Any:
     """Return the name of a role."""
     if value not in get_args(Role):
@@ -154,10 +172,11 @@
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
     converter.register_structure_hook(Address, _address)
     converter.register_structure_hook(str, _text)
+    converter.register_structure_hook(bool, _flag)
     converter.register_structure_hook_func(lambda kind: kind == Role, _role)
     for numbers in (Timing, Limits):
         converter.register_structure_hook(numbers, _numbers)
-    for kind in (Listen, Settings):
+    for kind in (Listen, Security, Settings):
         get_type_hints(kind)
         hook = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True)
         converter.register_structure_hook(kind, hook)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -20,19 +20,42 @@
     about: str
 
 
+class Described(NamedTuple):
+    """What a setting that is no number may be, and what it is for."""
+
+    values: str
+    about: str
+
+
 def number(default: float, *, low: float, high: float, unit: str, about: str) -> Any:
     """Return a field for a number with its range and unit."""
     allowed = Allowed(low, high, unit, about)
     return dataclasses.field(default=default, metadata={"allowed": allowed})
 
 
+def value(values: str, about: str, default: Any = dataclasses.MISSING) -> Any:
+    """Return a field that is no number; it is needed unless it has a default."""
+    metadata = {"described": Described(values, about)}
+    if default is dataclasses.MISSING:
+        return dataclasses.field(metadata=metadata)
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+def table(kind: type, about: str) -> Any:
+    """Return a field for a table of settings that each have a default."""
+    described = Described("a table", about)
+    return dataclasses.field(default_factory=kind, metadata={"described": described})
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listen:
     """Where the process listens: for callers, for operators, and for its peers."""
 
-    operators: Address
-    peers: Address
-    callers: Address | None = None
+    operators: Address = value("IP:PORT", "listener for operators and for the worker")
+    peers: Address = value("IP:PORT", "listener for the system's other processes")
+    callers: Address | None = value(
+        "IP:PORT", "listener for callers; needed by a proxy", default=None
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,16 +94,31 @@
     )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Security:
+    """Who may talk to the listeners of operators and peers."""
+
+    token_file: str = value(
+        "a path", "file with the token that operators and peers must show", default=""
+    )
+    allow_unauthenticated: bool = value(
+        "true or false", "listen beyond loopback although there is no token", default=False
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """The settings of one process."""
 
-    host: HostName
-    data_centre: DataCentre
-    roles: tuple[Role, ...]
-    listen: Listen
-    seeds: tuple[Address, ...] = ()
-    data_folder: str = ""
-    event_file: str = ""
-    timing: Timing = dataclasses.field(default_factory=Timing)
-    limits: Limits = dataclasses.field(default_factory=Limits)
+    host: HostName = value("a text", "name of this host, not used by another")
+    data_centre: DataCentre = value("a text", "name of the data centre that the host is in")
+    roles: tuple[Role, ...] = value("a list of replica and proxy", "what the process does")
+    listen: Listen = value("a table", "addresses of the listeners")
+    seeds: tuple[Address, ...] = value(
+        "a list of IP:PORT", "peers' listeners of processes to begin with", default=()
+    )
+    data_folder: str = value("a path", "folder on a disk; needed by a replica", default="")
+    event_file: str = value("a path", "file for events as JSON lines; none if empty", default="")
+    timing: Timing = table(Timing, "times that the process keeps to")
+    limits: Limits = table(Limits, "bounds on what the process keeps")
+    security: Security = table(Security, "who may talk to operators' and peers' listeners")
--- /dev/null
+++ b/cowslipvane/settings/_token.py
@@ -0,0 +1,50 @@
+"""The token that operators and peers show."""
+
+from __future__ import annotations
+
+import hmac
+from pathlib import Path
+
+AUTHORIZATION = "Authorization"
+# Shorter tokens could be guessed.
+MIN_TOKEN_CHARACTERS = 16
+_SCHEME = "Bearer "
+
+
+class TokenFault(Exception):
+    """A token file that can't be used; the text says what to do, and never holds the token."""
+
+
+class Token:
+    """A secret text; its value is never printed."""
+
+    def __init__(self, *, value: str) -> None:
+        self._value = value
+
+    def __repr__(self) -> str:
+        """Return a text that doesn't tell the token."""
+        return "Token(hidden)"
+
+    @property
+    def fields(self) -> dict[str, str]:
+        """Return the header fields that show the token."""
+        return {AUTHORIZATION: _SCHEME + self._value}
+
+    def is_shown_by(self, field: str | None) -> bool:
+        """Return whether an Authorization field shows the token, in constant time."""
+        shown = (field or "").encode("utf-8", "surrogateescape")
+        return hmac.compare_digest(shown, (_SCHEME + self._value).encode())
+
+
+def read_token(path: Path) -> Token:
+    """Return the token in a file; raise TokenFault when there is none."""
+    try:
+        value = path.read_text(encoding="ascii").strip()
+    except OSError as error:
+        raise TokenFault(f"token file {path}: can't be read: {error.strerror}") from error
+    except UnicodeDecodeError:
+        raise TokenFault(f"token file {path}: allowed are ASCII characters") from None
+    if len(value) < MIN_TOKEN_CHARACTERS or not value.isprintable() or " " in value:
+        allowed = f"one line of at least {MIN_TOKEN_CHARACTERS} characters without spaces"
+        raise TokenFault(f"token file {path}: allowed is {allowed}")
+    return Token(value=value)
--- a/cowslipvane/tasks/_operators.py
+++ b/cowslipvane/tasks/_operators.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 from aiohttp import web
 
+from cowslipvane.settings import AUTHORIZATION, Token
 from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._resource_api import ResourceApi
@@ -12,12 +15,20 @@
 class Operators:
     """Answers operators, and the worker on this host, as HTTP and JSON."""
 
-    def __init__(self, *, process: ProcessApi, resources: ResourceApi | None) -> None:
+    def __init__(
+        self, *, process: ProcessApi, resources: ResourceApi | None, token: Token | None
+    ) -> None:
+        self._token = token
         self._process = process
         self._resources = resources
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        if not self._may_ask(http):
+            sentence = "show the token: name its file in COWSLIPVANE_TOKEN_FILE"
+            response = error_response(401, f"not run: {sentence}")
+            response.headers["WWW-Authenticate"] = "Bearer"
+            return response
         parts = http.path.strip("/").split("/")
         if parts[0] == "v1":
             del parts[0]
@@ -30,3 +41,19 @@
         if answer is None:
             return error_response(404, f"there is no {http.method} {http.path} at this process")
         return answer
+
+    def _may_ask(self, http: web.BaseRequest) -> bool:
+        """Return whether a request shows the token, or needs none."""
+        if self._token is None or self._token.is_shown_by(http.headers.get(AUTHORIZATION)):
+            return True
+        # The platform's worker knows no token of ours; it shares this host's address.
+        return http.path == "/v1/worker" and _from_this_host(http)
+
+
+def _from_this_host(http: web.BaseRequest) -> bool:
+    """Return whether a request comes from an address of this host."""
+    if http.transport is None:
+        return False
+    remote = http.transport.get_extra_info("peername")[0]
+    local = http.transport.get_extra_info("sockname")[0]
+    return bool(remote == local or ipaddress.ip_address(remote).is_loopback)
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -30,7 +30,9 @@
         subscription: Subscription | None,
         owner: Owner | None,
         drain: Callable[[], None],
+        debug: Callable[[], dict[str, Any]],
     ) -> None:
+        self._debug = debug
         self._membership = membership
         self._events = events
         self._replication = replication
@@ -45,6 +47,8 @@
                 return web.json_response(self._status())
             case "GET", ["events"]:
                 return web.json_response(self._events_form(http))
+            case "GET", ["debug"]:
+                return web.json_response(self._debug())
             case "POST", ["worker"]:
                 return await self._announce(await http.json())
             case "POST", ["drain"]:
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -6,12 +6,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
+from typing import NamedTuple
 
 import websockets
 from websockets.asyncio.client import connect as websocket_connect
 from websockets.asyncio.connection import Connection
 
 from cowslipvane.events import HybridClock, Stamp
+from cowslipvane.settings import Token
 from cowslipvane.types import Address, Seconds
 from cowslipvane.wire._codec import Malformed, Message, decode, encode
 
@@ -21,8 +23,16 @@
 _STAMP = struct.Struct(">dI")
 _MAX_LOGICAL = 2**32 - 1
 
-# The clock of the process whose tasks run in this context; links that they open carry its stamps.
-process_clock: ContextVar[HybridClock | None] = ContextVar("process_clock", default=None)
+
+class LinkIdentity(NamedTuple):
+    """What a process puts on its links: the stamps of its clock, and the token it shows."""
+
+    clock: HybridClock
+    token: Token | None
+
+
+# The identity of the process whose tasks run in this context, for the links that they open.
+link_identity: ContextVar[LinkIdentity | None] = ContextVar("link_identity", default=None)
 
 
 class LinkClosed(Exception):
@@ -32,9 +42,9 @@
 class Link:
     """One connection to a peer, for messages in both directions."""
 
-    def __init__(self, *, connection: Connection, clock: HybridClock | None = None) -> None:
+    def __init__(self, *, connection: Connection, clock: HybridClock) -> None:
         self._connection = connection
-        self._clock = clock or process_clock.get() or HybridClock()
+        self._clock = clock
 
     async def send(self, message: Message) -> None:
         """Send one message."""
@@ -65,6 +75,7 @@
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
+    identity = link_identity.get() or LinkIdentity(HybridClock(), None)
     try:
         connection = await websocket_connect(
             f"ws://{address}{path}",
@@ -74,10 +85,11 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
+            additional_headers=identity.token.fields if identity.token else None,
         )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise LinkClosed(f"{address} can't be reached: {error}") from error
     try:
-        yield Link(connection=connection)
+        yield Link(connection=connection, clock=identity.clock)
     finally:
         await connection.close()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -75,6 +75,22 @@
         read = json.loads(await asyncio.to_thread(self.fleet.command, *arguments))
         self.assertEqual(read["events"], live["events"])
 
+    async def test_drain_ends_one_process_and_status_and_debug_tell(self) -> None:
+        """A drained process exits with 0; the others are told apart from it."""
+        debug = json.loads(await self.command("debug", "--host", "stock-2", "--output", "json"))
+        self.assertEqual((debug["host"], debug["settings"]["host"]), ("stock-2", "stock-2"))
+        self.assertGreater(debug["memory"]["resident_bytes"], 1 << 20)
+        self.assertGreater(debug["peer_connections"]["/members"], 0)
+        self.assertIn("ended", await self.command("drain", "stock-3"))
+        self.assertEqual(self.fleet.wait_daemon("stock-3"), 0)
+        status = json.loads(await self.command("status", "--output", "json"))
+        states = {member["host"]: member["state"] for member in status["members"]}
+        self.assertNotEqual(states["stock-3"], "up")
+        self.assertEqual(states["stock-1"], "up")
+        table = (await self.command("status")).splitlines()
+        self.assertEqual(len(table), 2 + len(HOSTS))
+        self.assertNotIn("\x1b", "".join(table))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,10 +1,11 @@
 """Tests of the settings."""
 
+import dataclasses
 import tempfile
 import unittest
 from pathlib import Path
 
-from cowslipvane.settings import SettingsFault, load
+from cowslipvane.settings import Limits, Listen, Security, Settings, SettingsFault, Timing, load
 from tools.fleet import EXAMPLES
 
 GOOD = """
@@ -67,6 +68,30 @@
         found = self.faults(GOOD + "[timing]\ngrace = -1\n")
         self.assertEqual(found, ("timing: timing.grace: found -1; allowed is 0 to 3600 s",))
 
+    def test_listening_beyond_loopback_needs_a_token_or_a_word(self) -> None:
+        """Operators' and peers' listeners are named; callers need no token."""
+        wide = GOOD.replace("127.0.0.1", "10.1.2.3")
+        found = self.faults(wide)
+        self.assertEqual(
+            [fault.partition(":")[0] for fault in found], ["listen.operators", "listen.peers"]
+        )
+        self.assertEqual(self.faults(wide + '[security]\ntoken_file = "token"\n'), ())
+        self.assertEqual(self.faults(wide + "[security]\nallow_unauthenticated = true\n"), ())
+
+    def test_a_flag_is_true_or_false(self) -> None:
+        """A text isn't taken for true."""
+        found = self.faults(GOOD + '[security]\nallow_unauthenticated = "no"\n')
+        self.assertEqual(
+            found, ("security.allow_unauthenticated: found 'no'; allowed is true or false",)
+        )
+
+    def test_every_setting_says_what_it_is_for(self) -> None:
+        """No field lacks its description."""
+        for kind in (Settings, Listen, Timing, Limits, Security):
+            for field in dataclasses.fields(kind):
+                described = field.metadata.get("allowed") or field.metadata["described"]
+                self.assertTrue(described.about, field.name)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -14,7 +14,7 @@
 from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect
-from cowslipvane.wire._link import process_clock
+from cowslipvane.wire._link import LinkIdentity, link_identity
 
 ANY = Filter()
 
@@ -71,7 +71,7 @@
             await link.receive()
             logs["late"].record("applied", version=1)
 
-        process_clock.set(clocks["ahead"])
+        link_identity.set(LinkIdentity(clocks["ahead"], None))
         async with serve(answer, "127.0.0.1", 0) as server:
             port = next(iter(server.sockets)).getsockname()[1]
             logs["ahead"].record("accepted", version=1)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -178,6 +178,10 @@
         self._daemons[host].kill()
         self._daemons[host].wait()
 
+    def wait_daemon(self, host: str) -> int:
+        """Return the exit code of a host's daemon once it has ended."""
+        return self._daemons[host].wait(STOP_TIMEOUT_S)
+
     def stop(self) -> dict[str, int]:
         """Stop all daemons as planned, then the workers, and return the daemons' exit codes."""
         live = self.alive
@@ -279,6 +283,8 @@
             *(f"{name} = {json.dumps(value)}" for name, value in listen.items()),
             "[timing]",
             *(f"{name} = {value}" for name, value in self._timing.items()),
+            "[security]",
+            *(f"{name} = {json.dumps(it)}" for name, it in settings.get("security", {}).items()),
         ]
         path = self.folder / f"{host}.toml"
         path.write_text("\n".join(lines) + "\n")
