Count what matters, and load the metrics library only when asked

Cause: /metrics told only the interpreter's own metrics, and every process loaded prometheus_client for it. Change: plain counts while the process works, fed by the events that it records anyway and by the links; families of prometheus_client under a registry of their own when somebody asks. METRICS.md is written from the code and compared.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -19,6 +19,7 @@
 
 from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
+from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
 from cowslipvane.settings import AUTHORIZATION, Settings, read_token
@@ -28,6 +29,7 @@
 from cowslipvane.tasks._carrier import Carrier
 from cowslipvane.tasks._debug import debug_form
 from cowslipvane.tasks._http import HttpListener
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
@@ -40,8 +42,8 @@
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
-from cowslipvane.wire import Link, LinkClosed, Malformed
-from cowslipvane.wire._link import MAX_MESSAGE_BYTES, LinkIdentity, link_identity
+from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed, Traffic, link_identity
+from cowslipvane.wire._link import MAX_MESSAGE_BYTES
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
@@ -58,11 +60,15 @@
         self._clock = HybridClock()
         token_file = settings.security.token_file
         self._token = read_token(Path(token_file)) if token_file else None
+        self._traffic = Traffic()
+        self._identity = LinkIdentity(self._clock, self._token, self._traffic)
+        self._metrics = Metrics()
         self._events = EventLog(
             origin=Origin(settings.host, settings.data_centre, os.getpid()),
             clock=self._clock,
             file=_event_file(settings),
             memory=int(settings.limits.events_in_memory),
+            observer=self._metrics.note,
         )
         own = Member(
             settings.host,
@@ -95,7 +101,7 @@
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
-        link_identity.set(LinkIdentity(self._clock, self._token))
+        link_identity.set(self._identity)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
@@ -190,7 +196,11 @@
             events=self._events,
         )
         self._callers = Callers(
-            subscription=subscription, carrier=carrier, events=self._events, rng=self._rng
+            subscription=subscription,
+            carrier=carrier,
+            events=self._events,
+            rng=self._rng,
+            metrics=self._metrics,
         )
         subscriber = Subscriber(
             subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
@@ -229,6 +239,15 @@
             owner=self._owner,
             drain=self.stop,
             debug=self._debug,
+            measures=Measures(
+                metrics=self._metrics,
+                membership=self._members.membership,
+                events=self._events,
+                traffic=self._traffic,
+                replication=self._replication,
+                subscription=self._subscription,
+                owner=self._owner,
+            ),
         )
         if self._replication is None:
             return Operators(process=process, resources=None, token=self._token)
@@ -260,7 +279,7 @@
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
-        link = Link(connection=connection, clock=self._clock)
+        link = Link(connection=connection, identity=self._identity)
         path = connection.request.path if connection.request else ""
         self._connections[path if path in _PATHS else "other"] += 1
         try:
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
 from cowslipvane.events._clock import HybridClock, Stamp
@@ -32,7 +32,9 @@
         clock: HybridClock,
         file: EventFile | None = None,
         memory: int = MEMORY_EVENTS,
+        observer: Callable[[Event], None] | None = None,
     ) -> None:
+        self._observer = observer
         self._origin = origin
         self._clock = clock
         self._file = file
@@ -71,6 +73,8 @@
         event = Event(kind, self._clock.now(), request, version, detail)
         self._events.append(event)
         self._recorded += 1
+        if self._observer is not None:
+            self._observer(event)
         if kind == "refusal":
             self._copied_away += len(self._uncopied) == self._uncopied.maxlen
             self._uncopied.append(event)
--- /dev/null
+++ b/cowslipvane/metrics/_families.py
@@ -0,0 +1,45 @@
+"""The names of all metrics, with what each one tells."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+
+class Family(NamedTuple):
+    """A metric: its name, its kind, the label that parts it, and what it tells."""
+
+    name: str
+    kind: Literal["counter", "gauge", "histogram"]
+    label: str
+    about: str
+
+
+# No label holds anything of a caller: every label has a closed set of values.
+FAMILIES = (
+    Family("cowslipvane_calls", "counter", "outcome", "calls that ended, served or by refusal"),
+    Family("cowslipvane_call_seconds", "histogram", "", "time from a call's head to its end"),
+    Family("cowslipvane_attempts", "counter", "", "attempts at owners"),
+    Family("cowslipvane_retries", "counter", "", "attempts after the first of a call"),
+    Family("cowslipvane_verdicts", "counter", "verdict", "attempts by whether they ran"),
+    Family("cowslipvane_slots", "gauge", "", "requests that the upstream here runs at once"),
+    Family("cowslipvane_running", "gauge", "", "requests that the upstream here runs now"),
+    Family("cowslipvane_queue", "gauge", "", "requests that wait for the upstream here"),
+    Family("cowslipvane_version_in_force", "gauge", "", "version that this proxy acts on"),
+    Family("cowslipvane_versions", "counter", "result", "versions applied or rejected here"),
+    Family("cowslipvane_version_accepted", "gauge", "", "newest version this replica knows of"),
+    Family("cowslipvane_proxies", "gauge", "", "proxies that have reported to this replica"),
+    Family("cowslipvane_proxies_behind", "gauge", "", "of these, those with an older version"),
+    Family(
+        "cowslipvane_convergence_seconds",
+        "gauge",
+        "",
+        "time from the newest version's acceptance until the last proxy had it in force; it grows"
+        " while one is behind",
+    ),
+    Family("cowslipvane_leader", "gauge", "", "1 at the replica that holds the leader's lease"),
+    Family("cowslipvane_term", "gauge", "", "term of this replica"),
+    Family("cowslipvane_members", "gauge", "state", "processes known: up, leaving, gone, silent"),
+    Family("cowslipvane_sent_bytes", "counter", "message", "bytes sent to peers by message"),
+    Family("cowslipvane_received_bytes", "counter", "message", "bytes from peers by message"),
+    Family("cowslipvane_events", "counter", "fate", "events recorded, and those lost by place"),
+)
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -15,6 +15,7 @@
     end_to_end,
 )
 from cowslipvane.events import EventLog
+from cowslipvane.metrics import Metrics
 from cowslipvane.refusal import (
     BodyTooLarge,
     NoConfiguration,
@@ -43,7 +44,9 @@
         carrier: Carrier,
         events: EventLog,
         rng: random.Random,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._subscription = subscription
         self._carrier = carrier
         self._events = events
@@ -66,10 +69,12 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         self._under_way += 1
+        began = time.monotonic()
         try:
             return await self._handle(http, RequestId(uuid.uuid4().hex))
         finally:
             self._under_way -= 1
+            self._metrics.observe_call(time.monotonic() - began)
             self._ended.send()
 
     async def _handle(self, http: web.BaseRequest, request_id: RequestId) -> web.StreamResponse:
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -82,7 +82,10 @@
         attempt = call.begin_attempt(member.host)
         request_id = call.request_id
         asked = f"{call.request.method} {call.request.path.partition('?')[0]}"
-        self._events.record("attempt", request=request_id, owner=member.host, asked=asked)
+        number = str(attempt.number)
+        self._events.record(
+            "attempt", request=request_id, owner=member.host, asked=asked, number=number
+        )
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
         load: Load | None = None
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
-import prometheus_client
 from aiohttp import web
 
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
@@ -31,7 +31,9 @@
         owner: Owner | None,
         drain: Callable[[], None],
         debug: Callable[[], dict[str, Any]],
+        measures: Measures,
     ) -> None:
+        self._measures = measures
         self._debug = debug
         self._membership = membership
         self._events = events
@@ -55,8 +57,7 @@
                 self._drain()
                 return web.json_response({"state": "leaving"})
             case "GET", ["metrics"]:
-                text = prometheus_client.generate_latest()
-                return web.Response(body=text, content_type="text/plain")
+                return web.Response(body=self._measures.render(), content_type="text/plain")
             case _:
                 return None
 
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -18,7 +18,7 @@
     read_change,
     resource_form,
 )
-from cowslipvane.wire._link import Link, LinkClosed, connect
+from cowslipvane.wire._link import Link, LinkClosed, LinkIdentity, Traffic, connect, link_identity
 
 __all__ = [
     "FaultForm",
@@ -30,12 +30,15 @@
     "resource_form",
     "Link",
     "LinkClosed",
+    "LinkIdentity",
     "Malformed",
     "Message",
+    "Traffic",
     "connect",
     "decode",
     "decode_as",
     "encode",
     "encode_plain",
+    "link_identity",
     "register",
 ]
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
@@ -24,11 +25,20 @@
 _MAX_LOGICAL = 2**32 - 1
 
 
+class Traffic:
+    """Bytes of each message on the links of a process."""
+
+    def __init__(self) -> None:
+        self.sent_bytes: Counter[str] = Counter()
+        self.received_bytes: Counter[str] = Counter()
+
+
 class LinkIdentity(NamedTuple):
-    """What a process puts on its links: the stamps of its clock, and the token it shows."""
+    """What the links of a process share: its clock, the token it shows, and their traffic."""
 
     clock: HybridClock
     token: Token | None
+    traffic: Traffic
 
 
 # The identity of the process whose tasks run in this context, for the links that they open.
@@ -42,16 +52,18 @@
 class Link:
     """One connection to a peer, for messages in both directions."""
 
-    def __init__(self, *, connection: Connection, clock: HybridClock) -> None:
+    def __init__(self, *, connection: Connection, identity: LinkIdentity) -> None:
         self._connection = connection
-        self._clock = clock
+        self._clock = identity.clock
+        self._traffic = identity.traffic
 
     async def send(self, message: Message) -> None:
         """Send one message."""
         wall, logical = self._clock.now()
-        stamp = _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
+        data = encode(message) + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
+        self._traffic.sent_bytes[type(message).__name__] += len(data)
         try:
-            await self._connection.send(encode(message) + stamp)
+            await self._connection.send(data)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
 
@@ -64,6 +76,7 @@
         if len(data) < _STAMP.size:
             raise Malformed("a message without a stamp")
         message = decode(data[: -_STAMP.size])
+        self._traffic.received_bytes[type(message).__name__] += len(data)
         self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
         return message
 
@@ -75,7 +88,7 @@
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
-    identity = link_identity.get() or LinkIdentity(HybridClock(), None)
+    identity = link_identity.get() or LinkIdentity(HybridClock(), None, Traffic())
     try:
         connection = await websocket_connect(
             f"ws://{address}{path}",
@@ -90,6 +103,6 @@
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise LinkClosed(f"{address} can't be reached: {error}") from error
     try:
-        yield Link(connection=connection, clock=identity.clock)
+        yield Link(connection=connection, identity=identity)
     finally:
         await connection.close()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import json
+import time
 import unittest
+from typing import ClassVar
 
 import aiohttp
+from prometheus_client.parser import text_string_to_metric_families as parse
 
+from cowslipvane.metrics import FAMILIES
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 
 HOSTS = ("stock-1", "stock-2", "stock-3")
@@ -14,21 +18,40 @@
 class OperationTest(unittest.IsolatedAsyncioTestCase):
     """Three processes with one configuration in force."""
 
-    async def asyncSetUp(self) -> None:
-        """Start the processes and apply the resources."""
+    fleet: ClassVar[Fleet]
+    servers: ClassVar[list[str]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the processes and apply the resources; each test leaves them all running."""
         hosts = [host for host in example_hosts("quiros") if host.name in HOSTS]
-        self.fleet = Fleet(hosts=hosts)
-        self.addCleanup(self.fleet.__exit__, None, None, None)
-        self.fleet.create()
-        self.fleet.start()
-        await self.fleet.until_leader()
-        await self.fleet.until_members(len(HOSTS))
-        self.servers = [
-            part for address in self.fleet.operators() for part in ("--server", address)
-        ]
+        cls.fleet = Fleet(hosts=hosts)
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.servers = [f"--server={address}" for address in cls.fleet.operators()]
+        cls.fleet.create()
+        cls.fleet.start()
+        asyncio.run(cls.prepare())
+
+    @classmethod
+    async def prepare(cls) -> None:
+        """Wait for the processes and bring the first version into force."""
+        await cls.fleet.until_leader()
+        await cls.fleet.until_members(len(HOSTS))
         path = str(EXAMPLES / "quiros" / "resources.toml")
-        await self.command("apply", "-f", path)
-        await self.fleet.until_in_force(1, self.fleet.alive)
+        cls.fleet.command("apply", "-f", path, *cls.servers)
+        await cls.fleet.until_in_force(1, HOSTS)
+
+    async def restart(self, host: str) -> None:
+        """Start a daemon again and wait until it serves."""
+        began = time.time()
+        self.fleet.start_daemon(host)
+        for _ in range(200):
+            async with self.fleet.client() as client:
+                reports = (await client.status()).get("replica", {}).get("reports", [])
+            if any(it["host"] == host and it["applied_at"] > began for it in reports):
+                return
+            await asyncio.sleep(0.1)
+        self.fail(f"{host} did not come back")
 
     async def command(self, *arguments: str) -> str:
         """Run a command that asks the fleet."""
@@ -59,8 +82,7 @@
         self.fleet.kill_daemon("stock-3")
         (self.fleet.folder / "stock-3.events").unlink()
         self.assertEqual(await self.account(told["request"]), first)
-        self.fleet.start_daemon("stock-3")
-        await self.fleet.until_in_force(1, HOSTS)
+        await self.restart("stock-3")
         self.assertEqual(await self.account(told["request"]), first)
 
     async def test_the_time_line_has_accepted_before_applied(self) -> None:
@@ -68,13 +90,28 @@
         live = json.loads(await self.command("timeline", "--version", "1", "--output", "json"))
         kinds = [event["kind"] for event in live["events"]]
         self.assertEqual(kinds[0], "accepted")
-        self.assertEqual(kinds.count("applied"), len(HOSTS))
+        applied = {event["host"] for event in live["events"] if event["kind"] == "applied"}
+        self.assertEqual(applied, set(HOSTS))
         await asyncio.sleep(0.5)
         files = [f"--file={self.fleet.folder / f'{host}.events'}" for host in HOSTS]
         arguments = ["timeline", "--version", "1", "--output", "json", *files]
         read = json.loads(await asyncio.to_thread(self.fleet.command, *arguments))
         self.assertEqual(read["events"], live["events"])
 
+    async def test_every_documented_metric_is_told(self) -> None:
+        """After a call and a refusal, a process with both roles has a value for each."""
+        await self.refused("stock-1")
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{self.fleet.address('stock-1', 'callers')}/stock/7"
+            async with session.get(url) as answer:
+                self.assertEqual(answer.status, 200)
+            found: set[str] = set()
+            for host in HOSTS:
+                url = f"http://{self.fleet.address(host, 'operators')}/metrics"
+                async with session.get(url) as answer:
+                    found |= {family.name for family in parse(await answer.text())}
+        self.assertLessEqual({family.name for family in FAMILIES}, found)
+
     async def test_drain_ends_one_process_and_status_and_debug_tell(self) -> None:
         """A drained process exits with 0; the others are told apart from it."""
         debug = json.loads(await self.command("debug", "--host", "stock-2", "--output", "json"))
@@ -90,6 +127,7 @@
         table = (await self.command("status")).splitlines()
         self.assertEqual(len(table), 2 + len(HOSTS))
         self.assertNotIn("\x1b", "".join(table))
+        await self.restart("stock-3")
 
 
 if __name__ == "__main__":
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -11,8 +11,7 @@
 from cowslipvane.settings import Token
 from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
 from cowslipvane.types import Address, HostName
-from cowslipvane.wire import LinkClosed, connect
-from cowslipvane.wire._link import LinkIdentity, link_identity
+from cowslipvane.wire import LinkClosed, LinkIdentity, Traffic, connect, link_identity
 from tools.fleet import Fleet, example_hosts
 
 SECRET = "a-secret-of-the-test-7f3a"
@@ -56,7 +55,7 @@
     async def exchange(self, token: str | None) -> object:
         """Return what a peer that shows a token gets for an exchange."""
         shown = Token(value=token) if token else None
-        link_identity.set(LinkIdentity(HybridClock(), shown))
+        link_identity.set(LinkIdentity(HybridClock(), shown, Traffic()))
         ip, _, port = self.fleet.address("stock-1", "peers").rpartition(":")
         async with connect(Address(ip, int(port)), "/members") as link:
             await link.send(Exchange(sender=HostName("x"), members=()))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -13,8 +13,15 @@
 from cowslipvane.membership import Exchange
 from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
-from cowslipvane.wire import Link, LinkClosed, Malformed, connect
-from cowslipvane.wire._link import LinkIdentity, link_identity
+from cowslipvane.wire import (
+    Link,
+    LinkClosed,
+    LinkIdentity,
+    Malformed,
+    Traffic,
+    connect,
+    link_identity,
+)
 
 ANY = Filter()
 
@@ -67,11 +74,13 @@
 
         async def answer(connection: ServerConnection) -> None:
             """Record the effect of a message."""
-            link = Link(connection=connection, clock=clocks["late"])
+            link = Link(
+                connection=connection, identity=LinkIdentity(clocks["late"], None, Traffic())
+            )
             await link.receive()
             logs["late"].record("applied", version=1)
 
-        link_identity.set(LinkIdentity(clocks["ahead"], None))
+        link_identity.set(LinkIdentity(clocks["ahead"], None, Traffic()))
         async with serve(answer, "127.0.0.1", 0) as server:
             port = next(iter(server.sockets)).getsockname()[1]
             logs["ahead"].record("accepted", version=1)
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -10,6 +10,7 @@
 import click
 
 from cowslipvane.cmdline import main as root
+from cowslipvane.metrics import FAMILIES
 from cowslipvane.settings import Allowed, Described, Settings
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -36,6 +37,29 @@
 """
 
 
+_METRICS_HEAD = """# Metrics
+
+Every process answers `GET /metrics` at its operators' listener, in the text form that Prometheus
+reads. Counters end in `_total` there. Besides these, the interpreter's own metrics are there
+(`process_`, `python_`). No label holds anything of a caller, so the number of series doesn't grow
+with callers. `make docs` writes this page from the code.
+
+The four measures of the users: convergence time is `cowslipvane_convergence_seconds` and control
+bytes are `cowslipvane_sent_bytes` without the messages of calls (Offer, Answer, Chunk, Refused,
+Cancel); service at the crest is `cowslipvane_calls`; waiting of short work behind long work shows
+in `cowslipvane_queue` with `cowslipvane_running`; the tail is `cowslipvane_call_seconds`.
+
+| metric | kind | label | what it tells |
+| --- | --- | --- | --- |
+"""
+
+
+def metrics_page() -> str:
+    """Return the page of all metrics."""
+    rows = [f"| `{it.name}` | {it.kind} | {it.label or '-'} | {it.about} |" for it in FAMILIES]
+    return _METRICS_HEAD + "\n".join(rows) + "\n"
+
+
 def settings_page() -> str:
     """Return the page of all settings."""
     rows = [f"| {' | '.join(cells)} |" for cells in _setting_rows("", Settings)]
@@ -105,7 +129,11 @@
 
 def pages() -> dict[str, str]:
     """Return the text of each reference page by its file name."""
-    return {"COMMANDS.md": commands_page(), "SETTINGS.md": settings_page()}
+    return {
+        "COMMANDS.md": commands_page(),
+        "SETTINGS.md": settings_page(),
+        "METRICS.md": metrics_page(),
+    }
 
 
 def main() -> None:
