--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -7,23 +7,29 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
 from websockets.asyncio.server import ServerConnection, serve
+from websockets.http11 import Request, Response
 
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
+from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
-from cowslipvane.settings import Settings
+from cowslipvane.settings import AUTHORIZATION, Settings, read_token
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
 from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._debug import debug_form
 from cowslipvane.tasks._http import HttpListener
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
@@ -35,12 +41,15 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
+from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
-from cowslipvane.wire import Link, LinkClosed, Malformed
+from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed, Traffic, link_identity
 from cowslipvane.wire._link import MAX_MESSAGE_BYTES
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
+# The paths of the peers' listener.
+_PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls")
 
 
 class Daemon:
@@ -49,11 +58,18 @@
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
         self._rng = random.Random()
+        self._clock = HybridClock()
+        token_file = settings.security.token_file
+        self._token = read_token(Path(token_file)) if token_file else None
+        self._traffic = Traffic()
+        self._identity = LinkIdentity(self._clock, self._token, self._traffic)
+        self._metrics = Metrics()
         self._events = EventLog(
-            host=settings.host,
-            data_centre=settings.data_centre,
-            process=os.getpid(),
-            clock=HybridClock(),
+            origin=Origin(settings.host, settings.data_centre, os.getpid()),
+            clock=self._clock,
+            file=_event_file(settings),
+            memory=int(settings.limits.events_in_memory),
+            observer=self._metrics.note,
         )
         own = Member(
             settings.host,
@@ -72,6 +88,9 @@
             interval=settings.timing.exchange,
             events=self._events,
         )
+        self._witness = Witness(membership=self._members.membership, events=self._events)
+        self._started_at = time.monotonic()
+        self._connections: Counter[str] = Counter()
         self._stop = Signal()
         self._stopping = False
         self._replication: Replication | None = None
@@ -83,15 +102,20 @@
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
+        link_identity.set(self._identity)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         async with AsyncExitStack() as stack:
-            tasks = [self._events.run(), self._members.run()]
+            tasks: list[Coroutine[Any, Any, None]] = []
             if "replica" in self._settings.roles:
                 tasks.append(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
+            tasks += [self._events.run(), self._members.run(), self._witness.run()]
+            for task in tasks:
+                # A task that never began, because a listener could not, needs to be closed.
+                stack.callback(task.close)
             await self._listen(stack)
             stack.push_async_callback(self._peers.close)
             await self._serve(tasks, stack)
@@ -178,7 +202,11 @@
             events=self._events,
         )
         self._callers = Callers(
-            subscription=subscription, carrier=carrier, events=self._events, rng=self._rng
+            subscription=subscription,
+            carrier=carrier,
+            events=self._events,
+            rng=self._rng,
+            metrics=self._metrics,
         )
         subscriber = Subscriber(
             subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
@@ -195,6 +223,7 @@
                 listen.peers.port,
                 ping_interval=None,
                 compression=None,
+                process_request=self._authenticate_peer,
                 max_size=MAX_MESSAGE_BYTES,
             )
         )
@@ -215,9 +244,19 @@
             subscription=self._subscription,
             owner=self._owner,
             drain=self.stop,
+            debug=self._debug,
+            measures=Measures(
+                metrics=self._metrics,
+                membership=self._members.membership,
+                events=self._events,
+                traffic=self._traffic,
+                replication=self._replication,
+                subscription=self._subscription,
+                owner=self._owner,
+            ),
         )
         if self._replication is None:
-            return Operators(process=process, resources=None, replicas=None)
+            return Operators(process=process, resources=None, replicas=None, token=self._token)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
@@ -228,12 +267,32 @@
             events=self._events,
             replication=self._replication,
         )
-        return Operators(process=process, resources=resources, replicas=replicas)
+        return Operators(process=process, resources=resources, replicas=replicas, token=self._token)
+
+    def _debug(self) -> dict[str, Any]:
+        """Return what this process knows of itself."""
+        return debug_form(
+            settings=self._settings,
+            membership=self._members.membership,
+            events=self._events,
+            connections=self._connections,
+            started_at=self._started_at,
+        )
+
+    async def _authenticate_peer(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        """Turn a peer away that doesn't show the token."""
+        if self._token is None or self._token.is_shown_by(request.headers.get(AUTHORIZATION)):
+            return None
+        self._events.record("malformed", path=request.path, reason="a peer showed no valid token")
+        return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
 
     async def _serve_peer(self, connection: ServerConnection) -> None:
         """Serve one connection of a peer, by the path that it asked for."""
-        link = Link(connection=connection)
+        link = Link(connection=connection, identity=self._identity)
         path = connection.request.path if connection.request else ""
+        self._connections[path if path in _PATHS else "other"] += 1
         try:
             match path:
                 case "/replica" if self._replication:
@@ -242,9 +301,21 @@
                     await self._publisher.serve(link)
                 case "/members":
                     await self._members.serve(link)
+                case "/events":
+                    await self._witness.serve(link)
                 case "/calls" if self._owner:
                     await serve_calls(link, self._owner)
         except LinkClosed:
             return
         except Malformed as error:
             self._events.record("malformed", path=path, reason=str(error))
+        finally:
+            self._connections[path if path in _PATHS else "other"] -= 1
+
+
+def _event_file(settings: Settings) -> EventFile | None:
+    """Open the event file, if the settings name one."""
+    if not settings.event_file:
+        return None
+    max_bytes = int(settings.limits.event_file_bytes)
+    return EventFile(path=Path(settings.event_file), max_bytes=max_bytes)
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
-import prometheus_client
 from aiohttp import web
 
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
@@ -30,7 +30,11 @@
         subscription: Subscription | None,
         owner: Owner | None,
         drain: Callable[[], None],
+        debug: Callable[[], dict[str, Any]],
+        measures: Measures,
     ) -> None:
+        self._measures = measures
+        self._debug = debug
         self._membership = membership
         self._events = events
         self._replication = replication
@@ -44,19 +48,25 @@
             case "GET", ["status"]:
                 return web.json_response(self._status())
             case "GET", ["events"]:
-                request = http.query.get("request", "")
-                return web.json_response(list(self._events.select(request=request)))
+                return web.json_response(self._events_form(http))
+            case "GET", ["debug"]:
+                return web.json_response(self._debug())
             case "POST", ["worker"]:
                 return await self._announce(await http.json())
             case "POST", ["drain"]:
                 self._drain()
                 return web.json_response({"state": "leaving"})
             case "GET", ["metrics"]:
-                text = prometheus_client.generate_latest()
-                return web.Response(body=text, content_type="text/plain")
+                return web.Response(body=self._measures.render(), content_type="text/plain")
             case _:
                 return None
 
+    def _events_form(self, http: web.BaseRequest) -> dict[str, Any]:
+        """Return the events that a query asks for, and how many are lost."""
+        request, version = http.query.get("request", ""), int(http.query.get("version", "0"))
+        found = list(self._events.select(request=request, version=version))
+        return {"host": self._membership.own.host, "events": found, "counts": self._events.counts}
+
     def _status(self) -> dict[str, Any]:
         """Return what this process knows of itself and the others."""
         own = self._membership.own
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -99,6 +99,7 @@
         self._changed = Signal()
         self._stood_in = 0
         self._led_in = 0
+        self._noted = replica.catalogue.version
 
     @property
     def replica(self) -> Replica:
@@ -173,6 +174,13 @@
             await self._changed.wait(left)
         return Regrouped(group=self._replica.group) if self._replica.term == term else Unknown()
 
+    def note_accepted(self) -> None:
+        """Record the versions that were accepted since the last call."""
+        version = self._replica.catalogue.version
+        if version > self._noted:
+            self._events.record("accepted", version=version, after=str(self._noted))
+            self._noted = version
+
     async def _answer_vote(self, request: Vote) -> VoteReply:
         """Decide on a vote and sync it."""
         reply = self._replica.consider_vote(request, time.monotonic())
@@ -200,7 +208,7 @@
             now = time.monotonic()
             if isinstance(self._replica.role, Leader):
                 if self._replica.check_contact(now):
-                    self._events.record("no quorum", term=str(self._replica.term))
+                    self._events.record("no-quorum", term=str(self._replica.term))
                     self._changed.send()
                 await asyncio.sleep(self._timing.heartbeat)
                 continue
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -19,7 +19,7 @@
     resource_form,
 )
 from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
-from cowslipvane.wire._link import Link, LinkClosed, connect
+from cowslipvane.wire._link import Link, LinkClosed, LinkIdentity, Traffic, connect, link_identity
 
 __all__ = [
     "FaultForm",
@@ -35,12 +35,15 @@
     "resource_form",
     "Link",
     "LinkClosed",
+    "LinkIdentity",
     "Malformed",
     "Message",
+    "Traffic",
     "connect",
     "decode",
     "decode_as",
     "encode",
     "encode_plain",
+    "link_identity",
     "register",
 ]
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -2,18 +2,47 @@
 
 from __future__ import annotations
 
+import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from contextvars import ContextVar
+from typing import NamedTuple
 
 import websockets
 from websockets.asyncio.client import connect as websocket_connect
 from websockets.asyncio.connection import Connection
 
+from cowslipvane.events import HybridClock, Stamp
+from cowslipvane.settings import Token
 from cowslipvane.types import Address, Seconds
-from cowslipvane.wire._codec import Message, decode, encode
+from cowslipvane.wire._codec import Malformed, Message, decode, encode
 
 CONNECT_TIMEOUT: Seconds = 2.0
 MAX_MESSAGE_BYTES = 16 << 20
+# Every message ends with its sender's stamp: wall time in seconds, and the logical count.
+_STAMP = struct.Struct(">dI")
+_MAX_LOGICAL = 2**32 - 1
+
+
+class Traffic:
+    """Bytes of each message on the links of a process."""
+
+    def __init__(self) -> None:
+        self.sent_bytes: Counter[str] = Counter()
+        self.received_bytes: Counter[str] = Counter()
+
+
+class LinkIdentity(NamedTuple):
+    """What the links of a process share: its clock, the token it shows, and their traffic."""
+
+    clock: HybridClock
+    token: Token | None
+    traffic: Traffic
+
+
+# The identity of the process whose tasks run in this context, for the links that they open.
+link_identity: ContextVar[LinkIdentity | None] = ContextVar("link_identity", default=None)
 
 
 class LinkClosed(Exception):
@@ -23,13 +52,18 @@
 class Link:
     """One connection to a peer, for messages in both directions."""
 
-    def __init__(self, *, connection: Connection) -> None:
+    def __init__(self, *, connection: Connection, identity: LinkIdentity) -> None:
         self._connection = connection
+        self._clock = identity.clock
+        self._traffic = identity.traffic
 
     async def send(self, message: Message) -> None:
         """Send one message."""
+        wall, logical = self._clock.now()
+        data = encode(message) + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
+        self._traffic.sent_bytes[type(message).__name__] += len(data)
         try:
-            await self._connection.send(encode(message))
+            await self._connection.send(data)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
 
@@ -39,7 +73,12 @@
             data = await self._connection.recv(decode=False)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
-        return decode(data)
+        if len(data) < _STAMP.size:
+            raise Malformed("a message without a stamp")
+        message = decode(data[: -_STAMP.size])
+        self._traffic.received_bytes[type(message).__name__] += len(data)
+        self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
+        return message
 
     async def close(self) -> None:
         """Close the connection."""
@@ -49,6 +88,7 @@
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
+    identity = link_identity.get() or LinkIdentity(HybridClock(), None, Traffic())
     try:
         connection = await websocket_connect(
             f"ws://{address}{path}",
@@ -58,10 +98,11 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
+            additional_headers=identity.token.fields if identity.token else None,
         )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise LinkClosed(f"{address} can't be reached: {error}") from error
     try:
-        yield Link(connection=connection)
+        yield Link(connection=connection, identity=identity)
     finally:
         await connection.close()
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -16,6 +16,9 @@
 TIMING = {"election_timeout": 0.5, "heartbeat": 0.1}
 KEYS = ("p", "q")
 
+# Looks for all identities, 0.1 s apart.
+IDENTITY_POLLS = 150
+
 
 class Operation(NamedTuple):
     """One operation of the history, from its first sending to its answer."""
@@ -239,13 +242,17 @@
         first, second, third = sorted(self.fleet.replicas)
         async with self.fleet.client() as client:
             await self.read(client)
-            while len([v for v in (await client.replicas())["voters"] if v["replica_id"]]) < 3:
+            for _ in range(IDENTITY_POLLS):
+                voters = (await client.replicas())["voters"]
+                if all(voter["replica_id"] for voter in voters):
+                    break
                 await asyncio.sleep(0.1)
+            self.assertTrue(all(voter["replica_id"] for voter in voters))
         self.fleet.kill_daemon(first)
         shutil.rmtree(self.fleet.folder / f"{first}.data")
-        voters = [f"--voter={host}={self.fleet.address(host, 'peers')}" for host in (first, second)]
+        typed = [f"--voter={host}={self.fleet.address(host, 'peers')}" for host in (first, second)]
         settings = ("--settings", str(self.fleet.folder / f"{first}.toml"))
-        create = ("replica", "create", "--group", "fleet", *settings, *voters)
+        create = ("replica", "create", "--group", "fleet", *settings, *typed)
         await asyncio.to_thread(self.fleet.command, *create)
         self.fleet.kill_daemon(third)
         self.fleet.start_daemon(first)
