Refuse versions under a floor, and subscribe to a closure by checked deltas

The floor travels in each pull, so that a replica that lags waits instead of answering. Versions carry a digest, checked with the references before the swap; a rejection is reported and followed by a pull for everything. A proxy may name route hosts, and gets the closure of their routes.

Ruled out: a quorum read of commit indexes by the proxy (a majority may lag behind what one replica published), and remembered reports alone (a proxy may crash between applying and reporting).

--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -2,6 +2,8 @@
 
 from cowslipvane.catalogue._catalogue import (
     Accepted,
+    AcceptedChange,
+    Behind,
     Catalogue,
     Change,
     Conflict,
@@ -10,6 +12,7 @@
     Outcome,
     Snapshot,
 )
+from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
 from cowslipvane.catalogue._resources import (
     KINDS,
     Fault,
@@ -22,12 +25,15 @@
     Target,
     TrafficPolicy,
     Upstream,
+    dangling,
     kind_of,
 )
 
 __all__ = [
     "KINDS",
     "Accepted",
+    "AcceptedChange",
+    "Behind",
     "Catalogue",
     "Change",
     "Conflict",
@@ -39,11 +45,16 @@
     "Resource",
     "RetryPolicy",
     "Route",
+    "RouteHosts",
     "Service",
     "Snapshot",
     "Spec",
     "Target",
     "TrafficPolicy",
     "Upstream",
+    "closure",
+    "combine",
+    "dangling",
     "kind_of",
+    "resource_digest",
 ]
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
 from cowslipvane.catalogue._resources import Fault, Key, Resource, Spec, dangling, own_faults
 from cowslipvane.types import NO_VERSION, OperationId, Version
 
@@ -49,26 +50,53 @@
 
 
 class Delta(NamedTuple):
-    """The difference between two versions of the catalogue."""
+    """The difference between two versions of a closure, and the digest that it leads to."""
 
     base: Version
     version: Version
     puts: tuple[Resource, ...]
     deletes: tuple[Key, ...]
+    digest: int
 
 
 class Snapshot(NamedTuple):
-    """All resources of one version."""
+    """All resources of one version of a closure, and their digest."""
 
     version: Version
     resources: tuple[Resource, ...]
+    digest: int
 
 
-class _Step(NamedTuple):
-    """What one accepted change touched."""
+class Behind(NamedTuple):
+    """The version asked about is newer than the newest one here."""
+
+    version: Version
+
+
+class Step(NamedTuple):
+    """What one accepted change touched, each with the resource that was there before."""
+
+    version: Version
+    accepted_at: float
+    operation_id: OperationId
+    before: dict[Key, Resource | None]
+
+
+class AcceptedChange(NamedTuple):
+    """One accepted change, each touched key with the resource that it left, None when deleted."""
+
+    version: Version
+    accepted_at: float
+    operation_id: OperationId
+    after: dict[Key, Resource | None]
+
+
+class _Part(NamedTuple):
+    """The closure for some route hosts in one version, and its digest."""
 
     version: Version
     keys: frozenset[Key]
+    digest: int
 
 
 class Catalogue:
@@ -79,7 +107,10 @@
         self._resources: dict[Key, Resource] = {}
         self._writers: dict[Key, tuple[OperationId, Version]] = {}
         self._outcomes: dict[OperationId, Outcome] = {}
-        self._steps: list[_Step] = []
+        self._steps: list[Step] = []
+        # Both are derived, and hold what was last asked for.
+        self._digests: dict[Key, tuple[Version, int]] = {}
+        self._parts: dict[RouteHosts, _Part] = {}
 
     @property
     def version(self) -> Version:
@@ -91,6 +122,11 @@
         """Return the resources by key."""
         return self._resources
 
+    @property
+    def oldest(self) -> Version:
+        """Return the oldest version that the history reaches back to."""
+        return Version(self._steps[0].version - 1) if self._steps else self._version
+
     def outcome(self, operation_id: OperationId) -> Outcome | None:
         """Return the first answer to an operation, if it has been decided."""
         return self._outcomes.get(operation_id)
@@ -121,25 +157,80 @@
             self._outcomes.setdefault(change.operation_id, refused)
             return refused
         version = Version(self._version + 1)
+        touched = _touched(change)
+        before = {key: self._resources.get(key) for key in touched}
+        self._steps.append(Step(version, accepted_at, change.operation_id, before))
         self._resources = self._changed(change, version)
         self._version = version
-        touched = _touched(change)
         self._writers.update((key, (change.operation_id, version)) for key in touched)
-        self._steps.append(_Step(version, touched))
         del self._steps[:-HISTORY_CHANGES]
         accepted = Accepted(version=version, accepted_at=accepted_at)
         self._outcomes[change.operation_id] = accepted
         return accepted
 
-    def since(self, base: Version) -> Delta | Snapshot:
-        """Return what leads from a version to the newest one."""
-        oldest = self._steps[0].version - 1 if self._steps else self._version
-        if base < oldest or base > self._version:
-            return Snapshot(self._version, tuple(self._resources.values()))
-        keys = {key for step in self._steps if step.version > base for key in step.keys}
-        puts = tuple(self._resources[key] for key in sorted(keys) if key in self._resources)
-        deletes = tuple(key for key in sorted(keys) if key not in self._resources)
-        return Delta(base, self._version, puts, deletes)
+    def since(self, base: Version, hosts: RouteHosts = ()) -> Delta | Snapshot | Behind:
+        """Return what leads from a version to the newest one, within the closure of some hosts."""
+        if base > self._version:
+            return Behind(self._version)
+        part = self._part(hosts)
+        if base < self.oldest or base == NO_VERSION:
+            resources = tuple(self._resources[key] for key in sorted(part.keys))
+            return Snapshot(self._version, resources, part.digest)
+        before = self._before(base)
+        held = closure(self._at(before), hosts) if hosts else None
+        if held is None:
+            held = (part.keys - before.keys()) | {key for key, old in before.items() if old}
+        puts = [key for key in part.keys if key in before or key not in held]
+        return Delta(
+            base,
+            self._version,
+            tuple(self._resources[key] for key in sorted(puts)),
+            tuple(sorted(held - part.keys)),
+            part.digest,
+        )
+
+    def history(self, base: Version) -> list[AcceptedChange]:
+        """Return the changes kept that were accepted after a version, the oldest first."""
+        changes: list[AcceptedChange] = []
+        later: dict[Key, Resource | None] = {}
+        for step in reversed(self._steps):
+            if step.version <= base:
+                break
+            after = {key: later.get(key, self._resources.get(key)) for key in step.before}
+            changes.append(AcceptedChange(step.version, step.accepted_at, step.operation_id, after))
+            later.update(step.before)
+        return changes[::-1]
+
+    def _before(self, base: Version) -> dict[Key, Resource | None]:
+        """Return what was changed after a version, as it was in that version."""
+        before: dict[Key, Resource | None] = {}
+        for step in reversed(self._steps):
+            if step.version <= base:
+                break
+            before.update(step.before)
+        return before
+
+    def _at(self, before: dict[Key, Resource | None]) -> dict[Key, Resource]:
+        """Return all resources with some of them as they were before."""
+        resources: dict[Key, Resource | None] = {**self._resources, **before}
+        return {key: resource for key, resource in resources.items() if resource is not None}
+
+    def _part(self, hosts: RouteHosts) -> _Part:
+        """Return the closure of some hosts in the newest version."""
+        part = self._parts.get(hosts)
+        if part is None or part.version != self._version:
+            keys = closure(self._resources, hosts)
+            digest = combine(self._digest(self._resources[key]) for key in keys)
+            part = self._parts[hosts] = _Part(self._version, keys, digest)
+        return part
+
+    def _digest(self, resource: Resource) -> int:
+        """Return the digest of a resource, computed once for each of its versions."""
+        version, digest = self._digests.get(resource.key, (NO_VERSION, 0))
+        if version != resource.version:
+            digest = resource_digest(resource)
+            self._digests[resource.key] = resource.version, digest
+        return digest
 
     def _conflict(self, change: Change) -> Conflict | None:
         """Return the first resource that changed after the version the change is based on."""
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -88,7 +88,7 @@
         async with AsyncExitStack() as stack:
             tasks = [self._events.run(), self._members.run()]
             if "replica" in self._settings.roles:
-                tasks.append(self._start_replica(stack))
+                tasks.extend(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
             await self._listen(stack)
@@ -130,8 +130,8 @@
         if not await self._callers.wait_idle(left) or not await self._owner.wait_idle(left):
             self._events.record("cut", reason="the grace period is over")
 
-    def _start_replica(self, stack: AsyncExitStack) -> Coroutine[Any, Any, None]:
-        """Open the data folder and return the replica's task."""
+    def _start_replica(self, stack: AsyncExitStack) -> list[Coroutine[Any, Any, None]]:
+        """Open the data folder and return the replica's tasks."""
         folder = DataFolder(path=Path(self._settings.data_folder))
         identity = folder.open()
         stack.callback(folder.close)
@@ -152,7 +152,7 @@
         self._publisher = Publisher(
             replication=self._replication, pull_wait=self._settings.timing.pull_wait
         )
-        return self._replication.run()
+        return [self._replication.run(), self._publisher.run()]
 
     def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
         """Build the proxy's parts and return their tasks."""
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -41,13 +41,14 @@
 
 
 class Report(NamedTuple):
-    """What one proxy has in force, and since when."""
+    """What one proxy has in force and since when; the report that changed last counts."""
 
     host: HostName
     version: Version
     applied_at: float
     operators: Address
     rejected: str = ""
+    changed_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -256,8 +256,10 @@
             self._commit_majority()
 
     def record_report(self, report: Report) -> None:
-        """Keep what a proxy says that it has in force."""
-        self._reports[report.host] = report
+        """Keep what a proxy says that it has in force, unless something newer is known."""
+        held = self._reports.get(report.host)
+        if held is None or report.changed_at >= held.changed_at:
+            self._reports[report.host] = report
 
     @property
     def _majority(self) -> int:
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -70,4 +70,6 @@
     seeds: tuple[Address, ...] = ()
     data_folder: str = ""
     event_file: str = ""
+    # Route hosts whose routes the proxy takes; none means all.
+    route_hosts: tuple[str, ...] = ()
     timing: Timing = dataclasses.field(default_factory=Timing)
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -1,11 +1,27 @@
 """A proxy's subscription: the version that it has in force, and how it moves on."""
 
-from cowslipvane.subscription._messages import Current, Pull, PullDelta, PullReply, PullSnapshot
+from cowslipvane.subscription._backoff import Backoff
+from cowslipvane.subscription._messages import (
+    AskFloor,
+    AskLeader,
+    ComeAgain,
+    Current,
+    Floor,
+    Pull,
+    PullDelta,
+    PullReply,
+    PullSnapshot,
+)
 from cowslipvane.subscription._subscription import Applied, Rejected, Subscription
 
 __all__ = [
     "Applied",
+    "AskFloor",
+    "AskLeader",
+    "Backoff",
+    "ComeAgain",
     "Current",
+    "Floor",
     "Pull",
     "PullDelta",
     "PullReply",
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -4,16 +4,41 @@
 
 from dataclasses import dataclass
 
-from cowslipvane.catalogue import Delta, Snapshot
+from cowslipvane.catalogue import Delta, RouteHosts, Snapshot
 from cowslipvane.replica import Report
-from cowslipvane.types import Version
+from cowslipvane.types import Address, Seconds, Version
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskFloor:
+    """Asks for a version that is at least every version accepted before the question."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Floor:
+    """Answers as the leader: no version under this one may be applied."""
+
+    version: Version
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskLeader:
+    """Answers that only the leader knows the floor, and where it is as far as is known here."""
+
+    leader: Address | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pull:
-    """Says what the proxy has in force, and asks for what follows."""
+    """Says what the proxy has in force, and asks for what follows its base.
+
+    The answer waits for a version of at least the floor.
+    """
 
     report: Report
+    base: Version
+    floor: Version
+    hosts: RouteHosts
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,4 +62,11 @@
     version: Version
 
 
-PullReply = PullDelta | PullSnapshot | Current
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ComeAgain:
+    """Answers that too many snapshots are on their way, and when to ask again."""
+
+    after: Seconds
+
+
+PullReply = PullDelta | PullSnapshot | Current | ComeAgain
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -5,8 +5,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from cowslipvane.catalogue import Delta, Key, Resource, Snapshot
-from cowslipvane.catalogue._resources import dangling
+from cowslipvane.catalogue import (
+    Delta,
+    Key,
+    Resource,
+    Snapshot,
+    combine,
+    dangling,
+    resource_digest,
+)
 from cowslipvane.routing import RoutingTable
 from cowslipvane.types import NO_VERSION, Version
 
@@ -27,11 +34,17 @@
 
 
 class Subscription:
-    """The configuration that one proxy has in force."""
+    """The configuration that one proxy has in force.
+
+    A proxy without a disk does not know what it had in force before a restart. It takes no version
+    until it has learnt a floor: a version that is at least all that were accepted by then.
+    """
 
     def __init__(self) -> None:
+        self._floor: Version | None = None
         self._version = NO_VERSION
         self._resources: Mapping[Key, Resource] = {}
+        self._digest = 0
         self._table: RoutingTable | None = None
 
     @property
@@ -39,36 +52,62 @@
         """Return the version in force."""
         return self._version
 
+    @property
+    def floor(self) -> Version | None:
+        """Return the version that the proxy may not go under, None before it is learnt."""
+        return None if self._floor is None else max(self._floor, self._version)
+
     @property
     def table(self) -> RoutingTable | None:
         """Return the routing table in force, None before the first version."""
         return self._table
 
+    def learn_floor(self, floor: Version) -> None:
+        """Refuse every version under a floor from now on; a floor never sinks."""
+        self._floor = max(floor, self._floor or NO_VERSION)
+
     def take_delta(self, delta: Delta) -> Applied | Rejected:
         """Move on by the difference from the version in force."""
         if delta.base != self._version:
             reason = f"the delta starts at {delta.base}, in force is {self._version}"
             return Rejected(version=delta.version, reason=reason)
         resources = dict(self._resources)
-        for key in delta.deletes:
-            resources.pop(key, None)
+        gone = [resources.pop(key, None) for key in delta.deletes]
+        gone += [resources.get(resource.key) for resource in delta.puts]
         resources.update((resource.key, resource) for resource in delta.puts)
-        return self._take(delta.version, resources)
+        digests = [-resource_digest(resource) for resource in gone if resource is not None]
+        digests += [resource_digest(resource) for resource in delta.puts]
+        digest = combine([self._digest, *digests])
+        return self._take(delta.version, resources, digest, delta.digest)
 
     def take_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
         """Move on to a version that came whole."""
         resources = {resource.key: resource for resource in snapshot.resources}
-        return self._take(snapshot.version, resources)
+        digest = combine(resource_digest(resource) for resource in snapshot.resources)
+        return self._take(snapshot.version, resources, digest, snapshot.digest)
 
-    def _take(self, version: Version, resources: Mapping[Key, Resource]) -> Applied | Rejected:
+    def _take(
+        self, version: Version, resources: Mapping[Key, Resource], digest: int, promised: int
+    ) -> Applied | Rejected:
         """Build the new state aside and swap it in, unless a rule forbids it."""
-        if version < self._version:
-            reason = f"it is older than version {self._version}, which is in force"
+        reason = self._reason_against(version, resources, digest, promised)
+        if reason:
             return Rejected(version=version, reason=reason)
-        faults = list(dangling(resources))
-        if faults:
-            return Rejected(version=version, reason=f"{faults[0].path} {faults[0].message}")
-        self._table = RoutingTable(version=version, resources=resources.values())
-        self._resources = resources
-        self._version = version
+        table = RoutingTable(version=version, resources=resources.values())
+        self._table, self._resources = table, resources
+        self._version, self._digest = version, digest
         return Applied(version=version)
+
+    def _reason_against(
+        self, version: Version, resources: Mapping[Key, Resource], digest: int, promised: int
+    ) -> str:
+        """Return why a version can't be taken, or nothing."""
+        floor = self.floor
+        if floor is None:
+            return "it isn't known yet under which version this proxy may not go"
+        if version < floor:
+            return f"it is older than version {floor}, under which this proxy may not go"
+        if digest != promised:
+            return f"its digest is {digest:016x}; {promised:016x} was promised"
+        faults = list(dangling(resources))
+        return f"{faults[0].path} {faults[0].message}" if faults else ""
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -5,24 +5,36 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from cowslipvane.events import EventLog
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings
 from cowslipvane.subscription import (
     Applied,
+    AskFloor,
+    AskLeader,
+    Backoff,
+    ComeAgain,
     Current,
+    Floor,
     Pull,
     PullDelta,
     PullSnapshot,
     Rejected,
     Subscription,
 )
-from cowslipvane.types import Seconds
-from cowslipvane.wire import Link, LinkClosed, Malformed, connect
+from cowslipvane.types import NO_VERSION, Address, Seconds
+from cowslipvane.wire import LinkClosed, Malformed, connect
 
-# Retries are spread at random over up to this time.
-MAX_BACKOFF: Seconds = 1.0
+FIRST_BACKOFF: Seconds = 0.2
+LONGEST_BACKOFF: Seconds = 5.0
+ANSWER_TIMEOUT: Seconds = 2.0
+
+
+class _Misled(Exception):
+    """The other side can't bring this proxy on; another one may."""
 
 
 class Subscriber:
@@ -41,34 +53,85 @@
         self._events = events
         self._rng = rng
         self._applied_at = 0.0
+        self._changed_at = time.time()
         self._rejected = ""
+        # After a rejection the next pull asks for all resources.
+        self._resync = False
+        self._backoff = Backoff(first=FIRST_BACKOFF, longest=LONGEST_BACKOFF, rng=rng)
 
     async def run(self) -> None:
-        """Pull from one replica after another, for ever."""
+        """Learn the floor, then pull from one replica after another, for ever."""
+        while self._subscription.floor is None:
+            await self._try_each(self._learn_floor)
+        while True:
+            await self._try_each(self._subscribe)
+
+    async def _try_each(self, talk: Callable[[Address], Coroutine[Any, Any, None]]) -> None:
+        """Talk to each seed once, in random order, with a pause after each failure."""
         seeds = list(self._settings.seeds)
         self._rng.shuffle(seeds)
-        while True:
-            for address in seeds:
-                try:
-                    async with connect(address, "/subscribe") as link:
-                        await self._pull(link)
-                except (LinkClosed, Malformed, TimeoutError):
-                    await asyncio.sleep(self._rng.uniform(0, MAX_BACKOFF))
-
-    async def _pull(self, link: Link) -> None:
-        """Pull versions over one connection, each pull reporting the last."""
-        patience = self._settings.timing.pull_wait * 2
-        while True:
-            await link.send(Pull(report=self._report()))
-            match await asyncio.wait_for(link.receive(), patience):
-                case PullDelta(delta=delta):
-                    self._note(self._subscription.take_delta(delta))
-                case PullSnapshot(snapshot=snapshot):
-                    self._note(self._subscription.take_snapshot(snapshot))
-                case Current():
-                    pass
+        for address in seeds:
+            try:
+                await talk(address)
+                return
+            except (LinkClosed, Malformed, TimeoutError, _Misled):
+                await asyncio.sleep(self._backoff.wait())
+
+    async def _learn_floor(self, address: Address) -> None:
+        """Learn from the leader, named by a seed, which version this proxy may not go under."""
+        answer = await self._ask_floor(address)
+        if isinstance(answer, AskLeader) and answer.leader is not None:
+            answer = await self._ask_floor(answer.leader)
+        if not isinstance(answer, Floor):
+            raise _Misled("no leader is known there")
+        self._subscription.learn_floor(answer.version)
+        self._events.record("floor", version=answer.version)
+        self._backoff.reset()
+
+    async def _ask_floor(self, address: Address) -> Floor | AskLeader:
+        """Ask one replica for the floor."""
+        async with connect(address, "/subscribe") as link:
+            await link.send(AskFloor())
+            match await asyncio.wait_for(link.receive(), ANSWER_TIMEOUT):
+                case Floor() | AskLeader() as answer:
+                    return answer
                 case _:
-                    raise Malformed("a replica answered a pull with another message")
+                    raise Malformed("a replica answered a question for the floor with another")
+
+    async def _subscribe(self, address: Address) -> None:
+        """Pull versions over one connection, each pull reporting the last."""
+        # A replica answers each pull within its wait, so that a silent connection is noticed.
+        patience = self._settings.timing.pull_wait + ANSWER_TIMEOUT
+        async with connect(address, "/subscribe") as link:
+            while True:
+                await link.send(self._pull())
+                await self._take(await asyncio.wait_for(link.receive(), patience))
+
+    def _pull(self) -> Pull:
+        """Return a pull that follows what is in force."""
+        version = self._subscription.version
+        return Pull(
+            report=self._report(),
+            base=NO_VERSION if self._resync else version,
+            floor=self._subscription.floor or NO_VERSION,
+            hosts=self._settings.route_hosts,
+        )
+
+    async def _take(self, answer: object) -> None:
+        """Act on an answer to a pull."""
+        match answer:
+            case PullDelta(delta=delta):
+                self._note(self._subscription.take_delta(delta))
+            case PullSnapshot(snapshot=snapshot):
+                self._note(self._subscription.take_snapshot(snapshot))
+            case Current(version=version):
+                self._backoff.reset()
+                if version < (self._subscription.floor or NO_VERSION):
+                    raise _Misled("the replica lags behind this proxy")
+            case ComeAgain(after=after):
+                await asyncio.sleep(after * self._rng.uniform(1, 2))
+            case _:
+                raise Malformed("a replica answered a pull with another message")
 
     def _report(self) -> Report:
         """Return what is in force here."""
@@ -78,15 +141,21 @@
             self._applied_at,
             self._settings.listen.operators,
             self._rejected,
+            self._changed_at,
         )
 
     def _note(self, result: Applied | Rejected) -> None:
-        """Record what became of a version."""
+        """Record what became of a version; raise after a rejection."""
+        self._changed_at = time.time()
         match result:
             case Applied(version=version):
-                self._applied_at = time.time()
+                self._applied_at = self._changed_at
                 self._rejected = ""
+                self._resync = False
+                self._backoff.reset()
                 self._events.record("applied", version=version)
             case Rejected(version=version, reason=reason):
                 self._rejected = f"version {version}: {reason}"
+                self._resync = True
                 self._events.record("rejected", version=version, reason=reason)
+                raise _Misled(reason)
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -28,8 +28,12 @@
 
     async def send(self, message: Message) -> None:
         """Send one message."""
+        await self.send_encoded(encode(message))
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Send one message that was encoded before, because several peers get the same."""
         try:
-            await self._connection.send(encode(message))
+            await self._connection.send(data)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
 
--- /dev/null
+++ b/tools/lone_replica.py
@@ -0,0 +1,112 @@
+"""A replica that is a group of its own, in this process and without a disk."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from types import TracebackType
+from typing import Self
+
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from cowslipvane.catalogue import Change, Key, Spec
+from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.replica import Ballot, Entry, Recovered, Replica, Voter
+from cowslipvane.settings import Timing
+from cowslipvane.tasks._publisher import Publisher
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.types import Address, DataCentre, HostName, OperationId, Version
+from cowslipvane.wire import Link, LinkClosed
+
+IP = "127.0.0.1"
+HOST = HostName("lone")
+
+
+class NoJournal:
+    """A journal that keeps nothing."""
+
+    def record_ballot(self, ballot: Ballot) -> None:
+        """Keep nothing."""
+
+    def record_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Keep nothing."""
+
+    async def sync(self) -> None:
+        """Return at once."""
+
+
+def event_log(host: str = HOST) -> EventLog:
+    """Return an event log that writes to no file."""
+    clock = HybridClock()
+    return EventLog(host=HostName(host), data_centre=DataCentre("here"), process=1, clock=clock)
+
+
+class LoneReplica:
+    """Leads a group of one, or none when it is to follow, and publishes to proxies."""
+
+    def __init__(self, *, leads: bool = True, pull_wait: float = 10.0) -> None:
+        now = time.monotonic()
+        self.replica = Replica(
+            host=HOST,
+            voters=(Voter(HOST, Address(IP, 1)),),
+            journal=NoJournal(),
+            recovered=Recovered(Ballot(0, None), ()),
+            election_timeout=1.0,
+            rng=random.Random(1),
+            now=now,
+        )
+        self.replication = Replication(
+            replica=self.replica, journal=NoJournal(), timing=Timing(), events=event_log()
+        )
+        self.publisher = Publisher(replication=self.replication, pull_wait=pull_wait)
+        if leads:
+            self.replica.stand(now)
+            self.replica.count_own_vote(self.replica.term, now)
+            self.replica.count_synced(self.replica.last_index)
+
+    async def __aenter__(self) -> Self:
+        """Begin to listen."""
+        self._server: Server = await serve(
+            self._serve, IP, 0, compression=None, ping_interval=None
+        ).__aenter__()
+        self._task = asyncio.create_task(self.publisher.run())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop listening."""
+        self._task.cancel()
+        self.cut()
+        await self._server.wait_closed()
+
+    @property
+    def address(self) -> Address:
+        """Return where the replica listens."""
+        return Address(IP, next(iter(self._server.sockets)).getsockname()[1])
+
+    def cut(self) -> None:
+        """Close the listener and every connection."""
+        self._server.close()
+
+    def put(self, *puts: tuple[Key, Spec]) -> Version:
+        """Accept a change and wake the pulls."""
+        catalogue = self.replica.catalogue
+        name = OperationId(str(catalogue.version))
+        change = Change(name, catalogue.version, puts)
+        index = self.replica.propose(change, stamped_at=time.time())
+        assert index is not None
+        self.replica.count_synced(index)
+        self.replication.changed.send()
+        return catalogue.version
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        """Serve one proxy."""
+        try:
+            await self.publisher.serve(Link(connection=connection))
+        except LinkClosed:
+            return
