Keep a ledger of attempts at the owner, and resolve doubt by asking it

Cause: when the link to an owner broke after an offer, or the deadline passed, the entry said "may have run" of every call, also of work that had never started. The HTTP client sent a request again by itself when a kept-alive connection to the worker broke, and could then report a failed connect as "not run". A refusal of a second attempt could hide that the first may have run. A worker that announced other traits cut what ran.

Now the owner keeps each attempt in `call.Attempts`; the entry fences it over the next link and gets a true "not run", or the answer. Ruled out: a bound in time alone, because a process that was frozen longer than the bound would ask after the memory is gone; attempts have an order for each entry, so that whatever is no longer remembered is known to be in doubt.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from cowslipvane.call import AttemptId, OwnerMessage, Request
+from cowslipvane.call import AttemptId, Request
 from cowslipvane.refusal import DeadlinePassed, Draining, QueueFull, Refusal
 from cowslipvane.routing import Load
 from cowslipvane.types import Seconds, ServiceName, Verdict
@@ -15,16 +14,14 @@
 QUEUE_PER_SLOT = 20
 RETRY_AFTER: Seconds = 1.0
 
-Reply = Callable[[OwnerMessage], Awaitable[None]]
-
 
 class Work(NamedTuple):
-    """An attempt at the owner, and where its answer goes."""
+    """An attempt that waits or runs; deadline is in time.monotonic seconds."""
 
     attempt: AttemptId
     request: Request
     deadline: float
-    reply: Reply
+    idempotent: bool
 
 
 class Admission:
@@ -57,6 +54,11 @@
         """Return whether nothing waits and nothing runs."""
         return not self._queue and not self._running
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether nothing starts any more."""
+        return self._draining
+
     def offer(self, work: Work) -> Refusal | None:
         """Queue work, or return why it is refused."""
         if self._draining:
--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -1,5 +1,6 @@
 """A caller's request: its attempts, their verdicts, and the messages that carry it."""
 
+from cowslipvane.call._attempts import Attempts, Forgotten, NeverStarted, Over, UnderWay
 from cowslipvane.call._call import Call
 from cowslipvane.call._headers import end_to_end
 from cowslipvane.call._messages import (
@@ -7,21 +8,30 @@
     AttemptId,
     Cancel,
     Chunk,
+    Fence,
     Offer,
     OwnerMessage,
     Refused,
+    Reply,
     Request,
 )
 
 __all__ = [
     "Answer",
     "AttemptId",
+    "Attempts",
     "Call",
     "Cancel",
     "Chunk",
+    "Fence",
+    "Forgotten",
+    "NeverStarted",
     "Offer",
+    "Over",
     "OwnerMessage",
     "Refused",
+    "Reply",
     "Request",
+    "UnderWay",
     "end_to_end",
 ]
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cowslipvane.call._messages import AttemptId, Request
+from cowslipvane.call._messages import Request
 from cowslipvane.refusal import Refusal, explain
 from cowslipvane.routing import ServiceRules
 from cowslipvane.types import HostName, RequestId, Seconds, Verdict
@@ -19,6 +19,7 @@
         self._rules = rules
         self._deadline = deadline
         self._tried: list[HostName] = []
+        self._doubt: Refusal | None = None
 
     @property
     def request_id(self) -> RequestId:
@@ -40,24 +41,33 @@
         """Return the hosts of the attempts so far."""
         return tuple(self._tried)
 
+    @property
+    def doubt(self) -> Refusal | None:
+        """Return the refusal of an attempt that may have run, if there was one."""
+        return self._doubt
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether the operator lets this request run more than once."""
+        retry = self._rules.retry
+        return self._request.method in retry.methods and not retry.idempotency_key
+
     def time_left(self, now: float) -> Seconds:
         """Return the time until the deadline."""
         return self._deadline - now
 
-    def begin_attempt(self, host: HostName) -> AttemptId:
+    def begin_attempt(self, host: HostName) -> None:
         """Count a new attempt at a host."""
         self._tried.append(host)
-        return AttemptId(self._request_id, len(self._tried))
+
+    def note(self, refusal: Refusal) -> None:
+        """Keep the refusal of an attempt, so that a later one can't hide that this may have run."""
+        if explain(refusal).verdict is not Verdict.NOT_RUN:
+            self._doubt = refusal
 
     def may_try_again(self, refusal: Refusal) -> bool:
         """Return whether another attempt is allowed after a refusal."""
         verdict = explain(refusal).verdict
         if verdict is Verdict.NOT_RUN:
             return True
-        return self._is_idempotent and len(self._tried) < self._rules.retry.attempts
-
-    @property
-    def _is_idempotent(self) -> bool:
-        """Return whether the operator lets this request run more than once."""
-        retry = self._rules.retry
-        return self._request.method in retry.methods and not retry.idempotency_key
+        return self.is_idempotent and len(self._tried) < self._rules.retry.attempts
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from cowslipvane.refusal import Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Headers, RequestId, Seconds, ServiceName
+from cowslipvane.types import Headers, HostName, Seconds, ServiceName
 
 
 class AttemptId(NamedTuple):
-    """One attempt at a request, counted from 1."""
+    """One attempt at a request: its entry's host and incarnation, and a serial that only grows."""
 
-    request_id: RequestId
-    number: int
+    entry: HostName
+    incarnation: int
+    serial: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what orders the attempts of one entry, also across its restarts."""
+        return self.incarnation, self.serial
 
 
 class Request(NamedTuple):
@@ -34,6 +41,7 @@
     service: ServiceName
     request: Request
     timeout: Seconds
+    idempotent: bool
     more: bool = False
 
 
@@ -48,9 +56,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Cancel:
-    """Says that nobody waits for the attempt any more."""
+    """Gives an attempt up that was offered to an incarnation; the owner answers with its end."""
+
+    attempt: AttemptId
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fence:
+    """Asks what became of an attempt that was offered to an incarnation.
+
+    An attempt that has not started never will; one that has sends its answer from the start.
+    """
 
     attempt: AttemptId
+    incarnation: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,3 +95,15 @@
 
 
 OwnerMessage = Answer | Chunk | Refused
+Reply = Callable[[OwnerMessage], Awaitable[None]]
+
+
+def size(message: OwnerMessage) -> int:
+    """Return the bytes that a message holds, its own fields aside."""
+    match message:
+        case Answer(headers=headers, body=body):
+            return len(body) + sum(len(name) + len(value) for name, value in headers)
+        case Chunk(body=body):
+            return len(body)
+        case Refused():
+            return 0
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -197,7 +197,9 @@
         )
         if self._callers is not None and listen.callers is not None:
             await stack.enter_async_context(
-                HttpListener(handler=self._callers.handle, address=listen.callers)
+                HttpListener(
+                    handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
+                )
             )
 
     def _operators(self) -> Operators:
--- a/cowslipvane/refusal/__init__.py
+++ b/cowslipvane/refusal/__init__.py
@@ -1,6 +1,7 @@
 """The closed set of refusals, and the one table that words them."""
 
 from cowslipvane.refusal._refusals import (
+    AnswerLost,
     BodyTooLarge,
     CallerGone,
     DeadlinePassed,
@@ -13,10 +14,12 @@
     QueueFull,
     Refusal,
     UpstreamLost,
+    Withdrawn,
     explain,
 )
 
 __all__ = [
+    "AnswerLost",
     "BodyTooLarge",
     "CallerGone",
     "DeadlinePassed",
@@ -29,5 +32,6 @@
     "QueueFull",
     "Refusal",
     "UpstreamLost",
+    "Withdrawn",
     "explain",
 ]
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -74,6 +74,21 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Withdrawn:
+    """The request was taken back before it started."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerLost:
+    """The answer can't be fetched again."""
+
+    service: ServiceName
+    verdict: Verdict
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerGone:
     """The caller closed its connection before an answer came."""
@@ -91,6 +106,8 @@
     | BodyTooLarge
     | UpstreamLost
     | OwnerUnreachable
+    | Withdrawn
+    | AnswerLost
     | CallerGone
 )
 
@@ -147,6 +164,12 @@
         case OwnerUnreachable(host=host, verdict=verdict):
             cause = f"The proxy on host {host} could not be reached."
             return "owner-unreachable", 502, cause, verdict, None
+        case Withdrawn(service=service):
+            cause = f"The request was taken back from service {service} before it started."
+            return "withdrawn", 503, cause, not_run, 0.0
+        case AnswerLost(service=service, verdict=verdict):
+            cause = f"The answer of service {service} was lost on its way."
+            return "answer-lost", 502, cause, verdict, None
         case CallerGone(verdict=verdict):
             cause = "The caller closed its connection before the answer came."
             return "caller-gone", 499, cause, verdict, None
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 import uuid
@@ -17,6 +18,8 @@
 from cowslipvane.events import EventLog
 from cowslipvane.refusal import (
     BodyTooLarge,
+    CallerGone,
+    Explanation,
     NoConfiguration,
     NoRoute,
     Refusal,
@@ -24,9 +27,9 @@
 )
 from cowslipvane.routing import RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Carrier, Served, next_part
+from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Header, Headers, RequestId, Seconds
+from cowslipvane.types import Header, Headers, RequestId, Seconds, Verdict
 
 REQUEST_ID_HEADER = "X-Request-Id"
 # Names the proxy that owns the upstream: a caller that goes there next saves a hop.
@@ -66,8 +69,13 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         self._under_way += 1
+        request_id = RequestId(uuid.uuid4().hex)
         try:
-            return await self._handle(http, RequestId(uuid.uuid4().hex))
+            return await self._handle(http, request_id)
+        except asyncio.CancelledError:
+            # The caller has closed its connection, so only the events can tell of it.
+            self._record_refusal(request_id, CallerGone(verdict=Verdict.MAY_HAVE_RUN))
+            raise
         finally:
             self._under_way -= 1
             self._ended.send()
@@ -86,8 +94,7 @@
         if body is None:
             limit = rules.traffic.max_body_bytes
             return self._refuse(request_id, BodyTooLarge(limit=limit), close=True)
-        headers = (*headers, Header(REQUEST_ID_HEADER, request_id))
-        request = Request(http.method, http.raw_path, headers, body)
+        request = Request(http.method, http.raw_path, _with_id(headers, request_id), body)
         deadline = time.monotonic() + rules.traffic.timeout
         call = Call(request_id=request_id, request=request, rules=rules, deadline=deadline)
         match await self._carrier.carry(call):
@@ -139,10 +146,23 @@
         _set_fields(stream, fields, own)
         self._closing(stream)
         await stream.prepare(http)
+        try:
+            await self._pass_on(stream, served)
+        except Broken as broken:
+            self._events.record("broken", request=call.request_id, reason=str(broken))
+            if http.transport is not None:
+                # A reset tells also a caller that reads until the connection's end.
+                http.transport.abort()
+            raise ConnectionResetError(str(broken)) from broken
+        await stream.write_eof()
+        return stream
+
+    async def _pass_on(self, stream: web.StreamResponse, served: Served) -> None:
+        """Write a body as its parts arrive; raise Broken when it isn't whole."""
+        more = True
         whole = False
         try:
-            await stream.write(answer.body)
-            more = True
+            await stream.write(served.answer.body)
             while more:
                 body, more = next_part(await served.mailbox.get())
                 await stream.write(body)
@@ -150,21 +170,12 @@
         finally:
             if not whole:
                 await self._carrier.give_up(served)
-        await stream.write_eof()
-        return stream
 
     def _refuse(
         self, request_id: RequestId, refusal: Refusal, *, close: bool = False
     ) -> web.Response:
         """Answer with a refusal and its explanation."""
-        told = explain(refusal)
-        self._events.record(
-            "refused",
-            request=request_id,
-            code=told.code,
-            sentence=told.sentence,
-            verdict=told.verdict.value,
-        )
+        told = self._record_refusal(request_id, refusal)
         form = {
             "code": told.code,
             "sentence": told.sentence,
@@ -180,6 +191,18 @@
         self._closing(response)
         return response
 
+    def _record_refusal(self, request_id: RequestId, refusal: Refusal) -> Explanation:
+        """Record a refusal and return its explanation."""
+        told = explain(refusal)
+        self._events.record(
+            "refused",
+            request=request_id,
+            code=told.code,
+            sentence=told.sentence,
+            verdict=told.verdict.value,
+        )
+        return told
+
     def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
         """Close the connection after a response, when the process is stopping."""
         if self._stopping:
@@ -187,6 +210,13 @@
         return response
 
 
+def _with_id(headers: Headers, request_id: RequestId) -> Headers:
+    """Return the fields with the request's id in place of any that the caller sent."""
+    own = REQUEST_ID_HEADER.lower()
+    others = tuple(header for header in headers if header.name.lower() != own)
+    return (*others, Header(REQUEST_ID_HEADER, request_id))
+
+
 def _set_fields(
     response: web.StreamResponse, fields: list[tuple[str, str]], own: Mapping[str, str]
 ) -> None:
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -3,18 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from dataclasses import dataclass
 
-from cowslipvane.call import Answer, AttemptId, Call, Chunk, Offer, OwnerMessage, Refused
+from cowslipvane.call import (
+    Answer,
+    AttemptId,
+    Call,
+    Cancel,
+    Chunk,
+    Fence,
+    Offer,
+    OwnerMessage,
+    Refused,
+)
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
-from cowslipvane.refusal import DeadlinePassed, NoUpstream, Refusal, explain
+from cowslipvane.refusal import DeadlinePassed, NoUpstream, OwnerUnreachable, Refusal, explain
 from cowslipvane.routing import Chooser, Load
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._peers import Mailbox, Peers
-from cowslipvane.types import Verdict
+from cowslipvane.tasks._peers import LinkLost, Mailbox, Peers
+from cowslipvane.types import Seconds, Verdict
+
+# How long an entry goes on asking an owner that it can't reach what became of an attempt.
+RESOLVE_TIME: Seconds = 5.0
+RECONNECT_PAUSE: Seconds = 0.05
+# How long an entry waits, after the deadline, for the owner to say whether an attempt ran.
+VERDICT_TIME: Seconds = 0.5
 
 
 class Broken(Exception):
@@ -49,6 +66,8 @@
         self._peers = peers
         self._chooser = chooser
         self._events = events
+        self._own = membership.own
+        self._serials = itertools.count(1)
 
     async def carry(self, call: Call) -> Served | Refusal:
         """Return the answer that has begun, or the refusal of the last attempt."""
@@ -64,11 +83,13 @@
                     refusal = refused
             if not call.may_try_again(refusal):
                 break
-        return refusal
+            call.note(refusal)
+        return call.doubt or refusal
 
     async def give_up(self, served: Served) -> None:
         """Tell the owner that nobody waits for the rest of an answer."""
-        await self._cancel(served.owner, served.answer.attempt)
+        owner, attempt = served.owner, served.answer.attempt
+        await self._send(owner, Cancel(attempt=attempt, incarnation=owner.incarnation), None)
 
     def _choose(self, call: Call) -> Member | None:
         """Return the owner for the next attempt."""
@@ -79,62 +100,124 @@
 
     async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
         """Hand a call to one owner; return its answer, or the refusal."""
-        attempt = call.begin_attempt(member.host)
-        request_id = call.request_id
-        self._events.record("attempt", request=request_id, owner=member.host)
+        attempt = AttemptId(self._own.host, self._own.incarnation, next(self._serials))
+        call.begin_attempt(member.host)
+        self._events.record("attempt", request=call.request_id, owner=member.host)
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
         load: Load | None = None
         told = False
         try:
-            async with asyncio.timeout(call.time_left(time.monotonic())):
-                await self._hand_over(call, member, attempt, mailbox)
-                first = await mailbox.get()
+            first = await self._first_message(call, member, attempt, mailbox)
             told = True
             match first:
                 case Answer(status=status, load=load):
-                    self._events.record("answered", request=request_id, status=str(status))
+                    self._events.record("answered", request=call.request_id, status=str(status))
                     return Served(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
                     return refusal
                 case Chunk():
                     raise Broken("a body came before its answer")
-        except TimeoutError:
-            return DeadlinePassed(service=call.rules.service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
             self._chooser.end(member.host, load)
             if not told:
-                await self._cancel(member, attempt)
+                cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
+                await self._send(member, cancel, None)
 
-    async def _hand_over(
+    async def _first_message(
         self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
-    ) -> None:
-        """Offer an attempt to the owner here or on another host."""
+    ) -> OwnerMessage:
+        """Offer an attempt and return the first message of its answer, or its refusal."""
+        time_left = call.time_left(time.monotonic())
         offer = Offer(
             attempt=attempt,
             service=call.rules.service,
             request=call.request,
-            timeout=call.time_left(time.monotonic()),
+            timeout=time_left,
+            idempotent=call.is_idempotent,
         )
-        if member.host == self._membership.own.host:
-            await self._owner.offer(offer, mailbox.put)
-        else:
-            await self._peers.link(member).offer(offer, mailbox)
+        try:
+            async with asyncio.timeout(time_left):
+                await self._send(member, offer, mailbox)
+                first = await mailbox.get()
+                match first:
+                    case LinkLost(sent=True):
+                        return await self._resolve(call, member, attempt, mailbox)
+                    case LinkLost():
+                        refusal = OwnerUnreachable(host=member.host, verdict=Verdict.NOT_RUN)
+                        return Refused(attempt=attempt, refusal=refusal)
+                    case message:
+                        return message
+        except TimeoutError:
+            return await self._verdict_after_deadline(call, member, attempt, mailbox)
+
+    async def _resolve(
+        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+    ) -> OwnerMessage:
+        """Ask the owner again what became of an attempt whose connection broke."""
+        refusal = OwnerUnreachable(host=member.host, verdict=Verdict.MAY_HAVE_RUN)
+        if call.may_try_again(refusal):
+            return Refused(attempt=attempt, refusal=refusal)
+        self._events.record("fence", request=call.request_id, owner=member.host)
+        fence = Fence(attempt=attempt, incarnation=member.incarnation)
+        give_up = time.monotonic() + RESOLVE_TIME
+        while time.monotonic() < give_up:
+            await self._send(member, fence, mailbox)
+            match await mailbox.get():
+                case LinkLost():
+                    await asyncio.sleep(RECONNECT_PAUSE)
+                case message:
+                    return message
+        return Refused(attempt=attempt, refusal=refusal)
+
+    async def _verdict_after_deadline(
+        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+    ) -> OwnerMessage:
+        """Give an attempt up, and wait a moment for the owner to say whether it ran."""
+        verdict = Verdict.MAY_HAVE_RUN
+        cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
+        try:
+            async with asyncio.timeout(VERDICT_TIME):
+                await self._send(member, cancel, mailbox)
+                match await mailbox.get():
+                    case Refused(refusal=refusal):
+                        verdict = explain(refusal).verdict
+                    case Answer() as answer:
+                        return answer
+        except TimeoutError:
+            pass
+        refusal = DeadlinePassed(service=call.rules.service, verdict=verdict)
+        return Refused(attempt=attempt, refusal=refusal)
+
+    async def _send(
+        self, member: Member, message: Offer | Fence | Cancel, mailbox: Mailbox | None
+    ) -> None:
+        """Send what concerns an attempt to its owner, here or on another host."""
+        if member.host != self._membership.own.host:
+            await self._peers.link(member).send(message, mailbox)
+            return
+        reply = mailbox.put if mailbox is not None else _discard
+        match message:
+            case Offer():
+                await self._owner.offer(message, reply)
+            case Fence():
+                await self._owner.fence(message, reply)
+            case Cancel():
+                await self._owner.cancel(message, reply)
+
 
-    async def _cancel(self, member: Member, attempt: AttemptId) -> None:
-        """Tell the owner that nobody waits for an attempt."""
-        if member.host == self._membership.own.host:
-            self._owner.cancel(attempt)
-        else:
-            await self._peers.link(member).cancel(attempt)
+async def _discard(_: OwnerMessage) -> None:
+    """Drop an answer that nobody waits for."""
 
 
-def next_part(message: OwnerMessage) -> tuple[bytes, bool]:
+def next_part(message: OwnerMessage | LinkLost) -> tuple[bytes, bool]:
     """Return a further part of a body, and whether more follow."""
     match message:
         case Chunk(body=body, more=more):
             return body, more
         case Refused(refusal=refusal):
             raise Broken(explain(refusal).sentence)
+        case LinkLost():
+            raise Broken("the connection to the owner was lost")
         case Answer():
             raise Broken("a second answer came to one attempt")
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -16,8 +16,11 @@
 class HttpListener:
     """An aiohttp low-level server on one address."""
 
-    def __init__(self, *, handler: Handler, address: Address) -> None:
-        self._server = web.Server(handler, access_log=None)
+    def __init__(
+        self, *, handler: Handler, address: Address, cancel_abandoned: bool = False
+    ) -> None:
+        # An abandoned request is one whose sender has closed the connection.
+        self._server = web.Server(handler, access_log=None, handler_cancellation=cancel_abandoned)
         self._address = address
         self._listener: asyncio.Server | None = None
 
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -8,18 +8,48 @@
 import aiohttp
 from yarl import URL
 
-from cowslipvane.admission import Admission, Reply, Work
-from cowslipvane.call import Answer, AttemptId, Chunk, Offer, Refused, end_to_end
+from cowslipvane.admission import Admission, Work
+from cowslipvane.call import (
+    Answer,
+    AttemptId,
+    Attempts,
+    Cancel,
+    Chunk,
+    Fence,
+    Forgotten,
+    NeverStarted,
+    Offer,
+    Over,
+    OwnerMessage,
+    Refused,
+    Reply,
+    UnderWay,
+    end_to_end,
+)
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Worker
-from cowslipvane.refusal import DeadlinePassed, Draining, NoUpstream, Refusal, UpstreamLost
+from cowslipvane.refusal import (
+    AnswerLost,
+    CallerGone,
+    DeadlinePassed,
+    Draining,
+    NoUpstream,
+    Refusal,
+    UpstreamLost,
+    Withdrawn,
+)
 from cowslipvane.routing import Load
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._signal import Signal, Turnstile
-from cowslipvane.types import Seconds, Verdict
+from cowslipvane.types import Header, Headers, Seconds, ServiceName, Verdict
 
 CHUNK_BYTES = 64 << 10
+# Tells the worker how many milliseconds are left until nobody waits for the answer.
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+# Work that isn't idempotent is left to end for this long after its deadline.
+LEFT_TO_END: Seconds = 30.0
 _NO_LOAD = Load(0, 0, 0)
+_NO_SERVICE = ServiceName("")
 
 
 class Owner:
@@ -35,6 +65,8 @@
         self._slots: list[asyncio.Task[None]] = []
         self._work = Turnstile()
         self._ended = Signal()
+        self._attempts = Attempts(incarnation=members.membership.own.incarnation)
+        self._replies: dict[AttemptId, Reply] = {}
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
         self._draining = False
 
@@ -55,21 +87,17 @@
         self._renewed_at = time.monotonic()
         if worker == self._worker or self._draining:
             return
-        await self._stop_slots()
+        await self._retire()
         self._worker = worker
         self._admission = Admission(service=worker.service, slots=worker.slots)
-        connector = aiohttp.TCPConnector(limit=worker.connections)
-        session = aiohttp.ClientSession(
-            f"http://{worker.address}",
-            connector=connector,
-            auto_decompress=False,
-            # A jar would send one caller's cookies with another caller's request.
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        )
-        lanes = [self._serve_slot(self._admission, session) for _ in range(worker.slots)]
-        self._slots = [asyncio.create_task(lane) for lane in lanes]
+        self._work = Turnstile()
+        before = tuple(self._slots)
+        lanes = [
+            self._serve_slot(self._admission, worker, self._work, before)
+            for _ in range(worker.slots)
+        ]
+        self._slots = [slot for slot in self._slots if not slot.done()]
+        self._slots += [asyncio.create_task(lane) for lane in lanes]
         self._events.record("worker", service=worker.service, address=str(worker.address))
         self._members.membership.announce(worker, time.monotonic())
         self._members.spread()
@@ -87,17 +115,58 @@
 
     async def offer(self, offer: Offer, reply: Reply) -> None:
         """Admit an attempt, or refuse it at once."""
-        refusal = self._admit(offer, reply)
+        if not self._attempts.admit(offer.attempt):
+            withdrawn = Withdrawn(service=offer.service)
+            await reply(Refused(attempt=offer.attempt, refusal=withdrawn, load=self.load))
+            return
+        self._replies[offer.attempt] = reply
+        refusal = self._admit(offer)
         if refusal is not None:
-            await reply(Refused(attempt=offer.attempt, refusal=refusal, load=self.load))
+            await self._refuse(offer.attempt, refusal)
+
+    async def fence(self, fence: Fence, reply: Reply) -> None:
+        """Say what became of an attempt; one that has not started never will."""
+        attempt = fence.attempt
+        match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
+            case UnderWay(parts=list(parts)):
+                # Parts that arrive meanwhile are only kept, so that all go out in order.
+                self._replies.pop(attempt, None)
+                await self._replay(parts, reply)
+                match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
+                    case UnderWay(parts=still) if still is parts:
+                        self._replies[attempt] = reply
+                    case Over(parts=still) if still is parts:
+                        return
+                    case _:
+                        await self._tell_lost(attempt, reply)
+            case UnderWay():
+                await self._tell_lost(attempt, reply)
+            case ended:
+                await self._tell_end(attempt, ended, reply)
 
-    def cancel(self, attempt: AttemptId) -> None:
-        """Give an attempt up, whether it waits or runs."""
-        if self._admission and self._admission.withdraw(attempt):
+    async def cancel(self, cancel: Cancel, reply: Reply) -> None:
+        """Give an attempt up, whether it waits or runs, and say whether it ran."""
+        attempt = cancel.attempt
+        match self._attempts.fence(attempt, cancel.incarnation, time.monotonic()):
+            case UnderWay():
+                self._replies.pop(attempt, None)
+                self._cut(attempt)
+                refusal = CallerGone(verdict=Verdict.MAY_HAVE_RUN)
+                await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
+            case ended:
+                await self._tell_end(attempt, ended, reply)
+
+    def forsake(self, attempt: AttemptId, reply: Reply) -> None:
+        """Give an attempt up whose entry has vanished, unless it asked again over another way."""
+        if self._replies.get(attempt) is not reply:
             return
-        timeout = self._timeouts.get(attempt)
-        if timeout is not None:
-            timeout.reschedule(asyncio.get_running_loop().time())
+        self._replies.pop(attempt)
+        incarnation = self._members.membership.own.incarnation
+        match self._attempts.fence(attempt, incarnation, time.monotonic()):
+            case UnderWay():
+                self._cut(attempt)
+            case NeverStarted() if self._admission:
+                self._admission.withdraw(attempt)
 
     async def drain(self) -> None:
         """Start nothing from now on; send what waits back as not run."""
@@ -107,94 +176,179 @@
         self._events.record("leaving")
         await self._refuse_waiting()
 
-    def _admit(self, offer: Offer, reply: Reply) -> Refusal | None:
+    @property
+    def _service(self) -> ServiceName:
+        """Return the service of the upstream, or no name when there is none."""
+        return self._admission.service if self._admission else _NO_SERVICE
+
+    def _admit(self, offer: Offer) -> Refusal | None:
         """Queue an attempt, or return why not."""
         if self._admission is None or self._admission.service != offer.service:
             return NoUpstream(service=offer.service)
         deadline = time.monotonic() + offer.timeout
-        refusal = self._admission.offer(Work(offer.attempt, offer.request, deadline, reply))
+        work = Work(offer.attempt, offer.request, deadline, offer.idempotent)
+        refusal = self._admission.offer(work)
         if refusal is None:
             self._work.send()
         return refusal
 
+    def _cut(self, attempt: AttemptId) -> None:
+        """Close the connection of an attempt at the worker, if it may be cut."""
+        timeout = self._timeouts.get(attempt)
+        if timeout is not None and timeout.when() is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
+    async def _tell_lost(self, attempt: AttemptId, reply: Reply) -> None:
+        """Answer for an attempt whose answer grew too large to be sent again."""
+        refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
+        await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
+
+    async def _tell_end(
+        self, attempt: AttemptId, end: NeverStarted | Over | Forgotten, reply: Reply
+    ) -> None:
+        """Answer for an attempt that doesn't run."""
+        match end:
+            case NeverStarted():
+                self._replies.pop(attempt, None)
+                if self._admission is not None:
+                    self._admission.withdraw(attempt)
+                refusal: Refusal = Withdrawn(service=self._service)
+            case Over(parts=list(parts)):
+                await self._replay(parts, reply)
+                return
+            case Over():
+                refusal = AnswerLost(service=self._service, verdict=Verdict.RAN)
+            case Forgotten():
+                refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
+        await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
+
+    async def _replay(self, parts: list[OwnerMessage], reply: Reply) -> None:
+        """Send an answer from its start, with the parts that arrive meanwhile."""
+        sent = 0
+        while sent < len(parts):
+            await reply(parts[sent])
+            sent += 1
+
+    async def _send(self, message: OwnerMessage) -> None:
+        """Keep a part of an answer, and send it to whoever waits for it."""
+        self._attempts.keep(message.attempt, message)
+        reply = self._replies.get(message.attempt)
+        if reply is not None:
+            await reply(message)
+
+    async def _refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
+        """End an attempt without a whole answer."""
+        message = Refused(attempt=attempt, refusal=refusal, load=self.load)
+        self._attempts.keep(attempt, message)
+        self._attempts.end(attempt, time.monotonic())
+        reply = self._replies.pop(attempt, None)
+        if reply is not None:
+            await reply(message)
+
     async def _refuse_waiting(self) -> None:
         """Send everything that waits back as not run."""
         if self._admission is None:
             return
         refusal = Draining(service=self._admission.service)
         for work in self._admission.drain():
-            await work.reply(Refused(attempt=work.attempt, refusal=refusal, load=self.load))
+            await self._refuse(work.attempt, refusal)
+
+    async def _retire(self) -> None:
+        """Start nothing more at the worker known so far; its slots end what they run."""
+        await self._refuse_waiting()
+        for _ in self._slots:
+            self._work.send()
 
     async def _remove_worker(self) -> None:
         """Forget the worker and let its slots end what they run."""
         self._worker = None
         self._members.membership.announce(None, time.monotonic())
         self._members.spread()
-        await self._refuse_waiting()
+        await self._retire()
 
     async def _stop_slots(self) -> None:
-        """End the tasks of the slots."""
+        """End the tasks of the slots, and cut what they run."""
         await self._refuse_waiting()
         slots, self._slots = self._slots, []
         for slot in slots:
             slot.cancel()
         await asyncio.gather(*slots, return_exceptions=True)
 
-    async def _serve_slot(self, admission: Admission, session: aiohttp.ClientSession) -> None:
-        """Run one request after another at the worker."""
-        try:
-            while True:
+    async def _serve_slot(
+        self,
+        admission: Admission,
+        worker: Worker,
+        turnstile: Turnstile,
+        before: tuple[asyncio.Task[None], ...],
+    ) -> None:
+        """Run one request after another at the worker, once the slots before have ended."""
+        if before:
+            # The worker that announced other traits still runs what it was given.
+            await asyncio.wait(before)
+        async with _session(worker) as session:
+            while not admission.is_draining:
                 work = admission.start_next()
                 if work is None:
-                    await self._work.wait()
+                    await turnstile.wait()
                     continue
+                self._attempts.start(work.attempt)
                 try:
                     await self._run(work, admission, session)
                 finally:
                     admission.finish(work)
                     self._ended.send()
-        finally:
-            await session.close()
 
     async def _run(self, work: Work, admission: Admission, session: aiohttp.ClientSession) -> None:
         """Run one request at the worker and send its answer back."""
         service = admission.service
         refusal = admission.overdue(work, time.monotonic())
-        verdict = Verdict.NOT_RUN
         if refusal is None:
-            try:
-                async with asyncio.timeout_at(work.deadline) as timeout:
-                    self._timeouts[work.attempt] = timeout
-                    verdict = Verdict.MAY_HAVE_RUN
-                    await self._forward(work, session)
-            except TimeoutError:
-                refusal = DeadlinePassed(service=service, verdict=verdict)
-            except aiohttp.ClientConnectorError:
-                refusal = UpstreamLost(service=service, verdict=Verdict.NOT_RUN)
-            except (aiohttp.ClientError, OSError):
-                refusal = UpstreamLost(service=service, verdict=verdict)
-            finally:
-                self._timeouts.pop(work.attempt, None)
+            refusal = await self._try_to_forward(work, service, session)
         if refusal is not None:
-            await work.reply(Refused(attempt=work.attempt, refusal=refusal, load=self.load))
+            await self._refuse(work.attempt, refusal)
+            return
+        self._attempts.end(work.attempt, time.monotonic())
+        self._replies.pop(work.attempt, None)
+
+    async def _try_to_forward(
+        self, work: Work, service: ServiceName, session: aiohttp.ClientSession
+    ) -> Refusal | None:
+        """Forward a request; return why its answer isn't whole, if it isn't."""
+        give_up = work.deadline if work.idempotent else work.deadline + LEFT_TO_END
+        try:
+            async with asyncio.timeout_at(give_up) as timeout:
+                if work.idempotent:
+                    self._timeouts[work.attempt] = timeout
+                await self._forward(work, session)
+        except TimeoutError:
+            return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
+        except aiohttp.ClientConnectorError:
+            return UpstreamLost(service=service, verdict=Verdict.NOT_RUN)
+        except (aiohttp.ClientError, OSError):
+            return UpstreamLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
+        finally:
+            self._timeouts.pop(work.attempt, None)
+        return None
 
     async def _forward(self, work: Work, session: aiohttp.ClientSession) -> None:
         """Send a request to the worker and pass its answer on in chunks."""
         request = work.request
+        left_ms = max(0, round((work.deadline - time.monotonic()) * 1000))
         async with session.request(
             request.method,
             URL(request.path, encoded=True),
-            headers=list(request.headers),
+            headers=[*request.headers, (TIMEOUT_HEADER, str(left_ms))],
             data=request.body or None,
             allow_redirects=False,
+            middlewares=(_OneSend(),),
         ) as response:
             body = await response.content.readany()
             more = not response.content.at_eof()
-            await work.reply(
+            await self._send(
                 Answer(
                     attempt=work.attempt,
                     status=response.status,
-                    headers=end_to_end(response.headers.items()),
+                    headers=_answer_headers(request.method, response),
                     body=body,
                     more=more,
                     load=self.load,
@@ -203,4 +357,45 @@
             while more:
                 body = await response.content.read(CHUNK_BYTES)
                 more = not response.content.at_eof()
-                await work.reply(Chunk(attempt=work.attempt, body=body, more=more))
+                await self._send(Chunk(attempt=work.attempt, body=body, more=more))
+
+
+class _OneSend:
+    """Keeps the HTTP client from sending a request again by itself.
+
+    The client does that when a kept-alive connection breaks, though the worker may have run it.
+    """
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send a request once; raise ServerDisconnectedError at the second time."""
+        if self._sent:
+            raise aiohttp.ServerDisconnectedError
+        self._sent = True
+        return await handler(request)
+
+
+def _session(worker: Worker) -> aiohttp.ClientSession:
+    """Return the session of one slot: one connection to the worker."""
+    return aiohttp.ClientSession(
+        f"http://{worker.address}",
+        connector=aiohttp.TCPConnector(limit=1),
+        auto_decompress=False,
+        # A jar would send one caller's cookies with another caller's request.
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+    )
+
+
+def _answer_headers(method: str, response: aiohttp.ClientResponse) -> Headers:
+    """Return the fields to pass on; an answer without a body keeps the length that it tells."""
+    headers = end_to_end(response.headers.items())
+    length = response.headers.get("Content-Length")
+    if length is not None and method == "HEAD":
+        return (*headers, Header("Content-Length", length))
+    return headers
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -3,26 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
-from cowslipvane.admission import Reply
 from cowslipvane.call import (
     Answer,
     AttemptId,
     Cancel,
     Chunk,
+    Fence,
     Offer,
     OwnerMessage,
     Refused,
+    Reply,
 )
 from cowslipvane.membership import Member
-from cowslipvane.refusal import OwnerUnreachable
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.types import HostName, Verdict
+from cowslipvane.types import HostName
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-register(Offer, Answer, Chunk, Refused, Cancel)
+register(Offer, Answer, Chunk, Refused, Cancel, Fence)
 
-Mailbox = asyncio.Queue[OwnerMessage]
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkLost:
+    """The connection to an owner broke; sent says whether the message may have gone out."""
+
+    sent: bool
+
+
+Mailbox = asyncio.Queue[OwnerMessage | LinkLost]
 
 
 class PeerLink:
@@ -40,29 +49,24 @@
         """Return whether the connection has ended."""
         return self._task.done()
 
-    async def offer(self, offer: Offer, mailbox: Mailbox) -> None:
-        """Hand an attempt over; whatever comes of it arrives in the mailbox."""
+    async def send(self, message: Offer | Fence | Cancel, mailbox: Mailbox | None) -> None:
+        """Send what concerns an attempt; whatever comes of it arrives in the mailbox, if any."""
         try:
             await asyncio.shield(self._opened)
         except LinkClosed:
-            await mailbox.put(self._unreachable(offer.attempt, Verdict.NOT_RUN))
+            if mailbox is not None:
+                mailbox.put_nowait(LinkLost(sent=False))
             return
         assert self._link is not None
-        self._mailboxes[offer.attempt] = mailbox
-        try:
-            await self._link.send(offer)
-        except LinkClosed:
-            if self._mailboxes.pop(offer.attempt, None) is not None:
-                await mailbox.put(self._unreachable(offer.attempt, Verdict.MAY_HAVE_RUN))
-
-    async def cancel(self, attempt: AttemptId) -> None:
-        """Give an attempt up."""
-        if self._mailboxes.pop(attempt, None) is None or self._link is None:
-            return
+        if mailbox is None:
+            self._mailboxes.pop(message.attempt, None)
+        else:
+            self._mailboxes[message.attempt] = mailbox
         try:
-            await self._link.send(Cancel(attempt=attempt))
+            await self._link.send(message)
         except LinkClosed:
-            return
+            if mailbox is not None and self._mailboxes.pop(message.attempt, None) is not None:
+                mailbox.put_nowait(LinkLost(sent=True))
 
     async def close(self) -> None:
         """Close the connection."""
@@ -82,8 +86,8 @@
                 self._opened.set_exception(LinkClosed(str(error)))
                 self._opened.exception()
         finally:
-            for attempt, mailbox in self._mailboxes.items():
-                mailbox.put_nowait(self._unreachable(attempt, Verdict.MAY_HAVE_RUN))
+            for mailbox in self._mailboxes.values():
+                mailbox.put_nowait(LinkLost(sent=True))
             self._mailboxes.clear()
 
     def _deliver(self, message: object) -> None:
@@ -100,11 +104,6 @@
         if mailbox is not None:
             mailbox.put_nowait(message)
 
-    def _unreachable(self, attempt: AttemptId, verdict: Verdict) -> Refused:
-        """Return the refusal for an attempt that the connection has lost."""
-        refusal = OwnerUnreachable(host=self._member.host, verdict=verdict)
-        return Refused(attempt=attempt, refusal=refusal)
-
 
 class Peers:
     """The connections to owners on other hosts, opened when first needed."""
@@ -136,13 +135,16 @@
                 case Offer() as offer:
                     under_way.add(offer.attempt)
                     await owner.offer(offer, reply)
-                case Cancel(attempt=attempt):
-                    owner.cancel(attempt)
+                case Fence() as fence:
+                    under_way.add(fence.attempt)
+                    await owner.fence(fence, reply)
+                case Cancel() as cancel:
+                    await owner.cancel(cancel, reply)
                 case _:
                     return
     finally:
         for attempt in under_way:
-            owner.cancel(attempt)
+            owner.forsake(attempt, reply)
 
 
 def _reply_over(link: Link, under_way: set[AttemptId]) -> Reply:
