Refuse requests that two readers could read in two ways

Cause, seen with raw sockets: a target in absolute form, or one that begins with two slashes, made the owner call whatever host it named instead of its worker; dot segments reached another path than the one that was routed; Transfer-Encoding other than chunked, also from HTTP/1.0, was accepted with the body lost; a caller that sent Expect: 100-continue waited until its deadline; a second Host field was passed on; and the HTTP client dropped a field whose name came again in another case, so that a caller's x-request-id could push ours out.

Ruled out as already refused by aiohttp: Content-Length beside Transfer-Encoding, two Content-Lengths, a signed one. Its refusals are plain text and are counted as 400 here.

--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -2,6 +2,7 @@
 
 from cowslipvane.call._attempts import Attempts, Forgotten, NeverStarted, Over, UnderWay
 from cowslipvane.call._call import Call
+from cowslipvane.call._head import head_fault
 from cowslipvane.call._headers import end_to_end
 from cowslipvane.call._messages import (
     Answer,
@@ -34,4 +35,5 @@
     "Request",
     "UnderWay",
     "end_to_end",
+    "head_fault",
 ]
--- a/cowslipvane/call/_headers.py
+++ b/cowslipvane/call/_headers.py
@@ -6,11 +6,13 @@
 
 from cowslipvane.types import Header, Headers
 
-# RFC 9110, section 7.6.1, and the lengths that each hop frames anew.
+# RFC 9110, section 7.6.1, the lengths that each hop frames anew, and the expectation of a 100
+# that each hop meets by itself.
 _HOP_BY_HOP = frozenset(
     {
         "connection",
         "content-length",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -21,6 +21,13 @@
     path: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MalformedRequest:
+    """The request's head can't be passed on as it was meant."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoUpstream:
     """No upstream of the service can take the request."""
@@ -99,6 +106,7 @@
 Refusal = (
     NoConfiguration
     | NoRoute
+    | MalformedRequest
     | NoUpstream
     | Draining
     | QueueFull
@@ -144,6 +152,9 @@
             return "no-configuration", 503, cause, not_run, 1.0
         case NoRoute(host=host, path=path):
             return "no-route", 404, f"No route serves {path} on {host}.", not_run, None
+        case MalformedRequest(reason=reason):
+            cause = f"The request can't be passed on: {reason}."
+            return "malformed-request", 400, cause, not_run, None
         case NoUpstream(service=service):
             cause = f"No upstream of service {service} can take the request now."
             return "no-upstream", 503, cause, not_run, 1.0
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -8,18 +8,20 @@
 import uuid
 from collections.abc import Mapping
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from cowslipvane.call import (
     Call,
     Request,
     end_to_end,
+    head_fault,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.refusal import (
     BodyTooLarge,
     CallerGone,
     Explanation,
+    MalformedRequest,
     NoConfiguration,
     NoRoute,
     Refusal,
@@ -85,6 +87,13 @@
         table = self._subscription.table
         if table is None:
             return self._refuse(request_id, NoConfiguration())
+        fault = head_fault(
+            target=http.raw_path,
+            http_1_1=http.version >= HttpVersion11,
+            fields=http.headers.items(),
+        )
+        if fault is not None:
+            return self._refuse(request_id, MalformedRequest(reason=fault), close=True)
         headers = end_to_end(http.headers.items())
         rules = self._route(table, http, headers)
         if rules is None:
@@ -119,6 +128,10 @@
             return b""
         if (http.content_length or 0) > limit:
             return None
+        if "Expect" in http.headers:
+            await http.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            # The count of the final answer begins after the interim one.
+            http.writer.output_size = 0
         body = bytearray()
         while chunk := await http.content.readany():
             body += chunk
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -291,19 +291,21 @@
                 if work is None:
                     await turnstile.wait()
                     continue
+                refusal = admission.overdue(work, time.monotonic())
+                if refusal is not None:
+                    admission.finish(work)
+                    await self._refuse(work.attempt, refusal)
+                    continue
                 self._attempts.start(work.attempt)
                 try:
-                    await self._run(work, admission, session)
+                    await self._run(work, worker, session)
                 finally:
                     admission.finish(work)
                     self._ended.send()
 
-    async def _run(self, work: Work, admission: Admission, session: aiohttp.ClientSession) -> None:
+    async def _run(self, work: Work, worker: Worker, session: aiohttp.ClientSession) -> None:
         """Run one request at the worker and send its answer back."""
-        service = admission.service
-        refusal = admission.overdue(work, time.monotonic())
-        if refusal is None:
-            refusal = await self._try_to_forward(work, service, session)
+        refusal = await self._try_to_forward(work, worker, session)
         if refusal is not None:
             await self._refuse(work.attempt, refusal)
             return
@@ -311,15 +313,16 @@
         self._replies.pop(work.attempt, None)
 
     async def _try_to_forward(
-        self, work: Work, service: ServiceName, session: aiohttp.ClientSession
+        self, work: Work, worker: Worker, session: aiohttp.ClientSession
     ) -> Refusal | None:
         """Forward a request; return why its answer isn't whole, if it isn't."""
+        service = worker.service
         give_up = work.deadline if work.idempotent else work.deadline + LEFT_TO_END
         try:
             async with asyncio.timeout_at(give_up) as timeout:
                 if work.idempotent:
                     self._timeouts[work.attempt] = timeout
-                await self._forward(work, session)
+                await self._forward(work, worker, session)
         except TimeoutError:
             return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
         except aiohttp.ClientConnectorError:
@@ -330,14 +333,14 @@
             self._timeouts.pop(work.attempt, None)
         return None
 
-    async def _forward(self, work: Work, session: aiohttp.ClientSession) -> None:
+    async def _forward(self, work: Work, worker: Worker, session: aiohttp.ClientSession) -> None:
         """Send a request to the worker and pass its answer on in chunks."""
         request = work.request
         left_ms = max(0, round((work.deadline - time.monotonic()) * 1000))
         async with session.request(
             request.method,
-            URL(request.path, encoded=True),
-            headers=[*request.headers, (TIMEOUT_HEADER, str(left_ms))],
+            _url(worker, request.path),
+            headers=_same_spelling((*request.headers, Header(TIMEOUT_HEADER, str(left_ms)))),
             data=request.body or None,
             allow_redirects=False,
             middlewares=(_OneSend(),),
@@ -379,10 +382,16 @@
         return await handler(request)
 
 
+def _url(worker: Worker, target: str) -> URL:
+    """Return the URL of a target at the worker, whatever the target looks like."""
+    path, _, query = target.partition("?")
+    ip, port = worker.address
+    return URL.build(scheme="http", host=ip, port=port, path=path, query_string=query, encoded=True)
+
+
 def _session(worker: Worker) -> aiohttp.ClientSession:
     """Return the session of one slot: one connection to the worker."""
     return aiohttp.ClientSession(
-        f"http://{worker.address}",
         connector=aiohttp.TCPConnector(limit=1),
         auto_decompress=False,
         # A jar would send one caller's cookies with another caller's request.
@@ -392,6 +401,15 @@
     )
 
 
+def _same_spelling(headers: Headers) -> list[tuple[str, str]]:
+    """Return the fields with one spelling of each name.
+
+    The HTTP client drops a field when a later one has the same name in another case.
+    """
+    spelling: dict[str, str] = {}
+    return [(spelling.setdefault(name.lower(), name), value) for name, value in headers]
+
+
 def _answer_headers(method: str, response: aiohttp.ClientResponse) -> Headers:
     """Return the fields to pass on; an answer without a body keeps the length that it tells."""
     headers = end_to_end(response.headers.items())
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -103,7 +103,7 @@
         line = {
             "what": what,
             "mark": http.headers.get("X-Mark", ""),
-            "request": http.headers.get("X-Request-Id", ""),
+            "request": ",".join(http.headers.getall("X-Request-Id", [])),
             "at": asyncio.get_running_loop().time(),
         }
         os.write(self._ledger, json.dumps(line).encode() + b"\n")
