Cut a broken answer with a reset

Cause: an answer that broke off raised out of the handler, which wrote a traceback and closed the connection in the ordinary way; a caller that reads until the connection's end (HTTP/1.0) took the part for the whole. Ruled out: transport.abort alone, which still sends an ordinary end (test red).

Tests: test_callers, 8 pass, 4.8 s; the new one failed 4 of its 4 cases before the reset, and fails when a broken part ends the answer as if it were whole.

--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 import time
 import uuid
 from collections.abc import Mapping
@@ -37,6 +39,9 @@
 # Names the proxy that owns the upstream: a caller that goes there next saves a hop.
 OWNER_HEADER = "X-Cowslipvane-Owner"
 
+# Lingering for no time makes the system send a reset in place of an ordinary end.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Callers:
     """Takes callers' requests, finds owners for them, and answers."""
@@ -163,10 +168,8 @@
             await self._pass_on(stream, served)
         except Broken as broken:
             self._events.record("broken", request=call.request_id, reason=str(broken))
-            if http.transport is not None:
-                # A reset tells also a caller that reads until the connection's end.
-                http.transport.abort()
-            raise ConnectionResetError(str(broken)) from broken
+            _reset(http)
+            return stream
         await stream.write_eof()
         return stream
 
@@ -223,6 +226,16 @@
         return response
 
 
+def _reset(http: web.BaseRequest) -> None:
+    """Cut the connection with a reset, which also tells a caller that reads until its end."""
+    if http.transport is None:
+        return
+    connection = http.transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    http.transport.abort()
+
+
 def _with_id(headers: Headers, request_id: RequestId) -> Headers:
     """Return the fields with the request's id in place of any that the caller sent."""
     own = REQUEST_ID_HEADER.lower()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -133,6 +133,22 @@
         [line] = self.ran()
         self.assertEqual(line["mark"], "first")
 
+    async def test_a_broken_answer_is_cut_visibly(self) -> None:
+        """No caller takes a part of an answer for the whole."""
+        breaks = [{"X-Break-After": "5000"}, {"X-Break-After": "200000", "X-Chunked": "1"}]
+        for host in ("stock-1", "stock-2"):
+            for headers in breaks:
+                with self.subTest(host=host, headers=headers):
+                    async with aiohttp.ClientSession() as session:
+                        with self.assertRaises(aiohttp.ClientError):
+                            async with session.get(self.url(host), headers=headers) as answer:
+                                await answer.read()
+                    fields = "".join(f"\r\n{name}: {value}" for name, value in headers.items())
+                    with self.assertRaises(ConnectionResetError):
+                        # Only a reset tells a caller of HTTP/1.0 that more was to come.
+                        await self.exchange(f"GET /stock/7 HTTP/1.0{fields}", host=host)
+        self.assertFalse("Broken" in self.fleet.errors(), "a traceback was written")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -93,11 +93,26 @@
             "cookie": http.headers.get("Cookie", ""),
             "padding": "x" * size,
         }
+        if "X-Break-After" in http.headers:
+            return await self._break(http, int(http.headers["X-Break-After"]))
         response = web.json_response(answer)
         if "X-Set-Cookie" in http.headers:
             response.headers["Set-Cookie"] = http.headers["X-Set-Cookie"]
         return response
 
+    async def _break(self, http: web.BaseRequest, size: int) -> web.StreamResponse:
+        """Close the connection after a part of an answer."""
+        response = web.StreamResponse()
+        if "X-Chunked" in http.headers:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = 2 * size
+        await response.prepare(http)
+        await response.write(b"x" * size)
+        assert http.transport is not None
+        http.transport.close()
+        raise ConnectionResetError("the answer is broken off on request")
+
     def _write(self, http: web.BaseRequest, what: str) -> None:
         """Write a line to the ledger at once, so that it outlives a kill."""
         line = {
