Admit by deadline, share slots between callers, and keep some for short work

Cause: the queue was first come, first served: one caller could fill it, long work could hold every slot, and work that could not end in time waited until its deadline. Now the admission learns the time of each kind of request (method and path without identifiers, 256 at most), refuses at once what can't end in time as `overloaded` with when to try again, lets callers take turns by the cost of their work, and keeps a third of the slots free of long work.

Ruled out: estimates that only new samples change, since refusing everything would keep a slow spell's estimate for ever; they halve every 2 s without a sample. A caller's header as the key of fairness, since a caller could call itself many; it is the address that the caller connects from.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -2,17 +2,29 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
+import itertools
+from collections import Counter
+from dataclasses import dataclass
 from typing import NamedTuple
 
+from cowslipvane.admission._service_times import ServiceTimes, kind_of
 from cowslipvane.call import AttemptId, Request
-from cowslipvane.refusal import DeadlinePassed, Draining, QueueFull, Refusal
+from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull, Refusal
 from cowslipvane.routing import Load
 from cowslipvane.types import Seconds, ServiceName, Verdict
 
-# Requests that may wait for each slot.
+# Requests that may wait for each slot; shared out among the callers that wait.
 QUEUE_PER_SLOT = 20
+# The queue's hard limit, as a multiple of the above: it leaves room for callers that come late.
+QUEUE_HEADROOM = 2
 RETRY_AFTER: Seconds = 1.0
+# One slot in this many, rounded up, is kept free of long work.
+SLOTS_PER_SHORT_SLOT = 3
+# Callers whose turns are kept apart before those that have had theirs are forgotten.
+MAX_CALLERS = 4096
+# What unknown work counts for in the order of callers.
+UNKNOWN_COST: Seconds = 0.001
 
 
 class Work(NamedTuple):
@@ -22,16 +34,57 @@
     request: Request
     deadline: float
     idempotent: bool
+    caller: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FirstComeFirstServed:
+    """Starts work in the order of its arrival, as a baseline for measurements."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fair:
+    """Shares the slots between callers, keeps some for short work, and minds deadlines."""
+
+
+Policy = FirstComeFirstServed | Fair
+
+
+class _Waiting(NamedTuple):
+    """Work in the queue; the lowest tag goes first, and among equals the first that came."""
+
+    tag: float
+    number: int
+    work: Work
+    kind: str
+    cost: Seconds
+
+
+class _Running(NamedTuple):
+    """Work at the upstream."""
+
+    kind: str
+    long: bool
+    started: float
 
 
 class Admission:
     """The one place that decides what starts at an upstream."""
 
-    def __init__(self, *, service: ServiceName, slots: int) -> None:
+    def __init__(self, *, service: ServiceName, slots: int, policy: Policy | None = None) -> None:
         self._service = service
         self._slots = slots
-        self._queue: deque[Work] = deque()
-        self._running: set[AttemptId] = set()
+        self._policy = policy or Fair()
+        self._times = ServiceTimes()
+        self._waiting: dict[AttemptId, _Waiting] = {}
+        # Heaps that may still hold work that was withdrawn.
+        self._short: list[_Waiting] = []
+        self._long: list[_Waiting] = []
+        self._callers: Counter[str] = Counter()
+        self._numbers = itertools.count()
+        self._tag = 0.0
+        self._next_tags: dict[str, float] = {}
+        self._running: dict[AttemptId, _Running] = {}
         self._draining = False
 
     @property
@@ -47,56 +100,166 @@
     @property
     def load(self) -> Load:
         """Return the slots in use and the requests that wait."""
-        return Load(self._slots, len(self._running), len(self._queue))
+        return Load(self._slots, len(self._running), len(self._waiting))
 
     @property
     def idle(self) -> bool:
         """Return whether nothing waits and nothing runs."""
-        return not self._queue and not self._running
+        return not self._waiting and not self._running
 
     @property
     def is_draining(self) -> bool:
         """Return whether nothing starts any more."""
         return self._draining
 
-    def offer(self, work: Work) -> Refusal | None:
+    def offer(self, work: Work, now: float) -> Refusal | None:
         """Queue work, or return why it is refused."""
         if self._draining:
             return Draining(service=self._service)
-        if len(self._queue) >= self._slots * QUEUE_PER_SLOT:
+        if self._is_full(work.caller):
             return QueueFull(service=self._service, retry_after=RETRY_AFTER)
-        self._queue.append(work)
+        waiting = self._place(work, now)
+        match self._policy:
+            case Fair():
+                wait = self._expected_wait(waiting, now)
+                if now + wait + waiting.cost > work.deadline:
+                    return Overloaded(service=self._service, retry_after=max(wait, waiting.cost))
+            case FirstComeFirstServed():
+                pass
+        self._waiting[work.attempt] = waiting
+        self._callers[work.caller] += 1
+        self._next_tags[work.caller] = waiting.tag + max(waiting.cost, UNKNOWN_COST)
+        heapq.heappush(self._heap(waiting.kind), waiting)
         return None
 
-    def start_next(self) -> Work | None:
+    def start_next(self, now: float) -> Work | None:
         """Give the next work a slot, or return None when nothing can start."""
-        if not self._queue or len(self._running) >= self._slots:
+        if len(self._running) >= self._slots:
+            return None
+        heads = [self._short] if self._head(self._short) else []
+        if self._head(self._long) and self._long_may_start():
+            heads.append(self._long)
+        if not heads:
             return None
-        work = self._queue.popleft()
-        self._running.add(work.attempt)
-        return work
+        waiting = heapq.heappop(min(heads, key=lambda heap: heap[0]))
+        self._leave_queue(waiting)
+        self._tag = max(self._tag, waiting.tag)
+        long = self._times.is_long(waiting.kind)
+        self._running[waiting.work.attempt] = _Running(waiting.kind, long, now)
+        return waiting.work
 
     def overdue(self, work: Work, now: float) -> Refusal | None:
-        """Return the refusal of work whose deadline passed before it started."""
-        if now < work.deadline:
-            return None
-        return DeadlinePassed(service=self._service, verdict=Verdict.NOT_RUN)
+        """Return the refusal of work that can't end in time, though it has waited."""
+        if now >= work.deadline:
+            return DeadlinePassed(service=self._service, verdict=Verdict.NOT_RUN)
+        left = work.deadline - now
+        match self._policy:
+            case Fair() if self._times.estimate(kind_of(work.request), now) > left:
+                return Overloaded(service=self._service, retry_after=RETRY_AFTER)
+        return None
 
-    def finish(self, work: Work) -> None:
-        """Free the slot of work that has ended."""
-        self._running.discard(work.attempt)
+    def finish(self, work: Work, now: float, *, ran: bool = True) -> None:
+        """Free the slot of work that has ended; ran says whether the upstream had it."""
+        running = self._running.pop(work.attempt)
+        if ran:
+            self._times.learn(running.kind, now - running.started, now)
 
     def withdraw(self, attempt: AttemptId) -> bool:
         """Take work out of the queue; return whether it was still there."""
-        for work in self._queue:
-            if work.attempt == attempt:
-                self._queue.remove(work)
-                return True
-        return False
+        waiting = self._waiting.get(attempt)
+        if waiting is None:
+            return False
+        self._leave_queue(waiting)
+        return True
 
     def drain(self) -> list[Work]:
         """Start nothing from now on, and return what was waiting."""
         self._draining = True
-        waiting = list(self._queue)
-        self._queue.clear()
-        return waiting
+        left = [waiting.work for waiting in self._waiting.values()]
+        for heap in (self._short, self._long):
+            heap.clear()
+        self._waiting.clear()
+        self._callers.clear()
+        return left
+
+    def _is_full(self, caller: str) -> bool:
+        """Return whether a caller has its share of the queue, or the queue is at its limit."""
+        capacity = self._slots * QUEUE_PER_SLOT
+        match self._policy:
+            case FirstComeFirstServed():
+                return len(self._waiting) >= capacity
+            case Fair():
+                callers = len(self._callers) + (caller not in self._callers)
+                return (
+                    self._callers[caller] >= max(1, capacity // callers)
+                    or len(self._waiting) >= capacity * QUEUE_HEADROOM
+                )
+
+    def _place(self, work: Work, now: float) -> _Waiting:
+        """Return where work stands: callers take turns, by what their work costs."""
+        kind = kind_of(work.request)
+        cost = self._times.estimate(kind, now)
+        match self._policy:
+            case FirstComeFirstServed():
+                tag = 0.0
+            case Fair():
+                tag = max(self._tag, self._next_tags.get(work.caller, 0.0))
+        return _Waiting(tag, next(self._numbers), work, kind, cost)
+
+    def _expected_wait(self, waiting: _Waiting, now: float) -> Seconds:
+        """Return how long work is likely to wait for a slot."""
+        heap = self._heap(waiting.kind)
+        long = heap is self._long
+        slots = self._long_slots() if long else self._slots - self._long_running()
+        alike = [running for running in self._running.values() if running.long == long]
+        ahead = [other.cost for other in heap if self._is_ahead(other, waiting)]
+        if not ahead and len(alike) < slots:
+            return 0.0
+        left = sum(
+            max(0.0, self._times.estimate(running.kind, now) - (now - running.started))
+            for running in alike
+        )
+        return (sum(ahead) + left) / max(1, slots)
+
+    def _is_ahead(self, other: _Waiting, waiting: _Waiting) -> bool:
+        """Return whether work in a heap still waits, and before other work."""
+        return other < waiting and other.work.attempt in self._waiting
+
+    def _heap(self, kind: str) -> list[_Waiting]:
+        """Return the heap for work of a kind."""
+        match self._policy:
+            case Fair() if self._times.is_long(kind):
+                return self._long
+        return self._short
+
+    def _head(self, heap: list[_Waiting]) -> bool:
+        """Return whether a heap holds work, once what was withdrawn is gone from its head."""
+        while heap and heap[0].work.attempt not in self._waiting:
+            heapq.heappop(heap)
+        return bool(heap)
+
+    def _long_slots(self) -> int:
+        """Return how many slots long work may hold at once."""
+        kept = -(-self._slots // SLOTS_PER_SHORT_SLOT)
+        return max(1, self._slots - kept)
+
+    def _long_running(self) -> int:
+        """Return how many slots long work holds."""
+        return sum(running.long for running in self._running.values())
+
+    def _long_may_start(self) -> bool:
+        """Return whether long work may have one more slot."""
+        return self._long_running() < self._long_slots()
+
+    def _leave_queue(self, waiting: _Waiting) -> None:
+        """Forget work that no longer waits."""
+        caller = waiting.work.caller
+        del self._waiting[waiting.work.attempt]
+        self._callers[caller] -= 1
+        if not self._callers[caller]:
+            del self._callers[caller]
+        if not self._waiting:
+            self._next_tags.clear()
+        elif len(self._next_tags) > MAX_CALLERS:
+            tags = self._next_tags.items()
+            self._next_tags = {name: tag for name, tag in tags if tag > self._tag}
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -12,12 +12,19 @@
     """One caller's request and its attempts."""
 
     def __init__(
-        self, *, request_id: RequestId, request: Request, rules: ServiceRules, deadline: float
+        self,
+        *,
+        request_id: RequestId,
+        request: Request,
+        rules: ServiceRules,
+        deadline: float,
+        caller: str = "",
     ) -> None:
         self._request_id = request_id
         self._request = request
         self._rules = rules
         self._deadline = deadline
+        self._caller = caller
         self._tried: list[HostName] = []
         self._doubt: Refusal | None = None
 
@@ -36,6 +43,11 @@
         """Return the service and its policies."""
         return self._rules
 
+    @property
+    def caller(self) -> str:
+        """Return what tells callers apart when they share an upstream."""
+        return self._caller
+
     @property
     def tried(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -42,6 +42,7 @@
     request: Request
     timeout: Seconds
     idempotent: bool
+    caller: str
     more: bool = False
 
 
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -50,6 +50,14 @@
     retry_after: Seconds
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overloaded:
+    """The upstream has too much to do to answer before the deadline."""
+
+    service: ServiceName
+    retry_after: Seconds
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeadlinePassed:
     """The deadline passed before an answer came."""
@@ -110,6 +118,7 @@
     | NoUpstream
     | Draining
     | QueueFull
+    | Overloaded
     | DeadlinePassed
     | BodyTooLarge
     | UpstreamLost
@@ -162,8 +171,11 @@
             cause = f"The chosen upstream of service {service} is leaving."
             return "draining", 503, cause, not_run, 0.0
         case QueueFull(service=service, retry_after=retry_after):
-            cause = f"Service {service} has more requests waiting than it can serve in time."
+            cause = f"Service {service} has as many requests waiting as it takes."
             return "queue-full", 503, cause, not_run, retry_after
+        case Overloaded(service=service, retry_after=retry_after):
+            cause = f"Service {service} has too much to do to answer before the deadline."
+            return "overloaded", 503, cause, not_run, retry_after
         case DeadlinePassed(service=service, verdict=verdict):
             cause = f"Service {service} did not answer before the deadline."
             return "deadline-passed", 504, cause, verdict, None
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -110,7 +110,13 @@
             return self._refuse(request_id, BodyTooLarge(limit=limit), close=True)
         request = Request(http.method, http.raw_path, _with_id(headers, request_id), body)
         deadline = time.monotonic() + rules.traffic.timeout
-        call = Call(request_id=request_id, request=request, rules=rules, deadline=deadline)
+        call = Call(
+            request_id=request_id,
+            request=request,
+            rules=rules,
+            deadline=deadline,
+            caller=http.remote or "",
+        )
         match await self._carrier.carry(call):
             case Served() as served:
                 return await self._send_answer(http, call, served)
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -135,6 +135,7 @@
             request=call.request,
             timeout=time_left,
             idempotent=call.is_idempotent,
+            caller=call.caller,
         )
         try:
             async with asyncio.timeout(time_left):
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -185,9 +185,10 @@
         """Queue an attempt, or return why not."""
         if self._admission is None or self._admission.service != offer.service:
             return NoUpstream(service=offer.service)
-        deadline = time.monotonic() + offer.timeout
-        work = Work(offer.attempt, offer.request, deadline, offer.idempotent)
-        refusal = self._admission.offer(work)
+        now = time.monotonic()
+        deadline = now + offer.timeout
+        work = Work(offer.attempt, offer.request, deadline, offer.idempotent, offer.caller)
+        refusal = self._admission.offer(work, now)
         if refusal is None:
             self._work.send()
         return refusal
@@ -287,21 +288,23 @@
             await asyncio.wait(before)
         async with _session(worker) as session:
             while not admission.is_draining:
-                work = admission.start_next()
+                work = admission.start_next(time.monotonic())
                 if work is None:
                     await turnstile.wait()
                     continue
                 refusal = admission.overdue(work, time.monotonic())
                 if refusal is not None:
-                    admission.finish(work)
+                    admission.finish(work, time.monotonic(), ran=False)
                     await self._refuse(work.attempt, refusal)
                     continue
                 self._attempts.start(work.attempt)
                 try:
                     await self._run(work, worker, session)
                 finally:
-                    admission.finish(work)
+                    admission.finish(work, time.monotonic())
                     self._ended.send()
+                    # Long work may wait for this slot, though an idle one has nothing to start.
+                    turnstile.send()
 
     async def _run(self, work: Work, worker: Worker, session: aiohttp.ClientSession) -> None:
         """Run one request at the worker and send its answer back."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -149,6 +149,7 @@
         request=Request(method, path, (), b""),
         timeout=timeout,
         idempotent=method == "GET",
+        caller="c",
     )
 
 
