--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -21,6 +21,13 @@
     path: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MalformedRequest:
+    """The request's head can't be passed on as it was meant."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoUpstream:
     """No upstream of the service can take the request."""
@@ -43,6 +50,14 @@
     retry_after: Seconds
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overloaded:
+    """The upstream has too much to do to answer before the deadline."""
+
+    service: ServiceName
+    retry_after: Seconds
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeadlinePassed:
     """The deadline passed before an answer came."""
@@ -74,6 +89,21 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Withdrawn:
+    """The request was taken back before it started."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerLost:
+    """The answer can't be fetched again."""
+
+    service: ServiceName
+    verdict: Verdict
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerGone:
     """The caller closed its connection before an answer came."""
@@ -84,13 +114,17 @@
 Refusal = (
     NoConfiguration
     | NoRoute
+    | MalformedRequest
     | NoUpstream
     | Draining
     | QueueFull
+    | Overloaded
     | DeadlinePassed
     | BodyTooLarge
     | UpstreamLost
     | OwnerUnreachable
+    | Withdrawn
+    | AnswerLost
     | CallerGone
 )
 
@@ -127,6 +161,9 @@
             return "no-configuration", 503, cause, not_run, 1.0
         case NoRoute(host=host, path=path):
             return "no-route", 404, f"No route serves {path} on {host}.", not_run, None
+        case MalformedRequest(reason=reason):
+            cause = f"The request can't be passed on: {reason}."
+            return "malformed-request", 400, cause, not_run, None
         case NoUpstream(service=service):
             cause = f"No upstream of service {service} can take the request now."
             return "no-upstream", 503, cause, not_run, 1.0
@@ -134,8 +171,11 @@
             cause = f"The chosen upstream of service {service} is leaving."
             return "draining", 503, cause, not_run, 0.0
         case QueueFull(service=service, retry_after=retry_after):
-            cause = f"Service {service} has more requests waiting than it can serve in time."
+            cause = f"Service {service} has as many requests waiting as it takes."
             return "queue-full", 503, cause, not_run, retry_after
+        case Overloaded(service=service, retry_after=retry_after):
+            cause = f"Service {service} has too much to do to answer before the deadline."
+            return "overloaded", 503, cause, not_run, retry_after
         case DeadlinePassed(service=service, verdict=verdict):
             cause = f"Service {service} did not answer before the deadline."
             return "deadline-passed", 504, cause, verdict, None
@@ -147,6 +187,12 @@
         case OwnerUnreachable(host=host, verdict=verdict):
             cause = f"The proxy on host {host} could not be reached."
             return "owner-unreachable", 502, cause, verdict, None
+        case Withdrawn(service=service):
+            cause = f"The request was taken back from service {service} before it started."
+            return "withdrawn", 503, cause, not_run, 0.0
+        case AnswerLost(service=service, verdict=verdict):
+            cause = f"The answer of service {service} was lost on its way."
+            return "answer-lost", 502, cause, verdict, None
         case CallerGone(verdict=verdict):
             cause = "The caller closed its connection before the answer came."
             return "caller-gone", 499, cause, verdict, None
