--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -171,15 +171,15 @@
                     return
                 await asyncio.sleep(0.1)
 
-    async def lose_disk(self, host: str) -> None:
-        """Kill a replica, empty its folder, and repair it under a new identity."""
+    async def lose_disk(self, host: str, change: str = "replace") -> None:
+        """Kill a replica, empty its folder, and take it in under a new identity."""
         self.fleet.kill_daemon(host)
         shutil.rmtree(self.fleet.folder / f"{host}.data")
         settings = str(self.fleet.folder / f"{host}.toml")
         join = ("replica", "join", "--group", "fleet", "--settings", settings)
         replica_id = (await asyncio.to_thread(self.fleet.command, *join)).strip()
         self.fleet.start_daemon(host)
-        await self.regroup("replace", f"{host}={self.fleet.address(host, 'peers')}", replica_id)
+        await self.regroup(change, f"{host}={self.fleet.address(host, 'peers')}", replica_id)
 
     async def regroup(self, change: str, member: str, replica_id: str = "") -> None:
         """Change the group by the command line."""
@@ -266,6 +266,17 @@
 
         await self.race(lose_two)
 
+    async def test_a_replica_is_removed_and_another_added_while_operators_write(self) -> None:
+        """The group never stops, and counts the added replica as it counted the removed one."""
+        first, second, _ = sorted(self.fleet.replicas)
+
+        async def exchange() -> None:
+            await self.regroup("remove", first)
+            await self.lose_disk(first, "add")
+            self.fleet.kill_daemon(second)
+
+        await self.race(exchange)
+
     async def test_a_disk_that_is_created_again_is_no_voter(self) -> None:
         """It and one other replica elect nobody, whatever the operator typed."""
         first, second, third = sorted(self.fleet.replicas)
