--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -281,12 +281,8 @@
 
     def consider_append(self, append: Append, now: float) -> AppendReply:
         """Take entries from the leader; the reply may leave only after a sync."""
-        self._observe_term(append.term)
-        if append.term < self._term:
+        if not self._follow(append.term, append.leader, now):
             return self._append_reply(matched=False, index=0)
-        self._role = Follower(leader=append.leader)
-        self._heard_leader_at = now
-        self._delay_election(now)
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
         # What lies before the base is committed, so it is the same in every log.
@@ -302,12 +298,8 @@
 
     def consider_install(self, install: Install, now: float) -> AppendReply:
         """Take a snapshot from the leader; the reply may leave only after a sync."""
-        self._observe_term(install.term)
-        if install.term < self._term:
+        if not self._follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
-        self._role = Follower(leader=install.leader)
-        self._heard_leader_at = now
-        self._delay_election(now)
         snapshot = install.snapshot
         if snapshot.position > self._commit:
             import_state(self._catalogue, snapshot.catalogue)
@@ -369,15 +361,12 @@
         self._observe_term(reply.term)
         if not isinstance(self._role, Leader) or reply.term != self._term:
             return
-        role = self._role
-        role.contact[reply.voter] = max(sent_at, role.contact.get(reply.voter, 0.0))
+        self._role.count_contact(reply.voter, sent_at)
         self._reports.update((report.host, report) for report in reply.reports)
         if not reply.matched:
-            known = role.match_index.get(reply.voter, 0)
-            role.next_index[reply.voter] = max(known + 1, min(reply.index + 1, self.last_index))
+            self._role.count_refusal(reply.voter, min(reply.index, self.last_index - 1))
             return
-        role.match_index[reply.voter] = max(role.match_index.get(reply.voter, 0), reply.index)
-        role.next_index[reply.voter] = role.match_index[reply.voter] + 1
+        self._role.count_match(reply.voter, reply.index)
         self._commit_majority()
 
     def recognizes(self, host: HostName, replica_id: ReplicaId) -> bool:
@@ -404,7 +393,9 @@
             return GroupRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
-        self._forget_progress(self._role, group)
+        for member in self.group.members:
+            if group.member(member.host) != member:
+                self._role.forget(member.host)
         return self._append_own(Regroup(group=group), stamped_at)
 
     def tend_group(self, *, stamped_at: float) -> int | None:
@@ -415,7 +406,7 @@
         if bound != self.group and sum(bool(v.replica_id) for v in bound.voters) >= bound.majority:
             return self._append_own(Regroup(group=bound), stamped_at)
         for learner in self.group.learners:
-            if self._role.match_index.get(learner.host, 0) < max(self._commit, 1):
+            if self._role.matched(learner.host) < max(self._commit, 1):
                 continue
             promoted = self.regroup(Promote(learner=learner), stamped_at=stamped_at)
             return promoted if isinstance(promoted, int) else None
@@ -457,7 +448,7 @@
 
     def _contact(self, role: Leader, voter: Voter, now: float) -> float:
         """Return when this leader last sent what a voter has since answered."""
-        return now if voter.host == self._host else role.contact.get(voter.host, 0.0)
+        return now if voter.host == self._host else role.answered(voter.host)
 
     def _hears_leader(self, now: float) -> bool:
         """Return whether a leader was heard too recently to vote for another."""
@@ -483,6 +474,16 @@
             self._set_ballot(Ballot(term, None))
             self._role = Follower()
 
+    def _follow(self, term: int, leader: HostName, now: float) -> bool:
+        """Follow a leader, and return False when its term is over."""
+        self._observe_term(term)
+        if term < self._term:
+            return False
+        self._role = Follower(leader=leader)
+        self._heard_leader_at = now
+        self._delay_election(now)
+        return True
+
     def _lead(self, now: float) -> None:
         """Become the leader and open the term with an entry of its own."""
         self._role = Leader(since=now)
@@ -537,20 +538,12 @@
         if self._applied - self._log.base_index >= self._compact_after:
             self._compact()
 
-    def _forget_progress(self, role: Leader, group: Group) -> None:
-        """Forget what a host's former identity has synced, where a group has another or none."""
-        for member in self.group.members:
-            if group.member(member.host) != member:
-                role.next_index.pop(member.host, None)
-                role.match_index.pop(member.host, None)
-                role.contact.pop(member.host, None)
-
     def _synced_by(self, role: Leader, voter: Voter) -> int:
         """Return up to which index a voter has synced this leader's log."""
         # A founder whose identity isn't in the log could come back with an empty disk unnoticed.
         if not voter.replica_id:
             return 0
-        return self._synced if voter.host == self._host else role.match_index.get(voter.host, 0)
+        return self._synced if voter.host == self._host else role.matched(voter.host)
 
     def _snapshot(self) -> LogSnapshot:
         """Return what the applied log has built."""
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from cowslipvane.types import HostName
@@ -37,5 +38,31 @@
     match_index: dict[HostName, int] = field(default_factory=dict)
     contact: dict[HostName, float] = field(default_factory=dict)
 
+    def matched(self, host: HostName) -> int:
+        """Return up to which index a member has synced this leader's log."""
+        return self.match_index.get(host, 0)
+
+    def answered(self, host: HostName) -> float:
+        """Return when this leader last sent what a member has since answered."""
+        return self.contact.get(host, -math.inf)
+
+    def count_contact(self, host: HostName, sent_at: float) -> None:
+        """Note that a member has answered a message of some time."""
+        self.contact[host] = max(sent_at, self.answered(host))
+
+    def count_match(self, host: HostName, index: int) -> None:
+        """Note up to which index a member has synced the log."""
+        self.match_index[host] = max(self.matched(host), index)
+        self.next_index[host] = self.matched(host) + 1
+
+    def count_refusal(self, host: HostName, index: int) -> None:
+        """Go back to an index for a member whose log differs, never behind what has matched."""
+        self.next_index[host] = max(self.matched(host), index) + 1
+
+    def forget(self, host: HostName) -> None:
+        """Forget what a former identity on a host has synced and answered."""
+        for progress in (self.next_index, self.match_index, self.contact):
+            progress.pop(host, None)
+
 
 Role = Follower | PreCandidate | Candidate | Leader
