Spread membership along a ring, by changes and digests

Every process sent all records to all seeds twice a second: quadratic, and three dead seeds emptied the membership everywhere.

Now each process keeps connections to its ring successors at distances 1, 2, 4 and so on, sends each change once, and finds what got lost by a digest. A record is suspected when a neighbour misses replies, its owner contradicts, and it is dead after 3 s. Seeds only serve to join and to heal. Data centres tell each other of two gateways, the seeds and three owners of each service.

Ruled out: a gossip of random pairs (its tail of who learns last is longer, and its heartbeats judge nobody in particular); renewing each record at each interval (a flood of n records a second); immediate gossip of deaths instead of suspicions (a healed partition would bury the living).

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -66,7 +66,7 @@
             None,
         )
         self._members = Members(
-            membership=Membership(own=own, now=time.monotonic()),
+            membership=Membership(own=own, now=time.monotonic(), seeds=settings.seeds),
             seeds=settings.seeds,
             interval=settings.timing.exchange,
             events=self._events,
--- a/cowslipvane/membership/__init__.py
+++ b/cowslipvane/membership/__init__.py
@@ -1,6 +1,22 @@
 """The members of a data centre: who is up, leaving or gone."""
 
-from cowslipvane.membership._member import Exchange, ExchangeReply, Member, Worker
-from cowslipvane.membership._membership import Membership
+from cowslipvane.membership._feed import Feed
+from cowslipvane.membership._member import Member, Order, Stamp, Worker
+from cowslipvane.membership._membership import SUSPICION_TIMEOUT, Membership
+from cowslipvane.membership._messages import Compare, Exchange, ExchangeReply, Hello
+from cowslipvane.membership._topology import Neighbour
 
-__all__ = ["Exchange", "ExchangeReply", "Member", "Membership", "Worker"]
+__all__ = [
+    "SUSPICION_TIMEOUT",
+    "Compare",
+    "Exchange",
+    "ExchangeReply",
+    "Feed",
+    "Hello",
+    "Member",
+    "Membership",
+    "Neighbour",
+    "Order",
+    "Stamp",
+    "Worker",
+]
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -1,12 +1,14 @@
-"""The record of a member, and the messages that spread records."""
+"""The record of a member, and what orders two records of one host."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import hashlib
 from typing import Literal, NamedTuple
 
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
 
+_HASH_BYTES = 8
+
 
 class Worker(NamedTuple):
     """What an upstream announces of itself to the proxy on its host."""
@@ -17,6 +19,25 @@
     connections: int
 
 
+class Order(NamedTuple):
+    """What orders the records of one host: the later one wins.
+
+    The owner alone raises incarnation and counter; others may only suspect, so that a
+    suspicion loses against anything that the owner says after it.
+    """
+
+    incarnation: int
+    counter: int
+    suspected: bool
+
+
+class Stamp(NamedTuple):
+    """Which record of a host a process holds."""
+
+    host: HostName
+    order: Order
+
+
 class Member(NamedTuple):
     """A process of the system, as its own process last described it."""
 
@@ -29,23 +50,15 @@
     callers: Address | None
     state: Literal["up", "leaving", "gone"]
     worker: Worker | None
+    suspected: bool = False
 
     @property
-    def order(self) -> tuple[int, int]:
-        """Return what orders the records of one host: the later one wins."""
-        return self.incarnation, self.counter
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Exchange:
-    """Sends the records that the sender holds and asks for the receiver's."""
-
-    sender: HostName
-    members: tuple[Member, ...]
-
+    def order(self) -> Order:
+        """Return what orders the records of one host."""
+        return Order(self.incarnation, self.counter, self.suspected)
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExchangeReply:
-    """Answers an exchange with the records that are newer here."""
 
-    members: tuple[Member, ...]
+def record_hash(member: Member) -> int:
+    """Return a hash of which record of a host this is."""
+    text = f"{member.host} {member.incarnation} {member.counter} {member.suspected}"
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest())
