Choose owners by fresh reports, latency, losses and age

The choice took the last report of load at its face value however old it was, sent a new owner its full share at once, and went on choosing an owner that lost every attempt or had become slow.

Now a report counts half after 0.5 s, beside the calls under way from here and weighed with the owner's service time when it tells one; outliers by losses or by a median latency three times the usual are left out for 2 s and longer each time, never more than a third of the owners; what is new or comes back ramps up over 5 s. Other data centres serve when all here were tried or have three calls for each slot. The median is a step estimate, because a mean makes an outlier of whoever had the long work.

Ruled out: a share of 30%, which leaves no room to ease out one of three owners, the usual number of a service here.

Not measured here: the tail latency of a fleet with slow upstreams.

--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import random
+import statistics
 from collections.abc import Collection, Sequence
-from typing import NamedTuple
 
 from cowslipvane.membership import Member
-from cowslipvane.types import DataCentre, HostName
+from cowslipvane.routing._view import Load, OwnerView, Result
+from cowslipvane.types import DataCentre, HostName, Seconds
 
-
-class Load(NamedTuple):
-    """What an owner says of its upstream with each answer."""
-
-    slots: int
-    running: int
-    queued: int
+# At most this share of the owners that can be chosen among is left out as outliers.
+EASED_SHARE = 1 / 3
+# An owner is an outlier when its median latency is this many times that of the others.
+SLOW_FACTOR = 3.0
+# A difference below this doesn't make an outlier.
+SLOW_EXCESS: Seconds = 0.005
+# With so many calls for each slot at each owner here, other data centres are considered.
+OVERLOADED = 3.0
 
 
 class Chooser:
@@ -24,34 +26,82 @@
     def __init__(self, *, data_centre: DataCentre, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self._loads: dict[HostName, Load] = {}
-        self._under_way: dict[HostName, int] = {}
+        self._views: dict[HostName, OwnerView] = {}
 
-    def choose(self, owners: Sequence[Member], excluded: Collection[HostName]) -> Member | None:
+    def choose(
+        self, owners: Sequence[Member], excluded: Collection[HostName], now: float
+    ) -> Member | None:
         """Return the owner for the next attempt, or None when there is none."""
         left = [owner for owner in owners if owner.host not in excluded]
+        for owner in owners:
+            self._see(owner, now)
         near = [owner for owner in left if owner.data_centre == self._data_centre]
-        pool = near or left
-        if len(pool) <= 1:
-            return pool[0] if pool else None
-        return min(self._rng.sample(pool, 2), key=self._pressure)
+        pool = left if not near or self._is_overloaded(near, now) else near
+        candidates = self._without_outliers(pool, now)
+        if len(candidates) <= 1:
+            return candidates[0] if candidates else None
+        first = self._draw(candidates, now)
+        second = self._draw([owner for owner in candidates if owner is not first], now)
+        return self._lighter(first, second, now)
 
     def begin(self, host: HostName) -> None:
         """Count a call under way to an owner."""
-        self._under_way[host] = self._under_way.get(host, 0) + 1
-
-    def end(self, host: HostName, load: Load | None) -> None:
-        """Count a call as over, and keep the load that came with its answer."""
-        left = self._under_way.get(host, 1) - 1
-        self._under_way[host] = left
-        if not left:
-            del self._under_way[host]
-        if load is not None:
-            self._loads[host] = load
-
-    def _pressure(self, owner: Member) -> float:
-        """Return the calls per slot that an owner has to serve."""
-        slots = owner.worker.slots if owner.worker else 1
-        load = self._loads.get(owner.host, Load(slots, 0, 0))
-        here = self._under_way.get(owner.host, 0)
-        return (max(load.running + load.queued, here) + here) / max(slots, 1)
+        self._views[host].begin()
+
+    def end(
+        self, host: HostName, result: Result, load: Load | None, took: Seconds, now: float
+    ) -> None:
+        """Count a call as over, and learn from what became of it."""
+        self._views[host].end(result, load, took, now)
+
+    def _see(self, owner: Member, now: float) -> None:
+        """Begin a new view of an owner that is new, or new again."""
+        view = self._views.get(owner.host)
+        if view is None or not view.is_of(owner):
+            self._views[owner.host] = OwnerView(member=owner, now=now)
+
+    def _is_overloaded(self, owners: Sequence[Member], now: float) -> bool:
+        """Return whether no owner has room."""
+        return all(self._views[owner.host].per_slot(now) >= OVERLOADED for owner in owners)
+
+    def _without_outliers(self, pool: Sequence[Member], now: float) -> list[Member]:
+        """Ease out the worst owners, as far as their share allows, and return the others."""
+        used = [owner for owner in pool if not self._views[owner.host].is_eased(now)]
+        allowed = int(len(pool) * EASED_SHARE) - (len(pool) - len(used))
+        for owner in self._outliers(used)[: max(allowed, 0)]:
+            self._views[owner.host].ease_out(now)
+            used.remove(owner)
+        return used or list(pool)
+
+    def _outliers(self, owners: Sequence[Member]) -> list[Member]:
+        """Return the owners that lose attempts or are slow, the worst first."""
+        latencies = {owner.host: self._views[owner.host].latency for owner in owners}
+        known = [latency for latency in latencies.values() if latency is not None]
+        usual = statistics.median_low(known) if known else 0.0
+        limit = max(usual * SLOW_FACTOR, usual + SLOW_EXCESS)
+        found = [
+            owner
+            for owner in owners
+            if self._views[owner.host].loses or (latencies[owner.host] or 0.0) > limit
+        ]
+        return sorted(
+            found,
+            key=lambda owner: (self._views[owner.host].loses, latencies[owner.host] or 0.0),
+            reverse=True,
+        )
+
+    def _draw(self, owners: Sequence[Member], now: float) -> Member:
+        """Return an owner at random, new and returning ones less often."""
+        ramps = [self._views[owner.host].ramp(now) for owner in owners]
+        return self._rng.choices(owners, ramps)[0]
+
+    def _lighter(self, one: Member, other: Member, now: float) -> Member:
+        """Return the owner that is likely to answer sooner."""
+        views = [self._views[owner.host] for owner in (one, other)]
+        times = [view.service_time for view in views]
+        # Times count only when both are known.
+        weights = times if all(times) else [1.0, 1.0]
+        waits = [
+            (view.per_slot(now) + 1) * weight for view, weight in zip(views, weights, strict=True)
+        ]
+        return one if waits[0] <= waits[1] else other
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -10,7 +10,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import DeadlinePassed, NoUpstream, Refusal, explain
-from cowslipvane.routing import Chooser, Load
+from cowslipvane.routing import Chooser, Load, Result
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Mailbox, Peers
@@ -75,7 +75,7 @@
         table = self._subscription.table
         owners = self._membership.owners(call.rules.service, time.monotonic())
         allowed = [owner for owner in owners if table is None or not table.is_out(owner.host)]
-        return self._chooser.choose(allowed, call.tried)
+        return self._chooser.choose(allowed, call.tried, time.monotonic())
 
     async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
         """Hand a call to one owner; return its answer, or the refusal."""
@@ -84,7 +84,9 @@
         self._events.record("attempt", request=request_id, owner=member.host)
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
+        begun = time.monotonic()
         load: Load | None = None
+        result = Result.GIVEN_UP
         told = False
         try:
             async with asyncio.timeout(call.time_left(time.monotonic())):
@@ -93,16 +95,20 @@
             told = True
             match first:
                 case Answer(status=status, load=load):
+                    result = Result.ANSWERED
                     self._events.record("answered", request=request_id, status=str(status))
                     return Served(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
+                    result = Result.of_refusal(refusal)
                     return refusal
                 case Chunk():
                     raise Broken("a body came before its answer")
         except TimeoutError:
+            result = Result.OVERDUE
             return DeadlinePassed(service=call.rules.service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
-            self._chooser.end(member.host, load)
+            now = time.monotonic()
+            self._chooser.end(member.host, result, load, now - begun, now)
             if not told:
                 await self._cancel(member, attempt)
 
