Keep retries and hedges within a budget of each service

A call could be tried again as often as its policy said while every call failed, so that a crest amplified itself.

Now each service's calls earn retries (a fifth of the calls, 1/s beside, at most 20 saved up) and hedges (a twentieth, 0.2/s, at most 5); the carrier asks before it tries again. What a drain sends back is exempt: it happens once, and a planned stop shall not lose its queue. Hedging learns the 95th percentile of a service's answers; no copy is sent yet, that is the carrier's to do for idempotent calls.

That the carrier asks has no test of its own.

--- a/cowslipvane/routing/__init__.py
+++ b/cowslipvane/routing/__init__.py
@@ -1,7 +1,9 @@
 """Where a request goes: the routing table in force, and the choice of an owner."""
 
+from cowslipvane.routing._budget import Budgets
 from cowslipvane.routing._choice import Chooser
+from cowslipvane.routing._hedging import Hedging
 from cowslipvane.routing._table import RoutingTable, ServiceRules
 from cowslipvane.routing._view import Load, Result
 
-__all__ = ["Chooser", "Load", "Result", "RoutingTable", "ServiceRules"]
+__all__ = ["Budgets", "Chooser", "Hedging", "Load", "Result", "RoutingTable", "ServiceRules"]
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -10,7 +10,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import DeadlinePassed, NoUpstream, Refusal, explain
-from cowslipvane.routing import Chooser, Load, Result
+from cowslipvane.routing import Budgets, Chooser, Load, Result
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Mailbox, Peers
@@ -49,10 +49,12 @@
         self._peers = peers
         self._chooser = chooser
         self._events = events
+        self._budgets = Budgets()
 
     async def carry(self, call: Call) -> Served | Refusal:
         """Return the answer that has begun, or the refusal of the last attempt."""
         refusal: Refusal = NoUpstream(service=call.rules.service)
+        self._budgets.note_call(call.rules.service, time.monotonic())
         while call.time_left(time.monotonic()) > 0:
             member = self._choose(call)
             if member is None:
@@ -64,6 +66,8 @@
                     refusal = refused
             if not call.may_try_again(refusal):
                 break
+            if not self._budgets.allow_retry(call.rules.service, refusal, time.monotonic()):
+                break
         return refusal
 
     async def give_up(self, served: Served) -> None:
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,87 @@
+"""Tests of the budgets for retries and hedges, over simulated calls."""
+
+import random
+import unittest
+
+from cowslipvane.refusal import Draining, OwnerUnreachable
+from cowslipvane.routing import Budgets, Hedging
+from cowslipvane.routing._budget import HEDGE_SHARE, RETRY_FLOOR_PER_S, RETRY_SHARE
+from cowslipvane.routing._hedging import ENOUGH_SAMPLES
+from cowslipvane.types import HostName, ServiceName, Verdict
+
+STOCK = ServiceName("stock")
+LOST = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
+
+
+class BudgetTest(unittest.TestCase):
+    """How many extra attempts are allowed."""
+
+    def test_retries_and_hedges_stay_a_share_of_the_calls(self) -> None:
+        """A crest of failures can't amplify itself."""
+        budgets = Budgets()
+        retries = hedges = 0
+        for _ in range(1000):
+            budgets.note_call(STOCK, 0.0)
+            retries += budgets.allow_retry(STOCK, LOST, 0.0)
+            hedges += budgets.allow_hedge(STOCK, 0.0)
+        self.assertLessEqual(retries, 1000 * RETRY_SHARE + 20)
+        self.assertGreaterEqual(retries, 1000 * RETRY_SHARE)
+        self.assertLessEqual(hedges, 1000 * HEDGE_SHARE + 5)
+
+    def test_rare_calls_have_a_floor(self) -> None:
+        """Time earns some retries too, but never more than the most."""
+        budgets = Budgets()
+        budgets.note_call(STOCK, 0.0)
+        self.spend_all(budgets)
+        self.assertTrue(budgets.allow_retry(STOCK, LOST, 1.5 / RETRY_FLOOR_PER_S))
+        self.assertFalse(budgets.allow_retry(STOCK, LOST, 1.5 / RETRY_FLOOR_PER_S))
+        spent = sum(budgets.allow_retry(STOCK, LOST, 1e6) for _ in range(100))
+        self.assertEqual(spent, 20)
+
+    def spend_all(self, budgets: Budgets) -> None:
+        """Spend all retries of stock."""
+        self.assertIn(False, [budgets.allow_retry(STOCK, LOST, 0.0) for _ in range(100)])
+
+    def test_work_sent_back_by_a_drain_is_not_held_back(self) -> None:
+        """A planned stop sends all its queue elsewhere, and that adds no work."""
+        budgets = Budgets()
+        budgets.note_call(STOCK, 0.0)
+        self.spend_all(budgets)
+        self.assertTrue(budgets.allow_retry(STOCK, Draining(service=STOCK), 0.0))
+
+    def test_services_do_not_share_a_budget(self) -> None:
+        """One service's failures leave the others their retries."""
+        budgets = Budgets()
+        other = ServiceName("billing")
+        budgets.note_call(STOCK, 0.0)
+        budgets.note_call(other, 0.0)
+        self.spend_all(budgets)
+        self.assertTrue(budgets.allow_retry(other, LOST, 0.0))
+
+
+class HedgingTest(unittest.TestCase):
+    """When a second copy is sent."""
+
+    def test_the_delay_is_near_the_95th_percentile(self) -> None:
+        """Most calls are answered before it, and few after."""
+        hedging = Hedging()
+        rng = random.Random(5)
+        for _ in range(5000):
+            hedging.learn(STOCK, rng.uniform(0.0, 1.0))
+        delay = hedging.delay(STOCK)
+        assert delay is not None
+        self.assertAlmostEqual(delay, 0.95, delta=0.04)
+
+    def test_nothing_is_sent_before_enough_is_known(self) -> None:
+        """A service without answers has no delay."""
+        hedging = Hedging()
+        self.assertIsNone(hedging.delay(STOCK))
+        for _ in range(ENOUGH_SAMPLES - 1):
+            hedging.learn(STOCK, 0.01)
+        self.assertIsNone(hedging.delay(STOCK))
+        hedging.learn(STOCK, 0.01)
+        self.assertIsNotNone(hedging.delay(STOCK))
+
+
+if __name__ == "__main__":
+    unittest.main()
