--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -63,6 +63,18 @@
             seen = await self.until(host, lambda seen: sum(self.alive(seen).values()) == 5)
             self.assertEqual({member["state"] for member in seen["members"]}, {"up"})
 
+    async def test_a_frozen_worker_is_taken_out_and_comes_back(self) -> None:
+        """Its proxy stays a member, and tells the others that it serves nothing."""
+        self.fleet.signal_worker("stock-2", signal.SIGSTOP)
+        seen = await self.until("stock-1", lambda seen: self.service(seen, "stock-2") == "")
+        self.assertTrue(self.alive(seen)["stock-2"])
+        self.fleet.signal_worker("stock-2", signal.SIGCONT)
+        await self.until("stock-1", lambda seen: self.service(seen, "stock-2") == "stock")
+
+    def service(self, status: dict[str, Any], host: str) -> str:
+        """Return the service that a member serves."""
+        return next(str(item["service"]) for item in status["members"] if item["host"] == host)
+
     async def test_a_drained_proxy_is_leaving_for_all(self) -> None:
         """Each of the others learns of its leave."""
         url = f"http://{self.fleet.address('stock-3', 'operators')}/drain"
