Close connections of neighbours that have fallen silent

A neighbour that was cut off without a word left its connection, and the task that serves it, for good. Now the task ends after 40 heartbeats without a message, four times the distant neighbours' interval. A neighbour that has become near or distant changes its heartbeat without a new connection.

2 tests in tests.test_members_task pass; without the timeout on the greeting, or without that on the exchanges, test_a_silent_opener_holds_no_task failed.

--- a/cowslipvane/tasks/_members.py
+++ b/cowslipvane/tasks/_members.py
@@ -29,6 +29,8 @@
 REPLY_HEARTBEATS = 4
 # A distant neighbour gets a heartbeat this seldom, as a multiple of the near ones' interval.
 DISTANT_HEARTBEATS = 10
+# A connection on which nothing came for this many heartbeats is closed.
+IDLE_HEARTBEATS = 4 * DISTANT_HEARTBEATS
 # Time between two conversations with seeds, as a multiple of the interval.
 SEED_INTERVALS = 10
 # A conversation with a seed ends after this many exchanges, settled or not.
@@ -52,6 +54,7 @@
         self._events = events
         self._changed = Signal()
         self._neighbours: dict[HostName, asyncio.Task[None]] = {}
+        self._near: set[HostName] = set()
         self._rng = random.Random()
         self._noted = membership.revision
 
@@ -76,14 +79,22 @@
                 await asyncio.sleep(GATHER_TIME)
 
     async def serve(self, link: Link) -> None:
-        """Answer one neighbour's exchanges, in order."""
-        match await link.receive():
+        """Answer one neighbour's exchanges, in order, until it falls silent."""
+        try:
+            await self._answer(link)
+        except TimeoutError:
+            return
+
+    async def _answer(self, link: Link) -> None:
+        """Answer exchanges; raise TimeoutError when none comes."""
+        timeout = self._interval * IDLE_HEARTBEATS
+        match await asyncio.wait_for(link.receive(), timeout):
             case Hello(data_centre=centre, guest=guest):
                 feed = Feed(membership=self._membership, data_centre=centre, guest=guest)
             case _:
                 return
         while True:
-            match await link.receive():
+            match await asyncio.wait_for(link.receive(), timeout):
                 case Exchange() | Compare() as message:
                     reply, newer = feed.answer(message, time.monotonic())
                     self._note(newer)
@@ -97,10 +108,10 @@
         for host in self._neighbours.keys() - wanted.keys():
             self._neighbours.pop(host).cancel()
         for host in wanted.keys() - self._neighbours.keys():
-            beat = self._interval * (1 if wanted[host].near else DISTANT_HEARTBEATS)
-            self._neighbours[host] = tasks.create_task(self._talk_to(host, beat))
+            self._neighbours[host] = tasks.create_task(self._talk_to(host))
+        self._near = {host for host, neighbour in wanted.items() if neighbour.near}
 
-    async def _talk_to(self, host: HostName, beat: Seconds) -> None:
+    async def _talk_to(self, host: HostName) -> None:
         """Keep a connection to a neighbour, and suspect it while there is none."""
         while True:
             member = self._membership.member(host)
@@ -108,7 +119,7 @@
                 return
             try:
                 async with connect(member.peers, "/members") as link:
-                    await self._converse(link, member, beat)
+                    await self._converse(link, member)
             except (LinkClosed, Malformed):
                 # One retry first: a neighbour that restarts has closed the connection too.
                 await self._suspect_unless_reachable(member)
@@ -123,7 +134,7 @@
             if self._membership.suspect(member.host, time.monotonic()):
                 self._note_suspicion(member.host)
 
-    async def _converse(self, link: Link, member: Member, beat: Seconds) -> None:
+    async def _converse(self, link: Link, member: Member) -> None:
         """Exchange news and heartbeats with one neighbour until it fails."""
         feed = await self._greet(link, member)
         while True:
@@ -136,9 +147,13 @@
                     self._note_suspicion(member.host)
                 return
             if not feed.has_news:
-                await self._changed.wait(feed.pause(beat))
+                await self._changed.wait(feed.pause(self._beat(member.host)))
                 await asyncio.sleep(GATHER_TIME)
 
+    def _beat(self, host: HostName) -> Seconds:
+        """Return the time between heartbeats to a neighbour."""
+        return self._interval * (1 if host in self._near else DISTANT_HEARTBEATS)
+
     async def _ask_seeds(self) -> None:
         """Ask one seed after another while this process has to."""
         while self._seeds:
