--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -21,7 +21,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import DeadlinePassed, NoUpstream, OwnerUnreachable, Refusal, explain
-from cowslipvane.routing import Chooser, Load
+from cowslipvane.routing import Budgets, Chooser, Load, Result
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import LinkLost, Mailbox, Peers
@@ -68,10 +68,12 @@
         self._events = events
         self._own = membership.own
         self._serials = itertools.count(1)
+        self._budgets = Budgets()
 
     async def carry(self, call: Call) -> Served | Refusal:
         """Return the answer that has begun, or the refusal of the last attempt."""
         refusal: Refusal = NoUpstream(service=call.rules.service)
+        self._budgets.note_call(call.rules.service, time.monotonic())
         while call.time_left(time.monotonic()) > 0:
             member = self._choose(call)
             if member is None:
@@ -84,6 +86,8 @@
             if not call.may_try_again(refusal):
                 break
             call.note(refusal)
+            if not self._budgets.allow_retry(call.rules.service, refusal, time.monotonic()):
+                break
         return call.doubt or refusal
 
     async def give_up(self, served: Served) -> None:
@@ -96,7 +100,7 @@
         table = self._subscription.table
         owners = self._membership.owners(call.rules.service, time.monotonic())
         allowed = [owner for owner in owners if table is None or not table.is_out(owner.host)]
-        return self._chooser.choose(allowed, call.tried)
+        return self._chooser.choose(allowed, call.tried, time.monotonic())
 
     async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
         """Hand a call to one owner; return its answer, or the refusal."""
@@ -111,23 +115,28 @@
         )
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
+        begun = time.monotonic()
         load: Load | None = None
+        result = Result.GIVEN_UP
         told = False
         try:
             first = await self._first_message(call, member, attempt, mailbox)
             told = True
             match first:
                 case Answer(status=status, load=load):
+                    result = Result.ANSWERED
                     self._note(call, member, Verdict.RAN, str(status))
                     return Served(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
+                    result = Result.of_refusal(refusal)
                     told_by_owner = explain(refusal)
                     self._note(call, member, told_by_owner.verdict, told_by_owner.code)
                     return refusal
                 case Chunk():
                     raise Broken("a body came before its answer")
         finally:
-            self._chooser.end(member.host, load)
+            now = time.monotonic()
+            self._chooser.end(member.host, result, load, now - begun, now)
             if not told:
                 cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
                 await self._send(member, cancel, None)
