Meet nonsense with an error that costs its sender only

Cause, found by fuzzing and probing one fleet of three processes: - an offer whose target or method the HTTP library refuses ended the slot's task and with it the shared session, so the service was lost (504 for all callers); - a caller's absolute target made the owner connect to whatever server it named; - a NaN deadline was taken from a peer, and spoils the order of the loop's timers; - an announcement could ask for any number of slots, each a task; - unknown charsets and deep JSON at the operators' listener ended in a traceback, and each malformed HTTP head put one on standard error. Change: each is refused with a sentence; a target is cut to its path. An exception of a peer's connection is recorded as an event too. Ruled out: a wall around every task (an unexpected error in the process's own tasks still ends it, as a bug should). Seen to fail without: finite numbers, the path of a target, the slot that goes on, the caught errors, the filter of logged heads, the bound of slots.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -298,6 +298,10 @@
             return
         except Malformed as error:
             self._events.record("malformed", path=path, reason=str(error))
+        except Exception as error:
+            # The library logs it and closes this connection; the process goes on.
+            self._events.record("malformed", path=path, reason=repr(error))
+            raise
         finally:
             self._connections[path if path in _PATHS else "other"] -= 1
 
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from aiohttp import web
+from yarl import URL
 
 from cowslipvane.call import (
     Call,
@@ -83,8 +84,9 @@
         if table is None:
             return self._refuse(http, request_id, NoConfiguration())
         headers = end_to_end(http.headers.items())
-        rules = self._route(table, http, headers)
-        if rules is None:
+        target = path_of(http.raw_path)
+        rules = self._route(table, http, headers) if target else None
+        if rules is None or target is None:
             host = http.headers.get("Host", "")
             return self._refuse(http, request_id, NoRoute(host=host, path=http.path))
         body = await self._body(http, rules)
@@ -92,7 +94,7 @@
             limit = rules.traffic.max_body_bytes
             return self._refuse(http, request_id, BodyTooLarge(limit=limit), close=True)
         headers = (*headers, Header(REQUEST_ID_HEADER, request_id))
-        request = Request(http.method, http.raw_path, headers, body)
+        request = Request(http.method, target, headers, body)
         deadline = time.monotonic() + rules.traffic.timeout
         call = Call(request_id=request_id, request=request, rules=rules, deadline=deadline)
         match await self._carrier.carry(call):
@@ -205,3 +207,15 @@
     """Give a response the upstream's header fields, and the system's own over them."""
     response.headers.extend(fields)
     response.headers.update(own)
+
+
+def path_of(target: str) -> str | None:
+    """Return the path and query of a request's target, or None when it could name another server.
+
+    A target may be an absolute URL, which must not lead the owner away from its worker.
+    """
+    try:
+        path = target if target.startswith("/") else URL(target, encoded=True).raw_path_qs
+    except ValueError:
+        return None
+    return path if path.startswith("/") and not path.startswith("//") else None
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from cowslipvane.types import Address
 
@@ -17,6 +19,7 @@
     """An aiohttp low-level server on one address."""
 
     def __init__(self, *, handler: Handler, address: Address) -> None:
+        logging.getLogger("aiohttp.server").addFilter(_is_own_fault)
         self._server = web.Server(handler, access_log=None)
         self._address = address
         self._listener: asyncio.Server | None = None
@@ -43,3 +46,9 @@
 def error_response(status: int, sentence: str) -> web.Response:
     """Return an error that says what to do."""
     return web.json_response({"outcome": "not run", "sentence": sentence}, status=status)
+
+
+def _is_own_fault(record: logging.LogRecord) -> bool:
+    """Return whether a log record is of more than a request that was answered as malformed."""
+    error = record.exc_info[1] if record.exc_info else None
+    return not isinstance(error, HttpProcessingError)
--- a/cowslipvane/tasks/_operators.py
+++ b/cowslipvane/tasks/_operators.py
@@ -36,8 +36,10 @@
             answer = await self._process.handle(http, parts)
             if answer is None and self._resources is not None:
                 answer = await self._resources.handle(http, parts)
-        except (ValueError, KeyError, TypeError) as error:
-            return error_response(400, f"the request can't be read: {error!r}")
+        except web.HTTPRequestEntityTooLarge:
+            return error_response(413, "not run: the body is too large; split the change")
+        except (ValueError, LookupError, TypeError, RecursionError) as error:
+            return error_response(400, f"not run: the request can't be read: {error!r}")
         if answer is None:
             return error_response(404, f"there is no {http.method} {http.path} at this process")
         return answer
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -171,7 +171,8 @@
                 refusal = DeadlinePassed(service=service, verdict=verdict)
             except aiohttp.ClientConnectorError:
                 refusal = UpstreamLost(service=service, verdict=Verdict.NOT_RUN)
-            except (aiohttp.ClientError, OSError):
+            except (aiohttp.ClientError, OSError, ValueError):
+                # A peer's offer may hold what the library won't send; the slot must go on.
                 refusal = UpstreamLost(service=service, verdict=verdict)
             finally:
                 self._timeouts.pop(work.attempt, None)
@@ -181,9 +182,12 @@
     async def _forward(self, work: Work, session: aiohttp.ClientSession) -> None:
         """Send a request to the worker and pass its answer on in chunks."""
         request = work.request
+        url = URL(request.path, encoded=True)
+        if url.absolute:
+            raise ValueError("the target names another server")
         async with session.request(
             request.method,
-            URL(request.path, encoded=True),
+            url,
             headers=list(request.headers),
             data=request.body or None,
             allow_redirects=False,
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import time
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +18,11 @@
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
 
+# A slot costs a task, so an announcement may not ask for any number of them.
+MAX_SLOTS = 1024
+MAX_CONNECTIONS = 10_000
+_MAX_PORT = 65_535
+
 
 class ProcessApi:
     """Answers operators who ask about this process, and the worker on this host."""
@@ -114,12 +120,22 @@
         """Take the announcement of the worker on this host."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
-        ip, _, port = str(form["address"]).rpartition(":")
-        worker = Worker(
-            ServiceName(str(form["service"])),
-            Address(ip, int(port)),
-            int(form["slots"]),
-            int(form["connections"]),
-        )
+        worker = read_worker(form)
         await self._owner.announce(worker)
         return web.json_response({"state": self._membership.own.state})
+
+
+def read_worker(form: Any) -> Worker:
+    """Return the worker in an announcement; raise ValueError that says what is allowed."""
+    if not isinstance(form, dict) or not isinstance(form.get("service"), str):
+        raise ValueError("an announcement has service, address, slots and connections")
+    ip, _, port = str(form.get("address")).rpartition(":")
+    address = Address(str(ipaddress.ip_address(ip.strip("[]"))), int(port))
+    slots, connections = form.get("slots"), form.get("connections")
+    if not 0 < address.port <= _MAX_PORT:
+        raise ValueError(f"found port {address.port}; allowed is 1 to {_MAX_PORT}")
+    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
+        raise ValueError(f"found slots {slots!r}; allowed is 1 to {MAX_SLOTS}")
+    if type(connections) is not int or not 0 < connections <= MAX_CONNECTIONS:
+        raise ValueError(f"found connections {connections!r}; allowed is 1 to {MAX_CONNECTIONS}")
+    return Worker(ServiceName(form["service"]), address, slots, connections)
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import types
 from collections.abc import Callable
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
@@ -12,6 +13,7 @@
 
 Message = Any
 T = TypeVar("T")
+_INT_LIMIT = 1 << 63
 
 
 class Malformed(ValueError):
@@ -32,6 +34,11 @@
     def structure(value: Any, _: Any) -> Any:
         if type(value) not in (kind, *allowed):
             raise Malformed(f"found {type(value).__name__}, expected {kind.__name__}")
+        # NaN has no order, so that one deadline of it would spoil all timers of the event loop.
+        if kind is float and not math.isfinite(value):
+            raise Malformed("found a number that is not finite")
+        if kind is int and not -_INT_LIMIT <= value < _INT_LIMIT:
+            raise Malformed("found an integer of more than 64 bits")
         return kind(value)
 
     return structure
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,176 @@
+"""Fuzz of everything that reads bytes or values from outside, under fixed seeds."""
+
+import math
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import cbor2
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cowslipvane import daemon  # noqa: F401  # It registers every message.
+from cowslipvane.catalogue import KINDS, Catalogue, Change, Invalid
+from cowslipvane.commands._timeline import Filter, merge
+from cowslipvane.events import read_events
+from cowslipvane.settings import SettingsFault, load
+from cowslipvane.settings._load import parse
+from cowslipvane.tasks._callers import path_of
+from cowslipvane.tasks._process_api import read_worker
+from cowslipvane.wire import Malformed, decode, encode, read_change
+from cowslipvane.wire._codec import _MESSAGES
+from tests.test_settings import GOOD
+
+FUZZ = settings(
+    derandomize=True,
+    max_examples=300,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary()
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(), inner, max_size=5),
+    max_leaves=20,
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=12,
+)
+SETTING_KEYS = st.sampled_from(
+    ["host", "data_centre", "roles", "listen", "seeds", "timing", "limits", "security", "x"]
+)
+TAGS = st.sampled_from(sorted(_MESSAGES))
+KEYS = st.sampled_from(["operation_id", "based_on", "resources", "deletes", "dry_run", "x"])
+SPEC_KEYS = st.sampled_from(
+    ["service", "prefix", "targets", "hosts", "methods", "weight", "attempts", "timeout", "state"]
+)
+RESOURCES = st.fixed_dictionaries(
+    {"kind": st.sampled_from(sorted(KINDS)), "name": st.text(min_size=1, max_size=4)},
+    optional={"spec": st.dictionaries(SPEC_KEYS, JSON, max_size=4) | JSON, "y": JSON},
+)
+
+
+class FuzzTest(unittest.TestCase):
+    """Nonsense gets a clear error and nothing else."""
+
+    @FUZZ
+    @given(data=st.binary(max_size=200))
+    def test_bytes_are_a_message_or_malformed(self, data: bytes) -> None:
+        """No other exception comes out of bytes."""
+        try:
+            decode(data)
+        except Malformed as error:
+            self.assertTrue(str(error))
+
+    @FUZZ
+    @given(tag=TAGS, fields=VALUES)
+    def test_any_fields_are_a_message_or_malformed(self, tag: str, fields: Any) -> None:
+        """A message that is taken can be sent again as it came."""
+        try:
+            message = decode(cbor2.dumps([tag, fields]))
+        except Malformed:
+            return
+        self.assertEqual(decode(encode(message)), message)
+
+    def test_deep_huge_and_odd_messages_are_malformed(self) -> None:
+        """Depth, declared sizes, tags and numbers without order are refused."""
+        bombs = [
+            b"\x81" * 100_000 + b"\x00",
+            b"\x9b" + b"\xff" * 8,
+            b"\x5b\x7f" + b"\xff" * 7,
+            b"\xd8\x1c\x81\xd8\x1d\x00",
+            b"\xc1\xfb\x7f\xf0" + b"\x00" * 6,
+            b"",
+        ]
+        bombs += [cbor2.dumps(["EventsKept", [number]]) for number in (1 << 63, 1 << 4000)]
+        for number in (math.nan, math.inf, -math.inf):
+            bombs.append(cbor2.dumps(["Pull", [["h", 1, number, ["127.0.0.1", 1], ""]]]))
+        for bomb in bombs:
+            with self.assertRaises(Malformed):
+                decode(bomb)
+        good = decode(cbor2.dumps(["Pull", [["h", 1, 0.5, ["127.0.0.1", 1], ""]]]))
+        self.assertEqual(type(good).__name__, "Pull")
+
+    @FUZZ
+    @given(values=st.dictionaries(SETTING_KEYS, VALUES, max_size=6))
+    def test_settings_load_or_tell_their_faults(self, values: dict[str, Any]) -> None:
+        """Each fault is a line with the file's name."""
+        try:
+            parse(values, "file")
+        except SettingsFault as error:
+            self.assertTrue(error.faults)
+            for fault in error.faults:
+                self.assertTrue(fault.startswith("file: "), fault)
+
+    @FUZZ
+    @given(data=st.binary(max_size=60), at=st.integers(0, len(GOOD)))
+    def test_damaged_settings_files_are_faults(self, data: bytes, at: int) -> None:
+        """Bytes in the middle of a good file never end in a traceback."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings"
+            path.write_bytes(GOOD[:at].encode() + data + GOOD[at:].encode())
+            try:
+                load(path)
+            except SettingsFault as error:
+                self.assertTrue(error.faults)
+
+    @FUZZ
+    @given(form=st.dictionaries(KEYS, JSON | st.lists(RESOURCES, max_size=3), max_size=5) | JSON)
+    def test_a_change_is_read_or_its_faults_are_told(self, form: Any) -> None:
+        """Every fault has a path and a message."""
+        self.check(read_change(form))
+
+    @FUZZ
+    @given(resources=st.lists(RESOURCES, max_size=4))
+    def test_resources_are_judged_without_a_crash(self, resources: list[Any]) -> None:
+        """What can be read can be judged by the catalogue."""
+        self.check(read_change({"operation_id": "a", "based_on": 0, "resources": resources}))
+
+    def check(self, read: Change | Invalid) -> None:
+        """Check what was read, and judge it when it is a change."""
+        match read:
+            case Invalid(faults=faults):
+                self.assertTrue(faults)
+            case Change():
+                faults = Catalogue().faults(read)
+        for fault in faults:
+            self.assertTrue(fault.message)
+
+    @FUZZ
+    @given(form=JSON | st.dictionaries(st.sampled_from(["service", "address", "slots"]), JSON))
+    def test_an_announcement_is_a_worker_or_an_error(self, form: Any) -> None:
+        """Nothing but ValueError comes out, which the listener answers with 400."""
+        with self.assertRaises(ValueError):
+            read_worker(form)
+
+    def test_a_worker_can_t_ask_for_any_number_of_slots(self) -> None:
+        """Bounds are told."""
+        good = {"service": "s", "address": "127.0.0.1:80", "slots": 6, "connections": 9}
+        self.assertEqual(read_worker(good).slots, 6)
+        for name, value in (("slots", 10**9), ("slots", True), ("connections", 0)):
+            with self.assertRaisesRegex(ValueError, "allowed is 1 to"):
+                read_worker({**good, name: value})
+
+    @FUZZ
+    @given(target=st.text(alphabet="/a:?#@%[]h.\\", max_size=12) | st.text())
+    def test_a_target_never_names_another_server(self, target: str) -> None:
+        """What is left is a path on the worker."""
+        path = path_of(target)
+        self.assertTrue(path is None or (path[0] == "/" and path[:2] != "//"), path)
+
+    @FUZZ
+    @given(lines=st.lists(st.binary(max_size=40) | JSON.map(lambda it: str(it).encode())))
+    def test_event_files_are_read_past_any_line(self, lines: list[bytes]) -> None:
+        """A time line of damaged files is empty, not a failure."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "events"
+            path.write_bytes(b"\n".join(lines))
+            self.assertEqual(merge(read_events([path]), Filter()), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_hostile.py
@@ -0,0 +1,260 @@
+"""Tests that nonsense on a connection costs that connection and nobody else's."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+import unittest
+from typing import Any, ClassVar
+
+import aiohttp
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from websockets.asyncio.client import connect as websocket_connect
+from websockets.exceptions import ConnectionClosed
+
+from cowslipvane import daemon  # noqa: F401  # It registers every message.
+from cowslipvane.call import Cancel, Offer
+from cowslipvane.membership import Exchange, ExchangeReply
+from cowslipvane.subscription import Pull
+from cowslipvane.tasks._witness import KeepEvents
+from cowslipvane.types import Address, HostName
+from cowslipvane.wire import Link, connect, encode
+from tools.fleet import EXAMPLES, Fleet, example_hosts
+
+HOSTS = ("stock-1", "stock-2", "stock-3")
+PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls", "/nothing")
+STAMP = bytes(12)
+BOMBS = (b"", b"\x00" * 11, b"\x81" * 50_000 + STAMP, b"\x9b" + b"\xff" * 30, b"\xff" * 40)
+FUZZ = settings(
+    derandomize=True,
+    max_examples=60,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+# What these messages ask for is done, whatever values are in them; a vote or an entry of a log
+# comes from a replica of the group, whose word counts.
+MESSAGES = st.one_of(
+    st.from_type(Offer), st.from_type(Cancel), st.from_type(Pull), st.from_type(KeepEvents)
+)
+HEADS = (
+    b"\x16\x03\x01" * 30,
+    b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 5000 + b"\r\n",
+    b"GET /\xff\xfe HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"BREW / HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /stock/7 HTTP/1.1\r\nHost: a\r\nX: \x01\r\n\r\n",
+    b"POST /stock/7 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+    b"GET //other/stock HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    b"OPTIONS * HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    b"GET http://[ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+)
+
+
+class HostileTest(unittest.TestCase):
+    """Three processes that get nonsense, and a bystander who is served all the while."""
+
+    fleet: ClassVar[Fleet]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the processes and bring a version into force."""
+        hosts = [host for host in example_hosts("quiros") if host.name in HOSTS]
+        cls.fleet = Fleet(hosts=hosts)
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.fleet.create()
+        cls.fleet.start()
+        asyncio.run(cls.prepare())
+
+    @classmethod
+    async def prepare(cls) -> None:
+        """Wait for the processes and apply the resources."""
+        await cls.fleet.until_leader()
+        await cls.fleet.until_members(len(HOSTS))
+        servers = [f"--server={address}" for address in cls.fleet.operators()]
+        path = str(EXAMPLES / "quiros" / "resources.toml")
+        cls.fleet.command("apply", "-f", path, *servers)
+        await cls.fleet.until_in_force(1, HOSTS)
+
+    def tearDown(self) -> None:
+        """Check that every process lives, serves, and has its configuration."""
+        self.assertEqual(self.fleet.alive, list(HOSTS))
+        asyncio.run(self.check_service())
+
+    async def check_service(self) -> None:
+        """Call each proxy."""
+        async with aiohttp.ClientSession() as session:
+            for host in itertools.chain(HOSTS, HOSTS):
+                url = f"http://{self.fleet.address(host, 'callers')}/stock/7"
+                async with session.get(url) as answer:
+                    self.assertEqual(answer.status, 200, await answer.text())
+
+    def peers(self) -> Address:
+        """Return the peers' listener that gets the nonsense."""
+        ip, _, port = self.fleet.address("stock-1", "peers").rpartition(":")
+        return Address(ip, int(port))
+
+    async def send_raw(self, path: str, data: bytes) -> int | None:
+        """Send bytes as one message; return the code with which the connection is closed."""
+        async with websocket_connect(f"ws://{self.peers()}{path}", proxy=None) as connection:
+            try:
+                await connection.send(data)
+                async with asyncio.timeout(5):
+                    while True:
+                        await connection.recv()
+            except ConnectionClosed as error:
+                return error.rcvd.code if error.rcvd else None
+
+    async def exchange(self, link: Link) -> None:
+        """Ask something on a bystander's connection."""
+        await link.send(Exchange(sender=HostName("bystander"), members=()))
+        self.assertIsInstance(await link.receive(), ExchangeReply)
+
+    def test_bytes_that_are_no_message_close_their_connection_only(self) -> None:
+        """Each path closes, and a bystander's connection goes on."""
+
+        async def attack() -> None:
+            """Send random bytes and bombs to every path."""
+            rng = random.Random(7)
+            async with connect(self.peers(), "/members") as bystander:
+                for path in PATHS:
+                    for data in (*BOMBS, *(rng.randbytes(60) for _ in range(5))):
+                        self.assertIsNotNone(await self.send_raw(path, data), (path, data[:20]))
+                    await self.exchange(bystander)
+                huge = await websocket_connect(f"ws://{self.peers()}/members", proxy=None)
+                with contextlib.suppress(ConnectionClosed):
+                    await huge.send(bytes(17 << 20))
+                async with asyncio.timeout(5):
+                    await huge.wait_closed()
+                await self.exchange(bystander)
+
+        asyncio.run(attack())
+
+    @FUZZ
+    @given(message=MESSAGES, path=st.sampled_from(PATHS))
+    def test_messages_with_any_values_harm_nobody(self, message: Any, path: str) -> None:
+        """A message of the protocol on any path, with values that make no sense."""
+
+        async def attack() -> None:
+            """Send the message, and ask as a bystander."""
+            try:
+                data = encode(message) + STAMP
+            except (ValueError, OverflowError):
+                return
+            async with (
+                connect(self.peers(), "/members") as bystander,
+                websocket_connect(f"ws://{self.peers()}{path}", proxy=None) as link,
+            ):
+                # A path that nobody serves may close before the message is sent.
+                with contextlib.suppress(ConnectionClosed):
+                    await link.send(data)
+                await self.exchange(bystander)
+
+        asyncio.run(attack())
+
+    def test_an_offer_that_can_t_be_sent_costs_no_slot(self) -> None:
+        """More such offers than there are slots leave the worker's slots as they were."""
+        odd = [("GET", "http://127.0.0.1:9/x"), ("GET", "//127.0.0.1:9/x"), ("G\r\nT", "/x")]
+
+        async def attack() -> None:
+            """Offer what the HTTP library refuses."""
+            async with connect(self.peers(), "/calls") as link:
+                for number in range(30):
+                    method, path = odd[number % len(odd)]
+                    fields = [["r", number], "stock", [method, path, [], b""], 2.0, False]
+                    await link.send(_offer(fields))
+                    answer = await asyncio.wait_for(link.receive(), 5)
+                    self.assertEqual(type(answer).__name__, "Refused", (method, path))
+
+        asyncio.run(attack())
+
+    def test_a_target_never_leads_away_from_the_worker(self) -> None:
+        """An absolute target is served by its path; the server that it names hears nothing."""
+
+        async def attack() -> None:
+            """Name a server of our own in the target."""
+            heard = 0
+
+            async def hear(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                """Count a connection."""
+                nonlocal heard
+                heard += 1
+                writer.close()
+
+            async with await asyncio.start_server(hear, "127.0.0.1", 0) as server:
+                own = server.sockets[0].getsockname()[1]
+                for _ in range(8):
+                    target = f"GET http://127.0.0.1:{own}/stock/7 HTTP/1.1\r\n"
+                    head = f"{target}Host: a\r\nConnection: close\r\n\r\n".encode()
+                    answer = await self.send_head("callers", head)
+                    self.assertIn(b" 200 ", answer.partition(b"\n")[0])
+            self.assertEqual(heard, 0)
+
+        asyncio.run(attack())
+
+    async def send_head(self, listener: str, data: bytes) -> bytes:
+        """Send bytes to a listener and return what comes back."""
+        ip, _, port = self.fleet.address("stock-1", listener).rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        try:
+            writer.write(data)
+            async with asyncio.timeout(5):
+                await writer.drain()
+                return await reader.read(4096)
+        except ConnectionError:
+            return b""
+        finally:
+            writer.close()
+
+    def test_odd_heads_get_an_error_and_no_traceback(self) -> None:
+        """Callers' and operators' listeners answer with 4xx, or close."""
+
+        async def attack() -> None:
+            """Send known and random heads."""
+            rng = random.Random(11)
+            known = HEADS + tuple(rng.randbytes(80) + b"\r\n\r\n" for _ in range(40))
+            for listener, head in itertools.product(("callers", "operators"), known):
+                answer = await self.send_head(listener, head)
+                self.assertRegex(answer[:13], rb"^(HTTP/1\.[01] 4|$)", head[:60])
+
+        asyncio.run(attack())
+        self.assertNotIn("Traceback", self.fleet.errors())
+
+    def test_operators_get_a_sentence_for_bad_bodies(self) -> None:
+        """Each bad body has its status, as JSON with a sentence."""
+        bodies: list[tuple[str, bytes, str, int]] = [
+            ("changes", b"{", "application/json", 400),
+            ("changes", b"\xff\xfe", "application/json", 400),
+            ("changes", b"{}", "text/x; charset=nonsense", 400),
+            ("changes", b"[" * 100_000, "application/json", 400),
+            ("changes", b" " * (2 << 20), "application/json", 413),
+            ("changes", b"[]", "application/json", 422),
+            ("worker", b"[]", "application/json", 400),
+            ("worker", json.dumps({"service": "s", "address": "x"}).encode(), "", 400),
+        ]
+
+        async def attack() -> None:
+            """Post each body."""
+            url = f"http://{self.fleet.address('stock-1', 'operators')}/v1"
+            async with aiohttp.ClientSession() as session:
+                for path, body, kind, status in bodies:
+                    headers = {"Content-Type": kind} if kind else {}
+                    async with session.post(f"{url}/{path}", data=body, headers=headers) as answer:
+                        form = await answer.json()
+                        self.assertEqual((answer.status, "sentence" in form), (status, True), form)
+
+        asyncio.run(attack())
+        self.assertNotIn("Traceback", self.fleet.errors())
+
+
+def _offer(fields: list[Any]) -> Any:
+    """Return an offer with the given fields."""
+    from cowslipvane.wire._codec import _structure  # noqa: PLC0415
+
+    return _structure(Offer, fields)
+
+
+if __name__ == "__main__":
+    unittest.main()
