--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -9,6 +9,7 @@
 
 from cowslipvane import commands
 from cowslipvane.cmdline._options import EXIT_BAD_INPUT, ask, output_option, server_option
+from cowslipvane.cmdline._output import with_progress
 
 
 class Moment(click.ParamType[float]):
@@ -40,7 +41,7 @@
 @click.argument("request")
 def explain(servers: tuple[str, ...], output: str, request: str) -> None:
     """Explain what became of a request, by its id."""
-    account = ask(commands.explain(servers, request))
+    account = ask(with_progress(commands.explain(servers, request), "asking every process"))
     click.echo(account.as_json() if output == "json" else account.as_text())
 
 
@@ -82,7 +83,7 @@
 ) -> None:
     """Print the events of all processes in one order."""
     wanted = commands.Filter(request, version, upstream, since, until)
-    found = ask(_collect(servers, files, wanted))
+    found = ask(with_progress(_collect(servers, files, wanted), "collecting events"))
     click.echo(found.as_json() if output == "json" else found.as_text())
     if html is not None:
         _write(html, commands.picture(found))
--- a/cowslipvane/cmdline/_process.py
+++ b/cowslipvane/cmdline/_process.py
@@ -47,15 +47,19 @@
     type=click.Path(path_type=Path),
     help="A resource file, checked as if it were applied to nothing.",
 )
-def check(settings: tuple[Path, ...], resources: tuple[Path, ...]) -> None:
+@output_option
+def check(settings: tuple[Path, ...], resources: tuple[Path, ...], output: str) -> None:
     """Check files without asking any process, and report every fault."""
     if not settings and not resources:
         raise click.UsageError("name files to check by --settings or --file")
     report = commands.check(settings, resources)
-    for text in report.effective:
-        click.echo(text)
-    for fault in report.faults:
-        click.echo(fault, err=True)
+    if output == "json":
+        click.echo(json.dumps(report._asdict(), indent=2))
+    else:
+        for settings_in_effect in report.effective:
+            click.echo(json.dumps(settings_in_effect, indent=2))
+        for fault in report.faults:
+            click.echo(fault, err=True)
     if report.faults:
         raise SystemExit(EXIT_BAD_INPUT)
 
--- a/cowslipvane/commands/_check.py
+++ b/cowslipvane/commands/_check.py
@@ -16,7 +16,7 @@
 class CheckReport(NamedTuple):
     """The settings in effect, and a line for each fault of all files."""
 
-    effective: list[str]
+    effective: list[dict[str, Any]]
     faults: list[str]
 
 
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import json
 from pathlib import Path
 from typing import Any
 
@@ -23,9 +22,9 @@
     return load(path)
 
 
-def describe(settings: Settings) -> str:
-    """Return the settings in effect as JSON."""
-    return json.dumps(dataclasses.asdict(settings), indent=2)
+def describe(settings: Settings) -> dict[str, Any]:
+    """Return the settings in effect as JSON values."""
+    return dataclasses.asdict(settings)
 
 
 def run(settings: Settings) -> None:
--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -21,7 +21,7 @@
         from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
 
         self._path = path
-        self._handler = _Rotating(path, max_bytes)
+        self._handler = _Rotating(path=path, max_bytes=max_bytes)
         self._handler.setFormatter(JsonFormatter("%(message)s"))
 
     @property
@@ -52,7 +52,7 @@
 class _Rotating(RotatingFileHandler):
     """Keeps one older file, and counts what is deleted with the one before it."""
 
-    def __init__(self, path: Path, max_bytes: int) -> None:
+    def __init__(self, *, path: Path, max_bytes: int) -> None:
         self.dropped = 0
         self.failed = 0
         self._newer, self._older = _count_lines(path), _count_lines(older(path))
--- a/cowslipvane/metrics/_render.py
+++ b/cowslipvane/metrics/_render.py
@@ -22,7 +22,7 @@
 def render(metrics: Metrics, readings: Sequence[Reading]) -> bytes:
     """Return the metrics of this process, and those of its interpreter."""
     registry = CollectorRegistry()
-    registry.register(_Families(metrics, readings))
+    registry.register(_Families(metrics=metrics, readings=readings))
     for collector in (GCCollector, PlatformCollector, ProcessCollector):
         collector(registry=registry)
     return generate_latest(registry)
@@ -31,7 +31,7 @@
 class _Families(Collector):
     """Turns readings into families."""
 
-    def __init__(self, metrics: Metrics, readings: Sequence[Reading]) -> None:
+    def __init__(self, *, metrics: Metrics, readings: Sequence[Reading]) -> None:
         self._metrics = metrics
         self._readings = readings
 
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -4,7 +4,7 @@
 
 import struct
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
 from typing import NamedTuple
@@ -29,8 +29,26 @@
     """Bytes of each message on the links of a process."""
 
     def __init__(self) -> None:
-        self.sent_bytes: Counter[str] = Counter()
-        self.received_bytes: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
+        self._received: Counter[str] = Counter()
+
+    @property
+    def sent_bytes(self) -> Mapping[str, int]:
+        """Return the bytes sent by the name of the message."""
+        return self._sent
+
+    @property
+    def received_bytes(self) -> Mapping[str, int]:
+        """Return the bytes received by the name of the message."""
+        return self._received
+
+    def count_sent(self, message: Message, size: int) -> None:
+        """Count a message that is sent, by its size in bytes."""
+        self._sent[type(message).__name__] += size
+
+    def count_received(self, message: Message, size: int) -> None:
+        """Count a message that was received, by its size in bytes."""
+        self._received[type(message).__name__] += size
 
 
 class LinkIdentity(NamedTuple):
@@ -61,7 +79,7 @@
         """Send one message."""
         wall, logical = self._clock.now()
         data = encode(message) + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
-        self._traffic.sent_bytes[type(message).__name__] += len(data)
+        self._traffic.count_sent(message, len(data))
         try:
             await self._connection.send(data)
         except websockets.ConnectionClosed as error:
@@ -76,7 +94,7 @@
         if len(data) < _STAMP.size:
             raise Malformed("a message without a stamp")
         message = decode(data[: -_STAMP.size])
-        self._traffic.received_bytes[type(message).__name__] += len(data)
+        self._traffic.count_received(message, len(data))
         self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
         return message
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,5 +1,6 @@
 """Tests of the command line, without any process."""
 
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -56,6 +57,8 @@
         self.assertEqual((result.exit_code, result.stderr), (0, ""))
         self.assertIn('"election_timeout": 1.0', result.stdout)
         self.assertEqual(len(resources), 2)
+        result = self.run_command("check", "--output", "json", *resources)
+        self.assertEqual(json.loads(result.stdout), {"effective": [], "faults": []})
 
     def test_all_faults_of_all_files_come_together(self) -> None:
         """The code is 2, and each fault is a line with its file."""
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -15,11 +15,11 @@
 from websockets.exceptions import ConnectionClosed
 
 from cowslipvane import daemon  # noqa: F401  # It registers every message.
-from cowslipvane.call import Cancel, Offer
+from cowslipvane.call import AttemptId, Cancel, Offer, Request
 from cowslipvane.membership import Exchange, ExchangeReply
 from cowslipvane.subscription import Pull
 from cowslipvane.tasks._witness import KeepEvents
-from cowslipvane.types import Address, HostName
+from cowslipvane.types import Address, HostName, RequestId, ServiceName
 from cowslipvane.wire import Link, connect, encode
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 
@@ -163,8 +163,13 @@
             async with connect(self.peers(), "/calls") as link:
                 for number in range(30):
                     method, path = odd[number % len(odd)]
-                    fields = [["r", number], "stock", [method, path, [], b""], 2.0, False]
-                    await link.send(_offer(fields))
+                    offer = Offer(
+                        attempt=AttemptId(RequestId("r"), number),
+                        service=ServiceName("stock"),
+                        request=Request(method, path, (), b""),
+                        timeout=2.0,
+                    )
+                    await link.send(offer)
                     answer = await asyncio.wait_for(link.receive(), 5)
                     self.assertEqual(type(answer).__name__, "Refused", (method, path))
 
@@ -249,12 +254,5 @@
         self.assertNotIn("Traceback", self.fleet.errors())
 
 
-def _offer(fields: list[Any]) -> Any:
-    """Return an offer with the given fields."""
-    from cowslipvane.wire._codec import _structure  # noqa: PLC0415
-
-    return _structure(Offer, fields)
-
-
 if __name__ == "__main__":
     unittest.main()
