Read only the end of the event files at the start

Cause: a process that starts parsed both files whole to keep 1,000 events. Ruled out: an index beside the file (one more file to keep in step).

--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -12,6 +12,9 @@
 
 from cowslipvane.events._event import EventForm
 
+# Room for each event when the end of a file is read; events are about half as long.
+_TAIL_BYTES = 1024
+
 
 class EventFile:
     """Appends events to a file, and starts a new one when the file has grown to its limit."""
@@ -42,7 +45,8 @@
 
     def tail(self, count: int) -> list[EventForm]:
         """Return the newest events of the files, oldest first."""
-        return list(deque(read_events([older(self._path), self._path]), maxlen=count))
+        paths = [older(self._path), self._path]
+        return list(deque(read_events(paths, last_bytes=count * _TAIL_BYTES), maxlen=count))
 
     def close(self) -> None:
         """Close the file."""
@@ -84,19 +88,21 @@
     return path.with_name(f"{path.name}.1")
 
 
-def read_events(paths: Iterable[Path]) -> Iterable[EventForm]:
-    """Yield the events in files, passing over what is cut off or damaged."""
+def read_events(paths: Iterable[Path], last_bytes: int | None = None) -> Iterable[EventForm]:
+    """Yield the events in files, or at their ends, passing over what is cut off or damaged."""
     for path in paths:
         if not path.is_file():
             continue
-        with path.open(encoding="utf-8", errors="replace") as lines:
+        with path.open("rb") as lines:
+            if last_bytes is not None:
+                lines.seek(max(0, path.stat().st_size - last_bytes))
             for line in lines:
                 form = _read_line(line)
                 if form is not None:
                     yield form
 
 
-def _read_line(line: str) -> EventForm | None:
+def _read_line(line: bytes) -> EventForm | None:
     """Return the event in a line, or None when the line holds none."""
     try:
         form: EventForm = json.loads(line)["event"]
