Give the peers' listener a module of its own

Cause: daemon.py held the admission of peers, their dispatch and the counts of their connections; the count of members' states stood twice. Change: tasks/_peer_listener.py; a path that a process doesn't serve gets 404 at the handshake in place of a connection that closes at once. Ruled out: an event for each such request (a seed that is no replica would fill the log). Seen to fail without: the check of the token, again at its new place.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -7,22 +7,18 @@
 import random
 import signal
 import time
-from collections import Counter
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from http import HTTPStatus
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-from websockets.asyncio.server import ServerConnection, serve
-from websockets.http11 import Request, Response
-
 from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
-from cowslipvane.settings import AUTHORIZATION, Settings, read_token
+from cowslipvane.settings import Settings, read_token
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
@@ -33,6 +29,7 @@
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._peer_listener import Handler, PeerListener
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
@@ -42,13 +39,10 @@
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
-from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed, Traffic, link_identity
-from cowslipvane.wire._link import MAX_MESSAGE_BYTES
+from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
-# The paths of the peers' listener.
-_PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls")
 
 
 class Daemon:
@@ -89,7 +83,6 @@
         )
         self._witness = Witness(membership=self._members.membership, events=self._events)
         self._started_at = time.monotonic()
-        self._connections: Counter[str] = Counter()
         self._stop = Signal()
         self._stopping = False
         self._replication: Replication | None = None
@@ -210,26 +203,19 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
         listen = self._settings.listen
-        await stack.enter_async_context(
-            serve(
-                self._serve_peer,
-                listen.peers.ip,
-                listen.peers.port,
-                ping_interval=None,
-                compression=None,
-                process_request=self._authenticate_peer,
-                max_size=MAX_MESSAGE_BYTES,
-            )
+        peers = PeerListener(
+            handlers=self._peer_handlers(), identity=self._identity, events=self._events
         )
+        await stack.enter_async_context(peers.listen(listen.peers))
         await stack.enter_async_context(
-            HttpListener(handler=self._operators().handle, address=listen.operators)
+            HttpListener(handler=self._operators(peers).handle, address=listen.operators)
         )
         if self._callers is not None and listen.callers is not None:
             await stack.enter_async_context(
                 HttpListener(handler=self._callers.handle, address=listen.callers)
             )
 
-    def _operators(self) -> Operators:
+    def _operators(self, peers: PeerListener) -> Operators:
         """Return what answers operators."""
         process = ProcessApi(
             membership=self._members.membership,
@@ -238,7 +224,7 @@
             subscription=self._subscription,
             owner=self._owner,
             drain=self.stop,
-            debug=self._debug,
+            debug=partial(self._debug, peers),
             measures=Measures(
                 metrics=self._metrics,
                 membership=self._members.membership,
@@ -258,52 +244,29 @@
         )
         return Operators(process=process, resources=resources, token=self._token)
 
-    def _debug(self) -> dict[str, Any]:
+    def _debug(self, peers: PeerListener) -> dict[str, Any]:
         """Return what this process knows of itself."""
         return debug_form(
             settings=self._settings,
             membership=self._members.membership,
             events=self._events,
-            connections=self._connections,
+            connections=peers.connections,
             started_at=self._started_at,
         )
 
-    async def _authenticate_peer(
-        self, connection: ServerConnection, request: Request
-    ) -> Response | None:
-        """Turn a peer away that doesn't show the token."""
-        if self._token is None or self._token.is_shown_by(request.headers.get(AUTHORIZATION)):
-            return None
-        self._events.record("malformed", path=request.path, reason="a peer showed no valid token")
-        return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
-
-    async def _serve_peer(self, connection: ServerConnection) -> None:
-        """Serve one connection of a peer, by the path that it asked for."""
-        link = Link(connection=connection, identity=self._identity)
-        path = connection.request.path if connection.request else ""
-        self._connections[path if path in _PATHS else "other"] += 1
-        try:
-            match path:
-                case "/replica" if self._replication:
-                    await self._replication.serve(link)
-                case "/subscribe" if self._publisher:
-                    await self._publisher.serve(link)
-                case "/members":
-                    await self._members.serve(link)
-                case "/events":
-                    await self._witness.serve(link)
-                case "/calls" if self._owner:
-                    await serve_calls(link, self._owner)
-        except LinkClosed:
-            return
-        except Malformed as error:
-            self._events.record("malformed", path=path, reason=str(error))
-        except Exception as error:
-            # The library logs it and closes this connection; the process goes on.
-            self._events.record("malformed", path=path, reason=repr(error))
-            raise
-        finally:
-            self._connections[path if path in _PATHS else "other"] -= 1
+    def _peer_handlers(self) -> dict[str, Handler]:
+        """Return what serves each path of the peers' listener."""
+        handlers: dict[str, Handler] = {
+            "/members": self._members.serve,
+            "/events": self._witness.serve,
+        }
+        if self._replication is not None:
+            handlers["/replica"] = self._replication.serve
+        if self._publisher is not None:
+            handlers["/subscribe"] = self._publisher.serve
+        if self._owner is not None:
+            handlers["/calls"] = partial(serve_calls, owner=self._owner)
+        return handlers
 
 
 def _event_file(settings: Settings) -> EventFile | None:
--- a/cowslipvane/tasks/_debug.py
+++ b/cowslipvane/tasks/_debug.py
@@ -10,7 +10,6 @@
 import platform
 import resource
 import time
-from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -18,6 +17,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
 from cowslipvane.settings import Settings
+from cowslipvane.tasks._measures import count_states
 
 _LIBRARIES = ("cowslipvane", "aiohttp", "cattrs", "cbor2", "prometheus_client", "websockets")
 _STATM = Path("/proc/self/statm")
@@ -34,16 +34,12 @@
 ) -> dict[str, Any]:
     """Return what the process knows of itself; no secret is in it."""
     now = time.monotonic()
-    states = Counter(
-        member.state if membership.is_alive(member.host, now) else "silent"
-        for member in membership.members
-    )
     return {
         "host": settings.host,
         "process": {"id": os.getpid(), "uptime_seconds": round(now - started_at, 3)},
         "versions": {"python": platform.python_version(), **_library_versions()},
         "settings": dataclasses.asdict(settings),
-        "members": dict(states),
+        "members": dict(count_states(membership, now)),
         "peer_connections": dict(connections),
         "events": events.counts,
         "tasks": len(asyncio.all_tasks()),
--- /dev/null
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -0,0 +1,83 @@
+"""The listener for peers: it admits a connection, and hands it to what serves its path."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import AbstractAsyncContextManager
+from http import HTTPStatus
+from typing import Any
+
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.http11 import Request, Response
+
+from cowslipvane.events import EventLog
+from cowslipvane.settings import AUTHORIZATION
+from cowslipvane.types import Address
+from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed
+from cowslipvane.wire._link import MAX_MESSAGE_BYTES
+
+Handler = Callable[[Link], Awaitable[None]]
+# A path of a stranger's request goes into an event no longer than this, in characters.
+_MAX_PATH = 200
+
+
+class PeerListener:
+    """Serves the connections of peers, each in a task of its own."""
+
+    def __init__(
+        self, *, handlers: Mapping[str, Handler], identity: LinkIdentity, events: EventLog
+    ) -> None:
+        self._handlers = handlers
+        self._identity = identity
+        self._events = events
+        self._connections: Counter[str] = Counter()
+
+    @property
+    def connections(self) -> Mapping[str, int]:
+        """Return how many connections are open on each path."""
+        return self._connections
+
+    def listen(self, address: Address) -> AbstractAsyncContextManager[Any]:
+        """Return the context in which the listener is open."""
+        return serve(
+            self._serve,
+            address.ip,
+            address.port,
+            ping_interval=None,
+            compression=None,
+            process_request=self._admit,
+            max_size=MAX_MESSAGE_BYTES,
+        )
+
+    async def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
+        """Turn away a peer that shows no valid token, or asks for a path that nobody serves."""
+        token = self._identity.token
+        if token is not None and not token.is_shown_by(request.headers.get(AUTHORIZATION)):
+            self._note_malformed(request.path, "a peer showed no valid token")
+            return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
+        if request.path not in self._handlers:
+            return connection.respond(HTTPStatus.NOT_FOUND, "this process serves no such path\n")
+        return None
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        """Serve one connection until it closes or sends nonsense."""
+        assert connection.request is not None
+        path = connection.request.path
+        self._connections[path] += 1
+        try:
+            await self._handlers[path](Link(connection=connection, identity=self._identity))
+        except LinkClosed:
+            return
+        except Malformed as error:
+            self._note_malformed(path, str(error))
+        except Exception as error:
+            # The library logs it and closes this connection; the process goes on.
+            self._note_malformed(path, repr(error))
+            raise
+        finally:
+            self._connections[path] -= 1
+
+    def _note_malformed(self, path: str, reason: str) -> None:
+        """Record why a connection is closed."""
+        self._events.record("malformed", path=path[:_MAX_PATH], reason=reason[:_MAX_PATH])
