--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -7,7 +7,7 @@
 from cowslipvane.membership._member import Member, Order, Stamp
 from cowslipvane.membership._membership import Membership
 from cowslipvane.membership._messages import Compare, Exchange, ExchangeReply
-from cowslipvane.types import DataCentre, HostName, Seconds
+from cowslipvane.types import DataCentre, Digest, HostName, Seconds
 
 # Digests that differ this often in a row, with no news under way, call for a comparison.
 MISMATCHES = 2
@@ -180,7 +180,7 @@
         )
 
 
-def _says_no_news(sent: Exchange | Compare, digest: int) -> bool:
+def _says_no_news(sent: Exchange | Compare, digest: Digest) -> bool:
     """Return whether a message had no records and its sender has learnt nothing since."""
     match sent:
         case Exchange(digest=told, members=members):
--- a/cowslipvane/membership/_messages.py
+++ b/cowslipvane/membership/_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cowslipvane.membership._member import Member, Stamp
-from cowslipvane.types import DataCentre, HostName
+from cowslipvane.types import DataCentre, Digest, HostName
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,7 +24,7 @@
 class Exchange:
     """Sends the records that the receiver lacks; without any it is a heartbeat."""
 
-    digest: int
+    digest: Digest
     members: tuple[Member, ...]
 
 
@@ -39,6 +39,6 @@
 class ExchangeReply:
     """Answers an exchange or a comparison with newer records, and asks for those wanted."""
 
-    digest: int
+    digest: Digest
     members: tuple[Member, ...]
     wanted: tuple[HostName, ...] = ()
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -330,7 +330,8 @@
             return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
         except aiohttp.ClientConnectorError:
             return UpstreamLost(service=service, verdict=Verdict.NOT_RUN)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError, ValueError):
+            # A peer's offer may hold what the library won't send; the slot must go on.
             return UpstreamLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
             self._timeouts.pop(work.attempt, None)
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple, NewType
+from typing import Annotated, NamedTuple, NewType
 
 HostName = NewType("HostName", str)
 DataCentre = NewType("DataCentre", str)
@@ -12,6 +12,7 @@
 OperationId = NewType("OperationId", str)
 ReplicaId = NewType("ReplicaId", str)
 Version = NewType("Version", int)
+Digest = Annotated[int, "a hash of up to 128 bits over some content"]
 Seconds = float
 
 NO_VERSION = Version(0)
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import types
 from collections.abc import Callable
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
@@ -10,8 +11,12 @@
 import cbor2
 from cattrs import BaseConverter, Converter
 
+from cowslipvane.types import Digest
+
 Message = Any
 T = TypeVar("T")
+_INT_LIMIT = 1 << 63
+_DIGEST_LIMIT = 1 << 128
 
 
 class Malformed(ValueError):
@@ -32,11 +37,23 @@
     def structure(value: Any, _: Any) -> Any:
         if type(value) not in (kind, *allowed):
             raise Malformed(f"found {type(value).__name__}, expected {kind.__name__}")
+        # NaN has no order, so that one deadline of it would spoil all timers of the event loop.
+        if kind is float and not math.isfinite(value):
+            raise Malformed("found a number that is not finite")
+        if kind is int and not -_INT_LIMIT <= value < _INT_LIMIT:
+            raise Malformed("found an integer of more than 64 bits")
         return kind(value)
 
     return structure
 
 
+def _digest(value: Any, _: Any) -> Digest:
+    """Return a digest, which may be larger than other integers."""
+    if type(value) is not int or not 0 <= value < _DIGEST_LIMIT:
+        raise Malformed("found no digest")
+    return value
+
+
 def _union_structure(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
     """Return a hook that reads a tagged data class of a union."""
     by_tag = {member.__name__: member for member in _union_members(kind)}
@@ -67,7 +84,7 @@
 
 def _field_types(kind: type) -> tuple[tuple[str, Any], ...]:
     """Return the names and types of a record's fields."""
-    hints = get_type_hints(kind)
+    hints = get_type_hints(kind, include_extras=True)
     names = (
         tuple(field.name for field in dataclasses.fields(kind))
         if dataclasses.is_dataclass(kind)
@@ -105,6 +122,7 @@
     for kind, allowed in ((int, ()), (str, ()), (bytes, ()), (bool, ()), (float, (int,))):
         converter.register_structure_hook(kind, _strict(kind, *allowed))
         converter.register_unstructure_hook(kind, lambda value: value)
+    converter.register_structure_hook_func(lambda kind: kind == Digest, _digest)
     converter.register_structure_hook_factory(
         _is_record, lambda kind: _record_structure(converter, kind)
     )
