Judge outliers among the owners of all data centres

With one or two owners of a service in each data centre, as today, no outlier could be left out: a third of two is none, and a single owner had nothing to be compared with, so that its slow spell hit all calls of its data centre.

Now all owners of a service are compared, and one call in 50 goes to another data centre so that there is something to compare. Ruled out: comparing an owner with its own past, where a crest, which slows all, would leave out a third of the capacity just when it is needed.

--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -10,12 +10,14 @@
 from cowslipvane.routing._view import Load, OwnerView, Result
 from cowslipvane.types import DataCentre, HostName, Seconds
 
-# At most this share of the owners that can be chosen among is left out as outliers.
+# At most this share of a service's owners, of all data centres, is left out as outliers.
 EASED_SHARE = 1 / 3
 # An owner is an outlier when its median latency is this many times that of the others.
 SLOW_FACTOR = 3.0
 # A difference below this doesn't make an outlier.
 SLOW_EXCESS: Seconds = 0.005
+# This share of the calls goes to other data centres, whose latency is the one to compare with.
+FAR_SHARE = 0.02
 # With so many calls for each slot at each owner here, other data centres are considered.
 OVERLOADED = 3.0
 
@@ -32,12 +34,12 @@
         self, owners: Sequence[Member], excluded: Collection[HostName], now: float
     ) -> Member | None:
         """Return the owner for the next attempt, or None when there is none."""
-        left = [owner for owner in owners if owner.host not in excluded]
         for owner in owners:
             self._see(owner, now)
-        near = [owner for owner in left if owner.data_centre == self._data_centre]
-        pool = left if not near or self._is_overloaded(near, now) else near
-        candidates = self._without_outliers(pool, now)
+        left = [owner for owner in owners if owner.host not in excluded]
+        usable = {owner.host for owner in self._without_outliers(owners, now)}
+        pool = [owner for owner in left if owner.host in usable] or left
+        candidates = self._nearest(pool, now)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
         first = self._draw(candidates, now)
@@ -60,6 +62,14 @@
         if view is None or not view.is_of(owner):
             self._views[owner.host] = OwnerView(member=owner, now=now)
 
+    def _nearest(self, pool: Sequence[Member], now: float) -> Sequence[Member]:
+        """Return the owners of the own data centre, or all when those can't serve."""
+        near = [owner for owner in pool if owner.data_centre == self._data_centre]
+        if not near or self._is_overloaded(near, now):
+            return pool
+        far = [owner for owner in pool if owner.data_centre != self._data_centre]
+        return far if far and self._rng.random() < FAR_SHARE else near
+
     def _is_overloaded(self, owners: Sequence[Member], now: float) -> bool:
         """Return whether no owner has room."""
         return all(self._views[owner.host].per_slot(now) >= OVERLOADED for owner in owners)
@@ -71,7 +81,7 @@
         for owner in self._outliers(used)[: max(allowed, 0)]:
             self._views[owner.host].ease_out(now)
             used.remove(owner)
-        return used or list(pool)
+        return used
 
     def _outliers(self, owners: Sequence[Member]) -> list[Member]:
         """Return the owners that lose attempts or are slow, the worst first."""
