Test that calls keep to the retry budget

The budget had tests, that the carrier asks it had none. A call to a service of 100 owners, none of which can be reached, stops with the budget.

--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,13 +1,24 @@
 """Tests of the budgets for retries and hedges, over simulated calls."""
 
 import random
+import time
 import unittest
+from typing import cast
 
+from cowslipvane.call import Call, Offer, Refused, Request
+from cowslipvane.catalogue import RetryPolicy, TrafficPolicy
+from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import Draining, OwnerUnreachable
-from cowslipvane.routing import Budgets, Hedging
+from cowslipvane.routing import Budgets, Chooser, Hedging, ServiceRules
 from cowslipvane.routing._budget import HEDGE_SHARE, RETRY_FLOOR_PER_S, RETRY_SHARE
 from cowslipvane.routing._hedging import ENOUGH_SAMPLES
-from cowslipvane.types import HostName, ServiceName, Verdict
+from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._peers import Mailbox, Peers
+from cowslipvane.types import DataCentre, HostName, RequestId, ServiceName, Verdict
+from tests.test_membership import record
 
 STOCK = ServiceName("stock")
 LOST = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
@@ -59,6 +70,55 @@
         self.assertTrue(budgets.allow_retry(other, LOST, 0.0))
 
 
+class LostPeers:
+    """Peers of which none can be reached."""
+
+    def __init__(self) -> None:
+        self.offers = 0
+
+    def link(self, member: Member) -> "LostPeers":
+        """Return what stands for the connection to any owner."""
+        return self
+
+    async def offer(self, offer: Offer, mailbox: Mailbox) -> None:
+        """Refuse an attempt as not run."""
+        self.offers += 1
+        await mailbox.put(Refused(attempt=offer.attempt, refusal=LOST))
+
+
+class CarrierTest(unittest.IsolatedAsyncioTestCase):
+    """Whether calls keep to the budget."""
+
+    async def test_a_call_that_loses_every_owner_stops_with_the_budget(self) -> None:
+        """It doesn't try all of a hundred owners."""
+        membership = Membership(own=record("a")._replace(worker=None), now=0.0)
+        membership.merge([record(f"h{at}") for at in range(100)], 0.0)
+        peers = LostPeers()
+        carrier = Carrier(
+            subscription=Subscription(),
+            membership=membership,
+            owner=cast(Owner, None),
+            peers=cast(Peers, peers),
+            chooser=Chooser(data_centre=DataCentre("here"), rng=random.Random(1)),
+            events=EventLog(
+                host=HostName("a"),
+                data_centre=DataCentre("here"),
+                process=1,
+                clock=HybridClock(),
+            ),
+        )
+        rules = ServiceRules(STOCK, RetryPolicy(attempts=1000), TrafficPolicy())
+        call = Call(
+            request_id=RequestId("r"),
+            request=Request("GET", "/", (), b""),
+            rules=rules,
+            deadline=time.monotonic() + 60,
+        )
+        self.assertEqual(await carrier.carry(call), LOST)
+        self.assertGreater(peers.offers, 10)
+        self.assertLess(peers.offers, 50)
+
+
 class HedgingTest(unittest.TestCase):
     """When a second copy is sent."""
 
