--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from tests.histories import HistoryTest
+from tests.histories import TIMING, HistoryTest
 
 
 class AcceptanceTest(HistoryTest):
@@ -65,6 +65,26 @@
             self.kill_leader, self.freeze_leader, self.cut_leader_off, self.freeze_leader
         )
 
+    async def test_a_leader_that_is_cut_off_silently_stops_answering(self) -> None:
+        """Its connections stay open, and it reads and accepts nothing after its bound."""
+        leader = await self.leader()
+        followers = [host for host in self.fleet.replicas if host != leader]
+        for host in followers:
+            self.fleet.signal_daemon(host, signal.SIGSTOP)
+        await asyncio.sleep(2 * TIMING["election_timeout"])
+        url = f"http://{self.fleet.address(leader, 'operators')}/v1"
+        form = {"operation_id": "x", "based_on": 0, "resources": []}
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"{url}/resources", allow_redirects=False) as answer:
+                self.assertEqual(answer.status, 503)
+            async with session.post(f"{url}/changes", json=form, allow_redirects=False) as answer:
+                self.assertEqual(
+                    (answer.status, (await answer.json())["outcome"]), (503, "not run")
+                )
+        for host in followers:
+            self.fleet.signal_daemon(host, signal.SIGCONT)
+        await self.leader()
+
 
 if __name__ == "__main__":
     unittest.main()
