Tell where a version is in force, watch without a gap, and write one resource

Cause: every AppendReply carried the whole table of reports; status counted every proxy that ever reported; watch repeated lines, skipped versions, and knew one server; a resource could only be written with others; a dry run found no conflict; and changes were read too trustingly.

Now a replica passes on to the leader only the reports that this leader has not confirmed, over a connection of its own; the newest by the proxy's own time counts. The rollout counts live proxies, a proxy that never reported included, and says who lags, since when and why, and when a version was everywhere. Watch and history give each accepted change once, with its content, from any version that the history reaches, or 410 with the oldest; the client goes on at another server. Single resources have ETag, If-Match and If-None-Match. New commands: diff, history, get KIND/NAME.

Holes closed in what is accepted: a text where a list belongs, a timeout that is no number, sizes, weights and attempts without bounds, texts that no message can carry, a kind that is a list, a resource both written and deleted, and a change based on a version to come, which beat all races.

--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -91,6 +91,14 @@
     after: dict[Key, Resource | None]
 
 
+class Effect(NamedTuple):
+    """What a change would do to one resource; None stands for no resource."""
+
+    key: Key
+    before: Spec | None
+    after: Spec | None
+
+
 class _Part(NamedTuple):
     """The closure for some route hosts in one version, and its digest."""
 
@@ -145,11 +153,28 @@
     def faults(self, change: Change) -> tuple[Fault, ...]:
         """Return everything that is wrong with the catalogue as the change would leave it."""
         faults = [fault for key, spec in change.puts for fault in own_faults(key, spec)]
+        if change.based_on > self._version:
+            faults.append(Fault("based_on", f"is newer than the newest version, {self._version}"))
         missing = [key for key in change.deletes if key not in self._resources]
         faults += [Fault(str(key), "can't be deleted: it does not exist") for key in missing]
         faults += dangling(self._changed(change, self._version))
         return tuple(faults)
 
+    def effects(self, change: Change) -> tuple[Effect, ...]:
+        """Return what a change would do, leaving out what it would not alter."""
+        changed = self._changed(change, self._version)
+        found = []
+        for key in sorted(_touched(change)):
+            before, after = self._resources.get(key), changed.get(key)
+            effect = Effect(key, before and before.spec, after and after.spec)
+            if effect.before != effect.after:
+                found.append(effect)
+        return tuple(found)
+
+    def accepted_at(self) -> dict[Version, float]:
+        """Return when each version that the history reaches was accepted, as wall time."""
+        return {step.version: step.accepted_at for step in self._steps}
+
     def apply(self, change: Change, *, accepted_at: float) -> Outcome:
         """Decide a change and, when it is accepted, take it in under the next version."""
         refused = self.judge(change)
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -10,6 +10,10 @@
 
 DEFAULT_TIMEOUT: Seconds = 5.0
 DEFAULT_MAX_BODY_BYTES = 1 << 20
+MAX_TIMEOUT: Seconds = 3600.0
+LARGEST_MAX_BODY_BYTES = 1 << 30
+MAX_ATTEMPTS = 10
+MAX_WEIGHT = 1_000_000
 
 
 class Target(NamedTuple):
@@ -128,8 +132,8 @@
         case Route(targets=targets, path_prefix=path_prefix):
             yield from _route_faults(key, targets, path_prefix)
         case RetryPolicy(attempts=attempts, methods=methods, idempotency_key=idempotency_key):
-            if attempts < 1:
-                yield Fault(f"{key}.attempts", f"is {attempts}; at least 1 is allowed")
+            if not 1 <= attempts <= MAX_ATTEMPTS:
+                yield Fault(f"{key}.attempts", f"is {attempts}; allowed is 1 to {MAX_ATTEMPTS}")
             unsafe = sorted(set(methods) - IDEMPOTENT_METHODS)
             if unsafe and not idempotency_key:
                 names = ", ".join(unsafe)
@@ -138,18 +142,21 @@
                     f"{names} is not idempotent; set idempotency_key = true or leave it out",
                 )
         case TrafficPolicy(timeout=timeout, max_body_bytes=max_body_bytes):
-            if timeout <= 0:
-                yield Fault(f"{key}.timeout", f"is {timeout} s; more than 0 is allowed")
-            if max_body_bytes < 0:
-                yield Fault(f"{key}.max_body_bytes", "is negative; 0 or more is allowed")
+            # Written so that a timeout that is no number is refused too.
+            if not 0 < timeout <= MAX_TIMEOUT:
+                limit = f"more than 0 and at most {MAX_TIMEOUT:g}"
+                yield Fault(f"{key}.timeout", f"is {timeout} s; allowed is {limit}")
+            if not 0 <= max_body_bytes <= LARGEST_MAX_BODY_BYTES:
+                limit = f"0 to {LARGEST_MAX_BODY_BYTES}"
+                yield Fault(f"{key}.max_body_bytes", f"is {max_body_bytes}; allowed is {limit}")
         case Service() | Upstream():
             return
 
 
 def _route_faults(key: Key, targets: tuple[Target, ...], path_prefix: str) -> Iterator[Fault]:
     """Yield what is wrong with a route by itself."""
-    if any(target.weight < 0 for target in targets):
-        yield Fault(f"{key}.targets", "has a negative weight; 0 or more is allowed")
+    if any(not 0 <= target.weight <= MAX_WEIGHT for target in targets):
+        yield Fault(f"{key}.targets", f"has a weight out of range; allowed is 0 to {MAX_WEIGHT}")
     if sum(target.weight for target in targets) <= 0:
         yield Fault(f"{key}.targets", "has weights that add up to 0; give one target at least 1")
     if not path_prefix.startswith("/"):
--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Self
+from urllib.parse import quote
 
 import aiohttp
 
@@ -19,6 +21,10 @@
     """None of the given servers answered."""
 
 
+class Gone(Exception):
+    """The history does not reach back far enough; the text says what to do."""
+
+
 class Client:
     """Talks to the processes at the given operators' addresses, in turn until one answers."""
 
@@ -80,13 +86,45 @@
         ]
         return sorted(found, key=lambda event: (event["wall"], event["logical"]))
 
+    async def resource(self, kind: str, name: str) -> dict[str, Any]:
+        """Return one accepted resource with its status."""
+        return await self._ask("GET", f"/v1/resources/{quote(kind)}/{quote(name)}", None)
+
+    async def history(self, version: int) -> dict[str, Any]:
+        """Return the changes accepted after a version."""
+        return await self._ask("GET", f"/v1/history?from={version}", None)
+
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
-        """Yield what is accepted and where it is in force, as it changes."""
+        """Yield each change accepted after a version once, and how far the newest has come.
+
+        Raise Gone when the servers don't remember the changes that follow the version.
+        """
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + self._timeout
+        while loop.time() < give_up:
+            for server in self._servers:
+                try:
+                    async for line in self._stream(server, version):
+                        version = line.get("accepted", version)
+                        give_up = loop.time() + self._timeout
+                        yield line
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    continue
+            await asyncio.sleep(RETRY_WAIT)
+        raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
+
+    async def _stream(self, server: str, version: int) -> AsyncIterator[dict[str, Any]]:
+        """Yield the lines of one stream until it ends."""
         timeout = aiohttp.ClientTimeout(total=None, sock_read=self._timeout)
-        url = f"http://{self._servers[0]}/v1/watch?from={version}"
+        url = f"http://{server}/v1/watch?from={version}"
         async with self._session.get(url, timeout=timeout) as response:
+            if response.status == HTTPStatus.GONE:
+                raise Gone((await response.json())["sentence"])
+            response.raise_for_status()
             async for line in response.content:
-                yield json.loads(line)
+                # An empty line is a heartbeat.
+                if line.strip():
+                    yield json.loads(line)
 
     async def _ask(self, method: str, path: str, form: dict[str, Any] | None) -> dict[str, Any]:
         """Ask one server after another until one answers for good."""
--- a/cowslipvane/cmdline/_resources.py
+++ b/cowslipvane/cmdline/_resources.py
@@ -5,6 +5,7 @@
 import json
 import uuid
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -22,15 +23,10 @@
     servers: tuple[str, ...], path: Path, based_on: int | None, operation_id: str, dry_run: bool
 ) -> None:
     """Write the resources in a TOML or JSON file."""
-    try:
-        form = commands.read_resources(path)
-    except commands.CommandFailed as error:
-        click.echo(str(error), err=True)
-        raise SystemExit(EXIT_BAD_INPUT) from None
+    form = _read(path)
     form |= {"operation_id": operation_id, "dry_run": dry_run}
     answer = ask(commands.apply(servers, form, based_on))
-    for fault in answer.get("faults", ()):
-        click.echo(f"{path}: {fault['path']}: {fault['message']}", err=True)
+    _show_faults(path, answer)
     click.echo(json.dumps(answer))
     if answer["outcome"] not in ("accepted", "valid"):
         raise SystemExit(1)
@@ -38,14 +34,53 @@
 
 @click.command()
 @server_option
-def get(servers: tuple[str, ...]) -> None:
-    """Print the accepted resources and where they are in force."""
-    click.echo(json.dumps(ask(commands.get(servers)), indent=2))
+@click.argument("resource", default="")
+def get(servers: tuple[str, ...], resource: str) -> None:
+    """Print the accepted resources, or one by KIND/NAME, and where they are in force."""
+    click.echo(json.dumps(ask(commands.get(servers, resource)), indent=2))
+
+
+@click.command()
+@server_option
+@click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
+def diff(servers: tuple[str, ...], path: Path) -> None:
+    """Print what applying a TOML or JSON file would change; exit with 1 if anything."""
+    answer = ask(commands.diff(servers, _read(path)))
+    _show_faults(path, answer)
+    if answer["outcome"] != "valid":
+        raise SystemExit(EXIT_BAD_INPUT)
+    for line in commands.diff_lines(answer["effects"]):
+        click.echo(line)
+    raise SystemExit(1 if answer["effects"] else 0)
+
+
+@click.command()
+@server_option
+@click.option("--from", "version", type=int, default=0, help="The version you hold.")
+def history(servers: tuple[str, ...], version: int) -> None:
+    """Print a line for each change that was accepted after a version."""
+    for change in ask(commands.history(servers, version)):
+        click.echo(json.dumps(change))
 
 
 @click.command()
 @server_option
 @click.option("--from", "version", type=int, default=0, help="The version you hold.")
 def watch(servers: tuple[str, ...], version: int) -> None:
-    """Print a line whenever something is accepted or comes into force."""
+    """Print a line for each change that is accepted, and as the newest comes into force."""
     ask(commands.watch(servers, version, click.echo))
+
+
+def _read(path: Path) -> dict[str, Any]:
+    """Return the resources in a file, or exit with a line that says why not."""
+    try:
+        return commands.read_resources(path)
+    except commands.CommandFailed as error:
+        click.echo(str(error), err=True)
+        raise SystemExit(EXIT_BAD_INPUT) from None
+
+
+def _show_faults(path: Path, answer: dict[str, Any]) -> None:
+    """Print a line for each fault of a file."""
+    for fault in answer.get("faults", ()):
+        click.echo(f"{path}: {fault['path']}: {fault['message']}", err=True)
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -4,7 +4,15 @@
 from cowslipvane.commands._explain import explain
 from cowslipvane.commands._process import describe, read_settings, run, status
 from cowslipvane.commands._replica import create_replica
-from cowslipvane.commands._resources import apply, get, read_resources, watch
+from cowslipvane.commands._resources import (
+    apply,
+    diff,
+    diff_lines,
+    get,
+    history,
+    read_resources,
+    watch,
+)
 from cowslipvane.settings import SettingsFault
 
 __all__ = [
@@ -13,8 +21,11 @@
     "apply",
     "create_replica",
     "describe",
+    "diff",
+    "diff_lines",
     "explain",
     "get",
+    "history",
     "read_resources",
     "read_settings",
     "run",
--- a/cowslipvane/commands/_resources.py
+++ b/cowslipvane/commands/_resources.py
@@ -4,10 +4,12 @@
 
 import json
 import tomllib
+import uuid
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+from cowslipvane.client import Gone
 from cowslipvane.commands._errors import CommandFailed, client_of
 
 
@@ -31,23 +33,52 @@
         return await client.change({**form, "based_on": based_on})
 
 
-async def get(servers: tuple[str, ...]) -> dict[str, Any]:
-    """Return the accepted resources and where their version is in force."""
+async def get(servers: tuple[str, ...], resource: str) -> dict[str, Any]:
+    """Return the accepted resources, or one named KIND/NAME, and where they are in force."""
+    kind, _, name = resource.partition("/")
     async with client_of(servers) as client:
-        found = await client.resources()
-        status = await client.status()
-    reports = status.get("replica", {}).get("reports", [])
-    found["in_force"] = {
-        "proxies": len(reports),
-        "on": sum(report["version"] >= found["version"] for report in reports),
-        "since": max((report["applied_at"] for report in reports), default=None),
-        "behind": [item["host"] for item in reports if item["version"] < found["version"]],
-    }
+        if not resource:
+            return await client.resources()
+        found = await client.resource(kind, name)
+    if "kind" not in found:
+        raise CommandFailed(f"{found['sentence']}; name it as KIND/NAME")
     return found
 
 
-async def watch(servers: tuple[str, ...], version: int, show: Callable[[str], Any]) -> None:
-    """Show a line for each thing that is accepted or comes into force."""
+async def history(servers: tuple[str, ...], version: int) -> list[dict[str, Any]]:
+    """Return the changes accepted after a version."""
     async with client_of(servers) as client:
-        async for line in client.watch(version):
-            show(json.dumps(line))
+        found = await client.history(version)
+    if "changes" not in found:
+        raise CommandFailed(found["sentence"])
+    return list(found["changes"])
+
+
+async def diff(servers: tuple[str, ...], form: dict[str, Any]) -> dict[str, Any]:
+    """Return what a change would do, or why it can't be accepted; nothing is applied."""
+    form = {**form, "operation_id": uuid.uuid4().hex, "dry_run": True}
+    return await apply(servers, form, None)
+
+
+def diff_lines(effects: list[dict[str, Any]]) -> list[str]:
+    """Return a line for each resource and each field that a change would alter."""
+    lines = []
+    for effect in effects:
+        before, after = effect["before"] or {}, effect["after"] or {}
+        sign = "+" if not effect["before"] else "-" if not effect["after"] else "~"
+        lines.append(f"{sign} {effect['kind']}/{effect['name']}")
+        for field in sorted(before.keys() | after.keys()):
+            old, new = before.get(field), after.get(field)
+            if old != new:
+                lines.append(f"    {field}: {json.dumps(old)} -> {json.dumps(new)}")
+    return lines
+
+
+async def watch(servers: tuple[str, ...], version: int, show: Callable[[str], Any]) -> None:
+    """Show a line for each change that is accepted, and as the newest comes into force."""
+    try:
+        async with client_of(servers) as client:
+            async for line in client.watch(version):
+                show(json.dumps(line))
+    except Gone as error:
+        raise CommandFailed(str(error)) from error
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -150,7 +150,9 @@
             replica=replica, journal=journal, timing=self._settings.timing, events=self._events
         )
         self._publisher = Publisher(
-            replication=self._replication, pull_wait=self._settings.timing.pull_wait
+            replication=self._replication,
+            membership=self._members.membership,
+            pull_wait=self._settings.timing.pull_wait,
         )
         return [self._replication.run(), self._publisher.run()]
 
@@ -210,12 +212,13 @@
             owner=self._owner,
             drain=self.stop,
         )
-        if self._replication is None:
+        if self._replication is None or self._publisher is None:
             return Operators(process=process, resources=None)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
             replication=self._replication,
+            publisher=self._publisher,
         )
         return Operators(process=process, resources=resources)
 
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -90,4 +90,3 @@
     voter: HostName
     matched: bool
     index: int
-    reports: tuple[Report, ...] = ()
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -235,7 +235,6 @@
             return
         role = self._role
         role.contact[reply.voter] = max(sent_at, role.contact.get(reply.voter, 0.0))
-        self._reports.update((report.host, report) for report in reply.reports)
         if not reply.matched:
             role.next_index[reply.voter] = max(1, min(reply.index + 1, self.last_index))
             return
@@ -317,10 +316,7 @@
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append message."""
-        reports = tuple(self._reports.values()) if matched else ()
-        return AppendReply(
-            term=self._term, voter=self._host, matched=matched, index=index, reports=reports
-        )
+        return AppendReply(term=self._term, voter=self._host, matched=matched, index=index)
 
     def _term_of(self, index: int) -> int:
         """Return the term of the entry at an index, 0 before the first."""
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -11,7 +11,10 @@
     PullDelta,
     PullReply,
     PullSnapshot,
+    Reports,
+    ReportsTaken,
 )
+from cowslipvane.subscription._rollout import Lag, Progress, Proxies, Rollout
 from cowslipvane.subscription._subscription import Applied, Rejected, Subscription
 
 __all__ = [
@@ -22,10 +25,16 @@
     "ComeAgain",
     "Current",
     "Floor",
+    "Lag",
+    "Progress",
+    "Proxies",
     "Pull",
     "PullDelta",
     "PullReply",
     "PullSnapshot",
     "Rejected",
+    "Reports",
+    "ReportsTaken",
+    "Rollout",
     "Subscription",
 ]
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -62,6 +62,18 @@
     version: Version
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reports:
+    """Passes on to the leader what proxies have reported to another replica."""
+
+    reports: tuple[Report, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportsTaken:
+    """Answers that reports are kept."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ComeAgain:
     """Answers that too many snapshots are on their way, and when to ask again."""
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -2,31 +2,44 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import NamedTuple
 
 from cowslipvane.catalogue import Behind, Delta, RouteHosts, Snapshot
-from cowslipvane.replica import Leader
+from cowslipvane.membership import Membership
+from cowslipvane.replica import Leader, Report
 from cowslipvane.subscription import (
     AskFloor,
     AskLeader,
     ComeAgain,
     Current,
     Floor,
+    Proxies,
     Pull,
     PullDelta,
     PullSnapshot,
+    Reports,
+    ReportsTaken,
+    Rollout,
 )
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import NO_VERSION, Address, Seconds, Version
-from cowslipvane.wire import Link, encode, register
+from cowslipvane.types import NO_VERSION, Address, HostName, Seconds, Version
+from cowslipvane.wire import Link, LinkClosed, Malformed, connect, encode, register
 
 register(AskFloor, AskLeader, ComeAgain, Current, Floor, Pull, PullDelta, PullSnapshot)
+register(Reports, ReportsTaken)
 
 # Snapshots that are on their way at once; more proxies are told to come again.
 MAX_SNAPSHOTS = 16
 SNAPSHOT_RETRY: Seconds = 0.5
+# Reports that come within this time are looked at, and passed on, together.
+GATHER_TIME: Seconds = 0.02
+# The longest time between two looks at which proxies live.
+OBSERVE_TIME: Seconds = 1.0
+LEADER_TIMEOUT: Seconds = 2.0
+LEADER_RETRY: Seconds = 0.2
 
 
 class _Answer(NamedTuple):
@@ -39,22 +52,39 @@
 class Publisher:
     """Answers the pulls of proxies from the replica's catalogue."""
 
-    def __init__(self, *, replication: Replication, pull_wait: Seconds) -> None:
+    def __init__(
+        self, *, replication: Replication, membership: Membership, pull_wait: Seconds
+    ) -> None:
         self._replication = replication
+        self._membership = membership
         self._pull_wait = pull_wait
         self._accepted = Signal()
         self._reported = Signal()
+        self._moved = Signal()
+        self._rollout = Rollout()
         self._snapshots = 0
         # Answers to the newest version, encoded once for all proxies that ask the same.
         self._answers: dict[tuple[Version, RouteHosts], _Answer] = {}
         self._answers_version = NO_VERSION
 
     @property
-    def reported(self) -> Signal:
-        """Return the signal that is sent when a proxy reports something new."""
-        return self._reported
+    def moved(self) -> Signal:
+        """Return the signal that is sent when a version is accepted or comes into force."""
+        return self._moved
+
+    @property
+    def rollout(self) -> Rollout:
+        """Return where versions are in force; only the leader's is complete."""
+        return self._rollout
 
     async def run(self) -> None:
+        """Run the tasks beside those of the proxies' connections."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._wake_pulls())
+            tasks.create_task(self._observe_reports())
+            tasks.create_task(self._inform_leader())
+
+    async def _wake_pulls(self) -> None:
         """Wake the waiting pulls at each new version, and for nothing else."""
         seen = self._replication.replica.catalogue.version
         while True:
@@ -63,24 +93,73 @@
             if newest != seen:
                 seen = newest
                 self._accepted.send()
+                self._moved.send()
 
     async def serve(self, link: Link) -> None:
         """Answer one proxy's requests, in order."""
         while True:
             match await link.receive():
                 case Pull() as pull:
-                    self._record(pull)
+                    self._record(pull.report)
                     await self._answer(link, pull)
                 case AskFloor():
                     await link.send(self._floor())
+                case Reports(reports=reports):
+                    for report in reports:
+                        self._record(report)
+                    await link.send(ReportsTaken())
                 case _:
                     return
 
-    def _record(self, pull: Pull) -> None:
-        """Keep the report of a pull."""
+    async def _observe_reports(self) -> None:
+        """Keep the rollout at what the proxies report."""
+        while True:
+            reports = self._replication.replica.reports
+            if self._rollout.observe(reports, self._proxies(), time.time()):
+                self._moved.send()
+            await self._reported.wait(OBSERVE_TIME)
+            await asyncio.sleep(GATHER_TIME)
+
+    def _proxies(self) -> Proxies:
+        """Return the proxies among the members."""
+        now = time.monotonic()
+        hosts = sorted(m.host for m in self._membership.members if m.callers and m.state != "gone")
+        live = tuple(host for host in hosts if self._membership.is_alive(host, now))
+        return Proxies(live, tuple(host for host in hosts if host not in live))
+
+    async def _inform_leader(self) -> None:
+        """Pass on to the leader, whichever it is, what proxies report here."""
+        while True:
+            leader = self._leader_address()
+            if leader is None:
+                await self._replication.changed.wait(LEADER_RETRY)
+                continue
+            try:
+                async with connect(leader, "/subscribe") as link:
+                    await self._send_reports(link, leader)
+            except (LinkClosed, Malformed, TimeoutError):
+                await asyncio.sleep(LEADER_RETRY)
+
+    async def _send_reports(self, link: Link, leader: Address) -> None:
+        """Send each report that this leader has not confirmed yet, as long as it leads."""
+        confirmed: dict[HostName, Report] = {}
+        while self._leader_address() == leader:
+            held = dict(self._replication.replica.reports)
+            news = {host: report for host, report in held.items() if confirmed.get(host) != report}
+            if news:
+                await link.send(Reports(reports=tuple(news.values())))
+                answer = await asyncio.wait_for(link.receive(), LEADER_TIMEOUT)
+                if not isinstance(answer, ReportsTaken):
+                    raise Malformed("the leader answered reports with another message")
+                confirmed.update(news)
+            await self._reported.wait(OBSERVE_TIME)
+            await asyncio.sleep(GATHER_TIME)
+
+    def _record(self, report: Report) -> None:
+        """Keep a report."""
         replica = self._replication.replica
-        if replica.reports.get(pull.report.host) != pull.report:
-            replica.record_report(pull.report)
+        if replica.reports.get(report.host) != report:
+            replica.record_report(report)
             self._reported.send()
 
     def _floor(self) -> Floor | AskLeader:
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -2,54 +2,124 @@
 
 from __future__ import annotations
 
-import json
 import time
+import uuid
 from typing import Any
 
 from aiohttp import web
 
-from cowslipvane.catalogue import Accepted, Conflict, Fault, Invalid
+from cowslipvane.catalogue import Accepted, Catalogue, Change, Conflict, Fault, Invalid, Key, Spec
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
-from cowslipvane.replica import Leader
 from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
-from cowslipvane.types import HostName
-from cowslipvane.wire import outcome_form, read_change, resource_form
-
-WATCH_HEARTBEAT_S = 5.0
+from cowslipvane.tasks._watch import Watch
+from cowslipvane.types import HostName, OperationId, Version
+from cowslipvane.wire import (
+    change_form,
+    effect_form,
+    outcome_form,
+    progress_form,
+    read_change,
+    read_spec,
+    resource_form,
+    status_form,
+)
 
 
 class ResourceApi:
     """Answers operators who read, write and watch resources."""
 
     def __init__(
-        self, *, membership: Membership, events: EventLog, replication: Replication
+        self,
+        *,
+        membership: Membership,
+        events: EventLog,
+        replication: Replication,
+        publisher: Publisher,
     ) -> None:
         self._membership = membership
         self._events = events
         self._replication = replication
+        self._publisher = publisher
+
+    @property
+    def _catalogue(self) -> Catalogue:
+        """Return the catalogue of this replica."""
+        return self._replication.replica.catalogue
 
     async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
         """Answer by method and path, or return None when the path is none of this API."""
+        if parts[0] not in ("resources", "changes", "history", "watch"):
+            return None
+        if not self._replication.replica.holds_lease(time.monotonic()):
+            return self._redirect(http.path_qs, self._replication.replica.leader)
         match http.method, parts:
             case "GET", ["resources"]:
                 return self._resources()
+            case "GET", ["resources", kind, name]:
+                return self._resource(Key(kind, name))
+            case "PUT" | "DELETE", ["resources", kind, name]:
+                return await self._write(http, Key(kind, name))
             case "POST", ["changes"]:
                 return await self._change(await http.json())
+            case "GET", ["history"]:
+                return self._history(_from(http))
             case "GET", ["watch"]:
                 return await self._watch(http)
             case _:
                 return None
 
     def _resources(self) -> web.Response:
-        """Return all accepted resources, from a leader that surely still is one."""
-        replica = self._replication.replica
-        if not replica.holds_lease(time.monotonic()):
-            return self._redirect("/v1/resources", replica.leader)
-        resources = [resource_form(item) for item in replica.catalogue.resources.values()]
-        form = {"version": replica.catalogue.version, "resources": resources}
-        return web.json_response(form)
+        """Return all accepted resources, each with where it is in force."""
+        rollout = self._publisher.rollout
+        accepted_at = self._catalogue.accepted_at()
+        progress = rollout.progress(self._catalogue.version, accepted_at)
+        resources = [
+            {**resource_form(item), "status": status_form(item.version, accepted_at, rollout)}
+            for item in self._catalogue.resources.values()
+        ]
+        return web.json_response({**progress_form(progress), "resources": resources})
+
+    def _resource(self, key: Key) -> web.Response:
+        """Return one resource, its status, and the tag for a conditional write."""
+        resource = self._catalogue.resources.get(key)
+        if resource is None:
+            return error_response(404, f"there is no {key}")
+        accepted_at = self._catalogue.accepted_at()
+        progress = self._publisher.rollout.progress(resource.version, accepted_at)
+        status = status_form(resource.version, accepted_at, self._publisher.rollout)
+        status["behind"] = progress_form(progress)["behind"]
+        form = {**resource_form(resource), "status": status}
+        return web.json_response(form, headers={"ETag": f'"{resource.version}"'})
+
+    async def _write(self, http: web.BaseRequest, key: Key) -> web.Response:
+        """Write or delete one resource, if it still is what the operator saw."""
+        name = http.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
+        based_on = self._based_on(http, key)
+        if based_on is None:
+            sentence = 'not run: give If-Match with the ETag you saw, or If-None-Match: "*"'
+            return error_response(428, sentence)
+        puts: tuple[tuple[Key, Spec], ...] = ()
+        if http.method == "PUT":
+            spec = read_spec(key, await http.json())
+            if isinstance(spec, Invalid):
+                return _invalid(spec.faults)
+            puts = ((key, spec),)
+        deletes = () if puts else (key,)
+        change = Change(OperationId(name), based_on, puts, deletes)
+        return await self._run(change, conflict_status=412)
+
+    def _based_on(self, http: web.BaseRequest, key: Key) -> Version | None:
+        """Return the version that a conditional write is based on, or None without a condition."""
+        tag = http.headers.get("If-Match", "").strip('"')
+        if tag.isdecimal():
+            return Version(int(tag))
+        if http.headers.get("If-None-Match", "").strip('"') == "*":
+            # A resource that is there was written after version 0, so that it is a conflict.
+            return Version(0) if key in self._catalogue.resources else self._catalogue.version
+        return None
 
     async def _change(self, form: Any) -> web.Response:
         """Decide a change; the answer says whether it was run."""
@@ -57,8 +127,24 @@
         if isinstance(change, Invalid):
             return _invalid(change.faults)
         if form.get("dry_run"):
-            faults = self._replication.replica.catalogue.faults(change)
-            return _invalid(faults) if faults else web.json_response({"outcome": "valid"})
+            return self._dry_run(change)
+        return await self._run(change, conflict_status=409)
+
+    def _dry_run(self, change: Change) -> web.Response:
+        """Return what would become of a change, of which nothing is run."""
+        match self._catalogue.judge(change):
+            case None:
+                effects = [effect_form(effect) for effect in self._catalogue.effects(change)]
+                return web.json_response({"outcome": "valid", "effects": effects})
+            case Accepted() as outcome:
+                return web.json_response(outcome_form(outcome))
+            case Conflict() as outcome:
+                return web.json_response(outcome_form(outcome), status=409)
+            case Invalid(faults=faults):
+                return _invalid(faults)
+
+    async def _run(self, change: Change, *, conflict_status: int) -> web.Response:
+        """Have a change decided by the group, and answer."""
         outcome = await self._replication.write(change)
         match outcome:
             case NotLeader(leader=leader):
@@ -70,10 +156,32 @@
                 self._events.record("accepted", version=outcome.version)
                 return web.json_response(outcome_form(outcome))
             case Conflict():
-                return web.json_response(outcome_form(outcome), status=409)
+                return web.json_response(outcome_form(outcome), status=conflict_status)
             case Invalid():
                 return web.json_response(outcome_form(outcome), status=422)
 
+    def _history(self, version: Version) -> web.Response:
+        """Return the accepted changes after a version."""
+        if version < self._catalogue.oldest:
+            return self._gone()
+        changes = [change_form(change) for change in self._catalogue.history(version)]
+        return web.json_response({"version": self._catalogue.version, "changes": changes})
+
+    async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Stream what is accepted after a version, or say that it can't be told without a gap."""
+        version = _from(http)
+        if version < self._catalogue.oldest:
+            return self._gone()
+        watch = Watch(replication=self._replication, publisher=self._publisher, version=version)
+        return await watch.run(http)
+
+    def _gone(self) -> web.Response:
+        """Return that the history does not reach back to a version."""
+        oldest = self._catalogue.oldest
+        sentence = f"the history begins at version {oldest}; read the resources, then go on"
+        form = {"outcome": "gone", "oldest": oldest, "sentence": sentence}
+        return web.json_response(form, status=410)
+
     def _redirect(self, path: str, leader: HostName | None) -> web.Response:
         """Send an operator on to the leader, or tell when to come again."""
         member = self._membership.member(leader) if leader else None
@@ -86,23 +194,10 @@
             {"outcome": "not run", "leader": leader}, status=307, headers={"Location": location}
         )
 
-    async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Stream a line for each version from the one that the operator holds."""
-        version = int(http.query.get("from", "0"))
-        stream = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
-        await stream.prepare(http)
-        while True:
-            replica = self._replication.replica
-            in_force = [report.version for report in replica.reports.values()]
-            line = {
-                "accepted": replica.catalogue.version,
-                "proxies": len(in_force),
-                "in_force": sum(held >= replica.catalogue.version for held in in_force),
-                "leader": isinstance(replica.role, Leader),
-                "from": version,
-            }
-            await stream.write(json.dumps(line).encode() + b"\n")
-            await self._replication.changed.wait(WATCH_HEARTBEAT_S)
+
+def _from(http: web.BaseRequest) -> Version:
+    """Return the version that an operator holds."""
+    return Version(int(http.query.get("from", "0")))
 
 
 def _invalid(faults: tuple[Fault, ...]) -> web.Response:
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Any, TypedDict
+from typing import Any, TypedDict, get_args, get_origin
 
 from cattrs import Converter, transform_error
-from cattrs.cols import namedtuple_dict_structure_factory, namedtuple_dict_unstructure_factory
-from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.cols import (
+    namedtuple_dict_structure_factory,
+    namedtuple_dict_unstructure_factory,
+)
+from cattrs.errors import ForbiddenExtraKeysError, IterableValidationError, IterableValidationNote
 
 from cowslipvane.catalogue import (
     KINDS,
     Accepted,
+    AcceptedChange,
     Change,
     Conflict,
+    Effect,
     Fault,
     Invalid,
     Key,
@@ -21,8 +26,11 @@
     Spec,
     Target,
 )
+from cowslipvane.subscription import Progress, Rollout
 from cowslipvane.types import Header, OperationId, Version
 
+MAX_TEXT_CHARACTERS = 1024
+
 
 class ResourceForm(TypedDict):
     """A resource as operators read and write it."""
@@ -52,6 +60,118 @@
     sentence: str
 
 
+class LagForm(TypedDict):
+    """A proxy that lags, and since when."""
+
+    host: str
+    version: int
+    since: float | None
+    rejected: str
+
+
+class StatusForm(TypedDict, total=False):
+    """Where the version that last changed a resource is in force."""
+
+    accepted_at: float | None
+    in_force: int
+    proxies: int
+    everywhere_at: float | None
+    behind: list[LagForm]
+
+
+class ProgressForm(TypedDict):
+    """How far a version has come."""
+
+    version: int
+    in_force: int
+    proxies: int
+    everywhere_at: float | None
+    behind: list[LagForm]
+    silent: list[str]
+
+
+class ChangedForm(TypedDict):
+    """A resource that a change wrote, or deleted when the specification is None."""
+
+    kind: str
+    name: str
+    spec: dict[str, Any] | None
+
+
+class ChangeForm(TypedDict):
+    """An accepted change."""
+
+    accepted: int
+    accepted_at: float
+    operation_id: str
+    resources: list[ChangedForm]
+
+
+class EffectForm(TypedDict):
+    """What a change would do to a resource; None stands for no resource."""
+
+    kind: str
+    name: str
+    before: dict[str, Any] | None
+    after: dict[str, Any] | None
+
+
+def status_form(
+    version: Version, accepted_at: dict[Version, float], rollout: Rollout
+) -> StatusForm:
+    """Return where the version that last changed a resource is in force, as JSON."""
+    return StatusForm(
+        accepted_at=accepted_at.get(version),
+        in_force=rollout.in_force(version),
+        proxies=rollout.proxies,
+        everywhere_at=rollout.everywhere_at(version),
+    )
+
+
+def progress_form(progress: Progress) -> ProgressForm:
+    """Return how far a version has come as JSON."""
+    return ProgressForm(
+        version=progress.version,
+        in_force=progress.in_force,
+        proxies=progress.proxies,
+        everywhere_at=progress.everywhere_at,
+        behind=[
+            LagForm(host=lag.host, version=lag.version, since=lag.since, rejected=lag.rejected)
+            for lag in progress.behind
+        ],
+        silent=list(progress.silent),
+    )
+
+
+def change_form(change: AcceptedChange) -> ChangeForm:
+    """Return an accepted change as JSON."""
+    return ChangeForm(
+        accepted=change.version,
+        accepted_at=change.accepted_at,
+        operation_id=change.operation_id,
+        resources=[
+            ChangedForm(kind=key.kind, name=key.name, spec=_spec_form(resource and resource.spec))
+            for key, resource in sorted(change.after.items())
+        ],
+    )
+
+
+def effect_form(effect: Effect) -> EffectForm:
+    """Return what a change would do to a resource as JSON."""
+    return EffectForm(
+        kind=effect.key.kind,
+        name=effect.key.name,
+        before=_spec_form(effect.before),
+        after=_spec_form(effect.after),
+    )
+
+
+def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
+    """Return a specification as JSON, None for none."""
+    form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
+    return form
+
+
 def resource_form(resource: Resource) -> ResourceForm:
     """Return a resource as JSON."""
     return ResourceForm(
@@ -102,18 +222,34 @@
     unknown = form.keys() - {"operation_id", "based_on", "resources", "deletes", "dry_run"}
     faults += [Fault(name, "is no known key") for name in sorted(unknown)]
     operation_id = form.get("operation_id")
-    if not isinstance(operation_id, str) or not operation_id:
+    if not _is_text(operation_id) or not operation_id:
         faults.append(Fault("operation_id", "must be a text that names this change"))
     based_on = form.get("based_on")
     if type(based_on) is not int or based_on < 0:
         faults.append(Fault("based_on", "must be the version that the change is based on"))
     puts = _read_puts(form.get("resources", []), faults)
     deletes = _read_deletes(form.get("deletes", []), faults)
+    both = {key for key, _ in puts} & set(deletes)
+    faults += [Fault(str(key), "is both written and deleted") for key in sorted(both)]
     if faults:
         return Invalid(faults=tuple(faults))
     return Change(OperationId(str(operation_id)), Version(int(based_on or 0)), puts, deletes)
 
 
+def read_spec(key: Key, form: Any) -> Spec | Invalid:
+    """Return the specification in a JSON value, or everything that is wrong with it."""
+    faults: list[Fault] = []
+    if _read_key({"kind": key.kind, "name": key.name}, "resource", faults) is None:
+        return Invalid(faults=tuple(faults))
+    spec = _read_spec(key, form, faults)
+    return Invalid(faults=tuple(faults)) if spec is None else spec
+
+
+def _is_text(value: Any) -> bool:
+    """Return whether a value is a text that every message can carry."""
+    return isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS and value.isprintable()
+
+
 def _read_puts(forms: Any, faults: list[Fault]) -> tuple[tuple[Key, Spec], ...]:
     """Return the resources to write, and add what is wrong with them to the faults."""
     if not isinstance(forms, list):
@@ -147,19 +283,22 @@
         faults.append(Fault(path, "must be an object with kind and name"))
         return None
     kind, name = form.get("kind"), form.get("name")
-    if kind not in KINDS:
+    if not isinstance(kind, str) or kind not in KINDS:
         faults.append(Fault(f"{path}.kind", f"found {kind!r}; allowed are {', '.join(KINDS)}"))
         return None
-    if not isinstance(name, str) or not name or "/" in name:
-        faults.append(Fault(f"{path}.name", f"found {name!r}; allowed is a text without /"))
+    if not _is_text(name) or not name or "/" in name:
+        faults.append(Fault(f"{path}.name", f"found {name!r:.80}; allowed is a text without /"))
         return None
-    unknown = form.keys() - {"kind", "name", "spec", "version"}
+    unknown = form.keys() - {"kind", "name", "spec", "status", "version"}
     faults += [Fault(f"{kind}/{name}.{extra}", "is no known field") for extra in sorted(unknown)]
     return Key(kind, name)
 
 
 def _read_spec(key: Key, form: Any, faults: list[Fault]) -> Spec | None:
-    """Return the specification in a form."""
+    """Return the specification in a form, and add what is wrong with it to the faults."""
+    if not isinstance(form, dict):
+        faults.append(Fault(str(key), f"found {form!r:.80}; allowed is an object of fields"))
+        return None
     try:
         spec: Spec = _CONVERTER.structure(form, KINDS[key.kind])
     except Exception as error:
@@ -192,11 +331,49 @@
     return structure
 
 
+def _text(value: Any, _: Any) -> str:
+    """Return a text as it is."""
+    if not _is_text(value):
+        limit = f"a printable text of at most {MAX_TEXT_CHARACTERS} characters"
+        raise ValueError(f"found {value!r:.80}; allowed is {limit}")
+    return str(value)
+
+
+def _is_sequence(kind: Any) -> bool:
+    """Return whether a type is a tuple of any length."""
+    return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
+
+
+def _sequence(converter: Converter, kind: Any) -> Any:
+    """Return a hook that reads a tuple from a list, and from nothing else."""
+    item = get_args(kind)[0]
+    read_item = converter.get_structure_hook(item)
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, list):
+            raise ValueError(f"found {value!r:.80}; allowed is a list")
+        faults: list[Exception] = []
+        items = []
+        for position, each in enumerate(value):
+            try:
+                items.append(read_item(each, item))
+            except Exception as error:
+                note = IterableValidationNote(f"item {position}", position, item)
+                error.__notes__ = [*getattr(error, "__notes__", []), note]
+                faults.append(error)
+        if faults:
+            raise IterableValidationError("items", faults, kind)
+        return tuple(items)
+
+    return structure
+
+
 def _make_converter() -> Converter:
     """Return the converter between specifications and JSON values."""
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
     converter.register_structure_hook(int, _exactly(int))
-    converter.register_structure_hook(str, _exactly(str))
+    converter.register_structure_hook(str, _text)
+    converter.register_structure_hook_factory(_is_sequence, lambda kind: _sequence(converter, kind))
     converter.register_structure_hook(bool, _exactly(bool))
     converter.register_structure_hook(float, _exactly(float, int))
     for kind in (Target, Header):
--- /dev/null
+++ b/tests/test_resource_api.py
@@ -0,0 +1,162 @@
+"""Tests of the resource API and its commands, over real processes."""
+
+import asyncio
+import json
+import signal
+from typing import Any
+from unittest import IsolatedAsyncioTestCase, main
+from unittest.mock import patch
+
+import aiohttp
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+
+from cowslipvane.catalogue import Key, Service, _catalogue
+from cowslipvane.commands import diff_lines
+from cowslipvane.tasks._resource_api import ResourceApi
+from tools.fleet import EXAMPLES, Fleet, example_hosts
+from tools.lone_replica import LoneReplica, event_log
+
+PATIENCE_S = 20.0
+
+
+class ResourceApiTest(IsolatedAsyncioTestCase):
+    """One fleet of three replicas; each is a proxy too."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the replicas and accept the deployment's resources."""
+        hosts = [host for host in example_hosts("quiros") if host.is_replica]
+        self.fleet = Fleet(hosts=[host._replace(worker={}) for host in hosts])
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        self.fleet.create()
+        self.fleet.start()
+        self.leader = (await self.fleet.until_leader())["host"]
+        self.servers = [item for ip in self.fleet.operators() for item in ("--server", ip)]
+        self.file = str(EXAMPLES / "quiros" / "resources.toml")
+        self.fleet.command("apply", "-f", self.file, *self.servers)
+        await self.fleet.until_in_force(1, self.fleet.alive)
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=PATIENCE_S))
+        self.addAsyncCleanup(self.session.close)
+
+    async def ask(
+        self, method: str, path: str, form: Any = None, **fields: str
+    ) -> tuple[int, Any, str]:
+        """Return status, JSON and ETag of an answer."""
+        headers = {name.replace("_", "-"): value for name, value in fields.items()}
+        url = f"http://{self.fleet.address(self.leader, 'operators')}/v1/{path}"
+        async with self.session.request(method, url, json=form, headers=headers) as answer:
+            return answer.status, await answer.json(), answer.headers.get("ETag", "")
+
+    async def write(self, number: int) -> int:
+        """Write one resource and return the version."""
+        path = f"resources/traffic-policy/p{number}"
+        _, answer, _ = await self.ask("PUT", path, {}, If_None_Match="*")
+        return int(answer["version"])
+
+    async def test_single_resources_are_written_conditionally(self) -> None:
+        """Each answer has the status that the page gives it."""
+        path = "resources/traffic-policy/counter"
+        status, form, tag = await self.ask("GET", path)
+        self.assertEqual((status, form["version"], tag), (200, 1, '"1"'))
+        self.assertEqual((await self.ask("PUT", path, {"timeout": 2.0}))[0], 428)
+        self.assertEqual((await self.ask("PUT", path, {}, If_None_Match="*"))[0], 412)
+        self.assertEqual((await self.ask("PUT", path, {"x": 1}, If_Match=tag))[0], 422)
+        wanted = {"timeout": 2.0, "max_body_bytes": 1}
+        first = await self.ask("PUT", path, wanted, If_Match=tag, Idempotency_Key="k")
+        self.assertEqual((first[0], first[1]["version"]), (200, 2))
+        resent = await self.ask("PUT", path, wanted, If_Match=tag, Idempotency_Key="k")
+        self.assertEqual(resent, first)
+        status, lost, _ = await self.ask("PUT", path, {"timeout": 1.0}, If_Match=tag)
+        self.assertEqual((status, lost["winner"]), (412, "k"))
+        self.assertEqual((await self.ask("DELETE", path, If_Match='"2"'))[0], 422)
+        self.assertEqual((await self.ask("GET", "resources/service/none"))[0], 404)
+        self.assertEqual((await self.ask("GET", path))[1]["spec"], wanted)
+
+    async def test_status_tells_where_a_version_is_in_force(self) -> None:
+        """A proxy that is stopped lags, by name, and not for ever."""
+        still = next(host for host in self.fleet.alive if host != self.leader)
+        self.fleet.signal_daemon(still, signal.SIGSTOP)
+        version = await self.write(0)
+        form: dict[str, Any] = {}
+        async with asyncio.timeout(PATIENCE_S):
+            while form.get("status", {}).get("in_force") != 2:
+                _, form, _ = await self.ask("GET", "resources/traffic-policy/p0")
+            self.assertIsNotNone(form["status"]["accepted_at"])
+            if form["status"]["proxies"] == 3:
+                self.assertEqual([lag["host"] for lag in form["status"]["behind"]], [still])
+                self.assertIsNone(form["status"]["everywhere_at"])
+            self.fleet.signal_daemon(still, signal.SIGCONT)
+            # A thawed replica may have another elected, so that an answer may be none yet.
+            while form.get("status", {}).get("in_force") != 3:
+                _, form, _ = await self.ask("GET", "resources/traffic-policy/p0")
+        self.assertEqual((form["version"], form["status"]["behind"]), (version, []))
+        self.assertGreaterEqual(form["status"]["everywhere_at"], form["status"]["accepted_at"])
+
+    async def test_a_watch_goes_on_without_a_gap_when_the_leader_dies(self) -> None:
+        """Each version comes once, in order."""
+        seen: list[int] = []
+        last_version = 5
+
+        async def watch() -> None:
+            async with self.fleet.client() as client:
+                async for line in client.watch(0):
+                    if "accepted" in line:
+                        seen.append(line["accepted"])
+                    if len(seen) == last_version:
+                        return
+
+        task = asyncio.create_task(watch())
+        self.addCleanup(task.cancel)
+        last = [await self.write(number) for number in range(3)][-1]
+        self.fleet.kill_daemon(self.leader)
+        async with self.fleet.client() as client:
+            form = {"operation_id": "later", "based_on": last, "resources": []}
+            answer = await client.change(form)
+        await asyncio.wait_for(task, PATIENCE_S)
+        self.assertEqual((answer["version"], seen), (last_version, [1, 2, 3, 4, 5]))
+
+    async def test_commands_show_and_compare(self) -> None:
+        """History lists what was accepted; diff applies nothing."""
+        lines = self.fleet.command("history", *self.servers).splitlines()
+        self.assertEqual([json.loads(line)["accepted"] for line in lines], [1])
+        self.assertEqual(self.fleet.command("diff", "-f", self.file, *self.servers), "")
+        changed = self.fleet.folder / "changed.json"
+        spec = {"timeout": 9.0, "max_body_bytes": 262144}
+        item = {"kind": "traffic-policy", "name": "counter", "spec": spec}
+        changed.write_text(json.dumps({"resource": [item]}))
+        with self.assertRaisesRegex(RuntimeError, r"timeout: 3.0 -> 9.0"):
+            self.fleet.command("diff", "-f", str(changed), *self.servers)
+        found = json.loads(self.fleet.command("get", "traffic-policy/counter", *self.servers))
+        self.assertEqual((found["version"], found["spec"]["timeout"]), (1, 3.0))
+        effect = {"kind": "service", "name": "s", "before": None, "after": {"a": 1}}
+        self.assertEqual(diff_lines([effect]), ["+ service/s", "    a: null -> 1"])
+
+
+class HistoryTest(IsolatedAsyncioTestCase):
+    """What the history no longer holds."""
+
+    async def test_a_gap_is_told_and_not_skipped(self) -> None:
+        """A reader that is too far behind learns the oldest version that it can go on from."""
+        self.enterContext(patch.object(_catalogue, "HISTORY_CHANGES", 2))
+        lone = LoneReplica()
+        for number in range(4):
+            lone.put((Key("service", str(number)), Service()))
+        api = ResourceApi(
+            membership=lone.membership,
+            events=event_log(),
+            replication=lone.replication,
+            publisher=lone.publisher,
+        )
+        for path in ("history", "watch"):
+            request = make_mocked_request("GET", f"/v1/{path}?from=1")
+            answer = await api.handle(request, [path])
+            assert isinstance(answer, web.Response) and answer.text
+            self.assertEqual((answer.status, json.loads(answer.text)["oldest"]), (410, 2))
+        answer = await api.handle(make_mocked_request("GET", "/v1/history?from=2"), ["history"])
+        assert isinstance(answer, web.Response) and answer.text
+        changes = json.loads(answer.text)["changes"]
+        self.assertEqual([change["accepted"] for change in changes], [3, 4])
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/lone_replica.py
+++ b/tools/lone_replica.py
@@ -12,6 +12,7 @@
 
 from cowslipvane.catalogue import Change, Key, Spec
 from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.membership import Member, Membership
 from cowslipvane.replica import Ballot, Entry, Recovered, Replica, Voter
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._publisher import Publisher
@@ -59,7 +60,13 @@
         self.replication = Replication(
             replica=self.replica, journal=NoJournal(), timing=Timing(), events=event_log()
         )
-        self.publisher = Publisher(replication=self.replication, pull_wait=pull_wait)
+        own = Member(
+            HOST, DataCentre("here"), 1, 0, Address(IP, 1), Address(IP, 1), None, "up", None
+        )
+        self.membership = Membership(own=own, now=now)
+        self.publisher = Publisher(
+            replication=self.replication, membership=self.membership, pull_wait=pull_wait
+        )
         if leads:
             self.replica.stand(now)
             self.replica.count_own_vote(self.replica.term, now)
