--- a/tests/histories.py
+++ b/tests/histories.py
@@ -12,6 +12,10 @@
 TIMING = {"election_timeout": 0.5, "heartbeat": 0.1}
 KEYS = ("p", "q", "7", "8")
 
+# Accepted changes that a history needs, looked for 0.1 s apart.
+ENOUGH = 10
+ENOUGH_POLLS = 300
+
 
 class Operation(NamedTuple):
     """One operation of the history, from its first sending to its answer."""
