--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -13,7 +13,8 @@
 
 Message = Any
 T = TypeVar("T")
-_INT_LIMIT = 1 << 63
+# Larger integers are big numbers to CBOR, which no message needs.
+_INT_LIMIT = 1 << 64
 
 
 class Malformed(ValueError):
