--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -7,7 +7,7 @@
 
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
 from cowslipvane.catalogue._resources import Fault, Key, Resource, Spec, dangling, own_faults
-from cowslipvane.types import NO_VERSION, OperationId, Version
+from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
 
 # Changes kept for deltas; a subscriber that is further behind gets a snapshot.
 HISTORY_CHANGES = 1000
@@ -59,7 +59,7 @@
     version: Version
     puts: tuple[Resource, ...]
     deletes: tuple[Key, ...]
-    digest: int
+    digest: Digest
 
 
 class Snapshot(NamedTuple):
@@ -67,7 +67,7 @@
 
     version: Version
     resources: tuple[Resource, ...]
-    digest: int
+    digest: Digest
 
 
 class Behind(NamedTuple):
@@ -99,7 +99,7 @@
 
     version: Version
     keys: frozenset[Key]
-    digest: int
+    digest: Digest
 
 
 class Catalogue:
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -43,11 +43,11 @@
         return self._received
 
     def count_sent(self, kind: str, size: int) -> None:
-        """Count a message that is sent, by its name and its size in bytes."""
+        """Count a message of a kind that is sent, by its size in bytes."""
         self._sent[kind] += size
 
     def count_received(self, kind: str, size: int) -> None:
-        """Count a message that was received, by its name and its size in bytes."""
+        """Count a message of a kind that was received, by its size in bytes."""
         self._received[kind] += size
 
 
