Leave without cutting, and say what a hurried exit cuts

Cause, seen with all proxies restarted in turn under load: callers were cut (ServerDisconnectedError) at the exit, which follows the last answer and so meets the same caller's next request on an idle connection. Ruled out on the way: aiohttp's pre_shutdown alone, which leaves idle connections open but deaf (3 calls cut in 3 stops); its shutdown without a timeout alone, which waits for idle connections for ever (3 runs of 3 failed). Now a leaving proxy takes no new connection, closes idle ones after half a second and the others after their answer, and both waits end at one grace period, not two. A stop took up to 10 s because handlers of idle pulls were waited for; they are now ended.

An owner answers all it started before it ends its links as planned (code 1001), so an entry knows that what was not answered was never started. Upstream out: the owner refuses new work at once and what waits within 0.25 s. A worker can announce that it leaves. A second signal ends the wait, and events name each call and attempt that the exit cuts.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -175,11 +175,16 @@
     def drain(self) -> list[Work]:
         """Start nothing from now on, and return what was waiting."""
         self._draining = True
+        return self.empty()
+
+    def empty(self) -> list[Work]:
+        """Take everything out of the queue and return it."""
         left = [waiting.work for waiting in self._waiting.values()]
         for heap in (self._short, self._long):
             heap.clear()
         self._waiting.clear()
         self._callers.clear()
+        self._next_tags.clear()
         return left
 
     def _is_full(self, caller: str) -> bool:
--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -72,6 +72,11 @@
         # The latest attempt of each entry that is no longer remembered.
         self._forgotten: dict[HostName, AttemptId] = {}
 
+    @property
+    def under_way(self) -> tuple[AttemptId, ...]:
+        """Return the attempts that wait or run."""
+        return tuple(self._records)
+
     def admit(self, attempt: AttemptId) -> bool:
         """Take a new attempt; return False when it may not start any more."""
         if attempt in self._records or attempt in self._past or self._is_forgotten(attempt):
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -73,10 +73,13 @@
         )
         self._stop = Signal()
         self._stopping = False
+        self._hurried = False
+        self._serving: set[asyncio.Task[Any]] = set()
         self._replication: Replication | None = None
         self._publisher: Publisher | None = None
         self._owner: Owner | None = None
         self._callers: Callers | None = None
+        self._callers_listener: HttpListener | None = None
         self._subscription: Subscription | None = None
         self._peers = Peers()
 
@@ -91,12 +94,14 @@
                 tasks.append(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
-            await self._listen(stack)
+            # The listeners close first, so that a late call still finds its way to an owner.
             stack.push_async_callback(self._peers.close)
+            await self._listen(stack)
             await self._serve(tasks, stack)
 
     def stop(self) -> None:
-        """Leave: start nothing new, let what runs end, then exit."""
+        """Leave: start nothing new, let what runs end, then exit; at the second call, exit."""
+        self._hurried = self._stopping
         self._stopping = True
         self._stop.send()
 
@@ -110,7 +115,8 @@
             for task in done:
                 task.result()
         finally:
-            for task in running:
+            # Those that serve a pull or a neighbour may wait for news that no longer comes.
+            for task in [*running, *self._serving]:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
         self._events.record("stopped")
@@ -120,15 +126,49 @@
         """Wait for a stop and see it through."""
         while not self._stopping:
             await self._stop.wait()
-        give_up = time.monotonic() + self._settings.timing.grace
         if self._callers is None or self._owner is None:
             return
         self._callers.stop()
+        if self._callers_listener is not None:
+            # A refused connection sends a caller elsewhere; one that is cut leaves it in doubt.
+            self._callers_listener.stop_listening()
         await self._owner.drain()
-        await asyncio.sleep(LEAVING_TIME)
-        left = max(0.0, give_up - time.monotonic())
-        if not await self._callers.wait_idle(left) or not await self._owner.wait_idle(left):
-            self._events.record("cut", reason="the grace period is over")
+        idle = asyncio.create_task(self._wait_idle(self._callers, self._owner))
+        hurried = asyncio.create_task(self._wait_hurried())
+        try:
+            await asyncio.wait(
+                [idle, hurried],
+                timeout=self._settings.timing.grace,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            idle.cancel()
+            hurried.cancel()
+        self._say_what_is_cut(self._callers, self._owner)
+
+    async def _wait_idle(self, callers: Callers, owner: Owner) -> None:
+        """Wait until peers know of the leaving, and nothing is under way."""
+        await asyncio.sleep(LEAVING_TIME / 2)
+        if self._callers_listener is not None:
+            # Not at the exit: that follows the last answer, and so may its caller's next request.
+            await self._callers_listener.finish()
+        await asyncio.sleep(LEAVING_TIME / 2)
+        while callers.under_way or owner.under_way:
+            await callers.wait_idle()
+            await owner.wait_idle()
+
+    async def _wait_hurried(self) -> None:
+        """Wait for a second signal."""
+        while not self._hurried:
+            await self._stop.wait()
+
+    def _say_what_is_cut(self, callers: Callers, owner: Owner) -> None:
+        """Record the calls and the attempts that the exit cuts."""
+        reason = "a second signal" if self._hurried else "the grace period is over"
+        for request_id in callers.under_way:
+            self._events.record("cut", request=request_id, reason=reason)
+        for attempt in owner.under_way:
+            self._events.record("cut", entry=attempt.entry, reason=reason)
 
     def _start_replica(self, stack: AsyncExitStack) -> Coroutine[Any, Any, None]:
         """Open the data folder and return the replica's task."""
@@ -160,6 +200,7 @@
         self._subscription = subscription
         self._owner = Owner(
             members=self._members,
+            subscription=subscription,
             events=self._events,
             worker_lease=self._settings.timing.worker_lease,
         )
@@ -196,11 +237,10 @@
             HttpListener(handler=self._operators().handle, address=listen.operators)
         )
         if self._callers is not None and listen.callers is not None:
-            await stack.enter_async_context(
-                HttpListener(
-                    handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
-                )
+            self._callers_listener = HttpListener(
+                handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
             )
+            await stack.enter_async_context(self._callers_listener)
 
     def _operators(self) -> Operators:
         """Return what answers operators."""
@@ -225,6 +265,10 @@
         """Serve one connection of a peer, by the path that it asked for."""
         link = Link(connection=connection)
         path = connection.request.path if connection.request else ""
+        task = asyncio.current_task()
+        if task is not None and path != "/calls":
+            self._serving.add(task)
+            task.add_done_callback(self._serving.discard)
         try:
             match path:
                 case "/replica" if self._replication:
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -33,7 +33,7 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Header, Headers, RequestId, Seconds, Verdict
+from cowslipvane.types import Header, Headers, RequestId, Verdict
 
 REQUEST_ID_HEADER = "X-Request-Id"
 # Names the proxy that owns the upstream: a caller that goes there next saves a hop.
@@ -58,16 +58,19 @@
         self._carrier = carrier
         self._events = events
         self._rng = rng
-        self._under_way = 0
+        self._under_way: set[RequestId] = set()
         self._ended = Signal()
         self._stopping = False
 
-    async def wait_idle(self, timeout: Seconds) -> bool:
-        """Return whether no call is under way within the timeout."""
-        give_up = time.monotonic() + timeout
-        while self._under_way and time.monotonic() < give_up:
-            await self._ended.wait(give_up - time.monotonic())
-        return not self._under_way
+    @property
+    def under_way(self) -> tuple[RequestId, ...]:
+        """Return the calls that have no whole answer yet."""
+        return tuple(self._under_way)
+
+    async def wait_idle(self) -> None:
+        """Return once no call is under way."""
+        while self._under_way:
+            await self._ended.wait()
 
     def stop(self) -> None:
         """Close each connection after the answer that it waits for."""
@@ -75,8 +78,8 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
-        self._under_way += 1
         request_id = RequestId(uuid.uuid4().hex)
+        self._under_way.add(request_id)
         try:
             return await self._handle(http, request_id)
         except asyncio.CancelledError:
@@ -84,7 +87,7 @@
             self._record_refusal(request_id, CallerGone(verdict=Verdict.MAY_HAVE_RUN))
             raise
         finally:
-            self._under_way -= 1
+            self._under_way.discard(request_id)
             self._ended.send()
 
     async def _handle(self, http: web.BaseRequest, request_id: RequestId) -> web.StreamResponse:
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -142,7 +142,7 @@
                 await self._send(member, offer, mailbox)
                 first = await mailbox.get()
                 match first:
-                    case LinkLost(sent=True):
+                    case LinkLost(in_doubt=True):
                         return await self._resolve(call, member, attempt, mailbox)
                     case LinkLost():
                         refusal = OwnerUnreachable(host=member.host, verdict=Verdict.NOT_RUN)
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -24,6 +24,17 @@
         self._address = address
         self._listener: asyncio.Server | None = None
 
+    def stop_listening(self) -> None:
+        """Take no new connection; those that are open go on."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def finish(self) -> None:
+        """Close the idle connections, and each of the others after its answer."""
+        # The first call wakes the idle ones, without which the second would wait for them.
+        self._server.pre_shutdown()
+        await self._server.shutdown(timeout=None)
+
     async def __aenter__(self) -> None:
         """Begin to listen."""
         loop = asyncio.get_running_loop()
@@ -38,8 +49,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Close the listener and its connections."""
-        assert self._listener is not None
-        self._listener.close()
+        self.stop_listening()
         await self._server.shutdown(timeout=1.0)
 
 
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -39,6 +39,7 @@
     Withdrawn,
 )
 from cowslipvane.routing import Load
+from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._signal import Signal, Turnstile
 from cowslipvane.types import Header, Headers, Seconds, ServiceName, Verdict
@@ -48,6 +49,8 @@
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 # Work that isn't idempotent is left to end for this long after its deadline.
 LEFT_TO_END: Seconds = 30.0
+# How often an owner looks whether the operator took its upstream out.
+OUT_CHECK: Seconds = 0.25
 _NO_LOAD = Load(0, 0, 0)
 _NO_SERVICE = ServiceName("")
 
@@ -55,8 +58,16 @@
 class Owner:
     """Guards the worker on this host: nothing reaches it but through here."""
 
-    def __init__(self, *, members: Members, events: EventLog, worker_lease: Seconds) -> None:
+    def __init__(
+        self,
+        *,
+        members: Members,
+        subscription: Subscription,
+        events: EventLog,
+        worker_lease: Seconds,
+    ) -> None:
         self._members = members
+        self._subscription = subscription
         self._events = events
         self._worker_lease = worker_lease
         self._worker: Worker | None = None
@@ -75,12 +86,15 @@
         """Return the load of the upstream."""
         return self._admission.load if self._admission else _NO_LOAD
 
-    async def wait_idle(self, timeout: Seconds) -> bool:
-        """Return whether nothing waits and nothing runs within the timeout."""
-        give_up = time.monotonic() + timeout
-        while self._admission and not self._admission.idle and time.monotonic() < give_up:
-            await self._ended.wait(give_up - time.monotonic())
-        return self._admission is None or self._admission.idle
+    @property
+    def under_way(self) -> tuple[AttemptId, ...]:
+        """Return the attempts that wait or run."""
+        return self._attempts.under_way
+
+    async def wait_idle(self) -> None:
+        """Return once nothing waits and nothing runs."""
+        while self._attempts.under_way:
+            await self._ended.wait()
 
     async def announce(self, worker: Worker) -> None:
         """Take the worker's announcement, or its renewal."""
@@ -102,11 +116,19 @@
         self._members.membership.announce(worker, time.monotonic())
         self._members.spread()
 
+    async def dismiss(self) -> None:
+        """Take the worker out because it says that it is leaving."""
+        if self._worker is not None:
+            self._events.record("worker-leaving", service=self._worker.service)
+            await self._remove_worker()
+
     async def run(self) -> None:
         """Take the worker out when it stops announcing itself."""
         try:
             while True:
-                await asyncio.sleep(self._worker_lease / 4)
+                await asyncio.sleep(min(OUT_CHECK, self._worker_lease / 4))
+                if self._is_out and self._admission is not None:
+                    await self._refuse_all(self._admission.empty())
                 if self._worker and time.monotonic() > self._renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
                     await self._remove_worker()
@@ -176,6 +198,12 @@
         self._events.record("leaving")
         await self._refuse_waiting()
 
+    @property
+    def _is_out(self) -> bool:
+        """Return whether the operator took the upstream out."""
+        table = self._subscription.table
+        return table is not None and table.is_out(self._members.membership.own.host)
+
     @property
     def _service(self) -> ServiceName:
         """Return the service of the upstream, or no name when there is none."""
@@ -185,6 +213,8 @@
         """Queue an attempt, or return why not."""
         if self._admission is None or self._admission.service != offer.service:
             return NoUpstream(service=offer.service)
+        if self._is_out:
+            return Draining(service=offer.service)
         now = time.monotonic()
         deadline = now + offer.timeout
         work = Work(offer.attempt, offer.request, deadline, offer.idempotent, offer.caller)
@@ -245,13 +275,18 @@
         reply = self._replies.pop(attempt, None)
         if reply is not None:
             await reply(message)
+        self._ended.send()
 
     async def _refuse_waiting(self) -> None:
         """Send everything that waits back as not run."""
         if self._admission is None:
             return
-        refusal = Draining(service=self._admission.service)
-        for work in self._admission.drain():
+        await self._refuse_all(self._admission.drain())
+
+    async def _refuse_all(self, waiting: list[Work]) -> None:
+        """Send work that waited back as not run, because the upstream is leaving."""
+        refusal = Draining(service=self._service)
+        for work in waiting:
             await self._refuse(work.attempt, refusal)
 
     async def _retire(self) -> None:
@@ -268,12 +303,19 @@
         await self._retire()
 
     async def _stop_slots(self) -> None:
-        """End the tasks of the slots, and cut what they run."""
+        """End the tasks of the slots, and cut what they run.
+
+        What is cut is answered too: whoever gets no answer knows that nothing was started.
+        """
+        self._draining = True
         await self._refuse_waiting()
         slots, self._slots = self._slots, []
         for slot in slots:
             slot.cancel()
         await asyncio.gather(*slots, return_exceptions=True)
+        refusal = UpstreamLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
+        for attempt in self._attempts.under_way:
+            await self._refuse(attempt, refusal)
 
     async def _serve_slot(
         self,
@@ -314,6 +356,7 @@
             return
         self._attempts.end(work.attempt, time.monotonic())
         self._replies.pop(work.attempt, None)
+        self._ended.send()
 
     async def _try_to_forward(
         self, work: Work, worker: Worker, session: aiohttp.ClientSession
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -26,9 +26,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkLost:
-    """The connection to an owner broke; sent says whether the message may have gone out."""
+    """The connection to an owner has ended; in_doubt says whether the attempt may have started.
 
-    sent: bool
+    An owner that ends a connection as planned has answered every attempt that it had started.
+    """
+
+    in_doubt: bool
 
 
 Mailbox = asyncio.Queue[OwnerMessage | LinkLost]
@@ -55,7 +58,7 @@
             await asyncio.shield(self._opened)
         except LinkClosed:
             if mailbox is not None:
-                mailbox.put_nowait(LinkLost(sent=False))
+                mailbox.put_nowait(LinkLost(in_doubt=False))
             return
         assert self._link is not None
         if mailbox is None:
@@ -64,9 +67,9 @@
             self._mailboxes[message.attempt] = mailbox
         try:
             await self._link.send(message)
-        except LinkClosed:
+        except LinkClosed as closed:
             if mailbox is not None and self._mailboxes.pop(message.attempt, None) is not None:
-                mailbox.put_nowait(LinkLost(sent=True))
+                mailbox.put_nowait(LinkLost(in_doubt=not closed.going_away))
 
     async def close(self) -> None:
         """Close the connection."""
@@ -75,6 +78,7 @@
 
     async def _run(self) -> None:
         """Connect, and put every message into the mailbox of its attempt."""
+        in_doubt = True
         try:
             async with connect(self._member.peers, "/calls") as link:
                 self._link = link
@@ -82,12 +86,13 @@
                 while True:
                     self._deliver(await link.receive())
         except (LinkClosed, Malformed) as error:
+            in_doubt = not (isinstance(error, LinkClosed) and error.going_away)
             if not self._opened.done():
                 self._opened.set_exception(LinkClosed(str(error)))
                 self._opened.exception()
         finally:
             for mailbox in self._mailboxes.values():
-                mailbox.put_nowait(LinkLost(sent=True))
+                mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
             self._mailboxes.clear()
 
     def _deliver(self, message: object) -> None:
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -104,6 +104,9 @@
         """Take the announcement of the worker on this host."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
+        if form.get("state") == "leaving":
+            await self._owner.dismiss()
+            return web.json_response({"state": "leaving"})
         ip, _, port = str(form["address"]).rpartition(":")
         worker = Worker(
             ServiceName(str(form["service"])),
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,6 +6,7 @@
 import unittest
 
 from websockets.asyncio.server import ServerConnection, serve
+from websockets.frames import CloseCode
 
 from cowslipvane.call import (
     Answer,
@@ -18,7 +19,14 @@
     Refused,
     Request,
 )
-from cowslipvane.catalogue import RetryPolicy, TrafficPolicy
+from cowslipvane.catalogue import (
+    Key,
+    Resource,
+    RetryPolicy,
+    Snapshot,
+    TrafficPolicy,
+    Upstream,
+)
 from cowslipvane.events import EventLog, HybridClock
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.refusal import explain
@@ -28,7 +36,15 @@
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers, serve_calls
-from cowslipvane.types import Address, DataCentre, HostName, RequestId, ServiceName, Verdict
+from cowslipvane.types import (
+    Address,
+    DataCentre,
+    HostName,
+    RequestId,
+    ServiceName,
+    Verdict,
+    Version,
+)
 from cowslipvane.wire import Link, LinkClosed
 
 SERVICE = ServiceName("stock")
@@ -107,11 +123,16 @@
     return EventLog(host=HostName("a"), data_centre=CENTRE, process=1, clock=HybridClock())
 
 
-def make_owner(own: Member) -> Owner:
+def make_owner(own: Member, subscription: Subscription | None = None) -> Owner:
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
     members = Members(membership=membership, seeds=(), interval=1.0, events=events())
-    return Owner(members=members, events=events(), worker_lease=3.0)
+    return Owner(
+        members=members,
+        subscription=subscription or Subscription(),
+        events=events(),
+        worker_lease=60.0,
+    )
 
 
 async def stop(task: asyncio.Task[None]) -> None:
@@ -161,7 +182,8 @@
         self.worker = ScriptedWorker()
         self.address = await self.worker.start()
         self.addAsyncCleanup(self.worker.stop)
-        self.owner = make_owner(member("a", NOWHERE, None))
+        self.subscription = Subscription()
+        self.owner = make_owner(member("a", NOWHERE, None), self.subscription)
         await self.owner.announce(Worker(SERVICE, self.address, 1, 10))
         self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
         await asyncio.sleep(0)
@@ -253,6 +275,19 @@
         await self.begin(offer(2, "/ok/2"))
         self.assertEqual(self.worker.seen, ["/ok/2"])
 
+    async def test_an_owner_that_is_out_starts_nothing(self) -> None:
+        """What waits and what comes later is not run, what runs ends."""
+        await self.begin(offer(1, "/wait"))
+        await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
+        out = Resource(Key("upstream", "a"), Upstream(state="out"), Version(1))
+        self.subscription.take_snapshot(Snapshot(Version(1), (out,)))
+        self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
+        self.worker.release.set()
+        self.assertIsInstance(await self.inbox.next(), Answer)
+        await self.owner.offer(offer(3, "/ok/3"), self.inbox.reply)
+        self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
+        self.assertEqual(self.worker.seen, ["/wait"])
+
     async def test_other_traits_cut_nothing(self) -> None:
         """What runs ends, what waits is not run, and the new slots start after the old ones."""
         await self.begin(offer(1, "/wait"))
@@ -277,6 +312,7 @@
         announced = Worker(SERVICE, await self.worker.start(), 1, 10)
         self.addAsyncCleanup(self.worker.stop)
         self.connections: list[ServerConnection] = []
+        self.deaf = False
         server = await serve(self._serve, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
@@ -284,7 +320,8 @@
         record = member("b", peers, announced)
         self.owner = make_owner(record._replace(worker=None))
         await self.owner.announce(announced)
-        self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
+        self.guard = asyncio.create_task(self.owner.run())
+        self.addAsyncCleanup(stop, self.guard)
         await asyncio.sleep(0)
         entry = member("a", NOWHERE, None)
         membership = Membership(own=entry, now=time.monotonic())
@@ -304,6 +341,10 @@
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one link."""
         self.connections.append(connection)
+        if self.deaf:
+            await connection.recv()
+            await connection.close(CloseCode.GOING_AWAY)
+            return
         try:
             await serve_calls(Link(connection=connection), self.owner)
         except LinkClosed:
@@ -344,6 +385,23 @@
         self.assertIsInstance(await first, Served)
         self.assertEqual(self.worker.seen, ["/wait"])
 
+    async def test_an_owner_that_went_away_as_planned_leaves_no_doubt(self) -> None:
+        """What it had not answered by then was never started."""
+        self.deaf = True
+        refusal = await self.carrier.carry(self.call("/ok", PATIENCE_S))
+        assert not isinstance(refusal, Served)
+        self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
+
+    async def test_an_owner_answers_what_it_cuts_before_it_goes(self) -> None:
+        """What ran when its slots were stopped may have run."""
+        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+        await stop(self.guard)
+        await self.connections[0].close(CloseCode.GOING_AWAY)
+        refusal = await carrying
+        assert not isinstance(refusal, Served)
+        self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_a_deadline_tells_the_true_verdict(self) -> None:
         """A call that ran may have run; one that waited behind it was not run."""
         first = asyncio.create_task(self.carrier.carry(self.call("/wait", 0.3)))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -178,6 +178,10 @@
         self._daemons[host].kill()
         self._daemons[host].wait()
 
+    def wait_daemon(self, host: str) -> int:
+        """Return the exit code of a host's daemon once it has ended."""
+        return self._daemons[host].wait(STOP_TIMEOUT_S)
+
     def stop(self) -> dict[str, int]:
         """Stop all daemons as planned, then the workers, and return the daemons' exit codes."""
         live = self.alive
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -16,6 +16,8 @@
 from aiohttp import web
 
 ANNOUNCE_EVERY_S = 0.5
+# What runs may end within this time after SIGTERM.
+STOP_S = 10.0
 
 
 class Traits(NamedTuple):
@@ -51,8 +53,15 @@
         announcing = asyncio.create_task(self._announce())
         await stop.wait()
         announcing.cancel()
+        await self._say_leaving()
         listener.close()
-        await server.shutdown(timeout=1.0)
+        await server.shutdown(timeout=STOP_S)
+
+    async def _say_leaving(self) -> None:
+        """Tell the proxy on this host to start nothing more here."""
+        async with aiohttp.ClientSession() as session:
+            with suppress(aiohttp.ClientError, OSError):
+                await session.post(f"http://{self._proxy}/v1/worker", json={"state": "leaving"})
 
     async def _announce(self) -> None:
         """Announce this worker to the proxy on its host, again and again."""
