--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -29,7 +29,7 @@
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._peer_listener import Handler, PeerListener
+from cowslipvane.tasks._peer_listener import CALLS_PATH, Handler, PeerListener
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
@@ -86,10 +86,13 @@
         self._started_at = time.monotonic()
         self._stop = Signal()
         self._stopping = False
+        self._hurried = False
+        self._peer_listener: PeerListener | None = None
         self._replication: Replication | None = None
         self._publisher: Publisher | None = None
         self._owner: Owner | None = None
         self._callers: Callers | None = None
+        self._callers_listener: HttpListener | None = None
         self._subscription: Subscription | None = None
         self._peers = Peers()
 
@@ -109,12 +112,14 @@
             for task in tasks:
                 # A task that never began, because a listener could not, needs to be closed.
                 stack.callback(task.close)
-            await self._listen(stack)
+            # The listeners close first, so that a late call still finds its way to an owner.
             stack.push_async_callback(self._peers.close)
+            await self._listen(stack)
             await self._serve(tasks, stack)
 
     def stop(self) -> None:
-        """Leave: start nothing new, let what runs end, then exit."""
+        """Leave: start nothing new, let what runs end, then exit; at the second call, exit."""
+        self._hurried = self._stopping
         self._stopping = True
         self._stop.send()
 
@@ -128,6 +133,8 @@
             for task in done:
                 task.result()
         finally:
+            if self._peer_listener is not None:
+                self._peer_listener.stop_waiting()
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
@@ -138,15 +145,49 @@
         """Wait for a stop and see it through."""
         while not self._stopping:
             await self._stop.wait()
-        give_up = time.monotonic() + self._settings.timing.grace
         if self._callers is None or self._owner is None:
             return
         self._callers.stop()
+        if self._callers_listener is not None:
+            # A refused connection sends a caller elsewhere; one that is cut leaves it in doubt.
+            self._callers_listener.stop_listening()
         await self._owner.drain()
-        await asyncio.sleep(LEAVING_TIME)
-        left = max(0.0, give_up - time.monotonic())
-        if not await self._callers.wait_idle(left) or not await self._owner.wait_idle(left):
-            self._events.record("cut", reason="the grace period is over")
+        idle = asyncio.create_task(self._wait_idle(self._callers, self._owner))
+        hurried = asyncio.create_task(self._wait_hurried())
+        try:
+            await asyncio.wait(
+                [idle, hurried],
+                timeout=self._settings.timing.grace,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            idle.cancel()
+            hurried.cancel()
+        self._say_what_is_cut(self._callers, self._owner)
+
+    async def _wait_idle(self, callers: Callers, owner: Owner) -> None:
+        """Wait until peers know of the leaving, and nothing is under way."""
+        await asyncio.sleep(LEAVING_TIME / 2)
+        if self._callers_listener is not None:
+            # Not at the exit: that follows the last answer, and so may its caller's next request.
+            await self._callers_listener.finish()
+        await asyncio.sleep(LEAVING_TIME / 2)
+        while callers.under_way or owner.under_way:
+            await callers.wait_idle()
+            await owner.wait_idle()
+
+    async def _wait_hurried(self) -> None:
+        """Wait for a second signal."""
+        while not self._hurried:
+            await self._stop.wait()
+
+    def _say_what_is_cut(self, callers: Callers, owner: Owner) -> None:
+        """Record the calls and the attempts that the exit cuts."""
+        reason = "a second signal" if self._hurried else "the grace period is over"
+        for request_id in callers.under_way:
+            self._events.record("cut", request=request_id, reason=reason)
+        for attempt in owner.under_way:
+            self._events.record("cut", entry=attempt.entry, reason=reason)
 
     def _start_replica(self, stack: AsyncExitStack) -> list[Coroutine[Any, Any, None]]:
         """Open the data folder and return the replica's tasks."""
@@ -185,6 +226,7 @@
         self._subscription = subscription
         self._owner = Owner(
             members=self._members,
+            subscription=subscription,
             events=self._events,
             worker_lease=self._settings.timing.worker_lease,
         )
@@ -214,16 +256,16 @@
         peers = PeerListener(
             handlers=self._peer_handlers(), identity=self._identity, events=self._events
         )
+        self._peer_listener = peers
         await stack.enter_async_context(peers.listen(listen.peers))
         await stack.enter_async_context(
             HttpListener(handler=self._operators(peers).handle, address=listen.operators)
         )
         if self._callers is not None and listen.callers is not None:
-            await stack.enter_async_context(
-                HttpListener(
-                    handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
-                )
+            self._callers_listener = HttpListener(
+                handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
             )
+            await stack.enter_async_context(self._callers_listener)
 
     def _operators(self, peers: PeerListener) -> Operators:
         """Return what answers operators."""
@@ -281,7 +323,7 @@
         if self._publisher is not None:
             handlers["/subscribe"] = self._publisher.serve
         if self._owner is not None:
-            handlers["/calls"] = partial(serve_calls, owner=self._owner)
+            handlers[CALLS_PATH] = partial(serve_calls, owner=self._owner)
         return handlers
 
 
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -28,6 +28,7 @@
     "stopped",
     "verdict",
     "worker",
+    "worker-leaving",
     "worker-silent",
 ]
 EVENT_KINDS: tuple[str, ...] = get_args(EventKind)
--- a/cowslipvane/tasks/_peer_listener.py
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import AbstractAsyncContextManager
@@ -21,6 +22,8 @@
 # A path of a stranger's request goes into an event no longer than this, in characters.
 _MAX_PATH = 200
 
+CALLS_PATH = "/calls"
+
 
 class PeerListener:
     """Serves the connections of peers, each in a task of its own."""
@@ -32,6 +35,7 @@
         self._identity = identity
         self._events = events
         self._connections: Counter[str] = Counter()
+        self._waiting: set[asyncio.Task[None]] = set()
 
     @property
     def connections(self) -> Mapping[str, int]:
@@ -50,6 +54,11 @@
             max_size=MAX_MESSAGE_BYTES,
         )
 
+    def stop_waiting(self) -> None:
+        """End the tasks that may wait for news that no longer comes: all but those of calls."""
+        for task in self._waiting:
+            task.cancel()
+
     async def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
         """Turn away a peer that shows no valid token, or asks for a path that nobody serves."""
         token = self._identity.token
@@ -65,6 +74,10 @@
         assert connection.request is not None
         path = connection.request.path
         self._connections[path] += 1
+        task = asyncio.current_task()
+        if task is not None and path != CALLS_PATH:
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
         try:
             await self._handlers[path](Link(connection=connection, identity=self._identity))
         except LinkClosed:
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -120,6 +120,9 @@
         """Take the announcement of the worker on this host."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
+        if isinstance(form, dict) and form.get("state") == "leaving":
+            await self._owner.dismiss()
+            return web.json_response({"state": "leaving"})
         worker = read_worker(form)
         await self._owner.announce(worker)
         return web.json_response({"state": self._membership.own.state})
