Ask for the floor over the connection that the proxy then pulls over

Kept, because there is one loop less.

Seen to fail without: learning the floor, and the timeout of its question. Tests: test_subscriber 8 passed.

--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -5,8 +5,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from cowslipvane.events import EventLog
 from cowslipvane.replica import Report
@@ -26,7 +24,7 @@
     Subscription,
 )
 from cowslipvane.types import NO_VERSION, Address, Seconds
-from cowslipvane.wire import LinkClosed, Malformed, connect
+from cowslipvane.wire import Link, LinkClosed, Malformed, connect
 
 FIRST_BACKOFF: Seconds = 0.2
 LONGEST_BACKOFF: Seconds = 5.0
@@ -60,49 +58,44 @@
         self._backoff = Backoff(first=FIRST_BACKOFF, longest=LONGEST_BACKOFF, rng=rng)
 
     async def run(self) -> None:
-        """Learn the floor, then pull from one replica after another, for ever."""
-        while self._subscription.floor is None:
-            await self._try_each(self._learn_floor)
+        """Subscribe to one replica after another, in random order, for ever."""
         while True:
-            await self._try_each(self._subscribe)
-
-    async def _try_each(self, talk: Callable[[Address], Coroutine[Any, Any, None]]) -> None:
-        """Talk to each seed once, in random order, with a pause after each failure."""
-        seeds = list(self._settings.seeds)
-        self._rng.shuffle(seeds)
-        for address in seeds:
-            try:
-                await talk(address)
-                return
-            except (LinkClosed, Malformed, TimeoutError, _Misled):
-                await asyncio.sleep(self._backoff.wait())
-
-    async def _learn_floor(self, address: Address) -> None:
-        """Learn from the leader, named by a seed, which version this proxy may not go under."""
-        answer = await self._ask_floor(address)
+            seeds = list(self._settings.seeds)
+            self._rng.shuffle(seeds)
+            for address in seeds:
+                try:
+                    await self._subscribe(address)
+                except (LinkClosed, Malformed, TimeoutError, _Misled):
+                    await asyncio.sleep(self._backoff.wait())
+
+    async def _learn_floor(self, link: Link) -> None:
+        """Learn from the leader, asked or named here, which version this proxy may not go under."""
+        answer = await self._ask_floor(link)
         if isinstance(answer, AskLeader) and answer.leader is not None:
-            answer = await self._ask_floor(answer.leader)
+            async with connect(answer.leader, "/subscribe") as leader:
+                answer = await self._ask_floor(leader)
         if not isinstance(answer, Floor):
             raise _Misled("no leader is known there")
         self._subscription.learn_floor(answer.version)
         self._events.record("floor", version=answer.version)
         self._backoff.reset()
 
-    async def _ask_floor(self, address: Address) -> Floor | AskLeader:
+    async def _ask_floor(self, link: Link) -> Floor | AskLeader:
         """Ask one replica for the floor."""
-        async with connect(address, "/subscribe") as link:
-            await link.send(AskFloor())
-            match await asyncio.wait_for(link.receive(), ANSWER_TIMEOUT):
-                case Floor() | AskLeader() as answer:
-                    return answer
-                case _:
-                    raise Malformed("a replica answered a question for the floor with another")
+        await link.send(AskFloor())
+        match await asyncio.wait_for(link.receive(), ANSWER_TIMEOUT):
+            case Floor() | AskLeader() as answer:
+                return answer
+            case _:
+                raise Malformed("a replica answered a question for the floor with another message")
 
     async def _subscribe(self, address: Address) -> None:
         """Pull versions over one connection, each pull reporting the last."""
         # A replica answers each pull within its wait, so that a silent connection is noticed.
         patience = self._settings.timing.pull_wait + ANSWER_TIMEOUT
         async with connect(address, "/subscribe") as link:
+            if self._subscription.floor is None:
+                await self._learn_floor(link)
             while True:
                 await link.send(self._pull())
                 await self._take(await asyncio.wait_for(link.receive(), patience))
