--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -6,10 +6,11 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 
 from websockets.asyncio.server import ServerConnection, serve
 
-from cowslipvane.catalogue import Delta, Key, Snapshot, TrafficPolicy
+from cowslipvane.catalogue import Delta, Key, Route, Service, Snapshot, Target, TrafficPolicy
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
@@ -26,7 +27,7 @@
 )
 from cowslipvane.tasks import _publisher
 from cowslipvane.tasks._subscriber import Subscriber
-from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, Version
+from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link, LinkClosed, connect
 from tools.lone_replica import IP, LoneReplica, event_log
 
@@ -76,7 +77,9 @@
         server = await self.stack.enter_async_context(serve(talk, IP, 0, ping_interval=None))
         return Address(IP, next(iter(server.sockets)).getsockname()[1])
 
-    def proxy(self, *seeds: Address, pull_wait: float = 0.2) -> Subscription:
+    def proxy(
+        self, *seeds: Address, pull_wait: float = 0.2, hosts: tuple[str, ...] = ()
+    ) -> Subscription:
         """Start a proxy's subscriber and return its subscription."""
         subscription = Subscription()
         settings = Settings(
@@ -85,6 +88,7 @@
             roles=("proxy",),
             listen=Listen(operators=NOWHERE, peers=NOWHERE, callers=NOWHERE),
             seeds=seeds,
+            route_hosts=hosts,
             timing=Timing(pull_wait=pull_wait),
         )
         subscriber = Subscriber(
@@ -94,6 +98,11 @@
         self.stack.callback(task.cancel)
         return subscription
 
+    @staticmethod
+    def has(subscription: Subscription, version: Version) -> bool:
+        """Return whether a proxy has a version in force."""
+        return subscription.version == version
+
     async def until(self, holds: Callable[[], object]) -> None:
         """Return once something holds."""
         give_up = time.monotonic() + PATIENCE_S
@@ -166,6 +175,22 @@
         self.assertEqual([(item.base, item.report.version) for item in rejected], [(0, 1)])
         self.assertIn("digest", rejected[0].report.rejected)
 
+    async def test_subscribes_to_the_routes_of_its_hosts(self) -> None:
+        """Changes elsewhere are in force here by their version alone."""
+        replica = await self.replica(pull_wait=0.2)
+        subscription = self.proxy(replica.address, hosts=("depot",))
+        for host in ("depot", "shop"):
+            route = Route(targets=(Target(ServiceName(host)),), host=host)
+            version = replica.put((Key("service", host), Service()), (Key("route", host), route))
+            await self.until(partial(self.has, subscription, version))
+        table, rng = subscription.table, random.Random(1)
+        assert table is not None
+        found = [
+            table.route(host=host, path="/", method="GET", headers=(), rng=rng)
+            for host in ("depot", "shop")
+        ]
+        self.assertEqual([rules and rules.service for rules in found], ["depot", None])
+
     async def test_leaves_a_silent_connection(self) -> None:
         """A question and a pull that aren't answered are asked again over a new connection."""
         replica = await self.replica()
