--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -29,6 +29,13 @@
     dangling,
     kind_of,
 )
+from cowslipvane.catalogue._state import (
+    CatalogueState,
+    Decision,
+    Writer,
+    export_state,
+    import_state,
+)
 
 __all__ = [
     "KINDS",
@@ -36,8 +43,10 @@
     "AcceptedChange",
     "Behind",
     "Catalogue",
+    "CatalogueState",
     "Change",
     "Conflict",
+    "Decision",
     "Delta",
     "Effect",
     "Fault",
@@ -54,6 +63,9 @@
     "Target",
     "TrafficPolicy",
     "Upstream",
+    "Writer",
+    "export_state",
+    "import_state",
     "closure",
     "combine",
     "dangling",
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -9,34 +9,38 @@
 import time
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-from websockets.asyncio.server import ServerConnection, serve
-
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventFile, EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
+from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
-from cowslipvane.settings import Settings
+from cowslipvane.settings import Settings, read_token
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
 from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._debug import debug_form
 from cowslipvane.tasks._http import HttpListener
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._operators import Operators
 from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._peer_listener import Handler, PeerListener
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
+from cowslipvane.tasks._replica_api import ReplicaApi
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
+from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
-from cowslipvane.wire import Link, LinkClosed, Malformed
-from cowslipvane.wire._link import MAX_MESSAGE_BYTES
+from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
@@ -48,11 +52,18 @@
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
         self._rng = random.Random()
+        self._clock = HybridClock()
+        token_file = settings.security.token_file
+        self._token = read_token(Path(token_file)) if token_file else None
+        self._traffic = Traffic()
+        self._identity = LinkIdentity(self._clock, self._token, self._traffic)
+        self._metrics = Metrics()
         self._events = EventLog(
-            host=settings.host,
-            data_centre=settings.data_centre,
-            process=os.getpid(),
-            clock=HybridClock(),
+            origin=Origin(settings.host, settings.data_centre, os.getpid()),
+            clock=self._clock,
+            file=_event_file(settings),
+            memory=int(settings.limits.events_in_memory),
+            observer=self._metrics.note,
         )
         own = Member(
             settings.host,
@@ -66,11 +77,13 @@
             None,
         )
         self._members = Members(
-            membership=Membership(own=own, now=time.monotonic()),
+            membership=Membership(own=own, now=time.monotonic(), seeds=settings.seeds),
             seeds=settings.seeds,
             interval=settings.timing.exchange,
             events=self._events,
         )
+        self._witness = Witness(membership=self._members.membership, events=self._events)
+        self._started_at = time.monotonic()
         self._stop = Signal()
         self._stopping = False
         self._replication: Replication | None = None
@@ -82,15 +95,20 @@
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
+        link_identity.set(self._identity)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         async with AsyncExitStack() as stack:
-            tasks = [self._events.run(), self._members.run()]
+            tasks: list[Coroutine[Any, Any, None]] = []
             if "replica" in self._settings.roles:
                 tasks.extend(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
+            tasks += [self._events.run(), self._members.run(), self._witness.run()]
+            for task in tasks:
+                # A task that never began, because a listener could not, needs to be closed.
+                stack.callback(task.close)
             await self._listen(stack)
             stack.push_async_callback(self._peers.close)
             await self._serve(tasks, stack)
@@ -139,7 +157,8 @@
         stack.callback(journal.close)
         replica = Replica(
             host=identity.host,
-            voters=identity.voters,
+            replica_id=identity.replica_id,
+            founders=identity.founders,
             journal=journal,
             recovered=journal.recover(),
             election_timeout=self._settings.timing.election_timeout,
@@ -147,7 +166,11 @@
             now=time.monotonic(),
         )
         self._replication = Replication(
-            replica=replica, journal=journal, timing=self._settings.timing, events=self._events
+            replica=replica,
+            group_name=identity.group,
+            journal=journal,
+            timing=self._settings.timing,
+            events=self._events,
         )
         self._publisher = Publisher(
             replication=self._replication,
@@ -174,7 +197,11 @@
             events=self._events,
         )
         self._callers = Callers(
-            subscription=subscription, carrier=carrier, events=self._events, rng=self._rng
+            subscription=subscription,
+            carrier=carrier,
+            events=self._events,
+            rng=self._rng,
+            metrics=self._metrics,
         )
         subscriber = Subscriber(
             subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
@@ -184,25 +211,21 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
         listen = self._settings.listen
-        await stack.enter_async_context(
-            serve(
-                self._serve_peer,
-                listen.peers.ip,
-                listen.peers.port,
-                ping_interval=None,
-                compression=None,
-                max_size=MAX_MESSAGE_BYTES,
-            )
+        peers = PeerListener(
+            handlers=self._peer_handlers(), identity=self._identity, events=self._events
         )
+        await stack.enter_async_context(peers.listen(listen.peers))
         await stack.enter_async_context(
-            HttpListener(handler=self._operators().handle, address=listen.operators)
+            HttpListener(handler=self._operators(peers).handle, address=listen.operators)
         )
         if self._callers is not None and listen.callers is not None:
             await stack.enter_async_context(
-                HttpListener(handler=self._callers.handle, address=listen.callers)
+                HttpListener(
+                    handler=self._callers.handle, address=listen.callers, cancel_abandoned=True
+                )
             )
 
-    def _operators(self) -> Operators:
+    def _operators(self, peers: PeerListener) -> Operators:
         """Return what answers operators."""
         process = ProcessApi(
             membership=self._members.membership,
@@ -211,32 +234,60 @@
             subscription=self._subscription,
             owner=self._owner,
             drain=self.stop,
+            debug=partial(self._debug, peers),
+            measures=Measures(
+                metrics=self._metrics,
+                membership=self._members.membership,
+                events=self._events,
+                traffic=self._traffic,
+                replication=self._replication,
+                subscription=self._subscription,
+                owner=self._owner,
+            ),
         )
         if self._replication is None or self._publisher is None:
-            return Operators(process=process, resources=None)
+            return Operators(process=process, resources=None, replicas=None, token=self._token)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
             replication=self._replication,
             publisher=self._publisher,
         )
-        return Operators(process=process, resources=resources)
+        replicas = ReplicaApi(
+            membership=self._members.membership,
+            events=self._events,
+            replication=self._replication,
+        )
+        return Operators(process=process, resources=resources, replicas=replicas, token=self._token)
 
-    async def _serve_peer(self, connection: ServerConnection) -> None:
-        """Serve one connection of a peer, by the path that it asked for."""
-        link = Link(connection=connection)
-        path = connection.request.path if connection.request else ""
-        try:
-            match path:
-                case "/replica" if self._replication:
-                    await self._replication.serve(link)
-                case "/subscribe" if self._publisher:
-                    await self._publisher.serve(link)
-                case "/members":
-                    await self._members.serve(link)
-                case "/calls" if self._owner:
-                    await serve_calls(link, self._owner)
-        except LinkClosed:
-            return
-        except Malformed as error:
-            self._events.record("malformed", path=path, reason=str(error))
+    def _debug(self, peers: PeerListener) -> dict[str, Any]:
+        """Return what this process knows of itself."""
+        return debug_form(
+            settings=self._settings,
+            membership=self._members.membership,
+            events=self._events,
+            connections=peers.connections,
+            started_at=self._started_at,
+        )
+
+    def _peer_handlers(self) -> dict[str, Handler]:
+        """Return what serves each path of the peers' listener."""
+        handlers: dict[str, Handler] = {
+            "/members": self._members.serve,
+            "/events": self._witness.serve,
+        }
+        if self._replication is not None:
+            handlers["/replica"] = self._replication.serve
+        if self._publisher is not None:
+            handlers["/subscribe"] = self._publisher.serve
+        if self._owner is not None:
+            handlers["/calls"] = partial(serve_calls, owner=self._owner)
+        return handlers
+
+
+def _event_file(settings: Settings) -> EventFile | None:
+    """Open the event file, if the settings name one."""
+    if not settings.event_file:
+        return None
+    max_bytes = int(settings.limits.event_file_bytes)
+    return EventFile(path=Path(settings.event_file), max_bytes=max_bytes)
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -15,7 +15,7 @@
     resource_digest,
 )
 from cowslipvane.routing import RoutingTable
-from cowslipvane.types import NO_VERSION, Version
+from cowslipvane.types import NO_VERSION, Digest, Version
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,7 +87,7 @@
         return self._take(snapshot.version, resources, digest, snapshot.digest)
 
     def _take(
-        self, version: Version, resources: Mapping[Key, Resource], digest: int, promised: int
+        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, promised: Digest
     ) -> Applied | Rejected:
         """Build the new state aside and swap it in, unless a rule forbids it."""
         reason = self._reason_against(version, resources, digest, promised)
@@ -99,7 +99,7 @@
         return Applied(version=version)
 
     def _reason_against(
-        self, version: Version, resources: Mapping[Key, Resource], digest: int, promised: int
+        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, promised: Digest
     ) -> str:
         """Return why a version can't be taken, or nothing."""
         floor = self.floor
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import ipaddress
 import time
 from collections.abc import Callable
 from typing import Any
 
-import prometheus_client
 from aiohttp import web
 
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._http import error_response
+from cowslipvane.tasks._measures import Measures
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
 
+# A slot costs a task, so an announcement may not ask for any number of them.
+MAX_SLOTS = 1024
+MAX_CONNECTIONS = 10_000
+_MAX_PORT = 65_535
+
 
 class ProcessApi:
     """Answers operators who ask about this process, and the worker on this host."""
@@ -30,7 +36,11 @@
         subscription: Subscription | None,
         owner: Owner | None,
         drain: Callable[[], None],
+        debug: Callable[[], dict[str, Any]],
+        measures: Measures,
     ) -> None:
+        self._measures = measures
+        self._debug = debug
         self._membership = membership
         self._events = events
         self._replication = replication
@@ -44,19 +54,25 @@
             case "GET", ["status"]:
                 return web.json_response(self._status())
             case "GET", ["events"]:
-                request = http.query.get("request", "")
-                return web.json_response(list(self._events.select(request=request)))
+                return web.json_response(self._events_form(http))
+            case "GET", ["debug"]:
+                return web.json_response(self._debug())
             case "POST", ["worker"]:
                 return await self._announce(await http.json())
             case "POST", ["drain"]:
                 self._drain()
                 return web.json_response({"state": "leaving"})
             case "GET", ["metrics"]:
-                text = prometheus_client.generate_latest()
-                return web.Response(body=text, content_type="text/plain")
+                return web.Response(body=self._measures.render(), content_type="text/plain")
             case _:
                 return None
 
+    def _events_form(self, http: web.BaseRequest) -> dict[str, Any]:
+        """Return the events that a query asks for, and how many are lost."""
+        request, version = http.query.get("request", ""), int(http.query.get("version", "0"))
+        found = list(self._events.select(request=request, version=version))
+        return {"host": self._membership.own.host, "events": found, "counts": self._events.counts}
+
     def _status(self) -> dict[str, Any]:
         """Return what this process knows of itself and the others."""
         own = self._membership.own
@@ -104,12 +120,22 @@
         """Take the announcement of the worker on this host."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
-        ip, _, port = str(form["address"]).rpartition(":")
-        worker = Worker(
-            ServiceName(str(form["service"])),
-            Address(ip, int(port)),
-            int(form["slots"]),
-            int(form["connections"]),
-        )
+        worker = read_worker(form)
         await self._owner.announce(worker)
         return web.json_response({"state": self._membership.own.state})
+
+
+def read_worker(form: Any) -> Worker:
+    """Return the worker in an announcement; raise ValueError that says what is allowed."""
+    if not isinstance(form, dict) or not isinstance(form.get("service"), str):
+        raise ValueError("an announcement has service, address, slots and connections")
+    ip, _, port = str(form.get("address")).rpartition(":")
+    address = Address(str(ipaddress.ip_address(ip.strip("[]"))), int(port))
+    slots, connections = form.get("slots"), form.get("connections")
+    if not 0 < address.port <= _MAX_PORT:
+        raise ValueError(f"found port {address.port}; allowed is 1 to {_MAX_PORT}")
+    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
+        raise ValueError(f"found slots {slots!r}; allowed is 1 to {MAX_SLOTS}")
+    if type(connections) is not int or not 0 < connections <= MAX_CONNECTIONS:
+        raise ValueError(f"found connections {connections!r}; allowed is 1 to {MAX_CONNECTIONS}")
+    return Worker(ServiceName(form["service"]), address, slots, connections)
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -45,6 +45,7 @@
 class _Answer(NamedTuple):
     """An encoded answer to a pull."""
 
+    kind: str
     data: bytes
     is_snapshot: bool
 
@@ -92,6 +93,8 @@
             newest = self._replication.replica.catalogue.version
             if newest != seen:
                 seen = newest
+                # The event's stamp must come before those of the messages that tell proxies.
+                self._replication.note_accepted()
                 self._accepted.send()
                 self._moved.send()
 
@@ -174,7 +177,7 @@
         replica = self._replication.replica
         if isinstance(replica.role, Leader):
             return None
-        addresses = {voter.host: voter.address for voter in replica.voters}
+        addresses = {voter.host: voter.address for voter in replica.group.voters}
         return addresses.get(replica.leader) if replica.leader else None
 
     async def _answer(self, link: Link, pull: Pull) -> None:
@@ -190,7 +193,7 @@
             return
         self._snapshots += answer.is_snapshot
         try:
-            await link.send_encoded(answer.data)
+            await link.send_encoded(answer.kind, answer.data)
         finally:
             self._snapshots -= answer.is_snapshot
 
@@ -220,8 +223,8 @@
     """Return the answer that carries what a catalogue gave."""
     match found:
         case Delta():
-            return _Answer(encode(PullDelta(delta=found)), False)
+            return _Answer(PullDelta.__name__, encode(PullDelta(delta=found)), False)
         case Snapshot():
-            return _Answer(encode(PullSnapshot(snapshot=found)), True)
+            return _Answer(PullSnapshot.__name__, encode(PullSnapshot(snapshot=found)), True)
         case Behind(version=version):
-            return _Answer(encode(Current(version=version)), False)
+            return _Answer(Current.__name__, encode(Current(version=version)), False)
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -13,6 +13,7 @@
 from cowslipvane.membership import Membership
 from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._publisher import Publisher
+from cowslipvane.tasks._redirect import leader_redirect
 from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
 from cowslipvane.tasks._watch import Watch
 from cowslipvane.types import HostName, OperationId, Version
@@ -153,7 +154,7 @@
                 sentence = "unknown: ask again with the same operation_id"
                 return web.json_response({"outcome": "unknown", "sentence": sentence}, status=504)
             case Accepted():
-                self._events.record("accepted", version=outcome.version)
+                self._replication.note_accepted()
                 return web.json_response(outcome_form(outcome))
             case Conflict():
                 return web.json_response(outcome_form(outcome), status=conflict_status)
@@ -184,15 +185,7 @@
 
     def _redirect(self, path: str, leader: HostName | None) -> web.Response:
         """Send an operator on to the leader, or tell when to come again."""
-        member = self._membership.member(leader) if leader else None
-        if member is None or member.host == self._membership.own.host:
-            response = error_response(503, "not run: no leader is known here now; try again")
-            response.headers["Retry-After"] = "1"
-            return response
-        location = f"http://{member.operators}{path}"
-        return web.json_response(
-            {"outcome": "not run", "leader": leader}, status=307, headers={"Location": location}
-        )
+        return leader_redirect(self._membership, path, leader)
 
 
 def _from(http: web.BaseRequest) -> Version:
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -27,12 +27,25 @@
     resource_form,
     status_form,
 )
-from cowslipvane.wire._link import Link, LinkClosed, connect
+from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
+from cowslipvane.wire._link import (
+    Link,
+    LinkClosed,
+    LinkIdentity,
+    Traffic,
+    connect,
+    link_identity,
+    unnamed_identity,
+)
 
 __all__ = [
     "ChangeForm",
     "EffectForm",
     "FaultForm",
+    "GroupForm",
+    "MemberForm",
+    "group_form",
+    "read_group_change",
     "OutcomeForm",
     "ProgressForm",
     "ResourceForm",
@@ -45,15 +58,19 @@
     "read_change",
     "read_spec",
     "resource_form",
+    "unnamed_identity",
     "status_form",
     "Link",
     "LinkClosed",
+    "LinkIdentity",
     "Malformed",
     "Message",
+    "Traffic",
     "connect",
     "decode",
     "decode_as",
     "encode",
     "encode_plain",
+    "link_identity",
     "register",
 ]
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -2,18 +2,70 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import struct
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from contextvars import ContextVar
+from typing import NamedTuple
 
 import websockets
 from websockets.asyncio.client import connect as websocket_connect
 from websockets.asyncio.connection import Connection
 
+from cowslipvane.events import HybridClock, Stamp
+from cowslipvane.settings import Token
 from cowslipvane.types import Address, Seconds
-from cowslipvane.wire._codec import Message, decode, encode
+from cowslipvane.wire._codec import Malformed, Message, decode, encode
 
 CONNECT_TIMEOUT: Seconds = 2.0
 MAX_MESSAGE_BYTES = 16 << 20
+# Every message ends with its sender's stamp: wall time in seconds, and the logical count.
+_STAMP = struct.Struct(">dI")
+_MAX_LOGICAL = 2**32 - 1
+
+
+class Traffic:
+    """Bytes of each message on the links of a process."""
+
+    def __init__(self) -> None:
+        self._sent: Counter[str] = Counter()
+        self._received: Counter[str] = Counter()
+
+    @property
+    def sent_bytes(self) -> Mapping[str, int]:
+        """Return the bytes sent by the name of the message."""
+        return self._sent
+
+    @property
+    def received_bytes(self) -> Mapping[str, int]:
+        """Return the bytes received by the name of the message."""
+        return self._received
+
+    def count_sent(self, kind: str, size: int) -> None:
+        """Count a message of a kind that is sent, by its size in bytes."""
+        self._sent[kind] += size
+
+    def count_received(self, kind: str, size: int) -> None:
+        """Count a message of a kind that was received, by its size in bytes."""
+        self._received[kind] += size
+
+
+class LinkIdentity(NamedTuple):
+    """What the links of a process share: its clock, the token it shows, and their traffic."""
+
+    clock: HybridClock
+    token: Token | None
+    traffic: Traffic
+
+
+# The identity of the process whose tasks run in this context, for the links that they open.
+link_identity: ContextVar[LinkIdentity | None] = ContextVar("link_identity", default=None)
+
+
+def unnamed_identity() -> LinkIdentity:
+    """Return the identity of links that belong to no process of the system."""
+    return LinkIdentity(HybridClock(), None, Traffic())
 
 
 class LinkClosed(Exception):
@@ -23,15 +75,20 @@
 class Link:
     """One connection to a peer, for messages in both directions."""
 
-    def __init__(self, *, connection: Connection) -> None:
+    def __init__(self, *, connection: Connection, identity: LinkIdentity) -> None:
         self._connection = connection
+        self._clock = identity.clock
+        self._traffic = identity.traffic
 
     async def send(self, message: Message) -> None:
         """Send one message."""
-        await self.send_encoded(encode(message))
+        await self.send_encoded(type(message).__name__, encode(message))
 
-    async def send_encoded(self, data: bytes) -> None:
-        """Send one message that was encoded before, because several peers get the same."""
+    async def send_encoded(self, kind: str, encoded: bytes) -> None:
+        """Send a message that was encoded before, because several peers get the same."""
+        wall, logical = self._clock.now()
+        data = encoded + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
+        self._traffic.count_sent(kind, len(data))
         try:
             await self._connection.send(data)
         except websockets.ConnectionClosed as error:
@@ -43,7 +100,12 @@
             data = await self._connection.recv(decode=False)
         except websockets.ConnectionClosed as error:
             raise LinkClosed(str(error)) from error
-        return decode(data)
+        if len(data) < _STAMP.size:
+            raise Malformed("a message without a stamp")
+        message = decode(data[: -_STAMP.size])
+        self._traffic.count_received(type(message).__name__, len(data))
+        self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
+        return message
 
     async def close(self) -> None:
         """Close the connection."""
@@ -53,6 +115,7 @@
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
+    identity = link_identity.get() or unnamed_identity()
     try:
         connection = await websocket_connect(
             f"ws://{address}{path}",
@@ -62,10 +125,11 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
+            additional_headers=identity.token.fields if identity.token else None,
         )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise LinkClosed(f"{address} can't be reached: {error}") from error
     try:
-        yield Link(connection=connection)
+        yield Link(connection=connection, identity=identity)
     finally:
         await connection.close()
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -28,7 +28,7 @@
 from cowslipvane.tasks import _publisher
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
-from cowslipvane.wire import Link, LinkClosed, connect
+from cowslipvane.wire import Link, LinkClosed, connect, unnamed_identity
 from tools.lone_replica import IP, LoneReplica, event_log
 
 Answer = Callable[[object], object]
@@ -65,7 +65,7 @@
         """Start a stand-in that answers each message by a function, None for not at all."""
 
         async def talk(connection: ServerConnection) -> None:
-            link = Link(connection=connection)
+            link = Link(connection=connection, identity=unnamed_identity())
             try:
                 while True:
                     reply = answer(await link.receive())
@@ -263,7 +263,7 @@
     def __init__(self, gate: asyncio.Event) -> None:
         self._gate = gate
 
-    def send_encoded(self, data: bytes) -> Awaitable[None]:  # type: ignore[override]
+    def send_encoded(self, kind: str, encoded: bytes) -> Awaitable[None]:  # type: ignore[override]
         """Wait for the gate."""
         return self._wait()
 
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -13,7 +13,7 @@
 from unittest.mock import patch
 
 from cowslipvane.catalogue import Key, Route, Service, Spec, Target, TrafficPolicy
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventKind, EventLog, HybridClock, Origin
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import Subscription
@@ -35,24 +35,25 @@
 
     sent_bytes = 0
 
-    async def send_encoded(self, data: bytes) -> None:
+    async def send_encoded(self, kind: str, encoded: bytes) -> None:
         """Count a message and send it."""
-        CountingLink.sent_bytes += len(data) + (CLIENT_HEADER_BYTES + SERVER_HEADER_BYTES) // 2
-        await super().send_encoded(data)
+        CountingLink.sent_bytes += len(encoded) + (CLIENT_HEADER_BYTES + SERVER_HEADER_BYTES) // 2
+        await super().send_encoded(kind, encoded)
 
 
 class Arrivals(EventLog):
     """Notes when proxies apply a version."""
 
     def __init__(self, *, proxies: int) -> None:
-        super().__init__(
-            host=HostName("bench"), data_centre=DataCentre("here"), process=1, clock=HybridClock()
-        )
+        origin = Origin(HostName("bench"), DataCentre("here"), 1)
+        super().__init__(origin=origin, clock=HybridClock())
         self._proxies = proxies
         self._times: dict[int, list[float]] = defaultdict(list)
         self._all: dict[int, asyncio.Event] = defaultdict(asyncio.Event)
 
-    def record(self, kind: str, *, request: str = "", version: int = 0, **detail: str) -> None:
+    def record(
+        self, kind: EventKind, *, request: str = "", version: int = 0, **detail: str
+    ) -> None:
         """Note when a version was applied."""
         if kind == "applied":
             self._times[version].append(time.monotonic())
--- a/tools/lone_replica.py
+++ b/tools/lone_replica.py
@@ -11,14 +11,14 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from cowslipvane.catalogue import Change, Key, Spec
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
-from cowslipvane.replica import Ballot, Entry, Recovered, Replica, Voter
+from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered, Replica, Voter
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import Replication
-from cowslipvane.types import Address, DataCentre, HostName, OperationId, Version
-from cowslipvane.wire import Link, LinkClosed
+from cowslipvane.types import Address, DataCentre, HostName, OperationId, ReplicaId, Version
+from cowslipvane.wire import Link, LinkClosed, unnamed_identity
 
 IP = "127.0.0.1"
 HOST = HostName("lone")
@@ -33,14 +33,22 @@
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
         """Keep nothing."""
 
+    def record_snapshot(
+        self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
+    ) -> None:
+        """Keep nothing."""
+
     async def sync(self) -> None:
         """Return at once."""
 
+    async def watch(self) -> None:
+        """Return at once, since nothing can fail."""
+
 
 def event_log(host: str = HOST) -> EventLog:
     """Return an event log that writes to no file."""
-    clock = HybridClock()
-    return EventLog(host=HostName(host), data_centre=DataCentre("here"), process=1, clock=clock)
+    origin = Origin(HostName(host), DataCentre("here"), 1)
+    return EventLog(origin=origin, clock=HybridClock())
 
 
 class LoneReplica:
@@ -50,7 +58,8 @@
         now = time.monotonic()
         self.replica = Replica(
             host=HOST,
-            voters=(Voter(HOST, Address(IP, 1)),),
+            replica_id=ReplicaId("lone"),
+            founders=(Voter(HOST, Address(IP, 1), ReplicaId("lone")),),
             journal=NoJournal(),
             recovered=Recovered(Ballot(0, None), ()),
             election_timeout=1.0,
@@ -58,7 +67,11 @@
             now=now,
         )
         self.replication = Replication(
-            replica=self.replica, journal=NoJournal(), timing=Timing(), events=event_log()
+            replica=self.replica,
+            group_name="lone",
+            journal=NoJournal(),
+            timing=Timing(),
+            events=event_log(),
         )
         own = Member(
             HOST, DataCentre("here"), 1, 0, Address(IP, 1), Address(IP, 1), None, "up", None
@@ -114,6 +127,6 @@
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one proxy."""
         try:
-            await self.publisher.serve(Link(connection=connection))
+            await self.publisher.serve(Link(connection=connection, identity=unnamed_identity()))
         except LinkClosed:
             return
