--- a/cowslipvane/cmdline/_main.py
+++ b/cowslipvane/cmdline/_main.py
@@ -7,7 +7,7 @@
 from cowslipvane.cmdline._explain import explain, timeline
 from cowslipvane.cmdline._process import check, completion, debug, drain, run, status
 from cowslipvane.cmdline._replica import replica
-from cowslipvane.cmdline._resources import apply, get, watch
+from cowslipvane.cmdline._resources import apply, diff, get, history, watch
 
 
 @click.group()
@@ -21,9 +21,11 @@
     check,
     completion,
     debug,
+    diff,
     drain,
     explain,
     get,
+    history,
     replica,
     run,
     status,
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -173,7 +173,9 @@
             events=self._events,
         )
         self._publisher = Publisher(
-            replication=self._replication, pull_wait=self._settings.timing.pull_wait
+            replication=self._replication,
+            membership=self._members.membership,
+            pull_wait=self._settings.timing.pull_wait,
         )
         return [self._replication.run(), self._publisher.run()]
 
@@ -243,12 +245,13 @@
                 owner=self._owner,
             ),
         )
-        if self._replication is None:
+        if self._replication is None or self._publisher is None:
             return Operators(process=process, resources=None, replicas=None, token=self._token)
         resources = ResourceApi(
             membership=self._members.membership,
             events=self._events,
             replication=self._replication,
+            publisher=self._publisher,
         )
         replicas = ReplicaApi(
             membership=self._members.membership,
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -365,7 +365,6 @@
         if not isinstance(self._role, Leader) or reply.term != self._term:
             return
         self._role.count_contact(reply.voter, sent_at)
-        self._reports.update((report.host, report) for report in reply.reports)
         if not reply.matched:
             self._role.count_refusal(reply.voter, min(reply.index, self.last_index - 1))
             return
@@ -513,10 +512,7 @@
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append message."""
-        reports = tuple(self._reports.values()) if matched else ()
-        return AppendReply(
-            term=self._term, voter=self._host, matched=matched, index=index, reports=reports
-        )
+        return AppendReply(term=self._term, voter=self._host, matched=matched, index=index)
 
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if it ends in an entry of this term."""
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -10,13 +10,22 @@
     register,
 )
 from cowslipvane.wire._forms import (
+    ChangeForm,
+    EffectForm,
     FaultForm,
     OutcomeForm,
+    ProgressForm,
     ResourceForm,
+    StatusForm,
+    change_form,
+    effect_form,
     fault_forms,
     outcome_form,
+    progress_form,
     read_change,
+    read_spec,
     resource_form,
+    status_form,
 )
 from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
 from cowslipvane.wire._link import (
@@ -30,18 +39,27 @@
 )
 
 __all__ = [
+    "ChangeForm",
+    "EffectForm",
     "FaultForm",
     "GroupForm",
     "MemberForm",
     "group_form",
     "read_group_change",
     "OutcomeForm",
+    "ProgressForm",
     "ResourceForm",
+    "StatusForm",
+    "change_form",
+    "effect_form",
     "fault_forms",
     "outcome_form",
+    "progress_form",
     "read_change",
+    "read_spec",
     "resource_form",
     "unnamed_identity",
+    "status_form",
     "Link",
     "LinkClosed",
     "LinkIdentity",
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,9 +5,9 @@
 import unittest
 from typing import cast
 
-from cowslipvane.call import Call, Offer, Refused, Request
+from cowslipvane.call import Call, Cancel, Fence, Offer, Refused, Request
 from cowslipvane.catalogue import RetryPolicy, TrafficPolicy
-from cowslipvane.events import EventLog, HybridClock
+from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import Draining, OwnerUnreachable
 from cowslipvane.routing import Budgets, Chooser, Hedging, ServiceRules
@@ -80,10 +80,11 @@
         """Return what stands for the connection to any owner."""
         return self
 
-    async def offer(self, offer: Offer, mailbox: Mailbox) -> None:
+    async def send(self, message: Offer | Fence | Cancel, mailbox: Mailbox | None) -> None:
         """Refuse an attempt as not run."""
-        self.offers += 1
-        await mailbox.put(Refused(attempt=offer.attempt, refusal=LOST))
+        if isinstance(message, Offer) and mailbox is not None:
+            self.offers += 1
+            await mailbox.put(Refused(attempt=message.attempt, refusal=LOST))
 
 
 class CarrierTest(unittest.IsolatedAsyncioTestCase):
@@ -101,10 +102,7 @@
             peers=cast(Peers, peers),
             chooser=Chooser(data_centre=DataCentre("here"), rng=random.Random(1)),
             events=EventLog(
-                host=HostName("a"),
-                data_centre=DataCentre("here"),
-                process=1,
-                clock=HybridClock(),
+                origin=Origin(HostName("a"), DataCentre("here"), 1), clock=HybridClock()
             ),
         )
         rules = ServiceRules(STOCK, RetryPolicy(attempts=1000), TrafficPolicy())
