Test that deadlines and cancellations reach the worker

Both were claimed without a test. test_owner (15) and test_callers (9) pass; each new test was seen to fail with its protection taken out (cancelling an abandoned request; the header of the time left).

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -110,6 +110,24 @@
             self.assertTrue(final.startswith("HTTP/1.1 200 OK"), final)
             self.assertIn('"received": 3', final)
 
+    async def test_a_caller_that_goes_away_frees_the_slot(self) -> None:
+        """Its idempotent request is cut at the worker, here and over a link."""
+        for host in ("stock-1", "stock-2"):
+            ip, _, port = self.fleet.address(host, "callers").rpartition(":")
+            _, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"GET /stock/7 HTTP/1.1\r\nHost: valley\r\nX-Work-Times: 1200\r\n\r\n")
+            await asyncio.sleep(0.4)
+            self.assertEqual(await self.running(), 1)
+            writer.close()
+            await asyncio.sleep(0.4)
+            self.assertEqual(await self.running(), 0)
+
+    async def running(self) -> int:
+        """Return how many requests the owner runs."""
+        url = f"http://{self.fleet.address('stock-1', 'operators')}/v1/status"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            return int((await answer.json())["load"]["running"])
+
     async def test_head_tells_the_length_and_sends_no_body(self) -> None:
         """The answer to HEAD has the fields of a GET's."""
         asked = "HEAD /stock/7 HTTP/1.1\r\nX-Answer-Bytes: 100000"
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         self.seen: list[str] = []
         self.cut: list[str] = []
+        self.fields: list[str] = []
         self.release = asyncio.Event()
         self.arrived = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -88,8 +89,8 @@
         try:
             while line := await reader.readline():
                 path = line.split()[1].decode()
-                while (await reader.readline()).strip():
-                    pass
+                while field := (await reader.readline()).strip():
+                    self.fields.append(field.decode())
                 self.seen.append(path)
                 self.arrived.set()
                 if path.startswith("/drop"):
@@ -211,6 +212,13 @@
         self.assertEqual(await self.inbox.verdict(), Verdict.MAY_HAVE_RUN)
         self.assertEqual(self.worker.seen, ["/ok", "/drop"])
 
+    async def test_the_worker_is_told_the_time_left(self) -> None:
+        """The deadline goes with the request."""
+        await self.begin(offer(1, "/ok", timeout=2.0))
+        left = [field for field in self.worker.fields if field.startswith("X-Request-Timeout-Ms")]
+        self.assertEqual(len(left), 1)
+        self.assertTrue(0 < int(left[0].split()[1]) <= 2000, left)
+
     async def test_no_connection_means_not_run(self) -> None:
         """A worker that doesn't listen has run nothing."""
         self.worker.close()
