--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -29,8 +29,8 @@
     code: str = ""
 
 
-class LeavingTest(unittest.IsolatedAsyncioTestCase):
-    """What callers see while proxies and workers leave."""
+class LoadedTest(unittest.IsolatedAsyncioTestCase):
+    """A service under load; a base for tests of what its callers are told."""
 
     async def asyncSetUp(self) -> None:
         """Start one service of three workers."""
@@ -130,6 +130,10 @@
         over = [line for line in self.fleet.ledger() if line["what"] == "over"]
         self.assertEqual(over, [])
 
+
+class LeavingTest(LoadedTest):
+    """What callers see while proxies and workers leave."""
+
     async def test_restarting_all_proxies_in_turn_cuts_nothing(self) -> None:
         """Every call is answered in full or truly refused, and runs at most once."""
         callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
