Wait with timeouts that keep a cancellation

Cause: make demo failed once in 2 runs because a daemon didn't end after SIGTERM. A dump of its tasks showed the subscriber cancelled and yet at its loop's next pause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, when both come in one turn of the event loop. Ruled out: calls under way (no 'cut' event after the grace period), the listeners' own closing (their tasks had ended). Conclusion: no wait_for is left; Link.receive takes a timeout.

--- a/cowslipvane/tasks/_members.py
+++ b/cowslipvane/tasks/_members.py
@@ -88,13 +88,13 @@
     async def _answer(self, link: Link) -> None:
         """Answer exchanges; raise TimeoutError when none comes."""
         timeout = self._interval * IDLE_HEARTBEATS
-        match await asyncio.wait_for(link.receive(), timeout):
+        match await link.receive(timeout=timeout):
             case Hello(data_centre=centre, guest=guest):
                 feed = Feed(membership=self._membership, data_centre=centre, guest=guest)
             case _:
                 return
         while True:
-            match await asyncio.wait_for(link.receive(), timeout):
+            match await link.receive(timeout=timeout):
                 case Exchange() | Compare() as message:
                     reply, newer = feed.answer(message, time.monotonic())
                     self._note(newer)
@@ -187,7 +187,7 @@
         """Send what the other side lacks and take its reply in."""
         message = feed.next_message(time.monotonic())
         await link.send(message)
-        match await asyncio.wait_for(link.receive(), self._reply_timeout):
+        match await link.receive(timeout=self._reply_timeout):
             case ExchangeReply() as reply:
                 self._note(feed.take(message, reply, time.monotonic()))
             case _:
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -151,7 +151,7 @@
             news = {host: report for host, report in held.items() if confirmed.get(host) != report}
             if news:
                 await link.send(Reports(reports=tuple(news.values())))
-                answer = await asyncio.wait_for(link.receive(), LEADER_TIMEOUT)
+                answer = await link.receive(timeout=LEADER_TIMEOUT)
                 if not isinstance(answer, ReportsTaken):
                     raise Malformed("the leader answered reports with another message")
                 confirmed.update(news)
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -243,7 +243,7 @@
     async def _greet(self, link: Link, wanted: ReplicaId) -> ReplicaId:
         """Return the identity that answers; raise LinkClosed when it is another."""
         await link.send(Greeting(group=self._group_name, wanted=wanted))
-        match await asyncio.wait_for(link.receive(), self._timing.election_timeout):
+        match await link.receive(timeout=self._timing.election_timeout):
             case Welcome(replica_id=replica_id):
                 return replica_id
             case Stranger(group=group, replica_id=replica_id):
@@ -274,7 +274,7 @@
                 continue
             sent_at = time.monotonic()
             await link.send(request)
-            reply = await asyncio.wait_for(link.receive(), self._timing.election_timeout)
+            reply = await link.receive(timeout=self._timing.election_timeout)
             if not self._replica.recognizes(host, replica_id):
                 break
             await self._count(reply, sent_at)
--- a/cowslipvane/tasks/_signal.py
+++ b/cowslipvane/tasks/_signal.py
@@ -25,7 +25,9 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting.add(future)
         try:
-            await asyncio.wait_for(future, timeout)
+            # Unlike wait_for, a timeout doesn't lose a cancellation that comes with the wake-up.
+            async with asyncio.timeout(timeout):
+                await future
         except TimeoutError:
             return
         finally:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -83,7 +83,7 @@
     async def _ask_floor(self, link: Link) -> Floor | AskLeader:
         """Ask one replica for the floor."""
         await link.send(AskFloor())
-        match await asyncio.wait_for(link.receive(), ANSWER_TIMEOUT):
+        match await link.receive(timeout=ANSWER_TIMEOUT):
             case Floor() | AskLeader() as answer:
                 return answer
             case _:
@@ -98,7 +98,7 @@
                 await self._learn_floor(link)
             while True:
                 await link.send(self._pull())
-                await self._take(await asyncio.wait_for(link.receive(), patience))
+                await self._take(await link.receive(timeout=patience))
 
     def _pull(self) -> Pull:
         """Return a pull that follows what is in force."""
--- a/cowslipvane/tasks/_witness.py
+++ b/cowslipvane/tasks/_witness.py
@@ -67,7 +67,7 @@
         try:
             async with connect(member.peers, "/events") as link:
                 await link.send(KeepEvents(origin=self._events.origin, events=events))
-                answer = await asyncio.wait_for(link.receive(), ANSWER_TIMEOUT)
+                answer = await link.receive(timeout=ANSWER_TIMEOUT)
         except (LinkClosed, Malformed, TimeoutError):
             return False
         return isinstance(answer, EventsKept)
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import struct
 from collections import Counter
 from collections.abc import AsyncIterator, Mapping
@@ -99,10 +100,12 @@
         except websockets.ConnectionClosed as error:
             raise _closed(error) from error
 
-    async def receive(self) -> Message:
-        """Return the next message; raise Malformed when it is none."""
+    async def receive(self, *, timeout: Seconds | None = None) -> Message:
+        """Return the next message; raise Malformed when it is none, TimeoutError when late."""
         try:
-            data = await self._connection.recv(decode=False)
+            # Unlike wait_for, a timeout doesn't lose a cancellation that comes with a message.
+            async with asyncio.timeout(timeout):
+                data = await self._connection.recv(decode=False)
         except websockets.ConnectionClosed as error:
             raise _closed(error) from error
         if len(data) < _STAMP.size:
