--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,12 @@
 
 bench: env  ## Measure, as ratios within one run.
 	$(BIN)/python -m tools.bench
+	$(BIN)/python -m tools.bench_acceptance
+	$(BIN)/python -m tools.bench_distribution
+	$(BIN)/python -m tools.bench_members
+
+capacity: env  ## Measure the slopes of docs/CAPACITY.md again, and record them.
+	$(BIN)/python -m tools.capacity --record docs/capacity.json
 
 clean:  ## Remove what the chores made.
 	rm -rf $(VENV) .mypy_cache .ruff_cache build *.egg-info
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -98,6 +98,10 @@
         """Return IP:PORT of a host's listener."""
         return self._addresses[host][listener]
 
+    def pid(self, host: str) -> int:
+        """Return the process id of a host's daemon."""
+        return self._daemons[host].pid
+
     def operators(self) -> tuple[str, ...]:
         """Return the operators' addresses of the replicas."""
         return tuple(self.address(host, "operators") for host in self.replicas)
