--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: help env test check format docs demo bench clean
+.PHONY: help env test check format docs demo bench capacity clean
 
 help:  ## List the chores.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
