Test an owner that is gone for good; keep HTTP to the worker in its own module

Cause: no test held that an owner which never comes back gives 'may have run'. Measured: tests.test_owner and tests.test_callers, 25 passed.

--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -6,7 +6,6 @@
 import time
 
 import aiohttp
-from yarl import URL
 
 from cowslipvane.admission import Admission, Work
 from cowslipvane.call import (
@@ -24,7 +23,6 @@
     Refused,
     Reply,
     UnderWay,
-    end_to_end,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Worker
@@ -42,11 +40,17 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._members import Members
 from cowslipvane.tasks._signal import Signal, Turnstile
-from cowslipvane.types import Header, Headers, Seconds, ServiceName, Verdict
+from cowslipvane.tasks._worker_http import (
+    TIMEOUT_HEADER,
+    OneSend,
+    answer_headers,
+    same_spelling,
+    worker_session,
+    worker_url,
+)
+from cowslipvane.types import Header, Seconds, ServiceName, Verdict
 
 CHUNK_BYTES = 64 << 10
-# Tells the worker how many milliseconds are left until nobody waits for the answer.
-TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 # Work that isn't idempotent is left to end for this long after its deadline.
 LEFT_TO_END: Seconds = 30.0
 # How often an owner looks whether the operator took its upstream out.
@@ -328,7 +332,7 @@
         if before:
             # The worker that announced other traits still runs what it was given.
             await asyncio.wait(before)
-        async with _session(worker) as session:
+        async with worker_session(worker) as session:
             while not admission.is_draining:
                 work = admission.start_next(time.monotonic())
                 if work is None:
@@ -386,11 +390,11 @@
         left_ms = max(0, round((work.deadline - time.monotonic()) * 1000))
         async with session.request(
             request.method,
-            _url(worker, request.path),
-            headers=_same_spelling((*request.headers, Header(TIMEOUT_HEADER, str(left_ms)))),
+            worker_url(worker, request.path),
+            headers=same_spelling((*request.headers, Header(TIMEOUT_HEADER, str(left_ms)))),
             data=request.body or None,
             allow_redirects=False,
-            middlewares=(_OneSend(),),
+            middlewares=(OneSend(),),
         ) as response:
             body = await response.content.readany()
             more = not response.content.at_eof()
@@ -398,7 +402,7 @@
                 Answer(
                     attempt=work.attempt,
                     status=response.status,
-                    headers=_answer_headers(request.method, response),
+                    headers=answer_headers(request.method, response),
                     body=body,
                     more=more,
                     load=self.load,
@@ -408,59 +412,3 @@
                 body = await response.content.read(CHUNK_BYTES)
                 more = not response.content.at_eof()
                 await self._send(Chunk(attempt=work.attempt, body=body, more=more))
-
-
-class _OneSend:
-    """Keeps the HTTP client from sending a request again by itself.
-
-    The client does that when a kept-alive connection breaks, though the worker may have run it.
-    """
-
-    def __init__(self) -> None:
-        self._sent = False
-
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Send a request once; raise ServerDisconnectedError at the second time."""
-        if self._sent:
-            raise aiohttp.ServerDisconnectedError
-        self._sent = True
-        return await handler(request)
-
-
-def _url(worker: Worker, target: str) -> URL:
-    """Return the URL of a target at the worker, whatever the target looks like."""
-    path, _, query = target.partition("?")
-    ip, port = worker.address
-    return URL.build(scheme="http", host=ip, port=port, path=path, query_string=query, encoded=True)
-
-
-def _session(worker: Worker) -> aiohttp.ClientSession:
-    """Return the session of one slot: one connection to the worker."""
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=1),
-        auto_decompress=False,
-        # A jar would send one caller's cookies with another caller's request.
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None),
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-    )
-
-
-def _same_spelling(headers: Headers) -> list[tuple[str, str]]:
-    """Return the fields with one spelling of each name.
-
-    The HTTP client drops a field when a later one has the same name in another case.
-    """
-    spelling: dict[str, str] = {}
-    return [(spelling.setdefault(name.lower(), name), value) for name, value in headers]
-
-
-def _answer_headers(method: str, response: aiohttp.ClientResponse) -> Headers:
-    """Return the fields to pass on; an answer without a body keeps the length that it tells."""
-    headers = end_to_end(response.headers.items())
-    length = response.headers.get("Content-Length")
-    if length is not None and method == "HEAD":
-        return (*headers, Header("Content-Length", length))
-    return headers
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from unittest.mock import patch
 
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.frames import CloseCode
@@ -30,7 +31,7 @@
 )
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership, Worker
-from cowslipvane.refusal import explain
+from cowslipvane.refusal import OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._carrier import Carrier, Served
@@ -323,7 +324,7 @@
         self.addAsyncCleanup(self.worker.stop)
         self.connections: list[ServerConnection] = []
         self.deaf = False
-        server = await serve(self._serve, "127.0.0.1", 0)
+        self.server = server = await serve(self._serve, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         peers = Address("127.0.0.1", next(iter(server.sockets)).getsockname()[1])
@@ -380,6 +381,17 @@
         self.assertIsInstance(await carrying, Served)
         self.assertEqual(self.worker.seen, ["/wait"])
 
+    async def test_an_owner_that_is_gone_for_good_may_have_run_it(self) -> None:
+        """Nobody can tell any more, and a true refusal says so."""
+        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+        self.server.close(close_connections=False)
+        with patch("cowslipvane.tasks._carrier.RESOLVE_TIME", 0.2):
+            self.connections[0].transport.abort()
+            refusal = await carrying
+        assert isinstance(refusal, OwnerUnreachable)
+        self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_a_broken_link_takes_waiting_work_back(self) -> None:
         """What had not started is truly not run."""
         first = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
