Close the links of an exiting process all at once

Cause (by reading): the exit keeps one second for closing, but each link to a peer was closed after the one before it, 0.3 s each when the peer is cut off, and each of four listeners left up to 1 s to answers under way. Ruled out: the callers' and owners' waits, which end before that second begins. Test first: test_peers.CloseTest hangs on the sources before, and passes now.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -48,7 +48,8 @@
 from cowslipvane.types import Seconds
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
-# The part of the grace period in which listeners close, and nothing is waited for any more.
+# The part of the grace period in which listeners and links close, each within its own bound, and
+# nothing is waited for any more.
 EXIT_TIME: Seconds = 1.0
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -12,10 +12,12 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from cowslipvane.tasks._pipeline import Ahead, PipelinedConnection
-from cowslipvane.types import Address
+from cowslipvane.types import Address, Seconds
 
 # The largest line or field of a request's head.
 MAX_HEAD_BYTES = 16 << 10
+# How long a closing listener leaves to the answers under way; an exit closes several in turn.
+CLOSE_TIME: Seconds = 0.1
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -84,7 +86,7 @@
     ) -> None:
         """Close the listener and its connections."""
         self.stop_listening()
-        await self._server.shutdown(timeout=1.0)
+        await self._server.shutdown(timeout=CLOSE_TIME)
 
 
 def error_response(status: int, sentence: str) -> web.Response:
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -167,9 +167,8 @@
         return link
 
     async def close(self) -> None:
-        """Close all connections."""
-        for link in self._links.values():
-            await link.close()
+        """Close all connections at once, since a peer that is cut off doesn't answer the closing."""
+        await asyncio.gather(*(link.close() for link in self._links.values()))
 
 
 async def serve_calls(link: Link, owner: Owner) -> None:
