Keep a replica's history and a leader's progress in their own modules

No rule is changed; the tests of the replica, its tasks, compaction, joining and repair pass as they were.

--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -10,6 +10,7 @@
     Replace,
     Voter,
 )
+from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
@@ -26,7 +27,7 @@
     VoteReply,
     Write,
 )
-from cowslipvane.replica._replica import Ballot, Journal, Recovered, Replica
+from cowslipvane.replica._replica import Replica
 from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate
 
 __all__ = [
--- /dev/null
+++ b/cowslipvane/replica/_history.py
@@ -0,0 +1,175 @@
+"""The history of a replica: its log, and what the log has built up to the commit index."""
+
+from __future__ import annotations
+
+from cowslipvane.catalogue import Catalogue, export_state, import_state
+from cowslipvane.replica._group import Group, GroupHistory, Voter
+from cowslipvane.replica._journal import Ballot, Journal, Recovered
+from cowslipvane.replica._log import Log
+from cowslipvane.replica._messages import Command, Entry, LogSnapshot, Noop, Regroup, Write
+
+
+class History:
+    """Log, group and catalogue, in step with each other and with the journal."""
+
+    def __init__(
+        self,
+        *,
+        founders: tuple[Voter, ...],
+        journal: Journal,
+        recovered: Recovered,
+        compact_after: int,
+    ) -> None:
+        self._journal = journal
+        self._compact_after = compact_after
+        self._catalogue = Catalogue()
+        base = recovered.snapshot or LogSnapshot(
+            0, 0, Group(founders), export_state(self._catalogue)
+        )
+        import_state(self._catalogue, base.catalogue)
+        self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
+        self._groups = GroupHistory(index=base.position, group=base.group)
+        self._note_groups(recovered.entries)
+        self._synced = self.last_index
+        self._commit = base.position
+        self._applied = base.position
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue that the committed log has built."""
+        return self._catalogue
+
+    @property
+    def group(self) -> Group:
+        """Return the group in force, which may not be committed yet."""
+        return self._groups.current
+
+    @property
+    def group_changed_at(self) -> int:
+        """Return the index of the entry that put the group in force."""
+        return self._groups.changed_at
+
+    @property
+    def group_is_committed(self) -> bool:
+        """Return whether no change of the group is under way."""
+        return self._groups.changed_at <= self._commit
+
+    @property
+    def commit(self) -> int:
+        """Return the index up to which the log is committed."""
+        return self._commit
+
+    @property
+    def synced(self) -> int:
+        """Return the index up to which the log is on this replica's disk."""
+        return self._synced
+
+    @property
+    def base_index(self) -> int:
+        """Return the index of the last entry that was compacted away, 0 for none."""
+        return self._log.base_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry of the log."""
+        return self._log.last_index
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return term and index of the last entry, by which logs are compared."""
+        return self._log.last_term, self._log.last_index
+
+    def term_of(self, index: int) -> int:
+        """Return the term at an index from the base to the last."""
+        return self._log.term_of(index)
+
+    def has_committed_in(self, term: int) -> bool:
+        """Return whether the newest committed entry is of a term."""
+        return self._log.term_of(self._commit) == term
+
+    def after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
+        """Return the entries after an index, at most so many."""
+        return self._log.after(index, limit)
+
+    def start_of_term(self, index: int) -> int:
+        """Return the first index that has the term of the entry at an index."""
+        return self._log.start_of_term(index)
+
+    def append(self, term: int, command: Command, stamped_at: float) -> int:
+        """Add a command of the leader here, and return its index."""
+        entry = Entry(self.last_index + 1, term, command, stamped_at)
+        self._log.append(entry)
+        self._note_groups((entry,))
+        self._journal.record_entries((entry,))
+        return entry.position
+
+    def take(self, entries: tuple[Entry, ...]) -> None:
+        """Keep the entries that match the log and replace it from the first that doesn't."""
+        new = self._log.replace(entries)
+        if new:
+            self._groups.drop_from(new[0].position)
+            self._note_groups(new)
+            self._synced = min(self._synced, new[0].position - 1)
+            self._journal.record_entries(new)
+
+    def install(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
+        """Take a snapshot in place of the log that it covers, if that isn't committed here."""
+        if snapshot.position <= self._commit:
+            return
+        import_state(self._catalogue, snapshot.catalogue)
+        self._log.compact(snapshot.position, snapshot.term)
+        self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
+        self._note_groups(self._log.after(snapshot.position))
+        self._commit = self._applied = snapshot.position
+        self._synced = min(self._synced, self.last_index)
+        self._record_snapshot(snapshot, ballot)
+
+    def commit_to(self, index: int, ballot: Ballot) -> None:
+        """Apply the log to the catalogue up to a committed index, and compact it when it is long.
+
+        A compacted journal begins anew with the ballot.
+        """
+        self._commit = max(self._commit, index)
+        while self._applied < self._commit:
+            self._applied += 1
+            entry = self._log.entry(self._applied)
+            match entry.command:
+                case Write(change=change):
+                    self._catalogue.apply(change, accepted_at=entry.stamped_at)
+                case Noop() | Regroup():
+                    pass
+        if self._applied - self._log.base_index >= self._compact_after:
+            self._compact(ballot)
+
+    def count_synced(self, index: int) -> None:
+        """Count the log as synced up to an index."""
+        self._synced = min(max(self._synced, index), self.last_index)
+
+    def snapshot(self) -> LogSnapshot:
+        """Return what the applied log has built."""
+        return LogSnapshot(
+            self._applied,
+            self._log.term_of(self._applied),
+            self._groups.at(self._applied),
+            export_state(self._catalogue),
+        )
+
+    def _compact(self, ballot: Ballot) -> None:
+        """Replace the applied entries by a snapshot."""
+        snapshot = self.snapshot()
+        self._log.compact(snapshot.position, snapshot.term)
+        self._groups.compact(snapshot.position)
+        self._record_snapshot(snapshot, ballot)
+
+    def _record_snapshot(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
+        """Record a snapshot and what follows it."""
+        self._journal.record_snapshot(snapshot, ballot, self._log.after(snapshot.position))
+
+    def _note_groups(self, entries: tuple[Entry, ...]) -> None:
+        """Put the groups in force that entries name."""
+        for entry in entries:
+            match entry.command:
+                case Regroup(group=group):
+                    self._groups.add(entry.position, group)
+                case Write() | Noop():
+                    pass
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -3,27 +3,24 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple, Protocol
 
-from cowslipvane.catalogue import Catalogue, Change, export_state, import_state
+from cowslipvane.catalogue import Catalogue, Change
 from cowslipvane.replica._group import (
     UNBOUND,
     Group,
     GroupChange,
-    GroupHistory,
     GroupRefused,
     Promote,
     Voter,
     changed_group,
 )
-from cowslipvane.replica._log import Log
+from cowslipvane.replica._history import History
+from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
     Command,
-    Entry,
     Install,
-    LogSnapshot,
     Noop,
     PreVote,
     PreVoteReply,
@@ -37,49 +34,10 @@
 from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate, Role
 from cowslipvane.types import HostName, ReplicaId, Seconds
 
-# Entries in one Append message.
-MAX_APPEND_ENTRIES = 200
-
 # Applied entries after which the log is replaced by a snapshot.
 COMPACT_AFTER_ENTRIES = 1000
 
 
-class Ballot(NamedTuple):
-    """The term, and whom this replica voted for in it."""
-
-    term: int
-    voted_for: HostName | None
-
-
-class Recovered(NamedTuple):
-    """What the disk held at the start."""
-
-    ballot: Ballot
-    entries: tuple[Entry, ...]
-    snapshot: LogSnapshot | None = None
-
-
-class Journal(Protocol):
-    """The durable record of ballot and entries; nothing counts before it is synced."""
-
-    def record_ballot(self, ballot: Ballot) -> None:
-        """Record a new ballot."""
-
-    def record_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Record entries; an entry replaces all at its index and after."""
-
-    def record_snapshot(
-        self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
-    ) -> None:
-        """Record a snapshot, and begin the record anew with a ballot and the later entries."""
-
-    async def sync(self) -> None:
-        """Return once everything recorded before the call is on the disk, or raise."""
-
-    async def watch(self) -> None:
-        """Wait for a failed write and raise, so that the process stops."""
-
-
 class Replica:
     """One voter of the group, with its log and the catalogue that the log builds."""
 
@@ -101,19 +59,10 @@
         self._journal = journal
         self._term = recovered.ballot.term
         self._voted_for = recovered.ballot.voted_for
-        self._catalogue = Catalogue()
-        base = recovered.snapshot or LogSnapshot(
-            0, 0, Group(founders), export_state(self._catalogue)
+        self._history = History(
+            founders=founders, journal=journal, recovered=recovered, compact_after=compact_after
         )
-        import_state(self._catalogue, base.catalogue)
-        self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
-        self._groups = GroupHistory(index=base.position, group=base.group)
-        self._note_groups(recovered.entries)
         self._identities = {host: replica_id}
-        self._compact_after = compact_after
-        self._synced = self.last_index
-        self._commit = base.position
-        self._applied = base.position
         self._role: Role = Follower()
         self._promise = Promise(election_timeout=election_timeout, rng=rng, now=now)
         self._reports: dict[HostName, Report] = {}
@@ -131,7 +80,7 @@
     @property
     def group(self) -> Group:
         """Return the group in force, which may not be committed yet."""
-        return self._groups.current
+        return self._history.group
 
     @property
     def is_voter(self) -> bool:
@@ -152,17 +101,17 @@
     @property
     def catalogue(self) -> Catalogue:
         """Return the catalogue that the committed log has built."""
-        return self._catalogue
+        return self._history.catalogue
 
     @property
     def commit(self) -> int:
         """Return the index up to which the log is committed."""
-        return self._commit
+        return self._history.commit
 
     @property
     def last_index(self) -> int:
         """Return the index of the last entry of the log."""
-        return self._log.last_index
+        return self._history.last_index
 
     @property
     def election_at(self) -> float:
@@ -187,7 +136,7 @@
 
     def holds_lease(self, now: float) -> bool:
         """Return whether no other replica can have become leader by now."""
-        if not isinstance(self._role, Leader) or self._log.term_of(self._commit) != self._term:
+        if not isinstance(self._role, Leader) or self._history.term_of(self.commit) != self._term:
             return False
         return now < self._role.quorum_contact(self.group, self._host, now) + self._promise.lease
 
@@ -203,7 +152,7 @@
         """Stop leading when no quorum was in contact for too long; return whether it stopped."""
         if not isinstance(self._role, Leader):
             return False
-        removed = not self.is_voter and self._groups.changed_at <= self._commit
+        removed = not self.is_voter and self._history.group_is_committed
         if not removed and self._has_contact(self._role, now):
             return False
         self._role = Follower()
@@ -282,12 +231,15 @@
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
         # What lies before the base is committed, so it is the same in every log.
-        reaches_back = append.previous_index < self._log.base_index
-        if not reaches_back and self._log.term_of(append.previous_index) != append.previous_term:
+        reaches_back = append.previous_index < self._history.base_index
+        if (
+            not reaches_back
+            and self._history.term_of(append.previous_index) != append.previous_term
+        ):
             # The leader may have nothing of this term, so it goes back the whole term at once.
-            index = self._log.start_of_term(append.previous_index) - 1
-            return self._append_reply(matched=False, index=max(index, self._commit))
-        self._take_entries(append.entries)
+            index = self._history.start_of_term(append.previous_index) - 1
+            return self._append_reply(matched=False, index=max(index, self.commit))
+        self._history.take(append.entries)
         matched = append.previous_index + len(append.entries)
         self._commit_to(min(append.commit, matched))
         return self._append_reply(matched=True, index=matched)
@@ -296,33 +248,14 @@
         """Take a snapshot from the leader; the reply may leave only after a sync."""
         if not self._follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
-        snapshot = install.snapshot
-        if snapshot.position > self._commit:
-            import_state(self._catalogue, snapshot.catalogue)
-            self._log.compact(snapshot.position, snapshot.term)
-            self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
-            self._note_groups(self._log.after(snapshot.position))
-            self._commit = self._applied = snapshot.position
-            self._synced = min(self._synced, self.last_index)
-            self._record_snapshot(snapshot)
-        return self._append_reply(matched=True, index=snapshot.position)
+        self._history.install(install.snapshot, self._ballot)
+        return self._append_reply(matched=True, index=install.snapshot.position)
 
     def append_for(self, voter: HostName) -> Append | Install | None:
         """Return what a voter needs next, or None when this replica doesn't lead."""
         if not isinstance(self._role, Leader):
             return None
-        first = self._role.next_index.setdefault(voter, max(1, self.last_index))
-        if first <= self._log.base_index:
-            return Install(term=self._term, leader=self._host, snapshot=self._snapshot())
-        self._role.told_commit[voter] = self._commit
-        return Append(
-            term=self._term,
-            leader=self._host,
-            previous_index=first - 1,
-            previous_term=self._log.term_of(first - 1),
-            entries=self._log.after(first - 1, MAX_APPEND_ENTRIES),
-            commit=self._commit,
-        )
+        return self._role.next_for(voter, self._history, leader=self._host, term=self._term)
 
     def vote_for(self, voter: HostName) -> PreVote | Vote | None:
         """Return the request that a voter has not granted yet, or None."""
@@ -349,11 +282,7 @@
 
     def wants(self, voter: HostName) -> bool:
         """Return whether a voter lacks entries or the newest commit index of this leader."""
-        if not isinstance(self._role, Leader):
-            return False
-        if self._role.next_index.get(voter, 0) <= self.last_index:
-            return True
-        return self._role.told_commit.get(voter, 0) < self._commit
+        return isinstance(self._role, Leader) and self._role.lacks(voter, self._history)
 
     def count_append(self, reply: AppendReply, *, sent_at: float) -> None:
         """Count what a voter has synced, and commit what a majority has."""
@@ -382,12 +311,12 @@
         if isinstance(group, GroupRefused):
             return group
         if group == self.group:
-            return self._groups.changed_at
-        if self._groups.changed_at > self._commit:
+            return self._history.group_changed_at
+        if not self._history.group_is_committed:
             return GroupRefused(reason="another change of the group is under way; try again")
         # Until an entry of its own term is committed, a leader can't know whether a change of
         # an earlier leader still stands, and two changes at once may have disjoint quorums.
-        if self._log.term_of(self._commit) != self._term:
+        if not self._history.has_committed_in(self._term):
             return GroupRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
@@ -398,13 +327,13 @@
 
     def tend_group(self, *, stamped_at: float) -> int | None:
         """Bind founders that have been met, or promote a learner that has all; return the index."""
-        if not isinstance(self._role, Leader) or self._groups.changed_at > self._commit:
+        if not isinstance(self._role, Leader) or not self._history.group_is_committed:
             return None
         bound = self.group.bound(self._identities)
         if bound != self.group and sum(bool(v.replica_id) for v in bound.voters) >= bound.majority:
             return self._append_own(Regroup(group=bound), stamped_at)
         for learner in self.group.learners:
-            if self._role.matched(learner.host) < max(self._commit, 1):
+            if self._role.matched(learner.host) < max(self.commit, 1):
                 continue
             promoted = self.regroup(Promote(learner=learner), stamped_at=stamped_at)
             return promoted if isinstance(promoted, int) else None
@@ -418,7 +347,7 @@
 
     def count_synced(self, index: int) -> None:
         """Count this replica's own log as synced up to an index."""
-        self._synced = min(max(self._synced, index), self.last_index)
+        self._history.count_synced(index)
         if isinstance(self._role, Leader):
             self._commit_majority()
 
@@ -431,7 +360,12 @@
     @property
     def _position(self) -> tuple[int, int]:
         """Return term and index of the last entry, by which logs are compared."""
-        return self._log.last_term, self._log.last_index
+        return self._history.position
+
+    @property
+    def _ballot(self) -> Ballot:
+        """Return the ballot that a journal begun anew starts with."""
+        return Ballot(self._term, self._voted_for)
 
     def _is_quorum(self, hosts: set[HostName]) -> bool:
         """Return whether hosts include a majority of the voters."""
@@ -453,7 +387,7 @@
 
     def _set_ballot(self, ballot: Ballot) -> None:
         """Take and record a ballot."""
-        if ballot != Ballot(self._term, self._voted_for):
+        if ballot != self._ballot:
             self._term, self._voted_for = ballot
             self._journal.record_ballot(ballot)
 
@@ -479,20 +413,7 @@
 
     def _append_own(self, command: Command, stamped_at: float) -> int:
         """Append a command of this leader to its log."""
-        entry = Entry(self.last_index + 1, self._term, command, stamped_at)
-        self._log.append(entry)
-        self._note_groups((entry,))
-        self._journal.record_entries((entry,))
-        return entry.position
-
-    def _take_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Keep the entries that match the log and replace it from the first that doesn't."""
-        new = self._log.replace(entries)
-        if new:
-            self._groups.drop_from(new[0].position)
-            self._note_groups(new)
-            self._synced = min(self._synced, new[0].position - 1)
-            self._journal.record_entries(new)
+        return self._history.append(self._term, command, stamped_at)
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append message."""
@@ -501,61 +422,12 @@
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if it ends in an entry of this term."""
         assert isinstance(self._role, Leader)
-        role = self._role
-        synced = sorted(self._synced_by(role, voter) for voter in self.group.voters)
-        index = synced[-self.group.majority]
+        index = self._role.synced_by_majority(self._history, own=self._host)
         # An entry of an older term commits only under one of this term, because a later
         # leader could otherwise still replace it although a majority holds it.
-        if index > self._commit and self._log.term_of(index) == self._term:
+        if index > self.commit and self._history.term_of(index) == self._term:
             self._commit_to(index)
 
     def _commit_to(self, index: int) -> None:
         """Apply the log to the catalogue up to a committed index."""
-        self._commit = max(self._commit, index)
-        while self._applied < self._commit:
-            self._applied += 1
-            entry = self._log.entry(self._applied)
-            match entry.command:
-                case Write(change=change):
-                    self._catalogue.apply(change, accepted_at=entry.stamped_at)
-                case Noop() | Regroup():
-                    pass
-        if self._applied - self._log.base_index >= self._compact_after:
-            self._compact()
-
-    def _synced_by(self, role: Leader, voter: Voter) -> int:
-        """Return up to which index a voter has synced this leader's log."""
-        # A founder whose identity isn't in the log could come back with an empty disk unnoticed.
-        if not voter.replica_id:
-            return 0
-        return self._synced if voter.host == self._host else role.matched(voter.host)
-
-    def _snapshot(self) -> LogSnapshot:
-        """Return what the applied log has built."""
-        return LogSnapshot(
-            self._applied,
-            self._log.term_of(self._applied),
-            self._groups.at(self._applied),
-            export_state(self._catalogue),
-        )
-
-    def _compact(self) -> None:
-        """Replace the applied entries by a snapshot."""
-        snapshot = self._snapshot()
-        self._log.compact(snapshot.position, snapshot.term)
-        self._groups.compact(snapshot.position)
-        self._record_snapshot(snapshot)
-
-    def _record_snapshot(self, snapshot: LogSnapshot) -> None:
-        """Record a snapshot and what follows it."""
-        ballot = Ballot(self._term, self._voted_for)
-        self._journal.record_snapshot(snapshot, ballot, self._log.after(snapshot.position))
-
-    def _note_groups(self, entries: tuple[Entry, ...]) -> None:
-        """Put the groups in force that entries name."""
-        for entry in entries:
-            match entry.command:
-                case Regroup(group=group):
-                    self._groups.add(entry.position, group)
-                case Write() | Noop():
-                    pass
+        self._history.commit_to(index, self._ballot)
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -5,9 +5,14 @@
 import math
 from dataclasses import dataclass, field
 
-from cowslipvane.replica._group import Group
+from cowslipvane.replica._group import Group, Voter
+from cowslipvane.replica._history import History
+from cowslipvane.replica._messages import Append, Install
 from cowslipvane.types import HostName
 
+# Entries in one Append message.
+MAX_APPEND_ENTRIES = 200
+
 
 @dataclass(slots=True, kw_only=True)
 class Follower:
@@ -40,6 +45,34 @@
     contact: dict[HostName, float] = field(default_factory=dict)
     told_commit: dict[HostName, int] = field(default_factory=dict)
 
+    def next_for(
+        self, host: HostName, history: History, *, leader: HostName, term: int
+    ) -> Append | Install:
+        """Return what a member needs next from this leader's history."""
+        first = self.next_index.setdefault(host, max(1, history.last_index))
+        if first <= history.base_index:
+            return Install(term=term, leader=leader, snapshot=history.snapshot())
+        self.told_commit[host] = history.commit
+        return Append(
+            term=term,
+            leader=leader,
+            previous_index=first - 1,
+            previous_term=history.term_of(first - 1),
+            entries=history.after(first - 1, MAX_APPEND_ENTRIES),
+            commit=history.commit,
+        )
+
+    def lacks(self, host: HostName, history: History) -> bool:
+        """Return whether a member lacks entries or the newest commit index."""
+        behind = self.next_index.get(host, 0) <= history.last_index
+        return behind or self.told_commit.get(host, 0) < history.commit
+
+    def synced_by_majority(self, history: History, *, own: HostName) -> int:
+        """Return up to which index a majority has synced this leader's log."""
+        group = history.group
+        synced = sorted(self._synced_by(voter, history, own) for voter in group.voters)
+        return synced[-group.majority]
+
     def matched(self, host: HostName) -> int:
         """Return up to which index a member has synced this leader's log."""
         return self.match_index.get(host, 0)
@@ -73,5 +106,12 @@
         for progress in (self.next_index, self.match_index, self.contact, self.told_commit):
             progress.pop(host, None)
 
+    def _synced_by(self, voter: Voter, history: History, own: HostName) -> int:
+        """Return up to which index a voter has synced this leader's log."""
+        # A founder whose identity isn't in the log could come back with an empty disk unnoticed.
+        if not voter.replica_id:
+            return 0
+        return history.synced if voter.host == own else self.matched(voter.host)
+
 
 Role = Follower | PreCandidate | Candidate | Leader
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -167,7 +167,7 @@
         return link
 
     async def close(self) -> None:
-        """Close all connections at once, since a peer that is cut off doesn't answer the closing."""
+        """Close all connections at once, since a peer that is cut off answers no closing."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
 
 
