Let a leader that is stopping hand over to a voter that holds everything

Cause: at a planned stop of the leader the voters kept their promise to it for an election timeout, so that for 0.6 to 0.9 s (0.2 s more for the proxies' next question) no change was taken and no restarted proxy learnt its floor. Now the leader takes no more changes, waits until a voter has its log, gives up its lease by following, and asks that voter to stand; its requests for votes say that the lease before is given up, which frees voters of an earlier term only. Ruled out: letting voters drop their promise when the leader's connection closes; it also closes when the leader is cut off and still answers reads. The model in spec/ needs no change: it lets anyone stand at any time, and leases aren't modelled.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -183,6 +183,8 @@
         """Wait for a stop and see it through."""
         while not self._stopping:
             await self._stop.wait()
+        if self._replication is not None:
+            await self._replication.hand_over()
         if self._callers is None or self._owner is None:
             return
         # The worker may go on; it is served until callers have gone elsewhere.
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -16,6 +16,7 @@
     "cut",
     "fence",
     "floor",
+    "handed-over",
     "leader",
     "leaving",
     "lost",
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -83,12 +83,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Vote:
-    """Asks for a vote in a term."""
+    """Asks for a vote in a term; released says that the leader before has given up its lease."""
 
     term: int
     candidate: HostName
     last_index: int
     last_term: int
+    released: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,6 +101,20 @@
     granted: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TakeOver:
+    """Asks a voter to stand at once, from the leader of a term that leads no more."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TakingOver:
+    """Says whether the voter stands."""
+
+    stands: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Append:
     """Sends entries that follow the previous one, and how far the log is committed."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -26,6 +26,7 @@
     PreVoteReply,
     Regroup,
     Report,
+    TakeOver,
     Vote,
     VoteReply,
     Write,
@@ -66,6 +67,7 @@
         self._role: Role = Follower()
         self._promise = Promise(election_timeout=election_timeout, rng=rng, now=now)
         self._reports: dict[HostName, Report] = {}
+        self._is_retiring = False
 
     @property
     def host(self) -> HostName:
@@ -162,18 +164,42 @@
     def canvass(self, now: float) -> None:
         """Ask the voters whether they would elect this replica, in the term it is in."""
         self._promise.delay(now)
-        if not self.is_voter:
+        if not self.is_voter or self._is_retiring:
             return
         self._role = PreCandidate(votes={self._host})
         if self._is_quorum(self._role.votes):
             self.stand(now)
 
-    def stand(self, now: float) -> None:
-        """Become a candidate in a new term."""
+    def stand(self, now: float, *, released: bool = False) -> None:
+        """Become a candidate in a new term; released is as in a request for a vote."""
         self._set_ballot(Ballot(self._term + 1, self._host))
-        self._role = Candidate(votes=set())
+        self._role = Candidate(votes=set(), released=released)
         self._promise.delay(now)
 
+    def retire(self) -> None:
+        """Take no more changes, because this replica's process is stopping."""
+        self._is_retiring = True
+
+    def hand_over(self, now: float) -> Voter | None:
+        """Stop leading in favour of a voter that holds everything, and return it if there is one.
+
+        The lease ends with this, so that the voters needn't wait for it.
+        """
+        if not isinstance(self._role, Leader):
+            return None
+        successor = self._role.successor(self._history, own=self._host)
+        if successor is not None:
+            self._role = Follower()
+            self._promise.delay(now)
+        return successor
+
+    def take_over(self, request: TakeOver, now: float) -> bool:
+        """Stand at once, if the leader of this term asks for it; return whether it does."""
+        if request.term != self._term or not isinstance(self._role, Follower) or not self.is_voter:
+            return False
+        self.stand(now, released=True)
+        return True
+
     def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
         """Say whether a vote would be granted; this changes nothing."""
         granted = (
@@ -201,7 +227,10 @@
 
     def consider_vote(self, request: Vote, now: float) -> VoteReply:
         """Grant or refuse a vote; the reply may leave only after a sync."""
-        if self._hears_leader(now):
+        # A released vote is of the term after that of the leader that gave up its lease, and that
+        # one was elected after all leases of earlier terms had ended.
+        released = request.released and request.term > self._term
+        if self._hears_leader(now) and not released:
             return VoteReply(term=self._term, voter=self._host, granted=False)
         self._observe_term(request.term)
         granted = (
@@ -276,6 +305,7 @@
                     candidate=self._host,
                     last_index=last_index,
                     last_term=last_term,
+                    released=self._role.released,
                 )
             case _:
                 return None
@@ -341,7 +371,7 @@
 
     def propose(self, change: Change, *, stamped_at: float) -> int | None:
         """Append a change to the leader's log and return its index; None when not the leader."""
-        if not isinstance(self._role, Leader):
+        if not isinstance(self._role, Leader) or self._is_retiring:
             return None
         return self._append_own(Write(change=change), stamped_at)
 
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -30,9 +30,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Candidate:
-    """Collects votes for its term."""
+    """Collects votes for its term; released says that no leader before holds a lease."""
 
     votes: set[HostName]
+    released: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -67,6 +68,11 @@
         behind = self.next_index.get(host, 0) <= history.last_index
         return behind or self.told_commit.get(host, 0) < history.commit
 
+    def successor(self, history: History, *, own: HostName) -> Voter | None:
+        """Return a voter that holds this leader's whole log, if there is one."""
+        others = (voter for voter in history.group.voters if voter.host != own)
+        return next((v for v in others if self.matched(v.host) == history.last_index), None)
+
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
         """Return up to which index a majority has synced this leader's log."""
         group = history.group
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -22,7 +22,10 @@
     PreVote,
     PreVoteReply,
     Replica,
+    TakeOver,
+    TakingOver,
     Vote,
+    Voter,
     VoteReply,
 )
 from cowslipvane.settings import Timing
@@ -31,8 +34,11 @@
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
 register(Append, AppendReply, Install, PreVote, PreVoteReply, Vote, VoteReply)
+register(TakeOver, TakingOver)
 
 WRITE_TIMEOUT: Seconds = 5.0
+# How long a stopping leader waits for a voter to hold its whole log, and for that one's answer.
+HAND_OVER_TIMEOUT: Seconds = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,6 +149,8 @@
                     await link.send(await self._answer_append(append))
                 case Install() as install:
                     await link.send(await self._answer_append(install))
+                case TakeOver() as request:
+                    await link.send(await self._answer_take_over(request))
                 case _:
                     return
 
@@ -185,6 +193,23 @@
             await self._changed.wait(left)
         return Regrouped(group=self._replica.group) if self._replica.term == term else Unknown()
 
+    async def hand_over(self) -> None:
+        """Let another replica lead, if this one does, because the process is stopping."""
+        self._replica.retire()
+        term = self._replica.term
+        give_up = lease_now() + HAND_OVER_TIMEOUT
+        while isinstance(self._replica.role, Leader):
+            successor = self._replica.hand_over(lease_now())
+            if successor is not None:
+                self._changed.send()
+                await self._ask_to_take_over(successor, term)
+                return
+            left = give_up - lease_now()
+            if left <= 0:
+                self._events.record("handed-over", outcome="no voter holds the whole log")
+                return
+            await self._changed.wait(min(left, self._timing.heartbeat))
+
     def note_accepted(self) -> None:
         """Record the versions that were accepted since the last call."""
         version = self._replica.catalogue.version
@@ -213,6 +238,32 @@
             self._changed.send()
         return reply
 
+    async def _answer_take_over(self, request: TakeOver) -> TakingOver:
+        """Stand at once when the leader asks for it."""
+        stands = self._replica.take_over(request, lease_now())
+        if stands:
+            await self._follow_up()
+            self._changed.send()
+        return TakingOver(stands=stands)
+
+    async def _ask_to_take_over(self, successor: Voter, term: int) -> None:
+        """Ask a voter to lead in place of this replica, and record what became of it."""
+        try:
+            async with (
+                asyncio.timeout(HAND_OVER_TIMEOUT),
+                connect(successor.address, "/replica") as link,
+            ):
+                await self._greet(link, successor.replica_id)
+                await link.send(TakeOver(term=term))
+                match await link.receive():
+                    case TakingOver(stands=stands):
+                        outcome = "it stands" if stands else "it doesn't stand"
+                    case _:
+                        raise Malformed("a voter answered with another message")
+        except (LinkClosed, Malformed, TimeoutError) as error:
+            outcome = f"not known: {error!r}"
+        self._events.record("handed-over", to=successor.host, term=str(term), outcome=outcome)
+
     async def _watch_leader(self) -> None:
         """Canvass whenever the leader has been silent, and stop leading without a quorum."""
         while True:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -25,6 +25,7 @@
     Remove,
     Replace,
     Replica,
+    TakeOver,
     Vote,
     Voter,
     VoteReply,
@@ -195,6 +196,69 @@
         self.assertIsInstance(replica.role, Leader)
 
 
+class HandOverTest(unittest.TestCase):
+    """How a leader that is stopping lets another one lead."""
+
+    def setUp(self) -> None:
+        """Let a leader of term 1 have a voter that holds its log, and one that lags."""
+        self.leader = make_replica()
+        elect(self.leader, B, now=2.0)
+        self.leader.count_synced(1)
+
+    def follower(self, host: HostName) -> Replica:
+        """Return a voter that has just heard the leader."""
+        replica = make_replica(host, now=-9.0)
+        append = self.leader.append_for(host)
+        assert isinstance(append, Append)
+        replica.consider_append(append, 2.4)
+        return replica
+
+    def test_a_voter_that_holds_everything_is_elected_at_once(self) -> None:
+        """The others needn't wait for the end of the lease, since it is given up."""
+        successor, other = self.follower(B), self.follower(C)
+        self.leader.count_append(matched(B, 1, 1), sent_at=2.4)
+        self.assertTrue(self.leader.holds_lease(2.5))
+        told = self.leader.hand_over(2.5)
+        self.assertEqual(told and told.host, B)
+        self.assertFalse(self.leader.holds_lease(2.5))
+        self.assertTrue(successor.take_over(TakeOver(term=1), 2.5))
+        successor.count_own_vote(2, 2.5)
+        request = successor.vote_for(C)
+        assert isinstance(request, Vote)
+        successor.count_vote(other.consider_vote(request, 2.5), 2.5)
+        self.assertIsInstance(successor.role, Leader)
+
+    def test_an_election_that_nobody_asked_for_waits_for_the_lease(self) -> None:
+        """A candidate of its own accord frees no voter."""
+        voter = self.follower(C)
+        request = vote(2, index=1, last_term=1)
+        self.assertFalse(voter.consider_vote(request, 2.5).granted)
+
+    def test_a_released_vote_of_a_term_that_has_its_leader_frees_nobody(self) -> None:
+        """Only leaders of earlier terms have given up their leases."""
+        voter = self.follower(C)
+        late = Vote(term=1, candidate=B, last_index=9, last_term=1, released=True)
+        self.assertFalse(voter.consider_vote(late, 2.5).granted)
+
+    def test_a_leader_whose_log_nobody_holds_goes_on(self) -> None:
+        """Its last entries may be nowhere else."""
+        self.assertIsNone(self.leader.hand_over(2.5))
+        self.assertIsInstance(self.leader.role, Leader)
+
+    def test_a_retiring_leader_takes_no_change(self) -> None:
+        """Else the voters might never have caught up with it."""
+        self.leader.retire()
+        change = Change(OperationId("o"), Version(0), ())
+        self.assertIsNone(self.leader.propose(change, stamped_at=2.5))
+
+    def test_a_late_request_to_take_over_changes_nothing(self) -> None:
+        """Another leader may lead by now."""
+        replica = self.follower(B)
+        replica.consider_append(heartbeat(3, leader=C), 2.6)
+        self.assertFalse(replica.take_over(TakeOver(term=1), 2.7))
+        self.assertEqual((replica.term, replica.leader), (3, C))
+
+
 class LeadingTest(unittest.TestCase):
     """What a leader commits, and for how long it may answer as one."""
 
