Elect at once when all replicas have restarted, and let floors wait for it

A replica asks the others as soon as it has started. A voter that neither leads nor has heard a leader since its start says so; once all voters have, in one term, nobody can hold a lease, and the candidate's requests say that promises are void. A disk that was lost counts as gone when another identity answers in its place. A question for the floor waits at the replica for a leader. Tests first: test_replica.RestartTest, test_subscriber (a question for the floor waits).

--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -73,12 +73,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PreVoteReply:
-    """Says whether a vote in the proposed term would be granted, and the voter's own term."""
+    """Says whether a vote in the proposed term would be granted, and the voter's own term.
+
+    idle says that only a promise stands against it, to a leader that the voter itself doesn't know:
+    it neither leads nor has heard a leader since its start.
+    """
 
     term: int
     proposed: int
     voter: HostName
     granted: bool
+    idle: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/replica/_promise.py
+++ b/cowslipvane/replica/_promise.py
@@ -10,6 +10,10 @@
 # An election waits one election timeout plus a random share of this many more.
 ELECTION_SPREAD = 0.5
 
+# A replica that has started asks the others within this time; at different ones, since all may
+# have started together, and several candidates in a term may get no majority.
+FIRST_CANVASS: Seconds = 0.2
+
 # Share of the election timeout for which a leader trusts that a voter it has heard from
 # elects nobody else; the rest covers clocks that run at different rates.
 LEASE_SHARE = 0.9
@@ -29,8 +33,8 @@
         self._heard_at = now
         # Unlike the promise above, this begins with the first message of a leader.
         self._followed_at = -math.inf
-        self._stand_at = 0.0
-        self.delay(now)
+        # Nothing is asked of the others but whether one of them leads.
+        self._stand_at = now + FIRST_CANVASS * rng.random()
 
     @property
     def election_timeout(self) -> Seconds:
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -166,9 +166,10 @@
         self._promise.delay(now)
         if not self.is_voter or self._is_retiring:
             return
-        self._role = PreCandidate(votes={self._host})
-        if self._is_quorum(self._role.votes):
-            self.stand(now)
+        # A replica that has just started may have promised a leader not to vote for itself.
+        votes = set() if self._promise.binds(now) else {self._host}
+        self._role = PreCandidate(votes=votes, idle={self._host})
+        self._stand_if_elected(self._role, now)
 
     def stand(self, now: float, *, released: bool = False) -> None:
         """Become a candidate in a new term; released is as in a request for a vote."""
@@ -202,13 +203,16 @@
 
     def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
         """Say whether a vote would be granted; this changes nothing."""
-        granted = (
-            request.term > self._term
-            and not self._hears_leader(now)
-            and (request.last_term, request.last_index) >= self._position
+        fits = (
+            request.term > self._term and (request.last_term, request.last_index) >= self._position
         )
+        knows_leader = isinstance(self._role, Leader) or self._promise.is_following(now)
         return PreVoteReply(
-            term=self._term, proposed=request.term, voter=self._host, granted=granted
+            term=self._term,
+            proposed=request.term,
+            voter=self._host,
+            granted=fits and not self._hears_leader(now),
+            idle=fits and not knows_leader,
         )
 
     def count_pre_vote(self, reply: PreVoteReply, now: float) -> None:
@@ -218,8 +222,16 @@
             return
         if reply.granted:
             self._role.votes.add(reply.voter)
-        if self._is_quorum(self._role.votes):
-            self.stand(now)
+        # A voter that lags in an earlier term could still come to lead in that one.
+        if reply.idle and reply.term == self._term:
+            self._role.idle.add(reply.voter)
+        self._stand_if_elected(self._role, now)
+
+    def count_absent(self, voter: HostName, now: float) -> None:
+        """Count a voter as unable to lead, because another identity answers in its place."""
+        if isinstance(self._role, PreCandidate):
+            self._role.idle.add(voter)
+            self._stand_if_elected(self._role, now)
 
     def count_own_vote(self, term: int, now: float) -> None:
         """Count the replica's vote for itself, once its ballot is synced."""
@@ -401,6 +413,17 @@
         """Return whether hosts include a majority of the voters."""
         return len(hosts & {voter.host for voter in self.group.voters}) >= self.group.majority
 
+    def _stand_if_elected(self, role: PreCandidate, now: float) -> None:
+        """Stand once a majority is willing, or once no voter can hold a lease.
+
+        When all processes have restarted, none leads, and their promises bind them to nobody. Each
+        voter that says so in this term can lead only in a later one.
+        """
+        if role.idle >= {voter.host for voter in self.group.voters}:
+            self.stand(now, released=True)
+        elif self._is_quorum(role.votes):
+            self.stand(now)
+
     def _has_contact(self, role: Leader, now: float) -> bool:
         """Return whether a majority answered this leader within the election timeout."""
         return (
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -23,9 +23,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class PreCandidate:
-    """Asks who would vote for it in the next term, and disturbs no leader meanwhile."""
+    """Asks who would vote for it in the next term, and disturbs no leader meanwhile.
+
+    idle are the voters that can't lead in this term or an earlier one any more.
+    """
 
     votes: set[HostName]
+    idle: set[HostName]
 
 
 @dataclass(slots=True, kw_only=True)
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -11,7 +11,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskFloor:
-    """Asks for a version that is at least every version accepted before the question."""
+    """Asks for a version that is at least every version accepted before the question.
+
+    wait is how long the answer may take while no leader is known.
+    """
+
+    wait: Seconds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -40,6 +40,8 @@
 GATHER_TIME: Seconds = 0.02
 # The longest time between two looks at which proxies live.
 OBSERVE_TIME: Seconds = 1.0
+# A question for the floor waits no longer than this for a leader, whatever it allows.
+MOST_FLOOR_WAIT: Seconds = 10.0
 LEADER_TIMEOUT: Seconds = 2.0
 LEADER_RETRY: Seconds = 0.2
 
@@ -66,6 +68,7 @@
         self._moved = Signal()
         self._rollout = Rollout()
         self._snapshots = 0
+        self._floor_questions = 0
         # Answers to the newest version, encoded once for all proxies that ask the same.
         self._answers: dict[tuple[Version, RouteHosts], _Answer] = {}
         self._answers_version = NO_VERSION
@@ -80,6 +83,11 @@
         """Return where versions are in force; only the leader's is complete."""
         return self._rollout
 
+    @property
+    def floor_questions(self) -> int:
+        """Return how many proxies wait for a leader to tell their floor."""
+        return self._floor_questions
+
     async def run(self) -> None:
         """Run the tasks beside those of the proxies' connections."""
         async with asyncio.TaskGroup() as tasks:
@@ -107,8 +115,8 @@
                 case Pull() as pull:
                     self._record(pull.report)
                     await self._answer(link, pull)
-                case AskFloor():
-                    await link.send(self._floor())
+                case AskFloor(wait=wait):
+                    await link.send(await self._known_floor(min(wait, MOST_FLOOR_WAIT)))
                 case Reports(reports=reports):
                     for report in reports:
                         self._record(report)
@@ -167,6 +175,23 @@
             replica.record_report(report)
             self._reported.send()
 
+    async def _known_floor(self, wait: Seconds) -> Floor | AskLeader:
+        """Return the floor, or who knows it; wait a while for a leader when there is none."""
+        give_up = time.monotonic() + wait
+        self._floor_questions += 1
+        try:
+            while True:
+                match self._floor():
+                    case AskLeader(leader=None) as unknown:
+                        left = give_up - time.monotonic()
+                        if left <= 0:
+                            return unknown
+                        await self._replication.changed.wait(left)
+                    case known:
+                        return known
+        finally:
+            self._floor_questions -= 1
+
     def _floor(self) -> Floor | AskLeader:
         """Return a version that no accepted one exceeds, if this replica surely leads."""
         replica = self._replication.replica
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -142,7 +142,7 @@
         while True:
             match await link.receive():
                 case PreVote() as request:
-                    await link.send(self._replica.consider_pre_vote(request, lease_now()))
+                    await link.send(await self._answer_pre_vote(request))
                 case Vote() as request:
                     await link.send(await self._answer_vote(request))
                 case Append() as append:
@@ -217,6 +217,14 @@
             self._events.record("accepted", version=version, after=str(self._noted))
             self._noted = version
 
+    async def _answer_pre_vote(self, request: PreVote) -> PreVoteReply:
+        """Say whether a vote would be granted; what binds this replica is synced before."""
+        reply = self._replica.consider_pre_vote(request, lease_now())
+        if reply.idle:
+            # A term that a crash takes back could be led here after all.
+            await self._journal.sync()
+        return reply
+
     async def _answer_vote(self, request: Vote) -> VoteReply:
         """Decide on a vote and sync it."""
         reply = self._replica.consider_vote(request, lease_now())
@@ -253,7 +261,7 @@
                 asyncio.timeout(HAND_OVER_TIMEOUT),
                 connect(successor.address, "/replica") as link,
             ):
-                await self._greet(link, successor.replica_id)
+                await self._greet(link, successor.host, successor.replica_id)
                 await link.send(TakeOver(term=term))
                 match await link.receive():
                     case TakingOver(stands=stands):
@@ -297,18 +305,21 @@
         while (member := self._replica.group.member(host)) is not None:
             try:
                 async with connect(member.address, "/replica") as link:
-                    replica_id = await self._greet(link, member.replica_id)
+                    replica_id = await self._greet(link, host, member.replica_id)
                     await self._converse(host, replica_id, link)
             except (LinkClosed, Malformed, TimeoutError):
                 await asyncio.sleep(self._timing.heartbeat)
 
-    async def _greet(self, link: Link, wanted: ReplicaId) -> ReplicaId:
+    async def _greet(self, link: Link, host: HostName, wanted: ReplicaId) -> ReplicaId:
         """Return the identity that answers; raise LinkClosed when it is another."""
         await link.send(Greeting(group=self._group_name, wanted=wanted))
         match await link.receive(timeout=self._timing.election_timeout):
             case Welcome(replica_id=replica_id):
                 return replica_id
             case Stranger(group=group, replica_id=replica_id):
+                if wanted and group == self._group_name:
+                    self._replica.count_absent(host, lease_now())
+                    await self._follow_up()
                 raise LinkClosed(f"replica {replica_id} of group {group} answers")
             case _:
                 raise Malformed("a member answered a greeting with another message")
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -27,7 +27,9 @@
 from cowslipvane.types import NO_VERSION, Address, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect
 
-FIRST_BACKOFF: Seconds = 0.2
+FIRST_BACKOFF: Seconds = 0.1
+# Share of the silence after which a connection is lost, for which a replica may wait for a leader.
+FLOOR_WAIT_SHARE = 0.6
 
 
 class _Misled(Exception):
@@ -89,8 +91,9 @@
 
     async def _ask_floor(self, link: Link) -> Floor | AskLeader:
         """Ask one replica for the floor."""
-        await link.send(AskFloor())
-        match await link.receive(timeout=self._settings.timing.silence):
+        silence = self._settings.timing.silence
+        await link.send(AskFloor(wait=silence * FLOOR_WAIT_SHARE))
+        match await link.receive(timeout=silence):
             case Floor() | AskLeader() as answer:
                 return answer
             case _:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -259,6 +259,70 @@
         self.assertEqual((replica.term, replica.leader), (3, C))
 
 
+class RestartTest(unittest.TestCase):
+    """A group whose processes have all restarted, within the time of their old promises."""
+
+    def setUp(self) -> None:
+        """Start three replicas at one moment."""
+        self.replicas = {host: make_replica(host, now=10.0, term=4) for host in HOSTS}
+        self.replicas[A].canvass(10.1)
+
+    def ask(self, voter: HostName, now: float = 10.1) -> PreVoteReply:
+        """Ask a voter for its pre-vote, and let the first replica count it."""
+        request = self.replicas[A].vote_for(voter)
+        assert isinstance(request, PreVote)
+        reply = self.replicas[voter].consider_pre_vote(request, now)
+        self.replicas[A].count_pre_vote(reply, now)
+        return reply
+
+    def test_all_that_started_elect_at_once(self) -> None:
+        """Nobody leads, so that no promise binds anybody to a lease."""
+        self.assertFalse(self.ask(B).granted)
+        self.assertIsInstance(self.replicas[A].role, PreCandidate)
+        self.ask(C)
+        self.replicas[A].count_own_vote(5, 10.1)
+        request = self.replicas[A].vote_for(B)
+        assert isinstance(request, Vote)
+        self.replicas[A].count_vote(self.replicas[B].consider_vote(request, 10.1), 10.1)
+        self.assertIsInstance(self.replicas[A].role, Leader)
+
+    def test_one_that_is_not_heard_may_lead(self) -> None:
+        """The promises hold until their time is over."""
+        self.ask(B)
+        self.assertIsInstance(self.replicas[A].role, PreCandidate)
+        self.assertFalse(self.replicas[B].consider_vote(vote(5, candidate=A), 10.2).granted)
+
+    def test_a_voter_that_knows_a_leader_is_not_idle(self) -> None:
+        """It has heard it since its start."""
+        self.replicas[B].consider_append(heartbeat(4, leader=C), 10.05)
+        self.assertFalse(self.ask(B).idle)
+
+    def test_a_leader_is_not_idle(self) -> None:
+        """It is asked like any other voter."""
+        self.replicas[C] = make_replica(C, term=3)
+        elect(self.replicas[C], B, now=10.0)
+        self.assertFalse(self.ask(C).idle)
+
+    def test_a_voter_in_an_earlier_term_is_not_counted(self) -> None:
+        """It could still be elected in that term, and hold a lease of it."""
+        self.replicas[B] = make_replica(B, now=10.0, term=3)
+        self.assertTrue(self.ask(B).idle)
+        self.ask(C)
+        self.assertIsInstance(self.replicas[A].role, PreCandidate)
+
+    def test_another_identity_in_place_of_a_voter_shows_that_it_is_gone(self) -> None:
+        """A lost disk doesn't hold the others up."""
+        self.ask(B)
+        self.replicas[A].count_absent(C, 10.1)
+        self.assertIsInstance(self.replicas[A].role, Candidate)
+
+    def test_a_replica_that_has_restarted_keeps_its_own_promise(self) -> None:
+        """One willing voter and itself are no majority, as long as it may be bound to a leader."""
+        self.replicas[B] = make_replica(B, now=-9.0, term=4)
+        self.assertTrue(self.ask(B).granted)
+        self.assertIsInstance(self.replicas[A].role, PreCandidate)
+
+
 class LeadingTest(unittest.TestCase):
     """What a leader commits, and for how long it may answer as one."""
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -241,8 +241,17 @@
         """Others say where the leader is."""
         leader, other = await self.replica(), await self.replica(leads=False)
         leader.put(policy(1.0))
-        self.assertEqual(await self.ask(leader, AskFloor()), Floor(version=Version(1)))
-        self.assertEqual(await self.ask(other, AskFloor()), AskLeader(leader=None))
+        self.assertEqual(await self.ask(leader, AskFloor(wait=0.01)), Floor(version=Version(1)))
+        self.assertEqual(await self.ask(other, AskFloor(wait=0.01)), AskLeader(leader=None))
+
+    async def test_a_question_for_the_floor_waits_for_a_leader(self) -> None:
+        """A proxy needn't come again when all have restarted together."""
+        replica = await self.replica(leads=False)
+        asking = asyncio.create_task(self.ask(replica, AskFloor(wait=PATIENCE_S)))
+        await self.until(lambda: replica.publisher.floor_questions)
+        self.assertFalse(asking.done())
+        replica.lead()
+        self.assertEqual(await asking, Floor(version=NO_VERSION))
 
     async def test_a_waiting_pull_is_answered_by_a_delta(self) -> None:
         """A new version wakes it."""
--- a/tools/lone_replica.py
+++ b/tools/lone_replica.py
@@ -81,9 +81,7 @@
             replication=self.replication, membership=self.membership, pull_wait=pull_wait
         )
         if leads:
-            self.replica.stand(now)
-            self.replica.count_own_vote(self.replica.term, now)
-            self.replica.count_synced(self.replica.last_index)
+            self.lead()
 
     async def __aenter__(self) -> Self:
         """Begin to listen."""
@@ -109,6 +107,14 @@
         """Return where the replica listens."""
         return Address(IP, next(iter(self._server.sockets)).getsockname()[1])
 
+    def lead(self) -> None:
+        """Be elected, and tell the tasks that wait for it."""
+        now = time.monotonic()
+        self.replica.stand(now)
+        self.replica.count_own_vote(self.replica.term, now)
+        self.replica.count_synced(self.replica.last_index)
+        self.replication.changed.send()
+
     def cut(self) -> None:
         """Close the listener and every connection."""
         self._server.close()
