Hand no calls to an owner that can't be reached, and connect to it without them

Cause: a connection to an owner was made by the call that needed it. Now the task of a peer connects again by itself, with pauses that grow. An owner that was lost is no candidate until it is reached again; one whose connection was reset is waited for, since a new one usually works. Each loss and return is an event. Ruled out: counting lost attempts as the choice did, because each costs a call. It stays for the calls that it doesn't lose.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -109,7 +109,7 @@
         self._subscriber: Subscriber | None = None
         self._releases: Releases | None = None
         self._joining: Joining | None = None
-        self._peers = Peers()
+        self._peers = Peers(events=self._events)
 
     async def run(self) -> None:
         """Serve until a signal or an operator stops the process."""
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -24,6 +24,7 @@
     "member",
     "no-quorum",
     "not-joined",
+    "peer",
     "refusal",
     "regrouped",
     "rejected",
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -104,10 +104,18 @@
         """Return the owner for the next attempt."""
         table = self._subscription.table
         owners = self._membership.owners(call.rules.service, time.monotonic())
-        allowed = [owner for owner in owners if table is None or not table.is_out(owner.host)]
+        allowed = [
+            owner
+            for owner in owners
+            if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
+        ]
         light = len(call.request.body) < LIGHT_BYTES
         return self._chooser.choose(allowed, call.tried, time.monotonic(), light=light)
 
+    def _can_reach(self, owner: Member) -> bool:
+        """Return whether an owner is here, or was reached when it was last tried."""
+        return owner.host == self._own.host or self._peers.is_reachable(owner)
+
     async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
         """Hand a call to one owner; return its answer, or the refusal."""
         attempt = AttemptId(self._own.host, self._own.incarnation, next(self._serials))
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import random
+import time
 from dataclasses import dataclass
 
 from cowslipvane.call import (
@@ -20,9 +23,12 @@
     Reply,
     parts_of,
 )
+from cowslipvane.events import EventLog
 from cowslipvane.membership import Member
 from cowslipvane.refusal import QueueFull
+from cowslipvane.subscription import Backoff
 from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import HostName, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
@@ -32,6 +38,11 @@
 PROBE_EVERY: Seconds = 0.25
 # A peer that doesn't answer for this long is lost.
 PROBE_TIMEOUT: Seconds = 0.5
+# Pauses before a lost connection is made again: short after a reset, longer in a partition.
+FIRST_RECONNECT: Seconds = 0.05
+LONGEST_RECONNECT: Seconds = 1.0
+# An owner that can't be reached for this long is connected to only when a call needs it.
+LOST_FOR_GOOD: Seconds = 60.0
 # When to try again after the bodies that arrive were too large together.
 OVERFLOW_RETRY: Seconds = 1.0
 
@@ -49,31 +60,56 @@
 Mailbox = asyncio.Queue[OwnerMessage | LinkLost]
 
 
+class _End(enum.Enum):
+    """How an attempt to converse with an owner has ended."""
+
+    LEFT = "it has ended the connection as planned"
+    LOST = "the connection was lost"
+    UNREACHABLE = "there was no connection"
+
+
 class PeerLink:
-    """The connection to one owner, and the attempts that wait for its answers."""
+    """The connection to one owner, made again when it is lost, and the attempts that wait on it."""
 
-    def __init__(self, *, member: Member) -> None:
+    def __init__(self, *, member: Member, events: EventLog) -> None:
         self._member = member
+        self._events = events
+        # Whether the event log says so.
+        self._unreachable = False
         self._link: Link | None = None
+        self._failed = False
+        self._silent = False
         self._heard = False
         self._mailboxes: dict[AttemptId, Mailbox] = {}
+        # Sent at each end of an attempt to connect.
+        self._tried = Signal()
+        self._backoff = Backoff(
+            first=FIRST_RECONNECT, longest=LONGEST_RECONNECT, rng=random.Random()
+        )
         self._task = asyncio.create_task(self._run())
-        self._opened: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
     def closed(self) -> bool:
-        """Return whether the connection has ended."""
+        """Return whether no connection is made any more."""
         return self._task.done()
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the owner could be reached when it was last tried."""
+        return not self._failed
+
+    def is_to(self, member: Member) -> bool:
+        """Return whether the connection is to this life of an owner."""
+        return self._member.incarnation == member.incarnation
+
     async def send(self, message: Offer | Fence | Cancel, mailbox: Mailbox | None) -> None:
         """Send what concerns an attempt; whatever comes of it arrives in the mailbox, if any."""
-        try:
-            await asyncio.shield(self._opened)
-        except LinkClosed:
+        while self._link is None and not self._failed:
+            await self._tried.wait()
+        if self._link is None:
             if mailbox is not None:
                 mailbox.put_nowait(LinkLost(in_doubt=False))
             return
-        assert self._link is not None
         if mailbox is None:
             self._mailboxes.pop(message.attempt, None)
         else:
@@ -95,34 +131,82 @@
             case Fence() | Cancel():
                 await link.send(message)
 
+    def end(self) -> None:
+        """Begin to close the connection, whose owner has restarted."""
+        self._task.cancel()
+
     async def close(self) -> None:
         """Close the connection."""
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        """Connect, and put every message into the mailbox of its attempt."""
-        in_doubt = True
+        """Connect again and again, until the owner leaves as planned or is lost for long."""
+        heard_at = time.monotonic()
+        try:
+            while time.monotonic() < heard_at + LOST_FOR_GOOD:
+                match await self._connect_once():
+                    case _End.LEFT:
+                        return
+                    case _End.LOST:
+                        heard_at = time.monotonic()
+                    case _End.UNREACHABLE:
+                        pass
+                await asyncio.sleep(self._backoff.wait())
+        finally:
+            self._lose(in_doubt=True)
+
+    async def _connect_once(self) -> _End:
+        """Connect, converse until that ends, and return how it did."""
         try:
             async with connect(self._member.peers, "/calls") as link:
-                self._link = link
-                self._opened.set_result(None)
-                watch = asyncio.create_task(self._watch(link))
-                try:
-                    while True:
-                        self._deliver(await link.receive())
-                        self._heard = True
-                finally:
-                    watch.cancel()
+                await self._converse(link)
         except (LinkClosed, Malformed) as error:
-            in_doubt = not (isinstance(error, LinkClosed) and error.going_away)
-            if not self._opened.done():
-                self._opened.set_exception(LinkClosed(str(error)))
-                self._opened.exception()
+            connected = self._link is not None
+            left = isinstance(error, LinkClosed) and error.going_away
+            # A reset says nothing against a new connection; silence does.
+            self._lose(in_doubt=not left, failed=not connected or self._silent)
+            self._note_end(str(error))
+            if left:
+                return _End.LEFT
+            return _End.LOST if connected else _End.UNREACHABLE
+        raise AssertionError("a conversation ends with an error")
+
+    async def _converse(self, link: Link) -> None:
+        """Put every message into the mailbox of its attempt, until the connection is lost."""
+        self._link = link
+        self._failed = self._silent = False
+        self._note_begin()
+        self._tried.send()
+        watch = asyncio.create_task(self._watch(link))
+        try:
+            while True:
+                self._deliver(await link.receive())
+                self._heard = True
+                self._backoff.reset()
         finally:
-            for mailbox in self._mailboxes.values():
-                mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
-            self._mailboxes.clear()
+            watch.cancel()
+
+    def _note_begin(self) -> None:
+        """Record that an owner is reached again that wasn't."""
+        if self._unreachable:
+            self._events.record("peer", peer=self._member.host, state="reached again")
+        self._unreachable = False
+
+    def _note_end(self, reason: str) -> None:
+        """Record once that an owner can't be reached."""
+        if self._failed and not self._unreachable:
+            self._events.record("peer", peer=self._member.host, state="lost", reason=reason)
+        self._unreachable = self._failed
+
+    def _lose(self, *, in_doubt: bool, failed: bool = True) -> None:
+        """Tell all that wait that there is no connection; failed says not to wait for another."""
+        self._link = None
+        self._failed = failed
+        self._tried.send()
+        for mailbox in self._mailboxes.values():
+            mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
+        self._mailboxes.clear()
 
     async def _watch(self, link: Link) -> None:
         """End a connection that has gone silent while answers are due."""
@@ -134,6 +218,7 @@
             try:
                 await link.probe(PROBE_TIMEOUT)
             except LinkClosed:
+                self._silent = True
                 link.abort()
                 return
 
@@ -155,14 +240,22 @@
 class Peers:
     """The connections to owners on other hosts, opened when first needed."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, events: EventLog) -> None:
+        self._events = events
         self._links: dict[HostName, PeerLink] = {}
 
+    def is_reachable(self, member: Member) -> bool:
+        """Return whether a call to an owner is likely to arrive there."""
+        link = self._links.get(member.host)
+        return link is None or link.closed or not link.is_to(member) or link.is_reachable
+
     def link(self, member: Member) -> PeerLink:
         """Return the connection to an owner."""
         link = self._links.get(member.host)
-        if link is None or link.closed:
-            link = PeerLink(member=member)
+        if link is not None and not link.closed and not link.is_to(member):
+            link.end()
+        if link is None or link.closed or not link.is_to(member):
+            link = PeerLink(member=member, events=self._events)
             self._links[member.host] = link
         return link
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -100,6 +100,10 @@
     def __init__(self) -> None:
         self.offers = 0
 
+    def is_reachable(self, member: Member) -> bool:
+        """Return that any owner may be tried."""
+        return True
+
     def link(self, member: Member) -> "LostPeers":
         """Return what stands for the connection to any owner."""
         return self
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -356,7 +356,7 @@
         entry = member("a", NOWHERE, None)
         membership = Membership(own=entry, now=time.monotonic())
         membership.merge([record], time.monotonic())
-        self.peers = Peers()
+        self.peers = Peers(events=events())
         self.addAsyncCleanup(self.peers.close)
         rng = random.Random(1)
         self.carrier = Carrier(
