Let calls wait for the first configuration of a proxy that has just started

A call waits up to half of its patience, within 2 s of the start; a proxy that is cut off for longer refuses at once as before.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -32,7 +32,8 @@
 class Work(NamedTuple):
     """An attempt that waits or runs.
 
-    deadline and goal are in time.monotonic seconds; an answer is worth most until the goal.
+    deadline and goal are in time.monotonic seconds; an answer is worth most until the goal. nested
+    says that an upstream makes the call for work of its own, which is lost without it.
     """
 
     attempt: AttemptId
@@ -42,6 +43,7 @@
     caller: str
     goal: float | None = None
     kind: str = ""
+    nested: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -304,18 +304,19 @@
             events=self._events,
             retries=self._settings.retries,
         )
+        self._subscriber = Subscriber(
+            subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
+        )
         self._callers = Callers(
             subscription=subscription,
             carrier=carrier,
             events=self._events,
             rng=self._rng,
             metrics=self._metrics,
+            applied=self._subscriber.applied,
             origin_service=self._settings.service,
             names=self._names,
         )
-        self._subscriber = Subscriber(
-            subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
-        )
         return [self._owner.run(), self._subscriber.run()]
 
     async def _listen(self, stack: AsyncExitStack) -> None:
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -42,6 +42,12 @@
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Headers, RequestId, Seconds, Verdict
 
+# A proxy that has just started has a configuration within this time, unless it is cut off.
+START_TIME: Seconds = 2.0
+# The share of a caller's patience that it waits for the first configuration; the rest is for the
+# work, or for coming back.
+START_SHARE = 0.5
+
 AnyResponse = TypeVar("AnyResponse", bound=web.StreamResponse)
 # Lingering for no time makes the system send a reset in place of an ordinary end.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -80,9 +86,12 @@
         events: EventLog,
         rng: random.Random,
         metrics: Metrics,
+        applied: Signal,
         origin_service: str = "",
         names: HeaderNames = OWN_NAMES,
     ) -> None:
+        self._applied = applied
+        self._started_at = time.monotonic()
         self._origin_service = origin_service
         self._names = names
         self._metrics = metrics
@@ -162,16 +171,31 @@
             return RequestId(named)
         return RequestId(uuid.uuid4().hex)
 
+    def _patience(self, http: web.BaseRequest) -> Seconds | None:
+        """Return how long a caller says that it waits, None when it doesn't."""
+        told = http.headers.get(self._names.timeout_ms, "")
+        return float(told) / 1000 if told.isdecimal() else None
+
     def _deadline(self, http: web.BaseRequest, rules: ServiceRules, arrived: float) -> float:
         """Return when nobody waits for the answer any more, by the caller and by the route."""
-        told = http.headers.get(self._names.timeout_ms, "")
-        patience = float(told) / 1000 if told.isdecimal() else rules.traffic.timeout
-        return arrived + min(patience, rules.traffic.timeout)
+        patience = self._patience(http)
+        longest = rules.traffic.timeout
+        return arrived + (longest if patience is None else min(patience, longest))
+
+    async def _first_table(self, http: web.BaseRequest, arrived: float) -> RoutingTable | None:
+        """Return the routing table, which a proxy that has just started may wait for."""
+        patience = self._patience(http)
+        give_up = self._started_at + START_TIME
+        if patience is not None:
+            give_up = min(give_up, arrived + patience * START_SHARE)
+        while self._subscription.table is None and (left := give_up - time.monotonic()) > 0:
+            await self._applied.wait(left)
+        return self._subscription.table
 
     async def _fetch(self, http: web.BaseRequest, request_id: RequestId) -> Fetched | TurnedAway:
         """Route a request, and carry it or turn it away."""
         arrived = time.monotonic()
-        table = self._subscription.table
+        table = await self._first_table(http, arrived)
         if table is None:
             return TurnedAway(request_id=request_id, refusal=NoConfiguration())
         fault = head_fault(
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -24,6 +24,7 @@
     Rejected,
     Subscription,
 )
+from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect
 
@@ -55,11 +56,17 @@
         self._applied_at = 0.0
         self._changed_at = time.time()
         self._rejected = ""
+        self._applied = Signal()
         # After a rejection the next pull asks for all resources.
         self._resync = False
         longest = settings.timing.longest_backoff
         self._backoff = Backoff(first=FIRST_BACKOFF, longest=longest, rng=rng)
 
+    @property
+    def applied(self) -> Signal:
+        """Return the signal that is sent when a version comes into force."""
+        return self._applied
+
     def learn_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Subscribe to these processes from now on."""
         self._seeds = seeds
@@ -158,6 +165,7 @@
                 self._rejected = ""
                 self._resync = False
                 self._backoff.reset()
+                self._applied.send()
                 self._events.record("applied", version=version)
             case Rejected(version=version, reason=reason):
                 self._rejected = f"version {version}: {reason}"
