--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -51,6 +51,8 @@
 # The part of the grace period in which listeners and links close, each within its own bound, and
 # nothing is waited for any more.
 EXIT_TIME: Seconds = 1.0
+# How often the settings file is looked at; a signal makes the process look at once.
+SETTINGS_CHECK: Seconds = 1.0
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
 LEAVING_TIME: Seconds = 1.0
 
@@ -125,6 +127,8 @@
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
             tasks += [self._events.run(), self._members.run(), self._witness.run()]
+            if self._front_end is not None:
+                tasks.append(self._watch_settings(self._front_end))
             for task in tasks:
                 # A task that never began, because a listener could not, needs to be closed.
                 stack.callback(task.close)
@@ -155,6 +159,13 @@
         seeds = " ".join(str(seed) for seed in settings.seeds)
         self._events.record("reloaded", outcome="taken", seeds=seeds)
 
+    async def _watch_settings(self, front_end: FrontEnd) -> None:
+        """Take new settings over also when no signal tells of them."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK)
+            if front_end.has_new_settings():
+                self.reload()
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
--- a/cowslipvane/platform/__main__.py
+++ b/cowslipvane/platform/__main__.py
@@ -33,4 +33,5 @@
     return 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -9,7 +9,7 @@
 from cowslipvane.call import HeaderNames
 from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release
 from cowslipvane.platform._configuration import decode_configuration
-from cowslipvane.platform._settings import PlatformSettings, load
+from cowslipvane.platform._settings import PlatformSettings, load, stamp_of
 from cowslipvane.platform._workers import decode_announcement
 from cowslipvane.settings import Settings
 from cowslipvane.tasks import (
@@ -44,6 +44,7 @@
 
     def __init__(self, *, path: Path) -> None:
         self._path = path
+        self._stamp = stamp_of(path)
         self._settings: PlatformSettings = load(path)
 
     @property
@@ -56,8 +57,14 @@
         """Return the platform's names of header fields."""
         return NAMES
 
+    def has_new_settings(self) -> bool:
+        """Return whether the settings file was written since it was last read."""
+        return stamp_of(self._path) != self._stamp
+
     def reload(self) -> Settings:
         """Read the settings again."""
+        # A change between the two is seen by the next look at the file.
+        self._stamp = stamp_of(self._path)
         self._settings = load(self._path)
         return self._settings.product
 
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -14,6 +14,14 @@
 _OPERATORS_PORT = 1
 
 
+class FileStamp(NamedTuple):
+    """What changes when a file is written or replaced."""
+
+    inode: int
+    size: int
+    written_at_ns: int
+
+
 class PlatformSettings(NamedTuple):
     """The product's settings, and the addresses at which the platform calls."""
 
@@ -24,6 +32,15 @@
     readiness: Address | None
 
 
+def stamp_of(path: Path) -> FileStamp | None:
+    """Return the stamp of a file, None while it can't be found."""
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return FileStamp(found.st_ino, found.st_size, found.st_mtime_ns)
+
+
 def load(path: Path) -> PlatformSettings:
     """Return the settings in a rendered file; raise SettingsFault when they can't be used."""
     try:
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -30,5 +30,8 @@
     def listeners(self, parts: Parts) -> list[HttpListener]:
         """Return the listeners that translate to the parts."""
 
+    def has_new_settings(self) -> bool:
+        """Return whether the settings have changed since they were last read."""
+
     def reload(self) -> Settings:
         """Read the settings again; raise SettingsFault when they can't be used."""
