Take a voter out that is gone for good, and take one in that was taken out

Cause: a core machine may be replaced by an empty one at another address. The newcomer became the fourth voter beside the dead one, so that the group needed all three others from then on, and one more loss stopped it. A member that has heard no leader for 3 s asks whether it still is one, since its own log can't tell; a member that asks changes nothing. Ruled out: taking voters out of a group of three; two would bear no loss at all. Tests first: test_replica (a voter that is gone, with a newcomer and without), test_joining (one that was given up comes back).

--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -11,6 +11,7 @@
     GroupChange,
     GroupRefused,
     Promote,
+    Remove,
     Voter,
     changed_group,
 )
@@ -367,19 +368,30 @@
                 self._role.forget(member.host)
         return self._append_own(Regroup(group=group), stamped_at)
 
-    def tend_group(self, *, stamped_at: float) -> int | None:
-        """Bind founders that have been met, or promote a learner that has all; return the index."""
+    def tend_group(self, *, stamped_at: float, now: float) -> int | None:
+        """Make the change that the group needs, if any, and return its index.
+
+        Founders that have been met are bound, a learner that has all is promoted, and a voter that
+        is gone is taken out.
+        """
         if not isinstance(self._role, Leader) or not self._history.group_is_committed:
             return None
         bound = self.group.bound(self._identities)
         if bound != self.group and sum(bool(v.replica_id) for v in bound.voters) >= bound.majority:
             return self._append_own(Regroup(group=bound), stamped_at)
+        change = self._needed_change(self._role, now)
+        if change is None:
+            return None
+        changed = self.regroup(change, stamped_at=stamped_at)
+        return changed if isinstance(changed, int) else None
+
+    def _needed_change(self, role: Leader, now: float) -> GroupChange | None:
+        """Return the change of the group that replaces what is lost."""
         for learner in self.group.learners:
-            if self._role.matched(learner.host) < max(self.commit, 1):
-                continue
-            promoted = self.regroup(Promote(learner=learner), stamped_at=stamped_at)
-            return promoted if isinstance(promoted, int) else None
-        return None
+            if role.matched(learner.host) >= max(self.commit, 1):
+                return Promote(learner=learner)
+        gone = role.gone(self.group, now, own=self._host)
+        return None if gone is None else Remove(host=gone.host)
 
     def propose(self, change: Change, *, stamped_at: float) -> int | None:
         """Append a change to the leader's log and return its index; None when not the leader."""
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -8,8 +8,13 @@
 from cowslipvane.replica._group import Group, Voter
 from cowslipvane.replica._history import History
 from cowslipvane.replica._messages import Append, Install
-from cowslipvane.types import HostName
+from cowslipvane.types import HostName, Seconds
 
+# A voter that hasn't answered for this long is taken out, if enough others are left: machines are
+# replaced by others at new addresses, and each that stays in the group raises its majority.
+GONE_AFTER: Seconds = 10.0
+# A group that is no larger than this keeps also those that are gone; it bears the loss of one.
+LEAST_VOTERS = 3
 # Entries in one Append message.
 MAX_APPEND_ENTRIES = 200
 
@@ -77,6 +82,15 @@
         others = (voter for voter in history.group.voters if voter.host != own)
         return next((v for v in others if self.matched(v.host) == history.last_index), None)
 
+    def gone(self, group: Group, now: float, *, own: HostName) -> Voter | None:
+        """Return the voter to give up, which has been silent for longest, if there is one."""
+        if len(group.voters) <= LEAST_VOTERS:
+            return None
+        others = [voter for voter in group.voters if voter.host != own]
+        silent = min(others, key=lambda voter: self.answered(voter.host))
+        since = max(self.since, self.answered(silent.host))
+        return silent if now >= since + GONE_AFTER else None
+
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
         """Return up to which index a majority has synced this leader's log."""
         group = history.group
--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
-from cowslipvane.replica import Add, GroupRefused, Replace, Voter
+from cowslipvane.replica import Add, GroupRefused, Leader, Replace, Voter
 from cowslipvane.settings import Settings
 from cowslipvane.storage import Identity
 from cowslipvane.tasks._replication import NotLeader, Regrouped, Replication, Unknown
@@ -21,6 +22,8 @@
 # Time between two attempts to be taken in.
 RETRY: Seconds = 0.3
 ANSWER_TIMEOUT: Seconds = 2.0
+# A member that has heard no leader for this long asks whether it still is one.
+LEFT_OUT_AFTER: Seconds = 3.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,15 +83,30 @@
         self._rng = rng
 
     async def run(self) -> None:
-        """Ask one member after another until the group's log names this replica."""
-        while not self._is_member():
-            for address in self._shuffled():
-                await self._ask(address)
-                if self._is_member():
-                    break
-            await asyncio.sleep(RETRY * self._rng.uniform(0.5, 1.5))
-        # The task of a role ends with its process.
-        await asyncio.Event().wait()
+        """Ask one member after another whenever this replica may not be in the group."""
+        while True:
+            if not self._is_member():
+                await self._ask_all()
+                await asyncio.sleep(RETRY * self._rng.uniform(0.5, 1.5))
+                continue
+            if await self._is_left_out():
+                # One that was cut off for long may have been taken out, which its log can't tell.
+                await self._ask_all()
+
+    async def _ask_all(self) -> None:
+        """Ask one member after another until one takes this replica in."""
+        for address in self._shuffled():
+            if await self._ask(address):
+                return
+
+    async def _is_left_out(self) -> bool:
+        """Watch for a while, and return whether no leader was heard in all that time."""
+        give_up = lease_now() + LEFT_OUT_AFTER
+        while lease_now() < give_up:
+            await asyncio.sleep(RETRY)
+            if self._replication.is_current:
+                return False
+        return True
 
     async def serve(self, link: Link) -> None:
         """Answer one replica that asks."""
@@ -99,8 +117,11 @@
                 return
 
     async def _take_in(self, voter: Voter) -> TakenIn | NotTakenIn:
-        """Change the group, if this replica leads."""
-        group = self._replication.replica.group
+        """Change the group, if this replica leads and the other one isn't a member yet."""
+        replica = self._replication.replica
+        group = replica.group
+        if isinstance(replica.role, Leader) and replica.recognizes(voter.host, voter.replica_id):
+            return TakenIn()
         change = Add(learner=voter) if group.member(voter.host) is None else Replace(learner=voter)
         match await self._replication.regroup(change):
             case Regrouped():
@@ -116,13 +137,14 @@
             case Unknown():
                 return NotTakenIn(reason="the outcome isn't known yet", leader=None)
 
-    async def _ask(self, address: Address) -> None:
-        """Ask a member, and the leader that it names."""
+    async def _ask(self, address: Address) -> bool:
+        """Ask a member, and the leader that it names; return whether this replica is taken in."""
         answer = await self._answer_of(address)
         if isinstance(answer, NotTakenIn) and answer.leader is not None:
             answer = await self._answer_of(answer.leader)
         if isinstance(answer, NotTakenIn):
             self._events.record("not-joined", asked=str(address), reason=answer.reason)
+        return isinstance(answer, TakenIn)
 
     async def _answer_of(self, address: Address) -> TakenIn | NotTakenIn | None:
         """Return what one process answers, None when it doesn't."""
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -368,7 +368,7 @@
             case _:
                 raise Malformed("a voter answered with another message")
         await self._follow_up()
-        index = self._replica.tend_group(stamped_at=time.time())
+        index = self._replica.tend_group(stamped_at=time.time(), now=lease_now())
         if index is not None:
             self._changed.send()
             await self._sync_own(index, self._replica.term)
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -15,7 +15,7 @@
 from cowslipvane.catalogue import Accepted, Change, Key, Release, Service
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog, HybridClock, Origin
-from cowslipvane.replica import Replica
+from cowslipvane.replica import Replica, _roles
 from cowslipvane.settings import Formation, Listen, Settings, Timing
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.tasks import NotLeader, Releases
@@ -187,6 +187,24 @@
         group = self.nodes[SEED_IPS[2]].replica.group
         self.assertEqual({voter.host for voter in group.voters}, set(SEED_IPS))
 
+    async def test_a_voter_that_was_given_up_comes_back(self) -> None:
+        """It was cut off for long, and its log can't tell it that it was taken out."""
+        await self.start(LATER_IP, first_start=True)
+        await self.until(self.nodes[LATER_IP].votes)
+        with patch.object(_roles, "GONE_AFTER", 0.5):
+            await self.nodes.pop(LATER_IP).stop()
+            await self.until(lambda: self.voters() == set(SEED_IPS))
+        version = await self.write("meanwhile")
+        back = await self.start(LATER_IP)
+        self.assertTrue(back.votes())
+        await self.until(lambda: self.voters() == {*SEED_IPS, LATER_IP})
+        await self.until(lambda: back.replica.catalogue.version == version)
+
+    def voters(self) -> set[str]:
+        """Return the hosts of the voters by a leader's log, none without a leader."""
+        leaders = [n.replica for n in self.nodes.values() if n.replica.holds_lease(lease_now())]
+        return {voter.host for leader in leaders[:1] for voter in leader.group.voters}
+
     def test_promises_are_measured_on_a_clock_that_counts_a_suspension(self) -> None:
         """Of the system's clocks only this one does, apart from the time of day."""
         with patch("time.clock_gettime", return_value=7.0) as clock:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -30,6 +30,7 @@
     Voter,
     VoteReply,
 )
+from cowslipvane.replica._roles import GONE_AFTER
 from cowslipvane.types import Address, HostName, OperationId, ReplicaId, Version
 
 TIMEOUT = 1.0
@@ -549,14 +550,30 @@
         self.ack("b")
         self.assertGreater(self.leader.commit, committed)
         self.assertEqual(len(self.leader.group.voters), 3)
-        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0))
+        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
         self.assertEqual([voter.host for voter in self.leader.group.voters], [*HOSTS, "d"])
 
     def test_a_learner_that_lacks_entries_is_not_promoted(self) -> None:
         """Being a member is not enough."""
         self.regroup(Add(learner=member("d")))
         self.ack("b")
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0))
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
+
+    def test_a_voter_that_is_gone_is_taken_out_once_a_newcomer_votes(self) -> None:
+        """A machine was replaced by another: one more loss would else stop the group."""
+        soon, late = 10.0 + GONE_AFTER / 2, 10.0 + GONE_AFTER
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=late))
+        self.regroup(Add(learner=member("d")))
+        self.ack("b", "d")
+        self.leader.tend_group(stamped_at=0.0, now=soon)
+        self.ack("b", "d")
+        self.assertEqual(len(self.leader.group.voters), 4)
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=soon))
+        for host in (B, HostName("d")):
+            index = self.leader.last_index
+            self.leader.count_append(matched(host, 1, index), sent_at=late)
+        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=late))
+        self.assertEqual([voter.host for voter in self.leader.group.voters], [A, B, "d"])
 
     def test_a_second_change_waits_for_the_first(self) -> None:
         """Two at once could have quorums without a common member."""
@@ -580,14 +597,14 @@
         self.ack("b")
         self.assertFalse(self.leader.recognizes(C, replica_id(C)))
         self.assertTrue(self.leader.recognizes(C, ReplicaId("new")))
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0))
+        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
         refusal = AppendReply(term=1, voter=C, matched=False, index=0)
         self.leader.count_append(refusal, sent_at=10.0)
         append = self.leader.append_for(C)
         assert isinstance(append, Append)
         self.assertEqual(append.previous_index, 0)
         self.ack("c")
-        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0))
+        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
 
     def test_a_replica_under_a_foreign_identity_never_stands(self) -> None:
         """A disk that happens to be empty isn't the voter that was on its host."""
@@ -605,7 +622,7 @@
         leader.count_synced(1)
         leader.count_append(matched(B, 1, 1), sent_at=10.0)
         self.assertEqual(leader.commit, 0)
-        index = leader.tend_group(stamped_at=0.0)
+        index = leader.tend_group(stamped_at=0.0, now=10.0)
         assert index is not None
         leader.count_synced(index)
         leader.count_append(matched(B, 1, index), sent_at=10.0)
