Give callers on the upstream's own host their goal, and order all work by one clock

Cause: the entry took every call from its own address for a nested one of the upstream there and gave it no goal. On the users' machines the callers share that address, so no call had a goal: the refusal at a crest and the order by goals never acted there. Now each call has its route's goal. A call is nested if its id extends that of a request which the worker here runs; it isn't put behind or refused when its own goal is missed, since its parent fails without it. Work without a goal is tagged by the time of its offer, so that both kinds are compared on one clock. Besides, the event of a refusal tells its inputs: owners tried, the last one's load, the version.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -33,7 +33,7 @@
     """An attempt that waits or runs.
 
     deadline and goal are in time.monotonic seconds; an answer is worth most until the goal. nested
-    says that an upstream makes the call for work of its own, which is lost without it.
+    says that an upstream makes the call for a request that it runs, which fails without it.
     """
 
     attempt: AttemptId
@@ -67,7 +67,10 @@
 
 
 class _Waiting(NamedTuple):
-    """Work in the queue; the lowest tag goes first, and among equals the first that came."""
+    """Work in the queue; the lowest tag goes first, and among equals the first that came.
+
+    Tags are in time.monotonic seconds, whatever they follow from.
+    """
 
     tag: float
     number: int
@@ -98,7 +101,7 @@
         self._long: list[_Waiting] = []
         self._callers: Counter[str] = Counter()
         self._numbers = itertools.count()
-        self._tag = 0.0
+        self._offered_at = 0.0
         self._next_tags: dict[str, float] = {}
         self._running: dict[AttemptId, _Running] = {}
         self._draining = False
@@ -144,7 +147,7 @@
                 pass
         self._waiting[work.attempt] = waiting
         self._callers[work.caller] += 1
-        if work.goal is None:
+        if work.goal is None and not work.nested:
             self._next_tags[work.caller] = waiting.tag + max(waiting.cost, UNKNOWN_COST)
         heapq.heappush(self._heap(waiting.work.kind), waiting)
         return None
@@ -160,8 +163,6 @@
             return None
         waiting = self._pop(min(heads, key=lambda heap: heap[0]), now)
         self._leave_queue(waiting)
-        if waiting.work.goal is None:
-            self._tag = max(self._tag, waiting.tag)
         long = self._times.is_long(waiting.work.kind)
         self._running[waiting.work.attempt] = _Running(waiting.work.kind, long, now)
         return waiting.work
@@ -210,7 +211,7 @@
         while True:
             waiting = heapq.heappop(heap)
             goal = waiting.work.goal
-            if goal is None or waiting.demoted or now + waiting.cost <= goal:
+            if goal is None or waiting.demoted or now + waiting.cost <= goal or waiting.work.nested:
                 return waiting
             waiting = waiting._replace(tag=goal + LATE_DEMOTION, demoted=True)
             self._waiting[waiting.work.attempt] = waiting
@@ -231,27 +232,33 @@
                 )
 
     def _place(self, work: Work, now: float) -> _Waiting:
-        """Return where work stands: callers take turns, by what their work costs."""
+        """Return where work stands.
+
+        What has its goal first goes first. Callers whose work has none take turns, by what their
+        work costs.
+        """
         cost = self._times.estimate(work.kind, now)
+        self._offered_at = max(self._offered_at, now)
         match self._policy:
             case FirstComeFirstServed():
                 tag = 0.0
             case Fair() if work.goal is not None:
                 tag = work.goal
             case Fair():
-                tag = max(self._tag, self._next_tags.get(work.caller, 0.0))
+                tag = max(self._offered_at, self._next_tags.get(work.caller, 0.0))
         return _Waiting(tag, next(self._numbers), work, cost)
 
     def _too_late(self, waiting: _Waiting, now: float) -> Refusal | None:
         """Return the refusal of work that would end too late.
 
         Work that has to wait past its goal is refused too: at a crest all would else wait so long
-        that none reaches its goal, and as many are served either way.
+        that none reaches its goal, and as many are served either way. A nested call may be late:
+        refused, it would waste what the request that it is for has taken.
         """
         wait = self._expected_wait(waiting, now)
         end = now + wait + waiting.cost
         goal = waiting.work.goal
-        if goal is not None and wait > 0 and end > goal:
+        if goal is not None and wait > 0 and end > goal and not waiting.work.nested:
             # Once so much of the work ahead is done, the same request would fit.
             return Overloaded(service=self._service, retry_after=max(end - goal, LEAST_RETRY))
         if end > waiting.work.deadline:
@@ -314,4 +321,4 @@
             self._next_tags.clear()
         elif len(self._next_tags) > MAX_CALLERS:
             tags = self._next_tags.items()
-            self._next_tags = {name: tag for name, tag in tags if tag > self._tag}
+            self._next_tags = {name: tag for name, tag in tags if tag > self._offered_at}
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -4,7 +4,7 @@
 
 from cowslipvane.call._messages import Request
 from cowslipvane.refusal import OwnerUnreachable, Refusal, explain, reached_upstream
-from cowslipvane.routing import ServiceRules
+from cowslipvane.routing import Load, ServiceRules
 from cowslipvane.types import HostName, RequestId, Seconds, Verdict
 
 # Owners that may refuse a call before its caller is told; further ones are likely full too.
@@ -23,7 +23,9 @@
         deadline: float,
         caller: str = "",
         goal: float | None = None,
+        nested: bool = False,
     ) -> None:
+        self._nested = nested
         self._goal = goal
         self._request_id = request_id
         self._request = request
@@ -34,6 +36,7 @@
         self._doubt: Refusal | None = None
         self._sent = 0
         self._refused = 0
+        self._load: Load | None = None
 
     @property
     def request_id(self) -> RequestId:
@@ -55,11 +58,21 @@
         """Return what tells callers apart when they share an upstream."""
         return self._caller
 
+    @property
+    def is_nested(self) -> bool:
+        """Return whether an upstream makes the call for a request that it runs."""
+        return self._nested
+
     @property
     def tried(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
         return tuple(self._tried)
 
+    @property
+    def load(self) -> Load | None:
+        """Return the load that the last owner told which answered, None when none has."""
+        return self._load
+
     @property
     def doubt(self) -> Refusal | None:
         """Return the refusal of an attempt that may have run, if there was one."""
@@ -85,6 +98,10 @@
         """Count a new attempt at a host."""
         self._tried.append(host)
 
+    def note_load(self, load: Load) -> None:
+        """Keep the load that an owner has told with its answer."""
+        self._load = load
+
     def note(self, refusal: Refusal) -> None:
         """Keep the refusal of an attempt, so that a later one can't hide that this may have run."""
         if reached_upstream(refusal):
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -43,6 +43,7 @@
     """Hands an attempt over to the owner of an upstream.
 
     goal is the time left until the answer is worth less, and kind tells calls apart by their time.
+    nested says that an upstream makes the call for a request that it runs.
     """
 
     attempt: AttemptId
@@ -54,6 +55,7 @@
     more: bool = False
     goal: Seconds | None = None
     kind: str = ""
+    nested: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -325,6 +325,7 @@
             rng=self._rng,
             metrics=self._metrics,
             applied=self._subscriber.applied,
+            owner=self._owner,
             origin_service=self._settings.service,
             names=self._names,
         )
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -37,7 +37,7 @@
 from cowslipvane.routing import RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
-from cowslipvane.tasks._http import shares_address
+from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._pipeline import fetched_ahead, is_last_for_now
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Headers, RequestId, Seconds, Verdict
@@ -68,11 +68,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TurnedAway:
-    """There is no answer; close says whether the connection can't be used further."""
+    """There is no answer; close says whether the connection can't be used further.
+
+    call is what was tried, None where nothing was.
+    """
 
     request_id: RequestId
     refusal: Refusal
     close: bool = False
+    call: Call | None = None
 
 
 class Callers:
@@ -87,10 +91,12 @@
         rng: random.Random,
         metrics: Metrics,
         applied: Signal,
+        owner: Owner,
         origin_service: str = "",
         names: HeaderNames = OWN_NAMES,
     ) -> None:
         self._applied = applied
+        self._owner = owner
         self._started_at = time.monotonic()
         self._origin_service = origin_service
         self._names = names
@@ -171,6 +177,14 @@
             return RequestId(named)
         return RequestId(uuid.uuid4().hex)
 
+    def _is_nested(self, request_id: RequestId) -> bool:
+        """Return whether the worker here makes a call for a request that it runs.
+
+        Such a call is named after that request: its id, a dot, and what tells the calls apart.
+        """
+        parent, dot, _ = request_id.rpartition(".")
+        return bool(dot) and self._owner.runs(parent)
+
     def _patience(self, http: web.BaseRequest) -> Seconds | None:
         """Return how long a caller says that it waits, None when it doesn't."""
         told = http.headers.get(self._names.timeout_ms, "")
@@ -223,15 +237,14 @@
             rules=rules,
             deadline=self._deadline(http, rules, arrived),
             caller=http.remote or "",
-            # Only the worker calls from this host. Its nested calls go before new work, and as long
-            # as their deadline lets them: without one the work of its parent is lost.
-            goal=None if rules.goal is None or shares_address(http) else arrived + rules.goal,
+            goal=None if rules.goal is None else arrived + rules.goal,
+            nested=self._is_nested(request_id),
         )
         match await self._carrier.carry(call):
             case Served() as served:
                 return Fetched(call=call, served=served)
             case refusal:
-                return TurnedAway(request_id=request_id, refusal=refusal)
+                return TurnedAway(request_id=request_id, refusal=refusal, call=call)
 
     async def _answer(
         self, http: web.BaseRequest, outcome: Fetched | TurnedAway
@@ -240,8 +253,8 @@
         match outcome:
             case Fetched(call=call, served=served):
                 return await self._send_answer(http, call, served)
-            case TurnedAway(request_id=request_id, refusal=refusal, close=close):
-                return self._refuse(http, request_id, refusal, close=close)
+            case TurnedAway() as turned_away:
+                return self._refuse(http, turned_away)
 
     def _route(
         self, table: RoutingTable, http: web.BaseRequest, headers: Headers
@@ -311,16 +324,10 @@
             if not whole:
                 await self._carrier.give_up(served)
 
-    def _refuse(
-        self,
-        http: web.BaseRequest,
-        request_id: RequestId,
-        refusal: Refusal,
-        *,
-        close: bool = False,
-    ) -> web.Response:
+    def _refuse(self, http: web.BaseRequest, outcome: TurnedAway) -> web.Response:
         """Answer with a refusal and its explanation."""
-        told = self._record_refusal(http, request_id, refusal)
+        request_id = outcome.request_id
+        told = self._record_refusal(http, request_id, outcome.refusal, outcome.call)
         form = {
             "code": told.code,
             "sentence": told.sentence,
@@ -331,18 +338,24 @@
         response.headers[self._names.request_id] = request_id
         if told.retry_after is not None:
             response.headers["Retry-After"] = _seconds(told.retry_after)
-        if close:
+        if outcome.close:
             response.force_close()
         return self._closing(http, response)
 
     def _record_refusal(
-        self, http: web.BaseRequest, request_id: RequestId, refusal: Refusal
+        self,
+        http: web.BaseRequest,
+        request_id: RequestId,
+        refusal: Refusal,
+        call: Call | None = None,
     ) -> Explanation:
         """Record a refusal and return its explanation."""
         told = explain(refusal)
         self._events.record(
             "refusal",
             request=request_id,
+            version=self._subscription.version,
+            **({} if call is None else _inputs(call)),
             asked=f"{http.method} {http.path}",
             status=str(told.status),
             code=told.code,
@@ -358,6 +371,15 @@
         return response
 
 
+def _inputs(call: Call) -> dict[str, str]:
+    """Return what a refusal followed from: the owners tried, and how busy the last one was."""
+    found = {"tried": " ".join(call.tried)}
+    if call.load is not None:
+        slots, running, queued, *_ = call.load
+        found["load"] = f"{running} running and {queued} waiting for {slots} slots"
+    return found
+
+
 def _reset(http: web.BaseRequest) -> None:
     """Cut the connection with a reset, which also tells a caller that reads until its end."""
     if http.transport is None:
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -150,6 +150,8 @@
                     raise Broken("a body came before its answer")
         finally:
             now = time.monotonic()
+            if load is not None:
+                call.note_load(load)
             self._chooser.end(member.host, result, load, now - begun, now)
             if not told:
                 cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
@@ -179,6 +181,7 @@
             caller=call.caller,
             goal=call.goal_left(time.monotonic()),
             kind=call.rules.kind,
+            nested=call.is_nested,
         )
         try:
             async with asyncio.timeout(time_left):
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -88,6 +88,8 @@
         self._attempts = Attempts(incarnation=members.membership.own.incarnation)
         self._replies: dict[AttemptId, Reply] = {}
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
+        # The ids of the requests that the worker runs.
+        self._running: set[str] = set()
         self._draining = False
         self._unreachable = 0
 
@@ -226,6 +228,10 @@
         self._events.record("leaving")
         await self._refuse_waiting()
 
+    def runs(self, request_id: str) -> bool:
+        """Return whether the worker here runs a request."""
+        return request_id in self._running
+
     @property
     def _is_out(self) -> bool:
         """Return whether the operator took the upstream out."""
@@ -254,6 +260,7 @@
             offer.caller,
             goal,
             offer.kind or kind_of(offer.request),
+            offer.nested,
         )
         refusal = self._admission.offer(work, now)
         if refusal is None:
@@ -387,7 +394,12 @@
 
     async def _run(self, work: Work, worker: Worker, lane: WorkerLane) -> None:
         """Run one request at the worker and send its answer back."""
-        refusal = await self._try_to_forward(work, worker, lane)
+        request_id = work.request.header(self._names.request_id) or ""
+        self._running.add(request_id)
+        try:
+            refusal = await self._try_to_forward(work, worker, lane)
+        finally:
+            self._running.discard(request_id)
         if refusal is not None:
             await self._refuse(work.attempt, refusal)
             await self._judge(worker, refusal)
--- /dev/null
+++ b/tests/lone_callers.py
@@ -0,0 +1,117 @@
+"""One process's callers' side alone, for tests of what becomes of a call before an owner has it."""
+
+import os
+import random
+import time
+import unittest
+from contextlib import AsyncExitStack
+from typing import cast
+
+import aiohttp
+
+from cowslipvane.call import Call, HeaderNames
+from cowslipvane.catalogue import Key, Resource, Route, Service, Snapshot, Target, combine
+from cowslipvane.catalogue import resource_digest as digest_of
+from cowslipvane.metrics import Metrics
+from cowslipvane.refusal import NoUpstream
+from cowslipvane.routing import Load
+from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._callers import Callers
+from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._http import HttpListener
+from cowslipvane.tasks._owner import Owner
+from cowslipvane.tasks._signal import Signal
+from cowslipvane.types import Address, HostName, ServiceName, Version
+from tools.lone_replica import event_log
+
+# Test modules run beside each other, each in a process of its own.
+LISTENER = Address(f"127.73.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 27_351)
+URL = f"http://{LISTENER}/stock"
+GOAL_S = 0.3
+OWNER = HostName("owner")
+LOAD = Load(slots=4, running=3, queued=9)
+NAMES = HeaderNames(
+    request_id="X-Request-Id",
+    callers_name_requests=True,
+    timeout_ms="X-Request-Timeout-Ms",
+    origin_service="",
+    expected_instance="",
+    not_run="",
+    owner="",
+)
+
+
+class NoCarrier:
+    """Finds one busy owner for any call, and remembers them."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+
+    async def carry(self, call: Call) -> NoUpstream:
+        """Refuse a call."""
+        self.calls.append(call)
+        call.begin_attempt(OWNER)
+        call.note_load(LOAD)
+        return NoUpstream(service=call.rules.service)
+
+
+class NoOwner:
+    """Stands for an owner whose worker runs what a test says."""
+
+    def __init__(self) -> None:
+        self.running: set[str] = set()
+
+    def runs(self, request_id: str) -> bool:
+        """Return whether a request runs."""
+        return request_id in self.running
+
+
+class LoneCallersTest(unittest.IsolatedAsyncioTestCase):
+    """A listener for callers, behind which there is nothing; a base for tests."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen, with no configuration in force."""
+        self.subscription = Subscription()
+        self.applied = Signal()
+        self.carrier = NoCarrier()
+        self.events = event_log()
+        self.owner = NoOwner()
+        self.callers = Callers(
+            subscription=self.subscription,
+            carrier=cast(Carrier, self.carrier),
+            events=self.events,
+            rng=random.Random(1),
+            metrics=Metrics(),
+            applied=self.applied,
+            owner=cast(Owner, self.owner),
+            names=NAMES,
+        )
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        listener = HttpListener(handler=self.callers.handle, address=LISTENER)
+        await self.stack.enter_async_context(listener)
+        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
+
+    async def code(self, **headers: str) -> str:
+        """Send a call and return the code of its refusal."""
+        async with self.session.get(URL, headers=headers) as answer:
+            return str((await answer.json())["code"])
+
+    def apply(self) -> None:
+        """Put a first version in force, with a route that has a goal."""
+        route = Route(targets=(Target(ServiceName("stock")),), goal=GOAL_S)
+        resources = (
+            Resource(Key("service", "stock"), Service(), Version(1)),
+            Resource(Key("route", "r"), route, Version(1)),
+        )
+        digest = combine(digest_of(resource) for resource in resources)
+        self.subscription.learn_floor(Version(1))
+        self.subscription.take_snapshot(Snapshot(Version(1), resources, digest))
+        self.assertIsNotNone(self.subscription.table)
+        self.applied.send()
+
+    def goal_left(self) -> float:
+        """Return how much is left of the goal of the last call."""
+        left = self.carrier.calls[-1].goal_left(time.monotonic())
+        assert left is not None
+        return left
