--- a/cowslipvane/replica/_promise.py
+++ b/cowslipvane/replica/_promise.py
@@ -12,7 +12,7 @@
 
 # A replica that has started asks the others within this time; at different ones, since all may
 # have started together, and several candidates in a term may get no majority.
-FIRST_CANVASS: Seconds = 0.2
+FIRST_CANVASS: Seconds = 0.1
 
 # Share of the election timeout for which a leader trusts that a voter it has heard from
 # elects nobody else; the rest covers clocks that run at different rates.
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -18,11 +18,14 @@
 SLOW_EXCESS: Seconds = 0.005
 # This share of the calls goes to other data centres, whose latency is the one to compare with.
 FAR_SHARE = 0.02
-# With so many calls for each slot at each owner here, other data centres are considered: a call
-# that waits this long is likely to miss its goal, and bytes between data centres are dear.
-OVERLOADED = 2.2
+# With so many calls for each slot at each owner here, other data centres are considered. Bytes
+# between data centres are dear, and an owner refuses by itself what can't reach its goal there.
+OVERLOADED = 5.0
 # The same for calls of few bytes, which cost little on the way.
-OVERLOADED_FOR_LIGHT = 1.8
+OVERLOADED_FOR_LIGHT = 2.5
+# A call that was refused here goes only to an owner elsewhere with fewer calls for each slot: one
+# whose slots are all taken is likely to refuse it too, once its bytes have travelled.
+ROOM_ELSEWHERE = 1.0
 # An owner in another data centre must have so many calls for each slot fewer than the best one
 # here, since else a call gains nothing there that is worth its bytes.
 SPILL_MARGIN = 0.8
@@ -53,6 +56,8 @@
         left = [owner for owner in owners if owner.host not in excluded]
         usable = {owner.host for owner in self._without_outliers(owners, now)}
         pool = [owner for owner in left if owner.host in usable] or left
+        if any(self._is_near(owner) for owner in owners if owner.host in excluded):
+            pool = [owner for owner in pool if self._may_follow(owner, now)]
         candidates = self._nearest(pool, now, OVERLOADED_FOR_LIGHT if light else OVERLOADED)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
@@ -78,8 +83,8 @@
 
     def _nearest(self, pool: Sequence[Member], now: float, limit: float) -> Sequence[Member]:
         """Return the owners of the own data centre, or of others when those can't serve."""
-        near = [owner for owner in pool if owner.data_centre == self._data_centre]
-        far = [owner for owner in pool if owner.data_centre != self._data_centre]
+        near = [owner for owner in pool if self._is_near(owner)]
+        far = [owner for owner in pool if not self._is_near(owner)]
         if not near or not far:
             return near or far
         load = min(self._per_slot(owner, now) for owner in near)
@@ -88,6 +93,14 @@
         lighter = [own for own in far if self._per_slot(own, now) <= load - SPILL_MARGIN]
         return lighter or near
 
+    def _is_near(self, owner: Member) -> bool:
+        """Return whether an owner is in the own data centre."""
+        return owner.data_centre == self._data_centre
+
+    def _may_follow(self, owner: Member, now: float) -> bool:
+        """Return whether a call may go to an owner after one of the own data centre had it."""
+        return self._is_near(owner) or self._per_slot(owner, now) < ROOM_ELSEWHERE
+
     def _per_slot(self, owner: Member, now: float) -> float:
         """Return the calls for each slot of an owner."""
         return self._views[owner.host].per_slot(now)
