Queue less far at a crest, and let idle replicas stand one after another

What has to wait must fit with half of its usual time to spare. The one first by name stands at once, the other 0.1 s later if there is no leader by then. Test first: test_replica.RestartTest (one stands first).

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -62,6 +62,9 @@
 Policy = FirstComeFirstServed | Fair
 
 
+# Work that has to wait must reach its goal also if it takes this share longer than usual: with a
+# queue up to the goal itself, whatever takes longer than the mean is late.
+GOAL_MARGIN = 0.5
 # Work that can't reach its goal any more goes behind work whose goal is within this time.
 LATE_DEMOTION: Seconds = 0.3
 
@@ -258,9 +261,11 @@
         wait = self._expected_wait(waiting, now)
         end = now + wait + waiting.cost
         goal = waiting.work.goal
-        if goal is not None and wait > 0 and end > goal and not waiting.work.nested:
-            # Once so much of the work ahead is done, the same request would fit.
-            return Overloaded(service=self._service, retry_after=max(end - goal, LEAST_RETRY))
+        if goal is not None and wait > 0 and not waiting.work.nested:
+            late = end + waiting.cost * GOAL_MARGIN - goal
+            if late > 0:
+                # Once so much of the work ahead is done, the same request would fit.
+                return Overloaded(service=self._service, retry_after=max(late, LEAST_RETRY))
         if end > waiting.work.deadline:
             return Overloaded(service=self._service, retry_after=max(wait, waiting.cost))
         return None
--- a/cowslipvane/replica/_promise.py
+++ b/cowslipvane/replica/_promise.py
@@ -14,6 +14,9 @@
 # have started together, and several candidates in a term may get no majority.
 FIRST_CANVASS: Seconds = 0.1
 
+# How long a replica lets a preferred one stand first; a vote takes some round trips and syncs.
+ASIDE_TIME: Seconds = 0.1
+
 # Share of the election timeout for which a leader trusts that a voter it has heard from
 # elects nobody else; the rest covers clocks that run at different rates.
 LEASE_SHARE = 0.9
@@ -60,6 +63,10 @@
         """Put the next election off by one election timeout and a random time."""
         self._stand_at = now + self._election_timeout * (1 + ELECTION_SPREAD * self._rng.random())
 
+    def stand_aside(self, now: float) -> None:
+        """Let another replica stand first, which is as free to."""
+        self._stand_at = now + ASIDE_TIME
+
     def binds(self, now: float) -> bool:
         """Return whether a leader was heard, or may have been, too recently to elect another."""
         return now < self._heard_at + self._election_timeout
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -69,6 +69,7 @@
         self._promise = Promise(election_timeout=election_timeout, rng=rng, now=now)
         self._reports: dict[HostName, Report] = {}
         self._is_retiring = False
+        self._stood_aside = False
 
     @property
     def host(self) -> HostName:
@@ -232,6 +233,7 @@
         """Count a voter as unable to lead, because another identity answers in its place."""
         if isinstance(self._role, PreCandidate):
             self._role.idle.add(voter)
+            self._role.absent.add(voter)
             self._stand_if_elected(self._role, now)
 
     def count_own_vote(self, term: int, now: float) -> None:
@@ -429,10 +431,16 @@
         """Stand once a majority is willing, or once no voter can hold a lease.
 
         When all processes have restarted, none leads, and their promises bind them to nobody. Each
-        voter that says so in this term can lead only in a later one.
+        voter that says so in this term can lead only in a later one. All find that out at once, so
+        that they stand one after another: several candidates in a term may get no majority.
         """
         if role.idle >= {voter.host for voter in self.group.voters}:
-            self.stand(now, released=True)
+            if role.preferred == self._host or self._stood_aside:
+                self.stand(now, released=True)
+            else:
+                self._stood_aside = True
+                self._role = Follower()
+                self._promise.stand_aside(now)
         elif self._is_quorum(role.votes):
             self.stand(now)
 
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -30,11 +30,18 @@
 class PreCandidate:
     """Asks who would vote for it in the next term, and disturbs no leader meanwhile.
 
-    idle are the voters that can't lead in this term or an earlier one any more.
+    idle are the voters that can't lead in this term or an earlier one any more, absent those among
+    them whose disk is lost.
     """
 
     votes: set[HostName]
     idle: set[HostName]
+    absent: set[HostName] = field(default_factory=set)
+
+    @property
+    def preferred(self) -> HostName:
+        """Return the voter that stands first when all are idle."""
+        return min(self.idle - self.absent)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -34,7 +34,7 @@
     Refusal,
     explain,
 )
-from cowslipvane.routing import RoutingTable, ServiceRules
+from cowslipvane.routing import Load, RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
 from cowslipvane.tasks._owner import Owner
@@ -354,8 +354,9 @@
         self._events.record(
             "refusal",
             request=request_id,
-            version=self._subscription.version,
-            **({} if call is None else _inputs(call)),
+            in_force=str(self._subscription.version),
+            tried="" if call is None else " ".join(call.tried),
+            load="" if call is None else _told(call.load),
             asked=f"{http.method} {http.path}",
             status=str(told.status),
             code=told.code,
@@ -371,13 +372,11 @@
         return response
 
 
-def _inputs(call: Call) -> dict[str, str]:
-    """Return what a refusal followed from: the owners tried, and how busy the last one was."""
-    found = {"tried": " ".join(call.tried)}
-    if call.load is not None:
-        slots, running, queued, *_ = call.load
-        found["load"] = f"{running} running and {queued} waiting for {slots} slots"
-    return found
+def _told(load: Load | None) -> str:
+    """Return an owner's load in words, nothing when no owner has told one."""
+    if load is None:
+        return ""
+    return f"{load.running} running and {load.queued} waiting for {load.slots} slots"
 
 
 def _reset(http: web.BaseRequest) -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -287,6 +287,20 @@
         self.replicas[A].count_vote(self.replicas[B].consider_vote(request, 10.1), 10.1)
         self.assertIsInstance(self.replicas[A].role, Leader)
 
+    def test_one_stands_first_though_all_find_out_at_once(self) -> None:
+        """The other one stands a moment later, should the first not lead by then."""
+        second = self.replicas[B]
+        second.canvass(10.1)
+        for now in (10.1, 10.2):
+            for voter in (A, C):
+                request = second.vote_for(voter)
+                assert isinstance(request, PreVote)
+                second.count_pre_vote(self.replicas[voter].consider_pre_vote(request, now), now)
+            self.assertIsInstance(second.role, Follower if now == 10.1 else Candidate)
+            if now == 10.1:
+                self.assertLessEqual(second.election_at, 10.2)
+                second.canvass(10.2)
+
     def test_one_that_is_not_heard_may_lead(self) -> None:
         """The promises hold until their time is over."""
         self.ask(B)
