--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -64,7 +64,7 @@
 
 # Work that has to wait must reach its goal also if it takes this share longer than usual: with a
 # queue up to the goal itself, whatever takes longer than the mean is late.
-GOAL_MARGIN = 0.5
+GOAL_MARGIN = 0.75
 # Work that can't reach its goal any more goes behind work whose goal is within this time.
 LATE_DEMOTION: Seconds = 0.3
 
