--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -121,8 +121,9 @@
 
     @property
     def load(self) -> Load:
-        """Return the slots in use and the requests that wait."""
-        return Load(self._slots, len(self._running), len(self._waiting))
+        """Return the slots in use, the requests that wait, and how long most work takes."""
+        running, waiting = len(self._running), len(self._waiting)
+        return Load(self._slots, running, waiting, self._times.typical)
 
     @property
     def idle(self) -> bool:
--- a/cowslipvane/admission/_service_times.py
+++ b/cowslipvane/admission/_service_times.py
@@ -37,6 +37,11 @@
         # The mean of logarithms is little moved by a few long ones.
         self._typical_log: float | None = None
 
+    @property
+    def typical(self) -> Seconds:
+        """Return the time that most work takes; 0 when nothing is known."""
+        return 0.0 if self._typical_log is None else math.exp(self._typical_log)
+
     def estimate(self, kind: str, now: float) -> Seconds:
         """Return the time that work of a kind is likely to take; 0 when nothing is known."""
         known = self._kinds.get(kind)
@@ -47,9 +52,7 @@
     def is_long(self, kind: str) -> bool:
         """Return whether work of a kind takes many times as long as most work."""
         known = self._kinds.get(kind)
-        if known is None or self._typical_log is None:
-            return False
-        return known.mean > LONG_FACTOR * math.exp(self._typical_log)
+        return known is not None and known.mean > LONG_FACTOR * self.typical
 
     def learn(self, kind: str, took: Seconds, now: float) -> None:
         """Take in the time that work of a kind took."""
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -5,6 +5,7 @@
 import random
 import statistics
 from collections.abc import Collection, Sequence
+from typing import NamedTuple
 
 from cowslipvane.membership import Member
 from cowslipvane.routing._view import Load, OwnerView, Result
@@ -31,6 +32,16 @@
 SPILL_MARGIN = 0.8
 
 
+class Eased(NamedTuple):
+    """An owner that is left out for a while, and why."""
+
+    host: HostName
+    loses: bool
+    latency: Seconds
+    usual: Seconds
+    time: Seconds
+
+
 class Chooser:
     """Chooses the less loaded of two owners, in the own data centre first."""
 
@@ -38,6 +49,12 @@
         self._data_centre = data_centre
         self._rng = rng
         self._views: dict[HostName, OwnerView] = {}
+        self._eased: list[Eased] = []
+
+    def take_eased(self) -> list[Eased]:
+        """Return the owners that were left out since the last call."""
+        eased, self._eased = self._eased, []
+        return eased
 
     def choose(
         self,
@@ -110,24 +127,35 @@
         used = [owner for owner in pool if not self._views[owner.host].is_eased(now)]
         allowed = int(len(pool) * EASED_SHARE) - (len(pool) - len(used))
         for owner in self._outliers(used)[: max(allowed, 0)]:
-            self._views[owner.host].ease_out(now)
+            self._ease_out(owner, self._usual(used), now)
             used.remove(owner)
         return used
 
+    def _ease_out(self, owner: Member, usual: Seconds, now: float) -> None:
+        """Leave an owner out for a while, and remember why."""
+        view = self._views[owner.host]
+        loses, latency = view.loses, view.latency or 0.0
+        self._eased.append(Eased(owner.host, loses, latency, usual, view.ease_out(now)))
+
+    def _usual(self, owners: Sequence[Member]) -> Seconds:
+        """Return the latency of the owner in the middle; 0 when none is known."""
+        latencies = [self._views[owner.host].latency for owner in owners]
+        known = [latency for latency in latencies if latency is not None]
+        return statistics.median_low(known) if known else 0.0
+
     def _outliers(self, owners: Sequence[Member]) -> list[Member]:
         """Return the owners that lose attempts or are slow, the worst first."""
-        latencies = {owner.host: self._views[owner.host].latency for owner in owners}
-        known = [latency for latency in latencies.values() if latency is not None]
-        usual = statistics.median_low(known) if known else 0.0
+        usual = self._usual(owners)
         limit = max(usual * SLOW_FACTOR, usual + SLOW_EXCESS)
+        views = {owner.host: self._views[owner.host] for owner in owners}
         found = [
             owner
             for owner in owners
-            if self._views[owner.host].loses or (latencies[owner.host] or 0.0) > limit
+            if views[owner.host].loses or (views[owner.host].latency or 0.0) > limit
         ]
         return sorted(
             found,
-            key=lambda owner: (self._views[owner.host].loses, latencies[owner.host] or 0.0),
+            key=lambda owner: (views[owner.host].loses, views[owner.host].latency or 0.0),
             reverse=True,
         )
 
--- a/cowslipvane/routing/_view.py
+++ b/cowslipvane/routing/_view.py
@@ -134,13 +134,14 @@
             case Result.GIVEN_UP:
                 return
 
-    def ease_out(self, now: float) -> None:
-        """Leave the owner out for a while, then judge it afresh."""
-        time = min(EASE_TIME * 2**self._eased_times, MOST_EASE_TIME)
+    def ease_out(self, now: float) -> Seconds:
+        """Leave the owner out for a while, then judge it afresh; return the time."""
+        time: Seconds = min(EASE_TIME * 2**self._eased_times, MOST_EASE_TIME)
         self._eased_times = min(self._eased_times + 1, 10)
         self._eased_until = now + time
         self._lost = 0
         self._latency = Quantile(share=0.5, step=_STEP)
+        return time
 
 
 def _life(member: Member) -> tuple[object, ...]:
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -242,10 +242,27 @@
         )
         match await self._carrier.carry(call):
             case Served() as served:
+                self._note_late(call, served, arrived)
                 return Fetched(call=call, served=served)
             case refusal:
                 return TurnedAway(request_id=request_id, refusal=refusal, call=call)
 
+    def _note_late(self, call: Call, served: Served, arrived: float) -> None:
+        """Record an answer that begins after the goal of its call."""
+        now = time.monotonic()
+        left = call.goal_left(now)
+        if left is not None and left < 0:
+            self._events.record(
+                "late",
+                request=call.request_id,
+                took=f"{now - arrived:.3f}",
+                goal=f"{now - arrived + left:.3f}",
+                owner=served.owner.host,
+                tried=" ".join(call.tried),
+                load=_told(call.load),
+                status=str(served.answer.status),
+            )
+
     async def _answer(
         self, http: web.BaseRequest, outcome: Fetched | TurnedAway
     ) -> web.StreamResponse:
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_carrier.py
@@ -110,7 +110,21 @@
             if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
         ]
         light = len(call.request.body) < LIGHT_BYTES
-        return self._chooser.choose(allowed, call.tried, time.monotonic(), light=light)
+        chosen = self._chooser.choose(allowed, call.tried, time.monotonic(), light=light)
+        self._note_eased()
+        return chosen
+
+    def _note_eased(self) -> None:
+        """Record the owners that were found to lose calls or to be slow."""
+        for eased in self._chooser.take_eased():
+            self._events.record(
+                "eased",
+                owner=eased.host,
+                reason="attempts lost" if eased.loses else "slow",
+                latency=f"{eased.latency:.3f}",
+                usual=f"{eased.usual:.3f}",
+                seconds=f"{eased.time:g}",
+            )
 
     def _can_reach(self, owner: Member) -> bool:
         """Return whether an owner is here, or was reached when it was last tried."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,6 +56,15 @@
             names.append(f"{given.caller}{given.request.path}")
         return names
 
+    def test_the_load_tells_how_long_work_takes_here(self) -> None:
+        """A slower upstream of the same service gets fewer calls by that."""
+        slower = Admission(service=SERVICE, slots=6)
+        for serial in range(40):
+            self.run_one(slower, work(serial), 2 * SHORT_S)
+        self.assertAlmostEqual(slower.load.service_time, 2 * SHORT_S)
+        self.assertLess(self.admission.load.service_time, slower.load.service_time)
+        self.assertEqual(Admission(service=SERVICE, slots=6).load.service_time, 0.0)
+
     def test_never_more_than_the_slots(self) -> None:
         """Work beyond the slots waits, and one end starts one more."""
         for serial in range(8):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -186,6 +186,10 @@
         self.settle(owners)
         chosen = self.drive(owners, 1000, lambda host: 0.1 if host == "a" else 0.01)
         self.assertLess(chosen["a"], 100)
+        first, *_ = self.chooser.take_eased()
+        self.assertEqual((first.host, first.loses), ("a", False))
+        self.assertGreater(first.latency, 3 * first.usual)
+        self.assertEqual(self.chooser.take_eased(), [])
 
     def test_the_only_owner_here_is_left_out_when_it_is_slow(self) -> None:
         """A few calls to other data centres tell that theirs are faster."""
