--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -394,7 +394,7 @@
 
     async def _run(self, work: Work, worker: Worker, lane: WorkerLane) -> None:
         """Run one request at the worker and send its answer back."""
-        request_id = work.request.header(self._names.request_id) or ""
+        request_id = self._request_id(work)
         self._running.add(request_id)
         try:
             refusal = await self._try_to_forward(work, worker, lane)
@@ -409,6 +409,10 @@
         self._replies.pop(work.attempt, None)
         self._ended.send()
 
+    def _request_id(self, work: Work) -> str:
+        """Return the id of the request of some work, nothing if it has none."""
+        return work.request.header(self._names.request_id) or ""
+
     async def _judge(self, worker: Worker, refusal: Refusal) -> None:
         """Take a worker out that can't be connected to, until it announces itself again."""
         match refusal:
@@ -440,7 +444,9 @@
         except (AnswerBroken, OSError, ValueError) as error:
             # A peer's offer may hold what can't be sent; the slot must go on.
             lane.close()
-            self._events.record("lost", service=service, reason=repr(error))
+            self._events.record(
+                "lost", request=self._request_id(work), service=service, reason=repr(error)
+            )
             return UpstreamLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
             self._timeouts.pop(work.attempt, None)
