--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -8,9 +8,11 @@
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import EXIT_BAD_INPUT, ask, output_option, server_option
+from cowslipvane.cmdline._options import EXIT_BAD_INPUT, ask, output_option
 from cowslipvane.cmdline._output import with_progress
 
+NOWHERE = "name processes by --server, or event files by --file"
+
 
 class Moment(click.ParamType[float]):
     """A time: ISO 8601, in UTC unless it says otherwise, or seconds since 1970."""
@@ -35,31 +37,49 @@
         return moment.timestamp()
 
 
-@click.command()
-@server_option
-@output_option
-@click.argument("request")
-def explain(servers: tuple[str, ...], output: str, request: str) -> None:
-    """Explain what became of a request, by its id."""
-    account = ask(with_progress(commands.explain(servers, request), "asking every process"))
-    click.echo(account.as_json() if output == "json" else account.as_text())
-
-
-@click.command()
-@click.option(
+any_server_option = click.option(
     "--server",
     "servers",
     multiple=True,
     envvar="COWSLIPVANE_SERVERS",
     help="IP:PORT of a process's operators' listener; the others are found through it.",
 )
-@click.option(
+file_option = click.option(
     "--file",
     "files",
     multiple=True,
     type=click.Path(path_type=Path),
-    help="An event file to read instead of asking processes; give several to merge them.",
+    help="An event file or log to read instead of asking processes; give several to merge them.",
 )
+
+
+@click.command()
+@any_server_option
+@file_option
+@output_option
+@click.argument("request")
+def explain(
+    *, servers: tuple[str, ...], files: tuple[Path, ...], output: str, request: str
+) -> None:
+    """Explain what became of a request, by its id."""
+    account = ask(with_progress(_account(servers, files, request), "asking every process"))
+    click.echo(account.as_json() if output == "json" else account.as_text())
+
+
+async def _account(
+    servers: tuple[str, ...], files: tuple[Path, ...], request: str
+) -> commands.Account:
+    """Return the account of a request from files if there are any, or from live processes."""
+    if files:
+        return commands.explain_from_files(files, request)
+    if servers:
+        return await commands.explain(servers, request)
+    raise commands.CommandFailed(NOWHERE)
+
+
+@click.command()
+@any_server_option
+@file_option
 @click.option("--request", default="", help="Only events of the request with this id.")
 @click.option("--version", type=int, default=0, help="Only events of this version.")
 @click.option("--upstream", default="", help="Only events at or about this host.")
@@ -97,7 +117,7 @@
         return commands.timeline_of_files(files, wanted)
     if servers:
         return await commands.timeline_of_processes(servers, wanted)
-    raise commands.CommandFailed("name processes by --server, or event files by --file")
+    raise commands.CommandFailed(NOWHERE)
 
 
 def _write(path: Path, text: str) -> None:
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -2,7 +2,7 @@
 
 from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._explain import Account, account_of, explain
+from cowslipvane.commands._explain import Account, account_of, explain, explain_from_files
 from cowslipvane.commands._picture import picture
 from cowslipvane.commands._process import debug, describe, drain, read_settings, run, status
 from cowslipvane.commands._replica import (
@@ -44,6 +44,7 @@
     "describe",
     "drain",
     "explain",
+    "explain_from_files",
     "get",
     "join_replica",
     "list_replicas",
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import NamedTuple
 
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._timeline import Filter, Timeline, event_line, timeline_of_processes
+from cowslipvane.commands._timeline import (
+    Filter,
+    Timeline,
+    event_line,
+    timeline_of_files,
+    timeline_of_processes,
+)
 from cowslipvane.events import EventForm
 from cowslipvane.types import Verdict
 
@@ -46,6 +53,11 @@
     return account_of(request, await timeline_of_processes(servers, Filter(request=request)))
 
 
+def explain_from_files(paths: tuple[Path, ...], request: str) -> Account:
+    """Return the account of a request from event files or logs."""
+    return account_of(request, timeline_of_files(paths, Filter(request=request)))
+
+
 def account_of(request: str, timeline: Timeline) -> Account:
     """Return the account that the events of a request give; raise CommandFailed without any."""
     if not timeline.events:
@@ -54,12 +66,21 @@
     asked = next((it["detail"]["asked"] for it in timeline.events if "asked" in it["detail"]), "?")
     refusals = [event for event in timeline.events if event["kind"] == "refusal"]
     verdicts = [event for event in timeline.events if event["kind"] == "verdict"]
-    match refusals, verdicts:
+    late = [event for event in timeline.events if event["kind"] == "late"]
+    match refusals, late or verdicts:
         case [first, *_], _:
             # What the caller was told stands, whatever else comes to light.
             detail = first["detail"]
             decision = f"refused as {detail['code']}"
             verdict, sentence = detail["verdict"], detail["sentence"]
+        case [], [*_, {"kind": "late", "detail": detail}]:
+            owner, status = detail["owner"], detail["status"]
+            decision = f"answered with HTTP status {status}, late"
+            verdict = Verdict.RAN.value
+            sentence = (
+                f"The upstream on {owner} answered with status {status} after {detail['took']} s;"
+                f" the goal is {detail['goal']} s. The request was run."
+            )
         case [], [*_, last] if last["detail"]["verdict"] == Verdict.RAN.value:
             owner, status = last["detail"]["owner"], last["detail"]["outcome"]
             decision = f"answered with HTTP status {status}"
