--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Overloaded:
-    """The upstream has too much to do to answer before the deadline."""
+    """The upstream has too much to do to answer before the goal, or before the deadline."""
 
     service: ServiceName
     retry_after: Seconds
@@ -202,7 +202,7 @@
             cause = f"Service {service} has as many requests waiting as it takes."
             return "queue-full", 503, cause, not_run, retry_after
         case Overloaded(service=service, retry_after=retry_after):
-            cause = f"Service {service} has too much to do to answer before the deadline."
+            cause = f"Service {service} has too much to do to answer in time."
             return "overloaded", 503, cause, not_run, retry_after
         case DeadlinePassed(service=service, verdict=verdict):
             cause = f"Service {service} did not answer before the deadline."
