--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -4,44 +4,20 @@
 import json
 import time
 import unittest
-from typing import Any, ClassVar
+from typing import Any
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families as parse
 
 from cowslipvane.metrics import FAMILIES
-from tools.fleet import EXAMPLES, Fleet, example_hosts
+from tests.three_hosts import HOSTS, ThreeHostsTest
 
-HOSTS = ("stock-1", "stock-2", "stock-3")
 PATIENCE_S = 20.0
 
 
-class OperationTest(unittest.IsolatedAsyncioTestCase):
+class OperationTest(ThreeHostsTest):
     """Three processes with one configuration in force."""
 
-    fleet: ClassVar[Fleet]
-    servers: ClassVar[list[str]]
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        """Start the processes and apply the resources; each test leaves them all running."""
-        hosts = [host for host in example_hosts("quiros") if host.name in HOSTS]
-        cls.fleet = Fleet(hosts=hosts)
-        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
-        cls.servers = [f"--server={address}" for address in cls.fleet.operators()]
-        cls.fleet.create()
-        cls.fleet.start()
-        asyncio.run(cls.prepare())
-
-    @classmethod
-    async def prepare(cls) -> None:
-        """Wait for the processes and bring the first version into force."""
-        await cls.fleet.until_leader()
-        await cls.fleet.until_members(len(HOSTS))
-        path = str(EXAMPLES / "quiros" / "resources.toml")
-        cls.fleet.command("apply", "-f", path, *cls.servers)
-        await cls.fleet.until_in_force(1, HOSTS)
-
     async def restart(self, host: str) -> None:
         """Start a daemon again and wait until it serves."""
         began = time.time()
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -8,13 +8,13 @@
 import time
 import unittest
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import Any
 
 import aiohttp
 
-from tools.fleet import EXAMPLES, Fleet, example_hosts
+from tests.three_hosts import HOSTS, ThreeHostsTest
+from tools.fleet import Host
 
-HOSTS = ("stock-1", "stock-2", "stock-3")
 PATIENCE_S = 20.0
 # The only upstream is on the first host, so that calls which enter at the second cross over.
 OWNER, ENTRY = "stock-1", "stock-2"
@@ -24,38 +24,24 @@
 SLOW_TIMES = 300
 
 
-class OperationsPageTest(unittest.IsolatedAsyncioTestCase):
+class OperationsPageTest(ThreeHostsTest):
     """One slow upstream with one slot, behind a route that has a goal."""
 
-    fleet: ClassVar[Fleet]
-
     @classmethod
-    def setUpClass(cls) -> None:
-        """Start three processes, one with an upstream."""
-        hosts = [host for host in example_hosts("quiros") if host.name in HOSTS]
-        hosts = [
-            host._replace(worker={**host.worker, "slots": SLOTS} if host.name == OWNER else {})
-            for host in hosts
-        ]
-        cls.fleet = Fleet(hosts=hosts)
-        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
-        cls.fleet.create()
-        cls.fleet.start()
-        asyncio.run(cls.prepare())
+    def changed(cls, host: Host) -> Host:
+        """Return a host with the one upstream, or with none."""
+        worker = {**host.worker, "slots": SLOTS} if host.name == OWNER else {}
+        return host._replace(worker=worker)
 
     @classmethod
-    async def prepare(cls) -> None:
-        """Put the example's resources in force, with a goal for the route."""
-        await cls.fleet.until_leader()
-        await cls.fleet.until_members(1)
-        servers = [f"--server={address}" for address in cls.fleet.operators()]
-        text = (EXAMPLES / "quiros" / "resources.toml").read_text()
+    def resources(cls) -> Path:
+        """Return the example's resources with a goal for the route."""
+        text = super().resources().read_text()
         route = 'path_prefix = "/stock", '
         assert route in text
         path = cls.fleet.folder / "resources.toml"
         path.write_text(text.replace(route, f"{route}goal = {GOAL_S}, "))
-        cls.fleet.command("apply", "-f", str(path), *servers)
-        await cls.fleet.until_in_force(1, HOSTS)
+        return path
 
     async def call(self, session: aiohttp.ClientSession, **headers: str) -> tuple[int, str]:
         """Send a call through the entry and return the answer's status and the request's id."""
--- /dev/null
+++ b/tests/three_hosts.py
@@ -0,0 +1,46 @@
+"""Three real processes with one configuration in force; a base for tests over them."""
+
+import asyncio
+import unittest
+from pathlib import Path
+from typing import ClassVar
+
+from tools.fleet import EXAMPLES, Fleet, Host, example_hosts
+
+HOSTS = ("stock-1", "stock-2", "stock-3")
+
+
+class ThreeHostsTest(unittest.IsolatedAsyncioTestCase):
+    """The replicas of an example, each with a proxy; a test leaves them all running."""
+
+    fleet: ClassVar[Fleet]
+    servers: ClassVar[list[str]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the processes and apply the resources."""
+        hosts = [cls.changed(host) for host in example_hosts("quiros") if host.name in HOSTS]
+        cls.fleet = Fleet(hosts=hosts)
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.servers = [f"--server={address}" for address in cls.fleet.operators()]
+        cls.fleet.create()
+        cls.fleet.start()
+        asyncio.run(cls.prepare(sum(bool(host.worker) for host in hosts)))
+
+    @classmethod
+    async def prepare(cls, workers: int) -> None:
+        """Wait for the processes and bring the first version into force."""
+        await cls.fleet.until_leader()
+        await cls.fleet.until_members(workers)
+        cls.fleet.command("apply", "-f", str(cls.resources()), *cls.servers)
+        await cls.fleet.until_in_force(1, HOSTS)
+
+    @classmethod
+    def changed(cls, host: Host) -> Host:
+        """Return a host of the example as the tests want it."""
+        return host
+
+    @classmethod
+    def resources(cls) -> Path:
+        """Return the file of resources to apply."""
+        return EXAMPLES / "quiros" / "resources.toml"
