Say once what stood twice, and read a caller's patience only while a proxy starts

Found on reading the change once more; no behaviour is meant to change. - The wait for the first configuration read the patience of each call, also long after the start. - Whether a link is open and to this life of an owner was decided in two places of Peers. - The rule that a leader has committed in its term has a name in History, and stood spelled out beside it. - A conversation with an owner never returns, which its type says in place of an assertion behind it. - Whether a caller shares the listener's address has one user since callers have their goals, and moves there; Releases.leader had none. - Two stand-ins of tests are made from ones that exist (OWN_NAMES, NoJournal).

--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -140,7 +140,7 @@
 
     def holds_lease(self, now: float) -> bool:
         """Return whether no other replica can have become leader by now."""
-        if not isinstance(self._role, Leader) or self._history.term_of(self.commit) != self._term:
+        if not isinstance(self._role, Leader) or not self._history.has_committed_in(self._term):
             return False
         return now < self._role.quorum_contact(self.group, self._host, now) + self._promise.lease
 
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -198,8 +198,10 @@
 
     async def _first_table(self, http: web.BaseRequest, arrived: float) -> RoutingTable | None:
         """Return the routing table, which a proxy that has just started may wait for."""
-        patience = self._patience(http)
+        if self._subscription.table is not None:
+            return self._subscription.table
         give_up = self._started_at + START_TIME
+        patience = self._patience(http)
         if patience is not None:
             give_up = min(give_up, arrived + patience * START_SHARE)
         while self._subscription.table is None and (left := give_up - time.monotonic()) > 0:
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -94,15 +94,6 @@
     return web.json_response({"outcome": "not run", "sentence": sentence}, status=status)
 
 
-def shares_address(http: web.BaseRequest) -> bool:
-    """Return whether a request comes from the address that it was sent to."""
-    if http.transport is None:
-        return False
-    peer = http.transport.get_extra_info("peername")
-    own = http.transport.get_extra_info("sockname")
-    return bool(peer and own and peer[0] == own[0])
-
-
 def _is_own_fault(record: logging.LogRecord) -> bool:
     """Return whether a log record is of more than a request that was answered as malformed."""
     error = record.exc_info[1] if record.exc_info else None
--- a/cowslipvane/tasks/_operators.py
+++ b/cowslipvane/tasks/_operators.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from cowslipvane.settings import AUTHORIZATION, Token
-from cowslipvane.tasks._http import error_response, shares_address
+from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._replica_api import ReplicaApi
 from cowslipvane.tasks._resource_api import ResourceApi
@@ -63,4 +63,13 @@
 
 def _from_this_host(http: web.BaseRequest) -> bool:
     """Return whether a request comes from an address of this host."""
-    return shares_address(http) or ipaddress.ip_address(http.remote or "0.0.0.0").is_loopback
+    return _shares_address(http) or ipaddress.ip_address(http.remote or "0.0.0.0").is_loopback
+
+
+def _shares_address(http: web.BaseRequest) -> bool:
+    """Return whether a request comes from the address that it was sent to."""
+    if http.transport is None:
+        return False
+    peer = http.transport.get_extra_info("peername")
+    own = http.transport.get_extra_info("sockname")
+    return bool(peer and own and peer[0] == own[0])
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -7,6 +7,7 @@
 import random
 import time
 from dataclasses import dataclass
+from typing import NoReturn
 
 from cowslipvane.call import (
     Answer,
@@ -170,9 +171,8 @@
             if left:
                 return _End.LEFT
             return _End.LOST if connected else _End.UNREACHABLE
-        raise AssertionError("a conversation ends with an error")
 
-    async def _converse(self, link: Link) -> None:
+    async def _converse(self, link: Link) -> NoReturn:
         """Put every message into the mailbox of its attempt, until the connection is lost."""
         self._link = link
         self._failed = self._silent = False
@@ -246,19 +246,24 @@
 
     def is_reachable(self, member: Member) -> bool:
         """Return whether a call to an owner is likely to arrive there."""
-        link = self._links.get(member.host)
-        return link is None or link.closed or not link.is_to(member) or link.is_reachable
+        link = self._current(member)
+        return link is None or link.is_reachable
 
     def link(self, member: Member) -> PeerLink:
         """Return the connection to an owner."""
-        link = self._links.get(member.host)
-        if link is not None and not link.closed and not link.is_to(member):
-            link.end()
-        if link is None or link.closed or not link.is_to(member):
-            link = PeerLink(member=member, events=self._events)
-            self._links[member.host] = link
+        link = self._current(member)
+        if link is None:
+            if member.host in self._links:
+                # It is to an earlier life of the owner, or has ended already.
+                self._links[member.host].end()
+            link = self._links[member.host] = PeerLink(member=member, events=self._events)
         return link
 
+    def _current(self, member: Member) -> PeerLink | None:
+        """Return the connection to this life of an owner, if one is kept."""
+        link = self._links.get(member.host)
+        return None if link is None or link.closed or not link.is_to(member) else link
+
     async def close(self) -> None:
         """Close all connections at once, since a peer that is cut off answers no closing."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
--- a/cowslipvane/tasks/_releases.py
+++ b/cowslipvane/tasks/_releases.py
@@ -20,7 +20,6 @@
 )
 from cowslipvane.events import EventLog
 from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
-from cowslipvane.types import HostName
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,11 +36,6 @@
         # A release may build on one that is still under way.
         self._turn = asyncio.Lock()
 
-    @property
-    def leader(self) -> HostName | None:
-        """Return the leader as far as it is known here."""
-        return self._replication.replica.leader
-
     def newest(self) -> Release | NoRelease | NotLeader:
         """Return the newest accepted release, if this replica surely knows it."""
         replica = self._replication.replica
--- a/tests/lone_callers.py
+++ b/tests/lone_callers.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from cowslipvane.call import Call, HeaderNames
+from cowslipvane.call import OWN_NAMES, Call
 from cowslipvane.catalogue import Key, Resource, Route, Service, Snapshot, Target, combine
 from cowslipvane.catalogue import resource_digest as digest_of
 from cowslipvane.metrics import Metrics
@@ -30,15 +30,7 @@
 GOAL_S = 0.3
 OWNER = HostName("owner")
 LOAD = Load(slots=4, running=3, queued=9)
-NAMES = HeaderNames(
-    request_id="X-Request-Id",
-    callers_name_requests=True,
-    timeout_ms="X-Request-Timeout-Ms",
-    origin_service="",
-    expected_instance="",
-    not_run="",
-    owner="",
-)
+NAMES = OWN_NAMES._replace(callers_name_requests=True)
 
 
 class NoCarrier:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,8 +10,6 @@
     Append,
     AppendReply,
     Ballot,
-    Entry,
-    LogSnapshot,
     Recovered,
     Replica,
     Vote,
@@ -22,30 +20,20 @@
 from cowslipvane.tasks._replication import Greeting, Replication, Stranger, Welcome
 from cowslipvane.types import Address, DataCentre, HostName, ReplicaId
 from cowslipvane.wire import Link
+from tools.lone_replica import NoJournal
 
 FOUNDERS = tuple(
     Voter(HostName(host), Address("127.0.0.1", 1), ReplicaId(f"id-{host}")) for host in "abc"
 )
 
 
-class HeldJournal:
+class HeldJournal(NoJournal):
     """A journal whose syncs wait until the disk is let go, or fails."""
 
     def __init__(self) -> None:
         self.free = asyncio.Event()
         self.failed = asyncio.Event()
 
-    def record_ballot(self, ballot: Ballot) -> None:
-        """Record nothing."""
-
-    def record_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Record nothing."""
-
-    def record_snapshot(
-        self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
-    ) -> None:
-        """Record nothing."""
-
     async def sync(self) -> None:
         """Wait until the disk is let go."""
         await self.free.wait()
