Reword admission control and its tests in the terms of queueing

Comments, docstrings and private names used figures of speech that a newcomer had to decode. They now name tags, fair queueing, demotion, reserved slots and the latency goal. No behaviour changes.

--- a/cowslipvane/admission/__init__.py
+++ b/cowslipvane/admission/__init__.py
@@ -1,4 +1,4 @@
-"""The owner's admission: the slots of its upstream, the queue before them, and its drain."""
+"""Admission control at the owner: the upstream's slots, their queue, and draining."""
 
 from cowslipvane.admission._admission import Admission, Fair, FirstComeFirstServed, Policy, Work
 from cowslipvane.admission._service_times import kind_of
--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -1,4 +1,4 @@
-"""The admission: what waits, what runs, and what may not start."""
+"""Decide which requests are queued, started or refused at an upstream."""
 
 from __future__ import annotations
 
@@ -14,26 +14,28 @@
 from cowslipvane.routing import Load
 from cowslipvane.types import Seconds, ServiceName, Verdict
 
-# Requests that may wait for each slot; shared out among the callers that wait.
-QUEUE_PER_SLOT = 20
-# The queue's hard limit, as a multiple of the above: it leaves room for callers that come late.
-QUEUE_HEADROOM = 2
+# Queue capacity for each slot, divided evenly among the callers that have queued requests.
+QUEUE_CAPACITY_PER_SLOT = 20
+# Hard limit of the queue, as a multiple of its capacity. The headroom admits new callers while
+# earlier ones still fill the queue.
+QUEUE_LIMIT_FACTOR = 2
 RETRY_AFTER: Seconds = 1.0
-# A caller that is refused for want of time isn't asked to come back sooner.
-LEAST_RETRY: Seconds = 0.05
-# One slot in this many, rounded up, is kept free of long work.
-SLOTS_PER_SHORT_SLOT = 3
-# Callers whose turns are kept apart before those that have had theirs are forgotten.
-MAX_CALLERS = 4096
-# What unknown work counts for in the order of callers.
-UNKNOWN_COST: Seconds = 0.001
+# Lower limit of the retry delay for a request that is refused because it would end too late.
+MIN_RETRY_AFTER: Seconds = 0.05
+# One slot in this many, rounded up, is reserved for short work.
+SLOTS_PER_RESERVED_SLOT = 3
+# Callers to keep tags for; beyond this, callers whose tags have passed are dropped.
+MAX_CALLER_TAGS = 4096
+# The cost of a kind of work without samples, when callers take turns.
+DEFAULT_COST: Seconds = 0.001
 
 
 class Work(NamedTuple):
-    """An attempt that waits or runs.
+    """An attempt that is queued or running.
 
-    deadline and goal are in time.monotonic seconds; an answer is worth most until the goal. nested
-    says that an upstream makes the call for a request that it runs, which fails without it.
+    deadline and goal are in time.monotonic seconds. The goal is the latency goal: the time until
+    which an answer is worth most. nested means that an upstream made the call while it handles
+    another request, which fails if this call fails.
     """
 
     attempt: AttemptId
@@ -48,42 +50,42 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FirstComeFirstServed:
-    """Starts work in the order of its arrival, as a baseline for measurements."""
+    """Start work in the order of arrival; a baseline for measurements."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fair:
-    """Starts first what has its goal first, and minds deadlines; some slots are for short work.
+    """Start the work with the earliest goal first, and refuse work that would end too late.
 
-    Callers take turns with work that has no goal.
+    Some slots are reserved for short work. Work without a goal is shared fairly among callers.
     """
 
 
 Policy = FirstComeFirstServed | Fair
 
 
-# Work that has to wait must reach its goal also if it takes this share longer than usual: with a
-# queue up to the goal itself, whatever takes longer than the mean is late.
-GOAL_MARGIN = 0.75
-# Work that can't reach its goal any more goes behind work whose goal is within this time.
-LATE_DEMOTION: Seconds = 0.3
+# Queued work must be able to meet its goal even if it takes this share longer than estimated. If
+# the queue were filled up to the goal itself, all work slower than the mean would be late.
+GOAL_MARGIN_SHARE = 0.75
+# Work that can no longer meet its goal is ordered as if its goal were this much later.
+DEMOTION_DELAY: Seconds = 0.3
 
 
 class _Waiting(NamedTuple):
-    """Work in the queue; the lowest tag goes first, and among equals the first that came.
+    """Work in the queue, ordered by tag and then by arrival.
 
-    Tags are in time.monotonic seconds, whatever they follow from.
+    All tags are in time.monotonic seconds, so that work with and without a goal can be compared.
     """
 
     tag: float
-    number: int
+    sequence: int
     work: Work
     cost: Seconds
     demoted: bool = False
 
 
 class _Running(NamedTuple):
-    """Work at the upstream."""
+    """Work that is running at the upstream."""
 
     kind: str
     long: bool
@@ -91,7 +93,7 @@
 
 
 class Admission:
-    """The one place that decides what starts at an upstream."""
+    """The queue and the slots of one upstream."""
 
     def __init__(self, *, service: ServiceName, slots: int, policy: Policy | None = None) -> None:
         self._service = service
@@ -99,12 +101,12 @@
         self._policy = policy or Fair()
         self._times = ServiceTimes()
         self._waiting: dict[AttemptId, _Waiting] = {}
-        # Heaps that may still hold work that was withdrawn.
+        # The heaps may still contain withdrawn work, which is skipped when it reaches the head.
         self._short: list[_Waiting] = []
         self._long: list[_Waiting] = []
         self._callers: Counter[str] = Counter()
-        self._numbers = itertools.count()
-        self._offered_at = 0.0
+        self._sequence = itertools.count()
+        self._latest_offer_at = 0.0
         self._next_tags: dict[str, float] = {}
         self._running: dict[AttemptId, _Running] = {}
         self._draining = False
@@ -116,35 +118,35 @@
 
     @property
     def slots(self) -> int:
-        """Return how many requests the upstream runs at once."""
+        """Return how many requests the upstream can run concurrently."""
         return self._slots
 
     @property
     def load(self) -> Load:
-        """Return the slots in use, the requests that wait, and how long most work takes."""
+        """Return the slots, the running and queued requests, and the typical service time."""
         running, waiting = len(self._running), len(self._waiting)
         return Load(self._slots, running, waiting, self._times.typical)
 
     @property
     def idle(self) -> bool:
-        """Return whether nothing waits and nothing runs."""
+        """Return whether no work is queued or running."""
         return not self._waiting and not self._running
 
     @property
     def is_draining(self) -> bool:
-        """Return whether nothing starts any more."""
+        """Return whether the admission has stopped taking work."""
         return self._draining
 
     def offer(self, work: Work, now: float) -> Refusal | None:
-        """Queue work, or return why it is refused."""
+        """Queue work, or return the refusal."""
         if self._draining:
             return Draining(service=self._service)
         if self._is_full(work.caller):
             return QueueFull(service=self._service, retry_after=RETRY_AFTER)
-        waiting = self._place(work, now)
+        waiting = self._with_tag(work, now)
         match self._policy:
             case Fair():
-                refusal = self._too_late(waiting, now)
+                refusal = self._late_refusal(waiting, now)
                 if refusal is not None:
                     return refusal
             case FirstComeFirstServed():
@@ -152,79 +154,79 @@
         self._waiting[work.attempt] = waiting
         self._callers[work.caller] += 1
         if work.goal is None and not work.nested:
-            self._next_tags[work.caller] = waiting.tag + max(waiting.cost, UNKNOWN_COST)
-        heapq.heappush(self._heap(waiting.work.kind), waiting)
+            self._next_tags[work.caller] = waiting.tag + max(waiting.cost, DEFAULT_COST)
+        heapq.heappush(self._heap_for(waiting.work.kind), waiting)
         return None
 
     def start_next(self, now: float) -> Work | None:
-        """Give the next work a slot, or return None when nothing can start."""
+        """Assign a slot to the next work and return it, or return None if nothing can start."""
         if len(self._running) >= self._slots:
             return None
-        heads = [self._short] if self._head(self._short) else []
-        if self._head(self._long) and self._long_may_start():
-            heads.append(self._long)
-        if not heads:
+        ready = [self._short] if self._prune_head(self._short) else []
+        if self._prune_head(self._long) and self._long_may_start():
+            ready.append(self._long)
+        if not ready:
             return None
-        waiting = self._pop(min(heads, key=lambda heap: heap[0]), now)
-        self._leave_queue(waiting)
+        waiting = self._pop(min(ready, key=lambda heap: heap[0]), now)
+        self._dequeue(waiting)
         long = self._times.is_long(waiting.work.kind)
         self._running[waiting.work.attempt] = _Running(waiting.work.kind, long, now)
         return waiting.work
 
     def overdue(self, work: Work, now: float) -> Refusal | None:
-        """Return the refusal of work that can't end in time, though it has waited."""
+        """Return the refusal of work that can no longer end before its deadline."""
         if now >= work.deadline:
             return DeadlinePassed(service=self._service, verdict=Verdict.NOT_RUN)
-        left = work.deadline - now
+        remaining = work.deadline - now
         match self._policy:
-            case Fair() if self._times.estimate(work.kind, now) > left:
+            case Fair() if self._times.estimate(work.kind, now) > remaining:
                 return Overloaded(service=self._service, retry_after=RETRY_AFTER)
         return None
 
     def finish(self, work: Work, now: float, *, ran: bool = True) -> None:
-        """Free the slot of work that has ended; ran says whether the upstream had it."""
+        """Free the slot of work; ran tells whether the work was sent to the upstream."""
         running = self._running.pop(work.attempt)
         if ran:
-            self._times.learn(running.kind, now - running.started, now)
+            self._times.add(running.kind, now - running.started, now)
 
     def withdraw(self, attempt: AttemptId) -> bool:
-        """Take work out of the queue; return whether it was still there."""
+        """Remove work from the queue; return whether it was queued."""
         waiting = self._waiting.get(attempt)
         if waiting is None:
             return False
-        self._leave_queue(waiting)
+        self._dequeue(waiting)
         return True
 
     def drain(self) -> list[Work]:
-        """Start nothing from now on, and return what was waiting."""
+        """Stop taking and starting work, and return the work that was queued."""
         self._draining = True
         return self.empty()
 
     def empty(self) -> list[Work]:
-        """Take everything out of the queue and return it."""
-        left = [waiting.work for waiting in self._waiting.values()]
+        """Remove all work from the queue and return it."""
+        removed = [waiting.work for waiting in self._waiting.values()]
         for heap in (self._short, self._long):
             heap.clear()
         self._waiting.clear()
         self._callers.clear()
         self._next_tags.clear()
-        return left
+        return removed
 
     def _pop(self, heap: list[_Waiting], now: float) -> _Waiting:
-        """Return the next work of a heap; what has become late lets others go first, once."""
+        """Return the next work of a heap, after demoting late work; work is demoted only once."""
         while True:
             waiting = heapq.heappop(heap)
             goal = waiting.work.goal
             if goal is None or waiting.demoted or now + waiting.cost <= goal or waiting.work.nested:
                 return waiting
-            waiting = waiting._replace(tag=goal + LATE_DEMOTION, demoted=True)
+            waiting = waiting._replace(tag=goal + DEMOTION_DELAY, demoted=True)
             self._waiting[waiting.work.attempt] = waiting
             heapq.heappush(heap, waiting)
-            self._head(heap)
+            self._prune_head(heap)
 
     def _is_full(self, caller: str) -> bool:
-        """Return whether a caller has its share of the queue, or the queue is at its limit."""
-        capacity = self._slots * QUEUE_PER_SLOT
+        """Return whether the caller has used up its share of the queue, or the queue is full."""
+        capacity = self._slots * QUEUE_CAPACITY_PER_SLOT
         match self._policy:
             case FirstComeFirstServed():
                 return len(self._waiting) >= capacity
@@ -232,92 +234,93 @@
                 callers = len(self._callers) + (caller not in self._callers)
                 return (
                     self._callers[caller] >= max(1, capacity // callers)
-                    or len(self._waiting) >= capacity * QUEUE_HEADROOM
+                    or len(self._waiting) >= capacity * QUEUE_LIMIT_FACTOR
                 )
 
-    def _place(self, work: Work, now: float) -> _Waiting:
-        """Return where work stands.
+    def _with_tag(self, work: Work, now: float) -> _Waiting:
+        """Return work with its tag and its estimated cost.
 
-        What has its goal first goes first. Callers whose work has none take turns, by what their
-        work costs.
+        Work with a goal is ordered by the goal. Work without one is ordered by fair
+        queueing: the caller's next tag advances by the cost of its work.
         """
         cost = self._times.estimate(work.kind, now)
-        self._offered_at = max(self._offered_at, now)
+        self._latest_offer_at = max(self._latest_offer_at, now)
         match self._policy:
             case FirstComeFirstServed():
                 tag = 0.0
             case Fair() if work.goal is not None:
                 tag = work.goal
             case Fair():
-                tag = max(self._offered_at, self._next_tags.get(work.caller, 0.0))
-        return _Waiting(tag, next(self._numbers), work, cost)
+                tag = max(self._latest_offer_at, self._next_tags.get(work.caller, 0.0))
+        return _Waiting(tag, next(self._sequence), work, cost)
 
-    def _too_late(self, waiting: _Waiting, now: float) -> Refusal | None:
+    def _late_refusal(self, waiting: _Waiting, now: float) -> Refusal | None:
         """Return the refusal of work that would end too late.
 
-        Work that has to wait past its goal is refused too: at a crest all would else wait so long
-        that none reaches its goal, and as many are served either way. A nested call may be late:
-        refused, it would waste what the request that it is for has taken.
+        Work that would miss its goal because of the queue is refused too. Otherwise, during a load
+        peak all requests would wait so long that none meets its goal, and no more of them would
+        be served. Nested calls may miss their goal: refusing one would waste the work already
+        done for the request that made it.
         """
         wait = self._expected_wait(waiting, now)
         end = now + wait + waiting.cost
         goal = waiting.work.goal
         if goal is not None and wait > 0 and not waiting.work.nested:
-            late = end + waiting.cost * GOAL_MARGIN - goal
-            if late > 0:
-                # Once so much of the work ahead is done, the same request would fit.
-                return Overloaded(service=self._service, retry_after=max(late, LEAST_RETRY))
+            lateness = end + waiting.cost * GOAL_MARGIN_SHARE - goal
+            if lateness > 0:
+                # The same request would be accepted once this much of the queue is done.
+                return Overloaded(service=self._service, retry_after=max(lateness, MIN_RETRY_AFTER))
         if end > waiting.work.deadline:
             return Overloaded(service=self._service, retry_after=max(wait, waiting.cost))
         return None
 
     def _expected_wait(self, waiting: _Waiting, now: float) -> Seconds:
-        """Return how long work is likely to wait for a slot."""
-        heap = self._heap(waiting.work.kind)
+        """Return the estimated time until work gets a slot."""
+        heap = self._heap_for(waiting.work.kind)
         long = heap is self._long
-        slots = self._long_slots() if long else self._slots - self._long_running()
-        alike = [running for running in self._running.values() if running.long == long]
+        slots = self._max_long_slots() if long else self._slots - self._long_running()
+        same_class = [running for running in self._running.values() if running.long == long]
         ahead = [other.cost for other in heap if self._is_ahead(other, waiting)]
-        if not ahead and len(alike) < slots:
+        if not ahead and len(same_class) < slots:
             return 0.0
-        left = sum(
+        remaining = sum(
             max(0.0, self._times.estimate(running.kind, now) - (now - running.started))
-            for running in alike
+            for running in same_class
         )
-        return (sum(ahead) + left) / max(1, slots)
+        return (sum(ahead) + remaining) / max(1, slots)
 
     def _is_ahead(self, other: _Waiting, waiting: _Waiting) -> bool:
-        """Return whether work in a heap still waits, and before other work."""
+        """Return whether other work is still queued and is to start earlier."""
         return other < waiting and other.work.attempt in self._waiting
 
-    def _heap(self, kind: str) -> list[_Waiting]:
-        """Return the heap for work of a kind."""
+    def _heap_for(self, kind: str) -> list[_Waiting]:
+        """Return the heap for a kind of work."""
         match self._policy:
             case Fair() if self._times.is_long(kind):
                 return self._long
         return self._short
 
-    def _head(self, heap: list[_Waiting]) -> bool:
-        """Return whether a heap holds work, once what was withdrawn is gone from its head."""
+    def _prune_head(self, heap: list[_Waiting]) -> bool:
+        """Drop withdrawn work from the head of a heap; return whether any work remains."""
         while heap and heap[0].work.attempt not in self._waiting:
             heapq.heappop(heap)
         return bool(heap)
 
-    def _long_slots(self) -> int:
-        """Return how many slots long work may hold at once."""
-        kept = -(-self._slots // SLOTS_PER_SHORT_SLOT)
-        return max(1, self._slots - kept)
+    def _max_long_slots(self) -> int:
+        """Return how many slots long work may use at the same time."""
+        reserved = -(-self._slots // SLOTS_PER_RESERVED_SLOT)
+        return max(1, self._slots - reserved)
 
     def _long_running(self) -> int:
-        """Return how many slots long work holds."""
+        """Return how many slots are in use by long work."""
         return sum(running.long for running in self._running.values())
 
     def _long_may_start(self) -> bool:
-        """Return whether long work may have one more slot."""
-        return self._long_running() < self._long_slots()
+        """Return whether long work may take another slot."""
+        return self._long_running() < self._max_long_slots()
 
-    def _leave_queue(self, waiting: _Waiting) -> None:
-        """Forget work that no longer waits."""
+    def _dequeue(self, waiting: _Waiting) -> None:
+        """Remove work from the queue."""
         caller = waiting.work.caller
         del self._waiting[waiting.work.attempt]
         self._callers[caller] -= 1
@@ -325,6 +328,6 @@
             del self._callers[caller]
         if not self._waiting:
             self._next_tags.clear()
-        elif len(self._next_tags) > MAX_CALLERS:
+        elif len(self._next_tags) > MAX_CALLER_TAGS:
             tags = self._next_tags.items()
-            self._next_tags = {name: tag for name, tag in tags if tag > self._offered_at}
+            self._next_tags = {name: tag for name, tag in tags if tag > self._latest_offer_at}
--- a/tests/one_owner.py
+++ b/tests/one_owner.py
@@ -1,4 +1,4 @@
-"""One owner's admission over simulated time, for tests of load patterns."""
+"""Simulate the admission of one owner, for tests of load patterns."""
 
 import heapq
 from collections.abc import Callable, Iterable
@@ -9,41 +9,46 @@
 
 
 class Arrival(NamedTuple):
-    """Work that is offered at a time; its attempts have serials of their own."""
+    """Work and the time at which it is offered; serials of attempts are unique."""
 
     at: float
     work: Work
 
 
 class Ending(NamedTuple):
-    """Work that has left a slot; held means that its time was over before it could start."""
+    """Work that has left its slot; expired means that it was refused instead of started."""
 
     at: float
     work: Work
-    held: bool
+    expired: bool
 
 
 def play(
-    policy: Policy | None, slots: int, arrivals: Iterable[Arrival], took: Callable[[Work], float]
+    policy: Policy | None,
+    slots: int,
+    arrivals: Iterable[Arrival],
+    duration: Callable[[Work], float],
 ) -> list[Ending]:
-    """Offer work as it arrives, run it for the time that it takes, and return what has ended."""
+    """Offer work at its arrival times, run it, and return the endings in order."""
     admission = Admission(service=ServiceName("s"), slots=slots, policy=policy)
     events: list[tuple[float, int, Work, bool]] = [
         (at, work.attempt.serial, work, True) for at, work in arrivals
     ]
     heapq.heapify(events)
-    ended: list[Ending] = []
+    endings: list[Ending] = []
     while events:
         now, _, work, arrives = heapq.heappop(events)
         if arrives:
             admission.offer(work, now)
         else:
             admission.finish(work, now)
-            ended.append(Ending(now, work, False))
+            endings.append(Ending(now, work, False))
         while (started := admission.start_next(now)) is not None:
             if admission.overdue(started, now) is not None:
                 admission.finish(started, now, ran=False)
-                ended.append(Ending(now, started, True))
+                endings.append(Ending(now, started, True))
                 continue
-            heapq.heappush(events, (now + took(started), started.attempt.serial, started, False))
-    return ended
+            heapq.heappush(
+                events, (now + duration(started), started.attempt.serial, started, False)
+            )
+    return endings
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -1,4 +1,4 @@
-"""The load pattern of nested calls: work under way needs a service that is at a crest."""
+"""Tests of nested calls to a service whose load exceeds its capacity."""
 
 import random
 import unittest
@@ -12,15 +12,15 @@
 POST_S, CHECK_S = 0.18, 0.04
 POST_GOAL_S, CHECK_GOAL_S = 0.6, 0.15
 POST_DEADLINE_S, CHECK_DEADLINE_S = 1.5, 0.5
-# Posts alone ask for all the slots, and checks for half of them beside.
+# Posts alone use the whole capacity, and checks half of it in addition.
 POSTS_PER_S, CHECKS_PER_S = SLOTS / POST_S, SLOTS / CHECK_S / 2
-CREST_S = 6.0
-# A process may have run for any time when the crest comes.
-BEGAN = 1000.0
+PEAK_S = 6.0
+# The simulation starts at an arbitrary time of the monotonic clock.
+START = 1000.0
 
 
 def work(serial: int, now: float, *, nested: bool) -> Work:
-    """Return a check that a parent waits for, or a post."""
+    """Return a check that a parent request waits for, or a post."""
     request = Request("GET" if nested else "POST", "/", (), b"")
     attempt = AttemptId(HostName("a"), 1, serial)
     if nested:
@@ -32,54 +32,54 @@
 
 
 class NestedCallsTest(unittest.TestCase):
-    """A call that is refused or late wastes what its parent has done."""
+    """Tests that nested calls are preferred; refusing one wastes its parent's work."""
 
-    def test_nested_calls_go_first_at_a_crest(self) -> None:
-        """Nearly all are answered in time, and the posts get the slots that are left."""
+    def test_nested_calls_start_first_during_overload(self) -> None:
+        """Nearly all nested calls meet their deadline, and posts use the remaining capacity."""
         rng = random.Random(5)
         arrivals: list[Arrival] = []
         for per_s, nested in ((POSTS_PER_S, False), (CHECKS_PER_S, True)):
-            now = BEGAN
-            while now < BEGAN + CREST_S:
+            now = START
+            while now < START + PEAK_S:
                 now += rng.expovariate(per_s)
                 arrivals.append(Arrival(now, work(len(arrivals), now, nested=nested)))
-        ended = play(
+        endings = play(
             None,
             SLOTS,
             arrivals,
             lambda it: (CHECK_S if it.nested else POST_S) * rng.uniform(0.5, 2),
         )
-        checks = [it for it in ended if it.work.nested and not it.held]
+        checks = [it for it in endings if it.work.nested and not it.expired]
         in_time = sum(it.at <= it.work.deadline for it in checks)
         self.assertGreater(in_time, 0.95 * sum(it.work.nested for it in arrivals))
-        posts = [it for it in ended if not it.work.nested and not it.held]
-        # Work takes 1.25 times as long on average, so that checks take 0.625 of the slots' time.
-        left = POSTS_PER_S * CREST_S * (1 - 0.625) / 1.25
-        self.assertGreater(len(posts), 0.8 * left)
+        posts = [it for it in endings if not it.work.nested and not it.expired]
+        # The mean of uniform(0.5, 2) is 1.25, so checks use 0.5 * 1.25 = 0.625 of the capacity.
+        remaining = POSTS_PER_S * PEAK_S * (1 - 0.625) / 1.25
+        self.assertGreater(len(posts), 0.8 * remaining)
 
-    def test_a_nested_call_that_is_late_is_not_put_behind(self) -> None:
-        """Its parent is answered late in any case, and not at all without it."""
+    def test_late_nested_calls_are_not_demoted(self) -> None:
+        """The parent is late already, and would fail without the nested call."""
         admission = Admission(service=ServiceName("s"), slots=1)
-        check = work(1, BEGAN, nested=True)._replace(goal=BEGAN - 0.1)
-        post = work(2, BEGAN, nested=False)
-        for given in (post, check):
-            self.assertIsNone(admission.offer(given, BEGAN))
-        self.assertEqual(admission.start_next(BEGAN), check)
+        check = work(1, START, nested=True)._replace(goal=START - 0.1)
+        post = work(2, START, nested=False)
+        for item in (post, check):
+            self.assertIsNone(admission.offer(item, START))
+        self.assertEqual(admission.start_next(START), check)
 
-    def test_work_with_a_goal_and_without_one_is_ordered_by_one_clock(self) -> None:
-        """A caller's backlog without goals is passed by what is due before its turn."""
+    def test_work_with_and_without_a_goal_is_ordered_by_time(self) -> None:
+        """Work with a goal overtakes the part of a caller's backlog that is due later."""
         admission = Admission(service=ServiceName("s"), slots=2)
-        taught = work(0, BEGAN, nested=False)._replace(goal=None)
-        admission.offer(taught, BEGAN)
-        admission.finish(admission.start_next(BEGAN) or taught, BEGAN + POST_S)
-        backlog = [taught._replace(attempt=AttemptId(HostName("b"), 1, at)) for at in range(8)]
-        due = work(9, BEGAN, nested=False)._replace(goal=BEGAN + 5 * POST_S)
-        for given in (*backlog, due):
-            self.assertIsNone(admission.offer(given, BEGAN))
+        sample = work(0, START, nested=False)._replace(goal=None)
+        admission.offer(sample, START)
+        admission.finish(admission.start_next(START) or sample, START + POST_S)
+        backlog = [sample._replace(attempt=AttemptId(HostName("b"), 1, at)) for at in range(8)]
+        due = work(9, START, nested=False)._replace(goal=START + 5 * POST_S)
+        for item in (*backlog, due):
+            self.assertIsNone(admission.offer(item, START))
         order: list[Work] = []
-        while (started := admission.start_next(BEGAN)) is not None:
+        while (started := admission.start_next(START)) is not None:
             order.append(started)
-            admission.finish(started, BEGAN + POST_S)
+            admission.finish(started, START + POST_S)
         self.assertIn(order.index(due), (5, 6))
 
 
--- a/tests/test_short_behind_long.py
+++ b/tests/test_short_behind_long.py
@@ -1,4 +1,4 @@
-"""The load pattern of short calls behind long ones, such as nested checks behind posts."""
+"""Tests of head-of-line blocking: short calls that queue together with long ones."""
 
 import random
 import unittest
@@ -13,50 +13,50 @@
 CHECK_S, POST_S = 0.022, 0.100
 CHECK_GOAL_S, POST_GOAL_S = 0.1, 0.4
 CALLS = 4000
-# Both kinds together ask for this share of the slots, in waves.
+# Mean load of both kinds together as a share of the capacity; the rate varies over time.
 LOAD = 0.95
 
 
-def share(policy: Policy | None, seed: int) -> dict[str, float]:
-    """Return the share of each kind of call that reaches its goal, over simulated time."""
+def goal_shares(policy: Policy | None, seed: int) -> dict[str, float]:
+    """Return the share of each kind of call that meets its goal in a simulation."""
     rng = random.Random(seed)
     arrivals: list[Arrival] = []
     now = 0.0
     mean = (CHECK_S + POST_S) / 2
     for number in range(CALLS):
-        wave = 1.5 if int(now) % 4 == 0 else 0.8
-        now += rng.expovariate(LOAD * wave * SLOTS / mean)
+        rate_factor = 1.5 if int(now) % 4 == 0 else 0.8
+        now += rng.expovariate(LOAD * rate_factor * SLOTS / mean)
         kind, goal = ("check", CHECK_GOAL_S) if number % 2 else ("post", POST_GOAL_S)
         attempt = AttemptId(HostName("a"), 1, number)
         request = Request("GET", "/", (), b"")
         work = Work(attempt, request, now + 3 * goal, True, "c", now + goal, kind)
         arrivals.append(Arrival(now, work))
 
-    def took(work: Work) -> float:
+    def duration(work: Work) -> float:
         return (CHECK_S if work.kind == "check" else POST_S) * rng.uniform(0.5, 1.5)
 
-    asked = Counter(arrival.work.kind for arrival in arrivals)
+    offered = Counter(arrival.work.kind for arrival in arrivals)
     met = Counter(
         ending.work.kind
-        for ending in play(policy, SLOTS, arrivals, took)
-        if not ending.held and ending.work.goal is not None and ending.at <= ending.work.goal
+        for ending in play(policy, SLOTS, arrivals, duration)
+        if not ending.expired and ending.work.goal is not None and ending.at <= ending.work.goal
     )
-    return {kind: met[kind] / asked[kind] for kind in asked}
+    return {kind: met[kind] / offered[kind] for kind in offered}
 
 
 class ShortBehindLongTest(unittest.TestCase):
-    """That a check isn't held by posts that have more time than it."""
+    """Tests that checks are not blocked by posts with later goals."""
 
-    def test_checks_reach_their_goal_in_waves_over_capacity(self) -> None:
-        """The worse served kind is served better than in the order of arrival, and so are all."""
+    def test_checks_meet_their_goal_while_load_exceeds_capacity(self) -> None:
+        """More calls meet their goal than in order of arrival, for the worse kind and in total."""
         for seed in range(3):
-            ours, arrival = share(None, seed), share(FirstComeFirstServed(), seed)
-            with self.subTest(seed=seed, ours=ours, arrival=arrival):
-                self.assertGreater(min(ours.values()), min(arrival.values()) + 0.1)
-                self.assertGreater(sum(ours.values()), sum(arrival.values()) + 0.1)
+            default, baseline = goal_shares(None, seed), goal_shares(FirstComeFirstServed(), seed)
+            with self.subTest(seed=seed, default=default, baseline=baseline):
+                self.assertGreater(min(default.values()), min(baseline.values()) + 0.1)
+                self.assertGreater(sum(default.values()), sum(baseline.values()) + 0.1)
 
-    def test_what_has_become_late_lets_others_go_first_once(self) -> None:
-        """So that one late call makes no second one late, and isn't starved either."""
+    def test_late_work_is_demoted_once(self) -> None:
+        """A late call does not delay one that can meet its goal, and is not starved."""
         admission = Admission(service=ServiceName("s"), slots=1)
 
         def work(serial: int, goal: float) -> Work:
