--- a/cowslipvane/routing/__init__.py
+++ b/cowslipvane/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Where a request goes: the routing table in force, and the choice of an owner."""
+"""Route requests to services and choose an owner for each attempt."""
 
 from cowslipvane.routing._budget import Budgets
 from cowslipvane.routing._choice import Chooser
--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -1,4 +1,4 @@
-"""Budgets that keep retries and hedges a share of the calls, over the whole fleet."""
+"""Budgets that limit retries and hedged requests to a share of the calls of the fleet."""
 
 from __future__ import annotations
 
@@ -6,38 +6,39 @@
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.types import Seconds, ServiceName
 
-# Part of the fleet's allowance that is used: calls that a repeated run makes are repeats too.
-USED_SHARE = 0.75
-# Hedges allowed for each call, on average, and each second beside these.
+# Share of the allowance for retries that proxies use. The rest is for nested calls, which a retried
+# request makes once more.
+ALLOWANCE_SHARE = 0.75
+# Hedged requests allowed as a share of the calls, and in addition by time.
 HEDGE_SHARE = 0.05
-HEDGE_FLOOR_PER_S = 0.2
-# The most hedges that can be saved up.
-_MOST_HEDGES = 5.0
+MIN_HEDGES_PER_S = 0.2
+# Capacity of the token bucket for hedged requests.
+_HEDGE_BUCKET_CAPACITY = 5.0
 
 
 class TokenBucket:
-    """Tokens that calls and time earn, and that extra attempts spend."""
+    """A token bucket that is refilled by calls and by time, and drained by extra attempts."""
 
-    def __init__(self, *, share: float, floor_per_s: float, most: float, now: float) -> None:
+    def __init__(self, *, share: float, tokens_per_s: float, capacity: float, now: float) -> None:
         self._share = share
-        self._floor_per_s = floor_per_s
-        self._most = most
-        self._tokens = most
+        self._tokens_per_s = tokens_per_s
+        self._capacity = capacity
+        self._tokens = capacity
         self._filled_at = now
 
     def earn(self) -> None:
-        """Earn the share of one call."""
-        self._tokens = min(self._tokens + self._share, self._most)
+        """Add the tokens for one call."""
+        self._tokens = min(self._tokens + self._share, self._capacity)
 
-    def limit(self, most: float) -> None:
-        """Save up no more than this from now on."""
-        self._most = most
-        self._tokens = min(self._tokens, most)
+    def set_capacity(self, capacity: float) -> None:
+        """Set the capacity, and discard the tokens above it."""
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
 
     def spend(self, now: float) -> bool:
-        """Spend a token; return False when there is none."""
-        passed: Seconds = max(now - self._filled_at, 0.0)
-        self._tokens = min(self._tokens + passed * self._floor_per_s, self._most)
+        """Take a token; return False if there is none."""
+        elapsed: Seconds = max(now - self._filled_at, 0.0)
+        self._tokens = min(self._tokens + elapsed * self._tokens_per_s, self._capacity)
         self._filled_at = now
         if self._tokens < 1:
             return False
@@ -46,9 +47,10 @@
 
 
 class Budgets:
-    """One proxy's part of the fleet's budgets for retries and hedges, by service.
+    """One proxy's part of the fleet's budgets for retries and hedged requests, by service.
 
-    What calls earn adds up over the proxies by itself; the slack beside it is divided among them.
+    Tokens earned by calls need no division, since each proxy counts its own calls. The slack, which
+    is allowed whatever the number of calls, is divided evenly among the proxies.
     """
 
     def __init__(self, *, retries: Retries = DEFAULT_RETRIES) -> None:
@@ -58,52 +60,59 @@
         self._hedges: dict[ServiceName, TokenBucket] = {}
 
     def share_with(self, proxies: int) -> None:
-        """Divide the slack among so many proxies, this one included."""
+        """Divide the slack among this number of proxies, including this one."""
         if proxies != self._proxies:
             self._proxies = proxies
             for bucket in self._retries.values():
-                bucket.limit(self._part)
+                bucket.set_capacity(self._slack_capacity)
 
     def note_call(self, service: ServiceName, now: float) -> None:
-        """Count a call's first attempt."""
+        """Add the tokens for a new call."""
         if service not in self._retries:
-            share = self._retries_allowed.share * USED_SHARE
+            share = self._retries_allowed.share * ALLOWANCE_SHARE
             self._retries[service] = TokenBucket(
-                share=share, floor_per_s=self._part_per_s, most=self._part, now=now
+                share=share,
+                tokens_per_s=self._slack_tokens_per_s,
+                capacity=self._slack_capacity,
+                now=now,
             )
             self._hedges[service] = TokenBucket(
-                share=HEDGE_SHARE, floor_per_s=HEDGE_FLOOR_PER_S, most=_MOST_HEDGES, now=now
+                share=HEDGE_SHARE,
+                tokens_per_s=MIN_HEDGES_PER_S,
+                capacity=_HEDGE_BUCKET_CAPACITY,
+                now=now,
             )
         self._retries[service].earn()
         self._hedges[service].earn()
 
     def allow_retry(self, service: ServiceName, refusal: Refusal, now: float) -> bool:
-        """Return whether a refused call may be tried again, and count the retry."""
+        """Return whether a refused call may be retried, and count the retry."""
         match refusal:
             case Draining() | QueueFull() | Overloaded() | Withdrawn() | NoUpstream():
-                # An owner refused it before it came to an upstream, which costs that nothing.
+                # The call was refused before it reached an upstream, so a retry adds no load there.
                 return True
             case _:
                 return service in self._retries and self._retries[service].spend(now)
 
     def allow_hedge(self, service: ServiceName, now: float) -> bool:
-        """Return whether a call may be sent a second time, and count the hedge."""
+        """Return whether a call may be hedged, and count the hedged request."""
         return service in self._hedges and self._hedges[service].spend(now)
 
     @property
-    def _part(self) -> float:
-        """Return the tokens that this proxy may save up; half of its part, the rest comes by time.
+    def _slack_capacity(self) -> float:
+        """Return the bucket capacity for retries, which is half of this proxy's slack.
 
-        A bucket that is full at the start of a window can spend that, and what it earns in it.
+        The other half is earned by time: a bucket that is full at the start of a window can spend
+        its capacity and the tokens earned during the window.
         """
         return max(1.0, self._slack / 2)
 
     @property
-    def _part_per_s(self) -> float:
-        """Return the tokens that this proxy earns by time alone."""
+    def _slack_tokens_per_s(self) -> float:
+        """Return the tokens for retries that this proxy earns each second without calls."""
         return self._slack / 2 / self._retries_allowed.window
 
     @property
     def _slack(self) -> float:
-        """Return this proxy's part of the slack in a window."""
-        return self._retries_allowed.slack * USED_SHARE / self._proxies
+        """Return this proxy's share of the slack for one window."""
+        return self._retries_allowed.slack * ALLOWANCE_SHARE / self._proxies
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -1,4 +1,4 @@
-"""The choice among the owners of a service's upstreams."""
+"""Choose among the owners of a service's upstreams."""
 
 from __future__ import annotations
 
@@ -11,29 +11,30 @@
 from cowslipvane.routing._view import Load, OwnerView, Result
 from cowslipvane.types import DataCentre, HostName, Seconds
 
-# At most this share of a service's owners, of all data centres, is left out as outliers.
-EASED_SHARE = 1 / 3
-# An owner is an outlier when its median latency is this many times that of the others.
+# Largest share of a service's owners, over all data centres, that may be ejected as outliers.
+MAX_EJECTED_SHARE = 1 / 3
+# An owner is an outlier if its median latency is this many times the median over all owners.
 SLOW_FACTOR = 3.0
-# A difference below this doesn't make an outlier.
-SLOW_EXCESS: Seconds = 0.005
-# This share of the calls goes to other data centres, whose latency is the one to compare with.
-FAR_SHARE = 0.02
-# With so many calls for each slot at each owner here, other data centres are considered. Bytes
-# between data centres are dear, and an owner refuses by itself what can't reach its goal there.
-OVERLOADED = 5.0
-# The same for calls of few bytes, which cost little on the way.
-OVERLOADED_FOR_LIGHT = 2.5
-# A call that was refused here goes only to an owner elsewhere with fewer calls for each slot: one
-# whose slots are all taken is likely to refuse it too, once its bytes have travelled.
-ROOM_ELSEWHERE = 1.0
-# An owner in another data centre must have so many calls for each slot fewer than the best one
-# here, since else a call gains nothing there that is worth its bytes.
-SPILL_MARGIN = 0.8
+# An owner is no outlier if its latency exceeds the median by less than this.
+MIN_SLOW_EXCESS: Seconds = 0.005
+# Share of the calls that go to other data centres anyway, to keep the latencies there known for
+# comparison.
+REMOTE_SHARE = 0.02
+# Calls per slot at every local owner from which other data centres are considered. Traffic between
+# data centres is expensive, and an owner itself refuses calls that it can't answer within the goal.
+OVERLOAD_CALLS_PER_SLOT = 5.0
+# The same for calls of few bytes, which are cheap to send to another data centre.
+OVERLOAD_CALLS_PER_SLOT_SMALL = 2.5
+# A call that was refused in this data centre goes only to remote owners with fewer calls per slot
+# than this. An owner without a free slot would probably refuse it too, after the bytes were sent.
+MAX_REMOTE_CALLS_PER_SLOT = 1.0
+# How many calls per slot fewer a remote owner must have than the best local one. With a smaller
+# difference the gain would not be worth the traffic between data centres.
+REMOTE_MARGIN_CALLS_PER_SLOT = 0.8
 
 
 class Eased(NamedTuple):
-    """An owner that is left out for a while, and why."""
+    """The ejection of an owner for a time, and the reason."""
 
     host: HostName
     loses: bool
@@ -43,18 +44,18 @@
 
 
 class Chooser:
-    """Chooses the less loaded of two owners, in the own data centre first."""
+    """Choose the less loaded of two random owners, preferring the local data centre."""
 
     def __init__(self, *, data_centre: DataCentre, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
         self._views: dict[HostName, OwnerView] = {}
-        self._eased: list[Eased] = []
+        self._ejections: list[Eased] = []
 
     def take_eased(self) -> list[Eased]:
-        """Return the owners that were left out since the last call."""
-        eased, self._eased = self._eased, []
-        return eased
+        """Return the ejections since the last call of this method."""
+        ejections, self._ejections = self._ejections, []
+        return ejections
 
     def choose(
         self,
@@ -64,113 +65,120 @@
         *,
         light: bool = False,
     ) -> Member | None:
-        """Return the owner for the next attempt, or None when there is none.
+        """Return the owner for the next attempt, or None if there is none.
 
-        A light call is one of few bytes.
+        light tells that the call has few bytes and is cheap to send to another data centre.
         """
         for owner in owners:
-            self._see(owner, now)
-        left = [owner for owner in owners if owner.host not in excluded]
+            self._ensure_view(owner, now)
+        remaining = [owner for owner in owners if owner.host not in excluded]
         usable = {owner.host for owner in self._without_outliers(owners, now)}
-        pool = [owner for owner in left if owner.host in usable] or left
-        if any(self._is_near(owner) for owner in owners if owner.host in excluded):
-            pool = [owner for owner in pool if self._may_follow(owner, now)]
-        candidates = self._nearest(pool, now, OVERLOADED_FOR_LIGHT if light else OVERLOADED)
+        pool = [owner for owner in remaining if owner.host in usable] or remaining
+        if any(self._is_local(owner) for owner in owners if owner.host in excluded):
+            pool = [owner for owner in pool if self._may_take_over(owner, now)]
+        candidates = self._preferred(
+            pool, now, OVERLOAD_CALLS_PER_SLOT_SMALL if light else OVERLOAD_CALLS_PER_SLOT
+        )
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
         first = self._draw(candidates, now)
         second = self._draw([owner for owner in candidates if owner is not first], now)
-        return self._lighter(first, second, now)
+        return self._less_loaded(first, second, now)
 
     def begin(self, host: HostName) -> None:
-        """Count a call under way to an owner."""
+        """Count a call in flight to an owner."""
         self._views[host].begin()
 
     def end(
-        self, host: HostName, result: Result, load: Load | None, took: Seconds, now: float
+        self, host: HostName, result: Result, load: Load | None, duration: Seconds, now: float
     ) -> None:
-        """Count a call as over, and learn from what became of it."""
-        self._views[host].end(result, load, took, now)
+        """Record the end of a call and its result."""
+        self._views[host].end(result, load, duration, now)
 
-    def _see(self, owner: Member, now: float) -> None:
-        """Begin a new view of an owner that is new, or new again."""
+    def _ensure_view(self, owner: Member, now: float) -> None:
+        """Create a view of an owner that is new or has restarted."""
         view = self._views.get(owner.host)
         if view is None or not view.is_of(owner):
             self._views[owner.host] = OwnerView(member=owner, now=now)
 
-    def _nearest(self, pool: Sequence[Member], now: float, limit: float) -> Sequence[Member]:
-        """Return the owners of the own data centre, or of others when those can't serve."""
-        near = [owner for owner in pool if self._is_near(owner)]
-        far = [owner for owner in pool if not self._is_near(owner)]
-        if not near or not far:
-            return near or far
-        load = min(self._per_slot(owner, now) for owner in near)
+    def _preferred(self, pool: Sequence[Member], now: float, limit: float) -> Sequence[Member]:
+        """Return the local owners, or remote ones if those are the better choice."""
+        local = [owner for owner in pool if self._is_local(owner)]
+        remote = [owner for owner in pool if not self._is_local(owner)]
+        if not local or not remote:
+            return local or remote
+        load = min(self._calls_per_slot(owner, now) for owner in local)
         if load < limit:
-            return far if self._rng.random() < FAR_SHARE else near
-        lighter = [own for own in far if self._per_slot(own, now) <= load - SPILL_MARGIN]
-        return lighter or near
+            return remote if self._rng.random() < REMOTE_SHARE else local
+        less_loaded = [
+            owner
+            for owner in remote
+            if self._calls_per_slot(owner, now) <= load - REMOTE_MARGIN_CALLS_PER_SLOT
+        ]
+        return less_loaded or local
 
-    def _is_near(self, owner: Member) -> bool:
-        """Return whether an owner is in the own data centre."""
+    def _is_local(self, owner: Member) -> bool:
+        """Return whether an owner is in this data centre."""
         return owner.data_centre == self._data_centre
 
-    def _may_follow(self, owner: Member, now: float) -> bool:
-        """Return whether a call may go to an owner after one of the own data centre had it."""
-        return self._is_near(owner) or self._per_slot(owner, now) < ROOM_ELSEWHERE
+    def _may_take_over(self, owner: Member, now: float) -> bool:
+        """Return whether an owner may get a call that a local owner has had before."""
+        return self._is_local(owner) or self._calls_per_slot(owner, now) < MAX_REMOTE_CALLS_PER_SLOT
 
-    def _per_slot(self, owner: Member, now: float) -> float:
-        """Return the calls for each slot of an owner."""
-        return self._views[owner.host].per_slot(now)
+    def _calls_per_slot(self, owner: Member, now: float) -> float:
+        """Return the calls per slot of an owner."""
+        return self._views[owner.host].calls_per_slot(now)
 
     def _without_outliers(self, pool: Sequence[Member], now: float) -> list[Member]:
-        """Ease out the worst owners, as far as their share allows, and return the others."""
-        used = [owner for owner in pool if not self._views[owner.host].is_eased(now)]
-        allowed = int(len(pool) * EASED_SHARE) - (len(pool) - len(used))
-        for owner in self._outliers(used)[: max(allowed, 0)]:
-            self._ease_out(owner, self._usual(used), now)
-            used.remove(owner)
-        return used
-
-    def _ease_out(self, owner: Member, usual: Seconds, now: float) -> None:
-        """Leave an owner out for a while, and remember why."""
+        """Eject the worst outliers, up to the allowed share, and return the other owners."""
+        in_use = [owner for owner in pool if not self._views[owner.host].is_ejected(now)]
+        allowed = int(len(pool) * MAX_EJECTED_SHARE) - (len(pool) - len(in_use))
+        for owner in self._outliers(in_use)[: max(allowed, 0)]:
+            self._eject(owner, self._median_latency(in_use), now)
+            in_use.remove(owner)
+        return in_use
+
+    def _eject(self, owner: Member, median: Seconds, now: float) -> None:
+        """Eject an owner for a time and record the ejection."""
         view = self._views[owner.host]
-        loses, latency = view.loses, view.latency or 0.0
-        self._eased.append(Eased(owner.host, loses, latency, usual, view.ease_out(now)))
+        loses, latency = view.loses_attempts, view.latency or 0.0
+        self._ejections.append(Eased(owner.host, loses, latency, median, view.eject(now)))
 
-    def _usual(self, owners: Sequence[Member]) -> Seconds:
-        """Return the latency of the owner in the middle; 0 when none is known."""
+    def _median_latency(self, owners: Sequence[Member]) -> Seconds:
+        """Return the median of the owners' latencies, or 0 if none is known."""
         latencies = [self._views[owner.host].latency for owner in owners]
         known = [latency for latency in latencies if latency is not None]
         return statistics.median_low(known) if known else 0.0
 
     def _outliers(self, owners: Sequence[Member]) -> list[Member]:
-        """Return the owners that lose attempts or are slow, the worst first."""
-        usual = self._usual(owners)
-        limit = max(usual * SLOW_FACTOR, usual + SLOW_EXCESS)
+        """Return the owners that lose attempts or are slow, worst first."""
+        median = self._median_latency(owners)
+        limit = max(median * SLOW_FACTOR, median + MIN_SLOW_EXCESS)
         views = {owner.host: self._views[owner.host] for owner in owners}
-        found = [
+        outliers = [
             owner
             for owner in owners
-            if views[owner.host].loses or (views[owner.host].latency or 0.0) > limit
+            if views[owner.host].loses_attempts or (views[owner.host].latency or 0.0) > limit
         ]
         return sorted(
-            found,
-            key=lambda owner: (views[owner.host].loses, views[owner.host].latency or 0.0),
+            outliers,
+            key=lambda owner: (views[owner.host].loses_attempts, views[owner.host].latency or 0.0),
             reverse=True,
         )
 
     def _draw(self, owners: Sequence[Member], now: float) -> Member:
-        """Return an owner at random, new and returning ones less often."""
+        """Return a random owner, weighted by how far each has ramped up."""
         ramps = [self._views[owner.host].ramp(now) for owner in owners]
         return self._rng.choices(owners, ramps)[0]
 
-    def _lighter(self, one: Member, other: Member, now: float) -> Member:
-        """Return the owner that is likely to answer sooner."""
-        views = [self._views[owner.host] for owner in (one, other)]
+    def _less_loaded(self, first: Member, second: Member, now: float) -> Member:
+        """Return the owner with the shorter expected wait."""
+        views = [self._views[owner.host] for owner in (first, second)]
         times = [view.service_time for view in views]
-        # Times count only when both are known.
+        # Service times are compared only if both are known.
         weights = times if all(times) else [1.0, 1.0]
         waits = [
-            (view.per_slot(now) + 1) * weight for view, weight in zip(views, weights, strict=True)
+            (view.calls_per_slot(now) + 1) * weight
+            for view, weight in zip(views, weights, strict=True)
         ]
-        return one if waits[0] <= waits[1] else other
+        return first if waits[0] <= waits[1] else second
--- a/cowslipvane/routing/_hedging.py
+++ b/cowslipvane/routing/_hedging.py
@@ -1,35 +1,35 @@
-"""When a call that has no answer yet is worth a second copy."""
+"""Decide when to hedge a call that has not been answered yet."""
 
 from __future__ import annotations
 
 from cowslipvane.routing._quantile import Quantile
 from cowslipvane.types import Seconds, ServiceName
 
-# A copy is sent when this share of the calls would have been answered.
-HEDGE_AFTER_SHARE = 0.95
-# No copies are sent before this many answers.
-ENOUGH_SAMPLES = 50
-# No copy is sent sooner than this.
-LEAST_DELAY: Seconds = 0.002
-# One answer changes the delay by at most this factor.
-_STEP = 0.02
+# A call is hedged after the time in which this share of the calls is answered.
+HEDGE_QUANTILE = 0.95
+# Answers needed before calls are hedged.
+MIN_SAMPLES = 50
+# Lower limit of the delay before a call is hedged.
+MIN_DELAY: Seconds = 0.002
+# Largest relative change of the delay by a single answer.
+_MAX_STEP = 0.02
 
 
 class Hedging:
-    """Learns how long a service's answers take, and when to stop waiting for one."""
+    """Track the latencies of each service and derive its hedging delay."""
 
     def __init__(self) -> None:
         self._latencies: dict[ServiceName, Quantile] = {}
 
-    def learn(self, service: ServiceName, took: Seconds) -> None:
-        """Take in how long an answer took."""
+    def learn(self, service: ServiceName, latency_s: Seconds) -> None:
+        """Record the latency of an answer."""
         if service not in self._latencies:
-            self._latencies[service] = Quantile(share=HEDGE_AFTER_SHARE, step=_STEP)
-        self._latencies[service].add(took)
+            self._latencies[service] = Quantile(share=HEDGE_QUANTILE, step=_MAX_STEP)
+        self._latencies[service].add(latency_s)
 
     def delay(self, service: ServiceName) -> Seconds | None:
-        """Return when to send a second copy of an idempotent call, or None for never."""
+        """Return the delay before an idempotent call is hedged, or None while it is unknown."""
         latency = self._latencies.get(service)
-        if latency is None or latency.samples < ENOUGH_SAMPLES:
+        if latency is None or latency.samples < MIN_SAMPLES:
             return None
-        return max(latency.value, LEAST_DELAY)
+        return max(latency.value, MIN_DELAY)
--- a/cowslipvane/routing/_host_routes.py
+++ b/cowslipvane/routing/_host_routes.py
@@ -1,4 +1,4 @@
-"""The routes of one host, found by their path prefixes."""
+"""Look up the routes of one host by path prefix."""
 
 from __future__ import annotations
 
@@ -13,15 +13,15 @@
 from cowslipvane.catalogue import RetryPolicy, Route, TrafficPolicy
 from cowslipvane.types import Header, Headers, Seconds, ServiceName
 
-# Stands for any host or any method.
+# Wildcard for any host or any method.
 ANY = "*"
 
 
 class ServiceRules(NamedTuple):
-    """A service with the policies for requests to it resolved.
+    """A service and the policies that apply to requests for it.
 
-    repeatable says whether a request may run more than once, or is None where its method tells;
-    goal is the time in which an answer is worth most.
+    repeatable tells whether a request may run more than once; if it is None, the method decides.
+    goal is the latency goal: the time within which an answer is worth most.
     """
 
     service: ServiceName
@@ -29,11 +29,11 @@
     traffic: TrafficPolicy
     repeatable: bool | None = None
     goal: Seconds | None = None
-    # Tells requests with a goal apart by their route, for estimates of how long they take.
+    # Identifies the route of requests with a goal, for separate service time estimates.
     kind: str = ""
 
-    def of_route(self, route: Route) -> ServiceRules:
-        """Return the rules with what a route says itself in place of the service's policies."""
+    def with_route(self, route: Route) -> ServiceRules:
+        """Return the rules with the service's policies overridden by those of a route."""
         retry, traffic = self.retry, self.traffic
         if route.attempts is not None:
             retry = dataclasses.replace(retry, attempts=route.attempts)
@@ -43,8 +43,8 @@
         return ServiceRules(self.service, retry, traffic, route.repeatable, route.goal, kind)
 
 
-class Choice(NamedTuple):
-    """What a route asks beside host and path, and the services it leads to by weight."""
+class RouteMatch(NamedTuple):
+    """The conditions of a route apart from host and path, and its weighted services."""
 
     method: str
     headers: tuple[Header, ...]
@@ -52,68 +52,69 @@
     cumulative_weights: tuple[int, ...]
 
     def matches(self, method: str, headers: Headers) -> bool:
-        """Return whether a request under the route's path matches the rest."""
+        """Return whether the method and the headers of a request match."""
         return self.method in (ANY, method) and all(
-            _has(headers, wanted.name, wanted.value) for wanted in self.headers
+            _has(headers, required.name, required.value) for required in self.headers
         )
 
     def draw(self, rng: random.Random) -> ServiceRules:
-        """Return one of the services by weight."""
+        """Return one of the services at random, by weight."""
         if len(self.rules) == 1:
             return self.rules[0]
         return rng.choices(self.rules, cum_weights=self.cumulative_weights)[0]
 
 
 class HostRoutes:
-    """The routes of one host by path prefix; a longer prefix comes before a shorter."""
+    """The routes of one host by path prefix; the longest matching prefix wins."""
 
     def __init__(self) -> None:
-        self._by_prefix: dict[str, list[Choice]] = {}
-        self._longest = 0
+        self._by_prefix: dict[str, list[RouteMatch]] = {}
+        self._longest_prefix = 0
 
     def add(self, route: Route, rules: Mapping[ServiceName, ServiceRules]) -> None:
-        """Add a route after those that are more specific."""
-        prefix = normal_path(route.path_prefix)
-        choice = Choice(
+        """Add a route; more specific routes must have been added before."""
+        prefix = normalize_path(route.path_prefix)
+        route_match = RouteMatch(
             route.method,
             route.headers,
-            tuple(rules[target.service].of_route(route) for target in route.targets),
+            tuple(rules[target.service].with_route(route) for target in route.targets),
             tuple(accumulate(target.weight for target in route.targets)),
         )
-        self._by_prefix.setdefault(prefix, []).append(choice)
-        self._longest = max(self._longest, len(prefix))
+        self._by_prefix.setdefault(prefix, []).append(route_match)
+        self._longest_prefix = max(self._longest_prefix, len(prefix))
 
-    def find(self, path: str, method: str, headers: Headers) -> Choice | None:
+    def find(self, path: str, method: str, headers: Headers) -> RouteMatch | None:
         """Return the most specific route that matches a request."""
         for prefix in self._prefixes(path):
-            for choice in self._by_prefix.get(prefix, ()):
-                if choice.matches(method, headers):
-                    return choice
+            for route_match in self._by_prefix.get(prefix, ()):
+                if route_match.matches(method, headers):
+                    return route_match
         return None
 
     def _prefixes(self, path: str) -> Iterator[str]:
-        """Yield the prefixes of a path that end with a whole segment, the longest first."""
-        if len(path) <= self._longest:
+        """Yield the prefixes of a path that end at a segment boundary, longest first."""
+        if len(path) <= self._longest_prefix:
             yield path
-        # A path has as many slashes as its caller likes; prefixes longer than any don't count.
-        end = path.rfind("/", 0, self._longest + 1)
+        # The caller controls the number of slashes in a path, so only prefixes up to the length of
+        # the longest configured one are tried.
+        end = path.rfind("/", 0, self._longest_prefix + 1)
         while end >= 0:
-            if end + 1 < len(path) and end < self._longest:
+            if end + 1 < len(path) and end < self._longest_prefix:
                 yield path[: end + 1]
             if end > 0:
                 yield path[:end]
             end = path.rfind("/", 0, end)
 
 
-def normal_host(host: str) -> str:
-    """Return a host name or Host field in lower case, without a port and a final dot."""
-    # An IPv6 address has colons of its own, within brackets.
+def normalize_host(host: str) -> str:
+    """Return a host name or Host field in lower case, without port and trailing dot."""
+    # An IPv6 address in brackets contains colons.
     name = host.partition("]")[0] if host.startswith("[") else host.partition(":")[0]
     return name.rstrip(".").lower()
 
 
-def normal_path(path: str) -> str:
-    """Return a path without dot segments and needless percent-encoding; %2F stays as it is."""
+def normalize_path(path: str) -> str:
+    """Return a path without dot segments and unneeded percent-encoding; %2F is kept."""
     path = path.partition("?")[0]
     if not path.startswith("/"):
         return path or "/"
@@ -123,5 +124,5 @@
 
 
 def _has(headers: Headers, name: str, value: str) -> bool:
-    """Return whether a header field is there."""
+    """Return whether a header field is present with a value."""
     return any(header.name.lower() == name.lower() and header.value == value for header in headers)
--- a/cowslipvane/routing/_quantile.py
+++ b/cowslipvane/routing/_quantile.py
@@ -1,13 +1,13 @@
-"""A running estimate of a quantile, in constant space."""
+"""Streaming estimation of a quantile in constant space."""
 
 from __future__ import annotations
 
 
 class Quantile:
-    """Estimates a quantile of positive samples, so that one huge sample counts as any other.
+    """Estimate a quantile of positive samples, robust against outliers.
 
-    One sample moves the estimate by at most the step, a factor: a long one follows changes
-    soon, a short one is less noisy.
+    Each sample changes the estimate by at most step, relative to its value, however large the
+    sample is. A larger step follows changes sooner, and a smaller one is less noisy.
     """
 
     def __init__(self, *, share: float, step: float) -> None:
@@ -18,16 +18,16 @@
 
     @property
     def value(self) -> float:
-        """Return the estimate; 0 before the first sample."""
+        """Return the estimate, or 0 before the first sample."""
         return self._value
 
     @property
     def samples(self) -> int:
-        """Return how many samples were taken in."""
+        """Return the number of samples."""
         return self._samples
 
     def add(self, sample: float) -> None:
-        """Take a sample in."""
+        """Update the estimate with a sample."""
         self._samples += 1
         if self._value <= 0:
             self._value = sample
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -1,4 +1,4 @@
-"""The routing table that one version of the configuration makes."""
+"""The routing table built from one version of the configuration."""
 
 from __future__ import annotations
 
@@ -15,14 +15,20 @@
     TrafficPolicy,
     Upstream,
 )
-from cowslipvane.routing._host_routes import ANY, HostRoutes, ServiceRules, normal_host, normal_path
+from cowslipvane.routing._host_routes import (
+    ANY,
+    HostRoutes,
+    ServiceRules,
+    normalize_host,
+    normalize_path,
+)
 from cowslipvane.types import Headers, HostName, ServiceName, Version
 
 _NO_RETRY = RetryPolicy(attempts=1, methods=())
 
 
 class RoutingTable:
-    """All routes of one version; it never changes."""
+    """The routes of one version of the configuration; immutable."""
 
     def __init__(self, *, version: Version, resources: Iterable[Resource]) -> None:
         self._version = version
@@ -34,11 +40,12 @@
         }
         self._hosts: dict[str, HostRoutes] = {}
         routes = [(key.name, spec) for key, spec in by_key.items() if isinstance(spec, Route)]
-        # The most specific route comes first; names break ties, so that all proxies agree.
+        # The most specific route comes first. Ties are broken by name, so that all proxies make the
+        # same choice.
         for _, route in sorted(routes, key=_specificity):
-            host = normal_host(route.host)
+            host = normalize_host(route.host)
             self._hosts.setdefault(host, HostRoutes()).add(route, self._rules)
-        self._out = frozenset(
+        self._out_of_service = frozenset(
             HostName(key.name)
             for key, spec in by_key.items()
             if isinstance(spec, Upstream) and spec.state == "out"
@@ -46,29 +53,29 @@
 
     @property
     def version(self) -> Version:
-        """Return the version of the configuration that the table was made from."""
+        """Return the version of the configuration that the table was built from."""
         return self._version
 
     def is_out(self, host: HostName) -> bool:
-        """Return whether the operator took the upstream on a host out."""
-        return host in self._out
+        """Return whether an operator has taken the upstream on a host out of service."""
+        return host in self._out_of_service
 
     def route(
         self, *, host: str, path: str, method: str, headers: Headers, rng: random.Random
     ) -> ServiceRules | None:
-        """Return the service for a request, drawn by weight, or None without a route."""
-        path = normal_path(path)
-        # A route for the host itself comes before one for any host, however long its path.
-        for name in (normal_host(host), ANY):
+        """Return the service for a request, drawn by weight, or None if no route matches."""
+        path = normalize_path(path)
+        # A route for the host takes precedence over a wildcard route with a longer prefix.
+        for name in (normalize_host(host), ANY):
             routes = self._hosts.get(name)
-            found = routes.find(path, method, headers) if routes else None
-            if found is not None:
-                return found.draw(rng)
+            route_match = routes.find(path, method, headers) if routes else None
+            if route_match is not None:
+                return route_match.draw(rng)
         return None
 
 
 def _rules(key: Key, spec: Service, by_key: Mapping[Key, Spec]) -> ServiceRules:
-    """Return a service with the policies that it refers to."""
+    """Return a service with its policies resolved."""
     retry = by_key[Key("retry-policy", spec.retry_policy)] if spec.retry_policy else _NO_RETRY
     traffic = (
         by_key[Key("traffic-policy", spec.traffic_policy)]
@@ -80,7 +87,7 @@
     return ServiceRules(ServiceName(key.name), retry, traffic)
 
 
-def _specificity(named: tuple[str, Route]) -> tuple[bool, int, str]:
-    """Return what sorts the more specific of two routes with one host and prefix first."""
-    name, route = named
+def _specificity(item: tuple[str, Route]) -> tuple[bool, int, str]:
+    """Return a sort key that puts the more specific of two routes with one prefix first."""
+    name, route = item
     return route.method == ANY, -len(route.headers), name
--- a/cowslipvane/routing/_view.py
+++ b/cowslipvane/routing/_view.py
@@ -1,4 +1,4 @@
-"""What this process has seen of one owner."""
+"""The load, latency and losses of one owner as observed by this process."""
 
 from __future__ import annotations
 
@@ -10,28 +10,28 @@
 from cowslipvane.routing._quantile import Quantile
 from cowslipvane.types import Seconds
 
-# A report of load counts half after this time.
+# The weight of a load report halves in this time.
 LOAD_HALF_LIFE: Seconds = 0.5
-# A new or returning owner gets its full share only after this time.
+# Time over which the traffic of a new or readmitted owner ramps up to its full share.
 RAMP_TIME: Seconds = 5.0
-# The share that a new or returning owner begins with.
-RAMP_FLOOR = 0.1
-# So many attempts lost in a row make an owner an outlier.
-LOST_IN_A_ROW = 3
-# An owner's latency is judged after this many answers.
-ENOUGH_SAMPLES = 10
-# The first time that an outlier is left out; it doubles each time, up to the most.
-EASE_TIME: Seconds = 2.0
-MOST_EASE_TIME: Seconds = 30.0
-# Service times below this are counted as this, so that no ratio between them explodes.
-LEAST_SERVICE_TIME: Seconds = 0.001
-
-# One answer changes the median latency by at most half of this factor.
-_STEP = 0.1
+# Share of its traffic that a new or readmitted owner starts with.
+RAMP_START_SHARE = 0.1
+# Consecutive lost attempts that make an owner an outlier.
+LOSSES_TO_EJECT = 3
+# Answers needed before an owner's latency is compared with others.
+MIN_SAMPLES = 10
+# Duration of the first ejection of an outlier; it doubles with each ejection up to the maximum.
+FIRST_EJECTION_TIME: Seconds = 2.0
+MAX_EJECTION_TIME: Seconds = 30.0
+# Lower limit of service times, which bounds the ratio between the times of two owners.
+MIN_SERVICE_TIME: Seconds = 0.001
+
+# Step of the estimate of the median latency; a single answer changes it by at most half of this.
+_MEDIAN_STEP = 0.1
 
 
 class Load(NamedTuple):
-    """What an owner says of its upstream with each answer; 0 s is an unknown service time."""
+    """The load of an upstream, reported with each answer; a service time of 0 is unknown."""
 
     slots: int
     running: int
@@ -40,7 +40,7 @@
 
 
 class Result(enum.Enum):
-    """What became of an attempt, as far as it says something of the owner."""
+    """The result of an attempt, as far as it concerns the health of the owner."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -50,7 +50,7 @@
 
     @classmethod
     def of_refusal(cls, refusal: Refusal) -> Result:
-        """Return what a refusal says of the owner that it came from."""
+        """Return the result that corresponds to a refusal."""
         match refusal:
             case OwnerUnreachable() | UpstreamLost():
                 return cls.LOST
@@ -61,89 +61,89 @@
 
 
 class OwnerView:
-    """The load, the latency and the failures of one owner, as seen from here."""
+    """The health and load of one owner, as observed by this process."""
 
     def __init__(self, *, member: Member, now: float) -> None:
-        self._life = _life(member)
+        self._identity = _identity(member)
         self._slots = max(member.worker.slots if member.worker else 1, 1)
         self._load: Load | None = None
         self._load_at = now
-        self._under_way = 0
-        self._latency = Quantile(share=0.5, step=_STEP)
-        self._lost = 0
-        self._eased_until = now
-        self._eased_times = 0
+        self._in_flight = 0
+        self._latency = Quantile(share=0.5, step=_MEDIAN_STEP)
+        self._consecutive_losses = 0
+        self._ejected_until = now
+        self._ejections = 0
 
     @property
     def latency(self) -> Seconds | None:
-        """Return the median latency, or None before it can be judged."""
-        return self._latency.value if self._latency.samples >= ENOUGH_SAMPLES else None
+        """Return the median latency, or None without enough samples."""
+        return self._latency.value if self._latency.samples >= MIN_SAMPLES else None
 
     @property
     def service_time(self) -> Seconds:
-        """Return the owner's own service time; 0 when it is unknown."""
+        """Return the reported service time, or 0 if it is unknown."""
         if self._load is None or self._load.service_time <= 0:
             return 0.0
-        return max(self._load.service_time, LEAST_SERVICE_TIME)
+        return max(self._load.service_time, MIN_SERVICE_TIME)
 
     @property
-    def loses(self) -> bool:
-        """Return whether the last attempts were all lost."""
-        return self._lost >= LOST_IN_A_ROW
+    def loses_attempts(self) -> bool:
+        """Return whether the latest attempts were all lost."""
+        return self._consecutive_losses >= LOSSES_TO_EJECT
 
     def is_of(self, member: Member) -> bool:
-        """Return whether the view is of this life of the owner, with this upstream."""
-        return self._life == _life(member)
+        """Return whether the view is of this incarnation of the owner and of this upstream."""
+        return self._identity == _identity(member)
 
-    def is_eased(self, now: float) -> bool:
-        """Return whether the owner is left out for now."""
-        return now < self._eased_until
+    def is_ejected(self, now: float) -> bool:
+        """Return whether the owner is ejected at this time."""
+        return now < self._ejected_until
 
     def ramp(self, now: float) -> float:
-        """Return the share of its usual calls that the owner gets, from 0 to 1."""
-        return min(max((now - self._eased_until) / RAMP_TIME, RAMP_FLOOR), 1.0)
+        """Return the share of its usual traffic that the owner gets, up to 1."""
+        return min(max((now - self._ejected_until) / RAMP_TIME, RAMP_START_SHARE), 1.0)
 
-    def per_slot(self, now: float) -> float:
-        """Return the calls for each slot, by the last report and the calls from here."""
+    def calls_per_slot(self, now: float) -> float:
+        """Return the calls per slot, by the last report and the calls of this process."""
         reported = 0.0
         if self._load is not None:
             age = max(now - self._load_at, 0.0)
             reported = (self._load.running + self._load.queued) * 0.5 ** (age / LOAD_HALF_LIFE)
-        return max(reported, self._under_way) / self._slots
+        return max(reported, self._in_flight) / self._slots
 
     def begin(self) -> None:
-        """Count a call under way."""
-        self._under_way += 1
+        """Count a call in flight."""
+        self._in_flight += 1
 
-    def end(self, result: Result, load: Load | None, took: Seconds, now: float) -> None:
-        """Count a call as over, and learn from it."""
-        self._under_way = max(self._under_way - 1, 0)
+    def end(self, result: Result, load: Load | None, duration: Seconds, now: float) -> None:
+        """Record the end of a call and its result."""
+        self._in_flight = max(self._in_flight - 1, 0)
         if load is not None:
             self._load, self._load_at = load, now
             self._slots = max(load.slots, 1)
         match result:
             case Result.ANSWERED:
-                self._lost = 0
-                self._latency.add(took)
+                self._consecutive_losses = 0
+                self._latency.add(duration)
             case Result.OVERDUE:
-                self._latency.add(took)
+                self._latency.add(duration)
             case Result.LOST:
-                self._lost += 1
+                self._consecutive_losses += 1
             case Result.REFUSED:
-                self._lost = 0
+                self._consecutive_losses = 0
             case Result.GIVEN_UP:
                 return
 
-    def ease_out(self, now: float) -> Seconds:
-        """Leave the owner out for a while, then judge it afresh; return the time."""
-        time: Seconds = min(EASE_TIME * 2**self._eased_times, MOST_EASE_TIME)
-        self._eased_times = min(self._eased_times + 1, 10)
-        self._eased_until = now + time
-        self._lost = 0
-        self._latency = Quantile(share=0.5, step=_STEP)
-        return time
+    def eject(self, now: float) -> Seconds:
+        """Eject the owner, reset its statistics, and return the duration."""
+        duration: Seconds = min(FIRST_EJECTION_TIME * 2**self._ejections, MAX_EJECTION_TIME)
+        self._ejections = min(self._ejections + 1, 10)
+        self._ejected_until = now + duration
+        self._consecutive_losses = 0
+        self._latency = Quantile(share=0.5, step=_MEDIAN_STEP)
+        return duration
 
 
-def _life(member: Member) -> tuple[object, ...]:
-    """Return what a restart of the proxy or another upstream changes."""
+def _identity(member: Member) -> tuple[object, ...]:
+    """Return a value that changes when the proxy restarts or its upstream is replaced."""
     return member.incarnation, member.worker
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,4 +1,4 @@
-"""Tests of the budgets for retries and hedges, over simulated calls."""
+"""Tests of the budgets for retries and hedged requests with simulated calls."""
 
 import random
 import time
@@ -11,8 +11,8 @@
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import Draining, OwnerUnreachable
 from cowslipvane.routing import Budgets, Chooser, Hedging, ServiceRules
-from cowslipvane.routing._budget import HEDGE_SHARE, USED_SHARE
-from cowslipvane.routing._hedging import ENOUGH_SAMPLES
+from cowslipvane.routing._budget import ALLOWANCE_SHARE, HEDGE_SHARE
+from cowslipvane.routing._hedging import MIN_SAMPLES
 from cowslipvane.settings import Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._carrier import Carrier
@@ -23,39 +23,39 @@
 
 STOCK = ServiceName("stock")
 ALLOWED = Retries()
-# What one proxy of a fleet of one saves up, and earns each second beside its calls.
-MOST = ALLOWED.slack * USED_SHARE / 2
-FLOOR_PER_S = MOST / ALLOWED.window
+# Bucket capacity and tokens per second of the only proxy of a fleet.
+CAPACITY = ALLOWED.slack * ALLOWANCE_SHARE / 2
+TOKENS_PER_S = CAPACITY / ALLOWED.window
 LOST = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
 
 
 class BudgetTest(unittest.TestCase):
-    """How many extra attempts are allowed."""
+    """Tests of how many extra attempts are allowed."""
 
     def test_retries_and_hedges_stay_a_share_of_the_calls(self) -> None:
-        """A crest of failures can't amplify itself."""
+        """A peak of failures is not amplified by retries."""
         budgets = Budgets()
         retries = hedges = 0
         for _ in range(1000):
             budgets.note_call(STOCK, 0.0)
             retries += budgets.allow_retry(STOCK, LOST, 0.0)
             hedges += budgets.allow_hedge(STOCK, 0.0)
-        self.assertLessEqual(retries, 1000 * ALLOWED.share * USED_SHARE + MOST)
-        self.assertGreaterEqual(retries, 1000 * ALLOWED.share * USED_SHARE)
+        self.assertLessEqual(retries, 1000 * ALLOWED.share * ALLOWANCE_SHARE + CAPACITY)
+        self.assertGreaterEqual(retries, 1000 * ALLOWED.share * ALLOWANCE_SHARE)
         self.assertLessEqual(hedges, 1000 * HEDGE_SHARE + 5)
 
-    def test_rare_calls_have_a_floor(self) -> None:
-        """Time earns some retries too, but never more than the most."""
+    def test_rare_calls_may_be_retried(self) -> None:
+        """Tokens are also earned by time, up to the capacity of the bucket."""
         budgets = Budgets()
         budgets.note_call(STOCK, 0.0)
         self.spend_all(budgets)
-        self.assertTrue(budgets.allow_retry(STOCK, LOST, 1.2 / FLOOR_PER_S))
-        self.assertFalse(budgets.allow_retry(STOCK, LOST, 1.2 / FLOOR_PER_S))
+        self.assertTrue(budgets.allow_retry(STOCK, LOST, 1.2 / TOKENS_PER_S))
+        self.assertFalse(budgets.allow_retry(STOCK, LOST, 1.2 / TOKENS_PER_S))
         spent = sum(budgets.allow_retry(STOCK, LOST, 1e6) for _ in range(100))
-        self.assertEqual(spent, int(MOST))
+        self.assertEqual(spent, int(CAPACITY))
 
-    def test_the_fleet_together_keeps_to_its_allowance(self) -> None:
-        """In every window, with calls spread unevenly over proxies that all fail."""
+    def test_fleet_stays_within_its_allowance(self) -> None:
+        """The allowance holds in every window, with failing calls spread unevenly over proxies."""
         rng = random.Random(3)
         fleet = [Budgets(retries=ALLOWED) for _ in range(30)]
         calls, retries = [0] * 60, [0] * 60
@@ -70,22 +70,22 @@
                     retries[second] += budgets.allow_retry(STOCK, LOST, float(second))
         window = int(ALLOWED.window)
         for start in range(60 - window):
-            asked, again = sum(calls[start : start + window]), sum(retries[start : start + window])
-            self.assertLessEqual(again, ALLOWED.share * asked + ALLOWED.slack)
+            sent, retried = sum(calls[start : start + window]), sum(retries[start : start + window])
+            self.assertLessEqual(retried, ALLOWED.share * sent + ALLOWED.slack)
 
     def spend_all(self, budgets: Budgets) -> None:
-        """Spend all retries of stock."""
+        """Use up the retries of the stock service."""
         self.assertIn(False, [budgets.allow_retry(STOCK, LOST, 0.0) for _ in range(100)])
 
-    def test_work_sent_back_by_a_drain_is_not_held_back(self) -> None:
-        """A planned stop sends all its queue elsewhere, and that adds no work."""
+    def test_calls_refused_by_a_drain_are_always_retried(self) -> None:
+        """A drain refuses the whole queue at once, and retrying it elsewhere adds no load."""
         budgets = Budgets()
         budgets.note_call(STOCK, 0.0)
         self.spend_all(budgets)
         self.assertTrue(budgets.allow_retry(STOCK, Draining(service=STOCK), 0.0))
 
-    def test_services_do_not_share_a_budget(self) -> None:
-        """One service's failures leave the others their retries."""
+    def test_each_service_has_its_own_budget(self) -> None:
+        """Failures of one service do not use up the retries of another."""
         budgets = Budgets()
         other = ServiceName("billing")
         budgets.note_call(STOCK, 0.0)
@@ -95,17 +95,17 @@
 
 
 class LostPeers:
-    """Peers of which none can be reached."""
+    """A fake of Peers that refuses every attempt as lost."""
 
     def __init__(self) -> None:
         self.offers = 0
 
     def is_reachable(self, member: Member) -> bool:
-        """Return that any owner may be tried."""
+        """Return True for every owner."""
         return True
 
     def link(self, member: Member) -> "LostPeers":
-        """Return what stands for the connection to any owner."""
+        """Return the fake link to an owner."""
         return self
 
     async def send(self, message: Offer | Fence | Cancel, mailbox: Mailbox | None) -> None:
@@ -116,12 +116,12 @@
 
 
 class CarrierTest(unittest.IsolatedAsyncioTestCase):
-    """Whether calls keep to the budget."""
+    """Tests that calls stay within the budget."""
 
-    async def test_a_call_that_loses_every_owner_stops_with_the_budget(self) -> None:
-        """It doesn't try all of a hundred owners."""
+    async def test_call_that_loses_every_owner_stops_when_the_budget_is_used_up(self) -> None:
+        """The call does not try all of a hundred owners."""
         membership = Membership(own=record("a")._replace(worker=None), now=0.0)
-        # Owners that no caller may enter through, so that this proxy is the whole fleet.
+        # Owners without a listener for callers are not counted as proxies, which leaves this one.
         owners = [record(f"h{at}")._replace(callers=None) for at in range(100)]
         membership.merge(owners, 0.0)
         peers = LostPeers()
@@ -148,10 +148,10 @@
 
 
 class HedgingTest(unittest.TestCase):
-    """When a second copy is sent."""
+    """Tests of the hedging delay."""
 
-    def test_the_delay_is_near_the_95th_percentile(self) -> None:
-        """Most calls are answered before it, and few after."""
+    def test_delay_is_near_the_95th_percentile(self) -> None:
+        """The delay approximates the 95th percentile of the latencies."""
         hedging = Hedging()
         rng = random.Random(5)
         for _ in range(5000):
@@ -160,11 +160,11 @@
         assert delay is not None
         self.assertAlmostEqual(delay, 0.95, delta=0.04)
 
-    def test_nothing_is_sent_before_enough_is_known(self) -> None:
-        """A service without answers has no delay."""
+    def test_calls_are_not_hedged_without_enough_samples(self) -> None:
+        """A service with too few answers has no hedging delay."""
         hedging = Hedging()
         self.assertIsNone(hedging.delay(STOCK))
-        for _ in range(ENOUGH_SAMPLES - 1):
+        for _ in range(MIN_SAMPLES - 1):
             hedging.learn(STOCK, 0.01)
         self.assertIsNone(hedging.delay(STOCK))
         hedging.learn(STOCK, 0.01)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an owner, over simulated calls."""
+"""Tests of the choice of an owner with simulated calls."""
 
 import random
 import unittest
@@ -8,17 +8,17 @@
 from cowslipvane.membership import Member, Worker
 from cowslipvane.refusal import DeadlinePassed, Draining, OwnerUnreachable
 from cowslipvane.routing import Chooser, Load, Result
-from cowslipvane.routing._choice import EASED_SHARE, FAR_SHARE
+from cowslipvane.routing._choice import MAX_EJECTED_SHARE, REMOTE_SHARE
 from cowslipvane.routing._quantile import Quantile
 from cowslipvane.routing._view import LOAD_HALF_LIFE, RAMP_TIME
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Verdict
 
-NEAR, FAR = DataCentre("near"), DataCentre("far")
+LOCAL, REMOTE = DataCentre("local"), DataCentre("remote")
 STOCK = ServiceName("stock")
-STEP = 0.01
+CALL_INTERVAL_S = 0.01
 
 
-def owner(host: str, centre: DataCentre = NEAR, incarnation: int = 1) -> Member:
+def owner(host: str, centre: DataCentre = LOCAL, incarnation: int = 1) -> Member:
     """Return an owner of four slots."""
     address = Address("10.0.0.1", 1)
     worker = Worker(STOCK, address, 4, 100)
@@ -27,15 +27,15 @@
 
 
 class ChoiceTest(unittest.TestCase):
-    """Which owner the next attempt goes to."""
+    """Tests of which owner gets the next attempt."""
 
     def setUp(self) -> None:
-        """Begin with a chooser that has seen nothing."""
-        self.chooser = Chooser(data_centre=NEAR, rng=random.Random(7))
+        """Create a chooser that has observed no calls."""
+        self.chooser = Chooser(data_centre=LOCAL, rng=random.Random(7))
         self.now = 100.0
 
     def choose(self, owners: Sequence[Member], excluded: Collection[HostName] = ()) -> str:
-        """Return the host that is chosen now."""
+        """Return the host that is chosen at the current time."""
         member = self.chooser.choose(owners, excluded, self.now)
         assert member is not None
         return member.host
@@ -44,17 +44,17 @@
         self,
         owners: Sequence[Member],
         calls: int,
-        took: Callable[[str], float] = lambda host: 0.01,
+        latency: Callable[[str], float] = lambda host: 0.01,
         result: Callable[[str], Result] = lambda host: Result.ANSWERED,
     ) -> Counter[str]:
-        """Send one call after another, and return how many each owner got."""
+        """Simulate calls one after another, and return how many each owner got."""
         chosen: Counter[str] = Counter()
         for _ in range(calls):
-            self.now += STEP
+            self.now += CALL_INTERVAL_S
             host = HostName(self.choose(owners))
             chosen[host] += 1
             self.chooser.begin(host)
-            self.chooser.end(host, result(host), Load(4, 0, 0), took(host), self.now)
+            self.chooser.end(host, result(host), Load(4, 0, 0), latency(host), self.now)
         return chosen
 
     def report(self, host: str, load: Load) -> None:
@@ -63,42 +63,42 @@
         self.chooser.begin(name)
         self.chooser.end(name, Result.REFUSED, load, 0.0, self.now)
 
-    def settle(self, owners: Sequence[Member]) -> None:
-        """See some owners and let their ramps end."""
+    def introduce(self, owners: Sequence[Member]) -> None:
+        """Introduce owners and wait until they have ramped up."""
         self.choose(owners)
         self.now += RAMP_TIME
 
-    def test_the_own_data_centre_comes_first(self) -> None:
-        """Others serve only when all of the own were tried, or none has room."""
-        owners = [owner("a"), owner("b"), owner("c", FAR)]
-        self.settle(owners)
-        self.assertLess(self.drive(owners, 1000)["c"], 1000 * FAR_SHARE * 2)
+    def test_local_data_centre_is_preferred(self) -> None:
+        """Remote owners get calls if all local ones were tried or are overloaded."""
+        owners = [owner("a"), owner("b"), owner("c", REMOTE)]
+        self.introduce(owners)
+        self.assertLess(self.drive(owners, 1000)["c"], 1000 * REMOTE_SHARE * 2)
         self.assertEqual(self.choose(owners, {HostName("a"), HostName("b")}), "c")
         for host in ("a", "b"):
             self.report(host, Load(4, 4, 40))
-        far = Counter(self.choose(owners) for _ in range(100))["c"]
-        self.assertEqual(far, 100)
+        remote = Counter(self.choose(owners) for _ in range(100))["c"]
+        self.assertEqual(remote, 100)
         self.report("a", Load(4, 1, 0))
-        far = Counter(self.choose(owners) for _ in range(1000))["c"]
-        self.assertLess(far, 1000 * FAR_SHARE * 2)
+        remote = Counter(self.choose(owners) for _ in range(1000))["c"]
+        self.assertLess(remote, 1000 * REMOTE_SHARE * 2)
 
-    def test_light_calls_go_to_other_data_centres_sooner(self) -> None:
-        """A crest at the only owner here: few bytes leave before many do."""
-        owners = [owner("a"), owner("b", FAR)]
-        self.settle(owners)
+    def test_small_calls_go_to_other_data_centres_sooner(self) -> None:
+        """The load from which calls leave the data centre is lower for small calls."""
+        owners = [owner("a"), owner("b", REMOTE)]
+        self.introduce(owners)
         self.report("b", Load(4, 1, 0))
-        for queued, light, goes in ((0, True, False), (7, True, True), (7, False, False)):
+        for queued, light, remote in ((0, True, False), (7, True, True), (7, False, False)):
             self.report("a", Load(4, 4, queued))
-            found = self.chooser.choose(owners, (), self.now, light=light)
-            assert found is not None
-            self.assertEqual(found.host == "b", goes, (queued, light))
+            member = self.chooser.choose(owners, (), self.now, light=light)
+            assert member is not None
+            self.assertEqual(member.host == "b", remote, (queued, light))
         self.report("a", Load(4, 4, 17))
         self.assertEqual(self.choose(owners), "b")
 
-    def test_a_crest_everywhere_is_no_reason_to_go_elsewhere(self) -> None:
-        """Bytes between data centres buy nothing where the queue is as long."""
-        owners = [owner("a"), owner("b", FAR), owner("c", FAR)]
-        self.settle(owners)
+    def test_overload_everywhere_keeps_calls_local(self) -> None:
+        """Traffic between data centres is not worth it if the queue there is as long."""
+        owners = [owner("a"), owner("b", REMOTE), owner("c", REMOTE)]
+        self.introduce(owners)
         self.report("a", Load(4, 4, 18))
         self.report("b", Load(4, 4, 16))
         self.report("c", Load(4, 4, 20))
@@ -106,70 +106,70 @@
         self.report("b", Load(4, 4, 1))
         self.assertEqual({self.choose(owners) for _ in range(50)}, {"b"})
 
-    def test_a_call_that_was_refused_here_goes_only_where_there_is_room(self) -> None:
-        """Its bytes would else travel to be refused again, at a crest several times."""
-        owners = [owner("a"), owner("b", FAR), owner("c", FAR)]
-        self.settle(owners)
+    def test_refused_call_goes_to_another_data_centre_only_with_free_slots(self) -> None:
+        """Otherwise the call would be sent there only to be refused again."""
+        owners = [owner("a"), owner("b", REMOTE), owner("c", REMOTE)]
+        self.introduce(owners)
         tried = {HostName("a")}
         self.report("b", Load(4, 4, 0))
         self.report("c", Load(4, 4, 8))
         self.assertIsNone(self.chooser.choose(owners, tried, self.now))
         self.now += LOAD_HALF_LIFE
         self.assertEqual(self.choose(owners, tried), "b")
-        # Where the service has no owner here at all, the others get the call in any case.
+        # If the service has no local owner at all, remote owners get the call in any case.
         self.report("b", Load(4, 4, 0))
         self.assertIsNotNone(self.chooser.choose(owners[1:], (), self.now))
 
-    def test_the_less_loaded_of_two_is_chosen(self) -> None:
-        """Reports and the calls under way from here both count."""
+    def test_less_loaded_owner_is_chosen(self) -> None:
+        """Load reports and the calls in flight from this process both count."""
         owners = [owner("a"), owner("b")]
-        self.settle(owners)
+        self.introduce(owners)
         chosen: Counter[str] = Counter()
         for _ in range(100):
             self.report("a", Load(4, 4, 2))
             chosen[self.choose(owners)] += 1
-        # Both draws are the same owner's only if there is no other, so that b always wins.
+        # With two owners both are always drawn, so b is always chosen.
         self.assertEqual(chosen, Counter(b=100))
         for _ in range(12):
             self.chooser.begin(HostName("b"))
         self.assertEqual(self.choose(owners), "a")
 
-    def test_a_stale_report_is_discounted(self) -> None:
-        """An old report counts less than calls that are under way from here."""
+    def test_old_load_reports_are_discounted(self) -> None:
+        """An old report counts less than calls in flight from this process."""
         owners = [owner("a"), owner("b")]
-        self.settle(owners)
+        self.introduce(owners)
         self.report("a", Load(4, 4, 8))
         self.chooser.begin(HostName("b"))
         self.chooser.begin(HostName("b"))
         self.now += LOAD_HALF_LIFE * 6
         self.assertEqual(self.drive(owners, 1), Counter("a"))
 
-    def test_the_shorter_wait_is_chosen_by_service_time(self) -> None:
-        """An owner that takes longer for each call gets fewer."""
+    def test_service_time_counts_in_the_expected_wait(self) -> None:
+        """An owner with a longer service time gets fewer calls."""
         owners = [owner("a"), owner("b")]
-        self.settle(owners)
+        self.introduce(owners)
         self.report("a", Load(4, 2, 0, 0.050))
         self.report("b", Load(4, 3, 0, 0.010))
         chosen = Counter(self.choose(owners) for _ in range(50))
         self.assertEqual(set(chosen), {"b"})
 
-    def test_a_new_owner_ramps_up(self) -> None:
-        """Its share grows to a full one, and begins anew with its next life."""
+    def test_new_owner_ramps_up(self) -> None:
+        """Its share grows to a full one, and starts over after a restart."""
         old = [owner("a"), owner("b"), owner("c")]
-        self.settle(old)
+        self.introduce(old)
         grown = [*old, owner("d")]
         first = self.drive(grown, 100)["d"]
         self.now += RAMP_TIME
         usual = self.drive(grown, 400)["d"] / 4
-        reborn = self.drive([*old, owner("d", incarnation=2)], 100)["d"]
+        restarted = self.drive([*old, owner("d", incarnation=2)], 100)["d"]
         self.assertGreater(first, 0)
         self.assertLess(first, usual * 0.6)
-        self.assertLess(reborn, usual * 0.6)
+        self.assertLess(restarted, usual * 0.6)
 
-    def test_an_owner_that_loses_attempts_is_left_out_and_tried_again(self) -> None:
-        """It gets few attempts while it fails, and its share back after."""
+    def test_owner_that_loses_attempts_is_ejected_and_readmitted(self) -> None:
+        """It gets few attempts while it fails, and its full share afterwards."""
         owners = [owner(host) for host in "abcd"]
-        self.settle(owners)
+        self.introduce(owners)
         lost = self.drive(owners, 1000, result=self.lose("a"))["a"]
         self.assertLess(lost, 60)
         self.assertGreater(lost, 3)
@@ -177,13 +177,13 @@
         self.assertGreater(self.drive(owners, 400)["a"], 50)
 
     def lose(self, *hosts: str) -> Callable[[str], Result]:
-        """Return what loses every attempt at some hosts."""
+        """Return a function that loses every attempt at some hosts."""
         return lambda host: Result.LOST if host in hosts else Result.ANSWERED
 
-    def test_a_slow_owner_is_left_out(self) -> None:
-        """Ten times the others' latency makes an outlier."""
+    def test_slow_owner_is_ejected(self) -> None:
+        """An owner with ten times the latency of the others is an outlier."""
         owners = [owner(host) for host in "abcd"]
-        self.settle(owners)
+        self.introduce(owners)
         chosen = self.drive(owners, 1000, lambda host: 0.1 if host == "a" else 0.01)
         self.assertLess(chosen["a"], 100)
         first, *_ = self.chooser.take_eased()
@@ -191,58 +191,58 @@
         self.assertGreater(first.latency, 3 * first.usual)
         self.assertEqual(self.chooser.take_eased(), [])
 
-    def test_the_only_owner_here_is_left_out_when_it_is_slow(self) -> None:
-        """A few calls to other data centres tell that theirs are faster."""
-        owners = [owner("a"), owner("b", FAR), owner("c", FAR)]
-        self.settle(owners)
+    def test_slow_only_local_owner_is_ejected(self) -> None:
+        """The few calls to other data centres show that the owners there are faster."""
+        owners = [owner("a"), owner("b", REMOTE), owner("c", REMOTE)]
+        self.introduce(owners)
         slow = 0.1
         before = self.drive(owners, 2000, lambda host: 0.01)["a"]
         after = self.drive(owners, 2000, lambda host: slow if host == "a" else 0.01)["a"]
         self.assertGreater(before, 1900)
         self.assertLess(after, 400)
 
-    def test_long_work_makes_no_outlier(self) -> None:
-        """A twentieth of calls that take a hundred times as long leaves the shares equal."""
+    def test_occasional_long_calls_make_no_outlier(self) -> None:
+        """Shares stay equal if a twentieth of the calls takes a hundred times as long."""
         owners = [owner(host) for host in "abcd"]
-        self.settle(owners)
+        self.introduce(owners)
         rng = random.Random(3)
         chosen = self.drive(owners, 1000, lambda host: 1.0 if rng.random() < 0.05 else 0.01)
         self.assertGreater(min(chosen.values()), 200)
 
-    def test_one_huge_latency_moves_the_median_by_one_step(self) -> None:
-        """However long a call took, it counts as one."""
+    def test_single_outlier_moves_the_median_by_one_step(self) -> None:
+        """A sample has the same weight however large it is."""
         median = Quantile(share=0.5, step=0.1)
         median.add(1.0)
         median.add(1000.0)
         self.assertLessEqual(median.value, 1.1)
 
-    def test_which_refusals_count_as_lost(self) -> None:
-        """An owner that refuses for want of room works; one that can't be reached doesn't."""
+    def test_refusals_that_count_as_lost(self) -> None:
+        """An unreachable owner counts as lost, but one that refuses a call does not."""
         lost = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
-        late = DeadlinePassed(service=STOCK, verdict=Verdict.NOT_RUN)
+        timed_out = DeadlinePassed(service=STOCK, verdict=Verdict.NOT_RUN)
         self.assertIs(Result.of_refusal(lost), Result.LOST)
-        self.assertIs(Result.of_refusal(late), Result.OVERDUE)
+        self.assertIs(Result.of_refusal(timed_out), Result.OVERDUE)
         self.assertIs(Result.of_refusal(Draining(service=STOCK)), Result.REFUSED)
 
-    def test_no_more_than_the_share_is_left_out(self) -> None:
-        """When most owners lose attempts, most are still tried."""
+    def test_ejections_are_limited_to_a_share(self) -> None:
+        """If most owners lose attempts, most of them still get calls."""
         owners = [owner(host) for host in "abcdef"]
-        self.settle(owners)
+        self.introduce(owners)
         self.drive(owners, 300, result=self.lose(*"abcde"))
         chosen = self.drive(owners, 60, result=self.lose(*"abcde"))
-        self.assertGreaterEqual(len(chosen), len(owners) - int(len(owners) * EASED_SHARE))
+        self.assertGreaterEqual(len(chosen), len(owners) - int(len(owners) * MAX_EJECTED_SHARE))
 
-    def test_an_outlier_is_chosen_when_no_other_is_left(self) -> None:
-        """A call that has tried all others isn't refused for want of an owner."""
+    def test_outlier_is_chosen_when_no_other_owner_remains(self) -> None:
+        """A call that has tried all other owners goes to the ejected one."""
         owners = [owner(host) for host in "abcd"]
-        self.settle(owners)
+        self.introduce(owners)
         self.drive(owners, 100, result=self.lose("a"))
         self.assertEqual(self.choose(owners, {HostName(host) for host in "bcd"}), "a")
 
-    def test_a_caller_that_gives_up_says_nothing_of_the_owner(self) -> None:
-        """Only the owner's own failures count."""
+    def test_abandoned_calls_do_not_count_against_the_owner(self) -> None:
+        """Only failures of the owner itself count."""
         owners = [owner(host) for host in "abcd"]
-        self.settle(owners)
+        self.introduce(owners)
         chosen = self.drive(owners, 400, result=lambda host: Result.GIVEN_UP)
         self.assertGreater(min(chosen.values()), 60)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,7 +14,7 @@
 
 
 def table(**routes: Route) -> RoutingTable:
-    """Return a table of routes, with the services that they lead to."""
+    """Return a table of routes and of the services that they refer to."""
     names = {target.service for route in routes.values() for target in route.targets}
     resources = [Resource(Key("service", name), Service(), Version(1)) for name in names]
     resources += [Resource(Key("route", name), spec, Version(1)) for name, spec in routes.items()]
@@ -30,7 +30,7 @@
 
 
 class RoutingTest(unittest.TestCase):
-    """Which service a request goes to."""
+    """Tests of which service a request is routed to."""
 
     def route(
         self,
@@ -40,13 +40,13 @@
         method: str = "GET",
         headers: Headers = (),
     ) -> str:
-        """Return the service for a request, or nothing."""
+        """Return the service for a request, or an empty string."""
         rng = random.Random(1)
         rules = routes.route(host=host, path=path, method=method, headers=headers, rng=rng)
         return rules.service if rules else ""
 
-    def test_the_most_specific_route_wins(self) -> None:
-        """Host, then the length of the prefix, then the method, then the number of headers."""
+    def test_most_specific_route_wins(self) -> None:
+        """Routes are ranked by host, length of the prefix, method, and number of headers."""
         tag = Header("X-Tag", "1")
         routes = table(
             any=to("any"),
@@ -67,8 +67,8 @@
             self.route(routes, "/a/b", other, headers=(Header("x-tag", "2"),)), "prefix"
         )
 
-    def test_hosts_are_compared_without_case_port_and_final_dot(self) -> None:
-        """All spellings of one host lead to its route."""
+    def test_hosts_match_regardless_of_case_port_and_trailing_dot(self) -> None:
+        """All spellings of a host match its route."""
         routes = table(shop=to("shop", host="Shop.Example"), six=to("six", host="[2001:db8::1]"))
         for host in ("shop.example", "SHOP.example:8080", "shop.example.", "shop.example.:80"):
             self.assertEqual(self.route(routes, "/", host), "shop")
@@ -77,8 +77,8 @@
         for host in ("", "example", "shop.example.org", "[2001:db8::2]:80"):
             self.assertEqual(self.route(routes, "/", host), "")
 
-    def test_prefixes_end_with_whole_segments(self) -> None:
-        """A final slash asks for something below."""
+    def test_prefixes_match_whole_segments(self) -> None:
+        """A prefix with a trailing slash only matches paths below it."""
         routes = table(stock=to("stock", "/stock"), below=to("below", "/loading/"))
         for path in ("/stock", "/stock/", "/stock/7", "/stock//7", "/stock?x=1"):
             self.assertEqual(self.route(routes, path), "stock")
@@ -87,8 +87,8 @@
         for path in ("/stocks", "/loading", "/", "", "*", "stock", "//stock"):
             self.assertEqual(self.route(routes, path), "")
 
-    def test_encoded_paths_are_compared_by_what_they_mean(self) -> None:
-        """An encoded letter is the letter, an encoded slash no slash, and dots lead back."""
+    def test_paths_are_normalized_before_matching(self) -> None:
+        """Encoded letters are decoded, dot segments are resolved, and %2F is no separator."""
         routes = table(stock=to("stock", "/stock"), billing=to("billing", "/billing"))
         self.assertEqual(self.route(routes, "/%73tock/7"), "stock")
         self.assertEqual(self.route(routes, "/stock%2F7"), "")
@@ -97,8 +97,8 @@
         self.assertEqual(self.route(routes, "/../stock"), "stock")
         self.assertEqual(self.route(table(any=to("any")), "x%41"), "")
 
-    def test_the_weights_share_the_requests(self) -> None:
-        """A weight of nothing gets nothing."""
+    def test_weights_split_the_requests(self) -> None:
+        """A service with weight 0 gets no requests."""
         targets = (
             Target(ServiceName("most"), 3),
             Target(ServiceName("some"), 1),
@@ -113,8 +113,8 @@
         self.assertEqual(set(drawn), {"most", "some"})
         self.assertAlmostEqual(drawn["most"] / 4000, 0.75, delta=0.03)
 
-    def test_the_index_agrees_with_a_search_of_all_routes(self) -> None:
-        """Whatever the routes, the first match by specificity is the one found."""
+    def test_lookup_agrees_with_a_linear_search(self) -> None:
+        """For random routes, the lookup returns the most specific match."""
         rng = random.Random(11)
         for _ in range(200):
             routes = {f"r{at}": self.random_route(rng, at) for at in range(12)}
@@ -125,24 +125,24 @@
                 expected = self.search(routes, host, path, method)
                 self.assertEqual(self.route(found, path, host, method), expected)
 
-    def test_a_path_of_many_slashes_costs_no_more_than_the_longest_prefix(self) -> None:
-        """The caller doesn't decide how many prefixes are looked up."""
+    def test_number_of_lookups_is_bounded_by_the_longest_prefix(self) -> None:
+        """A path with many slashes does not cause more lookups."""
         routes = HostRoutes()
         routes.add(to("s", "/a/b"), {ServiceName("s"): NO_RULES})
         self.assertEqual(list(routes._prefixes("/a/b" + "/" * 1000)), ["/a/b", "/a/", "/a", "/"])
 
     def random_path(self, rng: random.Random) -> str:
-        """Return a path of few segments, so that many share a prefix."""
+        """Return a random path with few segments, so that many paths share a prefix."""
         parts = [rng.choice(("x", "y", "xy", "")) for _ in range(rng.randint(0, 3))]
         return "/" + "/".join(parts)
 
     def random_route(self, rng: random.Random, at: int) -> Route:
-        """Return a route to a service of its own."""
+        """Return a random route to its own service."""
         host, method = rng.choice(("*", "a", "b")), rng.choice(("*", "GET"))
         return to(f"s{at}", self.random_path(rng), host, method)
 
     def search(self, routes: dict[str, Route], host: str, path: str, method: str) -> str:
-        """Return the service of the first route that matches, by a search of all."""
+        """Return the service of the most specific matching route by a linear search."""
         matching = [
             (spec.host == "*", -len(spec.path_prefix), spec.method == "*", name, spec)
             for name, spec in routes.items()
