Reword refusals and their tests

Docstrings and private names now use the usual terms; codes, sentences and statuses stay letter for letter.

--- a/cowslipvane/refusal/__init__.py
+++ b/cowslipvane/refusal/__init__.py
@@ -1,4 +1,4 @@
-"""The closed set of refusals, and the one table that words them."""
+"""The closed set of refusals, and the table that explains them."""
 
 from cowslipvane.refusal._refusals import (
     AnswerLost,
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -1,4 +1,4 @@
-"""Refusals as data classes, and the sentence, status and verdict of each."""
+"""Refusals as data classes, with the code, status, sentence and verdict of each."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoConfiguration:
-    """The proxy holds no accepted configuration yet."""
+    """The proxy has not received a configuration yet."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MalformedRequest:
-    """The request's head can't be passed on as it was meant."""
+    """The head of the request can't be forwarded faithfully."""
 
     reason: str
 
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Draining:
-    """The upstream is leaving and starts no new request."""
+    """The upstream is draining and starts no new requests."""
 
     service: ServiceName
 
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Overloaded:
-    """The upstream has too much to do to answer before the goal, or before the deadline."""
+    """The upstream is too busy to answer before the latency goal or the deadline."""
 
     service: ServiceName
     retry_after: Seconds
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeadlinePassed:
-    """The deadline passed before an answer came."""
+    """The deadline passed before an answer was received."""
 
     service: ServiceName
     verdict: Verdict
@@ -68,14 +68,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BodyTooLarge:
-    """The request's body is larger than its route allows."""
+    """The body of the request is larger than its service allows."""
 
     limit: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamLost:
-    """The connection to the upstream broke before the whole answer came."""
+    """The connection to the upstream was lost before the answer was complete."""
 
     service: ServiceName
     verdict: Verdict
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rejected:
-    """The upstream itself rejected the request and did not run it."""
+    """The upstream rejected the request without running it."""
 
     service: ServiceName
     retry_after: Seconds
@@ -91,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnerUnreachable:
-    """The proxy that owns the upstream can't be reached."""
+    """The proxy that owns the upstream is unreachable."""
 
     host: HostName
     verdict: Verdict
@@ -99,14 +99,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Withdrawn:
-    """The request was taken back before it started."""
+    """The request was withdrawn before it started."""
 
     service: ServiceName
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerLost:
-    """The answer can't be fetched again."""
+    """The answer was lost and can't be fetched again."""
 
     service: ServiceName
     verdict: Verdict
@@ -114,7 +114,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerGone:
-    """The caller closed its connection before an answer came."""
+    """The caller closed its connection before an answer was received."""
 
     verdict: Verdict
 
@@ -139,7 +139,7 @@
 
 
 class Explanation(NamedTuple):
-    """What a refusal says to a caller and to staff."""
+    """The explanation of a refusal for callers and operators."""
 
     code: str
     status: int
@@ -149,7 +149,7 @@
 
 
 def reached_upstream(refusal: Refusal) -> bool:
-    """Return whether the attempt may have arrived at an upstream, be it run there or not."""
+    """Return whether the attempt may have reached an upstream, whether it was run or not."""
     match refusal:
         case Rejected():
             return True
@@ -157,12 +157,12 @@
             return explain(refusal).verdict is not Verdict.NOT_RUN
 
 
-# When to try again where what is missing usually comes back within a second.
-SOON: Seconds = 0.3
-# When to try again after a connection was lost before the request was sent over it.
-LOST_RETRY: Seconds = 0.05
+# Retry delay for conditions that usually end within a second.
+SHORT_RETRY_DELAY: Seconds = 0.3
+# Retry delay after a connection was lost before the request was sent over it.
+RETRY_DELAY_AFTER_LOSS: Seconds = 0.05
 
-_WHETHER_IT_RAN = {
+_VERDICT_SENTENCES = {
     Verdict.RAN: "The request was run.",
     Verdict.NOT_RUN: "The request was not run.",
     Verdict.MAY_HAVE_RUN: "The request may have run: check before you send it again.",
@@ -170,23 +170,23 @@
 
 
 def explain(refusal: Refusal) -> Explanation:
-    """Return the one explanation of a refusal."""
-    code, status, cause, verdict, retry_after = _entry(refusal)
-    return Explanation(code, status, f"{cause} {_WHETHER_IT_RAN[verdict]}", verdict, retry_after)
+    """Return the explanation of a refusal."""
+    code, status, cause, verdict, retry_after = _table_row(refusal)
+    return Explanation(code, status, f"{cause} {_VERDICT_SENTENCES[verdict]}", verdict, retry_after)
 
 
-def _after_loss(verdict: Verdict) -> tuple[int, Seconds | None]:
-    """Return the status of a lost attempt, and when to try again one that surely didn't run."""
-    return (503, LOST_RETRY) if verdict is Verdict.NOT_RUN else (502, None)
+def _status_after_loss(verdict: Verdict) -> tuple[int, Seconds | None]:
+    """Return the status of a lost attempt, and a retry delay if it was not run."""
+    return (503, RETRY_DELAY_AFTER_LOSS) if verdict is Verdict.NOT_RUN else (502, None)
 
 
-def _entry(refusal: Refusal) -> tuple[str, int, str, Verdict, Seconds | None]:
-    """Return code, HTTP status, cause, verdict and advice on when to retry, in seconds."""
+def _table_row(refusal: Refusal) -> tuple[str, int, str, Verdict, Seconds | None]:
+    """Return code, HTTP status, cause, verdict and retry delay of a refusal."""
     not_run = Verdict.NOT_RUN
     match refusal:
         case NoConfiguration():
             cause = "This proxy has not yet received a configuration."
-            return "no-configuration", 503, cause, not_run, SOON
+            return "no-configuration", 503, cause, not_run, SHORT_RETRY_DELAY
         case NoRoute(host=host, path=path):
             return "no-route", 404, f"No route serves {path} on {host}.", not_run, None
         case MalformedRequest(reason=reason):
@@ -194,7 +194,7 @@
             return "malformed-request", 400, cause, not_run, None
         case NoUpstream(service=service):
             cause = f"No upstream of service {service} can take the request now."
-            return "no-upstream", 503, cause, not_run, SOON
+            return "no-upstream", 503, cause, not_run, SHORT_RETRY_DELAY
         case Draining(service=service):
             cause = f"The chosen upstream of service {service} is leaving."
             return "draining", 503, cause, not_run, 0.0
@@ -206,22 +206,22 @@
             return "overloaded", 503, cause, not_run, retry_after
         case DeadlinePassed(service=service, verdict=verdict):
             cause = f"Service {service} did not answer before the deadline."
-            # A gateway timeout says nothing of whether the request ran, which is known here.
+            # 504 leaves open whether the request ran, so 503 is used if it surely did not.
             status = 503 if verdict is Verdict.NOT_RUN else 504
             return "deadline-passed", status, cause, verdict, None
         case BodyTooLarge(limit=limit):
             return "body-too-large", 413, f"The body is over {limit} bytes.", not_run, None
         case UpstreamLost(service=service, verdict=verdict):
             cause = f"The connection to an upstream of service {service} was lost."
-            status, again = _after_loss(verdict)
-            return "upstream-lost", status, cause, verdict, again
+            status, retry_delay = _status_after_loss(verdict)
+            return "upstream-lost", status, cause, verdict, retry_delay
         case Rejected(service=service, retry_after=retry_after):
             cause = f"An upstream of service {service} rejected the request."
             return "upstream-rejected", 503, cause, not_run, retry_after
         case OwnerUnreachable(host=host, verdict=verdict):
             cause = f"The proxy on host {host} could not be reached."
-            status, again = _after_loss(verdict)
-            return "owner-unreachable", status, cause, verdict, again
+            status, retry_delay = _status_after_loss(verdict)
+            return "owner-unreachable", status, cause, verdict, retry_delay
         case Withdrawn(service=service):
             cause = f"The request was taken back from service {service} before it started."
             return "withdrawn", 503, cause, not_run, 0.0
--- a/tests/test_refusal_events.py
+++ b/tests/test_refusal_events.py
@@ -1,4 +1,4 @@
-"""Tests of what the event of a refusal tells of its inputs."""
+"""Tests of the details in the event of a refusal."""
 
 import unittest
 
@@ -6,10 +6,10 @@
 
 
 class RefusalEventsTest(LoneCallersTest):
-    """A line of the log from which the refusal can be explained afterwards."""
+    """Tests that a refusal can be explained from its event."""
 
-    async def test_it_tells_the_owners_that_were_tried_and_how_busy_the_last_one_was(self) -> None:
-        """And the version that routed the call."""
+    async def test_event_has_the_tried_owners_and_the_last_reported_load(self) -> None:
+        """The event also has the version that routed the call."""
         self.apply()
         await self.code(**{"X-Request-Id": "r1"})
         (event,) = [form for form in self.events.select(request="r1") if form["kind"] == "refusal"]
@@ -18,8 +18,8 @@
         running, waiting = f"{LOAD.running} running", f"{LOAD.queued} waiting"
         self.assertEqual(event["detail"]["load"], f"{running} and {waiting} for 4 slots")
 
-    async def test_what_was_never_routed_has_no_owners(self) -> None:
-        """No version was in force."""
+    async def test_call_that_was_not_routed_has_no_tried_owners(self) -> None:
+        """No version of the configuration was in force."""
         await self.code(**{"X-Request-Id": "r1", "X-Request-Timeout-Ms": "10"})
         (event,) = [form for form in self.events.select(request="r1") if form["kind"] == "refusal"]
         self.assertEqual(event["detail"]["in_force"], "0")
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,4 +1,4 @@
-"""Tests of the closed set of refusals, and of the page that lists them."""
+"""Tests of the closed set of refusals and of their documentation."""
 
 import unittest
 from pathlib import Path
@@ -27,7 +27,7 @@
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "REFUSALS.md"
 SERVICE = ServiceName("SERVICE")
-IN_DOUBT = Verdict.MAY_HAVE_RUN
+UNKNOWN = Verdict.MAY_HAVE_RUN
 EXAMPLES: tuple[Refusal, ...] = (
     NoConfiguration(),
     NoRoute(host="HOST", path="PATH"),
@@ -36,38 +36,38 @@
     Draining(service=SERVICE),
     QueueFull(service=SERVICE, retry_after=1.0),
     Overloaded(service=SERVICE, retry_after=1.0),
-    DeadlinePassed(service=SERVICE, verdict=IN_DOUBT),
+    DeadlinePassed(service=SERVICE, verdict=UNKNOWN),
     BodyTooLarge(limit=1000),
-    UpstreamLost(service=SERVICE, verdict=IN_DOUBT),
+    UpstreamLost(service=SERVICE, verdict=UNKNOWN),
     Rejected(service=SERVICE, retry_after=1.0),
-    OwnerUnreachable(host=HostName("HOST"), verdict=IN_DOUBT),
+    OwnerUnreachable(host=HostName("HOST"), verdict=UNKNOWN),
     Withdrawn(service=SERVICE),
-    AnswerLost(service=SERVICE, verdict=IN_DOUBT),
-    CallerGone(verdict=IN_DOUBT),
+    AnswerLost(service=SERVICE, verdict=UNKNOWN),
+    CallerGone(verdict=UNKNOWN),
 )
 
 
 def row(refusal: Refusal) -> str:
-    """Return how the page lists a refusal."""
-    told = explain(refusal)
+    """Return the row of the page for a refusal."""
+    explanation = explain(refusal)
     varies = hasattr(refusal, "verdict")
-    verdict = "as far as is known" if varies else told.verdict.value
-    advice = "none" if told.retry_after is None else "after `Retry-After`"
-    cause = told.sentence.partition(". ")[0] + "."
-    return f"| `{told.code}` | {told.status} | {cause} | {verdict} | {advice} |"
+    verdict = "as far as is known" if varies else explanation.verdict.value
+    advice = "none" if explanation.retry_after is None else "after `Retry-After`"
+    cause = explanation.sentence.partition(". ")[0] + "."
+    return f"| `{explanation.code}` | {explanation.status} | {cause} | {verdict} | {advice} |"
 
 
 class RefusalsTest(unittest.TestCase):
-    """That the page and the code say the same."""
+    """Tests that the page and the code agree."""
 
-    def test_every_refusal_has_an_example(self) -> None:
-        """The set is closed, and its codes differ."""
+    def test_examples_are_complete(self) -> None:
+        """The examples cover the closed set, and all codes differ."""
         self.assertEqual({type(refusal) for refusal in EXAMPLES}, set(get_args(Refusal)))
         codes = {explain(refusal).code for refusal in EXAMPLES}
         self.assertEqual(len(codes), len(EXAMPLES))
 
-    def test_the_page_lists_what_the_code_says(self) -> None:
-        """Row by row, and no row more."""
+    def test_page_agrees_with_the_code(self) -> None:
+        """The page has exactly one row for each refusal, in order."""
         lines = PAGE.read_text().splitlines()
         listed = [line for line in lines if line.startswith("| `")]
         self.assertEqual(listed, [row(refusal) for refusal in EXAMPLES])
