Reword calls, attempts and messages, with their tests

Docstrings, comments and private names say entry proxy, unknown outcome, latency goal and incomplete body in place of figures of speech. No behaviour changes.

--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -1,4 +1,4 @@
-"""A caller's request: its attempts, their verdicts, and the messages that carry it."""
+"""Calls, their attempts and verdicts, and the messages between entry proxies and owners."""
 
 from cowslipvane.call._attempts import Attempts, Forgotten, NeverStarted, Over, UnderWay
 from cowslipvane.call._body import Arrivals, Arriving, Overflow, parts_of
--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -1,51 +1,52 @@
-"""The owner's ledger of attempts: what waits, runs, has ended, or may never start."""
+"""The owner's record of attempts: queued, running, ended, or fenced."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from cowslipvane.call._messages import AttemptId, OwnerMessage, size
+from cowslipvane.call._messages import AttemptId, OwnerMessage, payload_size
 from cowslipvane.types import HostName, Seconds
 
-# An ended or fenced attempt is remembered this long, unless there are more than the next number.
-REMEMBERED: Seconds = 120.0
+# How long, and how many, ended or fenced attempts are remembered.
+MEMORY_TIME: Seconds = 120.0
 MAX_REMEMBERED = 8192
-# An answer larger than the first, and the oldest beyond the second, can't be fetched again.
+# Size limits of the answers that are stored to be fetched again, for one answer and for all. If all
+# exceed their limit, the oldest answers are discarded.
 MAX_ANSWER_BYTES = 64 << 10
-MAX_KEPT_BYTES = 4 << 20
+MAX_STORED_BYTES = 4 << 20
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NeverStarted:
-    """The attempt has not started, and never will."""
+    """The attempt has not started and will not be started."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UnderWay:
-    """The attempt runs; parts grows while it does, and is None when too large to keep."""
+    """The attempt is running; parts grows until it ends, or is None if too large to store."""
 
     parts: list[OwnerMessage] | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Over:
-    """The attempt has ended; parts is its whole answer, or None when that is no longer kept."""
+    """The attempt has ended; parts is its whole answer, or None if it is not stored any more."""
 
     parts: list[OwnerMessage] | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forgotten:
-    """Nothing is known of the attempt any more: it may have run."""
+    """The attempt is not remembered any more, and may have run."""
 
 
-Fencing = NeverStarted | UnderWay | Over | Forgotten
+FenceOutcome = NeverStarted | UnderWay | Over | Forgotten
 
 
 @dataclass(slots=True, kw_only=True)
 class _Record:
-    """What is kept of an attempt until it has ended."""
+    """The state of an attempt that has not ended."""
 
     started: bool = False
     parts: list[OwnerMessage] | None = field(default_factory=list)
@@ -54,7 +55,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Past:
-    """What is remembered of an attempt that has ended or was fenced."""
+    """The outcome of an attempt that has ended or was fenced."""
 
     at: float
     outcome: NeverStarted | Over
@@ -62,50 +63,50 @@
 
 
 class Attempts:
-    """Every attempt that this incarnation of the owner was offered or asked about."""
+    """The attempts that were offered to this incarnation of the owner, or fenced at it."""
 
     def __init__(self, *, incarnation: int) -> None:
         self._incarnation = incarnation
         self._records: dict[AttemptId, _Record] = {}
         self._past: OrderedDict[AttemptId, _Past] = OrderedDict()
-        self._kept_bytes = 0
-        # The latest attempt of each entry that is no longer remembered.
+        self._stored_bytes = 0
+        # The latest attempt of each entry proxy that is no longer remembered.
         self._forgotten: dict[HostName, AttemptId] = {}
 
     @property
     def under_way(self) -> tuple[AttemptId, ...]:
-        """Return the attempts that wait or run."""
+        """Return the attempts that are queued or running."""
         return tuple(self._records)
 
     def admit(self, attempt: AttemptId) -> bool:
-        """Take a new attempt; return False when it may not start any more."""
+        """Add a new attempt; return False if it may not be started."""
         if attempt in self._records or attempt in self._past or self._is_forgotten(attempt):
             return False
         self._records[attempt] = _Record()
         return True
 
     def start(self, attempt: AttemptId) -> None:
-        """Note that the attempt starts."""
+        """Record that an attempt has started."""
         self._records[attempt].started = True
 
     def keep(self, attempt: AttemptId, part: OwnerMessage) -> None:
-        """Keep a part of the answer, so that it can be fetched again."""
+        """Store a part of the answer, so that it can be fetched again."""
         record = self._records[attempt]
-        record.bytes += size(part)
+        record.bytes += payload_size(part)
         if record.parts is not None and record.bytes <= MAX_ANSWER_BYTES:
             record.parts.append(part)
         else:
             record.parts = None
 
     def end(self, attempt: AttemptId, now: float) -> None:
-        """Note that the attempt has ended, whether it was run or refused."""
+        """Record that an attempt has ended, whether it was run or refused."""
         record = self._records.pop(attempt)
-        kept = record.bytes if record.parts is not None else 0
-        self._remember(attempt, _Past(at=now, outcome=Over(parts=record.parts), bytes=kept))
+        stored_bytes = record.bytes if record.parts is not None else 0
+        self._remember(attempt, _Past(at=now, outcome=Over(parts=record.parts), bytes=stored_bytes))
 
-    def fence(self, attempt: AttemptId, incarnation: int, now: float) -> Fencing:
-        """Return what became of an attempt; one that has not started never will."""
-        # The attempt was offered to another process, whose memory is gone.
+    def fence(self, attempt: AttemptId, incarnation: int, now: float) -> FenceOutcome:
+        """Return the outcome of an attempt, and prevent it from starting if it has not started."""
+        # The attempt was offered to an earlier process, whose records are lost.
         if incarnation != self._incarnation:
             return Forgotten()
         record = self._records.get(attempt)
@@ -121,37 +122,37 @@
         return NeverStarted()
 
     def _is_forgotten(self, attempt: AttemptId) -> bool:
-        """Return whether the attempt may be one that is no longer remembered."""
+        """Return whether an attempt may have been forgotten."""
         latest = self._forgotten.get(attempt.entry)
         return latest is not None and attempt.order <= latest.order
 
     def _remember(self, attempt: AttemptId, past: _Past) -> None:
-        """Remember an attempt, and forget the oldest ones beyond the bounds."""
+        """Remember an attempt, and forget the oldest ones beyond the limits."""
         self._past[attempt] = past
-        self._kept_bytes += past.bytes
-        while self._past and self._is_surplus(past.at):
+        self._stored_bytes += past.bytes
+        while self._past and self._exceeds_limits(past.at):
             oldest, forgotten = self._past.popitem(last=False)
-            self._kept_bytes -= forgotten.bytes
+            self._stored_bytes -= forgotten.bytes
             self._forget(oldest)
-        if self._kept_bytes > MAX_KEPT_BYTES:
-            self._drop_answers()
+        if self._stored_bytes > MAX_STORED_BYTES:
+            self._discard_answers()
 
-    def _is_surplus(self, now: float) -> bool:
-        """Return whether the oldest past attempt is to be forgotten."""
+    def _exceeds_limits(self, now: float) -> bool:
+        """Return whether the oldest remembered attempt must be forgotten."""
         oldest = next(iter(self._past.values()))
-        return len(self._past) > MAX_REMEMBERED or oldest.at + REMEMBERED < now
+        return len(self._past) > MAX_REMEMBERED or oldest.at + MEMORY_TIME < now
 
     def _forget(self, attempt: AttemptId) -> None:
-        """Mark an attempt, and the entry's earlier ones, as no longer known."""
+        """Mark an attempt, and all earlier ones of its entry proxy, as forgotten."""
         if not self._is_forgotten(attempt):
             self._forgotten[attempt.entry] = attempt
 
-    def _drop_answers(self) -> None:
-        """Drop the oldest answers until half of the bound is free."""
+    def _discard_answers(self) -> None:
+        """Discard the oldest answers until half of the limit is free."""
         for past in self._past.values():
-            if self._kept_bytes <= MAX_KEPT_BYTES // 2:
+            if self._stored_bytes <= MAX_STORED_BYTES // 2:
                 return
             if past.bytes:
-                self._kept_bytes -= past.bytes
+                self._stored_bytes -= past.bytes
                 past.bytes = 0
                 past.outcome = Over(parts=None)
--- a/cowslipvane/call/_body.py
+++ b/cowslipvane/call/_body.py
@@ -1,4 +1,4 @@
-"""Bodies of offers in parts, so that no call waits behind another's bytes."""
+"""Split the bodies of offers into parts, so that large ones do not block other calls."""
 
 from __future__ import annotations
 
@@ -8,26 +8,26 @@
 
 from cowslipvane.call._messages import AttemptId, Chunk, Offer
 
-# The size of a part of a body.
+# Maximum size of a part of a body.
 PART_BYTES = 64 << 10
-# Bodies that arrive at once over one connection; further ones are refused.
-MAX_ARRIVING_BYTES = 64 << 20
+# Maximum total size of the incomplete bodies on one connection.
+MAX_INCOMPLETE_BYTES = 64 << 20
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Arriving:
-    """Further parts of the offer's body are to come."""
+    """The body of the offer is incomplete."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Overflow:
-    """The offer is dropped, because the bodies that arrive are too large together."""
+    """The offer was dropped because the incomplete bodies exceed their limit."""
 
     offer: Offer
 
 
 def parts_of(offer: Offer) -> Iterator[Offer | Chunk]:
-    """Yield an offer with the first part of its body, and then the other parts."""
+    """Yield an offer with the first part of its body, then the remaining parts."""
     body = offer.request.body
     first = offer.request._replace(body=body[:PART_BYTES])
     yield dataclasses.replace(offer, request=first, more=len(body) > PART_BYTES)
@@ -37,40 +37,40 @@
 
 
 class Arrivals:
-    """The offers of one connection whose bodies are not whole yet."""
+    """Assemble the offers of one connection from their parts."""
 
     def __init__(self) -> None:
         self._offers: dict[AttemptId, Offer] = {}
         self._bodies: dict[AttemptId, bytearray] = {}
-        self._bytes = 0
+        self._incomplete_bytes = 0
 
     def begin(self, offer: Offer) -> Offer | Arriving:
-        """Take an offer; return it when its body is whole."""
+        """Add the first part of an offer; return the offer if its body is complete."""
         if not offer.more:
             return offer
         self._offers[offer.attempt] = offer
         self._bodies[offer.attempt] = bytearray(offer.request.body)
-        self._bytes += len(offer.request.body)
+        self._incomplete_bytes += len(offer.request.body)
         return Arriving()
 
     def add(self, chunk: Chunk) -> Offer | Arriving | Overflow:
-        """Take a further part; return the offer once its body is whole."""
+        """Add another part; return the offer once its body is complete."""
         offer = self._offers.get(chunk.attempt)
         if offer is None:
-            # Its offer was dropped while this part was on its way.
+            # The offer was dropped while this part was in transit.
             return Arriving()
-        if self._bytes + len(chunk.body) > MAX_ARRIVING_BYTES:
+        if self._incomplete_bytes + len(chunk.body) > MAX_INCOMPLETE_BYTES:
             self.drop(chunk.attempt)
             return Overflow(offer=offer)
         self._bodies[chunk.attempt] += chunk.body
-        self._bytes += len(chunk.body)
+        self._incomplete_bytes += len(chunk.body)
         if chunk.more:
             return Arriving()
-        whole = offer.request._replace(body=bytes(self._bodies[chunk.attempt]))
+        complete = offer.request._replace(body=bytes(self._bodies[chunk.attempt]))
         self.drop(chunk.attempt)
-        return dataclasses.replace(offer, request=whole, more=False)
+        return dataclasses.replace(offer, request=complete, more=False)
 
     def drop(self, attempt: AttemptId) -> None:
-        """Forget an offer whose body is not whole yet, if there is one."""
+        """Drop an incomplete offer, if there is one."""
         if self._offers.pop(attempt, None) is not None:
-            self._bytes -= len(self._bodies.pop(attempt))
+            self._incomplete_bytes -= len(self._bodies.pop(attempt))
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -1,4 +1,4 @@
-"""The call: what was tried, and whether another attempt is allowed."""
+"""A call, its attempts, and whether another attempt is allowed."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 from cowslipvane.routing import Load, ServiceRules
 from cowslipvane.types import HostName, RequestId, Seconds, Verdict
 
-# Owners that may refuse a call before its caller is told; further ones are likely full too.
+# Owners that a call is offered to if each refuses it; the others are probably overloaded too.
 MAX_OFFERS = 3
 
 
 class Call:
-    """One caller's request and its attempts."""
+    """A request of a caller and the attempts to serve it."""
 
     def __init__(
         self,
@@ -32,15 +32,15 @@
         self._rules = rules
         self._deadline = deadline
         self._caller = caller
-        self._tried: list[HostName] = []
-        self._doubt: Refusal | None = None
-        self._sent = 0
-        self._refused = 0
+        self._tried_hosts: list[HostName] = []
+        self._unknown_outcome: Refusal | None = None
+        self._reached_upstream = 0
+        self._refusals = 0
         self._load: Load | None = None
 
     @property
     def request_id(self) -> RequestId:
-        """Return the request's id."""
+        """Return the id of the request."""
         return self._request_id
 
     @property
@@ -50,37 +50,37 @@
 
     @property
     def rules(self) -> ServiceRules:
-        """Return the service and its policies."""
+        """Return the service and the policies for the request."""
         return self._rules
 
     @property
     def caller(self) -> str:
-        """Return what tells callers apart when they share an upstream."""
+        """Return the identity of the caller, for fair queueing at an upstream."""
         return self._caller
 
     @property
     def is_nested(self) -> bool:
-        """Return whether an upstream makes the call for a request that it runs."""
+        """Return whether an upstream made the call while it handles another request."""
         return self._nested
 
     @property
     def tried(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
-        return tuple(self._tried)
+        return tuple(self._tried_hosts)
 
     @property
     def load(self) -> Load | None:
-        """Return the load that the last owner told which answered, None when none has."""
+        """Return the load that an owner reported last, or None if none has reported."""
         return self._load
 
     @property
     def doubt(self) -> Refusal | None:
-        """Return the refusal of an attempt that may have run, if there was one."""
-        return self._doubt
+        """Return the refusal of an attempt that may have run, or None."""
+        return self._unknown_outcome
 
     @property
     def is_idempotent(self) -> bool:
-        """Return whether the operator lets this request run more than once."""
+        """Return whether the configuration allows the request to run more than once."""
         if self._rules.repeatable is not None:
             return self._rules.repeatable
         retry = self._rules.retry
@@ -91,31 +91,31 @@
         return self._deadline - now
 
     def goal_left(self, now: float) -> Seconds | None:
-        """Return the time until the answer is worth less; None when that isn't told."""
+        """Return the time until the latency goal, or None if the request has no goal."""
         return None if self._goal is None else self._goal - now
 
     def begin_attempt(self, host: HostName) -> None:
-        """Count a new attempt at a host."""
-        self._tried.append(host)
+        """Record a new attempt at a host."""
+        self._tried_hosts.append(host)
 
     def note_load(self, load: Load) -> None:
-        """Keep the load that an owner has told with its answer."""
+        """Record the load that an owner reported with its answer."""
         self._load = load
 
     def note(self, refusal: Refusal) -> None:
-        """Keep the refusal of an attempt, so that a later one can't hide that this may have run."""
+        """Record a refusal, and keep the latest one whose attempt may have run."""
         if reached_upstream(refusal):
-            self._sent += 1
+            self._reached_upstream += 1
         elif not isinstance(refusal, OwnerUnreachable):
-            self._refused += 1
+            self._refusals += 1
         if explain(refusal).verdict is not Verdict.NOT_RUN:
-            self._doubt = refusal
+            self._unknown_outcome = refusal
 
     def may_try_again(self, refusal: Refusal) -> bool:
         """Return whether another attempt is allowed after a refusal."""
         if not reached_upstream(refusal):
-            # A service that is full everywhere is not asked owner by owner.
-            return isinstance(refusal, OwnerUnreachable) or self._refused + 1 < MAX_OFFERS
-        if self._sent + 1 >= self._rules.retry.attempts:
+            # The limit avoids offering the call to every owner of an overloaded service.
+            return isinstance(refusal, OwnerUnreachable) or self._refusals + 1 < MAX_OFFERS
+        if self._reached_upstream + 1 >= self._rules.retry.attempts:
             return False
         return self.is_idempotent or explain(refusal).verdict is Verdict.NOT_RUN
--- a/cowslipvane/call/_head.py
+++ b/cowslipvane/call/_head.py
@@ -1,4 +1,4 @@
-"""What is checked of a request's head before it is routed."""
+"""Check the head of a request before it is routed."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def head_fault(*, target: str, http_1_1: bool, fields: Iterable[tuple[str, str]]) -> str | None:
-    """Return why a request can't be passed on as it was meant, or None."""
+    """Return why a request can't be forwarded faithfully, or None if it can."""
     fault = _target_fault(target)
     if fault is not None:
         return fault
@@ -25,11 +25,12 @@
 
 
 def _target_fault(target: str) -> str | None:
-    """Return what is wrong with a target, such as one that names another host."""
+    """Return why a request target is not accepted, or None if it is."""
     if not target.startswith("/"):
         return "its target is not a path"
     path = target.partition("?")[0]
-    # A proxy and an upstream that read // or dots in different ways would route differently.
+    # If the proxy and an upstream interpret // or dot segments differently, a request could bypass
+    # the route that is meant for its path.
     if path.startswith("//"):
         return "its path begins with two slashes"
     if _DOT_SEGMENTS & set(unquote(path).replace("\\", "/").split("/")):
--- a/cowslipvane/call/_headers.py
+++ b/cowslipvane/call/_headers.py
@@ -1,4 +1,4 @@
-"""Header fields that belong to one hop."""
+"""Remove hop-by-hop header fields."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from cowslipvane.types import Header, Headers
 
-# RFC 9110, section 7.6.1, the lengths that each hop frames anew, and the expectation of a 100
-# that each hop meets by itself.
+# The hop-by-hop fields of RFC 9110, section 7.6.1, and two more that each hop handles itself:
+# Content-Length, since the body is framed again, and Expect, which is answered with a 100.
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -26,13 +26,13 @@
 
 
 def end_to_end(fields: Iterable[tuple[str, str]]) -> Headers:
-    """Return the fields that may pass to the next hop."""
+    """Return the fields without those that apply to a single hop."""
     headers = tuple(Header(name, value) for name, value in fields)
-    named = {
+    connection_options = {
         token.strip().lower()
         for header in headers
         if header.name.lower() == "connection"
         for token in header.value.split(",")
     }
-    dropped = _HOP_BY_HOP | named
+    dropped = _HOP_BY_HOP | connection_options
     return tuple(header for header in headers if header.name.lower() not in dropped)
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between the proxy that a call enters and the owner of an upstream."""
+"""Messages between the entry proxy of a call and the owner of an upstream."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class AttemptId(NamedTuple):
-    """One attempt at a request: its entry's host and incarnation, and a serial that only grows."""
+    """An attempt: the host and incarnation of its entry proxy, and an increasing serial."""
 
     entry: HostName
     incarnation: int
@@ -20,12 +20,12 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return what orders the attempts of one entry, also across its restarts."""
+        """Return a sort key for the attempts of one entry proxy, also across restarts."""
         return self.incarnation, self.serial
 
 
 class Request(NamedTuple):
-    """A caller's request; path is the target as received, query included."""
+    """A request of a caller; path is the request target as received, with the query."""
 
     method: str
     path: str
@@ -33,17 +33,17 @@
     body: bytes
 
     def header(self, name: str) -> str | None:
-        """Return the first value of a header field, if it is there."""
+        """Return the first value of a header field, or None if it is missing."""
         lower = name.lower()
-        return next((value for held, value in self.headers if held.lower() == lower), None)
+        return next((value for field, value in self.headers if field.lower() == lower), None)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Offer:
-    """Hands an attempt over to the owner of an upstream.
+    """Offer an attempt to the owner of an upstream.
 
-    goal is the time left until the answer is worth less, and kind tells calls apart by their time.
-    nested says that an upstream makes the call for a request that it runs.
+    goal is the time remaining until the latency goal; kind identifies calls with similar service
+    times. nested means that an upstream made the call while it handles another request.
     """
 
     attempt: AttemptId
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Chunk:
-    """Carries a further part of a body; more says whether others follow."""
+    """Send another part of a body; more tells whether others follow."""
 
     attempt: AttemptId
     body: bytes
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Cancel:
-    """Gives an attempt up that was offered to an incarnation; the owner answers with its end."""
+    """Cancel an attempt that was offered to an incarnation; the owner replies with its end."""
 
     attempt: AttemptId
     incarnation: int
@@ -77,9 +77,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fence:
-    """Asks what became of an attempt that was offered to an incarnation.
+    """Request the outcome of an attempt that was offered to an incarnation.
 
-    An attempt that has not started never will; one that has sends its answer from the start.
+    An attempt that has not started is prevented from starting. The answer of one that has started
+    is sent again from its beginning.
     """
 
     attempt: AttemptId
@@ -88,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
-    """Begins the upstream's answer."""
+    """Send the head and the first part of the upstream's answer."""
 
     attempt: AttemptId
     status: int
@@ -100,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Refused:
-    """Ends an attempt without a whole answer."""
+    """End an attempt that has no complete answer."""
 
     attempt: AttemptId
     refusal: Refusal
@@ -111,8 +112,8 @@
 Reply = Callable[[OwnerMessage], Awaitable[None]]
 
 
-def size(message: OwnerMessage) -> int:
-    """Return the bytes that a message holds, its own fields aside."""
+def payload_size(message: OwnerMessage) -> int:
+    """Return the number of bytes of the headers and the body in a message."""
     match message:
         case Answer(headers=headers, body=body):
             return len(body) + sum(len(name) + len(value) for name, value in headers)
--- a/cowslipvane/call/_names.py
+++ b/cowslipvane/call/_names.py
@@ -1,4 +1,4 @@
-"""The names of the header fields that the system itself reads and sets."""
+"""The names of the header fields that proxies read and set."""
 
 from __future__ import annotations
 
@@ -8,38 +8,39 @@
 
 
 class HeaderNames(NamedTuple):
-    """The fields towards callers and workers; an empty name stands for a field that isn't used."""
+    """Names of header fields towards callers and workers; an empty name disables a field."""
 
-    # Names a request; callers choose it themselves only if callers_name_requests says so.
+    # The request id; ids from callers are accepted only if callers_name_requests is set.
     request_id: str = "X-Request-Id"
     callers_name_requests: bool = False
-    # Milliseconds that a caller waits, and that a worker has left.
+    # The caller's timeout, and the time remaining for a worker, in milliseconds.
     timeout_ms: str = "X-Request-Timeout-Ms"
-    # The service on the host where a request began; set by the system, whatever a caller sent.
+    # The service on the host that sent the request. It is always set by the proxy, so that callers
+    # can't forge it.
     origin_service: str = ""
-    # The instance that a request is meant for; any other one refuses it without running it.
+    # The worker instance that a request is for; other instances refuse it without running it.
     expected_instance: str = ""
-    # In a worker's answer: the request was not run.
+    # Set in a worker's answer if the request was not run.
     not_run: str = "X-Not-Run"
-    # Names the proxy that owns the upstream: a caller that goes there next saves a hop.
+    # The address of the proxy that owns the upstream; callers that connect to it save a hop.
     owner: str = "X-Cowslipvane-Owner"
 
-    def without_own(self, headers: Headers) -> Headers:
-        """Return a request's fields without those that the system sets."""
+    def without_proxy_fields(self, headers: Headers) -> Headers:
+        """Return the fields of a request without those that the proxy sets."""
         own = {self.request_id, self.timeout_ms, self.origin_service, self.expected_instance}
         lower = {name.lower() for name in own}
         return tuple(header for header in headers if header.name.lower() not in lower)
 
     def towards_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
-        """Return the fields of a request that an entry passes on."""
-        fields = [*self.without_own(headers), Header(self.request_id, request_id)]
+        """Return the fields of a request that an entry proxy sends to an owner."""
+        fields = [*self.without_proxy_fields(headers), Header(self.request_id, request_id)]
         if self.origin_service:
             fields.append(Header(self.origin_service, origin_service))
         return tuple(fields)
 
-    def towards_worker(self, headers: Headers, left_ms: int, instance: str) -> Headers:
+    def towards_worker(self, headers: Headers, remaining_ms: int, instance: str) -> Headers:
         """Return the fields of a request that an owner sends to its worker."""
-        fields = [*headers, Header(self.timeout_ms, str(left_ms))]
+        fields = [*headers, Header(self.timeout_ms, str(remaining_ms))]
         if self.expected_instance and instance:
             fields.append(Header(self.expected_instance, instance))
         return tuple(fields)
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -1,4 +1,4 @@
-"""Tests of bodies that travel in parts."""
+"""Tests of bodies that are sent in parts."""
 
 import unittest
 from unittest.mock import patch
@@ -15,11 +15,11 @@
 )
 from cowslipvane.types import HostName, ServiceName
 
-PART = 64 << 10
+PART_BYTES = 64 << 10
 
 
 def offer(serial: int, size: int) -> Offer:
-    """Return an offer with a body whose parts differ."""
+    """Return an offer with a body whose parts differ from each other."""
     body = b"".join(bytes([serial + at % 200]) * 1000 for at in range(size // 1000 + 1))[:size]
     return Offer(
         attempt=AttemptId(HostName("a"), 1, serial),
@@ -32,59 +32,67 @@
 
 
 class BodyTest(unittest.TestCase):
-    """Splitting a body and putting it together."""
+    """Tests of splitting and assembling bodies."""
 
-    def test_any_size_arrives_as_it_was(self) -> None:
-        """Also at the edges of a part, and with other offers in between."""
-        for size in (0, 1, PART - 1, PART, PART + 1, 2 * PART, 3 * PART + 7):
-            arrivals, sent, other = Arrivals(), offer(1, size), offer(2, 2 * PART + 5)
+    def test_bodies_of_any_size_are_assembled_unchanged(self) -> None:
+        """Bodies of every size are whole, even if parts of other offers are interleaved."""
+        for size in (
+            0,
+            1,
+            PART_BYTES - 1,
+            PART_BYTES,
+            PART_BYTES + 1,
+            2 * PART_BYTES,
+            3 * PART_BYTES + 7,
+        ):
+            assembler, sent, other = Arrivals(), offer(1, size), offer(2, 2 * PART_BYTES + 5)
             first, *rest = parts_of(sent)
             other_first, *other_rest = parts_of(other)
             assert isinstance(first, Offer)
             assert isinstance(other_first, Offer)
-            arrived: Offer | Arriving | Overflow = arrivals.begin(first)
-            arrivals.begin(other_first)
+            result: Offer | Arriving | Overflow = assembler.begin(first)
+            assembler.begin(other_first)
             for at, part in enumerate(rest):
                 assert isinstance(part, Chunk)
-                arrived = arrivals.add(part)
-                between = other_rest[at] if at < len(other_rest) - 1 else None
-                if isinstance(between, Chunk):
-                    self.assertEqual(arrivals.add(between), Arriving())
-            self.assertEqual(arrived, sent)
+                result = assembler.add(part)
+                interleaved = other_rest[at] if at < len(other_rest) - 1 else None
+                if isinstance(interleaved, Chunk):
+                    self.assertEqual(assembler.add(interleaved), Arriving())
+            self.assertEqual(result, sent)
 
-    def test_no_part_is_larger_than_its_bound(self) -> None:
-        """Or a call would wait behind another's bytes."""
-        for part in parts_of(offer(1, 5 * PART + 9)):
+    def test_parts_are_bounded(self) -> None:
+        """Large parts would delay other calls on the same connection."""
+        for part in parts_of(offer(1, 5 * PART_BYTES + 9)):
             body = part.body if isinstance(part, Chunk) else part.request.body
-            self.assertLessEqual(len(body), PART)
+            self.assertLessEqual(len(body), PART_BYTES)
 
-    def test_a_dropped_offer_takes_no_further_part(self) -> None:
-        """It was fenced or cancelled while its body was on the way."""
-        arrivals = Arrivals()
-        first, second = parts_of(offer(1, PART + 1))
+    def test_parts_of_a_dropped_offer_are_ignored(self) -> None:
+        """The offer was fenced or cancelled while its body was in transit."""
+        assembler = Arrivals()
+        first, second = parts_of(offer(1, PART_BYTES + 1))
         assert isinstance(first, Offer)
         assert isinstance(second, Chunk)
-        arrivals.begin(first)
-        arrivals.drop(first.attempt)
-        self.assertEqual(arrivals.add(second), Arriving())
+        assembler.begin(first)
+        assembler.drop(first.attempt)
+        self.assertEqual(assembler.add(second), Arriving())
 
-    def test_bodies_that_arrive_are_bounded_together(self) -> None:
-        """One too many is dropped, and makes room for others."""
-        with patch("cowslipvane.call._body.MAX_ARRIVING_BYTES", 3 * PART):
-            arrivals = Arrivals()
-            sent = [offer(serial, 2 * PART) for serial in (1, 2)]
+    def test_total_of_incomplete_bodies_is_bounded(self) -> None:
+        """An offer beyond the limit is dropped, and the others can be completed."""
+        with patch("cowslipvane.call._body.MAX_INCOMPLETE_BYTES", 3 * PART_BYTES):
+            assembler = Arrivals()
+            sent = [offer(serial, 2 * PART_BYTES) for serial in (1, 2)]
             parts = [list(parts_of(item)) for item in sent]
             for first, _ in parts:
                 assert isinstance(first, Offer)
-                arrivals.begin(first)
+                assembler.begin(first)
             seconds = [second for _, second in parts]
             assert isinstance(seconds[0], Chunk)
             assert isinstance(seconds[1], Chunk)
-            third = next(iter(parts_of(offer(3, PART + 1))))
+            third = next(iter(parts_of(offer(3, PART_BYTES + 1))))
             assert isinstance(third, Offer)
-            arrivals.begin(third)
-            self.assertIsInstance(arrivals.add(seconds[0]), Overflow)
-            self.assertEqual(arrivals.add(seconds[1]), sent[1])
+            assembler.begin(third)
+            self.assertIsInstance(assembler.add(seconds[0]), Overflow)
+            self.assertEqual(assembler.add(seconds[1]), sent[1])
 
 
 if __name__ == "__main__":
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -1,4 +1,4 @@
-"""Tests of a caller's request and its attempts."""
+"""Tests of calls and their attempts."""
 
 import unittest
 
@@ -13,27 +13,27 @@
 
 
 def call(method: str) -> Call:
-    """Return a call whose GETs may be tried three times."""
+    """Return a call with a policy that allows three attempts for GET."""
     rules = ServiceRules(SERVICE, RetryPolicy(attempts=3, methods=("GET",)), TrafficPolicy())
     request = Request(method, "/", (), b"")
     return Call(request_id=RequestId("1"), request=request, rules=rules, deadline=1.0)
 
 
 class CallTest(unittest.TestCase):
-    """When a call may be tried again, and what is said of it in the end."""
+    """Tests of when a call may be retried, and of its final refusal."""
 
-    def test_only_an_idempotent_call_is_tried_again_in_doubt(self) -> None:
-        """A POST that may have run stays at one attempt."""
+    def test_only_idempotent_calls_are_retried_with_unknown_outcome(self) -> None:
+        """A POST that may have run is not retried."""
         self.assertTrue(call("GET").may_try_again(LOST))
         self.assertFalse(call("POST").may_try_again(LOST))
         self.assertTrue(call("POST").may_try_again(Draining(service=SERVICE)))
 
-    def test_a_later_refusal_does_not_hide_doubt(self) -> None:
-        """A call that may have run isn't reported as not run after a second refusal."""
-        tried = call("GET")
-        tried.note(LOST)
-        tried.note(QueueFull(service=SERVICE, retry_after=1.0))
-        self.assertEqual(tried.doubt, LOST)
+    def test_later_refusals_do_not_hide_an_unknown_outcome(self) -> None:
+        """A call that may have run is not reported as not run after a second refusal."""
+        retried_call = call("GET")
+        retried_call.note(LOST)
+        retried_call.note(QueueFull(service=SERVICE, retry_after=1.0))
+        self.assertEqual(retried_call.doubt, LOST)
 
 
 if __name__ == "__main__":
--- a/tests/test_goals.py
+++ b/tests/test_goals.py
@@ -1,4 +1,4 @@
-"""Tests of the goal that a call has, by who sends it."""
+"""Tests of the latency goal of a call, which depends on its sender."""
 
 import unittest
 
@@ -6,27 +6,27 @@
 
 
 class GoalsTest(LoneCallersTest):
-    """Callers and upstreams that share a host with the proxy."""
+    """Tests with callers and upstreams on the same host as the proxy."""
 
     async def asyncSetUp(self) -> None:
         """Put a configuration in force."""
         await super().asyncSetUp()
         self.apply()
 
-    async def test_a_caller_on_the_same_host_has_the_goal_of_its_route(self) -> None:
-        """Its address doesn't tell it from the upstream there."""
+    async def test_call_from_the_same_host_has_the_goal_of_its_route(self) -> None:
+        """A caller's address alone does not make its calls nested."""
         await self.code()
         self.assertLessEqual(self.goal_left(), GOAL_S)
         self.assertFalse(self.carrier.calls[-1].is_nested)
 
-    async def test_a_call_of_the_upstream_here_is_nested(self) -> None:
-        """Its id begins with that of a request which the upstream runs."""
+    async def test_call_from_the_local_upstream_is_nested(self) -> None:
+        """Its request id starts with that of a request that the upstream is running."""
         self.owner.running.add("parent")
         await self.code(**{"X-Request-Id": "parent.1"})
         self.assertTrue(self.carrier.calls[-1].is_nested)
 
-    async def test_an_id_that_only_looks_nested_makes_no_nested_call(self) -> None:
-        """The upstream here runs no such request."""
+    async def test_id_without_a_running_parent_is_not_nested(self) -> None:
+        """The local upstream is running no request with the id of the parent."""
         await self.code(**{"X-Request-Id": "other.1"})
         self.assertFalse(self.carrier.calls[-1].is_nested)
 
