--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -17,7 +17,7 @@
 
 
 class TokenBucket:
-    """A token bucket that is refilled by calls and by time, and drained by extra attempts."""
+    """A token bucket that is refilled by calls and by time, and used up by extra attempts."""
 
     def __init__(self, *, share: float, tokens_per_s: float, capacity: float, now: float) -> None:
         self._share = share
@@ -50,7 +50,7 @@
     """One proxy's part of the fleet's budgets for retries and hedged requests, by service.
 
     Tokens earned by calls need no division, since each proxy counts its own calls. The slack, which
-    is allowed whatever the number of calls, is divided evenly among the proxies.
+    is allowed regardless of the number of calls, is divided evenly among the proxies.
     """
 
     def __init__(self, *, retries: Retries = DEFAULT_RETRIES) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -58,13 +58,13 @@
         return chosen
 
     def report(self, host: str, load: Load) -> None:
-        """Let an owner report its load."""
+        """Report the load of an owner."""
         name = HostName(host)
         self.chooser.begin(name)
         self.chooser.end(name, Result.REFUSED, load, 0.0, self.now)
 
     def introduce(self, owners: Sequence[Member]) -> None:
-        """Introduce owners and wait until they have ramped up."""
+        """Introduce owners to the chooser and wait until they have ramped up."""
         self.choose(owners)
         self.now += RAMP_TIME
 
