--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -171,7 +171,7 @@
         self._running[waiting.work.attempt] = _Running(waiting.work.kind, long, now)
         return waiting.work
 
-    def overdue(self, work: Work, now: float) -> Refusal | None:
+    def check_deadline(self, work: Work, now: float) -> Refusal | None:
         """Return the refusal of work that can't end in time, though it has waited."""
         if now >= work.deadline:
             return DeadlinePassed(service=self._service, verdict=Verdict.NOT_RUN)
@@ -198,9 +198,9 @@
     def drain(self) -> list[Work]:
         """Start nothing from now on, and return what was waiting."""
         self._draining = True
-        return self.empty()
+        return self.clear_queue()
 
-    def empty(self) -> list[Work]:
+    def clear_queue(self) -> list[Work]:
         """Take everything out of the queue and return it."""
         left = [waiting.work for waiting in self._waiting.values()]
         for heap in (self._short, self._long):
--- a/cowslipvane/admission/_service_times.py
+++ b/cowslipvane/admission/_service_times.py
@@ -67,7 +67,7 @@
         self._typical_log += TYPICAL_WEIGHT * (log - self._typical_log)
 
 
-def kind_of(request: Request) -> str:
+def request_kind(request: Request) -> str:
     """Return the kind of a request: its method and the start of its path, without identifiers."""
     path = request.path.partition("?")[0]
     segments = path.strip("/").split("/")[:KIND_SEGMENTS]
--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -1,10 +1,11 @@
 """A caller's request: its attempts, their verdicts, and the messages that carry it."""
 
-from cowslipvane.call._attempts import Attempts, Forgotten, NeverStarted, Over, UnderWay
-from cowslipvane.call._body import Arrivals, Arriving, Overflow, parts_of
+from cowslipvane.call._attempts import Attempts, Ended, Forgotten, NeverStarted, Running
+from cowslipvane.call._body import Incomplete, OfferAssembler, Overflow, split_offer
 from cowslipvane.call._call import Call
 from cowslipvane.call._head import head_fault
-from cowslipvane.call._headers import end_to_end
+from cowslipvane.call._header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from cowslipvane.call._headers import end_to_end_headers
 from cowslipvane.call._messages import (
     Answer,
     AttemptId,
@@ -14,16 +15,15 @@
     Offer,
     OwnerMessage,
     Refused,
-    Reply,
     Request,
+    SendReply,
 )
-from cowslipvane.call._names import OWN_NAMES, HeaderNames
 
 __all__ = [
-    "Arrivals",
-    "Arriving",
+    "OfferAssembler",
+    "Incomplete",
     "Overflow",
-    "parts_of",
+    "split_offer",
     "Answer",
     "AttemptId",
     "Attempts",
@@ -34,14 +34,14 @@
     "Forgotten",
     "HeaderNames",
     "NeverStarted",
-    "OWN_NAMES",
+    "DEFAULT_HEADER_NAMES",
     "Offer",
-    "Over",
+    "Ended",
     "OwnerMessage",
     "Refused",
-    "Reply",
+    "SendReply",
     "Request",
-    "UnderWay",
-    "end_to_end",
+    "Running",
+    "end_to_end_headers",
     "head_fault",
 ]
--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -22,14 +22,14 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class UnderWay:
+class Running:
     """The attempt runs; parts grows while it does, and is None when too large to keep."""
 
     parts: list[OwnerMessage] | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Over:
+class Ended:
     """The attempt has ended; parts is its whole answer, or None when that is no longer kept."""
 
     parts: list[OwnerMessage] | None
@@ -40,7 +40,7 @@
     """Nothing is known of the attempt any more: it may have run."""
 
 
-Fencing = NeverStarted | UnderWay | Over | Forgotten
+Fencing = NeverStarted | Running | Ended | Forgotten
 
 
 @dataclass(slots=True, kw_only=True)
@@ -57,7 +57,7 @@
     """What is remembered of an attempt that has ended or was fenced."""
 
     at: float
-    outcome: NeverStarted | Over
+    outcome: NeverStarted | Ended
     bytes: int
 
 
@@ -73,7 +73,7 @@
         self._forgotten: dict[HostName, AttemptId] = {}
 
     @property
-    def under_way(self) -> tuple[AttemptId, ...]:
+    def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that wait or run."""
         return tuple(self._records)
 
@@ -88,7 +88,7 @@
         """Note that the attempt starts."""
         self._records[attempt].started = True
 
-    def keep(self, attempt: AttemptId, part: OwnerMessage) -> None:
+    def store_part(self, attempt: AttemptId, part: OwnerMessage) -> None:
         """Keep a part of the answer, so that it can be fetched again."""
         record = self._records[attempt]
         record.bytes += size(part)
@@ -101,7 +101,7 @@
         """Note that the attempt has ended, whether it was run or refused."""
         record = self._records.pop(attempt)
         kept = record.bytes if record.parts is not None else 0
-        self._remember(attempt, _Past(at=now, outcome=Over(parts=record.parts), bytes=kept))
+        self._remember(attempt, _Past(at=now, outcome=Ended(parts=record.parts), bytes=kept))
 
     def fence(self, attempt: AttemptId, incarnation: int, now: float) -> Fencing:
         """Return what became of an attempt; one that has not started never will."""
@@ -110,7 +110,7 @@
             return Forgotten()
         record = self._records.get(attempt)
         if record is not None and record.started:
-            return UnderWay(parts=record.parts)
+            return Running(parts=record.parts)
         past = self._past.get(attempt)
         if past is not None:
             return past.outcome
@@ -154,4 +154,4 @@
             if past.bytes:
                 self._kept_bytes -= past.bytes
                 past.bytes = 0
-                past.outcome = Over(parts=None)
+                past.outcome = Ended(parts=None)
--- a/cowslipvane/call/_body.py
+++ b/cowslipvane/call/_body.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Arriving:
+class Incomplete:
     """Further parts of the offer's body are to come."""
 
 
@@ -26,7 +26,7 @@
     offer: Offer
 
 
-def parts_of(offer: Offer) -> Iterator[Offer | Chunk]:
+def split_offer(offer: Offer) -> Iterator[Offer | Chunk]:
     """Yield an offer with the first part of its body, and then the other parts."""
     body = offer.request.body
     first = offer.request._replace(body=body[:PART_BYTES])
@@ -36,7 +36,7 @@
         yield Chunk(attempt=offer.attempt, body=body[start:end], more=end < len(body))
 
 
-class Arrivals:
+class OfferAssembler:
     """The offers of one connection whose bodies are not whole yet."""
 
     def __init__(self) -> None:
@@ -44,28 +44,28 @@
         self._bodies: dict[AttemptId, bytearray] = {}
         self._bytes = 0
 
-    def begin(self, offer: Offer) -> Offer | Arriving:
+    def begin(self, offer: Offer) -> Offer | Incomplete:
         """Take an offer; return it when its body is whole."""
         if not offer.more:
             return offer
         self._offers[offer.attempt] = offer
         self._bodies[offer.attempt] = bytearray(offer.request.body)
         self._bytes += len(offer.request.body)
-        return Arriving()
+        return Incomplete()
 
-    def add(self, chunk: Chunk) -> Offer | Arriving | Overflow:
+    def add(self, chunk: Chunk) -> Offer | Incomplete | Overflow:
         """Take a further part; return the offer once its body is whole."""
         offer = self._offers.get(chunk.attempt)
         if offer is None:
             # Its offer was dropped while this part was on its way.
-            return Arriving()
+            return Incomplete()
         if self._bytes + len(chunk.body) > MAX_ARRIVING_BYTES:
             self.drop(chunk.attempt)
             return Overflow(offer=offer)
         self._bodies[chunk.attempt] += chunk.body
         self._bytes += len(chunk.body)
         if chunk.more:
-            return Arriving()
+            return Incomplete()
         whole = offer.request._replace(body=bytes(self._bodies[chunk.attempt]))
         self.drop(chunk.attempt)
         return dataclasses.replace(offer, request=whole, more=False)
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -64,7 +64,7 @@
         return self._nested
 
     @property
-    def tried(self) -> tuple[HostName, ...]:
+    def tried_hosts(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
         return tuple(self._tried)
 
@@ -74,7 +74,7 @@
         return self._load
 
     @property
-    def doubt(self) -> Refusal | None:
+    def unknown_outcome(self) -> Refusal | None:
         """Return the refusal of an attempt that may have run, if there was one."""
         return self._doubt
 
@@ -86,11 +86,11 @@
         retry = self._rules.retry
         return self._request.method in retry.methods and not retry.idempotency_key
 
-    def time_left(self, now: float) -> Seconds:
+    def time_remaining(self, now: float) -> Seconds:
         """Return the time until the deadline."""
         return self._deadline - now
 
-    def goal_left(self, now: float) -> Seconds | None:
+    def goal_remaining(self, now: float) -> Seconds | None:
         """Return the time until the answer is worth less; None when that isn't told."""
         return None if self._goal is None else self._goal - now
 
@@ -98,11 +98,11 @@
         """Count a new attempt at a host."""
         self._tried.append(host)
 
-    def note_load(self, load: Load) -> None:
+    def record_load(self, load: Load) -> None:
         """Keep the load that an owner has told with its answer."""
         self._load = load
 
-    def note(self, refusal: Refusal) -> None:
+    def record_refusal(self, refusal: Refusal) -> None:
         """Keep the refusal of an attempt, so that a later one can't hide that this may have run."""
         if reached_upstream(refusal):
             self._sent += 1
--- a/cowslipvane/call/_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -10,9 +10,9 @@
 class HeaderNames(NamedTuple):
     """The fields towards callers and workers; an empty name stands for a field that isn't used."""
 
-    # Names a request; callers choose it themselves only if callers_name_requests says so.
+    # Names a request; callers choose it themselves only if accepts_request_ids says so.
     request_id: str = "X-Request-Id"
-    callers_name_requests: bool = False
+    accepts_request_ids: bool = False
     # Milliseconds that a caller waits, and that a worker has left.
     timeout_ms: str = "X-Request-Timeout-Ms"
     # The service on the host where a request began; set by the system, whatever a caller sent.
@@ -30,14 +30,14 @@
         lower = {name.lower() for name in own}
         return tuple(header for header in headers if header.name.lower() not in lower)
 
-    def towards_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
+    def headers_to_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
         """Return the fields of a request that an entry passes on."""
         fields = [*self.without_own(headers), Header(self.request_id, request_id)]
         if self.origin_service:
             fields.append(Header(self.origin_service, origin_service))
         return tuple(fields)
 
-    def towards_worker(self, headers: Headers, left_ms: int, instance: str) -> Headers:
+    def headers_to_worker(self, headers: Headers, left_ms: int, instance: str) -> Headers:
         """Return the fields of a request that an owner sends to its worker."""
         fields = [*headers, Header(self.timeout_ms, str(left_ms))]
         if self.expected_instance and instance:
@@ -45,4 +45,4 @@
         return tuple(fields)
 
 
-OWN_NAMES = HeaderNames()
+DEFAULT_HEADER_NAMES = HeaderNames()
--- a/cowslipvane/call/_headers.py
+++ b/cowslipvane/call/_headers.py
@@ -25,7 +25,7 @@
 )
 
 
-def end_to_end(fields: Iterable[tuple[str, str]]) -> Headers:
+def end_to_end_headers(fields: Iterable[tuple[str, str]]) -> Headers:
     """Return the fields that may pass to the next hop."""
     headers = tuple(Header(name, value) for name, value in fields)
     named = {
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -108,7 +108,7 @@
 
 
 OwnerMessage = Answer | Chunk | Refused
-Reply = Callable[[OwnerMessage], Awaitable[None]]
+SendReply = Callable[[OwnerMessage], Awaitable[None]]
 
 
 def size(message: OwnerMessage) -> int:
--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -3,7 +3,6 @@
 from cowslipvane.catalogue._catalogue import (
     Accepted,
     AcceptedChange,
-    Behind,
     Catalogue,
     Change,
     Conflict,
@@ -12,13 +11,14 @@
     Invalid,
     Outcome,
     Snapshot,
+    VersionNotReached,
 )
-from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
+from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._releases import (
     RELEASE_KEY,
-    operation_of,
     release_change,
     release_in_force,
+    release_operation_id,
 )
 from cowslipvane.catalogue._resources import (
     KINDS,
@@ -51,7 +51,7 @@
     "RELEASE_KEY",
     "Accepted",
     "AcceptedChange",
-    "Behind",
+    "VersionNotReached",
     "Catalogue",
     "CatalogueState",
     "Change",
@@ -78,10 +78,10 @@
     "export_state",
     "import_state",
     "closure",
-    "combine",
+    "combine_digests",
     "dangling",
     "kind_of",
-    "operation_of",
+    "release_operation_id",
     "release_change",
     "release_in_force",
     "resource_digest",
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
+from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._documents import rebuilt
 from cowslipvane.catalogue._resources import (
     Fault,
@@ -79,7 +79,7 @@
     digest: Digest
 
 
-class Behind(NamedTuple):
+class VersionNotReached(NamedTuple):
     """The version asked about is newer than the newest one here."""
 
     version: Version
@@ -172,7 +172,7 @@
         self._parts.clear()
 
     @property
-    def oldest(self) -> Version:
+    def oldest_version(self) -> Version:
         """Return the oldest version that the history reaches back to."""
         return Version(self._steps[0].version - 1) if self._steps else self._version
 
@@ -180,7 +180,7 @@
         """Return the first answer to an operation, if it has been decided."""
         return self._outcomes.get(operation_id)
 
-    def judge(self, change: Change) -> Outcome | None:
+    def evaluate(self, change: Change) -> Outcome | None:
         """Return why a change can't be accepted, or None when it can."""
         known = self._outcomes.get(change.operation_id)
         if known is not None:
@@ -233,7 +233,7 @@
 
     def _decide(self, change: Change, *, accepted_at: float) -> Outcome:
         """Decide a change and, when it is accepted, take it in under the next version."""
-        refused = self.judge(change)
+        refused = self.evaluate(change)
         if refused is not None:
             self._outcomes.setdefault(change.operation_id, refused)
             return refused
@@ -249,12 +249,14 @@
         self._outcomes[change.operation_id] = accepted
         return accepted
 
-    def since(self, base: Version, hosts: RouteHosts = ()) -> Delta | Snapshot | Behind:
+    def update_since(
+        self, base: Version, hosts: RouteHosts = ()
+    ) -> Delta | Snapshot | VersionNotReached:
         """Return what leads from a version to the newest one, within the closure of some hosts."""
         if base > self._version:
-            return Behind(self._version)
+            return VersionNotReached(self._version)
         part = self._part(hosts)
-        if base < self.oldest or base == NO_VERSION:
+        if base < self.oldest_version or base == NO_VERSION:
             resources = tuple(self._resources[key] for key in sorted(part.keys))
             return Snapshot(self._version, resources, part.digest)
         before = self._before(base)
@@ -302,7 +304,7 @@
         part = self._parts.get(hosts)
         if part is None or part.version != self._version:
             keys = closure(self._resources, hosts)
-            digest = combine(self._digest(self._resources[key]) for key in keys)
+            digest = combine_digests(self._digest(self._resources[key]) for key in keys)
             part = self._parts[hosts] = _Part(self._version, keys, digest)
         return part
 
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -18,7 +18,7 @@
     return held.spec if held is not None and isinstance(held.spec, Release) else None
 
 
-def operation_of(release: Release) -> OperationId:
+def release_operation_id(release: Release) -> OperationId:
     """Return the id under which a release is decided; the same document has the same id."""
     digest = hashlib.blake2b(release.document.encode(), digest_size=16).hexdigest()
     return OperationId(f"release-{release.number}-{digest}")
@@ -52,7 +52,7 @@
         if key not in resources and not isinstance(present.spec, Release | Upstream)
     ]
     return Change(
-        operation_of(release),
+        release_operation_id(release),
         catalogue.version,
         (*puts.items(), (RELEASE_KEY, _told_after(held, release))),
         tuple(deletes),
--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -25,18 +25,18 @@
 _NO_ANSWER = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
-class Everywhere(NamedTuple):
+class AllResponses(NamedTuple):
     """What each process answered by its host, and why the others did not."""
 
-    answers: dict[str, Any]
-    silent: dict[str, str]
+    responses: dict[str, Any]
+    errors: dict[str, str]
 
 
 class Unreachable(Exception):
     """None of the given servers answered."""
 
 
-class Gone(Exception):
+class HistoryUnavailable(Exception):
     """The history does not reach back far enough; the text says what to do."""
 
 
@@ -49,7 +49,7 @@
         self._servers = servers
         self._timeout = timeout
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=timeout), headers=token.fields if token else None
+            timeout=aiohttp.ClientTimeout(total=timeout), headers=token.headers if token else None
         )
 
     async def __aenter__(self) -> Self:
@@ -77,7 +77,7 @@
         """Return the group of replicas."""
         return await self._ask("GET", "/v1/replicas", None)
 
-    async def regroup(self, form: dict[str, Any]) -> dict[str, Any]:
+    async def change_group(self, form: dict[str, Any]) -> dict[str, Any]:
         """Send a change of the group until its outcome is known."""
         return await self._ask("POST", "/v1/replicas", form)
 
@@ -99,7 +99,7 @@
                     known[member["host"]] = member
         return [known[host] for host in sorted(known)]
 
-    async def everywhere(self, path: str) -> Everywhere:
+    async def request_all(self, path: str) -> AllResponses:
         """Ask every process that the servers know, and return who answered what."""
         members = await self.members()
         results = await asyncio.gather(
@@ -116,9 +116,9 @@
                     answers[member["host"]] = form
                 case (status, _):
                     silent[member["host"]] = f"answered with HTTP status {status}"
-        return Everywhere(answers, silent)
+        return AllResponses(answers, silent)
 
-    async def ask(self, method: str, path: str) -> dict[str, Any]:
+    async def request(self, method: str, path: str) -> dict[str, Any]:
         """Ask the first server that answers, whatever its role."""
         for server in self._servers:
             try:
@@ -141,7 +141,7 @@
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
         """Yield each change accepted after a version once, and how far the newest has come.
 
-        Raise Gone when the servers don't remember the changes that follow the version.
+        Raise HistoryUnavailable when the servers no longer hold the changes after the version.
         """
         loop = asyncio.get_running_loop()
         give_up = loop.time() + self._timeout
@@ -163,7 +163,7 @@
         url = f"http://{server}/v1/watch?from={version}"
         async with self._session.get(url, timeout=timeout) as response:
             if response.status == HTTPStatus.GONE:
-                raise Gone((await response.json())["sentence"])
+                raise HistoryUnavailable((await response.json())["sentence"])
             response.raise_for_status()
             async for line in response.content:
                 # An empty line is a heartbeat.
--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -8,13 +8,13 @@
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import EXIT_BAD_INPUT, ask, output_option
+from cowslipvane.cmdline._options import EXIT_BAD_INPUT, output_option, run_command
 from cowslipvane.cmdline._output import with_progress
 
-NOWHERE = "name processes by --server, or event files by --file"
+NO_SOURCE_MESSAGE = "name processes by --server, or event files by --file"
 
 
-class Moment(click.ParamType[float]):
+class Timestamp(click.ParamType[float]):
     """A time: ISO 8601, in UTC unless it says otherwise, or seconds since 1970."""
 
     name = "time"
@@ -62,7 +62,7 @@
     *, servers: tuple[str, ...], files: tuple[Path, ...], output: str, request: str
 ) -> None:
     """Explain what became of a request, by its id."""
-    account = ask(with_progress(_account(servers, files, request), "asking every process"))
+    account = run_command(with_progress(_account(servers, files, request), "asking every process"))
     click.echo(account.as_json() if output == "json" else account.as_text())
 
 
@@ -74,7 +74,7 @@
         return commands.explain_from_files(files, request)
     if servers:
         return await commands.explain(servers, request)
-    raise commands.CommandFailed(NOWHERE)
+    raise commands.CommandFailed(NO_SOURCE_MESSAGE)
 
 
 @click.command()
@@ -83,8 +83,8 @@
 @click.option("--request", default="", help="Only events of the request with this id.")
 @click.option("--version", type=int, default=0, help="Only events of this version.")
 @click.option("--upstream", default="", help="Only events at or about this host.")
-@click.option("--since", type=Moment(), help="Only events from this time on.")
-@click.option("--until", type=Moment(), help="Only events up to this time.")
+@click.option("--since", type=Timestamp(), help="Only events from this time on.")
+@click.option("--until", type=Timestamp(), help="Only events up to this time.")
 @click.option(
     "--html", type=click.Path(path_type=Path), help="Also draw the events into this HTML file."
 )
@@ -103,10 +103,10 @@
 ) -> None:
     """Print the events of all processes in one order."""
     wanted = commands.Filter(request, version, upstream, since, until)
-    found = ask(with_progress(_collect(servers, files, wanted), "collecting events"))
+    found = run_command(with_progress(_collect(servers, files, wanted), "collecting events"))
     click.echo(found.as_json() if output == "json" else found.as_text())
     if html is not None:
-        _write(html, commands.picture(found))
+        _write(html, commands.render_timeline_page(found))
 
 
 async def _collect(
@@ -114,10 +114,10 @@
 ) -> commands.Timeline:
     """Return the events of files if there are any, or of live processes."""
     if files:
-        return commands.timeline_of_files(files, wanted)
+        return commands.timeline_from_files(files, wanted)
     if servers:
-        return await commands.timeline_of_processes(servers, wanted)
-    raise commands.CommandFailed(NOWHERE)
+        return await commands.timeline_from_processes(servers, wanted)
+    raise commands.CommandFailed(NO_SOURCE_MESSAGE)
 
 
 def _write(path: Path, text: str) -> None:
--- a/cowslipvane/cmdline/_options.py
+++ b/cowslipvane/cmdline/_options.py
@@ -34,7 +34,7 @@
 )
 
 
-def ask(coroutine: Coroutine[Any, Any, T]) -> T:
+def run_command(coroutine: Coroutine[Any, Any, T]) -> T:
     """Run a command and turn its failure into one line."""
     try:
         return asyncio.run(coroutine)
--- a/cowslipvane/cmdline/_process.py
+++ b/cowslipvane/cmdline/_process.py
@@ -12,13 +12,13 @@
 from cowslipvane import commands
 from cowslipvane.cmdline._options import (
     EXIT_BAD_INPUT,
-    ask,
     output_option,
     read_settings,
+    run_command,
     server_option,
     settings_option,
 )
-from cowslipvane.cmdline._output import show, table, with_progress
+from cowslipvane.cmdline._output import print_result, table, with_progress
 
 
 @click.command()
@@ -69,8 +69,8 @@
 @output_option
 def status(servers: tuple[str, ...], output: str) -> None:
     """Print what the leader, or a process that answers, knows."""
-    form = ask(with_progress(commands.status(servers), "asking for the status"))
-    show(form, output, _status_text(form))
+    form = run_command(with_progress(commands.status(servers), "asking for the status"))
+    print_result(form, output, _status_text(form))
 
 
 @click.command()
@@ -80,8 +80,8 @@
 @click.argument("host")
 def drain(servers: tuple[str, ...], output: str, wait: bool, host: str) -> None:
     """Take HOST out as planned: it starts nothing new, ends what runs, and exits."""
-    form = ask(with_progress(commands.drain(servers, host, wait), f"draining {host}"))
-    show(form, output, f"{host}: {form['state']}")
+    form = run_command(with_progress(commands.drain(servers, host, wait), f"draining {host}"))
+    print_result(form, output, f"{host}: {form['state']}")
 
 
 @click.command()
@@ -90,8 +90,8 @@
 @click.option("--host", help="The host to ask; the first server that answers by default.")
 def debug(servers: tuple[str, ...], output: str, host: str | None) -> None:
     """Print what a process knows of itself."""
-    form = ask(with_progress(commands.debug(servers, host), "asking the process"))
-    show(form, output, table(("what", "value"), _flat("", form)))
+    form = run_command(with_progress(commands.debug(servers, host), "asking the process"))
+    print_result(form, output, table(("what", "value"), _flat("", form)))
 
 
 @click.command()
--- a/cowslipvane/cmdline/_replica.py
+++ b/cowslipvane/cmdline/_replica.py
@@ -8,7 +8,7 @@
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import ask, read_settings, server_option, settings_option
+from cowslipvane.cmdline._options import read_settings, run_command, server_option, settings_option
 
 id_option = click.option(
     "--id", "replica_id", required=True, help="The identity that 'replica join' printed."
@@ -47,7 +47,7 @@
 @server_option
 def list_(servers: tuple[str, ...]) -> None:
     """Print the group of replicas."""
-    click.echo(json.dumps(ask(commands.list_replicas(servers)), indent=2))
+    click.echo(json.dumps(run_command(commands.list_replicas(servers)), indent=2))
 
 
 @replica.command()
@@ -56,7 +56,7 @@
 @click.argument("member")
 def add(servers: tuple[str, ...], replica_id: str, member: str) -> None:
     """Add a replica, MEMBER as HOST=IP:PORT, and wait until it votes."""
-    group = ask(commands.take_replica(servers, "add", member, replica_id))
+    group = run_command(commands.add_or_replace_replica(servers, "add", member, replica_id))
     click.echo(json.dumps(group, indent=2))
 
 
@@ -66,7 +66,7 @@
 @click.argument("member")
 def replace(servers: tuple[str, ...], replica_id: str, member: str) -> None:
     """Replace the replica on a host that lost its disk, MEMBER as HOST=IP:PORT."""
-    group = ask(commands.take_replica(servers, "replace", member, replica_id))
+    group = run_command(commands.add_or_replace_replica(servers, "replace", member, replica_id))
     click.echo(json.dumps(group, indent=2))
 
 
@@ -75,4 +75,4 @@
 @click.argument("host")
 def remove(servers: tuple[str, ...], host: str) -> None:
     """Take the replica on a host out of the group."""
-    click.echo(json.dumps(ask(commands.remove_replica(servers, host)), indent=2))
+    click.echo(json.dumps(run_command(commands.remove_replica(servers, host)), indent=2))
--- a/cowslipvane/cmdline/_resources.py
+++ b/cowslipvane/cmdline/_resources.py
@@ -10,7 +10,7 @@
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import EXIT_BAD_INPUT, ask, server_option
+from cowslipvane.cmdline._options import EXIT_BAD_INPUT, run_command, server_option
 
 
 @click.command()
@@ -25,7 +25,7 @@
     """Write the resources in a TOML or JSON file."""
     form = _read(path)
     form |= {"operation_id": operation_id, "dry_run": dry_run}
-    answer = ask(commands.apply(servers, form, based_on))
+    answer = run_command(commands.apply(servers, form, based_on))
     _show_faults(path, answer)
     click.echo(json.dumps(answer))
     if answer["outcome"] not in ("accepted", "valid"):
@@ -37,7 +37,7 @@
 @click.argument("resource", default="")
 def get(servers: tuple[str, ...], resource: str) -> None:
     """Print the accepted resources, or one by KIND/NAME, and where they are in force."""
-    click.echo(json.dumps(ask(commands.get(servers, resource)), indent=2))
+    click.echo(json.dumps(run_command(commands.get(servers, resource)), indent=2))
 
 
 @click.command()
@@ -45,7 +45,7 @@
 @click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
 def diff(servers: tuple[str, ...], path: Path) -> None:
     """Print what applying a TOML or JSON file would change; exit with 1 if anything."""
-    answer = ask(commands.diff(servers, _read(path)))
+    answer = run_command(commands.diff(servers, _read(path)))
     _show_faults(path, answer)
     if answer["outcome"] != "valid":
         raise SystemExit(EXIT_BAD_INPUT)
@@ -59,7 +59,7 @@
 @click.option("--from", "version", type=int, default=0, help="The version you hold.")
 def history(servers: tuple[str, ...], version: int) -> None:
     """Print a line for each change that was accepted after a version."""
-    for change in ask(commands.history(servers, version)):
+    for change in run_command(commands.history(servers, version)):
         click.echo(json.dumps(change))
 
 
@@ -68,7 +68,7 @@
 @click.option("--from", "version", type=int, default=0, help="The version you hold.")
 def watch(servers: tuple[str, ...], version: int) -> None:
     """Print a line for each change that is accepted, and as the newest comes into force."""
-    ask(commands.watch(servers, version, click.echo))
+    run_command(commands.watch(servers, version, click.echo))
 
 
 def _read(path: Path) -> dict[str, Any]:
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -2,15 +2,21 @@
 
 from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._explain import Account, account_of, explain, explain_from_files
-from cowslipvane.commands._picture import picture
-from cowslipvane.commands._process import debug, describe, drain, read_settings, run, status
+from cowslipvane.commands._explain import Account, build_account, explain, explain_from_files
+from cowslipvane.commands._process import (
+    debug,
+    drain,
+    effective_settings,
+    read_settings,
+    run,
+    status,
+)
 from cowslipvane.commands._replica import (
+    add_or_replace_replica,
     create_replica,
     join_replica,
     list_replicas,
     remove_replica,
-    take_replica,
 )
 from cowslipvane.commands._resources import (
     apply,
@@ -24,9 +30,10 @@
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
-    timeline_of_files,
-    timeline_of_processes,
+    timeline_from_files,
+    timeline_from_processes,
 )
+from cowslipvane.commands._timeline_page import render_timeline_page
 from cowslipvane.settings import SettingsFault
 
 __all__ = [
@@ -36,19 +43,19 @@
     "Filter",
     "SettingsFault",
     "Timeline",
-    "account_of",
+    "build_account",
     "apply",
     "check",
     "create_replica",
     "debug",
-    "describe",
+    "effective_settings",
     "drain",
     "explain",
     "explain_from_files",
     "get",
     "join_replica",
     "list_replicas",
-    "picture",
+    "render_timeline_page",
     "diff",
     "diff_lines",
     "history",
@@ -57,8 +64,8 @@
     "remove_replica",
     "run",
     "status",
-    "take_replica",
-    "timeline_of_files",
-    "timeline_of_processes",
+    "add_or_replace_replica",
+    "timeline_from_files",
+    "timeline_from_processes",
     "watch",
 ]
--- a/cowslipvane/commands/_check.py
+++ b/cowslipvane/commands/_check.py
@@ -7,7 +7,7 @@
 
 from cowslipvane.catalogue import Catalogue, Fault, Invalid
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._process import describe
+from cowslipvane.commands._process import effective_settings
 from cowslipvane.commands._resources import read_resources
 from cowslipvane.settings import SettingsFault, load
 from cowslipvane.wire import read_change
@@ -25,7 +25,7 @@
     report = CheckReport([], [])
     for path in settings:
         try:
-            report.effective.append(describe(load(path)))
+            report.effective.append(effective_settings(load(path)))
         except SettingsFault as error:
             report.faults.extend(error.faults)
     for path in resources:
--- a/cowslipvane/commands/_errors.py
+++ b/cowslipvane/commands/_errors.py
@@ -19,7 +19,7 @@
 
 
 @asynccontextmanager
-async def client_of(servers: tuple[str, ...]) -> AsyncIterator[Client]:
+async def open_client(servers: tuple[str, ...]) -> AsyncIterator[Client]:
     """Return a client whose failure to reach anybody fails the command."""
     path = os.environ.get(TOKEN_FILE_VARIABLE)
     try:
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -10,9 +10,9 @@
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
-    event_line,
-    timeline_of_files,
-    timeline_of_processes,
+    format_event,
+    timeline_from_files,
+    timeline_from_processes,
 )
 from cowslipvane.events import EventForm
 from cowslipvane.types import Verdict
@@ -45,20 +45,20 @@
             f"  decided:  {self.decision}",
             f"  whether it ran: {self.verdict}",
         ]
-        return "\n".join([*lines, *(f"  {event_line(event)}" for event in self.events)])
+        return "\n".join([*lines, *(f"  {format_event(event)}" for event in self.events)])
 
 
 async def explain(servers: tuple[str, ...], request: str) -> Account:
     """Return the account of a request from every process that remembers it."""
-    return account_of(request, await timeline_of_processes(servers, Filter(request=request)))
+    return build_account(request, await timeline_from_processes(servers, Filter(request=request)))
 
 
 def explain_from_files(paths: tuple[Path, ...], request: str) -> Account:
     """Return the account of a request from event files or logs."""
-    return account_of(request, timeline_of_files(paths, Filter(request=request)))
+    return build_account(request, timeline_from_files(paths, Filter(request=request)))
 
 
-def account_of(request: str, timeline: Timeline) -> Account:
+def build_account(request: str, timeline: Timeline) -> Account:
     """Return the account that the events of a request give; raise CommandFailed without any."""
     if not timeline.events:
         missing = f" ({'; '.join(timeline.gaps)})" if timeline.gaps else ""
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -8,13 +8,13 @@
 from typing import Any
 
 from cowslipvane.client import Client, Unreachable
-from cowslipvane.commands._errors import CommandFailed, client_of
+from cowslipvane.commands._errors import CommandFailed, open_client
 from cowslipvane.settings import Settings, TokenFault, load
 from cowslipvane.storage import FolderBusy, FolderDamaged, FolderEmpty
 from cowslipvane.types import Seconds
 
 # Time between looks at a process that is being drained.
-DRAIN_POLL: Seconds = 0.2
+DRAIN_POLL_INTERVAL: Seconds = 0.2
 
 
 def read_settings(path: Path) -> Settings:
@@ -22,7 +22,7 @@
     return load(path)
 
 
-def describe(settings: Settings) -> dict[str, Any]:
+def effective_settings(settings: Settings) -> dict[str, Any]:
     """Return the settings in effect as JSON values."""
     return dataclasses.asdict(settings)
 
@@ -41,14 +41,14 @@
 
 async def status(servers: tuple[str, ...]) -> dict[str, Any]:
     """Return what the leader, or a process that answers, knows."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         return await client.status()
 
 
 async def drain(servers: tuple[str, ...], host: str, wait: bool) -> dict[str, str]:
     """Take a host's process out; wait until it has ended if that is asked."""
-    async with client_of((await _operators(servers, host),)) as client:
-        await client.ask("POST", "/v1/drain")
+    async with open_client((await _operators(servers, host),)) as client:
+        await client.request("POST", "/v1/drain")
         if wait:
             await _until_ended(client)
     return {"host": host, "state": "ended" if wait else "leaving"}
@@ -58,13 +58,13 @@
     """Return what a process knows of itself."""
     if host is not None:
         servers = (await _operators(servers, host),)
-    async with client_of(servers) as client:
-        return await client.ask("GET", "/v1/debug")
+    async with open_client(servers) as client:
+        return await client.request("GET", "/v1/debug")
 
 
 async def _operators(servers: tuple[str, ...], host: str) -> str:
     """Return the operators' address of a host."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         members = await client.members()
     known = {member["host"]: str(member["operators"]) for member in members}
     if host not in known:
@@ -76,10 +76,10 @@
     """Return once a process answers no more."""
     while True:
         try:
-            await client.ask("GET", "/v1/status")
+            await client.request("GET", "/v1/status")
         except Unreachable:
             return
-        await asyncio.sleep(DRAIN_POLL)
+        await asyncio.sleep(DRAIN_POLL_INTERVAL)
 
 
 async def _run(settings: Settings) -> None:
--- a/cowslipvane/commands/_replica.py
+++ b/cowslipvane/commands/_replica.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from cowslipvane.client import Client
-from cowslipvane.commands._errors import CommandFailed, client_of
+from cowslipvane.commands._errors import CommandFailed, open_client
 from cowslipvane.replica import Voter
 from cowslipvane.settings import Settings
 from cowslipvane.storage import DataFolder, FolderBusy, Identity
@@ -33,17 +33,17 @@
 
 async def list_replicas(servers: tuple[str, ...]) -> dict[str, Any]:
     """Return the group that is in force."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         return await client.replicas()
 
 
-async def take_replica(
+async def add_or_replace_replica(
     servers: tuple[str, ...], change: str, member: str, replica_id: str
 ) -> dict[str, Any]:
     """Add a replica or replace the one on its host, and return once it votes."""
     voter = _voter(member)
     form = {"change": change, "host": voter.host, "address": str(voter.address)}
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         await _regroup(client, {**form, "replica_id": replica_id})
         try:
             async with asyncio.timeout(PROMOTION_TIMEOUT):
@@ -56,13 +56,13 @@
 
 async def remove_replica(servers: tuple[str, ...], host: str) -> dict[str, Any]:
     """Take the replica on a host out of the group."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         return await _regroup(client, {"change": "remove", "host": host})
 
 
 async def _regroup(client: Client, form: dict[str, Any]) -> dict[str, Any]:
     """Send a change of the group; a refusal fails the command."""
-    answer = await client.regroup(form)
+    answer = await client.change_group(form)
     if answer.get("outcome") != "accepted":
         raise CommandFailed(str(answer.get("sentence", answer)))
     return answer
--- a/cowslipvane/commands/_resources.py
+++ b/cowslipvane/commands/_resources.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from cowslipvane.client import Gone
-from cowslipvane.commands._errors import CommandFailed, client_of
+from cowslipvane.client import HistoryUnavailable
+from cowslipvane.commands._errors import CommandFailed, open_client
 
 
 def read_resources(path: Path) -> dict[str, Any]:
@@ -27,7 +27,7 @@
     servers: tuple[str, ...], form: dict[str, Any], based_on: int | None
 ) -> dict[str, Any]:
     """Send a change, based on the newest version unless another is given."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         if based_on is None:
             based_on = (await client.resources())["version"]
         return await client.change({**form, "based_on": based_on})
@@ -36,7 +36,7 @@
 async def get(servers: tuple[str, ...], resource: str) -> dict[str, Any]:
     """Return the accepted resources, or one named KIND/NAME, and where they are in force."""
     kind, _, name = resource.partition("/")
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         if not resource:
             return await client.resources()
         found = await client.resource(kind, name)
@@ -47,7 +47,7 @@
 
 async def history(servers: tuple[str, ...], version: int) -> list[dict[str, Any]]:
     """Return the changes accepted after a version."""
-    async with client_of(servers) as client:
+    async with open_client(servers) as client:
         found = await client.history(version)
     if "changes" not in found:
         raise CommandFailed(found["sentence"])
@@ -77,8 +77,8 @@
 async def watch(servers: tuple[str, ...], version: int, show: Callable[[str], Any]) -> None:
     """Show a line for each change that is accepted, and as the newest comes into force."""
     try:
-        async with client_of(servers) as client:
+        async with open_client(servers) as client:
             async for line in client.watch(version):
                 show(json.dumps(line))
-    except Gone as error:
+    except HistoryUnavailable as error:
         raise CommandFailed(str(error)) from error
--- a/cowslipvane/commands/_timeline.py
+++ b/cowslipvane/commands/_timeline.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from cowslipvane.commands._errors import CommandFailed, client_of
-from cowslipvane.events import EventForm, older, read_events
+from cowslipvane.commands._errors import CommandFailed, open_client
+from cowslipvane.events import EventForm, read_events, rotated_path
 
 
 class Filter(NamedTuple):
@@ -21,7 +21,7 @@
     since: float | None = None
     until: float | None = None
 
-    def takes(self, event: EventForm) -> bool:
+    def matches(self, event: EventForm) -> bool:
         """Return whether an event is wanted."""
         about = {event["host"], event["detail"].get("owner"), event["detail"].get("member")}
         return (
@@ -45,37 +45,37 @@
 
     def as_text(self) -> str:
         """Return the time line for people, an event a line."""
-        return "\n".join([*map(event_line, self.events), *(f"! {gap}" for gap in self.gaps)])
+        return "\n".join([*map(format_event, self.events), *(f"! {gap}" for gap in self.gaps)])
 
 
-async def timeline_of_processes(servers: tuple[str, ...], wanted: Filter) -> Timeline:
+async def timeline_from_processes(servers: tuple[str, ...], wanted: Filter) -> Timeline:
     """Merge the events that live processes hold in memory."""
     path = f"/v1/events?request={wanted.request}&version={wanted.version}"
-    async with client_of(servers) as client:
-        found = await client.everywhere(path)
-    gaps = [f"{host} did not answer: {why}" for host, why in sorted(found.silent.items())]
-    for host, answer in sorted(found.answers.items()):
+    async with open_client(servers) as client:
+        found = await client.request_all(path)
+    gaps = [f"{host} did not answer: {why}" for host, why in sorted(found.errors.items())]
+    for host, answer in sorted(found.responses.items()):
         gaps += [f"{host} {gap}" for gap in _losses(answer["counts"])]
-    events = [event for answer in found.answers.values() for event in answer["events"]]
+    events = [event for answer in found.responses.values() for event in answer["events"]]
     return Timeline(merge(events, wanted), gaps)
 
 
-def timeline_of_files(paths: tuple[Path, ...], wanted: Filter) -> Timeline:
+def timeline_from_files(paths: tuple[Path, ...], wanted: Filter) -> Timeline:
     """Merge the events of event files, each with the older file beside it."""
     missing = [str(path) for path in paths if not path.is_file()]
     if missing:
         raise CommandFailed(f"{', '.join(missing)}: no such file; name event files that exist")
-    both = {file: None for path in paths for file in (older(path), path)}
+    both = {file: None for path in paths for file in (rotated_path(path), path)}
     return Timeline(merge(read_events(both), wanted), [])
 
 
 def merge(events: Iterable[EventForm], wanted: Filter) -> list[EventForm]:
     """Return the wanted events in the order of their stamps, each once."""
-    once = {_order(event): event for event in events if wanted.takes(event)}
+    once = {_order(event): event for event in events if wanted.matches(event)}
     return [once[key] for key in sorted(once)]
 
 
-def event_line(event: EventForm) -> str:
+def format_event(event: EventForm) -> str:
     """Return one event as a line."""
     moment = datetime.datetime.fromtimestamp(event["wall"], datetime.UTC)
     about = [f"version={event['version']}"] if event["version"] else []
--- a/cowslipvane/commands/_picture.py
+++ b/cowslipvane/commands/_timeline_page.py
@@ -6,7 +6,7 @@
 from html import escape
 from xml.etree import ElementTree as Xml
 
-from cowslipvane.commands._timeline import Timeline, event_line
+from cowslipvane.commands._timeline import Timeline, format_event
 from cowslipvane.events import EVENT_KINDS, EventForm
 
 # Lengths in pixels.
@@ -35,10 +35,10 @@
 )
 
 
-def picture(timeline: Timeline) -> str:
+def render_timeline_page(timeline: Timeline) -> str:
     """Return the page."""
     gaps = "".join(f'<li class="gap">{escape(gap)}</li>' for gap in timeline.gaps)
-    rows = "".join(f"<tr><td>{escape(event_line(event))}</td></tr>" for event in timeline.events)
+    rows = "".join(f"<tr><td>{escape(format_event(event))}</td></tr>" for event in timeline.events)
     return (
         '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8"/>'
         f"<title>Time line</title><style>{_STYLE}</style></head><body>"
@@ -88,7 +88,7 @@
     colour = _COLOURS.get(event["kind"], _OTHER_COLOUR)
     shape = {"fill": colour, "fill-opacity": "0.75", "class": "event"}
     dot = Xml.SubElement(svg, "circle", {**place, **shape})
-    Xml.SubElement(dot, "title").text = event_line(event)
+    Xml.SubElement(dot, "title").text = format_event(event)
 
 
 def _draw_legend(svg: Xml.Element, events: list[EventForm], y: int) -> None:
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from cowslipvane.call import OWN_NAMES
+from cowslipvane.call import DEFAULT_HEADER_NAMES
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventFile, EventLog, EventStream, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
@@ -24,18 +24,19 @@
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
-from cowslipvane.tasks._carrier import Carrier
 from cowslipvane.tasks._debug import debug_form
-from cowslipvane.tasks._front_end import FrontEnd, Parts
+from cowslipvane.tasks._dispatcher import Dispatcher
+from cowslipvane.tasks._event_copies import EventCopies
+from cowslipvane.tasks._front_end import Components, FrontEnd
+from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._http import HttpListener
-from cowslipvane.tasks._joining import Joining, new_identity
-from cowslipvane.tasks._measures import Measures
-from cowslipvane.tasks._members import Members
-from cowslipvane.tasks._operators import Operators
+from cowslipvane.tasks._joining import GroupJoiner, new_identity
+from cowslipvane.tasks._metrics_collector import MetricsCollector
+from cowslipvane.tasks._operator_api import OperatorApi
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peer_listener import CALLS_PATH, Handler, PeerListener
 from cowslipvane.tasks._peers import Peers, serve_calls
-from cowslipvane.tasks._pipeline import Ahead
+from cowslipvane.tasks._pipeline import Prefetcher
 from cowslipvane.tasks._process_api import ProcessApi
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._releases import Releases
@@ -44,17 +45,16 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
-from cowslipvane.tasks._witness import Witness
 from cowslipvane.types import Seconds
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
 # The part of the grace period in which listeners and links close, each within its own bound, and
 # nothing is waited for any more.
-EXIT_TIME: Seconds = 1.0
+EXIT_RESERVE: Seconds = 1.0
 # How often the settings file is looked at; a signal makes the process look at once.
-SETTINGS_CHECK: Seconds = 1.0
+SETTINGS_CHECK_INTERVAL: Seconds = 1.0
 # A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
-LEAVING_TIME: Seconds = 1.0
+LEAVING_NOTICE_TIME: Seconds = 1.0
 
 
 class Daemon:
@@ -63,7 +63,7 @@
     def __init__(self, *, settings: Settings, front_end: FrontEnd | None = None) -> None:
         self._settings = settings
         self._front_end = front_end
-        self._names = front_end.names if front_end else OWN_NAMES
+        self._header_names = front_end.header_names if front_end else DEFAULT_HEADER_NAMES
         self._rng = random.Random()
         self._clock = HybridClock()
         token_file = settings.security.token_file
@@ -77,7 +77,7 @@
             file=_event_file(settings),
             stream=EventStream() if settings.log_events else None,
             memory=int(settings.limits.events_in_memory),
-            observer=self._metrics.note,
+            observer=self._metrics.record_event,
         )
         own = Member(
             settings.host,
@@ -90,13 +90,13 @@
             "up",
             None,
         )
-        self._members = Members(
+        self._gossip = Gossip(
             membership=Membership(own=own, now=time.monotonic(), seeds=settings.seeds),
             seeds=settings.seeds,
             interval=settings.timing.exchange,
             events=self._events,
         )
-        self._witness = Witness(membership=self._members.membership, events=self._events)
+        self._event_copies = EventCopies(membership=self._gossip.membership, events=self._events)
         self._started_at = time.monotonic()
         self._stop = Signal()
         self._stopping = False
@@ -110,7 +110,7 @@
         self._subscription: Subscription | None = None
         self._subscriber: Subscriber | None = None
         self._releases: Releases | None = None
-        self._joining: Joining | None = None
+        self._joining: GroupJoiner | None = None
         self._peers = Peers(events=self._events)
 
     async def run(self) -> None:
@@ -126,7 +126,7 @@
                 tasks.extend(self._start_replica(stack))
             if "proxy" in self._settings.roles:
                 tasks.extend(self._start_proxy())
-            tasks += [self._events.run(), self._members.run(), self._witness.run()]
+            tasks += [self._events.run(), self._gossip.run(), self._event_copies.run()]
             if self._front_end is not None:
                 tasks.append(self._watch_settings(self._front_end))
             for task in tasks:
@@ -153,16 +153,16 @@
             self._events.record("reloaded", outcome="refused", reason="; ".join(fault.faults))
             return
         self._settings = settings
-        self._members.learn_seeds(settings.seeds)
+        self._gossip.update_seeds(settings.seeds)
         if self._subscriber is not None:
-            self._subscriber.learn_seeds(settings.seeds)
+            self._subscriber.update_seeds(settings.seeds)
         seeds = " ".join(str(seed) for seed in settings.seeds)
         self._events.record("reloaded", outcome="taken", seeds=seeds)
 
     async def _watch_settings(self, front_end: FrontEnd) -> None:
         """Take new settings over also when no signal tells of them."""
         while True:
-            await asyncio.sleep(SETTINGS_CHECK)
+            await asyncio.sleep(SETTINGS_CHECK_INTERVAL)
             if front_end.has_new_settings():
                 self.reload()
 
@@ -182,7 +182,7 @@
                 task.result()
         finally:
             if self._peer_listener is not None:
-                self._peer_listener.stop_waiting()
+                self._peer_listener.cancel_waiting()
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
@@ -211,7 +211,7 @@
         try:
             await asyncio.wait(
                 [idle, hurried],
-                timeout=max(0.0, timing.grace - timing.lame_duck - EXIT_TIME),
+                timeout=max(0.0, timing.grace - timing.lame_duck - EXIT_RESERVE),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
@@ -227,12 +227,12 @@
 
     async def _wait_idle(self, callers: Callers, owner: Owner) -> None:
         """Wait until peers know of the leaving, and nothing is under way."""
-        await asyncio.sleep(LEAVING_TIME / 2)
+        await asyncio.sleep(LEAVING_NOTICE_TIME / 2)
         if self._callers_listener is not None:
             # Not at the exit: that follows the last answer, and so may its caller's next request.
             await self._callers_listener.finish()
-        await asyncio.sleep(LEAVING_TIME / 2)
-        while callers.under_way or owner.under_way:
+        await asyncio.sleep(LEAVING_NOTICE_TIME / 2)
+        while callers.in_flight or owner.in_flight:
             await callers.wait_idle()
             await owner.wait_idle()
 
@@ -244,9 +244,9 @@
     def _say_what_is_cut(self, callers: Callers, owner: Owner) -> None:
         """Record the calls and the attempts that the exit cuts."""
         reason = "a second signal" if self._hurried else "the grace period is over"
-        for request_id in callers.under_way:
+        for request_id in callers.in_flight:
             self._events.record("cut", request=request_id, reason=reason)
-        for attempt in owner.under_way:
+        for attempt in owner.in_flight:
             self._events.record("cut", entry=attempt.entry, reason=reason)
 
     def _start_replica(self, stack: AsyncExitStack) -> list[Coroutine[Any, Any, None]]:
@@ -277,17 +277,17 @@
         )
         self._publisher = Publisher(
             replication=self._replication,
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             pull_wait=self._settings.timing.pull_wait,
         )
         self._releases = Releases(replication=self._replication, events=self._events)
         tasks = [self._replication.run(), self._publisher.run()]
         if self._settings.formation.automatic:
-            self._joining = Joining(
+            self._joining = GroupJoiner(
                 replication=self._replication,
                 group_name=identity.group,
                 own_address=self._settings.listen.peers,
-                others=lambda: self._settings.seeds,
+                peer_addresses=lambda: self._settings.seeds,
                 events=self._events,
                 rng=self._rng,
             )
@@ -299,16 +299,16 @@
         subscription = Subscription()
         self._subscription = subscription
         self._owner = Owner(
-            members=self._members,
+            gossip=self._gossip,
             subscription=subscription,
             events=self._events,
             worker_lease=self._settings.timing.worker_lease,
-            names=self._names,
+            header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
         )
-        carrier = Carrier(
+        carrier = Dispatcher(
             subscription=subscription,
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             owner=self._owner,
             peers=self._peers,
             chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
@@ -320,14 +320,14 @@
         )
         self._callers = Callers(
             subscription=subscription,
-            carrier=carrier,
+            dispatcher=carrier,
             events=self._events,
             rng=self._rng,
             metrics=self._metrics,
-            applied=self._subscriber.applied,
+            configuration_applied=self._subscriber.configuration_applied,
             owner=self._owner,
             origin_service=self._settings.service,
-            names=self._names,
+            header_names=self._header_names,
         )
         return [self._owner.run(), self._subscriber.run()]
 
@@ -346,27 +346,27 @@
             self._callers_listener = HttpListener(
                 handler=self._callers.handle,
                 address=listen.callers,
-                ahead=Ahead(self._callers.fetch, self._callers.discard),
+                prefetcher=Prefetcher(self._callers.fetch, self._callers.discard),
             )
             await stack.enter_async_context(self._callers_listener)
         if self._front_end is not None:
-            parts = Parts(self._releases, self._owner, lambda: self.is_ready)
+            parts = Components(self._releases, self._owner, lambda: self.is_ready)
             for listener in self._front_end.listeners(parts):
                 await stack.enter_async_context(listener)
 
-    def _operators(self, peers: PeerListener) -> Operators:
+    def _operators(self, peers: PeerListener) -> OperatorApi:
         """Return what answers operators."""
         process = ProcessApi(
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             events=self._events,
             replication=self._replication,
             subscription=self._subscription,
             owner=self._owner,
             drain=self.stop,
             debug=partial(self._debug, peers),
-            measures=Measures(
+            metrics_collector=MetricsCollector(
                 metrics=self._metrics,
-                membership=self._members.membership,
+                membership=self._gossip.membership,
                 events=self._events,
                 traffic=self._traffic,
                 replication=self._replication,
@@ -375,25 +375,27 @@
             ),
         )
         if self._replication is None or self._publisher is None:
-            return Operators(process=process, resources=None, replicas=None, token=self._token)
+            return OperatorApi(process=process, resources=None, replicas=None, token=self._token)
         resources = ResourceApi(
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             events=self._events,
             replication=self._replication,
             publisher=self._publisher,
         )
         replicas = ReplicaApi(
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             events=self._events,
             replication=self._replication,
         )
-        return Operators(process=process, resources=resources, replicas=replicas, token=self._token)
+        return OperatorApi(
+            process=process, resources=resources, replicas=replicas, token=self._token
+        )
 
     def _debug(self, peers: PeerListener) -> dict[str, Any]:
         """Return what this process knows of itself."""
         return debug_form(
             settings=self._settings,
-            membership=self._members.membership,
+            membership=self._gossip.membership,
             events=self._events,
             connections=peers.connections,
             started_at=self._started_at,
@@ -402,8 +404,8 @@
     def _peer_handlers(self) -> dict[str, Handler]:
         """Return what serves each path of the peers' listener."""
         handlers: dict[str, Handler] = {
-            "/members": self._members.serve,
-            "/events": self._witness.serve,
+            "/members": self._gossip.serve,
+            "/events": self._event_copies.serve,
         }
         if self._replication is not None:
             handlers["/replica"] = self._replication.serve
--- a/cowslipvane/events/__init__.py
+++ b/cowslipvane/events/__init__.py
@@ -2,7 +2,7 @@
 
 from cowslipvane.events._clock import HybridClock, Stamp
 from cowslipvane.events._event import EVENT_KINDS, Event, EventForm, EventKind, Origin, event_form
-from cowslipvane.events._file import EventFile, older, read_events
+from cowslipvane.events._file import EventFile, read_events, rotated_path
 from cowslipvane.events._log import EventLog
 from cowslipvane.events._stream import EventStream
 
@@ -18,6 +18,6 @@
     "Origin",
     "Stamp",
     "event_form",
-    "older",
     "read_events",
+    "rotated_path",
 ]
--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -45,7 +45,7 @@
 
     def tail(self, count: int) -> list[EventForm]:
         """Return the newest events of the files, oldest first."""
-        paths = [older(self._path), self._path]
+        paths = [rotated_path(self._path), self._path]
         return list(deque(read_events(paths, last_bytes=count * _TAIL_BYTES), maxlen=count))
 
     def close(self) -> None:
@@ -59,7 +59,7 @@
     def __init__(self, *, path: Path, max_bytes: int) -> None:
         self.dropped = 0
         self.failed = 0
-        self._newer, self._older = _count_lines(path), _count_lines(older(path))
+        self._newer, self._older = _count_lines(path), _count_lines(rotated_path(path))
         super().__init__(path, maxBytes=max_bytes, backupCount=1, encoding="utf-8")
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -83,7 +83,7 @@
                 stream.close()
 
 
-def older(path: Path) -> Path:
+def rotated_path(path: Path) -> Path:
     """Return where the file before an event file is kept."""
     return path.with_name(f"{path.name}.1")
 
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -14,11 +14,11 @@
 from cowslipvane.types import Seconds
 
 # Time between writes of new events to the event file.
-WRITE_EVERY: Seconds = 0.2
+WRITE_INTERVAL: Seconds = 0.2
 # Events kept in memory by default; older ones are dropped and counted.
-MEMORY_EVENTS = 4000
+DEFAULT_EVENTS_IN_MEMORY = 4000
 # Events of other processes, and of this one before it restarted, that are kept beside its own.
-KEPT_EVENTS = 1000
+MAX_COPIED_EVENTS = 1000
 # Refusals that wait to be copied to another process; more are dropped and counted.
 UNCOPIED_EVENTS = 500
 
@@ -33,7 +33,7 @@
         clock: HybridClock,
         file: EventFile | None = None,
         stream: EventStream | None = None,
-        memory: int = MEMORY_EVENTS,
+        memory: int = DEFAULT_EVENTS_IN_MEMORY,
         observer: Callable[[Event], None] | None = None,
     ) -> None:
         self._observer = observer
@@ -42,14 +42,14 @@
         self._file = file
         self._stream = stream
         self._events: deque[Event] = deque(maxlen=memory)
-        self._kept: deque[EventForm] = deque(maxlen=KEPT_EVENTS)
+        self._kept: deque[EventForm] = deque(maxlen=MAX_COPIED_EVENTS)
         self._uncopied: deque[Event] = deque(maxlen=UNCOPIED_EVENTS)
         self._recorded = 0
         self._written = 0
         self._unwritten = 0
         self._copied_away = 0
         if file is not None:
-            self._restore(file.tail(KEPT_EVENTS))
+            self._restore(file.tail(MAX_COPIED_EVENTS))
 
     @property
     def origin(self) -> Origin:
@@ -87,7 +87,7 @@
         """Write new events as JSON lines, aside from what recorded them."""
         try:
             while True:
-                await asyncio.sleep(WRITE_EVERY)
+                await asyncio.sleep(WRITE_INTERVAL)
                 self.write()
         finally:
             self.write()
@@ -112,14 +112,14 @@
         self._uncopied.clear()
         return events
 
-    def put_back(self, events: tuple[Event, ...]) -> None:
+    def requeue_uncopied(self, events: tuple[Event, ...]) -> None:
         """Let refusals wait again, because they could not be copied."""
         room = UNCOPIED_EVENTS - len(self._uncopied)
         kept = events[-room:] if room else ()
         self._copied_away += len(events) - len(kept)
         self._uncopied.extendleft(reversed(kept))
 
-    def keep(self, origin: Origin, events: Iterable[Event]) -> None:
+    def store_copies(self, origin: Origin, events: Iterable[Event]) -> None:
         """Keep copies of another process's events."""
         self._kept.extend(event_form(origin, event) for event in events)
 
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -38,7 +38,7 @@
         """Return the newest announcement, None before the first."""
         return self._newest
 
-    def take(self, announcement: Announcement) -> bool:
+    def record(self, announcement: Announcement) -> bool:
         """Keep an announcement that is newer than the one held; return whether it is."""
         held = self._newest
         instance = announcement.worker.instance
@@ -55,7 +55,7 @@
         self._newest = announcement
         return True
 
-    def take_departure(self, instance: str, wall_ms: int) -> bool:
+    def record_departure(self, instance: str, wall_ms: int) -> bool:
         """Note that an instance is gone; return whether it was the one here.
 
         A departure may come to a process that has heard nothing of the instance yet, as after a
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -38,23 +38,23 @@
         self._compared_at: float | None = None
 
     @property
-    def has_news(self) -> bool:
+    def has_updates(self) -> bool:
         """Return whether there is something to send before the next heartbeat."""
         return bool(self._wanted) or self._has_diverged() or bool(self._unsent())
 
-    def pause(self, beat: Seconds) -> Seconds:
+    def next_exchange_delay(self, heartbeat_interval: Seconds) -> Seconds:
         """Return the time until the next exchange, when heartbeats are a time apart."""
         return (
-            min(beat, FIRST_PAUSE * 2 ** min(self._differing, _MOST_DOUBLINGS))
+            min(heartbeat_interval, FIRST_PAUSE * 2 ** min(self._differing, _MOST_DOUBLINGS))
             if self._differing
-            else beat
+            else heartbeat_interval
         )
 
     @property
-    def settled(self) -> bool:
+    def is_synchronized(self) -> bool:
         """Return whether both sides have compared and nothing is left to send."""
         compared = self._compared_at is not None or self._mismatches == 0
-        return compared and not self.has_news
+        return compared and not self.has_updates
 
     def next_message(self, now: float) -> Exchange | Compare:
         """Return what the opener of the connection sends next."""
@@ -71,7 +71,9 @@
             )
         return Exchange(digest=self._membership.digest, members=self._take_news())
 
-    def answer(self, message: Exchange | Compare, now: float) -> tuple[ExchangeReply, list[Member]]:
+    def handle_message(
+        self, message: Exchange | Compare, now: float
+    ) -> tuple[ExchangeReply, list[Member]]:
         """Return the reply to the opener's message, and the records that were news here."""
         match message:
             case Exchange(members=members):
@@ -87,7 +89,9 @@
                 reply = ExchangeReply(digest=self._membership.digest, members=told, wanted=wanted)
         return reply, newer
 
-    def take(self, sent: Exchange | Compare, reply: ExchangeReply, now: float) -> list[Member]:
+    def handle_reply(
+        self, sent: Exchange | Compare, reply: ExchangeReply, now: float
+    ) -> list[Member]:
         """Take a reply in, and return the records that were news."""
         idle = _says_no_news(sent, self._membership.digest) and not reply.members
         newer = self._hear(reply.members, now)
@@ -175,7 +179,7 @@
         return (
             self._here
             or record.data_centre != self._membership.own.data_centre
-            or record.host in self._membership.exported
+            or record.host in self._membership.exported_hosts
             or record.host in listed
         )
 
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -61,7 +61,7 @@
         return tuple(self._live())
 
     @property
-    def proxies(self) -> int:
+    def estimated_proxy_count(self) -> int:
         """Return about how many proxies there are: those here, times the data centres."""
         if self._proxies is None:
             here = sum(member.callers is not None for member in self._live_here())
@@ -80,7 +80,7 @@
         return self._digest
 
     @property
-    def exported(self) -> frozenset[HostName]:
+    def exported_hosts(self) -> frozenset[HostName]:
         """Return the members of this data centre that others are told of."""
         if self._exported is None:
             known = self._live_here() if self._settled else [self._own]
@@ -91,7 +91,7 @@
         """Return the newest record of a host, if there is one."""
         return self._members.get(host)
 
-    def announce(self, worker: Worker | None, now: float) -> None:
+    def set_worker(self, worker: Worker | None, now: float) -> None:
         """Take the own upstream in, or out when it is None."""
         self._publish(self._own._replace(worker=worker), now)
 
@@ -122,7 +122,7 @@
         self._keep(held._replace(suspected=True), now)
         return True
 
-    def miss_reply(self, host: HostName, due_at: float, now: float) -> bool:
+    def handle_missed_reply(self, host: HostName, due_at: float, now: float) -> bool:
         """Suspect a member whose reply is overdue; return whether that is news."""
         # After a stall of this process the reply may lie unread, and proves nothing.
         return now < due_at + OWN_STALL and self.suspect(host, now)
--- a/cowslipvane/membership/_topology.py
+++ b/cowslipvane/membership/_topology.py
@@ -21,7 +21,7 @@
     """A member to keep a connection to, and whether its heartbeats are frequent."""
 
     host: HostName
-    near: bool
+    frequent_heartbeats: bool
 
 
 def ring_neighbours(own: HostName, hosts: Iterable[HostName]) -> list[Neighbour]:
--- a/cowslipvane/metrics/__init__.py
+++ b/cowslipvane/metrics/__init__.py
@@ -1,6 +1,6 @@
 """Metrics of one process: cheap counts while it works, families when somebody asks."""
 
 from cowslipvane.metrics._families import FAMILIES, Family
-from cowslipvane.metrics._metrics import CALL_SECONDS_BUCKETS, Metrics, Reading
+from cowslipvane.metrics._metrics import CALL_SECONDS_BUCKETS, Metrics, Sample
 
-__all__ = ["CALL_SECONDS_BUCKETS", "FAMILIES", "Family", "Metrics", "Reading"]
+__all__ = ["CALL_SECONDS_BUCKETS", "FAMILIES", "Family", "Metrics", "Sample"]
--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -11,7 +11,7 @@
     name: str
     kind: Literal["counter", "gauge", "histogram"]
     label: str
-    about: str
+    description: str
 
 
 # No label holds anything of a caller: every label has a closed set of values.
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -14,7 +14,7 @@
 CALL_SECONDS_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
-class Reading(NamedTuple):
+class Sample(NamedTuple):
     """A value of a family now; label parts the family, or is empty."""
 
     name: str
@@ -45,7 +45,7 @@
         """Return the sum of the times of all calls."""
         return self._call_seconds
 
-    def note(self, event: Event) -> None:
+    def record_event(self, event: Event) -> None:
         """Count what an event tells."""
         match event.kind:
             case "attempt":
@@ -63,7 +63,7 @@
             case "accepted":
                 self._accepted = (Version(event.version), event.stamp.wall)
 
-    def observe_call(self, seconds: Seconds) -> None:
+    def record_call(self, seconds: Seconds) -> None:
         """Count a call that ended, by the time it took."""
         self._call_counts[bisect.bisect_left(CALL_SECONDS_BUCKETS, seconds)] += 1
         self._call_seconds += seconds
@@ -82,17 +82,17 @@
         whole = min(in_force) >= version
         return max(0.0, (in_force[version] if whole else now) - accepted_at)
 
-    def readings(self) -> list[Reading]:
+    def samples(self) -> list[Sample]:
         """Return the counts."""
         return [
             *_by_label("cowslipvane_calls", self._calls),
             *_by_label("cowslipvane_verdicts", self._verdicts),
             *_by_label("cowslipvane_versions", self._versions),
-            Reading("cowslipvane_attempts", self._attempts),
-            Reading("cowslipvane_retries", self._retries),
+            Sample("cowslipvane_attempts", self._attempts),
+            Sample("cowslipvane_retries", self._retries),
         ]
 
 
-def _by_label(name: str, counts: Counter[str]) -> list[Reading]:
+def _by_label(name: str, counts: Counter[str]) -> list[Sample]:
     """Return a reading for each label."""
-    return [Reading(name, value, label) for label, value in sorted(counts.items())]
+    return [Sample(name, value, label) for label, value in sorted(counts.items())]
--- a/cowslipvane/metrics/_render.py
+++ b/cowslipvane/metrics/_render.py
@@ -16,13 +16,13 @@
 from prometheus_client.registry import Collector
 
 from cowslipvane.metrics._families import FAMILIES, Family
-from cowslipvane.metrics._metrics import CALL_SECONDS_BUCKETS, Metrics, Reading
+from cowslipvane.metrics._metrics import CALL_SECONDS_BUCKETS, Metrics, Sample
 
 
-def render(metrics: Metrics, readings: Sequence[Reading]) -> bytes:
+def render(metrics: Metrics, samples: Sequence[Sample]) -> bytes:
     """Return the metrics of this process, and those of its interpreter."""
     registry = CollectorRegistry()
-    registry.register(_Families(metrics=metrics, readings=readings))
+    registry.register(_Families(metrics=metrics, readings=samples))
     for collector in (GCCollector, PlatformCollector, ProcessCollector):
         collector(registry=registry)
     return generate_latest(registry)
@@ -31,7 +31,7 @@
 class _Families(Collector):
     """Turns readings into families."""
 
-    def __init__(self, *, metrics: Metrics, readings: Sequence[Reading]) -> None:
+    def __init__(self, *, metrics: Metrics, readings: Sequence[Sample]) -> None:
         self._metrics = metrics
         self._readings = readings
 
@@ -49,15 +49,15 @@
         """Return the histogram of calls."""
         bounds = [*map(str, CALL_SECONDS_BUCKETS), "+Inf"]
         buckets = list(zip(bounds, self._metrics.call_buckets, strict=True))
-        metric = HistogramMetricFamily(family.name, family.about)
+        metric = HistogramMetricFamily(family.name, family.description)
         metric.add_metric([], buckets, self._metrics.call_seconds)
         return metric
 
 
-def _metric(family: Family, readings: Sequence[Reading]) -> Metric:
+def _metric(family: Family, readings: Sequence[Sample]) -> Metric:
     """Return a counter or a gauge."""
     kind = CounterMetricFamily if family.kind == "counter" else GaugeMetricFamily
-    metric = kind(family.name, family.about, labels=[family.label] if family.label else [])
+    metric = kind(family.name, family.description, labels=[family.label] if family.label else [])
     for reading in readings:
         metric.add_metric([reading.label] if family.label else [], reading.value)
     return metric
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -24,14 +24,14 @@
 _POLICY = "limits"
 
 
-class Decoded(NamedTuple):
+class DecodedConfiguration(NamedTuple):
     """A configuration in the product's terms."""
 
     release: Release
     resources: dict[Key, Spec]
 
 
-def decode_configuration(body: bytes) -> Decoded:
+def decode_configuration(body: bytes) -> DecodedConfiguration:
     """Return what a body asks for; raise ValueError when it can't be read in full."""
     try:
         form = json.loads(body)
@@ -44,7 +44,7 @@
             resources.update(_routes(listener))
     except (LookupError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"the configuration can't be read: {error!r}") from error
-    return Decoded(release, resources)
+    return DecodedConfiguration(release, resources)
 
 
 def _version(text: Any) -> int:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -9,23 +9,23 @@
 from cowslipvane.call import HeaderNames
 from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release
 from cowslipvane.platform._configuration import decode_configuration
-from cowslipvane.platform._settings import PlatformSettings, load, stamp_of
+from cowslipvane.platform._settings import PlatformSettings, file_stamp, load
 from cowslipvane.platform._workers import decode_announcement
 from cowslipvane.settings import Settings
 from cowslipvane.tasks import (
+    Components,
     HttpListener,
     NoRelease,
     NotLeader,
     Owner,
-    Parts,
     Releases,
     Unknown,
 )
 from cowslipvane.types import Address, HostName
 
-NAMES = HeaderNames(
+HEADER_NAMES = HeaderNames(
     request_id="Attempt-Id",
-    callers_name_requests=True,
+    accepts_request_ids=True,
     timeout_ms="Deadline-Ms",
     origin_service="Caller-Service",
     expected_instance="Expected-Instance",
@@ -44,7 +44,7 @@
 
     def __init__(self, *, path: Path) -> None:
         self._path = path
-        self._stamp = stamp_of(path)
+        self._stamp = file_stamp(path)
         self._settings: PlatformSettings = load(path)
 
     @property
@@ -53,24 +53,24 @@
         return self._settings.product
 
     @property
-    def names(self) -> HeaderNames:
+    def header_names(self) -> HeaderNames:
         """Return the platform's names of header fields."""
-        return NAMES
+        return HEADER_NAMES
 
     def has_new_settings(self) -> bool:
         """Return whether the settings file was written since it was last read."""
-        return stamp_of(self._path) != self._stamp
+        return file_stamp(self._path) != self._stamp
 
     def reload(self) -> Settings:
         """Read the settings again."""
         # A change between the two is seen by the next look at the file.
-        self._stamp = stamp_of(self._path)
+        self._stamp = file_stamp(self._path)
         self._settings = load(self._path)
         return self._settings.product
 
-    def listeners(self, parts: Parts) -> list[HttpListener]:
+    def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners of the process's roles."""
-        control = _Control(parts=parts, address=self._settings.control)
+        control = _Control(components=components, address=self._settings.control)
         found = [HttpListener(handler=control.handle, address=self._settings.control)]
         readiness = self._settings.readiness
         if readiness is not None:
@@ -81,8 +81,8 @@
 class _Control:
     """Answers the platform's control calls."""
 
-    def __init__(self, *, parts: Parts, address: Address) -> None:
-        self._parts = parts
+    def __init__(self, *, components: Components, address: Address) -> None:
+        self._parts = components
         self._address = address
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -97,7 +97,7 @@
                 case "POST", path if path.startswith(_HEARTBEAT) and owner is not None:
                     return await self._hear(owner, http, path.removeprefix(_HEARTBEAT))
                 case "POST", path if path.startswith(_DEREGISTER) and owner is not None:
-                    await owner.hear_departure(path.removeprefix(_DEREGISTER))
+                    await owner.handle_departure(path.removeprefix(_DEREGISTER))
                     return web.Response()
                 case _:
                     return web.Response(status=404)
@@ -139,7 +139,7 @@
 
     async def _hear(self, owner: Owner, http: web.BaseRequest, instance: str) -> web.StreamResponse:
         """Take a worker's heartbeat."""
-        await owner.hear(decode_announcement(instance, await http.read()))
+        await owner.handle_announcement(decode_announcement(instance, await http.read()))
         return web.json_response({})
 
     def _redirect(self, http: web.BaseRequest, leader: HostName | None) -> web.StreamResponse:
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -32,7 +32,7 @@
     readiness: Address | None
 
 
-def stamp_of(path: Path) -> FileStamp | None:
+def file_stamp(path: Path) -> FileStamp | None:
     """Return the stamp of a file, None while it can't be found."""
     try:
         found = path.stat()
--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -140,32 +140,32 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class GroupRefused:
+class GroupChangeRefused:
     """The group was not changed."""
 
     reason: str
 
 
-def changed_group(group: Group, change: GroupChange) -> Group | GroupRefused:
+def changed_group(group: Group, change: GroupChange) -> Group | GroupChangeRefused:
     """Return the group after a change of at most one voter."""
     match change:
         case Add(learner=learner) | Replace(learner=learner):
             if learner in group.members:
                 return group
             if any(member.replica_id == learner.replica_id for member in group.members):
-                return GroupRefused(
+                return GroupChangeRefused(
                     reason=f"replica {learner.replica_id} is a member on another host"
                 )
             held = group.member(learner.host)
             if held is not None and isinstance(change, Add):
-                return GroupRefused(reason=f"{learner.host} has a replica; replace it")
+                return GroupChangeRefused(reason=f"{learner.host} has a replica; replace it")
             if held is None and isinstance(change, Replace):
-                return GroupRefused(reason=f"{learner.host} has no replica; add it")
+                return GroupChangeRefused(reason=f"{learner.host} has no replica; add it")
             changed = group.with_learner(learner)
         case Promote(learner=learner):
             changed = group.promoted(learner)
         case Remove(host=host):
             changed = group.without(host)
     if not changed.voters:
-        return GroupRefused(reason="this would leave no voter")
+        return GroupChangeRefused(reason="this would leave no voter")
     return changed
--- a/cowslipvane/replica/_journal.py
+++ b/cowslipvane/replica/_journal.py
@@ -40,5 +40,5 @@
     async def sync(self) -> None:
         """Return once everything recorded before the call is on the disk, or raise."""
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Wait for a failed write and raise, so that the process stops."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -9,7 +9,7 @@
     UNBOUND,
     Group,
     GroupChange,
-    GroupRefused,
+    GroupChangeRefused,
     Promote,
     Remove,
     Voter,
@@ -118,7 +118,7 @@
         return self._history.last_index
 
     @property
-    def election_at(self) -> float:
+    def election_due_at(self) -> float:
         """Return when to stand for election unless a leader is heard before."""
         return self._promise.stand_at
 
@@ -152,7 +152,7 @@
             case _:
                 return self._promise.is_following(now)
 
-    def check_contact(self, now: float) -> bool:
+    def check_quorum(self, now: float) -> bool:
         """Stop leading when no quorum was in contact for too long; return whether it stopped."""
         if not isinstance(self._role, Leader):
             return False
@@ -163,7 +163,7 @@
         self._promise.delay(now)
         return True
 
-    def canvass(self, now: float) -> None:
+    def start_pre_vote(self, now: float) -> None:
         """Ask the voters whether they would elect this replica, in the term it is in."""
         self._promise.delay(now)
         if not self.is_voter or self._is_retiring:
@@ -173,13 +173,13 @@
         self._role = PreCandidate(votes=votes, idle={self._host})
         self._stand_if_elected(self._role, now)
 
-    def stand(self, now: float, *, released: bool = False) -> None:
+    def start_election(self, now: float, *, released: bool = False) -> None:
         """Become a candidate in a new term; released is as in a request for a vote."""
         self._set_ballot(Ballot(self._term + 1, self._host))
         self._role = Candidate(votes=set(), released=released)
         self._promise.delay(now)
 
-    def retire(self) -> None:
+    def stop_accepting_writes(self) -> None:
         """Take no more changes, because this replica's process is stopping."""
         self._is_retiring = True
 
@@ -200,10 +200,10 @@
         """Stand at once, if the leader of this term asks for it; return whether it does."""
         if request.term != self._term or not isinstance(self._role, Follower) or not self.is_voter:
             return False
-        self.stand(now, released=True)
+        self.start_election(now, released=True)
         return True
 
-    def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
+    def handle_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
         """Say whether a vote would be granted; this changes nothing."""
         fits = (
             request.term > self._term and (request.last_term, request.last_index) >= self._position
@@ -217,7 +217,7 @@
             idle=fits and not knows_leader,
         )
 
-    def count_pre_vote(self, reply: PreVoteReply, now: float) -> None:
+    def handle_pre_vote_reply(self, reply: PreVoteReply, now: float) -> None:
         """Count a willing voter, and stand once a majority is willing."""
         self._observe_term(reply.term)
         if not isinstance(self._role, PreCandidate) or reply.proposed != self._term + 1:
@@ -229,18 +229,18 @@
             self._role.idle.add(reply.voter)
         self._stand_if_elected(self._role, now)
 
-    def count_absent(self, voter: HostName, now: float) -> None:
+    def record_identity_mismatch(self, voter: HostName, now: float) -> None:
         """Count a voter as unable to lead, because another identity answers in its place."""
         if isinstance(self._role, PreCandidate):
             self._role.idle.add(voter)
             self._role.absent.add(voter)
             self._stand_if_elected(self._role, now)
 
-    def count_own_vote(self, term: int, now: float) -> None:
+    def record_own_vote(self, term: int, now: float) -> None:
         """Count the replica's vote for itself, once its ballot is synced."""
-        self.count_vote(VoteReply(term=term, voter=self._host, granted=True), now)
+        self.handle_vote_reply(VoteReply(term=term, voter=self._host, granted=True), now)
 
-    def consider_vote(self, request: Vote, now: float) -> VoteReply:
+    def handle_vote(self, request: Vote, now: float) -> VoteReply:
         """Grant or refuse a vote; the reply may leave only after a sync."""
         # A released vote is of the term after that of the leader that gave up its lease, and that
         # one was elected after all leases of earlier terms had ended.
@@ -259,7 +259,7 @@
             self._promise.delay(now)
         return VoteReply(term=self._term, voter=self._host, granted=granted)
 
-    def count_vote(self, reply: VoteReply, now: float) -> None:
+    def handle_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a vote, and lead once a majority has granted theirs."""
         self._observe_term(reply.term)
         if not isinstance(self._role, Candidate) or reply.term != self._term or not reply.granted:
@@ -268,7 +268,7 @@
         if self._is_quorum(self._role.votes):
             self._lead(now)
 
-    def consider_append(self, append: Append, now: float) -> AppendReply:
+    def handle_append(self, append: Append, now: float) -> AppendReply:
         """Take entries from the leader; the reply may leave only after a sync."""
         if not self._follow(append.term, append.leader, now):
             return self._append_reply(matched=False, index=0)
@@ -288,20 +288,20 @@
         self._commit_to(min(append.commit, matched))
         return self._append_reply(matched=True, index=matched)
 
-    def consider_install(self, install: Install, now: float) -> AppendReply:
+    def handle_install(self, install: Install, now: float) -> AppendReply:
         """Take a snapshot from the leader; the reply may leave only after a sync."""
         if not self._follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
         self._history.install(install.snapshot, self._ballot)
         return self._append_reply(matched=True, index=install.snapshot.position)
 
-    def append_for(self, voter: HostName) -> Append | Install | None:
+    def next_message_for(self, voter: HostName) -> Append | Install | None:
         """Return what a voter needs next, or None when this replica doesn't lead."""
         if not isinstance(self._role, Leader):
             return None
         return self._role.next_for(voter, self._history, leader=self._host, term=self._term)
 
-    def vote_for(self, voter: HostName) -> PreVote | Vote | None:
+    def vote_request_for(self, voter: HostName) -> PreVote | Vote | None:
         """Return the request that a voter has not granted yet, or None."""
         last_term, last_index = self._position
         match self._role:
@@ -325,11 +325,11 @@
             case _:
                 return None
 
-    def wants(self, voter: HostName) -> bool:
+    def is_behind(self, voter: HostName) -> bool:
         """Return whether a voter lacks entries or the newest commit index of this leader."""
         return isinstance(self._role, Leader) and self._role.lacks(voter, self._history)
 
-    def count_append(self, reply: AppendReply, *, sent_at: float) -> None:
+    def handle_append_reply(self, reply: AppendReply, *, sent_at: float) -> None:
         """Count what a voter has synced, and commit what a majority has."""
         self._observe_term(reply.term)
         if not isinstance(self._role, Leader) or reply.term != self._term:
@@ -341,28 +341,28 @@
         self._role.count_match(reply.voter, reply.index)
         self._commit_majority()
 
-    def recognizes(self, host: HostName, replica_id: ReplicaId) -> bool:
+    def check_identity(self, host: HostName, replica_id: ReplicaId) -> bool:
         """Return whether an identity is the member on a host; a founder's first one is."""
         member = self.group.member(host)
         if member is None:
             return False
         return replica_id == (member.replica_id or self._identities.setdefault(host, replica_id))
 
-    def regroup(self, change: GroupChange, *, stamped_at: float) -> int | GroupRefused:
+    def change_group(self, change: GroupChange, *, stamped_at: float) -> int | GroupChangeRefused:
         """Append a change of the group, one at a time, and return its index."""
         if not isinstance(self._role, Leader):
-            return GroupRefused(reason="this replica doesn't lead")
+            return GroupChangeRefused(reason="this replica doesn't lead")
         group = changed_group(self.group, change)
-        if isinstance(group, GroupRefused):
+        if isinstance(group, GroupChangeRefused):
             return group
         if group == self.group:
             return self._history.group_changed_at
         if not self._history.group_is_committed:
-            return GroupRefused(reason="another change of the group is under way; try again")
+            return GroupChangeRefused(reason="another change of the group is under way; try again")
         # Until an entry of its own term is committed, a leader can't know whether a change of
         # an earlier leader still stands, and two changes at once may have disjoint quorums.
         if not self._history.has_committed_in(self._term):
-            return GroupRefused(
+            return GroupChangeRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
         for member in self.group.members:
@@ -370,7 +370,7 @@
                 self._role.forget(member.host)
         return self._append_own(Regroup(group=group), stamped_at)
 
-    def tend_group(self, *, stamped_at: float, now: float) -> int | None:
+    def maintain_group(self, *, stamped_at: float, now: float) -> int | None:
         """Make the change that the group needs, if any, and return its index.
 
         Founders that have been met are bound, a learner that has all is promoted, and a voter that
@@ -384,7 +384,7 @@
         change = self._needed_change(self._role, now)
         if change is None:
             return None
-        changed = self.regroup(change, stamped_at=stamped_at)
+        changed = self.change_group(change, stamped_at=stamped_at)
         return changed if isinstance(changed, int) else None
 
     def _needed_change(self, role: Leader, now: float) -> GroupChange | None:
@@ -401,7 +401,7 @@
             return None
         return self._append_own(Write(change=change), stamped_at)
 
-    def count_synced(self, index: int) -> None:
+    def record_synced(self, index: int) -> None:
         """Count this replica's own log as synced up to an index."""
         self._history.count_synced(index)
         if isinstance(self._role, Leader):
@@ -436,13 +436,13 @@
         """
         if role.idle >= {voter.host for voter in self.group.voters}:
             if role.preferred == self._host or self._stood_aside:
-                self.stand(now, released=True)
+                self.start_election(now, released=True)
             else:
                 self._stood_aside = True
                 self._role = Follower()
                 self._promise.stand_aside(now)
         elif self._is_quorum(role.votes):
-            self.stand(now)
+            self.start_election(now)
 
     def _has_contact(self, role: Leader, now: float) -> bool:
         """Return whether a majority answered this leader within the election timeout."""
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -12,7 +12,7 @@
 
 # A voter that hasn't answered for this long is taken out, if enough others are left: machines are
 # replaced by others at new addresses, and each that stays in the group raises its majority.
-GONE_AFTER: Seconds = 10.0
+VOTER_REMOVAL_TIMEOUT: Seconds = 10.0
 # A group that is no larger than this keeps also those that are gone; it bears the loss of one.
 LEAST_VOTERS = 3
 # Entries in one Append message.
@@ -96,7 +96,7 @@
         others = [voter for voter in group.voters if voter.host != own]
         silent = min(others, key=lambda voter: self.answered(voter.host))
         since = max(self.since, self.answered(silent.host))
-        return silent if now >= since + GONE_AFTER else None
+        return silent if now >= since + VOTER_REMOVAL_TIMEOUT else None
 
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
         """Return up to which index a majority has synced this leader's log."""
--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -57,14 +57,14 @@
         self._retries: dict[ServiceName, TokenBucket] = {}
         self._hedges: dict[ServiceName, TokenBucket] = {}
 
-    def share_with(self, proxies: int) -> None:
+    def set_proxy_count(self, proxies: int) -> None:
         """Divide the slack among so many proxies, this one included."""
         if proxies != self._proxies:
             self._proxies = proxies
             for bucket in self._retries.values():
                 bucket.limit(self._part)
 
-    def note_call(self, service: ServiceName, now: float) -> None:
+    def record_call(self, service: ServiceName, now: float) -> None:
         """Count a call's first attempt."""
         if service not in self._retries:
             share = self._retries_allowed.share * USED_SHARE
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cowslipvane.membership import Member
-from cowslipvane.routing._view import Load, OwnerView, Result
+from cowslipvane.routing._owner_view import AttemptResult, Load, OwnerView
 from cowslipvane.types import DataCentre, HostName, Seconds
 
 # At most this share of a service's owners, of all data centres, is left out as outliers.
@@ -32,14 +32,14 @@
 SPILL_MARGIN = 0.8
 
 
-class Eased(NamedTuple):
+class Ejection(NamedTuple):
     """An owner that is left out for a while, and why."""
 
     host: HostName
-    loses: bool
+    loses_attempts: bool
     latency: Seconds
-    usual: Seconds
-    time: Seconds
+    median_latency: Seconds
+    duration: Seconds
 
 
 class Chooser:
@@ -49,9 +49,9 @@
         self._data_centre = data_centre
         self._rng = rng
         self._views: dict[HostName, OwnerView] = {}
-        self._eased: list[Eased] = []
+        self._eased: list[Ejection] = []
 
-    def take_eased(self) -> list[Eased]:
+    def take_ejections(self) -> list[Ejection]:
         """Return the owners that were left out since the last call."""
         eased, self._eased = self._eased, []
         return eased
@@ -62,7 +62,7 @@
         excluded: Collection[HostName],
         now: float,
         *,
-        light: bool = False,
+        small: bool = False,
     ) -> Member | None:
         """Return the owner for the next attempt, or None when there is none.
 
@@ -75,7 +75,7 @@
         pool = [owner for owner in left if owner.host in usable] or left
         if any(self._is_near(owner) for owner in owners if owner.host in excluded):
             pool = [owner for owner in pool if self._may_follow(owner, now)]
-        candidates = self._nearest(pool, now, OVERLOADED_FOR_LIGHT if light else OVERLOADED)
+        candidates = self._nearest(pool, now, OVERLOADED_FOR_LIGHT if small else OVERLOADED)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
         first = self._draw(candidates, now)
@@ -87,7 +87,7 @@
         self._views[host].begin()
 
     def end(
-        self, host: HostName, result: Result, load: Load | None, took: Seconds, now: float
+        self, host: HostName, result: AttemptResult, load: Load | None, took: Seconds, now: float
     ) -> None:
         """Count a call as over, and learn from what became of it."""
         self._views[host].end(result, load, took, now)
@@ -135,7 +135,7 @@
         """Leave an owner out for a while, and remember why."""
         view = self._views[owner.host]
         loses, latency = view.loses, view.latency or 0.0
-        self._eased.append(Eased(owner.host, loses, latency, usual, view.ease_out(now)))
+        self._eased.append(Ejection(owner.host, loses, latency, usual, view.ease_out(now)))
 
     def _usual(self, owners: Sequence[Member]) -> Seconds:
         """Return the latency of the owner in the middle; 0 when none is known."""
--- a/cowslipvane/routing/_hedging.py
+++ b/cowslipvane/routing/_hedging.py
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self._latencies: dict[ServiceName, Quantile] = {}
 
-    def learn(self, service: ServiceName, took: Seconds) -> None:
+    def record_latency(self, service: ServiceName, took: Seconds) -> None:
         """Take in how long an answer took."""
         if service not in self._latencies:
             self._latencies[service] = Quantile(share=HEDGE_AFTER_SHARE, step=_STEP)
--- a/cowslipvane/routing/_view.py
+++ b/cowslipvane/routing/_owner_view.py
@@ -39,23 +39,23 @@
     service_time: Seconds = 0.0
 
 
-class Result(enum.Enum):
+class AttemptResult(enum.Enum):
     """What became of an attempt, as far as it says something of the owner."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
     LOST = "lost"
-    OVERDUE = "overdue"
-    GIVEN_UP = "given up"
+    TIMED_OUT = "overdue"
+    ABANDONED = "given up"
 
     @classmethod
-    def of_refusal(cls, refusal: Refusal) -> Result:
+    def of_refusal(cls, refusal: Refusal) -> AttemptResult:
         """Return what a refusal says of the owner that it came from."""
         match refusal:
             case OwnerUnreachable() | UpstreamLost():
                 return cls.LOST
             case DeadlinePassed():
-                return cls.OVERDUE
+                return cls.TIMED_OUT
             case _:
                 return cls.REFUSED
 
@@ -115,23 +115,23 @@
         """Count a call under way."""
         self._under_way += 1
 
-    def end(self, result: Result, load: Load | None, took: Seconds, now: float) -> None:
+    def end(self, result: AttemptResult, load: Load | None, took: Seconds, now: float) -> None:
         """Count a call as over, and learn from it."""
         self._under_way = max(self._under_way - 1, 0)
         if load is not None:
             self._load, self._load_at = load, now
             self._slots = max(load.slots, 1)
         match result:
-            case Result.ANSWERED:
+            case AttemptResult.ANSWERED:
                 self._lost = 0
                 self._latency.add(took)
-            case Result.OVERDUE:
+            case AttemptResult.TIMED_OUT:
                 self._latency.add(took)
-            case Result.LOST:
+            case AttemptResult.LOST:
                 self._lost += 1
-            case Result.REFUSED:
+            case AttemptResult.REFUSED:
                 self._lost = 0
-            case Result.GIVEN_UP:
+            case AttemptResult.ABANDONED:
                 return
 
     def ease_out(self, now: float) -> Seconds:
--- a/cowslipvane/settings/__init__.py
+++ b/cowslipvane/settings/__init__.py
@@ -3,26 +3,25 @@
 from cowslipvane.settings._load import SettingsFault, load, parse
 from cowslipvane.settings._settings import (
     DEFAULT_RETRIES,
-    Allowed,
-    Described,
     Formation,
     Limits,
     Listen,
+    NumberRange,
     Retries,
     Security,
     Settings,
     Timing,
+    ValueDescription,
 )
 from cowslipvane.settings._token import AUTHORIZATION, Token, TokenFault, read_token
 
 __all__ = [
     "AUTHORIZATION",
     "DEFAULT_RETRIES",
-    "Allowed",
-    "Described",
     "Formation",
     "Limits",
     "Listen",
+    "NumberRange",
     "Retries",
     "Security",
     "Settings",
@@ -30,6 +29,7 @@
     "Timing",
     "Token",
     "TokenFault",
+    "ValueDescription",
     "load",
     "parse",
     "read_token",
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -13,10 +13,10 @@
 from cattrs.gen import make_dict_structure_fn
 
 from cowslipvane.settings._settings import (
-    Allowed,
     Formation,
     Limits,
     Listen,
+    NumberRange,
     Retries,
     Role,
     Security,
@@ -135,12 +135,12 @@
     return kind(**{name: float(item) for name, item in value.items()})
 
 
-def _in_range(value: Any, allowed: Allowed) -> bool:
+def _in_range(value: Any, allowed: NumberRange) -> bool:
     """Return whether a value is a number within its range."""
     return type(value) in (int, float) and allowed.low <= value <= allowed.high
 
 
-def _out_of_range(value: Any, allowed: Allowed) -> str:
+def _out_of_range(value: Any, allowed: NumberRange) -> str:
     """Return what was found and what is allowed."""
     return f"found {value!r}; allowed is {allowed.low:g} to {allowed.high:g} {allowed.unit}"
 
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -11,39 +11,39 @@
 Role = Literal["replica", "proxy"]
 
 
-class Allowed(NamedTuple):
+class NumberRange(NamedTuple):
     """The range of a number, its unit, and what the setting is for."""
 
     low: float
     high: float
     unit: str
-    about: str
+    description: str
 
 
-class Described(NamedTuple):
+class ValueDescription(NamedTuple):
     """What a setting that is no number may be, and what it is for."""
 
     values: str
-    about: str
+    description: str
 
 
-def number(default: float, *, low: float, high: float, unit: str, about: str) -> Any:
+def number_field(default: float, *, low: float, high: float, unit: str, description: str) -> Any:
     """Return a field for a number with its range and unit."""
-    allowed = Allowed(low, high, unit, about)
+    allowed = NumberRange(low, high, unit, description)
     return dataclasses.field(default=default, metadata={"allowed": allowed})
 
 
-def value(values: str, about: str, default: Any = dataclasses.MISSING) -> Any:
+def value_field(values: str, description: str, default: Any = dataclasses.MISSING) -> Any:
     """Return a field that is no number; it is needed unless it has a default."""
-    metadata = {"described": Described(values, about)}
+    metadata = {"described": ValueDescription(values, description)}
     if default is dataclasses.MISSING:
         return dataclasses.field(metadata=metadata)
     return dataclasses.field(default=default, metadata=metadata)
 
 
-def table(kind: type, about: str) -> Any:
+def table_field(kind: type, description: str) -> Any:
     """Return a field for a table of settings that each have a default."""
-    described = Described("a table", about)
+    described = ValueDescription("a table", description)
     return dataclasses.field(default_factory=kind, metadata={"described": described})
 
 
@@ -51,9 +51,9 @@
 class Listen:
     """Where the process listens: for callers, for operators, and for its peers."""
 
-    operators: Address = value("IP:PORT", "listener for operators and for the worker")
-    peers: Address = value("IP:PORT", "listener for the system's other processes")
-    callers: Address | None = value(
+    operators: Address = value_field("IP:PORT", "listener for operators and for the worker")
+    peers: Address = value_field("IP:PORT", "listener for the system's other processes")
+    callers: Address | None = value_field(
         "IP:PORT", "listener for callers; needed by a proxy", default=None
     )
 
@@ -62,39 +62,59 @@
 class Timing:
     """Times that the process keeps to."""
 
-    election_timeout: Seconds = number(
-        1.0, low=0.1, high=60, unit="s", about="silence of a leader before replicas elect another"
+    election_timeout: Seconds = number_field(
+        1.0,
+        low=0.1,
+        high=60,
+        unit="s",
+        description="silence of a leader before replicas elect another",
     )
-    heartbeat: Seconds = number(
-        0.2, low=0.02, high=10, unit="s", about="time between messages of an idle leader"
+    heartbeat: Seconds = number_field(
+        0.2, low=0.02, high=10, unit="s", description="time between messages of an idle leader"
     )
-    pull_wait: Seconds = number(
-        10.0, low=0.1, high=60, unit="s", about="time after which an idle pull is answered"
+    pull_wait: Seconds = number_field(
+        10.0, low=0.1, high=60, unit="s", description="time after which an idle pull is answered"
     )
-    exchange: Seconds = number(
-        0.5, low=0.05, high=30, unit="s", about="time between exchanges of members"
+    exchange: Seconds = number_field(
+        0.5, low=0.05, high=30, unit="s", description="time between exchanges of members"
     )
-    worker_lease: Seconds = number(
-        3.0, low=0.2, high=60, unit="s", about="time within which a worker announces itself again"
+    worker_lease: Seconds = number_field(
+        3.0,
+        low=0.2,
+        high=60,
+        unit="s",
+        description="time within which a worker announces itself again",
     )
-    grace: Seconds = number(
-        30.0, low=0, high=3600, unit="s", about="time that a planned stop waits for calls under way"
+    grace: Seconds = number_field(
+        30.0,
+        low=0,
+        high=3600,
+        unit="s",
+        description="time that a planned stop waits for calls under way",
     )
-    left_to_end: Seconds = number(
+    left_to_end: Seconds = number_field(
         30.0,
         low=0,
         high=3600,
         unit="s",
-        about="time after its deadline for which work that isn't idempotent is left to end",
+        description="time after its deadline for which work that isn't idempotent is left to end",
     )
-    lame_duck: Seconds = number(
-        0.5, low=0, high=60, unit="s", about="time that a stopping proxy still takes new callers"
+    lame_duck: Seconds = number_field(
+        0.5,
+        low=0,
+        high=60,
+        unit="s",
+        description="time that a stopping proxy still takes new callers",
     )
-    longest_backoff: Seconds = number(
-        5.0, low=0.1, high=60, unit="s", about="longest pause of a proxy between two replicas"
+    longest_backoff: Seconds = number_field(
+        5.0, low=0.1, high=60, unit="s", description="longest pause of a proxy between two replicas"
     )
-    silence: Seconds = number(
-        2.0, low=0.2, high=60, unit="s", about="silence after which a connection to a peer is lost"
+    silence: Seconds = number_field(
+        2.0,
+        low=0.2,
+        high=60,
+        unit="s",
+        description="silence after which a connection to a peer is lost",
     )
 
 
@@ -102,11 +122,19 @@
 class Limits:
     """Bounds on what the process keeps."""
 
-    event_file_bytes: float = number(
-        16e6, low=1e4, high=1e9, unit="bytes", about="size at which an event file is put aside"
+    event_file_bytes: float = number_field(
+        16e6,
+        low=1e4,
+        high=1e9,
+        unit="bytes",
+        description="size at which an event file is put aside",
     )
-    events_in_memory: float = number(
-        4000, low=100, high=1e6, unit="events", about="events kept in memory; older ones drop out"
+    events_in_memory: float = number_field(
+        4000,
+        low=100,
+        high=1e6,
+        unit="events",
+        description="events kept in memory; older ones drop out",
     )
 
 
@@ -114,13 +142,23 @@
 class Retries:
     """How far further attempts may add to a service's requests, over the whole fleet."""
 
-    share: float = number(
-        0.2, low=0, high=10, unit="of its requests", about="further attempts that a service takes"
+    share: float = number_field(
+        0.2,
+        low=0,
+        high=10,
+        unit="of its requests",
+        description="further attempts that a service takes",
+    )
+    slack: float = number_field(
+        60,
+        low=0,
+        high=1e6,
+        unit="attempts",
+        description="further attempts beyond the share, in a window",
     )
-    slack: float = number(
-        60, low=0, high=1e6, unit="attempts", about="further attempts beyond the share, in a window"
+    window: Seconds = number_field(
+        10, low=1, high=600, unit="s", description="time for which the slack stands"
     )
-    window: Seconds = number(10, low=1, high=600, unit="s", about="time for which the slack stands")
 
 
 DEFAULT_RETRIES = Retries()
@@ -134,18 +172,20 @@
     IP address, and a replica whose disk is empty later joins in place of the one it was.
     """
 
-    automatic: bool = value("true or false", "form and mend the group without commands", False)
-    first_start: bool = value("true or false", "the system starts for the first time", False)
+    automatic: bool = value_field(
+        "true or false", "form and mend the group without commands", False
+    )
+    first_start: bool = value_field("true or false", "the system starts for the first time", False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Security:
     """Who may talk to the listeners of operators and peers."""
 
-    token_file: str = value(
+    token_file: str = value_field(
         "a path", "file with the token that operators and peers must show", default=""
     )
-    allow_unauthenticated: bool = value(
+    allow_unauthenticated: bool = value_field(
         "true or false", "listen beyond loopback although there is no token", default=False
     )
 
@@ -154,24 +194,28 @@
 class Settings:
     """The settings of one process."""
 
-    host: HostName = value("a text", "name of this host, not used by another")
-    data_centre: DataCentre = value("a text", "name of the data centre that the host is in")
-    roles: tuple[Role, ...] = value("a list of replica and proxy", "what the process does")
-    listen: Listen = value("a table", "addresses of the listeners")
-    seeds: tuple[Address, ...] = value(
+    host: HostName = value_field("a text", "name of this host, not used by another")
+    data_centre: DataCentre = value_field("a text", "name of the data centre that the host is in")
+    roles: tuple[Role, ...] = value_field("a list of replica and proxy", "what the process does")
+    listen: Listen = value_field("a table", "addresses of the listeners")
+    seeds: tuple[Address, ...] = value_field(
         "a list of IP:PORT", "peers' listeners of processes to begin with", default=()
     )
-    data_folder: str = value("a path", "folder on a disk; needed by a replica", default="")
-    event_file: str = value("a path", "file for events as JSON lines; none if empty", default="")
-    log_events: bool = value("true or false", "write events to standard output", default=False)
-    service: str = value(
+    data_folder: str = value_field("a path", "folder on a disk; needed by a replica", default="")
+    event_file: str = value_field(
+        "a path", "file for events as JSON lines; none if empty", default=""
+    )
+    log_events: bool = value_field(
+        "true or false", "write events to standard output", default=False
+    )
+    service: str = value_field(
         "a text", "service on this host, told to upstreams as where a request began", default=""
     )
-    route_hosts: tuple[str, ...] = value(
+    route_hosts: tuple[str, ...] = value_field(
         "a list of texts", "route hosts whose routes the proxy takes; all if empty", default=()
     )
-    timing: Timing = table(Timing, "times that the process keeps to")
-    limits: Limits = table(Limits, "bounds on what the process keeps")
-    retries: Retries = table(Retries, "further attempts that the fleet may make")
-    formation: Formation = table(Formation, "how the group of replicas comes about")
-    security: Security = table(Security, "who may talk to operators' and peers' listeners")
+    timing: Timing = table_field(Timing, "times that the process keeps to")
+    limits: Limits = table_field(Limits, "bounds on what the process keeps")
+    retries: Retries = table_field(Retries, "further attempts that the fleet may make")
+    formation: Formation = table_field(Formation, "how the group of replicas comes about")
+    security: Security = table_field(Security, "who may talk to operators' and peers' listeners")
--- a/cowslipvane/settings/_token.py
+++ b/cowslipvane/settings/_token.py
@@ -26,11 +26,11 @@
         return "Token(hidden)"
 
     @property
-    def fields(self) -> dict[str, str]:
+    def headers(self) -> dict[str, str]:
         """Return the header fields that show the token."""
         return {AUTHORIZATION: _SCHEME + self._value}
 
-    def is_shown_by(self, field: str | None) -> bool:
+    def matches(self, field: str | None) -> bool:
         """Return whether an Authorization field shows the token, in constant time."""
         shown = (field or "").encode("utf-8", "surrogateescape")
         return hmac.compare_digest(shown, (_SCHEME + self._value).encode())
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -9,7 +9,7 @@
 
 from cowslipvane.replica import Voter
 from cowslipvane.types import HostName, ReplicaId
-from cowslipvane.wire import decode_as, encode_plain
+from cowslipvane.wire import decode_as, encode_untagged
 
 
 class FolderBusy(Exception):
@@ -56,7 +56,7 @@
         if self._identity_path.exists():
             raise FolderBusy(f"{self._path} already belongs to a group; give an empty folder")
         write_synced(self.journal_path, b"")
-        write_synced(self._identity_path, encode_plain(identity))
+        write_synced(self._identity_path, encode_untagged(identity))
 
     def open(self) -> Identity:
         """Lock the folder and return whose it is."""
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -14,7 +14,7 @@
 
 from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered
 from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_synced
-from cowslipvane.wire import decode_as, encode_plain
+from cowslipvane.wire import decode_as, encode_untagged
 
 # Length and CRC-32 of a record's body, then the body: one letter of kind, then CBOR.
 _HEADER = struct.Struct(">II")
@@ -81,21 +81,21 @@
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
-        self._record(_BALLOT + encode_plain(ballot))
+        self._record(_BALLOT + encode_untagged(ballot))
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
         """Record entries; an entry replaces all at its index and after."""
         for entry in entries:
-            self._record(_ENTRY + encode_plain(entry))
+            self._record(_ENTRY + encode_untagged(entry))
 
     def record_snapshot(
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
     ) -> None:
         """Record a snapshot, and begin the record anew with a ballot and the later entries."""
-        records = [_framed(_BASE + encode_plain(snapshot.position))]
-        records.append(_framed(_BALLOT + encode_plain(ballot)))
-        records += [_framed(_ENTRY + encode_plain(entry)) for entry in entries]
-        framed = _framed(_SNAPSHOT + encode_plain(snapshot))
+        records = [_framed(_BASE + encode_untagged(snapshot.position))]
+        records.append(_framed(_BALLOT + encode_untagged(ballot)))
+        records += [_framed(_ENTRY + encode_untagged(entry)) for entry in entries]
+        framed = _framed(_SNAPSHOT + encode_untagged(snapshot))
         self._pending.append(_Compaction(framed, b"".join(records)))
         self._recorded += 1
 
@@ -111,7 +111,7 @@
             self._failed.set()
             raise JournalFailed(f"{self._path}: {error}") from error
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Wait for a failed write and raise, so that the process stops."""
         await self._failed.wait()
         raise JournalFailed(f"{self._path}: {self._failure}; the process must stop")
--- a/cowslipvane/subscription/_backoff.py
+++ b/cowslipvane/subscription/_backoff.py
@@ -10,13 +10,13 @@
 class Backoff:
     """An exponential backoff with full jitter, so that a herd does not return at one moment."""
 
-    def __init__(self, *, first: Seconds, longest: Seconds, rng: random.Random) -> None:
-        self._first = first
-        self._longest = longest
+    def __init__(self, *, initial_delay: Seconds, max_delay: Seconds, rng: random.Random) -> None:
+        self._first = initial_delay
+        self._longest = max_delay
         self._rng = rng
-        self._limit = first
+        self._limit = initial_delay
 
-    def wait(self) -> Seconds:
+    def next_delay(self) -> Seconds:
         """Return how long to wait before the next attempt, and let the limit grow."""
         wait = self._rng.uniform(0, self._limit)
         self._limit = min(self._limit * 2, self._longest)
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -62,7 +62,7 @@
         return True
 
     @property
-    def proxies(self) -> int:
+    def live_proxy_count(self) -> int:
         """Return how many proxies live."""
         return len(self._held)
 
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -10,7 +10,7 @@
     Key,
     Resource,
     Snapshot,
-    combine,
+    combine_digests,
     dangling,
     resource_digest,
 )
@@ -67,11 +67,11 @@
         """Return the routing table in force, None before the first version."""
         return self._table
 
-    def learn_floor(self, floor: Version) -> None:
+    def raise_floor(self, floor: Version) -> None:
         """Refuse every version under a floor from now on; a floor never sinks."""
         self._floor = max(floor, self._floor or NO_VERSION)
 
-    def take_delta(self, delta: Delta) -> Applied | Rejected:
+    def apply_delta(self, delta: Delta) -> Applied | Rejected:
         """Move on by the difference from the version in force."""
         if delta.base != self._version:
             reason = f"the delta starts at {delta.base}, in force is {self._version}"
@@ -82,13 +82,13 @@
         resources.update((resource.key, resource) for resource in delta.puts)
         digests = [-resource_digest(resource) for resource in gone if resource is not None]
         digests += [resource_digest(resource) for resource in delta.puts]
-        digest = combine([self._digest, *digests])
+        digest = combine_digests([self._digest, *digests])
         return self._take(delta.version, resources, digest, delta.digest)
 
-    def take_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
+    def apply_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
         """Move on to a version that came whole."""
         resources = {resource.key: resource for resource in snapshot.resources}
-        digest = combine(resource_digest(resource) for resource in snapshot.resources)
+        digest = combine_digests(resource_digest(resource) for resource in snapshot.resources)
         return self._take(snapshot.version, resources, digest, snapshot.digest)
 
     def _take(
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -15,11 +15,11 @@
 from aiohttp import HttpVersion11, web
 
 from cowslipvane.call import (
-    OWN_NAMES,
+    DEFAULT_HEADER_NAMES,
     Call,
     HeaderNames,
     Request,
-    end_to_end,
+    end_to_end_headers,
     head_fault,
 )
 from cowslipvane.events import EventLog
@@ -36,14 +36,14 @@
 )
 from cowslipvane.routing import Load, RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
+from cowslipvane.tasks._dispatcher import BrokenResponse, Dispatcher, StartedResponse, next_part
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._pipeline import fetched_ahead, is_last_for_now
+from cowslipvane.tasks._pipeline import is_last_for_now, take_prefetched
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Headers, RequestId, Seconds, Verdict
 
 # A proxy that has just started has a configuration within this time, unless it is cut off.
-START_TIME: Seconds = 2.0
+FIRST_CONFIGURATION_TIMEOUT: Seconds = 2.0
 # The share of a caller's patience that it waits for the first configuration; the rest is for the
 # work, or for coming back.
 START_SHARE = 0.5
@@ -58,7 +58,7 @@
     """An answer to a call has begun."""
 
     call: Call
-    served: Served
+    started: StartedResponse
 
     @property
     def request_id(self) -> RequestId:
@@ -86,23 +86,23 @@
         self,
         *,
         subscription: Subscription,
-        carrier: Carrier,
+        dispatcher: Dispatcher,
         events: EventLog,
         rng: random.Random,
         metrics: Metrics,
-        applied: Signal,
+        configuration_applied: Signal,
         owner: Owner,
         origin_service: str = "",
-        names: HeaderNames = OWN_NAMES,
+        header_names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
-        self._applied = applied
+        self._applied = configuration_applied
         self._owner = owner
         self._started_at = time.monotonic()
         self._origin_service = origin_service
-        self._names = names
+        self._names = header_names
         self._metrics = metrics
         self._subscription = subscription
-        self._carrier = carrier
+        self._carrier = dispatcher
         self._events = events
         self._rng = rng
         self._under_way: set[RequestId] = set()
@@ -110,7 +110,7 @@
         self._stopping = False
 
     @property
-    def under_way(self) -> tuple[RequestId, ...]:
+    def in_flight(self) -> tuple[RequestId, ...]:
         """Return the calls that have no whole answer yet."""
         return tuple(self._under_way)
 
@@ -126,7 +126,7 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         began = time.monotonic()
-        ahead = fetched_ahead(http)
+        ahead = take_prefetched(http)
         outcome = await (self.fetch(http) if ahead is None else ahead)
         try:
             return await self._answer(http, outcome)
@@ -134,7 +134,7 @@
             self._record_gone(http, outcome.request_id)
             raise
         finally:
-            self._metrics.observe_call(time.monotonic() - began)
+            self._metrics.record_call(time.monotonic() - began)
             self._end(outcome.request_id)
 
     async def fetch(self, http: web.BaseRequest) -> Fetched | TurnedAway:
@@ -158,8 +158,8 @@
         """Give up what was fetched, because its caller left before its turn came."""
         self._end(outcome.request_id)
         match outcome:
-            case Fetched(served=served) if served.answer.more:
-                await self._carrier.give_up(served)
+            case Fetched(started=served) if served.answer.more:
+                await self._carrier.abandon(served)
 
     def _record_gone(self, http: web.BaseRequest, request_id: RequestId) -> None:
         """Record that a caller has closed its connection, of which only events can tell."""
@@ -173,7 +173,7 @@
     def _request_id(self, http: web.BaseRequest) -> RequestId:
         """Return the caller's name of a request where callers name them, or a new one."""
         named = http.headers.get(self._names.request_id, "")
-        if self._names.callers_name_requests and named:
+        if self._names.accepts_request_ids and named:
             return RequestId(named)
         return RequestId(uuid.uuid4().hex)
 
@@ -183,7 +183,7 @@
         Such a call is named after that request: its id, a dot, and what tells the calls apart.
         """
         parent, dot, _ = request_id.rpartition(".")
-        return bool(dot) and self._owner.runs(parent)
+        return bool(dot) and self._owner.is_running(parent)
 
     def _patience(self, http: web.BaseRequest) -> Seconds | None:
         """Return how long a caller says that it waits, None when it doesn't."""
@@ -200,7 +200,7 @@
         """Return the routing table, which a proxy that has just started may wait for."""
         if self._subscription.table is not None:
             return self._subscription.table
-        give_up = self._started_at + START_TIME
+        give_up = self._started_at + FIRST_CONFIGURATION_TIMEOUT
         patience = self._patience(http)
         if patience is not None:
             give_up = min(give_up, arrived + patience * START_SHARE)
@@ -223,7 +223,7 @@
             return TurnedAway(
                 request_id=request_id, refusal=MalformedRequest(reason=fault), close=True
             )
-        headers = end_to_end(http.headers.items())
+        headers = end_to_end_headers(http.headers.items())
         rules = self._route(table, http, headers)
         if rules is None:
             host = http.headers.get("Host", "")
@@ -232,7 +232,7 @@
         if body is None:
             limit = rules.traffic.max_body_bytes
             return TurnedAway(request_id=request_id, refusal=BodyTooLarge(limit=limit), close=True)
-        passed = self._names.towards_owner(headers, request_id, self._origin_service)
+        passed = self._names.headers_to_owner(headers, request_id, self._origin_service)
         call = Call(
             request_id=request_id,
             request=Request(http.method, http.raw_path, passed, body),
@@ -242,17 +242,17 @@
             goal=None if rules.goal is None else arrived + rules.goal,
             nested=self._is_nested(request_id),
         )
-        match await self._carrier.carry(call):
-            case Served() as served:
+        match await self._carrier.dispatch(call):
+            case StartedResponse() as served:
                 self._note_late(call, served, arrived)
-                return Fetched(call=call, served=served)
+                return Fetched(call=call, started=served)
             case refusal:
                 return TurnedAway(request_id=request_id, refusal=refusal, call=call)
 
-    def _note_late(self, call: Call, served: Served, arrived: float) -> None:
+    def _note_late(self, call: Call, served: StartedResponse, arrived: float) -> None:
         """Record an answer that begins after the goal of its call."""
         now = time.monotonic()
-        left = call.goal_left(now)
+        left = call.goal_remaining(now)
         if left is not None and left < 0:
             self._events.record(
                 "late",
@@ -260,7 +260,7 @@
                 took=f"{now - arrived:.3f}",
                 goal=f"{now - arrived + left:.3f}",
                 owner=served.owner.host,
-                tried=" ".join(call.tried),
+                tried=" ".join(call.tried_hosts),
                 load=_told(call.load),
                 status=str(served.answer.status),
             )
@@ -270,7 +270,7 @@
     ) -> web.StreamResponse:
         """Send what became of a request."""
         match outcome:
-            case Fetched(call=call, served=served):
+            case Fetched(call=call, started=served):
                 return await self._send_answer(http, call, served)
             case TurnedAway() as turned_away:
                 return self._refuse(http, turned_away)
@@ -304,7 +304,7 @@
         self,
         http: web.BaseRequest,
         call: Call,
-        served: Served,
+        served: StartedResponse,
     ) -> web.StreamResponse:
         """Pass the upstream's answer on to the caller."""
         answer = served.answer
@@ -322,15 +322,15 @@
         await stream.prepare(http)
         try:
             await self._pass_on(stream, served)
-        except Broken as broken:
+        except BrokenResponse as broken:
             self._events.record("broken", request=call.request_id, reason=str(broken))
             _reset(http)
             return stream
         await stream.write_eof()
         return stream
 
-    async def _pass_on(self, stream: web.StreamResponse, served: Served) -> None:
-        """Write a body as its parts arrive; raise Broken when it isn't whole."""
+    async def _pass_on(self, stream: web.StreamResponse, served: StartedResponse) -> None:
+        """Write a body as its parts arrive; raise BrokenResponse when it isn't whole."""
         more = True
         whole = False
         try:
@@ -341,7 +341,7 @@
             whole = True
         finally:
             if not whole:
-                await self._carrier.give_up(served)
+                await self._carrier.abandon(served)
 
     def _refuse(self, http: web.BaseRequest, outcome: TurnedAway) -> web.Response:
         """Answer with a refusal and its explanation."""
@@ -374,7 +374,7 @@
             "refusal",
             request=request_id,
             in_force=str(self._subscription.version),
-            tried="" if call is None else " ".join(call.tried),
+            tried="" if call is None else " ".join(call.tried_hosts),
             load="" if call is None else _told(call.load),
             asked=f"{http.method} {http.path}",
             status=str(told.status),
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -21,7 +21,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import DeadlinePassed, NoUpstream, OwnerUnreachable, Refusal, explain
-from cowslipvane.routing import Budgets, Chooser, Load, Result
+from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
@@ -29,7 +29,7 @@
 from cowslipvane.types import Seconds, Verdict
 
 # How long an entry goes on asking an owner that it can't reach what became of an attempt.
-RESOLVE_TIME: Seconds = 5.0
+RESOLVE_TIMEOUT: Seconds = 5.0
 RECONNECT_PAUSE: Seconds = 0.05
 # A call with a smaller body costs little on its way to another data centre.
 LIGHT_BYTES = 1024
@@ -37,12 +37,12 @@
 VERDICT_TIME: Seconds = 0.2
 
 
-class Broken(Exception):
+class BrokenResponse(Exception):
     """An answer that has begun can't be completed; its connection must be cut."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Served:
+class StartedResponse:
     """An owner's answer has begun; its further parts arrive in the mailbox."""
 
     answer: Answer
@@ -50,7 +50,7 @@
     mailbox: Mailbox
 
 
-class Carrier:
+class Dispatcher:
     """Tries owners until one answers or the call may not be tried again."""
 
     def __init__(
@@ -74,28 +74,28 @@
         self._serials = itertools.count(1)
         self._budgets = Budgets(retries=retries)
 
-    async def carry(self, call: Call) -> Served | Refusal:
+    async def dispatch(self, call: Call) -> StartedResponse | Refusal:
         """Return the answer that has begun, or the refusal of the last attempt."""
         refusal: Refusal = NoUpstream(service=call.rules.service)
-        self._budgets.share_with(self._membership.proxies)
-        self._budgets.note_call(call.rules.service, time.monotonic())
-        while call.time_left(time.monotonic()) > 0:
+        self._budgets.set_proxy_count(self._membership.estimated_proxy_count)
+        self._budgets.record_call(call.rules.service, time.monotonic())
+        while call.time_remaining(time.monotonic()) > 0:
             member = self._choose(call)
             if member is None:
                 break
             match await self._attempt(call, member):
-                case Served() as served:
+                case StartedResponse() as served:
                     return served
                 case refused:
                     refusal = refused
             if not call.may_try_again(refusal):
                 break
-            call.note(refusal)
+            call.record_refusal(refusal)
             if not self._budgets.allow_retry(call.rules.service, refusal, time.monotonic()):
                 break
-        return call.doubt or refusal
+        return call.unknown_outcome or refusal
 
-    async def give_up(self, served: Served) -> None:
+    async def abandon(self, served: StartedResponse) -> None:
         """Tell the owner that nobody waits for the rest of an answer."""
         owner, attempt = served.owner, served.answer.attempt
         await self._send(owner, Cancel(attempt=attempt, incarnation=owner.incarnation), None)
@@ -110,27 +110,27 @@
             if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
         ]
         light = len(call.request.body) < LIGHT_BYTES
-        chosen = self._chooser.choose(allowed, call.tried, time.monotonic(), light=light)
+        chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=light)
         self._note_eased()
         return chosen
 
     def _note_eased(self) -> None:
         """Record the owners that were found to lose calls or to be slow."""
-        for eased in self._chooser.take_eased():
+        for eased in self._chooser.take_ejections():
             self._events.record(
                 "eased",
                 owner=eased.host,
-                reason="attempts lost" if eased.loses else "slow",
+                reason="attempts lost" if eased.loses_attempts else "slow",
                 latency=f"{eased.latency:.3f}",
-                usual=f"{eased.usual:.3f}",
-                seconds=f"{eased.time:g}",
+                usual=f"{eased.median_latency:.3f}",
+                seconds=f"{eased.duration:g}",
             )
 
     def _can_reach(self, owner: Member) -> bool:
         """Return whether an owner is here, or was reached when it was last tried."""
         return owner.host == self._own.host or self._peers.is_reachable(owner)
 
-    async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
+    async def _attempt(self, call: Call, member: Member) -> StartedResponse | Refusal:
         """Hand a call to one owner; return its answer, or the refusal."""
         attempt = AttemptId(self._own.host, self._own.incarnation, next(self._serials))
         call.begin_attempt(member.host)
@@ -139,33 +139,33 @@
             request=call.request_id,
             owner=member.host,
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
-            number=str(len(call.tried)),
+            number=str(len(call.tried_hosts)),
         )
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
         begun = time.monotonic()
         load: Load | None = None
-        result = Result.GIVEN_UP
+        result = AttemptResult.ABANDONED
         told = False
         try:
             first = await self._first_message(call, member, attempt, mailbox)
             told = True
             match first:
                 case Answer(status=status, load=load):
-                    result = Result.ANSWERED
+                    result = AttemptResult.ANSWERED
                     self._note(call, member, Verdict.RAN, str(status))
-                    return Served(answer=first, owner=member, mailbox=mailbox)
+                    return StartedResponse(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
-                    result = Result.of_refusal(refusal)
+                    result = AttemptResult.of_refusal(refusal)
                     told_by_owner = explain(refusal)
                     self._note(call, member, told_by_owner.verdict, told_by_owner.code)
                     return refusal
                 case Chunk():
-                    raise Broken("a body came before its answer")
+                    raise BrokenResponse("a body came before its answer")
         finally:
             now = time.monotonic()
             if load is not None:
-                call.note_load(load)
+                call.record_load(load)
             self._chooser.end(member.host, result, load, now - begun, now)
             if not told:
                 cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
@@ -185,7 +185,7 @@
         self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> OwnerMessage:
         """Offer an attempt and return the first message of its answer, or its refusal."""
-        time_left = call.time_left(time.monotonic())
+        time_left = call.time_remaining(time.monotonic())
         offer = Offer(
             attempt=attempt,
             service=call.rules.service,
@@ -193,7 +193,7 @@
             timeout=time_left,
             idempotent=call.is_idempotent,
             caller=call.caller,
-            goal=call.goal_left(time.monotonic()),
+            goal=call.goal_remaining(time.monotonic()),
             kind=call.rules.kind,
             nested=call.is_nested,
         )
@@ -202,7 +202,7 @@
                 await self._send(member, offer, mailbox)
                 first = await mailbox.get()
                 match first:
-                    case LinkLost(in_doubt=True):
+                    case LinkLost(outcome_unknown=True):
                         return await self._resolve(call, member, attempt, mailbox)
                     case LinkLost():
                         refusal = OwnerUnreachable(host=member.host, verdict=Verdict.NOT_RUN)
@@ -221,7 +221,7 @@
             return Refused(attempt=attempt, refusal=refusal)
         self._events.record("fence", request=call.request_id, owner=member.host)
         fence = Fence(attempt=attempt, incarnation=member.incarnation)
-        give_up = time.monotonic() + RESOLVE_TIME
+        give_up = time.monotonic() + RESOLVE_TIMEOUT
         while time.monotonic() < give_up:
             await self._send(member, fence, mailbox)
             match await mailbox.get():
@@ -277,8 +277,8 @@
         case Chunk(body=body, more=more):
             return body, more
         case Refused(refusal=refusal):
-            raise Broken(explain(refusal).sentence)
+            raise BrokenResponse(explain(refusal).sentence)
         case LinkLost():
-            raise Broken("the connection to the owner was lost")
+            raise BrokenResponse("the connection to the owner was lost")
         case Answer():
-            raise Broken("a second answer came to one attempt")
+            raise BrokenResponse("a second answer came to one attempt")
--- a/cowslipvane/tasks/_witness.py
+++ b/cowslipvane/tasks/_event_copies.py
@@ -34,7 +34,7 @@
 register(KeepEvents, EventsKept)
 
 
-class Witness:
+class EventCopies:
     """Keeps refusals of other processes, and has another process keep those of this one."""
 
     def __init__(self, *, membership: Membership, events: EventLog) -> None:
@@ -48,16 +48,16 @@
             events = self._events.take_uncopied()
             if not events:
                 continue
-            member = choose_witness(self._membership, time.monotonic())
+            member = choose_copy_holder(self._membership, time.monotonic())
             if member is None or not await self._copy_to(member, events):
-                self._events.put_back(events)
+                self._events.requeue_uncopied(events)
 
     async def serve(self, link: Link) -> None:
         """Keep what one other process sends."""
         while True:
             match await link.receive():
                 case KeepEvents(origin=origin, events=events):
-                    self._events.keep(origin, events)
+                    self._events.store_copies(origin, events)
                     await link.send(EventsKept(count=len(events)))
                 case _:
                     return
@@ -73,7 +73,7 @@
         return isinstance(answer, EventsKept)
 
 
-def choose_witness(membership: Membership, now: float) -> Member | None:
+def choose_copy_holder(membership: Membership, now: float) -> Member | None:
     """Return the next live process in the order of names, in this data centre if there is one."""
     own = membership.own
     others = [
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -12,7 +12,7 @@
 from cowslipvane.tasks._releases import Releases
 
 
-class Parts(NamedTuple):
+class Components(NamedTuple):
     """The parts of a process that a front end may call; a role that isn't there is None."""
 
     releases: Releases | None
@@ -24,10 +24,10 @@
     """An interface beside the product's own."""
 
     @property
-    def names(self) -> HeaderNames:
+    def header_names(self) -> HeaderNames:
         """Return the names of the header fields towards callers and workers."""
 
-    def listeners(self, parts: Parts) -> list[HttpListener]:
+    def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners that translate to the parts."""
 
     def has_new_settings(self) -> bool:
--- a/cowslipvane/tasks/_members.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -24,20 +24,20 @@
 register(Hello, Exchange, Compare, ExchangeReply)
 
 # News waits this long for more of it, so that a herd's changes travel together.
-GATHER_TIME: Seconds = 0.02
+BATCH_DELAY: Seconds = 0.02
 # A neighbour that takes longer to reply than this many heartbeats is suspected.
-REPLY_HEARTBEATS = 4
+REPLY_TIMEOUT_HEARTBEATS = 4
 # A distant neighbour gets a heartbeat this seldom, as a multiple of the near ones' interval.
-DISTANT_HEARTBEATS = 10
+DISTANT_HEARTBEAT_FACTOR = 10
 # A connection on which nothing came for this many heartbeats is closed.
-IDLE_HEARTBEATS = 4 * DISTANT_HEARTBEATS
+IDLE_HEARTBEATS = 4 * DISTANT_HEARTBEAT_FACTOR
 # Time between two conversations with seeds, as a multiple of the interval.
-SEED_INTERVALS = 10
+SEED_INTERVAL_FACTOR = 10
 # A conversation with a seed ends after this many exchanges, settled or not.
-SEED_EXCHANGES = 6
+MAX_SEED_EXCHANGES = 6
 
 
-class Members:
+class Gossip:
     """Keeps the membership in step with neighbours, and judges whether they live."""
 
     def __init__(
@@ -50,7 +50,7 @@
     ) -> None:
         self._membership = membership
         self._seeds: list[Address] = []
-        self.learn_seeds(seeds)
+        self.update_seeds(seeds)
         self._interval = interval
         self._events = events
         self._changed = Signal()
@@ -64,11 +64,11 @@
         """Return the membership."""
         return self._membership
 
-    def learn_seeds(self, seeds: tuple[Address, ...]) -> None:
+    def update_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Ask these processes from now on."""
         self._seeds = [address for address in seeds if address != self._membership.own.peers]
 
-    def spread(self) -> None:
+    def notify_neighbours(self) -> None:
         """Tell the neighbours at once, because the own record has changed."""
         self._changed.send()
 
@@ -81,7 +81,7 @@
                     self._events.record("member", member=member.host, state="dead")
                 self._keep_neighbours(tasks)
                 await self._changed.wait(self._interval)
-                await asyncio.sleep(GATHER_TIME)
+                await asyncio.sleep(BATCH_DELAY)
 
     async def serve(self, link: Link) -> None:
         """Answer one neighbour's exchanges, in order, until it falls silent."""
@@ -101,7 +101,7 @@
         while True:
             match await link.receive(timeout=timeout):
                 case Exchange() | Compare() as message:
-                    reply, newer = feed.answer(message, time.monotonic())
+                    reply, newer = feed.handle_message(message, time.monotonic())
                     self._note(newer)
                     await link.send(reply)
                 case _:
@@ -114,7 +114,7 @@
             self._neighbours.pop(host).cancel()
         for host in wanted.keys() - self._neighbours.keys():
             self._neighbours[host] = tasks.create_task(self._talk_to(host))
-        self._near = {host for host, neighbour in wanted.items() if neighbour.near}
+        self._near = {host for host, neighbour in wanted.items() if neighbour.frequent_heartbeats}
 
     async def _talk_to(self, host: HostName) -> None:
         """Keep a connection to a neighbour, and suspect it while there is none."""
@@ -148,23 +148,23 @@
                 await self._exchange(link, feed)
             except TimeoutError:
                 due_at = asked_at + self._reply_timeout
-                if self._membership.miss_reply(member.host, due_at, time.monotonic()):
+                if self._membership.handle_missed_reply(member.host, due_at, time.monotonic()):
                     self._note_suspicion(member.host)
                 return
-            if not feed.has_news:
-                await self._changed.wait(feed.pause(self._beat(member.host)))
-                await asyncio.sleep(GATHER_TIME)
+            if not feed.has_updates:
+                await self._changed.wait(feed.next_exchange_delay(self._beat(member.host)))
+                await asyncio.sleep(BATCH_DELAY)
 
     def _beat(self, host: HostName) -> Seconds:
         """Return the time between heartbeats to a neighbour."""
-        return self._interval * (1 if host in self._near else DISTANT_HEARTBEATS)
+        return self._interval * (1 if host in self._near else DISTANT_HEARTBEAT_FACTOR)
 
     async def _ask_seeds(self) -> None:
         """Ask one seed after another while this process has to."""
         while True:
             if self._seeds and self._membership.needs_seed():
                 await self._ask_seed(self._rng.choice(self._seeds))
-            pause = 1 if self._membership.is_alone() else SEED_INTERVALS
+            pause = 1 if self._membership.is_alone() else SEED_INTERVAL_FACTOR
             # Processes that have started together shall not ask together.
             await asyncio.sleep(self._interval * pause * self._rng.uniform(0.5, 1.5))
 
@@ -174,9 +174,9 @@
         try:
             async with connect(address, "/members") as link:
                 feed = await self._greet(link, seed, guest=True)
-                for _ in range(SEED_EXCHANGES):
+                for _ in range(MAX_SEED_EXCHANGES):
                     await self._exchange(link, feed)
-                    if feed.settled:
+                    if feed.is_synchronized:
                         return
         except (LinkClosed, Malformed, TimeoutError):
             return
@@ -194,14 +194,14 @@
         await link.send(message)
         match await link.receive(timeout=self._reply_timeout):
             case ExchangeReply() as reply:
-                self._note(feed.take(message, reply, time.monotonic()))
+                self._note(feed.handle_reply(message, reply, time.monotonic()))
             case _:
                 raise Malformed("a neighbour answered with another message")
 
     @property
     def _reply_timeout(self) -> Seconds:
         """Return how long a reply may take."""
-        return self._interval * REPLY_HEARTBEATS
+        return self._interval * REPLY_TIMEOUT_HEARTBEATS
 
     def _note_suspicion(self, host: HostName) -> None:
         """Record a suspicion of this process and pass it on."""
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from cowslipvane.tasks._pipeline import Ahead, PipelinedConnection
+from cowslipvane.tasks._pipeline import PipelinedConnection, Prefetcher
 from cowslipvane.types import Address, Seconds
 
 # The largest line or field of a request's head.
@@ -25,13 +25,13 @@
 class _CallersServer(web.Server):
     """A server whose connections fetch answers ahead of their turn."""
 
-    def __init__(self, handler: Handler, *, ahead: Ahead, **options: Any) -> None:
+    def __init__(self, handler: Handler, *, ahead: Prefetcher, **options: Any) -> None:
         super().__init__(handler, **options)
         self._ahead = ahead
 
     def __call__(self) -> PipelinedConnection:
         """Return the protocol of a new connection."""
-        return PipelinedConnection(self, ahead=self._ahead, loop=self._loop, **self._kwargs)
+        return PipelinedConnection(self, prefetcher=self._ahead, loop=self._loop, **self._kwargs)
 
 
 class HttpListener:
@@ -42,7 +42,7 @@
         *,
         handler: Handler,
         address: Address,
-        ahead: Ahead | None = None,
+        prefetcher: Prefetcher | None = None,
     ) -> None:
         logging.getLogger("aiohttp.server").addFilter(_is_own_fault)
         options: dict[str, Any] = {
@@ -50,12 +50,12 @@
             "max_line_size": MAX_HEAD_BYTES,
             "max_field_size": MAX_HEAD_BYTES,
         }
-        if ahead is None:
+        if prefetcher is None:
             self._server = web.Server(handler, **options)
         else:
             # A request whose sender has closed the connection is cancelled.
             self._server = _CallersServer(
-                handler, ahead=ahead, handler_cancellation=True, **options
+                handler, ahead=prefetcher, handler_cancellation=True, **options
             )
         self._address = address
         self._listener: asyncio.Server | None = None
--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -10,10 +10,10 @@
 
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
-from cowslipvane.replica import Add, GroupRefused, Leader, Replace, Voter
+from cowslipvane.replica import Add, GroupChangeRefused, Leader, Replace, Voter
 from cowslipvane.settings import Settings
 from cowslipvane.storage import Identity
-from cowslipvane.tasks._replication import NotLeader, Regrouped, Replication, Unknown
+from cowslipvane.tasks._replication import GroupChanged, NotLeader, Replication, Unknown
 from cowslipvane.types import Address, HostName, ReplicaId, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
@@ -62,7 +62,7 @@
     return Identity(GROUP_NAME, settings.host, replica_id, founders if is_founder else ())
 
 
-class Joining:
+class GroupJoiner:
     """Asks the members for this replica to be one of them, and answers others that ask."""
 
     def __init__(
@@ -71,14 +71,14 @@
         replication: Replication,
         group_name: str,
         own_address: Address,
-        others: Callable[[], tuple[Address, ...]],
+        peer_addresses: Callable[[], tuple[Address, ...]],
         events: EventLog,
         rng: random.Random,
     ) -> None:
         self._replication = replication
         self._group_name = group_name
         self._own_address = own_address
-        self._others = others
+        self._others = peer_addresses
         self._events = events
         self._rng = rng
 
@@ -120,16 +120,18 @@
         """Change the group, if this replica leads and the other one isn't a member yet."""
         replica = self._replication.replica
         group = replica.group
-        if isinstance(replica.role, Leader) and replica.recognizes(voter.host, voter.replica_id):
+        if isinstance(replica.role, Leader) and replica.check_identity(
+            voter.host, voter.replica_id
+        ):
             return TakenIn()
         change = Add(learner=voter) if group.member(voter.host) is None else Replace(learner=voter)
-        match await self._replication.regroup(change):
-            case Regrouped():
+        match await self._replication.change_group(change):
+            case GroupChanged():
                 self._events.record(
                     "regrouped", host=voter.host, change=type(change).__name__.lower()
                 )
                 return TakenIn()
-            case GroupRefused(reason=reason):
+            case GroupChangeRefused(reason=reason):
                 return NotTakenIn(reason=reason, leader=None)
             case NotLeader(leader=leader):
                 member = group.member(leader) if leader else None
--- a/cowslipvane/tasks/_measures.py
+++ b/cowslipvane/tasks/_metrics_collector.py
@@ -7,7 +7,7 @@
 
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
-from cowslipvane.metrics import Metrics, Reading
+from cowslipvane.metrics import Metrics, Sample
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._replication import Replication
@@ -15,7 +15,7 @@
 from cowslipvane.wire import Traffic
 
 
-class Measures:
+class MetricsCollector:
     """Reads the aggregates of one process."""
 
     def __init__(
@@ -42,43 +42,43 @@
         # A process that nobody asks for metrics need not load the library.
         from cowslipvane.metrics._render import render  # noqa: PLC0415
 
-        return render(self._metrics, self.readings())
+        return render(self._metrics, self.samples())
 
-    def readings(self) -> list[Reading]:
+    def samples(self) -> list[Sample]:
         """Return everything that there is to read now."""
-        readings = self._metrics.readings()
+        readings = self._metrics.samples()
         readings += self._of_links() + self._of_members() + self._of_events()
         if self._subscription is not None:
-            readings.append(Reading("cowslipvane_version_in_force", self._subscription.version))
+            readings.append(Sample("cowslipvane_version_in_force", self._subscription.version))
         if self._owner is not None:
             load = self._owner.load
-            readings.append(Reading("cowslipvane_slots", load.slots))
-            readings.append(Reading("cowslipvane_running", load.running))
-            readings.append(Reading("cowslipvane_queue", load.queued))
+            readings.append(Sample("cowslipvane_slots", load.slots))
+            readings.append(Sample("cowslipvane_running", load.running))
+            readings.append(Sample("cowslipvane_queue", load.queued))
         if self._replication is not None:
             readings += self._of_replica(self._replication)
         return readings
 
-    def _of_links(self) -> list[Reading]:
+    def _of_links(self) -> list[Sample]:
         """Return the bytes of each message."""
         sent = self._traffic.sent_bytes.items()
         received = self._traffic.received_bytes.items()
         return [
-            *(Reading("cowslipvane_sent_bytes", count, name) for name, count in sent),
-            *(Reading("cowslipvane_received_bytes", count, name) for name, count in received),
+            *(Sample("cowslipvane_sent_bytes", count, name) for name, count in sent),
+            *(Sample("cowslipvane_received_bytes", count, name) for name, count in received),
         ]
 
-    def _of_members(self) -> list[Reading]:
+    def _of_members(self) -> list[Sample]:
         """Return how many members are in each state."""
         states = count_states(self._membership, time.monotonic())
-        return [Reading("cowslipvane_members", count, state) for state, count in states.items()]
+        return [Sample("cowslipvane_members", count, state) for state, count in states.items()]
 
-    def _of_events(self) -> list[Reading]:
+    def _of_events(self) -> list[Sample]:
         """Return the counts of the event log."""
         counts = self._events.counts.items()
-        return [Reading("cowslipvane_events", count, fate) for fate, count in counts]
+        return [Sample("cowslipvane_events", count, fate) for fate, count in counts]
 
-    def _of_replica(self, replication: Replication) -> list[Reading]:
+    def _of_replica(self, replication: Replication) -> list[Sample]:
         """Return what the replica knows of versions and proxies."""
         replica = replication.replica
         accepted = replica.catalogue.version
@@ -88,15 +88,15 @@
             in_force[report.version] = max(report.applied_at, in_force.get(report.version, 0.0))
         behind = sum(report.version < accepted for report in reports)
         readings = [
-            Reading("cowslipvane_version_accepted", accepted),
-            Reading("cowslipvane_proxies", len(reports)),
-            Reading("cowslipvane_proxies_behind", behind),
-            Reading("cowslipvane_term", replica.term),
-            Reading("cowslipvane_leader", replication.holds_lease),
+            Sample("cowslipvane_version_accepted", accepted),
+            Sample("cowslipvane_proxies", len(reports)),
+            Sample("cowslipvane_proxies_behind", behind),
+            Sample("cowslipvane_term", replica.term),
+            Sample("cowslipvane_leader", replication.holds_lease),
         ]
         lag = self._metrics.convergence(accepted, in_force, time.time())
         if lag is not None:
-            readings.append(Reading("cowslipvane_convergence_seconds", lag))
+            readings.append(Sample("cowslipvane_convergence_seconds", lag))
         return readings
 
 
--- a/cowslipvane/tasks/_operators.py
+++ b/cowslipvane/tasks/_operator_api.py
@@ -13,7 +13,7 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 
 
-class Operators:
+class OperatorApi:
     """Answers operators, and the worker on this host, as HTTP and JSON."""
 
     def __init__(
@@ -55,7 +55,7 @@
 
     def _may_ask(self, http: web.BaseRequest) -> bool:
         """Return whether a request shows the token, or needs none."""
-        if self._token is None or self._token.is_shown_by(http.headers.get(AUTHORIZATION)):
+        if self._token is None or self._token.matches(http.headers.get(AUTHORIZATION)):
             return True
         # The platform's worker knows no token of ours; it shares this host's address.
         return http.path == "/v1/worker" and _from_this_host(http)
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -6,24 +6,24 @@
 import time
 from contextlib import closing
 
-from cowslipvane.admission import Admission, Work, kind_of
+from cowslipvane.admission import Admission, Work, request_kind
 from cowslipvane.call import (
-    OWN_NAMES,
+    DEFAULT_HEADER_NAMES,
     Answer,
     AttemptId,
     Attempts,
     Cancel,
     Chunk,
+    Ended,
     Fence,
     Forgotten,
     HeaderNames,
     NeverStarted,
     Offer,
-    Over,
     OwnerMessage,
     Refused,
-    Reply,
-    UnderWay,
+    Running,
+    SendReply,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Announcement, Announcements, Worker
@@ -40,8 +40,8 @@
 )
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._members import Members
-from cowslipvane.tasks._signal import Signal, Turnstile
+from cowslipvane.tasks._gossip import Gossip
+from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, AnswerHead, WorkerUnreachable
 from cowslipvane.tasks._worker_http import NotRun, WorkerLane, answer_headers
 from cowslipvane.types import Seconds, ServiceName, Verdict
@@ -65,17 +65,17 @@
     def __init__(
         self,
         *,
-        members: Members,
+        gossip: Gossip,
         subscription: Subscription,
         events: EventLog,
         worker_lease: Seconds,
-        names: HeaderNames = OWN_NAMES,
+        header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
-        self._names = names
+        self._names = header_names
         self._announcements = Announcements()
-        self._members = members
+        self._members = gossip
         self._subscription = subscription
         self._events = events
         self._worker_lease = worker_lease
@@ -83,10 +83,10 @@
         self._renewed_at = 0.0
         self._admission: Admission | None = None
         self._slots: list[asyncio.Task[None]] = []
-        self._work = Turnstile()
+        self._work = LifoSignal()
         self._ended = Signal()
-        self._attempts = Attempts(incarnation=members.membership.own.incarnation)
-        self._replies: dict[AttemptId, Reply] = {}
+        self._attempts = Attempts(incarnation=gossip.membership.own.incarnation)
+        self._replies: dict[AttemptId, SendReply] = {}
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
         # The ids of the requests that the worker runs.
         self._running: set[str] = set()
@@ -99,16 +99,16 @@
         return self._admission.load if self._admission else _NO_LOAD
 
     @property
-    def under_way(self) -> tuple[AttemptId, ...]:
+    def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that wait or run."""
-        return self._attempts.under_way
+        return self._attempts.in_flight
 
     async def wait_idle(self) -> None:
         """Return once nothing waits and nothing runs."""
-        while self._attempts.under_way:
+        while self._attempts.in_flight:
             await self._ended.wait()
 
-    async def announce(self, worker: Worker) -> None:
+    async def register_worker(self, worker: Worker) -> None:
         """Take the worker's announcement, or its renewal."""
         self._renewed_at = time.monotonic()
         if worker == self._worker or self._draining:
@@ -120,7 +120,7 @@
             before = ()
         self._worker = worker
         self._admission = Admission(service=worker.service, slots=worker.slots)
-        self._work = Turnstile()
+        self._work = LifoSignal()
         lanes = [
             self._serve_slot(self._admission, worker, self._work, before)
             for _ in range(worker.slots)
@@ -128,25 +128,25 @@
         self._slots = [slot for slot in self._slots if not slot.done()]
         self._slots += [asyncio.create_task(lane) for lane in lanes]
         self._events.record("worker", service=worker.service, address=str(worker.address))
-        self._members.membership.announce(worker, time.monotonic())
-        self._members.spread()
+        self._members.membership.set_worker(worker, time.monotonic())
+        self._members.notify_neighbours()
 
-    async def hear(self, announcement: Announcement) -> None:
+    async def handle_announcement(self, announcement: Announcement) -> None:
         """Act on an announcement, unless a newer one was heard before."""
-        if not self._announcements.take(announcement):
+        if not self._announcements.record(announcement):
             return
         match self._announcements.newest:
             case Announcement(state="ready", worker=worker):
-                await self.announce(worker)
+                await self.register_worker(worker)
             case _:
-                await self.dismiss()
+                await self.deregister_worker()
 
-    async def hear_departure(self, instance: str) -> None:
+    async def handle_departure(self, instance: str) -> None:
         """Take an instance out that says it is gone, unless another one came since."""
-        if self._announcements.take_departure(instance, time.time_ns() // 1_000_000):
-            await self.dismiss()
+        if self._announcements.record_departure(instance, time.time_ns() // 1_000_000):
+            await self.deregister_worker()
 
-    async def dismiss(self) -> None:
+    async def deregister_worker(self) -> None:
         """Take the worker out because it says that it is leaving."""
         if self._worker is not None:
             self._events.record("worker-leaving", service=self._worker.service)
@@ -158,14 +158,14 @@
             while True:
                 await asyncio.sleep(min(OUT_CHECK, self._worker_lease / 4))
                 if self._is_out and self._admission is not None:
-                    await self._refuse_all(self._admission.empty())
+                    await self._refuse_all(self._admission.clear_queue())
                 if self._worker and time.monotonic() > self._renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
                     await self._remove_worker()
         finally:
             await self._stop_slots()
 
-    async def offer(self, offer: Offer, reply: Reply) -> None:
+    async def offer(self, offer: Offer, reply: SendReply) -> None:
         """Admit an attempt, or refuse it at once."""
         if not self._attempts.admit(offer.attempt):
             withdrawn = Withdrawn(service=offer.service)
@@ -176,31 +176,31 @@
         if refusal is not None:
             await self._refuse(offer.attempt, refusal)
 
-    async def fence(self, fence: Fence, reply: Reply) -> None:
+    async def fence(self, fence: Fence, reply: SendReply) -> None:
         """Say what became of an attempt; one that has not started never will."""
         attempt = fence.attempt
         match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
-            case UnderWay(parts=list(parts)):
+            case Running(parts=list(parts)):
                 # Parts that arrive meanwhile are only kept, so that all go out in order.
                 self._replies.pop(attempt, None)
                 await self._replay(parts, reply)
                 match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
-                    case UnderWay(parts=still) if still is parts:
+                    case Running(parts=still) if still is parts:
                         self._replies[attempt] = reply
-                    case Over(parts=still) if still is parts:
+                    case Ended(parts=still) if still is parts:
                         return
                     case _:
                         await self._tell_lost(attempt, reply)
-            case UnderWay():
+            case Running():
                 await self._tell_lost(attempt, reply)
             case ended:
                 await self._tell_end(attempt, ended, reply)
 
-    async def cancel(self, cancel: Cancel, reply: Reply) -> None:
+    async def cancel(self, cancel: Cancel, reply: SendReply) -> None:
         """Give an attempt up, whether it waits or runs, and say whether it ran."""
         attempt = cancel.attempt
         match self._attempts.fence(attempt, cancel.incarnation, time.monotonic()):
-            case UnderWay():
+            case Running():
                 self._replies.pop(attempt, None)
                 self._cut(attempt)
                 refusal = CallerGone(verdict=Verdict.MAY_HAVE_RUN)
@@ -208,14 +208,14 @@
             case ended:
                 await self._tell_end(attempt, ended, reply)
 
-    def forsake(self, attempt: AttemptId, reply: Reply) -> None:
+    def abandon(self, attempt: AttemptId, reply: SendReply) -> None:
         """Give an attempt up whose entry has vanished, unless it asked again over another way."""
         if self._replies.get(attempt) is not reply:
             return
         self._replies.pop(attempt)
         incarnation = self._members.membership.own.incarnation
         match self._attempts.fence(attempt, incarnation, time.monotonic()):
-            case UnderWay():
+            case Running():
                 self._cut(attempt)
             case NeverStarted() if self._admission:
                 self._admission.withdraw(attempt)
@@ -224,11 +224,11 @@
         """Start nothing from now on; send what waits back as not run."""
         self._draining = True
         self._members.membership.leave("leaving", time.monotonic())
-        self._members.spread()
+        self._members.notify_neighbours()
         self._events.record("leaving")
         await self._refuse_waiting()
 
-    def runs(self, request_id: str) -> bool:
+    def is_running(self, request_id: str) -> bool:
         """Return whether the worker here runs a request."""
         return request_id in self._running
 
@@ -259,7 +259,7 @@
             offer.idempotent,
             offer.caller,
             goal,
-            offer.kind or kind_of(offer.request),
+            offer.kind or request_kind(offer.request),
             offer.nested,
         )
         refusal = self._admission.offer(work, now)
@@ -273,13 +273,13 @@
         if timeout is not None and timeout.when() is not None and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
 
-    async def _tell_lost(self, attempt: AttemptId, reply: Reply) -> None:
+    async def _tell_lost(self, attempt: AttemptId, reply: SendReply) -> None:
         """Answer for an attempt whose answer grew too large to be sent again."""
         refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
         await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
 
     async def _tell_end(
-        self, attempt: AttemptId, end: NeverStarted | Over | Forgotten, reply: Reply
+        self, attempt: AttemptId, end: NeverStarted | Ended | Forgotten, reply: SendReply
     ) -> None:
         """Answer for an attempt that doesn't run."""
         match end:
@@ -288,16 +288,16 @@
                 if self._admission is not None:
                     self._admission.withdraw(attempt)
                 refusal: Refusal = Withdrawn(service=self._service)
-            case Over(parts=list(parts)):
+            case Ended(parts=list(parts)):
                 await self._replay(parts, reply)
                 return
-            case Over():
+            case Ended():
                 refusal = AnswerLost(service=self._service, verdict=Verdict.RAN)
             case Forgotten():
                 refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
         await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
 
-    async def _replay(self, parts: list[OwnerMessage], reply: Reply) -> None:
+    async def _replay(self, parts: list[OwnerMessage], reply: SendReply) -> None:
         """Send an answer from its start, with the parts that arrive meanwhile."""
         sent = 0
         while sent < len(parts):
@@ -306,7 +306,7 @@
 
     async def _send(self, message: OwnerMessage) -> None:
         """Keep a part of an answer, and send it to whoever waits for it."""
-        self._attempts.keep(message.attempt, message)
+        self._attempts.store_part(message.attempt, message)
         reply = self._replies.get(message.attempt)
         if reply is not None:
             await reply(message)
@@ -314,7 +314,7 @@
     async def _refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
         """End an attempt without a whole answer."""
         message = Refused(attempt=attempt, refusal=refusal, load=self.load)
-        self._attempts.keep(attempt, message)
+        self._attempts.store_part(attempt, message)
         self._attempts.end(attempt, time.monotonic())
         reply = self._replies.pop(attempt, None)
         if reply is not None:
@@ -342,8 +342,8 @@
     async def _remove_worker(self) -> None:
         """Forget the worker and let its slots end what they run."""
         self._worker = None
-        self._members.membership.announce(None, time.monotonic())
-        self._members.spread()
+        self._members.membership.set_worker(None, time.monotonic())
+        self._members.notify_neighbours()
         await self._retire()
 
     async def _stop_slots(self) -> None:
@@ -358,14 +358,14 @@
             slot.cancel()
         await asyncio.gather(*slots, return_exceptions=True)
         refusal = UpstreamLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
-        for attempt in self._attempts.under_way:
+        for attempt in self._attempts.in_flight:
             await self._refuse(attempt, refusal)
 
     async def _serve_slot(
         self,
         admission: Admission,
         worker: Worker,
-        turnstile: Turnstile,
+        turnstile: LifoSignal,
         before: tuple[asyncio.Task[None], ...],
     ) -> None:
         """Run one request after another at the worker, once the slots before have ended."""
@@ -378,7 +378,7 @@
                 if work is None:
                     await turnstile.wait()
                     continue
-                refusal = admission.overdue(work, time.monotonic())
+                refusal = admission.check_deadline(work, time.monotonic())
                 if refusal is not None:
                     admission.finish(work, time.monotonic(), ran=False)
                     await self._refuse(work.attempt, refusal)
--- a/cowslipvane/tasks/_peer_listener.py
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -16,7 +16,7 @@
 from cowslipvane.settings import AUTHORIZATION
 from cowslipvane.types import Address
 from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed
-from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, notice_silence
+from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, enable_keepalive
 
 Handler = Callable[[Link], Awaitable[None]]
 # A path of a stranger's request goes into an event no longer than this, in characters.
@@ -55,7 +55,7 @@
             max_size=MAX_MESSAGE_BYTES,
         )
 
-    def stop_waiting(self) -> None:
+    def cancel_waiting(self) -> None:
         """End the tasks that may wait for news that no longer comes: all but those of calls."""
         for task in self._waiting:
             task.cancel()
@@ -63,7 +63,7 @@
     async def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
         """Turn away a peer that shows no valid token, or asks for a path that nobody serves."""
         token = self._identity.token
-        if token is not None and not token.is_shown_by(request.headers.get(AUTHORIZATION)):
+        if token is not None and not token.matches(request.headers.get(AUTHORIZATION)):
             self._note_malformed(request.path, "a peer showed no valid token")
             return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
         if request.path not in self._handlers:
@@ -72,7 +72,7 @@
 
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one connection until it closes or sends nonsense."""
-        notice_silence(connection)
+        enable_keepalive(connection)
         assert connection.request is not None
         path = connection.request.path
         self._connections[path] += 1
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -11,18 +11,18 @@
 
 from cowslipvane.call import (
     Answer,
-    Arrivals,
-    Arriving,
     AttemptId,
     Cancel,
     Chunk,
     Fence,
+    Incomplete,
     Offer,
+    OfferAssembler,
     Overflow,
     OwnerMessage,
     Refused,
-    Reply,
-    parts_of,
+    SendReply,
+    split_offer,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member
@@ -50,12 +50,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkLost:
-    """The connection to an owner has ended; in_doubt says whether the attempt may have started.
+    """Report a lost connection to an owner; outcome_unknown: whether the attempt may have started.
 
     An owner that ends a connection as planned has answered every attempt that it had started.
     """
 
-    in_doubt: bool
+    outcome_unknown: bool
 
 
 Mailbox = asyncio.Queue[OwnerMessage | LinkLost]
@@ -85,7 +85,7 @@
         # Sent at each end of an attempt to connect.
         self._tried = Signal()
         self._backoff = Backoff(
-            first=FIRST_RECONNECT, longest=LONGEST_RECONNECT, rng=random.Random()
+            initial_delay=FIRST_RECONNECT, max_delay=LONGEST_RECONNECT, rng=random.Random()
         )
         self._task = asyncio.create_task(self._run())
 
@@ -109,7 +109,7 @@
             await self._tried.wait()
         if self._link is None:
             if mailbox is not None:
-                mailbox.put_nowait(LinkLost(in_doubt=False))
+                mailbox.put_nowait(LinkLost(outcome_unknown=False))
             return
         if mailbox is None:
             self._mailboxes.pop(message.attempt, None)
@@ -119,13 +119,13 @@
             await self._send_parts(self._link, message)
         except LinkClosed as closed:
             if mailbox is not None and self._mailboxes.pop(message.attempt, None) is not None:
-                mailbox.put_nowait(LinkLost(in_doubt=not closed.going_away))
+                mailbox.put_nowait(LinkLost(outcome_unknown=not closed.going_away))
 
     async def _send_parts(self, link: Link, message: Offer | Fence | Cancel) -> None:
         """Send a message, an offer in parts between which other calls' messages go out."""
         match message:
             case Offer():
-                for part in parts_of(message):
+                for part in split_offer(message):
                     await link.send(part)
                     # A send that doesn't block lets no other task run.
                     await asyncio.sleep(0)
@@ -153,7 +153,7 @@
                         heard_at = time.monotonic()
                     case _End.UNREACHABLE:
                         pass
-                await asyncio.sleep(self._backoff.wait())
+                await asyncio.sleep(self._backoff.next_delay())
         finally:
             self._lose(in_doubt=True)
 
@@ -205,7 +205,7 @@
         self._failed = failed
         self._tried.send()
         for mailbox in self._mailboxes.values():
-            mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
+            mailbox.put_nowait(LinkLost(outcome_unknown=in_doubt))
         self._mailboxes.clear()
 
     async def _watch(self, link: Link) -> None:
@@ -272,7 +272,7 @@
 async def serve_calls(link: Link, owner: Owner) -> None:
     """Take one proxy's attempts and send their answers back."""
     under_way: set[AttemptId] = set()
-    arrivals = Arrivals()
+    arrivals = OfferAssembler()
     reply = _reply_over(link, under_way)
     try:
         while True:
@@ -293,10 +293,10 @@
                     return
     finally:
         for attempt in under_way:
-            owner.forsake(attempt, reply)
+            owner.abandon(attempt, reply)
 
 
-async def _take(arrival: Offer | Arriving | Overflow, owner: Owner, reply: Reply) -> None:
+async def _take(arrival: Offer | Incomplete | Overflow, owner: Owner, reply: SendReply) -> None:
     """Hand an offer to the owner once its body is whole."""
     match arrival:
         case Offer() as offer:
@@ -304,11 +304,11 @@
         case Overflow(offer=offer):
             refusal = QueueFull(service=offer.service, retry_after=OVERFLOW_RETRY)
             await reply(Refused(attempt=offer.attempt, refusal=refusal))
-        case Arriving():
+        case Incomplete():
             return
 
 
-def _reply_over(link: Link, under_way: set[AttemptId]) -> Reply:
+def _reply_over(link: Link, under_way: set[AttemptId]) -> SendReply:
     """Return a reply that sends over a link and gives up once it is closed."""
 
     async def reply(message: OwnerMessage) -> None:
--- a/cowslipvane/tasks/_pipeline.py
+++ b/cowslipvane/tasks/_pipeline.py
@@ -18,7 +18,7 @@
 _METHODS_AHEAD = frozenset({"GET", "HEAD"})
 
 
-class Ahead(NamedTuple):
+class Prefetcher(NamedTuple):
     """What fetches an answer before its turn, and what gives one up that nobody waits for."""
 
     fetch: Callable[[web.BaseRequest], Coroutine[Any, Any, Any]]
@@ -28,9 +28,9 @@
 class PipelinedConnection(RequestHandler):
     """Fetches answers ahead of their turn; the connection's task sends them in order."""
 
-    def __init__(self, manager: web.Server, *, ahead: Ahead, **options: Any) -> None:
+    def __init__(self, manager: web.Server, *, prefetcher: Prefetcher, **options: Any) -> None:
         super().__init__(manager, **options)
-        self._rules = ahead
+        self._rules = prefetcher
         self._ahead: dict[int, tuple[RawRequestMessage, asyncio.Task[Any]]] = {}
         # The loop itself holds tasks only weakly.
         self._discarding: set[asyncio.Task[None]] = set()
@@ -97,7 +97,7 @@
         self._ahead[id(message)] = message, asyncio.create_task(self._rules.fetch(request))
 
 
-def fetched_ahead(http: web.BaseRequest) -> asyncio.Task[Any] | None:
+def take_prefetched(http: web.BaseRequest) -> asyncio.Task[Any] | None:
     """Return what fetches the answer to a request, if it was begun before its turn."""
     match http.protocol:
         case PipelinedConnection() as connection:
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -12,7 +12,7 @@
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._http import error_response
-from cowslipvane.tasks._measures import Measures
+from cowslipvane.tasks._metrics_collector import MetricsCollector
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
@@ -35,9 +35,9 @@
         owner: Owner | None,
         drain: Callable[[], None],
         debug: Callable[[], dict[str, Any]],
-        measures: Measures,
+        metrics_collector: MetricsCollector,
     ) -> None:
-        self._measures = measures
+        self._measures = metrics_collector
         self._debug = debug
         self._membership = membership
         self._events = events
@@ -119,10 +119,10 @@
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
         if isinstance(form, dict) and form.get("state") == "leaving":
-            await self._owner.dismiss()
+            await self._owner.deregister_worker()
             return web.json_response({"state": "leaving"})
         worker = read_worker(form)
-        await self._owner.announce(worker)
+        await self._owner.register_worker(worker)
         return web.json_response({"state": self._membership.own.state})
 
 
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -6,7 +6,7 @@
 import time
 from typing import NamedTuple
 
-from cowslipvane.catalogue import Behind, Delta, RouteHosts, Snapshot
+from cowslipvane.catalogue import Delta, RouteHosts, Snapshot, VersionNotReached
 from cowslipvane.membership import Membership
 from cowslipvane.replica import Leader, Report
 from cowslipvane.subscription import (
@@ -34,8 +34,8 @@
 register(Reports, ReportsTaken)
 
 # Snapshots that are on their way at once; more proxies are told to come again.
-MAX_SNAPSHOTS = 16
-SNAPSHOT_RETRY: Seconds = 0.5
+MAX_CONCURRENT_SNAPSHOTS = 16
+SNAPSHOT_RETRY_DELAY: Seconds = 0.5
 # Reports that come within this time are looked at, and passed on, together.
 GATHER_TIME: Seconds = 0.02
 # The longest time between two looks at which proxies live.
@@ -74,7 +74,7 @@
         self._answers_version = NO_VERSION
 
     @property
-    def moved(self) -> Signal:
+    def rollout_changed(self) -> Signal:
         """Return the signal that is sent when a version is accepted or comes into force."""
         return self._moved
 
@@ -84,7 +84,7 @@
         return self._rollout
 
     @property
-    def floor_questions(self) -> int:
+    def pending_floor_requests(self) -> int:
         """Return how many proxies wait for a leader to tell their floor."""
         return self._floor_questions
 
@@ -104,7 +104,7 @@
             if newest != seen:
                 seen = newest
                 # The event's stamp must come before those of the messages that tell proxies.
-                self._replication.note_accepted()
+                self._replication.record_accepted()
                 self._accepted.send()
                 self._moved.send()
 
@@ -219,8 +219,8 @@
                 await link.send(Lagging())
             return
         answer = self._encode(pull)
-        if answer.is_snapshot and self._snapshots >= MAX_SNAPSHOTS:
-            await link.send(ComeAgain(after=SNAPSHOT_RETRY))
+        if answer.is_snapshot and self._snapshots >= MAX_CONCURRENT_SNAPSHOTS:
+            await link.send(ComeAgain(after=SNAPSHOT_RETRY_DELAY))
             return
         self._snapshots += answer.is_snapshot
         try:
@@ -246,16 +246,16 @@
             self._answers.clear()
         key = pull.base, pull.hosts
         if key not in self._answers:
-            self._answers[key] = _answer(catalogue.since(pull.base, pull.hosts))
+            self._answers[key] = _answer(catalogue.update_since(pull.base, pull.hosts))
         return self._answers[key]
 
 
-def _answer(found: Delta | Snapshot | Behind) -> _Answer:
+def _answer(found: Delta | Snapshot | VersionNotReached) -> _Answer:
     """Return the answer that carries what a catalogue gave."""
     match found:
         case Delta():
             return _Answer(PullDelta.__name__, encode(PullDelta(delta=found)), False)
         case Snapshot():
             return _Answer(PullSnapshot.__name__, encode(PullSnapshot(snapshot=found)), True)
-        case Behind(version=version):
+        case VersionNotReached(version=version):
             return _Answer(Current.__name__, encode(Current(version=version)), False)
--- a/cowslipvane/tasks/_releases.py
+++ b/cowslipvane/tasks/_releases.py
@@ -14,9 +14,9 @@
     Key,
     Release,
     Spec,
-    operation_of,
     release_change,
     release_in_force,
+    release_operation_id,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
@@ -69,18 +69,18 @@
         replica = self._replication.replica
         if not self._replication.holds_lease:
             return NotLeader(leader=replica.leader)
-        known = self._catalogue.outcome(operation_of(release))
+        known = self._catalogue.outcome(release_operation_id(release))
         if isinstance(known, Accepted):
             return known
         change = release_change(self._catalogue, release, resources)
         if not isinstance(change, Change):
             return change
-        refused = self._catalogue.judge(change)
+        refused = self._catalogue.evaluate(change)
         if refused is not None:
             return refused
         outcome = await self._replication.write(change)
         if isinstance(outcome, Accepted):
-            self._replication.note_accepted()
+            self._replication.record_accepted()
         return outcome
 
     @property
--- a/cowslipvane/tasks/_replica_api.py
+++ b/cowslipvane/tasks/_replica_api.py
@@ -8,10 +8,10 @@
 
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
-from cowslipvane.replica import GroupRefused
+from cowslipvane.replica import GroupChangeRefused
 from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._redirect import leader_redirect
-from cowslipvane.tasks._replication import NotLeader, Regrouped, Replication, Unknown
+from cowslipvane.tasks._replication import GroupChanged, NotLeader, Replication, Unknown
 from cowslipvane.wire import group_form, read_group_change
 
 _PATH = "/v1/replicas"
@@ -46,14 +46,14 @@
 
     async def _regroup(self, form: Any) -> web.Response:
         """Change the group; the answer says whether it was run."""
-        match await self._replication.regroup(read_group_change(form)):
+        match await self._replication.change_group(read_group_change(form)):
             case NotLeader(leader=leader):
                 return leader_redirect(self._membership, _PATH, leader)
             case Unknown():
                 sentence = "unknown: ask for the group, or send the same change again"
                 return web.json_response({"outcome": "unknown", "sentence": sentence}, status=504)
-            case GroupRefused(reason=reason):
+            case GroupChangeRefused(reason=reason):
                 return error_response(409, f"not run: {reason}")
-            case Regrouped(group=group):
+            case GroupChanged(group=group):
                 self._events.record("regrouped", change=str(form["change"]), host=str(form["host"]))
                 return web.json_response({"outcome": "accepted", **group_form(group)})
