--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -15,7 +15,7 @@
     Candidate,
     Group,
     GroupChange,
-    GroupRefused,
+    GroupChangeRefused,
     Install,
     Journal,
     Leader,
@@ -54,7 +54,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Regrouped:
+class GroupChanged:
     """The change of the group is accepted; a learner becomes a voter once it has everything."""
 
     group: Group
@@ -131,7 +131,7 @@
     async def run(self) -> None:
         """Run the tasks of this replica until they are cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._journal.watch())
+            tasks.create_task(self._journal.wait_for_failure())
             tasks.create_task(self._watch_leader())
             await self._keep_followers(tasks)
 
@@ -175,12 +175,14 @@
             await self._changed.wait(deadline - lease_now())
         return Unknown()
 
-    async def regroup(self, change: GroupChange) -> Regrouped | GroupRefused | NotLeader | Unknown:
+    async def change_group(
+        self, change: GroupChange
+    ) -> GroupChanged | GroupChangeRefused | NotLeader | Unknown:
         """Replicate a change of the group and return once a majority has it synced."""
-        index = self._replica.regroup(change, stamped_at=time.time())
+        index = self._replica.change_group(change, stamped_at=time.time())
         if not isinstance(self._replica.role, Leader):
             return NotLeader(leader=self._replica.leader)
-        if isinstance(index, GroupRefused):
+        if isinstance(index, GroupChangeRefused):
             return index
         term = self._replica.term
         self._changed.send()
@@ -191,11 +193,11 @@
             if left <= 0 or self._replica.term != term:
                 return Unknown()
             await self._changed.wait(left)
-        return Regrouped(group=self._replica.group) if self._replica.term == term else Unknown()
+        return GroupChanged(group=self._replica.group) if self._replica.term == term else Unknown()
 
     async def hand_over(self) -> None:
         """Let another replica lead, if this one does, because the process is stopping."""
-        self._replica.retire()
+        self._replica.stop_accepting_writes()
         term = self._replica.term
         give_up = lease_now() + HAND_OVER_TIMEOUT
         while isinstance(self._replica.role, Leader):
@@ -210,7 +212,7 @@
                 return
             await self._changed.wait(min(left, self._timing.heartbeat))
 
-    def note_accepted(self) -> None:
+    def record_accepted(self) -> None:
         """Record the versions that were accepted since the last call."""
         version = self._replica.catalogue.version
         if version > self._noted:
@@ -219,7 +221,7 @@
 
     async def _answer_pre_vote(self, request: PreVote) -> PreVoteReply:
         """Say whether a vote would be granted; what binds this replica is synced before."""
-        reply = self._replica.consider_pre_vote(request, lease_now())
+        reply = self._replica.handle_pre_vote(request, lease_now())
         if reply.idle:
             # A term that a crash takes back could be led here after all.
             await self._journal.sync()
@@ -227,7 +229,7 @@
 
     async def _answer_vote(self, request: Vote) -> VoteReply:
         """Decide on a vote and sync it."""
-        reply = self._replica.consider_vote(request, lease_now())
+        reply = self._replica.handle_vote(request, lease_now())
         await self._journal.sync()
         return reply
 
@@ -236,9 +238,9 @@
         before = self._replica.commit, self._replica.leader
         match append:
             case Append():
-                reply = self._replica.consider_append(append, lease_now())
+                reply = self._replica.handle_append(append, lease_now())
             case Install():
-                reply = self._replica.consider_install(append, lease_now())
+                reply = self._replica.handle_install(append, lease_now())
         # Also a message without entries may bring a new term, or vouch for entries that another
         # connection's task has recorded and not synced yet.
         await self._journal.sync()
@@ -277,16 +279,18 @@
         while True:
             now = lease_now()
             if isinstance(self._replica.role, Leader):
-                if self._replica.check_contact(now):
+                if self._replica.check_quorum(now):
                     self._events.record("no-quorum", term=str(self._replica.term))
                     self._changed.send()
                 await asyncio.sleep(self._timing.heartbeat)
                 continue
-            if now < self._replica.election_at:
+            if now < self._replica.election_due_at:
                 # A leader may emerge meanwhile in another task, and then needs watching.
-                await asyncio.sleep(min(self._replica.election_at - now, self._timing.heartbeat))
+                await asyncio.sleep(
+                    min(self._replica.election_due_at - now, self._timing.heartbeat)
+                )
                 continue
-            self._replica.canvass(now)
+            self._replica.start_pre_vote(now)
             await self._follow_up()
             self._changed.send()
 
@@ -318,7 +322,7 @@
                 return replica_id
             case Stranger(group=group, replica_id=replica_id):
                 if wanted and group == self._group_name:
-                    self._replica.count_absent(host, lease_now())
+                    self._replica.record_identity_mismatch(host, lease_now())
                     await self._follow_up()
                 raise LinkClosed(f"replica {replica_id} of group {group} answers")
             case _:
@@ -340,18 +344,18 @@
 
     async def _converse(self, host: HostName, replica_id: ReplicaId, link: Link) -> None:
         """Send one request at a time and count its reply, while the identity is the member's."""
-        while self._replica.recognizes(host, replica_id):
-            request = self._replica.append_for(host) or self._replica.vote_for(host)
+        while self._replica.check_identity(host, replica_id):
+            request = self._replica.next_message_for(host) or self._replica.vote_request_for(host)
             if request is None:
                 await self._changed.wait(self._timing.heartbeat)
                 continue
             sent_at = lease_now()
             await link.send(request)
             reply = await link.receive(timeout=self._timing.election_timeout)
-            if not self._replica.recognizes(host, replica_id):
+            if not self._replica.check_identity(host, replica_id):
                 break
             await self._count(reply, sent_at)
-            if not self._replica.wants(host):
+            if not self._replica.is_behind(host):
                 await self._changed.wait(self._timing.heartbeat)
         raise LinkClosed(f"replica {replica_id} is not the member on {host}")
 
@@ -360,15 +364,15 @@
         commit = self._replica.commit
         match reply:
             case AppendReply():
-                self._replica.count_append(reply, sent_at=sent_at)
+                self._replica.handle_append_reply(reply, sent_at=sent_at)
             case PreVoteReply():
-                self._replica.count_pre_vote(reply, lease_now())
+                self._replica.handle_pre_vote_reply(reply, lease_now())
             case VoteReply():
-                self._replica.count_vote(reply, lease_now())
+                self._replica.handle_vote_reply(reply, lease_now())
             case _:
                 raise Malformed("a voter answered with another message")
         await self._follow_up()
-        index = self._replica.tend_group(stamped_at=time.time(), now=lease_now())
+        index = self._replica.maintain_group(stamped_at=time.time(), now=lease_now())
         if index is not None:
             self._changed.send()
             await self._sync_own(index, self._replica.term)
@@ -382,7 +386,7 @@
             self._stood_in = term
             self._events.record("candidate", term=str(term))
             await self._journal.sync()
-            self._replica.count_own_vote(term, lease_now())
+            self._replica.record_own_vote(term, lease_now())
             self._changed.send()
         if isinstance(self._replica.role, Leader) and self._led_in != self._replica.term:
             self._led_in = self._replica.term
@@ -394,5 +398,5 @@
         """Sync the leader's own log and count it towards the majority."""
         await self._journal.sync()
         if self._replica.term == term and isinstance(self._replica.role, Leader):
-            self._replica.count_synced(index)
+            self._replica.record_synced(index)
             self._changed.send()
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -132,7 +132,7 @@
 
     def _dry_run(self, change: Change) -> web.Response:
         """Return what would become of a change, of which nothing is run."""
-        match self._catalogue.judge(change):
+        match self._catalogue.evaluate(change):
             case None:
                 effects = [effect_form(effect) for effect in self._catalogue.effects(change)]
                 return web.json_response({"outcome": "valid", "effects": effects})
@@ -153,7 +153,7 @@
                 sentence = "unknown: ask again with the same operation_id"
                 return web.json_response({"outcome": "unknown", "sentence": sentence}, status=504)
             case Accepted():
-                self._replication.note_accepted()
+                self._replication.record_accepted()
                 return web.json_response(outcome_form(outcome))
             case Conflict():
                 return web.json_response(outcome_form(outcome), status=conflict_status)
@@ -162,7 +162,7 @@
 
     def _history(self, version: Version) -> web.Response:
         """Return the accepted changes after a version."""
-        if version < self._catalogue.oldest:
+        if version < self._catalogue.oldest_version:
             return self._gone()
         changes = [change_form(change) for change in self._catalogue.history(version)]
         return web.json_response({"version": self._catalogue.version, "changes": changes})
@@ -170,14 +170,14 @@
     async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
         """Stream what is accepted after a version, or say that it can't be told without a gap."""
         version = _from(http)
-        if version < self._catalogue.oldest:
+        if version < self._catalogue.oldest_version:
             return self._gone()
         watch = Watch(replication=self._replication, publisher=self._publisher, version=version)
         return await watch.run(http)
 
     def _gone(self) -> web.Response:
         """Return that the history does not reach back to a version."""
-        oldest = self._catalogue.oldest
+        oldest = self._catalogue.oldest_version
         sentence = f"the history begins at version {oldest}; read the resources, then go on"
         form = {"outcome": "gone", "oldest": oldest, "sentence": sentence}
         return web.json_response(form, status=410)
--- a/cowslipvane/tasks/_signal.py
+++ b/cowslipvane/tasks/_signal.py
@@ -34,7 +34,7 @@
             self._waiting.discard(future)
 
 
-class Turnstile:
+class LifoSignal:
     """Wakes one waiting task for each pass, the one that waited least."""
 
     def __init__(self) -> None:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -60,14 +60,14 @@
         # After a rejection the next pull asks for all resources.
         self._resync = False
         longest = settings.timing.longest_backoff
-        self._backoff = Backoff(first=FIRST_BACKOFF, longest=longest, rng=rng)
+        self._backoff = Backoff(initial_delay=FIRST_BACKOFF, max_delay=longest, rng=rng)
 
     @property
-    def applied(self) -> Signal:
+    def configuration_applied(self) -> Signal:
         """Return the signal that is sent when a version comes into force."""
         return self._applied
 
-    def learn_seeds(self, seeds: tuple[Address, ...]) -> None:
+    def update_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Subscribe to these processes from now on."""
         self._seeds = seeds
 
@@ -77,12 +77,12 @@
             seeds = list(self._seeds)
             self._rng.shuffle(seeds)
             if not seeds:
-                await asyncio.sleep(self._backoff.wait())
+                await asyncio.sleep(self._backoff.next_delay())
             for address in seeds:
                 try:
                     await self._subscribe(address)
                 except (LinkClosed, Malformed, TimeoutError, _Misled):
-                    await asyncio.sleep(self._backoff.wait())
+                    await asyncio.sleep(self._backoff.next_delay())
 
     async def _learn_floor(self, link: Link) -> None:
         """Learn from the leader, asked or named here, which version this proxy may not go under."""
@@ -92,7 +92,7 @@
                 answer = await self._ask_floor(leader)
         if not isinstance(answer, Floor):
             raise _Misled("no leader is known there")
-        self._subscription.learn_floor(answer.version)
+        self._subscription.raise_floor(answer.version)
         self._events.record("floor", version=answer.version)
         self._backoff.reset()
 
@@ -131,9 +131,9 @@
         """Act on an answer to a pull."""
         match answer:
             case PullDelta(delta=delta):
-                self._note(self._subscription.take_delta(delta))
+                self._note(self._subscription.apply_delta(delta))
             case PullSnapshot(snapshot=snapshot):
-                self._note(self._subscription.take_snapshot(snapshot))
+                self._note(self._subscription.apply_snapshot(snapshot))
             case Current(version=version):
                 self._backoff.reset()
                 if version < (self._subscription.floor or NO_VERSION):
--- a/cowslipvane/tasks/_watch.py
+++ b/cowslipvane/tasks/_watch.py
@@ -30,11 +30,11 @@
         stream = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
         await stream.prepare(http)
         while self._replication.holds_lease:
-            if self._version < self._replication.replica.catalogue.oldest:
+            if self._version < self._replication.replica.catalogue.oldest_version:
                 break
             lines = [json.dumps(form).encode() + b"\n" for form in self._news()]
             await stream.write(b"".join(lines) or b"\n")
-            await self._publisher.moved.wait(HEARTBEAT)
+            await self._publisher.rollout_changed.wait(HEARTBEAT)
         return stream
 
     def _news(self) -> list[Any]:
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -4,7 +4,7 @@
 
 from http import HTTPStatus
 
-from cowslipvane.call import HeaderNames, Request, end_to_end
+from cowslipvane.call import HeaderNames, Request, end_to_end_headers
 from cowslipvane.membership import Worker
 from cowslipvane.tasks._worker_connection import (
     AnswerBroken,
@@ -36,7 +36,7 @@
         Raise WorkerUnreachable when nothing was sent, NotRun when the worker says so, and
         AnswerBroken when the request may have run.
         """
-        headers = self._names.towards_worker(request.headers, left_ms, self._worker.instance)
+        headers = self._names.headers_to_worker(request.headers, left_ms, self._worker.instance)
         if request.header("Host") is None:
             headers = (Header("Host", str(self._worker.address)), *headers)
         head = request_head(request.method, request.path, headers, len(request.body))
@@ -84,7 +84,7 @@
 
 def answer_headers(method: str, answer: AnswerHead) -> Headers:
     """Return the fields to pass on; an answer without a body keeps the length that it tells."""
-    headers = end_to_end(answer.fields)
+    headers = end_to_end_headers(answer.fields)
     length = answer.field("Content-Length")
     if length is not None and method == "HEAD":
         return (*headers, Header("Content-Length", length))
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -6,7 +6,7 @@
     decode,
     decode_as,
     encode,
-    encode_plain,
+    encode_untagged,
     register,
 )
 from cowslipvane.wire._forms import (
@@ -33,9 +33,9 @@
     LinkClosed,
     LinkIdentity,
     Traffic,
+    anonymous_identity,
     connect,
     link_identity,
-    unnamed_identity,
 )
 
 __all__ = [
@@ -58,7 +58,7 @@
     "read_change",
     "read_spec",
     "resource_form",
-    "unnamed_identity",
+    "anonymous_identity",
     "status_form",
     "Link",
     "LinkClosed",
@@ -70,7 +70,7 @@
     "decode",
     "decode_as",
     "encode",
-    "encode_plain",
+    "encode_untagged",
     "link_identity",
     "register",
 ]
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -163,7 +163,7 @@
     return _structure(kind, fields)
 
 
-def encode_plain(value: Any) -> bytes:
+def encode_untagged(value: Any) -> bytes:
     """Return a value without a tag, for a reader that knows its type."""
     return cbor2.dumps(_CONVERTER.unstructure(value, type(value)))
 
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -123,7 +123,7 @@
     return StatusForm(
         accepted_at=accepted_at.get(version),
         in_force=rollout.in_force(version),
-        proxies=rollout.proxies,
+        proxies=rollout.live_proxy_count,
         everywhere_at=rollout.everywhere_at(version),
     )
 
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -72,7 +72,7 @@
 link_identity: ContextVar[LinkIdentity | None] = ContextVar("link_identity", default=None)
 
 
-def unnamed_identity() -> LinkIdentity:
+def anonymous_identity() -> LinkIdentity:
     """Return the identity of links that belong to no process of the system."""
     return LinkIdentity(HybridClock(), None, Traffic())
 
@@ -150,7 +150,7 @@
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
-    identity = link_identity.get() or unnamed_identity()
+    identity = link_identity.get() or anonymous_identity()
     try:
         connection = await websocket_connect(
             f"ws://{address}{path}",
@@ -160,18 +160,18 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
-            additional_headers=identity.token.fields if identity.token else None,
+            additional_headers=identity.token.headers if identity.token else None,
         )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise LinkClosed(f"{address} can't be reached: {error}") from error
-    notice_silence(connection)
+    enable_keepalive(connection)
     try:
         yield Link(connection=connection, identity=identity)
     finally:
         await connection.close()
 
 
-def notice_silence(connection: Connection) -> None:
+def enable_keepalive(connection: Connection) -> None:
     """Let the system end a connection whose peer acknowledges nothing."""
     held = connection.transport.get_extra_info("socket")
     held.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/tests/one_owner.py
+++ b/tests/admission_simulation.py
@@ -23,7 +23,7 @@
     held: bool
 
 
-def play(
+def simulate(
     policy: Policy | None, slots: int, arrivals: Iterable[Arrival], took: Callable[[Work], float]
 ) -> list[Ending]:
     """Offer work as it arrives, run it for the time that it takes, and return what has ended."""
@@ -41,7 +41,7 @@
             admission.finish(work, now)
             ended.append(Ending(now, work, False))
         while (started := admission.start_next(now)) is not None:
-            if admission.overdue(started, now) is not None:
+            if admission.check_deadline(started, now) is not None:
                 admission.finish(started, now, ran=False)
                 ended.append(Ending(now, started, True))
                 continue
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 from cowslipvane.admission import Admission, FirstComeFirstServed, Work
 from cowslipvane.admission import _admission as limits
-from cowslipvane.admission._service_times import HALF_LIFE, MAX_KINDS, ServiceTimes, kind_of
+from cowslipvane.admission._service_times import HALF_LIFE, MAX_KINDS, ServiceTimes, request_kind
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull
 from cowslipvane.types import HostName, ServiceName
@@ -25,7 +25,7 @@
     """Return work that a caller wants done."""
     attempt = AttemptId(HostName("a"), 1, serial)
     request = Request("GET", path, (), b"")
-    return Work(attempt, request, deadline, True, caller, goal, kind_of(request))
+    return Work(attempt, request, deadline, True, caller, goal, request_kind(request))
 
 
 class AdmissionTest(unittest.TestCase):
@@ -130,11 +130,11 @@
 
     def test_work_that_waited_too_long_does_not_start(self) -> None:
         """It is refused as not run when its time is up, or too short for it."""
-        late = self.admission.overdue(work(0, deadline=1.0), 1.0)
+        late = self.admission.check_deadline(work(0, deadline=1.0), 1.0)
         self.assertIsInstance(late, DeadlinePassed)
-        self.assertIsNone(self.admission.overdue(work(0, deadline=2 * SHORT_S), 0.0))
+        self.assertIsNone(self.admission.check_deadline(work(0, deadline=2 * SHORT_S), 0.0))
         self.assertIsInstance(
-            self.admission.overdue(work(0, deadline=SHORT_S / 2), 0.0), Overloaded
+            self.admission.check_deadline(work(0, deadline=SHORT_S / 2), 0.0), Overloaded
         )
 
     def test_refusals_do_not_outlive_a_slow_spell(self) -> None:
@@ -171,7 +171,7 @@
 
     def test_identifiers_do_not_make_kinds(self) -> None:
         """Paths that differ in a number are of one kind."""
-        kinds = {kind_of(Request("GET", f"/stock/{n}/x?a={n}", (), b"")) for n in range(5)}
+        kinds = {request_kind(Request("GET", f"/stock/{n}/x?a={n}", (), b"")) for n in range(5)}
         self.assertEqual(kinds, {"GET /stock/*"})
 
     def test_kinds_are_bounded(self) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,10 +8,10 @@
     AttemptId,
     Attempts,
     Chunk,
+    Ended,
     Forgotten,
     NeverStarted,
-    Over,
-    UnderWay,
+    Running,
 )
 from cowslipvane.call import _attempts as limits
 from cowslipvane.routing import Load
@@ -41,7 +41,7 @@
         """Take one attempt from its offer to its end."""
         self.assertTrue(self.attempts.admit(of))
         self.attempts.start(of)
-        self.attempts.keep(of, answer(of, body))
+        self.attempts.store_part(of, answer(of, body))
         self.attempts.end(of, now)
 
     def test_a_fenced_attempt_never_starts(self) -> None:
@@ -64,10 +64,10 @@
         one = attempt(1)
         self.attempts.admit(one)
         self.attempts.start(one)
-        self.attempts.keep(one, answer(one))
-        self.assertEqual(self.attempts.fence(one, MINE, 0.0), UnderWay(parts=[answer(one)]))
+        self.attempts.store_part(one, answer(one))
+        self.assertEqual(self.attempts.fence(one, MINE, 0.0), Running(parts=[answer(one)]))
         self.attempts.end(one, 0.0)
-        self.assertEqual(self.attempts.fence(one, MINE, 0.0), Over(parts=[answer(one)]))
+        self.assertEqual(self.attempts.fence(one, MINE, 0.0), Ended(parts=[answer(one)]))
 
     def test_another_incarnation_knows_nothing(self) -> None:
         """An owner that restarted never says that an attempt was not run."""
@@ -96,25 +96,25 @@
     def test_kept_answers_are_bounded(self) -> None:
         """A large answer isn't kept, and many small ones push the oldest out."""
         self.run_one(attempt(1), body=b"x" * (limits.MAX_ANSWER_BYTES + 1))
-        self.assertEqual(self.attempts.fence(attempt(1), MINE, 0.0), Over(parts=None))
+        self.assertEqual(self.attempts.fence(attempt(1), MINE, 0.0), Ended(parts=None))
         count = limits.MAX_KEPT_BYTES // limits.MAX_ANSWER_BYTES + 1
         for serial in range(2, count + 2):
             self.run_one(attempt(serial), body=b"x" * limits.MAX_ANSWER_BYTES)
-        self.assertEqual(self.attempts.fence(attempt(2), MINE, 0.0), Over(parts=None))
+        self.assertEqual(self.attempts.fence(attempt(2), MINE, 0.0), Ended(parts=None))
         newest = self.attempts.fence(attempt(count + 1), MINE, 0.0)
-        self.assertIsInstance(newest, Over)
-        self.assertNotEqual(newest, Over(parts=None))
+        self.assertIsInstance(newest, Ended)
+        self.assertNotEqual(newest, Ended(parts=None))
 
     def test_a_part_too_many_drops_the_answer(self) -> None:
         """No answer is fetched with a part missing."""
         one = attempt(1)
         self.attempts.admit(one)
         self.attempts.start(one)
-        self.attempts.keep(one, answer(one))
+        self.attempts.store_part(one, answer(one))
         large = b"x" * limits.MAX_ANSWER_BYTES
-        self.attempts.keep(one, Chunk(attempt=one, body=large, more=True))
-        self.attempts.keep(one, Chunk(attempt=one, body=b"end", more=False))
-        self.assertEqual(self.attempts.fence(one, MINE, 0.0), UnderWay(parts=None))
+        self.attempts.store_part(one, Chunk(attempt=one, body=large, more=True))
+        self.attempts.store_part(one, Chunk(attempt=one, body=b"end", more=False))
+        self.assertEqual(self.attempts.fence(one, MINE, 0.0), Running(parts=None))
 
 
 if __name__ == "__main__":
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -15,7 +15,7 @@
 from cowslipvane.routing._hedging import ENOUGH_SAMPLES
 from cowslipvane.settings import Retries
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._dispatcher import Dispatcher
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Mailbox, Peers
 from cowslipvane.types import DataCentre, HostName, RequestId, ServiceName, Verdict
@@ -37,7 +37,7 @@
         budgets = Budgets()
         retries = hedges = 0
         for _ in range(1000):
-            budgets.note_call(STOCK, 0.0)
+            budgets.record_call(STOCK, 0.0)
             retries += budgets.allow_retry(STOCK, LOST, 0.0)
             hedges += budgets.allow_hedge(STOCK, 0.0)
         self.assertLessEqual(retries, 1000 * ALLOWED.share * USED_SHARE + MOST)
@@ -47,7 +47,7 @@
     def test_rare_calls_have_a_floor(self) -> None:
         """Time earns some retries too, but never more than the most."""
         budgets = Budgets()
-        budgets.note_call(STOCK, 0.0)
+        budgets.record_call(STOCK, 0.0)
         self.spend_all(budgets)
         self.assertTrue(budgets.allow_retry(STOCK, LOST, 1.2 / FLOOR_PER_S))
         self.assertFalse(budgets.allow_retry(STOCK, LOST, 1.2 / FLOOR_PER_S))
@@ -60,11 +60,11 @@
         fleet = [Budgets(retries=ALLOWED) for _ in range(30)]
         calls, retries = [0] * 60, [0] * 60
         for budgets in fleet:
-            budgets.share_with(len(fleet))
+            budgets.set_proxy_count(len(fleet))
         for second in range(60):
             for _ in range(rng.randrange(200)):
                 budgets = fleet[min(rng.randrange(40), len(fleet) - 1)]
-                budgets.note_call(STOCK, float(second))
+                budgets.record_call(STOCK, float(second))
                 calls[second] += 1
                 for _ in range(3):
                     retries[second] += budgets.allow_retry(STOCK, LOST, float(second))
@@ -80,7 +80,7 @@
     def test_work_sent_back_by_a_drain_is_not_held_back(self) -> None:
         """A planned stop sends all its queue elsewhere, and that adds no work."""
         budgets = Budgets()
-        budgets.note_call(STOCK, 0.0)
+        budgets.record_call(STOCK, 0.0)
         self.spend_all(budgets)
         self.assertTrue(budgets.allow_retry(STOCK, Draining(service=STOCK), 0.0))
 
@@ -88,8 +88,8 @@
         """One service's failures leave the others their retries."""
         budgets = Budgets()
         other = ServiceName("billing")
-        budgets.note_call(STOCK, 0.0)
-        budgets.note_call(other, 0.0)
+        budgets.record_call(STOCK, 0.0)
+        budgets.record_call(other, 0.0)
         self.spend_all(budgets)
         self.assertTrue(budgets.allow_retry(other, LOST, 0.0))
 
@@ -125,7 +125,7 @@
         owners = [record(f"h{at}")._replace(callers=None) for at in range(100)]
         membership.merge(owners, 0.0)
         peers = LostPeers()
-        carrier = Carrier(
+        carrier = Dispatcher(
             subscription=Subscription(),
             membership=membership,
             owner=cast(Owner, None),
@@ -142,7 +142,7 @@
             rules=rules,
             deadline=time.monotonic() + 60,
         )
-        self.assertEqual(await carrier.carry(call), LOST)
+        self.assertEqual(await carrier.dispatch(call), LOST)
         self.assertGreater(peers.offers, 10)
         self.assertLess(peers.offers, 50)
 
@@ -155,7 +155,7 @@
         hedging = Hedging()
         rng = random.Random(5)
         for _ in range(5000):
-            hedging.learn(STOCK, rng.uniform(0.0, 1.0))
+            hedging.record_latency(STOCK, rng.uniform(0.0, 1.0))
         delay = hedging.delay(STOCK)
         assert delay is not None
         self.assertAlmostEqual(delay, 0.95, delta=0.04)
@@ -165,9 +165,9 @@
         hedging = Hedging()
         self.assertIsNone(hedging.delay(STOCK))
         for _ in range(ENOUGH_SAMPLES - 1):
-            hedging.learn(STOCK, 0.01)
+            hedging.record_latency(STOCK, 0.01)
         self.assertIsNone(hedging.delay(STOCK))
-        hedging.learn(STOCK, 0.01)
+        hedging.record_latency(STOCK, 0.01)
         self.assertIsNotNone(hedging.delay(STOCK))
 
 
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -31,9 +31,9 @@
     def test_a_later_refusal_does_not_hide_doubt(self) -> None:
         """A call that may have run isn't reported as not run after a second refusal."""
         tried = call("GET")
-        tried.note(LOST)
-        tried.note(QueueFull(service=SERVICE, retry_after=1.0))
-        self.assertEqual(tried.doubt, LOST)
+        tried.record_refusal(LOST)
+        tried.record_refusal(QueueFull(service=SERVICE, retry_after=1.0))
+        self.assertEqual(tried.unknown_outcome, LOST)
 
 
 if __name__ == "__main__":
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -4,7 +4,6 @@
 
 from cowslipvane.catalogue import (
     Accepted,
-    Behind,
     Catalogue,
     Change,
     Conflict,
@@ -17,6 +16,7 @@
     Spec,
     Target,
     TrafficPolicy,
+    VersionNotReached,
     export_state,
     import_state,
 )
@@ -96,14 +96,14 @@
         """A delta reaches from any version in the history."""
         for number in range(300):
             self.apply(change(f"a{number}", number, service("stock")))
-        delta = self.catalogue.since(Version(1))
+        delta = self.catalogue.update_since(Version(1))
         assert isinstance(delta, Delta)
         self.assertEqual((delta.version, len(delta.puts)), (300, 1))
 
     def test_a_replica_that_lags_says_so(self) -> None:
         """A subscriber ahead of the catalogue is given nothing older."""
         self.apply(change("a", 0, service("stock")))
-        self.assertEqual(self.catalogue.since(Version(7)), Behind(Version(1)))
+        self.assertEqual(self.catalogue.update_since(Version(7)), VersionNotReached(Version(1)))
 
     def test_history_gives_each_change_as_it_was(self) -> None:
         """A resource that changed again shows its earlier content in the earlier change."""
@@ -135,8 +135,8 @@
         other = Catalogue()
         import_state(other, export_state(catalogue))
         for later in (change("first", 0, service("s")), change("racer", 1, service("s"))):
-            self.assertEqual(other.judge(later), catalogue.judge(later))
-            self.assertIsNotNone(other.judge(later))
+            self.assertEqual(other.evaluate(later), catalogue.evaluate(later))
+            self.assertIsNotNone(other.evaluate(later))
         self.assertEqual(export_state(other), export_state(catalogue))
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,10 +7,10 @@
 
 from cowslipvane.membership import Member, Worker
 from cowslipvane.refusal import DeadlinePassed, Draining, OwnerUnreachable
-from cowslipvane.routing import Chooser, Load, Result
+from cowslipvane.routing import AttemptResult, Chooser, Load
 from cowslipvane.routing._choice import EASED_SHARE, FAR_SHARE
+from cowslipvane.routing._owner_view import LOAD_HALF_LIFE, RAMP_TIME
 from cowslipvane.routing._quantile import Quantile
-from cowslipvane.routing._view import LOAD_HALF_LIFE, RAMP_TIME
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Verdict
 
 NEAR, FAR = DataCentre("near"), DataCentre("far")
@@ -45,7 +45,7 @@
         owners: Sequence[Member],
         calls: int,
         took: Callable[[str], float] = lambda host: 0.01,
-        result: Callable[[str], Result] = lambda host: Result.ANSWERED,
+        result: Callable[[str], AttemptResult] = lambda host: AttemptResult.ANSWERED,
     ) -> Counter[str]:
         """Send one call after another, and return how many each owner got."""
         chosen: Counter[str] = Counter()
@@ -61,7 +61,7 @@
         """Let an owner report its load."""
         name = HostName(host)
         self.chooser.begin(name)
-        self.chooser.end(name, Result.REFUSED, load, 0.0, self.now)
+        self.chooser.end(name, AttemptResult.REFUSED, load, 0.0, self.now)
 
     def settle(self, owners: Sequence[Member]) -> None:
         """See some owners and let their ramps end."""
@@ -89,7 +89,7 @@
         self.report("b", Load(4, 1, 0))
         for queued, light, goes in ((0, True, False), (7, True, True), (7, False, False)):
             self.report("a", Load(4, 4, queued))
-            found = self.chooser.choose(owners, (), self.now, light=light)
+            found = self.chooser.choose(owners, (), self.now, small=light)
             assert found is not None
             self.assertEqual(found.host == "b", goes, (queued, light))
         self.report("a", Load(4, 4, 17))
@@ -176,9 +176,9 @@
         self.now += 40.0
         self.assertGreater(self.drive(owners, 400)["a"], 50)
 
-    def lose(self, *hosts: str) -> Callable[[str], Result]:
+    def lose(self, *hosts: str) -> Callable[[str], AttemptResult]:
         """Return what loses every attempt at some hosts."""
-        return lambda host: Result.LOST if host in hosts else Result.ANSWERED
+        return lambda host: AttemptResult.LOST if host in hosts else AttemptResult.ANSWERED
 
     def test_a_slow_owner_is_left_out(self) -> None:
         """Ten times the others' latency makes an outlier."""
@@ -186,10 +186,10 @@
         self.settle(owners)
         chosen = self.drive(owners, 1000, lambda host: 0.1 if host == "a" else 0.01)
         self.assertLess(chosen["a"], 100)
-        first, *_ = self.chooser.take_eased()
-        self.assertEqual((first.host, first.loses), ("a", False))
-        self.assertGreater(first.latency, 3 * first.usual)
-        self.assertEqual(self.chooser.take_eased(), [])
+        first, *_ = self.chooser.take_ejections()
+        self.assertEqual((first.host, first.loses_attempts), ("a", False))
+        self.assertGreater(first.latency, 3 * first.median_latency)
+        self.assertEqual(self.chooser.take_ejections(), [])
 
     def test_the_only_owner_here_is_left_out_when_it_is_slow(self) -> None:
         """A few calls to other data centres tell that theirs are faster."""
@@ -220,9 +220,9 @@
         """An owner that refuses for want of room works; one that can't be reached doesn't."""
         lost = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
         late = DeadlinePassed(service=STOCK, verdict=Verdict.NOT_RUN)
-        self.assertIs(Result.of_refusal(lost), Result.LOST)
-        self.assertIs(Result.of_refusal(late), Result.OVERDUE)
-        self.assertIs(Result.of_refusal(Draining(service=STOCK)), Result.REFUSED)
+        self.assertIs(AttemptResult.of_refusal(lost), AttemptResult.LOST)
+        self.assertIs(AttemptResult.of_refusal(late), AttemptResult.TIMED_OUT)
+        self.assertIs(AttemptResult.of_refusal(Draining(service=STOCK)), AttemptResult.REFUSED)
 
     def test_no_more_than_the_share_is_left_out(self) -> None:
         """When most owners lose attempts, most are still tried."""
@@ -243,7 +243,7 @@
         """Only the owner's own failures count."""
         owners = [owner(host) for host in "abcd"]
         self.settle(owners)
-        chosen = self.drive(owners, 400, result=lambda host: Result.GIVEN_UP)
+        chosen = self.drive(owners, 400, result=lambda host: AttemptResult.ABANDONED)
         self.assertGreater(min(chosen.values()), 60)
 
 
--- a/tests/test_closure.py
+++ b/tests/test_closure.py
@@ -56,7 +56,7 @@
 
 def whole(catalogue: Catalogue, hosts: RouteHosts) -> Snapshot:
     """Return the closure of some hosts as a snapshot."""
-    found = catalogue.since(NO_VERSION, hosts)
+    found = catalogue.update_since(NO_VERSION, hosts)
     assert isinstance(found, Snapshot)
     return found
 
@@ -78,7 +78,7 @@
 
     def check(self, catalogue: Catalogue, hosts: RouteHosts, held: Snapshot) -> None:
         """Check the delta from what a proxy held against the snapshot."""
-        delta = catalogue.since(held.version, hosts)
+        delta = catalogue.update_since(held.version, hosts)
         assert isinstance(delta, Delta)
         resources = {resource.key: resource for resource in held.resources}
         for key in delta.deletes:
@@ -87,9 +87,9 @@
         snapshot = whole(catalogue, hosts)
         self.assertEqual(sorted(resources.values()), sorted(snapshot.resources))
         subscription = Subscription()
-        subscription.learn_floor(NO_VERSION)
-        self.assertIsInstance(subscription.take_snapshot(held), Applied)
-        self.assertEqual(subscription.take_delta(delta), Applied(version=catalogue.version))
+        subscription.raise_floor(NO_VERSION)
+        self.assertIsInstance(subscription.apply_snapshot(held), Applied)
+        self.assertEqual(subscription.apply_delta(delta), Applied(version=catalogue.version))
 
     def test_a_change_elsewhere_costs_only_the_version(self) -> None:
         """A proxy that does not need a resource is not sent it."""
@@ -99,7 +99,7 @@
             puts = ((Key("service", name), Service()), (Key("route", name), route))
             change = Change(OperationId(name), catalogue.version, puts)
             catalogue.apply(change, accepted_at=1.0)
-        delta = catalogue.since(Version(1), ("depot",))
+        delta = catalogue.update_since(Version(1), ("depot",))
         assert isinstance(delta, Delta)
         self.assertEqual((delta.version, delta.puts, delta.deletes), (2, (), ()))
         self.assertEqual(len(whole(catalogue, ("depot",)).resources), 2)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -12,8 +12,8 @@
     HybridClock,
     Origin,
     Stamp,
-    older,
     read_events,
+    rotated_path,
 )
 from cowslipvane.types import DataCentre, HostName
 
@@ -65,7 +65,7 @@
         taken = log.take_uncopied()
         for number in range(400, 600):
             log.record("refusal", request=str(number))
-        log.put_back(taken)
+        log.requeue_uncopied(taken)
         waiting = [event.request for event in log.take_uncopied()]
         self.assertEqual(waiting, [str(number) for number in range(100, 600)])
         self.assertEqual(log.counts["never_copied"], 100)
@@ -74,7 +74,7 @@
         """A witness answers for another process."""
         source, witness = new_log(), new_log()
         source.record("refusal", request="r1", sentence="no")
-        witness.keep(Origin(HostName("b"), DataCentre("west"), 9), source.take_uncopied())
+        witness.store_copies(Origin(HostName("b"), DataCentre("west"), 9), source.take_uncopied())
         (form,) = witness.select(request="r1")
         self.assertEqual(
             (form["host"], form["process"], form["detail"]), ("b", 9, {"sentence": "no"})
@@ -108,8 +108,8 @@
         """Two files are kept, and every event is in them or counted."""
         file = self.open(max_bytes=20_000)
         self.write(500, file)
-        kept = list(read_events([older(self.path), self.path]))
-        self.assertLess(self.path.stat().st_size + older(self.path).stat().st_size, 40_000)
+        kept = list(read_events([rotated_path(self.path), self.path]))
+        self.assertLess(self.path.stat().st_size + rotated_path(self.path).stat().st_size, 40_000)
         self.assertGreater(file.dropped, 0)
         self.assertEqual(len(kept) + file.dropped, 500)
 
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from cowslipvane.catalogue import KINDS, Catalogue, Change, Invalid
-from cowslipvane.wire import decode_as, encode_plain, read_change
+from cowslipvane.wire import decode_as, encode_untagged, read_change
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(st.characters(), max_size=9),
@@ -97,7 +97,7 @@
         """What is accepted can be sent and read again; all else has faults that JSON can hold."""
         found = read_change(change_form(*resources, based_on=based_on))
         if isinstance(found, Change):
-            self.assertEqual(decode_as(Change, encode_plain(found)), found)
+            self.assertEqual(decode_as(Change, encode_untagged(found)), found)
             return
         self.assertTrue(found.faults)
         json.dumps([fault._asdict() for fault in found.faults]).encode()
--- a/tests/test_goals.py
+++ b/tests/test_goals.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from tests.lone_callers import GOAL_S, LoneCallersTest
+from tests.callers_case import GOAL_S, CallersTestCase
 
 
-class GoalsTest(LoneCallersTest):
+class GoalsTest(CallersTestCase):
     """Callers and upstreams that share a host with the proxy."""
 
     async def asyncSetUp(self) -> None:
@@ -17,18 +17,18 @@
         """Its address doesn't tell it from the upstream there."""
         await self.code()
         self.assertLessEqual(self.goal_left(), GOAL_S)
-        self.assertFalse(self.carrier.calls[-1].is_nested)
+        self.assertFalse(self.dispatcher.calls[-1].is_nested)
 
     async def test_a_call_of_the_upstream_here_is_nested(self) -> None:
         """Its id begins with that of a request which the upstream runs."""
         self.owner.running.add("parent")
         await self.code(**{"X-Request-Id": "parent.1"})
-        self.assertTrue(self.carrier.calls[-1].is_nested)
+        self.assertTrue(self.dispatcher.calls[-1].is_nested)
 
     async def test_an_id_that_only_looks_nested_makes_no_nested_call(self) -> None:
         """The upstream here runs no such request."""
         await self.code(**{"X-Request-Id": "other.1"})
-        self.assertFalse(self.carrier.calls[-1].is_nested)
+        self.assertFalse(self.dispatcher.calls[-1].is_nested)
 
 
 if __name__ == "__main__":
--- a/tests/test_members_task.py
+++ b/tests/test_gossip.py
@@ -6,7 +6,7 @@
 
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange, ExchangeReply, Hello, Membership
-from cowslipvane.tasks._members import Members
+from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.types import DataCentre, HostName
 from cowslipvane.wire import Link
 from tests.test_membership import record
@@ -37,7 +37,7 @@
         centre = DataCentre("here")
         events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
-        self.members = Members(membership=self.membership, seeds=(), interval=0.005, events=events)
+        self.members = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
 
     async def test_an_exchange_is_answered(self) -> None:
--- a/tests/test_short_behind_long.py
+++ b/tests/test_head_of_line_blocking.py
@@ -7,7 +7,7 @@
 from cowslipvane.admission import Admission, FirstComeFirstServed, Policy, Work
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.types import HostName, ServiceName
-from tests.one_owner import Arrival, play
+from tests.admission_simulation import Arrival, simulate
 
 SLOTS = 6
 CHECK_S, POST_S = 0.022, 0.100
@@ -38,7 +38,7 @@
     asked = Counter(arrival.work.kind for arrival in arrivals)
     met = Counter(
         ending.work.kind
-        for ending in play(policy, SLOTS, arrivals, took)
+        for ending in simulate(policy, SLOTS, arrivals, took)
         if not ending.held and ending.work.goal is not None and ending.at <= ending.work.goal
     )
     return {kind: met[kind] / asked[kind] for kind in asked}
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -19,11 +19,11 @@
 from cowslipvane.settings import Formation, Listen, Settings, Timing
 from cowslipvane.storage import DataFolder, FileJournal
 from cowslipvane.tasks import NotLeader, Releases
-from cowslipvane.tasks._joining import Joining, new_identity
+from cowslipvane.tasks._joining import GroupJoiner, new_identity
 from cowslipvane.tasks._peer_listener import PeerListener
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, DataCentre, HostName, OperationId, Version
-from cowslipvane.wire import unnamed_identity
+from cowslipvane.wire import anonymous_identity
 
 PATIENCE_S = 15.0
 SEED_IPS = ("127.9.9.1", "127.9.9.2", "127.9.9.3")
@@ -83,17 +83,17 @@
             timing=self.settings.timing,
             events=self.events,
         )
-        joining = Joining(
+        joining = GroupJoiner(
             replication=self.replication,
             group_name=identity.group,
             own_address=self.settings.listen.peers,
-            others=lambda: self.settings.seeds,
+            peer_addresses=lambda: self.settings.seeds,
             events=self.events,
             rng=random.Random(),
         )
         listener = PeerListener(
             handlers={"/replica": self.replication.serve, "/join": joining.serve},
-            identity=unnamed_identity(),
+            identity=anonymous_identity(),
             events=self.events,
         )
         await self._stack.enter_async_context(listener.listen(self.settings.listen.peers))
@@ -191,7 +191,7 @@
         """It was cut off for long, and its log can't tell it that it was taken out."""
         await self.start(LATER_IP, first_start=True)
         await self.until(self.nodes[LATER_IP].votes)
-        with patch.object(_roles, "GONE_AFTER", 0.5):
+        with patch.object(_roles, "VOTER_REMOVAL_TIMEOUT", 0.5):
             await self.nodes.pop(LATER_IP).stop()
             await self.until(lambda: self.voters() == set(SEED_IPS))
         version = await self.write("meanwhile")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -84,7 +84,7 @@
         with self.assertRaises(JournalFailed):
             await self.journal.sync()
         with self.assertRaises(JournalFailed):
-            await self.journal.watch()
+            await self.journal.wait_for_failure()
 
     async def test_a_cancelled_sync_loses_no_record(self) -> None:
         """The next sync writes what the cancelled one would have."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -29,7 +29,7 @@
     code: str = ""
 
 
-class LoadedTest(unittest.IsolatedAsyncioTestCase):
+class LoadTestCase(unittest.IsolatedAsyncioTestCase):
     """A service under load; a base for tests of what its callers are told."""
 
     async def asyncSetUp(self) -> None:
@@ -143,7 +143,7 @@
         self.assertEqual(over, [])
 
 
-class LeavingTest(LoadedTest):
+class LeavingTest(LoadTestCase):
     """What callers see while proxies and workers leave."""
 
     async def test_restarting_all_proxies_in_turn_cuts_nothing(self) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,7 @@
 )
 from cowslipvane.membership._topology import GATEWAYS, OWNERS_ABROAD, exported
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
-from tools.bench_members import Rounds, cost
+from tools.bench_members import MembershipSimulation, cost
 
 HERE, ABROAD = DataCentre("here"), DataCentre("abroad")
 STOCK = ServiceName("stock")
@@ -43,11 +43,11 @@
     def test_the_number_of_proxies_follows_the_members(self) -> None:
         """Those here, times the data centres, the own process included."""
         held = membership()
-        self.assertEqual(held.proxies, 1)
+        self.assertEqual(held.estimated_proxy_count, 1)
         held.merge([record("x"), record("y", centre=DataCentre("there"))], 0.0)
-        self.assertEqual(held.proxies, 4)
+        self.assertEqual(held.estimated_proxy_count, 4)
         held.merge([record("x", counter=2)._replace(state="gone")], 0.0)
-        self.assertEqual(held.proxies, 2)
+        self.assertEqual(held.estimated_proxy_count, 2)
 
     def test_a_leave_that_crosses_a_renewal_stays(self) -> None:
         """The owner's later word wins, in whatever order the records come."""
@@ -115,9 +115,9 @@
     def test_a_process_that_stood_still_suspects_nobody(self) -> None:
         """A reply that was due long ago may lie unread."""
         found = membership(record("b"))
-        self.assertFalse(found.miss_reply(HostName("b"), 1.0, 1.0 + 2 * OWN_STALL))
+        self.assertFalse(found.handle_missed_reply(HostName("b"), 1.0, 1.0 + 2 * OWN_STALL))
         self.assertTrue(found.is_alive(HostName("b"), 2.0))
-        self.assertTrue(found.miss_reply(HostName("b"), 1.0, 1.0 + OWN_STALL / 2))
+        self.assertTrue(found.handle_missed_reply(HostName("b"), 1.0, 1.0 + OWN_STALL / 2))
 
     def test_a_bad_path_between_two_does_not_flood(self) -> None:
         """Whoever has contradicted is left alone by the same judge for a while."""
@@ -140,8 +140,8 @@
         """Exchange a few times."""
         for _ in range(times):
             message = opener.next_message(0.0)
-            reply, _ = server.answer(message, 0.0)
-            opener.take(message, reply, 0.0)
+            reply, _ = server.handle_message(message, 0.0)
+            opener.handle_reply(message, reply, 0.0)
 
     def test_lost_news_is_found_by_the_digest(self) -> None:
         """A change that never arrived is compared for and sent again."""
@@ -151,7 +151,7 @@
         self.exchange(opener, server, 4)
         one.merge([record("c")], 0.0)
         opener.next_message(0.0)  # Taken, and lost on the way.
-        self.assertFalse(opener.has_news)
+        self.assertFalse(opener.has_updates)
         self.exchange(opener, server, 4)
         self.assertEqual(one.digest, other.digest)
         self.assertIsNotNone(other.member(HostName("c")))
@@ -177,8 +177,8 @@
         self.exchange(opener, server, 4)
         other.merge([record("c")], 0.0)
         self.exchange(opener, server, 1)
-        self.assertFalse(opener.has_news)
-        self.assertFalse(server.has_news)
+        self.assertFalse(opener.has_updates)
+        self.assertFalse(server.has_updates)
 
     def test_lost_news_for_another_data_centre_is_found_in_time(self) -> None:
         """Data centres compare again after a while."""
@@ -189,8 +189,8 @@
         one.leave("leaving", 0.0)
         opener.next_message(0.0)  # Taken, and lost on the way.
         message = opener.next_message(COMPARE_ABROAD)
-        reply, _ = server.answer(message, COMPARE_ABROAD)
-        opener.take(message, reply, COMPARE_ABROAD)
+        reply, _ = server.handle_message(message, COMPARE_ABROAD)
+        opener.handle_reply(message, reply, COMPARE_ABROAD)
         self.exchange(opener, server, 1)
         held = other.member(HostName("a"))
         assert held is not None
@@ -204,9 +204,9 @@
         found.suspect(HostName("b"), SETTLING_TIME)
         feed.next_message(SETTLING_TIME)
         feed.next_message(SETTLING_TIME)
-        self.assertFalse(feed.has_news)
+        self.assertFalse(feed.has_updates)
         found.expire(SETTLING_TIME + SUSPICION_TIMEOUT)
-        self.assertTrue(feed.has_news)
+        self.assertTrue(feed.has_updates)
 
     def test_leaving_and_suspected_owners_make_room_abroad(self) -> None:
         """The next owners in line are told of instead."""
@@ -227,21 +227,23 @@
 class RoundsTest(unittest.TestCase):
     """Many members together, over simulated time."""
 
-    def settled(self, *sizes: int, seed: int = 1) -> Rounds:
+    def settled(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
         """Return members of some data centres that know each other."""
         hosts = {f"dc{at}": names(f"dc{at}", size) for at, size in enumerate(sizes)}
-        rounds = Rounds(names=hosts, seeds=[found[0] for found in hosts.values()], seed=seed)
+        rounds = MembershipSimulation(
+            names=hosts, seeds=[found[0] for found in hosts.values()], seed=seed
+        )
         rounds.until(lambda: self.is_whole(rounds, hosts))
         return rounds
 
-    def is_whole(self, rounds: Rounds, hosts: dict[str, list[str]]) -> bool:
+    def is_whole(self, rounds: MembershipSimulation, hosts: dict[str, list[str]]) -> bool:
         """Return whether all members agree, and know all of their data centre and some abroad."""
         for membership in rounds.running.values():
             known = [member.data_centre for member in membership.members]
             own = membership.own.data_centre
             if known.count(own) < len(hosts[own]) or len(set(known)) < len(hosts):
                 return False
-        return rounds.agree()
+        return rounds.all_agree()
 
     def test_idle_cost_does_not_grow_with_the_members(self) -> None:
         """Five times as many members send each as much as before, within a fifth."""
@@ -266,7 +268,7 @@
     def test_a_cut_between_data_centres_removes_nobody_within(self) -> None:
         """Each side keeps its members, and after the cut each learns of the other's leaves."""
         rounds = self.settled(12, 12)
-        rounds.cut = lambda one, other: one.data_centre != other.data_centre
+        rounds.is_partitioned = lambda one, other: one.data_centre != other.data_centre
         rounds.run(5.0)
         rounds.running[HostName("dc0-000")].leave("leaving", rounds.now)
         rounds.run(30.0)
@@ -275,7 +277,7 @@
             here = [member for member in membership.members if member.data_centre == own]
             self.assertEqual(len(here), 12)
             self.assertFalse(any(member.suspected for member in here))
-        rounds.cut = lambda one, other: False
+        rounds.is_partitioned = lambda one, other: False
         abroad = rounds.running[HostName("dc1-007")]
         rounds.until(lambda: self.state_of(abroad, "dc0-000") == "leaving")
 
@@ -288,10 +290,10 @@
         """Both halves bury each other, and come together without a death."""
         rounds = self.settled(16)
         left = set(names("dc0", 8))
-        rounds.cut = lambda one, other: (one.host in left) != (other.host in left)
+        rounds.is_partitioned = lambda one, other: (one.host in left) != (other.host in left)
         rounds.run(20.0)
         self.assertEqual({len(found.members) for found in rounds.running.values()}, {8})
-        rounds.cut = lambda one, other: False
+        rounds.is_partitioned = lambda one, other: False
         rounds.until(lambda: self.is_whole(rounds, {"dc0": names("dc0", 16)}))
         alive = {
             found.is_alive(host, rounds.now)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,7 @@
 from prometheus_client.parser import text_string_to_metric_families as parse
 
 from cowslipvane.events import EventLog, HybridClock, Origin
-from cowslipvane.metrics import FAMILIES, Metrics, Reading
+from cowslipvane.metrics import FAMILIES, Metrics, Sample
 from cowslipvane.metrics._render import render
 from cowslipvane.types import DataCentre, HostName, Version
 
@@ -16,14 +16,16 @@
     """Return metrics after calls of as many different callers."""
     metrics = Metrics()
     origin = Origin(HostName("a"), DataCentre("b"), 1)
-    log = EventLog(origin=origin, clock=HybridClock(wall=lambda: 100.0), observer=metrics.note)
+    log = EventLog(
+        origin=origin, clock=HybridClock(wall=lambda: 100.0), observer=metrics.record_event
+    )
     for number in range(count):
         request = f"caller-{number}"
         log.record("attempt", request=request, owner="a", number="1")
         log.record("attempt", request=request, owner="b", number="2")
         log.record("verdict", request=request, owner="b", verdict="ran", outcome="200")
         log.record("refusal", request=request, code="no-route", asked=f"GET /{number}")
-        metrics.observe_call(0.004)
+        metrics.record_call(0.004)
     log.record("accepted", version=3)
     return metrics
 
@@ -33,7 +35,7 @@
 
     def test_calls_attempts_and_retries_are_counted(self) -> None:
         """A second attempt is a retry."""
-        counts = {(it.name, it.label): it.value for it in noted(5).readings()}
+        counts = {(it.name, it.label): it.value for it in noted(5).samples()}
         self.assertEqual(counts["cowslipvane_attempts", ""], 10)
         self.assertEqual(counts["cowslipvane_retries", ""], 5)
         self.assertEqual(counts["cowslipvane_calls", "served"], 5)
@@ -42,13 +44,13 @@
 
     def test_no_label_grows_with_callers(self) -> None:
         """A thousand callers make as many series as one does."""
-        sizes = {len(noted(count).readings()) for count in (1, 1000)}
+        sizes = {len(noted(count).samples()) for count in (1, 1000)}
         self.assertEqual(len(sizes), 1)
 
     def test_a_long_call_is_in_the_last_bucket_only(self) -> None:
         """Buckets add up to the number of calls."""
         metrics = noted(3)
-        metrics.observe_call(60.0)
+        metrics.record_call(60.0)
         self.assertEqual(metrics.call_buckets[-2:], [3, 4])
         self.assertEqual(metrics.call_buckets[:3], [0, 0, 3])
         self.assertAlmostEqual(metrics.call_seconds, 60.012)
@@ -65,7 +67,7 @@
     def test_the_text_is_read_back_with_documented_names(self) -> None:
         """Each family is documented, and values come through."""
         metrics = noted(2)
-        text = render(metrics, [*metrics.readings(), Reading("cowslipvane_slots", 6)]).decode()
+        text = render(metrics, [*metrics.samples(), Sample("cowslipvane_slots", 6)]).decode()
         found = {family.name: family for family in parse(text)}
         own = {name for name in found if name.startswith(OWN)}
         self.assertLessEqual(own, {family.name for family in FAMILIES})
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -6,7 +6,7 @@
 from cowslipvane.admission import Admission, Work
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.types import HostName, ServiceName
-from tests.one_owner import Arrival, play
+from tests.admission_simulation import Arrival, simulate
 
 SLOTS = 12
 POST_S, CHECK_S = 0.18, 0.04
@@ -43,7 +43,7 @@
             while now < BEGAN + CREST_S:
                 now += rng.expovariate(per_s)
                 arrivals.append(Arrival(now, work(len(arrivals), now, nested=nested)))
-        ended = play(
+        ended = simulate(
             None,
             SLOTS,
             arrivals,
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -10,12 +10,12 @@
 from prometheus_client.parser import text_string_to_metric_families as parse
 
 from cowslipvane.metrics import FAMILIES
-from tests.three_hosts import HOSTS, ThreeHostsTest
+from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
 
 PATIENCE_S = 20.0
 
 
-class OperationTest(ThreeHostsTest):
+class OperationTest(ThreeHostsTestCase):
     """Three processes with one configuration in force."""
 
     async def restart(self, host: str) -> None:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from tests.three_hosts import HOSTS, ThreeHostsTest
+from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
 from tools.fleet import Host
 
 PATIENCE_S = 20.0
@@ -24,11 +24,11 @@
 SLOW_TIMES = 300
 
 
-class OperationsPageTest(ThreeHostsTest):
+class OperationsPageTest(ThreeHostsTestCase):
     """One slow upstream with one slot, behind a route that has a goal."""
 
     @classmethod
-    def changed(cls, host: Host) -> Host:
+    def customize_host(cls, host: Host) -> Host:
         """Return a host with the one upstream, or with none."""
         worker = {**host.worker, "slots": SLOTS} if host.name == OWNER else {}
         return host._replace(worker=worker)
--- a/tests/test_crest.py
+++ b/tests/test_overload.py
@@ -7,7 +7,7 @@
 from cowslipvane.admission import FirstComeFirstServed, Policy, Work, _admission
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.types import HostName
-from tests.one_owner import Arrival, play
+from tests.admission_simulation import Arrival, simulate
 
 SLOTS = 12
 WORK_S = 0.14
@@ -39,7 +39,7 @@
             return WORK_S * TAIL_TIMES
         return WORK_S * rng.uniform(0.5, 1.5)
 
-    ended = play(policy, SLOTS, arrivals, took)
+    ended = simulate(policy, SLOTS, arrivals, took)
     ran = [ending for ending in ended if not ending.held]
     counts = {
         "in goal": sum(it.work.goal is not None and it.at <= it.work.goal for it in ran),
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -18,8 +18,8 @@
     Offer,
     OwnerMessage,
     Refused,
-    Reply,
     Request,
+    SendReply,
 )
 from cowslipvane.catalogue import (
     Key,
@@ -35,8 +35,8 @@
 from cowslipvane.refusal import OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Carrier, Served
-from cowslipvane.tasks._members import Members
+from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
+from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.types import (
@@ -48,7 +48,7 @@
     Verdict,
     Version,
 )
-from cowslipvane.wire import Link, LinkClosed, unnamed_identity
+from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 
 SERVICE = ServiceName("stock")
 CENTRE = DataCentre("north")
@@ -134,9 +134,9 @@
 def make_owner(own: Member, subscription: Subscription | None = None) -> Owner:
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
-    members = Members(membership=membership, seeds=(), interval=1.0, events=events())
+    members = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
     return Owner(
-        members=members,
+        gossip=members,
         subscription=subscription or Subscription(),
         events=events(),
         worker_lease=60.0,
@@ -192,7 +192,7 @@
         self.addAsyncCleanup(self.worker.stop)
         self.subscription = Subscription()
         self.owner = make_owner(member("a", NOWHERE, None), self.subscription)
-        await self.owner.announce(Worker(SERVICE, self.address, 1, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 1, 10))
         self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
         await asyncio.sleep(0)
         self.inbox = Inbox()
@@ -242,7 +242,7 @@
             assert isinstance(message, Refused)
             codes.append(explain(message.refusal).code)
         self.assertEqual(codes, ["upstream-lost"] * 3 + ["draining"] * 2)
-        await self.owner.announce(Worker(SERVICE, self.address, 1, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 1, 10))
         await self.owner.offer(offer(6, "/ok"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
 
@@ -275,7 +275,7 @@
     async def test_a_fence_fetches_the_answer_of_a_lost_link(self) -> None:
         """What runs goes on when its link is lost, and answers over the next one."""
         await self.begin(offer(1, "/wait"))
-        self.owner.forsake(offer(1, "").attempt, self.inbox.reply)
+        self.owner.abandon(offer(1, "").attempt, self.inbox.reply)
         second = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), second.reply)
         self.worker.release.set()
@@ -291,7 +291,7 @@
         await self.begin(offer(1, "/wait", method="GET"))
         second = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), second.reply)
-        self.owner.forsake(offer(1, "").attempt, self.inbox.reply)
+        self.owner.abandon(offer(1, "").attempt, self.inbox.reply)
         self.worker.release.set()
         self.assertIsInstance(await second.next(), Answer)
 
@@ -309,8 +309,8 @@
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
         out = Resource(Key("upstream", "a"), Upstream(state="out"), Version(1))
-        self.subscription.learn_floor(Version(1))
-        self.subscription.take_snapshot(Snapshot(Version(1), (out,), resource_digest(out)))
+        self.subscription.raise_floor(Version(1))
+        self.subscription.apply_snapshot(Snapshot(Version(1), (out,), resource_digest(out)))
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         self.worker.release.set()
         self.assertIsInstance(await self.inbox.next(), Answer)
@@ -322,7 +322,7 @@
         """What runs ends, what waits is not run, and the new slots start after the old ones."""
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
-        await self.owner.announce(Worker(SERVICE, self.address, 2, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 2, 10))
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.owner.offer(offer(3, "/ok/3"), self.inbox.reply)
         await asyncio.sleep(0.05)
@@ -349,7 +349,7 @@
         peers = Address("127.0.0.1", next(iter(server.sockets)).getsockname()[1])
         record = member("b", peers, announced)
         self.owner = make_owner(record._replace(worker=None))
-        await self.owner.announce(announced)
+        await self.owner.register_worker(announced)
         self.guard = asyncio.create_task(self.owner.run())
         self.addAsyncCleanup(stop, self.guard)
         await asyncio.sleep(0)
@@ -359,7 +359,7 @@
         self.peers = Peers(events=events())
         self.addAsyncCleanup(self.peers.close)
         rng = random.Random(1)
-        self.carrier = Carrier(
+        self.carrier = Dispatcher(
             subscription=Subscription(),
             membership=membership,
             owner=make_owner(entry),
@@ -376,7 +376,9 @@
             await connection.close(CloseCode.GOING_AWAY)
             return
         try:
-            await serve_calls(Link(connection=connection, identity=unnamed_identity()), self.owner)
+            await serve_calls(
+                Link(connection=connection, identity=anonymous_identity()), self.owner
+            )
         except LinkClosed:
             return
 
@@ -392,12 +394,12 @@
 
     async def test_a_broken_link_doubles_and_loses_nothing(self) -> None:
         """The entry asks the owner again and gets the answer of the one run."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        carrying = asyncio.create_task(self.carrier.dispatch(self.call("/wait", PATIENCE_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
         self.connections[0].transport.abort()
         await asyncio.sleep(0.05)
         self.worker.release.set()
-        self.assertIsInstance(await carrying, Served)
+        self.assertIsInstance(await carrying, StartedResponse)
         self.assertEqual(self.worker.seen, ["/wait"])
 
     async def test_a_small_call_does_not_wait_behind_the_bytes_of_a_large_one(self) -> None:
@@ -405,7 +407,7 @@
         arrived: list[str] = []
         offer_to_owner = self.owner.offer
 
-        async def note(offer: Offer, reply: Reply) -> None:
+        async def note(offer: Offer, reply: SendReply) -> None:
             arrived.append(offer.request.path)
             await offer_to_owner(offer, reply)
 
@@ -413,7 +415,7 @@
         large = self.call("/large", PATIENCE_S)
         with_body = Request("POST", "/large", (), bytes(8 << 20))
         with patch.object(self.owner, "offer", note), patch.object(large, "_request", with_body):
-            sending = asyncio.create_task(self.carrier.carry(large))
+            sending = asyncio.create_task(self.carrier.dispatch(large))
             # The large one has begun once the link is there and the loop has turned some times.
             for _ in range(100_000):
                 if self.connections:
@@ -421,16 +423,18 @@
                 await asyncio.sleep(0)
             for _ in range(10):
                 await asyncio.sleep(0)
-            self.assertIsInstance(await self.carrier.carry(self.call("/ok", PATIENCE_S)), Served)
+            self.assertIsInstance(
+                await self.carrier.dispatch(self.call("/ok", PATIENCE_S)), StartedResponse
+            )
             await sending
         self.assertEqual(arrived, ["/ok", "/large"])
 
     async def test_an_owner_that_is_gone_for_good_may_have_run_it(self) -> None:
         """Nobody can tell any more, and a true refusal says so."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        carrying = asyncio.create_task(self.carrier.dispatch(self.call("/wait", PATIENCE_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
         self.server.close(close_connections=False)
-        with patch("cowslipvane.tasks._carrier.RESOLVE_TIME", 0.2):
+        with patch("cowslipvane.tasks._dispatcher.RESOLVE_TIMEOUT", 0.2):
             self.connections[0].transport.abort()
             refusal = await carrying
         assert isinstance(refusal, OwnerUnreachable)
@@ -438,43 +442,43 @@
 
     async def test_a_broken_link_takes_waiting_work_back(self) -> None:
         """What had not started is truly not run."""
-        first = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        first = asyncio.create_task(self.carrier.dispatch(self.call("/wait", PATIENCE_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
-        second = asyncio.create_task(self.carrier.carry(self.call("/ok", PATIENCE_S)))
+        second = asyncio.create_task(self.carrier.dispatch(self.call("/ok", PATIENCE_S)))
         await asyncio.sleep(0.1)
         self.assertEqual(self.owner.load.queued, 1)
         self.connections[0].transport.abort()
         refusal = await second
-        assert not isinstance(refusal, Served)
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
         self.worker.release.set()
-        self.assertIsInstance(await first, Served)
+        self.assertIsInstance(await first, StartedResponse)
         self.assertEqual(self.worker.seen, ["/wait"])
 
     async def test_an_owner_that_went_away_as_planned_leaves_no_doubt(self) -> None:
         """What it had not answered by then was never started."""
         self.deaf = True
-        refusal = await self.carrier.carry(self.call("/ok", PATIENCE_S))
-        assert not isinstance(refusal, Served)
+        refusal = await self.carrier.dispatch(self.call("/ok", PATIENCE_S))
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
 
     async def test_an_owner_answers_what_it_cuts_before_it_goes(self) -> None:
         """What ran when its slots were stopped may have run."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
+        carrying = asyncio.create_task(self.carrier.dispatch(self.call("/wait", PATIENCE_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
         await stop(self.guard)
         await self.connections[0].close(CloseCode.GOING_AWAY)
         refusal = await carrying
-        assert not isinstance(refusal, Served)
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
 
     async def test_a_deadline_tells_the_true_verdict(self) -> None:
         """A call that ran may have run; one that waited behind it was not run."""
-        first = asyncio.create_task(self.carrier.carry(self.call("/wait", 0.3)))
+        first = asyncio.create_task(self.carrier.dispatch(self.call("/wait", 0.3)))
         await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
         verdicts = []
-        for refusal in [await self.carrier.carry(self.call("/ok", 0.2)), await first]:
-            assert not isinstance(refusal, Served)
+        for refusal in [await self.carrier.dispatch(self.call("/ok", 0.2)), await first]:
+            assert not isinstance(refusal, StartedResponse)
             verdicts.append((explain(refusal).code, explain(refusal).verdict))
         self.assertEqual(
             verdicts,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
 from cowslipvane.tasks import _peers
 from cowslipvane.tasks._peers import LinkLost, Mailbox, Peers
 from cowslipvane.types import Address, DataCentre, HostName
-from tools.lone_replica import event_log
+from tools.single_replica import event_log
 
 HOSTS = ("a", "b", "c")
 IP = "127.73.51.10"
@@ -100,7 +100,7 @@
         """Further calls aren't handed to it, and it is tried again without them."""
         self.assertTrue(self.peers.is_reachable(owner("a")))
         await self.send(owner("a"))
-        self.assertEqual(await self.mailbox.get(), LinkLost(in_doubt=False))
+        self.assertEqual(await self.mailbox.get(), LinkLost(outcome_unknown=False))
         self.assertFalse(self.peers.is_reachable(owner("a")))
         await self.listen()
         await self.until(lambda: self.peers.is_reachable(owner("a")))
@@ -114,7 +114,7 @@
         await self.until(lambda: self.connections)
         server.close(close_connections=False)
         self.connections[0].transport.pause_reading()
-        self.assertEqual(await self.mailbox.get(), LinkLost(in_doubt=True))
+        self.assertEqual(await self.mailbox.get(), LinkLost(outcome_unknown=True))
         self.assertFalse(self.peers.is_reachable(owner("a")))
 
     async def test_a_reset_is_no_sign_that_an_owner_is_gone(self) -> None:
@@ -123,7 +123,7 @@
         await self.send(owner("a"))
         await self.until(lambda: self.connections)
         self.connections[0].transport.abort()
-        self.assertEqual(await self.mailbox.get(), LinkLost(in_doubt=True))
+        self.assertEqual(await self.mailbox.get(), LinkLost(outcome_unknown=True))
         self.assertTrue(self.peers.is_reachable(owner("a")))
         await self.send(owner("a"))
         await self.until(lambda: len(self.connections) == 2)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from cowslipvane.tasks._http import HttpListener
-from cowslipvane.tasks._pipeline import Ahead, fetched_ahead
+from cowslipvane.tasks._pipeline import Prefetcher, take_prefetched
 from cowslipvane.types import Address
 
 PATIENCE_S = 5.0
@@ -41,7 +41,7 @@
             self.discarded.append(path)
 
         async def handle(http: web.BaseRequest) -> web.StreamResponse:
-            ahead = fetched_ahead(http)
+            ahead = take_prefetched(http)
             body = await (fetch(http) if ahead is None else ahead)
             return web.Response(text=body)
 
@@ -50,7 +50,9 @@
         probe.close()
         await probe.wait_closed()
         self.listener = HttpListener(
-            handler=handle, address=Address("127.0.0.1", self.port), ahead=Ahead(fetch, discard)
+            handler=handle,
+            address=Address("127.0.0.1", self.port),
+            prefetcher=Prefetcher(fetch, discard),
         )
         await self.enterAsyncContext(self.listener)
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
--- a/tests/test_refusal_events.py
+++ b/tests/test_refusal_events.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from tests.lone_callers import LOAD, OWNER, LoneCallersTest
+from tests.callers_case import LOAD, OWNER, CallersTestCase
 
 
-class RefusalEventsTest(LoneCallersTest):
+class RefusalEventsTest(CallersTestCase):
     """A line of the log from which the refusal can be explained afterwards."""
 
     async def test_it_tells_the_owners_that_were_tried_and_how_busy_the_last_one_was(self) -> None:
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -108,10 +108,10 @@
 
     def test_proxies_do_not_get_the_document(self) -> None:
         """Neither whole nor in a delta."""
-        whole = self.catalogue.since(Version(0))
+        whole = self.catalogue.update_since(Version(0))
         assert isinstance(whole, Snapshot)
         self.put(release(3, 2), routed("b"))
-        delta = self.catalogue.since(Version(1))
+        delta = self.catalogue.update_since(Version(1))
         for found in (whole.resources, delta.puts if not isinstance(delta, Snapshot) else ()):  # type: ignore
             self.assertNotIn("release", {resource.key.kind for resource in found})
         self.assertEqual(delta.deletes, ())  # type: ignore
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -20,14 +20,14 @@
 from cowslipvane.tasks._replication import Greeting, Replication, Stranger, Welcome
 from cowslipvane.types import Address, DataCentre, HostName, ReplicaId
 from cowslipvane.wire import Link
-from tools.lone_replica import NoJournal
+from tools.single_replica import NullJournal
 
 FOUNDERS = tuple(
     Voter(HostName(host), Address("127.0.0.1", 1), ReplicaId(f"id-{host}")) for host in "abc"
 )
 
 
-class HeldJournal(NoJournal):
+class HeldJournal(NullJournal):
     """A journal whose syncs wait until the disk is let go, or fails."""
 
     def __init__(self) -> None:
@@ -38,7 +38,7 @@
         """Wait until the disk is let go."""
         await self.free.wait()
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Wait until the disk fails."""
         await self.failed.wait()
         raise OSError("no disk")
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -15,7 +15,7 @@
 from cowslipvane.commands import diff_lines
 from cowslipvane.tasks._resource_api import ResourceApi
 from tools.fleet import EXAMPLES, Fleet, example_hosts
-from tools.lone_replica import LoneReplica, event_log
+from tools.single_replica import SingleReplica, event_log
 
 PATIENCE_S = 20.0
 
@@ -138,7 +138,7 @@
     async def test_a_gap_is_told_and_not_skipped(self) -> None:
         """A reader that is too far behind learns the oldest version that it can go on from."""
         self.enterContext(patch.object(_catalogue, "HISTORY_CHANGES", 2))
-        lone = LoneReplica()
+        lone = SingleReplica()
         for number in range(4):
             lone.put((Key("service", str(number)), Service()))
         api = ResourceApi(
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,7 +5,7 @@
 from cowslipvane.replica import Report
 from cowslipvane.subscription import Lag, Proxies, Rollout
 from cowslipvane.types import Address, HostName, Version
-from tools.lone_replica import LoneReplica
+from tools.single_replica import SingleReplica
 
 A, B, C = HostName("a"), HostName("b"), HostName("c")
 ACCEPTED_AT = {Version(1): 10.0, Version(2): 20.0, Version(3): 30.0}
@@ -55,7 +55,7 @@
 
     def test_an_older_report_does_not_replace_a_newer_one(self) -> None:
         """Reports that come round by other replicas may be late."""
-        replica = LoneReplica().replica
+        replica = SingleReplica().replica
         replica.record_report(report(A, 3, changed_at=5.0))
         replica.record_report(report(A, 2, changed_at=4.0))
         self.assertEqual(replica.reports[A].version, 3)
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -9,7 +9,7 @@
 from cowslipvane.events import HybridClock
 from cowslipvane.membership import Exchange, ExchangeReply, Hello
 from cowslipvane.settings import Token
-from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
+from cowslipvane.tasks import _gossip  # noqa: F401  # It registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import LinkClosed, LinkIdentity, Traffic, connect, link_identity
 from tools.fleet import Fleet, example_hosts
@@ -79,7 +79,7 @@
         for host in HOSTS:
             async with self.client(self.fleet.address(host, "operators")) as client:
                 self.assertEqual((await client.resources())["version"], 0)
-                debug = await client.ask("GET", "/v1/debug")
+                debug = await client.request("GET", "/v1/debug")
                 self.assertNotIn(SECRET, str(debug))
         await asyncio.sleep(0.5)
         written = [path.read_text() for path in self.fleet.folder.glob("*.e*")]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -90,7 +90,7 @@
         for kind in (Settings, Listen, Timing, Limits, Security):
             for field in dataclasses.fields(kind):
                 described = field.metadata.get("allowed") or field.metadata["described"]
-                self.assertTrue(described.about, field.name)
+                self.assertTrue(described.description, field.name)
 
 
 if __name__ == "__main__":
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -29,8 +29,8 @@
 from cowslipvane.tasks import _publisher
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
-from cowslipvane.wire import Link, LinkClosed, connect, unnamed_identity
-from tools.lone_replica import IP, LoneReplica, event_log
+from cowslipvane.wire import Link, LinkClosed, anonymous_identity, connect
+from tools.single_replica import IP, SingleReplica, event_log
 
 Answer = Callable[[object], object]
 NOWHERE = Address(IP, 1)
@@ -58,15 +58,15 @@
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
 
-    async def replica(self, *, leads: bool = True, pull_wait: float = 10.0) -> LoneReplica:
+    async def replica(self, *, leads: bool = True, pull_wait: float = 10.0) -> SingleReplica:
         """Start a replica."""
-        return await self.stack.enter_async_context(LoneReplica(leads=leads, pull_wait=pull_wait))
+        return await self.stack.enter_async_context(SingleReplica(leads=leads, pull_wait=pull_wait))
 
     async def stand_in(self, answer: Answer) -> Address:
         """Start a stand-in that answers each message by a function, None for not at all."""
 
         async def talk(connection: ServerConnection) -> None:
-            link = Link(connection=connection, identity=unnamed_identity())
+            link = Link(connection=connection, identity=anonymous_identity())
             try:
                 while True:
                     reply = answer(await link.receive())
@@ -111,7 +111,7 @@
             self.assertLess(time.monotonic(), give_up, "waited in vain")
             await asyncio.sleep(0.01)
 
-    async def ask(self, replica: LoneReplica, message: object) -> object:
+    async def ask(self, replica: SingleReplica, message: object) -> object:
         """Return a replica's answer to one message."""
         link = await self.stack.enter_async_context(connect(replica.address, "/subscribe"))
         await link.send(message)
@@ -133,7 +133,7 @@
             if isinstance(message, AskFloor):
                 return AskLeader(leader=leader.address)
             asked.append(message)
-            found = lagging.replica.catalogue.since(NO_VERSION)
+            found = lagging.replica.catalogue.update_since(NO_VERSION)
             assert isinstance(found, Snapshot)
             return PullSnapshot(snapshot=found)
 
@@ -161,7 +161,7 @@
                 return Floor(version=Version(0))
             assert isinstance(message, Pull)
             pulls.append(message)
-            found = real.replica.catalogue.since(message.base)
+            found = real.replica.catalogue.update_since(message.base)
             if isinstance(found, Snapshot):
                 return PullSnapshot(snapshot=found)
             assert isinstance(found, Delta)
@@ -214,7 +214,7 @@
                 return None
             if isinstance(message, AskFloor):
                 return Floor(version=Version(1))
-            found = replica.replica.catalogue.since(NO_VERSION)
+            found = replica.replica.catalogue.update_since(NO_VERSION)
             assert isinstance(found, Snapshot)
             return PullSnapshot(snapshot=found)
 
@@ -248,7 +248,7 @@
         """A proxy needn't come again when all have restarted together."""
         replica = await self.replica(leads=False)
         asking = asyncio.create_task(self.ask(replica, AskFloor(wait=PATIENCE_S)))
-        await self.until(lambda: replica.publisher.floor_questions)
+        await self.until(lambda: replica.publisher.pending_floor_requests)
         self.assertFalse(asking.done())
         replica.lead()
         self.assertEqual(await asking, Floor(version=NO_VERSION))
@@ -271,12 +271,12 @@
         replica.put(policy(1.0))
         # Links that never finish to send stand for slow proxies.
         gate = asyncio.Event()
-        for _ in range(_publisher.MAX_SNAPSHOTS):
+        for _ in range(_publisher.MAX_CONCURRENT_SNAPSHOTS):
             held = replica.publisher._answer(SlowLink(gate), pull(0))
             self.stack.callback(asyncio.create_task(held).cancel)
         await asyncio.sleep(0)
         answer = await self.ask(replica, pull(0))
-        self.assertEqual(answer, ComeAgain(after=_publisher.SNAPSHOT_RETRY))
+        self.assertEqual(answer, ComeAgain(after=_publisher.SNAPSHOT_RETRY_DELAY))
         gate.set()
         await asyncio.sleep(0)
         self.assertIsInstance(await self.ask(replica, pull(0)), PullSnapshot)
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -29,7 +29,7 @@
         self.catalogue = Catalogue()
         self.snapshots = [self.put(timeout) for timeout in (1.0, 2.0, 3.0)]
         self.subscription = Subscription()
-        self.subscription.learn_floor(Version(2))
+        self.subscription.raise_floor(Version(2))
 
     def put(self, timeout: float) -> Snapshot:
         """Write the policy and return the new version whole."""
@@ -37,13 +37,13 @@
         puts = ((POLICY, TrafficPolicy(timeout=timeout)),)
         change = Change(OperationId(str(version)), version, puts)
         self.catalogue.apply(change, accepted_at=1.0)
-        found = self.catalogue.since(Version(0))
+        found = self.catalogue.update_since(Version(0))
         assert isinstance(found, Snapshot)
         return found
 
     def delta(self, base: int) -> Delta:
         """Return the delta from a version."""
-        found = self.catalogue.since(Version(base))
+        found = self.catalogue.update_since(Version(base))
         assert isinstance(found, Delta)
         return found
 
@@ -56,48 +56,48 @@
     def test_takes_nothing_before_the_floor_is_learnt(self) -> None:
         """A proxy that has restarted can't tell yet what it had in force."""
         self.subscription = Subscription()
-        self.refused(self.subscription.take_snapshot(self.snapshots[2]), "isn't known yet", 0)
+        self.refused(self.subscription.apply_snapshot(self.snapshots[2]), "isn't known yet", 0)
         self.assertIsNone(self.subscription.table)
 
     def test_takes_nothing_under_the_floor(self) -> None:
         """A replica that lags can't bring a restarted proxy back."""
-        self.refused(self.subscription.take_snapshot(self.snapshots[0]), "older than version 2", 0)
+        self.refused(self.subscription.apply_snapshot(self.snapshots[0]), "older than version 2", 0)
         self.assertEqual(
-            self.subscription.take_snapshot(self.snapshots[1]), Applied(version=Version(2))
+            self.subscription.apply_snapshot(self.snapshots[1]), Applied(version=Version(2))
         )
 
     def test_a_floor_never_sinks(self) -> None:
         """A lower floor that is learnt later changes nothing."""
-        self.subscription.learn_floor(Version(1))
+        self.subscription.raise_floor(Version(1))
         self.assertEqual(self.subscription.floor, 2)
 
     def test_never_goes_back(self) -> None:
         """What is in force is a floor too, also after a lower floor was learnt."""
-        self.subscription.take_snapshot(self.snapshots[2])
-        self.subscription.learn_floor(Version(1))
-        self.refused(self.subscription.take_snapshot(self.snapshots[1]), "older than version 3", 3)
+        self.subscription.apply_snapshot(self.snapshots[2])
+        self.subscription.raise_floor(Version(1))
+        self.refused(self.subscription.apply_snapshot(self.snapshots[1]), "older than version 3", 3)
 
     def test_checks_the_digest(self) -> None:
         """Content that isn't what was accepted is refused whole."""
         old = self.snapshots[2]
         spoilt = old._replace(resources=self.snapshots[1].resources)
-        self.refused(self.subscription.take_snapshot(spoilt), "digest", 0)
-        self.subscription.take_snapshot(self.snapshots[1])
+        self.refused(self.subscription.apply_snapshot(spoilt), "digest", 0)
+        self.subscription.apply_snapshot(self.snapshots[1])
         lost = self.delta(2)._replace(puts=())
-        self.refused(self.subscription.take_delta(lost), "digest", 2)
-        self.assertEqual(self.subscription.take_delta(self.delta(2)), Applied(version=Version(3)))
+        self.refused(self.subscription.apply_delta(lost), "digest", 2)
+        self.assertEqual(self.subscription.apply_delta(self.delta(2)), Applied(version=Version(3)))
 
     def test_checks_the_base_of_a_delta(self) -> None:
         """A delta from another version does not fit."""
-        self.subscription.take_snapshot(self.snapshots[2])
-        self.refused(self.subscription.take_delta(self.delta(1)), "starts at 1", 3)
+        self.subscription.apply_snapshot(self.snapshots[2])
+        self.refused(self.subscription.apply_delta(self.delta(1)), "starts at 1", 3)
 
     def test_takes_no_route_without_its_service(self) -> None:
         """References are checked although the digest agrees."""
         route = Route(targets=(Target(ServiceName("gone")),))
         resource = self.snapshots[2].resources[0]._replace(key=Key("route", "r"), spec=route)
         snapshot = Snapshot(Version(9), (resource,), resource_digest(resource))
-        self.refused(self.subscription.take_snapshot(snapshot), "refers to service/gone", 0)
+        self.refused(self.subscription.apply_snapshot(snapshot), "refers to service/gone", 0)
 
     def test_equal_content_has_one_digest(self) -> None:
         """The digest depends on content alone, and tells versions apart."""
@@ -114,13 +114,13 @@
     def test_waits_are_spread_under_a_growing_limit(self) -> None:
         """The mean wait of many is half the limit of each attempt."""
         rng = random.Random(1)
-        backoffs = [Backoff(first=1.0, longest=4.0, rng=rng) for _ in range(400)]
+        backoffs = [Backoff(initial_delay=1.0, max_delay=4.0, rng=rng) for _ in range(400)]
         for limit in (1.0, 2.0, 4.0, 4.0):
-            waits = [backoff.wait() for backoff in backoffs]
+            waits = [backoff.next_delay() for backoff in backoffs]
             self.assertLessEqual(max(waits), limit)
             self.assertAlmostEqual(sum(waits) / len(waits), limit / 2, delta=limit * 0.08)
         backoffs[0].reset()
-        self.assertLessEqual(backoffs[0].wait(), 1.0)
+        self.assertLessEqual(backoffs[0].next_delay(), 1.0)
 
 
 if __name__ == "__main__":
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -7,11 +7,17 @@
 
 from websockets.asyncio.server import ServerConnection, serve
 
-from cowslipvane.commands import CommandFailed, Filter, Timeline, account_of, picture
+from cowslipvane.commands import (
+    CommandFailed,
+    Filter,
+    Timeline,
+    build_account,
+    render_timeline_page,
+)
 from cowslipvane.commands._timeline import merge
 from cowslipvane.events import EventForm, EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange
-from cowslipvane.tasks import _members  # noqa: F401  # It registers the messages.
+from cowslipvane.tasks import _gossip  # noqa: F401  # It registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import (
     Link,
@@ -132,20 +138,20 @@
 
     def test_a_refusal_stands_whatever_else_is_known(self) -> None:
         """The account doesn't depend on which processes still answer."""
-        whole = account_of("r1", Timeline([ATTEMPT, REFUSAL], []))
-        part = account_of("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
+        whole = build_account("r1", Timeline([ATTEMPT, REFUSAL], []))
+        part = build_account("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
         self.assertEqual(whole[:5], part[:5])
         self.assertEqual(whole[1:5], ("GET /x", "refused as draining", "not run", "No."))
 
     def test_an_attempt_without_an_answer_may_have_run(self) -> None:
         """Nothing on record is no ground to say that it was not run."""
-        self.assertEqual(account_of("r1", Timeline([ATTEMPT], [])).verdict, "may have run")
+        self.assertEqual(build_account("r1", Timeline([ATTEMPT], [])).verdict, "may have run")
 
     def test_a_served_request_was_run(self) -> None:
         """The status is told."""
         detail = {"owner": "b", "verdict": "ran", "outcome": "200"}
         verdict = form("verdict", 2.0, request="r1", detail=detail)
-        account = account_of("r1", Timeline([ATTEMPT, verdict], []))
+        account = build_account("r1", Timeline([ATTEMPT, verdict], []))
         self.assertEqual(
             (account.verdict, account.decision), ("ran", "answered with HTTP status 200")
         )
@@ -153,7 +159,7 @@
     def test_an_unknown_request_is_no_account(self) -> None:
         """Processes that did not answer are named."""
         with self.assertRaisesRegex(CommandFailed, "check the id.*b did not answer"):
-            account_of("r1", Timeline([], ["b did not answer: gone"]))
+            build_account("r1", Timeline([], ["b did not answer: gone"]))
 
 
 class PictureTest(unittest.TestCase):
@@ -162,7 +168,7 @@
     def test_the_page_parses_and_has_a_row_for_each_process(self) -> None:
         """Each event is a dot inside the plot, and texts are escaped."""
         odd = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
-        page = picture(Timeline([ATTEMPT, REFUSAL, odd], ["<gap>"]))
+        page = render_timeline_page(Timeline([ATTEMPT, REFUSAL, odd], ["<gap>"]))
         HTMLParser().feed(page)
         drawing = re.search(r"<svg.*</svg>", page, re.DOTALL)
         assert drawing is not None
@@ -180,7 +186,7 @@
 
     def test_an_empty_time_line_is_a_page_too(self) -> None:
         """Nothing to draw is no failure."""
-        self.assertIn("0 events", picture(Timeline([], [])))
+        self.assertIn("0 events", render_timeline_page(Timeline([], [])))
 
 
 if __name__ == "__main__":
--- a/tests/test_history.py
+++ b/tests/test_verdicts_under_faults.py
@@ -14,7 +14,7 @@
 CALLERS = 8
 
 
-class HistoryTest(test_leaving.LoadedTest):
+class HistoryTest(test_leaving.LoadTestCase):
     """What callers are told while proxies and workers are killed and frozen."""
 
     async def fail_one(self, rng: random.Random) -> None:
--- a/tests/three_hosts.py
+++ b/tests/three_hosts_case.py
@@ -10,7 +10,7 @@
 HOSTS = ("stock-1", "stock-2", "stock-3")
 
 
-class ThreeHostsTest(unittest.IsolatedAsyncioTestCase):
+class ThreeHostsTestCase(unittest.IsolatedAsyncioTestCase):
     """The replicas of an example, each with a proxy; a test leaves them all running."""
 
     fleet: ClassVar[Fleet]
@@ -19,16 +19,16 @@
     @classmethod
     def setUpClass(cls) -> None:
         """Start the processes and apply the resources."""
-        hosts = [cls.changed(host) for host in example_hosts("quiros") if host.name in HOSTS]
+        hosts = [cls.customize_host(host) for host in example_hosts("quiros") if host.name in HOSTS]
         cls.fleet = Fleet(hosts=hosts)
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
         cls.servers = [f"--server={address}" for address in cls.fleet.operators()]
         cls.fleet.create()
         cls.fleet.start()
-        asyncio.run(cls.prepare(sum(bool(host.worker) for host in hosts)))
+        asyncio.run(cls.apply_resources(sum(bool(host.worker) for host in hosts)))
 
     @classmethod
-    async def prepare(cls, workers: int) -> None:
+    async def apply_resources(cls, workers: int) -> None:
         """Wait for the processes and bring the first version into force."""
         await cls.fleet.until_leader()
         await cls.fleet.until_members(workers)
@@ -36,7 +36,7 @@
         await cls.fleet.until_in_force(1, HOSTS)
 
     @classmethod
-    def changed(cls, host: Host) -> Host:
+    def customize_host(cls, host: Host) -> Host:
         """Return a host of the example as the tests want it."""
         return host
 
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -20,7 +20,7 @@
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link
-from tools.lone_replica import LoneReplica
+from tools.single_replica import SingleReplica
 
 CHANGES = 20
 IDLE_S = 12.0
@@ -99,8 +99,8 @@
     arrivals = Arrivals(proxies=proxy_number)
     async with AsyncExitStack() as stack:
         stack.enter_context(patch("cowslipvane.wire._link.Link", CountingLink))
-        stack.enter_context(patch("tools.lone_replica.Link", CountingLink))
-        replica = await stack.enter_async_context(LoneReplica())
+        stack.enter_context(patch("tools.single_replica.Link", CountingLink))
+        replica = await stack.enter_async_context(SingleReplica())
         version = replica.put(*resources(resource_number))
         begun = time.monotonic()
         proxies = [start_proxy(number, replica.address, arrivals) for number in range(proxy_number)]
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -18,12 +18,12 @@
     Membership,
     Worker,
 )
-from cowslipvane.tasks._members import (
-    DISTANT_HEARTBEATS,
-    GATHER_TIME,
-    REPLY_HEARTBEATS,
-    SEED_EXCHANGES,
-    SEED_INTERVALS,
+from cowslipvane.tasks._gossip import (
+    BATCH_DELAY,
+    DISTANT_HEARTBEAT_FACTOR,
+    MAX_SEED_EXCHANGES,
+    REPLY_TIMEOUT_HEARTBEATS,
+    SEED_INTERVAL_FACTOR,
 )
 from cowslipvane.types import Address, DataCentre, HostName, Seconds, ServiceName
 from cowslipvane.wire import encode
@@ -50,7 +50,7 @@
         self.closed = False
 
 
-class Rounds:
+class MembershipSimulation:
     """Members whose messages are handed over at once, in rounds of the gathering time."""
 
     def __init__(
@@ -58,7 +58,7 @@
     ) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
-        self.cut: Callable[[Member, Member], bool] = lambda one, other: False
+        self.is_partitioned: Callable[[Member, Member], bool] = lambda one, other: False
         self.running: dict[HostName, Membership] = {}
         self.silent: set[HostName] = set()
         self.bytes_of: Counter[HostName] = Counter()
@@ -109,7 +109,7 @@
         """Let some time pass."""
         end = self.now + time
         while self.now < end:
-            self.now += GATHER_TIME
+            self.now += BATCH_DELAY
             for host in list(self.running):
                 if host not in self.silent:
                     self._step(host)
@@ -120,10 +120,10 @@
         while not holds():
             if self.now > begun + limit:
                 raise TimeoutError(f"didn't hold within {limit} s")
-            self.run(GATHER_TIME)
+            self.run(BATCH_DELAY)
         return self.now - begun
 
-    def agree(self) -> bool:
+    def all_agree(self) -> bool:
         """Return whether all members of each data centre hold the same records."""
         digests: dict[DataCentre, set[int]] = {}
         for member in self.running.values():
@@ -152,14 +152,16 @@
                 connection.gathering = False
                 self._talk(host, other, connection)
             else:
-                connection.gathering = connection.opener.has_news
+                connection.gathering = connection.opener.has_updates
         if self._seeds and self.now >= self._seed_due[host]:
             self._ask_seed(host, membership)
 
     def _arrange(self, host: HostName, membership: Membership) -> None:
         """Open and close connections, so that they are those to the neighbours."""
         self._arranged[host] = membership.revision
-        wanted = {neighbour.host: neighbour.near for neighbour in membership.neighbours()}
+        wanted = {
+            neighbour.host: neighbour.frequent_heartbeats for neighbour in membership.neighbours()
+        }
         before = self._connections.get(host, {})
         self._connections[host] = {
             other: before.get(other) or self._open(host, other, near)
@@ -176,7 +178,7 @@
             membership=theirs or self.running[host], data_centre=own.data_centre, guest=guest
         )
         opener = Feed(membership=self.running[host], data_centre=centre)
-        beat = INTERVAL * (1 if near else DISTANT_HEARTBEATS)
+        beat = INTERVAL * (1 if near else DISTANT_HEARTBEAT_FACTOR)
         connection = Connection(opener=opener, server=server, beat=beat)
         connection.due = self.now + self.rng.uniform(0, INTERVAL)
         return connection
@@ -189,11 +191,11 @@
                 connection = self._open(host, other, connection.beat == INTERVAL)
                 self._connections[host][other] = connection
             self._exchange(host, other, connection)
-            connection.due = self.now + connection.opener.pause(connection.beat)
+            connection.due = self.now + connection.opener.next_exchange_delay(connection.beat)
             return
         if other in self.silent:
             # A silent process is noticed only once its reply is overdue.
-            connection.due = self.now + INTERVAL * REPLY_HEARTBEATS
+            connection.due = self.now + INTERVAL * REPLY_TIMEOUT_HEARTBEATS
             if not connection.overdue:
                 connection.overdue = True
                 return
@@ -202,7 +204,7 @@
 
     def _ask_seed(self, host: HostName, membership: Membership) -> None:
         """Exchange records with a seed drawn at random, if the member needs one."""
-        pause = 1 if membership.is_alone() else SEED_INTERVALS
+        pause = 1 if membership.is_alone() else SEED_INTERVAL_FACTOR
         self._seed_due[host] = self.now + INTERVAL * pause * self.rng.uniform(0.5, 1.5)
         others = [seed for seed in self._seeds if seed != host]
         if not others or not membership.needs_seed():
@@ -211,16 +213,16 @@
         if not self._reaches(host, seed):
             return
         connection = self._open(host, seed, True, guest=True)
-        for _ in range(SEED_EXCHANGES):
+        for _ in range(MAX_SEED_EXCHANGES):
             self._exchange(host, seed, connection)
-            if connection.opener.settled:
+            if connection.opener.is_synchronized:
                 return
 
     def _exchange(self, host: HostName, other: HostName, connection: Connection) -> None:
         """Hand a message over and its reply back."""
         message = connection.opener.next_message(self.now)
-        reply, _ = connection.server.answer(message, self.now)
-        connection.opener.take(message, reply, self.now)
+        reply, _ = connection.server.handle_message(message, self.now)
+        connection.opener.handle_reply(message, reply, self.now)
         self._count(host, message)
         self._count(other, reply)
 
@@ -229,7 +231,7 @@
         theirs = self.running.get(other)
         if theirs is None or other in self.silent:
             return False
-        return not self.cut(self.running[host].own, theirs.own)
+        return not self.is_partitioned(self.running[host].own, theirs.own)
 
     def _count(self, sender: HostName, message: Exchange | Compare | ExchangeReply | Hello) -> None:
         """Count a message for its sender."""
@@ -256,7 +258,9 @@
     mean_messages: float
 
 
-def cost(rounds: Rounds, time: Seconds, act: Callable[[], None] = lambda: None) -> Cost:
+def cost(
+    rounds: MembershipSimulation, time: Seconds, act: Callable[[], None] = lambda: None
+) -> Cost:
     """Return what the members send while some time passes."""
     rounds.bytes_of.clear()
     rounds.messages_of.clear()
@@ -272,7 +276,7 @@
     )
 
 
-def full_tables(rounds: Rounds) -> Cost:
+def full_tables(rounds: MembershipSimulation) -> Cost:
     """Return the cost if each member sent all records to three seeds at each interval."""
     records = next(iter(rounds.running.values())).members
     size = len(encode(ExchangeReply(digest=0, members=records))) + _FRAME_BYTES
@@ -295,8 +299,10 @@
 def line(size: int, seed: int) -> str:
     """Return the figures of one size as a line."""
     hosts = [HostName(f"host-{at:04}") for at in range(size)]
-    rounds = Rounds(names={"one": hosts}, seeds=hosts[:3], seed=seed)
-    settled = rounds.until(lambda: len(rounds.running[hosts[0]].members) == size and rounds.agree())
+    rounds = MembershipSimulation(names={"one": hosts}, seeds=hosts[:3], seed=seed)
+    settled = rounds.until(
+        lambda: len(rounds.running[hosts[0]].members) == size and rounds.all_agree()
+    )
     rounds.run(5.0)
     idle = cost(rounds, 20.0)
     churn = cost(rounds, 10.0, lambda: restart(rounds, hosts[-1:]))
@@ -308,7 +314,7 @@
     for host in herd:
         rounds.start(host)
     again = rounds.until(
-        lambda: len(rounds.running[hosts[0]].members) == size and rounds.agree(), 120.0
+        lambda: len(rounds.running[hosts[0]].members) == size and rounds.all_agree(), 120.0
     )
     full = full_tables(rounds)
     return (
@@ -318,7 +324,7 @@
     )
 
 
-def restart(rounds: Rounds, hosts: list[HostName]) -> None:
+def restart(rounds: MembershipSimulation, hosts: list[HostName]) -> None:
     """Kill members and start them again at once."""
     rounds.kill(*hosts)
     for host in hosts:
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -11,7 +11,7 @@
 
 from cowslipvane.cmdline import main as root
 from cowslipvane.metrics import FAMILIES
-from cowslipvane.settings import Allowed, Described, Settings
+from cowslipvane.settings import NumberRange, Settings, ValueDescription
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
 
@@ -56,7 +56,9 @@
 
 def metrics_page() -> str:
     """Return the page of all metrics."""
-    rows = [f"| `{it.name}` | {it.kind} | {it.label or '-'} | {it.about} |" for it in FAMILIES]
+    rows = [
+        f"| `{it.name}` | {it.kind} | {it.label or '-'} | {it.description} |" for it in FAMILIES
+    ]
     return _METRICS_HEAD + "\n".join(rows) + "\n"
 
 
@@ -80,9 +82,9 @@
             yield from _setting_rows(f"{key}.", hints[field.name])
             continue
         match field.metadata.get("allowed") or field.metadata["described"]:
-            case Allowed(low=low, high=high, unit=unit, about=about):
+            case NumberRange(low=low, high=high, unit=unit, description=about):
                 yield f"`{key}`", f"{field.default:g}", f"{low:g} to {high:g}", unit, about
-            case Described(values=values, about=about):
+            case ValueDescription(values=values, description=about):
                 yield f"`{key}`", _default(field.default), values, "", about
 
 
--- a/tools/lone_replica.py
+++ b/tools/single_replica.py
@@ -18,13 +18,13 @@
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, DataCentre, HostName, OperationId, ReplicaId, Version
-from cowslipvane.wire import Link, LinkClosed, unnamed_identity
+from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 
 IP = "127.0.0.1"
 HOST = HostName("lone")
 
 
-class NoJournal:
+class NullJournal:
     """A journal that keeps nothing."""
 
     def record_ballot(self, ballot: Ballot) -> None:
@@ -41,7 +41,7 @@
     async def sync(self) -> None:
         """Return at once."""
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Return at once, since nothing can fail."""
 
 
@@ -51,7 +51,7 @@
     return EventLog(origin=origin, clock=HybridClock())
 
 
-class LoneReplica:
+class SingleReplica:
     """Leads a group of one, or none when it is to follow, and publishes to proxies."""
 
     def __init__(self, *, leads: bool = True, pull_wait: float = 10.0) -> None:
@@ -60,7 +60,7 @@
             host=HOST,
             replica_id=ReplicaId("lone"),
             founders=(Voter(HOST, Address(IP, 1), ReplicaId("lone")),),
-            journal=NoJournal(),
+            journal=NullJournal(),
             recovered=Recovered(Ballot(0, None), ()),
             election_timeout=1.0,
             rng=random.Random(1),
@@ -69,7 +69,7 @@
         self.replication = Replication(
             replica=self.replica,
             group_name="lone",
-            journal=NoJournal(),
+            journal=NullJournal(),
             timing=Timing(),
             events=event_log(),
         )
@@ -110,9 +110,9 @@
     def lead(self) -> None:
         """Be elected, and tell the tasks that wait for it."""
         now = time.monotonic()
-        self.replica.stand(now)
-        self.replica.count_own_vote(self.replica.term, now)
-        self.replica.count_synced(self.replica.last_index)
+        self.replica.start_election(now)
+        self.replica.record_own_vote(self.replica.term, now)
+        self.replica.record_synced(self.replica.last_index)
         self.replication.changed.send()
 
     def cut(self) -> None:
@@ -126,13 +126,13 @@
         change = Change(name, catalogue.version, puts)
         index = self.replica.propose(change, stamped_at=time.time())
         assert index is not None
-        self.replica.count_synced(index)
+        self.replica.record_synced(index)
         self.replication.changed.send()
         return catalogue.version
 
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one proxy."""
         try:
-            await self.publisher.serve(Link(connection=connection, identity=unnamed_identity()))
+            await self.publisher.serve(Link(connection=connection, identity=anonymous_identity()))
         except LinkClosed:
             return
