--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -173,7 +173,7 @@
         self._running[waiting.work.attempt] = _Running(waiting.work.kind, long, now)
         return waiting.work
 
-    def overdue(self, work: Work, now: float) -> Refusal | None:
+    def check_deadline(self, work: Work, now: float) -> Refusal | None:
         """Return the refusal of work that can no longer end before its deadline."""
         if now >= work.deadline:
             return DeadlinePassed(service=self._service, verdict=Verdict.NOT_RUN)
@@ -200,9 +200,9 @@
     def drain(self) -> list[Work]:
         """Stop taking and starting work, and return the work that was queued."""
         self._draining = True
-        return self.empty()
+        return self.clear_queue()
 
-    def empty(self) -> list[Work]:
+    def clear_queue(self) -> list[Work]:
         """Remove all work from the queue and return it."""
         removed = [waiting.work for waiting in self._waiting.values()]
         for heap in (self._short, self._long):
--- a/cowslipvane/admission/_service_times.py
+++ b/cowslipvane/admission/_service_times.py
@@ -68,7 +68,7 @@
         self._typical_log += TYPICAL_WEIGHT * (log_duration - self._typical_log)
 
 
-def kind_of(request: Request) -> str:
+def request_kind(request: Request) -> str:
     """Return a request's method and the start of its path, with identifiers replaced."""
     path = request.path.partition("?")[0]
     segments = path.strip("/").split("/")[:KIND_PATH_SEGMENTS]
--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -23,14 +23,14 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class UnderWay:
+class Running:
     """The attempt is running; parts grows until it ends, or is None if too large to store."""
 
     parts: list[OwnerMessage] | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Over:
+class Ended:
     """The attempt has ended; parts is its whole answer, or None if it is not stored any more."""
 
     parts: list[OwnerMessage] | None
@@ -41,7 +41,7 @@
     """The attempt is not remembered any more, and may have run."""
 
 
-FenceOutcome = NeverStarted | UnderWay | Over | Forgotten
+FenceOutcome = NeverStarted | Running | Ended | Forgotten
 
 
 @dataclass(slots=True, kw_only=True)
@@ -58,7 +58,7 @@
     """The outcome of an attempt that has ended or was fenced."""
 
     at: float
-    outcome: NeverStarted | Over
+    outcome: NeverStarted | Ended
     bytes: int
 
 
@@ -74,7 +74,7 @@
         self._forgotten: dict[HostName, AttemptId] = {}
 
     @property
-    def under_way(self) -> tuple[AttemptId, ...]:
+    def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
         return tuple(self._records)
 
@@ -89,7 +89,7 @@
         """Record that an attempt has started."""
         self._records[attempt].started = True
 
-    def keep(self, attempt: AttemptId, part: OwnerMessage) -> None:
+    def store_part(self, attempt: AttemptId, part: OwnerMessage) -> None:
         """Store a part of the answer, so that it can be fetched again."""
         record = self._records[attempt]
         record.bytes += payload_size(part)
@@ -102,7 +102,9 @@
         """Record that an attempt has ended, whether it was run or refused."""
         record = self._records.pop(attempt)
         stored_bytes = record.bytes if record.parts is not None else 0
-        self._remember(attempt, _Past(at=now, outcome=Over(parts=record.parts), bytes=stored_bytes))
+        self._remember(
+            attempt, _Past(at=now, outcome=Ended(parts=record.parts), bytes=stored_bytes)
+        )
 
     def fence(self, attempt: AttemptId, incarnation: int, now: float) -> FenceOutcome:
         """Return the outcome of an attempt, and prevent it from starting if it has not started."""
@@ -111,7 +113,7 @@
             return Forgotten()
         record = self._records.get(attempt)
         if record is not None and record.started:
-            return UnderWay(parts=record.parts)
+            return Running(parts=record.parts)
         past = self._past.get(attempt)
         if past is not None:
             return past.outcome
@@ -155,4 +157,4 @@
             if past.bytes:
                 self._stored_bytes -= past.bytes
                 past.bytes = 0
-                past.outcome = Over(parts=None)
+                past.outcome = Ended(parts=None)
--- a/cowslipvane/call/_body.py
+++ b/cowslipvane/call/_body.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Arriving:
+class Incomplete:
     """The body of the offer is incomplete."""
 
 
@@ -26,7 +26,7 @@
     offer: Offer
 
 
-def parts_of(offer: Offer) -> Iterator[Offer | Chunk]:
+def split_offer(offer: Offer) -> Iterator[Offer | Chunk]:
     """Yield an offer with the first part of its body, then the remaining parts."""
     body = offer.request.body
     first = offer.request._replace(body=body[:PART_BYTES])
@@ -36,7 +36,7 @@
         yield Chunk(attempt=offer.attempt, body=body[start:end], more=end < len(body))
 
 
-class Arrivals:
+class OfferAssembler:
     """Assemble the offers of one connection from their parts."""
 
     def __init__(self) -> None:
@@ -44,28 +44,28 @@
         self._bodies: dict[AttemptId, bytearray] = {}
         self._incomplete_bytes = 0
 
-    def begin(self, offer: Offer) -> Offer | Arriving:
+    def begin(self, offer: Offer) -> Offer | Incomplete:
         """Add the first part of an offer; return the offer if its body is complete."""
         if not offer.more:
             return offer
         self._offers[offer.attempt] = offer
         self._bodies[offer.attempt] = bytearray(offer.request.body)
         self._incomplete_bytes += len(offer.request.body)
-        return Arriving()
+        return Incomplete()
 
-    def add(self, chunk: Chunk) -> Offer | Arriving | Overflow:
+    def add(self, chunk: Chunk) -> Offer | Incomplete | Overflow:
         """Add another part; return the offer once its body is complete."""
         offer = self._offers.get(chunk.attempt)
         if offer is None:
             # The offer was dropped while this part was in transit.
-            return Arriving()
+            return Incomplete()
         if self._incomplete_bytes + len(chunk.body) > MAX_INCOMPLETE_BYTES:
             self.drop(chunk.attempt)
             return Overflow(offer=offer)
         self._bodies[chunk.attempt] += chunk.body
         self._incomplete_bytes += len(chunk.body)
         if chunk.more:
-            return Arriving()
+            return Incomplete()
         complete = offer.request._replace(body=bytes(self._bodies[chunk.attempt]))
         self.drop(chunk.attempt)
         return dataclasses.replace(offer, request=complete, more=False)
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -64,7 +64,7 @@
         return self._nested
 
     @property
-    def tried(self) -> tuple[HostName, ...]:
+    def tried_hosts(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
         return tuple(self._tried_hosts)
 
@@ -74,7 +74,7 @@
         return self._load
 
     @property
-    def doubt(self) -> Refusal | None:
+    def unknown_outcome(self) -> Refusal | None:
         """Return the refusal of an attempt that may have run, or None."""
         return self._unknown_outcome
 
@@ -86,11 +86,11 @@
         retry = self._rules.retry
         return self._request.method in retry.methods and not retry.idempotency_key
 
-    def time_left(self, now: float) -> Seconds:
+    def time_remaining(self, now: float) -> Seconds:
         """Return the time until the deadline."""
         return self._deadline - now
 
-    def goal_left(self, now: float) -> Seconds | None:
+    def goal_remaining(self, now: float) -> Seconds | None:
         """Return the time until the latency goal, or None if the request has no goal."""
         return None if self._goal is None else self._goal - now
 
@@ -98,11 +98,11 @@
         """Record a new attempt at a host."""
         self._tried_hosts.append(host)
 
-    def note_load(self, load: Load) -> None:
+    def record_load(self, load: Load) -> None:
         """Record the load that an owner reported with its answer."""
         self._load = load
 
-    def note(self, refusal: Refusal) -> None:
+    def record_refusal(self, refusal: Refusal) -> None:
         """Record a refusal, and keep the latest one whose attempt may have run."""
         if reached_upstream(refusal):
             self._reached_upstream += 1
--- a/cowslipvane/call/_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -10,9 +10,9 @@
 class HeaderNames(NamedTuple):
     """Names of header fields towards callers and workers; an empty name disables a field."""
 
-    # The request id; ids from callers are accepted only if callers_name_requests is set.
+    # The request id; ids from callers are accepted only if accepts_request_ids is set.
     request_id: str = "X-Request-Id"
-    callers_name_requests: bool = False
+    accepts_request_ids: bool = False
     # The caller's timeout, and the time remaining for a worker, in milliseconds.
     timeout_ms: str = "X-Request-Timeout-Ms"
     # The service on the host that sent the request. It is always set by the proxy, so that callers
@@ -31,14 +31,14 @@
         lower = {name.lower() for name in own}
         return tuple(header for header in headers if header.name.lower() not in lower)
 
-    def towards_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
+    def headers_to_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
         """Return the fields of a request that an entry proxy sends to an owner."""
         fields = [*self.without_proxy_fields(headers), Header(self.request_id, request_id)]
         if self.origin_service:
             fields.append(Header(self.origin_service, origin_service))
         return tuple(fields)
 
-    def towards_worker(self, headers: Headers, remaining_ms: int, instance: str) -> Headers:
+    def headers_to_worker(self, headers: Headers, remaining_ms: int, instance: str) -> Headers:
         """Return the fields of a request that an owner sends to its worker."""
         fields = [*headers, Header(self.timeout_ms, str(remaining_ms))]
         if self.expected_instance and instance:
@@ -46,4 +46,4 @@
         return tuple(fields)
 
 
-OWN_NAMES = HeaderNames()
+DEFAULT_HEADER_NAMES = HeaderNames()
--- a/cowslipvane/call/_headers.py
+++ b/cowslipvane/call/_headers.py
@@ -25,7 +25,7 @@
 )
 
 
-def end_to_end(fields: Iterable[tuple[str, str]]) -> Headers:
+def end_to_end_headers(fields: Iterable[tuple[str, str]]) -> Headers:
     """Return the fields without those that apply to a single hop."""
     headers = tuple(Header(name, value) for name, value in fields)
     connection_options = {
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -109,7 +109,7 @@
 
 
 OwnerMessage = Answer | Chunk | Refused
-Reply = Callable[[OwnerMessage], Awaitable[None]]
+SendReply = Callable[[OwnerMessage], Awaitable[None]]
 
 
 def payload_size(message: OwnerMessage) -> int:
--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -59,14 +59,14 @@
         self._retries: dict[ServiceName, TokenBucket] = {}
         self._hedges: dict[ServiceName, TokenBucket] = {}
 
-    def share_with(self, proxies: int) -> None:
+    def set_proxy_count(self, proxies: int) -> None:
         """Divide the slack among this number of proxies, including this one."""
         if proxies != self._proxies:
             self._proxies = proxies
             for bucket in self._retries.values():
                 bucket.set_capacity(self._slack_capacity)
 
-    def note_call(self, service: ServiceName, now: float) -> None:
+    def record_call(self, service: ServiceName, now: float) -> None:
         """Add the tokens for a new call."""
         if service not in self._retries:
             share = self._retries_allowed.share * ALLOWANCE_SHARE
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cowslipvane.membership import Member
-from cowslipvane.routing._view import Load, OwnerView, Result
+from cowslipvane.routing._owner_view import AttemptResult, Load, OwnerView
 from cowslipvane.types import DataCentre, HostName, Seconds
 
 # Largest share of a service's owners, over all data centres, that may be ejected as outliers.
@@ -33,14 +33,14 @@
 REMOTE_MARGIN_CALLS_PER_SLOT = 0.8
 
 
-class Eased(NamedTuple):
+class Ejection(NamedTuple):
     """The ejection of an owner for a time, and the reason."""
 
     host: HostName
-    loses: bool
+    loses_attempts: bool
     latency: Seconds
-    usual: Seconds
-    time: Seconds
+    median_latency: Seconds
+    duration: Seconds
 
 
 class Chooser:
@@ -50,9 +50,9 @@
         self._data_centre = data_centre
         self._rng = rng
         self._views: dict[HostName, OwnerView] = {}
-        self._ejections: list[Eased] = []
+        self._ejections: list[Ejection] = []
 
-    def take_eased(self) -> list[Eased]:
+    def take_ejections(self) -> list[Ejection]:
         """Return the ejections since the last call of this method."""
         ejections, self._ejections = self._ejections, []
         return ejections
@@ -63,11 +63,11 @@
         excluded: Collection[HostName],
         now: float,
         *,
-        light: bool = False,
+        small: bool = False,
     ) -> Member | None:
         """Return the owner for the next attempt, or None if there is none.
 
-        light tells that the call has few bytes and is cheap to send to another data centre.
+        small tells that the call has few bytes and is cheap to send to another data centre.
         """
         for owner in owners:
             self._ensure_view(owner, now)
@@ -77,7 +77,7 @@
         if any(self._is_local(owner) for owner in owners if owner.host in excluded):
             pool = [owner for owner in pool if self._may_take_over(owner, now)]
         candidates = self._preferred(
-            pool, now, OVERLOAD_CALLS_PER_SLOT_SMALL if light else OVERLOAD_CALLS_PER_SLOT
+            pool, now, OVERLOAD_CALLS_PER_SLOT_SMALL if small else OVERLOAD_CALLS_PER_SLOT
         )
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
@@ -90,7 +90,12 @@
         self._views[host].begin()
 
     def end(
-        self, host: HostName, result: Result, load: Load | None, duration: Seconds, now: float
+        self,
+        host: HostName,
+        result: AttemptResult,
+        load: Load | None,
+        duration: Seconds,
+        now: float,
     ) -> None:
         """Record the end of a call and its result."""
         self._views[host].end(result, load, duration, now)
@@ -141,8 +146,10 @@
     def _eject(self, owner: Member, median: Seconds, now: float) -> None:
         """Eject an owner for a time and record the ejection."""
         view = self._views[owner.host]
-        loses, latency = view.loses_attempts, view.latency or 0.0
-        self._ejections.append(Eased(owner.host, loses, latency, median, view.eject(now)))
+        loses_attempts, latency = view.loses_attempts, view.latency or 0.0
+        self._ejections.append(
+            Ejection(owner.host, loses_attempts, latency, median, view.eject(now))
+        )
 
     def _median_latency(self, owners: Sequence[Member]) -> Seconds:
         """Return the median of the owners' latencies, or 0 if none is known."""
--- a/cowslipvane/routing/_hedging.py
+++ b/cowslipvane/routing/_hedging.py
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self._latencies: dict[ServiceName, Quantile] = {}
 
-    def learn(self, service: ServiceName, latency_s: Seconds) -> None:
+    def record_latency(self, service: ServiceName, latency_s: Seconds) -> None:
         """Record the latency of an answer."""
         if service not in self._latencies:
             self._latencies[service] = Quantile(share=HEDGE_QUANTILE, step=_MAX_STEP)
--- a/cowslipvane/routing/_view.py
+++ b/cowslipvane/routing/_owner_view.py
@@ -39,23 +39,23 @@
     service_time: Seconds = 0.0
 
 
-class Result(enum.Enum):
+class AttemptResult(enum.Enum):
     """The result of an attempt, as far as it concerns the health of the owner."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
     LOST = "lost"
-    OVERDUE = "overdue"
-    GIVEN_UP = "given up"
+    TIMED_OUT = "overdue"
+    ABANDONED = "given up"
 
     @classmethod
-    def of_refusal(cls, refusal: Refusal) -> Result:
+    def of_refusal(cls, refusal: Refusal) -> AttemptResult:
         """Return the result that corresponds to a refusal."""
         match refusal:
             case OwnerUnreachable() | UpstreamLost():
                 return cls.LOST
             case DeadlinePassed():
-                return cls.OVERDUE
+                return cls.TIMED_OUT
             case _:
                 return cls.REFUSED
 
@@ -115,23 +115,23 @@
         """Count a call in flight."""
         self._in_flight += 1
 
-    def end(self, result: Result, load: Load | None, duration: Seconds, now: float) -> None:
+    def end(self, result: AttemptResult, load: Load | None, duration: Seconds, now: float) -> None:
         """Record the end of a call and its result."""
         self._in_flight = max(self._in_flight - 1, 0)
         if load is not None:
             self._load, self._load_at = load, now
             self._slots = max(load.slots, 1)
         match result:
-            case Result.ANSWERED:
+            case AttemptResult.ANSWERED:
                 self._consecutive_losses = 0
                 self._latency.add(duration)
-            case Result.OVERDUE:
+            case AttemptResult.TIMED_OUT:
                 self._latency.add(duration)
-            case Result.LOST:
+            case AttemptResult.LOST:
                 self._consecutive_losses += 1
-            case Result.REFUSED:
+            case AttemptResult.REFUSED:
                 self._consecutive_losses = 0
-            case Result.GIVEN_UP:
+            case AttemptResult.ABANDONED:
                 return
 
     def eject(self, now: float) -> Seconds:
--- a/tests/one_owner.py
+++ b/tests/admission_simulation.py
@@ -23,7 +23,7 @@
     expired: bool
 
 
-def play(
+def simulate(
     policy: Policy | None,
     slots: int,
     arrivals: Iterable[Arrival],
@@ -44,7 +44,7 @@
             admission.finish(work, now)
             endings.append(Ending(now, work, False))
         while (started := admission.start_next(now)) is not None:
-            if admission.overdue(started, now) is not None:
+            if admission.check_deadline(started, now) is not None:
                 admission.finish(started, now, ran=False)
                 endings.append(Ending(now, started, True))
                 continue
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,7 @@
     ESTIMATE_HALF_LIFE,
     MAX_KINDS,
     ServiceTimes,
-    kind_of,
+    request_kind,
 )
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull
@@ -30,7 +30,7 @@
     """Return work for one request of a caller."""
     attempt = AttemptId(HostName("a"), 1, serial)
     request = Request("GET", path, (), b"")
-    return Work(attempt, request, deadline, True, caller, goal, kind_of(request))
+    return Work(attempt, request, deadline, True, caller, goal, request_kind(request))
 
 
 class AdmissionTest(unittest.TestCase):
@@ -135,11 +135,11 @@
 
     def test_expired_work_is_not_started(self) -> None:
         """Queued work is refused once its deadline has passed or is too close."""
-        expired = self.admission.overdue(work(0, deadline=1.0), 1.0)
+        expired = self.admission.check_deadline(work(0, deadline=1.0), 1.0)
         self.assertIsInstance(expired, DeadlinePassed)
-        self.assertIsNone(self.admission.overdue(work(0, deadline=2 * SHORT_S), 0.0))
+        self.assertIsNone(self.admission.check_deadline(work(0, deadline=2 * SHORT_S), 0.0))
         self.assertIsInstance(
-            self.admission.overdue(work(0, deadline=SHORT_S / 2), 0.0), Overloaded
+            self.admission.check_deadline(work(0, deadline=SHORT_S / 2), 0.0), Overloaded
         )
 
     def test_estimates_decay_without_samples(self) -> None:
@@ -176,7 +176,7 @@
 
     def test_identifiers_are_not_part_of_a_kind(self) -> None:
         """Paths that differ only in a number are of one kind."""
-        kinds = {kind_of(Request("GET", f"/stock/{n}/x?a={n}", (), b"")) for n in range(5)}
+        kinds = {request_kind(Request("GET", f"/stock/{n}/x?a={n}", (), b"")) for n in range(5)}
         self.assertEqual(kinds, {"GET /stock/*"})
 
     def test_number_of_kinds_is_bounded(self) -> None:
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -4,14 +4,14 @@
 from unittest.mock import patch
 
 from cowslipvane.call import (
-    Arrivals,
-    Arriving,
     AttemptId,
     Chunk,
+    Incomplete,
     Offer,
+    OfferAssembler,
     Overflow,
     Request,
-    parts_of,
+    split_offer,
 )
 from cowslipvane.types import HostName, ServiceName
 
@@ -45,50 +45,50 @@
             2 * PART_BYTES,
             3 * PART_BYTES + 7,
         ):
-            assembler, sent, other = Arrivals(), offer(1, size), offer(2, 2 * PART_BYTES + 5)
-            first, *rest = parts_of(sent)
-            other_first, *other_rest = parts_of(other)
+            assembler, sent, other = OfferAssembler(), offer(1, size), offer(2, 2 * PART_BYTES + 5)
+            first, *rest = split_offer(sent)
+            other_first, *other_rest = split_offer(other)
             assert isinstance(first, Offer)
             assert isinstance(other_first, Offer)
-            result: Offer | Arriving | Overflow = assembler.begin(first)
+            result: Offer | Incomplete | Overflow = assembler.begin(first)
             assembler.begin(other_first)
             for at, part in enumerate(rest):
                 assert isinstance(part, Chunk)
                 result = assembler.add(part)
                 interleaved = other_rest[at] if at < len(other_rest) - 1 else None
                 if isinstance(interleaved, Chunk):
-                    self.assertEqual(assembler.add(interleaved), Arriving())
+                    self.assertEqual(assembler.add(interleaved), Incomplete())
             self.assertEqual(result, sent)
 
     def test_parts_are_bounded(self) -> None:
         """Large parts would delay other calls on the same connection."""
-        for part in parts_of(offer(1, 5 * PART_BYTES + 9)):
+        for part in split_offer(offer(1, 5 * PART_BYTES + 9)):
             body = part.body if isinstance(part, Chunk) else part.request.body
             self.assertLessEqual(len(body), PART_BYTES)
 
     def test_parts_of_a_dropped_offer_are_ignored(self) -> None:
         """The offer was fenced or cancelled while its body was in transit."""
-        assembler = Arrivals()
-        first, second = parts_of(offer(1, PART_BYTES + 1))
+        assembler = OfferAssembler()
+        first, second = split_offer(offer(1, PART_BYTES + 1))
         assert isinstance(first, Offer)
         assert isinstance(second, Chunk)
         assembler.begin(first)
         assembler.drop(first.attempt)
-        self.assertEqual(assembler.add(second), Arriving())
+        self.assertEqual(assembler.add(second), Incomplete())
 
     def test_total_of_incomplete_bodies_is_bounded(self) -> None:
         """An offer beyond the limit is dropped, and the others can be completed."""
         with patch("cowslipvane.call._body.MAX_INCOMPLETE_BYTES", 3 * PART_BYTES):
-            assembler = Arrivals()
+            assembler = OfferAssembler()
             sent = [offer(serial, 2 * PART_BYTES) for serial in (1, 2)]
-            parts = [list(parts_of(item)) for item in sent]
+            parts = [list(split_offer(item)) for item in sent]
             for first, _ in parts:
                 assert isinstance(first, Offer)
                 assembler.begin(first)
             seconds = [second for _, second in parts]
             assert isinstance(seconds[0], Chunk)
             assert isinstance(seconds[1], Chunk)
-            third = next(iter(parts_of(offer(3, PART_BYTES + 1))))
+            third = next(iter(split_offer(offer(3, PART_BYTES + 1))))
             assert isinstance(third, Offer)
             assembler.begin(third)
             self.assertIsInstance(assembler.add(seconds[0]), Overflow)
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -31,9 +31,9 @@
     def test_later_refusals_do_not_hide_an_unknown_outcome(self) -> None:
         """A call that may have run is not reported as not run after a second refusal."""
         retried_call = call("GET")
-        retried_call.note(LOST)
-        retried_call.note(QueueFull(service=SERVICE, retry_after=1.0))
-        self.assertEqual(retried_call.doubt, LOST)
+        retried_call.record_refusal(LOST)
+        retried_call.record_refusal(QueueFull(service=SERVICE, retry_after=1.0))
+        self.assertEqual(retried_call.unknown_outcome, LOST)
 
 
 if __name__ == "__main__":
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,10 +7,10 @@
 
 from cowslipvane.membership import Member, Worker
 from cowslipvane.refusal import DeadlinePassed, Draining, OwnerUnreachable
-from cowslipvane.routing import Chooser, Load, Result
+from cowslipvane.routing import AttemptResult, Chooser, Load
 from cowslipvane.routing._choice import MAX_EJECTED_SHARE, REMOTE_SHARE
+from cowslipvane.routing._owner_view import LOAD_HALF_LIFE, RAMP_TIME
 from cowslipvane.routing._quantile import Quantile
-from cowslipvane.routing._view import LOAD_HALF_LIFE, RAMP_TIME
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Verdict
 
 LOCAL, REMOTE = DataCentre("local"), DataCentre("remote")
@@ -45,7 +45,7 @@
         owners: Sequence[Member],
         calls: int,
         latency: Callable[[str], float] = lambda host: 0.01,
-        result: Callable[[str], Result] = lambda host: Result.ANSWERED,
+        result: Callable[[str], AttemptResult] = lambda host: AttemptResult.ANSWERED,
     ) -> Counter[str]:
         """Simulate calls one after another, and return how many each owner got."""
         chosen: Counter[str] = Counter()
@@ -61,7 +61,7 @@
         """Report the load of an owner."""
         name = HostName(host)
         self.chooser.begin(name)
-        self.chooser.end(name, Result.REFUSED, load, 0.0, self.now)
+        self.chooser.end(name, AttemptResult.REFUSED, load, 0.0, self.now)
 
     def introduce(self, owners: Sequence[Member]) -> None:
         """Introduce owners to the chooser and wait until they have ramped up."""
@@ -87,11 +87,11 @@
         owners = [owner("a"), owner("b", REMOTE)]
         self.introduce(owners)
         self.report("b", Load(4, 1, 0))
-        for queued, light, remote in ((0, True, False), (7, True, True), (7, False, False)):
+        for queued, small, remote in ((0, True, False), (7, True, True), (7, False, False)):
             self.report("a", Load(4, 4, queued))
-            member = self.chooser.choose(owners, (), self.now, light=light)
+            member = self.chooser.choose(owners, (), self.now, small=small)
             assert member is not None
-            self.assertEqual(member.host == "b", remote, (queued, light))
+            self.assertEqual(member.host == "b", remote, (queued, small))
         self.report("a", Load(4, 4, 17))
         self.assertEqual(self.choose(owners), "b")
 
@@ -176,9 +176,9 @@
         self.now += 40.0
         self.assertGreater(self.drive(owners, 400)["a"], 50)
 
-    def lose(self, *hosts: str) -> Callable[[str], Result]:
+    def lose(self, *hosts: str) -> Callable[[str], AttemptResult]:
         """Return a function that loses every attempt at some hosts."""
-        return lambda host: Result.LOST if host in hosts else Result.ANSWERED
+        return lambda host: AttemptResult.LOST if host in hosts else AttemptResult.ANSWERED
 
     def test_slow_owner_is_ejected(self) -> None:
         """An owner with ten times the latency of the others is an outlier."""
@@ -186,10 +186,10 @@
         self.introduce(owners)
         chosen = self.drive(owners, 1000, lambda host: 0.1 if host == "a" else 0.01)
         self.assertLess(chosen["a"], 100)
-        first, *_ = self.chooser.take_eased()
-        self.assertEqual((first.host, first.loses), ("a", False))
-        self.assertGreater(first.latency, 3 * first.usual)
-        self.assertEqual(self.chooser.take_eased(), [])
+        first, *_ = self.chooser.take_ejections()
+        self.assertEqual((first.host, first.loses_attempts), ("a", False))
+        self.assertGreater(first.latency, 3 * first.median_latency)
+        self.assertEqual(self.chooser.take_ejections(), [])
 
     def test_slow_only_local_owner_is_ejected(self) -> None:
         """The few calls to other data centres show that the owners there are faster."""
@@ -220,9 +220,9 @@
         """An unreachable owner counts as lost, but one that refuses a call does not."""
         lost = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
         timed_out = DeadlinePassed(service=STOCK, verdict=Verdict.NOT_RUN)
-        self.assertIs(Result.of_refusal(lost), Result.LOST)
-        self.assertIs(Result.of_refusal(timed_out), Result.OVERDUE)
-        self.assertIs(Result.of_refusal(Draining(service=STOCK)), Result.REFUSED)
+        self.assertIs(AttemptResult.of_refusal(lost), AttemptResult.LOST)
+        self.assertIs(AttemptResult.of_refusal(timed_out), AttemptResult.TIMED_OUT)
+        self.assertIs(AttemptResult.of_refusal(Draining(service=STOCK)), AttemptResult.REFUSED)
 
     def test_ejections_are_limited_to_a_share(self) -> None:
         """If most owners lose attempts, most of them still get calls."""
@@ -243,7 +243,7 @@
         """Only failures of the owner itself count."""
         owners = [owner(host) for host in "abcd"]
         self.introduce(owners)
-        chosen = self.drive(owners, 400, result=lambda host: Result.GIVEN_UP)
+        chosen = self.drive(owners, 400, result=lambda host: AttemptResult.ABANDONED)
         self.assertGreater(min(chosen.values()), 60)
 
 
--- a/tests/test_short_behind_long.py
+++ b/tests/test_head_of_line_blocking.py
@@ -7,7 +7,7 @@
 from cowslipvane.admission import Admission, FirstComeFirstServed, Policy, Work
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.types import HostName, ServiceName
-from tests.one_owner import Arrival, play
+from tests.admission_simulation import Arrival, simulate
 
 SLOTS = 6
 CHECK_S, POST_S = 0.022, 0.100
@@ -38,7 +38,7 @@
     offered = Counter(arrival.work.kind for arrival in arrivals)
     met = Counter(
         ending.work.kind
-        for ending in play(policy, SLOTS, arrivals, duration)
+        for ending in simulate(policy, SLOTS, arrivals, duration)
         if not ending.expired and ending.work.goal is not None and ending.at <= ending.work.goal
     )
     return {kind: met[kind] / offered[kind] for kind in offered}
--- a/tests/test_refusal_events.py
+++ b/tests/test_refusal_events.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from tests.lone_callers import LOAD, OWNER, LoneCallersTest
+from tests.callers_case import LOAD, OWNER, CallersTestCase
 
 
-class RefusalEventsTest(LoneCallersTest):
+class RefusalEventsTest(CallersTestCase):
     """Tests that a refusal can be explained from its event."""
 
     async def test_event_has_the_tried_owners_and_the_last_reported_load(self) -> None:
