--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -26,8 +26,8 @@
 SLOTS_PER_RESERVED_SLOT = 3
 # Callers to keep tags for; beyond this, callers whose tags have passed are dropped.
 MAX_CALLER_TAGS = 4096
-# The cost of a kind of work without samples, when callers take turns.
-DEFAULT_COST: Seconds = 0.001
+# Lower limit of the cost of work in fair queueing, for kinds without service time samples.
+MIN_COST: Seconds = 0.001
 
 
 class Work(NamedTuple):
@@ -154,7 +154,7 @@
         self._waiting[work.attempt] = waiting
         self._callers[work.caller] += 1
         if work.goal is None and not work.nested:
-            self._next_tags[work.caller] = waiting.tag + max(waiting.cost, DEFAULT_COST)
+            self._next_tags[work.caller] = waiting.tag + max(waiting.cost, MIN_COST)
         heapq.heappush(self._heap_for(waiting.work.kind), waiting)
         return None
 
@@ -240,8 +240,8 @@
     def _with_tag(self, work: Work, now: float) -> _Waiting:
         """Return work with its tag and its estimated cost.
 
-        Work with a goal is ordered by the goal. Work without one is ordered by fair
-        queueing: the caller's next tag advances by the cost of its work.
+        Work with a goal is ordered by the goal. Work without one is ordered by fair queueing: the
+        caller's next tag advances by the cost of its work.
         """
         cost = self._times.estimate(work.kind, now)
         self._latest_offer_at = max(self._latest_offer_at, now)
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -17,19 +17,20 @@
 SLOW_FACTOR = 3.0
 # An owner is no outlier if its latency exceeds the median by less than this.
 MIN_SLOW_EXCESS: Seconds = 0.005
-# Share of the calls that go to other data centres anyway, to keep the latencies there known for
+# Share of the calls that always go to other data centres, to measure the latencies there for
 # comparison.
 REMOTE_SHARE = 0.02
-# Calls per slot at every local owner from which other data centres are considered. Traffic between
-# data centres is expensive, and an owner itself refuses calls that it can't answer within the goal.
+# Other data centres are considered once every local owner has this many calls per slot. Traffic
+# between data centres is expensive, and an owner itself refuses calls that it can't answer within
+# their goal.
 OVERLOAD_CALLS_PER_SLOT = 5.0
 # The same for calls of few bytes, which are cheap to send to another data centre.
 OVERLOAD_CALLS_PER_SLOT_SMALL = 2.5
 # A call that was refused in this data centre goes only to remote owners with fewer calls per slot
 # than this. An owner without a free slot would probably refuse it too, after the bytes were sent.
 MAX_REMOTE_CALLS_PER_SLOT = 1.0
-# How many calls per slot fewer a remote owner must have than the best local one. With a smaller
-# difference the gain would not be worth the traffic between data centres.
+# Difference in calls per slot by which a remote owner must be less loaded than the best local one.
+# A smaller gain would not be worth the traffic between data centres.
 REMOTE_MARGIN_CALLS_PER_SLOT = 0.8
 
 
