--- a/tests/lone_callers.py
+++ b/tests/lone_callers.py
@@ -1,4 +1,4 @@
-"""One process's callers' side alone, for tests of what becomes of a call before an owner has it."""
+"""A base case for tests of the interface to callers without owners, proxies or a worker."""
 
 import os
 import random
@@ -24,7 +24,7 @@
 from cowslipvane.types import Address, HostName, ServiceName, Version
 from tools.lone_replica import event_log
 
-# Test modules run beside each other, each in a process of its own.
+# Test modules run concurrently, each in a process of its own, so each needs its own address.
 LISTENER = Address(f"127.73.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 27_351)
 URL = f"http://{LISTENER}/stock"
 GOAL_S = 0.3
@@ -34,7 +34,7 @@
 
 
 class NoCarrier:
-    """Finds one busy owner for any call, and remembers them."""
+    """Refuses every call after an attempt at one busy owner, and records the calls."""
 
     def __init__(self) -> None:
         self.calls: list[Call] = []
@@ -48,18 +48,18 @@
 
 
 class NoOwner:
-    """Stands for an owner whose worker runs what a test says."""
+    """Stands in for an owner whose worker runs the requests that a test sets."""
 
     def __init__(self) -> None:
         self.running: set[str] = set()
 
     def runs(self, request_id: str) -> bool:
-        """Return whether a request runs."""
+        """Return whether a request is running."""
         return request_id in self.running
 
 
 class LoneCallersTest(unittest.IsolatedAsyncioTestCase):
-    """A listener for callers, behind which there is nothing; a base for tests."""
+    """A listener for callers whose dispatcher and owner are stubs; a base for tests."""
 
     async def asyncSetUp(self) -> None:
         """Listen, with no configuration in force."""
@@ -86,11 +86,11 @@
 
     async def code(self, **headers: str) -> str:
         """Send a call and return the code of its refusal."""
-        async with self.session.get(URL, headers=headers) as answer:
-            return str((await answer.json())["code"])
+        async with self.session.get(URL, headers=headers) as response:
+            return str((await response.json())["code"])
 
     def apply(self) -> None:
-        """Put a first version in force, with a route that has a goal."""
+        """Put a first version in force, with a route that has a latency goal."""
         route = Route(targets=(Target(ServiceName("stock")),), goal=GOAL_S)
         resources = (
             Resource(Key("service", "stock"), Service(), Version(1)),
@@ -103,7 +103,7 @@
         self.applied.send()
 
     def goal_left(self) -> float:
-        """Return how much is left of the goal of the last call."""
+        """Return the remaining time of the latency goal of the last call."""
         left = self.carrier.calls[-1].goal_left(time.monotonic())
         assert left is not None
         return left
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""Tests of the callers' side, over real processes."""
+"""Tests of the interface to callers, over real processes."""
 
 import asyncio
 import unittest
@@ -8,11 +8,11 @@
 
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 
-PATIENCE_S = 5.0
+TIMEOUT_S = 5.0
 
 
 class CallersTest(unittest.IsolatedAsyncioTestCase):
-    """What passes between a caller and an upstream."""
+    """Requests and responses between a caller and an upstream."""
 
     fleet: Fleet
 
@@ -38,19 +38,19 @@
         await cls.fleet.until_in_force(1, cls.fleet.alive)
 
     def setUp(self) -> None:
-        """Note what earlier tests ran."""
-        self.before = len(self.fleet.ledger())
+        """Count the requests that earlier tests ran."""
+        self.ledger_length = len(self.fleet.ledger())
 
     def ran(self) -> list[dict[str, Any]]:
-        """Return what the worker ran in this test."""
-        return self.fleet.ledger()[self.before :]
+        """Return the requests that the worker ran in this test."""
+        return self.fleet.ledger()[self.ledger_length :]
 
     def url(self, host: str) -> str:
         """Return the URL of the upstream through a host's proxy."""
         return f"http://{self.fleet.address(host, 'callers')}/stock/7"
 
-    async def test_a_cookie_stays_with_its_caller(self) -> None:
-        """An upstream's cookie for one caller isn't sent for another."""
+    async def test_cookie_is_not_shared_between_callers(self) -> None:
+        """A cookie that an upstream sets for one caller isn't sent for another caller."""
         jar = aiohttp.DummyCookieJar()
         async with aiohttp.ClientSession(cookie_jar=jar) as session:
             headers = {"X-Set-Cookie": "who=first"}
@@ -59,24 +59,24 @@
             async with session.get(self.url("stock-1")) as second:
                 self.assertEqual((await second.json())["cookie"], "")
 
-    async def test_an_answer_names_the_owner(self) -> None:
-        """A caller learns which proxy serves it without a hop."""
-        async with aiohttp.ClientSession() as session, session.get(self.url("stock-2")) as answer:
-            owner = answer.headers["X-Cowslipvane-Owner"]
+    async def test_response_names_the_owner(self) -> None:
+        """The response names the proxy through which the next request saves a hop."""
+        async with aiohttp.ClientSession() as session, session.get(self.url("stock-2")) as response:
+            owner = response.headers["X-Cowslipvane-Owner"]
             self.assertEqual(owner, self.fleet.address("stock-1", "callers"))
 
     async def exchange(self, head: str, body: str = "", *, host: str = "stock-1") -> str:
-        """Send bytes that close their connection and return all that comes back."""
+        """Send a request that closes its connection, and return all that is received."""
         ip, _, port = self.fleet.address(host, "callers").rpartition(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
         lines = f"{head}\r\nHost: valley\r\nConnection: close\r\n\r\n{body}"
         writer.write(lines.encode())
-        answer = await asyncio.wait_for(reader.read(), PATIENCE_S)
+        response = await asyncio.wait_for(reader.read(), TIMEOUT_S)
         writer.close()
-        return answer.decode()
+        return response.decode()
 
-    async def test_what_could_be_read_in_two_ways_is_refused(self) -> None:
-        """Ambiguous lengths and targets never reach a worker."""
+    async def test_ambiguous_requests_are_refused(self) -> None:
+        """Requests with ambiguous lengths or targets never reach a worker."""
         post = "POST /stock/7 HTTP/1.1\r\n"
         chunked = "Transfer-Encoding: chunked"
         heads = [
@@ -96,22 +96,22 @@
         for head in heads:
             with self.subTest(head):
                 body = "0\r\n\r\n" if "Transfer-Encoding" in head else "abc"
-                answer = await self.exchange(head, body)
-                self.assertEqual(answer.split()[1], "400", answer)
+                response = await self.exchange(head, body)
+                self.assertEqual(response.split()[1], "400", response)
         self.assertEqual(self.ran(), [])
 
-    async def test_an_expectation_is_met_before_the_body(self) -> None:
-        """A caller that waits for 100 gets it, then the answer."""
+    async def test_continue_is_sent_before_the_body(self) -> None:
+        """A caller that expects 100 Continue receives it before the response."""
         head = "POST /stock/7 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3"
         for host in ("stock-1", "stock-2"):
-            answer = await self.exchange(head, "abc", host=host)
-            interim, _, final = answer.partition("\r\n\r\n")
+            response = await self.exchange(head, "abc", host=host)
+            interim, _, final = response.partition("\r\n\r\n")
             self.assertEqual(interim, "HTTP/1.1 100 Continue")
             self.assertTrue(final.startswith("HTTP/1.1 200 OK"), final)
             self.assertIn('"received": 3', final)
 
-    async def test_a_caller_that_goes_away_frees_the_slot(self) -> None:
-        """Its idempotent request is cut at the worker, here and over a link."""
+    async def test_disconnect_of_a_caller_frees_the_slot(self) -> None:
+        """Its idempotent request is aborted at the worker, locally and over a link."""
         for host in ("stock-1", "stock-2"):
             ip, _, port = self.fleet.address(host, "callers").rpartition(":")
             _, writer = await asyncio.open_connection(ip, int(port))
@@ -123,62 +123,62 @@
             self.assertEqual(await self.running(), 0)
 
     async def running(self) -> int:
-        """Return how many requests the owner runs."""
+        """Return how many requests the owner is running."""
         url = f"http://{self.fleet.address('stock-1', 'operators')}/v1/status"
-        async with aiohttp.ClientSession() as session, session.get(url) as answer:
-            return int((await answer.json())["load"]["running"])
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            return int((await response.json())["load"]["running"])
 
-    async def test_head_tells_the_length_and_sends_no_body(self) -> None:
-        """The answer to HEAD has the fields of a GET's."""
-        asked = "HEAD /stock/7 HTTP/1.1\r\nX-Answer-Bytes: 100000"
+    async def test_head_response_has_a_length_and_no_body(self) -> None:
+        """The response to HEAD has the length of the response to GET, and no body."""
+        request_head = "HEAD /stock/7 HTTP/1.1\r\nX-Answer-Bytes: 100000"
         for host in ("stock-1", "stock-2"):
-            head, _, body = (await self.exchange(asked, host=host)).partition("\r\n\r\n")
+            head, _, body = (await self.exchange(request_head, host=host)).partition("\r\n\r\n")
             self.assertEqual(body, "")
             length = next(line for line in head.split("\r\n") if line.startswith("Content-Length"))
             self.assertGreater(int(length.split()[1]), 100000)
 
-    async def test_fields_of_one_hop_and_foreign_ids_stay_behind(self) -> None:
-        """The worker sees no field that Connection names, and one id, ours."""
+    async def test_hop_by_hop_fields_and_callers_ids_are_not_forwarded(self) -> None:
+        """The worker receives no field that Connection names, and only the proxy's request id."""
         head = "GET /stock/7 HTTP/1.1\r\nConnection: X-Mark\r\nX-Mark: no\r\nx-request-id: mine"
         await self.exchange(head)
         [line] = self.ran()
         self.assertEqual(line["mark"], "")
         self.assertNotIn("mine", line["request"])
 
-    async def test_no_field_is_lost_to_its_spelling(self) -> None:
-        """A worker gets all fields of one name, whatever their case."""
+    async def test_fields_that_differ_in_case_are_all_forwarded(self) -> None:
+        """A worker receives all fields of one name, whatever their case."""
         await self.exchange("GET /stock/7 HTTP/1.1\r\nX-Mark: first\r\nx-mark: second")
         [line] = self.ran()
         self.assertEqual(line["mark"], "first")
 
-    async def test_a_broken_answer_is_cut_visibly(self) -> None:
-        """No caller takes a part of an answer for the whole."""
+    async def test_broken_response_resets_the_connection(self) -> None:
+        """A caller can't mistake a part of a response for a complete one."""
         breaks = [{"X-Break-After": "200000"}, {"X-Break-After": "200000", "X-Chunked": "1"}]
         for host in ("stock-1", "stock-2"):
             for headers in breaks:
                 with self.subTest(host=host, headers=headers):
                     async with aiohttp.ClientSession() as session:
                         with self.assertRaises(aiohttp.ClientError):
-                            async with session.get(self.url(host), headers=headers) as answer:
-                                await answer.read()
+                            async with session.get(self.url(host), headers=headers) as response:
+                                await response.read()
                     fields = "".join(f"\r\n{name}: {value}" for name, value in headers.items())
                     with self.assertRaises(ConnectionResetError):
-                        # Only a reset tells a caller of HTTP/1.0 that more was to come.
+                        # In HTTP/1.0, only a reset shows a caller that the response is incomplete.
                         await self.exchange(f"GET /stock/7 HTTP/1.0{fields}", host=host)
         self.assertFalse("Broken" in self.fleet.errors(), "a traceback was written")
 
-    async def test_a_short_broken_answer_becomes_a_refusal(self) -> None:
-        """Nothing was passed on of an answer that breaks in its first part, so its end is told."""
+    async def test_short_broken_response_becomes_a_refusal(self) -> None:
+        """A response that breaks in its first part can be refused, as nothing was forwarded yet."""
         for host in ("stock-1", "stock-2"):
             for chunked in ({}, {"X-Chunked": "1"}):
                 headers = {"X-Break-After": "5000", **chunked}
                 with self.subTest(host=host, headers=headers):
                     async with (
                         aiohttp.ClientSession() as session,
-                        session.get(self.url(host), headers=headers) as answer,
+                        session.get(self.url(host), headers=headers) as response,
                     ):
-                        form = await answer.json()
-                    self.assertEqual((answer.status, form["code"]), (502, "upstream-lost"))
+                        form = await response.json()
+                    self.assertEqual((response.status, form["code"]), (502, "upstream-lost"))
                     self.assertEqual(form["verdict"], "may have run")
 
 
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -1,4 +1,4 @@
-"""Tests that nonsense on a connection costs that connection and nobody else's."""
+"""Tests that malformed input on a connection closes that connection and affects no other."""
 
 import asyncio
 import contextlib
@@ -27,7 +27,13 @@
 HOSTS = ("stock-1", "stock-2", "stock-3")
 PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls")
 STAMP = bytes(12)
-BOMBS = (b"", b"\x00" * 11, b"\x81" * 50_000 + STAMP, b"\x9b" + b"\xff" * 30, b"\xff" * 40)
+MALFORMED_MESSAGES = (
+    b"",
+    b"\x00" * 11,
+    b"\x81" * 50_000 + STAMP,
+    b"\x9b" + b"\xff" * 30,
+    b"\xff" * 40,
+)
 FUZZ = settings(
     derandomize=True,
     max_examples=60,
@@ -35,8 +41,8 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
-# What these messages ask for is done, whatever values are in them; a vote or an entry of a log
-# comes from a replica of the group, whose word counts.
+# These messages are processed whatever their values are. Votes and log entries are left out: they
+# are trusted, since they come from a replica of the group.
 MESSAGES = st.one_of(
     st.from_type(Offer), st.from_type(Cancel), st.from_type(Pull), st.from_type(KeepEvents)
 )
@@ -55,13 +61,13 @@
 
 
 class HostileTest(unittest.TestCase):
-    """Three processes that get nonsense, and a bystander who is served all the while."""
+    """Three processes that receive malformed input, while other connections are served."""
 
     fleet: ClassVar[Fleet]
 
     @classmethod
     def setUpClass(cls) -> None:
-        """Start the processes and bring a version into force."""
+        """Start the processes and put a version in force."""
         hosts = [host for host in example_hosts("quiros") if host.name in HOSTS]
         cls.fleet = Fleet(hosts=hosts)
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
@@ -80,25 +86,25 @@
         await cls.fleet.until_in_force(1, HOSTS)
 
     def tearDown(self) -> None:
-        """Check that every process lives, serves, and has its configuration."""
+        """Check that every process is alive, serves, and has its configuration."""
         self.assertEqual(self.fleet.alive, list(HOSTS))
         asyncio.run(self.check_service())
 
     async def check_service(self) -> None:
-        """Call each proxy."""
+        """Send calls to each proxy."""
         async with aiohttp.ClientSession() as session:
             for host in itertools.chain(HOSTS, HOSTS):
                 url = f"http://{self.fleet.address(host, 'callers')}/stock/7"
-                async with session.get(url) as answer:
-                    self.assertEqual(answer.status, 200, await answer.text())
+                async with session.get(url) as response:
+                    self.assertEqual(response.status, 200, await response.text())
 
     def peers(self) -> Address:
-        """Return the peers' listener that gets the nonsense."""
+        """Return the address of the peers' listener that receives the malformed input."""
         ip, _, port = self.fleet.address("stock-1", "peers").rpartition(":")
         return Address(ip, int(port))
 
     async def send_raw(self, path: str, data: bytes) -> int | None:
-        """Send bytes as one message; return the code with which the connection is closed."""
+        """Send bytes as one message, and return the close code of the connection."""
         async with websocket_connect(f"ws://{self.peers()}{path}", proxy=None) as connection:
             try:
                 await connection.send(data)
@@ -110,25 +116,25 @@
 
     @contextlib.asynccontextmanager
     async def bystander(self) -> AsyncIterator[Link]:
-        """Return the connection of a peer that behaves."""
+        """Open the connection of a peer that sends valid messages."""
         async with connect(self.peers(), "/members") as link:
             await link.send(Hello(sender=HostName("bystander"), data_centre=DataCentre("x")))
             yield link
 
     async def exchange(self, link: Link) -> None:
-        """Ask something on a bystander's connection."""
+        """Send a message on a bystander's connection, and check that a reply arrives."""
         await link.send(Exchange(digest=0, members=()))
         self.assertIsInstance(await link.receive(), ExchangeReply)
 
-    def test_bytes_that_are_no_message_close_their_connection_only(self) -> None:
-        """Each path closes, and a bystander's connection goes on."""
+    def test_invalid_messages_close_only_their_connection(self) -> None:
+        """Each path closes the connection, and a bystander's connection stays usable."""
 
         async def attack() -> None:
-            """Send random bytes and bombs to every path."""
+            """Send random bytes, truncated and oversized messages to every path."""
             rng = random.Random(7)
             async with self.bystander() as bystander:
                 for path in PATHS:
-                    for data in (*BOMBS, *(rng.randbytes(60) for _ in range(5))):
+                    for data in (*MALFORMED_MESSAGES, *(rng.randbytes(60) for _ in range(5))):
                         self.assertIsNotNone(await self.send_raw(path, data), (path, data[:20]))
                     await self.exchange(bystander)
                 with self.assertRaisesRegex(InvalidStatus, "404"):
@@ -145,11 +151,13 @@
 
     @FUZZ
     @given(message=MESSAGES, path=st.sampled_from(PATHS))
-    def test_messages_with_any_values_harm_nobody(self, message: Any, path: str) -> None:
-        """A message of the protocol on any path, with values that make no sense."""
+    def test_messages_with_arbitrary_values_affect_no_bystander(
+        self, message: Any, path: str
+    ) -> None:
+        """A message of the protocol with arbitrary values, on any path, affects no bystander."""
 
         async def attack() -> None:
-            """Send the message, and ask as a bystander."""
+            """Send the message, and another one as a bystander."""
             try:
                 data = encode(message) + STAMP
             except (ValueError, OverflowError):
@@ -165,12 +173,12 @@
 
         asyncio.run(attack())
 
-    def test_an_offer_that_can_t_be_sent_costs_no_slot(self) -> None:
-        """More such offers than there are slots leave the worker's slots as they were."""
+    def test_offer_that_can_t_be_sent_occupies_no_slot(self) -> None:
+        """More such offers than there are slots leave all slots usable."""
         odd = [("GET", "http://127.0.0.1:9/x"), ("GET", "//127.0.0.1:9/x"), ("G\r\nT", "/x")]
 
         async def attack() -> None:
-            """Offer what the HTTP library refuses, or could send elsewhere."""
+            """Offer requests that the HTTP library refuses, or could send to another server."""
             async with connect(self.peers(), "/calls") as link:
                 for number in range(30):
                     method, path = odd[number % len(odd)]
@@ -183,41 +191,43 @@
                         caller="",
                     )
                     await link.send(offer)
-                    answer = await asyncio.wait_for(link.receive(), 5)
+                    response = await asyncio.wait_for(link.receive(), 5)
                     if method == "GET":
-                        # The worker of this owner gets the odd target as it is, and no other.
-                        self.assertIn(b'"service": "stock"', answer.body, path)
+                        # Only the worker of this owner receives the odd target, unchanged.
+                        self.assertIn(b'"service": "stock"', response.body, path)
                     else:
-                        self.assertEqual(type(answer).__name__, "Refused", (method, path))
+                        self.assertEqual(type(response).__name__, "Refused", (method, path))
 
         asyncio.run(attack())
 
-    def test_a_target_never_leads_away_from_the_worker(self) -> None:
-        """An absolute target is refused; the server that it names hears nothing."""
+    def test_absolute_target_is_not_connected_to(self) -> None:
+        """An absolute target is refused, and the server that it names isn't connected to."""
 
         async def attack() -> None:
-            """Name a server of our own in the target."""
-            heard = 0
+            """Name a server of this test in the target."""
+            connections = 0
 
-            async def hear(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            async def count_connection(
+                _: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
                 """Count a connection."""
-                nonlocal heard
-                heard += 1
+                nonlocal connections
+                connections += 1
                 writer.close()
 
-            async with await asyncio.start_server(hear, "127.0.0.1", 0) as server:
+            async with await asyncio.start_server(count_connection, "127.0.0.1", 0) as server:
                 own = server.sockets[0].getsockname()[1]
                 for _ in range(8):
                     target = f"GET http://127.0.0.1:{own}/stock/7 HTTP/1.1\r\n"
                     head = f"{target}Host: a\r\nConnection: close\r\n\r\n".encode()
-                    answer = await self.send_head("callers", head)
-                    self.assertIn(b" 400 ", answer.partition(b"\n")[0])
-            self.assertEqual(heard, 0)
+                    response = await self.send_head("callers", head)
+                    self.assertIn(b" 400 ", response.partition(b"\n")[0])
+            self.assertEqual(connections, 0)
 
         asyncio.run(attack())
 
     async def send_head(self, listener: str, data: bytes) -> bytes:
-        """Send bytes to a listener and return what comes back."""
+        """Send bytes to a listener and return the start of its response."""
         ip, _, port = self.fleet.address("stock-1", listener).rpartition(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
         try:
@@ -230,22 +240,22 @@
         finally:
             writer.close()
 
-    def test_odd_heads_get_an_error_and_no_traceback(self) -> None:
-        """Callers' and operators' listeners answer with 4xx, or close."""
+    def test_malformed_heads_get_an_error_and_no_traceback(self) -> None:
+        """The listeners for callers and operators respond with 4xx, or close the connection."""
 
         async def attack() -> None:
-            """Send known and random heads."""
+            """Send fixed and random heads."""
             rng = random.Random(11)
-            known = HEADS + tuple(rng.randbytes(80) + b"\r\n\r\n" for _ in range(40))
-            for listener, head in itertools.product(("callers", "operators"), known):
-                answer = await self.send_head(listener, head)
-                self.assertRegex(answer[:13], rb"^(HTTP/1\.[01] 4|$)", head[:60])
+            heads = HEADS + tuple(rng.randbytes(80) + b"\r\n\r\n" for _ in range(40))
+            for listener, head in itertools.product(("callers", "operators"), heads):
+                response = await self.send_head(listener, head)
+                self.assertRegex(response[:13], rb"^(HTTP/1\.[01] 4|$)", head[:60])
 
         asyncio.run(attack())
         self.assertNotIn("Traceback", self.fleet.errors())
 
-    def test_operators_get_a_sentence_for_bad_bodies(self) -> None:
-        """Each bad body has its status, as JSON with a sentence."""
+    def test_invalid_bodies_get_a_sentence(self) -> None:
+        """Each invalid body has its own status, and a JSON response with a sentence."""
         bodies: list[tuple[str, bytes, str, int]] = [
             ("changes", b"{", "application/json", 400),
             ("changes", b"\xff\xfe", "application/json", 400),
@@ -263,9 +273,13 @@
             async with aiohttp.ClientSession() as session:
                 for path, body, kind, status in bodies:
                     headers = {"Content-Type": kind} if kind else {}
-                    async with session.post(f"{url}/{path}", data=body, headers=headers) as answer:
-                        form = await answer.json()
-                        self.assertEqual((answer.status, "sentence" in form), (status, True), form)
+                    async with session.post(
+                        f"{url}/{path}", data=body, headers=headers
+                    ) as response:
+                        form = await response.json()
+                        self.assertEqual(
+                            (response.status, "sentence" in form), (status, True), form
+                        )
 
         asyncio.run(attack())
         self.assertNotIn("Traceback", self.fleet.errors())
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,4 +1,4 @@
-"""Tests of the owner, the links to it, and the entry, against a scripted worker."""
+"""Tests of the owner, the links to it, and the entry proxy, against a scripted worker."""
 
 import asyncio
 import random
@@ -54,15 +54,15 @@
 CENTRE = DataCentre("north")
 NOWHERE = Address("127.0.0.1", 1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-PATIENCE_S = 5.0
+TIMEOUT_S = 5.0
 
 
 class ScriptedWorker:
-    """Answers /ok at once, /wait when released, and drops the connection of /drop."""
+    """Responds to /ok at once and to /wait when released; closes the connection on /drop."""
 
     def __init__(self) -> None:
-        self.seen: list[str] = []
-        self.cut: list[str] = []
+        self.received: list[str] = []
+        self.aborted: list[str] = []
         self.fields: list[str] = []
         self.release = asyncio.Event()
         self.arrived = asyncio.Event()
@@ -80,7 +80,7 @@
         self._server.close()
 
     async def stop(self) -> None:
-        """Stop listening, and end all connections."""
+        """Stop listening, and wait for all connections to end."""
         self.close()
         await asyncio.gather(*self._connections)
 
@@ -98,7 +98,7 @@
                     if field.lower().startswith(b"content-length:"):
                         length = int(field.partition(b":")[2])
                 await reader.readexactly(length)
-                self.seen.append(path)
+                self.received.append(path)
                 self.arrived.set()
                 if path.startswith("/drop"):
                     self.close()
@@ -110,12 +110,12 @@
             writer.close()
 
     async def _wait(self, reader: asyncio.StreamReader, path: str) -> None:
-        """Wait for the release, and note when the connection is closed before."""
+        """Wait for the release, and record if the connection is closed earlier."""
         closed = asyncio.create_task(reader.read(1))
         released = asyncio.create_task(self.release.wait())
         await asyncio.wait([closed, released], return_when=asyncio.FIRST_COMPLETED)
         if closed.done():
-            self.cut.append(path)
+            self.aborted.append(path)
         closed.cancel()
         released.cancel()
         await asyncio.gather(closed, released, return_exceptions=True)
@@ -144,24 +144,24 @@
 
 
 async def stop(task: asyncio.Task[None]) -> None:
-    """Cancel a task and wait for its end."""
+    """Cancel a task and wait until it has ended."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
 
 
 class Inbox:
-    """Collects the answers to attempts."""
+    """Collects the replies to attempts."""
 
     def __init__(self) -> None:
         self._queue: asyncio.Queue[OwnerMessage] = asyncio.Queue()
 
     async def reply(self, message: OwnerMessage) -> None:
-        """Take a message."""
+        """Queue a message."""
         self._queue.put_nowait(message)
 
     async def next(self) -> OwnerMessage:
         """Return the next message."""
-        return await asyncio.wait_for(self._queue.get(), PATIENCE_S)
+        return await asyncio.wait_for(self._queue.get(), TIMEOUT_S)
 
     async def verdict(self) -> Verdict:
         """Return the verdict of the next message, which is a refusal."""
@@ -183,7 +183,7 @@
 
 
 class OwnerTest(unittest.IsolatedAsyncioTestCase):
-    """What the owner does with attempts."""
+    """The owner's handling of attempts."""
 
     async def asyncSetUp(self) -> None:
         """Start an owner whose worker has one slot."""
@@ -201,39 +201,39 @@
         """Offer an attempt and return once the worker has it."""
         self.worker.arrived.clear()
         await self.owner.offer(given, self.inbox.reply)
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
 
     def cancel(self, given: Offer) -> Cancel:
-        """Return the message that gives an offer up."""
+        """Return the message that cancels an offer."""
         return Cancel(attempt=given.attempt, incarnation=1)
 
     def fence(self, given: Offer) -> Fence:
         """Return the message that fences an offer."""
         return Fence(attempt=given.attempt, incarnation=1)
 
-    async def test_a_broken_connection_sends_nothing_twice(self) -> None:
-        """A request whose kept-alive connection breaks may have run, and isn't sent again."""
+    async def test_request_is_not_resent_after_a_broken_connection(self) -> None:
+        """A request whose reused connection breaks may have run, and isn't sent again."""
         await self.begin(offer(1, "/ok"))
         self.assertIsInstance(await self.inbox.next(), Answer)
         await self.begin(offer(2, "/drop"))
         self.assertEqual(await self.inbox.verdict(), Verdict.MAY_HAVE_RUN)
-        self.assertEqual(self.worker.seen, ["/ok", "/drop"])
+        self.assertEqual(self.worker.received, ["/ok", "/drop"])
 
-    async def test_the_worker_is_told_the_time_left(self) -> None:
-        """The deadline goes with the request."""
+    async def test_worker_receives_the_remaining_time(self) -> None:
+        """The remaining time is sent with the request."""
         await self.begin(offer(1, "/ok", timeout=2.0))
         left = [field for field in self.worker.fields if field.startswith("X-Request-Timeout-Ms")]
         self.assertEqual(len(left), 1)
         self.assertTrue(0 < int(left[0].split()[1]) <= 2000, left)
 
-    async def test_no_connection_means_not_run(self) -> None:
-        """A worker that doesn't listen has run nothing."""
+    async def test_refused_connection_means_not_run(self) -> None:
+        """A request for a worker that doesn't listen is not run."""
         self.worker.close()
         await self.owner.offer(offer(1, "/ok"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
 
-    async def test_a_worker_that_can_t_be_reached_is_out_until_it_announces_itself(self) -> None:
-        """Its service has no upstream here meanwhile, so callers are sent elsewhere at once."""
+    async def test_unreachable_worker_is_deregistered_until_it_announces_itself(self) -> None:
+        """Until then its requests are refused at once, so that other upstreams get them."""
         self.worker.close()
         codes = []
         for serial in range(1, 6):
@@ -246,8 +246,8 @@
         await self.owner.offer(offer(6, "/ok"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
 
-    async def test_a_cancelled_attempt_in_the_queue_never_starts(self) -> None:
-        """Its verdict is not run, and the worker never sees it."""
+    async def test_cancelled_attempt_in_the_queue_never_starts(self) -> None:
+        """Its verdict is "not run", and the worker never receives it."""
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok"), self.inbox.reply)
         await self.owner.cancel(self.cancel(offer(2, "/ok")), self.inbox.reply)
@@ -255,25 +255,25 @@
         self.worker.release.set()
         self.assertIsInstance(await self.inbox.next(), Answer)
         await self.begin(offer(3, "/ok/3"))
-        self.assertEqual(self.worker.seen, ["/wait", "/ok/3"])
+        self.assertEqual(self.worker.received, ["/wait", "/ok/3"])
 
-    async def test_running_work_is_cut_only_when_idempotent(self) -> None:
-        """A cancelled GET frees its slot; a cancelled PUT keeps it until it ends."""
+    async def test_running_work_is_aborted_only_if_idempotent(self) -> None:
+        """A cancelled GET frees its slot; a cancelled PUT holds its slot until it ends."""
         await self.begin(offer(1, "/wait/1", method="GET"))
         await self.owner.cancel(self.cancel(offer(1, "")), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.MAY_HAVE_RUN)
         await self.begin(offer(2, "/wait/2"))
-        self.assertEqual(self.worker.cut, ["/wait/1"])
+        self.assertEqual(self.worker.aborted, ["/wait/1"])
         await self.owner.cancel(self.cancel(offer(2, "")), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.MAY_HAVE_RUN)
         await self.owner.offer(offer(3, "/ok"), self.inbox.reply)
         self.assertEqual(self.owner.load.running, 1)
         self.worker.release.set()
         self.assertIsInstance(await self.inbox.next(), Answer)
-        self.assertEqual(self.worker.cut, ["/wait/1"])
+        self.assertEqual(self.worker.aborted, ["/wait/1"])
 
-    async def test_a_fence_fetches_the_answer_of_a_lost_link(self) -> None:
-        """What runs goes on when its link is lost, and answers over the next one."""
+    async def test_fence_returns_the_response_after_a_lost_link(self) -> None:
+        """A running attempt survives the loss of its link, and is replied to over the next one."""
         await self.begin(offer(1, "/wait"))
         self.owner.forsake(offer(1, "").attempt, self.inbox.reply)
         second = Inbox()
@@ -284,10 +284,10 @@
         third = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), third.reply)
         self.assertEqual(await third.next(), first)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertEqual(self.worker.received, ["/wait"])
 
-    async def test_a_link_lost_late_does_not_withdraw(self) -> None:
-        """The loss of an old link, seen after a fence over the next one, changes nothing."""
+    async def test_late_loss_of_an_old_link_does_not_cancel(self) -> None:
+        """The loss of an old link has no effect if it is noticed after a fence over a new link."""
         await self.begin(offer(1, "/wait", method="GET"))
         second = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), second.reply)
@@ -295,17 +295,17 @@
         self.worker.release.set()
         self.assertIsInstance(await second.next(), Answer)
 
-    async def test_an_offer_after_its_fence_does_not_run(self) -> None:
-        """A fence bars an offer that was overtaken on its way."""
+    async def test_offer_after_its_fence_does_not_run(self) -> None:
+        """A fence bars an offer that arrives later."""
         await self.owner.fence(self.fence(offer(1, "")), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.owner.offer(offer(1, "/ok/1"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.begin(offer(2, "/ok/2"))
-        self.assertEqual(self.worker.seen, ["/ok/2"])
+        self.assertEqual(self.worker.received, ["/ok/2"])
 
-    async def test_an_owner_that_is_out_starts_nothing(self) -> None:
-        """What waits and what comes later is not run, what runs ends."""
+    async def test_owner_that_is_out_starts_nothing(self) -> None:
+        """Queued and later attempts are not run; running ones finish."""
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
         out = Resource(Key("upstream", "a"), Upstream(state="out"), Version(1))
@@ -316,25 +316,25 @@
         self.assertIsInstance(await self.inbox.next(), Answer)
         await self.owner.offer(offer(3, "/ok/3"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertEqual(self.worker.received, ["/wait"])
 
-    async def test_other_traits_cut_nothing(self) -> None:
-        """What runs ends, what waits is not run, and the new slots start after the old ones."""
+    async def test_changed_worker_properties_abort_nothing(self) -> None:
+        """Running work finishes, queued work is not run, and new slots wait for the old ones."""
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
         await self.owner.announce(Worker(SERVICE, self.address, 2, 10))
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.owner.offer(offer(3, "/ok/3"), self.inbox.reply)
         await asyncio.sleep(0.05)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertEqual(self.worker.received, ["/wait"])
         self.worker.release.set()
         self.assertIsInstance(await self.inbox.next(), Answer)
         self.assertIsInstance(await self.inbox.next(), Answer)
-        self.assertEqual(self.worker.cut, [])
+        self.assertEqual(self.worker.aborted, [])
 
 
 class EntryTest(unittest.IsolatedAsyncioTestCase):
-    """What the entry does when the link to an owner on another host breaks."""
+    """The entry proxy when the link to an owner on another host breaks."""
 
     async def asyncSetUp(self) -> None:
         """Start an owner behind a link that the test can break."""
@@ -342,7 +342,7 @@
         announced = Worker(SERVICE, await self.worker.start(), 1, 10)
         self.addAsyncCleanup(self.worker.stop)
         self.connections: list[ServerConnection] = []
-        self.deaf = False
+        self.closes_at_once = False
         self.server = server = await serve(self._serve, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
@@ -350,8 +350,8 @@
         record = member("b", peers, announced)
         self.owner = make_owner(record._replace(worker=None))
         await self.owner.announce(announced)
-        self.guard = asyncio.create_task(self.owner.run())
-        self.addAsyncCleanup(stop, self.guard)
+        self.owner_task = asyncio.create_task(self.owner.run())
+        self.addAsyncCleanup(stop, self.owner_task)
         await asyncio.sleep(0)
         entry = member("a", NOWHERE, None)
         membership = Membership(own=entry, now=time.monotonic())
@@ -371,7 +371,7 @@
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one link."""
         self.connections.append(connection)
-        if self.deaf:
+        if self.closes_at_once:
             await connection.recv()
             await connection.close(CloseCode.GOING_AWAY)
             return
@@ -381,7 +381,7 @@
             return
 
     def call(self, path: str, timeout: float) -> Call:
-        """Return a call that may run once only."""
+        """Return a call that may run only once."""
         retry = RetryPolicy(attempts=1, methods=())
         return Call(
             request_id=RequestId(path),
@@ -390,57 +390,60 @@
             deadline=time.monotonic() + timeout,
         )
 
-    async def test_a_broken_link_doubles_and_loses_nothing(self) -> None:
-        """The entry asks the owner again and gets the answer of the one run."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+    async def test_broken_link_neither_repeats_nor_loses_a_call(self) -> None:
+        """The entry proxy fences the attempt and receives the response of its only run."""
+        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         self.connections[0].transport.abort()
         await asyncio.sleep(0.05)
         self.worker.release.set()
-        self.assertIsInstance(await carrying, Served)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertIsInstance(await dispatching, Served)
+        self.assertEqual(self.worker.received, ["/wait"])
 
-    async def test_a_small_call_does_not_wait_behind_the_bytes_of_a_large_one(self) -> None:
-        """Both share a link, and the small one is whole at the owner first."""
+    async def test_small_call_does_not_wait_for_the_body_of_a_large_one(self) -> None:
+        """Both share a link, and the small one is complete at the owner first."""
         arrived: list[str] = []
         offer_to_owner = self.owner.offer
 
-        async def note(offer: Offer, reply: Reply) -> None:
+        async def record_arrival(offer: Offer, reply: Reply) -> None:
             arrived.append(offer.request.path)
             await offer_to_owner(offer, reply)
 
         self.worker.release.set()
-        large = self.call("/large", PATIENCE_S)
-        with_body = Request("POST", "/large", (), bytes(8 << 20))
-        with patch.object(self.owner, "offer", note), patch.object(large, "_request", with_body):
+        large = self.call("/large", TIMEOUT_S)
+        large_request = Request("POST", "/large", (), bytes(8 << 20))
+        with (
+            patch.object(self.owner, "offer", record_arrival),
+            patch.object(large, "_request", large_request),
+        ):
             sending = asyncio.create_task(self.carrier.carry(large))
-            # The large one has begun once the link is there and the loop has turned some times.
+            # Wait for the link, then a few turns of the event loop for the large call to start.
             for _ in range(100_000):
                 if self.connections:
                     break
                 await asyncio.sleep(0)
             for _ in range(10):
                 await asyncio.sleep(0)
-            self.assertIsInstance(await self.carrier.carry(self.call("/ok", PATIENCE_S)), Served)
+            self.assertIsInstance(await self.carrier.carry(self.call("/ok", TIMEOUT_S)), Served)
             await sending
         self.assertEqual(arrived, ["/ok", "/large"])
 
-    async def test_an_owner_that_is_gone_for_good_may_have_run_it(self) -> None:
-        """Nobody can tell any more, and a true refusal says so."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+    async def test_permanently_lost_owner_may_have_run_the_call(self) -> None:
+        """The outcome stays unknown, and the refusal reports it."""
+        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         self.server.close(close_connections=False)
         with patch("cowslipvane.tasks._carrier.RESOLVE_TIME", 0.2):
             self.connections[0].transport.abort()
-            refusal = await carrying
+            refusal = await dispatching
         assert isinstance(refusal, OwnerUnreachable)
         self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
 
-    async def test_a_broken_link_takes_waiting_work_back(self) -> None:
-        """What had not started is truly not run."""
-        first = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
-        second = asyncio.create_task(self.carrier.carry(self.call("/ok", PATIENCE_S)))
+    async def test_broken_link_withdraws_queued_work(self) -> None:
+        """A queued call whose link breaks is withdrawn, and its verdict is "not run"."""
+        first = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
+        second = asyncio.create_task(self.carrier.carry(self.call("/ok", TIMEOUT_S)))
         await asyncio.sleep(0.1)
         self.assertEqual(self.owner.load.queued, 1)
         self.connections[0].transport.abort()
@@ -449,29 +452,29 @@
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
         self.worker.release.set()
         self.assertIsInstance(await first, Served)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertEqual(self.worker.received, ["/wait"])
 
-    async def test_an_owner_that_went_away_as_planned_leaves_no_doubt(self) -> None:
-        """What it had not answered by then was never started."""
-        self.deaf = True
-        refusal = await self.carrier.carry(self.call("/ok", PATIENCE_S))
+    async def test_planned_close_means_not_run_without_a_reply(self) -> None:
+        """A call without a reply at that point was never started."""
+        self.closes_at_once = True
+        refusal = await self.carrier.carry(self.call("/ok", TIMEOUT_S))
         assert not isinstance(refusal, Served)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
 
-    async def test_an_owner_answers_what_it_cuts_before_it_goes(self) -> None:
-        """What ran when its slots were stopped may have run."""
-        carrying = asyncio.create_task(self.carrier.carry(self.call("/wait", PATIENCE_S)))
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
-        await stop(self.guard)
+    async def test_stopping_owner_replies_to_cancelled_work(self) -> None:
+        """The verdict on work that is cancelled with the slots is "may have run"."""
+        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
+        await stop(self.owner_task)
         await self.connections[0].close(CloseCode.GOING_AWAY)
-        refusal = await carrying
+        refusal = await dispatching
         assert not isinstance(refusal, Served)
         self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
 
-    async def test_a_deadline_tells_the_true_verdict(self) -> None:
-        """A call that ran may have run; one that waited behind it was not run."""
+    async def test_verdict_after_the_deadline(self) -> None:
+        """A call that started may have run; one queued behind it was not run."""
         first = asyncio.create_task(self.carrier.carry(self.call("/wait", 0.3)))
-        await asyncio.wait_for(self.worker.arrived.wait(), PATIENCE_S)
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         verdicts = []
         for refusal in [await self.carrier.carry(self.call("/ok", 0.2)), await first]:
             assert not isinstance(refusal, Served)
@@ -482,7 +485,7 @@
         )
         self.worker.release.set()
         await asyncio.sleep(0.05)
-        self.assertEqual(self.worker.seen, ["/wait"])
+        self.assertEqual(self.worker.received, ["/wait"])
 
 
 if __name__ == "__main__":
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,7 +19,7 @@
 HOSTS = ("a", "b", "c")
 IP = "127.73.51.10"
 PORT = 27_352
-PATIENCE_S = 20.0
+TIMEOUT_S = 20.0
 
 
 def owner(host: str, incarnation: int = 1) -> Member:
@@ -30,8 +30,8 @@
     )
 
 
-class HeldLink:
-    """A link whose closing lasts until all others are closing too."""
+class SlowClosingLink:
+    """A link that finishes closing only once all others are closing too."""
 
     barrier: asyncio.Barrier
     closed = False
@@ -39,34 +39,34 @@
     def __init__(self, *, member: Member, **_: Any) -> None:
         self._member = member
 
-    def is_to(self, member: Member) -> bool:
+    def is_for(self, member: Member) -> bool:
         """Return whether the link is to an owner."""
         return self._member == member
 
     async def close(self) -> None:
-        """Wait for the other links' closing."""
+        """Wait until the other links are closing."""
         await self.barrier.wait()
 
 
 class CloseTest(unittest.IsolatedAsyncioTestCase):
-    """How the connections end with their process."""
+    """Closing the connections when the process exits."""
 
-    async def test_peers_that_do_not_answer_are_left_together(self) -> None:
-        """One after another they would take longer than the exit may."""
-        HeldLink.barrier = asyncio.Barrier(len(HOSTS))
-        with patch.object(_peers, "PeerLink", HeldLink):
+    async def test_links_are_closed_concurrently(self) -> None:
+        """Closing one after another could take longer than the time for the exit."""
+        SlowClosingLink.barrier = asyncio.Barrier(len(HOSTS))
+        with patch.object(_peers, "PeerLink", SlowClosingLink):
             peers = Peers(events=event_log())
             for host in HOSTS:
                 peers.link(owner(host))
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             await peers.close()
 
 
-class ReachTest(unittest.IsolatedAsyncioTestCase):
-    """The load pattern of a partition: calls for owners that can't be reached."""
+class ReachabilityTest(unittest.IsolatedAsyncioTestCase):
+    """Reachability of owners during a partition."""
 
     async def asyncSetUp(self) -> None:
-        """Begin with connections to nobody."""
+        """Start without connections."""
         self.events = event_log()
         self.peers = Peers(events=self.events)
         self.addAsyncCleanup(self.peers.close)
@@ -74,13 +74,13 @@
         self.mailbox: Mailbox = asyncio.Queue()
 
     async def listen(self) -> Any:
-        """Let the owner take connections, on which it answers nothing."""
+        """Let the owner accept connections, on which it never replies."""
         server = await serve(self.hold, IP, PORT, ping_interval=None)
         self.addCleanup(server.close)
         return server
 
     async def hold(self, connection: ServerConnection) -> None:
-        """Keep a connection until it is closed."""
+        """Hold a connection open until it is closed."""
         self.connections.append(connection)
         await connection.wait_closed()
 
@@ -89,15 +89,15 @@
         cancel = Cancel(attempt=AttemptId(HostName("x"), 1, 1), incarnation=1)
         await self.peers.link(member).send(cancel, self.mailbox)
 
-    async def until(self, holds: Callable[[], object]) -> None:
-        """Return once something holds."""
-        give_up = time.monotonic() + PATIENCE_S
-        while not holds():
-            self.assertLess(time.monotonic(), give_up, "waited in vain")
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Return once a condition holds."""
+        give_up_at = time.monotonic() + TIMEOUT_S
+        while not condition():
+            self.assertLess(time.monotonic(), give_up_at, "timed out")
             await asyncio.sleep(0.01)
 
-    async def test_an_owner_that_can_not_be_reached_is_known_as_such(self) -> None:
-        """Further calls aren't handed to it, and it is tried again without them."""
+    async def test_unreachable_owner_is_not_reachable_until_reconnected(self) -> None:
+        """Further calls aren't sent to it, and reconnecting doesn't depend on them."""
         self.assertTrue(self.peers.is_reachable(owner("a")))
         await self.send(owner("a"))
         self.assertEqual(await self.mailbox.get(), LinkLost(in_doubt=False))
@@ -107,8 +107,8 @@
         states = [form["detail"]["state"] for form in self.events.select()]
         self.assertEqual(states, ["lost", "reached again"])
 
-    async def test_a_silent_owner_is_not_reachable_until_it_is_connected_to_again(self) -> None:
-        """Its connection is open, but it answers nothing."""
+    async def test_silent_owner_is_not_reachable(self) -> None:
+        """Its connection is open, but it doesn't respond to probes."""
         server = await self.listen()
         await self.send(owner("a"))
         await self.until(lambda: self.connections)
@@ -117,8 +117,8 @@
         self.assertEqual(await self.mailbox.get(), LinkLost(in_doubt=True))
         self.assertFalse(self.peers.is_reachable(owner("a")))
 
-    async def test_a_reset_is_no_sign_that_an_owner_is_gone(self) -> None:
-        """The next call waits for the new connection."""
+    async def test_owner_stays_reachable_after_a_reset(self) -> None:
+        """The next call waits for the new connection, instead of failing."""
         await self.listen()
         await self.send(owner("a"))
         await self.until(lambda: self.connections)
@@ -128,8 +128,8 @@
         await self.send(owner("a"))
         await self.until(lambda: len(self.connections) == 2)
 
-    async def test_the_next_life_of_an_owner_is_tried_at_once(self) -> None:
-        """What was found of the life before says nothing of it."""
+    async def test_next_incarnation_of_an_owner_is_tried_at_once(self) -> None:
+        """The state of the previous incarnation isn't carried over to it."""
         await self.send(owner("a"))
         await self.mailbox.get()
         self.assertTrue(self.peers.is_reachable(owner("a", incarnation=2)))
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -1,4 +1,4 @@
-"""Tests of requests that are sent before the first one is answered."""
+"""Tests of pipelined requests, which are sent before the first response."""
 
 import asyncio
 import unittest
@@ -10,26 +10,26 @@
 from cowslipvane.tasks._pipeline import Ahead, fetched_ahead
 from cowslipvane.types import Address
 
-PATIENCE_S = 5.0
+TIMEOUT_S = 5.0
 
 
 class PipelineTest(unittest.IsolatedAsyncioTestCase):
-    """That a slow answer holds back the answers behind it, but not their work."""
+    """A slow response delays the responses behind it, but not the work on them."""
 
     async def asyncSetUp(self) -> None:
-        """Listen with a fetch whose first request waits for the second one's."""
-        self.second_began = asyncio.Event()
+        """Listen with a fetch function whose first request waits for its second one."""
+        self.second_started = asyncio.Event()
         self.cancelled: list[str] = []
-        self.begun: list[str] = []
+        self.started: list[str] = []
         self.discarded: list[str] = []
 
         async def fetch(http: web.BaseRequest) -> str:
-            self.begun.append(http.path)
+            self.started.append(http.path)
             try:
                 if http.path == "/1":
-                    await self.second_began.wait()
+                    await self.second_started.wait()
                 elif http.path == "/2":
-                    self.second_began.set()
+                    self.second_started.set()
                 elif http.path == "/never":
                     await asyncio.Event().wait()
             except asyncio.CancelledError:
@@ -56,10 +56,10 @@
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(self.writer.close)
 
-    async def until(self, wanted: Callable[[], bool]) -> None:
-        """Return once something is so."""
-        async with asyncio.timeout(PATIENCE_S):
-            while not wanted():  # noqa: ASYNC110
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Return once a condition holds."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0)
 
     def send(self, *paths: str, method: str = "GET") -> None:
@@ -68,52 +68,52 @@
         self.writer.write("".join(heads).encode())
 
     async def body(self) -> str:
-        """Return the next answer's body."""
-        async with asyncio.timeout(PATIENCE_S):
+        """Return the body of the next response."""
+        async with asyncio.timeout(TIMEOUT_S):
             head = await self.reader.readuntil(b"\r\n\r\n")
             length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
             return (await self.reader.readexactly(length)).decode()
 
-    async def test_the_second_is_worked_on_while_the_first_waits(self) -> None:
-        """And the answers come in the order of the requests."""
+    async def test_second_request_is_fetched_while_the_first_waits(self) -> None:
+        """The responses still arrive in the order of the requests."""
         self.send("/1", "/2", "/3")
         self.assertEqual([await self.body() for _ in range(3)], ["/1", "/2", "/3"])
-        self.assertEqual(sorted(self.begun), ["/1", "/2", "/3"])
+        self.assertEqual(sorted(self.started), ["/1", "/2", "/3"])
 
-    async def test_a_later_arrival_is_begun_too(self) -> None:
-        """While the first is under way."""
+    async def test_request_that_arrives_later_is_prefetched(self) -> None:
+        """A request that arrives while the first is under way is prefetched as well."""
         self.send("/1")
         await asyncio.sleep(0.05)
         self.send("/2")
         self.assertEqual([await self.body(), await self.body()], ["/1", "/2"])
 
-    async def test_what_may_not_be_repeated_waits_for_its_turn(self) -> None:
-        """It isn't begun while another request could still close the connection."""
+    async def test_unsafe_request_is_not_prefetched(self) -> None:
+        """It isn't started while an earlier request could still close the connection."""
         self.send("/1")
         self.send("/post", method="DELETE")
         self.send("/2")
         self.assertEqual(await self.body(), "/1")
-        self.assertEqual(sorted(self.begun[:2]), ["/1", "/2"])
+        self.assertEqual(sorted(self.started[:2]), ["/1", "/2"])
 
-    async def test_a_caller_that_leaves_ends_all_its_work(self) -> None:
-        """Also what waited for its turn."""
+    async def test_disconnect_cancels_all_requests(self) -> None:
+        """Prefetching of later requests is cancelled as well."""
         self.send("/never", "/never")
-        await self.until(lambda: len(self.begun) == 2)
+        await self.until(lambda: len(self.started) == 2)
         self.writer.close()
         await self.until(lambda: len(self.cancelled) == 2)
 
-    async def test_what_is_ready_before_its_turn_is_given_up_with_its_caller(self) -> None:
-        """Nothing stays under way."""
+    async def test_disconnect_discards_prefetched_responses(self) -> None:
+        """A response that is ready when its caller disconnects doesn't stay under way."""
         self.send("/never", "/3")
-        await self.until(lambda: len(self.begun) == 2)
+        await self.until(lambda: len(self.started) == 2)
         self.writer.close()
         await self.until(lambda: self.discarded == ["/3"])
 
-    async def test_a_planned_close_answers_what_was_begun(self) -> None:
-        """The connection ends after the last answer."""
+    async def test_planned_close_sends_prefetched_responses(self) -> None:
+        """The connection is closed after the last response."""
         self.send("/1", "/3", "/2")
-        await self.until(lambda: len(self.begun) == 3)
-        async with asyncio.timeout(PATIENCE_S):
+        await self.until(lambda: len(self.started) == 3)
+        async with asyncio.timeout(TIMEOUT_S):
             await self.listener.finish()
             self.assertEqual([await self.body() for _ in range(3)], ["/1", "/3", "/2"])
             self.assertEqual(await self.reader.read(), b"")
--- a/tests/test_signal.py
+++ b/tests/test_signal.py
@@ -7,17 +7,17 @@
 
 
 class SignalTest(unittest.IsolatedAsyncioTestCase):
-    """Waking the tasks that wait."""
+    """Signals that wake waiting tasks."""
 
-    async def test_a_cancellation_that_comes_with_the_wake_up_is_not_lost(self) -> None:
-        """A task that waits again and again ends, or a planned stop would wait for it for ever."""
+    async def test_cancellation_that_coincides_with_the_wake_up_is_not_lost(self) -> None:
+        """Otherwise a planned stop would wait forever for a task that waits in a loop."""
         signal = Signal()
 
-        async def wait_again_and_again() -> None:
+        async def wait_in_a_loop() -> None:
             while True:
                 await signal.wait(60.0)
 
-        task = asyncio.create_task(wait_again_and_again())
+        task = asyncio.create_task(wait_in_a_loop())
         await asyncio.sleep(0)
         signal.send()
         task.cancel()
@@ -25,8 +25,8 @@
             await asyncio.sleep(0)
         self.assertTrue(task.cancelled())
 
-    async def test_a_wait_ends_at_its_timeout(self) -> None:
-        """Without a signal, nothing is raised."""
+    async def test_wait_returns_at_its_timeout(self) -> None:
+        """A wait without a signal returns and doesn't raise."""
         await Signal().wait(0.01)
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,4 +1,4 @@
-"""The load pattern of a restart: calls that come before the proxy has its first configuration."""
+"""Tests of calls that arrive after a restart, before the proxy has its first configuration."""
 
 import asyncio
 import time
@@ -8,35 +8,35 @@
 from cowslipvane.tasks import _callers
 from tests.lone_callers import LoneCallersTest
 
-LONG_S = 60.0
-PATIENCE_S = 20.0
+LONG_TIMEOUT_S = 60.0
+TIMEOUT_S = 20.0
 
 
 class StartTest(LoneCallersTest):
     """A proxy that waits for its first configuration."""
 
     async def until_under_way(self) -> None:
-        """Return once a call has come."""
-        give_up = time.monotonic() + PATIENCE_S
+        """Return once a call has arrived."""
+        give_up_at = time.monotonic() + TIMEOUT_S
         while not self.callers.under_way:
-            self.assertLess(time.monotonic(), give_up, "no call came")
+            self.assertLess(time.monotonic(), give_up_at, "no call arrived")
             await asyncio.sleep(0.01)
 
-    async def test_a_call_waits_for_the_first_configuration(self) -> None:
-        """It is routed once that is in force, and isn't refused meanwhile."""
-        with patch.object(_callers, "START_TIME", LONG_S):
-            asking = asyncio.create_task(self.code())
+    async def test_call_waits_for_the_first_configuration(self) -> None:
+        """It isn't refused, but routed once the configuration is in force."""
+        with patch.object(_callers, "START_TIME", LONG_TIMEOUT_S):
+            response_code = asyncio.create_task(self.code())
             await self.until_under_way()
             self.apply()
-            self.assertEqual(await asking, "no-upstream")
+            self.assertEqual(await response_code, "no-upstream")
 
-    async def test_a_caller_with_little_patience_gets_part_of_it_back(self) -> None:
-        """It can still come back, or go elsewhere."""
-        with patch.object(_callers, "START_TIME", LONG_S):
+    async def test_call_with_a_short_timeout_is_refused_before_it_expires(self) -> None:
+        """Its refusal arrives early enough for a retry, here or at another proxy."""
+        with patch.object(_callers, "START_TIME", LONG_TIMEOUT_S):
             self.assertEqual(await self.code(**{"X-Request-Timeout-Ms": "60"}), "no-configuration")
 
-    async def test_long_after_the_start_a_call_is_refused_at_once(self) -> None:
-        """A proxy that is cut off doesn't hold its callers."""
+    async def test_call_is_refused_at_once_long_after_the_start(self) -> None:
+        """A partitioned proxy doesn't delay its callers."""
         with patch.object(_callers, "START_TIME", 0.0):
             self.assertEqual(await self.code(), "no-configuration")
 
