--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -180,7 +180,7 @@
     def _is_nested(self, request_id: RequestId) -> bool:
         """Return whether the local worker makes a call for a request that it is running.
 
-        The id of such a call is the id of that request, a dot, and a suffix.
+        The id of such a call is the id of that request, a dot, and a suffix unique to the call.
         """
         parent, separator, _ = request_id.rpartition(".")
         return bool(separator) and self._owner.runs(parent)
@@ -206,8 +206,8 @@
         caller_timeout = self._caller_timeout(http)
         if caller_timeout is not None:
             give_up = min(give_up, arrived_at + caller_timeout * FIRST_CONFIGURATION_SHARE)
-        while self._subscription.table is None and (left := give_up - time.monotonic()) > 0:
-            await self._applied.wait(left)
+        while self._subscription.table is None and (remaining := give_up - time.monotonic()) > 0:
+            await self._applied.wait(remaining)
         return self._subscription.table
 
     async def _fetch(
@@ -259,13 +259,13 @@
         The goal is the time within which a response is worth most to its caller.
         """
         now = time.monotonic()
-        left = call.goal_left(now)
-        if left is not None and left < 0:
+        remaining = call.goal_left(now)
+        if remaining is not None and remaining < 0:
             self._events.record(
                 "late",
                 request=call.request_id,
                 took=f"{now - arrived_at:.3f}",
-                goal=f"{now - arrived_at + left:.3f}",
+                goal=f"{now - arrived_at + remaining:.3f}",
                 owner=served.owner.host,
                 tried=" ".join(call.tried),
                 load=_describe_load(call.load),
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -81,10 +81,10 @@
         self._link: Link | None = None
         self._failed = False
         self._silent = False
-        self._received = False
+        self._received_any = False
         self._mailboxes: dict[AttemptId, Mailbox] = {}
         # Sent when an attempt to connect has succeeded or failed.
-        self._attempted = Signal()
+        self._connect_attempted = Signal()
         self._backoff = Backoff(
             first=MIN_RECONNECT_DELAY, longest=MAX_RECONNECT_DELAY, rng=random.Random()
         )
@@ -107,7 +107,7 @@
     async def send(self, message: Offer | Fence | Cancel, mailbox: Mailbox | None) -> None:
         """Send a message about an attempt; replies and LinkLost go into the mailbox, if any."""
         while self._link is None and not self._failed:
-            await self._attempted.wait()
+            await self._connect_attempted.wait()
         if self._link is None:
             if mailbox is not None:
                 mailbox.put_nowait(LinkLost(in_doubt=False))
@@ -178,12 +178,12 @@
         self._link = link
         self._failed = self._silent = False
         self._record_reachable()
-        self._attempted.send()
+        self._connect_attempted.send()
         watchdog = asyncio.create_task(self._abort_when_silent(link))
         try:
             while True:
                 self._deliver(await link.receive())
-                self._received = True
+                self._received_any = True
                 self._backoff.reset()
         finally:
             watchdog.cancel()
@@ -204,7 +204,7 @@
         """Put LinkLost into all mailboxes; if failed, senders don't wait for a new connection."""
         self._link = None
         self._failed = failed
-        self._attempted.send()
+        self._connect_attempted.send()
         for mailbox in self._mailboxes.values():
             mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
         self._mailboxes.clear()
@@ -212,9 +212,9 @@
     async def _abort_when_silent(self, link: Link) -> None:
         """Abort a connection that has become silent while replies are outstanding."""
         while True:
-            self._received = False
+            self._received_any = False
             await asyncio.sleep(PROBE_INTERVAL)
-            if self._received or not self._mailboxes:
+            if self._received_any or not self._mailboxes:
                 continue
             try:
                 await link.probe(PROBE_TIMEOUT)
--- a/tests/lone_callers.py
+++ b/tests/lone_callers.py
@@ -104,6 +104,6 @@
 
     def goal_left(self) -> float:
         """Return the remaining time of the latency goal of the last call."""
-        left = self.carrier.calls[-1].goal_left(time.monotonic())
-        assert left is not None
-        return left
+        remaining = self.carrier.calls[-1].goal_left(time.monotonic())
+        assert remaining is not None
+        return remaining
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -222,9 +222,11 @@
     async def test_worker_receives_the_remaining_time(self) -> None:
         """The remaining time is sent with the request."""
         await self.begin(offer(1, "/ok", timeout=2.0))
-        left = [field for field in self.worker.fields if field.startswith("X-Request-Timeout-Ms")]
-        self.assertEqual(len(left), 1)
-        self.assertTrue(0 < int(left[0].split()[1]) <= 2000, left)
+        timeout_fields = [
+            field for field in self.worker.fields if field.startswith("X-Request-Timeout-Ms")
+        ]
+        self.assertEqual(len(timeout_fields), 1)
+        self.assertTrue(0 < int(timeout_fields[0].split()[1]) <= 2000, timeout_fields)
 
     async def test_refused_connection_means_not_run(self) -> None:
         """A request for a worker that doesn't listen is not run."""
