--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -15,11 +15,11 @@
 from aiohttp import HttpVersion11, web
 
 from cowslipvane.call import (
-    OWN_NAMES,
+    DEFAULT_HEADER_NAMES,
     Call,
     HeaderNames,
     Request,
-    end_to_end,
+    end_to_end_headers,
     head_fault,
 )
 from cowslipvane.events import EventLog
@@ -36,7 +36,7 @@
 )
 from cowslipvane.routing import Load, RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Broken, Carrier, Served, next_part
+from cowslipvane.tasks._dispatcher import BrokenResponse, Dispatcher, StartedResponse, next_part
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._pipeline import fetched_ahead, is_last_in_progress
 from cowslipvane.tasks._signal import Signal
@@ -58,7 +58,7 @@
     """The response to a call has begun."""
 
     call: Call
-    served: Served
+    started: StartedResponse
 
     @property
     def request_id(self) -> RequestId:
@@ -86,23 +86,23 @@
         self,
         *,
         subscription: Subscription,
-        carrier: Carrier,
+        dispatcher: Dispatcher,
         events: EventLog,
         rng: random.Random,
         metrics: Metrics,
-        applied: Signal,
+        configuration_applied: Signal,
         owner: Owner,
         origin_service: str = "",
-        names: HeaderNames = OWN_NAMES,
+        header_names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
-        self._applied = applied
+        self._applied = configuration_applied
         self._owner = owner
         self._started_at = time.monotonic()
         self._origin_service = origin_service
-        self._names = names
+        self._names = header_names
         self._metrics = metrics
         self._subscription = subscription
-        self._carrier = carrier
+        self._carrier = dispatcher
         self._events = events
         self._rng = rng
         self._under_way: set[RequestId] = set()
@@ -227,7 +227,7 @@
             return CallRefusal(
                 request_id=request_id, refusal=MalformedRequest(reason=fault), close=True
             )
-        headers = end_to_end(http.headers.items())
+        headers = end_to_end_headers(http.headers.items())
         rules = self._route(table, http, headers)
         if rules is None:
             host = http.headers.get("Host", "")
@@ -311,7 +311,7 @@
         self,
         http: web.BaseRequest,
         call: Call,
-        served: Served,
+        served: StartedResponse,
     ) -> web.StreamResponse:
         """Forward the upstream's response to the caller."""
         answer = served.answer
--- a/cowslipvane/tasks/_carrier.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -21,7 +21,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import DeadlinePassed, NoUpstream, OwnerUnreachable, Refusal, explain
-from cowslipvane.routing import Budgets, Chooser, Load, Result
+from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._owner import Owner
@@ -80,23 +80,23 @@
         If an attempt may have run, its refusal is returned in place of the last one.
         """
         refusal: Refusal = NoUpstream(service=call.rules.service)
-        self._budgets.share_with(self._membership.proxies)
-        self._budgets.note_call(call.rules.service, time.monotonic())
-        while call.time_left(time.monotonic()) > 0:
+        self._budgets.set_proxy_count(self._membership.estimated_proxy_count)
+        self._budgets.record_call(call.rules.service, time.monotonic())
+        while call.time_remaining(time.monotonic()) > 0:
             member = self._choose(call)
             if member is None:
                 break
             match await self._attempt(call, member):
-                case Served() as served:
+                case StartedResponse() as served:
                     return served
                 case refused:
                     refusal = refused
             if not call.may_try_again(refusal):
                 break
-            call.note(refusal)
+            call.record_refusal(refusal)
             if not self._budgets.allow_retry(call.rules.service, refusal, time.monotonic()):
                 break
-        return call.doubt or refusal
+        return call.unknown_outcome or refusal
 
     async def give_up(self, served: Served) -> None:
         """Cancel an attempt at its owner, because the rest of its response isn't needed."""
@@ -123,10 +123,10 @@
             self._events.record(
                 "eased",
                 owner=eased.host,
-                reason="attempts lost" if eased.loses else "slow",
+                reason="attempts lost" if eased.loses_attempts else "slow",
                 latency=f"{eased.latency:.3f}",
-                usual=f"{eased.usual:.3f}",
-                seconds=f"{eased.time:g}",
+                usual=f"{eased.median_latency:.3f}",
+                seconds=f"{eased.duration:g}",
             )
 
     def _can_reach(self, owner: Member) -> bool:
@@ -142,7 +142,7 @@
             request=call.request_id,
             owner=member.host,
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
-            number=str(len(call.tried)),
+            number=str(len(call.tried_hosts)),
         )
         mailbox: Mailbox = asyncio.Queue()
         self._chooser.begin(member.host)
@@ -164,7 +164,7 @@
                     self._record_verdict(call, member, explanation.verdict, explanation.code)
                     return refusal
                 case Chunk():
-                    raise Broken("a body came before its answer")
+                    raise BrokenResponse("a body came before its answer")
         finally:
             now = time.monotonic()
             if load is not None:
@@ -196,7 +196,7 @@
             timeout=time_left,
             idempotent=call.is_idempotent,
             caller=call.caller,
-            goal=call.goal_left(time.monotonic()),
+            goal=call.goal_remaining(time.monotonic()),
             kind=call.rules.kind,
             nested=call.is_nested,
         )
@@ -205,7 +205,7 @@
                 await self._send(member, offer, mailbox)
                 first = await mailbox.get()
                 match first:
-                    case LinkLost(in_doubt=True):
+                    case LinkLost(outcome_unknown=True):
                         return await self._resolve(call, member, attempt, mailbox)
                     case LinkLost():
                         refusal = OwnerUnreachable(host=member.host, verdict=Verdict.NOT_RUN)
@@ -224,7 +224,7 @@
             return Refused(attempt=attempt, refusal=refusal)
         self._events.record("fence", request=call.request_id, owner=member.host)
         fence = Fence(attempt=attempt, incarnation=member.incarnation)
-        give_up = time.monotonic() + RESOLVE_TIME
+        give_up = time.monotonic() + RESOLVE_TIMEOUT
         while time.monotonic() < give_up:
             await self._send(member, fence, mailbox)
             match await mailbox.get():
@@ -280,8 +280,8 @@
         case Chunk(body=body, more=more):
             return body, more
         case Refused(refusal=refusal):
-            raise Broken(explain(refusal).sentence)
+            raise BrokenResponse(explain(refusal).sentence)
         case LinkLost():
-            raise Broken("the connection to the owner was lost")
+            raise BrokenResponse("the connection to the owner was lost")
         case Answer():
-            raise Broken("a second answer came to one attempt")
+            raise BrokenResponse("a second answer came to one attempt")
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from cowslipvane.tasks._pipeline import Ahead, PipelinedConnection
+from cowslipvane.tasks._pipeline import PipelinedConnection, Prefetcher
 from cowslipvane.types import Address, Seconds
 
 # Maximum size of a line or a field in the head of a request.
@@ -25,7 +25,7 @@
 class _CallersServer(web.Server):
     """A server whose connections prefetch the responses to pipelined requests."""
 
-    def __init__(self, handler: Handler, *, ahead: Ahead, **options: Any) -> None:
+    def __init__(self, handler: Handler, *, ahead: Prefetcher, **options: Any) -> None:
         super().__init__(handler, **options)
         self._ahead = ahead
 
@@ -42,7 +42,7 @@
         *,
         handler: Handler,
         address: Address,
-        ahead: Ahead | None = None,
+        prefetcher: Prefetcher | None = None,
     ) -> None:
         logging.getLogger("aiohttp.server").addFilter(_is_own_fault)
         options: dict[str, Any] = {
@@ -50,12 +50,12 @@
             "max_line_size": MAX_HEAD_BYTES,
             "max_field_size": MAX_HEAD_BYTES,
         }
-        if ahead is None:
+        if prefetcher is None:
             self._server = web.Server(handler, **options)
         else:
             # The handler is cancelled when the caller closes the connection.
             self._server = _CallersServer(
-                handler, ahead=ahead, handler_cancellation=True, **options
+                handler, ahead=prefetcher, handler_cancellation=True, **options
             )
         self._address = address
         self._listener: asyncio.Server | None = None
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -6,24 +6,24 @@
 import time
 from contextlib import closing
 
-from cowslipvane.admission import Admission, Work, kind_of
+from cowslipvane.admission import Admission, Work, request_kind
 from cowslipvane.call import (
-    OWN_NAMES,
+    DEFAULT_HEADER_NAMES,
     Answer,
     AttemptId,
     Attempts,
     Cancel,
     Chunk,
+    Ended,
     Fence,
     Forgotten,
     HeaderNames,
     NeverStarted,
     Offer,
-    Over,
     OwnerMessage,
     Refused,
-    Reply,
-    UnderWay,
+    Running,
+    SendReply,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Announcement, Announcements, Worker
@@ -65,17 +65,17 @@
     def __init__(
         self,
         *,
-        members: Members,
+        gossip: Gossip,
         subscription: Subscription,
         events: EventLog,
         worker_lease: Seconds,
-        names: HeaderNames = OWN_NAMES,
+        header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
-        self._names = names
+        self._names = header_names
         self._announcements = Announcements()
-        self._members = members
+        self._members = gossip
         self._subscription = subscription
         self._events = events
         self._worker_lease = worker_lease
@@ -128,8 +128,8 @@
         self._slots = [slot for slot in self._slots if not slot.done()]
         self._slots += [asyncio.create_task(slot) for slot in slots]
         self._events.record("worker", service=worker.service, address=str(worker.address))
-        self._members.membership.announce(worker, time.monotonic())
-        self._members.spread()
+        self._members.membership.set_worker(worker, time.monotonic())
+        self._members.notify_neighbours()
 
     async def hear(self, announcement: Announcement) -> None:
         """Handle an announcement of a worker, unless a newer one was received earlier."""
@@ -137,9 +137,9 @@
             return
         match self._announcements.newest:
             case Announcement(state="ready", worker=worker):
-                await self.announce(worker)
+                await self.register_worker(worker)
             case _:
-                await self.dismiss()
+                await self.deregister_worker()
 
     async def hear_departure(self, instance: str) -> None:
         """Deregister an instance that reports its end, unless another has announced itself."""
@@ -200,7 +200,7 @@
         """Cancel an attempt that is queued or running, and reply whether it may have run."""
         attempt = cancel.attempt
         match self._attempts.fence(attempt, cancel.incarnation, time.monotonic()):
-            case UnderWay():
+            case Running():
                 self._replies.pop(attempt, None)
                 self._abort(attempt)
                 refusal = CallerGone(verdict=Verdict.MAY_HAVE_RUN)
@@ -227,7 +227,7 @@
         """Start no more attempts, and refuse the queued ones as not run."""
         self._draining = True
         self._members.membership.leave("leaving", time.monotonic())
-        self._members.spread()
+        self._members.notify_neighbours()
         self._events.record("leaving")
         await self._refuse_waiting()
 
@@ -262,7 +262,7 @@
             offer.idempotent,
             offer.caller,
             goal,
-            offer.kind or kind_of(offer.request),
+            offer.kind or request_kind(offer.request),
             offer.nested,
         )
         refusal = self._admission.offer(work, now)
@@ -291,10 +291,10 @@
                 if self._admission is not None:
                     self._admission.withdraw(attempt)
                 refusal: Refusal = Withdrawn(service=self._service)
-            case Over(parts=list(parts)):
+            case Ended(parts=list(parts)):
                 await self._replay(parts, reply)
                 return
-            case Over():
+            case Ended():
                 refusal = AnswerLost(service=self._service, verdict=Verdict.RAN)
             case Forgotten():
                 refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
@@ -317,7 +317,7 @@
     async def _refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
         """End an attempt without a complete response."""
         message = Refused(attempt=attempt, refusal=refusal, load=self.load)
-        self._attempts.keep(attempt, message)
+        self._attempts.store_part(attempt, message)
         self._attempts.end(attempt, time.monotonic())
         reply = self._replies.pop(attempt, None)
         if reply is not None:
@@ -362,7 +362,7 @@
             slot.cancel()
         await asyncio.gather(*slots, return_exceptions=True)
         refusal = UpstreamLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
-        for attempt in self._attempts.under_way:
+        for attempt in self._attempts.in_flight:
             await self._refuse(attempt, refusal)
 
     async def _serve_slot(
@@ -382,7 +382,7 @@
                 if work is None:
                     await work_available.wait()
                     continue
-                refusal = admission.overdue(work, time.monotonic())
+                refusal = admission.check_deadline(work, time.monotonic())
                 if refusal is not None:
                     admission.finish(work, time.monotonic(), ran=False)
                     await self._refuse(work.attempt, refusal)
--- a/cowslipvane/tasks/_peer_listener.py
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -16,7 +16,7 @@
 from cowslipvane.settings import AUTHORIZATION
 from cowslipvane.types import Address
 from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed
-from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, notice_silence
+from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, enable_keepalive
 
 Handler = Callable[[Link], Awaitable[None]]
 # Maximum number of characters of an untrusted text, such as a path, in an event.
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -11,18 +11,18 @@
 
 from cowslipvane.call import (
     Answer,
-    Arrivals,
-    Arriving,
     AttemptId,
     Cancel,
     Chunk,
     Fence,
+    Incomplete,
     Offer,
+    OfferAssembler,
     Overflow,
     OwnerMessage,
     Refused,
-    Reply,
-    parts_of,
+    SendReply,
+    split_offer,
 )
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Member
@@ -50,13 +50,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkLost:
-    """The connection to an owner has ended; in_doubt says whether the attempt may have started.
+    """Report a lost connection to an owner; outcome_unknown: whether the attempt may have started.
 
     An owner that closes a connection with "going away" has replied to every attempt that it had
     started.
     """
 
-    in_doubt: bool
+    outcome_unknown: bool
 
 
 Mailbox = asyncio.Queue[OwnerMessage | LinkLost]
@@ -110,7 +110,7 @@
             await self._connect_attempted.wait()
         if self._link is None:
             if mailbox is not None:
-                mailbox.put_nowait(LinkLost(in_doubt=False))
+                mailbox.put_nowait(LinkLost(outcome_unknown=False))
             return
         if mailbox is None:
             self._mailboxes.pop(message.attempt, None)
@@ -120,13 +120,13 @@
             await self._send_parts(self._link, message)
         except LinkClosed as closed:
             if mailbox is not None and self._mailboxes.pop(message.attempt, None) is not None:
-                mailbox.put_nowait(LinkLost(in_doubt=not closed.going_away))
+                mailbox.put_nowait(LinkLost(outcome_unknown=not closed.going_away))
 
     async def _send_parts(self, link: Link, message: Offer | Fence | Cancel) -> None:
         """Send a message, an offer in parts that are interleaved with other calls' messages."""
         match message:
             case Offer():
-                for part in parts_of(message):
+                for part in split_offer(message):
                     await link.send(part)
                     # Without this, a send that doesn't block would let no other task run.
                     await asyncio.sleep(0)
@@ -154,7 +154,7 @@
                         last_connected_at = time.monotonic()
                     case _End.UNREACHABLE:
                         pass
-                await asyncio.sleep(self._backoff.wait())
+                await asyncio.sleep(self._backoff.next_delay())
         finally:
             self._fail_pending(in_doubt=True)
 
@@ -206,7 +206,7 @@
         self._failed = failed
         self._connect_attempted.send()
         for mailbox in self._mailboxes.values():
-            mailbox.put_nowait(LinkLost(in_doubt=in_doubt))
+            mailbox.put_nowait(LinkLost(outcome_unknown=in_doubt))
         self._mailboxes.clear()
 
     async def _abort_when_silent(self, link: Link) -> None:
@@ -294,7 +294,7 @@
                     return
     finally:
         for attempt in under_way:
-            owner.forsake(attempt, reply)
+            owner.abandon(attempt, reply)
 
 
 async def _pass_offer(arrival: Offer | Arriving | Overflow, owner: Owner, reply: Reply) -> None:
@@ -305,7 +305,7 @@
         case Overflow(offer=offer):
             refusal = QueueFull(service=offer.service, retry_after=OVERFLOW_RETRY_AFTER)
             await reply(Refused(attempt=offer.attempt, refusal=refusal))
-        case Arriving():
+        case Incomplete():
             return
 
 
--- a/cowslipvane/tasks/_pipeline.py
+++ b/cowslipvane/tasks/_pipeline.py
@@ -28,7 +28,7 @@
 class PipelinedConnection(RequestHandler):
     """Prefetches responses; the connection's task sends them in the order of the requests."""
 
-    def __init__(self, manager: web.Server, *, ahead: Ahead, **options: Any) -> None:
+    def __init__(self, manager: web.Server, *, prefetcher: Prefetcher, **options: Any) -> None:
         super().__init__(manager, **options)
         self._prefetcher = ahead
         self._prefetched: dict[int, tuple[RawRequestMessage, asyncio.Task[Any]]] = {}
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -4,7 +4,7 @@
 
 from http import HTTPStatus
 
-from cowslipvane.call import HeaderNames, Request, end_to_end
+from cowslipvane.call import HeaderNames, Request, end_to_end_headers
 from cowslipvane.membership import Worker
 from cowslipvane.tasks._worker_connection import (
     AnswerBroken,
--- a/tests/lone_callers.py
+++ b/tests/callers_case.py
@@ -9,20 +9,20 @@
 
 import aiohttp
 
-from cowslipvane.call import OWN_NAMES, Call
-from cowslipvane.catalogue import Key, Resource, Route, Service, Snapshot, Target, combine
+from cowslipvane.call import DEFAULT_HEADER_NAMES, Call
+from cowslipvane.catalogue import Key, Resource, Route, Service, Snapshot, Target, combine_digests
 from cowslipvane.catalogue import resource_digest as digest_of
 from cowslipvane.metrics import Metrics
 from cowslipvane.refusal import NoUpstream
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
-from cowslipvane.tasks._carrier import Carrier
+from cowslipvane.tasks._dispatcher import Dispatcher
 from cowslipvane.tasks._http import HttpListener
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Address, HostName, ServiceName, Version
-from tools.lone_replica import event_log
+from tools.single_replica import event_log
 
 # Test modules run concurrently, each in a process of its own, so each needs its own address.
 LISTENER = Address(f"127.73.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 27_351)
@@ -30,7 +30,7 @@
 GOAL_S = 0.3
 OWNER = HostName("owner")
 LOAD = Load(slots=4, running=3, queued=9)
-NAMES = OWN_NAMES._replace(callers_name_requests=True)
+NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
 
 
 class NoCarrier:
@@ -39,11 +39,11 @@
     def __init__(self) -> None:
         self.calls: list[Call] = []
 
-    async def carry(self, call: Call) -> NoUpstream:
+    async def dispatch(self, call: Call) -> NoUpstream:
         """Refuse a call."""
         self.calls.append(call)
         call.begin_attempt(OWNER)
-        call.note_load(LOAD)
+        call.record_load(LOAD)
         return NoUpstream(service=call.rules.service)
 
 
@@ -65,18 +65,18 @@
         """Listen, with no configuration in force."""
         self.subscription = Subscription()
         self.applied = Signal()
-        self.carrier = NoCarrier()
+        self.dispatcher = RefusingDispatcher()
         self.events = event_log()
-        self.owner = NoOwner()
+        self.owner = StubOwner()
         self.callers = Callers(
             subscription=self.subscription,
-            carrier=cast(Carrier, self.carrier),
+            dispatcher=cast(Dispatcher, self.dispatcher),
             events=self.events,
             rng=random.Random(1),
             metrics=Metrics(),
-            applied=self.applied,
+            configuration_applied=self.applied,
             owner=cast(Owner, self.owner),
-            names=NAMES,
+            header_names=NAMES,
         )
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -96,9 +96,9 @@
             Resource(Key("service", "stock"), Service(), Version(1)),
             Resource(Key("route", "r"), route, Version(1)),
         )
-        digest = combine(digest_of(resource) for resource in resources)
-        self.subscription.learn_floor(Version(1))
-        self.subscription.take_snapshot(Snapshot(Version(1), resources, digest))
+        digest = combine_digests(digest_of(resource) for resource in resources)
+        self.subscription.raise_floor(Version(1))
+        self.subscription.apply_snapshot(Snapshot(Version(1), resources, digest))
         self.assertIsNotNone(self.subscription.table)
         self.applied.send()
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -18,8 +18,8 @@
     Offer,
     OwnerMessage,
     Refused,
-    Reply,
     Request,
+    SendReply,
 )
 from cowslipvane.catalogue import (
     Key,
@@ -35,8 +35,8 @@
 from cowslipvane.refusal import OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._carrier import Carrier, Served
-from cowslipvane.tasks._members import Members
+from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
+from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers, serve_calls
 from cowslipvane.types import (
@@ -48,7 +48,7 @@
     Verdict,
     Version,
 )
-from cowslipvane.wire import Link, LinkClosed, unnamed_identity
+from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 
 SERVICE = ServiceName("stock")
 CENTRE = DataCentre("north")
@@ -134,9 +134,9 @@
 def make_owner(own: Member, subscription: Subscription | None = None) -> Owner:
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
-    members = Members(membership=membership, seeds=(), interval=1.0, events=events())
+    members = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
     return Owner(
-        members=members,
+        gossip=members,
         subscription=subscription or Subscription(),
         events=events(),
         worker_lease=60.0,
@@ -192,7 +192,7 @@
         self.addAsyncCleanup(self.worker.stop)
         self.subscription = Subscription()
         self.owner = make_owner(member("a", NOWHERE, None), self.subscription)
-        await self.owner.announce(Worker(SERVICE, self.address, 1, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 1, 10))
         self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
         await asyncio.sleep(0)
         self.inbox = Inbox()
@@ -244,7 +244,7 @@
             assert isinstance(message, Refused)
             codes.append(explain(message.refusal).code)
         self.assertEqual(codes, ["upstream-lost"] * 3 + ["draining"] * 2)
-        await self.owner.announce(Worker(SERVICE, self.address, 1, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 1, 10))
         await self.owner.offer(offer(6, "/ok"), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
 
@@ -277,7 +277,7 @@
     async def test_fence_returns_the_response_after_a_lost_link(self) -> None:
         """A running attempt survives the loss of its link, and is replied to over the next one."""
         await self.begin(offer(1, "/wait"))
-        self.owner.forsake(offer(1, "").attempt, self.inbox.reply)
+        self.owner.abandon(offer(1, "").attempt, self.inbox.reply)
         second = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), second.reply)
         self.worker.release.set()
@@ -293,7 +293,7 @@
         await self.begin(offer(1, "/wait", method="GET"))
         second = Inbox()
         await self.owner.fence(self.fence(offer(1, "")), second.reply)
-        self.owner.forsake(offer(1, "").attempt, self.inbox.reply)
+        self.owner.abandon(offer(1, "").attempt, self.inbox.reply)
         self.worker.release.set()
         self.assertIsInstance(await second.next(), Answer)
 
@@ -311,8 +311,8 @@
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
         out = Resource(Key("upstream", "a"), Upstream(state="out"), Version(1))
-        self.subscription.learn_floor(Version(1))
-        self.subscription.take_snapshot(Snapshot(Version(1), (out,), resource_digest(out)))
+        self.subscription.raise_floor(Version(1))
+        self.subscription.apply_snapshot(Snapshot(Version(1), (out,), resource_digest(out)))
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         self.worker.release.set()
         self.assertIsInstance(await self.inbox.next(), Answer)
@@ -324,7 +324,7 @@
         """Running work finishes, queued work is not run, and new slots wait for the old ones."""
         await self.begin(offer(1, "/wait"))
         await self.owner.offer(offer(2, "/ok/2"), self.inbox.reply)
-        await self.owner.announce(Worker(SERVICE, self.address, 2, 10))
+        await self.owner.register_worker(Worker(SERVICE, self.address, 2, 10))
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.owner.offer(offer(3, "/ok/3"), self.inbox.reply)
         await asyncio.sleep(0.05)
@@ -361,7 +361,7 @@
         self.peers = Peers(events=events())
         self.addAsyncCleanup(self.peers.close)
         rng = random.Random(1)
-        self.carrier = Carrier(
+        self.carrier = Dispatcher(
             subscription=Subscription(),
             membership=membership,
             owner=make_owner(entry),
@@ -378,7 +378,9 @@
             await connection.close(CloseCode.GOING_AWAY)
             return
         try:
-            await serve_calls(Link(connection=connection, identity=unnamed_identity()), self.owner)
+            await serve_calls(
+                Link(connection=connection, identity=anonymous_identity()), self.owner
+            )
         except LinkClosed:
             return
 
@@ -435,7 +437,7 @@
         dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         self.server.close(close_connections=False)
-        with patch("cowslipvane.tasks._carrier.RESOLVE_TIME", 0.2):
+        with patch("cowslipvane.tasks._dispatcher.RESOLVE_TIMEOUT", 0.2):
             self.connections[0].transport.abort()
             refusal = await dispatching
         assert isinstance(refusal, OwnerUnreachable)
@@ -450,7 +452,7 @@
         self.assertEqual(self.owner.load.queued, 1)
         self.connections[0].transport.abort()
         refusal = await second
-        assert not isinstance(refusal, Served)
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
         self.worker.release.set()
         self.assertIsInstance(await first, Served)
@@ -478,8 +480,8 @@
         first = asyncio.create_task(self.carrier.carry(self.call("/wait", 0.3)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         verdicts = []
-        for refusal in [await self.carrier.carry(self.call("/ok", 0.2)), await first]:
-            assert not isinstance(refusal, Served)
+        for refusal in [await self.carrier.dispatch(self.call("/ok", 0.2)), await first]:
+            assert not isinstance(refusal, StartedResponse)
             verdicts.append((explain(refusal).code, explain(refusal).verdict))
         self.assertEqual(
             verdicts,
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,13 +6,13 @@
 from unittest.mock import patch
 
 from cowslipvane.tasks import _callers
-from tests.lone_callers import LoneCallersTest
+from tests.callers_case import CallersTestCase
 
 LONG_TIMEOUT_S = 60.0
 TIMEOUT_S = 20.0
 
 
-class StartTest(LoneCallersTest):
+class StartTest(CallersTestCase):
     """A proxy that waits for its first configuration."""
 
     async def until_under_way(self) -> None:
