--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -38,12 +38,12 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._dispatcher import BrokenResponse, Dispatcher, StartedResponse, next_part
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._pipeline import fetched_ahead, is_last_in_progress
+from cowslipvane.tasks._pipeline import is_last_in_progress, take_prefetched
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Headers, RequestId, Seconds, Verdict
 
 # A proxy has its first configuration within this time of its start, unless it is partitioned.
-START_TIME: Seconds = 2.0
+FIRST_CONFIGURATION_TIMEOUT: Seconds = 2.0
 # The share of a caller's timeout that is spent waiting for the first configuration; the rest is
 # left for the work, or for a retry.
 FIRST_CONFIGURATION_SHARE = 0.5
@@ -95,28 +95,28 @@
         origin_service: str = "",
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
-        self._applied = configuration_applied
+        self._configuration_applied = configuration_applied
         self._owner = owner
         self._started_at = time.monotonic()
         self._origin_service = origin_service
-        self._names = header_names
+        self._header_names = header_names
         self._metrics = metrics
         self._subscription = subscription
-        self._carrier = dispatcher
+        self._dispatcher = dispatcher
         self._events = events
         self._rng = rng
-        self._under_way: set[RequestId] = set()
+        self._in_flight: set[RequestId] = set()
         self._call_ended = Signal()
         self._stopping = False
 
     @property
-    def under_way(self) -> tuple[RequestId, ...]:
+    def in_flight(self) -> tuple[RequestId, ...]:
         """Return the calls whose response isn't complete yet."""
-        return tuple(self._under_way)
+        return tuple(self._in_flight)
 
     async def wait_idle(self) -> None:
         """Return once no call is under way."""
-        while self._under_way:
+        while self._in_flight:
             await self._call_ended.wait()
 
     def stop(self) -> None:
@@ -126,15 +126,15 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request of a caller."""
         started_at = time.monotonic()
-        ahead = fetched_ahead(http)
-        outcome = await (self.fetch(http) if ahead is None else ahead)
+        prefetched = take_prefetched(http)
+        outcome = await (self.fetch(http) if prefetched is None else prefetched)
         try:
             return await self._respond(http, outcome)
         except asyncio.CancelledError:
             self._record_disconnect(http, outcome.request_id)
             raise
         finally:
-            self._metrics.observe_call(time.monotonic() - started_at)
+            self._metrics.record_call(time.monotonic() - started_at)
             self._finish(outcome.request_id)
 
     async def fetch(self, http: web.BaseRequest) -> CallResponse | CallRefusal:
@@ -143,7 +143,7 @@
         The request counts as under way until the result has been sent or discarded.
         """
         request_id = self._request_id(http)
-        self._under_way.add(request_id)
+        self._in_flight.add(request_id)
         try:
             return await self._fetch(http, request_id)
         except asyncio.CancelledError:
@@ -158,8 +158,8 @@
         """Discard a fetched response, because its caller disconnected before it could be sent."""
         self._finish(outcome.request_id)
         match outcome:
-            case CallResponse(served=served) if served.answer.more:
-                await self._carrier.give_up(served)
+            case CallResponse(started=started) if started.answer.more:
+                await self._dispatcher.abandon(started)
 
     def _record_disconnect(self, http: web.BaseRequest, request_id: RequestId) -> None:
         """Record that a caller disconnected; only events can show this, as no response is sent."""
@@ -167,13 +167,13 @@
 
     def _finish(self, request_id: RequestId) -> None:
         """Count a request as ended."""
-        self._under_way.discard(request_id)
+        self._in_flight.discard(request_id)
         self._call_ended.send()
 
     def _request_id(self, http: web.BaseRequest) -> RequestId:
         """Return the caller's request id if callers may choose it, or a new one."""
-        request_id = http.headers.get(self._names.request_id, "")
-        if self._names.callers_name_requests and request_id:
+        request_id = http.headers.get(self._header_names.request_id, "")
+        if self._header_names.accepts_request_ids and request_id:
             return RequestId(request_id)
         return RequestId(uuid.uuid4().hex)
 
@@ -183,11 +183,11 @@
         The id of such a call is the id of that request, a dot, and a suffix unique to the call.
         """
         parent, separator, _ = request_id.rpartition(".")
-        return bool(separator) and self._owner.runs(parent)
+        return bool(separator) and self._owner.is_running(parent)
 
     def _caller_timeout(self, http: web.BaseRequest) -> Seconds | None:
         """Return the timeout that a caller sent in seconds, None without one."""
-        timeout_ms = http.headers.get(self._names.timeout_ms, "")
+        timeout_ms = http.headers.get(self._header_names.timeout_ms, "")
         return float(timeout_ms) / 1000 if timeout_ms.isdecimal() else None
 
     def _deadline(self, http: web.BaseRequest, rules: ServiceRules, arrived_at: float) -> float:
@@ -202,12 +202,12 @@
         """Return the routing table; a proxy that has just started waits for its first one."""
         if self._subscription.table is not None:
             return self._subscription.table
-        give_up = self._started_at + START_TIME
+        give_up = self._started_at + FIRST_CONFIGURATION_TIMEOUT
         caller_timeout = self._caller_timeout(http)
         if caller_timeout is not None:
             give_up = min(give_up, arrived_at + caller_timeout * FIRST_CONFIGURATION_SHARE)
         while self._subscription.table is None and (remaining := give_up - time.monotonic()) > 0:
-            await self._applied.wait(remaining)
+            await self._configuration_applied.wait(remaining)
         return self._subscription.table
 
     async def _fetch(
@@ -236,7 +236,7 @@
         if body is None:
             limit = rules.traffic.max_body_bytes
             return CallRefusal(request_id=request_id, refusal=BodyTooLarge(limit=limit), close=True)
-        forwarded = self._names.towards_owner(headers, request_id, self._origin_service)
+        forwarded = self._header_names.headers_to_owner(headers, request_id, self._origin_service)
         call = Call(
             request_id=request_id,
             request=Request(http.method, http.raw_path, forwarded, body),
@@ -246,30 +246,30 @@
             goal=None if rules.goal is None else arrived_at + rules.goal,
             nested=self._is_nested(request_id),
         )
-        match await self._carrier.carry(call):
-            case Served() as served:
-                self._record_late(call, served, arrived_at)
-                return CallResponse(call=call, served=served)
+        match await self._dispatcher.dispatch(call):
+            case StartedResponse() as started:
+                self._record_late(call, started, arrived_at)
+                return CallResponse(call=call, started=started)
             case refusal:
                 return CallRefusal(request_id=request_id, refusal=refusal, call=call)
 
-    def _record_late(self, call: Call, served: Served, arrived_at: float) -> None:
+    def _record_late(self, call: Call, started: StartedResponse, arrived_at: float) -> None:
         """Record a response that begins after the latency goal of its call.
 
         The goal is the time within which a response is worth most to its caller.
         """
         now = time.monotonic()
-        remaining = call.goal_left(now)
+        remaining = call.goal_remaining(now)
         if remaining is not None and remaining < 0:
             self._events.record(
                 "late",
                 request=call.request_id,
                 took=f"{now - arrived_at:.3f}",
                 goal=f"{now - arrived_at + remaining:.3f}",
-                owner=served.owner.host,
-                tried=" ".join(call.tried),
+                owner=started.owner.host,
+                tried=" ".join(call.tried_hosts),
                 load=_describe_load(call.load),
-                status=str(served.answer.status),
+                status=str(started.answer.status),
             )
 
     async def _respond(
@@ -277,8 +277,8 @@
     ) -> web.StreamResponse:
         """Send the outcome of a request."""
         match outcome:
-            case CallResponse(call=call, served=served):
-                return await self._send_response(http, call, served)
+            case CallResponse(call=call, started=started):
+                return await self._send_response(http, call, started)
             case CallRefusal() as refused:
                 return self._refusal_response(http, refused)
 
@@ -311,13 +311,13 @@
         self,
         http: web.BaseRequest,
         call: Call,
-        served: StartedResponse,
+        started: StartedResponse,
     ) -> web.StreamResponse:
         """Forward the upstream's response to the caller."""
-        answer = served.answer
-        own_fields: dict[str, str] = {self._names.request_id: call.request_id}
-        if self._names.owner and served.owner.callers is not None:
-            own_fields[self._names.owner] = str(served.owner.callers)
+        answer = started.answer
+        own_fields: dict[str, str] = {self._header_names.request_id: call.request_id}
+        if self._header_names.owner and started.owner.callers is not None:
+            own_fields[self._header_names.owner] = str(started.owner.callers)
         fields = [(header.name, header.value) for header in answer.headers]
         if not answer.more:
             response = web.Response(status=answer.status, body=answer.body)
@@ -328,27 +328,27 @@
         self._close_if_stopping(http, stream)
         await stream.prepare(http)
         try:
-            await self._stream_body(stream, served)
-        except Broken as broken:
+            await self._stream_body(stream, started)
+        except BrokenResponse as broken:
             self._events.record("broken", request=call.request_id, reason=str(broken))
             _reset_connection(http)
             return stream
         await stream.write_eof()
         return stream
 
-    async def _stream_body(self, stream: web.StreamResponse, served: Served) -> None:
-        """Write a body as its parts arrive; raise Broken when it is incomplete."""
+    async def _stream_body(self, stream: web.StreamResponse, started: StartedResponse) -> None:
+        """Write a body as its parts arrive; raise BrokenResponse if it is incomplete."""
         more = True
         complete = False
         try:
-            await stream.write(served.answer.body)
+            await stream.write(started.answer.body)
             while more:
-                body, more = next_part(await served.mailbox.get())
+                body, more = next_part(await started.mailbox.get())
                 await stream.write(body)
             complete = True
         finally:
             if not complete:
-                await self._carrier.give_up(served)
+                await self._dispatcher.abandon(started)
 
     def _refusal_response(self, http: web.BaseRequest, outcome: CallRefusal) -> web.Response:
         """Return the response to a refused request, with an explanation."""
@@ -361,7 +361,7 @@
             "request": request_id,
         }
         response = web.json_response(form, status=explanation.status)
-        response.headers[self._names.request_id] = request_id
+        response.headers[self._header_names.request_id] = request_id
         if explanation.retry_after is not None:
             response.headers["Retry-After"] = _retry_after(explanation.retry_after)
         if outcome.close:
@@ -381,7 +381,7 @@
             "refusal",
             request=request_id,
             in_force=str(self._subscription.version),
-            tried="" if call is None else " ".join(call.tried),
+            tried="" if call is None else " ".join(call.tried_hosts),
             load="" if call is None else _describe_load(call.load),
             asked=f"{http.method} {http.path}",
             status=str(explanation.status),
--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -29,7 +29,7 @@
 from cowslipvane.types import Seconds, Verdict
 
 # How long an entry proxy tries to learn the outcome of an attempt from an unreachable owner.
-RESOLVE_TIME: Seconds = 5.0
+RESOLVE_TIMEOUT: Seconds = 5.0
 RECONNECT_DELAY: Seconds = 0.05
 # A call with a smaller body is cheap to send to another data centre.
 LIGHT_BODY_BYTES = 1024
@@ -37,12 +37,12 @@
 VERDICT_TIMEOUT: Seconds = 0.2
 
 
-class Broken(Exception):
+class BrokenResponse(Exception):
     """A response that has begun can't be completed; the caller's connection must be aborted."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Served:
+class StartedResponse:
     """The first part of an owner's response; further parts arrive in the mailbox."""
 
     answer: Answer
@@ -50,7 +50,7 @@
     mailbox: Mailbox
 
 
-class Carrier:
+class Dispatcher:
     """Tries owners until one responds or the call may not be retried."""
 
     def __init__(
@@ -74,7 +74,7 @@
         self._serials = itertools.count(1)
         self._budgets = Budgets(retries=retries)
 
-    async def carry(self, call: Call) -> Served | Refusal:
+    async def dispatch(self, call: Call) -> StartedResponse | Refusal:
         """Return the start of the response, or the refusal of the last attempt.
 
         If an attempt may have run, its refusal is returned in place of the last one.
@@ -87,8 +87,8 @@
             if member is None:
                 break
             match await self._attempt(call, member):
-                case StartedResponse() as served:
-                    return served
+                case StartedResponse() as started:
+                    return started
                 case refused:
                     refusal = refused
             if not call.may_try_again(refusal):
@@ -98,9 +98,9 @@
                 break
         return call.unknown_outcome or refusal
 
-    async def give_up(self, served: Served) -> None:
+    async def abandon(self, started: StartedResponse) -> None:
         """Cancel an attempt at its owner, because the rest of its response isn't needed."""
-        owner, attempt = served.owner, served.answer.attempt
+        owner, attempt = started.owner, started.answer.attempt
         await self._send(owner, Cancel(attempt=attempt, incarnation=owner.incarnation), None)
 
     def _choose(self, call: Call) -> Member | None:
@@ -112,14 +112,14 @@
             for owner in owners
             if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
         ]
-        light = len(call.request.body) < LIGHT_BODY_BYTES
-        chosen = self._chooser.choose(allowed, call.tried, time.monotonic(), light=light)
+        small = len(call.request.body) < LIGHT_BODY_BYTES
+        chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=small)
         self._record_ejections()
         return chosen
 
     def _record_ejections(self) -> None:
         """Record the owners that were ejected for losing calls or for being slow."""
-        for eased in self._chooser.take_eased():
+        for eased in self._chooser.take_ejections():
             self._events.record(
                 "eased",
                 owner=eased.host,
@@ -133,7 +133,7 @@
         """Return whether an owner is local, or was reachable at the last attempt to connect."""
         return owner.host == self._own.host or self._peers.is_reachable(owner)
 
-    async def _attempt(self, call: Call, member: Member) -> Served | Refusal:
+    async def _attempt(self, call: Call, member: Member) -> StartedResponse | Refusal:
         """Offer a call to one owner; return the start of its response, or the refusal."""
         attempt = AttemptId(self._own.host, self._own.incarnation, next(self._serials))
         call.begin_attempt(member.host)
@@ -148,18 +148,18 @@
         self._chooser.begin(member.host)
         started_at = time.monotonic()
         load: Load | None = None
-        result = Result.GIVEN_UP
+        result = AttemptResult.ABANDONED
         replied = False
         try:
             first = await self._first_message(call, member, attempt, mailbox)
             replied = True
             match first:
                 case Answer(status=status, load=load):
-                    result = Result.ANSWERED
+                    result = AttemptResult.ANSWERED
                     self._record_verdict(call, member, Verdict.RAN, str(status))
-                    return Served(answer=first, owner=member, mailbox=mailbox)
+                    return StartedResponse(answer=first, owner=member, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
-                    result = Result.of_refusal(refusal)
+                    result = AttemptResult.of_refusal(refusal)
                     explanation = explain(refusal)
                     self._record_verdict(call, member, explanation.verdict, explanation.code)
                     return refusal
@@ -168,7 +168,7 @@
         finally:
             now = time.monotonic()
             if load is not None:
-                call.note_load(load)
+                call.record_load(load)
             self._chooser.end(member.host, result, load, now - started_at, now)
             if not replied:
                 cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
@@ -188,12 +188,12 @@
         self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> OwnerMessage:
         """Offer an attempt and return the first message of its response, or its refusal."""
-        time_left = call.time_left(time.monotonic())
+        time_remaining = call.time_remaining(time.monotonic())
         offer = Offer(
             attempt=attempt,
             service=call.rules.service,
             request=call.request,
-            timeout=time_left,
+            timeout=time_remaining,
             idempotent=call.is_idempotent,
             caller=call.caller,
             goal=call.goal_remaining(time.monotonic()),
@@ -201,7 +201,7 @@
             nested=call.is_nested,
         )
         try:
-            async with asyncio.timeout(time_left):
+            async with asyncio.timeout(time_remaining):
                 await self._send(member, offer, mailbox)
                 first = await mailbox.get()
                 match first:
@@ -275,7 +275,7 @@
 
 
 def next_part(message: OwnerMessage | LinkLost) -> tuple[bytes, bool]:
-    """Return the next part of a body, and whether more follow; raise Broken when there is none."""
+    """Return the next part of a body, and whether more follow; raise BrokenResponse on failure."""
     match message:
         case Chunk(body=body, more=more):
             return body, more
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -12,7 +12,7 @@
 from cowslipvane.tasks._releases import Releases
 
 
-class Parts(NamedTuple):
+class Components(NamedTuple):
     """The components of a process that a front end may call; those of absent roles are None."""
 
     releases: Releases | None
@@ -24,10 +24,10 @@
     """An additional external interface of a process."""
 
     @property
-    def names(self) -> HeaderNames:
+    def header_names(self) -> HeaderNames:
         """Return the names of the header fields used with callers and workers."""
 
-    def listeners(self, parts: Parts) -> list[HttpListener]:
+    def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners that translate requests into calls of the components."""
 
     def has_new_settings(self) -> bool:
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -25,13 +25,15 @@
 class _CallersServer(web.Server):
     """A server whose connections prefetch the responses to pipelined requests."""
 
-    def __init__(self, handler: Handler, *, ahead: Prefetcher, **options: Any) -> None:
+    def __init__(self, handler: Handler, *, prefetcher: Prefetcher, **options: Any) -> None:
         super().__init__(handler, **options)
-        self._ahead = ahead
+        self._prefetcher = prefetcher
 
     def __call__(self) -> PipelinedConnection:
         """Return the protocol for a new connection."""
-        return PipelinedConnection(self, ahead=self._ahead, loop=self._loop, **self._kwargs)
+        return PipelinedConnection(
+            self, prefetcher=self._prefetcher, loop=self._loop, **self._kwargs
+        )
 
 
 class HttpListener:
@@ -55,7 +57,7 @@
         else:
             # The handler is cancelled when the caller closes the connection.
             self._server = _CallersServer(
-                handler, ahead=prefetcher, handler_cancellation=True, **options
+                handler, prefetcher=prefetcher, handler_cancellation=True, **options
             )
         self._address = address
         self._listener: asyncio.Server | None = None
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -40,8 +40,8 @@
 )
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._members import Members
-from cowslipvane.tasks._signal import Signal, Turnstile
+from cowslipvane.tasks._gossip import Gossip
+from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, ResponseHead, WorkerUnreachable
 from cowslipvane.tasks._worker_http import NotRun, SlotConnection, response_headers
 from cowslipvane.types import Seconds, ServiceName, Verdict
@@ -73,9 +73,9 @@
         left_to_end: Seconds = LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
-        self._names = header_names
+        self._header_names = header_names
         self._announcements = Announcements()
-        self._members = gossip
+        self._gossip = gossip
         self._subscription = subscription
         self._events = events
         self._worker_lease = worker_lease
@@ -83,10 +83,10 @@
         self._lease_renewed_at = 0.0
         self._admission: Admission | None = None
         self._slots: list[asyncio.Task[None]] = []
-        self._work_available = Turnstile()
+        self._work_available = LifoSignal()
         self._attempt_ended = Signal()
-        self._attempts = Attempts(incarnation=members.membership.own.incarnation)
-        self._replies: dict[AttemptId, Reply] = {}
+        self._attempts = Attempts(incarnation=gossip.membership.own.incarnation)
+        self._replies: dict[AttemptId, SendReply] = {}
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
         # The ids of the requests that the worker runs.
         self._running_requests: set[str] = set()
@@ -99,16 +99,16 @@
         return self._admission.load if self._admission else _NO_LOAD
 
     @property
-    def under_way(self) -> tuple[AttemptId, ...]:
+    def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
-        return self._attempts.under_way
+        return self._attempts.in_flight
 
     async def wait_idle(self) -> None:
         """Return once no attempt is queued or running."""
-        while self._attempts.under_way:
+        while self._attempts.in_flight:
             await self._attempt_ended.wait()
 
-    async def announce(self, worker: Worker) -> None:
+    async def register_worker(self, worker: Worker) -> None:
         """Register the worker, or renew its lease if it is registered already."""
         self._lease_renewed_at = time.monotonic()
         if worker == self._worker or self._draining:
@@ -120,7 +120,7 @@
             previous_slots = ()
         self._worker = worker
         self._admission = Admission(service=worker.service, slots=worker.slots)
-        self._work_available = Turnstile()
+        self._work_available = LifoSignal()
         slots = [
             self._serve_slot(self._admission, worker, self._work_available, previous_slots)
             for _ in range(worker.slots)
@@ -128,12 +128,12 @@
         self._slots = [slot for slot in self._slots if not slot.done()]
         self._slots += [asyncio.create_task(slot) for slot in slots]
         self._events.record("worker", service=worker.service, address=str(worker.address))
-        self._members.membership.set_worker(worker, time.monotonic())
-        self._members.notify_neighbours()
+        self._gossip.membership.set_worker(worker, time.monotonic())
+        self._gossip.notify_neighbours()
 
-    async def hear(self, announcement: Announcement) -> None:
+    async def handle_announcement(self, announcement: Announcement) -> None:
         """Handle an announcement of a worker, unless a newer one was received earlier."""
-        if not self._announcements.take(announcement):
+        if not self._announcements.record(announcement):
             return
         match self._announcements.newest:
             case Announcement(state="ready", worker=worker):
@@ -141,12 +141,12 @@
             case _:
                 await self.deregister_worker()
 
-    async def hear_departure(self, instance: str) -> None:
+    async def handle_departure(self, instance: str) -> None:
         """Deregister an instance that reports its end, unless another has announced itself."""
-        if self._announcements.take_departure(instance, time.time_ns() // 1_000_000):
-            await self.dismiss()
+        if self._announcements.record_departure(instance, time.time_ns() // 1_000_000):
+            await self.deregister_worker()
 
-    async def dismiss(self) -> None:
+    async def deregister_worker(self) -> None:
         """Deregister the worker because it announced that it is leaving."""
         if self._worker is not None:
             self._events.record("worker-leaving", service=self._worker.service)
@@ -158,14 +158,14 @@
             while True:
                 await asyncio.sleep(min(OUT_CHECK_INTERVAL, self._worker_lease / 4))
                 if self._is_out and self._admission is not None:
-                    await self._refuse_all(self._admission.empty())
+                    await self._refuse_all(self._admission.clear_queue())
                 if self._worker and time.monotonic() > self._lease_renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
                     await self._remove_worker()
         finally:
             await self._stop_slots()
 
-    async def offer(self, offer: Offer, reply: Reply) -> None:
+    async def offer(self, offer: Offer, reply: SendReply) -> None:
         """Queue an attempt, or refuse it at once."""
         if not self._attempts.admit(offer.attempt):
             withdrawn = Withdrawn(service=offer.service)
@@ -176,27 +176,27 @@
         if refusal is not None:
             await self._refuse(offer.attempt, refusal)
 
-    async def fence(self, fence: Fence, reply: Reply) -> None:
+    async def fence(self, fence: Fence, reply: SendReply) -> None:
         """Reply with the outcome of an attempt, and bar it from starting if it hasn't started."""
         attempt = fence.attempt
         match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
-            case UnderWay(parts=list(parts)):
+            case Running(parts=list(parts)):
                 # Without a reply function, new parts are only kept, so that all are sent in order.
                 self._replies.pop(attempt, None)
                 await self._replay(parts, reply)
                 match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
-                    case UnderWay(parts=current) if current is parts:
+                    case Running(parts=current) if current is parts:
                         self._replies[attempt] = reply
-                    case Over(parts=current) if current is parts:
+                    case Ended(parts=current) if current is parts:
                         return
                     case _:
                         await self._reply_lost(attempt, reply)
-            case UnderWay():
+            case Running():
                 await self._reply_lost(attempt, reply)
             case ended:
                 await self._reply_ended(attempt, ended, reply)
 
-    async def cancel(self, cancel: Cancel, reply: Reply) -> None:
+    async def cancel(self, cancel: Cancel, reply: SendReply) -> None:
         """Cancel an attempt that is queued or running, and reply whether it may have run."""
         attempt = cancel.attempt
         match self._attempts.fence(attempt, cancel.incarnation, time.monotonic()):
@@ -208,7 +208,7 @@
             case ended:
                 await self._reply_ended(attempt, ended, reply)
 
-    def forsake(self, attempt: AttemptId, reply: Reply) -> None:
+    def abandon(self, attempt: AttemptId, reply: SendReply) -> None:
         """Cancel an attempt whose link was lost, unless a fence arrived over another link.
 
         Such a fence has replaced the reply function.
@@ -216,9 +216,9 @@
         if self._replies.get(attempt) is not reply:
             return
         self._replies.pop(attempt)
-        incarnation = self._members.membership.own.incarnation
+        incarnation = self._gossip.membership.own.incarnation
         match self._attempts.fence(attempt, incarnation, time.monotonic()):
-            case UnderWay():
+            case Running():
                 self._abort(attempt)
             case NeverStarted() if self._admission:
                 self._admission.withdraw(attempt)
@@ -226,12 +226,12 @@
     async def drain(self) -> None:
         """Start no more attempts, and refuse the queued ones as not run."""
         self._draining = True
-        self._members.membership.leave("leaving", time.monotonic())
-        self._members.notify_neighbours()
+        self._gossip.membership.leave("leaving", time.monotonic())
+        self._gossip.notify_neighbours()
         self._events.record("leaving")
         await self._refuse_waiting()
 
-    def runs(self, request_id: str) -> bool:
+    def is_running(self, request_id: str) -> bool:
         """Return whether the local worker is running a request."""
         return request_id in self._running_requests
 
@@ -239,7 +239,7 @@
     def _is_out(self) -> bool:
         """Return whether the operator has taken the upstream out."""
         table = self._subscription.table
-        return table is not None and table.is_out(self._members.membership.own.host)
+        return table is not None and table.is_out(self._gossip.membership.own.host)
 
     @property
     def _service(self) -> ServiceName:
@@ -276,13 +276,13 @@
         if timeout is not None and timeout.when() is not None and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
 
-    async def _reply_lost(self, attempt: AttemptId, reply: Reply) -> None:
+    async def _reply_lost(self, attempt: AttemptId, reply: SendReply) -> None:
         """Reply that the response of an attempt grew too large to be sent again."""
         refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
         await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
 
     async def _reply_ended(
-        self, attempt: AttemptId, end: NeverStarted | Over | Forgotten, reply: Reply
+        self, attempt: AttemptId, end: NeverStarted | Ended | Forgotten, reply: SendReply
     ) -> None:
         """Reply for an attempt that isn't running."""
         match end:
@@ -300,7 +300,7 @@
                 refusal = AnswerLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
         await reply(Refused(attempt=attempt, refusal=refusal, load=self.load))
 
-    async def _replay(self, parts: list[OwnerMessage], reply: Reply) -> None:
+    async def _replay(self, parts: list[OwnerMessage], reply: SendReply) -> None:
         """Send a response from its start, including the parts that arrive meanwhile."""
         sent = 0
         while sent < len(parts):
@@ -309,7 +309,7 @@
 
     async def _send(self, message: OwnerMessage) -> None:
         """Keep a part of a response, and send it to the entry proxy if one is waiting."""
-        self._attempts.keep(message.attempt, message)
+        self._attempts.store_part(message.attempt, message)
         reply = self._replies.get(message.attempt)
         if reply is not None:
             await reply(message)
@@ -345,8 +345,8 @@
     async def _remove_worker(self) -> None:
         """Remove the worker from membership, and let its slots finish their running requests."""
         self._worker = None
-        self._members.membership.announce(None, time.monotonic())
-        self._members.spread()
+        self._gossip.membership.set_worker(None, time.monotonic())
+        self._gossip.notify_neighbours()
         await self._retire_slots()
 
     async def _stop_slots(self) -> None:
@@ -369,14 +369,14 @@
         self,
         admission: Admission,
         worker: Worker,
-        work_available: Turnstile,
+        work_available: LifoSignal,
         previous_slots: tuple[asyncio.Task[None], ...],
     ) -> None:
         """Run one request after another at the worker, once the previous slots have ended."""
         if previous_slots:
             # A worker that announced new properties still runs the requests of its old slots.
             await asyncio.wait(previous_slots)
-        with closing(SlotConnection(worker=worker, names=self._names)) as connection:
+        with closing(SlotConnection(worker=worker, header_names=self._header_names)) as connection:
             while not admission.is_draining:
                 work = admission.start_next(time.monotonic())
                 if work is None:
@@ -415,7 +415,7 @@
 
     def _request_id(self, work: Work) -> str:
         """Return the request id of some work, or an empty string if it has none."""
-        return work.request.header(self._names.request_id) or ""
+        return work.request.header(self._header_names.request_id) or ""
 
     async def _check_reachable(self, worker: Worker, refusal: Refusal) -> None:
         """Deregister an unreachable worker, until it announces itself again."""
--- a/cowslipvane/tasks/_peer_listener.py
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -55,7 +55,7 @@
             max_size=MAX_MESSAGE_BYTES,
         )
 
-    def stop_waiting(self) -> None:
+    def cancel_waiting(self) -> None:
         """Cancel all tasks but those of calls: they may wait for updates that no longer arrive."""
         for task in self._cancellable:
             task.cancel()
@@ -63,7 +63,7 @@
     async def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
         """Reject a peer without a valid token, or a request for an unknown path."""
         token = self._identity.token
-        if token is not None and not token.is_shown_by(request.headers.get(AUTHORIZATION)):
+        if token is not None and not token.matches(request.headers.get(AUTHORIZATION)):
             self._record_malformed(request.path, "a peer showed no valid token")
             return connection.respond(HTTPStatus.UNAUTHORIZED, "show the token of the settings\n")
         if request.path not in self._handlers:
@@ -72,7 +72,7 @@
 
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one connection until it closes or sends a malformed message."""
-        notice_silence(connection)
+        enable_keepalive(connection)
         assert connection.request is not None
         path = connection.request.path
         self._connections[path] += 1
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkLost:
-    """Report a lost connection to an owner; outcome_unknown: whether the attempt may have started.
+    """The connection to an owner has ended; outcome_unknown if the attempt may have started.
 
     An owner that closes a connection with "going away" has replied to every attempt that it had
     started.
@@ -86,7 +86,7 @@
         # Sent when an attempt to connect has succeeded or failed.
         self._connect_attempted = Signal()
         self._backoff = Backoff(
-            first=MIN_RECONNECT_DELAY, longest=MAX_RECONNECT_DELAY, rng=random.Random()
+            initial_delay=MIN_RECONNECT_DELAY, max_delay=MAX_RECONNECT_DELAY, rng=random.Random()
         )
         self._task = asyncio.create_task(self._run())
 
@@ -156,7 +156,7 @@
                         pass
                 await asyncio.sleep(self._backoff.next_delay())
         finally:
-            self._fail_pending(in_doubt=True)
+            self._fail_pending(outcome_unknown=True)
 
     async def _connect_once(self) -> _End:
         """Connect, receive messages until the connection ends, and return how it ended."""
@@ -167,7 +167,7 @@
             connected = self._link is not None
             going_away = isinstance(error, LinkClosed) and error.going_away
             # After a reset, a new connection is likely to succeed; after silence, it isn't.
-            self._fail_pending(in_doubt=not going_away, failed=not connected or self._silent)
+            self._fail_pending(outcome_unknown=not going_away, failed=not connected or self._silent)
             self._record_unreachable(str(error))
             if going_away:
                 return _End.LEFT
@@ -200,13 +200,13 @@
             self._events.record("peer", peer=self._member.host, state="lost", reason=reason)
         self._recorded_lost = self._failed
 
-    def _fail_pending(self, *, in_doubt: bool, failed: bool = True) -> None:
+    def _fail_pending(self, *, outcome_unknown: bool, failed: bool = True) -> None:
         """Put LinkLost into all mailboxes; if failed, senders don't wait for a new connection."""
         self._link = None
         self._failed = failed
         self._connect_attempted.send()
         for mailbox in self._mailboxes.values():
-            mailbox.put_nowait(LinkLost(outcome_unknown=in_doubt))
+            mailbox.put_nowait(LinkLost(outcome_unknown=outcome_unknown))
         self._mailboxes.clear()
 
     async def _abort_when_silent(self, link: Link) -> None:
@@ -272,19 +272,19 @@
 
 async def serve_calls(link: Link, owner: Owner) -> None:
     """Receive one proxy's attempts, and send the owner's replies back."""
-    under_way: set[AttemptId] = set()
-    arrivals = Arrivals()
-    reply = _reply_function(link, under_way)
+    in_flight: set[AttemptId] = set()
+    arrivals = OfferAssembler()
+    reply = _reply_function(link, in_flight)
     try:
         while True:
             match await link.receive():
                 case Offer() as offer:
-                    under_way.add(offer.attempt)
+                    in_flight.add(offer.attempt)
                     await _pass_offer(arrivals.begin(offer), owner, reply)
                 case Chunk() as chunk:
                     await _pass_offer(arrivals.add(chunk), owner, reply)
                 case Fence() as fence:
-                    under_way.add(fence.attempt)
+                    in_flight.add(fence.attempt)
                     arrivals.drop(fence.attempt)
                     await owner.fence(fence, reply)
                 case Cancel() as cancel:
@@ -293,11 +293,13 @@
                 case _:
                     return
     finally:
-        for attempt in under_way:
+        for attempt in in_flight:
             owner.abandon(attempt, reply)
 
 
-async def _pass_offer(arrival: Offer | Arriving | Overflow, owner: Owner, reply: Reply) -> None:
+async def _pass_offer(
+    arrival: Offer | Incomplete | Overflow, owner: Owner, reply: SendReply
+) -> None:
     """Pass an offer to the owner once its body is complete."""
     match arrival:
         case Offer() as offer:
@@ -309,13 +311,13 @@
             return
 
 
-def _reply_function(link: Link, under_way: set[AttemptId]) -> Reply:
+def _reply_function(link: Link, in_flight: set[AttemptId]) -> SendReply:
     """Return a reply function that sends over a link, and does nothing once it is closed."""
 
     async def reply(message: OwnerMessage) -> None:
         match message:
             case Refused() | Answer(more=False) | Chunk(more=False):
-                under_way.discard(message.attempt)
+                in_flight.discard(message.attempt)
         try:
             await link.send(message)
         except LinkClosed:
--- a/cowslipvane/tasks/_pipeline.py
+++ b/cowslipvane/tasks/_pipeline.py
@@ -18,7 +18,7 @@
 _PREFETCHED_METHODS = frozenset({"GET", "HEAD"})
 
 
-class Ahead(NamedTuple):
+class Prefetcher(NamedTuple):
     """Functions that fetch a response early, and discard one that is no longer needed."""
 
     fetch: Callable[[web.BaseRequest], Coroutine[Any, Any, Any]]
@@ -30,7 +30,7 @@
 
     def __init__(self, manager: web.Server, *, prefetcher: Prefetcher, **options: Any) -> None:
         super().__init__(manager, **options)
-        self._prefetcher = ahead
+        self._prefetcher = prefetcher
         self._prefetched: dict[int, tuple[RawRequestMessage, asyncio.Task[Any]]] = {}
         # The event loop keeps only weak references to tasks.
         self._discarding: set[asyncio.Task[None]] = set()
@@ -99,7 +99,7 @@
         )
 
 
-def fetched_ahead(http: web.BaseRequest) -> asyncio.Task[Any] | None:
+def take_prefetched(http: web.BaseRequest) -> asyncio.Task[Any] | None:
     """Remove and return the task that prefetches the response to a request, if there is one."""
     match http.protocol:
         case PipelinedConnection() as connection:
--- a/cowslipvane/tasks/_signal.py
+++ b/cowslipvane/tasks/_signal.py
@@ -34,7 +34,7 @@
             self._waiting.discard(future)
 
 
-class Turnstile:
+class LifoSignal:
     """Wakes one waiting task for each send, the one that has waited for the shortest time."""
 
     def __init__(self) -> None:
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -25,9 +25,9 @@
 class SlotConnection:
     """The connection of one slot to the worker, opened on demand."""
 
-    def __init__(self, *, worker: Worker, names: HeaderNames) -> None:
+    def __init__(self, *, worker: Worker, header_names: HeaderNames) -> None:
         self._worker = worker
-        self._names = names
+        self._header_names = header_names
         self._connection: WorkerConnection | None = None
 
     async def send_request(self, request: Request, remaining_ms: int) -> ResponseHead:
@@ -36,7 +36,9 @@
         Raise WorkerUnreachable when nothing was sent, NotRun when the worker reports it, and
         AnswerBroken when the request may have run.
         """
-        headers = self._names.towards_worker(request.headers, remaining_ms, self._worker.instance)
+        headers = self._header_names.headers_to_worker(
+            request.headers, remaining_ms, self._worker.instance
+        )
         if request.header("Host") is None:
             headers = (Header("Host", str(self._worker.address)), *headers)
         head = request_head(request.method, request.path, headers, len(request.body))
@@ -73,20 +75,20 @@
 
     def _is_not_run(self, response: ResponseHead) -> bool:
         """Return whether the worker did not run the request, or is another instance."""
-        if response.field(self._names.not_run) is not None:
+        if response.field(self._header_names.not_run) is not None:
             return True
-        named = bool(self._names.expected_instance and self._worker.instance)
+        named = bool(self._header_names.expected_instance and self._worker.instance)
         return named and response.status == HTTPStatus.MISDIRECTED_REQUEST
 
     def _is_response_to(self, response: ResponseHead, request: Request) -> bool:
         """Return whether a response names this request, or none."""
-        echoed = response.field(self._names.request_id)
-        return echoed is None or echoed == request.header(self._names.request_id)
+        echoed = response.field(self._header_names.request_id)
+        return echoed is None or echoed == request.header(self._header_names.request_id)
 
 
 def response_headers(method: str, response: ResponseHead) -> Headers:
     """Return the fields to forward; a response to HEAD keeps its Content-Length."""
-    headers = end_to_end(response.fields)
+    headers = end_to_end_headers(response.fields)
     length = response.field("Content-Length")
     if length is not None and method == "HEAD":
         return (*headers, Header("Content-Length", length))
--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -1,4 +1,4 @@
-"""A base case for tests of the interface to callers without owners, proxies or a worker."""
+"""A base case for tests of calls before an owner receives them, with stubs behind Callers."""
 
 import os
 import random
@@ -33,7 +33,7 @@
 NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
 
 
-class NoCarrier:
+class RefusingDispatcher:
     """Refuses every call after an attempt at one busy owner, and records the calls."""
 
     def __init__(self) -> None:
@@ -47,24 +47,24 @@
         return NoUpstream(service=call.rules.service)
 
 
-class NoOwner:
+class StubOwner:
     """Stands in for an owner whose worker runs the requests that a test sets."""
 
     def __init__(self) -> None:
         self.running: set[str] = set()
 
-    def runs(self, request_id: str) -> bool:
+    def is_running(self, request_id: str) -> bool:
         """Return whether a request is running."""
         return request_id in self.running
 
 
-class LoneCallersTest(unittest.IsolatedAsyncioTestCase):
+class CallersTestCase(unittest.IsolatedAsyncioTestCase):
     """A listener for callers whose dispatcher and owner are stubs; a base for tests."""
 
     async def asyncSetUp(self) -> None:
         """Listen, with no configuration in force."""
         self.subscription = Subscription()
-        self.applied = Signal()
+        self.configuration_applied = Signal()
         self.dispatcher = RefusingDispatcher()
         self.events = event_log()
         self.owner = StubOwner()
@@ -74,7 +74,7 @@
             events=self.events,
             rng=random.Random(1),
             metrics=Metrics(),
-            configuration_applied=self.applied,
+            configuration_applied=self.configuration_applied,
             owner=cast(Owner, self.owner),
             header_names=NAMES,
         )
@@ -100,10 +100,10 @@
         self.subscription.raise_floor(Version(1))
         self.subscription.apply_snapshot(Snapshot(Version(1), resources, digest))
         self.assertIsNotNone(self.subscription.table)
-        self.applied.send()
+        self.configuration_applied.send()
 
     def goal_left(self) -> float:
         """Return the remaining time of the latency goal of the last call."""
-        remaining = self.carrier.calls[-1].goal_left(time.monotonic())
+        remaining = self.dispatcher.calls[-1].goal_remaining(time.monotonic())
         assert remaining is not None
         return remaining
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -134,9 +134,9 @@
 def make_owner(own: Member, subscription: Subscription | None = None) -> Owner:
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
-    members = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
+    gossip = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
     return Owner(
-        gossip=members,
+        gossip=gossip,
         subscription=subscription or Subscription(),
         events=events(),
         worker_lease=60.0,
@@ -351,7 +351,7 @@
         peers = Address("127.0.0.1", next(iter(server.sockets)).getsockname()[1])
         record = member("b", peers, announced)
         self.owner = make_owner(record._replace(worker=None))
-        await self.owner.announce(announced)
+        await self.owner.register_worker(announced)
         self.owner_task = asyncio.create_task(self.owner.run())
         self.addAsyncCleanup(stop, self.owner_task)
         await asyncio.sleep(0)
@@ -361,7 +361,7 @@
         self.peers = Peers(events=events())
         self.addAsyncCleanup(self.peers.close)
         rng = random.Random(1)
-        self.carrier = Dispatcher(
+        self.dispatcher = Dispatcher(
             subscription=Subscription(),
             membership=membership,
             owner=make_owner(entry),
@@ -396,12 +396,12 @@
 
     async def test_broken_link_neither_repeats_nor_loses_a_call(self) -> None:
         """The entry proxy fences the attempt and receives the response of its only run."""
-        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        dispatching = asyncio.create_task(self.dispatcher.dispatch(self.call("/wait", TIMEOUT_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         self.connections[0].transport.abort()
         await asyncio.sleep(0.05)
         self.worker.release.set()
-        self.assertIsInstance(await dispatching, Served)
+        self.assertIsInstance(await dispatching, StartedResponse)
         self.assertEqual(self.worker.received, ["/wait"])
 
     async def test_small_call_does_not_wait_for_the_body_of_a_large_one(self) -> None:
@@ -409,7 +409,7 @@
         arrived: list[str] = []
         offer_to_owner = self.owner.offer
 
-        async def record_arrival(offer: Offer, reply: Reply) -> None:
+        async def record_arrival(offer: Offer, reply: SendReply) -> None:
             arrived.append(offer.request.path)
             await offer_to_owner(offer, reply)
 
@@ -420,7 +420,7 @@
             patch.object(self.owner, "offer", record_arrival),
             patch.object(large, "_request", large_request),
         ):
-            sending = asyncio.create_task(self.carrier.carry(large))
+            sending = asyncio.create_task(self.dispatcher.dispatch(large))
             # Wait for the link, then a few turns of the event loop for the large call to start.
             for _ in range(100_000):
                 if self.connections:
@@ -428,13 +428,15 @@
                 await asyncio.sleep(0)
             for _ in range(10):
                 await asyncio.sleep(0)
-            self.assertIsInstance(await self.carrier.carry(self.call("/ok", TIMEOUT_S)), Served)
+            self.assertIsInstance(
+                await self.dispatcher.dispatch(self.call("/ok", TIMEOUT_S)), StartedResponse
+            )
             await sending
         self.assertEqual(arrived, ["/ok", "/large"])
 
     async def test_permanently_lost_owner_may_have_run_the_call(self) -> None:
         """The outcome stays unknown, and the refusal reports it."""
-        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        dispatching = asyncio.create_task(self.dispatcher.dispatch(self.call("/wait", TIMEOUT_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         self.server.close(close_connections=False)
         with patch("cowslipvane.tasks._dispatcher.RESOLVE_TIMEOUT", 0.2):
@@ -445,9 +447,9 @@
 
     async def test_broken_link_withdraws_queued_work(self) -> None:
         """A queued call whose link breaks is withdrawn, and its verdict is "not run"."""
-        first = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        first = asyncio.create_task(self.dispatcher.dispatch(self.call("/wait", TIMEOUT_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
-        second = asyncio.create_task(self.carrier.carry(self.call("/ok", TIMEOUT_S)))
+        second = asyncio.create_task(self.dispatcher.dispatch(self.call("/ok", TIMEOUT_S)))
         await asyncio.sleep(0.1)
         self.assertEqual(self.owner.load.queued, 1)
         self.connections[0].transport.abort()
@@ -455,32 +457,32 @@
         assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
         self.worker.release.set()
-        self.assertIsInstance(await first, Served)
+        self.assertIsInstance(await first, StartedResponse)
         self.assertEqual(self.worker.received, ["/wait"])
 
     async def test_planned_close_means_not_run_without_a_reply(self) -> None:
         """A call without a reply at that point was never started."""
         self.closes_at_once = True
-        refusal = await self.carrier.carry(self.call("/ok", TIMEOUT_S))
-        assert not isinstance(refusal, Served)
+        refusal = await self.dispatcher.dispatch(self.call("/ok", TIMEOUT_S))
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
 
     async def test_stopping_owner_replies_to_cancelled_work(self) -> None:
         """The verdict on work that is cancelled with the slots is "may have run"."""
-        dispatching = asyncio.create_task(self.carrier.carry(self.call("/wait", TIMEOUT_S)))
+        dispatching = asyncio.create_task(self.dispatcher.dispatch(self.call("/wait", TIMEOUT_S)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         await stop(self.owner_task)
         await self.connections[0].close(CloseCode.GOING_AWAY)
         refusal = await dispatching
-        assert not isinstance(refusal, Served)
+        assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
 
     async def test_verdict_after_the_deadline(self) -> None:
         """A call that started may have run; one queued behind it was not run."""
-        first = asyncio.create_task(self.carrier.carry(self.call("/wait", 0.3)))
+        first = asyncio.create_task(self.dispatcher.dispatch(self.call("/wait", 0.3)))
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
         verdicts = []
-        for refusal in [await self.carrier.dispatch(self.call("/ok", 0.2)), await first]:
+        for refusal in [await self.dispatcher.dispatch(self.call("/ok", 0.2)), await first]:
             assert not isinstance(refusal, StartedResponse)
             verdicts.append((explain(refusal).code, explain(refusal).verdict))
         self.assertEqual(
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -41,8 +41,8 @@
             self.discarded.append(path)
 
         async def handle(http: web.BaseRequest) -> web.StreamResponse:
-            ahead = take_prefetched(http)
-            body = await (fetch(http) if ahead is None else ahead)
+            prefetched = take_prefetched(http)
+            body = await (fetch(http) if prefetched is None else prefetched)
             return web.Response(text=body)
 
         probe = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -18,13 +18,13 @@
     async def until_under_way(self) -> None:
         """Return once a call has arrived."""
         give_up_at = time.monotonic() + TIMEOUT_S
-        while not self.callers.under_way:
+        while not self.callers.in_flight:
             self.assertLess(time.monotonic(), give_up_at, "no call arrived")
             await asyncio.sleep(0.01)
 
     async def test_call_waits_for_the_first_configuration(self) -> None:
         """It isn't refused, but routed once the configuration is in force."""
-        with patch.object(_callers, "START_TIME", LONG_TIMEOUT_S):
+        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
             response_code = asyncio.create_task(self.code())
             await self.until_under_way()
             self.apply()
@@ -32,12 +32,12 @@
 
     async def test_call_with_a_short_timeout_is_refused_before_it_expires(self) -> None:
         """Its refusal arrives early enough for a retry, here or at another proxy."""
-        with patch.object(_callers, "START_TIME", LONG_TIMEOUT_S):
+        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
             self.assertEqual(await self.code(**{"X-Request-Timeout-Ms": "60"}), "no-configuration")
 
     async def test_call_is_refused_at_once_long_after_the_start(self) -> None:
         """A partitioned proxy doesn't delay its callers."""
-        with patch.object(_callers, "START_TIME", 0.0):
+        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", 0.0):
             self.assertEqual(await self.code(), "no-configuration")
 
 
--- a/tests/test_worker_connection.py
+++ b/tests/test_worker_connection.py
@@ -62,7 +62,7 @@
         self.addAsyncCleanup(stop)
         self.address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
         worker = Worker(ServiceName("stock"), self.address, 1, 10, "i-1")
-        self.connection = SlotConnection(worker=worker, names=NAMES)
+        self.connection = SlotConnection(worker=worker, header_names=NAMES)
         self.addCleanup(self.connection.close)
 
     async def fetch(self, request_id: str) -> bytes:
@@ -183,7 +183,7 @@
             port = free.getsockname()[1]
         worker = Worker(ServiceName("stock"), Address("127.0.0.1", port), 1, 10)
         with self.assertRaises(WorkerUnreachable):
-            await SlotConnection(worker=worker, names=NAMES).send_request(request("1"), 1000)
+            await SlotConnection(worker=worker, header_names=NAMES).send_request(request("1"), 1000)
 
 
 if __name__ == "__main__":
