--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -32,7 +32,7 @@
 RESOLVE_TIMEOUT: Seconds = 5.0
 RECONNECT_DELAY: Seconds = 0.05
 # A call with a smaller body is cheap to send to another data centre.
-LIGHT_BODY_BYTES = 1024
+SMALL_BODY_BYTES = 1024
 # How long an entry proxy waits after the deadline for the owner's verdict on an attempt.
 VERDICT_TIMEOUT: Seconds = 0.2
 
@@ -112,7 +112,7 @@
             for owner in owners
             if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
         ]
-        small = len(call.request.body) < LIGHT_BODY_BYTES
+        small = len(call.request.body) < SMALL_BODY_BYTES
         chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=small)
         self._record_ejections()
         return chosen
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -235,7 +235,7 @@
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
 
     async def test_unreachable_worker_is_deregistered_until_it_announces_itself(self) -> None:
-        """Until then its requests are refused at once, so that other upstreams get them."""
+        """Until then its requests are refused at once, so that other upstreams receive them."""
         self.worker.close()
         codes = []
         for serial in range(1, 6):
