Reword the membership in the terms of gossip protocols

Its texts spoke of lives, news and telling. Comments, docstrings, private names and constants now use incarnation, update, export and data centre terms; the constants that only this folder and its test use get a name that says what they limit. Tests of this part are named after what they check. No behaviour changes.

--- a/cowslipvane/membership/__init__.py
+++ b/cowslipvane/membership/__init__.py
@@ -1,4 +1,4 @@
-"""The members of a data centre: who is up, leaving or gone."""
+"""Membership: which processes are up, leaving or gone, and how their records spread."""
 
 from cowslipvane.membership._announcements import Announcement, Announcements
 from cowslipvane.membership._feed import Feed
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -1,4 +1,4 @@
-"""What a worker announces of itself, and which announcement is the newest."""
+"""Announcements of workers, and the rules that decide which one is current."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 class Announcement(NamedTuple):
     """One announcement of a worker.
 
-    started_at is when this life of the worker began, in any unit that grows; sequence grows with
-    each announcement of a life.
+    started_at is the start time of this incarnation of the worker, in any unit that increases, or 0
+    if unknown. sequence increases with each announcement of an incarnation.
     """
 
     worker: Worker
@@ -21,16 +21,16 @@
     sequence: int
 
 
-# Ended lives that are remembered on a host, so that what they sent late changes nothing.
-MAX_ENDED = 64
+# Ended worker instances that a host remembers, so that their late announcements are ignored.
+MAX_ENDED_INSTANCES = 64
 
 
 class Announcements:
-    """The newest announcement on one host: late ones, and ones of earlier lives, don't count."""
+    """The newest announcement on one host; ignores late ones and those of earlier incarnations."""
 
     def __init__(self) -> None:
         self._newest: Announcement | None = None
-        # The latest start of a life of each instance that has ended.
+        # The latest start time among the ended incarnations of each instance.
         self._ended: OrderedDict[str, int] = OrderedDict()
 
     @property
@@ -39,51 +39,55 @@
         return self._newest
 
     def take(self, announcement: Announcement) -> bool:
-        """Keep an announcement that is newer than the one held; return whether it is."""
-        held = self._newest
+        """Store an announcement if it is newer than the current one; return whether it is."""
+        current = self._newest
         instance = announcement.worker.instance
         if instance in self._ended and announcement.started_at <= self._ended[instance]:
             return False
-        if held is not None and not self._is_newer(announcement, held):
+        if current is not None and not self._is_newer(announcement, current):
             return False
-        if held is not None and self._life(held) == self._life(announcement):
-            if held.state != "ready":
-                # A worker that leaves doesn't come back in the same life.
-                announcement = announcement._replace(state=held.state)
-        elif held is not None:
-            self._note_end(held.worker.instance, held.started_at)
+        if current is not None and self._incarnation(current) == self._incarnation(announcement):
+            if current.state != "ready":
+                # A worker that is leaving or gone can't become ready again in one incarnation.
+                announcement = announcement._replace(state=current.state)
+        elif current is not None:
+            self._record_end(current.worker.instance, current.started_at)
         self._newest = announcement
         return True
 
     def take_departure(self, instance: str, wall_ms: int) -> bool:
-        """Note that an instance is gone; return whether it was the one here.
+        """Record that an instance is gone; return whether it was the current one.
 
-        A departure may come to a process that has heard nothing of the instance yet, as after a
-        restart; then every life that began before the time of day, in milliseconds, has ended.
+        After a restart, a process may receive a departure before any announcement of the instance.
+        In that case every incarnation that started before wall_ms, the wall time in milliseconds,
+        has ended.
         """
-        held = self._newest
-        if held is None or held.worker.instance != instance:
-            self._note_end(instance, wall_ms)
+        current = self._newest
+        if current is None or current.worker.instance != instance:
+            self._record_end(instance, wall_ms)
             return False
-        self._note_end(instance, held.started_at)
-        self._newest = held._replace(state="gone")
+        self._record_end(instance, current.started_at)
+        self._newest = current._replace(state="gone")
         return True
 
-    def _note_end(self, instance: str, started_at: int) -> None:
-        """Remember that the lives of an instance up to a start have ended."""
+    def _record_end(self, instance: str, started_at: int) -> None:
+        """Remember that the incarnations of an instance up to a start time have ended."""
         self._ended[instance] = max(started_at, self._ended.pop(instance, 0))
-        if len(self._ended) > MAX_ENDED:
+        if len(self._ended) > MAX_ENDED_INSTANCES:
             self._ended.popitem(last=False)
 
     @staticmethod
-    def _is_newer(one: Announcement, held: Announcement) -> bool:
-        """Return whether an announcement comes after the one held."""
-        if one.started_at != held.started_at:
-            return one.started_at > held.started_at
-        # Where starts aren't told, a new instance begins its sequence anew.
-        return one.worker.instance != held.worker.instance or one.sequence > held.sequence
+    def _is_newer(candidate: Announcement, current: Announcement) -> bool:
+        """Return whether an announcement is newer than the current one."""
+        if candidate.started_at != current.started_at:
+            return candidate.started_at > current.started_at
+        # Without start times, a new instance is newer, since its sequence starts again.
+        return (
+            candidate.worker.instance != current.worker.instance
+            or candidate.sequence > current.sequence
+        )
 
     @staticmethod
-    def _life(announcement: Announcement) -> tuple[str, int]:
-        """Return what tells the lives of workers apart."""
+    def _incarnation(announcement: Announcement) -> tuple[str, int]:
+        """Return what identifies the incarnation of the worker."""
         return announcement.worker.instance, announcement.started_at
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -1,4 +1,4 @@
-"""What one connection has told, and has still to tell, of the members."""
+"""The exchange of member records over one connection: what was sent and what is still due."""
 
 from __future__ import annotations
 
@@ -9,56 +9,57 @@
 from cowslipvane.membership._messages import Compare, Exchange, ExchangeReply
 from cowslipvane.types import DataCentre, Digest, HostName, Seconds
 
-# Digests that differ this often in a row, with no news under way, call for a comparison.
-MISMATCHES = 2
-# While the digests differ, the next exchange comes this soon, and twice as late each time.
-FIRST_PAUSE: Seconds = 0.1
+# After this many successive digest mismatches with no updates in flight, all records are compared.
+MAX_MISMATCHES = 2
+# The first delay between exchanges while the digests differ; it doubles with each exchange.
+INITIAL_MISMATCH_DELAY: Seconds = 0.1
 _MOST_DOUBLINGS = 10
-# Data centres hold different records, so that they compare by time and not by digest.
-COMPARE_ABROAD: Seconds = 60.0
+# Data centres hold different sets of records, so their digests always differ: they compare
+# periodically instead.
+REMOTE_COMPARE_INTERVAL: Seconds = 60.0
 
 
 class Feed:
-    """Sends each change once over one connection, and finds what got lost."""
+    """Sends each change once over one connection, and detects lost updates."""
 
     def __init__(
         self, *, membership: Membership, data_centre: DataCentre | None, guest: bool = False
     ) -> None:
         self._membership = membership
-        # A guest asks for members of its data centre; others shall not learn of all that ask.
+        # A guest only asks for the members of its data centre; its own record is not passed on.
         self._guest_of = data_centre if guest else None
-        self._here = data_centre == membership.own.data_centre
-        # What was there before the connection is found by the first comparison.
+        self._same_data_centre = data_centre == membership.own.data_centre
+        # Records from before the connection are sent by the first comparison.
         self._cursor = membership.revision
-        self._known: dict[HostName, Order] = {}
-        self._wanted: set[HostName] = set()
-        self._mismatches = MISMATCHES - 1
-        # Exchanges in a row after which the digests differed, news or not.
+        self._peer_orders: dict[HostName, Order] = {}
+        self._to_resend: set[HostName] = set()
+        self._mismatches = MAX_MISMATCHES - 1
+        # Successive exchanges after which the digests differed, with or without updates.
         self._differing = 0
         self._compared_at: float | None = None
 
     @property
     def has_news(self) -> bool:
-        """Return whether there is something to send before the next heartbeat."""
-        return bool(self._wanted) or self._has_diverged() or bool(self._unsent())
+        """Return whether a message has to be sent before the next heartbeat."""
+        return bool(self._to_resend) or self._has_diverged() or bool(self._unsent())
 
     def pause(self, beat: Seconds) -> Seconds:
-        """Return the time until the next exchange, when heartbeats are a time apart."""
+        """Return the time until the next exchange, given the interval between heartbeats."""
         return (
-            min(beat, FIRST_PAUSE * 2 ** min(self._differing, _MOST_DOUBLINGS))
+            min(beat, INITIAL_MISMATCH_DELAY * 2 ** min(self._differing, _MOST_DOUBLINGS))
             if self._differing
             else beat
         )
 
     @property
     def settled(self) -> bool:
-        """Return whether both sides have compared and nothing is left to send."""
+        """Return whether both sides have compared their records and no update is due."""
         compared = self._compared_at is not None or self._mismatches == 0
         return compared and not self.has_news
 
     def next_message(self, now: float) -> Exchange | Compare:
-        """Return what the opener of the connection sends next."""
-        if self._must_compare(now):
+        """Return the next message that the side that opened the connection sends."""
+        if self._compare_is_due(now):
             self._compared_at = now
             self._mismatches = 0
             held = self._membership.members
@@ -66,124 +67,132 @@
                 stamps=tuple(
                     Stamp(item.host, item.order)
                     for item in held
-                    if self._may_tell(item, self._known)
+                    if self._may_send(item, self._peer_orders)
                 )
             )
-        return Exchange(digest=self._membership.digest, members=self._take_news())
+        return Exchange(digest=self._membership.digest, members=self._take_updates())
 
     def answer(self, message: Exchange | Compare, now: float) -> tuple[ExchangeReply, list[Member]]:
-        """Return the reply to the opener's message, and the records that were news here."""
+        """Return the reply to a message of the opener, and the records that were new here."""
         match message:
             case Exchange(members=members):
-                newer = self._hear(members, now)
-                reply = ExchangeReply(digest=self._membership.digest, members=self._take_news())
+                newer = self._merge_received(members, now)
+                reply = ExchangeReply(digest=self._membership.digest, members=self._take_updates())
             case Compare(stamps=stamps):
                 newer = []
-                self._known.update((stamp.host, stamp.order) for stamp in stamps)
+                self._peer_orders.update((stamp.host, stamp.order) for stamp in stamps)
                 missing = self._membership.newer_than(stamps)
-                told = tuple(item for item in missing if self._may_tell(item, self._known))
-                self._known.update((item.host, item.order) for item in told)
-                wanted = self._membership.lacking(stamps)
-                reply = ExchangeReply(digest=self._membership.digest, members=told, wanted=wanted)
+                sent_records = tuple(
+                    item for item in missing if self._may_send(item, self._peer_orders)
+                )
+                self._peer_orders.update((item.host, item.order) for item in sent_records)
+                requested = self._membership.lacking(stamps)
+                reply = ExchangeReply(
+                    digest=self._membership.digest, members=sent_records, wanted=requested
+                )
         return reply, newer
 
     def take(self, sent: Exchange | Compare, reply: ExchangeReply, now: float) -> list[Member]:
-        """Take a reply in, and return the records that were news."""
-        idle = _says_no_news(sent, self._membership.digest) and not reply.members
-        newer = self._hear(reply.members, now)
-        self._wanted.update(reply.wanted)
+        """Merge a reply, and return the records that were new here."""
+        idle = _carries_no_updates(sent, self._membership.digest) and not reply.members
+        newer = self._merge_received(reply.members, now)
+        self._to_resend.update(reply.wanted)
         if reply.digest == self._membership.digest:
             self._mismatches = 0
             self._differing = 0
-        elif self._here:
+        elif self._same_data_centre:
             self._mismatches += idle
             self._differing += 1
         return newer
 
     def _has_diverged(self) -> bool:
-        """Return whether the digests have differed without news under way."""
-        return self._here and self._mismatches >= MISMATCHES
+        """Return whether the digests keep differing although no updates are in flight."""
+        return self._same_data_centre and self._mismatches >= MAX_MISMATCHES
 
-    def _must_compare(self, now: float) -> bool:
-        """Return whether it is time to list all records held."""
-        if self._here:
+    def _compare_is_due(self, now: float) -> bool:
+        """Return whether the next message has to list all records held here."""
+        if self._same_data_centre:
             return self._has_diverged()
-        return self._compared_at is None or now >= self._compared_at + COMPARE_ABROAD
+        return self._compared_at is None or now >= self._compared_at + REMOTE_COMPARE_INTERVAL
 
-    def _hear(self, members: Iterable[Member], now: float) -> list[Member]:
-        """Merge records, and want those corrected that are older than the ones held."""
-        heard = [record for record in members if not self._is_of_guest(record)]
-        newer = self._membership.merge(heard, now)
-        for record in heard:
+    def _merge_received(self, members: Iterable[Member], now: float) -> list[Member]:
+        """Merge received records, and resend those of which the other side holds an older one."""
+        received = [record for record in members if not self._is_of_guest(record)]
+        newer = self._membership.merge(received, now)
+        for record in received:
             held = self._membership.member(record.host)
-            self._known[record.host] = record.order
+            self._peer_orders[record.host] = record.order
             if held is not None and held.order > record.order:
-                self._wanted.add(record.host)
+                self._to_resend.add(record.host)
         return newer
 
     def _is_of_guest(self, record: Member) -> bool:
-        """Return whether a guest's record isn't needed, since its data centre is known here."""
+        """Return whether a record of the guest can be ignored, as its data centre is reachable."""
         return (
-            not self._here
+            not self._same_data_centre
             and record.data_centre == self._guest_of
             and self._membership.member(record.host) is None
             and self._membership.knows_gateways(record.data_centre)
         )
 
-    def _take_news(self) -> tuple[Member, ...]:
-        """Return what the other side lacks, and count it as told."""
-        news = {member.host: member for member in self._unsent()}
-        for host in self._wanted:
+    def _take_updates(self) -> tuple[Member, ...]:
+        """Return the records that the other side lacks, and mark them as sent."""
+        updates = {member.host: member for member in self._unsent()}
+        for host in self._to_resend:
             member = self._membership.member(host)
-            if member is not None and self._may_tell(member, self._known):
-                news[host] = member
-        self._wanted.clear()
+            if member is not None and self._may_send(member, self._peer_orders):
+                updates[host] = member
+        self._to_resend.clear()
         self._cursor = self._membership.revision
-        if self._here:
-            # The cursor says all that must be known of a side that gets every change.
-            self._known.clear()
+        if self._same_data_centre:
+            # A peer in this data centre receives every change, so the cursor is enough.
+            self._peer_orders.clear()
         else:
-            self._known.update((host, member.order) for host, member in news.items())
-        return tuple(news.values())
+            self._peer_orders.update((host, member.order) for host, member in updates.items())
+        return tuple(updates.values())
 
     def _unsent(self) -> list[Member]:
         """Return the changed records that the other side isn't known to hold."""
         if self._cursor == self._membership.revision:
             return []
-        if self._here:
+        if self._same_data_centre:
             changed = self._membership.changed_since(self._cursor)
         else:
-            changed = [item for item in self._abroad() if self._may_tell(item, self._known)]
-        return [item for item in changed if not self._is_known(item)]
-
-    def _is_known(self, record: Member) -> bool:
+            changed = [
+                item
+                for item in self._remote_candidates()
+                if self._may_send(item, self._peer_orders)
+            ]
+        return [item for item in changed if not self._peer_holds(item)]
+
+    def _peer_holds(self, record: Member) -> bool:
         """Return whether the other side holds a record, or a newer one."""
-        known = self._known.get(record.host)
+        known = self._peer_orders.get(record.host)
         return known is not None and known >= record.order
 
-    def _abroad(self) -> list[Member]:
-        """Return the records that may be told abroad, the dead among them only if known there."""
+    def _remote_candidates(self) -> list[Member]:
+        """Return candidates for a remote data centre; dead members only if it knows them."""
         held = {member.host: member for member in self._membership.members}
-        for host in self._known:
+        for host in self._peer_orders:
             member = self._membership.member(host)
             if member is not None:
                 held[host] = member
         return list(held.values())
 
-    def _may_tell(self, record: Member, listed: Iterable[HostName]) -> bool:
-        """Return whether the other side is told of a record."""
+    def _may_send(self, record: Member, listed: Iterable[HostName]) -> bool:
+        """Return whether a record is sent to the other side."""
         return (
-            self._here
+            self._same_data_centre
             or record.data_centre != self._membership.own.data_centre
             or record.host in self._membership.exported
             or record.host in listed
         )
 
 
-def _says_no_news(sent: Exchange | Compare, digest: Digest) -> bool:
-    """Return whether a message had no records and its sender has learnt nothing since."""
+def _carries_no_updates(sent: Exchange | Compare, digest: Digest) -> bool:
+    """Return whether a message carried no records and the sender's digest is unchanged since."""
     match sent:
-        case Exchange(digest=told, members=members):
-            return not members and told == digest
+        case Exchange(digest=sent_digest, members=members):
+            return not members and sent_digest == digest
         case Compare():
             return False
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -1,4 +1,4 @@
-"""The record of a member, and what orders two records of one host."""
+"""The record of a member, and the order between two records of one host."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 
 class Worker(NamedTuple):
-    """What an upstream announces of itself to the proxy on its host.
+    """The description that an upstream announces to the proxy on its host.
 
-    instance names one life of the upstream, where it has such a name.
+    instance identifies one incarnation of the upstream; it is empty if the upstream gives none.
     """
 
     service: ServiceName
@@ -24,10 +24,10 @@
 
 
 class Order(NamedTuple):
-    """What orders the records of one host: the later one wins.
+    """The order of the records of one host: the greater one is newer.
 
-    The owner alone raises incarnation and counter; others may only suspect, so that a
-    suspicion loses against anything that the owner says after it.
+    Only the host itself raises incarnation and counter; others may only set suspected. Each later
+    record of the host therefore overrides a suspicion.
     """
 
     incarnation: int
@@ -36,14 +36,14 @@
 
 
 class Stamp(NamedTuple):
-    """Which record of a host a process holds."""
+    """The order of the record that a process holds for a host."""
 
     host: HostName
     order: Order
 
 
 class Member(NamedTuple):
-    """A process of the system, as its own process last described it."""
+    """A process of the system, as described by its newest record."""
 
     host: HostName
     data_centre: DataCentre
@@ -58,11 +58,11 @@
 
     @property
     def order(self) -> Order:
-        """Return what orders the records of one host."""
+        """Return the position of this record among those of the same host."""
         return Order(self.incarnation, self.counter, self.suspected)
 
 
 def record_hash(member: Member) -> int:
-    """Return a hash of which record of a host this is."""
+    """Return a hash of the host and order of a record."""
     text = f"{member.host} {member.incarnation} {member.counter} {member.suspected}"
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest())
--- a/cowslipvane/membership/_messages.py
+++ b/cowslipvane/membership/_messages.py
@@ -1,4 +1,4 @@
-"""The messages that spread the records of members."""
+"""Messages that exchange the records of members."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Hello:
-    """Says who opened the connection; it is the first message and has no reply.
+    """Identifies the side that opened the connection; it is the first message and has no reply.
 
-    A guest only asks for members that it doesn't know, as those do who join.
+    A guest only asks for members that it doesn't know, as a joining process does.
     """
 
     sender: HostName
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Exchange:
-    """Sends the records that the receiver lacks; without any it is a heartbeat."""
+    """Sends the records that the receiver lacks; without records it is a heartbeat."""
 
     digest: Digest
     members: tuple[Member, ...]
@@ -30,14 +30,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Compare:
-    """Lists which records the sender holds, because the digests differ."""
+    """Lists the stamps of all records that the sender holds, for a full comparison."""
 
     stamps: tuple[Stamp, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExchangeReply:
-    """Answers an exchange or a comparison with newer records, and asks for those wanted."""
+    """Replies to Exchange or Compare with newer records, and requests those of the wanted hosts."""
 
     digest: Digest
     members: tuple[Member, ...]
--- a/cowslipvane/membership/_topology.py
+++ b/cowslipvane/membership/_topology.py
@@ -1,4 +1,4 @@
-"""Who talks to whom: neighbours within a data centre, gateways between them."""
+"""The connections of a member: a ring within its data centre, gateways between data centres."""
 
 from __future__ import annotations
 
@@ -9,46 +9,49 @@
 from cowslipvane.membership._member import Member
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
 
-# Members of a data centre that talk to other data centres.
-GATEWAYS = 2
-# Owners of a service that other data centres are told of.
-OWNERS_ABROAD = 3
-# Neighbours with frequent heartbeats; the others only get news and a rare digest.
-NEAR_NEIGHBOURS = 2
+# Members of a data centre that connect to other data centres.
+GATEWAYS_PER_DATA_CENTRE = 2
+# Owners of each service whose records are sent to other data centres.
+EXPORTED_OWNERS_PER_SERVICE = 3
+# Ring neighbours with frequent heartbeats; the others get updates at once and a digest rarely.
+FREQUENT_HEARTBEAT_NEIGHBOURS = 2
 
 
 class Neighbour(NamedTuple):
-    """A member to keep a connection to, and whether its heartbeats are frequent."""
+    """A member to keep a connection to, and whether heartbeats to it are frequent."""
 
     host: HostName
     near: bool
 
 
 def ring_neighbours(own: HostName, hosts: Iterable[HostName]) -> list[Neighbour]:
-    """Return the successors of a host at distances 1, 2, 4 and so on, by sorted name."""
+    """Return the successors of a host at distances 1, 2, 4, ... in the ring of sorted names."""
     ring = sorted({own, *hosts})
-    at = ring.index(own)
-    found: list[Neighbour] = []
+    position = ring.index(own)
+    neighbours: list[Neighbour] = []
     distance = 1
     while distance < len(ring):
-        host = ring[(at + distance) % len(ring)]
-        found.append(Neighbour(host, len(found) < NEAR_NEIGHBOURS))
+        host = ring[(position + distance) % len(ring)]
+        neighbours.append(Neighbour(host, len(neighbours) < FREQUENT_HEARTBEAT_NEIGHBOURS))
         distance *= 2
-    return found
+    return neighbours
 
 
 def gateways(members: Iterable[Member]) -> dict[DataCentre, list[HostName]]:
-    """Return the hosts of each data centre that talk to the others: the lowest names."""
+    """Return the gateways of each data centre: the hosts with the lowest names."""
     hosts: dict[DataCentre, list[HostName]] = defaultdict(list)
     for member in members:
         hosts[member.data_centre].append(member.host)
-    return {data_centre: sorted(found)[:GATEWAYS] for data_centre, found in hosts.items()}
+    return {
+        data_centre: sorted(names)[:GATEWAYS_PER_DATA_CENTRE]
+        for data_centre, names in hosts.items()
+    }
 
 
 def gateway_neighbours(
     own: Member, by_data_centre: dict[DataCentre, list[HostName]]
 ) -> list[Neighbour]:
-    """Return the gateways abroad that this process talks to, if it is one itself."""
+    """Return the remote gateways that this process connects to if it is a gateway itself."""
     here = by_data_centre.get(own.data_centre, [])
     if own.host not in here:
         return []
@@ -61,13 +64,13 @@
 
 
 def exported(live: Sequence[Member], seeds: Collection[Address]) -> frozenset[HostName]:
-    """Return the members of a data centre that other data centres are told of."""
-    hosts = sorted(member.host for member in live)[:GATEWAYS]
+    """Return the members of a data centre whose records are sent to other data centres."""
+    hosts = sorted(member.host for member in live)[:GATEWAYS_PER_DATA_CENTRE]
     hosts += [member.host for member in live if member.peers in seeds]
     owners: dict[ServiceName, list[HostName]] = defaultdict(list)
     for member in live:
         if member.worker is not None and member.state == "up" and not member.suspected:
             owners[member.worker.service].append(member.host)
     for names in owners.values():
-        hosts += sorted(names)[:OWNERS_ABROAD]
+        hosts += sorted(names)[:EXPORTED_OWNERS_PER_SERVICE]
     return frozenset(hosts)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""Tests of the order of a worker's announcements."""
+"""Tests of which announcement of a worker is current."""
 
 import unittest
 from typing import Literal
@@ -15,33 +15,33 @@
     sequence: int,
     state: Literal["ready", "leaving", "gone"] = "ready",
 ) -> Announcement:
-    """Return an announcement."""
+    """Return an announcement of a worker of stock."""
     worker = Worker(ServiceName("stock"), Address("127.0.0.1", 1), 6, 0, instance)
     return Announcement(worker, state, started_at, sequence)
 
 
 class AnnouncementsTest(unittest.TestCase):
-    """That what is late, or of an earlier life, changes nothing."""
+    """Late announcements and those of earlier incarnations are ignored."""
 
     def setUp(self) -> None:
-        """Begin without a worker."""
+        """Start without a worker."""
         self.announcements = Announcements()
 
     def state(self) -> str:
-        """Return the instance and state that count."""
+        """Return the instance and state of the newest announcement."""
         newest = self.announcements.newest
         assert newest is not None
         return f"{newest.worker.instance} {newest.state}"
 
-    def test_a_late_announcement_does_not_bring_a_leaving_worker_back(self) -> None:
-        """Neither one that was sent before, nor a later one of the same life."""
+    def test_a_leaving_worker_does_not_become_ready_again(self) -> None:
+        """Neither an earlier nor a later announcement of the same incarnation changes its state."""
         self.announcements.take(announcement("a", 1, 5, "leaving"))
         self.assertFalse(self.announcements.take(announcement("a", 1, 4)))
         self.announcements.take(announcement("a", 1, 6))
         self.assertEqual(self.state(), "a leaving")
 
-    def test_a_new_life_begins_its_sequence_anew(self) -> None:
-        """Under the same name or another; what the old one sent late is passed over."""
+    def test_a_new_incarnation_restarts_the_sequence(self) -> None:
+        """Late announcements of the previous one are ignored, whether or not its name is reused."""
         self.announcements.take(announcement("a", 1, 9, "leaving"))
         self.assertTrue(self.announcements.take(announcement("a", 2, 1)))
         self.assertEqual(self.state(), "a ready")
@@ -50,22 +50,22 @@
         self.assertFalse(self.announcements.take_departure("a", NOW_MS))
         self.assertEqual(self.state(), "b ready")
 
-    def test_a_departure_is_for_good(self) -> None:
-        """A later announcement of the same life doesn't undo it."""
+    def test_a_departure_is_final(self) -> None:
+        """A later announcement of the same incarnation does not revert it."""
         self.announcements.take(announcement("a", 1, 1))
         self.assertTrue(self.announcements.take_departure("a", NOW_MS))
         self.announcements.take(announcement("a", 1, 2))
         self.assertEqual(self.state(), "a gone")
 
-    def test_a_departure_that_comes_first_counts(self) -> None:
-        """A process that has just started hears it before a heartbeat that was sent earlier."""
+    def test_a_departure_may_precede_all_announcements(self) -> None:
+        """A process that has just started may receive it before an earlier heartbeat."""
         self.assertFalse(self.announcements.take_departure("a", NOW_MS))
         self.assertFalse(self.announcements.take(announcement("a", NOW_MS - 1, 7)))
         self.assertIsNone(self.announcements.newest)
         self.assertTrue(self.announcements.take(announcement("a", NOW_MS + 1, 1)))
 
-    def test_instances_without_a_start_follow_each_other(self) -> None:
-        """The one before doesn't come back with a late heartbeat."""
+    def test_instances_without_a_start_time_replace_each_other(self) -> None:
+        """A late heartbeat of the previous instance is ignored."""
         self.announcements.take(announcement("a", 0, 9))
         self.assertTrue(self.announcements.take(announcement("b", 0, 1)))
         self.assertFalse(self.announcements.take(announcement("a", 0, 10)))
