Reword the subscription and its tests in plain terms

Messages said what they 'answer' and 'ask'; they now say what they request, respond or acknowledge, and the floor is explained as the minimum version. The reasons of rejected versions stay, since they are texts of event fields. No behaviour changes.

--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -1,4 +1,4 @@
-"""A proxy's subscription: the version that it has in force, and how it moves on."""
+"""Subscriptions: the configuration version in force on each proxy, and its updates."""
 
 from cowslipvane.subscription._backoff import Backoff
 from cowslipvane.subscription._messages import (
--- a/cowslipvane/subscription/_backoff.py
+++ b/cowslipvane/subscription/_backoff.py
@@ -1,4 +1,4 @@
-"""Waits between attempts that grow and are spread at random."""
+"""Exponential backoff between attempts, with random jitter."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Backoff:
-    """An exponential backoff with full jitter, so that a herd does not return at one moment."""
+    """An exponential backoff with full jitter, so that clients don't all retry at the same time."""
 
     def __init__(self, *, first: Seconds, longest: Seconds, rng: random.Random) -> None:
         self._first = first
@@ -17,11 +17,11 @@
         self._limit = first
 
     def wait(self) -> Seconds:
-        """Return how long to wait before the next attempt, and let the limit grow."""
-        wait = self._rng.uniform(0, self._limit)
+        """Return the delay before the next attempt, and double the limit."""
+        delay = self._rng.uniform(0, self._limit)
         self._limit = min(self._limit * 2, self._longest)
-        return wait
+        return delay
 
     def reset(self) -> None:
-        """Begin anew after a success."""
+        """Reset the limit after a success."""
         self._limit = self._first
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between a proxy and the replica that it pulls versions from."""
+"""Messages between a proxy and the replica from which it pulls versions."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskFloor:
-    """Asks for a version that is at least every version accepted before the question.
+    """Requests a minimum version: at least every version accepted before the request.
 
-    wait is how long the answer may take while no leader is known.
+    wait is the longest time that the replica may hold the request while no leader is known.
     """
 
     wait: Seconds
@@ -21,23 +21,24 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Floor:
-    """Answers as the leader: no version under this one may be applied."""
+    """The leader's response: no version below this one may be applied."""
 
     version: Version
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskLeader:
-    """Answers that only the leader knows the floor, and where it is as far as is known here."""
+    """Redirects to the leader, which alone knows the minimum version, if its address is known."""
 
     leader: Address | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pull:
-    """Says what the proxy has in force, and asks for what follows its base.
+    """Reports the version in force on the proxy, and requests the changes after its base.
 
-    The answer waits for a version of at least the floor.
+    The replica holds the request until it has a version of at least the floor. hosts are the route
+    hosts that the proxy serves.
     """
 
     report: Report
@@ -48,47 +49,47 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PullDelta:
-    """Answers with the difference from the version in force."""
+    """Responds with the delta from the version in force."""
 
     delta: Delta
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PullSnapshot:
-    """Answers with all resources, when no difference reaches back far enough."""
+    """Responds with all resources, when the history does not reach back to the base."""
 
     snapshot: Snapshot
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Current:
-    """Answers that nothing newer is accepted here; it doubles as a heartbeat."""
+    """Responds that no newer version is accepted here; it also serves as a heartbeat."""
 
     version: Version
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reports:
-    """Passes on to the leader what proxies have reported to another replica."""
+    """Forwards to the leader the reports that proxies sent to another replica."""
 
     reports: tuple[Report, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReportsTaken:
-    """Answers that reports are kept."""
+    """Acknowledges reports."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ComeAgain:
-    """Answers that too many snapshots are on their way, and when to ask again."""
+    """Asks the proxy to retry after a delay, as too many snapshots are being sent."""
 
     after: Seconds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Lagging:
-    """Answers that this replica hears no leader, so another one may have something newer."""
+    """Responds that this replica has no contact to a leader, so another one may be newer."""
 
 
 PullReply = PullDelta | PullSnapshot | Current | ComeAgain | Lagging
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -1,4 +1,4 @@
-"""The rollout: on which proxies each version is in force, by what they report."""
+"""The rollout: on which proxies each version is in force, according to their reports."""
 
 from __future__ import annotations
 
@@ -9,19 +9,19 @@
 from cowslipvane.replica import Report
 from cowslipvane.types import NO_VERSION, HostName, Version
 
-# Versions whose time of being in force everywhere is remembered.
+# Versions for which the time when they were in force everywhere is kept.
 HISTORY_VERSIONS = 1000
 
 
 class Proxies(NamedTuple):
-    """The proxies that are known, by whether their lease runs."""
+    """The known proxies, split by whether their lease is still valid."""
 
     live: tuple[HostName, ...]
     silent: tuple[HostName, ...]
 
 
 class Lag(NamedTuple):
-    """A live proxy that does not have a version in force, and why if it said so."""
+    """A live proxy on which a version is not in force, and the reason if it rejected it."""
 
     host: HostName
     version: Version
@@ -30,7 +30,7 @@
 
 
 class Progress(NamedTuple):
-    """How far a version has come."""
+    """The progress of one version's rollout."""
 
     version: Version
     in_force: int
@@ -41,70 +41,70 @@
 
 
 class Rollout:
-    """What the proxies have in force, seen from one replica."""
+    """The versions in force on the proxies, as known to one replica."""
 
     def __init__(self) -> None:
         self._reports: dict[HostName, Report] = {}
         self._proxies = Proxies((), ())
-        self._held: list[Version] = []
+        self._versions: list[Version] = []
         self._everywhere: dict[Version, float] = {}
-        self._marked = NO_VERSION
+        self._everywhere_version = NO_VERSION
 
     def observe(self, reports: Mapping[HostName, Report], proxies: Proxies, now: float) -> bool:
-        """Take the newest reports, of all proxies that are known; return whether they are news."""
+        """Update from the newest reports of all known proxies; return whether anything changed."""
         known = {host: reports[host] for host in proxies.live if host in reports}
         if known == self._reports and proxies == self._proxies:
             return False
         self._reports, self._proxies = known, proxies
-        self._held = sorted(self._version(host) for host in proxies.live)
-        if self._held:
-            self._mark(self._held[0], now)
+        self._versions = sorted(self._version_of(host) for host in proxies.live)
+        if self._versions:
+            self._record_everywhere(self._versions[0], now)
         return True
 
     @property
     def proxies(self) -> int:
-        """Return how many proxies live."""
-        return len(self._held)
+        """Return the number of live proxies."""
+        return len(self._versions)
 
     def in_force(self, version: Version) -> int:
-        """Return on how many live proxies a version or a later one is in force."""
-        return len(self._held) - bisect_left(self._held, version)
+        """Return the number of live proxies on which a version or a later one is in force."""
+        return len(self._versions) - bisect_left(self._versions, version)
 
     def progress(self, version: Version, accepted_at: Mapping[Version, float]) -> Progress:
-        """Return how far a version has come, and who lags since when."""
-        behind = tuple(self._lags(version, accepted_at)) if self._held else ()
+        """Return the progress of a version, with the proxies that lag and since when."""
+        behind = tuple(self._lags(version, accepted_at)) if self._versions else ()
         return Progress(
             version,
             self.in_force(version),
-            len(self._held),
+            len(self._versions),
             self.everywhere_at(version),
             behind,
             self._proxies.silent,
         )
 
     def everywhere_at(self, version: Version) -> float | None:
-        """Return when every proxy that lived then was known to have a version in force."""
+        """Return when a version was first known to be in force on every proxy live at that time."""
         return self._everywhere.get(version)
 
-    def _version(self, host: HostName) -> Version:
-        """Return what a live proxy has in force."""
+    def _version_of(self, host: HostName) -> Version:
+        """Return the version in force on a live proxy."""
         report = self._reports.get(host)
         return report.version if report else NO_VERSION
 
     def _lags(self, version: Version, accepted_at: Mapping[Version, float]) -> Iterable[Lag]:
-        """Yield the live proxies that lag behind a version."""
+        """Yield the live proxies on which an older version is in force."""
         for host in self._proxies.live:
-            held = self._version(host)
-            if held < version:
+            version_in_force = self._version_of(host)
+            if version_in_force < version:
                 report = self._reports.get(host)
-                # A proxy lags from the moment that the version after its own was accepted.
-                since = accepted_at.get(Version(held + 1))
-                yield Lag(host, held, since, report.rejected if report else "")
+                # A proxy lags from the time when the version after its own was accepted.
+                since = accepted_at.get(Version(version_in_force + 1))
+                yield Lag(host, version_in_force, since, report.rejected if report else "")
 
-    def _mark(self, version: Version, now: float) -> None:
-        """Note that all versions up to one are in force everywhere."""
-        first = max(self._marked + 1, version - HISTORY_VERSIONS + 1)
+    def _record_everywhere(self, version: Version, now: float) -> None:
+        """Record that all versions up to the given one are in force everywhere."""
+        first = max(self._everywhere_version + 1, version - HISTORY_VERSIONS + 1)
         self._everywhere.update((Version(number), now) for number in range(first, version + 1))
-        self._marked = max(self._marked, version)
+        self._everywhere_version = max(self._everywhere_version, version)
         for number in list(self._everywhere)[:-HISTORY_VERSIONS]:
             del self._everywhere[number]
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -1,4 +1,4 @@
-"""The subscription: whole versions only, and never back."""
+"""The subscription: applies complete versions only, and never an older one."""
 
 from __future__ import annotations
 
@@ -27,17 +27,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rejected:
-    """The version is not taken, in no part."""
+    """The version is refused, and no part of it applied."""
 
     version: Version
     reason: str
 
 
 class Subscription:
-    """The configuration that one proxy has in force.
+    """The configuration in force on one proxy.
 
-    A proxy without a disk does not know what it had in force before a restart. It takes no version
-    until it has learnt a floor: a version that is at least all that were accepted by then.
+    A proxy stores no configuration on disk, so after a restart it doesn't know which version was in
+    force. It applies no version until it knows a floor, the minimum version: at least every version
+    that was accepted before the proxy requested it.
     """
 
     def __init__(self) -> None:
@@ -54,7 +55,7 @@
 
     @property
     def floor(self) -> Version | None:
-        """Return the version that the proxy may not go under, None before it is learnt."""
+        """Return the minimum version that may be applied, None while it is unknown."""
         return None if self._floor is None else max(self._floor, self._version)
 
     @property
@@ -68,34 +69,34 @@
         return self._table
 
     def learn_floor(self, floor: Version) -> None:
-        """Refuse every version under a floor from now on; a floor never sinks."""
+        """Refuse every version below a floor from now on; a lower floor has no effect."""
         self._floor = max(floor, self._floor or NO_VERSION)
 
     def take_delta(self, delta: Delta) -> Applied | Rejected:
-        """Move on by the difference from the version in force."""
+        """Apply a delta to the version in force."""
         if delta.base != self._version:
             reason = f"the delta starts at {delta.base}, in force is {self._version}"
             return Rejected(version=delta.version, reason=reason)
         resources = dict(self._resources)
-        gone = [resources.pop(key, None) for key in delta.deletes]
-        gone += [resources.get(resource.key) for resource in delta.puts]
+        replaced = [resources.pop(key, None) for key in delta.deletes]
+        replaced += [resources.get(resource.key) for resource in delta.puts]
         resources.update((resource.key, resource) for resource in delta.puts)
-        digests = [-resource_digest(resource) for resource in gone if resource is not None]
+        digests = [-resource_digest(resource) for resource in replaced if resource is not None]
         digests += [resource_digest(resource) for resource in delta.puts]
         digest = combine([self._digest, *digests])
-        return self._take(delta.version, resources, digest, delta.digest)
+        return self._apply(delta.version, resources, digest, delta.digest)
 
     def take_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
-        """Move on to a version that came whole."""
+        """Apply a version with all its resources."""
         resources = {resource.key: resource for resource in snapshot.resources}
         digest = combine(resource_digest(resource) for resource in snapshot.resources)
-        return self._take(snapshot.version, resources, digest, snapshot.digest)
+        return self._apply(snapshot.version, resources, digest, snapshot.digest)
 
-    def _take(
-        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, promised: Digest
+    def _apply(
+        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, expected: Digest
     ) -> Applied | Rejected:
-        """Build the new state aside and swap it in, unless a rule forbids it."""
-        reason = self._reason_against(version, resources, digest, promised)
+        """Build the new state and swap it in at once, unless a check fails."""
+        reason = self._rejection_reason(version, resources, digest, expected)
         if reason:
             return Rejected(version=version, reason=reason)
         table = RoutingTable(version=version, resources=resources.values())
@@ -103,16 +104,16 @@
         self._version, self._digest = version, digest
         return Applied(version=version)
 
-    def _reason_against(
-        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, promised: Digest
+    def _rejection_reason(
+        self, version: Version, resources: Mapping[Key, Resource], digest: Digest, expected: Digest
     ) -> str:
-        """Return why a version can't be taken, or nothing."""
+        """Return why a version can't be applied, or an empty text."""
         floor = self.floor
         if floor is None:
             return "it isn't known yet under which version this proxy may not go"
         if version < floor:
             return f"it is older than version {floor}, under which this proxy may not go"
-        if digest != promised:
-            return f"its digest is {digest:016x}; {promised:016x} was promised"
+        if digest != expected:
+            return f"its digest is {digest:016x}; {expected:016x} was promised"
         faults = list(dangling(resources))
         return f"{faults[0].path} {faults[0].message}" if faults else ""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -17,44 +17,44 @@
 
 
 class RolloutTest(unittest.TestCase):
-    """Who has what, of how many, since when."""
+    """The counts of proxies by version, and the ones that lag."""
 
     def setUp(self) -> None:
-        """Begin with two live proxies, one of which lags, and a silent one."""
+        """Create two live proxies, one of which lags, and a silent one."""
         self.rollout = Rollout()
         self.proxies = Proxies((A, B), (C,))
         self.reports = {A: report(A, 3), B: report(B, 1, rejected="why"), C: report(C, 0)}
         self.rollout.observe(self.reports, self.proxies, 40.0)
 
-    def test_counts_live_proxies_and_names_who_lags(self) -> None:
-        """A proxy lags since the version after its own was accepted."""
+    def test_counts_live_proxies_and_lists_those_that_lag(self) -> None:
+        """A proxy lags from the time when the version after its own was accepted."""
         progress = self.rollout.progress(Version(3), ACCEPTED_AT)
         self.assertEqual((progress.in_force, progress.proxies), (1, 2))
         self.assertEqual(progress.behind, (Lag(B, Version(1), 20.0, "why"),))
         self.assertEqual((progress.silent, progress.everywhere_at), ((C,), None))
 
     def test_a_proxy_that_never_reported_counts_as_lagging(self) -> None:
-        """Silence isn't taken for success."""
+        """A missing report is not a success."""
         self.rollout.observe({A: report(A, 3)}, self.proxies, 41.0)
         progress = self.rollout.progress(Version(1), ACCEPTED_AT)
         self.assertEqual((progress.in_force, progress.proxies), (1, 2))
         self.assertEqual([lag.host for lag in progress.behind], [B])
 
-    def test_everywhere_is_when_the_last_came(self) -> None:
-        """The time stays, also when a proxy starts anew."""
+    def test_everywhere_at_is_the_time_of_the_last_proxy(self) -> None:
+        """The time stays, even if a proxy restarts later."""
         self.assertEqual(self.rollout.everywhere_at(Version(1)), 40.0)
         self.rollout.observe({A: report(A, 3), B: report(B, 3)}, self.proxies, 50.0)
         self.rollout.observe({A: report(A, 0), B: report(B, 3)}, self.proxies, 60.0)
         times = [self.rollout.everywhere_at(version) for version in ACCEPTED_AT]
         self.assertEqual(times, [40.0, 50.0, 50.0])
 
-    def test_tells_news_from_repetition(self) -> None:
-        """Watchers are woken only by news."""
+    def test_observe_returns_whether_anything_changed(self) -> None:
+        """Watchers are woken only by changes."""
         self.assertFalse(self.rollout.observe(self.reports, self.proxies, 50.0))
         self.assertTrue(self.rollout.observe(self.reports, Proxies((A, B), ()), 50.0))
 
     def test_an_older_report_does_not_replace_a_newer_one(self) -> None:
-        """Reports that come round by other replicas may be late."""
+        """Reports that are forwarded by other replicas may be late."""
         replica = LoneReplica().replica
         replica.record_report(report(A, 3, changed_at=5.0))
         replica.record_report(report(A, 2, changed_at=4.0))
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -1,4 +1,4 @@
-"""Tests of the subscription: whole versions only, and never back."""
+"""Tests of the subscription: it applies complete versions only, and never an older one."""
 
 import random
 import unittest
@@ -22,85 +22,91 @@
 
 
 class SubscriptionTest(unittest.TestCase):
-    """What a proxy takes and what it refuses."""
+    """Which versions a proxy applies and which it refuses."""
 
     def setUp(self) -> None:
-        """Begin with three versions of one policy, and a proxy that has learnt its floor."""
+        """Create three versions of one policy, and a subscription whose minimum version is 2."""
         self.catalogue = Catalogue()
         self.snapshots = [self.put(timeout) for timeout in (1.0, 2.0, 3.0)]
         self.subscription = Subscription()
         self.subscription.learn_floor(Version(2))
 
     def put(self, timeout: float) -> Snapshot:
-        """Write the policy and return the new version whole."""
+        """Write the policy and return a snapshot of the new version."""
         version = self.catalogue.version
         puts = ((POLICY, TrafficPolicy(timeout=timeout)),)
         change = Change(OperationId(str(version)), version, puts)
         self.catalogue.apply(change, accepted_at=1.0)
-        found = self.catalogue.since(Version(0))
-        assert isinstance(found, Snapshot)
-        return found
+        update = self.catalogue.since(Version(0))
+        assert isinstance(update, Snapshot)
+        return update
 
     def delta(self, base: int) -> Delta:
         """Return the delta from a version."""
-        found = self.catalogue.since(Version(base))
-        assert isinstance(found, Delta)
-        return found
+        update = self.catalogue.since(Version(base))
+        assert isinstance(update, Delta)
+        return update
 
-    def refused(self, result: Applied | Rejected, reason: str, version: int) -> None:
-        """Check that a version was refused for a reason, and what is still in force."""
+    def check_rejected(self, result: Applied | Rejected, reason: str, version: int) -> None:
+        """Check that a version was refused for a reason, and which one is still in force."""
         assert isinstance(result, Rejected), result
         self.assertIn(reason, result.reason)
         self.assertEqual(self.subscription.version, version)
 
-    def test_takes_nothing_before_the_floor_is_learnt(self) -> None:
-        """A proxy that has restarted can't tell yet what it had in force."""
+    def test_applies_nothing_before_the_floor_is_known(self) -> None:
+        """A restarted proxy doesn't know which version was in force before."""
         self.subscription = Subscription()
-        self.refused(self.subscription.take_snapshot(self.snapshots[2]), "isn't known yet", 0)
+        self.check_rejected(
+            self.subscription.take_snapshot(self.snapshots[2]), "isn't known yet", 0
+        )
         self.assertIsNone(self.subscription.table)
 
-    def test_takes_nothing_under_the_floor(self) -> None:
-        """A replica that lags can't bring a restarted proxy back."""
-        self.refused(self.subscription.take_snapshot(self.snapshots[0]), "older than version 2", 0)
+    def test_applies_nothing_below_the_floor(self) -> None:
+        """A lagging replica can't take a restarted proxy back to an older version."""
+        self.check_rejected(
+            self.subscription.take_snapshot(self.snapshots[0]), "older than version 2", 0
+        )
         self.assertEqual(
             self.subscription.take_snapshot(self.snapshots[1]), Applied(version=Version(2))
         )
 
-    def test_a_floor_never_sinks(self) -> None:
-        """A lower floor that is learnt later changes nothing."""
+    def test_the_floor_is_never_lowered(self) -> None:
+        """A lower floor that is received later has no effect."""
         self.subscription.learn_floor(Version(1))
         self.assertEqual(self.subscription.floor, 2)
 
-    def test_never_goes_back(self) -> None:
-        """What is in force is a floor too, also after a lower floor was learnt."""
+    def test_never_applies_an_older_version(self) -> None:
+        """The version in force is a minimum too, even after a lower floor is received."""
         self.subscription.take_snapshot(self.snapshots[2])
         self.subscription.learn_floor(Version(1))
-        self.refused(self.subscription.take_snapshot(self.snapshots[1]), "older than version 3", 3)
+        self.check_rejected(
+            self.subscription.take_snapshot(self.snapshots[1]), "older than version 3", 3
+        )
 
     def test_checks_the_digest(self) -> None:
-        """Content that isn't what was accepted is refused whole."""
-        old = self.snapshots[2]
-        spoilt = old._replace(resources=self.snapshots[1].resources)
-        self.refused(self.subscription.take_snapshot(spoilt), "digest", 0)
+        """Content that differs from the accepted one is refused, as snapshot or delta."""
+        snapshot = self.snapshots[2]
+        corrupted = snapshot._replace(resources=self.snapshots[1].resources)
+        self.check_rejected(self.subscription.take_snapshot(corrupted), "digest", 0)
         self.subscription.take_snapshot(self.snapshots[1])
-        lost = self.delta(2)._replace(puts=())
-        self.refused(self.subscription.take_delta(lost), "digest", 2)
+        incomplete = self.delta(2)._replace(puts=())
+        self.check_rejected(self.subscription.take_delta(incomplete), "digest", 2)
         self.assertEqual(self.subscription.take_delta(self.delta(2)), Applied(version=Version(3)))
 
     def test_checks_the_base_of_a_delta(self) -> None:
-        """A delta from another version does not fit."""
+        """A delta that starts from another version is refused."""
         self.subscription.take_snapshot(self.snapshots[2])
-        self.refused(self.subscription.take_delta(self.delta(1)), "starts at 1", 3)
+        self.check_rejected(self.subscription.take_delta(self.delta(1)), "starts at 1", 3)
 
-    def test_takes_no_route_without_its_service(self) -> None:
-        """References are checked although the digest agrees."""
+    def test_refuses_a_route_without_its_service(self) -> None:
+        """References are checked even if the digest matches."""
         route = Route(targets=(Target(ServiceName("gone")),))
         resource = self.snapshots[2].resources[0]._replace(key=Key("route", "r"), spec=route)
         snapshot = Snapshot(Version(9), (resource,), resource_digest(resource))
-        self.refused(self.subscription.take_snapshot(snapshot), "refers to service/gone", 0)
+        self.check_rejected(self.subscription.take_snapshot(snapshot), "refers to service/gone", 0)
 
-    def test_equal_content_has_one_digest(self) -> None:
-        """The digest depends on content alone, and tells versions apart."""
+    def test_equal_content_has_equal_digests(self) -> None:
+        """The digest depends on the content alone, and differs for other content."""
         resource = self.snapshots[0].resources[0]
         same = resource._replace(spec=TrafficPolicy(timeout=1.0))
         self.assertEqual(resource_digest(resource), resource_digest(same))
@@ -109,16 +115,16 @@
 
 
 class BackoffTest(unittest.TestCase):
-    """Waits grow, are spread, and begin anew."""
+    """Delays grow, are spread at random, and can be reset."""
 
-    def test_waits_are_spread_under_a_growing_limit(self) -> None:
-        """The mean wait of many is half the limit of each attempt."""
+    def test_delays_are_spread_below_a_growing_limit(self) -> None:
+        """The mean delay is half the limit of each attempt."""
         rng = random.Random(1)
         backoffs = [Backoff(first=1.0, longest=4.0, rng=rng) for _ in range(400)]
         for limit in (1.0, 2.0, 4.0, 4.0):
-            waits = [backoff.wait() for backoff in backoffs]
-            self.assertLessEqual(max(waits), limit)
-            self.assertAlmostEqual(sum(waits) / len(waits), limit / 2, delta=limit * 0.08)
+            delays = [backoff.wait() for backoff in backoffs]
+            self.assertLessEqual(max(delays), limit)
+            self.assertAlmostEqual(sum(delays) / len(delays), limit / 2, delta=limit * 0.08)
         backoffs[0].reset()
         self.assertLessEqual(backoffs[0].wait(), 1.0)
 
