Reword the catalogue and its tests in plain terms

Private parts, steps and touched keys are now host closures, history entries and written keys; what a change 'leaves' or is 'told' is said as outcome, effect and delta. Module level names that only this folder, the subscription and their tests use are renamed: dangling_references, spec_faults, diff_documents, apply_pieces, OUTCOME_LIFETIME_SECONDS. Fault messages, class names and fields stay, since they are part of answers and digests.

--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -1,4 +1,4 @@
-"""The catalogue: resources, the rules between them, and their accepted versions."""
+"""The catalogue: resources, the rules that they have to satisfy, and their accepted versions."""
 
 from cowslipvane.catalogue._catalogue import (
     Accepted,
@@ -34,7 +34,7 @@
     Target,
     TrafficPolicy,
     Upstream,
-    dangling,
+    dangling_references,
     kind_of,
 )
 from cowslipvane.catalogue._state import (
@@ -79,7 +79,7 @@
     "import_state",
     "closure",
     "combine",
-    "dangling",
+    "dangling_references",
     "kind_of",
     "operation_of",
     "release_change",
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -1,4 +1,4 @@
-"""The catalogue of accepted resources."""
+"""The catalogue: validates changes, and keeps the accepted resources and recent history."""
 
 from __future__ import annotations
 
@@ -6,27 +6,27 @@
 from typing import NamedTuple
 
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
-from cowslipvane.catalogue._documents import rebuilt
+from cowslipvane.catalogue._documents import apply_pieces
 from cowslipvane.catalogue._resources import (
     Fault,
     Key,
     Release,
     Resource,
     Spec,
-    dangling,
-    own_faults,
+    dangling_references,
+    spec_faults,
 )
 from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
 
-# Changes kept for deltas; a subscriber that is further behind gets a snapshot.
+# Accepted changes that are kept to compute deltas; a proxy that lags further gets a snapshot.
 HISTORY_CHANGES = 1000
 
-# Time in seconds, by the stamps of the log, for which the answer to an operation is kept.
-OUTCOME_LIFETIME = 24 * 3600.0
+# How long the outcome of an operation is kept, in seconds by the time stamps of the log.
+OUTCOME_LIFETIME_SECONDS = 24 * 3600.0
 
 
 class Change(NamedTuple):
-    """What an operator asks for, based on the version that the operator saw."""
+    """A change that an operator requests, based on the version that the operator saw."""
 
     operation_id: OperationId
     based_on: Version
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Accepted:
-    """The change is in the catalogue under this version."""
+    """The change was applied and created this version."""
 
     version: Version
     accepted_at: float
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Conflict:
-    """Another change came first to a resource that this change touches."""
+    """Another change has written a resource of this change since the version it is based on."""
 
     key: Key
     winner: OperationId
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Invalid:
-    """The change as a whole breaks rules; nothing of it is applied."""
+    """The change violates rules; no part of it is applied."""
 
     faults: tuple[Fault, ...]
 
@@ -62,7 +62,7 @@
 
 
 class Delta(NamedTuple):
-    """The difference between two versions of a closure, and the digest that it leads to."""
+    """The difference between two versions of a closure, and the digest of the newer one."""
 
     base: Version
     version: Version
@@ -80,13 +80,13 @@
 
 
 class Behind(NamedTuple):
-    """The version asked about is newer than the newest one here."""
+    """The requested base is newer than the newest version here, which is given."""
 
     version: Version
 
 
-class Step(NamedTuple):
-    """What one accepted change touched, each with the resource that was there before."""
+class HistoryEntry(NamedTuple):
+    """One accepted change: each key that it wrote or deleted, with its resource before it."""
 
     version: Version
     accepted_at: float
@@ -95,7 +95,7 @@
 
 
 class AcceptedChange(NamedTuple):
-    """One accepted change, each touched key with the resource that it left, None when deleted."""
+    """One accepted change: each key it wrote, with its resource after it, None when deleted."""
 
     version: Version
     accepted_at: float
@@ -104,15 +104,15 @@
 
 
 class Effect(NamedTuple):
-    """What a change would do to one resource; None stands for no resource."""
+    """The effect of a change on one resource; None stands for no resource."""
 
     key: Key
     before: Spec | None
     after: Spec | None
 
 
-class _Part(NamedTuple):
-    """The closure for some route hosts in one version, and its digest."""
+class _HostClosure(NamedTuple):
+    """The closure of some route hosts in one version, and its digest."""
 
     version: Version
     keys: frozenset[Key]
@@ -120,7 +120,7 @@
 
 
 class Catalogue:
-    """The accepted resources under one total order of versions."""
+    """The accepted resources, with one total order of versions."""
 
     def __init__(self) -> None:
         self._version = NO_VERSION
@@ -128,10 +128,10 @@
         self._writers: dict[Key, tuple[OperationId, Version]] = {}
         self._outcomes: dict[OperationId, Outcome] = {}
         self._decided_at: dict[OperationId, float] = {}
-        self._steps: list[Step] = []
-        # Both are derived, and hold what was last asked for.
-        self._digests: dict[Key, tuple[Version, int]] = {}
-        self._parts: dict[RouteHosts, _Part] = {}
+        self._history: list[HistoryEntry] = []
+        # Caches of derived values: the digest of each resource, the closure of each set of hosts.
+        self._resource_digests: dict[Key, tuple[Version, int]] = {}
+        self._host_closures: dict[RouteHosts, _HostClosure] = {}
 
     @property
     def version(self) -> Version:
@@ -145,12 +145,12 @@
 
     @property
     def writers(self) -> dict[Key, tuple[OperationId, Version]]:
-        """Return which operation last touched each resource, and in which version."""
+        """Return the operation that last wrote or deleted each resource, and its version."""
         return self._writers
 
     @property
     def decisions(self) -> dict[OperationId, tuple[Outcome, float]]:
-        """Return the answers that are kept and when they were given, the oldest first."""
+        """Return the outcomes that are kept and when they were decided, the oldest first."""
         return {name: (self._outcomes[name], at) for name, at in self._decided_at.items()}
 
     def restore(
@@ -161,27 +161,27 @@
         writers: dict[Key, tuple[OperationId, Version]],
         decisions: dict[OperationId, tuple[Outcome, float]],
     ) -> None:
-        """Take the state of another catalogue; the history for deltas begins anew."""
+        """Replace the state by that of another catalogue, with an empty history."""
         self._version = version
         self._resources = resources
         self._writers = writers
         self._outcomes = {name: outcome for name, (outcome, _) in decisions.items()}
         self._decided_at = {name: decided_at for name, (_, decided_at) in decisions.items()}
-        self._steps.clear()
-        self._digests.clear()
-        self._parts.clear()
+        self._history.clear()
+        self._resource_digests.clear()
+        self._host_closures.clear()
 
     @property
     def oldest(self) -> Version:
-        """Return the oldest version that the history reaches back to."""
-        return Version(self._steps[0].version - 1) if self._steps else self._version
+        """Return the oldest version from which a delta can be computed."""
+        return Version(self._history[0].version - 1) if self._history else self._version
 
     def outcome(self, operation_id: OperationId) -> Outcome | None:
-        """Return the first answer to an operation, if it has been decided."""
+        """Return the outcome of an operation, None if it is undecided or no longer kept."""
         return self._outcomes.get(operation_id)
 
     def judge(self, change: Change) -> Outcome | None:
-        """Return why a change can't be accepted, or None when it can."""
+        """Return the known outcome or the reason for refusing a change, None if acceptable."""
         known = self._outcomes.get(change.operation_id)
         if known is not None:
             return known
@@ -192,156 +192,158 @@
         return Invalid(faults=faults) if faults else None
 
     def faults(self, change: Change) -> tuple[Fault, ...]:
-        """Return everything that is wrong with the catalogue as the change would leave it."""
-        faults = [fault for key, spec in change.puts for fault in own_faults(key, spec)]
+        """Return all faults of a change, and of the catalogue that would result from it."""
+        faults = [fault for key, spec in change.puts for fault in spec_faults(key, spec)]
         if change.based_on > self._version:
             faults.append(Fault("based_on", f"is newer than the newest version, {self._version}"))
         missing = [key for key in change.deletes if key not in self._resources]
         faults += [Fault(str(key), "can't be deleted: it does not exist") for key in missing]
-        faults += dangling(self._changed(change, self._version))
+        faults += dangling_references(self._resources_after(change, self._version))
         return tuple(faults)
 
     def effects(self, change: Change) -> tuple[Effect, ...]:
-        """Return what a change would do, leaving out what it would not alter."""
-        changed = self._changed(change, self._version)
-        found = []
-        for key in sorted(_touched(change)):
+        """Return the effect of a change on each resource that it would alter."""
+        changed = self._resources_after(change, self._version)
+        altered = []
+        for key in sorted(_written_keys(change)):
             before, after = self._resources.get(key), changed.get(key)
             effect = Effect(key, before and before.spec, after and after.spec)
             if effect.before != effect.after:
-                found.append(effect)
-        return tuple(found)
+                altered.append(effect)
+        return tuple(altered)
 
     def accepted_at(self) -> dict[Version, float]:
-        """Return when each version that the history reaches was accepted, as wall time."""
-        return {step.version: step.accepted_at for step in self._steps}
+        """Return when each version in the history was accepted, as wall time."""
+        return {entry.version: entry.accepted_at for entry in self._history}
 
     def apply(self, change: Change, *, accepted_at: float) -> Outcome:
-        """Decide a change, and forget answers that were given too long before."""
-        self._forget_before(accepted_at - OUTCOME_LIFETIME)
+        """Decide a change, and drop outcomes whose lifetime has passed."""
+        self._drop_outcomes_before(accepted_at - OUTCOME_LIFETIME_SECONDS)
         outcome = self._decide(change, accepted_at=accepted_at)
         self._decided_at.setdefault(change.operation_id, accepted_at)
         return outcome
 
-    def _forget_before(self, time: float) -> None:
-        """Forget the answers given before a time, by the log's stamps alone."""
+    def _drop_outcomes_before(self, cutoff: float) -> None:
+        """Drop the outcomes decided before a time, by the time stamps of the log alone."""
         while self._decided_at:
             operation_id, decided_at = next(iter(self._decided_at.items()))
-            if decided_at >= time:
+            if decided_at >= cutoff:
                 return
             del self._decided_at[operation_id], self._outcomes[operation_id]
 
     def _decide(self, change: Change, *, accepted_at: float) -> Outcome:
-        """Decide a change and, when it is accepted, take it in under the next version."""
-        refused = self.judge(change)
-        if refused is not None:
-            self._outcomes.setdefault(change.operation_id, refused)
-            return refused
+        """Decide a change and, if it is accepted, apply it as the next version."""
+        outcome = self.judge(change)
+        if outcome is not None:
+            self._outcomes.setdefault(change.operation_id, outcome)
+            return outcome
         version = Version(self._version + 1)
-        touched = _touched(change)
-        before = {key: self._resources.get(key) for key in touched}
-        self._steps.append(Step(version, accepted_at, change.operation_id, before))
-        self._resources = self._changed(change, version)
+        keys_written = _written_keys(change)
+        before = {key: self._resources.get(key) for key in keys_written}
+        self._history.append(HistoryEntry(version, accepted_at, change.operation_id, before))
+        self._resources = self._resources_after(change, version)
         self._version = version
-        self._writers.update((key, (change.operation_id, version)) for key in touched)
-        del self._steps[:-HISTORY_CHANGES]
+        self._writers.update((key, (change.operation_id, version)) for key in keys_written)
+        del self._history[:-HISTORY_CHANGES]
         accepted = Accepted(version=version, accepted_at=accepted_at)
         self._outcomes[change.operation_id] = accepted
         return accepted
 
     def since(self, base: Version, hosts: RouteHosts = ()) -> Delta | Snapshot | Behind:
-        """Return what leads from a version to the newest one, within the closure of some hosts."""
+        """Return the update from a version to the newest one, for the closure of some hosts."""
         if base > self._version:
             return Behind(self._version)
-        part = self._part(hosts)
+        host_closure = self._closure_of(hosts)
         if base < self.oldest or base == NO_VERSION:
-            resources = tuple(self._resources[key] for key in sorted(part.keys))
-            return Snapshot(self._version, resources, part.digest)
-        before = self._before(base)
-        held = closure(self._at(before), hosts) if hosts else None
+            resources = tuple(self._resources[key] for key in sorted(host_closure.keys))
+            return Snapshot(self._version, resources, host_closure.digest)
+        before = self._changed_since(base)
+        held = closure(self._resources_before(before), hosts) if hosts else None
         if held is None:
             known = {key: old for key, old in before.items() if old is not None}
-            held = (part.keys - before.keys()) | closure(known, hosts)
-        puts = [key for key in part.keys if key in before or key not in held]
+            held = (host_closure.keys - before.keys()) | closure(known, hosts)
+        puts = [key for key in host_closure.keys if key in before or key not in held]
         return Delta(
             base,
             self._version,
             tuple(self._resources[key] for key in sorted(puts)),
-            tuple(sorted(held - part.keys)),
-            part.digest,
+            tuple(sorted(held - host_closure.keys)),
+            host_closure.digest,
         )
 
     def history(self, base: Version) -> list[AcceptedChange]:
-        """Return the changes kept that were accepted after a version, the oldest first."""
+        """Return the changes in the history after a version, the oldest first."""
         changes: list[AcceptedChange] = []
         later: dict[Key, Resource | None] = {}
-        for step in reversed(self._steps):
-            if step.version <= base:
+        for entry in reversed(self._history):
+            if entry.version <= base:
                 break
-            after = {key: later.get(key, self._resources.get(key)) for key in step.before}
-            changes.append(AcceptedChange(step.version, step.accepted_at, step.operation_id, after))
-            later.update(step.before)
+            after = {key: later.get(key, self._resources.get(key)) for key in entry.before}
+            changes.append(
+                AcceptedChange(entry.version, entry.accepted_at, entry.operation_id, after)
+            )
+            later.update(entry.before)
         return changes[::-1]
 
-    def _before(self, base: Version) -> dict[Key, Resource | None]:
-        """Return what was changed after a version, as it was in that version."""
+    def _changed_since(self, base: Version) -> dict[Key, Resource | None]:
+        """Return the resources that changed after a version, as they were in that version."""
         before: dict[Key, Resource | None] = {}
-        for step in reversed(self._steps):
-            if step.version <= base:
+        for entry in reversed(self._history):
+            if entry.version <= base:
                 break
-            before.update(step.before)
+            before.update(entry.before)
         return before
 
-    def _at(self, before: dict[Key, Resource | None]) -> dict[Key, Resource]:
-        """Return all resources with some of them as they were before."""
+    def _resources_before(self, before: dict[Key, Resource | None]) -> dict[Key, Resource]:
+        """Return all resources, with the given ones restored to their former state."""
         resources: dict[Key, Resource | None] = {**self._resources, **before}
         return {key: resource for key, resource in resources.items() if resource is not None}
 
-    def _part(self, hosts: RouteHosts) -> _Part:
+    def _closure_of(self, hosts: RouteHosts) -> _HostClosure:
         """Return the closure of some hosts in the newest version."""
-        part = self._parts.get(hosts)
-        if part is None or part.version != self._version:
+        host_closure = self._host_closures.get(hosts)
+        if host_closure is None or host_closure.version != self._version:
             keys = closure(self._resources, hosts)
-            digest = combine(self._digest(self._resources[key]) for key in keys)
-            part = self._parts[hosts] = _Part(self._version, keys, digest)
-        return part
+            digest = combine(self._digest_of(self._resources[key]) for key in keys)
+            host_closure = self._host_closures[hosts] = _HostClosure(self._version, keys, digest)
+        return host_closure
 
-    def _digest(self, resource: Resource) -> int:
+    def _digest_of(self, resource: Resource) -> int:
         """Return the digest of a resource, computed once for each of its versions."""
-        version, digest = self._digests.get(resource.key, (NO_VERSION, 0))
+        version, digest = self._resource_digests.get(resource.key, (NO_VERSION, 0))
         if version != resource.version:
             digest = resource_digest(resource)
-            self._digests[resource.key] = resource.version, digest
+            self._resource_digests[resource.key] = resource.version, digest
         return digest
 
     def _conflict(self, change: Change) -> Conflict | None:
-        """Return the first resource that changed after the version the change is based on."""
-        for key in sorted(_touched(change)):
+        """Return the first conflict of a change with a version later than its base."""
+        for key in sorted(_written_keys(change)):
             winner, version = self._writers.get(key, (OperationId(""), NO_VERSION))
             if version > change.based_on:
                 return Conflict(key=key, winner=winner, version=version)
         return None
 
-    def _changed(self, change: Change, version: Version) -> dict[Key, Resource]:
-        """Return the resources as a change would leave them."""
+    def _resources_after(self, change: Change, version: Version) -> dict[Key, Resource]:
+        """Return the resources that would result from a change."""
         resources = dict(self._resources)
         for key, spec in change.puts:
-            resources[key] = Resource(key, self._whole(key, spec), version)
+            resources[key] = Resource(key, self._with_document(key, spec), version)
         for key in change.deletes:
             resources.pop(key, None)
         return resources
 
-    def _whole(self, key: Key, spec: Spec) -> Spec:
-        """Return a specification with its document in full."""
+    def _with_document(self, key: Key, spec: Spec) -> Spec:
+        """Return a specification with the full document instead of pieces."""
         held = self._resources.get(key)
         match spec, held and held.spec:
-            case Release(pieces=pieces) as told, Release(document=before) if pieces:
-                document = rebuilt(before, pieces)
-                return Release(number=told.number, based_on=told.based_on, document=document)
+            case Release(pieces=pieces) as release, Release(document=before) if pieces:
+                document = apply_pieces(before, pieces)
+                return Release(number=release.number, based_on=release.based_on, document=document)
             case _:
                 return spec
 
 
-def _touched(change: Change) -> frozenset[Key]:
+def _written_keys(change: Change) -> frozenset[Key]:
     """Return the keys that a change writes or deletes."""
     return frozenset([key for key, _ in change.puts]) | frozenset(change.deletes)
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -1,4 +1,4 @@
-"""The part of a catalogue that a proxy needs, and the digest of that part."""
+"""The closure of route hosts: the resources that a proxy needs, and their digest."""
 
 from __future__ import annotations
 
@@ -15,45 +15,45 @@
 
 
 def closure(resources: Mapping[Key, Resource], hosts: RouteHosts) -> frozenset[Key]:
-    """Return the routes for some hosts, what these refer to, and the state of every upstream.
+    """Return the routes of some hosts, all resources that they refer to, and every upstream.
 
-    Releases stay with the replicas: a proxy acts on the resources that were made from one.
+    Releases are left out: a proxy only uses the resources that were made from one.
     """
     if not hosts:
         return frozenset(
             key for key, held in resources.items() if not isinstance(held.spec, Release)
         )
-    wanted = {"*", *hosts}
-    waiting = [key for key, resource in resources.items() if _is_root(resource, wanted)]
-    found: set[Key] = set()
-    while waiting:
-        key = waiting.pop()
-        if key not in found and key in resources:
-            found.add(key)
-            waiting.extend(references(resources[key].spec))
-    return frozenset(found)
+    route_hosts = {"*", *hosts}
+    pending = [key for key, resource in resources.items() if _is_root(resource, route_hosts)]
+    reached: set[Key] = set()
+    while pending:
+        key = pending.pop()
+        if key not in reached and key in resources:
+            reached.add(key)
+            pending.extend(references(resources[key].spec))
+    return frozenset(reached)
 
 
 def resource_digest(resource: Resource) -> int:
-    """Return the digest of one resource; every process of a release computes the same."""
+    """Return the digest of one resource; all processes of one software version agree on it."""
     # The representation of a specification names each field, so it is unambiguous.
     data = repr(tuple(resource)).encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest(), "big")
 
 
 def combine(digests: Iterable[int]) -> int:
-    """Return the digest of a set of resources; a negated digest takes its resource out."""
-    # A sum depends on no order, so that a change costs only what it touches.
+    """Return the digest of a set of resources; a negated digest removes its resource."""
+    # A sum is independent of the order and can be updated for the changed resources alone.
     return sum(digests) % _DIGEST_MODULUS
 
 
-def _is_root(resource: Resource, wanted: set[str]) -> bool:
-    """Return whether a proxy for the wanted hosts needs a resource by itself."""
+def _is_root(resource: Resource, route_hosts: set[str]) -> bool:
+    """Return whether a proxy for some hosts needs a resource without a reference to it."""
     match resource.spec:
         case Route(host=host):
-            return host in wanted
+            return host in route_hosts
         case Upstream():
-            # No route names an upstream, since upstreams announce themselves.
+            # No route refers to an upstream, since upstreams announce themselves.
             return True
         case _:
             return False
--- a/cowslipvane/catalogue/_documents.py
+++ b/cowslipvane/catalogue/_documents.py
@@ -1,4 +1,4 @@
-"""A document told by its difference from the one before, so that a change costs what it touches."""
+"""The difference between two documents, so that a change costs only the text it alters."""
 
 from __future__ import annotations
 
@@ -6,32 +6,32 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-# Documents are compared by the chunks between closing braces.
+# Documents are split into chunks after closing braces; equal chunks are reused.
 _CHUNK = re.compile(r"[^}]+}*|}+")
 
 
 class Piece(NamedTuple):
-    """A run of characters of the document before, or text of its own if that isn't empty."""
+    """A range of characters of the previous document, or new text if that isn't empty."""
 
     start: int
     length: int
     text: str
 
 
-def difference(before: str, after: str) -> tuple[Piece, ...]:
-    """Return the pieces that make a document from the one before."""
-    known: dict[str, int] = {}
+def diff_documents(before: str, after: str) -> tuple[Piece, ...]:
+    """Return the pieces that turn one document into another."""
+    starts: dict[str, int] = {}
     for start, chunk in _chunks(before):
-        known.setdefault(chunk, start)
+        starts.setdefault(chunk, start)
     pieces: list[Piece] = []
     for _, chunk in _chunks(after):
         last = pieces[-1] if pieces else Piece(0, 0, "")
-        follows = last.start + last.length
-        if not last.text and before.startswith(chunk, follows):
-            grown = [Piece(last.start, last.length + len(chunk), "")]
-            pieces[-1:] = grown
-        elif chunk in known:
-            pieces.append(Piece(known[chunk], len(chunk), ""))
+        next_start = last.start + last.length
+        if not last.text and before.startswith(chunk, next_start):
+            extended = [Piece(last.start, last.length + len(chunk), "")]
+            pieces[-1:] = extended
+        elif chunk in starts:
+            pieces.append(Piece(starts[chunk], len(chunk), ""))
         elif last.text:
             pieces[-1] = Piece(0, 0, last.text + chunk)
         else:
@@ -39,14 +39,14 @@
     return tuple(pieces)
 
 
-def rebuilt(before: str, pieces: tuple[Piece, ...]) -> str:
-    """Return the document that pieces make from the one before."""
+def apply_pieces(before: str, pieces: tuple[Piece, ...]) -> str:
+    """Return the document that results from applying pieces to the previous one."""
     return "".join(
         piece.text or before[piece.start : piece.start + piece.length] for piece in pieces
     )
 
 
 def _chunks(document: str) -> Iterator[tuple[int, str]]:
-    """Yield the chunks of a document, each with its start."""
+    """Yield the chunks of a document, each with its offset."""
     for found in _CHUNK.finditer(document):
         yield found.start(), found.group()
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -1,11 +1,11 @@
-"""Releases: a whole configuration under an operator's own number, put in place by one change."""
+"""Releases: a complete configuration with a number of the operator, applied as one change."""
 
 from __future__ import annotations
 
 import hashlib
 
 from cowslipvane.catalogue._catalogue import Catalogue, Change, Conflict, Invalid
-from cowslipvane.catalogue._documents import difference
+from cowslipvane.catalogue._documents import diff_documents
 from cowslipvane.catalogue._resources import Fault, Key, Release, Spec, Upstream
 from cowslipvane.types import NO_VERSION, OperationId
 
@@ -14,12 +14,12 @@
 
 def release_in_force(catalogue: Catalogue) -> Release | None:
     """Return the newest accepted release, None before the first."""
-    held = catalogue.resources.get(RELEASE_KEY)
-    return held.spec if held is not None and isinstance(held.spec, Release) else None
+    current = catalogue.resources.get(RELEASE_KEY)
+    return current.spec if current is not None and isinstance(current.spec, Release) else None
 
 
 def operation_of(release: Release) -> OperationId:
-    """Return the id under which a release is decided; the same document has the same id."""
+    """Return the operation id of a release; equal numbers and documents have equal ids."""
     digest = hashlib.blake2b(release.document.encode(), digest_size=16).hexdigest()
     return OperationId(f"release-{release.number}-{digest}")
 
@@ -27,13 +27,13 @@
 def release_change(
     catalogue: Catalogue, release: Release, resources: dict[Key, Spec]
 ) -> Change | Conflict | Invalid:
-    """Return the change that puts a release in place of the one in force, or why there is none.
+    """Return the change that replaces the release in force, or why it can't be replaced.
 
-    A change that writes the release's key conflicts with every other one that does, so of two
-    releases that build on the same one only the first is accepted.
+    Every release writes the same key, so of two concurrent releases that are based on the same one
+    only the first is accepted.
     """
-    held = release_in_force(catalogue)
-    number = held.number if held is not None else 0
+    current = release_in_force(catalogue)
+    number = current.number if current is not None else 0
     if release.based_on != number:
         winner, version = catalogue.writers.get(RELEASE_KEY, (OperationId(""), NO_VERSION))
         return Conflict(key=RELEASE_KEY, winner=winner, version=version)
@@ -45,23 +45,23 @@
         for key, spec in resources.items()
         if key not in catalogue.resources or catalogue.resources[key].spec != spec
     }
-    # Which upstreams are in or out is decided beside releases.
+    # The state of upstreams is managed separately from releases.
     deletes = [
         key
-        for key, present in catalogue.resources.items()
-        if key not in resources and not isinstance(present.spec, Release | Upstream)
+        for key, resource in catalogue.resources.items()
+        if key not in resources and not isinstance(resource.spec, Release | Upstream)
     ]
     return Change(
         operation_of(release),
         catalogue.version,
-        (*puts.items(), (RELEASE_KEY, _told_after(held, release))),
+        (*puts.items(), (RELEASE_KEY, _with_pieces(current, release))),
         tuple(deletes),
     )
 
 
-def _told_after(held: Release | None, release: Release) -> Release:
-    """Return a release with its document told by pieces of the one in force."""
-    if held is None or not release.document:
+def _with_pieces(current: Release | None, release: Release) -> Release:
+    """Return a release whose document is given as pieces of the one in force."""
+    if current is None or not release.document:
         return release
-    pieces = difference(held.document, release.document)
+    pieces = diff_documents(current.document, release.document)
     return Release(number=release.number, based_on=release.based_on, document="", pieces=pieces)
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -1,4 +1,4 @@
-"""The kinds of resource that an operator writes."""
+"""The kinds of resource that operators write, and the rules for each."""
 
 from __future__ import annotations
 
@@ -13,15 +13,15 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 MAX_TIMEOUT: Seconds = 3600.0
 MAX_ROUTE_TIMEOUT: Seconds = 600.0
-# A goal further beyond the timeout than this can't be meant.
-MAX_GOAL_BEYOND_TIMEOUT: Seconds = 60.0
-LARGEST_MAX_BODY_BYTES = 1 << 30
+# A latency goal that exceeds the timeout by more than this is taken for a mistake.
+MAX_GOAL_EXCESS: Seconds = 60.0
+MAX_BODY_BYTES_LIMIT = 1 << 30
 MAX_ATTEMPTS = 10
 MAX_WEIGHT = 1_000_000
 
 
 class Target(NamedTuple):
-    """A service that a route sends a share of its requests to."""
+    """A service that receives a share of a route's requests, by weight."""
 
     service: ServiceName
     weight: int = 1
@@ -37,11 +37,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """The requests that match, the services that they go to, and their own rules.
+    """A rule that sends matching requests to services, with optional limits of its own.
 
-    What is None follows from the policies of the service. repeatable says whether a request may
-    run more than once, goal is the time in which an answer is worth most, and priority 0 goes
-    before 1.
+    A field that is None is taken from the policies of the service. repeatable states whether a
+    request may run more than once. goal is the latency goal: a response that takes longer is worth
+    less. Requests of priority 0 go before those of priority 1.
     """
 
     targets: tuple[Target, ...]
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryPolicy:
-    """Which requests may be tried again, and how often."""
+    """Which requests may be retried, and how often."""
 
     attempts: int = 2
     methods: tuple[str, ...] = ("GET", "HEAD")
@@ -75,17 +75,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Upstream:
-    """Whether the upstream on the host of this name takes new requests."""
+    """Whether the upstream on the host of this name accepts new requests."""
 
     state: Literal["in", "out"] = "in"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Release:
-    """A whole configuration that an operator put in place under a number of its own.
+    """A complete configuration that an operator applied under a number of its own.
 
-    The other resources are made from the document, which is kept as the operator wrote it. In a
-    change the document may be told by pieces of the one that it replaces.
+    The other resources are generated from the document, which is stored as the operator wrote it.
+    In a change, the document may be given as pieces of the one that it replaces.
     """
 
     number: int
@@ -110,13 +110,13 @@
 
 
 class Key(NamedTuple):
-    """The name of a resource within the catalogue."""
+    """The identity of a resource within the catalogue."""
 
     kind: str
     name: str
 
     def __str__(self) -> str:
-        """Return the form that messages use."""
+        """Return the form KIND/NAME that messages use."""
         return f"{self.kind}/{self.name}"
 
 
@@ -129,7 +129,7 @@
 
 
 class Fault(NamedTuple):
-    """One thing that is wrong with a resource."""
+    """One violation of a rule, and the path of the field that violates it."""
 
     path: str
     message: str
@@ -141,7 +141,7 @@
 
 
 def references(spec: Spec) -> Iterator[Key]:
-    """Yield the resources that a specification can't do without."""
+    """Yield the keys of the resources that a specification refers to."""
     match spec:
         case Service(retry_policy=retry_policy, traffic_policy=traffic_policy):
             if retry_policy:
@@ -155,11 +155,11 @@
             return
 
 
-def own_faults(key: Key, spec: Spec) -> Iterator[Fault]:
-    """Yield what is wrong with a specification by itself."""
+def spec_faults(key: Key, spec: Spec) -> Iterator[Fault]:
+    """Yield the faults of a specification by itself, references aside."""
     match spec:
         case Route() as route:
-            yield from _place_faults(key, route)
+            yield from _match_faults(key, route)
             yield from _limit_faults(key, route)
         case RetryPolicy(attempts=attempts, methods=methods, idempotency_key=idempotency_key):
             if not 1 <= attempts <= MAX_ATTEMPTS:
@@ -172,19 +172,19 @@
                     f"{names} is not idempotent; set idempotency_key = true or leave it out",
                 )
         case TrafficPolicy(timeout=timeout, max_body_bytes=max_body_bytes):
-            # Written so that a timeout that is no number is refused too.
+            # Written so that NaN is refused too.
             if not 0 < timeout <= MAX_TIMEOUT:
                 limit = f"more than 0 and at most {MAX_TIMEOUT:g}"
                 yield Fault(f"{key}.timeout", f"is {timeout} s; allowed is {limit}")
-            if not 0 <= max_body_bytes <= LARGEST_MAX_BODY_BYTES:
-                limit = f"0 to {LARGEST_MAX_BODY_BYTES}"
+            if not 0 <= max_body_bytes <= MAX_BODY_BYTES_LIMIT:
+                limit = f"0 to {MAX_BODY_BYTES_LIMIT}"
                 yield Fault(f"{key}.max_body_bytes", f"is {max_body_bytes}; allowed is {limit}")
         case Service() | Upstream() | Release():
             return
 
 
-def _place_faults(key: Key, route: Route) -> Iterator[Fault]:
-    """Yield what is wrong with where a route applies and where it leads."""
+def _match_faults(key: Key, route: Route) -> Iterator[Fault]:
+    """Yield the faults of a route's match conditions and targets."""
     weights = [target.weight for target in route.targets]
     if any(not 0 <= weight <= MAX_WEIGHT for weight in weights):
         yield Fault(f"{key}.targets", f"has a weight out of range; allowed is 0 to {MAX_WEIGHT}")
@@ -197,20 +197,20 @@
 
 
 def _limit_faults(key: Key, route: Route) -> Iterator[Fault]:
-    """Yield what is wrong with a route's own limits."""
+    """Yield the faults of a route's own limits."""
     timeout, goal, attempts = route.timeout, route.goal, route.attempts
     if timeout is not None and not 0 < timeout <= MAX_ROUTE_TIMEOUT:
         limit = f"more than 0 and at most {MAX_ROUTE_TIMEOUT:g}"
         yield Fault(f"{key}.timeout", f"is {timeout} s; allowed is {limit}")
-    if goal is not None and not 0 <= goal < (timeout or MAX_TIMEOUT) + MAX_GOAL_BEYOND_TIMEOUT:
-        limit = f"less than {MAX_GOAL_BEYOND_TIMEOUT:g} s beyond the timeout"
+    if goal is not None and not 0 <= goal < (timeout or MAX_TIMEOUT) + MAX_GOAL_EXCESS:
+        limit = f"less than {MAX_GOAL_EXCESS:g} s beyond the timeout"
         yield Fault(f"{key}.goal", f"is {goal} s; allowed is {limit}")
     if attempts is not None and not 1 <= attempts <= MAX_ATTEMPTS:
         yield Fault(f"{key}.attempts", f"is {attempts}; allowed is 1 to {MAX_ATTEMPTS}")
 
 
-def dangling(resources: Mapping[Key, Resource]) -> Iterator[Fault]:
-    """Yield each reference to a resource that isn't there."""
+def dangling_references(resources: Mapping[Key, Resource]) -> Iterator[Fault]:
+    """Yield a fault for each reference to a resource that doesn't exist."""
     for resource in resources.values():
         for reference in references(resource.spec):
             if reference not in resources:
--- a/cowslipvane/catalogue/_state.py
+++ b/cowslipvane/catalogue/_state.py
@@ -1,4 +1,4 @@
-"""The state of a catalogue as a value, for snapshots of the log that built it."""
+"""The state of a catalogue as an immutable value, for snapshots of the replicated log."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class Decision(NamedTuple):
-    """The first answer to an operation, and when it was given, as wall time."""
+    """The outcome of an operation, and when it was decided, as wall time."""
 
     operation_id: OperationId
     outcome: Outcome
@@ -26,7 +26,7 @@
 
 
 class CatalogueState(NamedTuple):
-    """Everything on which later decisions depend; steps for deltas are left out."""
+    """The state on which later decisions depend; the history for deltas is left out."""
 
     version: Version
     resources: tuple[Resource, ...]
@@ -35,7 +35,7 @@
 
 
 def export_state(catalogue: Catalogue) -> CatalogueState:
-    """Return a catalogue's state."""
+    """Return the state of a catalogue."""
     writers = tuple(Writer(key, *writer) for key, writer in catalogue.writers.items())
     decisions = tuple(
         Decision(operation_id, outcome, decided_at)
@@ -46,7 +46,7 @@
 
 
 def import_state(catalogue: Catalogue, state: CatalogueState) -> None:
-    """Replace what a catalogue holds by a state."""
+    """Replace the contents of a catalogue by a state."""
     catalogue.restore(
         version=state.version,
         resources={resource.key: resource for resource in state.resources},
--- a/tests/test_closure.py
+++ b/tests/test_closure.py
@@ -1,4 +1,4 @@
-"""Tests of closures, and of the deltas between them."""
+"""Tests of the closures of route hosts, and of the deltas between their versions."""
 
 import random
 import unittest
@@ -21,13 +21,13 @@
 from cowslipvane.types import NO_VERSION, OperationId, ServiceName, Version
 
 HOSTS = ("depot", "shop", "school")
-SCOPES: tuple[RouteHosts, ...] = ((), ("depot",), ("shop", "school"), ("nobody",))
+HOST_SETS: tuple[RouteHosts, ...] = ((), ("depot",), ("shop", "school"), ("nobody",))
 VERSIONS = 40
 SEEDS = 5
 
 
-def spec_of(key: Key, rng: random.Random) -> Spec:
-    """Return a specification for a key, drawn at random."""
+def random_spec(key: Key, rng: random.Random) -> Spec:
+    """Return a random specification for a key."""
     names = [str(number) for number in range(5)]
     match key.kind:
         case "service":
@@ -41,58 +41,58 @@
             return TrafficPolicy(timeout=rng.uniform(1, 9))
 
 
-def grow(catalogue: Catalogue, rng: random.Random) -> None:
-    """Apply changes drawn at random until one more is accepted."""
+def apply_random_change(catalogue: Catalogue, rng: random.Random) -> None:
+    """Apply random changes until one is accepted."""
     kinds = ("service", "route", "upstream", "traffic-policy")
     version = catalogue.version
     while catalogue.version == version:
         keys = [Key(rng.choice(kinds), str(rng.randrange(5))) for _ in range(rng.randint(1, 4))]
         deletes = {key for key in keys if rng.random() < 0.3}
-        puts = {key: spec_of(key, rng) for key in keys if key not in deletes}
+        puts = {key: random_spec(key, rng) for key in keys if key not in deletes}
         name = OperationId(str(rng.random()))
         change = Change(name, version, tuple(puts.items()), tuple(deletes))
         catalogue.apply(change, accepted_at=1.0)
 
 
-def whole(catalogue: Catalogue, hosts: RouteHosts) -> Snapshot:
-    """Return the closure of some hosts as a snapshot."""
-    found = catalogue.since(NO_VERSION, hosts)
-    assert isinstance(found, Snapshot)
-    return found
+def snapshot_of(catalogue: Catalogue, hosts: RouteHosts) -> Snapshot:
+    """Return a snapshot of the closure of some hosts."""
+    snapshot = catalogue.since(NO_VERSION, hosts)
+    assert isinstance(snapshot, Snapshot)
+    return snapshot
 
 
 class ClosureTest(unittest.TestCase):
-    """A proxy gets what its routes need, by deltas that agree with snapshots."""
+    """A proxy receives the resources that its routes need; deltas agree with snapshots."""
 
-    def test_every_delta_leads_to_the_snapshot(self) -> None:
-        """For each pair of versions and each scope, delta and snapshot agree."""
+    def test_every_delta_results_in_the_snapshot(self) -> None:
+        """Check each pair of versions and each set of route hosts."""
         for seed in range(SEEDS):
             rng = random.Random(seed)
             catalogue = Catalogue()
-            holders: list[tuple[RouteHosts, Snapshot]] = []
+            held_snapshots: list[tuple[RouteHosts, Snapshot]] = []
             for _ in range(VERSIONS):
-                grow(catalogue, rng)
-                for hosts, held in holders:
-                    self.check(catalogue, hosts, held)
-                holders += [(hosts, whole(catalogue, hosts)) for hosts in SCOPES]
+                apply_random_change(catalogue, rng)
+                for hosts, held in held_snapshots:
+                    self.check_delta(catalogue, hosts, held)
+                held_snapshots += [(hosts, snapshot_of(catalogue, hosts)) for hosts in HOST_SETS]
 
-    def check(self, catalogue: Catalogue, hosts: RouteHosts, held: Snapshot) -> None:
-        """Check the delta from what a proxy held against the snapshot."""
+    def check_delta(self, catalogue: Catalogue, hosts: RouteHosts, held: Snapshot) -> None:
+        """Check that the delta from a held snapshot results in the newest one."""
         delta = catalogue.since(held.version, hosts)
         assert isinstance(delta, Delta)
         resources = {resource.key: resource for resource in held.resources}
         for key in delta.deletes:
             del resources[key]
         resources.update((resource.key, resource) for resource in delta.puts)
-        snapshot = whole(catalogue, hosts)
+        snapshot = snapshot_of(catalogue, hosts)
         self.assertEqual(sorted(resources.values()), sorted(snapshot.resources))
         subscription = Subscription()
         subscription.learn_floor(NO_VERSION)
         self.assertIsInstance(subscription.take_snapshot(held), Applied)
         self.assertEqual(subscription.take_delta(delta), Applied(version=catalogue.version))
 
-    def test_a_change_elsewhere_costs_only_the_version(self) -> None:
-        """A proxy that does not need a resource is not sent it."""
+    def test_an_unrelated_change_sends_only_the_version(self) -> None:
+        """A proxy does not receive resources that its routes don't need."""
         catalogue = Catalogue()
         for name in ("depot", "shop"):
             route = Route(targets=(Target(ServiceName(name)),), host=name)
@@ -102,7 +102,7 @@
         delta = catalogue.since(Version(1), ("depot",))
         assert isinstance(delta, Delta)
         self.assertEqual((delta.version, delta.puts, delta.deletes), (2, (), ()))
-        self.assertEqual(len(whole(catalogue, ("depot",)).resources), 2)
+        self.assertEqual(len(snapshot_of(catalogue, ("depot",)).resources), 2)
 
 
 if __name__ == "__main__":
