Reword the shared types, the lease clock and the test of stopped processes

Promises are leases, and processes that stand still are stopped or stalled. Only texts, local names and test names change.

--- a/cowslipvane/clock.py
+++ b/cowslipvane/clock.py
@@ -1,4 +1,4 @@
-"""The clock of promises between replicas."""
+"""The clock for leases between replicas."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 
 def lease_now() -> float:
-    """Return seconds on a steady clock that also counts while the host is suspended.
+    """Return seconds of a monotonic clock that includes time while the host is suspended.
 
-    A lease measured by a clock that stands still meanwhile would seem to hold after it has ended.
+    With a clock that stops during suspension, an expired lease would still look valid.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -1,4 +1,4 @@
-"""Types that more than one aggregate uses."""
+"""Types that several packages share."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
     @classmethod
     def parse(cls, text: object) -> Address:
-        """Return the address in a text IP:PORT; raise ValueError that says what is allowed."""
+        """Return the address in a text IP:PORT; raise ValueError if it is malformed."""
         allowed = "allowed is IP:PORT, such as 127.0.0.1:8080"
         if not isinstance(text, str) or ":" not in text:
             raise ValueError(f"found {text!r:.80}; {allowed}")
@@ -44,12 +44,12 @@
         return cls(ip, number)
 
     def __str__(self) -> str:
-        """Return the form that settings and URLs use."""
+        """Return the form IP:PORT that settings and URLs use, with brackets around IPv6."""
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
 
 class Verdict(enum.Enum):
-    """Whether a request has run at an upstream."""
+    """Whether a request was run by an upstream."""
 
     RAN = "ran"
     NOT_RUN = "not run"
--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -1,4 +1,4 @@
-"""Tests of processes that stand still, over real processes."""
+"""Tests of stalled processes: they are suspected, and return once they run again."""
 
 import asyncio
 import signal
@@ -10,86 +10,90 @@
 
 from tools.fleet import Fleet, example_hosts
 
-TIMEOUT_S = 15.0
+TIMEOUT_SECONDS = 15.0
 
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
-    """A proxy that neither answers nor closes its connections."""
+    """A stopped or drained process among five real hosts of one data centre."""
 
     async def asyncSetUp(self) -> None:
-        """Start five hosts of one data centre."""
+        """Start the hosts, and wait until one knows all of them."""
         names = ["stock-1", "stock-2", "stock-3", "loading-1", "billing-1"]
         hosts = [host for host in example_hosts("quiros") if host.name in names]
         hosts = [host._replace(settings={**host.settings, "data_centre": "one"}) for host in hosts]
-        # Without a worker that announces itself anew, only a contradiction brings a proxy back.
+        # Without worker announcements, only a refuted suspicion can make this proxy alive again.
         hosts = [host._replace(worker={}) if host.name == "billing-1" else host for host in hosts]
         self.fleet = Fleet(hosts=hosts)
         self.addCleanup(self.fleet.__exit__, None, None, None)
         self.fleet.create()
         self.fleet.start()
-        await self.until("stock-1", lambda seen: sum(self.alive(seen).values()) == len(names))
+        await self.wait_for(
+            "stock-1", lambda status: sum(self.alive(status).values()) == len(names)
+        )
 
-    async def until(self, host: str, holds: Any) -> dict[str, Any]:
-        """Return a host's status once something holds of it."""
-        give_up = time.monotonic() + TIMEOUT_S
+    async def wait_for(self, host: str, condition: Any) -> dict[str, Any]:
+        """Return a host's status once a condition holds for it."""
+        deadline = time.monotonic() + TIMEOUT_SECONDS
         url = f"http://{self.fleet.address(host, 'operators')}/status"
         status: dict[str, Any] = {}
         async with aiohttp.ClientSession() as session:
-            while time.monotonic() < give_up:
+            while time.monotonic() < deadline:
                 try:
                     async with session.get(url) as response:
                         status = await response.json()
-                    if holds(status):
+                    if condition(status):
                         return status
                 except aiohttp.ClientError:
                     pass
                 await asyncio.sleep(0.05)
-        raise TimeoutError(f"{host} never saw it; last seen: {status}")
+        raise TimeoutError(f"{host} never met the condition; last status: {status}")
 
     def alive(self, status: dict[str, Any]) -> dict[str, bool]:
-        """Return which members a status calls alive."""
+        """Return whether each member of a status is alive."""
         return {member["host"]: member["alive"] for member in status["members"]}
 
-    async def test_a_frozen_and_a_killed_proxy_come_back(self) -> None:
-        """Both die for the others, and are known again once they run."""
+    async def test_a_stopped_and_a_killed_proxy_return(self) -> None:
+        """The others mark both dead, and alive again once they run."""
         self.fleet.signal_daemon("billing-1", signal.SIGSTOP)
         self.fleet.kill("loading-1")
-        lost = {"billing-1", "loading-1"}
-        await self.until("stock-1", lambda seen: not lost & set(self.alive(seen)))
+        unavailable = {"billing-1", "loading-1"}
+        await self.wait_for("stock-1", lambda status: not unavailable & set(self.alive(status)))
         self.fleet.signal_daemon("billing-1", signal.SIGCONT)
         self.fleet.start("loading-1")
         for host in self.fleet.hosts:
-            # The proxy that stood still doesn't bury the others either.
-            seen = await self.until(host, lambda seen: sum(self.alive(seen).values()) == 5)
-            self.assertEqual({member["state"] for member in seen["members"]}, {"up"})
+            # The proxy that was stopped must not mark the others dead either.
+            status = await self.wait_for(host, lambda status: sum(self.alive(status).values()) == 5)
+            self.assertEqual({member["state"] for member in status["members"]}, {"up"})
 
-    async def test_a_frozen_worker_is_taken_out_and_comes_back(self) -> None:
-        """Its proxy stays a member, and tells the others that it serves nothing."""
+    async def test_a_stopped_worker_is_removed_and_returns(self) -> None:
+        """Its proxy stays a member, and announces to the others that it serves nothing."""
         self.fleet.signal_worker("stock-2", signal.SIGSTOP)
-        seen = await self.until("stock-1", lambda seen: self.service(seen, "stock-2") == "")
-        self.assertTrue(self.alive(seen)["stock-2"])
+        status = await self.wait_for(
+            "stock-1", lambda status: self.service(status, "stock-2") == ""
+        )
+        self.assertTrue(self.alive(status)["stock-2"])
         self.fleet.signal_worker("stock-2", signal.SIGCONT)
-        await self.until("stock-1", lambda seen: self.service(seen, "stock-2") == "stock")
+        await self.wait_for("stock-1", lambda status: self.service(status, "stock-2") == "stock")
 
     def service(self, status: dict[str, Any], host: str) -> str:
         """Return the service that a member serves."""
         return next(str(item["service"]) for item in status["members"] if item["host"] == host)
 
-    async def test_a_drained_proxy_is_leaving_for_all(self) -> None:
-        """Each of the others learns of its leave."""
+    async def test_all_members_learn_that_a_drained_proxy_is_leaving(self) -> None:
+        """Each of the others records a member event for it."""
         url = f"http://{self.fleet.address('stock-3', 'operators')}/drain"
         async with aiohttp.ClientSession() as session, session.post(url) as response:
             self.assertEqual((await response.json())["state"], "leaving")
-        give_up = time.monotonic() + TIMEOUT_S
+        deadline = time.monotonic() + TIMEOUT_SECONDS
         others = set(self.fleet.hosts) - {"stock-3"}
-        while time.monotonic() < give_up:
-            if self.told_of_leave("stock-3") == others:
+        while time.monotonic() < deadline:
+            if self.informed_of_leave("stock-3") == others:
                 return
             await asyncio.sleep(0.1)
-        self.fail(f"only {self.told_of_leave('stock-3')} were told")
+        self.fail(f"only {self.informed_of_leave('stock-3')} learned of it")
 
-    def told_of_leave(self, host: str) -> set[str]:
-        """Return the hosts whose events say that a host is leaving."""
+    def informed_of_leave(self, host: str) -> set[str]:
+        """Return the hosts that recorded that a host is leaving."""
         return {
             event["host"]
             for event in self.fleet.events()
