--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -52,7 +52,7 @@
         if key not in resources and not isinstance(resource.spec, Release | Upstream)
     ]
     return Change(
-        operation_of(release),
+        release_operation_id(release),
         catalogue.version,
         (*puts.items(), (RELEASE_KEY, _with_pieces(current, release))),
         tuple(deletes),
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -48,14 +48,14 @@
         return (
             min(beat, INITIAL_MISMATCH_DELAY * 2 ** min(self._differing, _MOST_DOUBLINGS))
             if self._differing
-            else beat
+            else heartbeat_interval
         )
 
     @property
     def settled(self) -> bool:
         """Return whether both sides have compared their records and no update is due."""
         compared = self._compared_at is not None or self._mismatches == 0
-        return compared and not self.has_news
+        return compared and not self.has_updates
 
     def next_message(self, now: float) -> Exchange | Compare:
         """Return the next message that the side that opened the connection sends."""
@@ -184,7 +184,7 @@
         return (
             self._same_data_centre
             or record.data_centre != self._membership.own.data_centre
-            or record.host in self._membership.exported
+            or record.host in self._membership.exported_hosts
             or record.host in listed
         )
 
--- a/cowslipvane/subscription/_backoff.py
+++ b/cowslipvane/subscription/_backoff.py
@@ -10,11 +10,11 @@
 class Backoff:
     """An exponential backoff with full jitter, so that clients don't all retry at the same time."""
 
-    def __init__(self, *, first: Seconds, longest: Seconds, rng: random.Random) -> None:
-        self._first = first
-        self._longest = longest
+    def __init__(self, *, initial_delay: Seconds, max_delay: Seconds, rng: random.Random) -> None:
+        self._first = initial_delay
+        self._longest = max_delay
         self._rng = rng
-        self._limit = first
+        self._limit = initial_delay
 
     def wait(self) -> Seconds:
         """Return the delay before the next attempt, and double the limit."""
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -45,9 +45,9 @@
         self.announcements.take(announcement("a", 1, 9, "leaving"))
         self.assertTrue(self.announcements.take(announcement("a", 2, 1)))
         self.assertEqual(self.state(), "a ready")
-        self.assertFalse(self.announcements.take(announcement("a", 1, 10, "leaving")))
-        self.assertTrue(self.announcements.take(announcement("b", 3, 1)))
-        self.assertFalse(self.announcements.take_departure("a", NOW_MS))
+        self.assertFalse(self.announcements.record(announcement("a", 1, 10, "leaving")))
+        self.assertTrue(self.announcements.record(announcement("b", 3, 1)))
+        self.assertFalse(self.announcements.record_departure("a", NOW_MS))
         self.assertEqual(self.state(), "b ready")
 
     def test_a_departure_is_final(self) -> None:
@@ -62,7 +62,7 @@
         self.assertFalse(self.announcements.take_departure("a", NOW_MS))
         self.assertFalse(self.announcements.take(announcement("a", NOW_MS - 1, 7)))
         self.assertIsNone(self.announcements.newest)
-        self.assertTrue(self.announcements.take(announcement("a", NOW_MS + 1, 1)))
+        self.assertTrue(self.announcements.record(announcement("a", NOW_MS + 1, 1)))
 
     def test_instances_without_a_start_time_replace_each_other(self) -> None:
         """A late heartbeat of the previous instance is ignored."""
--- a/tests/test_closure.py
+++ b/tests/test_closure.py
@@ -87,9 +87,9 @@
         snapshot = snapshot_of(catalogue, hosts)
         self.assertEqual(sorted(resources.values()), sorted(snapshot.resources))
         subscription = Subscription()
-        subscription.learn_floor(NO_VERSION)
-        self.assertIsInstance(subscription.take_snapshot(held), Applied)
-        self.assertEqual(subscription.take_delta(delta), Applied(version=catalogue.version))
+        subscription.raise_floor(NO_VERSION)
+        self.assertIsInstance(subscription.apply_snapshot(held), Applied)
+        self.assertEqual(subscription.apply_delta(delta), Applied(version=catalogue.version))
 
     def test_an_unrelated_change_sends_only_the_version(self) -> None:
         """A proxy does not receive resources that its routes don't need."""
@@ -99,7 +99,7 @@
             puts = ((Key("service", name), Service()), (Key("route", name), route))
             change = Change(OperationId(name), catalogue.version, puts)
             catalogue.apply(change, accepted_at=1.0)
-        delta = catalogue.since(Version(1), ("depot",))
+        delta = catalogue.update_since(Version(1), ("depot",))
         assert isinstance(delta, Delta)
         self.assertEqual((delta.version, delta.puts, delta.deletes), (2, (), ()))
         self.assertEqual(len(snapshot_of(catalogue, ("depot",)).resources), 2)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,7 +16,7 @@
     exported,
 )
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
-from tools.bench_members import Rounds, cost
+from tools.bench_members import MembershipSimulation, cost
 
 LOCAL, REMOTE = DataCentre("local"), DataCentre("remote")
 STOCK = ServiceName("stock")
@@ -49,9 +49,9 @@
         held = create_membership()
         self.assertEqual(held.proxies, 1)
         held.merge([record("x"), record("y", centre=DataCentre("there"))], 0.0)
-        self.assertEqual(held.proxies, 4)
+        self.assertEqual(held.estimated_proxy_count, 4)
         held.merge([record("x", counter=2)._replace(state="gone")], 0.0)
-        self.assertEqual(held.proxies, 2)
+        self.assertEqual(held.estimated_proxy_count, 2)
 
     def test_leaving_state_overrides_an_older_record_that_arrives_later(self) -> None:
         """The newest record of a host wins, in any order of arrival."""
@@ -144,8 +144,8 @@
         """Run a number of exchanges."""
         for _ in range(times):
             message = opener.next_message(0.0)
-            reply, _ = server.answer(message, 0.0)
-            opener.take(message, reply, 0.0)
+            reply, _ = server.handle_message(message, 0.0)
+            opener.handle_reply(message, reply, 0.0)
 
     def test_lost_updates_are_detected_by_the_digest(self) -> None:
         """A digest mismatch leads to a comparison, which sends the lost change again."""
@@ -181,8 +181,8 @@
         self.exchange(opener, server, 4)
         other.merge([record("c")], 0.0)
         self.exchange(opener, server, 1)
-        self.assertFalse(opener.has_news)
-        self.assertFalse(server.has_news)
+        self.assertFalse(opener.has_updates)
+        self.assertFalse(server.has_updates)
 
     def test_lost_updates_for_a_remote_data_centre_are_sent_again(self) -> None:
         """Data centres compare their records periodically, as their digests always differ."""
@@ -245,7 +245,7 @@
             own = membership.own.data_centre
             if known.count(own) < len(hosts[own]) or len(set(known)) < len(hosts):
                 return False
-        return rounds.agree()
+        return rounds.all_agree()
 
     def test_idle_cost_per_member_is_independent_of_their_number(self) -> None:
         """With five times the members, each sends at most a fifth more messages."""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,7 +5,7 @@
 from cowslipvane.replica import Report
 from cowslipvane.subscription import Lag, Proxies, Rollout
 from cowslipvane.types import Address, HostName, Version
-from tools.lone_replica import LoneReplica
+from tools.single_replica import SingleReplica
 
 A, B, C = HostName("a"), HostName("b"), HostName("c")
 ACCEPTED_AT = {Version(1): 10.0, Version(2): 20.0, Version(3): 30.0}
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -29,7 +29,7 @@
         self.catalogue = Catalogue()
         self.snapshots = [self.put(timeout) for timeout in (1.0, 2.0, 3.0)]
         self.subscription = Subscription()
-        self.subscription.learn_floor(Version(2))
+        self.subscription.raise_floor(Version(2))
 
     def put(self, timeout: float) -> Snapshot:
         """Write the policy and return a snapshot of the new version."""
@@ -67,7 +67,7 @@
             self.subscription.take_snapshot(self.snapshots[0]), "older than version 2", 0
         )
         self.assertEqual(
-            self.subscription.take_snapshot(self.snapshots[1]), Applied(version=Version(2))
+            self.subscription.apply_snapshot(self.snapshots[1]), Applied(version=Version(2))
         )
 
     def test_the_floor_is_never_lowered(self) -> None:
@@ -120,13 +120,13 @@
     def test_delays_are_spread_below_a_growing_limit(self) -> None:
         """The mean delay is half the limit of each attempt."""
         rng = random.Random(1)
-        backoffs = [Backoff(first=1.0, longest=4.0, rng=rng) for _ in range(400)]
+        backoffs = [Backoff(initial_delay=1.0, max_delay=4.0, rng=rng) for _ in range(400)]
         for limit in (1.0, 2.0, 4.0, 4.0):
             delays = [backoff.wait() for backoff in backoffs]
             self.assertLessEqual(max(delays), limit)
             self.assertAlmostEqual(sum(delays) / len(delays), limit / 2, delta=limit * 0.08)
         backoffs[0].reset()
-        self.assertLessEqual(backoffs[0].wait(), 1.0)
+        self.assertLessEqual(backoffs[0].next_delay(), 1.0)
 
 
 if __name__ == "__main__":
