--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -78,7 +78,7 @@
     "export_state",
     "import_state",
     "closure",
-    "combine",
+    "combine_digests",
     "dangling_references",
     "kind_of",
     "release_operation_id",
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from cowslipvane.catalogue._closure import RouteHosts, closure, combine, resource_digest
+from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._documents import apply_pieces
 from cowslipvane.catalogue._resources import (
     Fault,
@@ -79,7 +79,7 @@
     digest: Digest
 
 
-class Behind(NamedTuple):
+class VersionNotReached(NamedTuple):
     """The requested base is newer than the newest version here, which is given."""
 
     version: Version
@@ -172,7 +172,7 @@
         self._host_closures.clear()
 
     @property
-    def oldest(self) -> Version:
+    def oldest_version(self) -> Version:
         """Return the oldest version from which a delta can be computed."""
         return Version(self._history[0].version - 1) if self._history else self._version
 
@@ -180,7 +180,7 @@
         """Return the outcome of an operation, None if it is undecided or no longer kept."""
         return self._outcomes.get(operation_id)
 
-    def judge(self, change: Change) -> Outcome | None:
+    def evaluate(self, change: Change) -> Outcome | None:
         """Return the known outcome or the reason for refusing a change, None if acceptable."""
         known = self._outcomes.get(change.operation_id)
         if known is not None:
@@ -233,7 +233,7 @@
 
     def _decide(self, change: Change, *, accepted_at: float) -> Outcome:
         """Decide a change and, if it is accepted, apply it as the next version."""
-        outcome = self.judge(change)
+        outcome = self.evaluate(change)
         if outcome is not None:
             self._outcomes.setdefault(change.operation_id, outcome)
             return outcome
@@ -249,12 +249,14 @@
         self._outcomes[change.operation_id] = accepted
         return accepted
 
-    def since(self, base: Version, hosts: RouteHosts = ()) -> Delta | Snapshot | Behind:
+    def update_since(
+        self, base: Version, hosts: RouteHosts = ()
+    ) -> Delta | Snapshot | VersionNotReached:
         """Return the update from a version to the newest one, for the closure of some hosts."""
         if base > self._version:
-            return Behind(self._version)
+            return VersionNotReached(self._version)
         host_closure = self._closure_of(hosts)
-        if base < self.oldest or base == NO_VERSION:
+        if base < self.oldest_version or base == NO_VERSION:
             resources = tuple(self._resources[key] for key in sorted(host_closure.keys))
             return Snapshot(self._version, resources, host_closure.digest)
         before = self._changed_since(base)
@@ -304,7 +306,7 @@
         host_closure = self._host_closures.get(hosts)
         if host_closure is None or host_closure.version != self._version:
             keys = closure(self._resources, hosts)
-            digest = combine(self._digest_of(self._resources[key]) for key in keys)
+            digest = combine_digests(self._digest_of(self._resources[key]) for key in keys)
             host_closure = self._host_closures[hosts] = _HostClosure(self._version, keys, digest)
         return host_closure
 
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -41,7 +41,7 @@
     return int.from_bytes(hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest(), "big")
 
 
-def combine(digests: Iterable[int]) -> int:
+def combine_digests(digests: Iterable[int]) -> int:
     """Return the digest of a set of resources; a negated digest removes its resource."""
     # A sum is independent of the order and can be updated for the changed resources alone.
     return sum(digests) % _DIGEST_MODULUS
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -18,7 +18,7 @@
     return current.spec if current is not None and isinstance(current.spec, Release) else None
 
 
-def operation_of(release: Release) -> OperationId:
+def release_operation_id(release: Release) -> OperationId:
     """Return the operation id of a release; equal numbers and documents have equal ids."""
     digest = hashlib.blake2b(release.document.encode(), digest_size=16).hexdigest()
     return OperationId(f"release-{release.number}-{digest}")
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -38,7 +38,7 @@
         """Return the newest announcement, None before the first."""
         return self._newest
 
-    def take(self, announcement: Announcement) -> bool:
+    def record(self, announcement: Announcement) -> bool:
         """Store an announcement if it is newer than the current one; return whether it is."""
         current = self._newest
         instance = announcement.worker.instance
@@ -55,7 +55,7 @@
         self._newest = announcement
         return True
 
-    def take_departure(self, instance: str, wall_ms: int) -> bool:
+    def record_departure(self, instance: str, wall_ms: int) -> bool:
         """Record that an instance is gone; return whether it was the current one.
 
         After a restart, a process may receive a departure before any announcement of the instance.
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -13,7 +13,7 @@
 MAX_MISMATCHES = 2
 # The first delay between exchanges while the digests differ; it doubles with each exchange.
 INITIAL_MISMATCH_DELAY: Seconds = 0.1
-_MOST_DOUBLINGS = 10
+MAX_DELAY_DOUBLINGS = 10
 # Data centres hold different sets of records, so their digests always differ: they compare
 # periodically instead.
 REMOTE_COMPARE_INTERVAL: Seconds = 60.0
@@ -39,20 +39,23 @@
         self._compared_at: float | None = None
 
     @property
-    def has_news(self) -> bool:
+    def has_updates(self) -> bool:
         """Return whether a message has to be sent before the next heartbeat."""
         return bool(self._to_resend) or self._has_diverged() or bool(self._unsent())
 
-    def pause(self, beat: Seconds) -> Seconds:
+    def next_exchange_delay(self, heartbeat_interval: Seconds) -> Seconds:
         """Return the time until the next exchange, given the interval between heartbeats."""
         return (
-            min(beat, INITIAL_MISMATCH_DELAY * 2 ** min(self._differing, _MOST_DOUBLINGS))
+            min(
+                heartbeat_interval,
+                INITIAL_MISMATCH_DELAY * 2 ** min(self._differing, MAX_DELAY_DOUBLINGS),
+            )
             if self._differing
             else heartbeat_interval
         )
 
     @property
-    def settled(self) -> bool:
+    def is_synchronized(self) -> bool:
         """Return whether both sides have compared their records and no update is due."""
         compared = self._compared_at is not None or self._mismatches == 0
         return compared and not self.has_updates
@@ -72,7 +75,9 @@
             )
         return Exchange(digest=self._membership.digest, members=self._take_updates())
 
-    def answer(self, message: Exchange | Compare, now: float) -> tuple[ExchangeReply, list[Member]]:
+    def handle_message(
+        self, message: Exchange | Compare, now: float
+    ) -> tuple[ExchangeReply, list[Member]]:
         """Return the reply to a message of the opener, and the records that were new here."""
         match message:
             case Exchange(members=members):
@@ -92,7 +97,9 @@
                 )
         return reply, newer
 
-    def take(self, sent: Exchange | Compare, reply: ExchangeReply, now: float) -> list[Member]:
+    def handle_reply(
+        self, sent: Exchange | Compare, reply: ExchangeReply, now: float
+    ) -> list[Member]:
         """Merge a reply, and return the records that were new here."""
         idle = _carries_no_updates(sent, self._membership.digest) and not reply.members
         newer = self._merge_received(reply.members, now)
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -46,8 +46,8 @@
         self._dead_since: dict[HostName, float] = {}
         self._last_suspicions: dict[HostName, tuple[int, float]] = {}
         self._owners: dict[ServiceName, list[Member]] = {}
-        self._exported: frozenset[HostName] | None = None
-        self._proxies: int | None = None
+        self._exported_hosts: frozenset[HostName] | None = None
+        self._proxy_count: int | None = None
         self._export_at = now + EXPORT_DELAY
         self._exports_others = False
         self._store(own, now)
@@ -63,13 +63,13 @@
         return tuple(self._live())
 
     @property
-    def proxies(self) -> int:
+    def estimated_proxy_count(self) -> int:
         """Return an estimate of all proxies: those of this data centre times the data centres."""
-        if self._proxies is None:
+        if self._proxy_count is None:
             local = sum(member.callers is not None for member in self._live_local())
             data_centres = {member.data_centre for member in self._live()}
-            self._proxies = max(1, local) * len(data_centres)
-        return self._proxies
+            self._proxy_count = max(1, local) * len(data_centres)
+        return self._proxy_count
 
     @property
     def revision(self) -> int:
@@ -82,18 +82,18 @@
         return self._digest
 
     @property
-    def exported(self) -> frozenset[HostName]:
+    def exported_hosts(self) -> frozenset[HostName]:
         """Return the members of this data centre whose records are sent to other data centres."""
-        if self._exported is None:
+        if self._exported_hosts is None:
             known = self._live_local() if self._exports_others else [self._own]
-            self._exported = exported(known, self._seeds)
-        return self._exported
+            self._exported_hosts = exported(known, self._seeds)
+        return self._exported_hosts
 
     def member(self, host: HostName) -> Member | None:
         """Return the newest record of a host, if there is one."""
         return self._members.get(host)
 
-    def announce(self, worker: Worker | None, now: float) -> None:
+    def set_worker(self, worker: Worker | None, now: float) -> None:
         """Set the upstream of this process, or remove it if None."""
         self._publish(self._own._replace(worker=worker), now)
 
@@ -126,7 +126,7 @@
         self._store(held._replace(suspected=True), now)
         return True
 
-    def miss_reply(self, host: HostName, due_at: float, now: float) -> bool:
+    def handle_missed_reply(self, host: HostName, due_at: float, now: float) -> bool:
         """Suspect a member whose reply is overdue; return whether its record changed."""
         # If this process was stalled, the reply may have arrived and not been read yet.
         return now < due_at + LOCAL_STALL_THRESHOLD and self.suspect(host, now)
@@ -278,8 +278,8 @@
     def _clear_derived(self) -> None:
         """Clear the values derived from the records."""
         self._owners.clear()
-        self._exported = None
-        self._proxies = None
+        self._exported_hosts = None
+        self._proxy_count = None
 
 
 def _serves(member: Member, service: ServiceName) -> bool:
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -62,7 +62,7 @@
         return True
 
     @property
-    def proxies(self) -> int:
+    def live_proxy_count(self) -> int:
         """Return the number of live proxies."""
         return len(self._versions)
 
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -10,7 +10,7 @@
     Key,
     Resource,
     Snapshot,
-    combine,
+    combine_digests,
     dangling_references,
     resource_digest,
 )
@@ -68,11 +68,11 @@
         """Return the routing table in force, None before the first version."""
         return self._table
 
-    def learn_floor(self, floor: Version) -> None:
+    def raise_floor(self, floor: Version) -> None:
         """Refuse every version below a floor from now on; a lower floor has no effect."""
         self._floor = max(floor, self._floor or NO_VERSION)
 
-    def take_delta(self, delta: Delta) -> Applied | Rejected:
+    def apply_delta(self, delta: Delta) -> Applied | Rejected:
         """Apply a delta to the version in force."""
         if delta.base != self._version:
             reason = f"the delta starts at {delta.base}, in force is {self._version}"
@@ -83,13 +83,13 @@
         resources.update((resource.key, resource) for resource in delta.puts)
         digests = [-resource_digest(resource) for resource in replaced if resource is not None]
         digests += [resource_digest(resource) for resource in delta.puts]
-        digest = combine([self._digest, *digests])
+        digest = combine_digests([self._digest, *digests])
         return self._apply(delta.version, resources, digest, delta.digest)
 
-    def take_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
+    def apply_snapshot(self, snapshot: Snapshot) -> Applied | Rejected:
         """Apply a version with all its resources."""
         resources = {resource.key: resource for resource in snapshot.resources}
-        digest = combine(resource_digest(resource) for resource in snapshot.resources)
+        digest = combine_digests(resource_digest(resource) for resource in snapshot.resources)
         return self._apply(snapshot.version, resources, digest, snapshot.digest)
 
     def _apply(
--- a/tests/test_closure.py
+++ b/tests/test_closure.py
@@ -56,7 +56,7 @@
 
 def snapshot_of(catalogue: Catalogue, hosts: RouteHosts) -> Snapshot:
     """Return a snapshot of the closure of some hosts."""
-    snapshot = catalogue.since(NO_VERSION, hosts)
+    snapshot = catalogue.update_since(NO_VERSION, hosts)
     assert isinstance(snapshot, Snapshot)
     return snapshot
 
@@ -78,7 +78,7 @@
 
     def check_delta(self, catalogue: Catalogue, hosts: RouteHosts, held: Snapshot) -> None:
         """Check that the delta from a held snapshot results in the newest one."""
-        delta = catalogue.since(held.version, hosts)
+        delta = catalogue.update_since(held.version, hosts)
         assert isinstance(delta, Delta)
         resources = {resource.key: resource for resource in held.resources}
         for key in delta.deletes:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -47,7 +47,7 @@
     def test_the_proxy_estimate_follows_the_members(self) -> None:
         """It counts the local proxies, including this process, times the data centres."""
         held = create_membership()
-        self.assertEqual(held.proxies, 1)
+        self.assertEqual(held.estimated_proxy_count, 1)
         held.merge([record("x"), record("y", centre=DataCentre("there"))], 0.0)
         self.assertEqual(held.estimated_proxy_count, 4)
         held.merge([record("x", counter=2)._replace(state="gone")], 0.0)
@@ -119,9 +119,13 @@
     def test_a_stalled_process_suspects_nobody(self) -> None:
         """After a stall, a reply that was due long ago may have arrived unread."""
         membership = create_membership(record("b"))
-        self.assertFalse(membership.miss_reply(HostName("b"), 1.0, 1.0 + 2 * LOCAL_STALL_THRESHOLD))
+        self.assertFalse(
+            membership.handle_missed_reply(HostName("b"), 1.0, 1.0 + 2 * LOCAL_STALL_THRESHOLD)
+        )
         self.assertTrue(membership.is_alive(HostName("b"), 2.0))
-        self.assertTrue(membership.miss_reply(HostName("b"), 1.0, 1.0 + LOCAL_STALL_THRESHOLD / 2))
+        self.assertTrue(
+            membership.handle_missed_reply(HostName("b"), 1.0, 1.0 + LOCAL_STALL_THRESHOLD / 2)
+        )
 
     def test_suspicions_of_one_incarnation_are_rate_limited(self) -> None:
         """Without the limit, a faulty path between two members floods all others."""
@@ -155,7 +159,7 @@
         self.exchange(opener, server, 4)
         one.merge([record("c")], 0.0)
         opener.next_message(0.0)  # The message is lost.
-        self.assertFalse(opener.has_news)
+        self.assertFalse(opener.has_updates)
         self.exchange(opener, server, 4)
         self.assertEqual(one.digest, other.digest)
         self.assertIsNotNone(other.member(HostName("c")))
@@ -193,8 +197,8 @@
         one.leave("leaving", 0.0)
         opener.next_message(0.0)  # The message is lost.
         message = opener.next_message(REMOTE_COMPARE_INTERVAL)
-        reply, _ = server.answer(message, REMOTE_COMPARE_INTERVAL)
-        opener.take(message, reply, REMOTE_COMPARE_INTERVAL)
+        reply, _ = server.handle_message(message, REMOTE_COMPARE_INTERVAL)
+        opener.handle_reply(message, reply, REMOTE_COMPARE_INTERVAL)
         self.exchange(opener, server, 1)
         held = other.member(HostName("a"))
         assert held is not None
@@ -208,9 +212,9 @@
         membership.suspect(HostName("b"), EXPORT_DELAY)
         feed.next_message(EXPORT_DELAY)
         feed.next_message(EXPORT_DELAY)
-        self.assertFalse(feed.has_news)
+        self.assertFalse(feed.has_updates)
         membership.expire(EXPORT_DELAY + SUSPICION_TIMEOUT)
-        self.assertTrue(feed.has_news)
+        self.assertTrue(feed.has_updates)
 
     def test_leaving_and_suspected_owners_are_not_exported(self) -> None:
         """The next owners in line are exported instead."""
@@ -231,21 +235,23 @@
 class RoundsTest(unittest.TestCase):
     """Many members over simulated time."""
 
-    def converged(self, *sizes: int, seed: int = 1) -> Rounds:
+    def converged(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
         """Return members of data centres of some sizes, once they know each other."""
         hosts = {f"dc{index}": names(f"dc{index}", size) for index, size in enumerate(sizes)}
-        rounds = Rounds(names=hosts, seeds=[group[0] for group in hosts.values()], seed=seed)
-        rounds.until(lambda: self.is_complete(rounds, hosts))
-        return rounds
+        simulation = MembershipSimulation(
+            names=hosts, seeds=[group[0] for group in hosts.values()], seed=seed
+        )
+        simulation.until(lambda: self.is_complete(simulation, hosts))
+        return simulation
 
-    def is_complete(self, rounds: Rounds, hosts: dict[str, list[str]]) -> bool:
+    def is_complete(self, simulation: MembershipSimulation, hosts: dict[str, list[str]]) -> bool:
         """Return whether all members agree, know their data centre and some of the others."""
-        for membership in rounds.running.values():
+        for membership in simulation.running.values():
             known = [member.data_centre for member in membership.members]
             own = membership.own.data_centre
             if known.count(own) < len(hosts[own]) or len(set(known)) < len(hosts):
                 return False
-        return rounds.all_agree()
+        return simulation.all_agree()
 
     def test_idle_cost_per_member_is_independent_of_their_number(self) -> None:
         """With five times the members, each sends at most a fifth more messages."""
@@ -255,33 +261,35 @@
 
     def test_a_leaving_state_reaches_all_members_within_a_second(self) -> None:
         """Each member forwards it, and each hop halves the remaining distance in the ring."""
-        rounds = self.converged(100)
-        rounds.running[HostName("dc0-050")].leave("leaving", rounds.now)
-        time = rounds.until(lambda: rounds.all_know("dc0-050", "leaving"))
+        simulation = self.converged(100)
+        simulation.running[HostName("dc0-050")].leave("leaving", simulation.now)
+        time = simulation.until(lambda: simulation.all_know("dc0-050", "leaving"))
         self.assertLess(time, 1.0)
 
     def test_members_stay_connected_after_all_seeds_die(self) -> None:
         """Seeds are needed only to join and to heal a partition."""
-        rounds = self.converged(12)
-        rounds.kill("dc0-000")
-        rounds.run(20.0)
-        self.assertEqual({len(membership.members) for membership in rounds.running.values()}, {11})
+        simulation = self.converged(12)
+        simulation.kill("dc0-000")
+        simulation.run(20.0)
+        self.assertEqual(
+            {len(membership.members) for membership in simulation.running.values()}, {11}
+        )
 
     def test_a_partition_between_data_centres_keeps_local_members(self) -> None:
         """Each side keeps its members, and receives the updates of the other one once it heals."""
-        rounds = self.converged(12, 12)
-        rounds.cut = lambda one, other: one.data_centre != other.data_centre
-        rounds.run(5.0)
-        rounds.running[HostName("dc0-000")].leave("leaving", rounds.now)
-        rounds.run(30.0)
-        for membership in rounds.running.values():
+        simulation = self.converged(12, 12)
+        simulation.is_partitioned = lambda one, other: one.data_centre != other.data_centre
+        simulation.run(5.0)
+        simulation.running[HostName("dc0-000")].leave("leaving", simulation.now)
+        simulation.run(30.0)
+        for membership in simulation.running.values():
             own = membership.own.data_centre
             local = [member for member in membership.members if member.data_centre == own]
             self.assertEqual(len(local), 12)
             self.assertFalse(any(member.suspected for member in local))
-        rounds.cut = lambda one, other: False
-        remote = rounds.running[HostName("dc1-007")]
-        rounds.until(lambda: self.state_of(remote, "dc0-000") == "leaving")
+        simulation.is_partitioned = lambda one, other: False
+        remote = simulation.running[HostName("dc1-007")]
+        simulation.until(lambda: self.state_of(remote, "dc0-000") == "leaving")
 
     def state_of(self, membership: Membership, host: str) -> str:
         """Return the state of a host as a member knows it."""
@@ -290,31 +298,33 @@
 
     def test_a_partition_within_a_data_centre_heals(self) -> None:
         """Each half marks the other one dead, and all are alive again after the partition."""
-        rounds = self.converged(16)
+        simulation = self.converged(16)
         half = set(names("dc0", 8))
-        rounds.cut = lambda one, other: (one.host in half) != (other.host in half)
-        rounds.run(20.0)
-        self.assertEqual({len(membership.members) for membership in rounds.running.values()}, {8})
-        rounds.cut = lambda one, other: False
-        rounds.until(lambda: self.is_complete(rounds, {"dc0": names("dc0", 16)}))
+        simulation.is_partitioned = lambda one, other: (one.host in half) != (other.host in half)
+        simulation.run(20.0)
+        self.assertEqual(
+            {len(membership.members) for membership in simulation.running.values()}, {8}
+        )
+        simulation.is_partitioned = lambda one, other: False
+        simulation.until(lambda: self.is_complete(simulation, {"dc0": names("dc0", 16)}))
         alive = {
-            membership.is_alive(host, rounds.now)
-            for membership in rounds.running.values()
-            for host in rounds.running
+            membership.is_alive(host, simulation.now)
+            for membership in simulation.running.values()
+            for host in simulation.running
         }
         self.assertEqual(alive, {True})
 
     def test_few_owners_are_exported_to_other_data_centres(self) -> None:
         """Other owners replace exported ones that die."""
-        rounds = self.converged(80, 6)
-        remote = rounds.running[HostName("dc1-005")]
+        simulation = self.converged(80, 6)
+        remote = simulation.running[HostName("dc1-005")]
         service = ServiceName("service-3")
 
         def owners() -> list[str]:
-            serving = remote.owners(service, rounds.now)
+            serving = remote.owners(service, simulation.now)
             return sorted(owner.host for owner in serving if owner.data_centre == "dc0")
 
-        rounds.run(5.0)
+        simulation.run(5.0)
         # Besides owners of ten services, it holds the gateways and the first members that joined.
         exported_members = [member for member in remote.members if member.data_centre == "dc0"]
         self.assertLessEqual(
@@ -322,32 +332,36 @@
         )
         first = owners()
         self.assertGreaterEqual(len(first), EXPORTED_OWNERS_PER_SERVICE)
-        rounds.kill(*first)
-        rounds.until(
+        simulation.kill(*first)
+        simulation.until(
             lambda: len(owners()) >= EXPORTED_OWNERS_PER_SERVICE and not set(first) & set(owners())
         )
 
     def test_half_of_the_members_die_and_return(self) -> None:
         """The others mark them dead and accept them again, including the seed."""
-        rounds = self.converged(60)
+        simulation = self.converged(60)
         killed = names("dc0", 60)[::2]
-        rounds.kill(*killed)
-        rounds.run(10.0)
-        self.assertEqual({len(membership.members) for membership in rounds.running.values()}, {30})
+        simulation.kill(*killed)
+        simulation.run(10.0)
+        self.assertEqual(
+            {len(membership.members) for membership in simulation.running.values()}, {30}
+        )
         for host in killed:
-            rounds.start(host)
-        rounds.until(lambda: self.is_complete(rounds, {"dc0": names("dc0", 60)}), 20.0)
+            simulation.start(host)
+        simulation.until(lambda: self.is_complete(simulation, {"dc0": names("dc0", 60)}), 20.0)
 
     def test_a_silent_member_is_marked_dead_and_returns(self) -> None:
         """Its next record makes it alive for the others again."""
-        rounds = self.converged(12)
+        simulation = self.converged(12)
         host = HostName("dc0-005")
-        rounds.silent.add(host)
-        rounds.run(10.0)
-        others = [membership for name, membership in rounds.running.items() if name != host]
-        self.assertFalse(any(membership.is_alive(host, rounds.now) for membership in others))
-        rounds.silent.clear()
-        rounds.until(lambda: all(membership.is_alive(host, rounds.now) for membership in others))
+        simulation.silent.add(host)
+        simulation.run(10.0)
+        others = [membership for name, membership in simulation.running.items() if name != host]
+        self.assertFalse(any(membership.is_alive(host, simulation.now) for membership in others))
+        simulation.silent.clear()
+        simulation.until(
+            lambda: all(membership.is_alive(host, simulation.now) for membership in others)
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -55,7 +55,7 @@
 
     def test_an_older_report_does_not_replace_a_newer_one(self) -> None:
         """Reports that are forwarded by other replicas may be late."""
-        replica = LoneReplica().replica
+        replica = SingleReplica().replica
         replica.record_report(report(A, 3, changed_at=5.0))
         replica.record_report(report(A, 2, changed_at=4.0))
         self.assertEqual(replica.reports[A].version, 3)
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -37,13 +37,13 @@
         puts = ((POLICY, TrafficPolicy(timeout=timeout)),)
         change = Change(OperationId(str(version)), version, puts)
         self.catalogue.apply(change, accepted_at=1.0)
-        update = self.catalogue.since(Version(0))
+        update = self.catalogue.update_since(Version(0))
         assert isinstance(update, Snapshot)
         return update
 
     def delta(self, base: int) -> Delta:
         """Return the delta from a version."""
-        update = self.catalogue.since(Version(base))
+        update = self.catalogue.update_since(Version(base))
         assert isinstance(update, Delta)
         return update
 
@@ -57,14 +57,14 @@
         """A restarted proxy doesn't know which version was in force before."""
         self.subscription = Subscription()
         self.check_rejected(
-            self.subscription.take_snapshot(self.snapshots[2]), "isn't known yet", 0
+            self.subscription.apply_snapshot(self.snapshots[2]), "isn't known yet", 0
         )
         self.assertIsNone(self.subscription.table)
 
     def test_applies_nothing_below_the_floor(self) -> None:
         """A lagging replica can't take a restarted proxy back to an older version."""
         self.check_rejected(
-            self.subscription.take_snapshot(self.snapshots[0]), "older than version 2", 0
+            self.subscription.apply_snapshot(self.snapshots[0]), "older than version 2", 0
         )
         self.assertEqual(
             self.subscription.apply_snapshot(self.snapshots[1]), Applied(version=Version(2))
@@ -72,38 +72,38 @@
 
     def test_the_floor_is_never_lowered(self) -> None:
         """A lower floor that is received later has no effect."""
-        self.subscription.learn_floor(Version(1))
+        self.subscription.raise_floor(Version(1))
         self.assertEqual(self.subscription.floor, 2)
 
     def test_never_applies_an_older_version(self) -> None:
         """The version in force is a minimum too, even after a lower floor is received."""
-        self.subscription.take_snapshot(self.snapshots[2])
-        self.subscription.learn_floor(Version(1))
+        self.subscription.apply_snapshot(self.snapshots[2])
+        self.subscription.raise_floor(Version(1))
         self.check_rejected(
-            self.subscription.take_snapshot(self.snapshots[1]), "older than version 3", 3
+            self.subscription.apply_snapshot(self.snapshots[1]), "older than version 3", 3
         )
 
     def test_checks_the_digest(self) -> None:
         """Content that differs from the accepted one is refused, as snapshot or delta."""
         snapshot = self.snapshots[2]
         corrupted = snapshot._replace(resources=self.snapshots[1].resources)
-        self.check_rejected(self.subscription.take_snapshot(corrupted), "digest", 0)
-        self.subscription.take_snapshot(self.snapshots[1])
+        self.check_rejected(self.subscription.apply_snapshot(corrupted), "digest", 0)
+        self.subscription.apply_snapshot(self.snapshots[1])
         incomplete = self.delta(2)._replace(puts=())
-        self.check_rejected(self.subscription.take_delta(incomplete), "digest", 2)
-        self.assertEqual(self.subscription.take_delta(self.delta(2)), Applied(version=Version(3)))
+        self.check_rejected(self.subscription.apply_delta(incomplete), "digest", 2)
+        self.assertEqual(self.subscription.apply_delta(self.delta(2)), Applied(version=Version(3)))
 
     def test_checks_the_base_of_a_delta(self) -> None:
         """A delta that starts from another version is refused."""
-        self.subscription.take_snapshot(self.snapshots[2])
-        self.check_rejected(self.subscription.take_delta(self.delta(1)), "starts at 1", 3)
+        self.subscription.apply_snapshot(self.snapshots[2])
+        self.check_rejected(self.subscription.apply_delta(self.delta(1)), "starts at 1", 3)
 
     def test_refuses_a_route_without_its_service(self) -> None:
         """References are checked even if the digest matches."""
         route = Route(targets=(Target(ServiceName("gone")),))
         resource = self.snapshots[2].resources[0]._replace(key=Key("route", "r"), spec=route)
         snapshot = Snapshot(Version(9), (resource,), resource_digest(resource))
-        self.check_rejected(self.subscription.take_snapshot(snapshot), "refers to service/gone", 0)
+        self.check_rejected(self.subscription.apply_snapshot(snapshot), "refers to service/gone", 0)
 
     def test_equal_content_has_equal_digests(self) -> None:
         """The digest depends on the content alone, and differs for other content."""
@@ -122,7 +122,7 @@
         rng = random.Random(1)
         backoffs = [Backoff(initial_delay=1.0, max_delay=4.0, rng=rng) for _ in range(400)]
         for limit in (1.0, 2.0, 4.0, 4.0):
-            delays = [backoff.wait() for backoff in backoffs]
+            delays = [backoff.next_delay() for backoff in backoffs]
             self.assertLessEqual(max(delays), limit)
             self.assertAlmostEqual(sum(delays) / len(delays), limit / 2, delta=limit * 0.08)
         backoffs[0].reset()
