Name remaining locals and module functions of the state packages after their values

exported and lacking become exported_hosts and outdated_hosts, which only the membership and its test use; locals such as found and held name what they hold.

--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -151,7 +151,10 @@
     @property
     def decisions(self) -> dict[OperationId, tuple[Outcome, float]]:
         """Return the outcomes that are kept and when they were decided, the oldest first."""
-        return {name: (self._outcomes[name], at) for name, at in self._decided_at.items()}
+        return {
+            operation_id: (self._outcomes[operation_id], decided_at)
+            for operation_id, decided_at in self._decided_at.items()
+        }
 
     def restore(
         self,
@@ -260,16 +263,16 @@
             resources = tuple(self._resources[key] for key in sorted(host_closure.keys))
             return Snapshot(self._version, resources, host_closure.digest)
         before = self._changed_since(base)
-        held = closure(self._resources_before(before), hosts) if hosts else None
-        if held is None:
+        base_keys = closure(self._resources_before(before), hosts) if hosts else None
+        if base_keys is None:
             known = {key: old for key, old in before.items() if old is not None}
-            held = (host_closure.keys - before.keys()) | closure(known, hosts)
-        puts = [key for key in host_closure.keys if key in before or key not in held]
+            base_keys = (host_closure.keys - before.keys()) | closure(known, hosts)
+        puts = [key for key in host_closure.keys if key in before or key not in base_keys]
         return Delta(
             base,
             self._version,
             tuple(self._resources[key] for key in sorted(puts)),
-            tuple(sorted(held - host_closure.keys)),
+            tuple(sorted(base_keys - host_closure.keys)),
             host_closure.digest,
         )
 
@@ -337,8 +340,8 @@
 
     def _with_document(self, key: Key, spec: Spec) -> Spec:
         """Return a specification with the full document instead of pieces."""
-        held = self._resources.get(key)
-        match spec, held and held.spec:
+        current = self._resources.get(key)
+        match spec, current and current.spec:
             case Release(pieces=pieces) as release, Release(document=before) if pieces:
                 document = apply_pieces(before, pieces)
                 return Release(number=release.number, based_on=release.based_on, document=document)
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -21,7 +21,7 @@
     """
     if not hosts:
         return frozenset(
-            key for key, held in resources.items() if not isinstance(held.spec, Release)
+            key for key, resource in resources.items() if not isinstance(resource.spec, Release)
         )
     route_hosts = {"*", *hosts}
     pending = [key for key, resource in resources.items() if _is_root(resource, route_hosts)]
--- a/cowslipvane/catalogue/_documents.py
+++ b/cowslipvane/catalogue/_documents.py
@@ -48,5 +48,5 @@
 
 def _chunks(document: str) -> Iterator[tuple[int, str]]:
     """Yield the chunks of a document, each with its offset."""
-    for found in _CHUNK.finditer(document):
-        yield found.start(), found.group()
+    for match in _CHUNK.finditer(document):
+        yield match.start(), match.group()
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -65,11 +65,11 @@
         if self._compare_is_due(now):
             self._compared_at = now
             self._mismatches = 0
-            held = self._membership.members
+            records = self._membership.members
             return Compare(
                 stamps=tuple(
                     Stamp(item.host, item.order)
-                    for item in held
+                    for item in records
                     if self._may_send(item, self._peer_orders)
                 )
             )
@@ -91,7 +91,7 @@
                     item for item in missing if self._may_send(item, self._peer_orders)
                 )
                 self._peer_orders.update((item.host, item.order) for item in sent_records)
-                requested = self._membership.lacking(stamps)
+                requested = self._membership.outdated_hosts(stamps)
                 reply = ExchangeReply(
                     digest=self._membership.digest, members=sent_records, wanted=requested
                 )
@@ -179,12 +179,12 @@
 
     def _remote_candidates(self) -> list[Member]:
         """Return candidates for a remote data centre; dead members only if it knows them."""
-        held = {member.host: member for member in self._membership.members}
+        records = {member.host: member for member in self._membership.members}
         for host in self._peer_orders:
             member = self._membership.member(host)
             if member is not None:
-                held[host] = member
-        return list(held.values())
+                records[host] = member
+        return list(records.values())
 
     def _may_send(self, record: Member, listed: Iterable[HostName]) -> bool:
         """Return whether a record is sent to the other side."""
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -10,7 +10,7 @@
 from cowslipvane.membership._topology import (
     GATEWAYS_PER_DATA_CENTRE,
     Neighbour,
-    exported,
+    exported_hosts,
     gateway_neighbours,
     gateways,
     ring_neighbours,
@@ -86,7 +86,7 @@
         """Return the members of this data centre whose records are sent to other data centres."""
         if self._exported_hosts is None:
             known = self._live_local() if self._exports_others else [self._own]
-            self._exported_hosts = exported(known, self._seeds)
+            self._exported_hosts = exported_hosts(known, self._seeds)
         return self._exported_hosts
 
     def member(self, host: HostName) -> Member | None:
@@ -159,12 +159,12 @@
 
         Suspected members are returned only when there are no others.
         """
-        found = self._owners.get(service)
-        if found is None:
+        owners = self._owners.get(service)
+        if owners is None:
             serving = [member for member in self._live() if _serves(member, service)]
-            found = [member for member in serving if not member.suspected] or serving
-            self._owners[service] = found
-        return found
+            owners = [member for member in serving if not member.suspected] or serving
+            self._owners[service] = owners
+        return owners
 
     def neighbours(self) -> list[Neighbour]:
         """Return the members that this process keeps connections to."""
@@ -199,7 +199,7 @@
             or (record.host not in theirs and record.host not in self._dead_since)
         ]
 
-    def lacking(self, stamps: Iterable[Stamp]) -> tuple[HostName, ...]:
+    def outdated_hosts(self, stamps: Iterable[Stamp]) -> tuple[HostName, ...]:
         """Return the hosts whose stamp is newer than the record held here."""
         return tuple(
             stamp.host
--- a/cowslipvane/membership/_messages.py
+++ b/cowslipvane/membership/_messages.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Compare:
-    """Lists the stamps of all records that the sender holds, for a full comparison."""
+    """Lists the stamps of the records that the sender holds, as digests don't show which differ."""
 
     stamps: tuple[Stamp, ...]
 
--- a/cowslipvane/membership/_topology.py
+++ b/cowslipvane/membership/_topology.py
@@ -63,7 +63,7 @@
     ]
 
 
-def exported(live: Sequence[Member], seeds: Collection[Address]) -> frozenset[HostName]:
+def exported_hosts(live: Sequence[Member], seeds: Collection[Address]) -> frozenset[HostName]:
     """Return the members of a data centre whose records are sent to other data centres."""
     hosts = sorted(member.host for member in live)[:GATEWAYS_PER_DATA_CENTRE]
     hosts += [member.host for member in live if member.peers in seeds]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,7 @@
 from cowslipvane.membership._topology import (
     EXPORTED_OWNERS_PER_SERVICE,
     GATEWAYS_PER_DATA_CENTRE,
-    exported,
+    exported_hosts,
 )
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
 from tools.bench_members import MembershipSimulation, cost
@@ -221,10 +221,10 @@
         members = [record(f"h{index}") for index in range(8)]
         members[3] = members[3]._replace(state="leaving")
         members[4] = members[4]._replace(suspected=True)
-        self.assertEqual(exported(members, ()), {"h0", "h1", "h2"})
+        self.assertEqual(exported_hosts(members, ()), {"h0", "h1", "h2"})
         members[0] = members[0]._replace(state="leaving")
         members[2] = members[2]._replace(suspected=True)
-        self.assertEqual(exported(members, ()), {"h0", "h1", "h5", "h6"})
+        self.assertEqual(exported_hosts(members, ()), {"h0", "h1", "h5", "h6"})
 
 
 def names(centre: str, count: int) -> list[str]:
