--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,9 +7,9 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange, ExchangeReply, Hello, Membership
 from cowslipvane.tasks._gossip import Gossip
-from cowslipvane.types import DataCentre, HostName
+from cowslipvane.types import HostName
 from cowslipvane.wire import Link
-from tests.test_membership import record
+from tests.test_membership import LOCAL, record
 
 
 class Pipe:
@@ -34,8 +34,7 @@
 
     def setUp(self) -> None:
         """Begin with a member that knows only itself."""
-        centre = DataCentre("here")
-        events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
+        events = EventLog(origin=Origin(HostName("a"), LOCAL, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
         self.members = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
@@ -43,7 +42,7 @@
     async def test_an_exchange_is_answered(self) -> None:
         """The opener's record is taken in, and the reply tells the digest of both."""
         serving = asyncio.create_task(self.members.serve(cast(Link, self.pipe)))
-        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=DataCentre("here")))
+        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
         await self.pipe.incoming.put(Exchange(digest=0, members=(record("b"),)))
         reply = await self.pipe.sent.get()
         self.assertEqual(reply, ExchangeReply(digest=self.membership.digest, members=()))
@@ -55,9 +54,7 @@
         """The task of a connection ends when nothing comes over it."""
         async with asyncio.timeout(10):
             await self.members.serve(cast(Link, self.pipe))
-            await self.pipe.incoming.put(
-                Hello(sender=HostName("b"), data_centre=DataCentre("here"))
-            )
+            await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
             await self.members.serve(cast(Link, self.pipe))
 
 
