--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -20,11 +20,12 @@
 # earlier ones still fill the queue.
 QUEUE_LIMIT_FACTOR = 2
 RETRY_AFTER: Seconds = 1.0
-# Lower limit of the retry delay for a request that is refused because it would end too late.
+# Lower limit of the retry delay for a request that is refused because it would miss its goal.
 MIN_RETRY_AFTER: Seconds = 0.05
 # One slot in this many, rounded up, is reserved for short work.
 SLOTS_PER_RESERVED_SLOT = 3
-# Callers to keep tags for; beyond this, callers whose tags have passed are dropped.
+# Callers whose next fair queueing tag is kept; beyond this, those whose tag lies before the latest
+# offer are dropped.
 MAX_CALLER_TAGS = 4096
 # Lower limit of the cost of work in fair queueing, for kinds without service time samples.
 MIN_COST: Seconds = 0.001
@@ -34,7 +35,7 @@
     """An attempt that is queued or running.
 
     deadline and goal are in time.monotonic seconds. The goal is the latency goal: the time until
-    which an answer is worth most. nested means that an upstream made the call while it handles
+    which an answer is worth most. nested means that an upstream made the call while handling
     another request, which fails if this call fails.
     """
 
@@ -89,7 +90,7 @@
 
     kind: str
     long: bool
-    started: float
+    started_at: float
 
 
 class Admission:
@@ -128,7 +129,7 @@
         return Load(self._slots, running, waiting, self._times.typical)
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Return whether no work is queued or running."""
         return not self._waiting and not self._running
 
@@ -187,7 +188,7 @@
         """Free the slot of work; ran tells whether the work was sent to the upstream."""
         running = self._running.pop(work.attempt)
         if ran:
-            self._times.add(running.kind, now - running.started, now)
+            self._times.add(running.kind, now - running.started_at, now)
 
     def withdraw(self, attempt: AttemptId) -> bool:
         """Remove work from the queue; return whether it was queued."""
@@ -258,8 +259,8 @@
         """Return the refusal of work that would end too late.
 
         Work that would miss its goal because of the queue is refused too. Otherwise, during a load
-        peak all requests would wait so long that none meets its goal, and no more of them would
-        be served. Nested calls may miss their goal: refusing one would waste the work already
+        peak all requests would wait so long that none meets its goal, although as many are served
+        either way. Nested calls may miss their goal: refusing one would waste the work already
         done for the request that made it.
         """
         wait = self._expected_wait(waiting, now)
@@ -284,7 +285,7 @@
         if not ahead and len(same_class) < slots:
             return 0.0
         remaining = sum(
-            max(0.0, self._times.estimate(running.kind, now) - (now - running.started))
+            max(0.0, self._times.estimate(running.kind, now) - (now - running.started_at))
             for running in same_class
         )
         return (sum(ahead) + remaining) / max(1, slots)
--- a/cowslipvane/admission/_service_times.py
+++ b/cowslipvane/admission/_service_times.py
@@ -27,7 +27,7 @@
     """The mean service time of one kind, and the time of the last sample."""
 
     mean: Seconds
-    at: float
+    sampled_at: float
 
 
 class ServiceTimes:
@@ -48,7 +48,7 @@
         known = self._kinds.get(kind)
         if known is None:
             return 0.0
-        return float(known.mean * 0.5 ** (max(0.0, now - known.at) / ESTIMATE_HALF_LIFE))
+        return float(known.mean * 0.5 ** (max(0.0, now - known.sampled_at) / ESTIMATE_HALF_LIFE))
 
     def is_long(self, kind: str) -> bool:
         """Return whether work of a kind takes much longer than typical work."""
--- a/tests/admission_simulation.py
+++ b/tests/admission_simulation.py
@@ -16,7 +16,10 @@
 
 
 class Ending(NamedTuple):
-    """Work that has left its slot; expired means that it was refused instead of started."""
+    """Work that has left its slot.
+
+    expired means that its deadline had passed or was too close when its turn came.
+    """
 
     at: float
     work: Work
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -54,7 +54,7 @@
         self.assertEqual(admission.start_next(-duration), item)
         admission.finish(item, 0.0)
 
-    def started(self) -> list[str]:
+    def start_all(self) -> list[str]:
         """Start all work that can start, and return its callers and paths."""
         names = []
         while (item := self.admission.start_next(0.0)) is not None:
@@ -74,38 +74,38 @@
         """Work beyond the slots is queued, and each slot that becomes free starts one more."""
         for serial in range(8):
             self.admission.offer(work(serial), 0.0)
-        self.assertEqual(len(self.started()), 6)
+        self.assertEqual(len(self.start_all()), 6)
         self.admission.finish(work(0), 0.0)
-        self.assertEqual(len(self.started()), 1)
+        self.assertEqual(len(self.start_all()), 1)
 
     def test_slots_are_reserved_for_short_work(self) -> None:
         """Short work starts at once however much long work is queued."""
         for serial in range(10):
             self.admission.offer(work(serial, "/long"), 0.0)
-        self.assertEqual(self.started(), ["a/long"] * 4)
+        self.assertEqual(self.start_all(), ["a/long"] * 4)
         self.admission.offer(work(20), 0.0)
-        self.assertEqual(self.started(), ["a/short"])
+        self.assertEqual(self.start_all(), ["a/short"])
 
     def test_short_work_does_not_starve_long_work(self) -> None:
         """Long work starts before short work that arrived later."""
         for serial in range(6):
             self.admission.offer(work(serial), 0.0)
-        self.started()
+        self.start_all()
         self.admission.offer(work(6, "/long", caller="b"), 0.0)
         for serial in range(7, 17):
             self.admission.offer(work(serial, caller="c"), 0.0)
         self.admission.finish(work(0), 0.0)
-        self.assertEqual(self.started(), ["b/long"])
+        self.assertEqual(self.start_all(), ["b/long"])
 
     def test_callers_take_turns(self) -> None:
         """A caller with one request does not wait for the backlog of another caller."""
         for serial in range(106):
             self.admission.offer(work(serial), 0.0)
-        self.started()
+        self.start_all()
         self.admission.offer(work(200, caller="b"), 0.0)
         for serial in range(2):
             self.admission.finish(work(serial), 0.0)
-        self.assertIn("b/short", self.started())
+        self.assertIn("b/short", self.start_all())
 
     def test_queue_is_shared_among_callers(self) -> None:
         """Each caller's share shrinks as more callers queue work, and the total is bounded."""
@@ -127,7 +127,7 @@
         )
         for serial in range(1, 67):
             self.admission.offer(work(serial), 0.0)
-        self.started()
+        self.start_all()
         refusal = self.admission.offer(work(100, deadline=5 * SHORT_S), 0.0)
         assert isinstance(refusal, Overloaded)
         self.assertAlmostEqual(refusal.retry_after, 11 * SHORT_S, delta=SHORT_S)
@@ -154,7 +154,7 @@
         """No work is accepted or started after a drain."""
         for serial in range(8):
             self.admission.offer(work(serial), 0.0)
-        self.started()
+        self.start_all()
         queued = {item.attempt.serial for item in self.admission.drain()}
         self.assertEqual(queued, {6, 7})
         self.admission.finish(work(0), 0.0)
@@ -168,7 +168,7 @@
         for serial in range(10):
             self.admission.offer(work(serial, "/long"), 0.0)
         self.admission.offer(work(20, caller="b"), 0.0)
-        self.assertEqual(self.started(), ["a/long"] * 6)
+        self.assertEqual(self.start_all(), ["a/long"] * 6)
 
 
 class ServiceTimesTest(unittest.TestCase):
--- a/tests/test_head_of_line_blocking.py
+++ b/tests/test_head_of_line_blocking.py
@@ -1,4 +1,7 @@
-"""Tests of head-of-line blocking: short calls that queue together with long ones."""
+"""Tests of head-of-line blocking: short calls that queue together with long ones.
+
+Checks are short calls, and posts are long ones.
+"""
 
 import random
 import unittest
@@ -44,10 +47,10 @@
     return {kind: met[kind] / offered[kind] for kind in offered}
 
 
-class ShortBehindLongTest(unittest.TestCase):
+class HeadOfLineBlockingTest(unittest.TestCase):
     """Tests that checks are not blocked by posts with later goals."""
 
-    def test_checks_meet_their_goal_while_load_exceeds_capacity(self) -> None:
+    def test_more_calls_meet_their_goal_during_load_peaks(self) -> None:
         """More calls meet their goal than in order of arrival, for the worse kind and in total."""
         for seed in range(3):
             default, baseline = goal_shares(None, seed), goal_shares(FirstComeFirstServed(), seed)
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -1,4 +1,7 @@
-"""Tests of nested calls to a service whose load exceeds its capacity."""
+"""Tests of nested calls to a service whose load exceeds its capacity.
+
+Checks are nested calls, and posts are calls from outside.
+"""
 
 import random
 import unittest
@@ -15,7 +18,7 @@
 # Posts alone use the whole capacity, and checks half of it in addition.
 POSTS_PER_S, CHECKS_PER_S = SLOTS / POST_S, SLOTS / CHECK_S / 2
 PEAK_S = 6.0
-# The simulation starts at an arbitrary time of the monotonic clock.
+# The monotonic clock of a process may have any value; tags that start at 0 would fail here.
 START = 1000.0
 
 
@@ -72,7 +75,9 @@
         sample = work(0, START, nested=False)._replace(goal=None)
         admission.offer(sample, START)
         admission.finish(admission.start_next(START) or sample, START + POST_S)
-        backlog = [sample._replace(attempt=AttemptId(HostName("b"), 1, at)) for at in range(8)]
+        backlog = [
+            sample._replace(attempt=AttemptId(HostName("b"), 1, index)) for index in range(8)
+        ]
         due = work(9, START, nested=False)._replace(goal=START + 5 * POST_S)
         for item in (*backlog, due):
             self.assertIsNone(admission.offer(item, START))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -21,7 +21,7 @@
 
 
 def shares(policy: Policy | None, seed: int, *, tail: bool = False) -> dict[str, float]:
-    """Return the shares of calls that met their goal, met their deadline, or expired queued."""
+    """Return the shares of calls that met the goal, met the deadline, or expired in the queue."""
     rng = random.Random(seed)
     arrivals: list[Arrival] = []
     now = 0.0
