Clarify budgets, the choice of owners and route lookup

Texts now follow the code: the median is over owners that are not ejected, a retry bucket holds at least one token and keeps its rate, and the retry policy decides on repeatable requests. Names tell tokens per call, buckets, the quantile and ejections from other shares and counts.

--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -6,12 +6,12 @@
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.types import Seconds, ServiceName
 
-# Share of the allowance for retries that proxies use. The rest is for nested calls, which a retried
-# request makes once more.
-ALLOWANCE_SHARE = 0.75
-# Hedged requests allowed as a share of the calls, and in addition by time.
+# Share of the fleet's retry allowance that proxies may spend. The rest covers the nested calls that
+# a retried request repeats.
+SPENDABLE_SHARE = 0.75
+# Hedged requests allowed per call, and per second in addition.
 HEDGE_SHARE = 0.05
-MIN_HEDGES_PER_S = 0.2
+EXTRA_HEDGES_PER_S = 0.2
 # Capacity of the token bucket for hedged requests.
 _HEDGE_BUCKET_CAPACITY = 5.0
 
@@ -19,8 +19,10 @@
 class TokenBucket:
     """A token bucket that is refilled by calls and by time, and used up by extra attempts."""
 
-    def __init__(self, *, share: float, tokens_per_s: float, capacity: float, now: float) -> None:
-        self._share = share
+    def __init__(
+        self, *, tokens_per_call: float, tokens_per_s: float, capacity: float, now: float
+    ) -> None:
+        self._tokens_per_call = tokens_per_call
         self._tokens_per_s = tokens_per_s
         self._capacity = capacity
         self._tokens = capacity
@@ -28,7 +30,7 @@
 
     def earn(self) -> None:
         """Add the tokens for one call."""
-        self._tokens = min(self._tokens + self._share, self._capacity)
+        self._tokens = min(self._tokens + self._tokens_per_call, self._capacity)
 
     def set_capacity(self, capacity: float) -> None:
         """Set the capacity, and discard the tokens above it."""
@@ -54,53 +56,56 @@
     """
 
     def __init__(self, *, retries: Retries = DEFAULT_RETRIES) -> None:
-        self._retries_allowed = retries
-        self._proxies = 1
-        self._retries: dict[ServiceName, TokenBucket] = {}
-        self._hedges: dict[ServiceName, TokenBucket] = {}
-
-    def set_proxy_count(self, proxies: int) -> None:
-        """Divide the slack among this number of proxies, including this one."""
-        if proxies != self._proxies:
-            self._proxies = proxies
-            for bucket in self._retries.values():
+        self._allowance = retries
+        self._proxy_count = 1
+        self._retry_buckets: dict[ServiceName, TokenBucket] = {}
+        self._hedge_buckets: dict[ServiceName, TokenBucket] = {}
+
+    def set_proxy_count(self, proxy_count: int) -> None:
+        """Divide the slack among this number of proxies, including this one.
+
+        Retry buckets that exist get the new capacity, but keep their tokens per second.
+        """
+        if proxy_count != self._proxy_count:
+            self._proxy_count = proxy_count
+            for bucket in self._retry_buckets.values():
                 bucket.set_capacity(self._slack_capacity)
 
     def record_call(self, service: ServiceName, now: float) -> None:
         """Add the tokens for a new call."""
-        if service not in self._retries:
-            share = self._retries_allowed.share * ALLOWANCE_SHARE
-            self._retries[service] = TokenBucket(
-                share=share,
+        if service not in self._retry_buckets:
+            tokens_per_call = self._allowance.share * SPENDABLE_SHARE
+            self._retry_buckets[service] = TokenBucket(
+                tokens_per_call=tokens_per_call,
                 tokens_per_s=self._slack_tokens_per_s,
                 capacity=self._slack_capacity,
                 now=now,
             )
-            self._hedges[service] = TokenBucket(
-                share=HEDGE_SHARE,
-                tokens_per_s=MIN_HEDGES_PER_S,
+            self._hedge_buckets[service] = TokenBucket(
+                tokens_per_call=HEDGE_SHARE,
+                tokens_per_s=EXTRA_HEDGES_PER_S,
                 capacity=_HEDGE_BUCKET_CAPACITY,
                 now=now,
             )
-        self._retries[service].earn()
-        self._hedges[service].earn()
+        self._retry_buckets[service].earn()
+        self._hedge_buckets[service].earn()
 
     def allow_retry(self, service: ServiceName, refusal: Refusal, now: float) -> bool:
         """Return whether a refused call may be retried, and count the retry."""
         match refusal:
             case Draining() | QueueFull() | Overloaded() | Withdrawn() | NoUpstream():
-                # The call was refused before it reached an upstream, so a retry adds no load there.
+                # The call was refused before it reached an upstream, so a retry repeats no work.
                 return True
             case _:
-                return service in self._retries and self._retries[service].spend(now)
+                return service in self._retry_buckets and self._retry_buckets[service].spend(now)
 
     def allow_hedge(self, service: ServiceName, now: float) -> bool:
         """Return whether a call may be hedged, and count the hedged request."""
-        return service in self._hedges and self._hedges[service].spend(now)
+        return service in self._hedge_buckets and self._hedge_buckets[service].spend(now)
 
     @property
     def _slack_capacity(self) -> float:
-        """Return the bucket capacity for retries, which is half of this proxy's slack.
+        """Return the bucket capacity for retries: half of this proxy's slack, but at least 1.
 
         The other half is earned by time: a bucket that is full at the start of a window can spend
         its capacity and the tokens earned during the window.
@@ -110,9 +115,9 @@
     @property
     def _slack_tokens_per_s(self) -> float:
         """Return the tokens for retries that this proxy earns each second without calls."""
-        return self._slack / 2 / self._retries_allowed.window
+        return self._slack / 2 / self._allowance.window
 
     @property
     def _slack(self) -> float:
         """Return this proxy's share of the slack for one window."""
-        return self._retries_allowed.slack * ALLOWANCE_SHARE / self._proxies
+        return self._allowance.slack * SPENDABLE_SHARE / self._proxy_count
--- a/cowslipvane/routing/_choice.py
+++ b/cowslipvane/routing/_choice.py
@@ -13,22 +13,23 @@
 
 # Largest share of a service's owners, over all data centres, that may be ejected as outliers.
 MAX_EJECTED_SHARE = 1 / 3
-# An owner is an outlier if its median latency is this many times the median over all owners.
+# An owner is slow, and so an outlier, if its median latency is this many times the median over the
+# owners that are not ejected.
 SLOW_FACTOR = 3.0
-# An owner is no outlier if its latency exceeds the median by less than this.
+# An owner is not slow if its latency exceeds the median by less than this.
 MIN_SLOW_EXCESS: Seconds = 0.005
 # Share of the calls that always go to other data centres, to measure the latencies there for
 # comparison.
 REMOTE_SHARE = 0.02
-# Other data centres are considered once every local owner has this many calls per slot. Traffic
-# between data centres is expensive, and an owner itself refuses calls that it can't answer within
-# their goal.
+# Other data centres are considered once every local owner has this many calls per slot. The limit
+# is high since traffic between data centres is expensive, and since an owner refuses calls that it
+# can't answer within their goal anyway.
 OVERLOAD_CALLS_PER_SLOT = 5.0
 # The same for calls of few bytes, which are cheap to send to another data centre.
 OVERLOAD_CALLS_PER_SLOT_SMALL = 2.5
-# A call that was refused in this data centre goes only to remote owners with fewer calls per slot
-# than this. An owner without a free slot would probably refuse it too, after the bytes were sent.
-MAX_REMOTE_CALLS_PER_SLOT = 1.0
+# A call that a local owner did not serve goes only to remote owners with fewer calls per slot than
+# this. An owner without a free slot would probably refuse it too, after the bytes were sent.
+MAX_REMOTE_CALLS_PER_SLOT_ON_RETRY = 1.0
 # Difference in calls per slot by which a remote owner must be less loaded than the best local one.
 # A smaller gain would not be worth the traffic between data centres.
 REMOTE_MARGIN_CALLS_PER_SLOT = 0.8
@@ -73,10 +74,10 @@
         for owner in owners:
             self._ensure_view(owner, now)
         remaining = [owner for owner in owners if owner.host not in excluded]
-        usable = {owner.host for owner in self._without_outliers(owners, now)}
+        usable = {owner.host for owner in self._eject_outliers(owners, now)}
         pool = [owner for owner in remaining if owner.host in usable] or remaining
         if any(self._is_local(owner) for owner in owners if owner.host in excluded):
-            pool = [owner for owner in pool if self._may_take_over(owner, now)]
+            pool = [owner for owner in pool if self._may_retry_at(owner, now)]
         candidates = self._preferred(
             pool, now, OVERLOAD_CALLS_PER_SLOT_SMALL if small else OVERLOAD_CALLS_PER_SLOT
         )
@@ -87,7 +88,7 @@
         return self._less_loaded(first, second, now)
 
     def begin(self, host: HostName) -> None:
-        """Count a call in flight to an owner."""
+        """Count an attempt in flight to an owner."""
         self._views[host].begin()
 
     def end(
@@ -98,28 +99,35 @@
         duration: Seconds,
         now: float,
     ) -> None:
-        """Record the end of a call and its result."""
+        """Record the end of an attempt and its result."""
         self._views[host].end(result, load, duration, now)
 
     def _ensure_view(self, owner: Member, now: float) -> None:
         """Create a view of an owner that is new or has restarted."""
         view = self._views.get(owner.host)
-        if view is None or not view.is_of(owner):
+        if view is None or not view.describes(owner):
             self._views[owner.host] = OwnerView(member=owner, now=now)
 
-    def _preferred(self, pool: Sequence[Member], now: float, limit: float) -> Sequence[Member]:
-        """Return the local owners, or remote ones if those are the better choice."""
+    def _preferred(
+        self, pool: Sequence[Member], now: float, overload_calls_per_slot: float
+    ) -> Sequence[Member]:
+        """Return the local owners, or remote ones.
+
+        Remote owners are returned for a small share of all calls, and if all local ones are
+        overloaded and some remote ones are less loaded.
+        """
         local = [owner for owner in pool if self._is_local(owner)]
         remote = [owner for owner in pool if not self._is_local(owner)]
         if not local or not remote:
             return local or remote
-        load = min(self._calls_per_slot(owner, now) for owner in local)
-        if load < limit:
+        least_calls_per_slot = min(self._calls_per_slot(owner, now) for owner in local)
+        if least_calls_per_slot < overload_calls_per_slot:
             return remote if self._rng.random() < REMOTE_SHARE else local
         less_loaded = [
             owner
             for owner in remote
-            if self._calls_per_slot(owner, now) <= load - REMOTE_MARGIN_CALLS_PER_SLOT
+            if self._calls_per_slot(owner, now)
+            <= least_calls_per_slot - REMOTE_MARGIN_CALLS_PER_SLOT
         ]
         return less_loaded or local
 
@@ -127,15 +135,18 @@
         """Return whether an owner is in this data centre."""
         return owner.data_centre == self._data_centre
 
-    def _may_take_over(self, owner: Member, now: float) -> bool:
-        """Return whether an owner may get a call that a local owner has had before."""
-        return self._is_local(owner) or self._calls_per_slot(owner, now) < MAX_REMOTE_CALLS_PER_SLOT
+    def _may_retry_at(self, owner: Member, now: float) -> bool:
+        """Return whether a call that a local owner did not serve may go to an owner."""
+        return (
+            self._is_local(owner)
+            or self._calls_per_slot(owner, now) < MAX_REMOTE_CALLS_PER_SLOT_ON_RETRY
+        )
 
     def _calls_per_slot(self, owner: Member, now: float) -> float:
         """Return the calls per slot of an owner."""
         return self._views[owner.host].calls_per_slot(now)
 
-    def _without_outliers(self, pool: Sequence[Member], now: float) -> list[Member]:
+    def _eject_outliers(self, pool: Sequence[Member], now: float) -> list[Member]:
         """Eject the worst outliers, up to the allowed share, and return the other owners."""
         in_use = [owner for owner in pool if not self._views[owner.host].is_ejected(now)]
         allowed = int(len(pool) * MAX_EJECTED_SHARE) - (len(pool) - len(in_use))
@@ -176,8 +187,8 @@
 
     def _draw(self, owners: Sequence[Member], now: float) -> Member:
         """Return a random owner, weighted by how far each has ramped up."""
-        ramps = [self._views[owner.host].ramp(now) for owner in owners]
-        return self._rng.choices(owners, ramps)[0]
+        traffic_shares = [self._views[owner.host].traffic_share(now) for owner in owners]
+        return self._rng.choices(owners, traffic_shares)[0]
 
     def _less_loaded(self, first: Member, second: Member, now: float) -> Member:
         """Return the owner with the shorter expected wait."""
--- a/cowslipvane/routing/_hedging.py
+++ b/cowslipvane/routing/_hedging.py
@@ -21,11 +21,11 @@
     def __init__(self) -> None:
         self._latencies: dict[ServiceName, Quantile] = {}
 
-    def record_latency(self, service: ServiceName, latency_s: Seconds) -> None:
+    def record_latency(self, service: ServiceName, latency: Seconds) -> None:
         """Record the latency of an answer."""
         if service not in self._latencies:
-            self._latencies[service] = Quantile(share=HEDGE_QUANTILE, step=_MAX_STEP)
-        self._latencies[service].add(latency_s)
+            self._latencies[service] = Quantile(quantile=HEDGE_QUANTILE, step=_MAX_STEP)
+        self._latencies[service].add(latency)
 
     def delay(self, service: ServiceName) -> Seconds | None:
         """Return the delay before an idempotent call is hedged, or None while it is unknown."""
--- a/cowslipvane/routing/_host_routes.py
+++ b/cowslipvane/routing/_host_routes.py
@@ -20,8 +20,8 @@
 class ServiceRules(NamedTuple):
     """A service and the policies that apply to requests for it.
 
-    repeatable tells whether a request may run more than once; if it is None, the method decides.
-    goal is the latency goal: the time within which an answer is worth most.
+    repeatable tells whether a request may run more than once; if it is None, the retry policy
+    decides. goal is the latency goal: the time within which an answer is worth most.
     """
 
     service: ServiceName
@@ -43,7 +43,7 @@
         return ServiceRules(self.service, retry, traffic, route.repeatable, route.goal, kind)
 
 
-class RouteMatch(NamedTuple):
+class RouteEntry(NamedTuple):
     """The conditions of a route apart from host and path, and its weighted services."""
 
     method: str
@@ -54,7 +54,7 @@
     def matches(self, method: str, headers: Headers) -> bool:
         """Return whether the method and the headers of a request match."""
         return self.method in (ANY, method) and all(
-            _has(headers, required.name, required.value) for required in self.headers
+            _has_field(headers, required.name, required.value) for required in self.headers
         )
 
     def draw(self, rng: random.Random) -> ServiceRules:
@@ -68,27 +68,27 @@
     """The routes of one host by path prefix; the longest matching prefix wins."""
 
     def __init__(self) -> None:
-        self._by_prefix: dict[str, list[RouteMatch]] = {}
+        self._by_prefix: dict[str, list[RouteEntry]] = {}
         self._longest_prefix = 0
 
     def add(self, route: Route, rules: Mapping[ServiceName, ServiceRules]) -> None:
         """Add a route; more specific routes must have been added before."""
         prefix = normalize_path(route.path_prefix)
-        route_match = RouteMatch(
+        route_entry = RouteEntry(
             route.method,
             route.headers,
             tuple(rules[target.service].with_route(route) for target in route.targets),
             tuple(accumulate(target.weight for target in route.targets)),
         )
-        self._by_prefix.setdefault(prefix, []).append(route_match)
+        self._by_prefix.setdefault(prefix, []).append(route_entry)
         self._longest_prefix = max(self._longest_prefix, len(prefix))
 
-    def find(self, path: str, method: str, headers: Headers) -> RouteMatch | None:
+    def find(self, path: str, method: str, headers: Headers) -> RouteEntry | None:
         """Return the most specific route that matches a request."""
         for prefix in self._prefixes(path):
-            for route_match in self._by_prefix.get(prefix, ()):
-                if route_match.matches(method, headers):
-                    return route_match
+            for route_entry in self._by_prefix.get(prefix, ()):
+                if route_entry.matches(method, headers):
+                    return route_entry
         return None
 
     def _prefixes(self, path: str) -> Iterator[str]:
@@ -114,7 +114,7 @@
 
 
 def normalize_path(path: str) -> str:
-    """Return a path without dot segments and unneeded percent-encoding; %2F is kept."""
+    """Return a path without query, dot segments and unneeded percent-encoding; %2F is kept."""
     path = path.partition("?")[0]
     if not path.startswith("/"):
         return path or "/"
@@ -123,6 +123,6 @@
     return URL("http://host" + path).raw_path or "/"
 
 
-def _has(headers: Headers, name: str, value: str) -> bool:
+def _has_field(headers: Headers, name: str, value: str) -> bool:
     """Return whether a header field is present with a value."""
     return any(header.name.lower() == name.lower() and header.value == value for header in headers)
--- a/cowslipvane/routing/_owner_view.py
+++ b/cowslipvane/routing/_owner_view.py
@@ -26,12 +26,16 @@
 # Lower limit of service times, which bounds the ratio between the times of two owners.
 MIN_SERVICE_TIME: Seconds = 0.001
 
-# Step of the estimate of the median latency; a single answer changes it by at most half of this.
+# Relative step of the estimate of the median latency. Since the quantile is 0.5, one answer changes
+# the estimate by at most half a step.
 _MEDIAN_STEP = 0.1
 
 
 class Load(NamedTuple):
-    """The load of an upstream, reported with each answer; a service time of 0 is unknown."""
+    """The load of an upstream, reported with each answer.
+
+    A service time of 0 means that it is unknown.
+    """
 
     slots: int
     running: int
@@ -69,10 +73,10 @@
         self._load: Load | None = None
         self._load_at = now
         self._in_flight = 0
-        self._latency = Quantile(share=0.5, step=_MEDIAN_STEP)
+        self._latency = Quantile(quantile=0.5, step=_MEDIAN_STEP)
         self._consecutive_losses = 0
         self._ejected_until = now
-        self._ejections = 0
+        self._ejection_count = 0
 
     @property
     def latency(self) -> Seconds | None:
@@ -91,15 +95,15 @@
         """Return whether the latest attempts were all lost."""
         return self._consecutive_losses >= LOSSES_TO_EJECT
 
-    def is_of(self, member: Member) -> bool:
-        """Return whether the view is of this incarnation of the owner and of this upstream."""
+    def describes(self, member: Member) -> bool:
+        """Return whether a member is still the same incarnation with the same upstream."""
         return self._identity == _identity(member)
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the owner is ejected at this time."""
         return now < self._ejected_until
 
-    def ramp(self, now: float) -> float:
+    def traffic_share(self, now: float) -> float:
         """Return the share of its usual traffic that the owner gets, up to 1."""
         return min(max((now - self._ejected_until) / RAMP_TIME, RAMP_START_SHARE), 1.0)
 
@@ -112,11 +116,11 @@
         return max(reported, self._in_flight) / self._slots
 
     def begin(self) -> None:
-        """Count a call in flight."""
+        """Count an attempt in flight."""
         self._in_flight += 1
 
     def end(self, result: AttemptResult, load: Load | None, duration: Seconds, now: float) -> None:
-        """Record the end of a call and its result."""
+        """Record the end of an attempt and its result."""
         self._in_flight = max(self._in_flight - 1, 0)
         if load is not None:
             self._load, self._load_at = load, now
@@ -136,11 +140,12 @@
 
     def eject(self, now: float) -> Seconds:
         """Eject the owner, reset its statistics, and return the duration."""
-        duration: Seconds = min(FIRST_EJECTION_TIME * 2**self._ejections, MAX_EJECTION_TIME)
-        self._ejections = min(self._ejections + 1, 10)
+        duration: Seconds = min(FIRST_EJECTION_TIME * 2**self._ejection_count, MAX_EJECTION_TIME)
+        # The limit keeps the power of two small; the maximum time is reached before.
+        self._ejection_count = min(self._ejection_count + 1, 10)
         self._ejected_until = now + duration
         self._consecutive_losses = 0
-        self._latency = Quantile(share=0.5, step=_MEDIAN_STEP)
+        self._latency = Quantile(quantile=0.5, step=_MEDIAN_STEP)
         return duration
 
 
--- a/cowslipvane/routing/_quantile.py
+++ b/cowslipvane/routing/_quantile.py
@@ -6,12 +6,13 @@
 class Quantile:
     """Estimate a quantile of positive samples, robust against outliers.
 
-    Each sample changes the estimate by at most step, relative to its value, however large the
-    sample is. A larger step follows changes sooner, and a smaller one is less noisy.
+    quantile is between 0 and 1; 0.5 estimates the median. step bounds the relative change of the
+    estimate by one sample, however large the sample is. With a larger step, the estimate follows
+    changes sooner; with a smaller one, it is less noisy.
     """
 
-    def __init__(self, *, share: float, step: float) -> None:
-        self._share = share
+    def __init__(self, *, quantile: float, step: float) -> None:
+        self._quantile = quantile
         self._step = step
         self._value = 0.0
         self._samples = 0
@@ -32,6 +33,6 @@
         if self._value <= 0:
             self._value = sample
         elif sample > self._value:
-            self._value *= 1 + self._step * self._share
+            self._value *= 1 + self._step * self._quantile
         else:
-            self._value *= 1 - self._step * (1 - self._share)
+            self._value *= 1 - self._step * (1 - self._quantile)
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -68,9 +68,9 @@
         # A route for the host takes precedence over a wildcard route with a longer prefix.
         for name in (normalize_host(host), ANY):
             routes = self._hosts.get(name)
-            route_match = routes.find(path, method, headers) if routes else None
-            if route_match is not None:
-                return route_match.draw(rng)
+            route_entry = routes.find(path, method, headers) if routes else None
+            if route_entry is not None:
+                return route_entry.draw(rng)
         return None
 
 
@@ -88,6 +88,6 @@
 
 
 def _specificity(item: tuple[str, Route]) -> tuple[bool, int, str]:
-    """Return a sort key that puts the more specific of two routes with one prefix first."""
+    """Return a sort key that puts the more specific of routes with equal host and prefix first."""
     name, route = item
     return route.method == ANY, -len(route.headers), name
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -11,7 +11,7 @@
 from cowslipvane.membership import Member, Membership
 from cowslipvane.refusal import Draining, OwnerUnreachable
 from cowslipvane.routing import Budgets, Chooser, Hedging, ServiceRules
-from cowslipvane.routing._budget import ALLOWANCE_SHARE, HEDGE_SHARE
+from cowslipvane.routing._budget import HEDGE_SHARE, SPENDABLE_SHARE
 from cowslipvane.routing._hedging import MIN_SAMPLES
 from cowslipvane.settings import Retries
 from cowslipvane.subscription import Subscription
@@ -24,7 +24,7 @@
 STOCK = ServiceName("stock")
 ALLOWED = Retries()
 # Bucket capacity and tokens per second of the only proxy of a fleet.
-CAPACITY = ALLOWED.slack * ALLOWANCE_SHARE / 2
+CAPACITY = ALLOWED.slack * SPENDABLE_SHARE / 2
 TOKENS_PER_S = CAPACITY / ALLOWED.window
 LOST = OwnerUnreachable(host=HostName("a"), verdict=Verdict.NOT_RUN)
 
@@ -40,8 +40,8 @@
             budgets.record_call(STOCK, 0.0)
             retries += budgets.allow_retry(STOCK, LOST, 0.0)
             hedges += budgets.allow_hedge(STOCK, 0.0)
-        self.assertLessEqual(retries, 1000 * ALLOWED.share * ALLOWANCE_SHARE + CAPACITY)
-        self.assertGreaterEqual(retries, 1000 * ALLOWED.share * ALLOWANCE_SHARE)
+        self.assertLessEqual(retries, 1000 * ALLOWED.share * SPENDABLE_SHARE + CAPACITY)
+        self.assertGreaterEqual(retries, 1000 * ALLOWED.share * SPENDABLE_SHARE)
         self.assertLessEqual(hedges, 1000 * HEDGE_SHARE + 5)
 
     def test_rare_calls_may_be_retried(self) -> None:
@@ -78,7 +78,7 @@
         self.assertIn(False, [budgets.allow_retry(STOCK, LOST, 0.0) for _ in range(100)])
 
     def test_calls_refused_by_a_drain_are_always_retried(self) -> None:
-        """A drain refuses the whole queue at once, and retrying it elsewhere adds no load."""
+        """A drain refuses the whole queue at once, before any of it has reached an upstream."""
         budgets = Budgets()
         budgets.record_call(STOCK, 0.0)
         self.spend_all(budgets)
@@ -122,7 +122,7 @@
         """The call does not try all of a hundred owners."""
         membership = Membership(own=record("a")._replace(worker=None), now=0.0)
         # Owners without a listener for callers are not counted as proxies, which leaves this one.
-        owners = [record(f"h{at}")._replace(callers=None) for at in range(100)]
+        owners = [record(f"h{index}")._replace(callers=None) for index in range(100)]
         membership.merge(owners, 0.0)
         peers = LostPeers()
         dispatcher = Dispatcher(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -18,12 +18,12 @@
 CALL_INTERVAL_S = 0.01
 
 
-def owner(host: str, centre: DataCentre = LOCAL, incarnation: int = 1) -> Member:
+def owner(host: str, data_centre: DataCentre = LOCAL, incarnation: int = 1) -> Member:
     """Return an owner of four slots."""
     address = Address("10.0.0.1", 1)
     worker = Worker(STOCK, address, 4, 100)
     name = HostName(host)
-    return Member(name, centre, incarnation, 1, address, address, address, "up", worker)
+    return Member(name, data_centre, incarnation, 1, address, address, address, "up", worker)
 
 
 class ChoiceTest(unittest.TestCase):
@@ -211,7 +211,7 @@
 
     def test_single_outlier_moves_the_median_by_one_step(self) -> None:
         """A sample has the same weight however large it is."""
-        median = Quantile(share=0.5, step=0.1)
+        median = Quantile(quantile=0.5, step=0.1)
         median.add(1.0)
         median.add(1000.0)
         self.assertLessEqual(median.value, 1.1)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,7 @@
 from cowslipvane.routing._host_routes import HostRoutes
 from cowslipvane.types import Header, Headers, ServiceName, Version
 
-NO_RULES = ServiceRules(ServiceName("s"), RetryPolicy(), TrafficPolicy())
+DEFAULT_RULES = ServiceRules(ServiceName("s"), RetryPolicy(), TrafficPolicy())
 
 
 def table(**routes: Route) -> RoutingTable:
@@ -21,7 +21,7 @@
     return RoutingTable(version=Version(1), resources=resources)
 
 
-def to(
+def route_to(
     service: str, prefix: str = "/", host: str = "*", method: str = "*", headers: Headers = ()
 ) -> Route:
     """Return a route to one service."""
@@ -49,11 +49,11 @@
         """Routes are ranked by host, length of the prefix, method, and number of headers."""
         tag = Header("X-Tag", "1")
         routes = table(
-            any=to("any"),
-            host=to("host", host="shop.example"),
-            prefix=to("prefix", "/a/b"),
-            method=to("method", "/a/b", method="POST"),
-            header=to("header", "/a/b", headers=(tag,)),
+            any=route_to("any"),
+            host=route_to("host", host="shop.example"),
+            prefix=route_to("prefix", "/a/b"),
+            method=route_to("method", "/a/b", method="POST"),
+            header=route_to("header", "/a/b", headers=(tag,)),
         )
         other = "other.example"
         self.assertEqual(self.route(routes, "/a/b"), "host")
@@ -69,7 +69,9 @@
 
     def test_hosts_match_regardless_of_case_port_and_trailing_dot(self) -> None:
         """All spellings of a host match its route."""
-        routes = table(shop=to("shop", host="Shop.Example"), six=to("six", host="[2001:db8::1]"))
+        routes = table(
+            shop=route_to("shop", host="Shop.Example"), six=route_to("six", host="[2001:db8::1]")
+        )
         for host in ("shop.example", "SHOP.example:8080", "shop.example.", "shop.example.:80"):
             self.assertEqual(self.route(routes, "/", host), "shop")
         for host in ("[2001:db8::1]", "[2001:DB8::1]:80"):
@@ -79,7 +81,7 @@
 
     def test_prefixes_match_whole_segments(self) -> None:
         """A prefix with a trailing slash only matches paths below it."""
-        routes = table(stock=to("stock", "/stock"), below=to("below", "/loading/"))
+        routes = table(stock=route_to("stock", "/stock"), below=route_to("below", "/loading/"))
         for path in ("/stock", "/stock/", "/stock/7", "/stock//7", "/stock?x=1"):
             self.assertEqual(self.route(routes, path), "stock")
         for path in ("/loading/", "/loading/7"):
@@ -89,13 +91,13 @@
 
     def test_paths_are_normalized_before_matching(self) -> None:
         """Encoded letters are decoded, dot segments are resolved, and %2F is no separator."""
-        routes = table(stock=to("stock", "/stock"), billing=to("billing", "/billing"))
+        routes = table(stock=route_to("stock", "/stock"), billing=route_to("billing", "/billing"))
         self.assertEqual(self.route(routes, "/%73tock/7"), "stock")
         self.assertEqual(self.route(routes, "/stock%2F7"), "")
         self.assertEqual(self.route(routes, "/stock/../billing/1"), "billing")
         self.assertEqual(self.route(routes, "/stock/%2e%2e/billing/1"), "billing")
         self.assertEqual(self.route(routes, "/../stock"), "stock")
-        self.assertEqual(self.route(table(any=to("any")), "x%41"), "")
+        self.assertEqual(self.route(table(any=route_to("any")), "x%41"), "")
 
     def test_weights_split_the_requests(self) -> None:
         """A service with weight 0 gets no requests."""
@@ -117,18 +119,18 @@
         """For random routes, the lookup returns the most specific match."""
         rng = random.Random(11)
         for _ in range(200):
-            routes = {f"r{at}": self.random_route(rng, at) for at in range(12)}
-            found = table(**routes)
+            routes = {f"r{index}": self.random_route(rng, index) for index in range(12)}
+            lookup = table(**routes)
             for _ in range(20):
                 host, path = rng.choice("abc"), self.random_path(rng)
                 method = rng.choice(("GET", "POST"))
                 expected = self.search(routes, host, path, method)
-                self.assertEqual(self.route(found, path, host, method), expected)
+                self.assertEqual(self.route(lookup, path, host, method), expected)
 
     def test_number_of_lookups_is_bounded_by_the_longest_prefix(self) -> None:
         """A path with many slashes does not cause more lookups."""
         routes = HostRoutes()
-        routes.add(to("s", "/a/b"), {ServiceName("s"): NO_RULES})
+        routes.add(route_to("s", "/a/b"), {ServiceName("s"): DEFAULT_RULES})
         self.assertEqual(list(routes._prefixes("/a/b" + "/" * 1000)), ["/a/b", "/a/", "/a", "/"])
 
     def random_path(self, rng: random.Random) -> str:
@@ -136,10 +138,10 @@
         parts = [rng.choice(("x", "y", "xy", "")) for _ in range(rng.randint(0, 3))]
         return "/" + "/".join(parts)
 
-    def random_route(self, rng: random.Random, at: int) -> Route:
-        """Return a random route to its own service."""
+    def random_route(self, rng: random.Random, index: int) -> Route:
+        """Return a random route to a service that no other route uses."""
         host, method = rng.choice(("*", "a", "b")), rng.choice(("*", "GET"))
-        return to(f"s{at}", self.random_path(rng), host, method)
+        return route_to(f"s{index}", self.random_path(rng), host, method)
 
     def search(self, routes: dict[str, Route], host: str, path: str, method: str) -> str:
         """Return the service of the most specific matching route by a linear search."""
