Put back reasons in calls, attempts and request heads

A later refusal must not hide that an attempt may have run; an absolute target could name another host; the hop-by-hop fields are from two RFCs. Records of live and past attempts are named so.

--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -9,10 +9,10 @@
 from cowslipvane.types import HostName, Seconds
 
 # How long, and how many, ended or fenced attempts are remembered.
-MEMORY_TIME: Seconds = 120.0
+RETENTION_TIME: Seconds = 120.0
 MAX_REMEMBERED = 8192
-# Size limits of the answers that are stored to be fetched again, for one answer and for all. If all
-# exceed their limit, the oldest answers are discarded.
+# Size limits of one stored answer and of all together. Stored answers can be fetched again. An
+# answer beyond the first limit is not stored; beyond the second, the oldest ones are discarded.
 MAX_ANSWER_BYTES = 64 << 10
 MAX_STORED_BYTES = 4 << 20
 
@@ -24,14 +24,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Running:
-    """The attempt is running; parts grows until it ends, or is None if too large to store."""
+    """The attempt is running.
+
+    parts grows while it runs, and is None if the answer is too large to store.
+    """
 
     parts: list[OwnerMessage] | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ended:
-    """The attempt has ended; parts is its whole answer, or None if it is not stored any more."""
+    """The attempt has ended; parts is its whole answer, or None if that is not stored."""
 
     parts: list[OwnerMessage] | None
 
@@ -45,21 +48,21 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Record:
+class _LiveAttempt:
     """The state of an attempt that has not ended."""
 
     started: bool = False
     parts: list[OwnerMessage] | None = field(default_factory=list)
-    bytes: int = 0
+    answer_bytes: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
-class _Past:
+class _PastAttempt:
     """The outcome of an attempt that has ended or was fenced."""
 
-    at: float
+    ended_at: float
     outcome: NeverStarted | Ended
-    bytes: int
+    stored_bytes: int
 
 
 class Attempts:
@@ -67,60 +70,61 @@
 
     def __init__(self, *, incarnation: int) -> None:
         self._incarnation = incarnation
-        self._records: dict[AttemptId, _Record] = {}
-        self._past: OrderedDict[AttemptId, _Past] = OrderedDict()
+        self._live: dict[AttemptId, _LiveAttempt] = {}
+        self._past: OrderedDict[AttemptId, _PastAttempt] = OrderedDict()
         self._stored_bytes = 0
-        # The latest attempt of each entry proxy that is no longer remembered.
+        # For each entry proxy, the latest of its attempts that are no longer remembered.
         self._forgotten: dict[HostName, AttemptId] = {}
 
     @property
     def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
-        return tuple(self._records)
+        return tuple(self._live)
 
     def admit(self, attempt: AttemptId) -> bool:
         """Add a new attempt; return False if it may not be started."""
-        if attempt in self._records or attempt in self._past or self._is_forgotten(attempt):
+        if attempt in self._live or attempt in self._past or self._is_forgotten(attempt):
             return False
-        self._records[attempt] = _Record()
+        self._live[attempt] = _LiveAttempt()
         return True
 
     def start(self, attempt: AttemptId) -> None:
         """Record that an attempt has started."""
-        self._records[attempt].started = True
+        self._live[attempt].started = True
 
     def store_part(self, attempt: AttemptId, part: OwnerMessage) -> None:
         """Store a part of the answer, so that it can be fetched again."""
-        record = self._records[attempt]
-        record.bytes += payload_size(part)
-        if record.parts is not None and record.bytes <= MAX_ANSWER_BYTES:
-            record.parts.append(part)
+        live = self._live[attempt]
+        live.answer_bytes += payload_size(part)
+        if live.parts is not None and live.answer_bytes <= MAX_ANSWER_BYTES:
+            live.parts.append(part)
         else:
-            record.parts = None
+            live.parts = None
 
     def end(self, attempt: AttemptId, now: float) -> None:
         """Record that an attempt has ended, whether it was run or refused."""
-        record = self._records.pop(attempt)
-        stored_bytes = record.bytes if record.parts is not None else 0
+        live = self._live.pop(attempt)
+        stored_bytes = live.answer_bytes if live.parts is not None else 0
         self._remember(
-            attempt, _Past(at=now, outcome=Ended(parts=record.parts), bytes=stored_bytes)
+            attempt,
+            _PastAttempt(ended_at=now, outcome=Ended(parts=live.parts), stored_bytes=stored_bytes),
         )
 
     def fence(self, attempt: AttemptId, incarnation: int, now: float) -> FenceOutcome:
         """Return the outcome of an attempt, and prevent it from starting if it has not started."""
-        # The attempt was offered to an earlier process, whose records are lost.
         if incarnation != self._incarnation:
+            # The attempt was offered to an earlier process, whose records are lost.
             return Forgotten()
-        record = self._records.get(attempt)
-        if record is not None and record.started:
-            return Running(parts=record.parts)
+        live = self._live.get(attempt)
+        if live is not None and live.started:
+            return Running(parts=live.parts)
         past = self._past.get(attempt)
         if past is not None:
             return past.outcome
-        if record is None and self._is_forgotten(attempt):
+        if live is None and self._is_forgotten(attempt):
             return Forgotten()
-        self._records.pop(attempt, None)
-        self._remember(attempt, _Past(at=now, outcome=NeverStarted(), bytes=0))
+        self._live.pop(attempt, None)
+        self._remember(attempt, _PastAttempt(ended_at=now, outcome=NeverStarted(), stored_bytes=0))
         return NeverStarted()
 
     def _is_forgotten(self, attempt: AttemptId) -> bool:
@@ -128,13 +132,13 @@
         latest = self._forgotten.get(attempt.entry)
         return latest is not None and attempt.order <= latest.order
 
-    def _remember(self, attempt: AttemptId, past: _Past) -> None:
+    def _remember(self, attempt: AttemptId, past: _PastAttempt) -> None:
         """Remember an attempt, and forget the oldest ones beyond the limits."""
         self._past[attempt] = past
-        self._stored_bytes += past.bytes
-        while self._past and self._exceeds_limits(past.at):
+        self._stored_bytes += past.stored_bytes
+        while self._past and self._exceeds_limits(past.ended_at):
             oldest, forgotten = self._past.popitem(last=False)
-            self._stored_bytes -= forgotten.bytes
+            self._stored_bytes -= forgotten.stored_bytes
             self._forget(oldest)
         if self._stored_bytes > MAX_STORED_BYTES:
             self._discard_answers()
@@ -142,7 +146,7 @@
     def _exceeds_limits(self, now: float) -> bool:
         """Return whether the oldest remembered attempt must be forgotten."""
         oldest = next(iter(self._past.values()))
-        return len(self._past) > MAX_REMEMBERED or oldest.at + MEMORY_TIME < now
+        return len(self._past) > MAX_REMEMBERED or oldest.ended_at + RETENTION_TIME < now
 
     def _forget(self, attempt: AttemptId) -> None:
         """Mark an attempt, and all earlier ones of its entry proxy, as forgotten."""
@@ -154,7 +158,7 @@
         for past in self._past.values():
             if self._stored_bytes <= MAX_STORED_BYTES // 2:
                 return
-            if past.bytes:
-                self._stored_bytes -= past.bytes
-                past.bytes = 0
+            if past.stored_bytes:
+                self._stored_bytes -= past.stored_bytes
+                past.stored_bytes = 0
                 past.outcome = Ended(parts=None)
--- a/cowslipvane/call/_body.py
+++ b/cowslipvane/call/_body.py
@@ -1,4 +1,4 @@
-"""Split the bodies of offers into parts, so that large ones do not block other calls."""
+"""Split the bodies of offers into parts, so that large ones block no other call; assemble them."""
 
 from __future__ import annotations
 
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -34,8 +34,8 @@
         self._caller = caller
         self._tried_hosts: list[HostName] = []
         self._unknown_outcome: Refusal | None = None
-        self._reached_upstream = 0
-        self._refusals = 0
+        self._upstream_attempts = 0
+        self._refusal_count = 0
         self._load: Load | None = None
 
     @property
@@ -60,7 +60,7 @@
 
     @property
     def is_nested(self) -> bool:
-        """Return whether an upstream made the call while it handles another request."""
+        """Return whether an upstream made the call while handling another request."""
         return self._nested
 
     @property
@@ -103,11 +103,14 @@
         self._load = load
 
     def record_refusal(self, refusal: Refusal) -> None:
-        """Record a refusal, and keep the latest one whose attempt may have run."""
+        """Record a refusal, and keep the latest one whose attempt may have run.
+
+        A later refusal of an attempt that was not run must not hide that an earlier one may have.
+        """
         if reached_upstream(refusal):
-            self._reached_upstream += 1
+            self._upstream_attempts += 1
         elif not isinstance(refusal, OwnerUnreachable):
-            self._refusals += 1
+            self._refusal_count += 1
         if explain(refusal).verdict is not Verdict.NOT_RUN:
             self._unknown_outcome = refusal
 
@@ -115,7 +118,7 @@
         """Return whether another attempt is allowed after a refusal."""
         if not reached_upstream(refusal):
             # The limit avoids offering the call to every owner of an overloaded service.
-            return isinstance(refusal, OwnerUnreachable) or self._refusals + 1 < MAX_OFFERS
-        if self._reached_upstream + 1 >= self._rules.retry.attempts:
+            return isinstance(refusal, OwnerUnreachable) or self._refusal_count + 1 < MAX_OFFERS
+        if self._upstream_attempts + 1 >= self._rules.retry.attempts:
             return False
         return self.is_idempotent or explain(refusal).verdict is Verdict.NOT_RUN
--- a/cowslipvane/call/_head.py
+++ b/cowslipvane/call/_head.py
@@ -13,19 +13,20 @@
     fault = _target_fault(target)
     if fault is not None:
         return fault
-    hosts = 0
+    host_fields = 0
     for name, value in fields:
-        hosts += name.lower() == "host"
+        host_fields += name.lower() == "host"
         match name.lower(), value.strip().lower():
             case "transfer-encoding", coding if coding != "chunked" or not http_1_1:
                 return "its body comes in a transfer coding other than chunked"
             case "expect", expectation if expectation != "100-continue":
                 return "its expectation is not 100-continue"
-    return "it has more than one Host field" if hosts > 1 else None
+    return "it has more than one Host field" if host_fields > 1 else None
 
 
 def _target_fault(target: str) -> str | None:
     """Return why a request target is not accepted, or None if it is."""
+    # A target in absolute form could name another host than the Host field.
     if not target.startswith("/"):
         return "its target is not a path"
     path = target.partition("?")[0]
--- a/cowslipvane/call/_headers.py
+++ b/cowslipvane/call/_headers.py
@@ -6,8 +6,9 @@
 
 from cowslipvane.types import Header, Headers
 
-# The hop-by-hop fields of RFC 9110, section 7.6.1, and two more that each hop handles itself:
-# Content-Length, since the body is framed again, and Expect, which is answered with a 100.
+# Fields that apply to one hop (RFC 9110, section 7.6.1, and RFC 2616, section 13.5.1), and two that
+# each hop handles itself: Content-Length, since the body is framed again, and Expect, which is
+# answered with a 100.
 _HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -43,7 +43,7 @@
     """Offer an attempt to the owner of an upstream.
 
     goal is the time remaining until the latency goal; kind identifies calls with similar service
-    times. nested means that an upstream made the call while it handles another request.
+    times. nested means that an upstream made the call while handling another request.
     """
 
     attempt: AttemptId
@@ -69,7 +69,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Cancel:
-    """Cancel an attempt that was offered to an incarnation; the owner replies with its end."""
+    """Cancel an attempt that was offered to an incarnation.
+
+    The owner replies with the outcome of the attempt.
+    """
 
     attempt: AttemptId
     incarnation: int
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -25,9 +25,11 @@
     return AttemptId(HostName(entry), incarnation, serial)
 
 
-def answer(of: AttemptId, body: bytes = b"whole") -> Answer:
+def answer(attempt_id: AttemptId, body: bytes = b"whole") -> Answer:
     """Return an answer in one part."""
-    return Answer(attempt=of, status=200, headers=(), body=body, more=False, load=Load(1, 0, 0))
+    return Answer(
+        attempt=attempt_id, status=200, headers=(), body=body, more=False, load=Load(1, 0, 0)
+    )
 
 
 class AttemptsTest(unittest.TestCase):
@@ -37,12 +39,12 @@
         """Create an empty record of attempts."""
         self.attempts = Attempts(incarnation=OWN_INCARNATION)
 
-    def run_one(self, of: AttemptId, body: bytes = b"whole", now: float = 0.0) -> None:
+    def run_one(self, attempt_id: AttemptId, body: bytes = b"whole", now: float = 0.0) -> None:
         """Admit, start and end an attempt."""
-        self.assertTrue(self.attempts.admit(of))
-        self.attempts.start(of)
-        self.attempts.store_part(of, answer(of, body))
-        self.attempts.end(of, now)
+        self.assertTrue(self.attempts.admit(attempt_id))
+        self.attempts.start(attempt_id)
+        self.attempts.store_part(attempt_id, answer(attempt_id, body))
+        self.attempts.end(attempt_id, now)
 
     def test_fenced_attempt_is_never_started(self) -> None:
         """A fence that arrives before the offer or before the start prevents the attempt."""
@@ -82,7 +84,7 @@
         self.assertEqual(self.attempts.fence(attempt(1), OWN_INCARNATION, 0.0), Forgotten())
         self.assertFalse(self.attempts.admit(attempt(1)))
         self.assertEqual(self.attempts.fence(attempt(1, "b"), OWN_INCARNATION, 0.0), NeverStarted())
-        self.run_one(attempt(10**6), now=2 * limits.MEMORY_TIME)
+        self.run_one(attempt(10**6), now=2 * limits.RETENTION_TIME)
         expired = self.attempts.fence(attempt(limits.MAX_REMEMBERED), OWN_INCARNATION, 0.0)
         self.assertEqual(expired, Forgotten())
 
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -20,7 +20,7 @@
 
 def offer(serial: int, size: int) -> Offer:
     """Return an offer with a body whose parts differ from each other."""
-    body = b"".join(bytes([serial + at % 200]) * 1000 for at in range(size // 1000 + 1))[:size]
+    body = b"".join(bytes([serial + n % 200]) * 1000 for n in range(size // 1000 + 1))[:size]
     return Offer(
         attempt=AttemptId(HostName("a"), 1, serial),
         service=ServiceName("stock"),
@@ -52,10 +52,10 @@
             assert isinstance(other_first, Offer)
             result: Offer | Incomplete | Overflow = assembler.begin(first)
             assembler.begin(other_first)
-            for at, part in enumerate(rest):
+            for index, part in enumerate(rest):
                 assert isinstance(part, Chunk)
                 result = assembler.add(part)
-                interleaved = other_rest[at] if at < len(other_rest) - 1 else None
+                interleaved = other_rest[index] if index < len(other_rest) - 1 else None
                 if isinstance(interleaved, Chunk):
                     self.assertEqual(assembler.add(interleaved), Incomplete())
             self.assertEqual(result, sent)
