--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -1,4 +1,4 @@
-"""One process's callers' side alone, for tests of what becomes of a call before an owner has it."""
+"""A base class for tests of Callers, which receives requests and has them dispatched."""
 
 import os
 import random
@@ -24,23 +24,23 @@
 from cowslipvane.types import Address, HostName, ServiceName, Version
 from tools.single_replica import event_log
 
-# Test modules run beside each other, each in a process of its own.
+# Test modules run in parallel processes, so the address is derived from the process id.
 LISTENER = Address(f"127.73.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 27_351)
 URL = f"http://{LISTENER}/stock"
 GOAL_S = 0.3
 OWNER = HostName("owner")
 LOAD = Load(slots=4, running=3, queued=9)
-NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
+HEADER_NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
 
 
 class RefusingDispatcher:
-    """Finds one busy owner for any call, and remembers them."""
+    """A fake dispatcher that records each call and refuses it after one attempt at a busy owner."""
 
     def __init__(self) -> None:
         self.calls: list[Call] = []
 
     async def dispatch(self, call: Call) -> NoUpstream:
-        """Refuse a call."""
+        """Record a call and refuse it."""
         self.calls.append(call)
         call.begin_attempt(OWNER)
         call.record_load(LOAD)
@@ -48,21 +48,21 @@
 
 
 class StubOwner:
-    """Stands for an owner whose worker runs what a test says."""
+    """A stub of the owner, whose worker is running the requests that a test sets."""
 
     def __init__(self) -> None:
         self.running: set[str] = set()
 
     def is_running(self, request_id: str) -> bool:
-        """Return whether a request runs."""
+        """Return whether a request is running."""
         return request_id in self.running
 
 
 class CallersTestCase(unittest.IsolatedAsyncioTestCase):
-    """A listener for callers, behind which there is nothing; a base for tests."""
+    """Base class with an HTTP listener, a fake dispatcher and a stub of the owner."""
 
     async def asyncSetUp(self) -> None:
-        """Listen, with no configuration in force."""
+        """Start the listener without a configuration in force."""
         self.subscription = Subscription()
         self.applied = Signal()
         self.dispatcher = RefusingDispatcher()
@@ -76,7 +76,7 @@
             metrics=Metrics(),
             configuration_applied=self.applied,
             owner=cast(Owner, self.owner),
-            header_names=NAMES,
+            header_names=HEADER_NAMES,
         )
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -85,12 +85,12 @@
         self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
 
     async def code(self, **headers: str) -> str:
-        """Send a call and return the code of its refusal."""
+        """Send a request and return the code of its refusal."""
         async with self.session.get(URL, headers=headers) as answer:
             return str((await answer.json())["code"])
 
     def apply(self) -> None:
-        """Put a first version in force, with a route that has a goal."""
+        """Put a first version of the configuration in force, with a route that has a goal."""
         route = Route(targets=(Target(ServiceName("stock")),), goal=GOAL_S)
         resources = (
             Resource(Key("service", "stock"), Service(), Version(1)),
@@ -102,8 +102,8 @@
         self.assertIsNotNone(self.subscription.table)
         self.applied.send()
 
-    def goal_left(self) -> float:
-        """Return how much is left of the goal of the last call."""
-        left = self.dispatcher.calls[-1].goal_remaining(time.monotonic())
-        assert left is not None
-        return left
+    def goal_remaining(self) -> float:
+        """Return the time until the latency goal of the last call."""
+        remaining = self.dispatcher.calls[-1].goal_remaining(time.monotonic())
+        assert remaining is not None
+        return remaining
--- a/tests/test_goals.py
+++ b/tests/test_goals.py
@@ -16,7 +16,7 @@
     async def test_call_from_the_same_host_has_the_goal_of_its_route(self) -> None:
         """A caller's address alone does not make its calls nested."""
         await self.code()
-        self.assertLessEqual(self.goal_left(), GOAL_S)
+        self.assertLessEqual(self.goal_remaining(), GOAL_S)
         self.assertFalse(self.dispatcher.calls[-1].is_nested)
 
     async def test_call_from_the_local_upstream_is_nested(self) -> None:
