--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -56,7 +56,7 @@
         """Return the version of the configuration that the table was built from."""
         return self._version
 
-    def is_out(self, host: HostName) -> bool:
+    def is_out_of_service(self, host: HostName) -> bool:
         """Return whether an operator has taken the upstream on a host out of service."""
         return host in self._out_of_service
 
--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -107,7 +107,7 @@
         allowed = [
             owner
             for owner in owners
-            if (table is None or not table.is_out(owner.host)) and self._can_reach(owner)
+            if (table is None or not table.is_out_of_service(owner.host)) and self._can_reach(owner)
         ]
         light = len(call.request.body) < LIGHT_BYTES
         chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=light)
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -236,7 +236,7 @@
     def _is_out(self) -> bool:
         """Return whether the operator took the upstream out."""
         table = self._subscription.table
-        return table is not None and table.is_out(self._members.membership.own.host)
+        return table is not None and table.is_out_of_service(self._members.membership.own.host)
 
     @property
     def _service(self) -> ServiceName:
