--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -239,7 +239,7 @@
     def _is_out(self) -> bool:
         """Return whether the operator has taken the upstream out."""
         table = self._subscription.table
-        return table is not None and table.is_out(self._gossip.membership.own.host)
+        return table is not None and table.is_out_of_service(self._gossip.membership.own.host)
 
     @property
     def _service(self) -> ServiceName:
--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -30,7 +30,7 @@
 GOAL_S = 0.3
 OWNER = HostName("owner")
 LOAD = Load(slots=4, running=3, queued=9)
-NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
+HEADER_NAMES = DEFAULT_HEADER_NAMES._replace(accepts_request_ids=True)
 
 
 class RefusingDispatcher:
@@ -40,7 +40,7 @@
         self.calls: list[Call] = []
 
     async def dispatch(self, call: Call) -> NoUpstream:
-        """Refuse a call."""
+        """Record a call and refuse it."""
         self.calls.append(call)
         call.begin_attempt(OWNER)
         call.record_load(LOAD)
@@ -62,7 +62,7 @@
     """A listener for callers whose dispatcher and owner are stubs; a base for tests."""
 
     async def asyncSetUp(self) -> None:
-        """Listen, with no configuration in force."""
+        """Start the listener without a configuration in force."""
         self.subscription = Subscription()
         self.configuration_applied = Signal()
         self.dispatcher = RefusingDispatcher()
@@ -76,7 +76,7 @@
             metrics=Metrics(),
             configuration_applied=self.configuration_applied,
             owner=cast(Owner, self.owner),
-            header_names=NAMES,
+            header_names=HEADER_NAMES,
         )
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -102,7 +102,7 @@
         self.assertIsNotNone(self.subscription.table)
         self.configuration_applied.send()
 
-    def goal_left(self) -> float:
+    def goal_remaining(self) -> float:
         """Return the remaining time of the latency goal of the last call."""
         remaining = self.dispatcher.calls[-1].goal_remaining(time.monotonic())
         assert remaining is not None
