--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -1,4 +1,4 @@
-"""A replica of the accepted configuration: its log, terms, quorum and group."""
+"""A replica of the accepted configuration: log, terms, elections and group membership."""
 
 from cowslipvane.replica._group import (
     Add,
--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -1,4 +1,4 @@
-"""The group: which replicas vote, and which only learn."""
+"""The group: the replicas that vote, and the learners that only receive the log."""
 
 from __future__ import annotations
 
@@ -8,32 +8,32 @@
 
 from cowslipvane.types import Address, HostName, ReplicaId
 
-# The identity of a founder that the group hasn't met yet.
-UNBOUND = ReplicaId("")
+# Stands for the identity of a founder until it has connected for the first time.
+UNKNOWN_REPLICA_ID = ReplicaId("")
 
 
 class Voter(NamedTuple):
-    """A member of the group: its host, where peers reach it, and whose data folder it is."""
+    """A member of the group: its host, its address for peers and its data folder's identity."""
 
     host: HostName
     address: Address
-    replica_id: ReplicaId = UNBOUND
+    replica_id: ReplicaId = UNKNOWN_REPLICA_ID
 
 
 class Group(NamedTuple):
-    """The members; a learner receives the log and counts for nothing."""
+    """The members; a learner receives the log but doesn't count towards a majority."""
 
     voters: tuple[Voter, ...]
     learners: tuple[Voter, ...] = ()
 
     @property
     def majority(self) -> int:
-        """Return how many voters make a quorum."""
+        """Return the number of voters that form a quorum."""
         return len(self.voters) // 2 + 1
 
     @property
     def members(self) -> tuple[Voter, ...]:
-        """Return voters and learners."""
+        """Return the voters and the learners."""
         return self.voters + self.learners
 
     def member(self, host: HostName) -> Voter | None:
@@ -52,22 +52,22 @@
         )
 
     def with_learner(self, learner: Voter) -> Group:
-        """Return the group with a learner, in place of any other identity on its host."""
+        """Return the group with a learner, which replaces any other member on its host."""
         rest = self.without(learner.host)
         return Group(rest.voters, (*rest.learners, learner))
 
-    def promoted(self, learner: Voter) -> Group:
-        """Return the group in which a learner votes."""
+    def with_voter(self, learner: Voter) -> Group:
+        """Return the group with a learner with_voter to voter."""
         rest = self.without(learner.host)
         return Group((*rest.voters, learner), rest.learners)
 
-    def bound(self, identities: Mapping[HostName, ReplicaId]) -> Group:
-        """Return the group in which founders that have been met have their identity."""
+    def with_identities(self, identities: Mapping[HostName, ReplicaId]) -> Group:
+        """Return the group with the known identities of founders filled in."""
         voters = tuple(
             (
                 voter
                 if voter.replica_id
-                else voter._replace(replica_id=identities.get(voter.host, UNBOUND))
+                else voter._replace(replica_id=identities.get(voter.host, UNKNOWN_REPLICA_ID))
             )
             for voter in self.voters
         )
@@ -75,7 +75,7 @@
 
 
 class GroupHistory:
-    """The groups that a log names, of which the last is in force."""
+    """The groups recorded in a log, of which the last is in force."""
 
     def __init__(self, *, index: int, group: Group) -> None:
         self._groups = [(index, group)]
@@ -87,51 +87,51 @@
 
     @property
     def changed_at(self) -> int:
-        """Return the index of the entry that put the current group in force."""
+        """Return the index of the entry that contains the current group."""
         return self._groups[-1][0]
 
-    def at(self, index: int) -> Group:
-        """Return the group that the log up to an index puts in force."""
+    def in_force_at(self, index: int) -> Group:
+        """Return the group in force at an index of the log."""
         return next(group for at, group in reversed(self._groups) if at <= index)
 
     def add(self, index: int, group: Group) -> None:
-        """Put a group in force from an index on."""
+        """Record that a group is in force from an index on."""
         self._groups.append((index, group))
 
-    def drop_from(self, index: int) -> None:
-        """Forget the groups that entries from an index on named."""
+    def truncate_from(self, index: int) -> None:
+        """Drop the groups recorded by entries from an index on."""
         self._groups[1:] = [item for item in self._groups[1:] if item[0] < index]
 
     def compact(self, index: int) -> None:
-        """Forget the groups before the one that is in force at an index."""
+        """Drop the groups before the one in force at an index."""
         later = [item for item in self._groups if item[0] > index]
-        self._groups = [(index, self.at(index)), *later]
+        self._groups = [(index, self.in_force_at(index)), *later]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Add:
-    """Takes a replica in as a learner, on a host that has none."""
+    """Add a replica as a learner on a host that has no member."""
 
     learner: Voter
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Replace:
-    """Takes a replica in as a learner, in place of another identity on its host."""
+    """Add a replica as a learner, replacing the member on its host."""
 
     learner: Voter
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Promote:
-    """Lets a learner vote."""
+    """Promote a learner to voter."""
 
     learner: Voter
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Remove:
-    """Takes the replica on a host out."""
+    """Remove the member on a host."""
 
     host: HostName
 
@@ -141,13 +141,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupRefused:
-    """The group was not changed."""
+    """The group change was refused."""
 
     reason: str
 
 
-def changed_group(group: Group, change: GroupChange) -> Group | GroupRefused:
-    """Return the group after a change of at most one voter."""
+def apply_group_change(group: Group, change: GroupChange) -> Group | GroupRefused:
+    """Return the group after a change, which affects at most one voter."""
     match change:
         case Add(learner=learner) | Replace(learner=learner):
             if learner in group.members:
@@ -156,14 +156,14 @@
                 return GroupRefused(
                     reason=f"replica {learner.replica_id} is a member on another host"
                 )
-            held = group.member(learner.host)
-            if held is not None and isinstance(change, Add):
+            existing = group.member(learner.host)
+            if existing is not None and isinstance(change, Add):
                 return GroupRefused(reason=f"{learner.host} has a replica; replace it")
-            if held is None and isinstance(change, Replace):
+            if existing is None and isinstance(change, Replace):
                 return GroupRefused(reason=f"{learner.host} has no replica; add it")
             changed = group.with_learner(learner)
         case Promote(learner=learner):
-            changed = group.promoted(learner)
+            changed = group.with_voter(learner)
         case Remove(host=host):
             changed = group.without(host)
     if not changed.voters:
--- a/cowslipvane/replica/_history.py
+++ b/cowslipvane/replica/_history.py
@@ -1,4 +1,4 @@
-"""The history of a replica: its log, and what the log has built up to the commit index."""
+"""The history of a replica: its log and the state after applying the committed entries."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class History:
-    """Log, group and catalogue, in step with each other and with the journal."""
+    """Log, group and catalogue, kept consistent with each other and with the journal."""
 
     def __init__(
         self,
@@ -29,29 +29,29 @@
         import_state(self._catalogue, base.catalogue)
         self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
         self._groups = GroupHistory(index=base.position, group=base.group)
-        self._note_groups(recovered.entries)
+        self._record_groups(recovered.entries)
         self._synced = self.last_index
         self._commit = base.position
         self._applied = base.position
 
     @property
     def catalogue(self) -> Catalogue:
-        """Return the catalogue that the committed log has built."""
+        """Return the catalogue after applying the committed log."""
         return self._catalogue
 
     @property
     def group(self) -> Group:
-        """Return the group in force, which may not be committed yet."""
+        """Return the group in force, whose entry may be uncommitted."""
         return self._groups.current
 
     @property
     def group_changed_at(self) -> int:
-        """Return the index of the entry that put the group in force."""
+        """Return the index of the entry that contains the group in force."""
         return self._groups.changed_at
 
     @property
     def group_is_committed(self) -> bool:
-        """Return whether no change of the group is under way."""
+        """Return whether the entry of the group in force is committed."""
         return self._groups.changed_at <= self._commit
 
     @property
@@ -61,7 +61,7 @@
 
     @property
     def synced(self) -> int:
-        """Return the index up to which the log is on this replica's disk."""
+        """Return the index up to which the log is synced to this replica's disk."""
         return self._synced
 
     @property
@@ -75,51 +75,51 @@
         return self._log.last_index
 
     @property
-    def position(self) -> tuple[int, int]:
-        """Return term and index of the last entry, by which logs are compared."""
+    def last_position(self) -> tuple[int, int]:
+        """Return the term and index of the last entry, by which elections compare logs."""
         return self._log.last_term, self._log.last_index
 
     def term_of(self, index: int) -> int:
-        """Return the term at an index from the base to the last."""
+        """Return the term of the entry at an index, from the base index to the last."""
         return self._log.term_of(index)
 
     def has_committed_in(self, term: int) -> bool:
-        """Return whether the newest committed entry is of a term."""
+        """Return whether the last committed entry is of a term."""
         return self._log.term_of(self._commit) == term
 
-    def after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
-        """Return the entries after an index, at most so many."""
-        return self._log.after(index, limit)
+    def entries_after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
+        """Return the entries after an index, up to a limit."""
+        return self._log.entries_after(index, limit)
 
-    def start_of_term(self, index: int) -> int:
-        """Return the first index that has the term of the entry at an index."""
-        return self._log.start_of_term(index)
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first index in the log with the same term as the entry at an index."""
+        return self._log.first_index_of_term(index)
 
     def append(self, term: int, command: Command, stamped_at: float) -> int:
-        """Add a command of the leader here, and return its index."""
+        """Append a command as the leader, and return the index of its entry."""
         entry = Entry(self.last_index + 1, term, command, stamped_at)
         self._log.append(entry)
-        self._note_groups((entry,))
+        self._record_groups((entry,))
         self._journal.record_entries((entry,))
         return entry.position
 
-    def take(self, entries: tuple[Entry, ...]) -> None:
-        """Keep the entries that match the log and replace it from the first that doesn't."""
-        new = self._log.replace(entries)
+    def merge_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Merge entries from the leader, replacing the log from the first that conflicts."""
+        new = self._log.merge(entries)
         if new:
-            self._groups.drop_from(new[0].position)
-            self._note_groups(new)
+            self._groups.truncate_from(new[0].position)
+            self._record_groups(new)
             self._synced = min(self._synced, new[0].position - 1)
             self._journal.record_entries(new)
 
-    def install(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
-        """Take a snapshot in place of the log that it covers, if that isn't committed here."""
+    def install_snapshot(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
+        """Replace the log up to a snapshot, unless that part is already committed here."""
         if snapshot.position <= self._commit:
             return
         import_state(self._catalogue, snapshot.catalogue)
         self._log.compact(snapshot.position, snapshot.term)
         self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
-        self._note_groups(self._log.after(snapshot.position))
+        self._record_groups(self._log.entries_after(snapshot.position))
         self._commit = self._applied = snapshot.position
         self._synced = min(self._synced, self.last_index)
         self._record_snapshot(snapshot, ballot)
@@ -127,7 +127,7 @@
     def commit_to(self, index: int, ballot: Ballot) -> None:
         """Apply the log to the catalogue up to a committed index, and compact it when it is long.
 
-        A compacted journal begins anew with the ballot.
+        The journal that replaces a compacted one starts with the ballot.
         """
         self._commit = max(self._commit, index)
         while self._applied < self._commit:
@@ -141,16 +141,16 @@
         if self._applied - self._log.base_index >= self._compact_after:
             self._compact(ballot)
 
-    def count_synced(self, index: int) -> None:
-        """Count the log as synced up to an index."""
+    def record_synced(self, index: int) -> None:
+        """Record that the log is synced up to an index."""
         self._synced = min(max(self._synced, index), self.last_index)
 
     def snapshot(self) -> LogSnapshot:
-        """Return what the applied log has built."""
+        """Return a snapshot of the state after the applied entries."""
         return LogSnapshot(
             self._applied,
             self._log.term_of(self._applied),
-            self._groups.at(self._applied),
+            self._groups.in_force_at(self._applied),
             export_state(self._catalogue),
         )
 
@@ -162,11 +162,11 @@
         self._record_snapshot(snapshot, ballot)
 
     def _record_snapshot(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
-        """Record a snapshot and what follows it."""
-        self._journal.record_snapshot(snapshot, ballot, self._log.after(snapshot.position))
+        """Write a snapshot and the entries after it to the journal."""
+        self._journal.record_snapshot(snapshot, ballot, self._log.entries_after(snapshot.position))
 
-    def _note_groups(self, entries: tuple[Entry, ...]) -> None:
-        """Put the groups in force that entries name."""
+    def _record_groups(self, entries: tuple[Entry, ...]) -> None:
+        """Put the groups in force that entries contain."""
         for entry in entries:
             match entry.command:
                 case Regroup(group=group):
--- a/cowslipvane/replica/_journal.py
+++ b/cowslipvane/replica/_journal.py
@@ -1,4 +1,4 @@
-"""What a replica keeps on its disk."""
+"""The durable state of a replica, and the interface of the journal that stores it."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 
 class Ballot(NamedTuple):
-    """The term, and whom this replica voted for in it."""
+    """The current term, and the candidate that this replica voted for in it."""
 
     term: int
     voted_for: HostName | None
 
 
 class Recovered(NamedTuple):
-    """What the disk held at the start."""
+    """The state read back from disk when the process started."""
 
     ballot: Ballot
     entries: tuple[Entry, ...]
@@ -24,21 +24,21 @@
 
 
 class Journal(Protocol):
-    """The durable record of ballot and entries; nothing counts before it is synced."""
+    """The durable record of ballot and log entries; nothing is durable before sync returns."""
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Record entries; an entry replaces all at its index and after."""
+        """Record entries; an entry replaces those recorded at its index and after."""
 
     def record_snapshot(
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
     ) -> None:
-        """Record a snapshot, and begin the record anew with a ballot and the later entries."""
+        """Replace the journal by a snapshot, a ballot and the entries after the snapshot."""
 
     async def sync(self) -> None:
-        """Return once everything recorded before the call is on the disk, or raise."""
+        """Wait until everything recorded before the call is on disk; raise if a write failed."""
 
     async def watch(self) -> None:
-        """Wait for a failed write and raise, so that the process stops."""
+        """Wait for a failed write, then raise so that the process stops."""
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -1,4 +1,4 @@
-"""Log entries, and the messages between replicas."""
+"""Log entries and the messages between replicas."""
 
 from __future__ import annotations
 
@@ -12,19 +12,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Noop:
-    """Opens a leader's term, so that older entries commit."""
+    """First entry of a leader's term, without which older entries can't commit."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Write:
-    """Puts an operator's change to the catalogue."""
+    """Entry that applies an operator's change to the catalogue."""
 
     change: Change
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Regroup:
-    """Puts a group in force, from this entry on."""
+    """Entry from which on a group is in force."""
 
     group: Group
 
@@ -33,7 +33,7 @@
 
 
 class Entry(NamedTuple):
-    """A command at its position in the log, counted from 1."""
+    """A log entry: a command and its position, counted from 1."""
 
     position: int
     term: int
@@ -42,7 +42,7 @@
 
 
 class LogSnapshot(NamedTuple):
-    """What the committed log up to a position has built, in place of its entries."""
+    """The state after applying the committed log up to a position, replacing those entries."""
 
     position: int
     term: int
@@ -51,7 +51,7 @@
 
 
 class Report(NamedTuple):
-    """What one proxy has in force and since when; the report that changed last counts."""
+    """The version in force at a proxy; the report with the latest changed_at is valid."""
 
     host: HostName
     version: Version
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PreVote:
-    """Asks whether a vote in a term would be granted; the answer binds nobody."""
+    """Request to find out if a vote in a term would be granted; the reply isn't binding."""
 
     term: int
     candidate: HostName
@@ -73,10 +73,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PreVoteReply:
-    """Says whether a vote in the proposed term would be granted, and the voter's own term.
+    """Reply that says if a vote in the proposed term would be granted, and the voter's own term.
 
-    idle says that only a promise stands against it, to a leader that the voter itself doesn't know:
-    it neither leads nor has heard a leader since its start.
+    idle means that the voter neither leads nor was in contact with a leader within the last
+    election timeout, so that only the vote lease that it started with may keep it from voting.
     """
 
     term: int
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Vote:
-    """Asks for a vote in a term; released says that the leader before has given up its lease."""
+    """Request for a vote in a term; released means that no earlier leader holds a lease."""
 
     term: int
     candidate: HostName
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VoteReply:
-    """Answers a request for a vote."""
+    """Reply to a vote request."""
 
     term: int
     voter: HostName
@@ -108,21 +108,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakeOver:
-    """Asks a voter to stand at once, from the leader of a term that leads no more."""
+    """Request from a leader that has stepped down to a voter to start an election at once."""
 
     term: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakingOver:
-    """Says whether the voter stands."""
+    """Reply that says whether the voter starts an election."""
 
     stands: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Append:
-    """Sends entries that follow the previous one, and how far the log is committed."""
+    """Entries that follow a previous entry, and the leader's commit index."""
 
     term: int
     leader: HostName
@@ -134,7 +134,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Install:
-    """Sends a snapshot to a follower that lacks entries which were compacted away."""
+    """Snapshot for a follower that lacks entries which were compacted away."""
 
     term: int
     leader: HostName
@@ -143,7 +143,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AppendReply:
-    """Says up to which index the follower's synced log matches the leader's."""
+    """Reply with the index up to which the follower's synced log matches the leader's."""
 
     term: int
     voter: HostName
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -1,4 +1,4 @@
-"""What a replica is within its term."""
+"""The role of a replica within its term."""
 
 from __future__ import annotations
 
@@ -10,43 +10,42 @@
 from cowslipvane.replica._messages import Append, Install
 from cowslipvane.types import HostName, Seconds
 
-# A voter that hasn't answered for this long is taken out, if enough others are left: machines are
-# replaced by others at new addresses, and each that stays in the group raises its majority.
+# A voter that hasn't replied for this long is removed if enough others remain. Machines are
+# replaced by others at new addresses, and each lost voter left in the group raises its majority.
 GONE_AFTER: Seconds = 10.0
-# A group that is no larger than this keeps also those that are gone; it bears the loss of one.
-LEAST_VOTERS = 3
-# Entries in one Append message.
+# A group of this size or less keeps its unreachable voters; three voters tolerate one failure.
+MIN_VOTERS = 3
 MAX_APPEND_ENTRIES = 200
 
 
 @dataclass(slots=True, kw_only=True)
 class Follower:
-    """Takes entries from the leader of the term, once it is known."""
+    """A replica that accepts entries from the leader; leader is None while it is unknown."""
 
     leader: HostName | None = None
 
 
 @dataclass(slots=True, kw_only=True)
 class PreCandidate:
-    """Asks who would vote for it in the next term, and disturbs no leader meanwhile.
+    """A replica that collects pre-votes for the next term, without disturbing a leader.
 
-    idle are the voters that can't lead in this term or an earlier one any more, absent those among
-    them whose disk is lost.
+    idle holds the voters that can't become leader in this term or an earlier one any more; replaced
+    holds those among them whose disk was lost.
     """
 
     votes: set[HostName]
     idle: set[HostName]
-    absent: set[HostName] = field(default_factory=set)
+    replaced: set[HostName] = field(default_factory=set)
 
     @property
-    def preferred(self) -> HostName:
-        """Return the voter that stands first when all are idle."""
-        return min(self.idle - self.absent)
+    def first_candidate(self) -> HostName:
+        """Return the voter that starts an election first when all are idle."""
+        return min(self.idle - self.replaced)
 
 
 @dataclass(slots=True, kw_only=True)
 class Candidate:
-    """Collects votes for its term; released says that no leader before holds a lease."""
+    """A replica that collects votes; released means that no earlier leader holds a lease."""
 
     votes: set[HostName]
     released: bool = False
@@ -54,95 +53,95 @@
 
 @dataclass(slots=True, kw_only=True)
 class Leader:
-    """Replicates its log: next, matching and told commit index, and last contact, by voter."""
+    """A replica that replicates its log; tracks indexes and last contact by member."""
 
     since: float
     next_index: dict[HostName, int] = field(default_factory=dict)
     match_index: dict[HostName, int] = field(default_factory=dict)
-    contact: dict[HostName, float] = field(default_factory=dict)
-    told_commit: dict[HostName, int] = field(default_factory=dict)
+    contact_at: dict[HostName, float] = field(default_factory=dict)
+    sent_commit: dict[HostName, int] = field(default_factory=dict)
 
-    def next_for(
+    def next_message(
         self, host: HostName, history: History, *, leader: HostName, term: int
     ) -> Append | Install:
-        """Return what a member needs next from this leader's history."""
+        """Return the next message that a member needs to catch up with this leader."""
         first = self.next_index.setdefault(host, max(1, history.last_index))
         if first <= history.base_index:
             return Install(term=term, leader=leader, snapshot=history.snapshot())
-        self.told_commit[host] = history.commit
+        self.sent_commit[host] = history.commit
         return Append(
             term=term,
             leader=leader,
             previous_index=first - 1,
             previous_term=history.term_of(first - 1),
-            entries=history.after(first - 1, MAX_APPEND_ENTRIES),
+            entries=history.entries_after(first - 1, MAX_APPEND_ENTRIES),
             commit=history.commit,
         )
 
-    def lacks(self, host: HostName, history: History) -> bool:
-        """Return whether a member lacks entries or the newest commit index."""
+    def is_behind(self, host: HostName, history: History) -> bool:
+        """Return whether a member lacks entries or the latest commit index."""
         behind = self.next_index.get(host, 0) <= history.last_index
-        return behind or self.told_commit.get(host, 0) < history.commit
+        return behind or self.sent_commit.get(host, 0) < history.commit
 
     def successor(self, history: History, *, own: HostName) -> Voter | None:
-        """Return a voter that holds this leader's whole log, if there is one."""
+        """Return a voter that has this leader's complete log, if there is one."""
         others = (voter for voter in history.group.voters if voter.host != own)
-        return next((v for v in others if self.matched(v.host) == history.last_index), None)
+        return next((v for v in others if self.synced_index(v.host) == history.last_index), None)
 
-    def gone(self, group: Group, now: float, *, own: HostName) -> Voter | None:
-        """Return the voter to give up, which has been silent for longest, if there is one."""
-        if len(group.voters) <= LEAST_VOTERS:
+    def unreachable_voter(self, group: Group, now: float, *, own: HostName) -> Voter | None:
+        """Return the voter to remove, the one without contact for longest, if there is one."""
+        if len(group.voters) <= MIN_VOTERS:
             return None
         others = [voter for voter in group.voters if voter.host != own]
-        silent = min(others, key=lambda voter: self.answered(voter.host))
-        since = max(self.since, self.answered(silent.host))
+        silent = min(others, key=lambda voter: self.last_contact(voter.host))
+        since = max(self.since, self.last_contact(silent.host))
         return silent if now >= since + GONE_AFTER else None
 
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
-        """Return up to which index a majority has synced this leader's log."""
+        """Return the index up to which a majority has synced this leader's log."""
         group = history.group
-        synced = sorted(self._synced_by(voter, history, own) for voter in group.voters)
+        synced = sorted(self._counted_index(voter, history, own) for voter in group.voters)
         return synced[-group.majority]
 
-    def matched(self, host: HostName) -> int:
-        """Return up to which index a member has synced this leader's log."""
+    def synced_index(self, host: HostName) -> int:
+        """Return the index up to which a member has synced this leader's log."""
         return self.match_index.get(host, 0)
 
-    def answered(self, host: HostName) -> float:
-        """Return when this leader last sent what a member has since answered."""
-        return self.contact.get(host, -math.inf)
+    def last_contact(self, host: HostName) -> float:
+        """Return the send time of the latest message that a member has replied to."""
+        return self.contact_at.get(host, -math.inf)
 
     def quorum_contact(self, group: Group, own: HostName, now: float) -> float:
-        """Return since when a majority has answered this leader."""
+        """Return the latest send time since which a majority has replied to this leader."""
         contacts = sorted(
-            now if voter.host == own else self.answered(voter.host) for voter in group.voters
+            now if voter.host == own else self.last_contact(voter.host) for voter in group.voters
         )
         return contacts[-group.majority]
 
-    def count_contact(self, host: HostName, sent_at: float) -> None:
-        """Note that a member has answered a message of some time."""
-        self.contact[host] = max(sent_at, self.answered(host))
+    def record_contact(self, host: HostName, sent_at: float) -> None:
+        """Record that a member has replied to a message sent at some time."""
+        self.contact_at[host] = max(sent_at, self.last_contact(host))
 
-    def count_match(self, host: HostName, index: int) -> None:
-        """Note up to which index a member has synced the log."""
-        self.match_index[host] = max(self.matched(host), index)
-        self.next_index[host] = self.matched(host) + 1
+    def record_match(self, host: HostName, index: int) -> None:
+        """Record the index up to which a member has synced the log."""
+        self.match_index[host] = max(self.synced_index(host), index)
+        self.next_index[host] = self.synced_index(host) + 1
 
-    def count_refusal(self, host: HostName, index: int) -> None:
-        """Go back to an index for a member whose log differs, never behind what has matched."""
-        self.next_index[host] = max(self.matched(host), index) + 1
+    def record_mismatch(self, host: HostName, index: int) -> None:
+        """Go back to an index for a member whose log differs, never before a matched one."""
+        self.next_index[host] = max(self.synced_index(host), index) + 1
 
-    def forget(self, host: HostName) -> None:
-        """Forget what a former identity on a host has synced and answered."""
-        for progress in (self.next_index, self.match_index, self.contact, self.told_commit):
+    def forget_progress(self, host: HostName) -> None:
+        """Drop the progress of the former identity on a host."""
+        for progress in (self.next_index, self.match_index, self.contact_at, self.sent_commit):
             progress.pop(host, None)
 
-    def _synced_by(self, voter: Voter, history: History, own: HostName) -> int:
-        """Return up to which index a voter has synced this leader's log."""
-        # A founder whose identity isn't in the log could come back with an empty disk unnoticed.
+    def _counted_index(self, voter: Voter, history: History, own: HostName) -> int:
+        """Return the index up to which a voter counts as having synced this leader's log."""
+        # A founder whose identity isn't in the log could restart with an empty disk unnoticed.
         if not voter.replica_id:
             return 0
-        return history.synced if voter.host == own else self.matched(voter.host)
+        return history.synced if voter.host == own else self.synced_index(voter.host)
 
 
 Role = Follower | PreCandidate | Candidate | Leader
