Reword the storage folder's docstrings, errors and private names

Errors about the data folder say what is missing instead of what the folder holds or has lost; private names say what they do (write_file_atomically, _read_record). No behaviour changes.

--- a/cowslipvane/storage/__init__.py
+++ b/cowslipvane/storage/__init__.py
@@ -1,4 +1,4 @@
-"""What a host with a disk keeps in its data folder."""
+"""The data folder of a replica and the journal in it."""
 
 from cowslipvane.storage._folder import (
     DataFolder,
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -1,4 +1,4 @@
-"""The data folder: created once, and held by one process."""
+"""The data folder of a replica: created once, and locked by one process at a time."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class FolderBusy(Exception):
-    """Another process holds the data folder."""
+    """The data folder is in use by another process, or already belongs to a group."""
 
 
 class FolderEmpty(Exception):
@@ -21,11 +21,11 @@
 
 
 class FolderDamaged(Exception):
-    """A file of the data folder can't be read back as it was written."""
+    """A file of the data folder is missing, or its content isn't what was written."""
 
 
 class Identity(NamedTuple):
-    """Whom the data folder belongs to, and the group that it was created in."""
+    """The replica that the data folder belongs to, and the founders of its group."""
 
     group: str
     host: HostName
@@ -34,7 +34,7 @@
 
 
 class DataFolder:
-    """A folder of the system's own state, locked while it is open."""
+    """The folder with the durable state of a replica, locked while it is open."""
 
     def __init__(self, *, path: Path) -> None:
         self._path = path
@@ -42,53 +42,53 @@
 
     @property
     def journal_path(self) -> Path:
-        """Return where the journal is."""
+        """Return the path of the journal."""
         return self._path / "journal"
 
     @property
     def is_empty(self) -> bool:
-        """Return whether the folder was never made part of a group."""
+        """Return whether the folder doesn't belong to a group yet."""
         return not self._identity_path.exists()
 
     def create(self, identity: Identity) -> None:
-        """Make the folder part of a group; refuse when it already is."""
+        """Create the files of a group's replica; raise FolderBusy if the folder has some."""
         self._path.mkdir(parents=True, exist_ok=True)
         if self._identity_path.exists():
-            raise FolderBusy(f"{self._path} already belongs to a group; give an empty folder")
-        write_synced(self.journal_path, b"")
-        write_synced(self._identity_path, encode_plain(identity))
+            raise FolderBusy(f"{self._path} already belongs to a group; use an empty folder")
+        write_file_atomically(self.journal_path, b"")
+        write_file_atomically(self._identity_path, encode_plain(identity))
 
     def open(self) -> Identity:
-        """Lock the folder and return whose it is."""
+        """Lock the folder and return its identity."""
         if not self._identity_path.exists():
-            raise FolderEmpty(f"{self._path} holds no replica; run 'cowslipvane replica create'")
+            raise FolderEmpty(f"{self._path} contains no replica; run 'cowslipvane replica create'")
         if not self.journal_path.exists():
-            raise FolderDamaged(f"{self._path} has lost its journal; replace this replica")
+            raise FolderDamaged(f"{self._path} has no journal; replace this replica")
         self._lock = os.open(self._path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             self.close()
-            raise FolderBusy(f"{self._path} is held by another process; stop it first") from None
+            raise FolderBusy(f"{self._path} is in use by another process; stop it first") from None
         try:
             return decode_as(Identity, self._identity_path.read_bytes())
         except ValueError as error:
             raise FolderDamaged(f"{self._identity_path} is damaged: {error}") from error
 
     def close(self) -> None:
-        """Give the folder up."""
+        """Release the lock on the folder."""
         if self._lock >= 0:
             os.close(self._lock)
         self._lock = -1
 
     @property
     def _identity_path(self) -> Path:
-        """Return where the identity is."""
+        """Return the path of the identity file."""
         return self._path / "identity"
 
 
-def write_synced(path: Path, data: bytes) -> None:
-    """Replace a file so that a crash leaves the old or the new content, whole."""
+def write_file_atomically(path: Path, data: bytes) -> None:
+    """Replace a file atomically: a crash leaves either the old or the new content."""
     temporary = path.with_suffix(".new")
     with temporary.open("wb") as file:
         file.write(data)
@@ -99,7 +99,7 @@
 
 
 def sync_folder(path: Path) -> None:
-    """Sync a folder, so that the names of its files survive a crash."""
+    """Sync a folder, so that created and renamed files survive a crash."""
     folder = os.open(path, os.O_RDONLY)
     try:
         os.fsync(folder)
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -1,4 +1,4 @@
-"""The journal of a replica: checksummed records, appended and synced."""
+"""The journal of a replica: records with checksums, appended to a file and synced."""
 
 from __future__ import annotations
 
@@ -13,32 +13,32 @@
 from typing import NamedTuple
 
 from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered
-from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_synced
+from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_file_atomically
 from cowslipvane.wire import decode_as, encode_plain
 
-# Length and CRC-32 of a record's body, then the body: one letter of kind, then CBOR.
+# A record is the length and CRC-32 of its body, then the body: a letter for the kind, and CBOR.
 _HEADER = struct.Struct(">II")
 _BALLOT = b"B"
 _ENTRY = b"E"
 _SNAPSHOT = b"S"
-# Opens a journal that needs a snapshot up to at least this position.
-_BASE = b"P"
-_KINDS = (_BALLOT, _ENTRY, _SNAPSHOT, _BASE)
+# First record of a compacted journal: the position that the snapshot must at least reach.
+_SNAPSHOT_POSITION = b"P"
+_KINDS = (_BALLOT, _ENTRY, _SNAPSHOT, _SNAPSHOT_POSITION)
 
 
 class JournalFailed(Exception):
-    """The disk refused a write or a sync; what it holds since then isn't known."""
+    """A write or sync failed, so the content of the file on disk is unknown."""
 
 
 class _Compaction(NamedTuple):
-    """A framed snapshot, and the records that follow it."""
+    """An encoded snapshot record, and the journal records that follow it."""
 
     snapshot: bytes
     records: bytes
 
 
 class FileJournal:
-    """Ballots and entries in one append-only file, and beside it a snapshot of older entries."""
+    """Journal in an append-only file, next to a file with a snapshot of compacted entries."""
 
     def __init__(self, *, path: Path) -> None:
         self._path = path
@@ -52,84 +52,84 @@
         self._synced = 0
         self._failure: OSError | None = None
         self._failed = asyncio.Event()
-        # One thread writes, so records reach the file in the order of the calls.
-        self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
+        # A single thread writes, so that records reach the file in the order of the calls.
+        self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
 
     def recover(self) -> Recovered:
-        """Read snapshot and journal back and cut a torn tail."""
+        """Read the snapshot and the journal, and truncate an incomplete last record."""
         data = self._path.read_bytes()
         snapshot = self._recover_snapshot()
         ballot = Ballot(0, None)
         entries: list[Entry] = []
         end = 0
-        for record_end, kind, body in _records(data):
+        for record_end, kind, body in _read_records(data):
             end = record_end
             if kind == _BALLOT:
                 ballot = decode_as(Ballot, body)
                 continue
-            if kind == _BASE:
-                self._check_base(snapshot, decode_as(int, body))
+            if kind == _SNAPSHOT_POSITION:
+                self._check_snapshot(snapshot, decode_as(int, body))
                 continue
             entry = decode_as(Entry, body)
             while entries and entries[-1].position >= entry.position:
                 entries.pop()
             entries.append(entry)
         if end < len(data):
-            self._cut_tail(data, end)
+            self._truncate_tail(data, end)
         os.lseek(self._file, end, os.SEEK_SET)
-        return Recovered(ballot, self._after_snapshot(entries, snapshot), snapshot)
+        return Recovered(ballot, self._entries_after_snapshot(entries, snapshot), snapshot)
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
         self._record(_BALLOT + encode_plain(ballot))
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Record entries; an entry replaces all at its index and after."""
+        """Record entries; an entry replaces those recorded at its index and after."""
         for entry in entries:
             self._record(_ENTRY + encode_plain(entry))
 
     def record_snapshot(
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
     ) -> None:
-        """Record a snapshot, and begin the record anew with a ballot and the later entries."""
-        records = [_framed(_BASE + encode_plain(snapshot.position))]
-        records.append(_framed(_BALLOT + encode_plain(ballot)))
-        records += [_framed(_ENTRY + encode_plain(entry)) for entry in entries]
-        framed = _framed(_SNAPSHOT + encode_plain(snapshot))
-        self._pending.append(_Compaction(framed, b"".join(records)))
+        """Replace the journal by a snapshot, a ballot and the entries after the snapshot."""
+        records = [_encode_record(_SNAPSHOT_POSITION + encode_plain(snapshot.position))]
+        records.append(_encode_record(_BALLOT + encode_plain(ballot)))
+        records += [_encode_record(_ENTRY + encode_plain(entry)) for entry in entries]
+        snapshot_record = _encode_record(_SNAPSHOT + encode_plain(snapshot))
+        self._pending.append(_Compaction(snapshot_record, b"".join(records)))
         self._recorded += 1
 
     async def sync(self) -> None:
-        """Return once everything recorded before the call is on the disk, or raise."""
+        """Wait until everything recorded before the call is on disk; raise if a write failed."""
         recorded = self._recorded
         if self._failure is None and self._synced >= recorded:
             return
         loop = asyncio.get_running_loop()
         try:
-            await loop.run_in_executor(self._disk, self._write_pending)
+            await loop.run_in_executor(self._writer, self._write_pending)
         except OSError as error:
             self._failed.set()
             raise JournalFailed(f"{self._path}: {error}") from error
 
     async def watch(self) -> None:
-        """Wait for a failed write and raise, so that the process stops."""
+        """Wait for a failed write, then raise so that the process stops."""
         await self._failed.wait()
         raise JournalFailed(f"{self._path}: {self._failure}; the process must stop")
 
     def close(self) -> None:
-        """Finish writing and close the file."""
-        self._disk.shutdown()
+        """Wait for running writes and close the file."""
+        self._writer.shutdown()
         os.close(self._file)
 
     def _record(self, body: bytes) -> None:
-        """Put a record behind those that wait to be written."""
-        self._pending.append(_framed(body))
+        """Queue a record for the next sync."""
+        self._pending.append(_encode_record(body))
         self._recorded += 1
 
     def _write_pending(self) -> None:
-        """Append and sync, on the disk's thread, all that is recorded."""
-        # After a failed sync the system may have dropped the pages, and the next sync would
-        # pass without them; so a failure is for good.
+        """Write and sync all queued records, in the writer thread."""
+        # After a failed sync the kernel may have dropped the dirty pages, and a later sync could
+        # succeed without them. So every sync after a failure fails too.
         if self._failure is not None:
             raise self._failure
         records = [self._pending.popleft() for _ in range(len(self._pending))]
@@ -141,7 +141,7 @@
                     case _Compaction():
                         self._compact(record)
                     case _:
-                        write_whole(self._file, record)
+                        write_all(self._file, record)
             os.fdatasync(self._file)
         except OSError as error:
             self._failure = error
@@ -149,67 +149,73 @@
         self._synced += len(records)
 
     def _compact(self, compaction: _Compaction) -> None:
-        """Replace the snapshot, and only then the journal that it makes shorter."""
-        write_synced(self._snapshot_path, compaction.snapshot)
-        write_synced(self._path, compaction.records)
+        """Replace the snapshot, then the journal, so that a crash in between loses no entries."""
+        write_file_atomically(self._snapshot_path, compaction.snapshot)
+        write_file_atomically(self._path, compaction.records)
         os.close(self._file)
         self._file = os.open(self._path, os.O_RDWR | os.O_APPEND)
 
     @property
     def _snapshot_path(self) -> Path:
-        """Return where the snapshot is."""
+        """Return the path of the snapshot."""
         return self._path.with_name("snapshot")
 
     def _recover_snapshot(self) -> LogSnapshot | None:
-        """Return the snapshot, if one was ever taken."""
+        """Return the snapshot, or None if there is no snapshot file."""
         if not self._snapshot_path.exists():
             return None
-        body = _record_at(memoryview(self._snapshot_path.read_bytes()), 0)
+        body = _read_record(memoryview(self._snapshot_path.read_bytes()), 0)
         if body is None:
             raise FolderDamaged(f"{self._snapshot_path} is damaged; replace this replica")
         return decode_as(LogSnapshot, bytes(body[1:]))
 
-    def _check_base(self, snapshot: LogSnapshot | None, position: int) -> None:
-        """Raise when the snapshot doesn't reach as far as the journal needs."""
+    def _check_snapshot(self, snapshot: LogSnapshot | None, position: int) -> None:
+        """Raise FolderDamaged if the snapshot doesn't reach the position the journal needs."""
         if snapshot is None or snapshot.position < position:
-            raise FolderDamaged(f"{self._snapshot_path} is lost; replace this replica")
+            raise FolderDamaged(
+                f"{self._snapshot_path} is missing or too old; replace this replica"
+            )
 
-    def _after_snapshot(
+    def _entries_after_snapshot(
         self, entries: list[Entry], snapshot: LogSnapshot | None
     ) -> tuple[Entry, ...]:
-        """Return the entries that follow the snapshot; raise when some are missing."""
+        """Return the entries after the snapshot; raise FolderDamaged if some are missing."""
         base = snapshot.position if snapshot else 0
-        known = [entry for entry in entries if entry.position <= base]
+        covered = [entry for entry in entries if entry.position <= base]
         later = tuple(entry for entry in entries if entry.position > base)
-        # A crash may have left the journal from before an installed snapshot, which says otherwise.
-        if snapshot and known and (known[-1].position, known[-1].term) != (base, snapshot.term):
+        # After a crash the journal may be older than an installed snapshot and conflict with it.
+        if (
+            snapshot
+            and covered
+            and (covered[-1].position, covered[-1].term) != (base, snapshot.term)
+        ):
             return ()
         if [entry.position for entry in later] != list(range(base + 1, base + 1 + len(later))):
             raise FolderDamaged(f"{self._path} lacks entries after {base}; replace this replica")
         return later
 
-    def _cut_tail(self, data: bytes, end: int) -> None:
-        """Cut a record that a crash left torn; refuse damage before the last record."""
+    def _truncate_tail(self, data: bytes, end: int) -> None:
+        """Truncate an incomplete last record; raise FolderDamaged if the damage is elsewhere."""
         if _has_record_after(data, end):
             raise FolderDamaged(f"{self._path} is damaged at byte {end}; replace this replica")
         os.ftruncate(self._file, end)
         os.fsync(self._file)
 
 
-def write_whole(file: int, data: bytes) -> None:
-    """Write all of the data, also where the system takes a part at a time."""
-    left = memoryview(data)
-    while left:
-        left = left[os.write(file, left) :]
+def write_all(file: int, data: bytes) -> None:
+    """Write all of the data, also if the system call writes only a part at a time."""
+    remaining = memoryview(data)
+    while remaining:
+        remaining = remaining[os.write(file, remaining) :]
 
 
-def _framed(body: bytes) -> bytes:
-    """Return a record with its length and checksum."""
+def _encode_record(body: bytes) -> bytes:
+    """Return a record with its length and checksum in front."""
     return _HEADER.pack(len(body), zlib.crc32(body)) + body
 
 
-def _record_at(data: memoryview, start: int) -> memoryview | None:
-    """Return the body of the whole record that starts here, or None."""
+def _read_record(data: memoryview, start: int) -> memoryview | None:
+    """Return the body of the record at an offset, or None if it isn't complete and valid."""
     if start + _HEADER.size > len(data):
         return None
     length, checksum = _HEADER.unpack_from(data, start)
@@ -219,16 +225,16 @@
     return body if zlib.crc32(body) == checksum else None
 
 
-def _records(data: bytes) -> Iterator[tuple[int, bytes, bytes]]:
-    """Yield the end, kind and body of each whole record up to the first that isn't."""
+def _read_records(data: bytes) -> Iterator[tuple[int, bytes, bytes]]:
+    """Yield the end, kind and body of each valid record, up to the first invalid one."""
     start = 0
-    while (body := _record_at(memoryview(data), start)) is not None:
+    while (body := _read_record(memoryview(data), start)) is not None:
         start += _HEADER.size + len(body)
         yield start, bytes(body[:1]), bytes(body[1:])
 
 
 def _has_record_after(data: bytes, end: int) -> bool:
-    """Return whether a whole record stands behind a damaged one."""
-    # Only the torn last write is searched to its end: elsewhere the next record ends the search.
+    """Return whether a valid record follows a damaged one."""
+    # This reads to the end only after an incomplete last write; otherwise the next record ends it.
     view = memoryview(data)
-    return any(_record_at(view, start) is not None for start in range(end + 1, len(data)))
+    return any(_read_record(view, start) is not None for start in range(end + 1, len(data)))
