--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,1 @@
-"""Specifications of the protocols, small enough to be checked exhaustively."""
+"""Specifications of the protocols, small enough for exhaustive model checking."""
