--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,4 +1,4 @@
-"""Tests of the replica's rules, with journals in memory."""
+"""Tests of the rules of a replica, with an in-memory journal."""
 
 import random
 import unittest
@@ -33,7 +33,7 @@
 from cowslipvane.replica._roles import GONE_AFTER
 from cowslipvane.types import Address, HostName, OperationId, ReplicaId, Version
 
-TIMEOUT = 1.0
+ELECTION_TIMEOUT_S = 1.0
 HOSTS = tuple(HostName(name) for name in "abc")
 A, B, C = HOSTS
 
@@ -44,12 +44,12 @@
 
 
 def member(host: str) -> Voter:
-    """Return a member of the group that has been met."""
+    """Return a member of the group with a known identity."""
     return Voter(HostName(host), Address("127.0.0.1", 1), replica_id(host))
 
 
 class MemoryJournal:
-    """Remembers what was recorded, and how much of it is synced."""
+    """A journal that keeps its records in memory."""
 
     def __init__(self) -> None:
         self.ballots: list[Ballot] = []
@@ -87,7 +87,7 @@
     founders: tuple[Voter, ...] = (),
     compact_after: int = 100,
 ) -> Replica:
-    """Return a replica of three, recovered with entries of some terms."""
+    """Return one of three replicas, recovered with entries of the given terms."""
     entries = tuple(
         Entry(i, entry_term, Noop(), 0.0) for i, entry_term in enumerate(entry_terms, 1)
     )
@@ -97,7 +97,7 @@
         founders=founders or tuple(member(name) for name in HOSTS),
         journal=MemoryJournal(),
         recovered=Recovered(Ballot(term, None), entries),
-        election_timeout=TIMEOUT,
+        election_timeout=ELECTION_TIMEOUT_S,
         rng=random.Random(7),
         now=now,
         compact_after=compact_after,
@@ -105,7 +105,7 @@
 
 
 def elect(replica: Replica, *voters: HostName, now: float) -> None:
-    """Let a replica be elected by itself and others."""
+    """Elect a replica with its own vote and those of others."""
     replica.stand(now)
     for voter in (replica.host, *voters):
         replica.count_vote(VoteReply(term=replica.term, voter=voter, granted=True), now)
@@ -124,29 +124,29 @@
 
 
 def matched(voter: HostName, term: int, index: int) -> AppendReply:
-    """Return the reply of a voter that has the log up to an index."""
+    """Return the reply of a voter whose log matches up to an index."""
     return AppendReply(term=term, voter=voter, matched=True, index=index)
 
 
 class VotingTest(unittest.TestCase):
-    """Who votes for whom, and when."""
+    """Rules for granting and counting votes."""
 
-    def test_a_restarted_voter_is_silent_for_an_election_timeout(self) -> None:
-        """It may have promised a leader, before the restart, to elect nobody else."""
+    def test_a_restarted_voter_grants_no_vote_for_an_election_timeout(self) -> None:
+        """It may have granted a vote lease to a leader before the restart."""
         replica = make_replica(now=10.0)
-        self.assertFalse(replica.consider_vote(vote(1), 10.0 + TIMEOUT * 0.99).granted)
-        self.assertTrue(replica.consider_vote(vote(1), 10.0 + TIMEOUT).granted)
+        self.assertFalse(replica.consider_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S * 0.99).granted)
+        self.assertTrue(replica.consider_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S).granted)
 
-    def test_a_voter_that_forgot_its_leader_still_keeps_its_promise(self) -> None:
-        """A later term learnt from a reply frees no voter."""
+    def test_a_later_term_in_a_reply_does_not_end_the_vote_lease(self) -> None:
+        """The voter no longer knows its leader, but the leader still relies on the lease."""
         replica = make_replica()
         replica.consider_append(heartbeat(1), 5.0)
         replica.count_vote(VoteReply(term=4, voter=C, granted=False), 5.1)
-        self.assertFalse(replica.consider_vote(vote(5), 5.0 + TIMEOUT * 0.99).granted)
-        self.assertTrue(replica.consider_vote(vote(5), 5.0 + TIMEOUT).granted)
+        self.assertFalse(replica.consider_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S * 0.99).granted)
+        self.assertTrue(replica.consider_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S).granted)
 
-    def test_a_leader_in_contact_is_not_deposed_by_a_candidate(self) -> None:
-        """Neither its vote nor its term changes."""
+    def test_a_leader_in_contact_with_a_quorum_ignores_vote_requests(self) -> None:
+        """Its vote and its term stay as they are."""
         replica = make_replica()
         elect(replica, B, now=2.0)
         replica.count_append(matched(B, 1, 1), sent_at=4.0)
@@ -155,19 +155,21 @@
         )
         self.assertEqual((replica.term, type(replica.role)), (1, Leader))
 
-    def test_a_pre_vote_changes_nothing_and_needs_silence_and_a_whole_log(self) -> None:
-        """A replica that comes back disturbs no healthy leader."""
+    def test_a_pre_vote_changes_no_state_and_needs_an_expired_lease_and_a_complete_log(
+        self,
+    ) -> None:
+        """A replica that rejoins doesn't disturb a leader in contact with its voters."""
         replica = make_replica(term=3, entry_terms=(1, 3))
         replica.consider_append(heartbeat(3), 5.0)
-        ask = PreVote(term=9, candidate=C, last_index=2, last_term=3)
-        self.assertFalse(replica.consider_pre_vote(ask, 5.5).granted)
-        self.assertTrue(replica.consider_pre_vote(ask, 6.0).granted)
-        behind = PreVote(term=9, candidate=C, last_index=9, last_term=2)
-        self.assertFalse(replica.consider_pre_vote(behind, 6.0).granted)
+        pre_vote_request = PreVote(term=9, candidate=C, last_index=2, last_term=3)
+        self.assertFalse(replica.consider_pre_vote(pre_vote_request, 5.5).granted)
+        self.assertTrue(replica.consider_pre_vote(pre_vote_request, 6.0).granted)
+        outdated = PreVote(term=9, candidate=C, last_index=9, last_term=2)
+        self.assertFalse(replica.consider_pre_vote(outdated, 6.0).granted)
         self.assertEqual((replica.term, replica.leader), (3, B))
 
-    def test_a_canvass_keeps_the_term_until_a_majority_is_willing(self) -> None:
-        """Only then does the replica stand."""
+    def test_pre_votes_keep_the_term_until_a_majority_grants_them(self) -> None:
+        """The election starts only with a majority of pre-votes."""
         replica = make_replica(term=3)
         replica.canvass(2.0)
         refused = PreVoteReply(term=3, proposed=4, voter=B, granted=False)
@@ -176,16 +178,16 @@
         replica.count_pre_vote(PreVoteReply(term=3, proposed=4, voter=C, granted=True), 2.0)
         self.assertEqual((replica.term, type(replica.role)), (4, Candidate))
 
-    def test_a_candidate_asks_for_votes_only_after_its_own_ballot_is_synced(self) -> None:
-        """Else a crash could make it stand twice in one term."""
+    def test_a_candidate_requests_votes_only_after_its_own_ballot_is_synced(self) -> None:
+        """Otherwise a crash could make it a candidate twice in one term."""
         replica = make_replica()
         replica.stand(2.0)
         self.assertIsNone(replica.vote_for(B))
         replica.count_own_vote(1, 2.0)
         self.assertIsInstance(replica.vote_for(B), Vote)
 
-    def test_a_vote_of_an_older_term_or_of_a_stranger_counts_nothing(self) -> None:
-        """Late replies don't elect."""
+    def test_a_vote_of_an_older_term_or_of_a_non_member_is_not_counted(self) -> None:
+        """Late replies and replies from outside the group elect no leader."""
         replica = make_replica()
         replica.stand(2.0)
         replica.stand(3.0)
@@ -198,29 +200,29 @@
 
 
 class HandOverTest(unittest.TestCase):
-    """How a leader that is stopping lets another one lead."""
+    """Transfer of leadership from a stopping leader to another voter."""
 
     def setUp(self) -> None:
-        """Let a leader of term 1 have a voter that holds its log, and one that lags."""
+        """Elect a leader in term 1, whose own log is synced."""
         self.leader = make_replica()
         elect(self.leader, B, now=2.0)
         self.leader.count_synced(1)
 
     def follower(self, host: HostName) -> Replica:
-        """Return a voter that has just heard the leader."""
+        """Return a voter that has just received a message from the leader."""
         replica = make_replica(host, now=-9.0)
         append = self.leader.append_for(host)
         assert isinstance(append, Append)
         replica.consider_append(append, 2.4)
         return replica
 
-    def test_a_voter_that_holds_everything_is_elected_at_once(self) -> None:
-        """The others needn't wait for the end of the lease, since it is given up."""
+    def test_a_voter_with_the_complete_log_is_elected_at_once(self) -> None:
+        """The others need not wait for the lease to expire, since the leader released it."""
         successor, other = self.follower(B), self.follower(C)
         self.leader.count_append(matched(B, 1, 1), sent_at=2.4)
         self.assertTrue(self.leader.holds_lease(2.5))
-        told = self.leader.hand_over(2.5)
-        self.assertEqual(told and told.host, B)
+        chosen = self.leader.hand_over(2.5)
+        self.assertEqual(chosen and chosen.host, B)
         self.assertFalse(self.leader.holds_lease(2.5))
         self.assertTrue(successor.take_over(TakeOver(term=1), 2.5))
         successor.count_own_vote(2, 2.5)
@@ -229,31 +231,31 @@
         successor.count_vote(other.consider_vote(request, 2.5), 2.5)
         self.assertIsInstance(successor.role, Leader)
 
-    def test_an_election_that_nobody_asked_for_waits_for_the_lease(self) -> None:
-        """A candidate of its own accord frees no voter."""
+    def test_an_election_without_a_hand_over_waits_for_the_lease(self) -> None:
+        """A vote that isn't released is refused while the vote lease is valid."""
         voter = self.follower(C)
         request = vote(2, index=1, last_term=1)
         self.assertFalse(voter.consider_vote(request, 2.5).granted)
 
-    def test_a_released_vote_of_a_term_that_has_its_leader_frees_nobody(self) -> None:
-        """Only leaders of earlier terms have given up their leases."""
+    def test_a_released_vote_of_the_leaders_own_term_is_refused(self) -> None:
+        """Only leaders of earlier terms have released their leases."""
         voter = self.follower(C)
         late = Vote(term=1, candidate=B, last_index=9, last_term=1, released=True)
         self.assertFalse(voter.consider_vote(late, 2.5).granted)
 
-    def test_a_leader_whose_log_nobody_holds_goes_on(self) -> None:
-        """Its last entries may be nowhere else."""
+    def test_a_leader_with_no_up_to_date_voter_keeps_leading(self) -> None:
+        """Its last entries may exist on no other replica."""
         self.assertIsNone(self.leader.hand_over(2.5))
         self.assertIsInstance(self.leader.role, Leader)
 
-    def test_a_retiring_leader_takes_no_change(self) -> None:
-        """Else the voters might never have caught up with it."""
+    def test_a_stopping_leader_accepts_no_change(self) -> None:
+        """Otherwise the voters might never catch up with its log."""
         self.leader.retire()
         change = Change(OperationId("o"), Version(0), ())
         self.assertIsNone(self.leader.propose(change, stamped_at=2.5))
 
     def test_a_late_request_to_take_over_changes_nothing(self) -> None:
-        """Another leader may lead by now."""
+        """Another leader may have been elected meanwhile."""
         replica = self.follower(B)
         replica.consider_append(heartbeat(3, leader=C), 2.6)
         self.assertFalse(replica.take_over(TakeOver(term=1), 2.7))
@@ -261,34 +263,34 @@
 
 
 class RestartTest(unittest.TestCase):
-    """A group whose processes have all restarted, within the time of their old promises."""
+    """A group whose processes all restarted while their vote leases are still valid."""
 
     def setUp(self) -> None:
-        """Start three replicas at one moment."""
+        """Start three replicas at the same time."""
         self.replicas = {host: make_replica(host, now=10.0, term=4) for host in HOSTS}
         self.replicas[A].canvass(10.1)
 
-    def ask(self, voter: HostName, now: float = 10.1) -> PreVoteReply:
-        """Ask a voter for its pre-vote, and let the first replica count it."""
+    def request_pre_vote(self, voter: HostName, now: float = 10.1) -> PreVoteReply:
+        """Request a voter's pre-vote, and pass the reply to the first replica."""
         request = self.replicas[A].vote_for(voter)
         assert isinstance(request, PreVote)
         reply = self.replicas[voter].consider_pre_vote(request, now)
         self.replicas[A].count_pre_vote(reply, now)
         return reply
 
-    def test_all_that_started_elect_at_once(self) -> None:
-        """Nobody leads, so that no promise binds anybody to a lease."""
-        self.assertFalse(self.ask(B).granted)
+    def test_restarted_replicas_elect_a_leader_without_waiting(self) -> None:
+        """There is no leader, so no vote lease has to be kept."""
+        self.assertFalse(self.request_pre_vote(B).granted)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
-        self.ask(C)
+        self.request_pre_vote(C)
         self.replicas[A].count_own_vote(5, 10.1)
         request = self.replicas[A].vote_for(B)
         assert isinstance(request, Vote)
         self.replicas[A].count_vote(self.replicas[B].consider_vote(request, 10.1), 10.1)
         self.assertIsInstance(self.replicas[A].role, Leader)
 
-    def test_one_stands_first_though_all_find_out_at_once(self) -> None:
-        """The other one stands a moment later, should the first not lead by then."""
+    def test_only_the_preferred_replica_starts_an_election_at_first(self) -> None:
+        """Another one starts an election later, if there is no leader by then."""
         second = self.replicas[B]
         second.canvass(10.1)
         for now in (10.1, 10.2):
@@ -301,53 +303,53 @@
                 self.assertLessEqual(second.election_at, 10.2)
                 second.canvass(10.2)
 
-    def test_one_that_is_not_heard_may_lead(self) -> None:
-        """The promises hold until their time is over."""
-        self.ask(B)
+    def test_a_voter_that_does_not_reply_may_be_the_leader(self) -> None:
+        """The vote leases are kept until they expire."""
+        self.request_pre_vote(B)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
         self.assertFalse(self.replicas[B].consider_vote(vote(5, candidate=A), 10.2).granted)
 
-    def test_a_voter_that_knows_a_leader_is_not_idle(self) -> None:
-        """It has heard it since its start."""
+    def test_a_voter_that_follows_a_leader_is_not_idle(self) -> None:
+        """It received a message from the leader after its start."""
         self.replicas[B].consider_append(heartbeat(4, leader=C), 10.05)
-        self.assertFalse(self.ask(B).idle)
+        self.assertFalse(self.request_pre_vote(B).idle)
 
     def test_a_leader_is_not_idle(self) -> None:
-        """It is asked like any other voter."""
+        """It replies to pre-votes like any other voter."""
         self.replicas[C] = make_replica(C, term=3)
         elect(self.replicas[C], B, now=10.0)
-        self.assertFalse(self.ask(C).idle)
+        self.assertFalse(self.request_pre_vote(C).idle)
 
-    def test_a_voter_in_an_earlier_term_is_not_counted(self) -> None:
-        """It could still be elected in that term, and hold a lease of it."""
+    def test_an_idle_voter_in_an_earlier_term_is_not_counted(self) -> None:
+        """It could still be elected in that term and hold a lease."""
         self.replicas[B] = make_replica(B, now=10.0, term=3)
-        self.assertTrue(self.ask(B).idle)
-        self.ask(C)
+        self.assertTrue(self.request_pre_vote(B).idle)
+        self.request_pre_vote(C)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
 
-    def test_another_identity_in_place_of_a_voter_shows_that_it_is_gone(self) -> None:
-        """A lost disk doesn't hold the others up."""
-        self.ask(B)
+    def test_a_voter_replaced_by_another_identity_counts_as_idle(self) -> None:
+        """A lost disk doesn't delay the election of the others."""
+        self.request_pre_vote(B)
         self.replicas[A].count_absent(C, 10.1)
         self.assertIsInstance(self.replicas[A].role, Candidate)
 
-    def test_a_replica_that_has_restarted_keeps_its_own_promise(self) -> None:
-        """One willing voter and itself are no majority, as long as it may be bound to a leader."""
+    def test_a_restarted_replica_does_not_count_its_own_pre_vote(self) -> None:
+        """It may have granted a vote lease, so one granted pre-vote is no majority."""
         self.replicas[B] = make_replica(B, now=-9.0, term=4)
-        self.assertTrue(self.ask(B).granted)
+        self.assertTrue(self.request_pre_vote(B).granted)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
 
 
 class LeadingTest(unittest.TestCase):
-    """What a leader commits, and for how long it may answer as one."""
+    """What a leader commits, and how long its lease is valid."""
 
     def setUp(self) -> None:
-        """Elect a leader in term 3 whose log ends in an entry of term 2."""
+        """Elect a leader in term 3 whose older entries are of terms 1 and 2."""
         self.replica = make_replica(term=2, entry_terms=(1, 2))
         elect(self.replica, B, now=10.0)
 
-    def test_entries_of_an_older_term_commit_only_under_one_of_this_term(self) -> None:
-        """A majority that has an old entry isn't enough."""
+    def test_entries_of_an_older_term_commit_only_with_one_of_this_term(self) -> None:
+        """It isn't enough that a majority has synced the old entry."""
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 3, 2), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
@@ -355,31 +357,31 @@
         self.assertEqual(self.replica.commit, 3)
 
     def test_the_leaders_own_entry_counts_only_when_synced(self) -> None:
-        """One voter and an unsynced leader are no majority."""
+        """One voter and a leader with an unsynced log are no majority."""
         self.replica.count_append(matched(B, 3, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
 
-    def test_a_reply_of_an_older_term_counts_nothing(self) -> None:
-        """What a voter had then it may have lost since."""
+    def test_a_reply_of_an_older_term_is_ignored(self) -> None:
+        """The voter may have lost since what it had synced then."""
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 2, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
         self.assertFalse(self.replica.holds_lease(10.0))
 
-    def test_only_who_hears_a_leader_is_current(self) -> None:
-        """A start is no sign of one, and neither is a leader without a quorum."""
+    def test_only_a_replica_in_contact_with_a_leader_is_current(self) -> None:
+        """A replica that just started isn't, and neither is a leader without a quorum."""
         voter = make_replica(B, now=20.0)
         self.assertFalse(voter.is_current(20.0))
         voter.consider_append(heartbeat(3, leader=A), 20.0)
-        self.assertTrue(voter.is_current(20.0 + TIMEOUT * 0.9))
-        self.assertFalse(voter.is_current(20.0 + TIMEOUT * 1.1))
+        self.assertTrue(voter.is_current(20.0 + ELECTION_TIMEOUT_S * 0.9))
+        self.assertFalse(voter.is_current(20.0 + ELECTION_TIMEOUT_S * 1.1))
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
         self.assertTrue(self.replica.is_current(20.5))
-        self.assertFalse(self.replica.is_current(20.0 + TIMEOUT * 1.1))
+        self.assertFalse(self.replica.is_current(20.0 + ELECTION_TIMEOUT_S * 1.1))
 
     def test_the_lease_ends_before_a_voter_may_elect_another(self) -> None:
-        """The bound is counted from the sending of the last answered message."""
+        """The lease starts when the leader sends a message, not when the reply arrives."""
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
         voter = make_replica(B)
@@ -394,10 +396,10 @@
                 PreVote(term=9, candidate=C, last_index=9, last_term=9), now
             ).granted
         ]
-        self.assertLess(max(leased), min(electing) - TIMEOUT * 0.05)
+        self.assertLess(max(leased), min(electing) - ELECTION_TIMEOUT_S * 0.05)
 
     def test_a_leader_without_a_quorum_steps_down(self) -> None:
-        """It names no leader, and takes no change."""
+        """It reports no leader and accepts no change."""
         self.replica.count_append(matched(B, 3, 3), sent_at=10.5)
         self.assertFalse(self.replica.check_contact(11.4))
         self.assertTrue(self.replica.check_contact(11.5))
@@ -405,8 +407,8 @@
         change = Change(OperationId("x"), Version(0), ())
         self.assertIsNone(self.replica.propose(change, stamped_at=0.0))
 
-    def test_a_change_is_accepted_when_a_majority_has_it(self) -> None:
-        """The outcome is known from the commit on."""
+    def test_a_change_is_accepted_once_a_majority_has_synced_it(self) -> None:
+        """Its outcome is known from the commit on."""
         change = Change(OperationId("x"), Version(0), ((Key("service", "s"), Service()),))
         index = self.replica.propose(change, stamped_at=5.0)
         assert index is not None
@@ -420,10 +422,10 @@
 
 
 class FollowingTest(unittest.TestCase):
-    """How a log that differs is mended."""
+    """Repair of a follower's log that conflicts with the leader's."""
 
-    def test_a_conflicting_term_is_skipped_at_once(self) -> None:
-        """Three rounds mend a log that differs in two terms, and nothing matched is resent."""
+    def test_a_conflicting_term_is_skipped_in_one_round(self) -> None:
+        """Three rounds repair a log that differs in two terms, and no matched entry is resent."""
         leader = make_replica(A, term=8, entry_terms=(1, 1, 5, 6, 6, 6))
         follower = make_replica(B, term=4, entry_terms=(1, 1, 2, 2, 3, 3, 4))
         elect(leader, C, now=10.0)
@@ -437,8 +439,8 @@
         leader.count_synced(7)
         self.assertEqual(leader.commit, 7)
 
-    def test_a_late_refusal_does_not_take_back_what_matched(self) -> None:
-        """Refusals that cross an acknowledgement are harmless."""
+    def test_a_late_mismatch_reply_does_not_reset_the_matched_index(self) -> None:
+        """A mismatch reply may arrive after an acknowledgement that was sent later."""
         leader = make_replica(A, term=8, entry_terms=(1, 1))
         elect(leader, C, now=10.0)
         leader.count_append(matched(B, 9, 3), sent_at=10.0)
@@ -455,10 +457,10 @@
 
 
 class CommitTest(unittest.TestCase):
-    """How members learn of what is committed."""
+    """How members learn the commit index."""
 
-    def test_a_member_is_told_of_a_commit_that_another_member_made(self) -> None:
-        """It lacks no entry, but it can't apply what it doesn't know to be committed."""
+    def test_a_member_receives_a_commit_index_that_another_members_reply_advanced(self) -> None:
+        """It lacks no entry, but it can't apply entries before it knows that they are committed."""
         leader = make_replica()
         elect(leader, B, now=2.0)
         leader.count_synced(leader.last_index)
@@ -476,7 +478,7 @@
 
 
 def leader_of_changes(count: int, *, compact_after: int) -> Replica:
-    """Return a leader that has accepted some changes, with one follower's help."""
+    """Return a leader that has committed some changes with one follower."""
     leader = make_replica(compact_after=compact_after)
     elect(leader, B, now=10.0)
     for number in range(count):
@@ -488,7 +490,7 @@
 
 
 def snapshot_for(leader: Replica, follower: HostName) -> Install:
-    """Return what a leader sends to a follower whose log is empty."""
+    """Return the snapshot that a leader sends to a follower with an empty log."""
     refusal = AppendReply(term=1, voter=follower, matched=False, index=0)
     leader.count_append(refusal, sent_at=10.0)
     install = leader.append_for(follower)
@@ -497,10 +499,10 @@
 
 
 class CompactionTest(unittest.TestCase):
-    """A snapshot stands in for the entries that it covers."""
+    """A snapshot replaces the entries that it covers."""
 
-    def test_a_follower_too_far_behind_gets_a_snapshot_and_the_rest(self) -> None:
-        """It answers a resent operation as the leader does, and counts towards the majority."""
+    def test_a_follower_too_far_behind_gets_a_snapshot_and_the_later_entries(self) -> None:
+        """It then returns the same outcome for a resent operation as the leader."""
         leader = leader_of_changes(12, compact_after=10)
         follower = make_replica(C)
         install = snapshot_for(leader, C)
@@ -513,8 +515,8 @@
         self.assertEqual(again, Accepted(version=Version(4), accepted_at=3.0))
         self.assertEqual((follower.commit, follower.group), (leader.commit, leader.group))
 
-    def test_an_older_snapshot_takes_nothing_back(self) -> None:
-        """A snapshot that arrives late is acknowledged and left."""
+    def test_an_older_snapshot_is_ignored(self) -> None:
+        """A snapshot that arrives late is acknowledged but not installed."""
         leader = leader_of_changes(12, compact_after=5)
         old = snapshot_for(leader_of_changes(6, compact_after=5), C)
         new = snapshot_for(leader, C)
@@ -524,40 +526,40 @@
         self.assertTrue(reply.matched)
         self.assertEqual(follower.catalogue.version, leader.catalogue.version)
 
-    def test_a_snapshot_replaces_a_log_that_differs(self) -> None:
-        """Entries behind it stay only where the log leads through it."""
+    def test_a_snapshot_replaces_a_conflicting_log(self) -> None:
+        """Entries after the snapshot are kept only if the log matches its term."""
         leader = leader_of_changes(12, compact_after=10)
         install = snapshot_for(leader, C)
-        differs = make_replica(C, entry_terms=(0,) * 20)
-        differs.consider_install(install, 10.0)
-        self.assertEqual(differs.last_index, install.snapshot.position)
+        conflicting = make_replica(C, entry_terms=(0,) * 20)
+        conflicting.consider_install(install, 10.0)
+        self.assertEqual(conflicting.last_index, install.snapshot.position)
         same = make_replica(C, entry_terms=(1,) * 20)
         same.consider_install(install, 10.0)
         self.assertEqual(same.last_index, 20)
 
 
 class GroupTest(unittest.TestCase):
-    """Changes of the group, one at a time."""
+    """Changes of the group, of which only one may be uncommitted."""
 
     def setUp(self) -> None:
         """Elect a leader with one committed entry of its term."""
         self.leader = leader_of_changes(1, compact_after=100)
 
-    def regroup(self, change: GroupChange) -> int | GroupRefused:
-        """Ask the leader for a change of the group."""
+    def change_group(self, change: GroupChange) -> int | GroupRefused:
+        """Request a group change from the leader."""
         return self.leader.regroup(change, stamped_at=0.0)
 
     def ack(self, *hosts: str) -> None:
-        """Let the leader and some hosts have synced everything."""
+        """Record that the leader and some hosts have synced the whole log."""
         index = self.leader.last_index
         self.leader.count_synced(index)
         for host in hosts:
             self.leader.append_for(HostName(host))
             self.leader.count_append(matched(HostName(host), 1, index), sent_at=10.0)
 
-    def test_a_learner_counts_only_once_it_has_everything(self) -> None:
-        """Its acknowledgement makes no majority before, and it is promoted then."""
-        self.regroup(Add(learner=member("d")))
+    def test_a_learner_counts_only_after_its_promotion(self) -> None:
+        """Its acknowledgements commit nothing before; it is promoted once it has caught up."""
+        self.change_group(Add(learner=member("d")))
         committed = self.leader.commit
         self.ack("d")
         self.assertEqual(self.leader.commit, committed)
@@ -568,16 +570,16 @@
         self.assertEqual([voter.host for voter in self.leader.group.voters], [*HOSTS, "d"])
 
     def test_a_learner_that_lacks_entries_is_not_promoted(self) -> None:
-        """Being a member is not enough."""
-        self.regroup(Add(learner=member("d")))
+        """Membership alone isn't enough."""
+        self.change_group(Add(learner=member("d")))
         self.ack("b")
         self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
 
-    def test_a_voter_that_is_gone_is_taken_out_once_a_newcomer_votes(self) -> None:
-        """A machine was replaced by another: one more loss would else stop the group."""
+    def test_an_unreachable_voter_is_removed_once_its_replacement_votes(self) -> None:
+        """If it stayed in the group, one more loss would leave no majority."""
         soon, late = 10.0 + GONE_AFTER / 2, 10.0 + GONE_AFTER
         self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=late))
-        self.regroup(Add(learner=member("d")))
+        self.change_group(Add(learner=member("d")))
         self.ack("b", "d")
         self.leader.tend_group(stamped_at=0.0, now=soon)
         self.ack("b", "d")
@@ -589,25 +591,25 @@
         self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=late))
         self.assertEqual([voter.host for voter in self.leader.group.voters], [A, B, "d"])
 
-    def test_a_second_change_waits_for_the_first(self) -> None:
-        """Two at once could have quorums without a common member."""
-        self.assertIsInstance(self.regroup(Remove(host=C)), int)
-        self.assertIsInstance(self.regroup(Add(learner=member("d"))), GroupRefused)
+    def test_a_second_group_change_is_refused_until_the_first_is_committed(self) -> None:
+        """Two uncommitted changes could have quorums without a common member."""
+        self.assertIsInstance(self.change_group(Remove(host=C)), int)
+        self.assertIsInstance(self.change_group(Add(learner=member("d"))), GroupRefused)
         self.ack("b")
-        self.assertIsInstance(self.regroup(Add(learner=member("d"))), int)
+        self.assertIsInstance(self.change_group(Add(learner=member("d"))), int)
 
-    def test_a_new_leader_changes_nothing_before_it_has_committed(self) -> None:
-        """It can't know yet which group stands."""
+    def test_a_new_leader_refuses_group_changes_before_its_first_commit(self) -> None:
+        """It can't know yet which group is committed."""
         leader = make_replica()
         elect(leader, B, now=10.0)
         refused = leader.regroup(Remove(host=C), stamped_at=0.0)
         self.assertIsInstance(refused, GroupRefused)
 
-    def test_a_replaced_disk_is_a_new_identity_that_has_synced_nothing(self) -> None:
-        """What the former identity on the host had acknowledged counts no more."""
+    def test_a_replaced_disk_has_a_new_identity_that_has_synced_nothing(self) -> None:
+        """Acknowledgements of the former identity on the host no longer count."""
         self.ack("b", "c")
         new = member("c")._replace(replica_id=ReplicaId("new"))
-        self.regroup(Replace(learner=new))
+        self.change_group(Replace(learner=new))
         self.ack("b")
         self.assertFalse(self.leader.recognizes(C, replica_id(C)))
         self.assertTrue(self.leader.recognizes(C, ReplicaId("new")))
@@ -620,14 +622,14 @@
         self.ack("c")
         self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
 
-    def test_a_replica_under_a_foreign_identity_never_stands(self) -> None:
-        """A disk that happens to be empty isn't the voter that was on its host."""
-        replica = make_replica(own_id=ReplicaId("foreign"))
+    def test_a_replica_with_an_unknown_identity_never_starts_an_election(self) -> None:
+        """A host with a new disk isn't the voter that the group knows."""
+        replica = make_replica(own_id=ReplicaId("unknown"))
         replica.canvass(5.0)
         self.assertIsInstance(replica.role, Follower)
 
     def test_founders_count_only_once_their_identity_is_in_the_log(self) -> None:
-        """The first entry of a new group binds those that were met."""
+        """The first group entry records the identities of those that have connected."""
         founders = tuple(member(host)._replace(replica_id=ReplicaId("")) for host in HOSTS)
         leader = make_replica(founders=founders)
         elect(leader, B, now=10.0)
@@ -643,9 +645,9 @@
         self.assertEqual(leader.commit, index)
         self.assertEqual([voter.replica_id for voter in leader.group.voters], ["id-a", "id-b", ""])
 
-    def test_a_truncated_change_of_the_group_is_undone(self) -> None:
-        """The group in force is the one that the log names last."""
-        self.regroup(Remove(host=C))
+    def test_a_truncated_group_change_is_undone(self) -> None:
+        """The group in force is the last one in the log."""
+        self.change_group(Remove(host=C))
         self.assertEqual(len(self.leader.group.voters), 2)
         index = self.leader.last_index
         entry = Entry(index, 2, Noop(), 0.0)
@@ -655,9 +657,9 @@
         self.leader.consider_append(other, 20.0)
         self.assertEqual(len(self.leader.group.voters), 3)
 
-    def test_a_leader_that_is_removed_steps_down_when_that_is_committed(self) -> None:
-        """Until then it leads the change."""
-        self.regroup(Remove(host=A))
+    def test_a_removed_leader_steps_down_once_its_removal_is_committed(self) -> None:
+        """Until then it replicates the change."""
+        self.change_group(Remove(host=A))
         self.assertFalse(self.leader.check_contact(10.1))
         self.ack("b", "c")
         self.assertTrue(self.leader.check_contact(10.1))
