--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -1,4 +1,4 @@
-"""Tests of compaction over real processes."""
+"""Tests of log compaction with real processes."""
 
 import asyncio
 from typing import Any
@@ -9,11 +9,11 @@
 from tools.fleet import START_TIMEOUT_S
 
 OPERATORS = 30
-ROUNDS = COMPACT_AFTER_ENTRIES // OPERATORS + 2
+CHANGES_PER_OPERATOR = COMPACT_AFTER_ENTRIES // OPERATORS + 2
 
 
-def form(operator: int, number: int, based_on: int) -> dict[str, Any]:
-    """Return an operator's change of a resource of its own."""
+def change_form(operator: int, number: int, based_on: int) -> dict[str, Any]:
+    """Return a change by an operator to its own resource."""
     spec = {"max_body_bytes": number}
     resource = {"kind": "traffic-policy", "name": f"t{operator}", "spec": spec}
     name = f"op-{operator}-{number}"
@@ -21,25 +21,25 @@
 
 
 class CompactionTest(HistoryTest):
-    """A log that grows past a snapshot while a follower is down."""
+    """Compaction of the log while a follower is down."""
 
-    async def grow(self, client: Client, operator: int) -> dict[str, Any]:
-        """Send changes one after another, and return the answer to the first."""
-        first = answer = await client.change(form(operator, 0, 0))
-        for number in range(1, ROUNDS):
-            answer = await client.change(form(operator, number, answer["version"]))
-            self.assertEqual(answer["outcome"], "accepted")
-        return first
+    async def send_changes(self, client: Client, operator: int) -> dict[str, Any]:
+        """Send changes one after another, and return the response to the first."""
+        first_response = response = await client.change(change_form(operator, 0, 0))
+        for number in range(1, CHANGES_PER_OPERATOR):
+            response = await client.change(change_form(operator, number, response["version"]))
+            self.assertEqual(response["outcome"], "accepted")
+        return first_response
 
     async def until_snapshot(self, host: str) -> None:
-        """Wait until a replica has a snapshot on its disk."""
+        """Wait until a replica has a snapshot on disk."""
         while True:
             if (self.fleet.folder / f"{host}.data" / "snapshot").exists():
                 return
             await asyncio.sleep(0.05)
 
     async def until_accepted(self, host: str, version: int) -> None:
-        """Wait until a replica has a version in its own catalogue."""
+        """Wait until a replica has accepted a version in its own catalogue."""
         async with Client(servers=(self.fleet.address(host, "operators"),)) as client:
             while True:
                 try:
@@ -49,30 +49,32 @@
                     pass
                 await asyncio.sleep(0.05)
 
-    async def test_a_follower_that_missed_a_compaction_leads_later_without_loss(self) -> None:
-        """Resources and the answers to old operations come with the snapshot."""
+    async def test_a_follower_down_during_compaction_can_later_lead_without_loss(self) -> None:
+        """The snapshot includes the resources and the outcomes of old operations."""
         leader = await self.leader()
-        away, other = sorted(set(self.fleet.replicas) - {leader})
-        self.fleet.kill_daemon(away)
+        restarted, other = sorted(set(self.fleet.replicas) - {leader})
+        self.fleet.kill_daemon(restarted)
         async with self.fleet.client() as client:
-            firsts = await asyncio.gather(*(self.grow(client, n) for n in range(OPERATORS)))
+            first_responses = await asyncio.gather(
+                *(self.send_changes(client, n) for n in range(OPERATORS))
+            )
             before = await client.resources()
-            self.fleet.start_daemon(away)
-            await client.change(form(0, ROUNDS, before["version"]))
+            self.fleet.start_daemon(restarted)
+            await client.change(change_form(0, CHANGES_PER_OPERATOR, before["version"]))
             async with asyncio.timeout(START_TIMEOUT_S):
                 await self.until_snapshot(leader)
-                await self.until_accepted(away, before["version"] + 1)
-            # Without the other one's log, the group stands on what is in the two data folders.
-            for host in (other, leader, away):
+                await self.until_accepted(restarted, before["version"] + 1)
+            # Without the third replica, the group depends on the data folders of these two.
+            for host in (other, leader, restarted):
                 self.fleet.kill_daemon(host)
             self.fleet.start_daemon(leader)
-            self.fleet.start_daemon(away)
+            self.fleet.start_daemon(restarted)
             await self.leader()
-            for operator, first in enumerate(firsts):
-                self.assertEqual(await client.change(form(operator, 0, 0)), first)
+            for operator, first_response in enumerate(first_responses):
+                self.assertEqual(await client.change(change_form(operator, 0, 0)), first_response)
             after = await client.resources()
         self.assertEqual(after["version"], before["version"] + 1)
-        # Where a version is in force is no part of the state, and the proxies report it anew.
+        # The status is no part of the replicated state; proxies report it again after a restart.
         for item in before["resources"] + after["resources"]:
             del item["status"]
         changed = [item for item in before["resources"] if item not in after["resources"]]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,4 +1,4 @@
-"""A seeded history: calls under kills and freezes, checked against the workers' ledgers."""
+"""Test of the verdicts of calls under faults, checked against the workers' ledgers."""
 
 import asyncio
 import random
@@ -10,15 +10,15 @@
 
 SEED = 5
 FAULTS = ("kill proxy", "freeze proxy", "freeze worker", "kill worker", "kill both")
-ROUNDS = 8
-CALLERS = 8
+FAULT_COUNT = 8
+CALLER_COUNT = 8
 
 
-class HistoryTest(test_leaving.LoadedTest):
-    """What callers are told while proxies and workers are killed and frozen."""
+class VerdictTest(test_leaving.LoadedTest):
+    """Verdicts that callers receive while proxies and workers are killed and frozen."""
 
-    async def fail_one(self, rng: random.Random) -> None:
-        """Kill or freeze one process, and let it come back."""
+    async def inject_fault(self, rng: random.Random) -> None:
+        """Kill or freeze a random process, then restart or continue it."""
         host = rng.choice(test_leaving.HOSTS)
         match rng.choice(FAULTS):
             case "kill proxy":
@@ -40,23 +40,29 @@
                 self.fleet.start_daemon(host)
                 self.fleet.start_worker(host)
 
-    async def test_no_verdict_is_untrue(self) -> None:
-        """Nothing is doubled, and nothing that ran is called not run."""
+    async def test_every_verdict_is_correct(self) -> None:
+        """No request runs twice, and none that ran has the verdict "not run"."""
         rng = random.Random(SEED)
-        callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
-        for _ in range(ROUNDS):
+        callers = [asyncio.create_task(self.load(name)) for name in range(CALLER_COUNT)]
+        for _ in range(FAULT_COUNT):
             await asyncio.sleep(rng.uniform(0.3, 1.0))
-            await self.fail_one(rng)
+            await self.inject_fault(rng)
         self.stop.set()
         await asyncio.gather(*callers)
-        ran = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
-        served = [told for told in self.told if told.status == 200]
-        self.assertGreater(len(served), 100)
-        self.assertEqual([mark for mark, count in ran.items() if count > 1], [])
-        self.assertEqual([told for told in served if not ran[told.mark]], [])
-        self.assertEqual([told for told in served if told.verdict != "ran"], [])
-        untrue = [told for told in self.told if told.verdict == "not run" and ran[told.mark]]
-        self.assertEqual(untrue, [])
+        runs_by_mark = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
+        successful = [response for response in self.told if response.status == 200]
+        self.assertGreater(len(successful), 100)
+        self.assertEqual([mark for mark, count in runs_by_mark.items() if count > 1], [])
+        self.assertEqual(
+            [response for response in successful if not runs_by_mark[response.mark]], []
+        )
+        self.assertEqual([response for response in successful if response.verdict != "ran"], [])
+        incorrect = [
+            response
+            for response in self.told
+            if response.verdict == "not run" and runs_by_mark[response.mark]
+        ]
+        self.assertEqual(incorrect, [])
 
 
 if __name__ == "__main__":
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,4 @@
-"""Tests of the journal on a real file system, with faults put into the system calls."""
+"""Tests of the journal on a real file system, with injected system call failures."""
 
 import asyncio
 import os
@@ -20,7 +20,7 @@
 
 
 class JournalTest(unittest.IsolatedAsyncioTestCase):
-    """What a crash or a bad disk leaves is cut, told, or fatal."""
+    """Recovery after a crash, and detection of damage and disk failures."""
 
     async def asyncSetUp(self) -> None:
         """Write a ballot and some entries."""
@@ -38,33 +38,33 @@
         self.addCleanup(journal.close)
         return journal
 
-    async def test_a_torn_tail_is_cut_at_every_length(self) -> None:
-        """What was whole stays, and the journal can be appended to."""
-        whole = self.path.read_bytes()
-        last = len(whole) // 6
+    async def test_an_incomplete_last_record_is_truncated_at_every_length(self) -> None:
+        """The complete records stay, and new records can be appended."""
+        complete = self.path.read_bytes()
+        last = len(complete) // 6
         for cut in range(1, last):
-            self.path.write_bytes(whole[:-cut])
+            self.path.write_bytes(complete[:-cut])
             journal = self.open()
             self.assertEqual(journal.recover(), Recovered(BALLOT, ENTRIES[:4]))
             journal.record_entries(ENTRIES[4:])
             await journal.sync()
             self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES))
 
-    async def test_damage_before_the_last_record_is_told(self) -> None:
-        """Each flipped byte there is refused rather than cut."""
-        whole = self.path.read_bytes()
-        self.path.write_bytes(whole[:-1])
+    async def test_damage_before_the_last_record_is_an_error(self) -> None:
+        """Truncating at a corrupted byte would lose the synced records after it."""
+        complete = self.path.read_bytes()
+        self.path.write_bytes(complete[:-1])
         self.open().recover()
         last_record = len(self.path.read_bytes())
         for position in range(0, last_record, 3):
-            damaged = bytearray(whole)
+            damaged = bytearray(complete)
             damaged[position] ^= 0x41
             self.path.write_bytes(bytes(damaged))
             with self.assertRaises(FolderDamaged, msg=f"byte {position}"):
                 self.open().recover()
 
     async def test_short_writes_are_continued(self) -> None:
-        """A system that takes a few bytes at a time loses nothing."""
+        """No data is lost if os.write writes only a few bytes at a time."""
         write = os.write
         more = tuple(Entry(index, 3, Noop(), 1.0) for index in range(6, 9))
         with mock.patch("os.write", lambda file, data: write(file, bytes(data[:5]))):
@@ -72,8 +72,8 @@
             await self.journal.sync()
         self.assertEqual(self.open().recover(), Recovered(BALLOT, (*ENTRIES, *more)))
 
-    async def test_a_failed_sync_is_for_good(self) -> None:
-        """No later sync passes, and whoever watches is told."""
+    async def test_all_syncs_fail_after_a_failed_sync(self) -> None:
+        """Later syncs raise, and so does the method that waits for a failure."""
         with mock.patch("os.fdatasync", side_effect=OSError("no disk")):
             self.journal.record_ballot(Ballot(4, None))
             with self.assertRaises(JournalFailed):
@@ -87,7 +87,7 @@
             await self.journal.watch()
 
     async def test_a_cancelled_sync_loses_no_record(self) -> None:
-        """The next sync writes what the cancelled one would have."""
+        """The next sync writes the records of the cancelled one."""
         fdatasync, disk_ready = os.fdatasync, threading.Event()
 
         def slow_fdatasync(file: int) -> None:
@@ -110,12 +110,12 @@
         self.assertEqual(self.open().recover().ballot, Ballot(4, None))
 
     async def compact(self) -> None:
-        """Record a snapshot up to entry 3, with entries 4 and 5 behind it."""
+        """Record a snapshot up to entry 3, with entries 4 and 5 after it."""
         self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[3:])
         await self.journal.sync()
 
     async def test_snapshot_and_journal_are_recovered_together(self) -> None:
-        """Also with entries that were appended after the compaction."""
+        """Entries appended after the compaction are recovered too."""
         await self.compact()
         more = Entry(6, 3, Noop(), 1.0)
         self.journal.record_entries((more,))
@@ -123,15 +123,15 @@
         recovered = Recovered(BALLOT, (*ENTRIES[3:], more), SNAPSHOT)
         self.assertEqual(self.open().recover(), recovered)
 
-    async def test_a_crash_between_snapshot_and_journal_loses_nothing(self) -> None:
-        """The older journal's entries behind the snapshot stay."""
+    async def test_a_crash_between_snapshot_and_journal_loses_no_entry(self) -> None:
+        """Entries of the old journal after the snapshot are kept."""
         older = self.path.read_bytes()
         await self.compact()
         self.path.write_bytes(older)
         self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES[3:], SNAPSHOT))
 
-    async def test_an_older_journal_that_differs_from_the_snapshot_is_dropped(self) -> None:
-        """An installed snapshot goes before entries that the group never accepted."""
+    async def test_an_older_journal_that_conflicts_with_the_snapshot_is_dropped(self) -> None:
+        """An installed snapshot overrides entries that the group never committed."""
         older = self.path.read_bytes()
         installed = SNAPSHOT._replace(term=9)
         self.journal.record_snapshot(installed, BALLOT, ())
@@ -139,13 +139,13 @@
         self.path.write_bytes(older)
         self.assertEqual(self.open().recover(), Recovered(BALLOT, (), installed))
 
-    async def test_a_lost_or_damaged_snapshot_is_told(self) -> None:
-        """The journal alone doesn't pass for the whole."""
+    async def test_a_missing_or_damaged_snapshot_is_an_error(self) -> None:
+        """The journal alone lacks the compacted entries."""
         self.journal.record_snapshot(SNAPSHOT, BALLOT, ())
         await self.journal.sync()
         snapshot = self.path.with_name("snapshot")
-        whole = snapshot.read_bytes()
-        for damaged in (b"", whole[:-1], whole[:-1] + b"?"):
+        complete = snapshot.read_bytes()
+        for damaged in (b"", complete[:-1], complete[:-1] + b"?"):
             snapshot.write_bytes(damaged)
             with self.assertRaisesRegex(FolderDamaged, "snapshot is damaged"):
                 self.open().recover()
@@ -153,15 +153,15 @@
         with self.assertRaises(FolderDamaged):
             self.open().recover()
 
-    async def test_a_gap_behind_the_snapshot_is_told(self) -> None:
-        """An older snapshot doesn't do for a newer journal."""
+    async def test_a_gap_after_the_snapshot_is_an_error(self) -> None:
+        """A newer journal needs a snapshot that reaches its first entry."""
         self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[4:])
         await self.journal.sync()
         with self.assertRaises(FolderDamaged):
             self.open().recover()
 
-    async def test_a_folder_that_lost_its_journal_is_told(self) -> None:
-        """An identity without a journal isn't a voter that has promised nothing."""
+    async def test_a_folder_without_its_journal_is_an_error(self) -> None:
+        """A voter whose votes are lost could vote twice in a term."""
         folder = DataFolder(path=self.path.parent / "data")
         folder.create(Identity("group", HostName("a"), ReplicaId("x"), ()))
         folder.journal_path.unlink()
