--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.types import Address, HostName, ReplicaId
 
-# Stands for the identity of a founder until it has connected for the first time.
+# Placeholder for the identity of a founder that has never connected.
 UNKNOWN_REPLICA_ID = ReplicaId("")
 
 
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -438,7 +438,7 @@
     def _start_election_if_granted(self, role: PreCandidate, now: float) -> None:
         """Start an election once a majority grants it, or once no voter can hold a lease.
 
-        After a restart of all processes there is no leader, and their vote leases protect nobody. A
+        After a restart of all processes there is no leader for their vote leases to protect. A
         voter that reports idle in this term can lead only in a later one. All replicas find that
         out at the same time, so they start elections one after another: several candidates in a
         term can split the vote.
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -29,8 +29,8 @@
 class PreCandidate:
     """A replica that collects pre-votes for the next term, without disturbing a leader.
 
-    idle holds the voters that can't become leader in this term or an earlier one any more; replaced
-    holds those among them whose disk was lost.
+    idle contains the voters that can no longer become leader in this term or an earlier one, and
+    replaced those of them whose disk was lost.
     """
 
     votes: set[HostName]
@@ -80,8 +80,8 @@
 
     def is_behind(self, host: HostName, history: History) -> bool:
         """Return whether a member lacks entries or the latest commit index."""
-        behind = self.next_index.get(host, 0) <= history.last_index
-        return behind or self.sent_commit.get(host, 0) < history.commit
+        lacks_entries = self.next_index.get(host, 0) <= history.last_index
+        return lacks_entries or self.sent_commit.get(host, 0) < history.commit
 
     def successor(self, history: History, *, own: HostName) -> Voter | None:
         """Return a voter that has this leader's complete log, if there is one."""
@@ -93,9 +93,9 @@
         if len(group.voters) <= MIN_VOTERS:
             return None
         others = [voter for voter in group.voters if voter.host != own]
-        silent = min(others, key=lambda voter: self.last_contact(voter.host))
-        since = max(self.since, self.last_contact(silent.host))
-        return silent if now >= since + GONE_AFTER else None
+        longest_unreachable = min(others, key=lambda voter: self.last_contact(voter.host))
+        since = max(self.since, self.last_contact(longest_unreachable.host))
+        return longest_unreachable if now >= since + GONE_AFTER else None
 
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
         """Return the index up to which a majority has synced this leader's log."""
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -64,7 +64,7 @@
         for key in KEYS:
             last = max((at for at, item in by_version.items() if item.key == key), default=0)
             if last and values.get(key) != by_version[last].value:
-                violations.append(f"{key} holds {values.get(key)}, not version {last}")
+                violations.append(f"{key} is {values.get(key)}, not the value of version {last}")
         for item in self.accepted:
             between = range(item.based_on + 1, item.response["version"])
             if any(at in between and by_version[at].key == item.key for at in by_version):
