--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -153,7 +153,7 @@
             if learner in group.members:
                 return group
             if any(member.replica_id == learner.replica_id for member in group.members):
-                return GroupRefused(
+                return GroupChangeRefused(
                     reason=f"replica {learner.replica_id} is a member on another host"
                 )
             existing = group.member(learner.host)
@@ -167,5 +167,5 @@
         case Remove(host=host):
             changed = group.without(host)
     if not changed.voters:
-        return GroupRefused(reason="this would leave no voter")
+        return GroupChangeRefused(reason="this would leave no voter")
     return changed
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -10,7 +10,7 @@
     UNKNOWN_REPLICA_ID,
     Group,
     GroupChange,
-    GroupRefused,
+    GroupChangeRefused,
     Promote,
     Remove,
     Voter,
@@ -204,7 +204,7 @@
         """Start an election if the leader of this term requests it; return whether it did."""
         if request.term != self._term or not isinstance(self._role, Follower) or not self.is_voter:
             return False
-        self.stand(now, released=True)
+        self.start_election(now, released=True)
         return True
 
     def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
@@ -367,7 +367,7 @@
         # Until an entry of its own term is committed, a leader can't know whether an earlier
         # leader's change was committed, and two changes at once may have disjoint quorums.
         if not self._history.has_committed_in(self._term):
-            return GroupRefused(
+            return GroupChangeRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
         for member in self.group.members:
@@ -392,7 +392,7 @@
         change = self._due_group_change(self._role, now)
         if change is None:
             return None
-        changed = self.regroup(change, stamped_at=stamped_at)
+        changed = self.change_group(change, stamped_at=stamped_at)
         return changed if isinstance(changed, int) else None
 
     def _due_group_change(self, role: Leader, now: float) -> GroupChange | None:
@@ -451,7 +451,7 @@
                 self._role = Follower()
                 self._election_timer.defer(now)
         elif self._is_quorum(role.votes):
-            self.stand(now)
+            self.start_election(now)
 
     def _has_quorum_contact(self, role: Leader, now: float) -> bool:
         """Return whether a majority replied to this leader within the election timeout."""
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -9,7 +9,7 @@
 
 from cowslipvane.replica import Voter
 from cowslipvane.types import HostName, ReplicaId
-from cowslipvane.wire import decode_as, encode_plain
+from cowslipvane.wire import decode_as, encode_untagged
 
 
 class FolderBusy(Exception):
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -81,12 +81,12 @@
 
     def record_ballot(self, ballot: Ballot) -> None:
         """Record a new ballot."""
-        self._record(_BALLOT + encode_plain(ballot))
+        self._record(_BALLOT + encode_untagged(ballot))
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
         """Record entries; an entry replaces those recorded at its index and after."""
         for entry in entries:
-            self._record(_ENTRY + encode_plain(entry))
+            self._record(_ENTRY + encode_untagged(entry))
 
     def record_snapshot(
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -13,7 +13,7 @@
     Entry,
     Follower,
     GroupChange,
-    GroupRefused,
+    GroupChangeRefused,
     Install,
     Leader,
     LogSnapshot,
@@ -30,7 +30,7 @@
     Voter,
     VoteReply,
 )
-from cowslipvane.replica._roles import GONE_AFTER
+from cowslipvane.replica._roles import VOTER_REMOVAL_TIMEOUT
 from cowslipvane.types import Address, HostName, OperationId, ReplicaId, Version
 
 ELECTION_TIMEOUT_S = 1.0
@@ -73,7 +73,7 @@
     async def sync(self) -> None:
         """Return at once."""
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Return at once."""
 
 
@@ -108,7 +108,7 @@
     """Elect a replica with its own vote and those of others."""
     replica.stand(now)
     for voter in (replica.host, *voters):
-        replica.count_vote(VoteReply(term=replica.term, voter=voter, granted=True), now)
+        replica.handle_vote_reply(VoteReply(term=replica.term, voter=voter, granted=True), now)
 
 
 def vote(term: int, *, candidate: HostName = B, index: int = 0, last_term: int = 0) -> Vote:
@@ -149,9 +149,9 @@
         """Its vote and its term stay as they are."""
         replica = make_replica()
         elect(replica, B, now=2.0)
-        replica.count_append(matched(B, 1, 1), sent_at=4.0)
+        replica.handle_append_reply(matched(B, 1, 1), sent_at=4.0)
         self.assertFalse(
-            replica.consider_vote(vote(9, candidate=C, index=9, last_term=8), 4.5).granted
+            replica.handle_vote(vote(9, candidate=C, index=9, last_term=8), 4.5).granted
         )
         self.assertEqual((replica.term, type(replica.role)), (1, Leader))
 
@@ -171,31 +171,31 @@
     def test_pre_votes_keep_the_term_until_a_majority_grants_them(self) -> None:
         """The election starts only with a majority of pre-votes."""
         replica = make_replica(term=3)
-        replica.canvass(2.0)
+        replica.start_pre_vote(2.0)
         refused = PreVoteReply(term=3, proposed=4, voter=B, granted=False)
-        replica.count_pre_vote(refused, 2.0)
+        replica.handle_pre_vote_reply(refused, 2.0)
         self.assertEqual((replica.term, type(replica.role)), (3, PreCandidate))
-        replica.count_pre_vote(PreVoteReply(term=3, proposed=4, voter=C, granted=True), 2.0)
+        replica.handle_pre_vote_reply(PreVoteReply(term=3, proposed=4, voter=C, granted=True), 2.0)
         self.assertEqual((replica.term, type(replica.role)), (4, Candidate))
 
     def test_a_candidate_requests_votes_only_after_its_own_ballot_is_synced(self) -> None:
         """Otherwise a crash could make it a candidate twice in one term."""
         replica = make_replica()
-        replica.stand(2.0)
-        self.assertIsNone(replica.vote_for(B))
-        replica.count_own_vote(1, 2.0)
-        self.assertIsInstance(replica.vote_for(B), Vote)
+        replica.start_election(2.0)
+        self.assertIsNone(replica.vote_request_for(B))
+        replica.record_own_vote(1, 2.0)
+        self.assertIsInstance(replica.vote_request_for(B), Vote)
 
     def test_a_vote_of_an_older_term_or_of_a_non_member_is_not_counted(self) -> None:
         """Late replies and replies from outside the group elect no leader."""
         replica = make_replica()
-        replica.stand(2.0)
-        replica.stand(3.0)
-        replica.count_own_vote(2, 3.0)
-        replica.count_vote(VoteReply(term=1, voter=B, granted=True), 3.0)
-        replica.count_vote(VoteReply(term=2, voter=HostName("x"), granted=True), 3.0)
+        replica.start_election(2.0)
+        replica.start_election(3.0)
+        replica.record_own_vote(2, 3.0)
+        replica.handle_vote_reply(VoteReply(term=1, voter=B, granted=True), 3.0)
+        replica.handle_vote_reply(VoteReply(term=2, voter=HostName("x"), granted=True), 3.0)
         self.assertIsInstance(replica.role, Candidate)
-        replica.count_vote(VoteReply(term=2, voter=B, granted=True), 3.0)
+        replica.handle_vote_reply(VoteReply(term=2, voter=B, granted=True), 3.0)
         self.assertIsInstance(replica.role, Leader)
 
 
@@ -206,42 +206,42 @@
         """Elect a leader in term 1, whose own log is synced."""
         self.leader = make_replica()
         elect(self.leader, B, now=2.0)
-        self.leader.count_synced(1)
+        self.leader.record_synced(1)
 
     def follower(self, host: HostName) -> Replica:
         """Return a voter that has just received a message from the leader."""
         replica = make_replica(host, now=-9.0)
-        append = self.leader.append_for(host)
+        append = self.leader.next_message_for(host)
         assert isinstance(append, Append)
-        replica.consider_append(append, 2.4)
+        replica.handle_append(append, 2.4)
         return replica
 
     def test_a_voter_with_the_complete_log_is_elected_at_once(self) -> None:
         """The others need not wait for the lease to expire, since the leader released it."""
         successor, other = self.follower(B), self.follower(C)
-        self.leader.count_append(matched(B, 1, 1), sent_at=2.4)
+        self.leader.handle_append_reply(matched(B, 1, 1), sent_at=2.4)
         self.assertTrue(self.leader.holds_lease(2.5))
         chosen = self.leader.hand_over(2.5)
         self.assertEqual(chosen and chosen.host, B)
         self.assertFalse(self.leader.holds_lease(2.5))
         self.assertTrue(successor.take_over(TakeOver(term=1), 2.5))
-        successor.count_own_vote(2, 2.5)
-        request = successor.vote_for(C)
+        successor.record_own_vote(2, 2.5)
+        request = successor.vote_request_for(C)
         assert isinstance(request, Vote)
-        successor.count_vote(other.consider_vote(request, 2.5), 2.5)
+        successor.handle_vote_reply(other.handle_vote(request, 2.5), 2.5)
         self.assertIsInstance(successor.role, Leader)
 
     def test_an_election_without_a_hand_over_waits_for_the_lease(self) -> None:
         """A vote that isn't released is refused while the vote lease is valid."""
         voter = self.follower(C)
         request = vote(2, index=1, last_term=1)
-        self.assertFalse(voter.consider_vote(request, 2.5).granted)
+        self.assertFalse(voter.handle_vote(request, 2.5).granted)
 
     def test_a_released_vote_of_the_leaders_own_term_is_refused(self) -> None:
         """Only leaders of earlier terms have released their leases."""
         voter = self.follower(C)
         late = Vote(term=1, candidate=B, last_index=9, last_term=1, released=True)
-        self.assertFalse(voter.consider_vote(late, 2.5).granted)
+        self.assertFalse(voter.handle_vote(late, 2.5).granted)
 
     def test_a_leader_with_no_up_to_date_voter_keeps_leading(self) -> None:
         """Its last entries may exist on no other replica."""
@@ -257,7 +257,7 @@
     def test_a_late_request_to_take_over_changes_nothing(self) -> None:
         """Another leader may have been elected meanwhile."""
         replica = self.follower(B)
-        replica.consider_append(heartbeat(3, leader=C), 2.6)
+        replica.handle_append(heartbeat(3, leader=C), 2.6)
         self.assertFalse(replica.take_over(TakeOver(term=1), 2.7))
         self.assertEqual((replica.term, replica.leader), (3, C))
 
@@ -268,14 +268,14 @@
     def setUp(self) -> None:
         """Start three replicas at the same time."""
         self.replicas = {host: make_replica(host, now=10.0, term=4) for host in HOSTS}
-        self.replicas[A].canvass(10.1)
+        self.replicas[A].start_pre_vote(10.1)
 
     def request_pre_vote(self, voter: HostName, now: float = 10.1) -> PreVoteReply:
         """Request a voter's pre-vote, and pass the reply to the first replica."""
         request = self.replicas[A].vote_for(voter)
         assert isinstance(request, PreVote)
-        reply = self.replicas[voter].consider_pre_vote(request, now)
-        self.replicas[A].count_pre_vote(reply, now)
+        reply = self.replicas[voter].handle_pre_vote(request, now)
+        self.replicas[A].handle_pre_vote_reply(reply, now)
         return reply
 
     def test_restarted_replicas_elect_a_leader_without_waiting(self) -> None:
@@ -286,28 +286,30 @@
         self.replicas[A].count_own_vote(5, 10.1)
         request = self.replicas[A].vote_for(B)
         assert isinstance(request, Vote)
-        self.replicas[A].count_vote(self.replicas[B].consider_vote(request, 10.1), 10.1)
+        self.replicas[A].handle_vote_reply(self.replicas[B].handle_vote(request, 10.1), 10.1)
         self.assertIsInstance(self.replicas[A].role, Leader)
 
     def test_only_the_preferred_replica_starts_an_election_at_first(self) -> None:
         """Another one starts an election later, if there is no leader by then."""
         second = self.replicas[B]
-        second.canvass(10.1)
+        second.start_pre_vote(10.1)
         for now in (10.1, 10.2):
             for voter in (A, C):
-                request = second.vote_for(voter)
+                request = second.vote_request_for(voter)
                 assert isinstance(request, PreVote)
-                second.count_pre_vote(self.replicas[voter].consider_pre_vote(request, now), now)
+                second.handle_pre_vote_reply(
+                    self.replicas[voter].handle_pre_vote(request, now), now
+                )
             self.assertIsInstance(second.role, Follower if now == 10.1 else Candidate)
             if now == 10.1:
-                self.assertLessEqual(second.election_at, 10.2)
-                second.canvass(10.2)
+                self.assertLessEqual(second.election_due_at, 10.2)
+                second.start_pre_vote(10.2)
 
     def test_a_voter_that_does_not_reply_may_be_the_leader(self) -> None:
         """The vote leases are kept until they expire."""
         self.request_pre_vote(B)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
-        self.assertFalse(self.replicas[B].consider_vote(vote(5, candidate=A), 10.2).granted)
+        self.assertFalse(self.replicas[B].handle_vote(vote(5, candidate=A), 10.2).granted)
 
     def test_a_voter_that_follows_a_leader_is_not_idle(self) -> None:
         """It received a message from the leader after its start."""
@@ -353,7 +355,7 @@
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 3, 2), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
-        self.replica.count_append(matched(B, 3, 3), sent_at=10.0)
+        self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 3)
 
     def test_the_leaders_own_entry_counts_only_when_synced(self) -> None:
@@ -385,14 +387,14 @@
         self.replica.count_synced(3)
         self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
         voter = make_replica(B)
-        voter.consider_append(heartbeat(3, leader=A), 20.0)
+        voter.handle_append(heartbeat(3, leader=A), 20.0)
         self.assertTrue(self.replica.holds_lease(20.5))
         times = [20.0 + step / 100 for step in range(300)]
         leased = [now for now in times if self.replica.holds_lease(now)]
         electing = [
             now
             for now in times
-            if voter.consider_pre_vote(
+            if voter.handle_pre_vote(
                 PreVote(term=9, candidate=C, last_index=9, last_term=9), now
             ).granted
         ]
@@ -412,9 +414,9 @@
         change = Change(OperationId("x"), Version(0), ((Key("service", "s"), Service()),))
         index = self.replica.propose(change, stamped_at=5.0)
         assert index is not None
-        self.replica.count_synced(index)
+        self.replica.record_synced(index)
         self.assertIsNone(self.replica.catalogue.outcome(OperationId("x")))
-        self.replica.count_append(matched(C, 3, index), sent_at=10.0)
+        self.replica.handle_append_reply(matched(C, 3, index), sent_at=10.0)
         self.assertEqual(
             self.replica.catalogue.outcome(OperationId("x")),
             Accepted(version=Version(1), accepted_at=5.0),
@@ -430,23 +432,23 @@
         follower = make_replica(B, term=4, entry_terms=(1, 1, 2, 2, 3, 3, 4))
         elect(leader, C, now=10.0)
         rounds = 0
-        while leader.wants(B):
-            append = leader.append_for(B)
+        while leader.is_behind(B):
+            append = leader.next_message_for(B)
             assert isinstance(append, Append)
-            leader.count_append(follower.consider_append(append, 10.0), sent_at=10.0)
+            leader.handle_append_reply(follower.handle_append(append, 10.0), sent_at=10.0)
             rounds += 1
         self.assertEqual((follower.last_index, follower.term, rounds), (7, 9, 3))
-        leader.count_synced(7)
+        leader.record_synced(7)
         self.assertEqual(leader.commit, 7)
 
     def test_a_late_mismatch_reply_does_not_reset_the_matched_index(self) -> None:
         """A mismatch reply may arrive after an acknowledgement that was sent later."""
         leader = make_replica(A, term=8, entry_terms=(1, 1))
         elect(leader, C, now=10.0)
-        leader.count_append(matched(B, 9, 3), sent_at=10.0)
+        leader.handle_append_reply(matched(B, 9, 3), sent_at=10.0)
         late = AppendReply(term=9, voter=B, matched=False, index=0)
-        leader.count_append(late, sent_at=10.0)
-        append = leader.append_for(B)
+        leader.handle_append_reply(late, sent_at=10.0)
+        append = leader.next_message_for(B)
         assert isinstance(append, Append)
         self.assertEqual(append.previous_index, 3)
 
@@ -463,18 +465,18 @@
         """It lacks no entry, but it can't apply entries before it knows that they are committed."""
         leader = make_replica()
         elect(leader, B, now=2.0)
-        leader.count_synced(leader.last_index)
+        leader.record_synced(leader.last_index)
         for host in (B, C):
-            leader.append_for(host)
-        leader.count_append(matched(C, leader.term, 1), sent_at=2.0)
-        leader.count_append(matched(B, leader.term, 1), sent_at=2.0)
+            leader.next_message_for(host)
+        leader.handle_append_reply(matched(C, leader.term, 1), sent_at=2.0)
+        leader.handle_append_reply(matched(B, leader.term, 1), sent_at=2.0)
         self.assertEqual(leader.commit, 1)
-        self.assertTrue(leader.wants(B))
-        self.assertTrue(leader.wants(C))
-        append = leader.append_for(C)
+        self.assertTrue(leader.is_behind(B))
+        self.assertTrue(leader.is_behind(C))
+        append = leader.next_message_for(C)
         assert isinstance(append, Append)
         self.assertEqual(append.commit, 1)
-        self.assertFalse(leader.wants(C))
+        self.assertFalse(leader.is_behind(C))
 
 
 def leader_of_changes(count: int, *, compact_after: int) -> Replica:
@@ -484,16 +486,16 @@
     for number in range(count):
         index = leader.propose(put(f"op{number}", number), stamped_at=float(number))
         assert index is not None
-        leader.count_synced(index)
-        leader.count_append(matched(B, 1, index), sent_at=10.0)
+        leader.record_synced(index)
+        leader.handle_append_reply(matched(B, 1, index), sent_at=10.0)
     return leader
 
 
 def snapshot_for(leader: Replica, follower: HostName) -> Install:
     """Return the snapshot that a leader sends to a follower with an empty log."""
     refusal = AppendReply(term=1, voter=follower, matched=False, index=0)
-    leader.count_append(refusal, sent_at=10.0)
-    install = leader.append_for(follower)
+    leader.handle_append_reply(refusal, sent_at=10.0)
+    install = leader.next_message_for(follower)
     assert isinstance(install, Install)
     return install
 
@@ -506,10 +508,10 @@
         leader = leader_of_changes(12, compact_after=10)
         follower = make_replica(C)
         install = snapshot_for(leader, C)
-        leader.count_append(follower.consider_install(install, 10.0), sent_at=10.0)
-        append = leader.append_for(C)
+        leader.handle_append_reply(follower.handle_install(install, 10.0), sent_at=10.0)
+        append = leader.next_message_for(C)
         assert isinstance(append, Append)
-        leader.count_append(follower.consider_append(append, 10.0), sent_at=10.0)
+        leader.handle_append_reply(follower.handle_append(append, 10.0), sent_at=10.0)
         self.assertEqual(export_state(follower.catalogue), export_state(leader.catalogue))
         again = follower.catalogue.apply(put("op3", 3), accepted_at=99.0)
         self.assertEqual(again, Accepted(version=Version(4), accepted_at=3.0))
@@ -521,8 +523,8 @@
         old = snapshot_for(leader_of_changes(6, compact_after=5), C)
         new = snapshot_for(leader, C)
         follower = make_replica(C)
-        follower.consider_install(new, 10.0)
-        reply = follower.consider_install(old, 10.0)
+        follower.handle_install(new, 10.0)
+        reply = follower.handle_install(old, 10.0)
         self.assertTrue(reply.matched)
         self.assertEqual(follower.catalogue.version, leader.catalogue.version)
 
@@ -534,7 +536,7 @@
         conflicting.consider_install(install, 10.0)
         self.assertEqual(conflicting.last_index, install.snapshot.position)
         same = make_replica(C, entry_terms=(1,) * 20)
-        same.consider_install(install, 10.0)
+        same.handle_install(install, 10.0)
         self.assertEqual(same.last_index, 20)
 
 
@@ -552,10 +554,10 @@
     def ack(self, *hosts: str) -> None:
         """Record that the leader and some hosts have synced the whole log."""
         index = self.leader.last_index
-        self.leader.count_synced(index)
+        self.leader.record_synced(index)
         for host in hosts:
-            self.leader.append_for(HostName(host))
-            self.leader.count_append(matched(HostName(host), 1, index), sent_at=10.0)
+            self.leader.next_message_for(HostName(host))
+            self.leader.handle_append_reply(matched(HostName(host), 1, index), sent_at=10.0)
 
     def test_a_learner_counts_only_after_its_promotion(self) -> None:
         """Its acknowledgements commit nothing before; it is promoted once it has caught up."""
@@ -566,14 +568,14 @@
         self.ack("b")
         self.assertGreater(self.leader.commit, committed)
         self.assertEqual(len(self.leader.group.voters), 3)
-        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
+        self.assertIsNotNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
         self.assertEqual([voter.host for voter in self.leader.group.voters], [*HOSTS, "d"])
 
     def test_a_learner_that_lacks_entries_is_not_promoted(self) -> None:
         """Membership alone isn't enough."""
         self.change_group(Add(learner=member("d")))
         self.ack("b")
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
+        self.assertIsNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
 
     def test_an_unreachable_voter_is_removed_once_its_replacement_votes(self) -> None:
         """If it stayed in the group, one more loss would leave no majority."""
@@ -581,14 +583,14 @@
         self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=late))
         self.change_group(Add(learner=member("d")))
         self.ack("b", "d")
-        self.leader.tend_group(stamped_at=0.0, now=soon)
+        self.leader.maintain_group(stamped_at=0.0, now=soon)
         self.ack("b", "d")
         self.assertEqual(len(self.leader.group.voters), 4)
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=soon))
+        self.assertIsNone(self.leader.maintain_group(stamped_at=0.0, now=soon))
         for host in (B, HostName("d")):
             index = self.leader.last_index
-            self.leader.count_append(matched(host, 1, index), sent_at=late)
-        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=late))
+            self.leader.handle_append_reply(matched(host, 1, index), sent_at=late)
+        self.assertIsNotNone(self.leader.maintain_group(stamped_at=0.0, now=late))
         self.assertEqual([voter.host for voter in self.leader.group.voters], [A, B, "d"])
 
     def test_a_second_group_change_is_refused_until_the_first_is_committed(self) -> None:
@@ -602,8 +604,8 @@
         """It can't know yet which group is committed."""
         leader = make_replica()
         elect(leader, B, now=10.0)
-        refused = leader.regroup(Remove(host=C), stamped_at=0.0)
-        self.assertIsInstance(refused, GroupRefused)
+        refused = leader.change_group(Remove(host=C), stamped_at=0.0)
+        self.assertIsInstance(refused, GroupChangeRefused)
 
     def test_a_replaced_disk_has_a_new_identity_that_has_synced_nothing(self) -> None:
         """Acknowledgements of the former identity on the host no longer count."""
@@ -611,16 +613,16 @@
         new = member("c")._replace(replica_id=ReplicaId("new"))
         self.change_group(Replace(learner=new))
         self.ack("b")
-        self.assertFalse(self.leader.recognizes(C, replica_id(C)))
-        self.assertTrue(self.leader.recognizes(C, ReplicaId("new")))
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
+        self.assertFalse(self.leader.check_identity(C, replica_id(C)))
+        self.assertTrue(self.leader.check_identity(C, ReplicaId("new")))
+        self.assertIsNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
         refusal = AppendReply(term=1, voter=C, matched=False, index=0)
-        self.leader.count_append(refusal, sent_at=10.0)
-        append = self.leader.append_for(C)
+        self.leader.handle_append_reply(refusal, sent_at=10.0)
+        append = self.leader.next_message_for(C)
         assert isinstance(append, Append)
         self.assertEqual(append.previous_index, 0)
         self.ack("c")
-        self.assertIsNotNone(self.leader.tend_group(stamped_at=0.0, now=10.0))
+        self.assertIsNotNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
 
     def test_a_replica_with_an_unknown_identity_never_starts_an_election(self) -> None:
         """A host with a new disk isn't the voter that the group knows."""
@@ -633,15 +635,15 @@
         founders = tuple(member(host)._replace(replica_id=ReplicaId("")) for host in HOSTS)
         leader = make_replica(founders=founders)
         elect(leader, B, now=10.0)
-        self.assertTrue(leader.recognizes(B, replica_id(B)))
-        self.assertFalse(leader.recognizes(B, ReplicaId("other")))
-        leader.count_synced(1)
-        leader.count_append(matched(B, 1, 1), sent_at=10.0)
+        self.assertTrue(leader.check_identity(B, replica_id(B)))
+        self.assertFalse(leader.check_identity(B, ReplicaId("other")))
+        leader.record_synced(1)
+        leader.handle_append_reply(matched(B, 1, 1), sent_at=10.0)
         self.assertEqual(leader.commit, 0)
-        index = leader.tend_group(stamped_at=0.0, now=10.0)
+        index = leader.maintain_group(stamped_at=0.0, now=10.0)
         assert index is not None
-        leader.count_synced(index)
-        leader.count_append(matched(B, 1, index), sent_at=10.0)
+        leader.record_synced(index)
+        leader.handle_append_reply(matched(B, 1, index), sent_at=10.0)
         self.assertEqual(leader.commit, index)
         self.assertEqual([voter.replica_id for voter in leader.group.voters], ["id-a", "id-b", ""])
 
@@ -654,7 +656,7 @@
         other = Append(
             term=2, leader=B, previous_index=index - 1, previous_term=1, entries=(entry,), commit=0
         )
-        self.leader.consider_append(other, 20.0)
+        self.leader.handle_append(other, 20.0)
         self.assertEqual(len(self.leader.group.voters), 3)
 
     def test_a_removed_leader_steps_down_once_its_removal_is_committed(self) -> None:
@@ -662,7 +664,7 @@
         self.change_group(Remove(host=A))
         self.assertFalse(self.leader.check_contact(10.1))
         self.ack("b", "c")
-        self.assertTrue(self.leader.check_contact(10.1))
+        self.assertTrue(self.leader.check_quorum(10.1))
 
 
 if __name__ == "__main__":
