--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -140,13 +140,13 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class GroupRefused:
+class GroupChangeRefused:
     """The group change was refused."""
 
     reason: str
 
 
-def apply_group_change(group: Group, change: GroupChange) -> Group | GroupRefused:
+def apply_group_change(group: Group, change: GroupChange) -> Group | GroupChangeRefused:
     """Return the group after a change, which affects at most one voter."""
     match change:
         case Add(learner=learner) | Replace(learner=learner):
@@ -158,9 +158,9 @@
                 )
             existing = group.member(learner.host)
             if existing is not None and isinstance(change, Add):
-                return GroupRefused(reason=f"{learner.host} has a replica; replace it")
+                return GroupChangeRefused(reason=f"{learner.host} has a replica; replace it")
             if existing is None and isinstance(change, Replace):
-                return GroupRefused(reason=f"{learner.host} has no replica; add it")
+                return GroupChangeRefused(reason=f"{learner.host} has no replica; add it")
             changed = group.with_learner(learner)
         case Promote(learner=learner):
             changed = group.with_voter(learner)
--- a/cowslipvane/replica/_journal.py
+++ b/cowslipvane/replica/_journal.py
@@ -40,5 +40,5 @@
     async def sync(self) -> None:
         """Wait until everything recorded before the call is on disk; raise if a write failed."""
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Wait for a failed write, then raise so that the process stops."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -118,7 +118,7 @@
         return self._history.last_index
 
     @property
-    def election_at(self) -> float:
+    def election_due_at(self) -> float:
         """Return when to start an election if no message from a leader arrives before."""
         return self._election_timer.election_due_at
 
@@ -156,7 +156,7 @@
             case _:
                 return self._election_timer.is_following(now)
 
-    def check_contact(self, now: float) -> bool:
+    def check_quorum(self, now: float) -> bool:
         """Step down if removed or without contact to a quorum; return whether it did."""
         if not isinstance(self._role, Leader):
             return False
@@ -167,7 +167,7 @@
         self._election_timer.reset(now)
         return True
 
-    def canvass(self, now: float) -> None:
+    def start_pre_vote(self, now: float) -> None:
         """Start collecting pre-votes, which leaves the current term unchanged."""
         self._election_timer.reset(now)
         if not self.is_voter or self._is_stopping:
@@ -177,13 +177,13 @@
         self._role = PreCandidate(votes=votes, idle={self._host})
         self._start_election_if_granted(self._role, now)
 
-    def stand(self, now: float, *, released: bool = False) -> None:
+    def start_election(self, now: float, *, released: bool = False) -> None:
         """Become a candidate in a new term; released is as in a Vote message."""
         self._set_ballot(Ballot(self._term + 1, self._host))
         self._role = Candidate(votes=set(), released=released)
         self._election_timer.reset(now)
 
-    def retire(self) -> None:
+    def stop_accepting_writes(self) -> None:
         """Refuse further changes, because the process of this replica is stopping."""
         self._is_stopping = True
 
@@ -207,7 +207,7 @@
         self.start_election(now, released=True)
         return True
 
-    def consider_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
+    def handle_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
         """Return whether a vote would be granted, without any change of state."""
         is_eligible = (
             request.term > self._term
@@ -222,7 +222,7 @@
             idle=is_eligible and not knows_leader,
         )
 
-    def count_pre_vote(self, reply: PreVoteReply, now: float) -> None:
+    def handle_pre_vote_reply(self, reply: PreVoteReply, now: float) -> None:
         """Count a pre-vote, and start an election once a majority has granted theirs."""
         self._observe_term(reply.term)
         if not isinstance(self._role, PreCandidate) or reply.proposed != self._term + 1:
@@ -234,18 +234,18 @@
             self._role.idle.add(reply.voter)
         self._start_election_if_granted(self._role, now)
 
-    def count_absent(self, voter: HostName, now: float) -> None:
+    def record_identity_mismatch(self, voter: HostName, now: float) -> None:
         """Record that a voter can't lead, because its host responds with another identity."""
         if isinstance(self._role, PreCandidate):
             self._role.idle.add(voter)
             self._role.replaced.add(voter)
             self._start_election_if_granted(self._role, now)
 
-    def count_own_vote(self, term: int, now: float) -> None:
+    def record_own_vote(self, term: int, now: float) -> None:
         """Count this replica's vote for itself, once its ballot is synced."""
-        self.count_vote(VoteReply(term=term, voter=self._host, granted=True), now)
+        self.handle_vote_reply(VoteReply(term=term, voter=self._host, granted=True), now)
 
-    def consider_vote(self, request: Vote, now: float) -> VoteReply:
+    def handle_vote(self, request: Vote, now: float) -> VoteReply:
         """Grant or refuse a vote; the reply may be sent only after a sync."""
         # A released vote belongs to the term after that of the leader that gave up its lease, and
         # that leader was elected after all leases of earlier terms had ended.
@@ -264,7 +264,7 @@
             self._election_timer.reset(now)
         return VoteReply(term=self._term, voter=self._host, granted=granted)
 
-    def count_vote(self, reply: VoteReply, now: float) -> None:
+    def handle_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a vote, and become the leader once a majority has granted theirs."""
         self._observe_term(reply.term)
         if not isinstance(self._role, Candidate) or reply.term != self._term or not reply.granted:
@@ -273,7 +273,7 @@
         if self._is_quorum(self._role.votes):
             self._become_leader(now)
 
-    def consider_append(self, append: Append, now: float) -> AppendReply:
+    def handle_append(self, append: Append, now: float) -> AppendReply:
         """Accept entries from the leader; the reply may be sent only after a sync."""
         if not self._follow(append.term, append.leader, now):
             return self._append_reply(matched=False, index=0)
@@ -293,20 +293,20 @@
         self._commit_to(min(append.commit, matched))
         return self._append_reply(matched=True, index=matched)
 
-    def consider_install(self, install: Install, now: float) -> AppendReply:
+    def handle_install(self, install: Install, now: float) -> AppendReply:
         """Accept a snapshot from the leader; the reply may be sent only after a sync."""
         if not self._follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
         self._history.install_snapshot(install.snapshot, self._ballot)
         return self._append_reply(matched=True, index=install.snapshot.position)
 
-    def append_for(self, voter: HostName) -> Append | Install | None:
+    def next_message_for(self, voter: HostName) -> Append | Install | None:
         """Return the next message that a member needs, or None if this isn't the leader."""
         if not isinstance(self._role, Leader):
             return None
         return self._role.next_message(voter, self._history, leader=self._host, term=self._term)
 
-    def vote_for(self, voter: HostName) -> PreVote | Vote | None:
+    def vote_request_for(self, voter: HostName) -> PreVote | Vote | None:
         """Return the pre-vote or vote request that a voter hasn't granted yet, or None."""
         last_term, last_index = self._last_position
         match self._role:
@@ -330,11 +330,11 @@
             case _:
                 return None
 
-    def wants(self, voter: HostName) -> bool:
+    def is_behind(self, voter: HostName) -> bool:
         """Return whether a member lacks entries or the latest commit index of this leader."""
         return isinstance(self._role, Leader) and self._role.is_behind(voter, self._history)
 
-    def count_append(self, reply: AppendReply, *, sent_at: float) -> None:
+    def handle_append_reply(self, reply: AppendReply, *, sent_at: float) -> None:
         """Record what a member has synced, and commit what a majority has synced."""
         self._observe_term(reply.term)
         if not isinstance(self._role, Leader) or reply.term != self._term:
@@ -346,24 +346,24 @@
         self._role.record_match(reply.voter, reply.index)
         self._commit_majority()
 
-    def recognizes(self, host: HostName, replica_id: ReplicaId) -> bool:
+    def check_identity(self, host: HostName, replica_id: ReplicaId) -> bool:
         """Return whether a member has an identity; a founder's first one is recorded as its own."""
         member = self.group.member(host)
         if member is None:
             return False
         return replica_id == (member.replica_id or self._identities.setdefault(host, replica_id))
 
-    def regroup(self, change: GroupChange, *, stamped_at: float) -> int | GroupRefused:
+    def change_group(self, change: GroupChange, *, stamped_at: float) -> int | GroupChangeRefused:
         """Append a group change, unless another is uncommitted, and return its index."""
         if not isinstance(self._role, Leader):
-            return GroupRefused(reason="this replica doesn't lead")
+            return GroupChangeRefused(reason="this replica doesn't lead")
         group = apply_group_change(self.group, change)
-        if isinstance(group, GroupRefused):
+        if isinstance(group, GroupChangeRefused):
             return group
         if group == self.group:
             return self._history.group_changed_at
         if not self._history.group_is_committed:
-            return GroupRefused(reason="another change of the group is under way; try again")
+            return GroupChangeRefused(reason="another change of the group is under way; try again")
         # Until an entry of its own term is committed, a leader can't know whether an earlier
         # leader's change was committed, and two changes at once may have disjoint quorums.
         if not self._history.has_committed_in(self._term):
@@ -375,7 +375,7 @@
                 self._role.forget_progress(member.host)
         return self._append_command(Regroup(group=group), stamped_at)
 
-    def tend_group(self, *, stamped_at: float, now: float) -> int | None:
+    def maintain_group(self, *, stamped_at: float, now: float) -> int | None:
         """Append the group change that is due, if any, and return its index.
 
         The identities of founders are recorded, a learner that has caught up is promoted, and an
@@ -409,7 +409,7 @@
             return None
         return self._append_command(Write(change=change), stamped_at)
 
-    def count_synced(self, index: int) -> None:
+    def record_synced(self, index: int) -> None:
         """Record that this replica's own log is synced up to an index."""
         self._history.record_synced(index)
         if isinstance(self._role, Leader):
@@ -445,7 +445,7 @@
         """
         if role.idle >= {voter.host for voter in self.group.voters}:
             if role.first_candidate == self._host or self._has_deferred:
-                self.stand(now, released=True)
+                self.start_election(now, released=True)
             else:
                 self._has_deferred = True
                 self._role = Follower()
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -12,7 +12,7 @@
 
 # A voter that hasn't replied for this long is removed if enough others remain. Machines are
 # replaced by others at new addresses, and each lost voter left in the group raises its majority.
-GONE_AFTER: Seconds = 10.0
+VOTER_REMOVAL_TIMEOUT: Seconds = 10.0
 # A group of this size or less keeps its unreachable voters; three voters tolerate one failure.
 MIN_VOTERS = 3
 MAX_APPEND_ENTRIES = 200
@@ -95,7 +95,7 @@
         others = [voter for voter in group.voters if voter.host != own]
         longest_unreachable = min(others, key=lambda voter: self.last_contact(voter.host))
         since = max(self.since, self.last_contact(longest_unreachable.host))
-        return longest_unreachable if now >= since + GONE_AFTER else None
+        return longest_unreachable if now >= since + VOTER_REMOVAL_TIMEOUT else None
 
     def synced_by_majority(self, history: History, *, own: HostName) -> int:
         """Return the index up to which a majority has synced this leader's log."""
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -56,7 +56,7 @@
         if self._identity_path.exists():
             raise FolderBusy(f"{self._path} already belongs to a group; use an empty folder")
         write_file_atomically(self.journal_path, b"")
-        write_file_atomically(self._identity_path, encode_plain(identity))
+        write_file_atomically(self._identity_path, encode_untagged(identity))
 
     def open(self) -> Identity:
         """Lock the folder and return its identity."""
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -14,7 +14,7 @@
 
 from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered
 from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_file_atomically
-from cowslipvane.wire import decode_as, encode_plain
+from cowslipvane.wire import decode_as, encode_untagged
 
 # A record is the length and CRC-32 of its body, then the body: a letter for the kind, and CBOR.
 _HEADER = struct.Struct(">II")
@@ -92,10 +92,10 @@
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
     ) -> None:
         """Replace the journal by a snapshot, a ballot and the entries after the snapshot."""
-        records = [_encode_record(_SNAPSHOT_POSITION + encode_plain(snapshot.position))]
-        records.append(_encode_record(_BALLOT + encode_plain(ballot)))
-        records += [_encode_record(_ENTRY + encode_plain(entry)) for entry in entries]
-        snapshot_record = _encode_record(_SNAPSHOT + encode_plain(snapshot))
+        records = [_encode_record(_SNAPSHOT_POSITION + encode_untagged(snapshot.position))]
+        records.append(_encode_record(_BALLOT + encode_untagged(ballot)))
+        records += [_encode_record(_ENTRY + encode_untagged(entry)) for entry in entries]
+        snapshot_record = _encode_record(_SNAPSHOT + encode_untagged(snapshot))
         self._pending.append(_Compaction(snapshot_record, b"".join(records)))
         self._recorded += 1
 
@@ -111,7 +111,7 @@
             self._failed.set()
             raise JournalFailed(f"{self._path}: {error}") from error
 
-    async def watch(self) -> None:
+    async def wait_for_failure(self) -> None:
         """Wait for a failed write, then raise so that the process stops."""
         await self._failed.wait()
         raise JournalFailed(f"{self._path}: {self._failure}; the process must stop")
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -96,7 +96,7 @@
         return violations
 
 
-class HistoryTest(unittest.IsolatedAsyncioTestCase):
+class HistoryTestCase(unittest.IsolatedAsyncioTestCase):
     """Base class of tests with three replicas and concurrent operators."""
 
     async def asyncSetUp(self) -> None:
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -5,7 +5,7 @@
 
 from cowslipvane.client import Client, Unreachable
 from cowslipvane.replica._replica import COMPACT_AFTER_ENTRIES
-from tests.histories import HistoryTest
+from tests.histories import HistoryTestCase
 from tools.fleet import START_TIMEOUT_S
 
 OPERATORS = 30
@@ -20,7 +20,7 @@
     return {"operation_id": name, "based_on": based_on, "resources": [resource]}
 
 
-class CompactionTest(HistoryTest):
+class CompactionTest(HistoryTestCase):
     """Compaction of the log while a follower is down."""
 
     async def send_changes(self, client: Client, operator: int) -> dict[str, Any]:
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -7,10 +7,10 @@
 
 import aiohttp
 
-from tests.histories import TIMING, HistoryTest
+from tests.histories import TIMING, HistoryTestCase
 
 
-class AcceptanceTest(HistoryTest):
+class AcceptanceTest(HistoryTestCase):
     """Consistency of three replicas under leader faults."""
 
     async def kill_leader(self) -> None:
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -5,10 +5,10 @@
 import unittest
 
 from cowslipvane.client import Unreachable
-from tests.histories import HistoryTest
+from tests.histories import HistoryTestCase
 
 
-class RepairTest(HistoryTest):
+class RepairTest(HistoryTestCase):
     """Consistency while replicas lose disks and are replaced, removed and added."""
 
     async def lose_disk(self, host: str, change: str = "replace") -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -106,7 +106,7 @@
 
 def elect(replica: Replica, *voters: HostName, now: float) -> None:
     """Elect a replica with its own vote and those of others."""
-    replica.stand(now)
+    replica.start_election(now)
     for voter in (replica.host, *voters):
         replica.handle_vote_reply(VoteReply(term=replica.term, voter=voter, granted=True), now)
 
@@ -134,16 +134,16 @@
     def test_a_restarted_voter_grants_no_vote_for_an_election_timeout(self) -> None:
         """It may have granted a vote lease to a leader before the restart."""
         replica = make_replica(now=10.0)
-        self.assertFalse(replica.consider_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S * 0.99).granted)
-        self.assertTrue(replica.consider_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S).granted)
+        self.assertFalse(replica.handle_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S * 0.99).granted)
+        self.assertTrue(replica.handle_vote(vote(1), 10.0 + ELECTION_TIMEOUT_S).granted)
 
     def test_a_later_term_in_a_reply_does_not_end_the_vote_lease(self) -> None:
         """The voter no longer knows its leader, but the leader still relies on the lease."""
         replica = make_replica()
-        replica.consider_append(heartbeat(1), 5.0)
-        replica.count_vote(VoteReply(term=4, voter=C, granted=False), 5.1)
-        self.assertFalse(replica.consider_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S * 0.99).granted)
-        self.assertTrue(replica.consider_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S).granted)
+        replica.handle_append(heartbeat(1), 5.0)
+        replica.handle_vote_reply(VoteReply(term=4, voter=C, granted=False), 5.1)
+        self.assertFalse(replica.handle_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S * 0.99).granted)
+        self.assertTrue(replica.handle_vote(vote(5), 5.0 + ELECTION_TIMEOUT_S).granted)
 
     def test_a_leader_in_contact_with_a_quorum_ignores_vote_requests(self) -> None:
         """Its vote and its term stay as they are."""
@@ -160,12 +160,12 @@
     ) -> None:
         """A replica that rejoins doesn't disturb a leader in contact with its voters."""
         replica = make_replica(term=3, entry_terms=(1, 3))
-        replica.consider_append(heartbeat(3), 5.0)
+        replica.handle_append(heartbeat(3), 5.0)
         pre_vote_request = PreVote(term=9, candidate=C, last_index=2, last_term=3)
-        self.assertFalse(replica.consider_pre_vote(pre_vote_request, 5.5).granted)
-        self.assertTrue(replica.consider_pre_vote(pre_vote_request, 6.0).granted)
+        self.assertFalse(replica.handle_pre_vote(pre_vote_request, 5.5).granted)
+        self.assertTrue(replica.handle_pre_vote(pre_vote_request, 6.0).granted)
         outdated = PreVote(term=9, candidate=C, last_index=9, last_term=2)
-        self.assertFalse(replica.consider_pre_vote(outdated, 6.0).granted)
+        self.assertFalse(replica.handle_pre_vote(outdated, 6.0).granted)
         self.assertEqual((replica.term, replica.leader), (3, B))
 
     def test_pre_votes_keep_the_term_until_a_majority_grants_them(self) -> None:
@@ -250,7 +250,7 @@
 
     def test_a_stopping_leader_accepts_no_change(self) -> None:
         """Otherwise the voters might never catch up with its log."""
-        self.leader.retire()
+        self.leader.stop_accepting_writes()
         change = Change(OperationId("o"), Version(0), ())
         self.assertIsNone(self.leader.propose(change, stamped_at=2.5))
 
@@ -272,7 +272,7 @@
 
     def request_pre_vote(self, voter: HostName, now: float = 10.1) -> PreVoteReply:
         """Request a voter's pre-vote, and pass the reply to the first replica."""
-        request = self.replicas[A].vote_for(voter)
+        request = self.replicas[A].vote_request_for(voter)
         assert isinstance(request, PreVote)
         reply = self.replicas[voter].handle_pre_vote(request, now)
         self.replicas[A].handle_pre_vote_reply(reply, now)
@@ -283,8 +283,8 @@
         self.assertFalse(self.request_pre_vote(B).granted)
         self.assertIsInstance(self.replicas[A].role, PreCandidate)
         self.request_pre_vote(C)
-        self.replicas[A].count_own_vote(5, 10.1)
-        request = self.replicas[A].vote_for(B)
+        self.replicas[A].record_own_vote(5, 10.1)
+        request = self.replicas[A].vote_request_for(B)
         assert isinstance(request, Vote)
         self.replicas[A].handle_vote_reply(self.replicas[B].handle_vote(request, 10.1), 10.1)
         self.assertIsInstance(self.replicas[A].role, Leader)
@@ -313,7 +313,7 @@
 
     def test_a_voter_that_follows_a_leader_is_not_idle(self) -> None:
         """It received a message from the leader after its start."""
-        self.replicas[B].consider_append(heartbeat(4, leader=C), 10.05)
+        self.replicas[B].handle_append(heartbeat(4, leader=C), 10.05)
         self.assertFalse(self.request_pre_vote(B).idle)
 
     def test_a_leader_is_not_idle(self) -> None:
@@ -332,7 +332,7 @@
     def test_a_voter_replaced_by_another_identity_counts_as_idle(self) -> None:
         """A lost disk doesn't delay the election of the others."""
         self.request_pre_vote(B)
-        self.replicas[A].count_absent(C, 10.1)
+        self.replicas[A].record_identity_mismatch(C, 10.1)
         self.assertIsInstance(self.replicas[A].role, Candidate)
 
     def test_a_restarted_replica_does_not_count_its_own_pre_vote(self) -> None:
@@ -352,21 +352,21 @@
 
     def test_entries_of_an_older_term_commit_only_with_one_of_this_term(self) -> None:
         """It isn't enough that a majority has synced the old entry."""
-        self.replica.count_synced(3)
-        self.replica.count_append(matched(B, 3, 2), sent_at=10.0)
+        self.replica.record_synced(3)
+        self.replica.handle_append_reply(matched(B, 3, 2), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
         self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 3)
 
     def test_the_leaders_own_entry_counts_only_when_synced(self) -> None:
         """One voter and a leader with an unsynced log are no majority."""
-        self.replica.count_append(matched(B, 3, 3), sent_at=10.0)
+        self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
 
     def test_a_reply_of_an_older_term_is_ignored(self) -> None:
         """The voter may have lost since what it had synced then."""
-        self.replica.count_synced(3)
-        self.replica.count_append(matched(B, 2, 3), sent_at=10.0)
+        self.replica.record_synced(3)
+        self.replica.handle_append_reply(matched(B, 2, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit, 0)
         self.assertFalse(self.replica.holds_lease(10.0))
 
@@ -374,18 +374,18 @@
         """A replica that just started isn't, and neither is a leader without a quorum."""
         voter = make_replica(B, now=20.0)
         self.assertFalse(voter.is_current(20.0))
-        voter.consider_append(heartbeat(3, leader=A), 20.0)
+        voter.handle_append(heartbeat(3, leader=A), 20.0)
         self.assertTrue(voter.is_current(20.0 + ELECTION_TIMEOUT_S * 0.9))
         self.assertFalse(voter.is_current(20.0 + ELECTION_TIMEOUT_S * 1.1))
-        self.replica.count_synced(3)
-        self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
+        self.replica.record_synced(3)
+        self.replica.handle_append_reply(matched(B, 3, 3), sent_at=20.0)
         self.assertTrue(self.replica.is_current(20.5))
         self.assertFalse(self.replica.is_current(20.0 + ELECTION_TIMEOUT_S * 1.1))
 
     def test_the_lease_ends_before_a_voter_may_elect_another(self) -> None:
         """The lease starts when the leader sends a message, not when the reply arrives."""
-        self.replica.count_synced(3)
-        self.replica.count_append(matched(B, 3, 3), sent_at=20.0)
+        self.replica.record_synced(3)
+        self.replica.handle_append_reply(matched(B, 3, 3), sent_at=20.0)
         voter = make_replica(B)
         voter.handle_append(heartbeat(3, leader=A), 20.0)
         self.assertTrue(self.replica.holds_lease(20.5))
@@ -402,9 +402,9 @@
 
     def test_a_leader_without_a_quorum_steps_down(self) -> None:
         """It reports no leader and accepts no change."""
-        self.replica.count_append(matched(B, 3, 3), sent_at=10.5)
-        self.assertFalse(self.replica.check_contact(11.4))
-        self.assertTrue(self.replica.check_contact(11.5))
+        self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.5)
+        self.assertFalse(self.replica.check_quorum(11.4))
+        self.assertTrue(self.replica.check_quorum(11.5))
         self.assertEqual((type(self.replica.role), self.replica.leader), (Follower, None))
         change = Change(OperationId("x"), Version(0), ())
         self.assertIsNone(self.replica.propose(change, stamped_at=0.0))
@@ -533,7 +533,7 @@
         leader = leader_of_changes(12, compact_after=10)
         install = snapshot_for(leader, C)
         conflicting = make_replica(C, entry_terms=(0,) * 20)
-        conflicting.consider_install(install, 10.0)
+        conflicting.handle_install(install, 10.0)
         self.assertEqual(conflicting.last_index, install.snapshot.position)
         same = make_replica(C, entry_terms=(1,) * 20)
         same.handle_install(install, 10.0)
@@ -547,9 +547,9 @@
         """Elect a leader with one committed entry of its term."""
         self.leader = leader_of_changes(1, compact_after=100)
 
-    def change_group(self, change: GroupChange) -> int | GroupRefused:
+    def change_group(self, change: GroupChange) -> int | GroupChangeRefused:
         """Request a group change from the leader."""
-        return self.leader.regroup(change, stamped_at=0.0)
+        return self.leader.change_group(change, stamped_at=0.0)
 
     def ack(self, *hosts: str) -> None:
         """Record that the leader and some hosts have synced the whole log."""
@@ -579,8 +579,8 @@
 
     def test_an_unreachable_voter_is_removed_once_its_replacement_votes(self) -> None:
         """If it stayed in the group, one more loss would leave no majority."""
-        soon, late = 10.0 + GONE_AFTER / 2, 10.0 + GONE_AFTER
-        self.assertIsNone(self.leader.tend_group(stamped_at=0.0, now=late))
+        soon, late = 10.0 + VOTER_REMOVAL_TIMEOUT / 2, 10.0 + VOTER_REMOVAL_TIMEOUT
+        self.assertIsNone(self.leader.maintain_group(stamped_at=0.0, now=late))
         self.change_group(Add(learner=member("d")))
         self.ack("b", "d")
         self.leader.maintain_group(stamped_at=0.0, now=soon)
@@ -596,7 +596,7 @@
     def test_a_second_group_change_is_refused_until_the_first_is_committed(self) -> None:
         """Two uncommitted changes could have quorums without a common member."""
         self.assertIsInstance(self.change_group(Remove(host=C)), int)
-        self.assertIsInstance(self.change_group(Add(learner=member("d"))), GroupRefused)
+        self.assertIsInstance(self.change_group(Add(learner=member("d"))), GroupChangeRefused)
         self.ack("b")
         self.assertIsInstance(self.change_group(Add(learner=member("d"))), int)
 
@@ -627,7 +627,7 @@
     def test_a_replica_with_an_unknown_identity_never_starts_an_election(self) -> None:
         """A host with a new disk isn't the voter that the group knows."""
         replica = make_replica(own_id=ReplicaId("unknown"))
-        replica.canvass(5.0)
+        replica.start_pre_vote(5.0)
         self.assertIsInstance(replica.role, Follower)
 
     def test_founders_count_only_once_their_identity_is_in_the_log(self) -> None:
@@ -662,7 +662,7 @@
     def test_a_removed_leader_steps_down_once_its_removal_is_committed(self) -> None:
         """Until then it replicates the change."""
         self.change_group(Remove(host=A))
-        self.assertFalse(self.leader.check_contact(10.1))
+        self.assertFalse(self.leader.check_quorum(10.1))
         self.ack("b", "c")
         self.assertTrue(self.leader.check_quorum(10.1))
 
--- a/tests/test_verdicts_under_faults.py
+++ b/tests/test_verdicts_under_faults.py
@@ -14,7 +14,7 @@
 CALLER_COUNT = 8
 
 
-class VerdictTest(test_leaving.LoadedTest):
+class VerdictTest(test_leaving.LoadTestCase):
     """Verdicts that callers receive while proxies and workers are killed and frozen."""
 
     async def inject_fault(self, rng: random.Random) -> None:
