Name the commit index and the stopping of a replica

The property commit read as an action, next to commit_to. stop_accepting_writes also keeps the replica from starting a pre-vote, so mark_stopping and its docstring say so. tasks/_replication uses both names.

--- a/cowslipvane/replica/_history.py
+++ b/cowslipvane/replica/_history.py
@@ -55,7 +55,7 @@
         return self._groups.changed_at <= self._commit
 
     @property
-    def commit(self) -> int:
+    def commit_index(self) -> int:
         """Return the index up to which the log is committed."""
         return self._commit
 
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -108,9 +108,9 @@
         return self._history.catalogue
 
     @property
-    def commit(self) -> int:
+    def commit_index(self) -> int:
         """Return the index up to which the log is committed."""
-        return self._history.commit
+        return self._history.commit_index
 
     @property
     def last_index(self) -> int:
@@ -183,8 +183,8 @@
         self._role = Candidate(votes=set(), released=released)
         self._election_timer.reset(now)
 
-    def stop_accepting_writes(self) -> None:
-        """Refuse further changes, because the process of this replica is stopping."""
+    def mark_stopping(self) -> None:
+        """Refuse changes and start no pre-vote from now on, because the process is stopping."""
         self._is_stopping = True
 
     def hand_over(self, now: float) -> Voter | None:
@@ -287,7 +287,7 @@
         ):
             # The leader may lack this whole term, so skip it in one round trip.
             index = self._history.first_index_of_term(append.previous_index) - 1
-            return self._append_reply(matched=False, index=max(index, self.commit))
+            return self._append_reply(matched=False, index=max(index, self.commit_index))
         self._history.merge_entries(append.entries)
         matched = append.previous_index + len(append.entries)
         self._commit_to(min(append.commit, matched))
@@ -398,7 +398,7 @@
     def _due_group_change(self, role: Leader, now: float) -> GroupChange | None:
         """Return the promotion or removal that is due, if any."""
         for learner in self.group.learners:
-            if role.synced_index(learner.host) >= max(self.commit, 1):
+            if role.synced_index(learner.host) >= max(self.commit_index, 1):
                 return Promote(learner=learner)
         unreachable = role.unreachable_voter(self.group, now, own=self._host)
         return None if unreachable is None else Remove(host=unreachable.host)
@@ -507,7 +507,7 @@
         index = self._role.synced_by_majority(self._history, own=self._host)
         # An entry of an older term commits only together with one of this term, because a later
         # leader could otherwise replace it although a majority has it.
-        if index > self.commit and self._history.term_of(index) == self._term:
+        if index > self.commit_index and self._history.term_of(index) == self._term:
             self._commit_to(index)
 
     def _commit_to(self, index: int) -> None:
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -68,20 +68,20 @@
         first = self.next_index.setdefault(host, max(1, history.last_index))
         if first <= history.base_index:
             return Install(term=term, leader=leader, snapshot=history.snapshot())
-        self.sent_commit[host] = history.commit
+        self.sent_commit[host] = history.commit_index
         return Append(
             term=term,
             leader=leader,
             previous_index=first - 1,
             previous_term=history.term_of(first - 1),
             entries=history.entries_after(first - 1, MAX_APPEND_ENTRIES),
-            commit=history.commit,
+            commit=history.commit_index,
         )
 
     def is_behind(self, host: HostName, history: History) -> bool:
         """Return whether a member lacks entries or the latest commit index."""
         lacks_entries = self.next_index.get(host, 0) <= history.last_index
-        return lacks_entries or self.sent_commit.get(host, 0) < history.commit
+        return lacks_entries or self.sent_commit.get(host, 0) < history.commit_index
 
     def successor(self, history: History, *, own: HostName) -> Voter | None:
         """Return a voter that has this leader's complete log, if there is one."""
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -188,7 +188,7 @@
         self._changed.send()
         await self._sync_own(index, term)
         deadline = lease_now() + WRITE_TIMEOUT
-        while self._replica.commit < index:
+        while self._replica.commit_index < index:
             left = deadline - lease_now()
             if left <= 0 or self._replica.term != term:
                 return Unknown()
@@ -197,7 +197,7 @@
 
     async def hand_over(self) -> None:
         """Let another replica lead, if this one does, because the process is stopping."""
-        self._replica.stop_accepting_writes()
+        self._replica.mark_stopping()
         term = self._replica.term
         give_up = lease_now() + HAND_OVER_TIMEOUT
         while isinstance(self._replica.role, Leader):
@@ -235,7 +235,7 @@
 
     async def _answer_append(self, append: Append | Install) -> AppendReply:
         """Take entries or a snapshot and sync them."""
-        before = self._replica.commit, self._replica.leader
+        before = self._replica.commit_index, self._replica.leader
         match append:
             case Append():
                 reply = self._replica.handle_append(append, lease_now())
@@ -244,7 +244,7 @@
         # Also a message without entries may bring a new term, or vouch for entries that another
         # connection's task has recorded and not synced yet.
         await self._journal.sync()
-        if before != (self._replica.commit, self._replica.leader):
+        if before != (self._replica.commit_index, self._replica.leader):
             self._changed.send()
         return reply
 
@@ -361,7 +361,7 @@
 
     async def _count(self, reply: object, sent_at: float) -> None:
         """Count a voter's reply."""
-        commit = self._replica.commit
+        commit = self._replica.commit_index
         match reply:
             case AppendReply():
                 self._replica.handle_append_reply(reply, sent_at=sent_at)
@@ -376,7 +376,7 @@
         if index is not None:
             self._changed.send()
             await self._sync_own(index, self._replica.term)
-        if self._replica.commit != commit:
+        if self._replica.commit_index != commit:
             self._changed.send()
 
     async def _follow_up(self) -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -250,7 +250,7 @@
 
     def test_a_stopping_leader_accepts_no_change(self) -> None:
         """Otherwise the voters might never catch up with its log."""
-        self.leader.stop_accepting_writes()
+        self.leader.mark_stopping()
         change = Change(OperationId("o"), Version(0), ())
         self.assertIsNone(self.leader.propose(change, stamped_at=2.5))
 
@@ -354,20 +354,20 @@
         """It isn't enough that a majority has synced the old entry."""
         self.replica.record_synced(3)
         self.replica.handle_append_reply(matched(B, 3, 2), sent_at=10.0)
-        self.assertEqual(self.replica.commit, 0)
+        self.assertEqual(self.replica.commit_index, 0)
         self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.0)
-        self.assertEqual(self.replica.commit, 3)
+        self.assertEqual(self.replica.commit_index, 3)
 
     def test_the_leaders_own_entry_counts_only_when_synced(self) -> None:
         """One voter and a leader with an unsynced log are no majority."""
         self.replica.handle_append_reply(matched(B, 3, 3), sent_at=10.0)
-        self.assertEqual(self.replica.commit, 0)
+        self.assertEqual(self.replica.commit_index, 0)
 
     def test_a_reply_of_an_older_term_is_ignored(self) -> None:
         """The voter may have lost since what it had synced then."""
         self.replica.record_synced(3)
         self.replica.handle_append_reply(matched(B, 2, 3), sent_at=10.0)
-        self.assertEqual(self.replica.commit, 0)
+        self.assertEqual(self.replica.commit_index, 0)
         self.assertFalse(self.replica.holds_lease(10.0))
 
     def test_only_a_replica_in_contact_with_a_leader_is_current(self) -> None:
@@ -439,7 +439,7 @@
             rounds += 1
         self.assertEqual((follower.last_index, follower.term, rounds), (7, 9, 3))
         leader.record_synced(7)
-        self.assertEqual(leader.commit, 7)
+        self.assertEqual(leader.commit_index, 7)
 
     def test_a_late_mismatch_reply_does_not_reset_the_matched_index(self) -> None:
         """A mismatch reply may arrive after an acknowledgement that was sent later."""
@@ -470,7 +470,7 @@
             leader.next_message_for(host)
         leader.handle_append_reply(matched(C, leader.term, 1), sent_at=2.0)
         leader.handle_append_reply(matched(B, leader.term, 1), sent_at=2.0)
-        self.assertEqual(leader.commit, 1)
+        self.assertEqual(leader.commit_index, 1)
         self.assertTrue(leader.is_behind(B))
         self.assertTrue(leader.is_behind(C))
         append = leader.next_message_for(C)
@@ -515,7 +515,9 @@
         self.assertEqual(export_state(follower.catalogue), export_state(leader.catalogue))
         again = follower.catalogue.apply(put("op3", 3), accepted_at=99.0)
         self.assertEqual(again, Accepted(version=Version(4), accepted_at=3.0))
-        self.assertEqual((follower.commit, follower.group), (leader.commit, leader.group))
+        self.assertEqual(
+            (follower.commit_index, follower.group), (leader.commit_index, leader.group)
+        )
 
     def test_an_older_snapshot_is_ignored(self) -> None:
         """A snapshot that arrives late is acknowledged but not installed."""
@@ -562,11 +564,11 @@
     def test_a_learner_counts_only_after_its_promotion(self) -> None:
         """Its acknowledgements commit nothing before; it is promoted once it has caught up."""
         self.change_group(Add(learner=member("d")))
-        committed = self.leader.commit
+        committed = self.leader.commit_index
         self.ack("d")
-        self.assertEqual(self.leader.commit, committed)
+        self.assertEqual(self.leader.commit_index, committed)
         self.ack("b")
-        self.assertGreater(self.leader.commit, committed)
+        self.assertGreater(self.leader.commit_index, committed)
         self.assertEqual(len(self.leader.group.voters), 3)
         self.assertIsNotNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
         self.assertEqual([voter.host for voter in self.leader.group.voters], [*HOSTS, "d"])
@@ -639,12 +641,12 @@
         self.assertFalse(leader.check_identity(B, ReplicaId("other")))
         leader.record_synced(1)
         leader.handle_append_reply(matched(B, 1, 1), sent_at=10.0)
-        self.assertEqual(leader.commit, 0)
+        self.assertEqual(leader.commit_index, 0)
         index = leader.maintain_group(stamped_at=0.0, now=10.0)
         assert index is not None
         leader.record_synced(index)
         leader.handle_append_reply(matched(B, 1, index), sent_at=10.0)
-        self.assertEqual(leader.commit, index)
+        self.assertEqual(leader.commit_index, index)
         self.assertEqual([voter.replica_id for voter in leader.group.voters], ["id-a", "id-b", ""])
 
     def test_a_truncated_group_change_is_undone(self) -> None:
