--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -86,13 +86,13 @@
         return self._groups[-1][1]
 
     @property
-    def changed_at(self) -> int:
+    def changed_index(self) -> int:
         """Return the index of the entry that contains the current group."""
         return self._groups[-1][0]
 
     def in_force_at(self, index: int) -> Group:
         """Return the group in force at an index of the log."""
-        return next(group for at, group in reversed(self._groups) if at <= index)
+        return next(group for start, group in reversed(self._groups) if start <= index)
 
     def add(self, index: int, group: Group) -> None:
         """Record that a group is in force from an index on."""
--- a/cowslipvane/replica/_history.py
+++ b/cowslipvane/replica/_history.py
@@ -9,7 +9,7 @@
 from cowslipvane.replica._messages import Command, Entry, LogSnapshot, Noop, Regroup, Write
 
 
-class History:
+class ReplicatedState:
     """Log, group and catalogue, kept consistent with each other and with the journal."""
 
     def __init__(
@@ -18,10 +18,10 @@
         founders: tuple[Voter, ...],
         journal: Journal,
         recovered: Recovered,
-        compact_after: int,
+        compact_after_entries: int,
     ) -> None:
         self._journal = journal
-        self._compact_after = compact_after
+        self._compact_after_entries = compact_after_entries
         self._catalogue = Catalogue()
         base = recovered.snapshot or LogSnapshot(
             0, 0, Group(founders), export_state(self._catalogue)
@@ -30,9 +30,9 @@
         self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
         self._groups = GroupHistory(index=base.position, group=base.group)
         self._record_groups(recovered.entries)
-        self._synced = self.last_index
-        self._commit = base.position
-        self._applied = base.position
+        self._synced_index = self.last_index
+        self._commit_index = base.position
+        self._applied_index = base.position
 
     @property
     def catalogue(self) -> Catalogue:
@@ -45,24 +45,24 @@
         return self._groups.current
 
     @property
-    def group_changed_at(self) -> int:
+    def group_index(self) -> int:
         """Return the index of the entry that contains the group in force."""
-        return self._groups.changed_at
+        return self._groups.changed_index
 
     @property
     def group_is_committed(self) -> bool:
         """Return whether the entry of the group in force is committed."""
-        return self._groups.changed_at <= self._commit
+        return self._groups.changed_index <= self._commit_index
 
     @property
     def commit_index(self) -> int:
         """Return the index up to which the log is committed."""
-        return self._commit
+        return self._commit_index
 
     @property
-    def synced(self) -> int:
+    def synced_index(self) -> int:
         """Return the index up to which the log is synced to this replica's disk."""
-        return self._synced
+        return self._synced_index
 
     @property
     def base_index(self) -> int:
@@ -85,7 +85,7 @@
 
     def has_committed_in(self, term: int) -> bool:
         """Return whether the last committed entry is of a term."""
-        return self._log.term_of(self._commit) == term
+        return self._log.term_of(self._commit_index) == term
 
     def entries_after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
         """Return the entries after an index, up to a limit."""
@@ -109,19 +109,19 @@
         if new:
             self._groups.truncate_from(new[0].position)
             self._record_groups(new)
-            self._synced = min(self._synced, new[0].position - 1)
+            self._synced_index = min(self._synced_index, new[0].position - 1)
             self._journal.record_entries(new)
 
     def install_snapshot(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
         """Replace the log up to a snapshot, unless that part is already committed here."""
-        if snapshot.position <= self._commit:
+        if snapshot.position <= self._commit_index:
             return
         import_state(self._catalogue, snapshot.catalogue)
         self._log.compact(snapshot.position, snapshot.term)
         self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
         self._record_groups(self._log.entries_after(snapshot.position))
-        self._commit = self._applied = snapshot.position
-        self._synced = min(self._synced, self.last_index)
+        self._commit_index = self._applied_index = snapshot.position
+        self._synced_index = min(self._synced_index, self.last_index)
         self._record_snapshot(snapshot, ballot)
 
     def commit_to(self, index: int, ballot: Ballot) -> None:
@@ -129,28 +129,28 @@
 
         The journal that replaces a compacted one starts with the ballot.
         """
-        self._commit = max(self._commit, index)
-        while self._applied < self._commit:
-            self._applied += 1
-            entry = self._log.entry(self._applied)
+        self._commit_index = max(self._commit_index, index)
+        while self._applied_index < self._commit_index:
+            self._applied_index += 1
+            entry = self._log.entry(self._applied_index)
             match entry.command:
                 case Write(change=change):
                     self._catalogue.apply(change, accepted_at=entry.stamped_at)
                 case Noop() | Regroup():
                     pass
-        if self._applied - self._log.base_index >= self._compact_after:
+        if self._applied_index - self._log.base_index >= self._compact_after_entries:
             self._compact(ballot)
 
     def record_synced(self, index: int) -> None:
         """Record that the log is synced up to an index."""
-        self._synced = min(max(self._synced, index), self.last_index)
+        self._synced_index = min(max(self._synced_index, index), self.last_index)
 
     def snapshot(self) -> LogSnapshot:
         """Return a snapshot of the state after the applied entries."""
         return LogSnapshot(
-            self._applied,
-            self._log.term_of(self._applied),
-            self._groups.in_force_at(self._applied),
+            self._applied_index,
+            self._log.term_of(self._applied_index),
+            self._groups.in_force_at(self._applied_index),
             export_state(self._catalogue),
         )
 
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -16,7 +16,7 @@
     Voter,
     apply_group_change,
 )
-from cowslipvane.replica._history import History
+from cowslipvane.replica._history import ReplicatedState
 from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._messages import (
     Append,
@@ -54,15 +54,18 @@
         election_timeout: Seconds,
         rng: random.Random,
         now: float,
-        compact_after: int = COMPACT_AFTER_ENTRIES,
+        compact_after_entries: int = COMPACT_AFTER_ENTRIES,
     ) -> None:
         self._host = host
         self._replica_id = replica_id
         self._journal = journal
         self._term = recovered.ballot.term
         self._voted_for = recovered.ballot.voted_for
-        self._history = History(
-            founders=founders, journal=journal, recovered=recovered, compact_after=compact_after
+        self._state = ReplicatedState(
+            founders=founders,
+            journal=journal,
+            recovered=recovered,
+            compact_after_entries=compact_after_entries,
         )
         self._identities = {host: replica_id}
         self._role: Role = Follower()
@@ -84,7 +87,7 @@
     @property
     def group(self) -> Group:
         """Return the group in force, whose entry may be uncommitted."""
-        return self._history.group
+        return self._state.group
 
     @property
     def is_voter(self) -> bool:
@@ -105,17 +108,17 @@
     @property
     def catalogue(self) -> Catalogue:
         """Return the catalogue after applying the committed log."""
-        return self._history.catalogue
+        return self._state.catalogue
 
     @property
     def commit_index(self) -> int:
         """Return the index up to which the log is committed."""
-        return self._history.commit_index
+        return self._state.commit_index
 
     @property
     def last_index(self) -> int:
         """Return the index of the last entry of the log."""
-        return self._history.last_index
+        return self._state.last_index
 
     @property
     def election_due_at(self) -> float:
@@ -140,7 +143,7 @@
 
     def holds_lease(self, now: float) -> bool:
         """Return whether this leader's lease rules out that another replica leads by now."""
-        if not isinstance(self._role, Leader) or not self._history.has_committed_in(self._term):
+        if not isinstance(self._role, Leader) or not self._state.has_committed_in(self._term):
             return False
         return (
             now
@@ -160,7 +163,7 @@
         """Step down if removed or without contact to a quorum; return whether it did."""
         if not isinstance(self._role, Leader):
             return False
-        removed = not self.is_voter and self._history.group_is_committed
+        removed = not self.is_voter and self._state.group_is_committed
         if not removed and self._has_quorum_contact(self._role, now):
             return False
         self._role = Follower()
@@ -194,7 +197,7 @@
         """
         if not isinstance(self._role, Leader):
             return None
-        successor = self._role.successor(self._history, own=self._host)
+        successor = self._role.successor(self._state, own=self._host)
         if successor is not None:
             self._role = Follower()
             self._election_timer.reset(now)
@@ -218,7 +221,7 @@
             term=self._term,
             proposed=request.term,
             voter=self._host,
-            granted=is_eligible and not self._has_granted_lease(now),
+            granted=is_eligible and not self._must_refuse_votes(now),
             idle=is_eligible and not knows_leader,
         )
 
@@ -250,7 +253,7 @@
         # A released vote belongs to the term after that of the leader that gave up its lease, and
         # that leader was elected after all leases of earlier terms had ended.
         released = request.released and request.term > self._term
-        if self._has_granted_lease(now) and not released:
+        if self._must_refuse_votes(now) and not released:
             return VoteReply(term=self._term, voter=self._host, granted=False)
         self._observe_term(request.term)
         granted = (
@@ -280,15 +283,15 @@
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
         # Entries up to the base index are committed, so they are the same in every log.
-        starts_before_base = append.previous_index < self._history.base_index
+        starts_before_base = append.previous_index < self._state.base_index
         if (
             not starts_before_base
-            and self._history.term_of(append.previous_index) != append.previous_term
+            and self._state.term_of(append.previous_index) != append.previous_term
         ):
             # The leader may lack this whole term, so skip it in one round trip.
-            index = self._history.first_index_of_term(append.previous_index) - 1
+            index = self._state.first_index_of_term(append.previous_index) - 1
             return self._append_reply(matched=False, index=max(index, self.commit_index))
-        self._history.merge_entries(append.entries)
+        self._state.merge_entries(append.entries)
         matched = append.previous_index + len(append.entries)
         self._commit_to(min(append.commit, matched))
         return self._append_reply(matched=True, index=matched)
@@ -297,14 +300,14 @@
         """Accept a snapshot from the leader; the reply may be sent only after a sync."""
         if not self._follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
-        self._history.install_snapshot(install.snapshot, self._ballot)
+        self._state.install_snapshot(install.snapshot, self._ballot)
         return self._append_reply(matched=True, index=install.snapshot.position)
 
-    def next_message_for(self, voter: HostName) -> Append | Install | None:
+    def next_message_for(self, host: HostName) -> Append | Install | None:
         """Return the next message that a member needs, or None if this isn't the leader."""
         if not isinstance(self._role, Leader):
             return None
-        return self._role.next_message(voter, self._history, leader=self._host, term=self._term)
+        return self._role.next_message(host, self._state, leader=self._host, term=self._term)
 
     def vote_request_for(self, voter: HostName) -> PreVote | Vote | None:
         """Return the pre-vote or vote request that a voter hasn't granted yet, or None."""
@@ -330,9 +333,9 @@
             case _:
                 return None
 
-    def is_behind(self, voter: HostName) -> bool:
+    def is_behind(self, host: HostName) -> bool:
         """Return whether a member lacks entries or the latest commit index of this leader."""
-        return isinstance(self._role, Leader) and self._role.is_behind(voter, self._history)
+        return isinstance(self._role, Leader) and self._role.is_behind(host, self._state)
 
     def handle_append_reply(self, reply: AppendReply, *, sent_at: float) -> None:
         """Record what a member has synced, and commit what a majority has synced."""
@@ -361,12 +364,12 @@
         if isinstance(group, GroupChangeRefused):
             return group
         if group == self.group:
-            return self._history.group_changed_at
-        if not self._history.group_is_committed:
+            return self._state.group_index
+        if not self._state.group_is_committed:
             return GroupChangeRefused(reason="another change of the group is under way; try again")
         # Until an entry of its own term is committed, a leader can't know whether an earlier
         # leader's change was committed, and two changes at once may have disjoint quorums.
-        if not self._history.has_committed_in(self._term):
+        if not self._state.has_committed_in(self._term):
             return GroupChangeRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
@@ -381,7 +384,7 @@
         The identities of founders are recorded, a learner that has caught up is promoted, and an
         unreachable voter is removed.
         """
-        if not isinstance(self._role, Leader) or not self._history.group_is_committed:
+        if not isinstance(self._role, Leader) or not self._state.group_is_committed:
             return None
         identified = self.group.with_identities(self._identities)
         if (
@@ -398,7 +401,7 @@
     def _due_group_change(self, role: Leader, now: float) -> GroupChange | None:
         """Return the promotion or removal that is due, if any."""
         for learner in self.group.learners:
-            if role.synced_index(learner.host) >= max(self.commit_index, 1):
+            if role.matched_index(learner.host) >= max(self.commit_index, 1):
                 return Promote(learner=learner)
         unreachable = role.unreachable_voter(self.group, now, own=self._host)
         return None if unreachable is None else Remove(host=unreachable.host)
@@ -411,7 +414,7 @@
 
     def record_synced(self, index: int) -> None:
         """Record that this replica's own log is synced up to an index."""
-        self._history.record_synced(index)
+        self._state.record_synced(index)
         if isinstance(self._role, Leader):
             self._commit_majority()
 
@@ -424,7 +427,7 @@
     @property
     def _last_position(self) -> tuple[int, int]:
         """Return the term and index of the last entry, by which elections compare logs."""
-        return self._history.last_position
+        return self._state.last_position
 
     @property
     def _ballot(self) -> Ballot:
@@ -457,11 +460,11 @@
         """Return whether a majority replied to this leader within the election timeout."""
         return (
             now
-            < max(role.since, role.quorum_contact(self.group, self._host, now))
+            < max(role.elected_at, role.quorum_contact(self.group, self._host, now))
             + self._election_timer.election_timeout
         )
 
-    def _has_granted_lease(self, now: float) -> bool:
+    def _must_refuse_votes(self, now: float) -> bool:
         """Return whether this replica leads, or a leader may rely on its vote lease."""
         if isinstance(self._role, Leader):
             return self._has_quorum_contact(self._role, now)
@@ -490,12 +493,12 @@
 
     def _become_leader(self, now: float) -> None:
         """Become the leader and append the first entry of the term."""
-        self._role = Leader(since=now)
+        self._role = Leader(elected_at=now)
         self._append_command(Noop(), now)
 
     def _append_command(self, command: Command, stamped_at: float) -> int:
         """Append a command of this leader to its log."""
-        return self._history.append(self._term, command, stamped_at)
+        return self._state.append(self._term, command, stamped_at)
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append message."""
@@ -504,12 +507,12 @@
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if its last entry is of this term."""
         assert isinstance(self._role, Leader)
-        index = self._role.synced_by_majority(self._history, own=self._host)
+        index = self._role.synced_by_majority(self._state, own=self._host)
         # An entry of an older term commits only together with one of this term, because a later
         # leader could otherwise replace it although a majority has it.
-        if index > self.commit_index and self._history.term_of(index) == self._term:
+        if index > self.commit_index and self._state.term_of(index) == self._term:
             self._commit_to(index)
 
     def _commit_to(self, index: int) -> None:
         """Apply the log to the catalogue up to a committed index."""
-        self._history.commit_to(index, self._ballot)
+        self._state.commit_to(index, self._ballot)
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cowslipvane.replica._group import Group, Voter
-from cowslipvane.replica._history import History
+from cowslipvane.replica._history import ReplicatedState
 from cowslipvane.replica._messages import Append, Install
 from cowslipvane.types import HostName, Seconds
 
@@ -55,38 +55,38 @@
 class Leader:
     """A replica that replicates its log; tracks indexes and last contact by member."""
 
-    since: float
+    elected_at: float
     next_index: dict[HostName, int] = field(default_factory=dict)
     match_index: dict[HostName, int] = field(default_factory=dict)
     contact_at: dict[HostName, float] = field(default_factory=dict)
     sent_commit: dict[HostName, int] = field(default_factory=dict)
 
     def next_message(
-        self, host: HostName, history: History, *, leader: HostName, term: int
+        self, host: HostName, state: ReplicatedState, *, leader: HostName, term: int
     ) -> Append | Install:
         """Return the next message that a member needs to catch up with this leader."""
-        first = self.next_index.setdefault(host, max(1, history.last_index))
-        if first <= history.base_index:
-            return Install(term=term, leader=leader, snapshot=history.snapshot())
-        self.sent_commit[host] = history.commit_index
+        first = self.next_index.setdefault(host, max(1, state.last_index))
+        if first <= state.base_index:
+            return Install(term=term, leader=leader, snapshot=state.snapshot())
+        self.sent_commit[host] = state.commit_index
         return Append(
             term=term,
             leader=leader,
             previous_index=first - 1,
-            previous_term=history.term_of(first - 1),
-            entries=history.entries_after(first - 1, MAX_APPEND_ENTRIES),
-            commit=history.commit_index,
+            previous_term=state.term_of(first - 1),
+            entries=state.entries_after(first - 1, MAX_APPEND_ENTRIES),
+            commit=state.commit_index,
         )
 
-    def is_behind(self, host: HostName, history: History) -> bool:
+    def is_behind(self, host: HostName, state: ReplicatedState) -> bool:
         """Return whether a member lacks entries or the latest commit index."""
-        lacks_entries = self.next_index.get(host, 0) <= history.last_index
-        return lacks_entries or self.sent_commit.get(host, 0) < history.commit_index
+        lacks_entries = self.next_index.get(host, 0) <= state.last_index
+        return lacks_entries or self.sent_commit.get(host, 0) < state.commit_index
 
-    def successor(self, history: History, *, own: HostName) -> Voter | None:
+    def successor(self, state: ReplicatedState, *, own: HostName) -> Voter | None:
         """Return a voter that has this leader's complete log, if there is one."""
-        others = (voter for voter in history.group.voters if voter.host != own)
-        return next((v for v in others if self.synced_index(v.host) == history.last_index), None)
+        others = (voter for voter in state.group.voters if voter.host != own)
+        return next((v for v in others if self.matched_index(v.host) == state.last_index), None)
 
     def unreachable_voter(self, group: Group, now: float, *, own: HostName) -> Voter | None:
         """Return the voter to remove, the one without contact for longest, if there is one."""
@@ -94,16 +94,16 @@
             return None
         others = [voter for voter in group.voters if voter.host != own]
         longest_unreachable = min(others, key=lambda voter: self.last_contact(voter.host))
-        since = max(self.since, self.last_contact(longest_unreachable.host))
+        since = max(self.elected_at, self.last_contact(longest_unreachable.host))
         return longest_unreachable if now >= since + VOTER_REMOVAL_TIMEOUT else None
 
-    def synced_by_majority(self, history: History, *, own: HostName) -> int:
+    def synced_by_majority(self, state: ReplicatedState, *, own: HostName) -> int:
         """Return the index up to which a majority has synced this leader's log."""
-        group = history.group
-        synced = sorted(self._counted_index(voter, history, own) for voter in group.voters)
+        group = state.group
+        synced = sorted(self._counted_index(voter, state, own) for voter in group.voters)
         return synced[-group.majority]
 
-    def synced_index(self, host: HostName) -> int:
+    def matched_index(self, host: HostName) -> int:
         """Return the index up to which a member has synced this leader's log."""
         return self.match_index.get(host, 0)
 
@@ -124,24 +124,24 @@
 
     def record_match(self, host: HostName, index: int) -> None:
         """Record the index up to which a member has synced the log."""
-        self.match_index[host] = max(self.synced_index(host), index)
-        self.next_index[host] = self.synced_index(host) + 1
+        self.match_index[host] = max(self.matched_index(host), index)
+        self.next_index[host] = self.matched_index(host) + 1
 
     def record_mismatch(self, host: HostName, index: int) -> None:
         """Go back to an index for a member whose log differs, never before a matched one."""
-        self.next_index[host] = max(self.synced_index(host), index) + 1
+        self.next_index[host] = max(self.matched_index(host), index) + 1
 
     def forget_progress(self, host: HostName) -> None:
         """Drop the progress of the former identity on a host."""
         for progress in (self.next_index, self.match_index, self.contact_at, self.sent_commit):
             progress.pop(host, None)
 
-    def _counted_index(self, voter: Voter, history: History, own: HostName) -> int:
+    def _counted_index(self, voter: Voter, state: ReplicatedState, own: HostName) -> int:
         """Return the index up to which a voter counts as having synced this leader's log."""
         # A founder whose identity isn't in the log could restart with an empty disk unnoticed.
         if not voter.replica_id:
             return 0
-        return history.synced if voter.host == own else self.synced_index(voter.host)
+        return state.synced_index if voter.host == own else self.matched_index(voter.host)
 
 
 Role = Follower | PreCandidate | Candidate | Leader
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -85,7 +85,7 @@
     entry_terms: tuple[int, ...] = (),
     own_id: ReplicaId | None = None,
     founders: tuple[Voter, ...] = (),
-    compact_after: int = 100,
+    compact_after_entries: int = 100,
 ) -> Replica:
     """Return one of three replicas, recovered with entries of the given terms."""
     entries = tuple(
@@ -100,7 +100,7 @@
         election_timeout=ELECTION_TIMEOUT_S,
         rng=random.Random(7),
         now=now,
-        compact_after=compact_after,
+        compact_after_entries=compact_after_entries,
     )
 
 
@@ -479,9 +479,9 @@
         self.assertFalse(leader.is_behind(C))
 
 
-def leader_of_changes(count: int, *, compact_after: int) -> Replica:
+def leader_of_changes(count: int, *, compact_after_entries: int) -> Replica:
     """Return a leader that has committed some changes with one follower."""
-    leader = make_replica(compact_after=compact_after)
+    leader = make_replica(compact_after_entries=compact_after_entries)
     elect(leader, B, now=10.0)
     for number in range(count):
         index = leader.propose(put(f"op{number}", number), stamped_at=float(number))
@@ -505,7 +505,7 @@
 
     def test_a_follower_too_far_behind_gets_a_snapshot_and_the_later_entries(self) -> None:
         """It then returns the same outcome for a resent operation as the leader."""
-        leader = leader_of_changes(12, compact_after=10)
+        leader = leader_of_changes(12, compact_after_entries=10)
         follower = make_replica(C)
         install = snapshot_for(leader, C)
         leader.handle_append_reply(follower.handle_install(install, 10.0), sent_at=10.0)
@@ -521,8 +521,8 @@
 
     def test_an_older_snapshot_is_ignored(self) -> None:
         """A snapshot that arrives late is acknowledged but not installed."""
-        leader = leader_of_changes(12, compact_after=5)
-        old = snapshot_for(leader_of_changes(6, compact_after=5), C)
+        leader = leader_of_changes(12, compact_after_entries=5)
+        old = snapshot_for(leader_of_changes(6, compact_after_entries=5), C)
         new = snapshot_for(leader, C)
         follower = make_replica(C)
         follower.handle_install(new, 10.0)
@@ -532,7 +532,7 @@
 
     def test_a_snapshot_replaces_a_conflicting_log(self) -> None:
         """Entries after the snapshot are kept only if the log matches its term."""
-        leader = leader_of_changes(12, compact_after=10)
+        leader = leader_of_changes(12, compact_after_entries=10)
         install = snapshot_for(leader, C)
         conflicting = make_replica(C, entry_terms=(0,) * 20)
         conflicting.handle_install(install, 10.0)
@@ -547,7 +547,7 @@
 
     def setUp(self) -> None:
         """Elect a leader with one committed entry of its term."""
-        self.leader = leader_of_changes(1, compact_after=100)
+        self.leader = leader_of_changes(1, compact_after_entries=100)
 
     def change_group(self, change: GroupChange) -> int | GroupChangeRefused:
         """Request a group change from the leader."""
