--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -16,7 +16,6 @@
     Voter,
     apply_group_change,
 )
-from cowslipvane.replica._history import ReplicatedState
 from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._messages import (
     Append,
@@ -33,6 +32,7 @@
     VoteReply,
     Write,
 )
+from cowslipvane.replica._replicated_state import ReplicatedState
 from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate, Role
 from cowslipvane.types import HostName, ReplicaId, Seconds
 
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from cowslipvane.replica._group import Group, Voter
-from cowslipvane.replica._history import ReplicatedState
 from cowslipvane.replica._messages import Append, Install
+from cowslipvane.replica._replicated_state import ReplicatedState
 from cowslipvane.types import HostName, Seconds
 
 # A voter that hasn't replied for this long is removed if enough others remain. Machines are
