--- a/cowslipvane/replica/_election_timer.py
+++ b/cowslipvane/replica/_election_timer.py
@@ -14,27 +14,29 @@
 # because all replicas may start together, and several candidates in a term can split the vote.
 MAX_FIRST_PRE_VOTE_DELAY: Seconds = 0.1
 
-# How long a replica waits for a preferred candidate; a vote takes some round trips and syncs.
+# How long a replica waits for the first candidate; a vote takes some round trips and syncs.
 CANDIDACY_DEFERRAL: Seconds = 0.1
 
-# Share of the election timeout for which a leader relies on a voter's reply to keep the voter from
-# electing another leader; the rest allows for clocks that run at different rates.
+# A leader's lease lasts for this share of the election timeout after it sent a message that a voter
+# replied to; the rest allows for clocks that run at different rates.
 LEADER_LEASE_SHARE = 0.9
 
 
 class ElectionTimer:
     """Vote lease and election timer of a replica.
 
-    For one election timeout after a leader's message the replica votes for no other candidate; its
-    own election starts only some time after that. Times are in seconds of one clock, which keeps
-    running while the host is suspended.
+    For one election timeout after a leader's message, and after its own start, the replica grants
+    no vote to another candidate, unless the vote is released. An election begins with a pre-vote,
+    which is due some time after the vote lease. It is due earlier after a start, and after a
+    deferral, which happens only if no voter can hold a lease. Times are in seconds of one clock,
+    which keeps running while the host is suspended.
     """
 
     def __init__(self, *, election_timeout: Seconds, rng: random.Random, now: float) -> None:
         self._election_timeout = election_timeout
         self._rng = rng
         # Before a restart this voter may have replied to a leader, which relies on that reply for
-        # an election timeout. So the vote lease also begins at the start of the process.
+        # up to an election timeout. So the vote lease also begins at the start of the process.
         self._vote_lease_start = now
         # Unlike the vote lease, this is set only by a message from a leader.
         self._leader_contact_at = -math.inf
@@ -53,7 +55,7 @@
 
     @property
     def election_due_at(self) -> float:
-        """Return when to start an election if no message from a leader arrives before."""
+        """Return when to start a pre-vote if no message from a leader arrives before."""
         return self._election_due_at
 
     def record_leader_contact(self, now: float) -> None:
--- a/cowslipvane/replica/_group.py
+++ b/cowslipvane/replica/_group.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.types import Address, HostName, ReplicaId
 
-# Placeholder for the identity of a founder that has never connected.
+# Placeholder for the identity of a founder that isn't recorded in the log yet.
 UNKNOWN_REPLICA_ID = ReplicaId("")
 
 
@@ -57,7 +57,7 @@
         return Group(rest.voters, (*rest.learners, learner))
 
     def with_voter(self, learner: Voter) -> Group:
-        """Return the group with a learner with_voter to voter."""
+        """Return the group with a learner promoted to voter."""
         rest = self.without(learner.host)
         return Group((*rest.voters, learner), rest.learners)
 
@@ -87,7 +87,7 @@
 
     @property
     def changed_index(self) -> int:
-        """Return the index of the entry that contains the current group."""
+        """Return the index of the entry that put the current group in force."""
         return self._groups[-1][0]
 
     def in_force_at(self, index: int) -> Group:
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Regroup:
-    """Entry from which on a group is in force."""
+    """Entry that puts a group in force."""
 
     group: Group
 
@@ -51,7 +51,10 @@
 
 
 class Report(NamedTuple):
-    """The version in force at a proxy; the report with the latest changed_at is valid."""
+    """The version in force at a proxy since applied_at.
+
+    The report with the latest changed_at replaces the others of the proxy.
+    """
 
     host: HostName
     version: Version
@@ -75,8 +78,9 @@
 class PreVoteReply:
     """Reply that says if a vote in the proposed term would be granted, and the voter's own term.
 
-    idle means that the voter neither leads nor was in contact with a leader within the last
-    election timeout, so that only the vote lease that it started with may keep it from voting.
+    idle means that the term and the log of the request are acceptable, and that the voter neither
+    leads nor had a message from a leader within the last election timeout. Then only the vote lease
+    that it started with can keep it from voting.
     """
 
     term: int
@@ -108,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakeOver:
-    """Request from a leader that has stepped down to a voter to start an election at once."""
+    """Request to a voter to start an election at once, from a leader that has stepped down."""
 
     term: int
 
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -41,7 +41,7 @@
 
 
 class Replica:
-    """A member of the group, with its role, its log and the catalogue that the log produces."""
+    """A member of the group, with its role and term, its log and its catalogue."""
 
     def __init__(
         self,
@@ -91,7 +91,10 @@
 
     @property
     def is_voter(self) -> bool:
-        """Return whether the group has this replica's host and identity as a voter."""
+        """Return whether the group has this replica's host and identity as a voter.
+
+        A founder whose identity isn't recorded in the log yet counts too.
+        """
         own = self.group.voter(self._host)
         return own is not None and own.replica_id in (UNKNOWN_REPLICA_ID, self._replica_id)
 
@@ -122,7 +125,7 @@
 
     @property
     def election_due_at(self) -> float:
-        """Return when to start an election if no message from a leader arrives before."""
+        """Return when to start a pre-vote if no message from a leader arrives before."""
         return self._election_timer.election_due_at
 
     @property
@@ -142,7 +145,7 @@
                 return None
 
     def holds_lease(self, now: float) -> bool:
-        """Return whether this leader's lease rules out that another replica leads by now."""
+        """Return whether this leader's lease is valid, so that no later leader can exist yet."""
         if not isinstance(self._role, Leader) or not self._state.has_committed_in(self._term):
             return False
         return (
@@ -152,7 +155,7 @@
         )
 
     def is_current(self, now: float) -> bool:
-        """Return whether the committed state here is at most one election timeout old."""
+        """Return whether this replica's committed state is at most one election timeout old."""
         match self._role:
             case Leader():
                 return self.holds_lease(now)
@@ -160,7 +163,7 @@
                 return self._election_timer.is_following(now)
 
     def check_quorum(self, now: float) -> bool:
-        """Step down if removed or without contact to a quorum; return whether it did."""
+        """Step down if removed or without contact with a quorum; return whether it did."""
         if not isinstance(self._role, Leader):
             return False
         removed = not self.is_voter and self._state.group_is_committed
@@ -304,7 +307,7 @@
         return self._append_reply(matched=True, index=install.snapshot.position)
 
     def next_message_for(self, host: HostName) -> Append | Install | None:
-        """Return the next message that a member needs, or None if this isn't the leader."""
+        """Return the next message for the member on a host, or None if this isn't the leader."""
         if not isinstance(self._role, Leader):
             return None
         return self._role.next_message(host, self._state, leader=self._host, term=self._term)
@@ -334,7 +337,7 @@
                 return None
 
     def is_behind(self, host: HostName) -> bool:
-        """Return whether a member lacks entries or the latest commit index of this leader."""
+        """Return whether the member on a host lacks entries or the commit index of this leader."""
         return isinstance(self._role, Leader) and self._role.is_behind(host, self._state)
 
     def handle_append_reply(self, reply: AppendReply, *, sent_at: float) -> None:
@@ -350,7 +353,10 @@
         self._commit_majority()
 
     def check_identity(self, host: HostName, replica_id: ReplicaId) -> bool:
-        """Return whether a member has an identity; a founder's first one is recorded as its own."""
+        """Return whether the member on a host has the given identity.
+
+        The first identity with which a founder connects is recorded as its own.
+        """
         member = self.group.member(host)
         if member is None:
             return False
@@ -407,7 +413,7 @@
         return None if unreachable is None else Remove(host=unreachable.host)
 
     def propose(self, change: Change, *, stamped_at: float) -> int | None:
-        """Append a change and return its index, or None if this isn't an active leader."""
+        """Append a change and return its index, or None if this isn't the leader or is stopping."""
         if not isinstance(self._role, Leader) or self._is_stopping:
             return None
         return self._append_command(Write(change=change), stamped_at)
@@ -465,7 +471,11 @@
         )
 
     def _must_refuse_votes(self, now: float) -> bool:
-        """Return whether this replica leads, or a leader may rely on its vote lease."""
+        """Return whether to refuse votes that aren't released.
+
+        A leader does so while it has contact with a quorum, any other replica while a leader may
+        rely on its vote lease.
+        """
         if isinstance(self._role, Leader):
             return self._has_quorum_contact(self._role, now)
         return self._election_timer.has_granted_lease(now)
@@ -501,7 +511,7 @@
         return self._state.append(self._term, command, stamped_at)
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
-        """Return the reply to an Append message."""
+        """Return the reply to an Append or Install message."""
         return AppendReply(term=self._term, voter=self._host, matched=matched, index=index)
 
     def _commit_majority(self) -> None:
--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -1,4 +1,4 @@
-"""The history of a replica: its log and the state after applying the committed entries."""
+"""The log of a replica, and the group and the catalogue that result from it."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 
     @property
     def group_index(self) -> int:
-        """Return the index of the entry that contains the group in force."""
+        """Return the index of the entry that put the group in force."""
         return self._groups.changed_index
 
     @property
@@ -84,7 +84,7 @@
         return self._log.term_of(index)
 
     def has_committed_in(self, term: int) -> bool:
-        """Return whether the last committed entry is of a term."""
+        """Return whether the last committed entry belongs to a term."""
         return self._log.term_of(self._commit_index) == term
 
     def entries_after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
@@ -127,7 +127,7 @@
     def commit_to(self, index: int, ballot: Ballot) -> None:
         """Apply the log to the catalogue up to a committed index, and compact it when it is long.
 
-        The journal that replaces a compacted one starts with the ballot.
+        Compaction replaces the journal, so the ballot is recorded again.
         """
         self._commit_index = max(self._commit_index, index)
         while self._applied_index < self._commit_index:
@@ -166,7 +166,7 @@
         self._journal.record_snapshot(snapshot, ballot, self._log.entries_after(snapshot.position))
 
     def _record_groups(self, entries: tuple[Entry, ...]) -> None:
-        """Put the groups in force that entries contain."""
+        """Record the groups that entries put in force."""
         for entry in entries:
             match entry.command:
                 case Regroup(group=group):
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -53,7 +53,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Leader:
-    """A replica that replicates its log; tracks indexes and last contact by member."""
+    """A replica that replicates its log to the other members.
+
+    By member, it tracks the index of the next entry to send, the index up to which the log matches
+    and is synced there, the send time of the latest message replied to, and the commit index last
+    sent.
+    """
 
     elected_at: float
     next_index: dict[HostName, int] = field(default_factory=dict)
@@ -104,7 +109,7 @@
         return synced[-group.majority]
 
     def matched_index(self, host: HostName) -> int:
-        """Return the index up to which a member has synced this leader's log."""
+        """Return the index up to which a member's synced log matches this leader's."""
         return self.match_index.get(host, 0)
 
     def last_contact(self, host: HostName) -> float:
@@ -112,7 +117,7 @@
         return self.contact_at.get(host, -math.inf)
 
     def quorum_contact(self, group: Group, own: HostName, now: float) -> float:
-        """Return the latest send time since which a majority has replied to this leader."""
+        """Return the latest time such that a majority replied to messages sent then or later."""
         contacts = sorted(
             now if voter.host == own else self.last_contact(voter.host) for voter in group.voters
         )
@@ -123,12 +128,12 @@
         self.contact_at[host] = max(sent_at, self.last_contact(host))
 
     def record_match(self, host: HostName, index: int) -> None:
-        """Record the index up to which a member has synced the log."""
+        """Record the index up to which a member's synced log matches."""
         self.match_index[host] = max(self.matched_index(host), index)
         self.next_index[host] = self.matched_index(host) + 1
 
     def record_mismatch(self, host: HostName, index: int) -> None:
-        """Go back to an index for a member whose log differs, never before a matched one."""
+        """Go back to an index for a member whose log differs, but never before a matched one."""
         self.next_index[host] = max(self.matched_index(host), index) + 1
 
     def forget_progress(self, host: HostName) -> None:
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -51,7 +51,7 @@
         return not self._identity_path.exists()
 
     def create(self, identity: Identity) -> None:
-        """Create the files of a group's replica; raise FolderBusy if the folder has some."""
+        """Create the files of a replica; raise FolderBusy if the folder belongs to a group."""
         self._path.mkdir(parents=True, exist_ok=True)
         if self._identity_path.exists():
             raise FolderBusy(f"{self._path} already belongs to a group; use an empty folder")
@@ -88,7 +88,7 @@
 
 
 def write_file_atomically(path: Path, data: bytes) -> None:
-    """Replace a file atomically: a crash leaves either the old or the new content."""
+    """Replace a file atomically and sync it: a crash leaves either the old or the new content."""
     temporary = path.with_suffix(".new")
     with temporary.open("wb") as file:
         file.write(data)
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -48,8 +48,8 @@
             os.fsync(self._file)
             sync_folder(path.parent)
         self._pending: deque[bytes | _Compaction] = deque()
-        self._recorded = 0
-        self._synced = 0
+        self._recorded_count = 0
+        self._synced_count = 0
         self._failure: OSError | None = None
         self._failed = asyncio.Event()
         # A single thread writes, so that records reach the file in the order of the calls.
@@ -97,12 +97,12 @@
         records += [_encode_record(_ENTRY + encode_untagged(entry)) for entry in entries]
         snapshot_record = _encode_record(_SNAPSHOT + encode_untagged(snapshot))
         self._pending.append(_Compaction(snapshot_record, b"".join(records)))
-        self._recorded += 1
+        self._recorded_count += 1
 
     async def sync(self) -> None:
         """Wait until everything recorded before the call is on disk; raise if a write failed."""
-        recorded = self._recorded
-        if self._failure is None and self._synced >= recorded:
+        recorded_count = self._recorded_count
+        if self._failure is None and self._synced_count >= recorded_count:
             return
         loop = asyncio.get_running_loop()
         try:
@@ -124,7 +124,7 @@
     def _record(self, body: bytes) -> None:
         """Queue a record for the next sync."""
         self._pending.append(_encode_record(body))
-        self._recorded += 1
+        self._recorded_count += 1
 
     def _write_pending(self) -> None:
         """Write and sync all queued records, in the writer thread."""
@@ -146,7 +146,7 @@
         except OSError as error:
             self._failure = error
             raise
-        self._synced += len(records)
+        self._synced_count += len(records)
 
     def _compact(self, compaction: _Compaction) -> None:
         """Replace the snapshot, then the journal, so that a crash in between loses no entries."""
@@ -235,6 +235,7 @@
 
 def _has_record_after(data: bytes, end: int) -> bool:
     """Return whether a valid record follows a damaged one."""
-    # This reads to the end only after an incomplete last write; otherwise the next record ends it.
+    # The search reaches the end of the data only after an incomplete last write; otherwise it stops
+    # at the next record.
     view = memoryview(data)
     return any(_read_record(view, start) is not None for start in range(end + 1, len(data)))
