Say what the model of acceptance counts as a step, and name its parts

Starting an election, restarting and losing a disk are steps too; writes and group changes remain like the faults. Tests: test_spec; no difference of shape.

--- a/spec/acceptance.py
+++ b/spec/acceptance.py
@@ -1,7 +1,8 @@
 """Model of how a change is accepted: elections, commitment, lost disks and group changes.
 
-A step is a complete request and response between two replicas; a fault may follow each step. Time
-isn't modelled: pre-votes and leases only delay or prevent steps that are allowed here.
+A request and its response form one step. Starting an election, appending an entry, restarting and
+losing a disk are steps of their own. Time isn't modelled: pre-votes and leases only delay or
+prevent steps that are allowed here.
 """
 
 from __future__ import annotations
@@ -47,7 +48,11 @@
 
 
 class State(NamedTuple):
-    """All replicas, the accepted entries, the leader of each term and the remaining faults."""
+    """All replicas, the accepted entries, the leader of each term, and the steps that remain.
+
+    diverged and two_leaders record a violation. writes, losses and changes are the numbers of
+    writes, lost disks and group changes that may still happen.
+    """
 
     replicas: tuple[Replica, ...]
     accepted: Entries
@@ -61,7 +66,7 @@
 
 
 class Scope(NamedTuple):
-    """The number of terms, writes and faults to explore, and the steps to begin with."""
+    """The maximum numbers of terms, writes, lost disks and group changes, and the first steps."""
 
     terms: int
     writes: int
@@ -74,7 +79,7 @@
     """The safety rules; a mutation of the protocol disables one of them."""
 
     syncs_votes: bool = True
-    new_identity: bool = True
+    lost_disk_gets_new_identity: bool = True
     commits_own_term_only: bool = True
     one_change_at_a_time: bool = True
 
@@ -111,8 +116,8 @@
 
 def group_of(log: Entries) -> Group:
     """Return the group in force according to a log."""
-    named = [entry.group for entry in log if entry.group is not None]
-    return named[-1] if named else Group(FOUNDERS, frozenset())
+    groups = [entry.group for entry in log if entry.group is not None]
+    return groups[-1] if groups else Group(FOUNDERS, frozenset())
 
 
 def _last_position(log: Entries) -> tuple[int, int]:
@@ -120,7 +125,7 @@
     return (log[-1].term if log else 0), len(log)
 
 
-def _commit(replica: Replica, number: int, rules: Rules) -> int:
+def _commit_index(replica: Replica, number: int, rules: Rules) -> int:
     """Return the index up to which a leader knows that its log is committed."""
     voters = group_of(replica.log).voters
     matches = [len(replica.log) if voter == number else replica.matches[voter] for voter in voters]
@@ -130,7 +135,7 @@
     return index
 
 
-def _with(state: State, changed: dict[int, Replica]) -> State:
+def _replace_replicas(state: State, changed: dict[int, Replica]) -> State:
     """Return the state with some replicas replaced."""
     replicas = tuple(changed.get(number, old) for number, old in enumerate(state.replicas))
     return state._replace(replicas=replicas)
@@ -139,7 +144,7 @@
 def _accept(state: State, leader: int, rules: Rules) -> State:
     """Return the state with the entries that a leader now knows to be accepted."""
     replica = state.replicas[leader]
-    known = replica.log[: _commit(replica, leader, rules)]
+    known = replica.log[: _commit_index(replica, leader, rules)]
     shared = min(len(known), len(state.accepted))
     if known[:shared] != state.accepted[:shared]:
         return state._replace(diverged=True)
@@ -178,20 +183,22 @@
         votes=frozenset({number}),
         log=replica.log,
     )
-    return _elect(_with(state, {number: candidate}), number)
+    return _elect(_replace_replicas(state, {number: candidate}), number)
 
 
 def _restart(state: State, number: int, rules: Rules) -> State:
     """Return the state after a restart, which loses everything that wasn't synced."""
     replica = state.replicas[number]
     vote = replica.vote if rules.syncs_votes else NO_REPLICA
-    return _with(state, {number: Replica(term=replica.term, vote=vote, log=replica.log)})
+    return _replace_replicas(
+        state, {number: Replica(term=replica.term, vote=vote, log=replica.log)}
+    )
 
 
 def _lose_disk(state: State, number: int, rules: Rules) -> State:
     """Return the state after a replica lost its disk."""
-    after = Replica(lost=rules.new_identity)
-    return _with(state, {number: after})._replace(losses=state.losses - 1)
+    after = Replica(lost=rules.lost_disk_gets_new_identity)
+    return _replace_replicas(state, {number: after})._replace(losses=state.losses - 1)
 
 
 def _request_votes(state: State, number: int) -> Iterator[Step]:
@@ -208,7 +215,7 @@
             other: Replica(term=candidate.term, vote=number, log=voter.log),
             number: candidate._replace(votes=candidate.votes | {other}),
         }
-        yield f"{other} votes for {number}", _elect(_with(state, changed), number)
+        yield f"{other} votes for {number}", _elect(_replace_replicas(state, changed), number)
 
 
 def _elect(state: State, number: int) -> State:
@@ -218,10 +225,12 @@
     if len(candidate.votes & voters) < len(voters) // 2 + 1:
         return state
     leaders = list(state.leaders)
-    second = leaders[candidate.term] != NO_REPLICA
+    has_other_leader = leaders[candidate.term] != NO_REPLICA
     leaders[candidate.term] = number
     leader = candidate._replace(role="leader", votes=frozenset())
-    return _with(state, {number: leader})._replace(leaders=tuple(leaders), two_leaders=second)
+    return _replace_replicas(state, {number: leader})._replace(
+        leaders=tuple(leaders), two_leaders=has_other_leader
+    )
 
 
 def _leader_steps(state: State, number: int, rules: Rules) -> Iterator[Step]:
@@ -245,16 +254,16 @@
     """Return the state after a leader appended an entry."""
     leader = state.replicas[number]
     log = (*leader.log, Entry(leader.term, group))
-    return _accept(_with(state, {number: leader._replace(log=log)}), number, rules)
+    return _accept(_replace_replicas(state, {number: leader._replace(log=log)}), number, rules)
 
 
 def _may_change_group(leader: Replica, number: int, rules: Rules) -> bool:
     """Return whether a leader may change the group now."""
     if not rules.one_change_at_a_time:
         return True
-    commit = _commit(leader, number, rules)
-    pending = any(entry.group is not None for entry in leader.log[commit:])
-    return commit > 0 and not pending
+    commit_index = _commit_index(leader, number, rules)
+    pending = any(entry.group is not None for entry in leader.log[commit_index:])
+    return commit_index > 0 and not pending
 
 
 def _group_changes(state: State, number: int, rules: Rules) -> Iterator[tuple[str, Group]]:
@@ -263,7 +272,7 @@
     voters, learners = group_of(leader.log)
     if (
         REPLACEMENT in learners
-        and leader.matches[REPLACEMENT] >= _commit(leader, number, rules) > 0
+        and leader.matches[REPLACEMENT] >= _commit_index(leader, number, rules) > 0
     ):
         yield "promotes", Group(voters | {REPLACEMENT}, frozenset())
     for other in sorted(voters - {number, REPLACEMENT}):
@@ -289,7 +298,7 @@
         other: Replica(term=leader.term, vote=vote, log=log),
         number: leader._replace(matches=tuple(matches)),
     }
-    return _accept(_with(state, changed), number, rules)
+    return _accept(_replace_replicas(state, changed), number, rules)
 
 
 def _accepted_is_kept(state: dict[str, object]) -> bool:
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -12,7 +12,7 @@
 MAX_MUTATION_STATES = 60_000
 
 ELECTIONS = Scope(terms=3, writes=1)
-RACES = Scope(terms=2, writes=2)
+CONCURRENT_WRITES = Scope(terms=2, writes=2)
 LOST_DISK = Scope(terms=2, writes=2, losses=1, changes=2)
 GROUP_CHANGES = Scope(terms=2, writes=2, changes=2)
 # Starts after two leaders have each written an entry that no other replica has.
@@ -37,7 +37,7 @@
 
     def test_the_protocol_satisfies_the_invariants_in_every_scope(self) -> None:
         """Explore every state within each scope."""
-        for scope in (ELECTIONS, RACES, COMPETING_LEADERS, LOST_DISK, GROUP_CHANGES):
+        for scope in (ELECTIONS, CONCURRENT_WRITES, COMPETING_LEADERS, LOST_DISK, GROUP_CHANGES):
             with self.subTest(scope=scope):
                 result = check(scope, Rules(), MAX_STATES)
                 self.assertTrue(result["exhaustive"])
@@ -52,11 +52,11 @@
 
     def test_unsynced_votes_can_elect_two_leaders(self) -> None:
         """A restarted voter can vote twice in one term."""
-        self.refute(RACES, Rules(syncs_votes=False), "one leader in a term")
+        self.refute(CONCURRENT_WRITES, Rules(syncs_votes=False), "one leader in a term")
 
     def test_a_voter_with_an_empty_disk_can_lose_accepted_entries(self) -> None:
         """It can elect a leader that never had them."""
-        rules = Rules(new_identity=False)
+        rules = Rules(lost_disk_gets_new_identity=False)
         self.refute(LOST_DISK._replace(writes=1, changes=0), rules, "accepted is never lost")
 
     def test_an_entry_of_an_older_term_committed_by_majority_alone_can_be_lost(self) -> None:
