--- a/tests/histories.py
+++ b/tests/histories.py
@@ -14,7 +14,7 @@
 
 # A history is long enough to check once it has more accepted changes than this.
 MIN_ACCEPTED_CHANGES = 10
-# The number of checks for that, 0.1 s apart.
+# Maximum number of polls for enough accepted changes, 0.1 s apart.
 MAX_POLLS = 300
 
 
@@ -51,7 +51,10 @@
         return [item for item in self.operations if item.response["outcome"] == "accepted"]
 
     def violations(self, final: dict[str, Any]) -> list[str]:
-        """Return each violation of a total order in real time in which no change is lost."""
+        """Return what contradicts a single total order of the changes.
+
+        The order must be consistent with real time, and no change may be lost.
+        """
         by_version = {item.response["version"]: item for item in self.accepted}
         violations = []
         if sorted(by_version) != list(range(1, final["version"] + 1)):
@@ -62,26 +65,32 @@
             violations.append("a version was given to two operations")
         values = {item["name"]: item["spec"]["max_body_bytes"] for item in final["resources"]}
         for key in KEYS:
-            last = max((at for at, item in by_version.items() if item.key == key), default=0)
-            if last and values.get(key) != by_version[last].value:
-                violations.append(f"{key} is {values.get(key)}, not the value of version {last}")
+            last_version = max(
+                (version for version, item in by_version.items() if item.key == key), default=0
+            )
+            if last_version and values.get(key) != by_version[last_version].value:
+                violations.append(
+                    f"{key} is {values.get(key)}, not the value of version {last_version}"
+                )
         for item in self.accepted:
             between = range(item.based_on + 1, item.response["version"])
-            if any(at in between and by_version[at].key == item.key for at in by_version):
+            if any(
+                version in between and by_version[version].key == item.key for version in by_version
+            ):
                 violations.append(f"{item} overwrote a change that it had not seen")
         return violations + self._conflict_violations(by_version) + self._order_violations()
 
     def _conflict_violations(self, by_version: dict[int, Operation]) -> list[str]:
-        """Return the conflict responses that don't name the operation that won."""
+        """Return the conflict responses that name no accepted and conflicting operation."""
         violations = []
         for item in self.operations:
             if item.response["outcome"] == "accepted":
                 continue
             winner = by_version.get(item.response["version"])
             if winner is None or winner.name != item.response["winner"]:
-                violations.append(f"{item} names no operation")
+                violations.append(f"{item} names an operation that wasn't accepted at that version")
             elif winner.key != item.key or item.response["version"] <= item.based_on:
-                violations.append(f"{item} names no winner")
+                violations.append(f"{item} names an operation that doesn't conflict with it")
         return violations
 
     def _order_violations(self) -> list[str]:
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -8,8 +8,8 @@
 from tests.histories import HistoryTestCase
 from tools.fleet import START_TIMEOUT_S
 
-OPERATORS = 30
-CHANGES_PER_OPERATOR = COMPACT_AFTER_ENTRIES // OPERATORS + 2
+OPERATOR_COUNT = 30
+CHANGES_PER_OPERATOR = COMPACT_AFTER_ENTRIES // OPERATOR_COUNT + 2
 
 
 def change_form(operator: int, number: int, based_on: int) -> dict[str, Any]:
@@ -38,8 +38,8 @@
                 return
             await asyncio.sleep(0.05)
 
-    async def until_accepted(self, host: str, version: int) -> None:
-        """Wait until a replica has accepted a version in its own catalogue."""
+    async def until_applied(self, host: str, version: int) -> None:
+        """Wait until a replica has applied a version to its own catalogue."""
         async with Client(servers=(self.fleet.address(host, "operators"),)) as client:
             while True:
                 try:
@@ -56,15 +56,16 @@
         self.fleet.kill_daemon(restarted)
         async with self.fleet.client() as client:
             first_responses = await asyncio.gather(
-                *(self.send_changes(client, n) for n in range(OPERATORS))
+                *(self.send_changes(client, n) for n in range(OPERATOR_COUNT))
             )
             before = await client.resources()
             self.fleet.start_daemon(restarted)
             await client.change(change_form(0, CHANGES_PER_OPERATOR, before["version"]))
             async with asyncio.timeout(START_TIMEOUT_S):
                 await self.until_snapshot(leader)
-                await self.until_accepted(restarted, before["version"] + 1)
-            # Without the third replica, the group depends on the data folders of these two.
+                await self.until_applied(restarted, before["version"] + 1)
+            # Only the leader and the restarted replica start again, so the group depends on their
+            # data folders.
             for host in (other, leader, restarted):
                 self.fleet.kill_daemon(host)
             self.fleet.start_daemon(leader)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -41,8 +41,8 @@
     async def test_an_incomplete_last_record_is_truncated_at_every_length(self) -> None:
         """The complete records stay, and new records can be appended."""
         complete = self.path.read_bytes()
-        last = len(complete) // 6
-        for cut in range(1, last):
+        record_length = len(complete) // 6
+        for cut in range(1, record_length):
             self.path.write_bytes(complete[:-cut])
             journal = self.open()
             self.assertEqual(journal.recover(), Recovered(BALLOT, ENTRIES[:4]))
@@ -55,8 +55,8 @@
         complete = self.path.read_bytes()
         self.path.write_bytes(complete[:-1])
         self.open().recover()
-        last_record = len(self.path.read_bytes())
-        for position in range(0, last_record, 3):
+        last_record_start = len(self.path.read_bytes())
+        for position in range(0, last_record_start, 3):
             damaged = bytearray(complete)
             damaged[position] ^= 0x41
             self.path.write_bytes(bytes(damaged))
@@ -154,7 +154,7 @@
             self.open().recover()
 
     async def test_a_gap_after_the_snapshot_is_an_error(self) -> None:
-        """A newer journal needs a snapshot that reaches its first entry."""
+        """A journal needs a snapshot that reaches the entry before its first one."""
         self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[4:])
         await self.journal.sync()
         with self.assertRaises(FolderDamaged):
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -10,7 +10,7 @@
 from tests.histories import TIMING, HistoryTestCase
 
 
-class AcceptanceTest(HistoryTestCase):
+class LeaderFaultsTest(HistoryTestCase):
     """Consistency of three replicas under leader faults."""
 
     async def kill_leader(self) -> None:
@@ -33,7 +33,7 @@
             for response in await asyncio.gather(*warm_up_requests):
                 await response.read()
             self.fleet.signal_daemon(frozen, signal.SIGSTOP)
-            accepted_version = await self.read_from(others)
+            version_read = await self.read_from(others)
             requests = [
                 asyncio.create_task(session.get(url, allow_redirects=False)) for _ in range(5)
             ]
@@ -41,10 +41,10 @@
             self.fleet.signal_daemon(frozen, signal.SIGCONT)
             for response in await asyncio.gather(*requests):
                 if response.status == 200:
-                    self.assertGreaterEqual((await response.json())["version"], accepted_version)
+                    self.assertGreaterEqual((await response.json())["version"], version_read)
 
     async def kill_leader_without_followers(self) -> None:
-        """Kill the followers, and kill the leader while it has writes it can't commit."""
+        """Kill the followers, and the leader while it may have writes that it can't commit."""
         leader = await self.leader()
         followers = [host for host in self.fleet.replicas if host != leader]
         for host in followers:
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -48,7 +48,7 @@
         await self.run_with_faults(lose_disk_and_host)
 
     async def test_a_replica_is_removed_and_another_added_while_operators_write(self) -> None:
-        """The added replica counts towards the majority when another host fails."""
+        """Operators keep writing, and the added replica counts when another host fails."""
         first, second, _ = sorted(self.fleet.replicas)
 
         async def remove_and_add() -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -289,8 +289,8 @@
         self.replicas[A].handle_vote_reply(self.replicas[B].handle_vote(request, 10.1), 10.1)
         self.assertIsInstance(self.replicas[A].role, Leader)
 
-    def test_only_the_preferred_replica_starts_an_election_at_first(self) -> None:
-        """Another one starts an election later, if there is no leader by then."""
+    def test_idle_replicas_start_elections_one_after_another(self) -> None:
+        """Any but the first candidate waits, and starts one later if there is no leader by then."""
         second = self.replicas[B]
         second.start_pre_vote(10.1)
         for now in (10.1, 10.2):
@@ -364,7 +364,7 @@
         self.assertEqual(self.replica.commit_index, 0)
 
     def test_a_reply_of_an_older_term_is_ignored(self) -> None:
-        """The voter may have lost since what it had synced then."""
+        """The voter may since have lost what it had synced."""
         self.replica.record_synced(3)
         self.replica.handle_append_reply(matched(B, 2, 3), sent_at=10.0)
         self.assertEqual(self.replica.commit_index, 0)
@@ -626,9 +626,9 @@
         self.ack("c")
         self.assertIsNotNone(self.leader.maintain_group(stamped_at=0.0, now=10.0))
 
-    def test_a_replica_with_an_unknown_identity_never_starts_an_election(self) -> None:
+    def test_a_replica_with_another_identity_never_starts_an_election(self) -> None:
         """A host with a new disk isn't the voter that the group knows."""
-        replica = make_replica(own_id=ReplicaId("unknown"))
+        replica = make_replica(own_id=ReplicaId("other"))
         replica.start_pre_vote(5.0)
         self.assertIsInstance(replica.role, Follower)
 
