--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -145,7 +145,11 @@
                 return None
 
     def holds_lease(self, now: float) -> bool:
-        """Return whether this leader's lease is valid, so that no later leader can exist yet."""
+        """Return whether this leader's lease is valid, so that no later leader can exist yet.
+
+        Before an entry of its term is committed, the catalogue may lack accepted changes, so the
+        lease doesn't count yet.
+        """
         if not isinstance(self._role, Leader) or not self._state.has_committed_in(self._term):
             return False
         return (
