--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -34,7 +34,8 @@
 
     def setUp(self) -> None:
         """Begin with a member that knows only itself."""
-        events = EventLog(origin=Origin(HostName("a"), LOCAL, 1), clock=HybridClock())
+        centre = LOCAL
+        events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
         self.members = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
