--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -38,7 +38,7 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._dispatcher import BrokenResponse, Dispatcher, StartedResponse, next_part
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._pipeline import is_last_in_progress, take_prefetched
+from cowslipvane.tasks._pipeline import is_last_in_progress, pop_prefetched
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Headers, RequestId, Seconds, Verdict
 
@@ -70,7 +70,8 @@
 class CallRefusal:
     """A call is refused; close means that the connection can't be used further.
 
-    call holds the attempts, None if the request was refused before any.
+    call holds the hosts tried and the last load; it is None if the request was refused before it
+    was dispatched.
     """
 
     request_id: RequestId
@@ -115,7 +116,7 @@
         return tuple(self._in_flight)
 
     async def wait_idle(self) -> None:
-        """Return once no call is under way."""
+        """Return once no call is in flight."""
         while self._in_flight:
             await self._call_ended.wait()
 
@@ -126,7 +127,7 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request of a caller."""
         started_at = time.monotonic()
-        prefetched = take_prefetched(http)
+        prefetched = pop_prefetched(http)
         outcome = await (self.fetch(http) if prefetched is None else prefetched)
         try:
             return await self._respond(http, outcome)
@@ -140,7 +141,7 @@
     async def fetch(self, http: web.BaseRequest) -> CallResponse | CallRefusal:
         """Return the start of the response to a request, or its refusal.
 
-        The request counts as under way until the result has been sent or discarded.
+        The request counts as in flight until the result has been sent or discarded.
         """
         request_id = self._request_id(http)
         self._in_flight.add(request_id)
@@ -178,7 +179,7 @@
         return RequestId(uuid.uuid4().hex)
 
     def _is_nested(self, request_id: RequestId) -> bool:
-        """Return whether the local worker makes a call for a request that it is running.
+        """Return whether a call was made by the local worker for a request that it is running.
 
         The id of such a call is the id of that request, a dot, and a suffix unique to the call.
         """
@@ -186,12 +187,12 @@
         return bool(separator) and self._owner.is_running(parent)
 
     def _caller_timeout(self, http: web.BaseRequest) -> Seconds | None:
-        """Return the timeout that a caller sent in seconds, None without one."""
+        """Return the timeout that a caller sent, None if it sent none."""
         timeout_ms = http.headers.get(self._header_names.timeout_ms, "")
         return float(timeout_ms) / 1000 if timeout_ms.isdecimal() else None
 
     def _deadline(self, http: web.BaseRequest, rules: ServiceRules, arrived_at: float) -> float:
-        """Return the deadline of a request by the caller's and the route's timeout."""
+        """Return the deadline of a request: the earlier of the caller's and the route's."""
         caller_timeout = self._caller_timeout(http)
         route_timeout = rules.traffic.timeout
         return arrived_at + (
@@ -202,11 +203,11 @@
         """Return the routing table; a proxy that has just started waits for its first one."""
         if self._subscription.table is not None:
             return self._subscription.table
-        give_up = self._started_at + FIRST_CONFIGURATION_TIMEOUT
+        give_up_at = self._started_at + FIRST_CONFIGURATION_TIMEOUT
         caller_timeout = self._caller_timeout(http)
         if caller_timeout is not None:
-            give_up = min(give_up, arrived_at + caller_timeout * FIRST_CONFIGURATION_SHARE)
-        while self._subscription.table is None and (remaining := give_up - time.monotonic()) > 0:
+            give_up_at = min(give_up_at, arrived_at + caller_timeout * FIRST_CONFIGURATION_SHARE)
+        while self._subscription.table is None and (remaining := give_up_at - time.monotonic()) > 0:
             await self._configuration_applied.wait(remaining)
         return self._subscription.table
 
@@ -354,13 +355,13 @@
         """Return the response to a refused request, with an explanation."""
         request_id = outcome.request_id
         explanation = self._record_refusal(http, request_id, outcome.refusal, outcome.call)
-        form = {
+        body = {
             "code": explanation.code,
             "sentence": explanation.sentence,
             "verdict": explanation.verdict.value,
             "request": request_id,
         }
-        response = web.json_response(form, status=explanation.status)
+        response = web.json_response(body, status=explanation.status)
         response.headers[self._header_names.request_id] = request_id
         if explanation.retry_after is not None:
             response.headers["Retry-After"] = _retry_after(explanation.retry_after)
@@ -406,7 +407,7 @@
 
 
 def _reset_connection(http: web.BaseRequest) -> None:
-    """Reset the connection, so that a caller that reads until its end sees the failure too."""
+    """Reset the connection, so that a caller that reads until it is closed sees the failure too."""
     if http.transport is None:
         return
     connection = http.transport.get_extra_info("socket")
@@ -415,9 +416,9 @@
     http.transport.abort()
 
 
-def _retry_after(time: Seconds) -> str:
-    """Format a Retry-After time, with fractions that callers accept beyond RFC 9110."""
-    return f"{time:.3f}".rstrip("0").rstrip(".")
+def _retry_after(delay: Seconds) -> str:
+    """Format a Retry-After time; callers accept fractions, RFC 9110 allows only whole seconds."""
+    return f"{delay:.3f}".rstrip("0").rstrip(".")
 
 
 def _set_fields(
--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -30,7 +30,8 @@
 
 # How long an entry proxy tries to learn the outcome of an attempt from an unreachable owner.
 RESOLVE_TIMEOUT: Seconds = 5.0
-RECONNECT_DELAY: Seconds = 0.05
+# Delay before a fence is sent again after its connection was lost.
+FENCE_RETRY_DELAY: Seconds = 0.05
 # A call with a smaller body is cheap to send to another data centre.
 SMALL_BODY_BYTES = 1024
 # How long an entry proxy waits after the deadline for the owner's verdict on an attempt.
@@ -66,7 +67,7 @@
     ) -> None:
         self._subscription = subscription
         self._membership = membership
-        self._owner = owner
+        self._local_owner = owner
         self._peers = peers
         self._chooser = chooser
         self._events = events
@@ -77,16 +78,17 @@
     async def dispatch(self, call: Call) -> StartedResponse | Refusal:
         """Return the start of the response, or the refusal of the last attempt.
 
-        If an attempt may have run, its refusal is returned in place of the last one.
+        If an earlier attempt ran or may have run, its refusal is returned instead, so that a later
+        one can't hide it.
         """
         refusal: Refusal = NoUpstream(service=call.rules.service)
         self._budgets.set_proxy_count(self._membership.estimated_proxy_count)
         self._budgets.record_call(call.rules.service, time.monotonic())
         while call.time_remaining(time.monotonic()) > 0:
-            member = self._choose(call)
-            if member is None:
+            owner = self._choose(call)
+            if owner is None:
                 break
-            match await self._attempt(call, member):
+            match await self._attempt(call, owner):
                 case StartedResponse() as started:
                     return started
                 case refused:
@@ -119,49 +121,49 @@
 
     def _record_ejections(self) -> None:
         """Record the owners that were ejected for losing calls or for being slow."""
-        for eased in self._chooser.take_ejections():
+        for ejection in self._chooser.take_ejections():
             self._events.record(
                 "eased",
-                owner=eased.host,
-                reason="attempts lost" if eased.loses_attempts else "slow",
-                latency=f"{eased.latency:.3f}",
-                usual=f"{eased.median_latency:.3f}",
-                seconds=f"{eased.duration:g}",
+                owner=ejection.host,
+                reason="attempts lost" if ejection.loses_attempts else "slow",
+                latency=f"{ejection.latency:.3f}",
+                usual=f"{ejection.median_latency:.3f}",
+                seconds=f"{ejection.duration:g}",
             )
 
     def _can_reach(self, owner: Member) -> bool:
-        """Return whether an owner is local, or was reachable at the last attempt to connect."""
+        """Return whether an owner is local, or isn't known to be unreachable."""
         return owner.host == self._own.host or self._peers.is_reachable(owner)
 
-    async def _attempt(self, call: Call, member: Member) -> StartedResponse | Refusal:
+    async def _attempt(self, call: Call, owner: Member) -> StartedResponse | Refusal:
         """Offer a call to one owner; return the start of its response, or the refusal."""
         attempt = AttemptId(self._own.host, self._own.incarnation, next(self._serials))
-        call.begin_attempt(member.host)
+        call.begin_attempt(owner.host)
         self._events.record(
             "attempt",
             request=call.request_id,
-            owner=member.host,
+            owner=owner.host,
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
             number=str(len(call.tried_hosts)),
         )
         mailbox: Mailbox = asyncio.Queue()
-        self._chooser.begin(member.host)
+        self._chooser.begin(owner.host)
         started_at = time.monotonic()
         load: Load | None = None
         result = AttemptResult.ABANDONED
         replied = False
         try:
-            first = await self._first_message(call, member, attempt, mailbox)
+            first = await self._first_message(call, owner, attempt, mailbox)
             replied = True
             match first:
                 case Answer(status=status, load=load):
                     result = AttemptResult.ANSWERED
-                    self._record_verdict(call, member, Verdict.RAN, str(status))
-                    return StartedResponse(answer=first, owner=member, mailbox=mailbox)
+                    self._record_verdict(call, owner, Verdict.RAN, str(status))
+                    return StartedResponse(answer=first, owner=owner, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
                     result = AttemptResult.of_refusal(refusal)
                     explanation = explain(refusal)
-                    self._record_verdict(call, member, explanation.verdict, explanation.code)
+                    self._record_verdict(call, owner, explanation.verdict, explanation.code)
                     return refusal
                 case Chunk():
                     raise BrokenResponse("a body came before its answer")
@@ -169,23 +171,23 @@
             now = time.monotonic()
             if load is not None:
                 call.record_load(load)
-            self._chooser.end(member.host, result, load, now - started_at, now)
+            self._chooser.end(owner.host, result, load, now - started_at, now)
             if not replied:
-                cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
-                await self._send(member, cancel, None)
+                cancel = Cancel(attempt=attempt, incarnation=owner.incarnation)
+                await self._send(owner, cancel, None)
 
-    def _record_verdict(self, call: Call, member: Member, verdict: Verdict, outcome: str) -> None:
+    def _record_verdict(self, call: Call, owner: Member, verdict: Verdict, outcome: str) -> None:
         """Record whether an attempt ran, with the response's status or the refusal's code."""
         self._events.record(
             "verdict",
             request=call.request_id,
-            owner=member.host,
+            owner=owner.host,
             verdict=verdict.value,
             outcome=outcome,
         )
 
     async def _first_message(
-        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+        self, call: Call, owner: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> OwnerMessage:
         """Offer an attempt and return the first message of its response, or its refusal."""
         time_remaining = call.time_remaining(time.monotonic())
@@ -202,47 +204,50 @@
         )
         try:
             async with asyncio.timeout(time_remaining):
-                await self._send(member, offer, mailbox)
+                await self._send(owner, offer, mailbox)
                 first = await mailbox.get()
                 match first:
                     case LinkLost(outcome_unknown=True):
-                        return await self._resolve(call, member, attempt, mailbox)
+                        return await self._resolve(call, owner, attempt, mailbox)
                     case LinkLost():
-                        refusal = OwnerUnreachable(host=member.host, verdict=Verdict.NOT_RUN)
+                        refusal = OwnerUnreachable(host=owner.host, verdict=Verdict.NOT_RUN)
                         return Refused(attempt=attempt, refusal=refusal)
                     case message:
                         return message
         except TimeoutError:
-            return await self._verdict_after_deadline(call, member, attempt, mailbox)
+            return await self._verdict_after_deadline(call, owner, attempt, mailbox)
 
     async def _resolve(
-        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+        self, call: Call, owner: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> OwnerMessage:
-        """Learn from the owner the outcome of an attempt whose connection was lost."""
-        refusal = OwnerUnreachable(host=member.host, verdict=Verdict.MAY_HAVE_RUN)
+        """Return the outcome of an attempt whose connection was lost.
+
+        The owner is asked for it only if the call may not be retried.
+        """
+        refusal = OwnerUnreachable(host=owner.host, verdict=Verdict.MAY_HAVE_RUN)
         if call.may_try_again(refusal):
             return Refused(attempt=attempt, refusal=refusal)
-        self._events.record("fence", request=call.request_id, owner=member.host)
-        fence = Fence(attempt=attempt, incarnation=member.incarnation)
-        give_up = time.monotonic() + RESOLVE_TIMEOUT
-        while time.monotonic() < give_up:
-            await self._send(member, fence, mailbox)
+        self._events.record("fence", request=call.request_id, owner=owner.host)
+        fence = Fence(attempt=attempt, incarnation=owner.incarnation)
+        give_up_at = time.monotonic() + RESOLVE_TIMEOUT
+        while time.monotonic() < give_up_at:
+            await self._send(owner, fence, mailbox)
             match await mailbox.get():
                 case LinkLost():
-                    await asyncio.sleep(RECONNECT_DELAY)
+                    await asyncio.sleep(FENCE_RETRY_DELAY)
                 case message:
                     return message
         return Refused(attempt=attempt, refusal=refusal)
 
     async def _verdict_after_deadline(
-        self, call: Call, member: Member, attempt: AttemptId, mailbox: Mailbox
+        self, call: Call, owner: Member, attempt: AttemptId, mailbox: Mailbox
     ) -> OwnerMessage:
         """Cancel an attempt, and wait briefly for the owner's verdict on whether it ran."""
         verdict = Verdict.MAY_HAVE_RUN
-        cancel = Cancel(attempt=attempt, incarnation=member.incarnation)
+        cancel = Cancel(attempt=attempt, incarnation=owner.incarnation)
         try:
             async with asyncio.timeout(VERDICT_TIMEOUT):
-                await self._send(member, cancel, mailbox)
+                await self._send(owner, cancel, mailbox)
                 match await mailbox.get():
                     case Refused(refusal=refusal):
                         verdict = explain(refusal).verdict
@@ -254,20 +259,20 @@
         return Refused(attempt=attempt, refusal=refusal)
 
     async def _send(
-        self, member: Member, message: Offer | Fence | Cancel, mailbox: Mailbox | None
+        self, owner: Member, message: Offer | Fence | Cancel, mailbox: Mailbox | None
     ) -> None:
         """Send a message about an attempt to its owner, which is local or on another host."""
-        if member.host != self._membership.own.host:
-            await self._peers.link(member).send(message, mailbox)
+        if owner.host != self._membership.own.host:
+            await self._peers.link(owner).send(message, mailbox)
             return
         reply = mailbox.put if mailbox is not None else _discard
         match message:
             case Offer():
-                await self._owner.offer(message, reply)
+                await self._local_owner.offer(message, reply)
             case Fence():
-                await self._owner.fence(message, reply)
+                await self._local_owner.fence(message, reply)
             case Cancel():
-                await self._owner.cancel(message, reply)
+                await self._local_owner.cancel(message, reply)
 
 
 async def _discard(_: OwnerMessage) -> None:
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -15,8 +15,9 @@
 from cowslipvane.types import Address, Seconds
 
 # Maximum size of a line or a field in the head of a request.
-MAX_HEAD_BYTES = 16 << 10
-# Time to finish pending responses on closing; an exit closes several listeners in sequence.
+MAX_FIELD_BYTES = 16 << 10
+# Time to finish pending responses on closing. It is short, since an exit closes several listeners
+# in sequence.
 CLOSE_TIMEOUT: Seconds = 0.1
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -49,8 +50,8 @@
         logging.getLogger("aiohttp.server").addFilter(_is_own_fault)
         options: dict[str, Any] = {
             "access_log": None,
-            "max_line_size": MAX_HEAD_BYTES,
-            "max_field_size": MAX_HEAD_BYTES,
+            "max_line_size": MAX_FIELD_BYTES,
+            "max_field_size": MAX_FIELD_BYTES,
         }
         if prefetcher is None:
             self._server = web.Server(handler, **options)
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -47,8 +47,8 @@
 from cowslipvane.types import Seconds, ServiceName, Verdict
 
 CHUNK_BYTES = 64 << 10
-# Default time after its deadline for which work that isn't idempotent may go on running.
-LEFT_TO_END: Seconds = 30.0
+# How long work that isn't idempotent may go on running after its deadline, by default.
+DEFAULT_LEFT_TO_END: Seconds = 30.0
 # Retry-After of a request that the worker rejected, if no other worker could take it.
 REJECTED_RETRY_AFTER: Seconds = 0.1
 # How often an owner checks whether the operator has taken its upstream out.
@@ -70,7 +70,7 @@
         events: EventLog,
         worker_lease: Seconds,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
-        left_to_end: Seconds = LEFT_TO_END,
+        left_to_end: Seconds = DEFAULT_LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
         self._header_names = header_names
@@ -142,7 +142,7 @@
                 await self.deregister_worker()
 
     async def handle_departure(self, instance: str) -> None:
-        """Deregister an instance that reports its end, unless another has announced itself."""
+        """Deregister an instance that reports its end, unless another announced itself since."""
         if self._announcements.record_departure(instance, time.time_ns() // 1_000_000):
             await self.deregister_worker()
 
@@ -153,7 +153,7 @@
             await self._remove_worker()
 
     async def run(self) -> None:
-        """Deregister the worker when its lease expires, and refuse queued work when it is out."""
+        """Deregister the worker after its lease; refuse queued work while the upstream is out."""
         try:
             while True:
                 await asyncio.sleep(min(OUT_CHECK_INTERVAL, self._worker_lease / 4))
@@ -229,7 +229,7 @@
         self._gossip.membership.leave("leaving", time.monotonic())
         self._gossip.notify_neighbours()
         self._events.record("leaving")
-        await self._refuse_waiting()
+        await self._drain_admission()
 
     def is_running(self, request_id: str) -> bool:
         """Return whether the local worker is running a request."""
@@ -324,21 +324,21 @@
             await reply(message)
         self._attempt_ended.send()
 
-    async def _refuse_waiting(self) -> None:
-        """Refuse all queued work as not run."""
+    async def _drain_admission(self) -> None:
+        """Stop the admission, and refuse all queued work as not run."""
         if self._admission is None:
             return
         await self._refuse_all(self._admission.drain())
 
-    async def _refuse_all(self, waiting: list[Work]) -> None:
-        """Refuse work that was queued as not run, because the upstream is draining."""
+    async def _refuse_all(self, queued: list[Work]) -> None:
+        """Refuse the given work as not run, with Draining."""
         refusal = Draining(service=self._service)
-        for work in waiting:
+        for work in queued:
             await self._refuse(work.attempt, refusal)
 
     async def _retire_slots(self) -> None:
         """Start no more work at the current worker; its slots finish their running requests."""
-        await self._refuse_waiting()
+        await self._drain_admission()
         for _ in self._slots:
             self._work_available.send()
 
@@ -356,7 +356,7 @@
         its attempt was never started.
         """
         self._draining = True
-        await self._refuse_waiting()
+        await self._drain_admission()
         slots, self._slots = self._slots, []
         for slot in slots:
             slot.cancel()
@@ -393,7 +393,8 @@
                 finally:
                     admission.finish(work, time.monotonic())
                     self._attempt_ended.send()
-                    # Long work may be waiting for this slot, though an idle slot can't start any.
+                    # Queued long work may have been held back by the limit of slots for it while
+                    # another slot was idle; wake that slot now, since this work has ended.
                     work_available.send()
 
     async def _run(self, work: Work, worker: Worker, connection: SlotConnection) -> None:
@@ -448,7 +449,8 @@
             connection.close()
             return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
         except (AnswerBroken, OSError, ValueError) as error:
-            # An offer may hold a request that can't be sent; the slot must survive it.
+            # A peer's offer may hold a request that can't be sent; this must not end the slot's
+            # task.
             connection.close()
             self._events.record(
                 "lost", request=self._request_id(work), service=service, reason=repr(error)
@@ -481,7 +483,7 @@
 
 
 async def _read_chunk(response: ResponseHead) -> tuple[bytes, bool]:
-    """Return the next chunk of a body, a small body whole, and whether more follows."""
+    """Return at least CHUNK_BYTES of a body, or its rest, and whether more follows."""
     chunk = bytearray()
     while len(chunk) < CHUNK_BYTES and not response.body.at_eof():
         chunk += await response.body.readany()
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -40,20 +40,20 @@
 # A connection whose peer doesn't respond to a probe within this time is lost.
 PROBE_TIMEOUT: Seconds = 0.5
 # Delays before reconnecting: short after a reset, longer during a partition.
-MIN_RECONNECT_DELAY: Seconds = 0.05
+INITIAL_RECONNECT_DELAY: Seconds = 0.05
 MAX_RECONNECT_DELAY: Seconds = 1.0
 # After this time without a connection, one is opened again only when a call needs it.
-ABANDON_AFTER: Seconds = 60.0
+STOP_RECONNECTING_AFTER: Seconds = 60.0
 # Retry-After of an offer that exceeded the total size of the bodies that are being received.
 OVERFLOW_RETRY_AFTER: Seconds = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkLost:
-    """The connection to an owner has ended; outcome_unknown if the attempt may have started.
+    """The connection to an owner has ended.
 
-    An owner that closes a connection with "going away" has replied to every attempt that it had
-    started.
+    outcome_unknown says whether the attempt may have started. An owner that closes a connection
+    with "going away" has replied to every attempt that it had started.
     """
 
     outcome_unknown: bool
@@ -65,7 +65,7 @@
 class _End(enum.Enum):
     """How a connection to an owner, or an attempt to connect, has ended."""
 
-    LEFT = "it has ended the connection as planned"
+    GOING_AWAY = "it has ended the connection as planned"
     LOST = "the connection was lost"
     UNREACHABLE = "there was no connection"
 
@@ -86,18 +86,20 @@
         # Sent when an attempt to connect has succeeded or failed.
         self._connect_attempted = Signal()
         self._backoff = Backoff(
-            initial_delay=MIN_RECONNECT_DELAY, max_delay=MAX_RECONNECT_DELAY, rng=random.Random()
+            initial_delay=INITIAL_RECONNECT_DELAY,
+            max_delay=MAX_RECONNECT_DELAY,
+            rng=random.Random(),
         )
         self._task = asyncio.create_task(self._run())
 
     @property
-    def closed(self) -> bool:
+    def is_closed(self) -> bool:
         """Return whether the task has ended, so that no connection is opened any more."""
         return self._task.done()
 
     @property
     def is_reachable(self) -> bool:
-        """Return whether the owner isn't known to be unreachable."""
+        """Return False if the last attempt to connect failed or the connection became silent."""
         return not self._failed
 
     def is_for(self, member: Member) -> bool:
@@ -146,9 +148,9 @@
         """Connect repeatedly, until the owner goes away or can't be reached for a long time."""
         last_connected_at = time.monotonic()
         try:
-            while time.monotonic() < last_connected_at + ABANDON_AFTER:
+            while time.monotonic() < last_connected_at + STOP_RECONNECTING_AFTER:
                 match await self._connect_once():
-                    case _End.LEFT:
+                    case _End.GOING_AWAY:
                         return
                     case _End.LOST:
                         last_connected_at = time.monotonic()
@@ -170,7 +172,7 @@
             self._fail_pending(outcome_unknown=not going_away, failed=not connected or self._silent)
             self._record_unreachable(str(error))
             if going_away:
-                return _End.LEFT
+                return _End.GOING_AWAY
             return _End.LOST if connected else _End.UNREACHABLE
 
     async def _receive_messages(self, link: Link) -> NoReturn:
@@ -263,7 +265,7 @@
     def _active_link(self, member: Member) -> PeerLink | None:
         """Return the active link to this incarnation of an owner, if there is one."""
         link = self._links.get(member.host)
-        return None if link is None or link.closed or not link.is_for(member) else link
+        return None if link is None or link.is_closed or not link.is_for(member) else link
 
     async def close(self) -> None:
         """Close all connections concurrently, since a partitioned peer doesn't confirm a close."""
@@ -273,22 +275,22 @@
 async def serve_calls(link: Link, owner: Owner) -> None:
     """Receive one proxy's attempts, and send the owner's replies back."""
     in_flight: set[AttemptId] = set()
-    arrivals = OfferAssembler()
+    assembler = OfferAssembler()
     reply = _reply_function(link, in_flight)
     try:
         while True:
             match await link.receive():
                 case Offer() as offer:
                     in_flight.add(offer.attempt)
-                    await _pass_offer(arrivals.begin(offer), owner, reply)
+                    await _pass_offer(assembler.begin(offer), owner, reply)
                 case Chunk() as chunk:
-                    await _pass_offer(arrivals.add(chunk), owner, reply)
+                    await _pass_offer(assembler.add(chunk), owner, reply)
                 case Fence() as fence:
                     in_flight.add(fence.attempt)
-                    arrivals.drop(fence.attempt)
+                    assembler.drop(fence.attempt)
                     await owner.fence(fence, reply)
                 case Cancel() as cancel:
-                    arrivals.drop(cancel.attempt)
+                    assembler.drop(cancel.attempt)
                     await owner.cancel(cancel, reply)
                 case _:
                     return
@@ -298,10 +300,10 @@
 
 
 async def _pass_offer(
-    arrival: Offer | Incomplete | Overflow, owner: Owner, reply: SendReply
+    assembled: Offer | Incomplete | Overflow, owner: Owner, reply: SendReply
 ) -> None:
     """Pass an offer to the owner once its body is complete."""
-    match arrival:
+    match assembled:
         case Offer() as offer:
             await owner.offer(offer, reply)
         case Overflow(offer=offer):
--- a/cowslipvane/tasks/_pipeline.py
+++ b/cowslipvane/tasks/_pipeline.py
@@ -31,6 +31,7 @@
     def __init__(self, manager: web.Server, *, prefetcher: Prefetcher, **options: Any) -> None:
         super().__init__(manager, **options)
         self._prefetcher = prefetcher
+        # Keyed by id(message); the message is kept so that its id isn't reused.
         self._prefetched: dict[int, tuple[RawRequestMessage, asyncio.Task[Any]]] = {}
         # The event loop keeps only weak references to tasks.
         self._discarding: set[asyncio.Task[None]] = set()
@@ -99,7 +100,7 @@
         )
 
 
-def take_prefetched(http: web.BaseRequest) -> asyncio.Task[Any] | None:
+def pop_prefetched(http: web.BaseRequest) -> asyncio.Task[Any] | None:
     """Remove and return the task that prefetches the response to a request, if there is one."""
     match http.protocol:
         case PipelinedConnection() as connection:
@@ -109,7 +110,7 @@
 
 
 def is_last_in_progress(http: web.BaseRequest) -> bool:
-    """Return whether no response to a later request is being prefetched."""
+    """Return whether no response to a later request is being prefetched or is ready."""
     match http.protocol:
         case PipelinedConnection(has_prefetched=has_prefetched):
             return not has_prefetched
--- a/cowslipvane/tasks/_redirect.py
+++ b/cowslipvane/tasks/_redirect.py
@@ -10,7 +10,10 @@
 
 
 def leader_redirect(membership: Membership, path: str, leader: HostName | None) -> web.Response:
-    """Return a redirect to the leader, or an error with Retry-After if none is known."""
+    """Return a redirect to the leader.
+
+    If no leader is known, or it is this host, return an error with Retry-After.
+    """
     member = membership.member(leader) if leader else None
     if member is None or member.host == membership.own.host:
         response = error_response(503, "not run: no leader is known here now; try again")
--- a/cowslipvane/tasks/_signal.py
+++ b/cowslipvane/tasks/_signal.py
@@ -25,7 +25,8 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting.add(future)
         try:
-            # Unlike wait_for, timeout doesn't lose a cancellation that coincides with the wake-up.
+            # Unlike asyncio.wait_for, asyncio.timeout doesn't lose a cancellation that coincides
+            # with the wake-up.
             async with asyncio.timeout(timeout):
                 await future
         except TimeoutError:
--- a/cowslipvane/tasks/_worker_connection.py
+++ b/cowslipvane/tasks/_worker_connection.py
@@ -24,7 +24,8 @@
 MAX_FIELD_BYTES = 64 << 10
 # An idle connection is reused within this time, unless the worker announces a shorter one.
 MAX_IDLE_TIME: Seconds = 5.0
-# Subtracted from the worker's time, which may expire while a request is in transit.
+# Subtracted from the idle timeout that the worker announces, since that may expire while a
+# request is in transit.
 IDLE_MARGIN: Seconds = 1.0
 
 
@@ -57,7 +58,7 @@
         self._heads: asyncio.Queue[ResponseHead | AnswerBroken] = asyncio.Queue()
         self._body: StreamReader | None = None
         self._reusable = False
-        self._keep_alive = False
+        self._response_allows_reuse = False
         self._usable_until = 0.0
 
     @classmethod
@@ -92,7 +93,7 @@
             auto_decompress=False,
         )
         # The body is written as a whole: a worker that responds early still gets all of it, and
-        # doesn't read the next request as its rest.
+        # doesn't read the next request as the rest of this body.
         self.transport.write(head + body)
         return await self.next_head()
 
@@ -105,11 +106,11 @@
                 return head
 
     def keep_alive(self, head: ResponseHead) -> None:
-        """Keep the connection for another request, once a response has been read completely."""
+        """Keep the connection if the response is complete and allows reuse; close it otherwise."""
         if self._body is None or not self._body.is_eof() or not self._heads.empty():
             self.close()
             return
-        self._reusable = self.connected and self._keep_alive
+        self._reusable = self.connected and self._response_allows_reuse
         self._usable_until = self._loop.time() + _max_idle(head)
         self._parser = None
         self._body = None
@@ -137,7 +138,10 @@
             self._queue_head(message, payload)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End the current response: a body without a length is complete only without a reset."""
+        """End the current response.
+
+        A body without a length is complete if the connection was closed, and not if it was reset.
+        """
         super().connection_lost(exc)
         parser, self._parser = self._parser, None
         if parser is None:
@@ -157,7 +161,7 @@
         if message.code < 200:
             return
         self._body = payload
-        self._keep_alive = not message.should_close
+        self._response_allows_reuse = not message.should_close
         fields = tuple((name, value) for name, value in message.headers.items())
         self._heads.put_nowait(ResponseHead(message.code, fields, payload))
 
@@ -185,8 +189,8 @@
 
 def _max_idle(head: ResponseHead) -> Seconds:
     """Return how long the connection may stay idle after a response."""
-    keep_alive = head.field("Keep-Alive") or ""
-    for part in keep_alive.split(","):
+    field = head.field("Keep-Alive") or ""
+    for part in field.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.strip().isdecimal():
             return min(MAX_IDLE_TIME, float(value) - IDLE_MARGIN)
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -14,7 +14,7 @@
 )
 from cowslipvane.types import Header, Headers
 
-# Responses to earlier requests that are skipped before the expected one.
+# Maximum number of responses to earlier requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 2
 
 
@@ -63,7 +63,7 @@
         return response
 
     def keep_alive(self, response: ResponseHead) -> None:
-        """Keep the connection for the next request, once a response has been read completely."""
+        """Keep the connection if the response is complete and allows reuse; close it otherwise."""
         if self._connection is not None:
             self._connection.keep_alive(response)
 
@@ -77,8 +77,8 @@
         """Return whether the worker did not run the request, or is another instance."""
         if response.field(self._header_names.not_run) is not None:
             return True
-        named = bool(self._header_names.expected_instance and self._worker.instance)
-        return named and response.status == HTTPStatus.MISDIRECTED_REQUEST
+        instance_expected = bool(self._header_names.expected_instance and self._worker.instance)
+        return instance_expected and response.status == HTTPStatus.MISDIRECTED_REQUEST
 
     def _is_response_to(self, response: ResponseHead, request: Request) -> bool:
         """Return whether a response names this request, or none."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -34,7 +34,7 @@
     """A link that finishes closing only once all others are closing too."""
 
     barrier: asyncio.Barrier
-    closed = False
+    is_closed = False
 
     def __init__(self, *, member: Member, **_: Any) -> None:
         self._member = member
@@ -104,7 +104,7 @@
         self.assertFalse(self.peers.is_reachable(owner("a")))
         await self.listen()
         await self.until(lambda: self.peers.is_reachable(owner("a")))
-        states = [form["detail"]["state"] for form in self.events.select()]
+        states = [event["detail"]["state"] for event in self.events.select()]
         self.assertEqual(states, ["lost", "reached again"])
 
     async def test_silent_owner_is_not_reachable(self) -> None:
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from cowslipvane.tasks._http import HttpListener
-from cowslipvane.tasks._pipeline import Prefetcher, take_prefetched
+from cowslipvane.tasks._pipeline import Prefetcher, pop_prefetched
 from cowslipvane.types import Address
 
 TIMEOUT_S = 5.0
@@ -17,7 +17,7 @@
     """A slow response delays the responses behind it, but not the work on them."""
 
     async def asyncSetUp(self) -> None:
-        """Listen with a fetch function whose first request waits for its second one."""
+        """Listen with a fetch function in which /1 waits until /2 has started."""
         self.second_started = asyncio.Event()
         self.cancelled: list[str] = []
         self.started: list[str] = []
@@ -41,7 +41,7 @@
             self.discarded.append(path)
 
         async def handle(http: web.BaseRequest) -> web.StreamResponse:
-            prefetched = take_prefetched(http)
+            prefetched = pop_prefetched(http)
             body = await (fetch(http) if prefetched is None else prefetched)
             return web.Response(text=body)
 
@@ -83,7 +83,7 @@
         self.assertEqual(sorted(self.started), ["/1", "/2", "/3"])
 
     async def test_request_that_arrives_later_is_prefetched(self) -> None:
-        """A request that arrives while the first is under way is prefetched as well."""
+        """A request that arrives while the first is in flight is prefetched as well."""
         self.send("/1")
         await asyncio.sleep(0.05)
         self.send("/2")
@@ -105,7 +105,7 @@
         await self.until(lambda: len(self.cancelled) == 2)
 
     async def test_disconnect_discards_prefetched_responses(self) -> None:
-        """A response that is ready when its caller disconnects doesn't stay under way."""
+        """A response that is ready when its caller disconnects doesn't stay in flight."""
         self.send("/never", "/3")
         await self.until(lambda: len(self.started) == 2)
         self.writer.close()
