--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -145,8 +145,8 @@
         self.assertEqual(line["mark"], "")
         self.assertNotIn("mine", line["request"])
 
-    async def test_fields_that_differ_in_case_are_all_forwarded(self) -> None:
-        """A worker receives all fields of one name, whatever their case."""
+    async def test_field_in_another_case_does_not_replace_the_first(self) -> None:
+        """Of two fields whose names differ only in case, the worker still reads the first."""
         await self.exchange("GET /stock/7 HTTP/1.1\r\nX-Mark: first\r\nx-mark: second")
         [line] = self.ran()
         self.assertEqual(line["mark"], "first")
@@ -177,9 +177,9 @@
                         aiohttp.ClientSession() as session,
                         session.get(self.url(host), headers=headers) as response,
                     ):
-                        form = await response.json()
-                    self.assertEqual((response.status, form["code"]), (502, "upstream-lost"))
-                    self.assertEqual(form["verdict"], "may have run")
+                        answer_json = await response.json()
+                    self.assertEqual((response.status, answer_json["code"]), (502, "upstream-lost"))
+                    self.assertEqual(answer_json["verdict"], "may have run")
 
 
 if __name__ == "__main__":
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -27,6 +27,8 @@
 HOSTS = ("stock-1", "stock-2", "stock-3")
 PATHS = ("/replica", "/subscribe", "/members", "/events", "/calls")
 STAMP = bytes(12)
+# CBOR: empty, shorter than a stamp, deeply nested arrays, an array of a huge declared length, and
+# stray break codes.
 MALFORMED_MESSAGES = (
     b"",
     b"\x00" * 11,
@@ -41,8 +43,8 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
-# These messages are processed whatever their values are. Votes and log entries are left out: they
-# are trusted, since they come from a replica of the group.
+# A process handles these messages with any values. Votes and log entries are left out: they are
+# trusted, since they come from a replica of the group.
 MESSAGES = st.one_of(
     st.from_type(Offer), st.from_type(Cancel), st.from_type(Pull), st.from_type(KeepEvents)
 )
@@ -115,66 +117,66 @@
                 return error.rcvd.code if error.rcvd else None
 
     @contextlib.asynccontextmanager
-    async def bystander(self) -> AsyncIterator[Link]:
+    async def valid_peer(self) -> AsyncIterator[Link]:
         """Open the connection of a peer that sends valid messages."""
         async with connect(self.peers(), "/members") as link:
-            await link.send(Hello(sender=HostName("bystander"), data_centre=DataCentre("x")))
+            await link.send(Hello(sender=HostName("valid-peer"), data_centre=DataCentre("x")))
             yield link
 
     async def exchange(self, link: Link) -> None:
-        """Send a message on a bystander's connection, and check that a reply arrives."""
+        """Send a message on a valid peer's connection, and check that a reply arrives."""
         await link.send(Exchange(digest=0, members=()))
         self.assertIsInstance(await link.receive(), ExchangeReply)
 
     def test_invalid_messages_close_only_their_connection(self) -> None:
-        """Each path closes the connection, and a bystander's connection stays usable."""
+        """They close it on each path, and a valid peer's connection stays usable."""
 
         async def attack() -> None:
-            """Send random bytes, truncated and oversized messages to every path."""
+            """Send random and malformed messages to each path, and a huge one to /members."""
             rng = random.Random(7)
-            async with self.bystander() as bystander:
+            async with self.valid_peer() as valid_peer:
                 for path in PATHS:
                     for data in (*MALFORMED_MESSAGES, *(rng.randbytes(60) for _ in range(5))):
                         self.assertIsNotNone(await self.send_raw(path, data), (path, data[:20]))
-                    await self.exchange(bystander)
+                    await self.exchange(valid_peer)
                 with self.assertRaisesRegex(InvalidStatus, "404"):
                     await self.send_raw("/nothing", b"")
-                await self.exchange(bystander)
+                await self.exchange(valid_peer)
                 huge = await websocket_connect(f"ws://{self.peers()}/members", proxy=None)
                 with contextlib.suppress(ConnectionClosed):
                     await huge.send(bytes(17 << 20))
                 async with asyncio.timeout(5):
                     await huge.wait_closed()
-                await self.exchange(bystander)
+                await self.exchange(valid_peer)
 
         asyncio.run(attack())
 
     @FUZZ
     @given(message=MESSAGES, path=st.sampled_from(PATHS))
-    def test_messages_with_arbitrary_values_affect_no_bystander(
+    def test_messages_with_arbitrary_values_affect_no_valid_peer(
         self, message: Any, path: str
     ) -> None:
-        """A message of the protocol with arbitrary values, on any path, affects no bystander."""
+        """A message of the protocol with arbitrary values, on any path, affects no valid peer."""
 
         async def attack() -> None:
-            """Send the message, and another one as a bystander."""
+            """Send the message, and another one as a valid peer."""
             try:
                 data = encode(message) + STAMP
             except (ValueError, OverflowError):
                 return
             async with (
-                self.bystander() as bystander,
+                self.valid_peer() as valid_peer,
                 websocket_connect(f"ws://{self.peers()}{path}", proxy=None) as link,
             ):
                 # The connection may be closed before the message is sent.
                 with contextlib.suppress(ConnectionClosed):
                     await link.send(data)
-                await self.exchange(bystander)
+                await self.exchange(valid_peer)
 
         asyncio.run(attack())
 
-    def test_offer_that_can_t_be_sent_occupies_no_slot(self) -> None:
-        """More such offers than there are slots leave all slots usable."""
+    def test_unsendable_offer_occupies_no_slot(self) -> None:
+        """More odd or unsendable offers than there are slots leave all slots usable."""
         odd = [("GET", "http://127.0.0.1:9/x"), ("GET", "//127.0.0.1:9/x"), ("G\r\nT", "/x")]
 
         async def attack() -> None:
@@ -255,7 +257,7 @@
         self.assertNotIn("Traceback", self.fleet.errors())
 
     def test_invalid_bodies_get_a_sentence(self) -> None:
-        """Each invalid body has its own status, and a JSON response with a sentence."""
+        """Each invalid body gets the expected status, and a JSON response with a sentence."""
         bodies: list[tuple[str, bytes, str, int]] = [
             ("changes", b"{", "application/json", 400),
             ("changes", b"\xff\xfe", "application/json", 400),
@@ -276,9 +278,11 @@
                     async with session.post(
                         f"{url}/{path}", data=body, headers=headers
                     ) as response:
-                        form = await response.json()
+                        answer_json = await response.json()
                         self.assertEqual(
-                            (response.status, "sentence" in form), (status, True), form
+                            (response.status, "sentence" in answer_json),
+                            (status, True),
+                            answer_json,
                         )
 
         asyncio.run(attack())
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -298,7 +298,7 @@
         self.assertIsInstance(await second.next(), Answer)
 
     async def test_offer_after_its_fence_does_not_run(self) -> None:
-        """A fence bars an offer that arrives later."""
+        """A fence bars an offer that it has overtaken in transit."""
         await self.owner.fence(self.fence(offer(1, "")), self.inbox.reply)
         self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
         await self.owner.offer(offer(1, "/ok/1"), self.inbox.reply)
@@ -344,7 +344,7 @@
         announced = Worker(SERVICE, await self.worker.start(), 1, 10)
         self.addAsyncCleanup(self.worker.stop)
         self.connections: list[ServerConnection] = []
-        self.closes_at_once = False
+        self.closes_after_first_message = False
         self.server = server = await serve(self._serve, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
@@ -373,7 +373,7 @@
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one link."""
         self.connections.append(connection)
-        if self.closes_at_once:
+        if self.closes_after_first_message:
             await connection.recv()
             await connection.close(CloseCode.GOING_AWAY)
             return
@@ -461,8 +461,8 @@
         self.assertEqual(self.worker.received, ["/wait"])
 
     async def test_planned_close_means_not_run_without_a_reply(self) -> None:
-        """A call without a reply at that point was never started."""
-        self.closes_at_once = True
+        """The owner has replied to each attempt that it started, so the others weren't run."""
+        self.closes_after_first_message = True
         refusal = await self.dispatcher.dispatch(self.call("/ok", TIMEOUT_S))
         assert not isinstance(refusal, StartedResponse)
         self.assertEqual(explain(refusal).verdict, Verdict.NOT_RUN)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,7 +15,7 @@
 class StartTest(CallersTestCase):
     """A proxy that waits for its first configuration."""
 
-    async def until_under_way(self) -> None:
+    async def until_in_flight(self) -> None:
         """Return once a call has arrived."""
         give_up_at = time.monotonic() + TIMEOUT_S
         while not self.callers.in_flight:
@@ -25,10 +25,10 @@
     async def test_call_waits_for_the_first_configuration(self) -> None:
         """It isn't refused, but routed once the configuration is in force."""
         with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
-            response_code = asyncio.create_task(self.code())
-            await self.until_under_way()
+            refusal_code_task = asyncio.create_task(self.code())
+            await self.until_in_flight()
             self.apply()
-            self.assertEqual(await response_code, "no-upstream")
+            self.assertEqual(await refusal_code_task, "no-upstream")
 
     async def test_call_with_a_short_timeout_is_refused_before_it_expires(self) -> None:
         """Its refusal arrives early enough for a retry, here or at another proxy."""
--- a/tests/test_worker_connection.py
+++ b/tests/test_worker_connection.py
@@ -118,18 +118,18 @@
         self.assertEqual(self.connections, 2)
 
     async def test_body_without_length_is_complete_only_without_reset(self) -> None:
-        """It ends with the connection, but not with a reset of the connection."""
+        """A close of the connection ends the body; a reset leaves it incomplete."""
         for reset in (False, True):
             with self.subTest(reset=reset):
 
                 async def script(
-                    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: bool = reset
+                    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, resets: bool = reset
                 ) -> None:
                     await read_head(reader)
                     writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
                     await writer.drain()
                     await asyncio.sleep(0.05)
-                    if cut:
+                    if resets:
                         linger = struct.pack("ii", 1, 0)
                         writer.get_extra_info("socket").setsockopt(
                             socket.SOL_SOCKET, socket.SO_LINGER, linger
@@ -145,7 +145,7 @@
                     self.assertEqual(await self.fetch("1"), b"part")
 
     async def test_broken_responses_raise(self) -> None:
-        """A truncated body and invalid HTTP aren't accepted as a response."""
+        """A truncated body, invalid HTTP and a close without a response aren't accepted."""
         for bad in (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", b"nonsense\r\n\r\n", b""):
             with self.subTest(bad=bad):
 
