Name what cancel_all_but_calls cancels

cancel_waiting cancels the tasks of all connections but those of calls, waiting or not; its set of tasks had another name. daemon.py, its only caller, follows.

Run: black, ruff, mypy; tests test_hostile, test_peers, test_owner pass.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -182,7 +182,7 @@
                 task.result()
         finally:
             if self._peer_listener is not None:
-                self._peer_listener.cancel_waiting()
+                self._peer_listener.cancel_all_but_calls()
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
--- a/cowslipvane/tasks/_peer_listener.py
+++ b/cowslipvane/tasks/_peer_listener.py
@@ -35,7 +35,7 @@
         self._identity = identity
         self._events = events
         self._connections: Counter[str] = Counter()
-        self._cancellable: set[asyncio.Task[None]] = set()
+        self._non_call_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def connections(self) -> Mapping[str, int]:
@@ -55,9 +55,12 @@
             max_size=MAX_MESSAGE_BYTES,
         )
 
-    def cancel_waiting(self) -> None:
-        """Cancel all tasks but those of calls: they may wait for updates that no longer arrive."""
-        for task in self._cancellable:
+    def cancel_all_but_calls(self) -> None:
+        """Cancel all tasks except those of calls.
+
+        The cancelled tasks may wait for updates that no longer arrive.
+        """
+        for task in self._non_call_tasks:
             task.cancel()
 
     async def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
@@ -78,8 +81,8 @@
         self._connections[path] += 1
         task = asyncio.current_task()
         if task is not None and path != CALLS_PATH:
-            self._cancellable.add(task)
-            task.add_done_callback(self._cancellable.discard)
+            self._non_call_tasks.add(task)
+            task.add_done_callback(self._non_call_tasks.discard)
         try:
             await self._handlers[path](Link(connection=connection, identity=self._identity))
         except LinkClosed:
