--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -1,4 +1,4 @@
-"""An event, and its one schema in memory, on links and as JSON."""
+"""Events, with one schema in memory, on links and as JSON."""
 
 from __future__ import annotations
 
@@ -57,7 +57,7 @@
 
 
 class Origin(NamedTuple):
-    """The process that an event comes from; process is its id on its host."""
+    """The process that recorded an event; process is its process ID."""
 
     host: HostName
     data_centre: DataCentre
@@ -75,7 +75,7 @@
 
 
 def event_form(origin: Origin, event: Event) -> EventForm:
-    """Return an event of a process as JSON."""
+    """Return an event and its origin as JSON."""
     return EventForm(
         kind=event.kind,
         wall=event.stamp.wall,
--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -1,4 +1,4 @@
-"""The event file of one process: JSON lines, with an older file beside it, bounded in size."""
+"""The event file of one process: JSON lines, bounded in size, with one rotated file."""
 
 from __future__ import annotations
 
@@ -12,24 +12,24 @@
 
 from cowslipvane.events._event import EventForm
 
-# Room for each event when the end of a file is read; events are about half as long.
-_TAIL_BYTES = 1024
+# Bytes to read for each event at the end of a file; events are about half as long.
+_BYTES_PER_EVENT = 1024
 
 
 class EventFile:
-    """Appends events to a file, and starts a new one when the file has grown to its limit."""
+    """Appends events to a file, which is rotated when it reaches its size limit."""
 
     def __init__(self, *, path: Path, max_bytes: int) -> None:
-        # Only a process that writes events needs the formatter.
+        # Imported here because only a process that writes events needs it.
         from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
 
         self._path = path
-        self._handler = _Rotating(path=path, max_bytes=max_bytes)
+        self._handler = _RotatingHandler(path=path, max_bytes=max_bytes)
         self._handler.setFormatter(JsonFormatter("%(message)s"))
 
     @property
     def dropped(self) -> int:
-        """Return how many events were deleted with older files."""
+        """Return how many events were deleted with rotated files."""
         return self._handler.dropped
 
     @property
@@ -46,37 +46,37 @@
     def tail(self, count: int) -> list[EventForm]:
         """Return the newest events of the files, oldest first."""
         paths = [rotated_path(self._path), self._path]
-        return list(deque(read_events(paths, last_bytes=count * _TAIL_BYTES), maxlen=count))
+        return list(deque(read_events(paths, last_bytes=count * _BYTES_PER_EVENT), maxlen=count))
 
     def close(self) -> None:
         """Close the file."""
         self._handler.close()
 
 
-class _Rotating(RotatingFileHandler):
-    """Keeps one older file, and counts what is deleted with the one before it."""
+class _RotatingHandler(RotatingFileHandler):
+    """Keeps one rotated file, and counts the lines deleted with the one before it."""
 
     def __init__(self, *, path: Path, max_bytes: int) -> None:
         self.dropped = 0
         self.failed = 0
-        self._newer, self._older = _count_lines(path), _count_lines(rotated_path(path))
+        self._lines, self._rotated_lines = _count_lines(path), _count_lines(rotated_path(path))
         super().__init__(path, maxBytes=max_bytes, backupCount=1, encoding="utf-8")
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line."""
-        self._newer += 1
+        self._lines += 1
         super().emit(record)
 
     def doRollover(self) -> None:  # noqa: N802
-        """Delete the older file, and start a new one with the line that is being written."""
+        """Rotate the file, and start a new one with the line that is being written."""
         super().doRollover()
-        self.dropped += self._older
-        self._older, self._newer = self._newer - 1, 1
+        self.dropped += self._rotated_lines
+        self._rotated_lines, self._lines = self._lines - 1, 1
 
     def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802
-        """Count a line that could not be written; the events in memory still have it."""
+        """Count a line that could not be written; its event is still in memory."""
         self.failed += 1
-        # What the stream still holds would grow with every line that can't be written.
+        # The buffer of an open stream would grow with every line that can't be written.
         stream, self.stream = self.stream, None
         if stream is not None:
             with contextlib.suppress(OSError):
@@ -84,12 +84,12 @@
 
 
 def rotated_path(path: Path) -> Path:
-    """Return where the file before an event file is kept."""
+    """Return the path of the rotated file that belongs to an event file."""
     return path.with_name(f"{path.name}.1")
 
 
 def read_events(paths: Iterable[Path], last_bytes: int | None = None) -> Iterable[EventForm]:
-    """Yield the events in files, or at their ends, passing over what is cut off or damaged."""
+    """Yield the events in files, or at their ends, skipping truncated and damaged lines."""
     for path in paths:
         if not path.is_file():
             continue
@@ -97,23 +97,23 @@
             if last_bytes is not None:
                 lines.seek(max(0, path.stat().st_size - last_bytes))
             for line in lines:
-                form = _read_line(line)
+                form = _parse_line(line)
                 if form is not None:
                     yield form
 
 
-def _read_line(line: bytes) -> EventForm | None:
-    """Return the event in a line, or None when the line holds none."""
+def _parse_line(line: bytes) -> EventForm | None:
+    """Return the event in a line, or None if the line holds no complete event."""
     try:
         form: EventForm = json.loads(line)["event"]
-        whole = form.keys() >= EventForm.__required_keys__
+        is_complete = form.keys() >= EventForm.__required_keys__
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
-    return form if whole else None
+    return form if is_complete else None
 
 
 def _count_lines(path: Path) -> int:
-    """Return how many lines a file has; none when there is no file."""
+    """Return how many lines a file has, 0 if it doesn't exist."""
     if not path.is_file():
         return 0
     with path.open("rb") as lines:
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -13,14 +13,14 @@
 from cowslipvane.events._stream import EventStream
 from cowslipvane.types import Seconds
 
-# Time between writes of new events to the event file.
+# Interval at which new events are written to the event file and to standard output.
 WRITE_INTERVAL: Seconds = 0.2
 # Events kept in memory by default; older ones are dropped and counted.
 DEFAULT_EVENTS_IN_MEMORY = 4000
-# Events of other processes, and of this one before it restarted, that are kept beside its own.
+# Copies in memory of events of other processes, and of this host's process before it restarted.
 MAX_COPIED_EVENTS = 1000
-# Refusals that wait to be copied to another process; more are dropped and counted.
-UNCOPIED_EVENTS = 500
+# Refusals queued to be copied to another process; when full, the oldest are dropped and counted.
+MAX_UNCOPIED_EVENTS = 500
 
 
 class EventLog:
@@ -42,12 +42,12 @@
         self._file = file
         self._stream = stream
         self._events: deque[Event] = deque(maxlen=memory)
-        self._kept: deque[EventForm] = deque(maxlen=MAX_COPIED_EVENTS)
-        self._uncopied: deque[Event] = deque(maxlen=UNCOPIED_EVENTS)
+        self._copies: deque[EventForm] = deque(maxlen=MAX_COPIED_EVENTS)
+        self._uncopied: deque[Event] = deque(maxlen=MAX_UNCOPIED_EVENTS)
         self._recorded = 0
         self._written = 0
-        self._unwritten = 0
-        self._copied_away = 0
+        self._never_written = 0
+        self._never_copied = 0
         if file is not None:
             self._restore(file.tail(MAX_COPIED_EVENTS))
 
@@ -58,15 +58,15 @@
 
     @property
     def counts(self) -> dict[str, int]:
-        """Return how many events were recorded, and how many are lost where."""
+        """Return how many events were recorded, and how many were lost at each place."""
         return {
             "recorded": self._recorded,
             "dropped_from_memory": self._recorded - len(self._events),
             "dropped_from_file": self._file.dropped if self._file else 0,
-            "never_written": self._unwritten + (self._file.failed if self._file else 0),
-            "never_copied": self._copied_away,
+            "never_written": self._never_written + (self._file.failed if self._file else 0),
+            "never_copied": self._never_copied,
             "dropped_from_log": self._stream.dropped if self._stream else 0,
-            "kept_for_others": len(self._kept),
+            "kept_for_others": len(self._copies),
             "clocks_refused": self._clock.refused,
         }
 
@@ -80,11 +80,11 @@
         if self._observer is not None:
             self._observer(event)
         if kind == "refusal":
-            self._copied_away += len(self._uncopied) == self._uncopied.maxlen
+            self._never_copied += len(self._uncopied) == self._uncopied.maxlen
             self._uncopied.append(event)
 
     async def run(self) -> None:
-        """Write new events as JSON lines, aside from what recorded them."""
+        """Write new events periodically, so that recording one never waits."""
         try:
             while True:
                 await asyncio.sleep(WRITE_INTERVAL)
@@ -94,38 +94,38 @@
 
     def write(self) -> None:
         """Write the events that were recorded since the last write."""
-        new = min(self._recorded - self._written, len(self._events))
-        self._unwritten += self._recorded - self._written - new if self._writers else 0
+        new_count = min(self._recorded - self._written, len(self._events))
+        self._never_written += self._recorded - self._written - new_count if self._writers else 0
         for writer in self._writers:
-            fresh = islice(self._events, len(self._events) - new, None)
-            writer.write(event_form(self._origin, event) for event in fresh)
+            new_events = islice(self._events, len(self._events) - new_count, None)
+            writer.write(event_form(self._origin, event) for event in new_events)
         self._written = self._recorded
 
     @property
     def _writers(self) -> list[EventFile | EventStream]:
-        """Return where events are written."""
+        """Return the destinations that events are written to."""
         return [writer for writer in (self._file, self._stream) if writer is not None]
 
     def take_uncopied(self) -> tuple[Event, ...]:
-        """Return the refusals that no other process has yet, and forget that they wait."""
+        """Return the refusals not copied to another process yet, and clear their queue."""
         events = tuple(self._uncopied)
         self._uncopied.clear()
         return events
 
     def requeue_uncopied(self, events: tuple[Event, ...]) -> None:
-        """Let refusals wait again, because they could not be copied."""
-        room = UNCOPIED_EVENTS - len(self._uncopied)
+        """Queue refusals again that could not be copied."""
+        room = MAX_UNCOPIED_EVENTS - len(self._uncopied)
         kept = events[-room:] if room else ()
-        self._copied_away += len(events) - len(kept)
+        self._never_copied += len(events) - len(kept)
         self._uncopied.extendleft(reversed(kept))
 
     def store_copies(self, origin: Origin, events: Iterable[Event]) -> None:
         """Keep copies of another process's events."""
-        self._kept.extend(event_form(origin, event) for event in events)
+        self._copies.extend(event_form(origin, event) for event in events)
 
     def select(self, *, request: str = "", version: int = 0) -> Iterator[EventForm]:
-        """Yield the events in memory, of one request or version if it is named."""
-        for form in self._kept:
+        """Yield the events in memory, restricted to a request or a version if one is given."""
+        for form in self._copies:
             if _matches(form["request"], form["version"], request, version):
                 yield form
         for event in self._events:
@@ -133,12 +133,12 @@
                 yield event_form(self._origin, event)
 
     def _restore(self, forms: list[EventForm]) -> None:
-        """Take in what this host's process wrote before it restarted."""
-        self._kept.extend(forms)
+        """Restore the events that this host's process wrote before it restarted."""
+        self._copies.extend(forms)
         for form in forms:
             self._clock.observe(Stamp(form["wall"], form["logical"]))
 
 
-def _matches(request: str, version: int, wanted_request: str, wanted_version: int) -> bool:
-    """Return whether an event is about what is wanted; empty and 0 want anything."""
-    return wanted_request in ("", request) and wanted_version in (0, version)
+def _matches(request: str, version: int, request_filter: str, version_filter: int) -> bool:
+    """Return whether an event passes both filters; an empty text and 0 let all events pass."""
+    return request_filter in ("", request) and version_filter in (0, version)
--- a/cowslipvane/events/_stream.py
+++ b/cowslipvane/events/_stream.py
@@ -1,4 +1,4 @@
-"""Events as JSON lines on standard output, bounded and without waiting for a reader."""
+"""Events as JSON lines on standard output; a stalled reader never blocks the process."""
 
 from __future__ import annotations
 
@@ -12,66 +12,66 @@
 
 from cowslipvane.events._event import EventForm
 
-# Lines that wait for a reader that has stopped; more are dropped, routine ones first.
-MAX_WAITING_LINES = 2000
-# Events of one request in this many are written, the same ones by every process.
-SAMPLE_OF_REQUESTS = 50
-# Routine events of requests; all others are written whatever the load.
+# Lines buffered while the reader is stalled; more are dropped, routine events first.
+MAX_BUFFERED_LINES = 2000
+# Routine events are written for one request in this many; every process selects the same requests.
+REQUESTS_PER_SAMPLE = 50
+# Kinds of routine events, whose number grows with the load; all other kinds are always written.
 ROUTINE_KINDS = frozenset({"attempt", "verdict", "answered"})
 _CHUNK_BYTES = 32 << 10
 
 
 class EventStream:
-    """Writes events to a descriptor that may be a pipe nobody reads."""
+    """Writes events to a file descriptor, which may be a pipe with a stalled reader."""
 
     def __init__(self, *, descriptor: int = 1) -> None:
         self._descriptor = descriptor
-        self._waiting: deque[bytes] = deque()
+        self._buffer: deque[bytes] = deque()
         self._partial = b""
         self._dropped = 0
-        self._untold: Counter[str] = Counter()
+        self._unreported: Counter[str] = Counter()
 
     @property
     def dropped(self) -> int:
-        """Return how many lines were dropped for want of a reader."""
+        """Return how many lines were dropped because the reader was stalled."""
         return self._dropped
 
     def write(self, forms: Iterable[EventForm]) -> None:
-        """Take events, and write as much as the descriptor takes without waiting."""
+        """Buffer events, and write as much as the descriptor accepts without blocking."""
         for form in forms:
-            self._take(form)
+            self._append(form)
         self._flush()
 
-    def _take(self, form: EventForm) -> None:
-        """Queue an event's line, unless it is routine and not sampled, or there is no room."""
+    def _append(self, form: EventForm) -> None:
+        """Buffer an event's line, unless it is routine and not sampled, or the buffer is full."""
         routine = form["kind"] in ROUTINE_KINDS
         if routine and not is_sampled(form["request"]):
             return
-        room = MAX_WAITING_LINES // 2 if routine else MAX_WAITING_LINES
-        if len(self._waiting) >= room:
+        limit = MAX_BUFFERED_LINES // 2 if routine else MAX_BUFFERED_LINES
+        if len(self._buffer) >= limit:
             self._dropped += 1
-            self._untold[form["kind"]] += 1
+            self._unreported[form["kind"]] += 1
             return
-        if self._untold:
-            lost = {"kind": "log-dropped", "detail": dict(self._untold)}
-            self._waiting.append(_line(lost))
-            self._untold.clear()
-        self._waiting.append(_line(form))
+        if self._unreported:
+            notice = {"kind": "log-dropped", "detail": dict(self._unreported)}
+            self._buffer.append(_line(notice))
+            self._unreported.clear()
+        self._buffer.append(_line(form))
 
     def _flush(self) -> None:
-        """Write what waits while the descriptor is ready."""
-        while self._waiting or self._partial:
+        """Write buffered lines while the descriptor is ready."""
+        while self._buffer or self._partial:
             if not self._partial:
                 lines = []
                 size = 0
-                while self._waiting and size < _CHUNK_BYTES:
-                    lines.append(self._waiting.popleft())
+                while self._buffer and size < _CHUNK_BYTES:
+                    lines.append(self._buffer.popleft())
                     size += len(lines[-1])
                 self._partial = b"".join(lines)
             with contextlib.suppress(OSError):
                 if not select.select([], [self._descriptor], [], 0)[1]:
                     return
-                # A pipe that is ready takes at least this many bytes without waiting.
+                # A pipe that is ready accepts at least PIPE_BUF bytes without blocking.
                 written = os.write(self._descriptor, self._partial[: select.PIPE_BUF])
                 self._partial = self._partial[written:]
                 continue
@@ -80,7 +80,7 @@
 
 def is_sampled(request: str) -> bool:
     """Return whether a request's routine events are written; every process decides the same."""
-    return zlib.crc32(request.encode("utf-8", "replace")) % SAMPLE_OF_REQUESTS == 0
+    return zlib.crc32(request.encode("utf-8", "replace")) % REQUESTS_PER_SAMPLE == 0
 
 
 def _line(form: object) -> bytes:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -7,7 +7,7 @@
 
 from cowslipvane.events import EventStream
 from cowslipvane.events._event import EventForm
-from cowslipvane.events._stream import MAX_WAITING_LINES, is_sampled
+from cowslipvane.events._stream import MAX_BUFFERED_LINES, is_sampled
 
 
 def form(kind: str, request: str = "") -> EventForm:
@@ -63,23 +63,23 @@
 
     def test_a_reader_that_has_stopped_holds_nobody_up(self) -> None:
         """Lines wait up to a bound, routine ones give way first, and the drops are told."""
-        for _ in range(3 * MAX_WAITING_LINES):
+        for _ in range(3 * MAX_BUFFERED_LINES):
             self.stream.write([form("attempt", self.sampled)])
         self.stream.write([form("refusal", "important")])
         dropped = self.stream.dropped
-        self.assertGreater(dropped, MAX_WAITING_LINES)
+        self.assertGreater(dropped, MAX_BUFFERED_LINES)
         told = self.lines()
-        self.assertLess(len(told), 3 * MAX_WAITING_LINES)
+        self.assertLess(len(told), 3 * MAX_BUFFERED_LINES)
         self.assertIn("important", [line.get("request") for line in told])
         drops = [line["detail"] for line in told if line["kind"] == "log-dropped"]
         self.assertEqual(drops, [{"attempt": dropped}])
 
     def test_what_is_no_routine_is_bounded_too(self) -> None:
         """So that a flood of refusals can't take the memory."""
-        for _ in range(3 * MAX_WAITING_LINES):
+        for _ in range(3 * MAX_BUFFERED_LINES):
             self.stream.write([form("refusal")])
         self.assertGreater(self.stream.dropped, 0)
-        self.assertLess(len(self.stream._waiting), MAX_WAITING_LINES + 2)
+        self.assertLess(len(self.stream._buffer), MAX_BUFFERED_LINES + 2)
 
 
 if __name__ == "__main__":
