Reword the daemon: in flight, remaining time, second signal

Comments and private names of the daemon say in plain terms what a stop does: lame duck, drain, deadline, and why listeners close before links. Private names only; no behaviour changes.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -1,4 +1,4 @@
-"""The one process of a host's slot: its listeners, and the tasks of its roles."""
+"""The daemon: one process with its listeners and the tasks of its roles."""
 
 from __future__ import annotations
 
@@ -48,17 +48,18 @@
 from cowslipvane.types import Seconds
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
-# The part of the grace period in which listeners and links close, each within its own bound, and
-# nothing is waited for any more.
+# The end of the grace period, in which nothing is awaited any more and listeners and links close,
+# each within a time limit of its own.
 EXIT_RESERVE: Seconds = 1.0
-# How often the settings file is looked at; a signal makes the process look at once.
+# Interval between checks of the settings file for changes; SIGHUP reloads the file at once.
 SETTINGS_CHECK_INTERVAL: Seconds = 1.0
-# A drained proxy goes on refusing offers this long, so that no peer finds it gone unawares.
+# A drained proxy keeps refusing offers for this long before it exits, so that its peers learn that
+# it is leaving before they lose the connection.
 LEAVING_NOTICE_TIME: Seconds = 1.0
 
 
 class Daemon:
-    """One process with the roles that its settings give it."""
+    """Runs one process with the roles that its settings name."""
 
     def __init__(self, *, settings: Settings, front_end: FrontEnd | None = None) -> None:
         self._settings = settings
@@ -100,7 +101,7 @@
         self._started_at = time.monotonic()
         self._stop = Signal()
         self._stopping = False
-        self._hurried = False
+        self._exit_now = False
         self._peer_listener: PeerListener | None = None
         self._replication: Replication | None = None
         self._publisher: Publisher | None = None
@@ -130,21 +131,21 @@
             if self._front_end is not None:
                 tasks.append(self._watch_settings(self._front_end))
             for task in tasks:
-                # A task that never began, because a listener could not, needs to be closed.
+                # If a listener fails to open, the coroutines that never started must be closed.
                 stack.callback(task.close)
-            # The listeners close first, so that a late call still finds its way to an owner.
+            # Closed after the listeners, so that a late call can still be sent to an owner.
             stack.push_async_callback(self._peers.close)
             await self._listen(stack)
             await self._serve(tasks, stack)
 
     def stop(self) -> None:
-        """Leave: start nothing new, let what runs end, then exit; at the second call, exit."""
-        self._hurried = self._stopping
+        """Take no new work, let running work end, then exit; a second call exits at once."""
+        self._exit_now = self._stopping
         self._stopping = True
         self._stop.send()
 
     def reload(self) -> None:
-        """Read the settings again and take over the seeds, the only ones that may change."""
+        """Read the settings again and apply the seeds, the only ones that may change."""
         if self._front_end is None:
             return
         try:
@@ -160,7 +161,7 @@
         self._events.record("reloaded", outcome="taken", seeds=seeds)
 
     async def _watch_settings(self, front_end: FrontEnd) -> None:
-        """Take new settings over also when no signal tells of them."""
+        """Reload the settings when their file has changed, also without a signal."""
         while True:
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL)
             if front_end.has_new_settings():
@@ -168,11 +169,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether callers may be sent here."""
+        """Return whether callers may send requests to this process."""
         return not self._stopping and self._subscription is not None and self._subscription.is_ready
 
     async def _serve(self, tasks: list[Coroutine[Any, Any, None]], stack: AsyncExitStack) -> None:
-        """Run the tasks of the roles until a stop is over, or one of them fails."""
+        """Run the tasks of the roles until the process has stopped, or one of them fails."""
         self._events.record("started")
         running = [asyncio.ensure_future(task) for task in tasks]
         leaving = asyncio.create_task(self._leave())
@@ -191,59 +192,61 @@
         self._events.write()
 
     async def _leave(self) -> None:
-        """Wait for a stop and see it through."""
+        """Wait for a stop, then hand over the leadership and drain the proxy."""
         while not self._stopping:
             await self._stop.wait()
         if self._replication is not None:
             await self._replication.hand_over()
         if self._callers is None or self._owner is None:
             return
-        # The worker may go on; it is served until callers have gone elsewhere.
+        # The worker may keep running; it gets requests until callers have moved to other proxies.
         self._callers.stop()
         await self._wait_lame_duck()
         await self._owner.drain()
         if self._callers_listener is not None:
-            # A refused connection sends a caller elsewhere; one that is cut leaves it in doubt.
+            # A caller whose connection is refused tries another proxy; one whose connection is cut
+            # doesn't know the outcome of its request.
             self._callers_listener.stop_listening()
         timing = self._settings.timing
         idle = asyncio.create_task(self._wait_idle(self._callers, self._owner))
-        hurried = asyncio.create_task(self._wait_hurried())
+        second_signal = asyncio.create_task(self._wait_second_signal())
         try:
             await asyncio.wait(
-                [idle, hurried],
+                [idle, second_signal],
                 timeout=max(0.0, timing.grace - timing.lame_duck - EXIT_RESERVE),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             idle.cancel()
-            hurried.cancel()
-        self._say_what_is_cut(self._callers, self._owner)
+            second_signal.cancel()
+        self._record_cut_work(self._callers, self._owner)
 
     async def _wait_lame_duck(self) -> None:
-        """Wait until callers have had time to see that this process is leaving."""
-        give_up = time.monotonic() + self._settings.timing.lame_duck
-        while not self._hurried and (left := give_up - time.monotonic()) > 0:
-            await self._stop.wait(left)
+        """Wait until callers have had time to notice that this process is leaving."""
+        deadline = time.monotonic() + self._settings.timing.lame_duck
+        while not self._exit_now and (remaining := deadline - time.monotonic()) > 0:
+            await self._stop.wait(remaining)
 
     async def _wait_idle(self, callers: Callers, owner: Owner) -> None:
-        """Wait until peers know of the leaving, and nothing is under way."""
+        """Wait until peers know that this process is leaving, and nothing is in flight."""
         await asyncio.sleep(LEAVING_NOTICE_TIME / 2)
         if self._callers_listener is not None:
-            # Not at the exit: that follows the last answer, and so may its caller's next request.
+            # Connections close here rather than at the exit: the exit directly follows the last
+            # response, and could cut the next request that its caller sends.
             await self._callers_listener.finish()
         await asyncio.sleep(LEAVING_NOTICE_TIME / 2)
         while callers.in_flight or owner.in_flight:
             await callers.wait_idle()
             await owner.wait_idle()
 
-    async def _wait_hurried(self) -> None:
+    async def _wait_second_signal(self) -> None:
         """Wait for a second signal."""
-        while not self._hurried:
+        while not self._exit_now:
             await self._stop.wait()
 
-    def _say_what_is_cut(self, callers: Callers, owner: Owner) -> None:
-        """Record the calls and the attempts that the exit cuts."""
-        reason = "a second signal" if self._hurried else "the grace period is over"
+    def _record_cut_work(self, callers: Callers, owner: Owner) -> None:
+        """Record the calls and the attempts that the exit cuts off."""
+        reason = "a second signal" if self._exit_now else "the grace period is over"
         for request_id in callers.in_flight:
             self._events.record("cut", request=request_id, reason=reason)
         for attempt in owner.in_flight:
@@ -295,7 +298,7 @@
         return tasks
 
     def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
-        """Build the proxy's parts and return their tasks."""
+        """Build the proxy's components and return their tasks."""
         subscription = Subscription()
         self._subscription = subscription
         self._owner = Owner(
@@ -306,7 +309,7 @@
             header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
         )
-        carrier = Dispatcher(
+        dispatcher = Dispatcher(
             subscription=subscription,
             membership=self._gossip.membership,
             owner=self._owner,
@@ -320,7 +323,7 @@
         )
         self._callers = Callers(
             subscription=subscription,
-            dispatcher=carrier,
+            dispatcher=dispatcher,
             events=self._events,
             rng=self._rng,
             metrics=self._metrics,
@@ -350,12 +353,12 @@
             )
             await stack.enter_async_context(self._callers_listener)
         if self._front_end is not None:
-            parts = Components(self._releases, self._owner, lambda: self.is_ready)
-            for listener in self._front_end.listeners(parts):
+            components = Components(self._releases, self._owner, lambda: self.is_ready)
+            for listener in self._front_end.listeners(components):
                 await stack.enter_async_context(listener)
 
     def _operators(self, peers: PeerListener) -> OperatorApi:
-        """Return what answers operators."""
+        """Return the API that serves operators."""
         process = ProcessApi(
             membership=self._gossip.membership,
             events=self._events,
@@ -392,7 +395,7 @@
         )
 
     def _debug(self, peers: PeerListener) -> dict[str, Any]:
-        """Return what this process knows of itself."""
+        """Return the debug information of this process."""
         return debug_form(
             settings=self._settings,
             membership=self._gossip.membership,
@@ -402,7 +405,7 @@
         )
 
     def _peer_handlers(self) -> dict[str, Handler]:
-        """Return what serves each path of the peers' listener."""
+        """Return the handler of each path of the peers' listener."""
         handlers: dict[str, Handler] = {
             "/members": self._gossip.serve,
             "/events": self._event_copies.serve,
