--- a/cowslipvane/settings/__init__.py
+++ b/cowslipvane/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Settings of a process, read from TOML and checked whole."""
+"""Settings of a process, read from TOML and validated as a whole."""
 
 from cowslipvane.settings._load import SettingsFault, load, parse
 from cowslipvane.settings._settings import (
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -1,4 +1,4 @@
-"""Reading settings: every fault is found, each in one line."""
+"""Reading settings; all faults are reported at once, each on a line of its own."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class SettingsFault(Exception):
-    """Settings that can't be used; faults has a line for each reason."""
+    """Settings that can't be used; faults has one line for each fault."""
 
     def __init__(self, *, faults: tuple[str, ...]) -> None:
         super().__init__("\n".join(faults))
@@ -37,7 +37,7 @@
 
 
 def load(path: Path) -> Settings:
-    """Return the settings in a file; raise SettingsFault with every reason why not."""
+    """Return the settings in a file; raise SettingsFault with all their faults."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -45,27 +45,27 @@
     try:
         values = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        raise SettingsFault(faults=(f"{path}: is no TOML: {error}",)) from error
+        raise SettingsFault(faults=(f"{path}: is not valid TOML: {error}",)) from error
     return parse(values, str(path))
 
 
 def parse(values: dict[str, Any], source: str) -> Settings:
-    """Return settings from TOML values; source names them in faults."""
+    """Return settings from TOML values; source is the file that faults name."""
     try:
         settings = _CONVERTER.structure(values, Settings)
     except Exception as error:
-        faults = transform_error(error, path="", format_exception=_worded)
+        faults = transform_error(error, path="", format_exception=_fault_message)
         raise SettingsFault(
-            faults=tuple(f"{source}: {_as_line(fault)}" for fault in faults)
+            faults=tuple(f"{source}: {_key_first(fault)}" for fault in faults)
         ) from None
-    faults = [f"{source}: {fault}" for fault in _rules_broken(settings)]
+    faults = [f"{source}: {fault}" for fault in _combination_faults(settings)]
     if faults:
         raise SettingsFault(faults=tuple(faults))
     return settings
 
 
-def _rules_broken(settings: Settings) -> list[str]:
-    """Return what is wrong between settings that are each allowed."""
+def _combination_faults(settings: Settings) -> list[str]:
+    """Return the faults in combinations of settings that are each valid alone."""
     faults = []
     if not settings.roles:
         faults.append(f"roles: found none; allowed are {', '.join(get_args(Role))}")
@@ -92,44 +92,42 @@
     return faults
 
 
-def _address(value: Any, _: Any) -> Address:
+def _structure_address(value: Any, _: Any) -> Address:
     """Return the address in a text IP:PORT."""
     return Address.parse(value)
 
 
-def _text(value: Any, _: Any) -> str:
-    """Return a text as it is."""
+def _structure_text(value: Any, _: Any) -> str:
+    """Return a text unchanged; raise ValueError for any other type."""
     if not isinstance(value, str):
         raise ValueError(f"found {value!r}; allowed is a text")
     return value
 
 
-def _flag(value: Any, _: Any) -> bool:
-    """Return true or false as it is."""
+def _structure_flag(value: Any, _: Any) -> bool:
+    """Return true or false unchanged; raise ValueError for any other type."""
     if not isinstance(value, bool):
         raise ValueError(f"found {value!r}; allowed is true or false")
     return value
 
 
-def _role(value: Any, _: Any) -> Any:
-    """Return the name of a role."""
+def _structure_role(value: Any, _: Any) -> Any:
+    """Return the name of a role; raise ValueError for any other value."""
     if value not in get_args(Role):
         raise ValueError(f"found {value!r}; allowed are {', '.join(get_args(Role))}")
     return value
 
 
-def _numbers(value: Any, kind: type[T]) -> T:
-    """Return a table of numbers, each within its range."""
+def _structure_numbers(value: Any, kind: type[T]) -> T:
+    """Return a table of numbers; raise ExceptionGroup with a fault for each invalid key."""
     table = kind.__name__.lower()
     fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(kind)}
     if not isinstance(value, dict):
         raise ValueError(f"found {value!r}; allowed is a table")
-    faults = [
-        ValueError(f"{table}.{name}: is no known key") for name in value if name not in fields
-    ]
+    faults = [ValueError(f"{table}.{name}: unknown key") for name in value if name not in fields]
     for name in value.keys() & fields.keys():
         if not _in_range(value[name], fields[name]):
-            faults.append(ValueError(f"{table}.{name}: {_out_of_range(value[name], fields[name])}"))
+            faults.append(ValueError(f"{table}.{name}: {_range_fault(value[name], fields[name])}"))
     if faults:
         raise ExceptionGroup(table, faults)
     return kind(**{name: float(item) for name, item in value.items()})
@@ -140,13 +138,13 @@
     return type(value) in (int, float) and allowed.low <= value <= allowed.high
 
 
-def _out_of_range(value: Any, allowed: NumberRange) -> str:
-    """Return what was found and what is allowed."""
+def _range_fault(value: Any, allowed: NumberRange) -> str:
+    """Return a fault with the value found and the range allowed."""
     return f"found {value!r}; allowed is {allowed.low:g} to {allowed.high:g} {allowed.unit}"
 
 
-def _worded(error: BaseException, _: type | None) -> str:
-    """Return what an error says to whoever wrote the settings."""
+def _fault_message(error: BaseException, _: type | None) -> str:
+    """Return an error of the converter as a fault in terms of the settings file."""
     match error:
         case KeyError():
             return f"found no {error.args[0]}; it is needed"
@@ -158,8 +156,8 @@
             return str(error)
 
 
-def _as_line(fault: str) -> str:
-    """Return a fault with its key in front."""
+def _key_first(fault: str) -> str:
+    """Return a fault with its key first; the converter puts it last."""
     message, _, key = fault.rpartition(" @ ")
     return f"{key.removeprefix('.')}: {message}" if key else message
 
@@ -167,12 +165,12 @@
 def _make_converter() -> Converter:
     """Return the converter from TOML values to settings."""
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
-    converter.register_structure_hook(Address, _address)
-    converter.register_structure_hook(str, _text)
-    converter.register_structure_hook(bool, _flag)
-    converter.register_structure_hook_func(lambda kind: kind == Role, _role)
+    converter.register_structure_hook(Address, _structure_address)
+    converter.register_structure_hook(str, _structure_text)
+    converter.register_structure_hook(bool, _structure_flag)
+    converter.register_structure_hook_func(lambda kind: kind == Role, _structure_role)
     for numbers in (Timing, Limits, Retries):
-        converter.register_structure_hook(numbers, _numbers)
+        converter.register_structure_hook(numbers, _structure_numbers)
     for kind in (Listen, Security, Formation, Settings):
         get_type_hints(kind)
         hook = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -1,4 +1,4 @@
-"""The settings, each with what is allowed."""
+"""The settings, each with its allowed values and its description."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class NumberRange(NamedTuple):
-    """The range of a number, its unit, and what the setting is for."""
+    """The range and the unit of a numeric setting, and its description."""
 
     low: float
     high: float
@@ -21,20 +21,20 @@
 
 
 class ValueDescription(NamedTuple):
-    """What a setting that is no number may be, and what it is for."""
+    """The allowed values of a setting that isn't numeric, and its description."""
 
     values: str
     description: str
 
 
 def number_field(default: float, *, low: float, high: float, unit: str, description: str) -> Any:
-    """Return a field for a number with its range and unit."""
+    """Return a field for a numeric setting, with its range and unit."""
     allowed = NumberRange(low, high, unit, description)
     return dataclasses.field(default=default, metadata={"allowed": allowed})
 
 
 def value_field(values: str, description: str, default: Any = dataclasses.MISSING) -> Any:
-    """Return a field that is no number; it is needed unless it has a default."""
+    """Return a field for a setting that isn't numeric; it is required unless it has a default."""
     metadata = {"described": ValueDescription(values, description)}
     if default is dataclasses.MISSING:
         return dataclasses.field(metadata=metadata)
@@ -42,122 +42,130 @@
 
 
 def table_field(kind: type, description: str) -> Any:
-    """Return a field for a table of settings that each have a default."""
+    """Return a field for a table in which every setting has a default."""
     described = ValueDescription("a table", description)
     return dataclasses.field(default_factory=kind, metadata={"described": described})
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listen:
-    """Where the process listens: for callers, for operators, and for its peers."""
+    """The addresses at which the process listens for callers, operators and peers."""
 
     operators: Address = value_field("IP:PORT", "listener for operators and for the worker")
-    peers: Address = value_field("IP:PORT", "listener for the system's other processes")
+    peers: Address = value_field("IP:PORT", "listener for the other processes of the system")
     callers: Address | None = value_field(
-        "IP:PORT", "listener for callers; needed by a proxy", default=None
+        "IP:PORT", "listener for callers; required by a proxy", default=None
     )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Timing:
-    """Times that the process keeps to."""
+    """Timeouts and intervals of the process."""
 
     election_timeout: Seconds = number_field(
         1.0,
         low=0.1,
         high=60,
         unit="s",
-        description="silence of a leader before replicas elect another",
+        description="time without a message from the leader before replicas elect another",
     )
     heartbeat: Seconds = number_field(
-        0.2, low=0.02, high=10, unit="s", description="time between messages of an idle leader"
+        0.2, low=0.02, high=10, unit="s", description="time between heartbeats of an idle leader"
     )
     pull_wait: Seconds = number_field(
-        10.0, low=0.1, high=60, unit="s", description="time after which an idle pull is answered"
+        10.0,
+        low=0.1,
+        high=60,
+        unit="s",
+        description="time after which a pull is answered although there is no update",
     )
     exchange: Seconds = number_field(
-        0.5, low=0.05, high=30, unit="s", description="time between exchanges of members"
+        0.5, low=0.05, high=30, unit="s", description="time between membership exchanges with peers"
     )
     worker_lease: Seconds = number_field(
         3.0,
         low=0.2,
         high=60,
         unit="s",
-        description="time within which a worker announces itself again",
+        description="time within which a worker must announce itself again",
     )
     grace: Seconds = number_field(
         30.0,
         low=0,
         high=3600,
         unit="s",
-        description="time that a planned stop waits for calls under way",
+        description="time that a planned stop waits for calls in flight",
     )
     left_to_end: Seconds = number_field(
         30.0,
         low=0,
         high=3600,
         unit="s",
-        description="time after its deadline for which work that isn't idempotent is left to end",
+        description="time past its deadline for which work that isn't idempotent may keep running",
     )
     lame_duck: Seconds = number_field(
         0.5,
         low=0,
         high=60,
         unit="s",
-        description="time that a stopping proxy still takes new callers",
+        description="time for which a stopping proxy still takes requests of callers",
     )
     longest_backoff: Seconds = number_field(
-        5.0, low=0.1, high=60, unit="s", description="longest pause of a proxy between two replicas"
+        5.0,
+        low=0.1,
+        high=60,
+        unit="s",
+        description="longest delay before a proxy tries the next replica",
     )
     silence: Seconds = number_field(
         2.0,
         low=0.2,
         high=60,
         unit="s",
-        description="silence after which a connection to a peer is lost",
+        description="time without data after which a connection to a peer counts as lost",
     )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """Bounds on what the process keeps."""
+    """Limits on the events that the process keeps."""
 
     event_file_bytes: float = number_field(
         16e6,
         low=1e4,
         high=1e9,
         unit="bytes",
-        description="size at which an event file is put aside",
+        description="size at which an event file is rotated",
     )
     events_in_memory: float = number_field(
         4000,
         low=100,
         high=1e6,
         unit="events",
-        description="events kept in memory; older ones drop out",
+        description="events kept in memory; older ones are dropped",
     )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Retries:
-    """How far further attempts may add to a service's requests, over the whole fleet."""
+    """The retry budget of each service, over the whole fleet."""
 
     share: float = number_field(
         0.2,
         low=0,
         high=10,
         unit="of its requests",
-        description="further attempts that a service takes",
+        description="retries allowed to a service, relative to its requests",
     )
     slack: float = number_field(
         60,
         low=0,
         high=1e6,
         unit="attempts",
-        description="further attempts beyond the share, in a window",
+        description="retries allowed beyond the share in each window",
     )
     window: Seconds = number_field(
-        10, low=1, high=600, unit="s", description="time for which the slack stands"
+        10, low=1, high=600, unit="s", description="time to which the slack applies"
     )
 
 
@@ -166,27 +174,27 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Formation:
-    """How the group of replicas comes about; by commands if it isn't automatic.
+    """How the group of replicas is formed: automatically, or by commands.
 
-    With automatic formation the seeds found the group at the first start, a host is named by its
-    IP address, and a replica whose disk is empty later joins in place of the one it was.
+    With automatic formation the seeds form the group at the first start, each host is named by its
+    IP address, and a replica that starts later with an empty disk replaces the one that it was.
     """
 
     automatic: bool = value_field(
-        "true or false", "form and mend the group without commands", False
+        "true or false", "form and repair the group without commands", False
     )
     first_start: bool = value_field("true or false", "the system starts for the first time", False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Security:
-    """Who may talk to the listeners of operators and peers."""
+    """Who may connect to the listeners for operators and peers."""
 
     token_file: str = value_field(
-        "a path", "file with the token that operators and peers must show", default=""
+        "a path", "file with the token that operators and peers must present", default=""
     )
     allow_unauthenticated: bool = value_field(
-        "true or false", "listen beyond loopback although there is no token", default=False
+        "true or false", "listen beyond loopback without a token", default=False
     )
 
 
@@ -194,14 +202,14 @@
 class Settings:
     """The settings of one process."""
 
-    host: HostName = value_field("a text", "name of this host, not used by another")
+    host: HostName = value_field("a text", "name of this host, unique in the system")
     data_centre: DataCentre = value_field("a text", "name of the data centre that the host is in")
-    roles: tuple[Role, ...] = value_field("a list of replica and proxy", "what the process does")
+    roles: tuple[Role, ...] = value_field("a list of replica and proxy", "roles of the process")
     listen: Listen = value_field("a table", "addresses of the listeners")
     seeds: tuple[Address, ...] = value_field(
-        "a list of IP:PORT", "peers' listeners of processes to begin with", default=()
+        "a list of IP:PORT", "peers' listeners of the processes to contact first", default=()
     )
-    data_folder: str = value_field("a path", "folder on a disk; needed by a replica", default="")
+    data_folder: str = value_field("a path", "folder on a disk; required by a replica", default="")
     event_file: str = value_field(
         "a path", "file for events as JSON lines; none if empty", default=""
     )
@@ -209,13 +217,15 @@
         "true or false", "write events to standard output", default=False
     )
     service: str = value_field(
-        "a text", "service on this host, told to upstreams as where a request began", default=""
+        "a text", "service on this host, sent to upstreams as the origin of a request", default=""
     )
     route_hosts: tuple[str, ...] = value_field(
-        "a list of texts", "route hosts whose routes the proxy takes; all if empty", default=()
+        "a list of texts", "route hosts whose routes the proxy pulls; all if empty", default=()
+    )
+    timing: Timing = table_field(Timing, "timeouts and intervals of the process")
+    limits: Limits = table_field(Limits, "limits on the events that the process keeps")
+    retries: Retries = table_field(Retries, "retry budget of each service, over the whole fleet")
+    formation: Formation = table_field(Formation, "how the group of replicas is formed")
+    security: Security = table_field(
+        Security, "who may connect to the listeners for operators and peers"
     )
-    timing: Timing = table_field(Timing, "times that the process keeps to")
-    limits: Limits = table_field(Limits, "bounds on what the process keeps")
-    retries: Retries = table_field(Retries, "further attempts that the fleet may make")
-    formation: Formation = table_field(Formation, "how the group of replicas comes about")
-    security: Security = table_field(Security, "who may talk to operators' and peers' listeners")
--- a/cowslipvane/settings/_token.py
+++ b/cowslipvane/settings/_token.py
@@ -1,4 +1,4 @@
-"""The token that operators and peers show."""
+"""The token that operators and peers present."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class TokenFault(Exception):
-    """A token file that can't be used; the text says what to do, and never holds the token."""
+    """A token file that can't be used; the message says what to do and never contains the token."""
 
 
 class Token:
@@ -22,18 +22,18 @@
         self._value = value
 
     def __repr__(self) -> str:
-        """Return a text that doesn't tell the token."""
+        """Return a text that doesn't reveal the token."""
         return "Token(hidden)"
 
     @property
     def headers(self) -> dict[str, str]:
-        """Return the header fields that show the token."""
+        """Return the header fields that present the token."""
         return {AUTHORIZATION: _SCHEME + self._value}
 
     def matches(self, field: str | None) -> bool:
-        """Return whether an Authorization field shows the token, in constant time."""
-        shown = (field or "").encode("utf-8", "surrogateescape")
-        return hmac.compare_digest(shown, (_SCHEME + self._value).encode())
+        """Return whether an Authorization field presents the token; compare in constant time."""
+        presented = (field or "").encode("utf-8", "surrogateescape")
+        return hmac.compare_digest(presented, (_SCHEME + self._value).encode())
 
 
 def read_token(path: Path) -> Token:
