--- a/cowslipvane/metrics/__init__.py
+++ b/cowslipvane/metrics/__init__.py
@@ -1,4 +1,4 @@
-"""Metrics of one process: cheap counts while it works, families when somebody asks."""
+"""Metrics of one process: cheap counters at run time, metric families on request."""
 
 from cowslipvane.metrics._families import FAMILIES, Family
 from cowslipvane.metrics._metrics import CALL_SECONDS_BUCKETS, Metrics, Sample
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -1,4 +1,4 @@
-"""The counts that a process keeps while it works."""
+"""The counters that a process updates while it runs."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 from cowslipvane.events import Event
 from cowslipvane.types import Seconds, Version
 
-# Upper bounds of the buckets of the histogram, in seconds.
+# Upper bounds of the histogram buckets for call durations, in seconds.
 CALL_SECONDS_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
 class Sample(NamedTuple):
-    """A value of a family now; label parts the family, or is empty."""
+    """The current value of a metric for one label value; label is empty without a label."""
 
     name: str
     value: float
@@ -23,7 +23,7 @@
 
 
 class Metrics:
-    """Counts what the events of a process tell, and how long its calls take."""
+    """Counters derived from the events of a process, and a histogram of its call durations."""
 
     def __init__(self) -> None:
         self._calls: Counter[str] = Counter()
@@ -31,22 +31,22 @@
         self._versions: Counter[str] = Counter()
         self._attempts = 0
         self._retries = 0
-        self._call_counts = [0] * (len(CALL_SECONDS_BUCKETS) + 1)
+        self._bucket_counts = [0] * (len(CALL_SECONDS_BUCKETS) + 1)
         self._call_seconds = 0.0
         self._accepted: tuple[Version, float] = (Version(0), 0.0)
 
     @property
     def call_buckets(self) -> list[int]:
-        """Return how many calls took up to each bound, and how many there were at all."""
-        return list(accumulate(self._call_counts))
+        """Return the cumulative count of calls for each bucket; the last one counts all calls."""
+        return list(accumulate(self._bucket_counts))
 
     @property
     def call_seconds(self) -> Seconds:
-        """Return the sum of the times of all calls."""
+        """Return the sum of the durations of all calls."""
         return self._call_seconds
 
     def record_event(self, event: Event) -> None:
-        """Count what an event tells."""
+        """Update the counters that an event affects."""
         match event.kind:
             case "attempt":
                 self._attempts += 1
@@ -64,8 +64,8 @@
                 self._accepted = (Version(event.version), event.stamp.wall)
 
     def record_call(self, seconds: Seconds) -> None:
-        """Count a call that ended, by the time it took."""
-        self._call_counts[bisect.bisect_left(CALL_SECONDS_BUCKETS, seconds)] += 1
+        """Record the duration of a call that has ended."""
+        self._bucket_counts[bisect.bisect_left(CALL_SECONDS_BUCKETS, seconds)] += 1
         self._call_seconds += seconds
 
     def convergence(
@@ -73,17 +73,17 @@
     ) -> Seconds | None:
         """Return the convergence time of the newest version.
 
-        In force are the versions of the reports, each with the newest wall time of its coming into
-        force; the result is None when this process never saw the version accepted.
+        in_force holds the reported versions, each with the latest wall time at which it came into
+        force. The result is None if this process never saw the newest version accepted.
         """
         version, accepted_at = self._accepted
         if version != accepted or not version or not in_force:
             return None
-        whole = min(in_force) >= version
-        return max(0.0, (in_force[version] if whole else now) - accepted_at)
+        converged = min(in_force) >= version
+        return max(0.0, (in_force[version] if converged else now) - accepted_at)
 
     def samples(self) -> list[Sample]:
-        """Return the counts."""
+        """Return the current values of the counters."""
         return [
             *_by_label("cowslipvane_calls", self._calls),
             *_by_label("cowslipvane_verdicts", self._verdicts),
@@ -94,5 +94,5 @@
 
 
 def _by_label(name: str, counts: Counter[str]) -> list[Sample]:
-    """Return a reading for each label."""
+    """Return a sample for each label value."""
     return [Sample(name, value, label) for label, value in sorted(counts.items())]
--- a/cowslipvane/metrics/_render.py
+++ b/cowslipvane/metrics/_render.py
@@ -1,4 +1,4 @@
-"""The text that a metrics system reads; only a process that is asked for it loads the library."""
+"""The Prometheus text format; this module is imported only when a process is scraped."""
 
 from __future__ import annotations
 
@@ -20,33 +20,33 @@
 
 
 def render(metrics: Metrics, samples: Sequence[Sample]) -> bytes:
-    """Return the metrics of this process, and those of its interpreter."""
+    """Return the metrics of this process and of its interpreter in the text format."""
     registry = CollectorRegistry()
-    registry.register(_Families(metrics=metrics, readings=samples))
+    registry.register(_Families(metrics=metrics, samples=samples))
     for collector in (GCCollector, PlatformCollector, ProcessCollector):
         collector(registry=registry)
     return generate_latest(registry)
 
 
 class _Families(Collector):
-    """Turns readings into families."""
+    """Collects samples into metric families."""
 
-    def __init__(self, *, metrics: Metrics, readings: Sequence[Sample]) -> None:
+    def __init__(self, *, metrics: Metrics, samples: Sequence[Sample]) -> None:
         self._metrics = metrics
-        self._readings = readings
+        self._samples = samples
 
     def collect(self) -> Iterable[Metric]:
-        """Yield each family that has something to tell."""
+        """Yield each family that has a value."""
         for family in FAMILIES:
             if family.kind == "histogram":
                 yield self._histogram(family)
                 continue
-            found = [reading for reading in self._readings if reading.name == family.name]
-            if found:
-                yield _metric(family, found)
+            family_samples = [sample for sample in self._samples if sample.name == family.name]
+            if family_samples:
+                yield _metric(family, family_samples)
 
     def _histogram(self, family: Family) -> Metric:
-        """Return the histogram of calls."""
+        """Return the histogram of call durations."""
         bounds = [*map(str, CALL_SECONDS_BUCKETS), "+Inf"]
         buckets = list(zip(bounds, self._metrics.call_buckets, strict=True))
         metric = HistogramMetricFamily(family.name, family.description)
@@ -54,10 +54,10 @@
         return metric
 
 
-def _metric(family: Family, readings: Sequence[Sample]) -> Metric:
-    """Return a counter or a gauge."""
+def _metric(family: Family, samples: Sequence[Sample]) -> Metric:
+    """Return the family as a counter or a gauge."""
     kind = CounterMetricFamily if family.kind == "counter" else GaugeMetricFamily
     metric = kind(family.name, family.description, labels=[family.label] if family.label else [])
-    for reading in readings:
-        metric.add_metric([reading.label] if family.label else [], reading.value)
+    for sample in samples:
+        metric.add_metric([sample.label] if family.label else [], sample.value)
     return metric
