Reword the platform's adapter in the terms of its API

Paths, offsets, components and the decoding functions are named for what they are; the comments say why the stamp of the settings file is taken first and why slots are limited. Reasons in responses and all keys stay.

--- a/cowslipvane/platform/__init__.py
+++ b/cowslipvane/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The users' platform: its calls, header fields and settings in terms of the product."""
+"""The adapter to the users' platform: its API, header fields and settings."""
 
 from cowslipvane.platform._front_end import PlatformFrontEnd
 
--- a/cowslipvane/platform/__main__.py
+++ b/cowslipvane/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the process of a machine, with the settings that the platform names."""
+"""Runs the daemon with the settings file that the platform names in the environment."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
             f"the settings that {SETTINGS_VARIABLE} names can't be used: {error}", file=sys.stderr
         )
         return 2
-    # Until the loop takes it over, this signal would end the process.
+    # SIGHUP would end the process until the event loop handles it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # What the start has loaded stays for good, so collections need not look at it.
+    # Objects loaded at startup live as long as the process, so garbage collections can skip them.
     gc.freeze()
     asyncio.run(Daemon(settings=front_end.settings, front_end=front_end).run())
     return 0
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -1,4 +1,4 @@
-"""The platform's whole configuration, decoded into a release and the resources it stands for."""
+"""Decoding of the platform's configuration into a release and resources."""
 
 from __future__ import annotations
 
@@ -20,24 +20,26 @@
 
 _VERSION_DIGITS = 8
 _HEXADECIMAL = 16
-# All services share the one policy that the limits of a configuration make.
-_POLICY = "limits"
+# All services share one traffic policy, which holds the limits of the configuration.
+_POLICY_NAME = "limits"
 
 
 class DecodedConfiguration(NamedTuple):
-    """A configuration in the product's terms."""
+    """A configuration as a release and resources of the product."""
 
     release: Release
     resources: dict[Key, Spec]
 
 
 def decode_configuration(body: bytes) -> DecodedConfiguration:
-    """Return what a body asks for; raise ValueError when it can't be read in full."""
+    """Return the configuration in a body; raise ValueError if any part of it can't be decoded."""
     try:
         form = json.loads(body)
-        number = _version(form["version"])
+        number = _parse_version(form["version"])
         release = Release(
-            number=number, based_on=_version(form["base_version"]), document=body.decode("utf-8")
+            number=number,
+            based_on=_parse_version(form["base_version"]),
+            document=body.decode("utf-8"),
         )
         resources = dict(_services(form))
         for listener in form["listeners"]:
@@ -47,8 +49,8 @@
     return DecodedConfiguration(release, resources)
 
 
-def _version(text: Any) -> int:
-    """Return the number that a version is written as, in hexadecimal digits."""
+def _parse_version(text: Any) -> int:
+    """Return the number of a version, which is written in hexadecimal digits."""
     if not isinstance(text, str) or len(text) != _VERSION_DIGITS:
         raise ValueError(
             f"found version {text!r}; allowed are {_VERSION_DIGITS} hexadecimal digits"
@@ -57,12 +59,14 @@
 
 
 def _services(form: dict[str, Any]) -> list[tuple[Key, Spec]]:
-    """Return the services, and the policy that they share."""
+    """Return the services, and the traffic policy that they share."""
     policy = TrafficPolicy(max_body_bytes=int(form["limits"]["max_body_bytes"]))
-    found: list[tuple[Key, Spec]] = [(Key("traffic-policy", _POLICY), policy)]
+    resources: list[tuple[Key, Spec]] = [(Key("traffic-policy", _POLICY_NAME), policy)]
     for cluster in form["clusters"]:
-        found.append((Key("service", _text(cluster["name"])), Service(traffic_policy=_POLICY)))
-    return found
+        resources.append(
+            (Key("service", _text(cluster["name"])), Service(traffic_policy=_POLICY_NAME))
+        )
+    return resources
 
 
 def _routes(listener: dict[str, Any]) -> list[tuple[Key, Spec]]:
@@ -91,18 +95,18 @@
 
 
 def _targets(action: dict[str, Any]) -> tuple[Target, ...]:
-    """Return the services that a route leads to, one or several by weight."""
+    """Return the target services of a route, one or several by weight."""
     clusters = action.get("weighted_clusters")
     if not clusters:
         return (Target(ServiceName(_text(action["service"]))),)
     return tuple(
-        Target(ServiceName(_text(cluster["service"])), _whole(cluster["weight"]))
+        Target(ServiceName(_text(cluster["service"])), _weight(cluster["weight"]))
         for cluster in clusters
     )
 
 
 def _repeatable(kind: Any) -> bool:
-    """Return whether a kind of request may run more than once."""
+    """Return whether requests of a type may run more than once."""
     match kind:
         case "idempotent":
             return True
@@ -113,21 +117,21 @@
 
 
 def _text(value: Any) -> str:
-    """Return a text as it is."""
+    """Return a text unchanged; raise ValueError for any other type."""
     if not isinstance(value, str):
         raise ValueError(f"found {value!r:.80}; allowed is a text")
     return value
 
 
-def _whole(value: Any) -> int:
-    """Return a weight, which is a whole number."""
+def _weight(value: Any) -> int:
+    """Return a weight; raise ValueError if it isn't a whole number."""
     if type(value) not in (int, float) or value != int(value):
         raise ValueError(f"found weight {value!r}; allowed is a whole number")
     return int(value)
 
 
 def _seconds(value: Any) -> float:
-    """Return a time in seconds."""
+    """Return a time in seconds; raise ValueError if it isn't a finite number."""
     if type(value) not in (int, float) or not math.isfinite(value):
         raise ValueError(f"found {value!r:.80}; allowed is a time in seconds")
     return float(value)
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -1,4 +1,4 @@
-"""The platform's listeners: operators, the worker on this host, and the readiness question."""
+"""The platform's listeners, for operators, the worker on this host and readiness checks."""
 
 from __future__ import annotations
 
@@ -32,15 +32,15 @@
     not_run="Not-Executed",
     owner="",
 )
-_PUT = "/api/Config.Replace"
-_GET = "/api/Config.Get"
-_READY = "/api/readyz"
-_HEARTBEAT = "/api/Instances.Heartbeat/"
-_DEREGISTER = "/api/Instances.Deregister/"
+_CONFIG_REPLACE_PATH = "/api/Config.Replace"
+_CONFIG_GET_PATH = "/api/Config.Get"
+_READINESS_PATH = "/api/readyz"
+_HEARTBEAT_PATH = "/api/Instances.Heartbeat/"
+_DEREGISTER_PATH = "/api/Instances.Deregister/"
 
 
 class PlatformFrontEnd:
-    """Translates the platform's calls to the parts of a process."""
+    """Translates the platform's API calls to the components of a process."""
 
     def __init__(self, *, path: Path) -> None:
         self._path = path
@@ -54,7 +54,7 @@
 
     @property
     def header_names(self) -> HeaderNames:
-        """Return the platform's names of header fields."""
+        """Return the header names of the platform."""
         return HEADER_NAMES
 
     def has_new_settings(self) -> bool:
@@ -63,7 +63,7 @@
 
     def reload(self) -> Settings:
         """Read the settings again."""
-        # A change between the two is seen by the next look at the file.
+        # The stamp comes first, so that the next check sees a change made during the read.
         self._stamp = file_stamp(self._path)
         self._settings = load(self._path)
         return self._settings.product
@@ -71,33 +71,35 @@
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners of the process's roles."""
         control = _Control(components=components, address=self._settings.control)
-        found = [HttpListener(handler=control.handle, address=self._settings.control)]
+        listeners = [HttpListener(handler=control.handle, address=self._settings.control)]
         readiness = self._settings.readiness
         if readiness is not None:
-            found.append(HttpListener(handler=control.answer_readiness, address=readiness))
-        return found
+            listeners.append(HttpListener(handler=control.handle_readiness, address=readiness))
+        return listeners
 
 
 class _Control:
-    """Answers the platform's control calls."""
+    """Serves the platform's control API."""
 
     def __init__(self, *, components: Components, address: Address) -> None:
-        self._parts = components
+        self._components = components
         self._address = address
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call by method and path."""
-        releases, owner = self._parts.releases, self._parts.owner
+        """Dispatch one request by method and path."""
+        releases, owner = self._components.releases, self._components.owner
         try:
             match http.method, http.path:
-                case "POST", path if path == _PUT and releases is not None:
+                case "POST", path if path == _CONFIG_REPLACE_PATH and releases is not None:
                     return await self._put(releases, http)
-                case "GET", path if path == _GET and releases is not None:
+                case "GET", path if path == _CONFIG_GET_PATH and releases is not None:
                     return self._get(releases, http)
-                case "POST", path if path.startswith(_HEARTBEAT) and owner is not None:
-                    return await self._hear(owner, http, path.removeprefix(_HEARTBEAT))
-                case "POST", path if path.startswith(_DEREGISTER) and owner is not None:
-                    await owner.handle_departure(path.removeprefix(_DEREGISTER))
+                case "POST", path if path.startswith(_HEARTBEAT_PATH) and owner is not None:
+                    return await self._handle_heartbeat(
+                        owner, http, path.removeprefix(_HEARTBEAT_PATH)
+                    )
+                case "POST", path if path.startswith(_DEREGISTER_PATH) and owner is not None:
+                    await owner.handle_departure(path.removeprefix(_DEREGISTER_PATH))
                     return web.Response()
                 case _:
                     return web.Response(status=404)
@@ -106,14 +108,14 @@
         except ValueError as error:
             return _failure(400, str(error))
 
-    async def answer_readiness(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Say whether callers may be sent to this process."""
-        if http.path != _READY:
+    async def handle_readiness(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Respond with whether callers may send requests to this process."""
+        if http.path != _READINESS_PATH:
             return web.Response(status=404)
-        return web.Response(status=200 if self._parts.is_ready() else 503)
+        return web.Response(status=200 if self._components.is_ready() else 503)
 
     async def _put(self, releases: Releases, http: web.BaseRequest) -> web.StreamResponse:
-        """Put a whole configuration in place."""
+        """Replace the whole configuration."""
         decoded = decode_configuration(await http.read())
         match await releases.put(decoded.release, decoded.resources):
             case Accepted():
@@ -121,14 +123,14 @@
             case Conflict():
                 return _failure(412, "another version is in place")
             case Invalid(faults=faults):
-                return _failure(400, "; ".join(f"{it.path} {it.message}" for it in faults))
+                return _failure(400, "; ".join(f"{fault.path} {fault.message}" for fault in faults))
             case NotLeader(leader=leader):
                 return self._redirect(http, leader)
             case Unknown():
                 return _failure(503, "the outcome isn't known yet; send the same again")
 
     def _get(self, releases: Releases, http: web.BaseRequest) -> web.StreamResponse:
-        """Return the newest configuration as it was put."""
+        """Return the newest configuration, as the document that was put."""
         match releases.newest():
             case Release(document=document):
                 return web.Response(text=document, content_type="application/json")
@@ -137,13 +139,15 @@
             case NotLeader(leader=leader):
                 return self._redirect(http, leader)
 
-    async def _hear(self, owner: Owner, http: web.BaseRequest, instance: str) -> web.StreamResponse:
-        """Take a worker's heartbeat."""
+    async def _handle_heartbeat(
+        self, owner: Owner, http: web.BaseRequest, instance: str
+    ) -> web.StreamResponse:
+        """Handle a worker's heartbeat."""
         await owner.handle_announcement(decode_announcement(instance, await http.read()))
         return web.json_response({})
 
     def _redirect(self, http: web.BaseRequest, leader: HostName | None) -> web.StreamResponse:
-        """Send a caller on to the leader, or let it try another process."""
+        """Redirect to the leader, or fail so that the sender tries another process."""
         if leader is None or leader == self._address.ip:
             return _failure(503, "no leader is known here now")
         # A replica is named by its IP, and the port is the same on all machines.
@@ -152,5 +156,5 @@
 
 
 def _failure(status: int, reason: str) -> web.Response:
-    """Return an answer that says why a call failed."""
+    """Return an error response with its reason."""
     return web.json_response({"reason": reason}, status=status)
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -9,13 +9,13 @@
 from cowslipvane.settings import Settings, SettingsFault, parse
 from cowslipvane.types import Address
 
-# Offsets within the ports that the platform leaves to the processes of the system.
-_PEERS_PORT = 0
-_OPERATORS_PORT = 1
+# Offsets in the range of ports that the platform reserves for the processes of the system.
+_PEERS_PORT_OFFSET = 0
+_OPERATORS_PORT_OFFSET = 1
 
 
 class FileStamp(NamedTuple):
-    """What changes when a file is written or replaced."""
+    """Attributes of a file that change when it is written or replaced."""
 
     inode: int
     size: int
@@ -23,51 +23,51 @@
 
 
 class PlatformSettings(NamedTuple):
-    """The product's settings, and the addresses at which the platform calls."""
+    """The product's settings, and the addresses that the platform calls."""
 
     product: Settings
-    # Replicas answer operators here, proxies the worker beside them.
+    # Replicas serve operators at this address, proxies serve the worker on their host.
     control: Address
-    # The platform asks a proxy here whether it is ready; None on a replica.
+    # The platform checks the readiness of a proxy at this address; None on a replica.
     readiness: Address | None
 
 
 def file_stamp(path: Path) -> FileStamp | None:
-    """Return the stamp of a file, None while it can't be found."""
+    """Return the stamp of a file, or None if it can't be read."""
     try:
-        found = path.stat()
+        status = path.stat()
     except OSError:
         return None
-    return FileStamp(found.st_ino, found.st_size, found.st_mtime_ns)
+    return FileStamp(status.st_ino, status.st_size, status.st_mtime_ns)
 
 
 def load(path: Path) -> PlatformSettings:
     """Return the settings in a rendered file; raise SettingsFault when they can't be used."""
     try:
         values = tomllib.loads(path.read_text(encoding="utf-8"))
-        own = values.pop("platform")
-        return _decode(values, own, str(path))
+        platform = values.pop("platform")
+        return _decode(values, platform, str(path))
     except (OSError, ValueError, KeyError, TypeError) as error:
         raise SettingsFault(faults=(f"{path}: can't be read: {error!r}",)) from error
 
 
-def _decode(values: dict[str, Any], own: dict[str, Any], source: str) -> PlatformSettings:
-    """Return the product's settings with the addresses that follow from the platform's."""
-    first_port = int(own["internal_ports"][0])
-    ip = str(own["ip"])
-    # Seeds are told by the address of another listener; the peers' port is the same everywhere.
-    seeds = [Address.parse(seed).ip for seed in own["seeds"]]
-    values["seeds"] = [str(Address(seed, first_port + _PEERS_PORT)) for seed in seeds]
+def _decode(values: dict[str, Any], platform: dict[str, Any], source: str) -> PlatformSettings:
+    """Return the product's settings, with the addresses derived from the platform's table."""
+    first_port = int(platform["internal_ports"][0])
+    ip = str(platform["ip"])
+    # A seed is given by the address of another listener; the peers' port is the same on all hosts.
+    seeds = [Address.parse(seed).ip for seed in platform["seeds"]]
+    values["seeds"] = [str(Address(seed, first_port + _PEERS_PORT_OFFSET)) for seed in seeds]
     listen = {
-        "peers": str(Address(ip, first_port + _PEERS_PORT)),
-        "operators": str(Address(ip, first_port + _OPERATORS_PORT)),
+        "peers": str(Address(ip, first_port + _PEERS_PORT_OFFSET)),
+        "operators": str(Address(ip, first_port + _OPERATORS_PORT_OFFSET)),
     }
-    if own.get("callers"):
-        listen["callers"] = own["callers"]
+    if platform.get("callers"):
+        listen["callers"] = platform["callers"]
     values["listen"] = listen
-    readiness = own.get("readiness")
+    readiness = platform.get("readiness")
     return PlatformSettings(
         parse(values, source),
-        Address.parse(own["control"]),
+        Address.parse(platform["control"]),
         Address.parse(readiness) if readiness else None,
     )
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -1,4 +1,4 @@
-"""The announcements of workers, decoded."""
+"""Decoding of workers' heartbeats into announcements."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 from cowslipvane.membership import Announcement, Worker
 from cowslipvane.types import Address, ServiceName
 
-# Slots cost tasks and connections, so an announcement may not ask for any number of them.
+# Each slot costs tasks and connections, so the number that a worker may announce is limited.
 _MAX_SLOTS = 1024
 # The phases in which a worker takes no new work.
 _LEAVING_PHASES = frozenset({"draining"})
 
 
 def decode_announcement(instance: str, body: bytes) -> Announcement:
-    """Return the announcement in a heartbeat; raise ValueError when it names no usable worker."""
+    """Return the announcement in a heartbeat; raise ValueError if it describes no valid worker."""
     try:
         form = json.loads(body)
         info, status = form["info"], form["status"]
@@ -32,23 +32,25 @@
         return Announcement(
             worker=worker,
             state="leaving" if phase in _LEAVING_PHASES else "ready",
-            # The start of this life of the worker, in milliseconds of the time of day.
-            started_at=_count(form.get("born", 0), 1 << 62, least=0),
-            sequence=_count(status["sequence"], 1 << 62, least=0),
+            # The start of this worker instance, in milliseconds of Unix time.
+            started_at=_count(form.get("born", 0), 1 << 62, minimum=0),
+            sequence=_count(status["sequence"], 1 << 62, minimum=0),
         )
     except (LookupError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"the heartbeat can't be read: {error!r}") from error
 
 
 def _text(value: Any) -> str:
-    """Return a text that isn't empty."""
+    """Return a text unchanged; raise ValueError if it is empty or of another type."""
     if not isinstance(value, str) or not value:
         raise ValueError(f"found {value!r:.80}; allowed is a text")
     return value
 
 
-def _count(value: Any, most: int, least: int = 1) -> int:
-    """Return a whole number within a range."""
-    if type(value) is not int or not least <= value <= most:
-        raise ValueError(f"found {value!r:.80}; allowed is a whole number from {least} to {most}")
+def _count(value: Any, maximum: int, minimum: int = 1) -> int:
+    """Return a whole number; raise ValueError if it is out of range or of another type."""
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise ValueError(
+            f"found {value!r:.80}; allowed is a whole number from {minimum} to {maximum}"
+        )
     return value
