--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the events: their order, their bounds, and their file."""
+"""Tests of the events: their order, the limits on their number, and their file."""
 
 import math
 import tempfile
@@ -26,19 +26,19 @@
 
 
 class ClockTest(unittest.TestCase):
-    """Causes sort before effects, whatever the clocks say."""
-
-    def test_an_effect_sorts_after_its_cause_on_a_host_with_a_late_clock(self) -> None:
-        """A stamp taken in is earlier than every stamp given later."""
-        early, late = HybridClock(wall=lambda: 1000.0), HybridClock(wall=lambda: 10.0)
-        early.observe(late.now())
-        cause = early.now()
-        late.observe(Stamp(990.0, 5))
-        late.observe(cause)
-        self.assertGreater(late.now(), cause)
-
-    def test_a_broken_clock_spoils_no_other(self) -> None:
-        """Stamps that can't be right are refused and counted."""
+    """Causes sort before effects, even when clocks disagree."""
+
+    def test_an_effect_sorts_after_its_cause_on_a_host_whose_clock_is_behind(self) -> None:
+        """Every stamp issued after a received one is later than it."""
+        ahead, behind = HybridClock(wall=lambda: 1000.0), HybridClock(wall=lambda: 10.0)
+        ahead.observe(behind.now())
+        cause = ahead.now()
+        behind.observe(Stamp(990.0, 5))
+        behind.observe(cause)
+        self.assertGreater(behind.now(), cause)
+
+    def test_a_faulty_clock_does_not_affect_other_clocks(self) -> None:
+        """Stamps that can't be valid are refused and counted."""
         clock = HybridClock(wall=lambda: 1000.0)
         for wall, logical in ((math.inf, 0), (math.nan, 0), (1e9, 0), (1000.0, 1 << 32)):
             clock.observe(Stamp(wall, logical))
@@ -47,45 +47,45 @@
 
 
 class LogTest(unittest.TestCase):
-    """Memory is bounded, and what is lost is counted."""
+    """Memory is bounded, and lost events are counted."""
 
     def test_memory_is_bounded_and_drops_are_counted(self) -> None:
-        """The newest events stay."""
+        """The newest events are kept."""
         log = new_log(memory=10)
         for version in range(1, 26):
             log.record("accepted", version=version)
         self.assertEqual([form["version"] for form in log.select()], list(range(16, 26)))
         self.assertEqual(log.counts["dropped_from_memory"], 15)
 
-    def test_refusals_that_could_not_be_copied_wait_within_bounds(self) -> None:
-        """Too many are dropped and counted, the oldest first."""
+    def test_the_queue_of_refusals_to_copy_is_bounded(self) -> None:
+        """Beyond the limit, the oldest are dropped and counted."""
         log = new_log(memory=5000)
         for number in range(400):
             log.record("refusal", request=str(number))
-        taken = log.take_uncopied()
+        uncopied = log.take_uncopied()
         for number in range(400, 600):
             log.record("refusal", request=str(number))
-        log.requeue_uncopied(taken)
+        log.requeue_uncopied(uncopied)
         waiting = [event.request for event in log.take_uncopied()]
         self.assertEqual(waiting, [str(number) for number in range(100, 600)])
         self.assertEqual(log.counts["never_copied"], 100)
 
-    def test_copies_are_found_with_the_process_that_they_come_from(self) -> None:
-        """A witness answers for another process."""
-        source, witness = new_log(), new_log()
+    def test_copies_keep_the_origin_of_their_events(self) -> None:
+        """The holder of copies returns them with the host and process that recorded them."""
+        source, holder = new_log(), new_log()
         source.record("refusal", request="r1", sentence="no")
-        witness.store_copies(Origin(HostName("b"), DataCentre("west"), 9), source.take_uncopied())
-        (form,) = witness.select(request="r1")
+        holder.store_copies(Origin(HostName("b"), DataCentre("west"), 9), source.take_uncopied())
+        (form,) = holder.select(request="r1")
         self.assertEqual(
             (form["host"], form["process"], form["detail"]), ("b", 9, {"sentence": "no"})
         )
 
 
 class FileTest(unittest.TestCase):
-    """The file is bounded, survives a restart, and may be damaged."""
+    """The file is bounded, read back after a restart, and readable in spite of damage."""
 
     def setUp(self) -> None:
-        """Make a folder."""
+        """Create a temporary folder."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name) / "events"
@@ -104,7 +104,7 @@
         log.write()
         return [form for form in log.select()][-count:]
 
-    def test_disk_is_bounded_and_what_is_dropped_is_counted(self) -> None:
+    def test_the_files_are_bounded_and_deleted_events_are_counted(self) -> None:
         """Two files are kept, and every event is in them or counted."""
         file = self.open(max_bytes=20_000)
         self.write(500, file)
@@ -113,8 +113,8 @@
         self.assertGreater(file.dropped, 0)
         self.assertEqual(len(kept) + file.dropped, 500)
 
-    def test_a_restarted_process_remembers(self) -> None:
-        """The newest events of the file are found again, and come before new ones."""
+    def test_a_restarted_process_restores_its_events(self) -> None:
+        """The newest events of the file are restored, and sort before new ones."""
         written = self.write(20, self.open())
         log = new_log(self.open())
         log.record("started")
@@ -123,15 +123,15 @@
         stamps = [(form["wall"], form["logical"]) for form in forms]
         self.assertEqual(stamps, sorted(stamps))
 
-    def test_damaged_lines_are_passed_over(self) -> None:
-        """A line that is cut off hides no other."""
+    def test_damaged_lines_are_skipped(self) -> None:
+        """Truncated and malformed lines don't keep others from being read."""
         self.write(3, self.open())
         text = self.path.read_text()
         self.path.write_text("[" * 100_000 + "\n{}\n7\n\x00\n" + text + text[:40])
         self.assertEqual(len(list(read_events([self.path]))), 3)
 
-    def test_a_full_disk_loses_lines_and_counts_them(self) -> None:
-        """A write that fails reaches nobody but the count."""
+    def test_lines_lost_on_a_full_disk_are_counted(self) -> None:
+        """A failed write raises no error, and the event stays in memory."""
         file = EventFile(path=Path("/dev/full"), max_bytes=1 << 20)
         log = new_log(file)
         log.record("started")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of what the adapter decodes from the platform's messages."""
+"""Tests of the decoding of the platform's messages."""
 
 import copy
 import json
@@ -36,8 +36,8 @@
 class ConfigurationTest(unittest.TestCase):
     """A whole configuration becomes a release and resources."""
 
-    def test_a_route_keeps_its_own_rules(self) -> None:
-        """Numbers are in hexadecimal, and the document is kept as it came."""
+    def test_a_route_keeps_its_settings(self) -> None:
+        """Versions are read as hexadecimal, and the document is kept unchanged."""
         body = json.dumps(CONFIGURATION).encode()
         decoded = decode_configuration(body)
         self.assertEqual((decoded.release.number, decoded.release.based_on), (12, 5))
@@ -56,19 +56,19 @@
         policy = decoded.resources[Key("traffic-policy", "limits")]
         self.assertEqual(policy, TrafficPolicy(max_body_bytes=1000))
 
-    def test_weights_are_targets(self) -> None:
-        """A weight below 0 is left to the product's rules."""
+    def test_weighted_clusters_become_targets(self) -> None:
+        """A weight below 0 is decoded; the rules of the catalogue reject it later."""
         form = copy.deepcopy(CONFIGURATION)
         clusters = [{"service": "wuno", "weight": 90}, {"service": "huvo", "weight": -1}]
         form["listeners"][0]["route_rules"][0]["action"]["weighted_clusters"] = clusters
         decoded = decode_configuration(json.dumps(form).encode())
         route = decoded.resources[Key("route", "jepu.example /puka/")]
         assert isinstance(route, Route)
-        wanted = (Target(ServiceName("wuno"), 90), Target(ServiceName("huvo"), -1))
-        self.assertEqual(route.targets, wanted)
+        expected = (Target(ServiceName("wuno"), 90), Target(ServiceName("huvo"), -1))
+        self.assertEqual(route.targets, expected)
 
-    def test_what_can_t_be_read_in_full_is_refused(self) -> None:
-        """With a reason, and without a part of it taken."""
+    def test_a_configuration_that_can_not_be_decoded_in_full_is_refused(self) -> None:
+        """Truncated bodies, missing tables and invalid values raise ValueError."""
         whole = json.dumps(CONFIGURATION).encode()
         bodies = [whole[:-20], b"", b"[]", b"\xff", b"[" * 100_000]
         for missing in CONFIGURATION:
@@ -84,24 +84,24 @@
 
 
 class HeartbeatTest(unittest.TestCase):
-    """A heartbeat becomes an announcement, or names no worker."""
+    """A heartbeat becomes an announcement, or is refused."""
 
-    def test_its_fields_find_their_places(self) -> None:
-        """The start of a life orders announcements before their sequence does."""
-        found = decode_announcement("i-7", json.dumps(HEARTBEAT).encode())
-        self.assertEqual((found.started_at, found.sequence), (1700000000000, 4))
-        self.assertEqual((found.state, found.worker.instance), ("ready", "i-7"))
-        self.assertEqual(found.worker.address, Address("10.128.0.9", 8080))
-        self.assertEqual(found.worker.slots, 12)
+    def test_all_fields_are_decoded(self) -> None:
+        """Announcements are ordered by the start of the worker instance, then by sequence."""
+        announcement = decode_announcement("i-7", json.dumps(HEARTBEAT).encode())
+        self.assertEqual((announcement.started_at, announcement.sequence), (1700000000000, 4))
+        self.assertEqual((announcement.state, announcement.worker.instance), ("ready", "i-7"))
+        self.assertEqual(announcement.worker.address, Address("10.128.0.9", 8080))
+        self.assertEqual(announcement.worker.slots, 12)
 
-    def test_a_draining_worker_leaves(self) -> None:
-        """It takes no new work."""
+    def test_a_draining_worker_is_leaving(self) -> None:
+        """The phase draining becomes the state leaving."""
         form = copy.deepcopy(HEARTBEAT)
         form["status"]["phase"] = "draining"
         self.assertEqual(decode_announcement("i", json.dumps(form).encode()).state, "leaving")
 
-    def test_foreign_heartbeats_name_no_worker(self) -> None:
-        """Fields that are missing, of another type, or hold an unknown phase."""
+    def test_malformed_heartbeats_are_refused(self) -> None:
+        """Fields that are missing or of another type, and unknown phases, raise ValueError."""
         bodies: list[bytes] = [b"", b"\xff\xfe", b"[]", b"7"]
         for table, name, value in (
             ("info", "service", 7),
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,4 +1,4 @@
-"""Tests of the program that runs on the users' platform, as a process of its own."""
+"""Tests of the program for the users' platform, run as a separate process."""
 
 import json
 import os
@@ -55,11 +55,11 @@
         self.process.communicate()
 
     def write(self, *seeds: str) -> None:
-        """Replace the settings file by one that names some seeds."""
-        listed = ", ".join(f'"{seed}"' for seed in seeds)
-        fresh = self.path.with_suffix(".new")
-        fresh.write_text(SETTINGS.format(ip=IP, seeds=listed))
-        fresh.replace(self.path)
+        """Replace the settings file by one with the given seeds."""
+        seed_list = ", ".join(f'"{seed}"' for seed in seeds)
+        new_file = self.path.with_suffix(".new")
+        new_file.write_text(SETTINGS.format(ip=IP, seeds=seed_list))
+        new_file.replace(self.path)
 
     def next_event(self, kind: str) -> Any:
         """Return the detail of the next event of a kind."""
@@ -70,19 +70,19 @@
                 return event["detail"]
         raise AssertionError("the process ended")
 
-    def test_new_seeds_are_taken_over_without_a_signal(self) -> None:
-        """The file alone tells of them."""
+    def test_new_seeds_are_applied_without_a_signal(self) -> None:
+        """The process checks the settings file for changes."""
         self.write("10.0.0.2:1")
-        taken = {"outcome": "taken", "seeds": "10.0.0.2:27353"}
-        self.assertEqual(self.next_event("reloaded"), taken)
+        expected = {"outcome": "taken", "seeds": "10.0.0.2:27353"}
+        self.assertEqual(self.next_event("reloaded"), expected)
 
-    def test_a_signal_makes_the_process_look_at_once(self) -> None:
-        """It says so also when nothing has changed."""
+    def test_a_signal_reloads_the_settings_at_once(self) -> None:
+        """The event is recorded even if the settings haven't changed."""
         self.process.send_signal(signal.SIGHUP)
         self.assertEqual(self.next_event("reloaded")["outcome"], "taken")
 
-    def test_settings_that_can_not_be_used_are_refused_once(self) -> None:
-        """The process goes on with those that it has, and takes the next good ones."""
+    def test_invalid_settings_are_refused_once(self) -> None:
+        """The process keeps its settings, and applies the next valid ones."""
         self.path.write_text("host = ")
         self.assertEqual(self.next_event("reloaded")["outcome"], "refused")
         self.write("10.0.0.3:1")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,10 +20,10 @@
 
 
 class SettingsTest(unittest.TestCase):
-    """Every fault is found, each in one line that says what to do."""
+    """Every fault is reported, each in one line that says what is allowed."""
 
     def faults(self, text: str) -> tuple[str, ...]:
-        """Return the faults of a settings file, without its name."""
+        """Return the faults of a settings file, without the path of the file."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings.toml"
             path.write_text(text)
@@ -34,59 +34,59 @@
         return ()
 
     def test_good_settings_load(self) -> None:
-        """Good settings have no fault."""
+        """Valid settings have no fault."""
         self.assertEqual(self.faults(GOOD), ())
 
     def test_examples_load(self) -> None:
-        """The settings that ship are good."""
+        """All example settings are valid."""
         paths = sorted(EXAMPLES.glob("*/hosts/*.toml"))
         self.assertEqual(len(paths), 30)
         for path in paths:
             load(path)
 
-    def test_a_fault_names_key_found_and_allowed(self) -> None:
-        """A fault says all that is needed to mend it."""
+    def test_a_fault_names_the_key_the_value_and_what_is_allowed(self) -> None:
+        """A fault has all the information for its correction."""
         bad = GOOD.replace('"127.0.0.1:1002"', '"here"')
         self.assertEqual(
             self.faults(bad),
             ("listen.operators: found 'here'; allowed is IP:PORT, such as 127.0.0.1:8080",),
         )
 
-    def test_all_faults_come_together(self) -> None:
-        """No fault hides another."""
+    def test_all_faults_are_reported_together(self) -> None:
+        """One fault doesn't hide another."""
         bad = GOOD.replace('host = "a"', "host = 1").replace('["proxy"]', '["king"]')
         self.assertEqual(len(self.faults(bad)), 2)
 
     def test_an_unknown_key_is_a_fault(self) -> None:
-        """A misspelt key isn't passed over."""
+        """A misspelt key isn't ignored."""
         self.assertEqual(
             self.faults("colour = 1\n" + GOOD), ("found colour; no such key is known",)
         )
 
     def test_a_time_out_of_range_is_a_fault(self) -> None:
-        """A range has its unit."""
+        """The fault has the range with its unit."""
         found = self.faults(GOOD + "[timing]\ngrace = -1\n")
         self.assertEqual(found, ("timing: timing.grace: found -1; allowed is 0 to 3600 s",))
 
-    def test_listening_beyond_loopback_needs_a_token_or_a_word(self) -> None:
-        """Operators' and peers' listeners are named; callers need no token."""
-        wide = GOOD.replace("127.0.0.1", "10.1.2.3")
-        found = self.faults(wide)
+    def test_listening_beyond_loopback_requires_a_token_or_a_flag(self) -> None:
+        """Only the listeners for operators and peers require it."""
+        public = GOOD.replace("127.0.0.1", "10.1.2.3")
+        found = self.faults(public)
         self.assertEqual(
             [fault.partition(":")[0] for fault in found], ["listen.operators", "listen.peers"]
         )
-        self.assertEqual(self.faults(wide + '[security]\ntoken_file = "token"\n'), ())
-        self.assertEqual(self.faults(wide + "[security]\nallow_unauthenticated = true\n"), ())
+        self.assertEqual(self.faults(public + '[security]\ntoken_file = "token"\n'), ())
+        self.assertEqual(self.faults(public + "[security]\nallow_unauthenticated = true\n"), ())
 
     def test_a_flag_is_true_or_false(self) -> None:
-        """A text isn't taken for true."""
+        """A text isn't accepted as true."""
         found = self.faults(GOOD + '[security]\nallow_unauthenticated = "no"\n')
         self.assertEqual(
             found, ("security.allow_unauthenticated: found 'no'; allowed is true or false",)
         )
 
-    def test_every_setting_says_what_it_is_for(self) -> None:
-        """No field lacks its description."""
+    def test_every_setting_has_a_description(self) -> None:
+        """No field has an empty description."""
         for kind in (Settings, Listen, Timing, Limits, Security):
             for field in dataclasses.fields(kind):
                 described = field.metadata.get("allowed") or field.metadata["described"]
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1,4 +1,4 @@
-"""Tests of the log on standard output, whose reader may stop."""
+"""Tests of the event log on standard output, whose reader may stall."""
 
 import json
 import os
@@ -11,7 +11,7 @@
 
 
 def form(kind: str, request: str = "") -> EventForm:
-    """Return an event."""
+    """Return an event as JSON."""
     return EventForm(
         kind=kind,
         wall=1.0,
@@ -26,10 +26,10 @@
 
 
 class StreamTest(unittest.TestCase):
-    """That logging never waits, and says what it drops."""
+    """Logging never blocks, and reports what it drops."""
 
     def setUp(self) -> None:
-        """Write to a pipe."""
+        """Open a stream that writes to a pipe."""
         self.reader, self.writer = os.pipe()
         os.set_blocking(self.reader, False)
         self.addCleanup(os.close, self.reader)
@@ -39,7 +39,7 @@
         self.sampled = next(sampled)
 
     def lines(self) -> list[dict[str, Any]]:
-        """Read all that was written, as a reader that goes on again."""
+        """Read all lines, as a reader that resumes after a stall."""
         data = b""
         while True:
             self.stream.write([])
@@ -49,33 +49,33 @@
                 break
         return [json.loads(line)["event"] for line in data.splitlines()]
 
-    def test_a_request_is_told_whole_or_not_at_all(self) -> None:
-        """Its refusal is always told."""
+    def test_routine_events_of_a_request_are_written_all_or_none(self) -> None:
+        """Sampling selects requests, not events; refusals are always written."""
         requests = [f"r{number}" for number in range(500)]
         for request in requests:
             self.stream.write([form("attempt", request), form("verdict", request)])
         self.stream.write([form("refusal", "r1")])
-        told = [(line["kind"], line["request"]) for line in self.lines()]
-        chosen = [request for request in requests if is_sampled(request)]
-        wanted = [(kind, request) for request in chosen for kind in ("attempt", "verdict")]
-        self.assertEqual(told, [*wanted, ("refusal", "r1")])
-        self.assertTrue(0 < len(chosen) < 50)
+        lines = [(line["kind"], line["request"]) for line in self.lines()]
+        sampled = [request for request in requests if is_sampled(request)]
+        expected = [(kind, request) for request in sampled for kind in ("attempt", "verdict")]
+        self.assertEqual(lines, [*expected, ("refusal", "r1")])
+        self.assertTrue(0 < len(sampled) < 50)
 
-    def test_a_reader_that_has_stopped_holds_nobody_up(self) -> None:
-        """Lines wait up to a bound, routine ones give way first, and the drops are told."""
+    def test_a_stalled_reader_does_not_block_the_process(self) -> None:
+        """The buffer is bounded, routine events are dropped first, and drops are reported."""
         for _ in range(3 * MAX_BUFFERED_LINES):
             self.stream.write([form("attempt", self.sampled)])
         self.stream.write([form("refusal", "important")])
         dropped = self.stream.dropped
         self.assertGreater(dropped, MAX_BUFFERED_LINES)
-        told = self.lines()
-        self.assertLess(len(told), 3 * MAX_BUFFERED_LINES)
-        self.assertIn("important", [line.get("request") for line in told])
-        drops = [line["detail"] for line in told if line["kind"] == "log-dropped"]
+        lines = self.lines()
+        self.assertLess(len(lines), 3 * MAX_BUFFERED_LINES)
+        self.assertIn("important", [line.get("request") for line in lines])
+        drops = [line["detail"] for line in lines if line["kind"] == "log-dropped"]
         self.assertEqual(drops, [{"attempt": dropped}])
 
-    def test_what_is_no_routine_is_bounded_too(self) -> None:
-        """So that a flood of refusals can't take the memory."""
+    def test_lines_that_are_not_routine_are_bounded_too(self) -> None:
+        """A flood of refusals can't exhaust the memory."""
         for _ in range(3 * MAX_BUFFERED_LINES):
             self.stream.write([form("refusal")])
         self.assertGreater(self.stream.dropped, 0)
