Name the limit of the event log and the group joiner in the daemon

The parameter memory of EventLog is a number of events, so it is max_events; it is used by the daemon and tests.test_events only.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -77,7 +77,7 @@
             clock=self._clock,
             file=_event_file(settings),
             stream=EventStream() if settings.log_events else None,
-            memory=int(settings.limits.events_in_memory),
+            max_events=int(settings.limits.events_in_memory),
             observer=self._metrics.record_event,
         )
         own = Member(
@@ -111,7 +111,7 @@
         self._subscription: Subscription | None = None
         self._subscriber: Subscriber | None = None
         self._releases: Releases | None = None
-        self._joining: GroupJoiner | None = None
+        self._group_joiner: GroupJoiner | None = None
         self._peers = Peers(events=self._events)
 
     async def run(self) -> None:
@@ -286,7 +286,7 @@
         self._releases = Releases(replication=self._replication, events=self._events)
         tasks = [self._replication.run(), self._publisher.run()]
         if self._settings.formation.automatic:
-            self._joining = GroupJoiner(
+            self._group_joiner = GroupJoiner(
                 replication=self._replication,
                 group_name=identity.group,
                 own_address=self._settings.listen.peers,
@@ -294,7 +294,7 @@
                 events=self._events,
                 rng=self._rng,
             )
-            tasks.append(self._joining.run())
+            tasks.append(self._group_joiner.run())
         return tasks
 
     def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
@@ -412,8 +412,8 @@
         }
         if self._replication is not None:
             handlers["/replica"] = self._replication.serve
-        if self._joining is not None:
-            handlers["/join"] = self._joining.serve
+        if self._group_joiner is not None:
+            handlers["/join"] = self._group_joiner.serve
         if self._publisher is not None:
             handlers["/subscribe"] = self._publisher.serve
         if self._owner is not None:
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -33,7 +33,7 @@
         clock: HybridClock,
         file: EventFile | None = None,
         stream: EventStream | None = None,
-        memory: int = DEFAULT_EVENTS_IN_MEMORY,
+        max_events: int = DEFAULT_EVENTS_IN_MEMORY,
         observer: Callable[[Event], None] | None = None,
     ) -> None:
         self._observer = observer
@@ -41,7 +41,7 @@
         self._clock = clock
         self._file = file
         self._stream = stream
-        self._events: deque[Event] = deque(maxlen=memory)
+        self._events: deque[Event] = deque(maxlen=max_events)
         self._copies: deque[EventForm] = deque(maxlen=MAX_COPIED_EVENTS)
         self._uncopied: deque[Event] = deque(maxlen=MAX_UNCOPIED_EVENTS)
         self._recorded = 0
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -20,9 +20,9 @@
 ORIGIN = Origin(HostName("a"), DataCentre("east"), 7)
 
 
-def new_log(file: EventFile | None = None, memory: int = 100) -> EventLog:
+def new_log(file: EventFile | None = None, max_events: int = 100) -> EventLog:
     """Return an empty log."""
-    return EventLog(origin=ORIGIN, clock=HybridClock(), file=file, memory=memory)
+    return EventLog(origin=ORIGIN, clock=HybridClock(), file=file, max_events=max_events)
 
 
 class ClockTest(unittest.TestCase):
@@ -51,7 +51,7 @@
 
     def test_memory_is_bounded_and_drops_are_counted(self) -> None:
         """The newest events are kept."""
-        log = new_log(memory=10)
+        log = new_log(max_events=10)
         for version in range(1, 26):
             log.record("accepted", version=version)
         self.assertEqual([form["version"] for form in log.select()], list(range(16, 26)))
@@ -59,7 +59,7 @@
 
     def test_the_queue_of_refusals_to_copy_is_bounded(self) -> None:
         """Beyond the limit, the oldest are dropped and counted."""
-        log = new_log(memory=5000)
+        log = new_log(max_events=5000)
         for number in range(400):
             log.record("refusal", request=str(number))
         uncopied = log.take_uncopied()
@@ -98,7 +98,7 @@
 
     def write(self, count: int, file: EventFile) -> list[EventForm]:
         """Write events through a log, and return them."""
-        log = new_log(file, memory=1000)
+        log = new_log(file, max_events=1000)
         for number in range(count):
             log.record("refusal", request=str(number))
         log.write()
