Say in the field's terms what the encoding of messages and forms does

Docstrings, comments and error texts name tags, rollout, keepalive and stamps plainly; private hooks are called hooks. Nothing that is written on the wire changes.

--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -1,4 +1,4 @@
-"""The encoding of messages, apart from every decision."""
+"""Encoding of messages and JSON forms; no decision is taken here."""
 
 from cowslipvane.wire._codec import (
     Malformed,
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -1,4 +1,4 @@
-"""CBOR for typed messages: a dataclass travels as its tag and the list of its fields."""
+"""CBOR encoding of typed messages: a data class is sent as its name and the list of its fields."""
 
 from __future__ import annotations
 
@@ -15,47 +15,47 @@
 
 Message = Any
 T = TypeVar("T")
-_INT_LIMIT = 1 << 63
-_DIGEST_LIMIT = 1 << 128
+_INT64_LIMIT = 1 << 63
+_UINT128_LIMIT = 1 << 128
 
 
 class Malformed(ValueError):
-    """Bytes that are no message of this protocol."""
+    """Raised for bytes or values that are not a message of this protocol."""
 
 
 def _union_members(kind: Any) -> tuple[type, ...]:
-    """Return the data classes of a union that has nothing else, or nothing."""
+    """Return the members of a union of data classes, or () for any other type."""
     if get_origin(kind) not in (Union, types.UnionType):
         return ()
     members = get_args(kind)
     return members if all(dataclasses.is_dataclass(member) for member in members) else ()
 
 
-def _strict(kind: type, *allowed: type) -> Callable[[Any, Any], Any]:
-    """Return a hook that takes a value of the allowed types and converts nothing else."""
+def _strict_hook(kind: type, *allowed: type) -> Callable[[Any, Any], Any]:
+    """Return a hook that accepts only values of the given types, and coerces no others."""
 
     def structure(value: Any, _: Any) -> Any:
         if type(value) not in (kind, *allowed):
             raise Malformed(f"found {type(value).__name__}, expected {kind.__name__}")
-        # NaN has no order, so that one deadline of it would spoil all timers of the event loop.
+        # NaN is unordered: one such deadline would corrupt the event loop's heap of timers.
         if kind is float and not math.isfinite(value):
             raise Malformed("found a number that is not finite")
-        if kind is int and not -_INT_LIMIT <= value < _INT_LIMIT:
+        if kind is int and not -_INT64_LIMIT <= value < _INT64_LIMIT:
             raise Malformed("found an integer of more than 64 bits")
         return kind(value)
 
     return structure
 
 
-def _digest(value: Any, _: Any) -> Digest:
-    """Return a digest, which may be larger than other integers."""
-    if type(value) is not int or not 0 <= value < _DIGEST_LIMIT:
-        raise Malformed("found no digest")
+def _structure_digest(value: Any, _: Any) -> Digest:
+    """Return a digest, which has up to 128 bits, unlike other integers."""
+    if type(value) is not int or not 0 <= value < _UINT128_LIMIT:
+        raise Malformed("expected a digest of at most 128 bits")
     return value
 
 
-def _union_structure(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
-    """Return a hook that reads a tagged data class of a union."""
+def _union_structure_hook(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
+    """Return a hook that decodes a tagged member of a union."""
     by_tag = {member.__name__: member for member in _union_members(kind)}
 
     def structure(value: Any, _: Any) -> Any:
@@ -66,8 +66,8 @@
     return structure
 
 
-def _union_unstructure(converter: BaseConverter) -> Callable[[Any], Any]:
-    """Return a hook that writes a data class of a union with its tag."""
+def _union_unstructure_hook(converter: BaseConverter) -> Callable[[Any], Any]:
+    """Return a hook that encodes a member of a union with its tag."""
 
     def unstructure(value: Any) -> Any:
         return [type(value).__name__, converter.unstructure(value, type(value))]
@@ -93,93 +93,93 @@
     return tuple((name, hints[name]) for name in names)
 
 
-def _record_structure(converter: BaseConverter, kind: type) -> Callable[[Any, Any], Any]:
-    """Return a hook that reads a record from the list of its fields."""
+def _record_structure_hook(converter: BaseConverter, kind: type) -> Callable[[Any, Any], Any]:
+    """Return a hook that decodes a record from the list of its fields."""
     fields = _field_types(kind)
     hooks = tuple((name, field, converter.get_structure_hook(field)) for name, field in fields)
 
     def structure(value: Any, _: Any) -> Any:
         if not isinstance(value, list | tuple) or len(value) != len(hooks):
             raise Malformed(f"expected the {len(hooks)} fields of {kind.__name__}")
-        read = {
+        values = {
             name: hook(item, field) for (name, field, hook), item in zip(hooks, value, strict=True)
         }
-        return kind(**read)
+        return kind(**values)
 
     return structure
 
 
-def _record_unstructure(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
-    """Return a hook that writes a record as the list of its fields."""
+def _record_unstructure_hook(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
+    """Return a hook that encodes a record as the list of its fields."""
     fields = _field_types(kind)
     hooks = tuple((name, converter.get_unstructure_hook(field)) for name, field in fields)
     return lambda value: [hook(getattr(value, name)) for name, hook in hooks]
 
 
-def make_converter() -> Converter:
-    """Return the converter between messages and what CBOR can hold."""
+def _make_converter() -> Converter:
+    """Return the converter between messages and values that CBOR can encode."""
     converter = Converter(detailed_validation=False)
     for kind, allowed in ((int, ()), (str, ()), (bytes, ()), (bool, ()), (float, (int,))):
-        converter.register_structure_hook(kind, _strict(kind, *allowed))
+        converter.register_structure_hook(kind, _strict_hook(kind, *allowed))
         converter.register_unstructure_hook(kind, lambda value: value)
-    converter.register_structure_hook_func(lambda kind: kind == Digest, _digest)
+    converter.register_structure_hook_func(lambda kind: kind == Digest, _structure_digest)
     converter.register_structure_hook_factory(
-        _is_record, lambda kind: _record_structure(converter, kind)
+        _is_record, lambda kind: _record_structure_hook(converter, kind)
     )
     converter.register_unstructure_hook_factory(
-        _is_record, lambda kind: _record_unstructure(converter, kind)
+        _is_record, lambda kind: _record_unstructure_hook(converter, kind)
     )
     converter.register_structure_hook_factory(
-        lambda kind: bool(_union_members(kind)), lambda kind: _union_structure(converter, kind)
+        lambda kind: bool(_union_members(kind)), lambda kind: _union_structure_hook(converter, kind)
     )
     converter.register_unstructure_hook_factory(
-        lambda kind: bool(_union_members(kind)), lambda kind: _union_unstructure(converter)
+        lambda kind: bool(_union_members(kind)), lambda kind: _union_unstructure_hook(converter)
     )
     return converter
 
 
-_CONVERTER = make_converter()
-_MESSAGES: dict[str, type] = {}
+_CONVERTER = _make_converter()
+_MESSAGE_TYPES: dict[str, type] = {}
 
 
 def register(*kinds: type) -> None:
-    """Let messages of these data classes travel between processes."""
-    _MESSAGES.update((kind.__name__, kind) for kind in kinds)
+    """Register data classes as messages; each is tagged with its class name."""
+    _MESSAGE_TYPES.update((kind.__name__, kind) for kind in kinds)
 
 
 def encode(message: Message) -> bytes:
-    """Return a registered message as bytes."""
+    """Encode a message of a registered data class."""
     kind = type(message)
     return cbor2.dumps([kind.__name__, _CONVERTER.unstructure(message, kind)])
 
 
 def decode(data: bytes) -> Message:
-    """Return the message in the bytes; raise Malformed when there is none."""
+    """Decode a message; raise Malformed if the bytes are not a registered one."""
     try:
         tag, fields = cbor2.loads(data)
-        kind = _MESSAGES[tag]
+        kind = _MESSAGE_TYPES[tag]
     except Exception as error:
-        raise Malformed(f"no known message: {error}") from error
+        raise Malformed(f"not a known message: {error}") from error
     return _structure(kind, fields)
 
 
 def encode_untagged(value: Any) -> bytes:
-    """Return a value without a tag, for a reader that knows its type."""
+    """Encode a value without a tag, for a reader that knows its type."""
     return cbor2.dumps(_CONVERTER.unstructure(value, type(value)))
 
 
 def decode_as(kind: type[T], data: bytes) -> T:
-    """Return the value of a known type; raise Malformed when it isn't one."""
+    """Decode a value of a known type; raise Malformed if the bytes are not one."""
     try:
         fields = cbor2.loads(data)
     except Exception as error:
-        raise Malformed(f"no CBOR: {error}") from error
+        raise Malformed(f"not CBOR: {error}") from error
     return _structure(kind, fields)
 
 
 def _structure(kind: type[T], fields: Any) -> T:
-    """Return fields as a type; raise Malformed when they don't fit."""
+    """Return the value that the fields make up; raise Malformed if they don't match its type."""
     try:
         return _CONVERTER.structure(fields, kind)
     except Exception as error:
-        raise Malformed(f"no {kind.__name__}: {error}") from error
+        raise Malformed(f"not a valid {kind.__name__}: {error}") from error
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -1,4 +1,4 @@
-"""Resources and changes as JSON, for operators."""
+"""JSON forms of resources, changes and rollouts, for operators."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class ResourceForm(TypedDict):
-    """A resource as operators read and write it."""
+    """A resource, as operators read and write it."""
 
     kind: str
     name: str
@@ -42,14 +42,14 @@
 
 
 class FaultForm(TypedDict):
-    """A fault as operators read it."""
+    """A fault of a change and the path to it."""
 
     path: str
     message: str
 
 
 class OutcomeForm(TypedDict, total=False):
-    """The answer to a change."""
+    """The response to a change."""
 
     outcome: str
     version: int
@@ -61,7 +61,7 @@
 
 
 class LagForm(TypedDict):
-    """A proxy that lags, and since when."""
+    """A proxy that is behind the accepted version, and since when."""
 
     host: str
     version: int
@@ -70,7 +70,7 @@
 
 
 class StatusForm(TypedDict, total=False):
-    """Where the version that last changed a resource is in force."""
+    """The rollout status of the version that last changed a resource."""
 
     accepted_at: float | None
     in_force: int
@@ -80,7 +80,7 @@
 
 
 class ProgressForm(TypedDict):
-    """How far a version has come."""
+    """The rollout progress of a version."""
 
     version: int
     in_force: int
@@ -108,7 +108,7 @@
 
 
 class EffectForm(TypedDict):
-    """What a change would do to a resource; None stands for no resource."""
+    """The effect of a change on a resource; None if the resource doesn't exist."""
 
     kind: str
     name: str
@@ -119,7 +119,7 @@
 def status_form(
     version: Version, accepted_at: dict[Version, float], rollout: Rollout
 ) -> StatusForm:
-    """Return where the version that last changed a resource is in force, as JSON."""
+    """Return the rollout status of the version that last changed a resource as JSON."""
     return StatusForm(
         accepted_at=accepted_at.get(version),
         in_force=rollout.in_force(version),
@@ -129,7 +129,7 @@
 
 
 def progress_form(progress: Progress) -> ProgressForm:
-    """Return how far a version has come as JSON."""
+    """Return the rollout progress of a version as JSON."""
     return ProgressForm(
         version=progress.version,
         in_force=progress.in_force,
@@ -157,7 +157,7 @@
 
 
 def effect_form(effect: Effect) -> EffectForm:
-    """Return what a change would do to a resource as JSON."""
+    """Return the effect of a change on a resource as JSON."""
     return EffectForm(
         kind=effect.key.kind,
         name=effect.key.name,
@@ -183,7 +183,7 @@
 
 
 def outcome_form(outcome: Outcome) -> OutcomeForm:
-    """Return the answer to a change as JSON."""
+    """Return the outcome of a change as JSON."""
     match outcome:
         case Accepted(version=version, accepted_at=accepted_at):
             sentence = f"accepted as version {version}"
@@ -205,7 +205,7 @@
             return OutcomeForm(
                 outcome="invalid",
                 faults=fault_forms(faults),
-                sentence=f"not run: {len(faults)} faults; mend them all and apply again",
+                sentence=f"not run: {len(faults)} faults; correct them all and apply again",
             )
 
 
@@ -215,12 +215,12 @@
 
 
 def read_change(form: Any) -> Change | Invalid:
-    """Return the change in a JSON value, or everything that is wrong with it."""
+    """Parse a change from a JSON value; return all its faults if it is invalid."""
     if not isinstance(form, dict):
         return Invalid(faults=(Fault("$", "must be an object"),))
     faults: list[Fault] = []
     unknown = form.keys() - {"operation_id", "based_on", "resources", "deletes", "dry_run"}
-    faults += [Fault(name, "is no known key") for name in sorted(unknown)]
+    faults += [Fault(name, "is not a known key") for name in sorted(unknown)]
     operation_id = form.get("operation_id")
     if not _is_text(operation_id) or not operation_id:
         faults.append(Fault("operation_id", "must be a text that names this change"))
@@ -229,15 +229,15 @@
         faults.append(Fault("based_on", "must be the version that the change is based on"))
     puts = _read_puts(form.get("resources", []), faults)
     deletes = _read_deletes(form.get("deletes", []), faults)
-    both = {key for key, _ in puts} & set(deletes)
-    faults += [Fault(str(key), "is both written and deleted") for key in sorted(both)]
+    conflicting = {key for key, _ in puts} & set(deletes)
+    faults += [Fault(str(key), "is both written and deleted") for key in sorted(conflicting)]
     if faults:
         return Invalid(faults=tuple(faults))
     return Change(OperationId(str(operation_id)), Version(int(based_on or 0)), puts, deletes)
 
 
 def read_spec(key: Key, form: Any) -> Spec | Invalid:
-    """Return the specification in a JSON value, or everything that is wrong with it."""
+    """Parse a specification from a JSON value; return all its faults if it is invalid."""
     faults: list[Fault] = []
     if _read_key({"kind": key.kind, "name": key.name}, "resource", faults) is None:
         return Invalid(faults=tuple(faults))
@@ -246,12 +246,12 @@
 
 
 def _is_text(value: Any) -> bool:
-    """Return whether a value is a text that every message can carry."""
+    """Return whether a value is a printable text of limited length, safe in every message."""
     return isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS and value.isprintable()
 
 
 def _read_puts(forms: Any, faults: list[Fault]) -> tuple[tuple[Key, Spec], ...]:
-    """Return the resources to write, and add what is wrong with them to the faults."""
+    """Parse the resources to write, and append their faults to `faults`."""
     if not isinstance(forms, list):
         faults.append(Fault("resources", "must be a list"))
         return ()
@@ -269,16 +269,16 @@
 
 
 def _read_deletes(forms: Any, faults: list[Fault]) -> tuple[Key, ...]:
-    """Return the keys to delete, and add what is wrong with them to the faults."""
+    """Parse the keys to delete, and append their faults to `faults`."""
     if not isinstance(forms, list):
         faults.append(Fault("deletes", "must be a list"))
         return ()
-    keys = [_read_key(form, f"deletes[{at}]", faults) for at, form in enumerate(forms)]
+    keys = [_read_key(form, f"deletes[{position}]", faults) for position, form in enumerate(forms)]
     return tuple(key for key in keys if key is not None)
 
 
 def _read_key(form: Any, path: str, faults: list[Fault]) -> Key | None:
-    """Return the kind and name in a form."""
+    """Parse a kind and name, and append their faults to `faults`."""
     if not isinstance(form, dict):
         faults.append(Fault(path, "must be an object with kind and name"))
         return None
@@ -290,27 +290,27 @@
         faults.append(Fault(f"{path}.name", f"found {name!r:.80}; allowed is a text without /"))
         return None
     unknown = form.keys() - {"kind", "name", "spec", "status", "version"}
-    faults += [Fault(f"{kind}/{name}.{extra}", "is no known field") for extra in sorted(unknown)]
+    faults += [Fault(f"{kind}/{name}.{extra}", "is not a known field") for extra in sorted(unknown)]
     return Key(kind, name)
 
 
 def _read_spec(key: Key, form: Any, faults: list[Fault]) -> Spec | None:
-    """Return the specification in a form, and add what is wrong with it to the faults."""
+    """Parse a specification, and append its faults to `faults`."""
     if not isinstance(form, dict):
         faults.append(Fault(str(key), f"found {form!r:.80}; allowed is an object of fields"))
         return None
     try:
         spec: Spec = _CONVERTER.structure(form, KINDS[key.kind])
     except Exception as error:
-        for line in transform_error(error, path=str(key), format_exception=_worded):
+        for line in transform_error(error, path=str(key), format_exception=_format_error):
             message, _, path = line.rpartition(" @ ")
             faults.append(Fault(path, message))
         return None
     return spec
 
 
-def _worded(error: BaseException, _: type | None) -> str:
-    """Return what an error says to whoever wrote the resource."""
+def _format_error(error: BaseException, _: type | None) -> str:
+    """Return the message of an error for the author of the resource."""
     match error:
         case KeyError():
             return f"needs a field {error.args[0]}"
@@ -320,19 +320,19 @@
             return str(error)
 
 
-def _exactly(kind: type, *also: type) -> Any:
-    """Return a hook that takes a value of a type as it is."""
+def _strict_hook(kind: type, *allowed: type) -> Any:
+    """Return a hook that accepts only values of the given types, and coerces no others."""
 
     def structure(value: Any, _: Any) -> Any:
-        if type(value) not in (kind, *also):
+        if type(value) not in (kind, *allowed):
             raise ValueError(f"found {value!r}; allowed is a {kind.__name__}")
         return kind(value)
 
     return structure
 
 
-def _text(value: Any, _: Any) -> str:
-    """Return a text as it is."""
+def _structure_text(value: Any, _: Any) -> str:
+    """Return a printable text of limited length unchanged."""
     if not _is_text(value):
         limit = f"a printable text of at most {MAX_TEXT_CHARACTERS} characters"
         raise ValueError(f"found {value!r:.80}; allowed is {limit}")
@@ -344,21 +344,21 @@
     return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
 
 
-def _sequence(converter: Converter, kind: Any) -> Any:
-    """Return a hook that reads a tuple from a list, and from nothing else."""
-    item = get_args(kind)[0]
-    read_item = converter.get_structure_hook(item)
+def _sequence_hook(converter: Converter, kind: Any) -> Any:
+    """Return a hook that reads a tuple from a list only, and collects the faults of all items."""
+    item_type = get_args(kind)[0]
+    read_item = converter.get_structure_hook(item_type)
 
     def structure(value: Any, _: Any) -> Any:
         if not isinstance(value, list):
             raise ValueError(f"found {value!r:.80}; allowed is a list")
         faults: list[Exception] = []
         items = []
-        for position, each in enumerate(value):
+        for position, element in enumerate(value):
             try:
-                items.append(read_item(each, item))
+                items.append(read_item(element, item_type))
             except Exception as error:
-                note = IterableValidationNote(f"item {position}", position, item)
+                note = IterableValidationNote(f"item {position}", position, item_type)
                 error.__notes__ = [*getattr(error, "__notes__", []), note]
                 faults.append(error)
         if faults:
@@ -371,11 +371,13 @@
 def _make_converter() -> Converter:
     """Return the converter between specifications and JSON values."""
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
-    converter.register_structure_hook(int, _exactly(int))
-    converter.register_structure_hook(str, _text)
-    converter.register_structure_hook_factory(_is_sequence, lambda kind: _sequence(converter, kind))
-    converter.register_structure_hook(bool, _exactly(bool))
-    converter.register_structure_hook(float, _exactly(float, int))
+    converter.register_structure_hook(int, _strict_hook(int))
+    converter.register_structure_hook(str, _structure_text)
+    converter.register_structure_hook_factory(
+        _is_sequence, lambda kind: _sequence_hook(converter, kind)
+    )
+    converter.register_structure_hook(bool, _strict_hook(bool))
+    converter.register_structure_hook(float, _strict_hook(float, int))
     for kind in (Target, Header):
         converter.register_structure_hook(
             kind, namedtuple_dict_structure_factory(kind, converter, "from_converter", True)
--- a/cowslipvane/wire/_group_forms.py
+++ b/cowslipvane/wire/_group_forms.py
@@ -1,4 +1,4 @@
-"""The JSON forms of the group of replicas."""
+"""JSON forms of the group of replicas."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 def read_group_change(form: Any) -> GroupChange:
-    """Return the change of the group in a form; raise ValueError or KeyError when there is none."""
+    """Parse a group change; raise ValueError or KeyError if the form is not one."""
     match form:
         case {"change": "add"}:
             return Add(learner=_read_member(form))
@@ -50,7 +50,7 @@
 
 
 def _read_member(form: Any) -> Voter:
-    """Return the member in a form."""
+    """Parse a member."""
     replica_id = ReplicaId(str(form["replica_id"]))
     if not replica_id:
         raise ValueError("replica_id is empty; 'cowslipvane replica join' prints it")
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -22,20 +22,20 @@
 from cowslipvane.wire._codec import Malformed, Message, decode, encode
 
 CONNECT_TIMEOUT: Seconds = 0.7
-# Bytes that a peer hasn't acknowledged for this long end a connection that has gone silent.
+# The kernel closes a connection whose peer hasn't acknowledged data for this long.
 USER_TIMEOUT_MS = 2000
-# Seconds without bytes after which the system asks whether an idle peer is still there.
+# Idle time before the first keepalive probe of the kernel, and time between probes.
 KEEPALIVE_S = 5
-# A peer that doesn't answer the closing of a connection is left after this.
+# The connection is dropped if the peer doesn't complete the closing handshake within this time.
 CLOSE_TIMEOUT: Seconds = 0.3
 MAX_MESSAGE_BYTES = 16 << 20
-# Every message ends with its sender's stamp: wall time in seconds, and the logical count.
+# Each message ends with its sender's hybrid clock stamp: wall time in seconds, logical counter.
 _STAMP = struct.Struct(">dI")
 _MAX_LOGICAL = 2**32 - 1
 
 
 class Traffic:
-    """Bytes of each message on the links of a process."""
+    """Bytes sent and received on the links of a process, by message type."""
 
     def __init__(self) -> None:
         self._sent: Counter[str] = Counter()
@@ -43,25 +43,25 @@
 
     @property
     def sent_bytes(self) -> Mapping[str, int]:
-        """Return the bytes sent by the name of the message."""
+        """Return the bytes sent, by message type."""
         return self._sent
 
     @property
     def received_bytes(self) -> Mapping[str, int]:
-        """Return the bytes received by the name of the message."""
+        """Return the bytes received, by message type."""
         return self._received
 
     def count_sent(self, kind: str, size: int) -> None:
-        """Count a message of a kind that is sent, by its size in bytes."""
+        """Add the size in bytes of a message that is sent."""
         self._sent[kind] += size
 
     def count_received(self, kind: str, size: int) -> None:
-        """Count a message of a kind that was received, by its size in bytes."""
+        """Add the size in bytes of a message that was received."""
         self._received[kind] += size
 
 
 class LinkIdentity(NamedTuple):
-    """What the links of a process share: its clock, the token it shows, and their traffic."""
+    """What the links of a process share: its clock, its token and its traffic counters."""
 
     clock: HybridClock
     token: Token | None
@@ -73,12 +73,12 @@
 
 
 def anonymous_identity() -> LinkIdentity:
-    """Return the identity of links that belong to no process of the system."""
+    """Return an identity without a token, for links outside any process of the system."""
     return LinkIdentity(HybridClock(), None, Traffic())
 
 
 class LinkClosed(Exception):
-    """The connection to a peer is closed; going_away says that the peer ended it as planned."""
+    """Raised when a connection is closed; going_away is set if the peer closed it as planned."""
 
     def __init__(self, reason: str, *, going_away: bool = False) -> None:
         super().__init__(reason)
@@ -98,42 +98,42 @@
         await self.send_encoded(type(message).__name__, encode(message))
 
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
-        """Send a message that was encoded before, because several peers get the same."""
+        """Send a message that is encoded once for several peers."""
         wall, logical = self._clock.now()
         data = encoded + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
         self._traffic.count_sent(kind, len(data))
         try:
             await self._connection.send(data)
         except websockets.ConnectionClosed as error:
-            raise _closed(error) from error
+            raise _link_closed(error) from error
 
     async def receive(self, *, timeout: Seconds | None = None) -> Message:
-        """Return the next message; raise Malformed when it is none, TimeoutError when late."""
+        """Return the next message; raise Malformed if it is invalid, TimeoutError if it is late."""
         try:
-            # Unlike wait_for, a timeout doesn't lose a cancellation that comes with a message.
+            # Unlike wait_for, this doesn't lose a cancellation that coincides with a message.
             async with asyncio.timeout(timeout):
                 data = await self._connection.recv(decode=False)
         except websockets.ConnectionClosed as error:
-            raise _closed(error) from error
+            raise _link_closed(error) from error
         if len(data) < _STAMP.size:
-            raise Malformed("a message without a stamp")
+            raise Malformed("the message has no stamp")
         message = decode(data[: -_STAMP.size])
         self._traffic.count_received(type(message).__name__, len(data))
         self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
         return message
 
     async def probe(self, timeout: Seconds) -> None:
-        """Return once the peer has answered a ping; raise LinkClosed when it is late or gone."""
+        """Ping the peer and await the pong; raise LinkClosed if it is late or the link closed."""
         try:
             async with asyncio.timeout(timeout):
                 await (await self._connection.ping())
         except websockets.ConnectionClosed as error:
-            raise _closed(error) from error
+            raise _link_closed(error) from error
         except TimeoutError as error:
             raise LinkClosed(f"the peer didn't answer a ping within {timeout} s") from error
 
     def abort(self) -> None:
-        """End the connection at once, without waiting for a silent peer."""
+        """Close the connection without a closing handshake, which a silent peer would delay."""
         self._connection.transport.abort()
 
     async def close(self) -> None:
@@ -141,15 +141,15 @@
         await self._connection.close()
 
 
-def _closed(error: websockets.ConnectionClosed) -> LinkClosed:
-    """Return why a connection is closed."""
+def _link_closed(error: websockets.ConnectionClosed) -> LinkClosed:
+    """Return the LinkClosed that stands for a closed connection."""
     going_away = error.rcvd is not None and error.rcvd.code == CloseCode.GOING_AWAY
     return LinkClosed(str(error), going_away=going_away)
 
 
 @asynccontextmanager
 async def connect(address: Address, path: str) -> AsyncIterator[Link]:
-    """Connect to a path of a peer; raise LinkClosed when it can't be reached."""
+    """Connect to a path of a peer; raise LinkClosed if it can't be reached."""
     identity = link_identity.get() or anonymous_identity()
     try:
         connection = await websocket_connect(
@@ -172,9 +172,9 @@
 
 
 def enable_keepalive(connection: Connection) -> None:
-    """Let the system end a connection whose peer acknowledges nothing."""
-    held = connection.transport.get_extra_info("socket")
-    held.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    held.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
-    held.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    """Let the kernel close a connection whose peer no longer acknowledges data."""
+    tcp_socket = connection.transport.get_extra_info("socket")
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -23,7 +23,7 @@
 from cowslipvane.tasks._process_api import read_worker
 from cowslipvane.types import Address, HostName, Version
 from cowslipvane.wire import Malformed, decode, encode, read_change
-from cowslipvane.wire._codec import _MESSAGES
+from cowslipvane.wire._codec import _MESSAGE_TYPES
 from tests.test_settings import GOOD
 
 FUZZ = settings(
@@ -47,7 +47,7 @@
 SETTING_KEYS = st.sampled_from(
     ["host", "data_centre", "roles", "listen", "seeds", "timing", "limits", "security", "x"]
 )
-TAGS = st.sampled_from(sorted(_MESSAGES))
+TAGS = st.sampled_from(sorted(_MESSAGE_TYPES))
 KEYS = st.sampled_from(["operation_id", "based_on", "resources", "deletes", "dry_run", "x"])
 SPEC_KEYS = st.sampled_from(
     ["service", "prefix", "targets", "hosts", "methods", "weight", "attempts", "timeout", "state"]
