--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -1,4 +1,4 @@
-"""The operator's client: asks any process of the system over HTTP."""
+"""HTTP client for operators: sends requests to any process of the system."""
 
 from __future__ import annotations
 
@@ -16,32 +16,32 @@
 from cowslipvane.settings import Token
 from cowslipvane.types import Seconds
 
-RETRY_WAIT: Seconds = 0.2
-# A change of leader between two answers may send a request on more than once.
+RETRY_DELAY: Seconds = 0.2
+# A request is redirected more than once if the leader changes between two responses.
 MAX_REDIRECTS = 4
 _OK = 200
 _REDIRECT = 307
 _NO_LEADER = 503
-_NO_ANSWER = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+_REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
 class AllResponses(NamedTuple):
-    """What each process answered by its host, and why the others did not."""
+    """The responses of processes by host, and the reason of each failed request by host."""
 
     responses: dict[str, Any]
     errors: dict[str, str]
 
 
 class Unreachable(Exception):
-    """None of the given servers answered."""
+    """Raised when none of the given servers returns a usable response."""
 
 
 class HistoryUnavailable(Exception):
-    """The history does not reach back far enough; the text says what to do."""
+    """Raised when the history starts after the requested version; the text says what to do."""
 
 
 class Client:
-    """Talks to the processes at the given operators' addresses, in turn until one answers."""
+    """Sends requests to the given operators' addresses, in turn until one responds."""
 
     def __init__(
         self, *, servers: tuple[str, ...], timeout: Seconds = 10.0, token: Token | None = None
@@ -66,99 +66,101 @@
         await self._session.close()
 
     async def change(self, form: dict[str, Any]) -> dict[str, Any]:
-        """Send a change until its outcome is known; resends keep its operation id."""
-        return await self._ask("POST", "/v1/changes", form)
+        """Send a change, and resend it under its operation id until the outcome is known."""
+        return await self._request_until_final("POST", "/v1/changes", form)
 
     async def resources(self) -> dict[str, Any]:
         """Return the accepted resources and their version."""
-        return await self._ask("GET", "/v1/resources", None)
+        return await self._request_until_final("GET", "/v1/resources", None)
 
     async def replicas(self) -> dict[str, Any]:
         """Return the group of replicas."""
-        return await self._ask("GET", "/v1/replicas", None)
+        return await self._request_until_final("GET", "/v1/replicas", None)
 
     async def change_group(self, form: dict[str, Any]) -> dict[str, Any]:
-        """Send a change of the group until its outcome is known."""
-        return await self._ask("POST", "/v1/replicas", form)
+        """Send a group change, and resend it until the outcome is known."""
+        return await self._request_until_final("POST", "/v1/replicas", form)
 
     async def status(self) -> dict[str, Any]:
-        """Return the status of the leader, or of a process that answers."""
-        found = await self._statuses()
-        for status in found:
+        """Return the status of the leader, or else of the first server that responds."""
+        statuses = await self._statuses()
+        for status in statuses:
             if status.get("replica", {}).get("holds_lease"):
                 return status
-        return found[0]
+        return statuses[0]
 
     async def members(self) -> list[dict[str, Any]]:
-        """Return every member that any of the servers knows, the first by name first."""
+        """Return the members that any of the servers knows, sorted by host."""
         known: dict[str, dict[str, Any]] = {}
         for status in await self._statuses():
             for member in status["members"]:
-                held = known.get(member["host"])
-                if held is None or member["alive"] and not held["alive"]:
+                previous = known.get(member["host"])
+                if previous is None or member["alive"] and not previous["alive"]:
                     known[member["host"]] = member
         return [known[host] for host in sorted(known)]
 
     async def request_all(self, path: str) -> AllResponses:
-        """Ask every process that the servers know, and return who answered what."""
+        """Request a path from every process that the servers know."""
         members = await self.members()
         results = await asyncio.gather(
             *(self._send("GET", member["operators"], path, None) for member in members),
             return_exceptions=True,
         )
-        answers: dict[str, Any] = {}
-        silent: dict[str, str] = {}
+        responses: dict[str, Any] = {}
+        errors: dict[str, str] = {}
         for member, result in zip(members, results, strict=True):
             match result:
                 case BaseException():
-                    silent[member["host"]] = str(result) or type(result).__name__
+                    errors[member["host"]] = str(result) or type(result).__name__
                 case (200, form):
-                    answers[member["host"]] = form
+                    responses[member["host"]] = form
                 case (status, _):
-                    silent[member["host"]] = f"answered with HTTP status {status}"
-        return AllResponses(answers, silent)
+                    errors[member["host"]] = f"answered with HTTP status {status}"
+        return AllResponses(responses, errors)
 
     async def request(self, method: str, path: str) -> dict[str, Any]:
-        """Ask the first server that answers, whatever its role."""
+        """Return the response of the first server that responds, whatever its role."""
         for server in self._servers:
             try:
-                status, answer = await self._send(method, server, path, None)
-            except _NO_ANSWER:
+                status, response = await self._send(method, server, path, None)
+            except _REQUEST_ERRORS:
                 continue
             if status != _OK:
-                raise Unreachable(f"{server}: {answer.get('sentence', f'HTTP status {status}')}")
-            return dict(answer)
+                raise Unreachable(f"{server}: {response.get('sentence', f'HTTP status {status}')}")
+            return dict(response)
         raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
 
     async def resource(self, kind: str, name: str) -> dict[str, Any]:
         """Return one accepted resource with its status."""
-        return await self._ask("GET", f"/v1/resources/{quote(kind)}/{quote(name)}", None)
+        return await self._request_until_final(
+            "GET", f"/v1/resources/{quote(kind)}/{quote(name)}", None
+        )
 
     async def history(self, version: int) -> dict[str, Any]:
         """Return the changes accepted after a version."""
-        return await self._ask("GET", f"/v1/history?from={version}", None)
+        return await self._request_until_final("GET", f"/v1/history?from={version}", None)
 
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
-        """Yield each change accepted after a version once, and how far the newest has come.
+        """Yield each change accepted after a version once, and the rollout progress of the newest.
 
-        Raise HistoryUnavailable when the servers no longer hold the changes after the version.
+        Raise HistoryUnavailable if the servers no longer hold the changes after the version.
         """
         loop = asyncio.get_running_loop()
-        give_up = loop.time() + self._timeout
-        while loop.time() < give_up:
+        deadline = loop.time() + self._timeout
+        while loop.time() < deadline:
             for server in self._servers:
                 try:
                     async for line in self._stream(server, version):
                         version = line.get("accepted", version)
-                        give_up = loop.time() + self._timeout
+                        deadline = loop.time() + self._timeout
                         yield line
                 except (aiohttp.ClientError, TimeoutError, OSError):
                     continue
-            await asyncio.sleep(RETRY_WAIT)
+            await asyncio.sleep(RETRY_DELAY)
         raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
 
     async def _stream(self, server: str, version: int) -> AsyncIterator[dict[str, Any]]:
-        """Yield the lines of one stream until it ends."""
+        """Yield the lines of one server's stream until it ends."""
         timeout = aiohttp.ClientTimeout(total=None, sock_read=self._timeout)
         url = f"http://{server}/v1/watch?from={version}"
         async with self._session.get(url, timeout=timeout) as response:
@@ -171,39 +173,41 @@
                     yield json.loads(line)
 
     async def _statuses(self) -> list[dict[str, Any]]:
-        """Return the status of each server that answers."""
+        """Return the status of each server that responds."""
         results = await asyncio.gather(
             *(self._send("GET", server, "/v1/status", None) for server in self._servers),
             return_exceptions=True,
         )
-        answers = [result for result in results if not isinstance(result, BaseException)]
-        found = [dict(form) for status, form in answers if status == _OK]
-        if found:
-            return found
-        if answers:
-            raise Unreachable(str(answers[0][1].get("sentence", answers[0])))
+        responses = [result for result in results if not isinstance(result, BaseException)]
+        statuses = [dict(form) for status, form in responses if status == _OK]
+        if statuses:
+            return statuses
+        if responses:
+            raise Unreachable(str(responses[0][1].get("sentence", responses[0])))
         raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
 
-    async def _ask(self, method: str, path: str, form: dict[str, Any] | None) -> dict[str, Any]:
-        """Ask one server after another until one answers for good."""
-        give_up = asyncio.get_running_loop().time() + self._timeout
-        while asyncio.get_running_loop().time() < give_up:
+    async def _request_until_final(
+        self, method: str, path: str, form: dict[str, Any] | None
+    ) -> dict[str, Any]:
+        """Send a request to the servers in turn until one gives a final response."""
+        deadline = asyncio.get_running_loop().time() + self._timeout
+        while asyncio.get_running_loop().time() < deadline:
             for server in self._servers:
                 try:
-                    status, answer = await self._send(method, server, path, form)
-                except _NO_ANSWER:
+                    status, response = await self._send(method, server, path, form)
+                except _REQUEST_ERRORS:
                     continue
                 if status not in (503, 504):
-                    return dict(answer)
-            await asyncio.sleep(RETRY_WAIT)
+                    return dict(response)
+            await asyncio.sleep(RETRY_DELAY)
         raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
 
     async def _send(
         self, method: str, server: str, path: str, form: dict[str, Any] | None
     ) -> tuple[int, Any]:
-        """Send one request, on to the leader where that is said, and return status and JSON."""
+        """Send a request, follow redirects to the leader, and return the status and JSON."""
         url = URL(f"http://{server}{path}")
-        # The library would not show the token again after a redirect.
+        # aiohttp would drop the token on a redirect, so redirects are followed here.
         for _ in range(MAX_REDIRECTS):
             async with self._session.request(
                 method, url, json=form, allow_redirects=False
