--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -1,4 +1,4 @@
-"""What the commands do, apart from the command line that calls them."""
+"""Implementation of the commands, independent of the command line."""
 
 from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
--- a/cowslipvane/commands/_check.py
+++ b/cowslipvane/commands/_check.py
@@ -1,4 +1,4 @@
-"""The check of settings and resource files, without any process."""
+"""Offline check of settings and resource files."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class CheckReport(NamedTuple):
-    """The settings in effect, and a line for each fault of all files."""
+    """The settings in effect, and a line for each fault in any file."""
 
     effective: list[dict[str, Any]]
     faults: list[str]
 
 
 def check(settings: tuple[Path, ...], resources: tuple[Path, ...]) -> CheckReport:
-    """Return everything that is wrong with files."""
+    """Return the settings in effect and all faults of settings and resource files."""
     report = CheckReport([], [])
     for path in settings:
         try:
@@ -34,12 +34,14 @@
         except CommandFailed as error:
             report.faults.append(str(error))
             continue
-        report.faults.extend(f"{path}: {it.path}: {it.message}" for it in resource_faults(form))
+        report.faults.extend(
+            f"{path}: {fault.path}: {fault.message}" for fault in resource_faults(form)
+        )
     return report
 
 
 def resource_faults(form: dict[str, Any]) -> tuple[Fault, ...]:
-    """Return what is wrong with resources that are applied to an empty catalogue."""
+    """Return the faults of resources, as if they were applied to an empty catalogue."""
     change = read_change({**form, "operation_id": "check", "based_on": 0})
     match change:
         case Invalid(faults=faults):
--- a/cowslipvane/commands/_errors.py
+++ b/cowslipvane/commands/_errors.py
@@ -1,4 +1,4 @@
-"""The failure of a command."""
+"""The failure of a command, and a client whose errors raise it."""
 
 from __future__ import annotations
 
@@ -10,17 +10,17 @@
 from cowslipvane.client import Client, Unreachable
 from cowslipvane.settings import TokenFault, read_token
 
-# Names the file with the token that the processes want.
+# This environment variable names the file with the token that the processes require.
 TOKEN_FILE_VARIABLE = "COWSLIPVANE_TOKEN_FILE"
 
 
 class CommandFailed(Exception):
-    """A command could not do its work; the text says what to do."""
+    """Raised when a command fails; the text says what to do."""
 
 
 @asynccontextmanager
 async def open_client(servers: tuple[str, ...]) -> AsyncIterator[Client]:
-    """Return a client whose failure to reach anybody fails the command."""
+    """Open a client; raise CommandFailed if its token can't be read or no server responds."""
     path = os.environ.get(TOKEN_FILE_VARIABLE)
     try:
         token = read_token(Path(path)) if path else None
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -1,4 +1,4 @@
-"""The explanation of what became of a request."""
+"""Explanation of what happened to a request."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 from cowslipvane.events import EventForm
 from cowslipvane.types import Verdict
 
-_UNKNOWN = (
+_UNKNOWN_OUTCOME = (
     "The request was handed to an upstream, and no answer is on record."
     " The request may have run: check before you send it again."
 )
 
 
 class Account(NamedTuple):
-    """What was asked, what was decided, whether it ran, and what to tell the caller."""
+    """A request, the decision on it, whether it ran, a sentence for the caller, and its events."""
 
     request: str
     asked: str
@@ -34,11 +34,11 @@
     events: list[EventForm]
 
     def as_json(self) -> str:
-        """Return the account for programs."""
+        """Return the account as JSON."""
         return json.dumps(self._asdict(), indent=2)
 
     def as_text(self) -> str:
-        """Return the account for people."""
+        """Return the account as text."""
         lines = [
             self.sentence,
             f"  asked:    {self.asked}",
@@ -49,7 +49,7 @@
 
 
 async def explain(servers: tuple[str, ...], request: str) -> Account:
-    """Return the account of a request from every process that remembers it."""
+    """Return the account of a request from the events of all processes."""
     return build_account(request, await timeline_from_processes(servers, Filter(request=request)))
 
 
@@ -59,17 +59,19 @@
 
 
 def build_account(request: str, timeline: Timeline) -> Account:
-    """Return the account that the events of a request give; raise CommandFailed without any."""
+    """Build the account of a request from its events; raise CommandFailed if there are none."""
     if not timeline.events:
-        missing = f" ({'; '.join(timeline.gaps)})" if timeline.gaps else ""
-        raise CommandFailed(f"no process remembers request {request}; check the id{missing}")
-    asked = next((it["detail"]["asked"] for it in timeline.events if "asked" in it["detail"]), "?")
+        gaps = f" ({'; '.join(timeline.gaps)})" if timeline.gaps else ""
+        raise CommandFailed(f"no events of request {request} found; check the id{gaps}")
+    asked = next(
+        (event["detail"]["asked"] for event in timeline.events if "asked" in event["detail"]), "?"
+    )
     refusals = [event for event in timeline.events if event["kind"] == "refusal"]
     verdicts = [event for event in timeline.events if event["kind"] == "verdict"]
     late = [event for event in timeline.events if event["kind"] == "late"]
     match refusals, late or verdicts:
         case [first, *_], _:
-            # What the caller was told stands, whatever else comes to light.
+            # The caller received this refusal, so it takes precedence over all other events.
             detail = first["detail"]
             decision = f"refused as {detail['code']}"
             verdict, sentence = detail["verdict"], detail["sentence"]
@@ -89,5 +91,5 @@
                 f"The upstream on {owner} answered with status {status}. The request was run."
             )
         case _:
-            decision, verdict, sentence = "unknown", Verdict.MAY_HAVE_RUN.value, _UNKNOWN
+            decision, verdict, sentence = "unknown", Verdict.MAY_HAVE_RUN.value, _UNKNOWN_OUTCOME
     return Account(request, asked, decision, verdict, sentence, timeline.events)
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -1,4 +1,4 @@
-"""Commands on processes: run one, describe it, ask what it knows, take it out."""
+"""Commands on processes: run, settings, status, drain and debug."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from cowslipvane.storage import FolderBusy, FolderDamaged, FolderEmpty
 from cowslipvane.types import Seconds
 
-# Time between looks at a process that is being drained.
+# Time between status requests to a process that is being drained.
 DRAIN_POLL_INTERVAL: Seconds = 0.2
 
 
@@ -28,7 +28,7 @@
 
 
 def run(settings: Settings) -> None:
-    """Run a daemon until it is stopped; raise CommandFailed when it can't begin."""
+    """Run a daemon until it is stopped; raise CommandFailed if it can't start."""
     try:
         asyncio.run(_run(settings))
     except (FolderBusy, FolderDamaged, FolderEmpty) as error:
@@ -40,40 +40,42 @@
 
 
 async def status(servers: tuple[str, ...]) -> dict[str, Any]:
-    """Return what the leader, or a process that answers, knows."""
+    """Return the status of the leader, or else of the first server that responds."""
     async with open_client(servers) as client:
         return await client.status()
 
 
 async def drain(servers: tuple[str, ...], host: str, wait: bool) -> dict[str, str]:
-    """Take a host's process out; wait until it has ended if that is asked."""
-    async with open_client((await _operators(servers, host),)) as client:
+    """Drain the process of a host; if wait is set, return once it has ended."""
+    async with open_client((await _operators_address(servers, host),)) as client:
         await client.request("POST", "/v1/drain")
         if wait:
-            await _until_ended(client)
+            await _wait_until_ended(client)
     return {"host": host, "state": "ended" if wait else "leaving"}
 
 
 async def debug(servers: tuple[str, ...], host: str | None) -> dict[str, Any]:
-    """Return what a process knows of itself."""
+    """Return the debug report of a host, or else of the first server that responds."""
     if host is not None:
-        servers = (await _operators(servers, host),)
+        servers = (await _operators_address(servers, host),)
     async with open_client(servers) as client:
         return await client.request("GET", "/v1/debug")
 
 
-async def _operators(servers: tuple[str, ...], host: str) -> str:
+async def _operators_address(servers: tuple[str, ...], host: str) -> str:
     """Return the operators' address of a host."""
     async with open_client(servers) as client:
         members = await client.members()
     known = {member["host"]: str(member["operators"]) for member in members}
     if host not in known:
-        raise CommandFailed(f"no host {host} is known; known are {', '.join(sorted(known))}")
+        raise CommandFailed(
+            f"no host {host} is known; the known hosts are {', '.join(sorted(known))}"
+        )
     return known[host]
 
 
-async def _until_ended(client: Client) -> None:
-    """Return once a process answers no more."""
+async def _wait_until_ended(client: Client) -> None:
+    """Wait until a process no longer responds."""
     while True:
         try:
             await client.request("GET", "/v1/status")
@@ -84,7 +86,7 @@
 
 async def _run(settings: Settings) -> None:
     """Build the daemon inside the event loop, and run it."""
-    # Other commands need not load what only a daemon needs.
+    # Imported here, so that other commands don't load what only a daemon needs.
     from cowslipvane.daemon import Daemon  # noqa: PLC0415
 
     await Daemon(settings=settings).run()
--- a/cowslipvane/commands/_replica.py
+++ b/cowslipvane/commands/_replica.py
@@ -19,15 +19,15 @@
 
 
 def create_replica(settings: Settings, group: str, voters: tuple[str, ...]) -> None:
-    """Make the data folder part of a new group."""
-    members = tuple(_voter(voter) for voter in voters)
+    """Initialize the data folder of a founding member of a new group."""
+    members = tuple(_parse_voter(voter) for voter in voters)
     if settings.host not in [member.host for member in members]:
         raise CommandFailed(f"no --voter names this host, {settings.host}; add it")
     _create_folder(settings, group, members)
 
 
 def join_replica(settings: Settings, group: str) -> ReplicaId:
-    """Prepare an empty data folder for a group that will add it, and return its identity."""
+    """Initialize the data folder of a replica to be added to a group; return its identity."""
     return _create_folder(settings, group, ())
 
 
@@ -40,36 +40,36 @@
 async def add_or_replace_replica(
     servers: tuple[str, ...], change: str, member: str, replica_id: str
 ) -> dict[str, Any]:
-    """Add a replica or replace the one on its host, and return once it votes."""
-    voter = _voter(member)
+    """Add a replica or replace the one on its host, and wait until it is a voter."""
+    voter = _parse_voter(member)
     form = {"change": change, "host": voter.host, "address": str(voter.address)}
     async with open_client(servers) as client:
-        await _regroup(client, {**form, "replica_id": replica_id})
+        await _change_group(client, {**form, "replica_id": replica_id})
         try:
             async with asyncio.timeout(PROMOTION_TIMEOUT):
-                return await _until_voter(client, replica_id)
+                return await _wait_until_voter(client, replica_id)
         except TimeoutError:
             raise CommandFailed(
-                f"{voter.host} is a learner and has not everything yet; see 'replica list'"
+                f"{voter.host} is still a learner, which has not caught up; see 'replica list'"
             ) from None
 
 
 async def remove_replica(servers: tuple[str, ...], host: str) -> dict[str, Any]:
-    """Take the replica on a host out of the group."""
+    """Remove the replica on a host from the group."""
     async with open_client(servers) as client:
-        return await _regroup(client, {"change": "remove", "host": host})
+        return await _change_group(client, {"change": "remove", "host": host})
 
 
-async def _regroup(client: Client, form: dict[str, Any]) -> dict[str, Any]:
-    """Send a change of the group; a refusal fails the command."""
-    answer = await client.change_group(form)
-    if answer.get("outcome") != "accepted":
-        raise CommandFailed(str(answer.get("sentence", answer)))
-    return answer
+async def _change_group(client: Client, form: dict[str, Any]) -> dict[str, Any]:
+    """Send a group change; raise CommandFailed if it is not accepted."""
+    response = await client.change_group(form)
+    if response.get("outcome") != "accepted":
+        raise CommandFailed(str(response.get("sentence", response)))
+    return response
 
 
-async def _until_voter(client: Client, replica_id: str) -> dict[str, Any]:
-    """Return the group once a replica votes in it."""
+async def _wait_until_voter(client: Client, replica_id: str) -> dict[str, Any]:
+    """Wait until a replica is a voter, and return the group."""
     while True:
         group = await client.replicas()
         if any(voter["replica_id"] == replica_id for voter in group["voters"]):
@@ -89,8 +89,8 @@
     return replica_id
 
 
-def _voter(text: str) -> Voter:
-    """Return the voter in a text HOST=IP:PORT."""
+def _parse_voter(text: str) -> Voter:
+    """Parse a voter given as HOST=IP:PORT."""
     host, _, address = text.partition("=")
     if not host:
         raise CommandFailed(f"{text}: give HOST=IP:PORT")
--- a/cowslipvane/commands/_resources.py
+++ b/cowslipvane/commands/_resources.py
@@ -34,34 +34,34 @@
 
 
 async def get(servers: tuple[str, ...], resource: str) -> dict[str, Any]:
-    """Return the accepted resources, or one named KIND/NAME, and where they are in force."""
+    """Return the accepted resources, or one given as KIND/NAME, and its rollout status."""
     kind, _, name = resource.partition("/")
     async with open_client(servers) as client:
         if not resource:
             return await client.resources()
-        found = await client.resource(kind, name)
-    if "kind" not in found:
-        raise CommandFailed(f"{found['sentence']}; name it as KIND/NAME")
-    return found
+        response = await client.resource(kind, name)
+    if "kind" not in response:
+        raise CommandFailed(f"{response['sentence']}; name it as KIND/NAME")
+    return response
 
 
 async def history(servers: tuple[str, ...], version: int) -> list[dict[str, Any]]:
     """Return the changes accepted after a version."""
     async with open_client(servers) as client:
-        found = await client.history(version)
-    if "changes" not in found:
-        raise CommandFailed(found["sentence"])
-    return list(found["changes"])
+        response = await client.history(version)
+    if "changes" not in response:
+        raise CommandFailed(response["sentence"])
+    return list(response["changes"])
 
 
 async def diff(servers: tuple[str, ...], form: dict[str, Any]) -> dict[str, Any]:
-    """Return what a change would do, or why it can't be accepted; nothing is applied."""
+    """Return the effects of a change, or its faults, without applying it."""
     form = {**form, "operation_id": uuid.uuid4().hex, "dry_run": True}
     return await apply(servers, form, None)
 
 
 def diff_lines(effects: list[dict[str, Any]]) -> list[str]:
-    """Return a line for each resource and each field that a change would alter."""
+    """Return a line for each resource and each field that a change would modify."""
     lines = []
     for effect in effects:
         before, after = effect["before"] or {}, effect["after"] or {}
@@ -75,7 +75,7 @@
 
 
 async def watch(servers: tuple[str, ...], version: int, show: Callable[[str], Any]) -> None:
-    """Show a line for each change that is accepted, and as the newest comes into force."""
+    """Show a line for each accepted change, and for the rollout progress of the newest."""
     try:
         async with open_client(servers) as client:
             async for line in client.watch(version):
--- a/cowslipvane/commands/_timeline.py
+++ b/cowslipvane/commands/_timeline.py
@@ -1,4 +1,4 @@
-"""The time line: events of all processes in one order, so that causes come before effects."""
+"""The timeline: events of all processes in one order, in which causes precede effects."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Filter(NamedTuple):
-    """Which events are wanted; empty texts, 0 and None want any. Times are wall seconds."""
+    """Criteria for events; an empty text, 0 or None matches any. Times are wall-clock seconds."""
 
     request: str = ""
     version: int = 0
@@ -22,7 +22,7 @@
     until: float | None = None
 
     def matches(self, event: EventForm) -> bool:
-        """Return whether an event is wanted."""
+        """Return whether an event meets all criteria."""
         about = {event["host"], event["detail"].get("owner"), event["detail"].get("member")}
         return (
             self.request in ("", event["request"])
@@ -34,49 +34,49 @@
 
 
 class Timeline(NamedTuple):
-    """Events in order, and a sentence for each thing that is missing from them."""
+    """Events in order, and a sentence for each known gap."""
 
     events: list[EventForm]
     gaps: list[str]
 
     def as_json(self) -> str:
-        """Return the time line for programs."""
+        """Return the timeline as JSON."""
         return json.dumps(self._asdict(), indent=2)
 
     def as_text(self) -> str:
-        """Return the time line for people, an event a line."""
+        """Return the timeline as text, with one event per line."""
         return "\n".join([*map(format_event, self.events), *(f"! {gap}" for gap in self.gaps)])
 
 
-async def timeline_from_processes(servers: tuple[str, ...], wanted: Filter) -> Timeline:
-    """Merge the events that live processes hold in memory."""
-    path = f"/v1/events?request={wanted.request}&version={wanted.version}"
+async def timeline_from_processes(servers: tuple[str, ...], criteria: Filter) -> Timeline:
+    """Merge the events that running processes hold in memory."""
+    path = f"/v1/events?request={criteria.request}&version={criteria.version}"
     async with open_client(servers) as client:
-        found = await client.request_all(path)
-    gaps = [f"{host} did not answer: {why}" for host, why in sorted(found.errors.items())]
-    for host, answer in sorted(found.responses.items()):
-        gaps += [f"{host} {gap}" for gap in _losses(answer["counts"])]
-    events = [event for answer in found.responses.values() for event in answer["events"]]
-    return Timeline(merge(events, wanted), gaps)
+        replies = await client.request_all(path)
+    gaps = [f"{host} did not answer: {why}" for host, why in sorted(replies.errors.items())]
+    for host, response in sorted(replies.responses.items()):
+        gaps += [f"{host} {gap}" for gap in _losses(response["counts"])]
+    events = [event for response in replies.responses.values() for event in response["events"]]
+    return Timeline(merge(events, criteria), gaps)
 
 
-def timeline_from_files(paths: tuple[Path, ...], wanted: Filter) -> Timeline:
-    """Merge the events of event files, each with the older file beside it."""
+def timeline_from_files(paths: tuple[Path, ...], criteria: Filter) -> Timeline:
+    """Merge the events of event files and of the rotated files beside them."""
     missing = [str(path) for path in paths if not path.is_file()]
     if missing:
         raise CommandFailed(f"{', '.join(missing)}: no such file; name event files that exist")
-    both = {file: None for path in paths for file in (rotated_path(path), path)}
-    return Timeline(merge(read_events(both), wanted), [])
+    with_rotated = {file: None for path in paths for file in (rotated_path(path), path)}
+    return Timeline(merge(read_events(with_rotated), criteria), [])
 
 
-def merge(events: Iterable[EventForm], wanted: Filter) -> list[EventForm]:
-    """Return the wanted events in the order of their stamps, each once."""
-    once = {_order(event): event for event in events if wanted.matches(event)}
-    return [once[key] for key in sorted(once)]
+def merge(events: Iterable[EventForm], criteria: Filter) -> list[EventForm]:
+    """Return the events that match, without duplicates, in the order of their stamps."""
+    unique = {_sort_key(event): event for event in events if criteria.matches(event)}
+    return [unique[key] for key in sorted(unique)]
 
 
 def format_event(event: EventForm) -> str:
-    """Return one event as a line."""
+    """Return an event as one line of text."""
     moment = datetime.datetime.fromtimestamp(event["wall"], datetime.UTC)
     about = [f"version={event['version']}"] if event["version"] else []
     about += [f"request={event['request']}"] if event["request"] else []
@@ -85,13 +85,13 @@
     return " ".join([stamp, event["host"], event["kind"], *about])
 
 
-def _order(event: EventForm) -> tuple[Any, ...]:
-    """Return what orders events of all processes, and is the event's own."""
+def _sort_key(event: EventForm) -> tuple[Any, ...]:
+    """Return a key that identifies an event and orders events of all processes."""
     return event["wall"], event["logical"], event["host"], event["process"], event["kind"]
 
 
 def _losses(counts: dict[str, int]) -> list[str]:
-    """Return a sentence for each kind of loss that a process counts."""
+    """Return a sentence for each kind of lost events that a process counts."""
     sentences = {
         "dropped_from_memory": "events are no longer in memory; see its event file",
         "dropped_from_file": "events were deleted with older event files",
--- a/cowslipvane/commands/_timeline_page.py
+++ b/cowslipvane/commands/_timeline_page.py
@@ -1,4 +1,4 @@
-"""The time line as one HTML page that needs nothing else: a row for each process."""
+"""The timeline as one self-contained HTML page, with a row for each process."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 _TOP = 40
 _RADIUS = 5
 _TICKS = 6
-# Colours that most readers can tell apart, by kind; the other kinds are grey.
+# Colours by kind, most from the Okabe-Ito palette for colour-blind readers; others are grey.
 _COLOURS = {
     "accepted": "#0072b2",
     "applied": "#56b4e9",
@@ -36,7 +36,7 @@
 
 
 def render_timeline_page(timeline: Timeline) -> str:
-    """Return the page."""
+    """Return the HTML page of a timeline."""
     gaps = "".join(f'<li class="gap">{escape(gap)}</li>' for gap in timeline.gaps)
     rows = "".join(f"<tr><td>{escape(format_event(event))}</td></tr>" for event in timeline.events)
     return (
@@ -72,7 +72,7 @@
 
 
 def _draw_axis(svg: Xml.Element, first: float, span: float, bottom: int) -> None:
-    """Draw the times, as seconds after the first event."""
+    """Draw the time axis, in seconds after the first event."""
     start = datetime.datetime.fromtimestamp(first, datetime.UTC)
     _draw_text(svg, (4, 16), f"{start:%Y-%m-%d %H:%M:%S} UTC")
     for tick in range(_TICKS):
@@ -82,7 +82,7 @@
 
 
 def _draw_event(svg: Xml.Element, event: EventForm, at: tuple[float, float]) -> None:
-    """Draw one event as a dot that tells of itself under the pointer."""
+    """Draw one event as a dot whose tooltip describes it."""
     x, y = at
     place = {"cx": f"{x:.1f}", "cy": f"{y:.1f}", "r": str(_RADIUS)}
     colour = _COLOURS.get(event["kind"], _OTHER_COLOUR)
@@ -92,7 +92,7 @@
 
 
 def _draw_legend(svg: Xml.Element, events: list[EventForm], y: int) -> None:
-    """Draw the colour of each kind that occurs."""
+    """Draw a legend with the colour of each kind that occurs."""
     present = {event["kind"] for event in events}
     shown = [kind for kind in EVENT_KINDS if kind in present]
     for number, kind in enumerate(shown):
@@ -111,6 +111,6 @@
 
 
 def _draw_text(svg: Xml.Element, at: tuple[float, float], text: str) -> None:
-    """Write a text."""
+    """Draw a text."""
     label = Xml.SubElement(svg, "text", {"x": f"{at[0]:.1f}", "y": f"{at[1]:.1f}"})
     label.text = text
