--- a/cowslipvane/cmdline/__init__.py
+++ b/cowslipvane/cmdline/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: it parses, calls, and prints."""
+"""The command line: parses arguments, calls the commands, and prints their results."""
 
 from cowslipvane.cmdline._main import main
 
--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -1,4 +1,4 @@
-"""Commands that explain what became of requests and versions."""
+"""Commands that explain what happened to requests and versions."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 
 class Timestamp(click.ParamType[float]):
-    """A time: ISO 8601, in UTC unless it says otherwise, or seconds since 1970."""
+    """A time in ISO 8601, in UTC unless it has an offset, or in seconds since 1970."""
 
     name = "time"
 
     def convert(
         self, value: object, param: click.Parameter | None, ctx: click.Context | None
     ) -> float:
-        """Return wall time in seconds."""
+        """Return the wall-clock time in seconds since 1970."""
         text = str(value)
         try:
             return float(text)
@@ -42,14 +42,14 @@
     "servers",
     multiple=True,
     envvar="COWSLIPVANE_SERVERS",
-    help="IP:PORT of a process's operators' listener; the others are found through it.",
+    help="IP:PORT of a process's operators' listener; it reports the other processes.",
 )
 file_option = click.option(
     "--file",
     "files",
     multiple=True,
     type=click.Path(path_type=Path),
-    help="An event file or log to read instead of asking processes; give several to merge them.",
+    help="An event file or log to read instead of querying processes; repeat to merge several.",
 )
 
 
@@ -61,15 +61,17 @@
 def explain(
     *, servers: tuple[str, ...], files: tuple[Path, ...], output: str, request: str
 ) -> None:
-    """Explain what became of a request, by its id."""
-    account = run_command(with_progress(_account(servers, files, request), "asking every process"))
+    """Explain what happened to the request with this id."""
+    account = run_command(
+        with_progress(_account(servers, files, request), "querying every process")
+    )
     click.echo(account.as_json() if output == "json" else account.as_text())
 
 
 async def _account(
     servers: tuple[str, ...], files: tuple[Path, ...], request: str
 ) -> commands.Account:
-    """Return the account of a request from files if there are any, or from live processes."""
+    """Return the account of a request from the files if any are given, else from processes."""
     if files:
         return commands.explain_from_files(files, request)
     if servers:
@@ -86,7 +88,9 @@
 @click.option("--since", type=Timestamp(), help="Only events from this time on.")
 @click.option("--until", type=Timestamp(), help="Only events up to this time.")
 @click.option(
-    "--html", type=click.Path(path_type=Path), help="Also draw the events into this HTML file."
+    "--html",
+    type=click.Path(path_type=Path),
+    help="Also write a diagram of the events to this HTML file.",
 )
 @output_option
 def timeline(
@@ -101,27 +105,27 @@
     html: Path | None,
     output: str,
 ) -> None:
-    """Print the events of all processes in one order."""
-    wanted = commands.Filter(request, version, upstream, since, until)
-    found = run_command(with_progress(_collect(servers, files, wanted), "collecting events"))
-    click.echo(found.as_json() if output == "json" else found.as_text())
+    """Print the events of all processes in one order, with causes before effects."""
+    criteria = commands.Filter(request, version, upstream, since, until)
+    merged = run_command(with_progress(_collect(servers, files, criteria), "collecting events"))
+    click.echo(merged.as_json() if output == "json" else merged.as_text())
     if html is not None:
-        _write(html, commands.render_timeline_page(found))
+        _write(html, commands.render_timeline_page(merged))
 
 
 async def _collect(
-    servers: tuple[str, ...], files: tuple[Path, ...], wanted: commands.Filter
+    servers: tuple[str, ...], files: tuple[Path, ...], criteria: commands.Filter
 ) -> commands.Timeline:
-    """Return the events of files if there are any, or of live processes."""
+    """Return the timeline of the files if any are given, else of processes."""
     if files:
-        return commands.timeline_from_files(files, wanted)
+        return commands.timeline_from_files(files, criteria)
     if servers:
-        return await commands.timeline_from_processes(servers, wanted)
+        return await commands.timeline_from_processes(servers, criteria)
     raise commands.CommandFailed(NO_SOURCE_MESSAGE)
 
 
 def _write(path: Path, text: str) -> None:
-    """Write a file, or exit with a line that says why not."""
+    """Write a file, or print the error in one line and exit."""
     try:
         path.write_text(text, encoding="utf-8")
     except OSError as error:
--- a/cowslipvane/cmdline/_options.py
+++ b/cowslipvane/cmdline/_options.py
@@ -1,4 +1,4 @@
-"""Options that several commands share, and how a failed command ends."""
+"""Options shared by several commands, and the handling of failed commands."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     multiple=True,
     required=True,
     envvar="COWSLIPVANE_SERVERS",
-    help="IP:PORT of a process's operators' listener; give several to survive failures.",
+    help="IP:PORT of a process's operators' listener; repeat to name fallbacks.",
 )
 output_option = click.option(
     "--output",
@@ -35,7 +35,7 @@
 
 
 def run_command(coroutine: Coroutine[Any, Any, T]) -> T:
-    """Run a command and turn its failure into one line."""
+    """Run a command, and report its failure as one line."""
     try:
         return asyncio.run(coroutine)
     except commands.CommandFailed as error:
@@ -43,7 +43,7 @@
 
 
 def read_settings(path: Path) -> Settings:
-    """Return the settings in a file, or exit with a line for each fault."""
+    """Return the settings in a file, or print a line for each fault and exit."""
     try:
         return commands.read_settings(path)
     except commands.SettingsFault as error:
--- a/cowslipvane/cmdline/_output.py
+++ b/cowslipvane/cmdline/_output.py
@@ -1,4 +1,4 @@
-"""What commands print: tables for people, JSON for programs, progress on a terminal."""
+"""Output of commands: tables for people, JSON for programs, progress on a terminal."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 from cowslipvane.types import Seconds
 
-# What takes longer than this says so.
+# A command that is still running reports it at this interval.
 PROGRESS_INTERVAL: Seconds = 1.0
 _GAP = "  "
 _STATE_COLOURS = {"up": "green", "leaving": "yellow", "gone": "red", "silent": "red"}
@@ -20,12 +20,12 @@
 
 
 def print_result(form: Any, output: str, text: str) -> None:
-    """Print a form as JSON, or its text, whichever the output option asks for."""
+    """Print a form as JSON or as text, according to the output option."""
     click.echo(json.dumps(form, indent=2) if output == "json" else text)
 
 
 def table(headers: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
-    """Return rows in columns that line up; click drops the colours where there is no terminal."""
+    """Return a table with aligned columns; click removes the colours outside a terminal."""
     texts = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(headers, *texts, strict=True)]
     lines = [_line(headers, widths, bold=True), *(_line(row, widths) for row in texts)]
@@ -43,13 +43,13 @@
     return _GAP.join(styled).rstrip()
 
 
-async def with_progress(work: Coroutine[Any, Any, T], doing: str) -> T:
-    """Return what the work returns; say on a terminal that it still goes on."""
+async def with_progress(work: Coroutine[Any, Any, T], activity: str) -> T:
+    """Await the work and return its result; on a terminal, report that it is still running."""
     task = asyncio.ensure_future(work)
     try:
         while not (await asyncio.wait({task}, timeout=PROGRESS_INTERVAL))[0]:
             if sys.stderr.isatty():
-                click.echo(f"{doing} ...", err=True)
+                click.echo(f"{activity} ...", err=True)
         return task.result()
     finally:
         task.cancel()
--- a/cowslipvane/cmdline/_process.py
+++ b/cowslipvane/cmdline/_process.py
@@ -1,4 +1,4 @@
-"""Commands on processes: run one, check its files, ask what it knows, take it out."""
+"""Commands on processes: run, check, status, drain, debug and completion."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 @click.command()
 @settings_option
 def run(path: Path) -> None:
-    """Run the process of this host's slot."""
+    """Run the process of this host."""
     try:
         commands.run(read_settings(path))
     except commands.CommandFailed as error:
@@ -37,7 +37,7 @@
     "settings",
     multiple=True,
     type=click.Path(path_type=Path),
-    help="A settings file; its settings in effect are printed.",
+    help="A settings file to check; the settings in effect are printed.",
 )
 @click.option(
     "-f",
@@ -45,11 +45,11 @@
     "resources",
     multiple=True,
     type=click.Path(path_type=Path),
-    help="A resource file, checked as if it were applied to nothing.",
+    help="A resource file to check, as if it were applied to an empty catalogue.",
 )
 @output_option
 def check(settings: tuple[Path, ...], resources: tuple[Path, ...], output: str) -> None:
-    """Check files without asking any process, and report every fault."""
+    """Check settings and resource files offline, and report every fault."""
     if not settings and not resources:
         raise click.UsageError("name files to check by --settings or --file")
     report = commands.check(settings, resources)
@@ -68,8 +68,8 @@
 @server_option
 @output_option
 def status(servers: tuple[str, ...], output: str) -> None:
-    """Print what the leader, or a process that answers, knows."""
-    form = run_command(with_progress(commands.status(servers), "asking for the status"))
+    """Print the status of the leader, or else of the first server that responds."""
+    form = run_command(with_progress(commands.status(servers), "requesting the status"))
     print_result(form, output, _status_text(form))
 
 
@@ -79,7 +79,7 @@
 @click.option("--wait/--no-wait", default=True, help="Return once the process has ended.")
 @click.argument("host")
 def drain(servers: tuple[str, ...], output: str, wait: bool, host: str) -> None:
-    """Take HOST out as planned: it starts nothing new, ends what runs, and exits."""
+    """Drain HOST: its process accepts no new work, finishes running work, and exits."""
     form = run_command(with_progress(commands.drain(servers, host, wait), f"draining {host}"))
     print_result(form, output, f"{host}: {form['state']}")
 
@@ -87,18 +87,18 @@
 @click.command()
 @server_option
 @output_option
-@click.option("--host", help="The host to ask; the first server that answers by default.")
+@click.option("--host", help="The host to query; by default, the first server that responds.")
 def debug(servers: tuple[str, ...], output: str, host: str | None) -> None:
-    """Print what a process knows of itself."""
-    form = run_command(with_progress(commands.debug(servers, host), "asking the process"))
-    print_result(form, output, table(("what", "value"), _flat("", form)))
+    """Print the debug report of a process."""
+    form = run_command(with_progress(commands.debug(servers, host), "requesting the debug report"))
+    print_result(form, output, table(("what", "value"), _flatten("", form)))
 
 
 @click.command()
 @click.argument("shell", type=click.Choice(["bash", "fish", "zsh"]))
 @click.pass_context
 def completion(context: click.Context, shell: str) -> None:
-    """Print the script that completes this command line in SHELL."""
+    """Print the completion script for SHELL."""
     kind = get_completion_class(shell)
     assert kind is not None
     root = context.find_root()
@@ -106,7 +106,7 @@
 
 
 def _status_text(form: dict[str, Any]) -> str:
-    """Return the status for people."""
+    """Return the status as text."""
     replica = form.get("replica", {})
     reports = {report["host"]: report["version"] for report in replica.get("reports", [])}
     rows = [
@@ -120,18 +120,18 @@
         )
         for member in form["members"]
     ]
-    heads = ("HOST", "DATA CENTRE", "STATE", "SERVICE", "IN FORCE", "OPERATORS")
+    headers = ("HOST", "DATA CENTRE", "STATE", "SERVICE", "IN FORCE", "OPERATORS")
     leader = f"leader {replica['leader']}, term {replica['term']}" if replica else "no replica"
     accepted = f"accepted version {replica['accepted']}" if replica else ""
-    first = ", ".join(filter(None, [f"asked {form['host']}", leader, accepted]))
-    return f"{first}\n{table(heads, sorted(rows))}"
+    summary = ", ".join(filter(None, [f"asked {form['host']}", leader, accepted]))
+    return f"{summary}\n{table(headers, sorted(rows))}"
 
 
-def _flat(path: str, form: Any) -> list[tuple[str, str]]:
-    """Return nested values as one row each, with the path to each."""
+def _flatten(path: str, form: Any) -> list[tuple[str, str]]:
+    """Return a row with the path and the value for each nested value."""
     if not isinstance(form, dict):
         return [(path, form if isinstance(form, str) else json.dumps(form))]
     rows = []
     for name, value in form.items():
-        rows += _flat(f"{path}.{name}" if path else name, value)
+        rows += _flatten(f"{path}.{name}" if path else name, value)
     return rows
--- a/cowslipvane/cmdline/_replica.py
+++ b/cowslipvane/cmdline/_replica.py
@@ -23,9 +23,15 @@
 @replica.command()
 @settings_option
 @click.option("--group", required=True, help="A name for the group, the same on each host.")
-@click.option("--voter", "voters", multiple=True, required=True, help="HOST=IP:PORT of a member.")
+@click.option(
+    "--voter",
+    "voters",
+    multiple=True,
+    required=True,
+    help="HOST=IP:PORT of a founding member; repeat for each.",
+)
 def create(path: Path, group: str, voters: tuple[str, ...]) -> None:
-    """Make the data folder part of a new group; do this once on each member's host."""
+    """Initialize the data folder for a new group; run this once on the host of each member."""
     try:
         commands.create_replica(read_settings(path), group, voters)
     except commands.CommandFailed as error:
@@ -34,9 +40,9 @@
 
 @replica.command()
 @settings_option
-@click.option("--group", required=True, help="The name that the group was created with.")
+@click.option("--group", required=True, help="The name under which the group was created.")
 def join(path: Path, group: str) -> None:
-    """Prepare an empty data folder for a group, and print the identity to add or replace with."""
+    """Initialize an empty data folder to join a group, and print the identity of the replica."""
     try:
         click.echo(commands.join_replica(read_settings(path), group))
     except commands.CommandFailed as error:
@@ -55,7 +61,7 @@
 @id_option
 @click.argument("member")
 def add(servers: tuple[str, ...], replica_id: str, member: str) -> None:
-    """Add a replica, MEMBER as HOST=IP:PORT, and wait until it votes."""
+    """Add a replica, MEMBER as HOST=IP:PORT, and wait until it is a voter."""
     group = run_command(commands.add_or_replace_replica(servers, "add", member, replica_id))
     click.echo(json.dumps(group, indent=2))
 
@@ -74,5 +80,5 @@
 @server_option
 @click.argument("host")
 def remove(servers: tuple[str, ...], host: str) -> None:
-    """Take the replica on a host out of the group."""
+    """Remove the replica on a host from the group."""
     click.echo(json.dumps(run_command(commands.remove_replica(servers, host)), indent=2))
--- a/cowslipvane/cmdline/_resources.py
+++ b/cowslipvane/cmdline/_resources.py
@@ -16,19 +16,25 @@
 @click.command()
 @server_option
 @click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
-@click.option("--based-on", type=int, help="The version you saw; the newest by default.")
-@click.option("--operation-id", default=lambda: uuid.uuid4().hex, help="Names this change.")
-@click.option("--dry-run", is_flag=True, help="Validate only.")
+@click.option(
+    "--based-on", type=int, help="The version that the change is based on; the newest by default."
+)
+@click.option(
+    "--operation-id",
+    default=lambda: uuid.uuid4().hex,
+    help="Identifies this change; a random id by default.",
+)
+@click.option("--dry-run", is_flag=True, help="Validate the change without applying it.")
 def apply(
     servers: tuple[str, ...], path: Path, based_on: int | None, operation_id: str, dry_run: bool
 ) -> None:
-    """Write the resources in a TOML or JSON file."""
+    """Apply the resources in a TOML or JSON file."""
     form = _read(path)
     form |= {"operation_id": operation_id, "dry_run": dry_run}
-    answer = run_command(commands.apply(servers, form, based_on))
-    _show_faults(path, answer)
-    click.echo(json.dumps(answer))
-    if answer["outcome"] not in ("accepted", "valid"):
+    response = run_command(commands.apply(servers, form, based_on))
+    _show_faults(path, response)
+    click.echo(json.dumps(response))
+    if response["outcome"] not in ("accepted", "valid"):
         raise SystemExit(1)
 
 
@@ -36,7 +42,7 @@
 @server_option
 @click.argument("resource", default="")
 def get(servers: tuple[str, ...], resource: str) -> None:
-    """Print the accepted resources, or one by KIND/NAME, and where they are in force."""
+    """Print all accepted resources, or the one named KIND/NAME, with their rollout status."""
     click.echo(json.dumps(run_command(commands.get(servers, resource)), indent=2))
 
 
@@ -44,19 +50,21 @@
 @server_option
 @click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
 def diff(servers: tuple[str, ...], path: Path) -> None:
-    """Print what applying a TOML or JSON file would change; exit with 1 if anything."""
-    answer = run_command(commands.diff(servers, _read(path)))
-    _show_faults(path, answer)
-    if answer["outcome"] != "valid":
+    """Print what applying a TOML or JSON file would change; exit with 1 if there are changes."""
+    response = run_command(commands.diff(servers, _read(path)))
+    _show_faults(path, response)
+    if response["outcome"] != "valid":
         raise SystemExit(EXIT_BAD_INPUT)
-    for line in commands.diff_lines(answer["effects"]):
+    for line in commands.diff_lines(response["effects"]):
         click.echo(line)
-    raise SystemExit(1 if answer["effects"] else 0)
+    raise SystemExit(1 if response["effects"] else 0)
 
 
 @click.command()
 @server_option
-@click.option("--from", "version", type=int, default=0, help="The version you hold.")
+@click.option(
+    "--from", "version", type=int, default=0, help="Print only changes after this version."
+)
 def history(servers: tuple[str, ...], version: int) -> None:
     """Print a line for each change that was accepted after a version."""
     for change in run_command(commands.history(servers, version)):
@@ -65,14 +73,16 @@
 
 @click.command()
 @server_option
-@click.option("--from", "version", type=int, default=0, help="The version you hold.")
+@click.option(
+    "--from", "version", type=int, default=0, help="Print only changes after this version."
+)
 def watch(servers: tuple[str, ...], version: int) -> None:
-    """Print a line for each change that is accepted, and as the newest comes into force."""
+    """Print a line for each accepted change, and for the rollout progress of the newest."""
     run_command(commands.watch(servers, version, click.echo))
 
 
 def _read(path: Path) -> dict[str, Any]:
-    """Return the resources in a file, or exit with a line that says why not."""
+    """Return the resources in a file, or print the error in one line and exit."""
     try:
         return commands.read_resources(path)
     except commands.CommandFailed as error:
@@ -80,7 +90,7 @@
         raise SystemExit(EXIT_BAD_INPUT) from None
 
 
-def _show_faults(path: Path, answer: dict[str, Any]) -> None:
+def _show_faults(path: Path, response: dict[str, Any]) -> None:
     """Print a line for each fault of a file."""
-    for fault in answer.get("faults", ()):
+    for fault in response.get("faults", ()):
         click.echo(f"{path}: {fault['path']}: {fault['message']}", err=True)
--- a/cowslipvane/commands/_resources.py
+++ b/cowslipvane/commands/_resources.py
@@ -34,7 +34,7 @@
 
 
 async def get(servers: tuple[str, ...], resource: str) -> dict[str, Any]:
-    """Return the accepted resources, or one given as KIND/NAME, and its rollout status."""
+    """Return all accepted resources, or the one named KIND/NAME, with their rollout status."""
     kind, _, name = resource.partition("/")
     async with open_client(servers) as client:
         if not resource:
