Name the tests of commands, forms and the timeline after what they check

Test names, heads and local names; the witness's copy is a copy at another process, and what holds hostile bytes says so. Each test checks what it checked before.

--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,4 +1,4 @@
-"""Tests of the command line, without any process."""
+"""Tests of the command line without a running process."""
 
 import json
 import tempfile
@@ -13,14 +13,14 @@
 from tests.test_settings import GOOD
 from tools.fleet import EXAMPLES
 
-NOBODY = "127.0.0.1:9"
+UNREACHABLE_SERVER = "127.0.0.1:9"
 
 
 class CommandLineTest(unittest.TestCase):
-    """Exit codes and errors are as documented."""
+    """Exit codes and error messages are as documented."""
 
     def setUp(self) -> None:
-        """Make a folder."""
+        """Create a temporary folder."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
@@ -36,8 +36,8 @@
         path.write_text(text)
         return str(path)
 
-    def test_nobody_answers(self) -> None:
-        """One line on standard error says what to do, and the code is 1."""
+    def test_unreachable_servers_fail_a_command(self) -> None:
+        """One line on standard error says what to do, and the exit code is 1."""
         for arguments in (
             ["status"],
             ["debug"],
@@ -45,13 +45,13 @@
             ["explain", "r1"],
             ["timeline"],
         ):
-            result = self.run_command(*arguments, "--server", NOBODY)
+            result = self.run_command(*arguments, "--server", UNREACHABLE_SERVER)
             self.assertEqual((result.exit_code, result.stdout), (1, ""), arguments)
             self.assertIn("name others by --server", result.stderr)
             self.assertEqual(result.stderr.count("\n"), 1, result.stderr)
 
-    def test_good_files_pass(self) -> None:
-        """What ships is good, and settings in effect are printed."""
+    def test_valid_files_pass_the_check(self) -> None:
+        """The resources of the examples are valid, and the settings in effect are printed."""
         resources = [f"--file={path}" for path in sorted(EXAMPLES.glob("*/resources.toml"))]
         result = self.run_command("check", "--settings", self.file("s.toml", GOOD), *resources)
         self.assertEqual((result.exit_code, result.stderr), (0, ""))
@@ -60,8 +60,8 @@
         result = self.run_command("check", "--output", "json", *resources)
         self.assertEqual(json.loads(result.stdout), {"effective": [], "faults": []})
 
-    def test_all_faults_of_all_files_come_together(self) -> None:
-        """The code is 2, and each fault is a line with its file."""
+    def test_all_faults_of_all_files_are_reported_together(self) -> None:
+        """The exit code is 2, and each fault is a line with its file."""
         route = '[[resource]]\nkind = "route"\nname = "r"\n[resource.spec]\nnonsense = 1\n'
         result = self.run_command(
             "check",
@@ -76,16 +76,16 @@
         for part in ("s.toml: host", "r.toml: route/r", "found 'king'", "missing.toml: can't be"):
             self.assertIn(part, result.stderr)
 
-    def test_a_bad_token_file_is_told_without_the_token(self) -> None:
+    def test_an_invalid_token_file_is_reported_without_the_token(self) -> None:
         """A token that is too short isn't printed."""
         path = self.file("token", "tiny-secret")
-        result = self.run_command("status", "--server", NOBODY, token_file=path)
+        result = self.run_command("status", "--server", UNREACHABLE_SERVER, token_file=path)
         self.assertEqual(result.exit_code, 1)
         self.assertIn("at least 16 characters", result.stderr)
         self.assertNotIn("tiny-secret", result.output)
 
-    def test_run_says_in_one_line_why_it_can_t_begin(self) -> None:
-        """A replica without a group is no traceback."""
+    def test_run_reports_in_one_line_why_it_can_not_start(self) -> None:
+        """A replica without a group fails with a message instead of a traceback."""
         settings = GOOD.replace('["proxy"]', '["replica"]').replace(
             "[listen]", f'data_folder = "{self.folder}"\n[listen]'
         )
@@ -93,8 +93,8 @@
         self.assertEqual(result.exit_code, 1)
         self.assertRegex(result.stderr, r"^Error: .*run 'cowslipvane replica create'\n$")
 
-    def test_times_are_read(self) -> None:
-        """A time that is none is bad input."""
+    def test_times_are_parsed(self) -> None:
+        """An invalid time is bad input."""
         empty = self.file("e", "")
         good = self.run_command("timeline", "--file", empty, "--since", "2026-01-01T00:00:00")
         self.assertEqual(good.exit_code, 0)
@@ -103,12 +103,12 @@
         self.assertIn("give 2026-01-31T12:00:00", bad.stderr)
 
     def test_completion_names_the_program(self) -> None:
-        """Each shell gets a script."""
+        """There is a script for each shell."""
         for shell in ("bash", "fish", "zsh"):
             script = self.run_command("completion", shell).stdout
             self.assertIn("_COWSLIPVANE_COMPLETE", script)
 
-    def test_a_table_lines_up(self) -> None:
+    def test_the_columns_of_a_table_are_aligned(self) -> None:
         """Columns are as wide as their widest cell."""
         text = click.unstyle(table(("A", "B"), [("long cell", 1), ("x", "up")]))
         self.assertEqual(text, "A          B\nlong cell  1\nx          up")
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -1,4 +1,4 @@
-"""Tests of reading changes from JSON: all faults together, whatever comes."""
+"""Tests of parsing changes from JSON: every fault is reported, and any input is handled."""
 
 import json
 import math
@@ -34,21 +34,21 @@
 
 
 class FormsTest(unittest.TestCase):
-    """What is refused, and by which path."""
+    """Invalid changes are refused with the path of each fault."""
 
     def paths(self, form: Any) -> list[str]:
-        """Return the paths of the faults that reading or judging a change finds."""
-        found: object = read_change(form)
-        if isinstance(found, Change):
-            found = Catalogue().apply(found, accepted_at=1.0)
-        assert isinstance(found, Invalid), found
-        self.assertTrue(all(fault.message for fault in found.faults))
-        return [fault.path for fault in found.faults]
-
-    def test_each_hole_is_closed(self) -> None:
-        """Values that look like others, and values without bounds, are refused."""
+        """Return the paths of the faults that parsing or applying a change finds."""
+        outcome: object = read_change(form)
+        if isinstance(outcome, Change):
+            outcome = Catalogue().apply(outcome, accepted_at=1.0)
+        assert isinstance(outcome, Invalid), outcome
+        self.assertTrue(all(fault.message for fault in outcome.faults))
+        return [fault.path for fault in outcome.faults]
+
+    def test_values_of_wrong_type_or_range_are_refused(self) -> None:
+        """Values that would convert to the expected type, or that exceed its range, are refused."""
         target = {"service": "s", "weight": True}
-        holes = {
+        invalid_specs = {
             "route/r.targets": ("route", {"targets": "abc"}),
             "route/r.targets[0].weight": ("route", {"targets": [target]}),
             "retry-policy/r.methods": ("retry-policy", {"methods": "GET", "idempotency_key": True}),
@@ -60,12 +60,12 @@
             "upstream/r.state": ("upstream", {"state": "gone"}),
             "resources[0].kind": ([], {}),
         }
-        for path, (kind, spec) in holes.items():
+        for path, (kind, spec) in invalid_specs.items():
             with self.subTest(path):
                 self.assertEqual(self.paths(change_form(resource(kind, spec))), [path])
 
-    def test_faults_come_together(self) -> None:
-        """One answer names every fault."""
+    def test_all_faults_are_reported_together(self) -> None:
+        """One response lists every fault of a change."""
         form = change_form(
             resource("service", {"colour": 1}),
             resource("retry-policy", {"attempts": "2"}),
@@ -73,34 +73,36 @@
             based_on=-1,
         )
         form["deletes"] = [{"kind": "x", "name": "y"}]
-        wanted = ["based_on", "deletes[0].kind", "resources[2].name"]
-        wanted += ["retry-policy/r.attempts", "service/r"]
-        self.assertEqual(sorted(self.paths(form)), wanted)
+        expected = ["based_on", "deletes[0].kind", "resources[2].name"]
+        expected += ["retry-policy/r.attempts", "service/r"]
+        self.assertEqual(sorted(self.paths(form)), expected)
 
-    def test_a_resource_can_not_be_written_and_deleted_at_once(self) -> None:
-        """Neither would be meant."""
+    def test_a_resource_can_not_be_written_and_deleted_in_one_change(self) -> None:
+        """The two contradict each other, so the change is invalid."""
         form = change_form(resource("service", {}))
         form["deletes"] = [{"kind": "service", "name": "r"}]
-        found = read_change(form)
-        assert isinstance(found, Invalid)
-        self.assertEqual([fault.path for fault in found.faults], ["service/r"])
+        change = read_change(form)
+        assert isinstance(change, Invalid)
+        self.assertEqual([fault.path for fault in change.faults], ["service/r"])
 
-    def test_a_change_can_not_be_based_on_a_version_to_come(self) -> None:
-        """Otherwise it would win over changes that its operator never saw."""
+    def test_a_change_can_not_be_based_on_a_future_version(self) -> None:
+        """Otherwise it would overwrite changes that its operator never saw, without a conflict."""
         form = change_form(resource("service", {}), based_on=7)
         self.assertEqual(self.paths(form), ["based_on"])
 
     @seed(1)
     @settings(max_examples=300, deadline=None, database=None)
     @given(st.lists(RESOURCE, max_size=3), JSON)
-    def test_nonsense_is_refused_or_travels(self, resources: list[Any], based_on: Any) -> None:
-        """What is accepted can be sent and read again; all else has faults that JSON can hold."""
-        found = read_change(change_form(*resources, based_on=based_on))
-        if isinstance(found, Change):
-            self.assertEqual(decode_as(Change, encode_untagged(found)), found)
+    def test_random_changes_are_refused_or_can_be_encoded(
+        self, resources: list[Any], based_on: Any
+    ) -> None:
+        """A valid change survives encoding and decoding; the faults of any other fit into JSON."""
+        change = read_change(change_form(*resources, based_on=based_on))
+        if isinstance(change, Change):
+            self.assertEqual(decode_as(Change, encode_untagged(change)), change)
             return
-        self.assertTrue(found.faults)
-        json.dumps([fault._asdict() for fault in found.faults]).encode()
+        self.assertTrue(change.faults)
+        json.dumps([fault._asdict() for fault in change.faults]).encode()
 
 
 if __name__ == "__main__":
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Fuzz of everything that reads bytes or values from outside, under fixed seeds."""
+"""Fuzz tests, with fixed seeds, of all parsers of bytes and values from outside a process."""
 
 import math
 import tempfile
@@ -10,7 +10,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from cowslipvane import daemon  # noqa: F401  # It registers every message.
+from cowslipvane import daemon  # noqa: F401  # Registers every message.
 from cowslipvane.call import head_fault
 from cowslipvane.catalogue import KINDS, Catalogue, Change, Invalid
 from cowslipvane.commands._timeline import Filter, merge
@@ -59,18 +59,18 @@
 
 
 def pull(applied_at: float) -> Pull:
-    """Return a pull that reports when something was applied."""
+    """Return a pull whose report has a time of application."""
     report = Report(HostName("h"), Version(1), applied_at, Address("127.0.0.1", 1), "")
     return Pull(report=report, base=Version(1), floor=Version(1), hosts=())
 
 
 class FuzzTest(unittest.TestCase):
-    """Nonsense gets a clear error and nothing else."""
+    """Invalid input raises the documented error and no other exception."""
 
     @FUZZ
     @given(data=st.binary(max_size=200))
     def test_bytes_are_a_message_or_malformed(self, data: bytes) -> None:
-        """No other exception comes out of bytes."""
+        """Decoding any bytes raises no exception other than Malformed."""
         try:
             decode(data)
         except Malformed as error:
@@ -79,16 +79,16 @@
     @FUZZ
     @given(tag=TAGS, fields=VALUES)
     def test_any_fields_are_a_message_or_malformed(self, tag: str, fields: Any) -> None:
-        """A message that is taken can be sent again as it came."""
+        """A message that was decoded is the same after it is encoded and decoded again."""
         try:
             message = decode(cbor2.dumps([tag, fields]))
         except Malformed:
             return
         self.assertEqual(decode(encode(message)), message)
 
-    def test_deep_huge_and_odd_messages_are_malformed(self) -> None:
-        """Depth, declared sizes, tags and numbers without order are refused."""
-        bombs = [
+    def test_nested_oversized_and_non_finite_messages_are_malformed(self) -> None:
+        """Deep nesting, false lengths, CBOR tags, big integers, NaN and infinities are refused."""
+        hostile_messages = [
             b"\x81" * 100_000 + b"\x00",
             b"\x9b" + b"\xff" * 8,
             b"\x5b\x7f" + b"\xff" * 7,
@@ -96,17 +96,19 @@
             b"\xc1\xfb\x7f\xf0" + b"\x00" * 6,
             b"",
         ]
-        bombs += [cbor2.dumps(["EventsKept", [number]]) for number in (1 << 63, 1 << 4000)]
+        hostile_messages += [
+            cbor2.dumps(["EventsKept", [number]]) for number in (1 << 63, 1 << 4000)
+        ]
         for number in (math.nan, math.inf, -math.inf):
-            bombs.append(encode(pull(applied_at=number)))
-        for bomb in bombs:
+            hostile_messages.append(encode(pull(applied_at=number)))
+        for data in hostile_messages:
             with self.assertRaises(Malformed):
-                decode(bomb)
+                decode(data)
         good = pull(applied_at=0.5)
         self.assertEqual(decode(encode(good)), good)
 
-    def test_only_a_digest_may_be_larger_than_other_integers(self) -> None:
-        """It has up to 128 bits."""
+    def test_only_a_digest_may_exceed_64_bits(self) -> None:
+        """A digest is an unsigned integer of up to 128 bits."""
         for digest, is_good in ((0, True), ((1 << 128) - 1, True), (1 << 128, False), (-1, False)):
             data = encode(Exchange(digest=digest, members=()))
             if is_good:
@@ -116,8 +118,8 @@
 
     @FUZZ
     @given(values=st.dictionaries(SETTING_KEYS, VALUES, max_size=6))
-    def test_settings_load_or_tell_their_faults(self, values: dict[str, Any]) -> None:
-        """Each fault is a line with the file's name."""
+    def test_settings_are_loaded_or_their_faults_are_reported(self, values: dict[str, Any]) -> None:
+        """Each fault is a line that starts with the name of the file."""
         try:
             parse(values, "file")
         except SettingsFault as error:
@@ -128,7 +130,7 @@
     @FUZZ
     @given(data=st.binary(max_size=60), at=st.integers(0, len(GOOD)))
     def test_damaged_settings_files_are_faults(self, data: bytes, at: int) -> None:
-        """Bytes in the middle of a good file never end in a traceback."""
+        """Random bytes inside a valid file raise no exception other than SettingsFault."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings"
             path.write_bytes(GOOD[:at].encode() + data + GOOD[at:].encode())
@@ -139,35 +141,35 @@
 
     @FUZZ
     @given(form=st.dictionaries(KEYS, JSON | st.lists(RESOURCES, max_size=3), max_size=5) | JSON)
-    def test_a_change_is_read_or_its_faults_are_told(self, form: Any) -> None:
-        """Every fault has a path and a message."""
+    def test_a_change_is_parsed_or_its_faults_are_reported(self, form: Any) -> None:
+        """Every fault has a message."""
         self.check(read_change(form))
 
     @FUZZ
     @given(resources=st.lists(RESOURCES, max_size=4))
-    def test_resources_are_judged_without_a_crash(self, resources: list[Any]) -> None:
-        """What can be read can be judged by the catalogue."""
+    def test_parsed_resources_are_validated_without_a_crash(self, resources: list[Any]) -> None:
+        """The catalogue can validate every change that was parsed."""
         self.check(read_change({"operation_id": "a", "based_on": 0, "resources": resources}))
 
-    def check(self, read: Change | Invalid) -> None:
-        """Check what was read, and judge it when it is a change."""
-        match read:
+    def check(self, parsed: Change | Invalid) -> None:
+        """Check that each fault, of parsing or of validation, has a message."""
+        match parsed:
             case Invalid(faults=faults):
                 self.assertTrue(faults)
             case Change():
-                faults = Catalogue().faults(read)
+                faults = Catalogue().faults(parsed)
         for fault in faults:
             self.assertTrue(fault.message)
 
     @FUZZ
     @given(form=JSON | st.dictionaries(st.sampled_from(["service", "address", "slots"]), JSON))
     def test_an_announcement_is_a_worker_or_an_error(self, form: Any) -> None:
-        """Nothing but ValueError comes out, which the listener answers with 400."""
+        """Parsing raises only ValueError, to which the listener responds with 400."""
         with self.assertRaises(ValueError):
             read_worker(form)
 
-    def test_a_worker_can_t_ask_for_any_number_of_slots(self) -> None:
-        """Bounds are told."""
+    def test_slots_and_connections_of_a_worker_are_limited(self) -> None:
+        """The error states the range of allowed values."""
         good = {"service": "s", "address": "127.0.0.1:80", "slots": 6, "connections": 9}
         self.assertEqual(read_worker(good).slots, 6)
         for name, value in (("slots", 10**9), ("slots", True), ("connections", 0)):
@@ -177,14 +179,14 @@
     @FUZZ
     @given(target=st.text(alphabet="/a:?#@%[]h.\\", max_size=12) | st.text())
     def test_a_target_never_names_another_server(self, target: str) -> None:
-        """What is left is a path on the worker."""
+        """A target without a fault is a path on the worker."""
         fault = head_fault(target=target, http_1_1=True, fields=())
         self.assertTrue(fault or (target[0] == "/" and target[:2] != "//"), target)
 
     @FUZZ
     @given(lines=st.lists(st.binary(max_size=40) | JSON.map(lambda it: str(it).encode())))
-    def test_event_files_are_read_past_any_line(self, lines: list[bytes]) -> None:
-        """A time line of damaged files is empty, not a failure."""
+    def test_invalid_lines_of_event_files_are_skipped(self, lines: list[bytes]) -> None:
+        """The timeline of a file without valid lines is empty, not an error."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "events"
             path.write_bytes(b"\n".join(lines))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,4 +1,4 @@
-"""Tests of operation over real processes: explanations, time line, bad input."""
+"""Tests of operation with real processes: explanation, timeline, metrics, drain."""
 
 import asyncio
 import json
@@ -12,33 +12,35 @@
 from cowslipvane.metrics import FAMILIES
 from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
 
-PATIENCE_S = 20.0
+TIMEOUT_S = 20.0
 
 
 class OperationTest(ThreeHostsTestCase):
     """Three processes with one configuration in force."""
 
     async def restart(self, host: str) -> None:
-        """Start a daemon again and wait until it serves."""
-        began = time.time()
+        """Restart a daemon and wait until it has applied the configuration."""
+        started_at = time.time()
         self.fleet.start_daemon(host)
         for _ in range(200):
             async with self.fleet.client() as client:
                 reports = (await client.status()).get("replica", {}).get("reports", [])
-            if any(it["host"] == host and it["applied_at"] > began for it in reports):
+            if any(
+                report["host"] == host and report["applied_at"] > started_at for report in reports
+            ):
                 return
             await asyncio.sleep(0.1)
-        self.fail(f"{host} did not come back")
+        self.fail(f"{host} did not apply the configuration after its restart")
 
     async def command(self, *arguments: str) -> str:
-        """Run a command that asks the fleet."""
+        """Run a command against the servers of the fleet."""
         return await asyncio.to_thread(self.fleet.command, *arguments, *self.servers)
 
-    async def refused(self, host: str) -> dict[str, str]:
-        """Return a refusal of a host's proxy."""
+    async def provoke_refusal(self, host: str) -> dict[str, str]:
+        """Send a request without a route to a host's proxy, and return its refusal."""
         url = f"http://{self.fleet.address(host, 'callers')}/nothing/here?secret=1"
-        async with aiohttp.ClientSession() as session, session.get(url) as answer:
-            form: dict[str, str] = await answer.json()
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            form: dict[str, str] = await response.json()
             return form
 
     async def account(self, request: str) -> dict[str, object]:
@@ -49,64 +51,64 @@
         del account["events"]
         return account
 
-    async def test_a_refusal_is_explained_the_same_after_its_proxy_died(self) -> None:
-        """The witness answers while the proxy is gone and after it came back without its file."""
-        told = await self.refused("stock-3")
-        first = await self.account(told["request"])
-        self.assertEqual(first["sentence"], told["sentence"])
+    async def test_a_refusal_is_explained_after_its_proxy_was_killed(self) -> None:
+        """The copy at another process serves while the proxy is down and after it lost its file."""
+        refusal = await self.provoke_refusal("stock-3")
+        first = await self.account(refusal["request"])
+        self.assertEqual(first["sentence"], refusal["sentence"])
         self.assertEqual(first["asked"], "GET /nothing/here")
         await asyncio.sleep(1.0)
         self.fleet.kill_daemon("stock-3")
         (self.fleet.folder / "stock-3.events").unlink()
-        self.assertEqual(await self.account(told["request"]), first)
+        self.assertEqual(await self.account(refusal["request"]), first)
         await self.restart("stock-3")
-        self.assertEqual(await self.account(told["request"]), first)
+        self.assertEqual(await self.account(refusal["request"]), first)
 
-    async def test_the_time_line_has_accepted_before_applied(self) -> None:
-        """Live processes and files agree on the version's events, in order."""
-        live = await self.complete_time_line()
+    async def test_the_timeline_has_accepted_before_applied(self) -> None:
+        """Processes and event files yield the same events of a version in the same order."""
+        live = await self.complete_timeline()
         kinds = [event["kind"] for event in live["events"]]
         self.assertEqual(kinds[0], "accepted")
         applied = {event["host"] for event in live["events"] if event["kind"] == "applied"}
         self.assertEqual(applied, set(HOSTS))
         files = [f"--file={self.fleet.folder / f'{host}.events'}" for host in HOSTS]
         arguments = ["timeline", "--version", "1", "--output", "json", *files]
-        give_up = time.monotonic() + PATIENCE_S
+        deadline = time.monotonic() + TIMEOUT_S
         while True:
-            # Events are written beside what recorded them, a moment later.
+            # Events are written to the files asynchronously, after they are recorded.
             read = json.loads(await asyncio.to_thread(self.fleet.command, *arguments))
-            if read["events"] == live["events"] or time.monotonic() > give_up:
+            if read["events"] == live["events"] or time.monotonic() > deadline:
                 break
         self.assertEqual(read["events"], live["events"])
 
-    async def complete_time_line(self) -> dict[str, Any]:
-        """Return the time line of version 1, once each process has told what it does with it."""
-        wanted = {("accepted", host) for host in self.fleet.replicas}
-        wanted |= {("applied", host) for host in HOSTS}
-        give_up = time.monotonic() + PATIENCE_S
+    async def complete_timeline(self) -> dict[str, Any]:
+        """Return the timeline of version 1 once it is complete, or after the timeout."""
+        expected = {("accepted", host) for host in self.fleet.replicas}
+        expected |= {("applied", host) for host in HOSTS}
+        deadline = time.monotonic() + TIMEOUT_S
         while True:
             text = await self.command("timeline", "--version", "1", "--output", "json")
             form: dict[str, Any] = json.loads(text)
-            told = {(event["kind"], event["host"]) for event in form["events"]}
-            if told >= wanted or time.monotonic() > give_up:
+            recorded = {(event["kind"], event["host"]) for event in form["events"]}
+            if recorded >= expected or time.monotonic() > deadline:
                 return form
 
-    async def test_every_documented_metric_is_told(self) -> None:
-        """After a call and a refusal, a process with both roles has a value for each."""
-        await self.refused("stock-1")
+    async def test_every_documented_metric_is_exported(self) -> None:
+        """After a call and a refusal, the processes together export each metric family."""
+        await self.provoke_refusal("stock-1")
         async with aiohttp.ClientSession() as session:
             url = f"http://{self.fleet.address('stock-1', 'callers')}/stock/7"
-            async with session.get(url) as answer:
-                self.assertEqual(answer.status, 200)
-            found: set[str] = set()
+            async with session.get(url) as response:
+                self.assertEqual(response.status, 200)
+            exported: set[str] = set()
             for host in HOSTS:
                 url = f"http://{self.fleet.address(host, 'operators')}/metrics"
-                async with session.get(url) as answer:
-                    found |= {family.name for family in parse(await answer.text())}
-        self.assertLessEqual({family.name for family in FAMILIES}, found)
+                async with session.get(url) as response:
+                    exported |= {family.name for family in parse(await response.text())}
+        self.assertLessEqual({family.name for family in FAMILIES}, exported)
 
-    async def test_drain_ends_one_process_and_status_and_debug_tell(self) -> None:
-        """A drained process exits with 0; the others are told apart from it."""
+    async def test_drain_ends_one_process_as_status_and_debug_show(self) -> None:
+        """The drained process exits with 0 and isn't up any more; another one stays up."""
         debug = json.loads(await self.command("debug", "--host", "stock-2", "--output", "json"))
         self.assertEqual((debug["host"], debug["settings"]["host"]), ("stock-2", "stock-2"))
         self.assertGreater(debug["memory"]["resident_bytes"], 1 << 20)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""Tests of the time line, its picture, and the explanation of a request."""
+"""Tests of the timeline, its HTML page, and the explanation of a request."""
 
 import re
 import unittest
@@ -17,7 +17,7 @@
 from cowslipvane.commands._timeline import merge
 from cowslipvane.events import EventForm, EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange
-from cowslipvane.tasks import _gossip  # noqa: F401  # It registers the messages.
+from cowslipvane.tasks import _gossip  # noqa: F401  # Registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import (
     Link,
@@ -65,13 +65,13 @@
 
 
 class OrderTest(unittest.IsolatedAsyncioTestCase):
-    """Causes come before effects over a real link between skewed clocks."""
+    """Causes precede effects across a real link between hosts with skewed clocks."""
 
-    async def test_a_message_carries_the_order_to_a_host_whose_clock_is_late(self) -> None:
-        """An event recorded after a message arrives sorts after those before it was sent."""
+    async def test_a_message_carries_its_stamp_to_a_host_whose_clock_is_behind(self) -> None:
+        """An event after the receipt of a message sorts after the events before its sending."""
         clocks = {
             "ahead": HybridClock(wall=lambda: 1000.0),
-            "late": HybridClock(wall=lambda: 10.0),
+            "behind": HybridClock(wall=lambda: 10.0),
         }
         logs = {
             name: EventLog(origin=Origin(HostName(name), DataCentre("east"), 1), clock=clock)
@@ -79,12 +79,12 @@
         }
 
         async def answer(connection: ServerConnection) -> None:
-            """Record the effect of a message."""
+            """Receive a message and record an event."""
             link = Link(
-                connection=connection, identity=LinkIdentity(clocks["late"], None, Traffic())
+                connection=connection, identity=LinkIdentity(clocks["behind"], None, Traffic())
             )
             await link.receive()
-            logs["late"].record("applied", version=1)
+            logs["behind"].record("applied", version=1)
 
         link_identity.set(LinkIdentity(clocks["ahead"], None, Traffic()))
         async with serve(answer, "127.0.0.1", 0) as server:
@@ -101,7 +101,7 @@
         """Bytes too short for a stamp are refused."""
 
         async def answer(connection: ServerConnection) -> None:
-            """Send nonsense."""
+            """Send bytes that are too short for a stamp."""
             await connection.send(b"\x80")
 
         async with serve(answer, "127.0.0.1", 0) as server:
@@ -115,11 +115,11 @@
     """Events are merged, each once, and filtered."""
 
     def test_copies_of_one_event_count_once(self) -> None:
-        """A witness's copy is the same event."""
+        """The copy of an event at another process is the same event."""
         self.assertEqual(merge([REFUSAL, ATTEMPT, REFUSAL.copy()], ANY), [ATTEMPT, REFUSAL])
 
-    def test_each_filter_takes_what_it_names(self) -> None:
-        """Request, version, upstream and times."""
+    def test_each_criterion_selects_its_events(self) -> None:
+        """Events are filtered by request, version, upstream and time."""
         applied = form("applied", 2.0, host="c", version=4)
         events = [ATTEMPT, applied, REFUSAL]
         cases = {
@@ -129,26 +129,26 @@
             Filter(upstream="c"): [applied],
             Filter(since=1.5, until=2.5): [applied],
         }
-        for wanted, found in cases.items():
-            self.assertEqual(merge(events, wanted), found, wanted)
+        for criteria, expected in cases.items():
+            self.assertEqual(merge(events, criteria), expected, criteria)
 
 
 class AccountTest(unittest.TestCase):
-    """The account of a request is the same each time."""
+    """The account of a request is derived from the events that are available."""
 
-    def test_a_refusal_stands_whatever_else_is_known(self) -> None:
-        """The account doesn't depend on which processes still answer."""
+    def test_a_refusal_takes_precedence_over_other_events(self) -> None:
+        """The account doesn't depend on which processes respond."""
         whole = build_account("r1", Timeline([ATTEMPT, REFUSAL], []))
-        part = build_account("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
-        self.assertEqual(whole[:5], part[:5])
+        partial = build_account("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
+        self.assertEqual(whole[:5], partial[:5])
         self.assertEqual(whole[1:5], ("GET /x", "refused as draining", "not run", "No."))
 
-    def test_an_attempt_without_an_answer_may_have_run(self) -> None:
-        """Nothing on record is no ground to say that it was not run."""
+    def test_an_attempt_without_a_response_may_have_run(self) -> None:
+        """The lack of a response doesn't prove that the request was not run."""
         self.assertEqual(build_account("r1", Timeline([ATTEMPT], [])).verdict, "may have run")
 
-    def test_a_served_request_was_run(self) -> None:
-        """The status is told."""
+    def test_a_request_with_a_response_was_run(self) -> None:
+        """The decision names the status of the response."""
         detail = {"owner": "b", "verdict": "ran", "outcome": "200"}
         verdict = form("verdict", 2.0, request="r1", detail=detail)
         account = build_account("r1", Timeline([ATTEMPT, verdict], []))
@@ -156,36 +156,36 @@
             (account.verdict, account.decision), ("ran", "answered with HTTP status 200")
         )
 
-    def test_an_unknown_request_is_no_account(self) -> None:
-        """Processes that did not answer are named."""
+    def test_an_unknown_request_fails_the_command(self) -> None:
+        """The error names the processes that did not respond."""
         with self.assertRaisesRegex(CommandFailed, "check the id.*b did not answer"):
             build_account("r1", Timeline([], ["b did not answer: gone"]))
 
 
-class PictureTest(unittest.TestCase):
-    """The picture is one page that needs nothing else."""
+class TimelinePageTest(unittest.TestCase):
+    """The HTML page is valid and self-contained."""
 
     def test_the_page_parses_and_has_a_row_for_each_process(self) -> None:
-        """Each event is a dot inside the plot, and texts are escaped."""
-        odd = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
-        page = render_timeline_page(Timeline([ATTEMPT, REFUSAL, odd], ["<gap>"]))
+        """Each event is a dot inside the plot, texts are escaped, and nothing is loaded."""
+        unescaped = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
+        page = render_timeline_page(Timeline([ATTEMPT, REFUSAL, unescaped], ["<gap>"]))
         HTMLParser().feed(page)
         drawing = re.search(r"<svg.*</svg>", page, re.DOTALL)
         assert drawing is not None
         svg = Xml.fromstring(drawing.group())
-        space = "{http://www.w3.org/2000/svg}"
-        texts = [item.text for item in svg.iter(f"{space}text")]
+        namespace = "{http://www.w3.org/2000/svg}"
+        texts = [item.text for item in svg.iter(f"{namespace}text")]
         self.assertEqual([host for host in texts if host in ("a", "<b>")], ["<b>", "a"])
-        dots = [item for item in svg.iter(f"{space}circle") if item.get("class") == "event"]
+        dots = [item for item in svg.iter(f"{namespace}circle") if item.get("class") == "event"]
         self.assertEqual(len(dots), 3)
         for dot in dots:
             self.assertLess(float(dot.attrib["cx"]), float(svg.attrib["width"]))
             self.assertLess(float(dot.attrib["cy"]), float(svg.attrib["height"]))
-        for outside in ("<script", "src=", "href=", "url(", "<gap>"):
-            self.assertNotIn(outside, page)
+        for forbidden in ("<script", "src=", "href=", "url(", "<gap>"):
+            self.assertNotIn(forbidden, page)
 
-    def test_an_empty_time_line_is_a_page_too(self) -> None:
-        """Nothing to draw is no failure."""
+    def test_an_empty_timeline_is_a_page_too(self) -> None:
+        """A timeline without events renders without an error."""
         self.assertIn("0 events", render_timeline_page(Timeline([], [])))
 
 
