--- a/cowslipvane/commands/_errors.py
+++ b/cowslipvane/commands/_errors.py
@@ -1,4 +1,4 @@
-"""The failure of a command, and a client whose errors raise it."""
+"""The failure of a command, and the client that commands use."""
 
 from __future__ import annotations
 
--- a/cowslipvane/commands/_timeline.py
+++ b/cowslipvane/commands/_timeline.py
@@ -23,11 +23,11 @@
 
     def matches(self, event: EventForm) -> bool:
         """Return whether an event meets all criteria."""
-        about = {event["host"], event["detail"].get("owner"), event["detail"].get("member")}
+        related_hosts = {event["host"], event["detail"].get("owner"), event["detail"].get("member")}
         return (
             self.request in ("", event["request"])
             and self.version in (0, event["version"])
-            and (not self.upstream or self.upstream in about)
+            and (not self.upstream or self.upstream in related_hosts)
             and (self.since is None or event["wall"] >= self.since)
             and (self.until is None or event["wall"] <= self.until)
         )
@@ -53,7 +53,7 @@
     path = f"/v1/events?request={criteria.request}&version={criteria.version}"
     async with open_client(servers) as client:
         replies = await client.request_all(path)
-    gaps = [f"{host} did not answer: {why}" for host, why in sorted(replies.errors.items())]
+    gaps = [f"{host} did not respond: {reason}" for host, reason in sorted(replies.errors.items())]
     for host, response in sorted(replies.responses.items()):
         gaps += [f"{host} {gap}" for gap in _losses(response["counts"])]
     events = [event for response in replies.responses.values() for event in response["events"]]
@@ -78,11 +78,11 @@
 def format_event(event: EventForm) -> str:
     """Return an event as one line of text."""
     moment = datetime.datetime.fromtimestamp(event["wall"], datetime.UTC)
-    about = [f"version={event['version']}"] if event["version"] else []
-    about += [f"request={event['request']}"] if event["request"] else []
-    about += [f"{name}={value}" for name, value in event["detail"].items()]
+    attributes = [f"version={event['version']}"] if event["version"] else []
+    attributes += [f"request={event['request']}"] if event["request"] else []
+    attributes += [f"{name}={value}" for name, value in event["detail"].items()]
     stamp = f"{moment:%Y-%m-%dT%H:%M:%S.%f}+{event['logical']}"
-    return " ".join([stamp, event["host"], event["kind"], *about])
+    return " ".join([stamp, event["host"], event["kind"], *attributes])
 
 
 def _sort_key(event: EventForm) -> tuple[Any, ...]:
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -42,7 +42,7 @@
 
 
 class FaultForm(TypedDict):
-    """A fault of a change and the path to it."""
+    """A fault in a change or a specification, with its path."""
 
     path: str
     message: str
@@ -167,7 +167,7 @@
 
 
 def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
-    """Return a specification as JSON, None for none."""
+    """Return a specification as JSON, or None if there is none."""
     form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
     return form
 
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -130,10 +130,10 @@
         except websockets.ConnectionClosed as error:
             raise _link_closed(error) from error
         except TimeoutError as error:
-            raise LinkClosed(f"the peer didn't answer a ping within {timeout} s") from error
+            raise LinkClosed(f"the peer didn't respond to a ping within {timeout} s") from error
 
     def abort(self) -> None:
-        """Close the connection without a closing handshake, which a silent peer would delay."""
+        """Close the connection at once; a closing handshake would wait for a silent peer."""
         self._connection.transport.abort()
 
     async def close(self) -> None:
@@ -142,7 +142,7 @@
 
 
 def _link_closed(error: websockets.ConnectionClosed) -> LinkClosed:
-    """Return the LinkClosed that stands for a closed connection."""
+    """Convert the exception of the websockets library to LinkClosed."""
     going_away = error.rcvd is not None and error.rcvd.code == CloseCode.GOING_AWAY
     return LinkClosed(str(error), going_away=going_away)
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -78,7 +78,7 @@
             for name, clock in clocks.items()
         }
 
-        async def answer(connection: ServerConnection) -> None:
+        async def handle_connection(connection: ServerConnection) -> None:
             """Receive a message and record an event."""
             link = Link(
                 connection=connection, identity=LinkIdentity(clocks["behind"], None, Traffic())
@@ -87,7 +87,7 @@
             logs["behind"].record("applied", version=1)
 
         link_identity.set(LinkIdentity(clocks["ahead"], None, Traffic()))
-        async with serve(answer, "127.0.0.1", 0) as server:
+        async with serve(handle_connection, "127.0.0.1", 0) as server:
             port = next(iter(server.sockets)).getsockname()[1]
             logs["ahead"].record("accepted", version=1)
             async with connect(Address("127.0.0.1", port), "/") as link:
@@ -100,11 +100,11 @@
     async def test_a_message_without_a_stamp_is_malformed(self) -> None:
         """Bytes too short for a stamp are refused."""
 
-        async def answer(connection: ServerConnection) -> None:
+        async def handle_connection(connection: ServerConnection) -> None:
             """Send bytes that are too short for a stamp."""
             await connection.send(b"\x80")
 
-        async with serve(answer, "127.0.0.1", 0) as server:
+        async with serve(handle_connection, "127.0.0.1", 0) as server:
             port = next(iter(server.sockets)).getsockname()[1]
             async with connect(Address("127.0.0.1", port), "/") as link:
                 with self.assertRaises(Malformed):
@@ -139,7 +139,7 @@
     def test_a_refusal_takes_precedence_over_other_events(self) -> None:
         """The account doesn't depend on which processes respond."""
         whole = build_account("r1", Timeline([ATTEMPT, REFUSAL], []))
-        partial = build_account("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
+        partial = build_account("r1", Timeline([REFUSAL], ["b did not respond: gone"]))
         self.assertEqual(whole[:5], partial[:5])
         self.assertEqual(whole[1:5], ("GET /x", "refused as draining", "not run", "No."))
 
@@ -158,8 +158,8 @@
 
     def test_an_unknown_request_fails_the_command(self) -> None:
         """The error names the processes that did not respond."""
-        with self.assertRaisesRegex(CommandFailed, "check the id.*b did not answer"):
-            build_account("r1", Timeline([], ["b did not answer: gone"]))
+        with self.assertRaisesRegex(CommandFailed, "check the id.*b did not respond"):
+            build_account("r1", Timeline([], ["b did not respond: gone"]))
 
 
 class TimelinePageTest(unittest.TestCase):
