--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -128,7 +128,7 @@
             if status != _OK:
                 raise Unreachable(f"{server}: {response.get('sentence', f'HTTP status {status}')}")
             return dict(response)
-        raise Unreachable(f"no response from {', '.join(self._servers)}; name others by --server")
+        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
 
     async def resource(self, kind: str, name: str) -> dict[str, Any]:
         """Return one accepted resource with its status."""
@@ -157,7 +157,7 @@
                 except (aiohttp.ClientError, TimeoutError, OSError):
                     continue
             await asyncio.sleep(RETRY_DELAY)
-        raise Unreachable(f"no leader responded at {', '.join(self._servers)}; try again")
+        raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
 
     async def _stream(self, server: str, version: int) -> AsyncIterator[dict[str, Any]]:
         """Yield the lines of one server's stream until it ends."""
@@ -184,7 +184,7 @@
             return statuses
         if responses:
             raise Unreachable(str(responses[0][1].get("sentence", responses[0])))
-        raise Unreachable(f"no response from {', '.join(self._servers)}; name others by --server")
+        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
 
     async def _request_until_final(
         self, method: str, path: str, form: dict[str, Any] | None
@@ -200,7 +200,7 @@
                 if status not in (503, 504):
                     return dict(response)
             await asyncio.sleep(RETRY_DELAY)
-        raise Unreachable(f"no leader responded at {', '.join(self._servers)}; try again")
+        raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
 
     async def _send(
         self, method: str, server: str, path: str, form: dict[str, Any] | None
--- a/cowslipvane/commands/_timeline.py
+++ b/cowslipvane/commands/_timeline.py
@@ -53,7 +53,7 @@
     path = f"/v1/events?request={criteria.request}&version={criteria.version}"
     async with open_client(servers) as client:
         replies = await client.request_all(path)
-    gaps = [f"{host} did not respond: {reason}" for host, reason in sorted(replies.errors.items())]
+    gaps = [f"{host} did not answer: {reason}" for host, reason in sorted(replies.errors.items())]
     for host, response in sorted(replies.responses.items()):
         gaps += [f"{host} {gap}" for gap in _losses(response["counts"])]
     events = [event for response in replies.responses.values() for event in response["events"]]
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -50,7 +50,7 @@
 def _structure_digest(value: Any, _: Any) -> Digest:
     """Return a digest, which has up to 128 bits, unlike other integers."""
     if type(value) is not int or not 0 <= value < _UINT128_LIMIT:
-        raise Malformed("expected a digest of at most 128 bits")
+        raise Malformed("found no digest")
     return value
 
 
@@ -159,7 +159,7 @@
         tag, fields = cbor2.loads(data)
         kind = _MESSAGE_TYPES[tag]
     except Exception as error:
-        raise Malformed(f"not a known message: {error}") from error
+        raise Malformed(f"no known message: {error}") from error
     return _structure(kind, fields)
 
 
@@ -173,7 +173,7 @@
     try:
         fields = cbor2.loads(data)
     except Exception as error:
-        raise Malformed(f"not CBOR: {error}") from error
+        raise Malformed(f"no CBOR: {error}") from error
     return _structure(kind, fields)
 
 
@@ -182,4 +182,4 @@
     try:
         return _CONVERTER.structure(fields, kind)
     except Exception as error:
-        raise Malformed(f"not a valid {kind.__name__}: {error}") from error
+        raise Malformed(f"no {kind.__name__}: {error}") from error
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -205,7 +205,7 @@
             return OutcomeForm(
                 outcome="invalid",
                 faults=fault_forms(faults),
-                sentence=f"not run: {len(faults)} faults; correct them all and apply again",
+                sentence=f"not run: {len(faults)} faults; mend them all and apply again",
             )
 
 
@@ -220,7 +220,7 @@
         return Invalid(faults=(Fault("$", "must be an object"),))
     faults: list[Fault] = []
     unknown = form.keys() - {"operation_id", "based_on", "resources", "deletes", "dry_run"}
-    faults += [Fault(name, "is not a known key") for name in sorted(unknown)]
+    faults += [Fault(name, "is no known key") for name in sorted(unknown)]
     operation_id = form.get("operation_id")
     if not _is_text(operation_id) or not operation_id:
         faults.append(Fault("operation_id", "must be a text that names this change"))
@@ -290,7 +290,7 @@
         faults.append(Fault(f"{path}.name", f"found {name!r:.80}; allowed is a text without /"))
         return None
     unknown = form.keys() - {"kind", "name", "spec", "status", "version"}
-    faults += [Fault(f"{kind}/{name}.{extra}", "is not a known field") for extra in sorted(unknown)]
+    faults += [Fault(f"{kind}/{name}.{extra}", "is no known field") for extra in sorted(unknown)]
     return Key(kind, name)
 
 
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -116,7 +116,7 @@
         except websockets.ConnectionClosed as error:
             raise _link_closed(error) from error
         if len(data) < _STAMP.size:
-            raise Malformed("the message has no stamp")
+            raise Malformed("a message without a stamp")
         message = decode(data[: -_STAMP.size])
         self._traffic.count_received(type(message).__name__, len(data))
         self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
@@ -130,7 +130,7 @@
         except websockets.ConnectionClosed as error:
             raise _link_closed(error) from error
         except TimeoutError as error:
-            raise LinkClosed(f"the peer didn't respond to a ping within {timeout} s") from error
+            raise LinkClosed(f"the peer didn't answer a ping within {timeout} s") from error
 
     def abort(self) -> None:
         """Close the connection at once; a closing handshake would wait for a silent peer."""
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -139,7 +139,7 @@
     def test_a_refusal_takes_precedence_over_other_events(self) -> None:
         """The account doesn't depend on which processes respond."""
         whole = build_account("r1", Timeline([ATTEMPT, REFUSAL], []))
-        partial = build_account("r1", Timeline([REFUSAL], ["b did not respond: gone"]))
+        partial = build_account("r1", Timeline([REFUSAL], ["b did not answer: gone"]))
         self.assertEqual(whole[:5], partial[:5])
         self.assertEqual(whole[1:5], ("GET /x", "refused as draining", "not run", "No."))
 
@@ -158,8 +158,8 @@
 
     def test_an_unknown_request_fails_the_command(self) -> None:
         """The error names the processes that did not respond."""
-        with self.assertRaisesRegex(CommandFailed, "check the id.*b did not respond"):
-            build_account("r1", Timeline([], ["b did not respond: gone"]))
+        with self.assertRaisesRegex(CommandFailed, "check the id.*b did not answer"):
+            build_account("r1", Timeline([], ["b did not answer: gone"]))
 
 
 class TimelinePageTest(unittest.TestCase):
