--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -48,8 +48,8 @@
 from cowslipvane.types import Seconds
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
-# The end of the grace period, in which nothing is awaited any more and listeners and links close,
-# each within a time limit of its own.
+# Time kept free at the end of the grace period for listeners and links to close, each within a time
+# limit of its own.
 EXIT_RESERVE: Seconds = 1.0
 # Interval between checks of the settings file for changes; SIGHUP reloads the file at once.
 SETTINGS_CHECK_INTERVAL: Seconds = 1.0
@@ -145,7 +145,7 @@
         self._stop.send()
 
     def reload(self) -> None:
-        """Read the settings again and apply the seeds, the only ones that may change."""
+        """Read the settings again and apply the seeds, the only setting that may change."""
         if self._front_end is None:
             return
         try:
@@ -199,7 +199,8 @@
             await self._replication.hand_over()
         if self._callers is None or self._owner is None:
             return
-        # The worker may keep running; it gets requests until callers have moved to other proxies.
+        # The worker may still be running, so requests are served until callers have moved to other
+        # proxies; stop() only makes each connection close after its response.
         self._callers.stop()
         await self._wait_lame_duck()
         await self._owner.drain()
@@ -209,16 +210,16 @@
             self._callers_listener.stop_listening()
         timing = self._settings.timing
         idle = asyncio.create_task(self._wait_idle(self._callers, self._owner))
-        second_signal = asyncio.create_task(self._wait_second_signal())
+        second_stop = asyncio.create_task(self._wait_second_stop())
         try:
             await asyncio.wait(
-                [idle, second_signal],
+                [idle, second_stop],
                 timeout=max(0.0, timing.grace - timing.lame_duck - EXIT_RESERVE),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             idle.cancel()
-            second_signal.cancel()
+            second_stop.cancel()
         self._record_cut_work(self._callers, self._owner)
 
     async def _wait_lame_duck(self) -> None:
@@ -239,8 +240,8 @@
             await callers.wait_idle()
             await owner.wait_idle()
 
-    async def _wait_second_signal(self) -> None:
-        """Wait for a second signal."""
+    async def _wait_second_stop(self) -> None:
+        """Wait until the process is told to stop a second time."""
         while not self._exit_now:
             await self._stop.wait()
 
@@ -343,7 +344,7 @@
         self._peer_listener = peers
         await stack.enter_async_context(peers.listen(listen.peers))
         await stack.enter_async_context(
-            HttpListener(handler=self._operators(peers).handle, address=listen.operators)
+            HttpListener(handler=self._operator_api(peers).handle, address=listen.operators)
         )
         if self._callers is not None and listen.callers is not None:
             self._callers_listener = HttpListener(
@@ -357,7 +358,7 @@
             for listener in self._front_end.listeners(components):
                 await stack.enter_async_context(listener)
 
-    def _operators(self, peers: PeerListener) -> OperatorApi:
+    def _operator_api(self, peers: PeerListener) -> OperatorApi:
         """Return the API that serves operators."""
         process = ProcessApi(
             membership=self._gossip.membership,
@@ -395,7 +396,7 @@
         )
 
     def _debug(self, peers: PeerListener) -> dict[str, Any]:
-        """Return the debug information of this process."""
+        """Return the debug report of this process."""
         return debug_form(
             settings=self._settings,
             membership=self._gossip.membership,
