--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -119,12 +119,18 @@
 
 
 def _structure_numbers(value: Any, kind: type[T]) -> T:
-    """Return a table of numbers; raise ExceptionGroup with a fault for each invalid key."""
+    """Return a table of numbers.
+
+    Raise ValueError if the value isn't a table, and ExceptionGroup with a fault for each invalid
+    key.
+    """
     table = kind.__name__.lower()
     fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(kind)}
     if not isinstance(value, dict):
         raise ValueError(f"found {value!r}; allowed is a table")
-    faults = [ValueError(f"{table}.{name}: unknown key") for name in value if name not in fields]
+    faults = [
+        ValueError(f"{table}.{name}: no such key is known") for name in value if name not in fields
+    ]
     for name in value.keys() & fields.keys():
         if not _in_range(value[name], fields[name]):
             faults.append(ValueError(f"{table}.{name}: {_range_fault(value[name], fields[name])}"))
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -108,7 +108,7 @@
         low=0,
         high=60,
         unit="s",
-        description="time for which a stopping proxy still takes requests of callers",
+        description="time for which a stopping proxy still accepts connections of callers",
     )
     longest_backoff: Seconds = number_field(
         5.0,
@@ -165,7 +165,7 @@
         description="retries allowed beyond the share in each window",
     )
     window: Seconds = number_field(
-        10, low=1, high=600, unit="s", description="time to which the slack applies"
+        10, low=1, high=600, unit="s", description="length of the window to which the slack applies"
     )
 
 
@@ -177,7 +177,8 @@
     """How the group of replicas is formed: automatically, or by commands.
 
     With automatic formation the seeds form the group at the first start, each host is named by its
-    IP address, and a replica that starts later with an empty disk replaces the one that it was.
+    IP address, and a replica that starts later with an empty disk replaces the former replica of
+    its host.
     """
 
     automatic: bool = value_field(
@@ -204,7 +205,11 @@
 
     host: HostName = value_field("a text", "name of this host, unique in the system")
     data_centre: DataCentre = value_field("a text", "name of the data centre that the host is in")
-    roles: tuple[Role, ...] = value_field("a list of replica and proxy", "roles of the process")
+    roles: tuple[Role, ...] = value_field(
+        "a list of replica and proxy",
+        "what the process does: serve callers as a proxy, store the configuration as a replica,"
+        " or both",
+    )
     listen: Listen = value_field("a table", "addresses of the listeners")
     seeds: tuple[Address, ...] = value_field(
         "a list of IP:PORT", "peers' listeners of the processes to contact first", default=()
