--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -20,7 +20,7 @@
     """Appends events to a file, which is rotated when it reaches its size limit."""
 
     def __init__(self, *, path: Path, max_bytes: int) -> None:
-        # Imported here because only a process that writes events needs it.
+        # Imported here because only a process with an event file needs it.
         from pythonjsonlogger.json import JsonFormatter  # noqa: PLC0415
 
         self._path = path
@@ -89,7 +89,10 @@
 
 
 def read_events(paths: Iterable[Path], last_bytes: int | None = None) -> Iterable[EventForm]:
-    """Yield the events in files, or at their ends, skipping truncated and damaged lines."""
+    """Yield the events in files, skipping truncated and damaged lines.
+
+    If last_bytes is given, only that many bytes at the end of each file are read.
+    """
     for path in paths:
         if not path.is_file():
             continue
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -58,7 +58,7 @@
 
     @property
     def counts(self) -> dict[str, int]:
-        """Return how many events were recorded, and how many were lost at each place."""
+        """Return the counts of recorded, lost and copied events, and of refused clock stamps."""
         return {
             "recorded": self._recorded,
             "dropped_from_memory": self._recorded - len(self._events),
@@ -95,6 +95,7 @@
     def write(self) -> None:
         """Write the events that were recorded since the last write."""
         new_count = min(self._recorded - self._written, len(self._events))
+        # Events that left memory before this write are lost to the file and the stream.
         self._never_written += self._recorded - self._written - new_count if self._writers else 0
         for writer in self._writers:
             new_events = islice(self._events, len(self._events) - new_count, None)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -66,8 +66,8 @@
         for number in range(400, 600):
             log.record("refusal", request=str(number))
         log.requeue_uncopied(uncopied)
-        waiting = [event.request for event in log.take_uncopied()]
-        self.assertEqual(waiting, [str(number) for number in range(100, 600)])
+        queued = [event.request for event in log.take_uncopied()]
+        self.assertEqual(queued, [str(number) for number in range(100, 600)])
         self.assertEqual(log.counts["never_copied"], 100)
 
     def test_copies_keep_the_origin_of_their_events(self) -> None:
