Name the sum of the call durations and the version of convergence

call_seconds reads as one call's duration; now and the accepted version of convergence are explained.

--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -15,7 +15,7 @@
 
 
 class Sample(NamedTuple):
-    """The current value of a metric for one label value; label is empty without a label."""
+    """The current value of a metric for one label value; label is empty if there is no label."""
 
     name: str
     value: float
@@ -32,8 +32,9 @@
         self._attempts = 0
         self._retries = 0
         self._bucket_counts = [0] * (len(CALL_SECONDS_BUCKETS) + 1)
-        self._call_seconds = 0.0
-        self._accepted: tuple[Version, float] = (Version(0), 0.0)
+        self._call_seconds_sum = 0.0
+        # The version last accepted here, and the wall-clock time of its acceptance in seconds.
+        self._last_accepted: tuple[Version, float] = (Version(0), 0.0)
 
     @property
     def call_buckets(self) -> list[int]:
@@ -41,9 +42,9 @@
         return list(accumulate(self._bucket_counts))
 
     @property
-    def call_seconds(self) -> Seconds:
+    def call_seconds_sum(self) -> Seconds:
         """Return the sum of the durations of all calls."""
-        return self._call_seconds
+        return self._call_seconds_sum
 
     def record_event(self, event: Event) -> None:
         """Update the counters that an event affects."""
@@ -61,23 +62,24 @@
             case "applied" | "rejected":
                 self._versions[event.kind] += 1
             case "accepted":
-                self._accepted = (Version(event.version), event.stamp.wall)
+                self._last_accepted = (Version(event.version), event.stamp.wall)
 
     def record_call(self, seconds: Seconds) -> None:
         """Record the duration of a call that has ended."""
         self._bucket_counts[bisect.bisect_left(CALL_SECONDS_BUCKETS, seconds)] += 1
-        self._call_seconds += seconds
+        self._call_seconds_sum += seconds
 
     def convergence(
-        self, accepted: Version, in_force: dict[Version, float], now: float
+        self, accepted_version: Version, in_force: dict[Version, float], now: float
     ) -> Seconds | None:
-        """Return the convergence time of the newest version.
+        """Return the convergence time of accepted_version, the newest version.
 
         in_force holds the reported versions, each with the latest wall time at which it came into
-        force. The result is None if this process never saw the newest version accepted.
+        force; now is wall-clock time in seconds. The result is None if this process didn't see the
+        acceptance of the newest version, or if no versions are reported.
         """
-        version, accepted_at = self._accepted
-        if version != accepted or not version or not in_force:
+        version, accepted_at = self._last_accepted
+        if version != accepted_version or not version or not in_force:
             return None
         converged = min(in_force) >= version
         return max(0.0, (in_force[version] if converged else now) - accepted_at)
--- a/cowslipvane/metrics/_render.py
+++ b/cowslipvane/metrics/_render.py
@@ -50,7 +50,7 @@
         bounds = [*map(str, CALL_SECONDS_BUCKETS), "+Inf"]
         buckets = list(zip(bounds, self._metrics.call_buckets, strict=True))
         metric = HistogramMetricFamily(family.name, family.description)
-        metric.add_metric([], buckets, self._metrics.call_seconds)
+        metric.add_metric([], buckets, self._metrics.call_seconds_sum)
         return metric
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -53,7 +53,7 @@
         metrics.record_call(60.0)
         self.assertEqual(metrics.call_buckets[-2:], [3, 4])
         self.assertEqual(metrics.call_buckets[:3], [0, 0, 3])
-        self.assertAlmostEqual(metrics.call_seconds, 60.012)
+        self.assertAlmostEqual(metrics.call_seconds_sum, 60.012)
 
     def test_convergence_grows_until_the_last_proxy_applied_the_version(self) -> None:
         """The time ends at the last proxy; it is None if the version's acceptance wasn't seen."""
