--- a/cowslipvane/platform/__main__.py
+++ b/cowslipvane/platform/__main__.py
@@ -25,7 +25,7 @@
             f"the settings that {SETTINGS_VARIABLE} names can't be used: {error}", file=sys.stderr
         )
         return 2
-    # SIGHUP would end the process until the event loop handles it.
+    # Until the event loop handles SIGHUP, its default action would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Objects loaded at startup live as long as the process, so garbage collections can skip them.
     gc.freeze()
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -91,9 +91,9 @@
         try:
             match http.method, http.path:
                 case "POST", path if path == _CONFIG_REPLACE_PATH and releases is not None:
-                    return await self._put(releases, http)
+                    return await self._replace_configuration(releases, http)
                 case "GET", path if path == _CONFIG_GET_PATH and releases is not None:
-                    return self._get(releases, http)
+                    return self._get_configuration(releases, http)
                 case "POST", path if path.startswith(_HEARTBEAT_PATH) and owner is not None:
                     return await self._handle_heartbeat(
                         owner, http, path.removeprefix(_HEARTBEAT_PATH)
@@ -114,7 +114,9 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._components.is_ready() else 503)
 
-    async def _put(self, releases: Releases, http: web.BaseRequest) -> web.StreamResponse:
+    async def _replace_configuration(
+        self, releases: Releases, http: web.BaseRequest
+    ) -> web.StreamResponse:
         """Replace the whole configuration."""
         decoded = decode_configuration(await http.read())
         match await releases.put(decoded.release, decoded.resources):
@@ -129,8 +131,8 @@
             case Unknown():
                 return _failure(503, "the outcome isn't known yet; send the same again")
 
-    def _get(self, releases: Releases, http: web.BaseRequest) -> web.StreamResponse:
-        """Return the newest configuration, as the document that was put."""
+    def _get_configuration(self, releases: Releases, http: web.BaseRequest) -> web.StreamResponse:
+        """Return the newest configuration, as the document that was sent."""
         match releases.newest():
             case Release(document=document):
                 return web.Response(text=document, content_type="application/json")
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -33,7 +33,7 @@
 
 
 def file_stamp(path: Path) -> FileStamp | None:
-    """Return the stamp of a file, or None if it can't be read."""
+    """Return the stamp of a file, or None if its status isn't available."""
     try:
         status = path.stat()
     except OSError:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -74,9 +74,9 @@
         for missing in CONFIGURATION:
             form = {name: value for name, value in CONFIGURATION.items() if name != missing}
             bodies.append(json.dumps(form).encode())
-        for path, value in (("type", "x"), ("match", {}), ("action", None), ("priority", "x")):
+        for name, value in (("type", "x"), ("match", {}), ("action", None), ("priority", "x")):
             form = copy.deepcopy(CONFIGURATION)
-            form["listeners"][0]["route_rules"][0][path] = value
+            form["listeners"][0]["route_rules"][0][name] = value
             bodies.append(json.dumps(form).encode())
         for body in bodies:
             with self.assertRaises(ValueError, msg=body[:80]):
@@ -87,7 +87,7 @@
     """A heartbeat becomes an announcement, or is refused."""
 
     def test_all_fields_are_decoded(self) -> None:
-        """Announcements are ordered by the start of the worker instance, then by sequence."""
+        """The start of the instance and the sequence, which order announcements, are included."""
         announcement = decode_announcement("i-7", json.dumps(HEARTBEAT).encode())
         self.assertEqual((announcement.started_at, announcement.sequence), (1700000000000, 4))
         self.assertEqual((announcement.state, announcement.worker.instance), ("ready", "i-7"))
