--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -48,7 +48,7 @@
 
 
 def _structure_digest(value: Any, _: Any) -> Digest:
-    """Return a digest, which has up to 128 bits, unlike other integers."""
+    """Return a digest unchanged; raise Malformed if it isn't an unsigned 128-bit integer."""
     if type(value) is not int or not 0 <= value < _UINT128_LIMIT:
         raise Malformed("found no digest")
     return value
@@ -154,7 +154,7 @@
 
 
 def decode(data: bytes) -> Message:
-    """Decode a message; raise Malformed if the bytes are not a registered one."""
+    """Decode a message; raise Malformed if the bytes are not a registered message."""
     try:
         tag, fields = cbor2.loads(data)
         kind = _MESSAGE_TYPES[tag]
@@ -169,7 +169,7 @@
 
 
 def decode_as(kind: type[T], data: bytes) -> T:
-    """Decode a value of a known type; raise Malformed if the bytes are not one."""
+    """Decode a value of a known type; raise Malformed if the bytes are not such a value."""
     try:
         fields = cbor2.loads(data)
     except Exception as error:
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -108,7 +108,7 @@
 
 
 class EffectForm(TypedDict):
-    """The effect of a change on a resource; None if the resource doesn't exist."""
+    """The specification of a resource before and after a change; None if there is no resource."""
 
     kind: str
     name: str
@@ -246,7 +246,7 @@
 
 
 def _is_text(value: Any) -> bool:
-    """Return whether a value is a printable text of limited length, safe in every message."""
+    """Return whether a value is a text that any message can carry: printable, and not too long."""
     return isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS and value.isprintable()
 
 
@@ -332,15 +332,15 @@
 
 
 def _structure_text(value: Any, _: Any) -> str:
-    """Return a printable text of limited length unchanged."""
+    """Return a printable text of limited length unchanged; raise ValueError for other values."""
     if not _is_text(value):
         limit = f"a printable text of at most {MAX_TEXT_CHARACTERS} characters"
         raise ValueError(f"found {value!r:.80}; allowed is {limit}")
     return str(value)
 
 
-def _is_sequence(kind: Any) -> bool:
-    """Return whether a type is a tuple of any length."""
+def _is_variadic_tuple(kind: Any) -> bool:
+    """Return whether a type is a tuple of variable length, such as tuple[str, ...]."""
     return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
 
 
@@ -374,7 +374,7 @@
     converter.register_structure_hook(int, _strict_hook(int))
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook_factory(
-        _is_sequence, lambda kind: _sequence_hook(converter, kind)
+        _is_variadic_tuple, lambda kind: _sequence_hook(converter, kind)
     )
     converter.register_structure_hook(bool, _strict_hook(bool))
     converter.register_structure_hook(float, _strict_hook(float, int))
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -98,7 +98,7 @@
         await self.send_encoded(type(message).__name__, encode(message))
 
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
-        """Send a message that is encoded once for several peers."""
+        """Send an encoded message; kind is its class name. Several peers may share its bytes."""
         wall, logical = self._clock.now()
         data = encoded + _STAMP.pack(wall, min(logical, _MAX_LOGICAL))
         self._traffic.count_sent(kind, len(data))
