--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -26,14 +26,14 @@
 
 
 class AllResponses(NamedTuple):
-    """The responses of processes by host, and the reason of each failed request by host."""
+    """The responses of processes by host, and the error of each failed request by host."""
 
     responses: dict[str, Any]
     errors: dict[str, str]
 
 
 class Unreachable(Exception):
-    """Raised when none of the given servers returns a usable response."""
+    """Raised when no server responds, or when a server responds with an error."""
 
 
 class HistoryUnavailable(Exception):
@@ -119,7 +119,10 @@
         return AllResponses(responses, errors)
 
     async def request(self, method: str, path: str) -> dict[str, Any]:
-        """Return the response of the first server that responds, whatever its role."""
+        """Return the response of the first server that responds, whatever its role.
+
+        Raise Unreachable if no server responds, or if the status of the response isn't 200.
+        """
         for server in self._servers:
             try:
                 status, response = await self._send(method, server, path, None)
@@ -189,7 +192,10 @@
     async def _request_until_final(
         self, method: str, path: str, form: dict[str, Any] | None
     ) -> dict[str, Any]:
-        """Send a request to the servers in turn until one gives a final response."""
+        """Send a request to the servers in turn until one gives a final response.
+
+        A response is final unless its status is 503 or 504.
+        """
         deadline = asyncio.get_running_loop().time() + self._timeout
         while asyncio.get_running_loop().time() < deadline:
             for server in self._servers:
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -24,7 +24,11 @@
 
 
 class Account(NamedTuple):
-    """A request, the decision on it, whether it ran, a sentence for the caller, and its events."""
+    """What happened to a request, and its events.
+
+    asked is the method and path of the request, decision is its refusal or the status of its
+    response, verdict is whether it ran, and sentence is the explanation for the caller.
+    """
 
     request: str
     asked: str
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -75,7 +75,7 @@
 
 
 async def _wait_until_ended(client: Client) -> None:
-    """Wait until a process no longer responds."""
+    """Wait until a process no longer responds with its status."""
     while True:
         try:
             await client.request("GET", "/v1/status")
--- a/cowslipvane/commands/_timeline.py
+++ b/cowslipvane/commands/_timeline.py
@@ -52,11 +52,15 @@
     """Merge the events that running processes hold in memory."""
     path = f"/v1/events?request={criteria.request}&version={criteria.version}"
     async with open_client(servers) as client:
-        replies = await client.request_all(path)
-    gaps = [f"{host} did not answer: {reason}" for host, reason in sorted(replies.errors.items())]
-    for host, response in sorted(replies.responses.items()):
+        all_responses = await client.request_all(path)
+    gaps = [
+        f"{host} did not answer: {reason}" for host, reason in sorted(all_responses.errors.items())
+    ]
+    for host, response in sorted(all_responses.responses.items()):
         gaps += [f"{host} {gap}" for gap in _losses(response["counts"])]
-    events = [event for response in replies.responses.values() for event in response["events"]]
+    events = [
+        event for response in all_responses.responses.values() for event in response["events"]
+    ]
     return Timeline(merge(events, criteria), gaps)
 
 
@@ -91,7 +95,7 @@
 
 
 def _losses(counts: dict[str, int]) -> list[str]:
-    """Return a sentence for each kind of lost events that a process counts."""
+    """Return a sentence for each kind of event loss that a process counts."""
     sentences = {
         "dropped_from_memory": "events are no longer in memory; see its event file",
         "dropped_from_file": "events were deleted with older event files",
--- a/cowslipvane/commands/_timeline_page.py
+++ b/cowslipvane/commands/_timeline_page.py
@@ -13,10 +13,12 @@
 _LABEL_WIDTH = 190
 _PLOT_WIDTH = 1000
 _ROW_HEIGHT = 34
-_TOP = 40
-_RADIUS = 5
-_TICKS = 6
-# Colours by kind, most from the Okabe-Ito palette for colour-blind readers; others are grey.
+_PLOT_TOP = 40
+_DOT_RADIUS = 5
+# Ticks of the time axis.
+_TICK_COUNT = 6
+# Colours by event kind, most of them from the Okabe-Ito palette for colour-blind readers. Kinds
+# that aren't listed are grey.
 _COLOURS = {
     "accepted": "#0072b2",
     "applied": "#56b4e9",
@@ -50,23 +52,25 @@
 
 def _plot(events: list[EventForm]) -> Xml.Element:
     """Return the plot of events by time and process, with a legend."""
-    hosts = sorted({(event["data_centre"], event["host"], event["process"]) for event in events})
-    bottom = _TOP + _ROW_HEIGHT * len(hosts)
+    processes = sorted(
+        {(event["data_centre"], event["host"], event["process"]) for event in events}
+    )
+    bottom = _PLOT_TOP + _ROW_HEIGHT * len(processes)
     size = {"width": str(_LABEL_WIDTH + _PLOT_WIDTH + 40), "height": str(bottom + 70)}
     svg = Xml.Element("svg", {"xmlns": "http://www.w3.org/2000/svg", "role": "img", **size})
     first = min((event["wall"] for event in events), default=0.0)
     span = max((event["wall"] for event in events), default=0.0) - first or 1.0
     _draw_axis(svg, first, span, bottom)
-    for row, (data_centre, host, process) in enumerate(hosts):
-        y = _TOP + _ROW_HEIGHT * row + _ROW_HEIGHT // 2
+    for row, (data_centre, host, process) in enumerate(processes):
+        y = _PLOT_TOP + _ROW_HEIGHT * row + _ROW_HEIGHT // 2
         _draw_line(svg, (_LABEL_WIDTH, y), (_LABEL_WIDTH + _PLOT_WIDTH, y))
         _draw_text(svg, (4, y - 2), host)
         _draw_text(svg, (4, y + 11), f"{data_centre}, process {process}")
-    rows = {key: number for number, key in enumerate(hosts)}
+    row_by_process = {key: number for number, key in enumerate(processes)}
     for event in events:
-        row = rows[event["data_centre"], event["host"], event["process"]]
+        row = row_by_process[event["data_centre"], event["host"], event["process"]]
         x = _LABEL_WIDTH + _PLOT_WIDTH * (event["wall"] - first) / span
-        _draw_event(svg, event, (x, _TOP + _ROW_HEIGHT * row + _ROW_HEIGHT / 2))
+        _draw_event(svg, event, (x, _PLOT_TOP + _ROW_HEIGHT * row + _ROW_HEIGHT / 2))
     _draw_legend(svg, events, bottom + 45)
     return svg
 
@@ -75,19 +79,19 @@
     """Draw the time axis, in seconds after the first event."""
     start = datetime.datetime.fromtimestamp(first, datetime.UTC)
     _draw_text(svg, (4, 16), f"{start:%Y-%m-%d %H:%M:%S} UTC")
-    for tick in range(_TICKS):
-        x = _LABEL_WIDTH + _PLOT_WIDTH * tick / (_TICKS - 1)
-        _draw_line(svg, (x, _TOP - 6), (x, bottom))
-        _draw_text(svg, (x - 10, _TOP - 12), f"+{span * tick / (_TICKS - 1):.3g} s")
+    for tick in range(_TICK_COUNT):
+        x = _LABEL_WIDTH + _PLOT_WIDTH * tick / (_TICK_COUNT - 1)
+        _draw_line(svg, (x, _PLOT_TOP - 6), (x, bottom))
+        _draw_text(svg, (x - 10, _PLOT_TOP - 12), f"+{span * tick / (_TICK_COUNT - 1):.3g} s")
 
 
-def _draw_event(svg: Xml.Element, event: EventForm, at: tuple[float, float]) -> None:
+def _draw_event(svg: Xml.Element, event: EventForm, position: tuple[float, float]) -> None:
     """Draw one event as a dot whose tooltip describes it."""
-    x, y = at
-    place = {"cx": f"{x:.1f}", "cy": f"{y:.1f}", "r": str(_RADIUS)}
+    x, y = position
+    circle = {"cx": f"{x:.1f}", "cy": f"{y:.1f}", "r": str(_DOT_RADIUS)}
     colour = _COLOURS.get(event["kind"], _OTHER_COLOUR)
-    shape = {"fill": colour, "fill-opacity": "0.75", "class": "event"}
-    dot = Xml.SubElement(svg, "circle", {**place, **shape})
+    style = {"fill": colour, "fill-opacity": "0.75", "class": "event"}
+    dot = Xml.SubElement(svg, "circle", {**circle, **style})
     Xml.SubElement(dot, "title").text = format_event(event)
 
 
@@ -98,19 +102,19 @@
     for number, kind in enumerate(shown):
         x = _LABEL_WIDTH + 90 * (number % 11)
         line = y + 16 * (number // 11)
-        place = {"cx": str(x), "cy": str(line - 4), "r": str(_RADIUS)}
-        Xml.SubElement(svg, "circle", {**place, "fill": _COLOURS.get(kind, _OTHER_COLOUR)})
+        circle = {"cx": str(x), "cy": str(line - 4), "r": str(_DOT_RADIUS)}
+        Xml.SubElement(svg, "circle", {**circle, "fill": _COLOURS.get(kind, _OTHER_COLOUR)})
         _draw_text(svg, (x + 9, line), kind)
 
 
 def _draw_line(svg: Xml.Element, start: tuple[float, float], end: tuple[float, float]) -> None:
     """Draw a thin line."""
     ends = {"x1": start[0], "y1": start[1], "x2": end[0], "y2": end[1]}
-    places = {name: f"{value:.1f}" for name, value in ends.items()}
-    Xml.SubElement(svg, "line", {**places, "stroke": "#ddd"})
+    coordinates = {name: f"{value:.1f}" for name, value in ends.items()}
+    Xml.SubElement(svg, "line", {**coordinates, "stroke": "#ddd"})
 
 
-def _draw_text(svg: Xml.Element, at: tuple[float, float], text: str) -> None:
+def _draw_text(svg: Xml.Element, position: tuple[float, float], text: str) -> None:
     """Draw a text."""
-    label = Xml.SubElement(svg, "text", {"x": f"{at[0]:.1f}", "y": f"{at[1]:.1f}"})
+    label = Xml.SubElement(svg, "text", {"x": f"{position[0]:.1f}", "y": f"{position[1]:.1f}"})
     label.text = text
