--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -37,7 +37,7 @@
         return moment.timestamp()
 
 
-any_server_option = click.option(
+optional_server_option = click.option(
     "--server",
     "servers",
     multiple=True,
@@ -54,7 +54,7 @@
 
 
 @click.command()
-@any_server_option
+@optional_server_option
 @file_option
 @output_option
 @click.argument("request")
@@ -80,7 +80,7 @@
 
 
 @click.command()
-@any_server_option
+@optional_server_option
 @file_option
 @click.option("--request", default="", help="Only events of the request with this id.")
 @click.option("--version", type=int, default=0, help="Only events of this version.")
--- a/cowslipvane/cmdline/_options.py
+++ b/cowslipvane/cmdline/_options.py
@@ -30,7 +30,11 @@
     help="A table for people, or JSON for programs.",
 )
 settings_option = click.option(
-    "--settings", "path", required=True, type=click.Path(path_type=Path), help="A TOML file."
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The settings file of the process, in TOML.",
 )
 
 
--- a/cowslipvane/cmdline/_output.py
+++ b/cowslipvane/cmdline/_output.py
@@ -14,7 +14,7 @@
 
 # A command that is still running reports it at this interval.
 PROGRESS_INTERVAL: Seconds = 1.0
-_GAP = "  "
+_COLUMN_SEPARATOR = "  "
 _STATE_COLOURS = {"up": "green", "leaving": "yellow", "gone": "red", "silent": "red"}
 T = TypeVar("T")
 
@@ -40,7 +40,7 @@
         click.style(text, fg=_STATE_COLOURS.get(cell), bold=bold or None)
         for cell, text in zip(cells, padded, strict=True)
     ]
-    return _GAP.join(styled).rstrip()
+    return _COLUMN_SEPARATOR.join(styled).rstrip()
 
 
 async def with_progress(work: Coroutine[Any, Any, T], activity: str) -> T:
--- a/cowslipvane/cmdline/_replica.py
+++ b/cowslipvane/cmdline/_replica.py
@@ -42,7 +42,7 @@
 @settings_option
 @click.option("--group", required=True, help="The name under which the group was created.")
 def join(path: Path, group: str) -> None:
-    """Initialize an empty data folder to join a group, and print the identity of the replica."""
+    """Initialize an empty data folder for a group; print the id for 'replica add' or 'replace'."""
     try:
         click.echo(commands.join_replica(read_settings(path), group))
     except commands.CommandFailed as error:
