--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -59,7 +59,7 @@
 
 
 def pull(applied_at: float) -> Pull:
-    """Return a pull whose report has a time of application."""
+    """Return a pull whose report has the given applied_at."""
     report = Report(HostName("h"), Version(1), applied_at, Address("127.0.0.1", 1), "")
     return Pull(report=report, base=Version(1), floor=Version(1), hosts=())
 
@@ -163,7 +163,7 @@
 
     @FUZZ
     @given(form=JSON | st.dictionaries(st.sampled_from(["service", "address", "slots"]), JSON))
-    def test_an_announcement_is_a_worker_or_an_error(self, form: Any) -> None:
+    def test_random_announcements_raise_value_error(self, form: Any) -> None:
         """Parsing raises only ValueError, to which the listener responds with 400."""
         with self.assertRaises(ValueError):
             read_worker(form)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -19,7 +19,7 @@
     """Three processes with one configuration in force."""
 
     async def restart(self, host: str) -> None:
-        """Restart a daemon and wait until it has applied the configuration."""
+        """Start a daemon that has ended, and wait until it has applied the configuration."""
         started_at = time.time()
         self.fleet.start_daemon(host)
         for _ in range(200):
@@ -66,20 +66,22 @@
 
     async def test_the_timeline_has_accepted_before_applied(self) -> None:
         """Processes and event files yield the same events of a version in the same order."""
-        live = await self.complete_timeline()
-        kinds = [event["kind"] for event in live["events"]]
+        from_processes = await self.complete_timeline()
+        kinds = [event["kind"] for event in from_processes["events"]]
         self.assertEqual(kinds[0], "accepted")
-        applied = {event["host"] for event in live["events"] if event["kind"] == "applied"}
+        applied = {
+            event["host"] for event in from_processes["events"] if event["kind"] == "applied"
+        }
         self.assertEqual(applied, set(HOSTS))
         files = [f"--file={self.fleet.folder / f'{host}.events'}" for host in HOSTS]
         arguments = ["timeline", "--version", "1", "--output", "json", *files]
         deadline = time.monotonic() + TIMEOUT_S
         while True:
             # Events are written to the files asynchronously, after they are recorded.
-            read = json.loads(await asyncio.to_thread(self.fleet.command, *arguments))
-            if read["events"] == live["events"] or time.monotonic() > deadline:
+            from_files = json.loads(await asyncio.to_thread(self.fleet.command, *arguments))
+            if from_files["events"] == from_processes["events"] or time.monotonic() > deadline:
                 break
-        self.assertEqual(read["events"], live["events"])
+        self.assertEqual(from_files["events"], from_processes["events"])
 
     async def complete_timeline(self) -> dict[str, Any]:
         """Return the timeline of version 1 once it is complete, or after the timeout."""
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -41,7 +41,7 @@
     version: int = 0,
     detail: dict[str, str] | None = None,
 ) -> EventForm:
-    """Return an event."""
+    """Return an event as JSON."""
     return EventForm(
         kind=kind,
         wall=wall,
@@ -167,8 +167,8 @@
 
     def test_the_page_parses_and_has_a_row_for_each_process(self) -> None:
         """Each event is a dot inside the plot, texts are escaped, and nothing is loaded."""
-        unescaped = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
-        page = render_timeline_page(Timeline([ATTEMPT, REFUSAL, unescaped], ["<gap>"]))
+        with_markup = form("member", 5.0, host="<b>", detail={"member": '"&<script>'})
+        page = render_timeline_page(Timeline([ATTEMPT, REFUSAL, with_markup], ["<gap>"]))
         HTMLParser().feed(page)
         drawing = re.search(r"<svg.*</svg>", page, re.DOTALL)
         assert drawing is not None
