Reword the replication task and the publisher in plain terms

The texts and private names said in figures or in words of this project what has a usual term. They now use the terms of the field; reasons and numbers stay, and nothing else changes.

--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -272,7 +272,7 @@
         # Links that never finish to send stand for slow proxies.
         gate = asyncio.Event()
         for _ in range(_publisher.MAX_CONCURRENT_SNAPSHOTS):
-            held = replica.publisher._answer(SlowLink(gate), pull(0))
+            held = replica.publisher._respond(SlowLink(gate), pull(0))
             self.stack.callback(asyncio.create_task(held).cancel)
         await asyncio.sleep(0)
         answer = await self.ask(replica, pull(0))
