Reword subscriber, joining and gossip tasks in plain terms

The texts and private names said in figures or in words of this project what has a usual term. They now use the terms of the field; reasons and numbers stay, and nothing else changes.

--- a/cowslipvane/tasks/_gossip.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -1,4 +1,4 @@
-"""The spread of membership: one task for each neighbour, one for the seeds."""
+"""Gossip of membership records: one task per neighbour, and one for the seeds."""
 
 from __future__ import annotations
 
@@ -23,22 +23,22 @@
 
 register(Hello, Exchange, Compare, ExchangeReply)
 
-# News waits this long for more of it, so that a herd's changes travel together.
+# Updates are held back this long, so that many simultaneous changes are sent in one message.
 BATCH_DELAY: Seconds = 0.02
-# A neighbour that takes longer to reply than this many heartbeats is suspected.
+# A neighbour is suspected when its reply takes longer than this many heartbeat intervals.
 REPLY_TIMEOUT_HEARTBEATS = 4
-# A distant neighbour gets a heartbeat this seldom, as a multiple of the near ones' interval.
+# Heartbeat interval of distant neighbours, as a multiple of the interval of near ones.
 DISTANT_HEARTBEAT_FACTOR = 10
-# A connection on which nothing came for this many heartbeats is closed.
+# A connection without a message for this many heartbeat intervals is closed.
 IDLE_HEARTBEATS = 4 * DISTANT_HEARTBEAT_FACTOR
-# Time between two conversations with seeds, as a multiple of the interval.
+# Mean time between two synchronizations with a seed, as a multiple of the heartbeat interval.
 SEED_INTERVAL_FACTOR = 10
-# A conversation with a seed ends after this many exchanges, settled or not.
+# A synchronization with a seed ends after this many exchanges, complete or not.
 MAX_SEED_EXCHANGES = 6
 
 
 class Gossip:
-    """Keeps the membership in step with neighbours, and judges whether they live."""
+    """Synchronizes the membership with neighbours, and detects failed ones."""
 
     def __init__(
         self,
@@ -55,9 +55,9 @@
         self._events = events
         self._changed = Signal()
         self._neighbours: dict[HostName, asyncio.Task[None]] = {}
-        self._near: set[HostName] = set()
+        self._frequent_neighbours: set[HostName] = set()
         self._rng = random.Random()
-        self._noted = membership.revision
+        self._announced_revision = membership.revision
 
     @property
     def membership(self) -> Membership:
@@ -65,115 +65,121 @@
         return self._membership
 
     def update_seeds(self, seeds: tuple[Address, ...]) -> None:
-        """Ask these processes from now on."""
+        """Replace the addresses of the seeds."""
         self._seeds = [address for address in seeds if address != self._membership.own.peers]
 
     def notify_neighbours(self) -> None:
-        """Tell the neighbours at once, because the own record has changed."""
+        """Send the changed own record to the neighbours without waiting for a heartbeat."""
         self._changed.send()
 
     async def run(self) -> None:
-        """Keep a task for each neighbour, and one for the seeds, until cancelled."""
+        """Run a task per neighbour, and one for the seeds, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._ask_seeds())
+            tasks.create_task(self._synchronize_with_seeds())
             while True:
                 for member in self._membership.expire(time.monotonic()):
                     self._events.record("member", member=member.host, state="dead")
-                self._keep_neighbours(tasks)
+                self._update_neighbours(tasks)
                 await self._changed.wait(self._interval)
                 await asyncio.sleep(BATCH_DELAY)
 
     async def serve(self, link: Link) -> None:
-        """Answer one neighbour's exchanges, in order, until it falls silent."""
+        """Handle the exchanges of one neighbour in order until it is silent for too long."""
         try:
-            await self._answer(link)
+            await self._handle_exchanges(link)
         except TimeoutError:
             return
 
-    async def _answer(self, link: Link) -> None:
-        """Answer exchanges; raise TimeoutError when none comes."""
+    async def _handle_exchanges(self, link: Link) -> None:
+        """Handle exchanges; raise TimeoutError when none is received in time."""
         timeout = self._interval * IDLE_HEARTBEATS
         match await link.receive(timeout=timeout):
-            case Hello(data_centre=centre, guest=guest):
-                feed = Feed(membership=self._membership, data_centre=centre, guest=guest)
+            case Hello(data_centre=data_centre, guest=guest):
+                feed = Feed(membership=self._membership, data_centre=data_centre, guest=guest)
             case _:
                 return
         while True:
             match await link.receive(timeout=timeout):
                 case Exchange() | Compare() as message:
                     reply, newer = feed.handle_message(message, time.monotonic())
-                    self._note(newer)
+                    self._record_updates(newer)
                     await link.send(reply)
                 case _:
                     return
 
-    def _keep_neighbours(self, tasks: asyncio.TaskGroup) -> None:
-        """Start the tasks of new neighbours and end those of former ones."""
-        wanted = {neighbour.host: neighbour for neighbour in self._membership.neighbours()}
-        for host in self._neighbours.keys() - wanted.keys():
+    def _update_neighbours(self, tasks: asyncio.TaskGroup) -> None:
+        """Start the tasks of new neighbours and cancel those of former ones."""
+        neighbours = {neighbour.host: neighbour for neighbour in self._membership.neighbours()}
+        for host in self._neighbours.keys() - neighbours.keys():
             self._neighbours.pop(host).cancel()
-        for host in wanted.keys() - self._neighbours.keys():
-            self._neighbours[host] = tasks.create_task(self._talk_to(host))
-        self._near = {host for host, neighbour in wanted.items() if neighbour.frequent_heartbeats}
-
-    async def _talk_to(self, host: HostName) -> None:
-        """Keep a connection to a neighbour, and suspect it while there is none."""
+        for host in neighbours.keys() - self._neighbours.keys():
+            self._neighbours[host] = tasks.create_task(self._gossip_with(host))
+        self._frequent_neighbours = {
+            host for host, neighbour in neighbours.items() if neighbour.frequent_heartbeats
+        }
+
+    async def _gossip_with(self, host: HostName) -> None:
+        """Keep a connection to a neighbour, and suspect the neighbour if none can be opened."""
         while True:
             member = self._membership.member(host)
             if member is None:
                 return
             try:
                 async with connect(member.peers, "/members") as link:
-                    await self._converse(link, member)
+                    await self._run_exchanges(link, member)
             except (LinkClosed, Malformed):
-                # One retry first: a neighbour that restarts has closed the connection too.
+                # A neighbour that restarts closes its connections too, so retry once first.
                 await self._suspect_unless_reachable(member)
             await asyncio.sleep(self._interval)
 
     async def _suspect_unless_reachable(self, member: Member) -> None:
-        """Suspect a neighbour that can't be connected to."""
+        """Suspect a neighbour if a connection to it can't be opened."""
         try:
             async with connect(member.peers, "/members"):
                 return
         except LinkClosed:
             if self._membership.suspect(member.host, time.monotonic()):
-                self._note_suspicion(member.host)
+                self._record_suspicion(member.host)
 
-    async def _converse(self, link: Link, member: Member) -> None:
-        """Exchange news and heartbeats with one neighbour until it fails."""
-        feed = await self._greet(link, member)
+    async def _run_exchanges(self, link: Link, member: Member) -> None:
+        """Exchange updates and heartbeats with one neighbour until a reply is missing."""
+        feed = await self._open_feed(link, member)
         while True:
-            asked_at = time.monotonic()
+            sent_at = time.monotonic()
             try:
                 await self._exchange(link, feed)
             except TimeoutError:
-                due_at = asked_at + self._reply_timeout
+                due_at = sent_at + self._reply_timeout
                 if self._membership.handle_missed_reply(member.host, due_at, time.monotonic()):
-                    self._note_suspicion(member.host)
+                    self._record_suspicion(member.host)
                 return
             if not feed.has_updates:
-                await self._changed.wait(feed.next_exchange_delay(self._beat(member.host)))
+                await self._changed.wait(
+                    feed.next_exchange_delay(self._heartbeat_interval(member.host))
+                )
                 await asyncio.sleep(BATCH_DELAY)
 
-    def _beat(self, host: HostName) -> Seconds:
+    def _heartbeat_interval(self, host: HostName) -> Seconds:
         """Return the time between heartbeats to a neighbour."""
-        return self._interval * (1 if host in self._near else DISTANT_HEARTBEAT_FACTOR)
+        return self._interval * (
+            1 if host in self._frequent_neighbours else DISTANT_HEARTBEAT_FACTOR
+        )
 
-    async def _ask_seeds(self) -> None:
-        """Ask one seed after another while this process has to."""
+    async def _synchronize_with_seeds(self) -> None:
+        """Synchronize with a random seed at intervals while the membership requires it."""
         while True:
             if self._seeds and self._membership.needs_seed():
-                await self._ask_seed(self._rng.choice(self._seeds))
-            pause = 1 if self._membership.is_alone() else SEED_INTERVAL_FACTOR
-            # Processes that have started together shall not ask together.
-            await asyncio.sleep(self._interval * pause * self._rng.uniform(0.5, 1.5))
+                await self._synchronize_with_seed(self._rng.choice(self._seeds))
+            factor = 1 if self._membership.is_alone() else SEED_INTERVAL_FACTOR
+            # The jitter spreads the load of processes that were started together.
+            await asyncio.sleep(self._interval * factor * self._rng.uniform(0.5, 1.5))
 
-    async def _ask_seed(self, address: Address) -> None:
-        """Exchange records with a seed until neither side lacks any."""
+    async def _synchronize_with_seed(self, address: Address) -> None:
+        """Exchange records with a seed until both sides are synchronized."""
         seed = next((item for item in self._membership.members if item.peers == address), None)
         try:
             async with connect(address, "/members") as link:
-                feed = await self._greet(link, seed, guest=True)
+                feed = await self._open_feed(link, seed, guest=True)
                 for _ in range(MAX_SEED_EXCHANGES):
                     await self._exchange(link, feed)
                     if feed.is_synchronized:
@@ -181,38 +187,38 @@
         except (LinkClosed, Malformed, TimeoutError):
             return
 
-    async def _greet(self, link: Link, member: Member | None, guest: bool = False) -> Feed:
-        """Say who opened the connection."""
+    async def _open_feed(self, link: Link, member: Member | None, guest: bool = False) -> Feed:
+        """Introduce this process on a new connection and return the feed for it."""
         own = self._membership.own
         await link.send(Hello(sender=own.host, data_centre=own.data_centre, guest=guest))
         data_centre = member.data_centre if member else None
         return Feed(membership=self._membership, data_centre=data_centre)
 
     async def _exchange(self, link: Link, feed: Feed) -> None:
-        """Send what the other side lacks and take its reply in."""
+        """Send pending updates to the other side and apply its reply."""
         message = feed.next_message(time.monotonic())
         await link.send(message)
         match await link.receive(timeout=self._reply_timeout):
             case ExchangeReply() as reply:
-                self._note(feed.handle_reply(message, reply, time.monotonic()))
+                self._record_updates(feed.handle_reply(message, reply, time.monotonic()))
             case _:
-                raise Malformed("a neighbour answered with another message")
+                raise Malformed("a neighbour responded with an unexpected message")
 
     @property
     def _reply_timeout(self) -> Seconds:
-        """Return how long a reply may take."""
+        """Return the timeout of a reply."""
         return self._interval * REPLY_TIMEOUT_HEARTBEATS
 
-    def _note_suspicion(self, host: HostName) -> None:
-        """Record a suspicion of this process and pass it on."""
+    def _record_suspicion(self, host: HostName) -> None:
+        """Record that this process suspects a member, and notify the neighbours."""
         self._events.record("member", member=host, state="suspected")
         self._changed.send()
 
-    def _note(self, newer: Iterable[Member]) -> None:
-        """Record news and pass on what has changed, the own record included."""
+    def _record_updates(self, newer: Iterable[Member]) -> None:
+        """Record updated members, and notify the neighbours if any record has changed."""
         for member in newer:
             state = "suspected" if member.suspected else member.state
             self._events.record("member", member=member.host, state=state)
-        if self._membership.revision != self._noted:
-            self._noted = self._membership.revision
+        if self._membership.revision != self._announced_revision:
+            self._announced_revision = self._membership.revision
             self._changed.send()
--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -1,4 +1,4 @@
-"""How a replica whose disk is empty comes into the group without a command."""
+"""Automatic joining: a replica with an empty disk enters the group without a command."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 from cowslipvane.types import Address, HostName, ReplicaId, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-# The group that replicas form by themselves.
+# Name of the group that replicas form automatically.
 GROUP_NAME = "cowslipvane"
-# Time between two attempts to be taken in.
-RETRY: Seconds = 0.3
-ANSWER_TIMEOUT: Seconds = 2.0
-# A member that has heard no leader for this long asks whether it still is one.
-LEFT_OUT_AFTER: Seconds = 3.0
+# Mean time between two attempts to join; also the interval of the checks for a leader.
+RETRY_INTERVAL: Seconds = 0.3
+RESPONSE_TIMEOUT: Seconds = 2.0
+# A member without contact to a leader for this long asks to join again: it may have been removed.
+REJOIN_TIMEOUT: Seconds = 3.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskToJoin:
-    """Asks to be taken in as a learner, in place of any other identity on the host."""
+    """Requests to join as a learner, replacing any other replica id on the same host."""
 
     group: str
     replica: Voter
@@ -36,12 +36,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakenIn:
-    """The group has the replica, or will have it once a majority knows."""
+    """The replica is in the group; the change may still be being committed by a majority."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NotTakenIn:
-    """The group was not changed here; leader says who may do it."""
+    """The group was not changed; leader is the address to send the request to, if known."""
 
     reason: str
     leader: Address | None
@@ -51,9 +51,9 @@
 
 
 def new_identity(settings: Settings) -> Identity:
-    """Return an identity for an empty data folder: a founder's, or that of one that joins.
+    """Return an identity for an empty data folder, either a founder's or a joining replica's.
 
-    The seeds are the same for all at the first start, and found the group together.
+    At the first start all replicas have the same seeds, which are the founders of the group.
     """
     seeds = settings.seeds
     is_founder = settings.formation.first_start and settings.listen.peers in seeds
@@ -63,7 +63,7 @@
 
 
 class GroupJoiner:
-    """Asks the members for this replica to be one of them, and answers others that ask."""
+    """Requests to join the group for this replica, and handles the join requests of others."""
 
     def __init__(
         self,
@@ -78,46 +78,46 @@
         self._replication = replication
         self._group_name = group_name
         self._own_address = own_address
-        self._others = peer_addresses
+        self._peer_addresses = peer_addresses
         self._events = events
         self._rng = rng
 
     async def run(self) -> None:
-        """Ask one member after another whenever this replica may not be in the group."""
+        """Request to join whenever this replica may not be in the group."""
         while True:
             if not self._is_member():
-                await self._ask_all()
-                await asyncio.sleep(RETRY * self._rng.uniform(0.5, 1.5))
+                await self._join()
+                await asyncio.sleep(RETRY_INTERVAL * self._rng.uniform(0.5, 1.5))
                 continue
-            if await self._is_left_out():
-                # One that was cut off for long may have been taken out, which its log can't tell.
-                await self._ask_all()
-
-    async def _ask_all(self) -> None:
-        """Ask one member after another until one takes this replica in."""
-        for address in self._shuffled():
-            if await self._ask(address):
+            if await self._is_isolated():
+                # It may have been removed while it was isolated, which its log can't show.
+                await self._join()
+
+    async def _join(self) -> None:
+        """Send a join request to one member after another until one accepts it."""
+        for address in self._shuffled_addresses():
+            if await self._try_address(address):
                 return
 
-    async def _is_left_out(self) -> bool:
-        """Watch for a while, and return whether no leader was heard in all that time."""
-        give_up = lease_now() + LEFT_OUT_AFTER
-        while lease_now() < give_up:
-            await asyncio.sleep(RETRY)
+    async def _is_isolated(self) -> bool:
+        """Return whether REJOIN_TIMEOUT passes without contact to a leader."""
+        deadline = lease_now() + REJOIN_TIMEOUT
+        while lease_now() < deadline:
+            await asyncio.sleep(RETRY_INTERVAL)
             if self._replication.is_current:
                 return False
         return True
 
     async def serve(self, link: Link) -> None:
-        """Answer one replica that asks."""
-        match await link.receive(timeout=ANSWER_TIMEOUT):
+        """Handle one join request."""
+        match await link.receive(timeout=RESPONSE_TIMEOUT):
             case AskToJoin(group=group, replica=voter) if group == self._group_name:
-                await link.send(await self._take_in(voter))
+                await link.send(await self._handle_join(voter))
             case _:
                 return
 
-    async def _take_in(self, voter: Voter) -> TakenIn | NotTakenIn:
-        """Change the group, if this replica leads and the other one isn't a member yet."""
+    async def _handle_join(self, voter: Voter) -> TakenIn | NotTakenIn:
+        """Add a replica to the group if this one leads and the other isn't a member yet."""
         replica = self._replication.replica
         group = replica.group
         if isinstance(replica.role, Leader) and replica.check_identity(
@@ -139,37 +139,37 @@
             case Unknown():
                 return NotTakenIn(reason="the outcome isn't known yet", leader=None)
 
-    async def _ask(self, address: Address) -> bool:
-        """Ask a member, and the leader that it names; return whether this replica is taken in."""
-        answer = await self._answer_of(address)
-        if isinstance(answer, NotTakenIn) and answer.leader is not None:
-            answer = await self._answer_of(answer.leader)
-        if isinstance(answer, NotTakenIn):
-            self._events.record("not-joined", asked=str(address), reason=answer.reason)
-        return isinstance(answer, TakenIn)
-
-    async def _answer_of(self, address: Address) -> TakenIn | NotTakenIn | None:
-        """Return what one process answers, None when it doesn't."""
+    async def _try_address(self, address: Address) -> bool:
+        """Request to join from a member or the leader that it names; return whether it accepts."""
+        response = await self._request_join(address)
+        if isinstance(response, NotTakenIn) and response.leader is not None:
+            response = await self._request_join(response.leader)
+        if isinstance(response, NotTakenIn):
+            self._events.record("not-joined", asked=str(address), reason=response.reason)
+        return isinstance(response, TakenIn)
+
+    async def _request_join(self, address: Address) -> TakenIn | NotTakenIn | None:
+        """Return the response of one process, None if there is none."""
         replica = self._replication.replica
         own = Voter(replica.host, self._own_address, replica.replica_id)
         try:
             async with connect(address, "/join") as link:
                 await link.send(AskToJoin(group=self._group_name, replica=own))
-                match await link.receive(timeout=ANSWER_TIMEOUT):
-                    case TakenIn() | NotTakenIn() as answer:
-                        return answer
+                match await link.receive(timeout=RESPONSE_TIMEOUT):
+                    case TakenIn() | NotTakenIn() as response:
+                        return response
         except (LinkClosed, Malformed, TimeoutError) as error:
             self._events.record("not-joined", asked=str(address), reason=str(error))
         return None
 
     def _is_member(self) -> bool:
-        """Return whether the log here names this replica as a member, founders included."""
+        """Return whether the local log has this replica as a member, founders included."""
         replica = self._replication.replica
         member = replica.group.member(replica.host)
         return member is not None and member.replica_id in ("", replica.replica_id)
 
-    def _shuffled(self) -> list[Address]:
-        """Return the other processes that may be members, in random order."""
-        others = [address for address in self._others() if address != self._own_address]
-        self._rng.shuffle(others)
-        return others
+    def _shuffled_addresses(self) -> list[Address]:
+        """Return the addresses of other possible members in random order."""
+        addresses = [address for address in self._peer_addresses() if address != self._own_address]
+        self._rng.shuffle(addresses)
+        return addresses
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -1,4 +1,4 @@
-"""The proxy's side of its subscription: one task that pulls versions."""
+"""The proxy's side of a subscription: one task that pulls versions."""
 
 from __future__ import annotations
 
@@ -28,17 +28,17 @@
 from cowslipvane.types import NO_VERSION, Address, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect
 
-FIRST_BACKOFF: Seconds = 0.1
-# Share of the silence after which a connection is lost, for which a replica may wait for a leader.
+INITIAL_BACKOFF: Seconds = 0.1
+# A replica may wait for a leader during this share of the time that a connection may be silent.
 FLOOR_WAIT_SHARE = 0.6
 
 
-class _Misled(Exception):
-    """The other side can't bring this proxy on; another one may."""
+class _UnusableReplica(Exception):
+    """The replica can't serve a usable version; try another one."""
 
 
 class Subscriber:
-    """Keeps the proxy's configuration at the newest version that a replica has."""
+    """Keeps the proxy's configuration at the newest version that a replica serves."""
 
     def __init__(
         self,
@@ -55,24 +55,24 @@
         self._rng = rng
         self._applied_at = 0.0
         self._changed_at = time.time()
-        self._rejected = ""
-        self._applied = Signal()
-        # After a rejection the next pull asks for all resources.
-        self._resync = False
-        longest = settings.timing.longest_backoff
-        self._backoff = Backoff(initial_delay=FIRST_BACKOFF, max_delay=longest, rng=rng)
+        self._rejection = ""
+        self._configuration_applied = Signal()
+        # After a rejection the next pull requests a full snapshot.
+        self._needs_snapshot = False
+        max_delay = settings.timing.longest_backoff
+        self._backoff = Backoff(initial_delay=INITIAL_BACKOFF, max_delay=max_delay, rng=rng)
 
     @property
     def configuration_applied(self) -> Signal:
-        """Return the signal that is sent when a version comes into force."""
-        return self._applied
+        """Return the signal for versions that come into force."""
+        return self._configuration_applied
 
     def update_seeds(self, seeds: tuple[Address, ...]) -> None:
-        """Subscribe to these processes from now on."""
+        """Replace the addresses of the replicas to subscribe to."""
         self._seeds = seeds
 
     async def run(self) -> None:
-        """Subscribe to one replica after another, in random order, for ever."""
+        """Subscribe to one replica after another, in random order, until cancelled."""
         while True:
             seeds = list(self._seeds)
             self._rng.shuffle(seeds)
@@ -81,94 +81,94 @@
             for address in seeds:
                 try:
                     await self._subscribe(address)
-                except (LinkClosed, Malformed, TimeoutError, _Misled):
+                except (LinkClosed, Malformed, TimeoutError, _UnusableReplica):
                     await asyncio.sleep(self._backoff.next_delay())
 
-    async def _learn_floor(self, link: Link) -> None:
-        """Learn from the leader, asked or named here, which version this proxy may not go under."""
-        answer = await self._ask_floor(link)
-        if isinstance(answer, AskLeader) and answer.leader is not None:
-            async with connect(answer.leader, "/subscribe") as leader:
-                answer = await self._ask_floor(leader)
-        if not isinstance(answer, Floor):
-            raise _Misled("no leader is known there")
-        self._subscription.raise_floor(answer.version)
-        self._events.record("floor", version=answer.version)
+    async def _fetch_floor(self, link: Link) -> None:
+        """Fetch the minimum version from this replica, or from the leader that it names."""
+        response = await self._request_floor(link)
+        if isinstance(response, AskLeader) and response.leader is not None:
+            async with connect(response.leader, "/subscribe") as leader:
+                response = await self._request_floor(leader)
+        if not isinstance(response, Floor):
+            raise _UnusableReplica("the replica knows no leader")
+        self._subscription.raise_floor(response.version)
+        self._events.record("floor", version=response.version)
         self._backoff.reset()
 
-    async def _ask_floor(self, link: Link) -> Floor | AskLeader:
-        """Ask one replica for the floor."""
+    async def _request_floor(self, link: Link) -> Floor | AskLeader:
+        """Request the minimum version from one replica."""
         silence = self._settings.timing.silence
         await link.send(AskFloor(wait=silence * FLOOR_WAIT_SHARE))
         match await link.receive(timeout=silence):
-            case Floor() | AskLeader() as answer:
-                return answer
+            case Floor() | AskLeader() as response:
+                return response
             case _:
-                raise Malformed("a replica answered a question for the floor with another message")
+                raise Malformed("a replica responded to a floor request with an unexpected message")
 
     async def _subscribe(self, address: Address) -> None:
-        """Pull versions over one connection, each pull reporting the last."""
-        # A replica answers each pull within its wait, so that a silent connection is noticed.
-        patience = self._settings.timing.pull_wait + self._settings.timing.silence
+        """Pull versions over one connection; each pull reports the version in force."""
+        # A replica responds to each pull within the pull's wait, so this detects a dead connection.
+        timeout = self._settings.timing.pull_wait + self._settings.timing.silence
         async with connect(address, "/subscribe") as link:
             if self._subscription.floor is None:
-                await self._learn_floor(link)
+                await self._fetch_floor(link)
             while True:
                 await link.send(self._pull())
-                await self._take(await link.receive(timeout=patience))
+                await self._handle_response(await link.receive(timeout=timeout))
 
     def _pull(self) -> Pull:
-        """Return a pull that follows what is in force."""
+        """Return a pull for the version after the one in force."""
         version = self._subscription.version
         return Pull(
             report=self._report(),
-            base=NO_VERSION if self._resync else version,
+            base=NO_VERSION if self._needs_snapshot else version,
             floor=self._subscription.floor or NO_VERSION,
             hosts=self._settings.route_hosts,
         )
 
-    async def _take(self, answer: object) -> None:
-        """Act on an answer to a pull."""
-        match answer:
+    async def _handle_response(self, response: object) -> None:
+        """Apply a response to a pull; raise _UnusableReplica if another replica should be tried."""
+        match response:
             case PullDelta(delta=delta):
-                self._note(self._subscription.apply_delta(delta))
+                self._record_result(self._subscription.apply_delta(delta))
             case PullSnapshot(snapshot=snapshot):
-                self._note(self._subscription.apply_snapshot(snapshot))
+                self._record_result(self._subscription.apply_snapshot(snapshot))
             case Current(version=version):
                 self._backoff.reset()
                 if version < (self._subscription.floor or NO_VERSION):
-                    raise _Misled("the replica lags behind this proxy")
+                    raise _UnusableReplica("the replica lags behind this proxy")
             case Lagging():
-                raise _Misled("the replica hears no leader")
+                raise _UnusableReplica("the replica has no contact with a leader")
             case ComeAgain(after=after):
                 await asyncio.sleep(after * self._rng.uniform(1, 2))
             case _:
-                raise Malformed("a replica answered a pull with another message")
+                raise Malformed("a replica responded to a pull with an unexpected message")
 
     def _report(self) -> Report:
-        """Return what is in force here."""
+        """Return the report of the version in force at this proxy."""
         return Report(
             self._settings.host,
             self._subscription.version,
             self._applied_at,
             self._settings.listen.operators,
-            self._rejected,
+            self._rejection,
             self._changed_at,
         )
 
-    def _note(self, result: Applied | Rejected) -> None:
-        """Record what became of a version; raise after a rejection."""
+    def _record_result(self, result: Applied | Rejected) -> None:
+        """Record whether a version was applied; raise _UnusableReplica if it was rejected."""
         self._changed_at = time.time()
         match result:
             case Applied(version=version):
                 self._applied_at = self._changed_at
-                self._rejected = ""
-                self._resync = False
+                self._rejection = ""
+                self._needs_snapshot = False
                 self._backoff.reset()
-                self._applied.send()
+                self._configuration_applied.send()
                 self._events.record("applied", version=version)
             case Rejected(version=version, reason=reason):
-                self._rejected = f"version {version}: {reason}"
-                self._resync = True
+                self._rejection = f"version {version}: {reason}"
+                self._needs_snapshot = True
                 self._events.record("rejected", version=version, reason=reason)
-                raise _Misled(reason)
+                raise _UnusableReplica(reason)
