Reword the operator API, releases, event copies and metrics tasks in plain terms

The texts and private names said in figures or in words of this project what has a usual term. They now use the terms of the field; reasons and numbers stay, and nothing else changes.

--- a/cowslipvane/tasks/__init__.py
+++ b/cowslipvane/tasks/__init__.py
@@ -1,4 +1,4 @@
-"""The tasks: one for each connection and each peer, each written straight down."""
+"""The asyncio tasks of a process: one per connection and per peer, in sequential code."""
 
 from cowslipvane.tasks._front_end import Components, FrontEnd
 from cowslipvane.tasks._http import HttpListener
--- a/cowslipvane/tasks/_debug.py
+++ b/cowslipvane/tasks/_debug.py
@@ -1,4 +1,4 @@
-"""What a process knows of itself, for debugging."""
+"""Internal state of a process for debugging."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
     connections: Mapping[str, int],
     started_at: float,
 ) -> dict[str, Any]:
-    """Return what the process knows of itself; no secret is in it."""
+    """Return the internal state of the process as JSON, without secrets."""
     now = time.monotonic()
     return {
         "host": settings.host,
@@ -50,12 +50,12 @@
 
 
 def _library_versions() -> dict[str, str]:
-    """Return the versions of this program and of the libraries that it uses."""
+    """Return the versions of this program and of its libraries."""
     return {name: importlib.metadata.version(name) for name in _LIBRARIES}
 
 
 def _memory() -> dict[str, int]:
-    """Return resident memory now and at its most, in bytes."""
+    """Return the current and the peak resident memory in bytes."""
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
     if not _STATM.exists():
         return {"peak_bytes": peak}
--- a/cowslipvane/tasks/_event_copies.py
+++ b/cowslipvane/tasks/_event_copies.py
@@ -1,4 +1,4 @@
-"""Copies of refusals: one task hands them to another process, which answers after a restart."""
+"""Copies of refusal events on another process, so that they survive a crash of this one."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 from cowslipvane.types import Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-# Time between copies; refusals of the last such time are lost with a process that dies.
-COPY_EVERY: Seconds = 0.25
-ANSWER_TIMEOUT: Seconds = 2.0
+# Time between copies; a process that crashes loses the refusals of at most this time.
+COPY_INTERVAL: Seconds = 0.25
+RESPONSE_TIMEOUT: Seconds = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeepEvents:
-    """Asks a process to keep copies of another's events."""
+    """Requests a process to store copies of another process's events."""
 
     origin: Origin
     events: tuple[Event, ...]
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EventsKept:
-    """Says that the copies are kept."""
+    """Confirms that the copies are stored."""
 
     count: int
 
@@ -35,25 +35,25 @@
 
 
 class EventCopies:
-    """Keeps refusals of other processes, and has another process keep those of this one."""
+    """Copies refusal events to another process, and stores the copies of other processes."""
 
     def __init__(self, *, membership: Membership, events: EventLog) -> None:
         self._membership = membership
         self._events = events
 
     async def run(self) -> None:
-        """Hand refusals to a witness whenever there are new ones."""
+        """Copy new refusals to another process at intervals."""
         while True:
-            await asyncio.sleep(COPY_EVERY)
+            await asyncio.sleep(COPY_INTERVAL)
             events = self._events.take_uncopied()
             if not events:
                 continue
             member = choose_copy_holder(self._membership, time.monotonic())
-            if member is None or not await self._copy_to(member, events):
+            if member is None or not await self._send_copies(member, events):
                 self._events.requeue_uncopied(events)
 
     async def serve(self, link: Link) -> None:
-        """Keep what one other process sends."""
+        """Store the copies that one other process sends."""
         while True:
             match await link.receive():
                 case KeepEvents(origin=origin, events=events):
@@ -62,29 +62,29 @@
                 case _:
                     return
 
-    async def _copy_to(self, member: Member, events: tuple[Event, ...]) -> bool:
-        """Send copies to one process and return whether it keeps them."""
+    async def _send_copies(self, member: Member, events: tuple[Event, ...]) -> bool:
+        """Send copies to one process and return whether it has stored them."""
         try:
             async with connect(member.peers, "/events") as link:
                 await link.send(KeepEvents(origin=self._events.origin, events=events))
-                answer = await link.receive(timeout=ANSWER_TIMEOUT)
+                response = await link.receive(timeout=RESPONSE_TIMEOUT)
         except (LinkClosed, Malformed, TimeoutError):
             return False
-        return isinstance(answer, EventsKept)
+        return isinstance(response, EventsKept)
 
 
 def choose_copy_holder(membership: Membership, now: float) -> Member | None:
-    """Return the next live process in the order of names, in this data centre if there is one."""
+    """Return the next live process by host name, preferably in this data centre."""
     own = membership.own
-    others = [
+    candidates = [
         member
         for member in membership.members
         if member.host != own.host
         and member.state == "up"
         and membership.is_alive(member.host, now)
     ]
-    if not others:
+    if not candidates:
         return None
     return min(
-        others, key=lambda it: (it.data_centre != own.data_centre, it.host < own.host, it.host)
+        candidates, key=lambda it: (it.data_centre != own.data_centre, it.host < own.host, it.host)
     )
--- a/cowslipvane/tasks/_metrics_collector.py
+++ b/cowslipvane/tasks/_metrics_collector.py
@@ -1,4 +1,4 @@
-"""What the aggregates of a process read at the moment somebody asks for metrics."""
+"""Collects metrics from the state of a process at the time of a request."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class MetricsCollector:
-    """Reads the aggregates of one process."""
+    """Collects the metrics of one process."""
 
     def __init__(
         self,
@@ -38,29 +38,29 @@
         self._owner = owner
 
     def render(self) -> bytes:
-        """Return the text that a metrics system reads."""
-        # A process that nobody asks for metrics need not load the library.
+        """Return the metrics in the text format of Prometheus."""
+        # Imported here so that a process without requests for metrics doesn't load the library.
         from cowslipvane.metrics._render import render  # noqa: PLC0415
 
         return render(self._metrics, self.samples())
 
     def samples(self) -> list[Sample]:
-        """Return everything that there is to read now."""
-        readings = self._metrics.samples()
-        readings += self._of_links() + self._of_members() + self._of_events()
+        """Return the current samples of all metrics."""
+        samples = self._metrics.samples()
+        samples += self._link_samples() + self._member_samples() + self._event_samples()
         if self._subscription is not None:
-            readings.append(Sample("cowslipvane_version_in_force", self._subscription.version))
+            samples.append(Sample("cowslipvane_version_in_force", self._subscription.version))
         if self._owner is not None:
             load = self._owner.load
-            readings.append(Sample("cowslipvane_slots", load.slots))
-            readings.append(Sample("cowslipvane_running", load.running))
-            readings.append(Sample("cowslipvane_queue", load.queued))
+            samples.append(Sample("cowslipvane_slots", load.slots))
+            samples.append(Sample("cowslipvane_running", load.running))
+            samples.append(Sample("cowslipvane_queue", load.queued))
         if self._replication is not None:
-            readings += self._of_replica(self._replication)
-        return readings
+            samples += self._replica_samples(self._replication)
+        return samples
 
-    def _of_links(self) -> list[Sample]:
-        """Return the bytes of each message."""
+    def _link_samples(self) -> list[Sample]:
+        """Return the bytes sent and received for each kind of message."""
         sent = self._traffic.sent_bytes.items()
         received = self._traffic.received_bytes.items()
         return [
@@ -68,18 +68,18 @@
             *(Sample("cowslipvane_received_bytes", count, name) for name, count in received),
         ]
 
-    def _of_members(self) -> list[Sample]:
-        """Return how many members are in each state."""
+    def _member_samples(self) -> list[Sample]:
+        """Return the number of members in each state."""
         states = count_states(self._membership, time.monotonic())
         return [Sample("cowslipvane_members", count, state) for state, count in states.items()]
 
-    def _of_events(self) -> list[Sample]:
-        """Return the counts of the event log."""
+    def _event_samples(self) -> list[Sample]:
+        """Return the counts of the event log by what became of the events."""
         counts = self._events.counts.items()
         return [Sample("cowslipvane_events", count, fate) for fate, count in counts]
 
-    def _of_replica(self, replication: Replication) -> list[Sample]:
-        """Return what the replica knows of versions and proxies."""
+    def _replica_samples(self, replication: Replication) -> list[Sample]:
+        """Return the replica's samples about versions, proxies and leadership."""
         replica = replication.replica
         accepted = replica.catalogue.version
         reports = list(replica.reports.values())
@@ -87,7 +87,7 @@
         for report in reports:
             in_force[report.version] = max(report.applied_at, in_force.get(report.version, 0.0))
         behind = sum(report.version < accepted for report in reports)
-        readings = [
+        samples = [
             Sample("cowslipvane_version_accepted", accepted),
             Sample("cowslipvane_proxies", len(reports)),
             Sample("cowslipvane_proxies_behind", behind),
@@ -96,12 +96,12 @@
         ]
         lag = self._metrics.convergence(accepted, in_force, time.time())
         if lag is not None:
-            readings.append(Sample("cowslipvane_convergence_seconds", lag))
-        return readings
+            samples.append(Sample("cowslipvane_convergence_seconds", lag))
+        return samples
 
 
 def count_states(membership: Membership, now: float) -> Counter[str]:
-    """Return how many members are in each state; one whose lease ran out is silent."""
+    """Return the number of members in each state; one without a valid lease counts as silent."""
     return Counter(
         member.state if membership.is_alive(member.host, now) else "silent"
         for member in membership.members
--- a/cowslipvane/tasks/_operator_api.py
+++ b/cowslipvane/tasks/_operator_api.py
@@ -1,4 +1,4 @@
-"""The operators' listener: it hands each request to the API that answers it."""
+"""The operator API: dispatches each request to the API that handles its path."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class OperatorApi:
-    """Answers operators, and the worker on this host, as HTTP and JSON."""
+    """Serves operators, and the worker on this host, over HTTP with JSON."""
 
     def __init__(
         self,
@@ -30,34 +30,34 @@
         self._replicas = replicas
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request."""
-        if not self._may_ask(http):
+        """Respond to one request."""
+        if not self._is_authorized(http):
             sentence = "show the token: name its file in COWSLIPVANE_TOKEN_FILE"
-            response = error_response(401, f"not run: {sentence}")
-            response.headers["WWW-Authenticate"] = "Bearer"
-            return response
+            unauthorized = error_response(401, f"not run: {sentence}")
+            unauthorized.headers["WWW-Authenticate"] = "Bearer"
+            return unauthorized
         parts = http.path.strip("/").split("/")
         if parts[0] == "v1":
             del parts[0]
         try:
-            answer = await self._process.handle(http, parts)
-            if answer is None and self._resources is not None:
-                answer = await self._resources.handle(http, parts)
-            if answer is None and self._replicas is not None:
-                answer = await self._replicas.handle(http, parts)
+            response = await self._process.handle(http, parts)
+            if response is None and self._resources is not None:
+                response = await self._resources.handle(http, parts)
+            if response is None and self._replicas is not None:
+                response = await self._replicas.handle(http, parts)
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
             return error_response(400, f"not run: the request can't be read: {error!r}")
-        if answer is None:
+        if response is None:
             return error_response(404, f"there is no {http.method} {http.path} at this process")
-        return answer
+        return response
 
-    def _may_ask(self, http: web.BaseRequest) -> bool:
-        """Return whether a request shows the token, or needs none."""
+    def _is_authorized(self, http: web.BaseRequest) -> bool:
+        """Return whether a request has the right token or needs none."""
         if self._token is None or self._token.matches(http.headers.get(AUTHORIZATION)):
             return True
-        # The platform's worker knows no token of ours; it shares this host's address.
+        # The platform's worker has no token, but its requests come from this host's addresses.
         return http.path == "/v1/worker" and _from_this_host(http)
 
 
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -1,4 +1,4 @@
-"""The API of any process: its status, its events, its metrics, and its worker."""
+"""The API of any process: status, events, metrics and worker."""
 
 from __future__ import annotations
 
@@ -17,13 +17,13 @@
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, ServiceName
 
-# A slot costs a task, so an announcement may not ask for any number of them.
+# Each slot costs a task, so an announcement is limited in how many it can request.
 MAX_SLOTS = 1024
 MAX_CONNECTIONS = 10_000
 
 
 class ProcessApi:
-    """Answers operators who ask about this process, and the worker on this host."""
+    """Serves operator requests about this process, and the worker on this host."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         debug: Callable[[], dict[str, Any]],
         metrics_collector: MetricsCollector,
     ) -> None:
-        self._measures = metrics_collector
+        self._metrics_collector = metrics_collector
         self._debug = debug
         self._membership = membership
         self._events = events
@@ -47,7 +47,7 @@
         self._drain = drain
 
     async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
-        """Answer by method and path, or return None when the path is none of this API."""
+        """Dispatch by method and path; return None for a path of another API."""
         match http.method, parts:
             case "GET", ["status"]:
                 return web.json_response(self._status())
@@ -56,23 +56,25 @@
             case "GET", ["debug"]:
                 return web.json_response(self._debug())
             case "POST", ["worker"]:
-                return await self._announce(await http.json())
+                return await self._register_worker(await http.json())
             case "POST", ["drain"]:
                 self._drain()
                 return web.json_response({"state": "leaving"})
             case "GET", ["metrics"]:
-                return web.Response(body=self._measures.render(), content_type="text/plain")
+                return web.Response(
+                    body=self._metrics_collector.render(), content_type="text/plain"
+                )
             case _:
                 return None
 
     def _events_form(self, http: web.BaseRequest) -> dict[str, Any]:
-        """Return the events that a query asks for, and how many are lost."""
+        """Return the events that match a query, and the counts of the event log."""
         request, version = http.query.get("request", ""), int(http.query.get("version", "0"))
-        found = list(self._events.select(request=request, version=version))
-        return {"host": self._membership.own.host, "events": found, "counts": self._events.counts}
+        events = list(self._events.select(request=request, version=version))
+        return {"host": self._membership.own.host, "events": events, "counts": self._events.counts}
 
     def _status(self) -> dict[str, Any]:
-        """Return what this process knows of itself and the others."""
+        """Return the status of this process and of the members that it knows."""
         own = self._membership.own
         status: dict[str, Any] = {
             "host": own.host,
@@ -114,10 +116,12 @@
             ],
         }
 
-    async def _announce(self, form: Any) -> web.Response:
-        """Take the announcement of the worker on this host."""
+    async def _register_worker(self, form: Any) -> web.Response:
+        """Register or deregister the worker on this host by its announcement."""
         if self._owner is None:
-            return error_response(404, "this process is no proxy; announce to the one on this host")
+            return error_response(
+                404, "this process isn't a proxy; announce to the one on this host"
+            )
         if isinstance(form, dict) and form.get("state") == "leaving":
             await self._owner.deregister_worker()
             return web.json_response({"state": "leaving"})
@@ -127,7 +131,7 @@
 
 
 def read_worker(form: Any) -> Worker:
-    """Return the worker in an announcement; raise ValueError that says what is allowed."""
+    """Return the worker in an announcement; raise ValueError with the allowed values."""
     if not isinstance(form, dict) or not isinstance(form.get("service"), str):
         raise ValueError("an announcement has service, address, slots and connections")
     address = Address.parse(form.get("address"))
--- a/cowslipvane/tasks/_releases.py
+++ b/cowslipvane/tasks/_releases.py
@@ -1,4 +1,4 @@
-"""Putting releases in place, one after another, and reading the one in force."""
+"""Accepts releases one at a time, and returns the one in force."""
 
 from __future__ import annotations
 
@@ -24,20 +24,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoRelease:
-    """The newest configuration is none: no release was accepted yet."""
+    """No release has been accepted yet."""
 
 
 class Releases:
-    """Decides the releases that operators send to this replica."""
+    """Handles the releases that operators send to this replica."""
 
     def __init__(self, *, replication: Replication, events: EventLog) -> None:
         self._replication = replication
         self._events = events
-        # A release may build on one that is still under way.
-        self._turn = asyncio.Lock()
+        # Serializes releases, since one may be based on another that is still being written.
+        self._lock = asyncio.Lock()
 
     def newest(self) -> Release | NoRelease | NotLeader:
-        """Return the newest accepted release, if this replica surely knows it."""
+        """Return the newest accepted release, if this replica holds the leader lease."""
         replica = self._replication.replica
         if not self._replication.holds_lease:
             return NotLeader(leader=replica.leader)
@@ -46,11 +46,11 @@
     async def put(
         self, release: Release, resources: dict[Key, Spec]
     ) -> Accepted | Conflict | Invalid | NotLeader | Unknown:
-        """Put a release in place of the one in force, or return why it isn't.
+        """Replace the release in force by a new one, or return why it isn't replaced.
 
-        A release that was accepted before is acknowledged again.
+        A release that was already accepted is acknowledged again.
         """
-        async with self._turn:
+        async with self._lock:
             outcome = await self._decide(release, resources)
         self._events.record(
             "release",
@@ -65,7 +65,7 @@
     async def _decide(
         self, release: Release, resources: dict[Key, Spec]
     ) -> Accepted | Conflict | Invalid | NotLeader | Unknown:
-        """Decide a release on what is in force; only one that fits goes into the log."""
+        """Evaluate a release against the one in force; only a valid one is written to the log."""
         replica = self._replication.replica
         if not self._replication.holds_lease:
             return NotLeader(leader=replica.leader)
@@ -90,7 +90,7 @@
 
 
 def _reason(outcome: object) -> str:
-    """Return what is wrong with a release, or nothing."""
+    """Return why a release was not accepted, or an empty text."""
     match outcome:
         case Invalid(faults=faults):
             return "; ".join(f"{fault.path} {fault.message}" for fault in faults)
--- a/cowslipvane/tasks/_replica_api.py
+++ b/cowslipvane/tasks/_replica_api.py
@@ -1,4 +1,4 @@
-"""The API of the group of replicas."""
+"""The API of the replica group."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ReplicaApi:
-    """Answers operators who list, add, replace and remove replicas."""
+    """Serves operators who list, add, replace and remove replicas."""
 
     def __init__(
         self, *, membership: Membership, events: EventLog, replication: Replication
@@ -28,24 +28,24 @@
         self._replication = replication
 
     async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
-        """Answer by method and path, or return None when the path is none of this API."""
+        """Dispatch by method and path; return None for a path of another API."""
         match http.method, parts:
             case "GET", ["replicas"]:
                 return self._group()
             case "POST", ["replicas"]:
-                return await self._regroup(await http.json())
+                return await self._change_group(await http.json())
             case _:
                 return None
 
     def _group(self) -> web.Response:
-        """Return the group, from a leader that surely still is one."""
+        """Return the group if this replica holds the leader lease, else redirect to the leader."""
         replica = self._replication.replica
         if not self._replication.holds_lease:
             return leader_redirect(self._membership, _PATH, replica.leader)
         return web.json_response({"leader": replica.host, **group_form(replica.group)})
 
-    async def _regroup(self, form: Any) -> web.Response:
-        """Change the group; the answer says whether it was run."""
+    async def _change_group(self, form: Any) -> web.Response:
+        """Change the group; the response tells whether the change was run."""
         match await self._replication.change_group(read_group_change(form)):
             case NotLeader(leader=leader):
                 return leader_redirect(self._membership, _PATH, leader)
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -29,7 +29,7 @@
 
 
 class ResourceApi:
-    """Answers operators who read, write and watch resources."""
+    """Serves operators who read, write and watch resources."""
 
     def __init__(
         self,
@@ -50,7 +50,7 @@
         return self._replication.replica.catalogue
 
     async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
-        """Answer by method and path, or return None when the path is none of this API."""
+        """Dispatch by method and path; return None for a path of another API."""
         if parts[0] not in ("resources", "changes", "history", "watch"):
             return None
         if not self._replication.holds_lease:
@@ -65,14 +65,14 @@
             case "POST", ["changes"]:
                 return await self._change(await http.json())
             case "GET", ["history"]:
-                return self._history(_from(http))
+                return self._history(_requested_version(http))
             case "GET", ["watch"]:
                 return await self._watch(http)
             case _:
                 return None
 
     def _resources(self) -> web.Response:
-        """Return all accepted resources, each with where it is in force."""
+        """Return all accepted resources, each with its rollout status."""
         rollout = self._publisher.rollout
         accepted_at = self._catalogue.accepted_at()
         progress = rollout.progress(self._catalogue.version, accepted_at)
@@ -83,7 +83,7 @@
         return web.json_response({**progress_form(progress), "resources": resources})
 
     def _resource(self, key: Key) -> web.Response:
-        """Return one resource, its status, and the tag for a conditional write."""
+        """Return one resource, its status, and the ETag for a conditional write."""
         resource = self._catalogue.resources.get(key)
         if resource is None:
             return error_response(404, f"there is no {key}")
@@ -95,8 +95,8 @@
         return web.json_response(form, headers={"ETag": f'"{resource.version}"'})
 
     async def _write(self, http: web.BaseRequest, key: Key) -> web.Response:
-        """Write or delete one resource, if it still is what the operator saw."""
-        name = http.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
+        """Write or delete one resource if it has not changed since the operator read it."""
+        operation_id = http.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
         based_on = self._based_on(http, key)
         if based_on is None:
             sentence = 'not run: give If-Match with the ETag you saw, or If-None-Match: "*"'
@@ -105,11 +105,11 @@
         if http.method == "PUT":
             spec = read_spec(key, await http.json())
             if isinstance(spec, Invalid):
-                return _invalid(spec.faults)
+                return _invalid_response(spec.faults)
             puts = ((key, spec),)
         deletes = () if puts else (key,)
-        change = Change(OperationId(name), based_on, puts, deletes)
-        return await self._run(change, conflict_status=412)
+        change = Change(OperationId(operation_id), based_on, puts, deletes)
+        return await self._write_change(change, conflict_status=412)
 
     def _based_on(self, http: web.BaseRequest, key: Key) -> Version | None:
         """Return the version that a conditional write is based on, or None without a condition."""
@@ -117,21 +117,21 @@
         if tag.isdecimal():
             return Version(int(tag))
         if http.headers.get("If-None-Match", "").strip('"') == "*":
-            # A resource that is there was written after version 0, so that it is a conflict.
+            # An existing resource was written after version 0, so basing on 0 makes a conflict.
             return Version(0) if key in self._catalogue.resources else self._catalogue.version
         return None
 
     async def _change(self, form: Any) -> web.Response:
-        """Decide a change; the answer says whether it was run."""
+        """Handle a change of several resources; the response tells whether it was run."""
         change = read_change(form)
         if isinstance(change, Invalid):
-            return _invalid(change.faults)
+            return _invalid_response(change.faults)
         if form.get("dry_run"):
             return self._dry_run(change)
-        return await self._run(change, conflict_status=409)
+        return await self._write_change(change, conflict_status=409)
 
     def _dry_run(self, change: Change) -> web.Response:
-        """Return what would become of a change, of which nothing is run."""
+        """Return the outcome that a change would have, without running it."""
         match self._catalogue.evaluate(change):
             case None:
                 effects = [effect_form(effect) for effect in self._catalogue.effects(change)]
@@ -141,10 +141,10 @@
             case Conflict() as outcome:
                 return web.json_response(outcome_form(outcome), status=409)
             case Invalid(faults=faults):
-                return _invalid(faults)
+                return _invalid_response(faults)
 
-    async def _run(self, change: Change, *, conflict_status: int) -> web.Response:
-        """Have a change decided by the group, and answer."""
+    async def _write_change(self, change: Change, *, conflict_status: int) -> web.Response:
+        """Replicate a change and respond with its outcome."""
         outcome = await self._replication.write(change)
         match outcome:
             case NotLeader(leader=leader):
@@ -168,30 +168,30 @@
         return web.json_response({"version": self._catalogue.version, "changes": changes})
 
     async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Stream what is accepted after a version, or say that it can't be told without a gap."""
-        version = _from(http)
+        """Stream the changes after a version if the history still reaches back to it."""
+        version = _requested_version(http)
         if version < self._catalogue.oldest_version:
             return self._gone()
         watch = Watch(replication=self._replication, publisher=self._publisher, version=version)
         return await watch.run(http)
 
     def _gone(self) -> web.Response:
-        """Return that the history does not reach back to a version."""
+        """Respond that the history doesn't reach back to the requested version."""
         oldest = self._catalogue.oldest_version
         sentence = f"the history begins at version {oldest}; read the resources, then go on"
         form = {"outcome": "gone", "oldest": oldest, "sentence": sentence}
         return web.json_response(form, status=410)
 
     def _redirect(self, path: str, leader: HostName | None) -> web.Response:
-        """Send an operator on to the leader, or tell when to come again."""
+        """Redirect an operator to the leader, or respond when to retry."""
         return leader_redirect(self._membership, path, leader)
 
 
-def _from(http: web.BaseRequest) -> Version:
-    """Return the version that an operator holds."""
+def _requested_version(http: web.BaseRequest) -> Version:
+    """Return the version that a request starts from."""
     return Version(int(http.query.get("from", "0")))
 
 
-def _invalid(faults: tuple[Fault, ...]) -> web.Response:
-    """Return the faults of a change, of which nothing was run."""
+def _invalid_response(faults: tuple[Fault, ...]) -> web.Response:
+    """Respond with the faults of a change that was not run."""
     return web.json_response(outcome_form(Invalid(faults=faults)), status=422)
