--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,4 @@
-"""Tests of the tasks that spread membership, over links in memory."""
+"""Tests of the gossip task over links in memory."""
 
 import asyncio
 import unittest
@@ -13,36 +13,36 @@
 
 
 class Pipe:
-    """A link whose other side is the test."""
+    """A link in memory whose other side is the test."""
 
     def __init__(self) -> None:
         self.incoming: asyncio.Queue[Any] = asyncio.Queue()
         self.sent: asyncio.Queue[Any] = asyncio.Queue()
 
     async def send(self, message: Any) -> None:
-        """Keep what is sent."""
+        """Record a sent message."""
         await self.sent.put(message)
 
     async def receive(self, *, timeout: float | None = None) -> Any:
-        """Return what the test has put in, or raise TimeoutError."""
+        """Return the next message of the test, or raise TimeoutError."""
         async with asyncio.timeout(timeout):
             return await self.incoming.get()
 
 
-class MembersTaskTest(unittest.IsolatedAsyncioTestCase):
-    """One connection, served."""
+class GossipTest(unittest.IsolatedAsyncioTestCase):
+    """Service of one connection."""
 
     def setUp(self) -> None:
-        """Begin with a member that knows only itself."""
+        """Create a member that knows only itself."""
         centre = DataCentre("here")
         events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
-        self.members = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
+        self.gossip = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
 
-    async def test_an_exchange_is_answered(self) -> None:
-        """The opener's record is taken in, and the reply tells the digest of both."""
-        serving = asyncio.create_task(self.members.serve(cast(Link, self.pipe)))
+    async def test_exchange_is_answered_with_the_joint_digest(self) -> None:
+        """The sender's record is stored, and the reply has the digest of both records."""
+        serving = asyncio.create_task(self.gossip.serve(cast(Link, self.pipe)))
         await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=DataCentre("here")))
         await self.pipe.incoming.put(Exchange(digest=0, members=(record("b"),)))
         reply = await self.pipe.sent.get()
@@ -51,14 +51,14 @@
         await self.pipe.incoming.put("something else")
         await serving
 
-    async def test_a_silent_opener_holds_no_task(self) -> None:
-        """The task of a connection ends when nothing comes over it."""
+    async def test_silent_connection_ends_its_task(self) -> None:
+        """The task ends when no message is received, before and after the handshake."""
         async with asyncio.timeout(10):
-            await self.members.serve(cast(Link, self.pipe))
+            await self.gossip.serve(cast(Link, self.pipe))
             await self.pipe.incoming.put(
                 Hello(sender=HostName("b"), data_centre=DataCentre("here"))
             )
-            await self.members.serve(cast(Link, self.pipe))
+            await self.gossip.serve(cast(Link, self.pipe))
 
 
 if __name__ == "__main__":
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -1,4 +1,4 @@
-"""Tests of a group that forms and mends itself, with real journals and connections."""
+"""Tests of automatic group formation and repair, with real journals and connections."""
 
 import asyncio
 import random
@@ -25,9 +25,9 @@
 from cowslipvane.types import Address, DataCentre, HostName, OperationId, Version
 from cowslipvane.wire import anonymous_identity
 
-PATIENCE_S = 15.0
+TIMEOUT_S = 15.0
 SEED_IPS = ("127.9.9.1", "127.9.9.2", "127.9.9.3")
-LATER_IP = "127.9.9.4"
+JOINING_IP = "127.9.9.4"
 
 
 def free_port() -> int:
@@ -39,7 +39,7 @@
 
 
 class Node:
-    """A replica's tasks, with a data folder that can be lost."""
+    """Runs the tasks of one replica, on a data folder that a test can delete."""
 
     def __init__(self, *, ip: str, port: int, folder: Path, first_start: bool) -> None:
         self.settings = Settings(
@@ -55,7 +55,7 @@
         self._stack = AsyncExitStack()
 
     async def start(self) -> None:
-        """Open the folder, forming an identity if it is empty, and run."""
+        """Open the folder, with a new identity if it is empty, and start the tasks."""
         folder = DataFolder(path=Path(self.settings.data_folder))
         if folder.is_empty:
             folder.create(new_identity(self.settings))
@@ -103,23 +103,23 @@
         ]
 
     async def stop(self) -> None:
-        """End the tasks, as a kill would."""
+        """Cancel the tasks, as if the process was killed."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stack.aclose()
 
-    def votes(self) -> bool:
-        """Return whether the log here names this identity as a voter."""
+    def is_voter(self) -> bool:
+        """Return whether the local log has this replica id as a voter."""
         voter = self.replica.group.voter(self.replica.host)
         return voter is not None and voter.replica_id == self.replica.replica_id
 
 
 class JoiningTest(unittest.IsolatedAsyncioTestCase):
-    """What becomes of founders, of a replica that comes later, and of lost disks."""
+    """Founders, replicas that join later, and lost disks."""
 
     async def asyncSetUp(self) -> None:
-        """Start the seeds for the first time, on empty disks."""
+        """Start the seeds for the first time on empty disks."""
         self.folder = Path(tempfile.mkdtemp(prefix="cowslipvane-"))
         self.addCleanup(shutil.rmtree, self.folder)
         self.port = free_port()
@@ -129,7 +129,7 @@
             await self.start(ip, first_start=True)
 
     async def stop_all(self) -> None:
-        """Stop what runs."""
+        """Stop all running replicas."""
         for node in self.nodes.values():
             await node.stop()
 
@@ -141,84 +141,84 @@
         return node
 
     async def lose_disk(self, ip: str) -> Node:
-        """Let a replica come back with an empty disk."""
+        """Restart a replica with an empty disk."""
         await self.nodes.pop(ip).stop()
         shutil.rmtree(self.folder / ip)
         return await self.start(ip)
 
-    async def until(self, holds: Callable[[], bool]) -> None:
-        """Return once something holds."""
-        give_up = time.monotonic() + PATIENCE_S
-        while not holds():
-            self.assertLess(time.monotonic(), give_up, "waited in vain")
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, "the condition did not hold in time")
             await asyncio.sleep(0.01)
 
     async def write(self, name: str) -> Version:
-        """Have a change accepted by whoever leads, and return its version."""
+        """Write a change through the current leader and return its version."""
         change = Change(OperationId(name), Version(0), ((Key("service", name), Service()),))
-        give_up = time.monotonic() + PATIENCE_S
-        while time.monotonic() < give_up:
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
             for node in list(self.nodes.values()):
                 outcome = await node.replication.write(change)
                 if isinstance(outcome, Accepted):
                     return outcome.version
             await asyncio.sleep(0.02)
-        raise AssertionError("nothing was accepted")
+        raise AssertionError("no replica accepted the change")
 
-    async def test_the_seeds_form_the_group_and_a_later_replica_joins_it(self) -> None:
-        """It learns what was accepted before it votes."""
+    async def test_seeds_form_the_group_and_a_later_replica_joins(self) -> None:
+        """The joining replica has all accepted changes before it becomes a voter."""
         version = await self.write("first")
-        later = await self.start(LATER_IP, first_start=True)
-        await self.until(later.votes)
-        self.assertEqual(later.replica.catalogue.version, version)
-        self.assertEqual(len(later.replica.group.voters), len(SEED_IPS) + 1)
+        joining = await self.start(JOINING_IP, first_start=True)
+        await self.until(joining.is_voter)
+        self.assertEqual(joining.replica.catalogue.version, version)
+        self.assertEqual(len(joining.replica.group.voters), len(SEED_IPS) + 1)
 
-    async def test_two_disks_lost_one_after_the_other_lose_nothing(self) -> None:
-        """The second is lost as soon as the first one's successor votes."""
+    async def test_successive_loss_of_two_disks_loses_no_change(self) -> None:
+        """The second disk is lost as soon as the replacement of the first is a voter."""
         names = [f"change-{number}" for number in range(3)]
         for name, ip in zip(names, (None, *SEED_IPS[:2]), strict=True):
             if ip is not None:
                 node = await self.lose_disk(ip)
-                await self.until(node.votes)
+                await self.until(node.is_voter)
             await self.write(name)
         await self.until(lambda: all(n.replica.catalogue.version == 3 for n in self.nodes.values()))
-        held = {key.name for key in self.nodes[SEED_IPS[0]].replica.catalogue.resources}
-        self.assertEqual(held, set(names))
+        stored = {key.name for key in self.nodes[SEED_IPS[0]].replica.catalogue.resources}
+        self.assertEqual(stored, set(names))
         group = self.nodes[SEED_IPS[2]].replica.group
         self.assertEqual({voter.host for voter in group.voters}, set(SEED_IPS))
 
-    async def test_a_voter_that_was_given_up_comes_back(self) -> None:
-        """It was cut off for long, and its log can't tell it that it was taken out."""
-        await self.start(LATER_IP, first_start=True)
-        await self.until(self.nodes[LATER_IP].votes)
+    async def test_removed_voter_rejoins(self) -> None:
+        """A voter that was removed while it was isolated can't see the removal in its own log."""
+        await self.start(JOINING_IP, first_start=True)
+        await self.until(self.nodes[JOINING_IP].is_voter)
         with patch.object(_roles, "VOTER_REMOVAL_TIMEOUT", 0.5):
-            await self.nodes.pop(LATER_IP).stop()
-            await self.until(lambda: self.voters() == set(SEED_IPS))
+            await self.nodes.pop(JOINING_IP).stop()
+            await self.until(lambda: self.voter_hosts() == set(SEED_IPS))
         version = await self.write("meanwhile")
-        back = await self.start(LATER_IP)
-        self.assertTrue(back.votes())
-        await self.until(lambda: self.voters() == {*SEED_IPS, LATER_IP})
-        await self.until(lambda: back.replica.catalogue.version == version)
+        returning = await self.start(JOINING_IP)
+        self.assertTrue(returning.is_voter())
+        await self.until(lambda: self.voter_hosts() == {*SEED_IPS, JOINING_IP})
+        await self.until(lambda: returning.replica.catalogue.version == version)
 
-    def voters(self) -> set[str]:
-        """Return the hosts of the voters by a leader's log, none without a leader."""
+    def voter_hosts(self) -> set[str]:
+        """Return the hosts of the voters in the leader's log, none without a leader."""
         leaders = [n.replica for n in self.nodes.values() if n.replica.holds_lease(lease_now())]
         return {voter.host for leader in leaders[:1] for voter in leader.group.voters}
 
-    def test_promises_are_measured_on_a_clock_that_counts_a_suspension(self) -> None:
-        """Of the system's clocks only this one does, apart from the time of day."""
+    def test_leases_use_a_clock_that_includes_suspension(self) -> None:
+        """CLOCK_BOOTTIME is the only system clock that does, apart from the time of day."""
         with patch("time.clock_gettime", return_value=7.0) as clock:
             self.assertEqual(lease_now(), 7.0)
         clock.assert_called_once_with(time.CLOCK_BOOTTIME)
 
-    async def test_a_leader_that_was_suspended_knows_no_newest_release(self) -> None:
-        """The steady clock stood still meanwhile, and another may lead since."""
+    async def test_suspended_leader_does_not_serve_the_newest_release(self) -> None:
+        """The monotonic clock stopped meanwhile, and another leader may have been elected."""
         await self.write("first")
         leader = next(n for n in self.nodes.values() if n.replica.holds_lease(lease_now()))
         releases = Releases(replication=leader.replication, events=leader.events)
         self.assertNotIsInstance(releases.newest(), NotLeader)
-        asleep = leader.settings.timing.election_timeout
-        with patch("cowslipvane.tasks._replication.lease_now", lambda: lease_now() + asleep):
+        suspension = leader.settings.timing.election_timeout
+        with patch("cowslipvane.tasks._replication.lease_now", lambda: lease_now() + suspension):
             self.assertFalse(leader.replication.holds_lease)
             self.assertIsInstance(releases.newest(), NotLeader)
             release = Release(number=1, based_on=0, document="x")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,4 +1,4 @@
-"""Tests of planned stops and drains, over real processes under load."""
+"""Tests of planned stops and drains over real processes under load."""
 
 import asyncio
 import random
@@ -16,12 +16,12 @@
 
 HOSTS = ("stock-1", "stock-2", "stock-3")
 CALLERS = 12
-OUT_WITHIN_S = 2.0
-START_S = 15.0
+PROPAGATION_TIMEOUT_S = 2.0
+START_TIMEOUT_S = 15.0
 
 
-class Told(NamedTuple):
-    """A call, and what its caller was told."""
+class CallOutcome(NamedTuple):
+    """A call, and the response that its caller received."""
 
     mark: str
     status: int
@@ -30,11 +30,11 @@
 
 
 class LoadTestCase(unittest.IsolatedAsyncioTestCase):
-    """A service under load; a base for tests of what its callers are told."""
+    """Base class for tests of the responses that callers of a service under load receive."""
 
     async def asyncSetUp(self) -> None:
-        """Start one service of three workers."""
-        # In one data centre, so that calls cross between all hosts.
+        """Start a service with three workers."""
+        # All hosts are in one data centre, so that calls are sent between all of them.
         hosts = [
             host._replace(settings={**host.settings, "data_centre": "valley"})
             for host in example_hosts("quiros")
@@ -48,7 +48,7 @@
         await self.fleet.until_members(len(HOSTS))
         await self.apply(str(EXAMPLES / "quiros" / "resources.toml"))
         await self.fleet.until_in_force(1, HOSTS)
-        self.told: list[Told] = []
+        self.told: list[CallOutcome] = []
         self.stop = asyncio.Event()
 
     async def apply(self, path: str) -> None:
@@ -57,7 +57,7 @@
         await asyncio.to_thread(self.fleet.command, "apply", "-f", path, *servers)
 
     async def load(self, name: int) -> None:
-        """Send one call after another, each through some proxy, until told to stop."""
+        """Send calls one after another through random proxies until the stop event is set."""
         rng = random.Random(name)
         async with aiohttp.ClientSession() as session:
             for number in range(10**6):
@@ -69,7 +69,7 @@
                 await asyncio.sleep(0.01)
 
     async def send_long(self, name: str, hosts: list[str]) -> None:
-        """Send a call through other hosts that outlasts the calls that enter at this one."""
+        """Send a call through the given hosts that takes longer than all others."""
         mark = f"long/{name}/{time.monotonic_ns()}"
         async with aiohttp.ClientSession() as session:
             headers = {"X-Mark": mark, "X-Work-Times": "1000"}
@@ -82,7 +82,7 @@
         headers: dict[str, str],
         hosts: Sequence[str] = HOSTS,
     ) -> None:
-        """Send a call that may run once only, through the first proxy that listens."""
+        """Send a call that isn't idempotent through the first proxy that accepts the connection."""
         for host in rng.sample(hosts, len(hosts)):
             url = f"http://{self.fleet.address(host, 'callers')}/stock/{headers['X-Mark']}"
             try:
@@ -91,20 +91,20 @@
                     whole = form.get("mark", headers["X-Mark"]) == headers["X-Mark"]
                     verdict = form.get("verdict", "ran") if whole else "another's answer"
                     code = form.get("code", "")
-                    self.told.append(Told(headers["X-Mark"], answer.status, verdict, code))
+                    self.told.append(CallOutcome(headers["X-Mark"], answer.status, verdict, code))
                     return
             except aiohttp.ClientConnectorError:
                 continue
             except aiohttp.ClientError as error:
-                self.told.append(Told(headers["X-Mark"], 0, f"cut: {error!r}"))
+                self.told.append(CallOutcome(headers["X-Mark"], 0, f"cut: {error!r}"))
                 return
 
     def count(self, host: str) -> int:
-        """Return how much the worker of a host has run."""
+        """Return how many calls the worker of a host has run."""
         return len(self.fleet.ledger(host))
 
     async def until_served(self, host: str) -> None:
-        """Return once a host's proxy has its configuration and sees a worker."""
+        """Wait until the proxy of a host has its configuration and an owner for a call."""
         async with aiohttp.ClientSession() as session:
             url = f"http://{self.fleet.address(host, 'callers')}/stock/7"
             while True:
@@ -116,38 +116,40 @@
                     pass
                 await asyncio.sleep(0.05)
 
-    def is_unclear(self, told: Told, ran: Counter[str]) -> bool:
-        """Return whether a caller was told nothing of a call that a proxy had taken.
+    def is_unexplained(self, outcome: CallOutcome, ran: Counter[str]) -> bool:
+        """Return whether a caller has no verdict on a call that a proxy had accepted.
 
-        A request that crosses the close of an idle connection reaches no proxy, and HTTP/1.1
-        has no way to tell its caller so.
+        A request that is sent while the proxy closes the idle connection never reaches the proxy,
+        and HTTP/1.1 offers no way to report that to the caller.
         """
-        if told.verdict in ("ran", "not run"):
+        if outcome.verdict in ("ran", "not run"):
             return False
-        asked = f"POST /stock/{told.mark}"
-        taken = any(event["detail"].get("asked") == asked for event in self.fleet.events())
-        return not told.verdict.startswith("cut") or taken or ran[told.mark] > 0
+        request_line = f"POST /stock/{outcome.mark}"
+        accepted = any(
+            event["detail"].get("asked") == request_line for event in self.fleet.events()
+        )
+        return not outcome.verdict.startswith("cut") or accepted or ran[outcome.mark] > 0
 
     def check(self) -> None:
-        """Compare what callers were told with what the workers ran."""
+        """Compare the responses to callers with the ledgers of the workers."""
         ran = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
-        served = [told.mark for told in self.told if told.status == 200]
+        served = [outcome.mark for outcome in self.told if outcome.status == 200]
         self.assertGreater(len(served), 100)
-        unclear = [told for told in self.told if self.is_unclear(told, ran)]
-        self.assertEqual(unclear, [], [told.code for told in unclear])
+        unexplained = [it for it in self.told if self.is_unexplained(it, ran)]
+        self.assertEqual(unexplained, [], [outcome.code for outcome in unexplained])
         self.assertEqual([mark for mark, count in ran.items() if count > 1], [])
         self.assertEqual([mark for mark in served if not ran[mark]], [])
-        untrue = [told for told in self.told if told.verdict == "not run" and ran[told.mark]]
-        self.assertEqual(untrue, [])
-        over = [line for line in self.fleet.ledger() if line["what"] == "over"]
-        self.assertEqual(over, [])
+        false_refusals = [it for it in self.told if it.verdict == "not run" and ran[it.mark]]
+        self.assertEqual(false_refusals, [])
+        over_capacity = [line for line in self.fleet.ledger() if line["what"] == "over"]
+        self.assertEqual(over_capacity, [])
 
 
 class LeavingTest(LoadTestCase):
-    """What callers see while proxies and workers leave."""
+    """What callers observe while proxies and workers leave."""
 
-    async def test_restarting_all_proxies_in_turn_cuts_nothing(self) -> None:
-        """Every call is answered in full or truly refused, and runs at most once."""
+    async def test_rolling_restart_of_proxies_loses_no_call(self) -> None:
+        """Each call has a complete response or a true refusal, and runs at most once."""
         callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
         for host in HOSTS:
             others = [other for other in HOSTS if other != host]
@@ -157,19 +159,19 @@
             code = await asyncio.to_thread(self.fleet.wait_daemon, host)
             self.assertEqual(code, 0)
             self.fleet.start_daemon(host)
-            await asyncio.wait_for(self.until_served(host), START_S)
+            await asyncio.wait_for(self.until_served(host), START_TIMEOUT_S)
         self.stop.set()
         await asyncio.gather(*callers)
         self.check()
         self.assertEqual([event for event in self.fleet.events() if event["kind"] == "cut"], [])
 
-    async def test_what_leaves_gets_no_new_work(self) -> None:
-        """An operator takes one upstream out, and another worker says that it leaves."""
+    async def test_leaving_workers_receive_no_new_calls(self) -> None:
+        """An operator takes one upstream out, and another worker announces that it is leaving."""
         callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
         await asyncio.sleep(0.3)
         await self.apply(str(upstream(self.fleet, "stock-3", "out")))
         self.fleet.signal_worker("stock-2", signal.SIGTERM)
-        await asyncio.sleep(OUT_WITHIN_S)
+        await asyncio.sleep(PROPAGATION_TIMEOUT_S)
         before = {host: self.count(host) for host in HOSTS}
         await asyncio.sleep(0.7)
         after = {host: self.count(host) for host in HOSTS}
@@ -180,8 +182,8 @@
         self.assertGreater(after["stock-1"], before["stock-1"])
         self.check()
 
-    async def test_a_second_signal_says_what_it_cuts(self) -> None:
-        """The exit doesn't wait for what runs, and the events name it."""
+    async def test_second_signal_records_the_calls_that_it_cuts(self) -> None:
+        """The process exits without waiting for running calls and records an event for each."""
         async with aiohttp.ClientSession() as session:
             rng = random.Random(1)
             headers = {"X-Mark": "long", "X-Work-Times": "1000"}
@@ -193,9 +195,9 @@
             for _ in range(2):
                 self.fleet.signal_daemon("stock-1", signal.SIGTERM)
                 await asyncio.sleep(0.1)
-            begun = time.monotonic()
+            started_at = time.monotonic()
             await asyncio.to_thread(self.fleet.wait_daemon, "stock-1")
-            self.assertLess(time.monotonic() - begun, 20.0)
+            self.assertLess(time.monotonic() - started_at, 20.0)
             await asyncio.gather(*sending)
         cut: list[dict[str, Any]] = [
             event for event in self.fleet.events() if event["kind"] == "cut"
@@ -203,8 +205,8 @@
         self.assertTrue(cut)
         self.assertEqual({event["detail"]["reason"] for event in cut}, {"a second signal"})
         ran = Counter(line["mark"] for line in self.fleet.ledger())
-        untrue = [told for told in self.told if told.verdict == "not run" and ran[told.mark]]
-        self.assertEqual(untrue, [])
+        false_refusals = [it for it in self.told if it.verdict == "not run" and ran[it.mark]]
+        self.assertEqual(false_refusals, [])
 
 
 if __name__ == "__main__":
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -1,4 +1,4 @@
-"""Tests of releases: one change each, in the operator's own numbers."""
+"""Tests of releases, each of which is one change with a number chosen by the operator."""
 
 import unittest
 
@@ -31,12 +31,12 @@
 
 
 def release(number: int, based_on: int) -> Release:
-    """Return a release whose document tells its number."""
+    """Return a release whose document contains its numbers."""
     return Release(number=number, based_on=based_on, document=f"document {number} {based_on}")
 
 
 class ReleasesTest(unittest.TestCase):
-    """What becomes of releases that race, repeat or are wrong."""
+    """Concurrent, repeated and invalid releases."""
 
     def setUp(self) -> None:
         """Accept a first release."""
@@ -44,27 +44,27 @@
         self.first = self.put(release(2, 0), routed("a"))
         self.assertIsInstance(self.first, Accepted)
 
-    def put(self, given: Release, resources: dict[Key, Spec]) -> object:
-        """Decide a release and take it in."""
-        change = release_change(self.catalogue, given, resources)
+    def put(self, new_release: Release, resources: dict[Key, Spec]) -> object:
+        """Evaluate a release and apply it."""
+        change = release_change(self.catalogue, new_release, resources)
         if not isinstance(change, Change):
             return change
         return self.catalogue.apply(change, accepted_at=1.0)
 
-    def test_only_what_differs_is_written(self) -> None:
-        """What the new release lacks is deleted, and an upstream's state stays."""
+    def test_only_differences_are_written(self) -> None:
+        """Resources that the new release lacks are deleted; the state of an upstream stays."""
         out = Change(OperationId("o"), Version(1), ((Key("upstream", "h"), Upstream(state="out")),))
         self.catalogue.apply(out, accepted_at=1.0)
         change = release_change(self.catalogue, release(5, 2), routed("b") | {})
         assert isinstance(change, Change)
         self.assertEqual([key.kind for key, _ in change.puts], ["route", "release"])
         self.catalogue.apply(change, accepted_at=1.0)
-        alone = release_change(self.catalogue, release(6, 5), SERVICES)
-        assert isinstance(alone, Change)
-        self.assertEqual(alone.deletes, (Key("route", "r"),))
+        without_route = release_change(self.catalogue, release(6, 5), SERVICES)
+        assert isinstance(without_route, Change)
+        self.assertEqual(without_route.deletes, (Key("route", "r"),))
 
-    def test_of_two_on_one_release_the_first_wins(self) -> None:
-        """Also when both were decided on before either was accepted, and under one number."""
+    def test_of_two_releases_on_the_same_base_the_first_wins(self) -> None:
+        """Both may have the same number, and be evaluated before either is accepted."""
         one = release_change(self.catalogue, release(3, 2), routed("b"))
         other = release_change(
             self.catalogue, Release(number=3, based_on=2, document="x"), routed("a")
@@ -75,23 +75,23 @@
         self.assertIsInstance(self.catalogue.apply(other, accepted_at=1.0), Conflict)
         self.assertIsInstance(self.put(release(4, 2), routed("a")), Conflict)
 
-    def test_the_document_is_read_back_as_it_was_sent(self) -> None:
-        """Though the log has only what differs from the one before."""
+    def test_document_is_returned_unchanged(self) -> None:
+        """The log contains only the differences to the previous document."""
         for number in range(3, 9):
             text = "}".join(f"part {part}" for part in range(number * 3, 40)) + f" {number}"
-            given = Release(number=number, based_on=number - 1, document=text)
-            self.assertIsInstance(self.put(given, routed("a")), Accepted)
-            held = release_in_force(self.catalogue)
-            assert held is not None
-            self.assertEqual(held, given)
-
-    def test_a_number_must_grow(self) -> None:
-        """By any step."""
+            new_release = Release(number=number, based_on=number - 1, document=text)
+            self.assertIsInstance(self.put(new_release, routed("a")), Accepted)
+            in_force = release_in_force(self.catalogue)
+            assert in_force is not None
+            self.assertEqual(in_force, new_release)
+
+    def test_release_numbers_must_increase(self) -> None:
+        """The step may be of any size."""
         self.assertIsInstance(self.put(release(2, 2), routed("b")), Invalid)
         self.assertIsInstance(self.put(release(90, 2), routed("b")), Accepted)
 
-    def test_routes_that_can_t_be_meant_are_refused(self) -> None:
-        """Nothing of the release is in force then."""
+    def test_invalid_routes_are_refused(self) -> None:
+        """No part of such a release comes into force."""
         bad: list[dict[Key, Spec]] = [
             routed("nobody"),
             routed("a", timeout=601.0),
@@ -102,17 +102,17 @@
         ]
         for resources in bad:
             self.assertIsInstance(self.put(release(3, 2), resources), Invalid, resources)
-        held = release_in_force(self.catalogue)
-        assert held is not None
-        self.assertEqual(held.number, 2)
-
-    def test_proxies_do_not_get_the_document(self) -> None:
-        """Neither whole nor in a delta."""
-        whole = self.catalogue.update_since(Version(0))
-        assert isinstance(whole, Snapshot)
+        in_force = release_in_force(self.catalogue)
+        assert in_force is not None
+        self.assertEqual(in_force.number, 2)
+
+    def test_documents_are_not_sent_to_proxies(self) -> None:
+        """Neither a snapshot nor a delta contains them."""
+        snapshot = self.catalogue.update_since(Version(0))
+        assert isinstance(snapshot, Snapshot)
         self.put(release(3, 2), routed("b"))
         delta = self.catalogue.update_since(Version(1))
-        for found in (whole.resources, delta.puts if not isinstance(delta, Snapshot) else ()):  # type: ignore
+        for found in (snapshot.resources, delta.puts if not isinstance(delta, Snapshot) else ()):  # type: ignore
             self.assertNotIn("release", {resource.key.kind for resource in found})
         self.assertEqual(delta.deletes, ())  # type: ignore
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,4 +1,4 @@
-"""Tests of the replica's tasks: what may leave, and when, with a disk that can be held up."""
+"""Tests that the replication tasks send replies only after a sync, with a disk that blocks."""
 
 import asyncio
 import random
@@ -27,16 +27,16 @@
 )
 
 
-class HeldJournal(NullJournal):
-    """A journal whose syncs wait until the disk is let go, or fails."""
+class BlockingJournal(NullJournal):
+    """A journal whose syncs block until the test releases the disk, and whose disk can fail."""
 
     def __init__(self) -> None:
-        self.free = asyncio.Event()
+        self.released = asyncio.Event()
         self.failed = asyncio.Event()
 
     async def sync(self) -> None:
-        """Wait until the disk is let go."""
-        await self.free.wait()
+        """Wait until the disk is released."""
+        await self.released.wait()
 
     async def wait_for_failure(self) -> None:
         """Wait until the disk fails."""
@@ -56,16 +56,16 @@
         return await self.requests.get()
 
     async def send(self, message: Any) -> None:
-        """Keep a reply."""
+        """Record a reply."""
         await self.replies.put(message)
 
 
 class ReplicationTest(unittest.IsolatedAsyncioTestCase):
-    """The tasks around the rules."""
+    """Order of syncs and replies."""
 
     async def asyncSetUp(self) -> None:
-        """Serve one connection of a replica whose start is long ago."""
-        self.journal = HeldJournal()
+        """Serve one connection of a replica that was started long ago."""
+        self.journal = BlockingJournal()
         replica = Replica(
             host=HostName("a"),
             replica_id=ReplicaId("id-a"),
@@ -88,51 +88,51 @@
         serving = asyncio.create_task(self.replication.serve(cast(Link, self.pipe)))
         self.addCleanup(serving.cancel)
 
-    async def ask(self, request: Any) -> Any:
+    async def request_reply(self, request: Any) -> Any:
         """Send a request and return its reply."""
         self.pipe.requests.put_nowait(request)
         return await asyncio.wait_for(self.pipe.replies.get(), 5.0)
 
-    async def assert_held(self, request: Any) -> Any:
-        """Check that the reply waits for the disk, and return it."""
+    async def assert_blocked_until_sync(self, request: Any) -> Any:
+        """Check that the reply waits for the sync, and return it."""
         self.pipe.requests.put_nowait(request)
         for _ in range(50):
             await asyncio.sleep(0)
         self.assertTrue(self.pipe.replies.empty())
-        self.journal.free.set()
+        self.journal.released.set()
         return await asyncio.wait_for(self.pipe.replies.get(), 5.0)
 
-    async def greet(self) -> None:
+    async def handshake(self) -> None:
         """Open the connection as a member of the group."""
         self.assertEqual(
-            await self.ask(Greeting(group="g", wanted=ReplicaId("id-a"))),
+            await self.request_reply(Greeting(group="g", wanted=ReplicaId("id-a"))),
             Welcome(replica_id=ReplicaId("id-a")),
         )
 
-    async def test_a_greeting_for_another_group_or_disk_is_refused(self) -> None:
-        """Nothing behind it is answered."""
-        reply = await self.ask(Greeting(group="g", wanted=ReplicaId("lost")))
+    async def test_handshake_for_another_replica_id_is_rejected(self) -> None:
+        """The other side expects the replica id of a lost disk."""
+        reply = await self.request_reply(Greeting(group="g", wanted=ReplicaId("lost")))
         self.assertEqual(reply, Stranger(group="g", replica_id=ReplicaId("id-a")))
 
-    async def test_a_vote_leaves_only_after_it_is_synced(self) -> None:
-        """A crash before can't have promised anything."""
-        await self.greet()
+    async def test_vote_is_sent_only_after_a_sync(self) -> None:
+        """A vote that a crash made the replica forget could be granted twice in one term."""
+        await self.handshake()
         vote = Vote(term=2, candidate=HostName("b"), last_index=0, last_term=0)
-        reply = await self.assert_held(vote)
+        reply = await self.assert_blocked_until_sync(vote)
         self.assertEqual(reply, VoteReply(term=2, voter=HostName("a"), granted=True))
 
-    async def test_a_heartbeat_that_brings_a_term_is_answered_after_a_sync(self) -> None:
-        """Also without entries."""
-        await self.greet()
+    async def test_heartbeat_with_a_new_term_is_acknowledged_after_a_sync(self) -> None:
+        """The term must be on disk even if the heartbeat has no entries."""
+        await self.handshake()
         heartbeat = Append(
             term=5, leader=HostName("b"), previous_index=0, previous_term=0, entries=(), commit=0
         )
-        reply = await self.assert_held(heartbeat)
+        reply = await self.assert_blocked_until_sync(heartbeat)
         self.assertIsInstance(reply, AppendReply)
 
-    async def test_a_failed_disk_ends_the_tasks(self) -> None:
-        """The process doesn't go on without its journal."""
-        self.journal.free.set()
+    async def test_disk_failure_ends_the_tasks(self) -> None:
+        """A replica must not continue without its journal."""
+        self.journal.released.set()
         self.journal.failed.set()
         with self.assertRaises(ExceptionGroup) as raised:
             await asyncio.wait_for(self.replication.run(), 5.0)
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -1,4 +1,4 @@
-"""Tests of the resource API and its commands, over real processes."""
+"""Tests of the resource API and its commands over real processes."""
 
 import asyncio
 import json
@@ -17,14 +17,14 @@
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 from tools.single_replica import SingleReplica, event_log
 
-PATIENCE_S = 20.0
+TIMEOUT_S = 20.0
 
 
 class ResourceApiTest(IsolatedAsyncioTestCase):
-    """One fleet of three replicas; each is a proxy too."""
+    """A fleet of three replicas, each with a proxy."""
 
     async def asyncSetUp(self) -> None:
-        """Start the replicas and accept the deployment's resources."""
+        """Start the replicas and apply the example's resources."""
         hosts = [host for host in example_hosts("quiros") if host.is_replica]
         self.fleet = Fleet(hosts=[host._replace(worker={}) for host in hosts])
         self.addCleanup(self.fleet.__exit__, None, None, None)
@@ -35,74 +35,74 @@
         self.file = str(EXAMPLES / "quiros" / "resources.toml")
         self.fleet.command("apply", "-f", self.file, *self.servers)
         await self.fleet.until_in_force(1, self.fleet.alive)
-        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=PATIENCE_S))
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TIMEOUT_S))
         self.addAsyncCleanup(self.session.close)
 
-    async def ask(
+    async def request(
         self, method: str, path: str, form: Any = None, **fields: str
     ) -> tuple[int, Any, str]:
-        """Return status, JSON and ETag of an answer."""
+        """Return status, JSON and ETag of a response."""
         headers = {name.replace("_", "-"): value for name, value in fields.items()}
         url = f"http://{self.fleet.address(self.leader, 'operators')}/v1/{path}"
         async with self.session.request(method, url, json=form, headers=headers) as answer:
             return answer.status, await answer.json(), answer.headers.get("ETag", "")
 
     async def write(self, number: int) -> int:
-        """Write one resource and return the version."""
+        """Create one resource and return its version."""
         path = f"resources/traffic-policy/p{number}"
-        _, answer, _ = await self.ask("PUT", path, {}, If_None_Match="*")
+        _, answer, _ = await self.request("PUT", path, {}, If_None_Match="*")
         return int(answer["version"])
 
     async def test_single_resources_are_written_conditionally(self) -> None:
-        """Each answer has the status that the page gives it."""
+        """Each response has the documented status."""
         path = "resources/traffic-policy/counter"
-        status, form, tag = await self.ask("GET", path)
+        status, form, tag = await self.request("GET", path)
         self.assertEqual((status, form["version"], tag), (200, 1, '"1"'))
-        self.assertEqual((await self.ask("PUT", path, {"timeout": 2.0}))[0], 428)
-        self.assertEqual((await self.ask("PUT", path, {}, If_None_Match="*"))[0], 412)
-        self.assertEqual((await self.ask("PUT", path, {"x": 1}, If_Match=tag))[0], 422)
-        wanted = {"timeout": 2.0, "max_body_bytes": 1}
-        first = await self.ask("PUT", path, wanted, If_Match=tag, Idempotency_Key="k")
+        self.assertEqual((await self.request("PUT", path, {"timeout": 2.0}))[0], 428)
+        self.assertEqual((await self.request("PUT", path, {}, If_None_Match="*"))[0], 412)
+        self.assertEqual((await self.request("PUT", path, {"x": 1}, If_Match=tag))[0], 422)
+        spec = {"timeout": 2.0, "max_body_bytes": 1}
+        first = await self.request("PUT", path, spec, If_Match=tag, Idempotency_Key="k")
         self.assertEqual((first[0], first[1]["version"]), (200, 2))
-        resent = await self.ask("PUT", path, wanted, If_Match=tag, Idempotency_Key="k")
+        resent = await self.request("PUT", path, spec, If_Match=tag, Idempotency_Key="k")
         self.assertEqual(resent, first)
-        status, lost, _ = await self.ask("PUT", path, {"timeout": 1.0}, If_Match=tag)
-        self.assertEqual((status, lost["winner"]), (412, "k"))
-        self.assertEqual((await self.ask("DELETE", path, If_Match='"2"'))[0], 422)
-        self.assertEqual((await self.ask("GET", "resources/service/none"))[0], 404)
-        self.assertEqual((await self.ask("GET", path))[1]["spec"], wanted)
-
-    async def test_status_tells_where_a_version_is_in_force(self) -> None:
-        """A proxy that is stopped lags, by name, and not for ever."""
-        still = next(host for host in self.fleet.alive if host != self.leader)
-        self.fleet.signal_daemon(still, signal.SIGSTOP)
+        status, conflict, _ = await self.request("PUT", path, {"timeout": 1.0}, If_Match=tag)
+        self.assertEqual((status, conflict["winner"]), (412, "k"))
+        self.assertEqual((await self.request("DELETE", path, If_Match='"2"'))[0], 422)
+        self.assertEqual((await self.request("GET", "resources/service/none"))[0], 404)
+        self.assertEqual((await self.request("GET", path))[1]["spec"], spec)
+
+    async def test_status_lists_the_proxies_behind_a_version(self) -> None:
+        """A suspended proxy is listed by host until it has resumed and caught up."""
+        suspended = next(host for host in self.fleet.alive if host != self.leader)
+        self.fleet.signal_daemon(suspended, signal.SIGSTOP)
         version = await self.write(0)
         form: dict[str, Any] = {}
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while form.get("status", {}).get("in_force") != 2:
-                _, form, _ = await self.ask("GET", "resources/traffic-policy/p0")
+                _, form, _ = await self.request("GET", "resources/traffic-policy/p0")
             self.assertIsNotNone(form["status"]["accepted_at"])
             if form["status"]["proxies"] == 3:
-                self.assertEqual([lag["host"] for lag in form["status"]["behind"]], [still])
+                self.assertEqual([lag["host"] for lag in form["status"]["behind"]], [suspended])
                 self.assertIsNone(form["status"]["everywhere_at"])
-            self.fleet.signal_daemon(still, signal.SIGCONT)
-            # A thawed replica may have another elected, so that an answer may be none yet.
+            self.fleet.signal_daemon(suspended, signal.SIGCONT)
+            # A resumed replica can cause an election, so the status may be missing for a while.
             while form.get("status", {}).get("in_force") != 3:
-                _, form, _ = await self.ask("GET", "resources/traffic-policy/p0")
+                _, form, _ = await self.request("GET", "resources/traffic-policy/p0")
         self.assertEqual((form["version"], form["status"]["behind"]), (version, []))
         self.assertGreaterEqual(form["status"]["everywhere_at"], form["status"]["accepted_at"])
 
-    async def test_a_watch_goes_on_without_a_gap_when_the_leader_dies(self) -> None:
-        """Each version comes once, in order."""
-        seen: list[int] = []
+    async def test_watch_continues_without_a_gap_after_leader_failure(self) -> None:
+        """The watch yields each version once and in order."""
+        versions: list[int] = []
         last_version = 5
 
         async def watch() -> None:
             async with self.fleet.client() as client:
                 async for line in client.watch(0):
                     if "accepted" in line:
-                        seen.append(line["accepted"])
-                    if len(seen) == last_version:
+                        versions.append(line["accepted"])
+                    if len(versions) == last_version:
                         return
 
         task = asyncio.create_task(watch())
@@ -112,11 +112,11 @@
         async with self.fleet.client() as client:
             form = {"operation_id": "later", "based_on": last, "resources": []}
             answer = await client.change(form)
-        await asyncio.wait_for(task, PATIENCE_S)
-        self.assertEqual((answer["version"], seen), (last_version, [1, 2, 3, 4, 5]))
+        await asyncio.wait_for(task, TIMEOUT_S)
+        self.assertEqual((answer["version"], versions), (last_version, [1, 2, 3, 4, 5]))
 
-    async def test_commands_show_and_compare(self) -> None:
-        """History lists what was accepted; diff applies nothing."""
+    async def test_history_diff_and_get_commands(self) -> None:
+        """The history command lists accepted changes, and diff applies nothing."""
         lines = self.fleet.command("history", *self.servers).splitlines()
         self.assertEqual([json.loads(line)["accepted"] for line in lines], [1])
         self.assertEqual(self.fleet.command("diff", "-f", self.file, *self.servers), "")
@@ -133,19 +133,19 @@
 
 
 class HistoryTest(IsolatedAsyncioTestCase):
-    """What the history no longer holds."""
+    """Requests for versions that the history no longer has."""
 
-    async def test_a_gap_is_told_and_not_skipped(self) -> None:
-        """A reader that is too far behind learns the oldest version that it can go on from."""
+    async def test_gap_is_reported(self) -> None:
+        """A reader that is too far behind receives the oldest version to continue from."""
         self.enterContext(patch.object(_catalogue, "HISTORY_CHANGES", 2))
-        lone = SingleReplica()
+        replica = SingleReplica()
         for number in range(4):
-            lone.put((Key("service", str(number)), Service()))
+            replica.put((Key("service", str(number)), Service()))
         api = ResourceApi(
-            membership=lone.membership,
+            membership=replica.membership,
             events=event_log(),
-            replication=lone.replication,
-            publisher=lone.publisher,
+            replication=replica.replication,
+            publisher=replica.publisher,
         )
         for path in ("history", "watch"):
             request = make_mocked_request("GET", f"/v1/{path}?from=1")
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -1,4 +1,4 @@
-"""Tests that the listeners of operators and peers want the token."""
+"""Tests that the listeners for operators and peers require the token."""
 
 import asyncio
 import unittest
@@ -34,12 +34,12 @@
         self.fleet.start()
 
     def client(self, *servers: str, token: str | None = SECRET) -> Client:
-        """Return a client that shows a token."""
-        shown = Token(value=token) if token else None
-        return Client(servers=servers or self.fleet.operators(), token=shown)
+        """Return a client that sends a token."""
+        credential = Token(value=token) if token else None
+        return Client(servers=servers or self.fleet.operators(), token=credential)
 
     async def until_members(self) -> None:
-        """Wait until the processes and their workers know of each other, and one leads."""
+        """Wait until the processes know each other and their workers, and there is a leader."""
         for _ in range(200):
             try:
                 async with self.client() as client:
@@ -50,20 +50,20 @@
             except Unreachable:
                 pass
             await asyncio.sleep(0.1)
-        self.fail("the processes did not find each other")
+        self.fail("the processes did not discover each other in time")
 
     async def exchange(self, token: str | None) -> object:
-        """Return what a peer that shows a token gets for an exchange."""
-        shown = Token(value=token) if token else None
-        link_identity.set(LinkIdentity(HybridClock(), shown, Traffic()))
+        """Return the response to an exchange from a peer with a token."""
+        credential = Token(value=token) if token else None
+        link_identity.set(LinkIdentity(HybridClock(), credential, Traffic()))
         ip, _, port = self.fleet.address("stock-1", "peers").rpartition(":")
         async with connect(Address(ip, int(port)), "/members") as link:
             await link.send(Hello(sender=HostName("x"), data_centre=DataCentre("x")))
             await link.send(Exchange(digest=0, members=()))
             return await link.receive()
 
-    async def test_the_token_opens_every_way_and_is_never_written(self) -> None:
-        """Operators, peers and redirects work with it, and only with it."""
+    async def test_token_is_required_everywhere_and_never_written(self) -> None:
+        """Operators, peers and redirects work only with the token."""
         await self.until_members()
         for wrong in (None, SECRET[:-1], SECRET + "x", "ü" * 20):
             if wrong is None or wrong.isascii():
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -1,4 +1,4 @@
-"""Tests of the tasks on both sides of a subscription, over real connections."""
+"""Tests of both sides of a subscription over real connections."""
 
 import asyncio
 import random
@@ -32,29 +32,29 @@
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity, connect
 from tools.single_replica import IP, SingleReplica, event_log
 
-Answer = Callable[[object], object]
-NOWHERE = Address(IP, 1)
-PATIENCE_S = 10.0
+Responder = Callable[[object], object]
+UNUSED_ADDRESS = Address(IP, 1)
+TIMEOUT_S = 10.0
 POLICY = Key("traffic-policy", "p")
 
 
 def policy(timeout: float) -> tuple[Key, TrafficPolicy]:
-    """Return a policy to put."""
+    """Return a policy resource with a timeout."""
     return POLICY, TrafficPolicy(timeout=timeout)
 
 
 def pull(version: int, floor: int = 0) -> Pull:
-    """Return the pull of a proxy that holds a version."""
-    held = Version(version)
-    report = Report(HostName("p"), held, 1.0, NOWHERE, "", 1.0)
-    return Pull(report=report, base=held, floor=Version(max(floor, version)), hosts=())
+    """Return the pull of a proxy with a version in force."""
+    base = Version(version)
+    report = Report(HostName("p"), base, 1.0, UNUSED_ADDRESS, "", 1.0)
+    return Pull(report=report, base=base, floor=Version(max(floor, version)), hosts=())
 
 
-class Case(unittest.IsolatedAsyncioTestCase):
-    """Starts proxies, replicas, and stand-ins for replicas."""
+class SubscriptionTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base class that starts proxies, replicas and fake replicas."""
 
     async def asyncSetUp(self) -> None:
-        """Close what a test starts."""
+        """Close everything that a test starts."""
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
 
@@ -62,20 +62,20 @@
         """Start a replica."""
         return await self.stack.enter_async_context(SingleReplica(leads=leads, pull_wait=pull_wait))
 
-    async def stand_in(self, answer: Answer) -> Address:
-        """Start a stand-in that answers each message by a function, None for not at all."""
+    async def fake_replica(self, responder: Responder) -> Address:
+        """Start a fake replica that responds by a function; None stands for no response."""
 
-        async def talk(connection: ServerConnection) -> None:
+        async def respond(connection: ServerConnection) -> None:
             link = Link(connection=connection, identity=anonymous_identity())
             try:
                 while True:
-                    reply = answer(await link.receive())
+                    reply = responder(await link.receive())
                     if reply is not None:
                         await link.send(reply)
             except LinkClosed:
                 return
 
-        server = await self.stack.enter_async_context(serve(talk, IP, 0, ping_interval=None))
+        server = await self.stack.enter_async_context(serve(respond, IP, 0, ping_interval=None))
         return Address(IP, next(iter(server.sockets)).getsockname()[1])
 
     def proxy(
@@ -87,7 +87,7 @@
             host=HostName("p"),
             data_centre=DataCentre("here"),
             roles=("proxy",),
-            listen=Listen(operators=NOWHERE, peers=NOWHERE, callers=NOWHERE),
+            listen=Listen(operators=UNUSED_ADDRESS, peers=UNUSED_ADDRESS, callers=UNUSED_ADDRESS),
             seeds=seeds,
             route_hosts=hosts,
             timing=Timing(pull_wait=pull_wait),
@@ -104,54 +104,54 @@
         """Return whether a proxy has a version in force."""
         return subscription.version == version
 
-    async def until(self, holds: Callable[[], object]) -> None:
-        """Return once something holds."""
-        give_up = time.monotonic() + PATIENCE_S
-        while not holds():
-            self.assertLess(time.monotonic(), give_up, "waited in vain")
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait until a condition holds."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, "the condition did not hold in time")
             await asyncio.sleep(0.01)
 
-    async def ask(self, replica: SingleReplica, message: object) -> object:
-        """Return a replica's answer to one message."""
+    async def request_response(self, replica: SingleReplica, message: object) -> object:
+        """Return the response of a replica to one message."""
         link = await self.stack.enter_async_context(connect(replica.address, "/subscribe"))
         await link.send(message)
-        return await asyncio.wait_for(link.receive(), PATIENCE_S)
+        return await asyncio.wait_for(link.receive(), TIMEOUT_S)
 
 
-class SubscriberTest(Case):
-    """The proxy's side."""
+class SubscriberTest(SubscriptionTestCase):
+    """The proxy's side of a subscription."""
 
-    async def test_a_restarted_proxy_is_not_brought_back_by_a_lagging_replica(self) -> None:
-        """It learns the floor from the leader before it takes any version."""
+    async def test_restarted_proxy_applies_no_older_version_from_a_lagging_replica(self) -> None:
+        """The proxy fetches the minimum version from the leader before it applies any version."""
         leader, lagging = await self.replica(), await self.replica()
         lagging.put(policy(1.0))
         for timeout in (1.0, 2.0, 3.0):
             leader.put(policy(timeout))
-        asked = []
+        received = []
 
         def follower(message: object) -> object:
             if isinstance(message, AskFloor):
                 return AskLeader(leader=leader.address)
-            asked.append(message)
-            found = lagging.replica.catalogue.update_since(NO_VERSION)
-            assert isinstance(found, Snapshot)
-            return PullSnapshot(snapshot=found)
+            received.append(message)
+            update = lagging.replica.catalogue.update_since(NO_VERSION)
+            assert isinstance(update, Snapshot)
+            return PullSnapshot(snapshot=update)
 
-        subscription = self.proxy(await self.stand_in(follower))
-        await self.until(lambda: len(asked) > 1)
+        subscription = self.proxy(await self.fake_replica(follower))
+        await self.until(lambda: len(received) > 1)
         self.assertEqual((subscription.floor, subscription.version), (3, 0))
-        assert isinstance(asked[1], Pull)
-        self.assertIn("older than version 3", asked[1].report.rejected)
+        assert isinstance(received[1], Pull)
+        self.assertIn("older than version 3", received[1].report.rejected)
 
-    async def test_takes_nothing_while_no_leader_is_known(self) -> None:
-        """A replica that does not lead can't tell the floor."""
+    async def test_applies_no_version_while_no_leader_is_known(self) -> None:
+        """A replica without a leader can't return the minimum version."""
         follower = await self.replica(leads=False)
         subscription = self.proxy(follower.address)
         await asyncio.sleep(0.5)
         self.assertEqual((subscription.floor, subscription.version), (None, 0))
 
-    async def test_spoilt_content_is_rejected_whole_and_asked_for_anew(self) -> None:
-        """The rejection is reported, and the next pull asks for everything."""
+    async def test_corrupt_delta_is_rejected_and_followed_by_a_snapshot(self) -> None:
+        """The next pull reports the rejection and requests all resources."""
         real = await self.replica()
         real.put(policy(1.0))
         pulls: list[Pull] = []
@@ -161,23 +161,23 @@
                 return Floor(version=Version(0))
             assert isinstance(message, Pull)
             pulls.append(message)
-            found = real.replica.catalogue.update_since(message.base)
-            if isinstance(found, Snapshot):
-                return PullSnapshot(snapshot=found)
-            assert isinstance(found, Delta)
-            if not found.puts:
+            update = real.replica.catalogue.update_since(message.base)
+            if isinstance(update, Snapshot):
+                return PullSnapshot(snapshot=update)
+            assert isinstance(update, Delta)
+            if not update.puts:
                 real.put(policy(2.0))
                 return Current(version=Version(1))
-            return PullDelta(delta=found._replace(puts=()))
+            return PullDelta(delta=update._replace(puts=()))
 
-        subscription = self.proxy(await self.stand_in(answer))
+        subscription = self.proxy(await self.fake_replica(answer))
         await self.until(lambda: subscription.version == 2)
         rejected = [item for item in pulls if item.report.rejected]
         self.assertEqual([(item.base, item.report.version) for item in rejected], [(0, 1)])
         self.assertIn("digest", rejected[0].report.rejected)
 
-    async def test_subscribes_to_the_routes_of_its_hosts(self) -> None:
-        """Changes elsewhere are in force here by their version alone."""
+    async def test_receives_only_the_routes_of_its_hosts(self) -> None:
+        """Of changes to other hosts only the version comes into force."""
         replica = await self.replica(pull_wait=0.2)
         subscription = self.proxy(replica.address, hosts=("depot",))
         for host in ("depot", "shop"):
@@ -186,14 +186,14 @@
             await self.until(partial(self.has, subscription, version))
         table, rng = subscription.table, random.Random(1)
         assert table is not None
-        found = [
+        route_rules = [
             table.route(host=host, path="/", method="GET", headers=(), rng=rng)
             for host in ("depot", "shop")
         ]
-        self.assertEqual([rules and rules.service for rules in found], ["depot", None])
+        self.assertEqual([rules and rules.service for rules in route_rules], ["depot", None])
 
-    async def test_leaves_a_replica_that_hears_no_leader(self) -> None:
-        """One that was cut off from the others answers pulls, but with nothing new."""
+    async def test_leaves_a_replica_without_contact_to_a_leader(self) -> None:
+        """An isolated replica still responds to pulls, but never with a new version."""
         leader, cut_off = await self.replica(), await self.replica(leads=False, pull_wait=0.1)
         leader.put(policy(1.0))
         subscription = self.proxy(cut_off.address, leader.address)
@@ -203,61 +203,67 @@
             await self.until(partial(self.has, subscription, Version(version)))
 
     async def test_leaves_a_silent_connection(self) -> None:
-        """A question and a pull that aren't answered are asked again over a new connection."""
+        """A floor request and a pull without a response are repeated over a new connection."""
         replica = await self.replica()
         replica.put(policy(1.0))
-        seen: set[type] = set()
+        ignored: set[type] = set()
 
         def answer(message: object) -> object:
-            if type(message) not in seen:
-                seen.add(type(message))
+            if type(message) not in ignored:
+                ignored.add(type(message))
                 return None
             if isinstance(message, AskFloor):
                 return Floor(version=Version(1))
-            found = replica.replica.catalogue.update_since(NO_VERSION)
-            assert isinstance(found, Snapshot)
-            return PullSnapshot(snapshot=found)
+            update = replica.replica.catalogue.update_since(NO_VERSION)
+            assert isinstance(update, Snapshot)
+            return PullSnapshot(snapshot=update)
 
-        subscription = self.proxy(await self.stand_in(answer))
+        subscription = self.proxy(await self.fake_replica(answer))
         await self.until(lambda: subscription.version == 1)
 
 
-class PublisherTest(Case):
-    """The replica's side."""
+class PublisherTest(SubscriptionTestCase):
+    """The replica's side of a subscription."""
 
-    async def test_says_when_it_hears_no_leader(self) -> None:
-        """In place of an answer that nothing newer is accepted."""
+    async def test_responds_lagging_without_contact_to_a_leader(self) -> None:
+        """The replica can't claim that its version is current."""
         replica = await self.replica(leads=False, pull_wait=0.1)
-        self.assertEqual(await self.ask(replica, pull(1)), Lagging())
+        self.assertEqual(await self.request_response(replica, pull(1)), Lagging())
 
-    async def test_answers_a_proxy_that_is_ahead_with_nothing_older(self) -> None:
-        """It says how far it is, and sends no snapshot."""
+    async def test_sends_no_older_version_to_a_proxy_that_is_ahead(self) -> None:
+        """It responds with its own version and without a snapshot."""
         replica = await self.replica(pull_wait=0.1)
         replica.put(policy(1.0))
-        self.assertEqual(await self.ask(replica, pull(5)), Current(version=Version(1)))
-        self.assertEqual(await self.ask(replica, pull(0, floor=2)), Current(version=Version(1)))
+        self.assertEqual(await self.request_response(replica, pull(5)), Current(version=Version(1)))
+        self.assertEqual(
+            await self.request_response(replica, pull(0, floor=2)), Current(version=Version(1))
+        )
 
-    async def test_only_the_leader_tells_the_floor(self) -> None:
-        """Others say where the leader is."""
+    async def test_only_the_leader_returns_the_floor(self) -> None:
+        """Other replicas return the address of the leader, if known."""
         leader, other = await self.replica(), await self.replica(leads=False)
         leader.put(policy(1.0))
-        self.assertEqual(await self.ask(leader, AskFloor(wait=0.01)), Floor(version=Version(1)))
-        self.assertEqual(await self.ask(other, AskFloor(wait=0.01)), AskLeader(leader=None))
+        self.assertEqual(
+            await self.request_response(leader, AskFloor(wait=0.01)), Floor(version=Version(1))
+        )
+        self.assertEqual(
+            await self.request_response(other, AskFloor(wait=0.01)), AskLeader(leader=None)
+        )
 
-    async def test_a_question_for_the_floor_waits_for_a_leader(self) -> None:
-        """A proxy needn't come again when all have restarted together."""
+    async def test_floor_request_waits_for_a_leader(self) -> None:
+        """A proxy needn't retry when all processes were restarted together."""
         replica = await self.replica(leads=False)
-        asking = asyncio.create_task(self.ask(replica, AskFloor(wait=PATIENCE_S)))
+        requesting = asyncio.create_task(self.request_response(replica, AskFloor(wait=TIMEOUT_S)))
         await self.until(lambda: replica.publisher.pending_floor_requests)
-        self.assertFalse(asking.done())
+        self.assertFalse(requesting.done())
         replica.lead()
-        self.assertEqual(await asking, Floor(version=NO_VERSION))
+        self.assertEqual(await requesting, Floor(version=NO_VERSION))
 
-    async def test_a_waiting_pull_is_answered_by_a_delta(self) -> None:
-        """A new version wakes it."""
+    async def test_waiting_pull_receives_a_delta(self) -> None:
+        """A new version wakes the pull."""
         replica = await self.replica()
         replica.put(policy(1.0))
-        waiting = asyncio.create_task(self.ask(replica, pull(1)))
+        waiting = asyncio.create_task(self.request_response(replica, pull(1)))
         await asyncio.sleep(0.1)
         self.assertFalse(waiting.done())
         replica.put(policy(2.0))
@@ -265,36 +271,36 @@
         assert isinstance(answer, PullDelta)
         self.assertEqual((answer.delta.base, answer.delta.version), (1, 2))
 
-    async def test_snapshots_on_their_way_are_capped(self) -> None:
-        """Over the cap a proxy is told when to come again."""
+    async def test_concurrent_snapshots_are_limited(self) -> None:
+        """Above the limit a proxy is asked to retry after a delay."""
         replica = await self.replica()
         replica.put(policy(1.0))
-        # Links that never finish to send stand for slow proxies.
-        gate = asyncio.Event()
+        # Links that don't finish sending simulate slow proxies.
+        released = asyncio.Event()
         for _ in range(_publisher.MAX_CONCURRENT_SNAPSHOTS):
-            held = replica.publisher._respond(SlowLink(gate), pull(0))
-            self.stack.callback(asyncio.create_task(held).cancel)
+            sending = replica.publisher._respond(BlockedLink(released), pull(0))
+            self.stack.callback(asyncio.create_task(sending).cancel)
         await asyncio.sleep(0)
-        answer = await self.ask(replica, pull(0))
+        answer = await self.request_response(replica, pull(0))
         self.assertEqual(answer, ComeAgain(after=_publisher.SNAPSHOT_RETRY_DELAY))
-        gate.set()
+        released.set()
         await asyncio.sleep(0)
-        self.assertIsInstance(await self.ask(replica, pull(0)), PullSnapshot)
+        self.assertIsInstance(await self.request_response(replica, pull(0)), PullSnapshot)
 
 
-class SlowLink(Link):
-    """A link that sends nothing before a gate opens."""
+class BlockedLink(Link):
+    """A link that sends nothing until an event is set."""
 
-    def __init__(self, gate: asyncio.Event) -> None:
-        self._gate = gate
+    def __init__(self, released: asyncio.Event) -> None:
+        self._released = released
 
     def send_encoded(self, kind: str, encoded: bytes) -> Awaitable[None]:  # type: ignore[override]
-        """Wait for the gate."""
+        """Wait for the event."""
         return self._wait()
 
     async def _wait(self) -> None:
-        """Wait for the gate."""
-        await self._gate.wait()
+        """Wait for the event."""
+        await self._released.wait()
 
 
 if __name__ == "__main__":
--- a/tests/three_hosts_case.py
+++ b/tests/three_hosts_case.py
@@ -1,4 +1,4 @@
-"""Three real processes with one configuration in force; a base for tests over them."""
+"""Base class for tests with three real processes and a configuration in force."""
 
 import asyncio
 import unittest
@@ -11,7 +11,7 @@
 
 
 class ThreeHostsTestCase(unittest.IsolatedAsyncioTestCase):
-    """The replicas of an example, each with a proxy; a test leaves them all running."""
+    """The replicas of an example, each with a proxy; tests must leave all of them running."""
 
     fleet: ClassVar[Fleet]
     servers: ClassVar[list[str]]
@@ -29,7 +29,7 @@
 
     @classmethod
     async def apply_resources(cls, workers: int) -> None:
-        """Wait for the processes and bring the first version into force."""
+        """Wait for the processes and apply the first version."""
         await cls.fleet.until_leader()
         await cls.fleet.until_members(workers)
         cls.fleet.command("apply", "-f", str(cls.resources()), *cls.servers)
@@ -37,7 +37,7 @@
 
     @classmethod
     def customize_host(cls, host: Host) -> Host:
-        """Return a host of the example as the tests want it."""
+        """Return a host of the example with the changes that the tests need."""
         return host
 
     @classmethod
