--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TakenIn:
-    """The replica is in the group; the change may still be being committed by a majority."""
+    """The replica is in the group, or will be once a majority has the change."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -16,7 +16,7 @@
 
 HOSTS = ("stock-1", "stock-2", "stock-3")
 CALLERS = 12
-PROPAGATION_TIMEOUT_S = 2.0
+PROPAGATION_TIME_S = 2.0
 START_TIMEOUT_S = 15.0
 
 
@@ -171,7 +171,7 @@
         await asyncio.sleep(0.3)
         await self.apply(str(upstream(self.fleet, "stock-3", "out")))
         self.fleet.signal_worker("stock-2", signal.SIGTERM)
-        await asyncio.sleep(PROPAGATION_TIMEOUT_S)
+        await asyncio.sleep(PROPAGATION_TIME_S)
         before = {host: self.count(host) for host in HOSTS}
         await asyncio.sleep(0.7)
         after = {host: self.count(host) for host in HOSTS}
