--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NotLeader:
-    """The change was not run here: only the leader, None if it is unknown, runs changes."""
+    """The change was not run here; send it to the leader, which is None while unknown."""
 
     leader: HostName | None
 
