--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -48,7 +48,7 @@
         await self.fleet.until_members(len(HOSTS))
         await self.apply(str(EXAMPLES / "quiros" / "resources.toml"))
         await self.fleet.until_in_force(1, HOSTS)
-        self.told: list[CallOutcome] = []
+        self.outcomes: list[CallOutcome] = []
         self.stop = asyncio.Event()
 
     async def apply(self, path: str) -> None:
@@ -91,12 +91,14 @@
                     whole = form.get("mark", headers["X-Mark"]) == headers["X-Mark"]
                     verdict = form.get("verdict", "ran") if whole else "another's answer"
                     code = form.get("code", "")
-                    self.told.append(CallOutcome(headers["X-Mark"], answer.status, verdict, code))
+                    self.outcomes.append(
+                        CallOutcome(headers["X-Mark"], answer.status, verdict, code)
+                    )
                     return
             except aiohttp.ClientConnectorError:
                 continue
             except aiohttp.ClientError as error:
-                self.told.append(CallOutcome(headers["X-Mark"], 0, f"cut: {error!r}"))
+                self.outcomes.append(CallOutcome(headers["X-Mark"], 0, f"cut: {error!r}"))
                 return
 
     def count(self, host: str) -> int:
@@ -133,13 +135,13 @@
     def check(self) -> None:
         """Compare the responses to callers with the ledgers of the workers."""
         ran = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
-        served = [outcome.mark for outcome in self.told if outcome.status == 200]
+        served = [outcome.mark for outcome in self.outcomes if outcome.status == 200]
         self.assertGreater(len(served), 100)
-        unexplained = [it for it in self.told if self.is_unexplained(it, ran)]
+        unexplained = [it for it in self.outcomes if self.is_unexplained(it, ran)]
         self.assertEqual(unexplained, [], [outcome.code for outcome in unexplained])
         self.assertEqual([mark for mark, count in ran.items() if count > 1], [])
         self.assertEqual([mark for mark in served if not ran[mark]], [])
-        false_refusals = [it for it in self.told if it.verdict == "not run" and ran[it.mark]]
+        false_refusals = [it for it in self.outcomes if it.verdict == "not run" and ran[it.mark]]
         self.assertEqual(false_refusals, [])
         over_capacity = [line for line in self.fleet.ledger() if line["what"] == "over"]
         self.assertEqual(over_capacity, [])
@@ -205,7 +207,7 @@
         self.assertTrue(cut)
         self.assertEqual({event["detail"]["reason"] for event in cut}, {"a second signal"})
         ran = Counter(line["mark"] for line in self.fleet.ledger())
-        false_refusals = [it for it in self.told if it.verdict == "not run" and ran[it.mark]]
+        false_refusals = [it for it in self.outcomes if it.verdict == "not run" and ran[it.mark]]
         self.assertEqual(false_refusals, [])
 
 
--- a/tests/test_verdicts_under_faults.py
+++ b/tests/test_verdicts_under_faults.py
@@ -50,12 +50,12 @@
         self.stop.set()
         await asyncio.gather(*callers)
         ran = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
-        served = [told for told in self.told if told.status == 200]
+        served = [told for told in self.outcomes if told.status == 200]
         self.assertGreater(len(served), 100)
         self.assertEqual([mark for mark, count in ran.items() if count > 1], [])
         self.assertEqual([told for told in served if not ran[told.mark]], [])
         self.assertEqual([told for told in served if told.verdict != "ran"], [])
-        untrue = [told for told in self.told if told.verdict == "not run" and ran[told.mark]]
+        untrue = [told for told in self.outcomes if told.verdict == "not run" and ran[told.mark]]
         self.assertEqual(untrue, [])
 
 
