Restore response and error texts that leave the process

Texts of HTTP responses, LinkClosed and Malformed can reach event fields through repr(error); mixed builds and tools must read the same ones.

--- a/cowslipvane/tasks/_gossip.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -202,7 +202,7 @@
             case ExchangeReply() as reply:
                 self._record_updates(feed.handle_reply(message, reply, time.monotonic()))
             case _:
-                raise Malformed("a neighbour responded with an unexpected message")
+                raise Malformed("a neighbour answered with another message")
 
     @property
     def _reply_timeout(self) -> Seconds:
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -163,7 +163,7 @@
                 await link.send(Reports(reports=tuple(unconfirmed.values())))
                 response = await link.receive(timeout=LEADER_RESPONSE_TIMEOUT)
                 if not isinstance(response, ReportsTaken):
-                    raise Malformed("the leader responded to reports with an unexpected message")
+                    raise Malformed("the leader answered reports with another message")
                 confirmed.update(unconfirmed)
             await self._reported.wait(OBSERVE_INTERVAL)
             await asyncio.sleep(BATCH_DELAY)
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -269,7 +269,7 @@
                     case TakingOver(stands=stands):
                         outcome = "it stands" if stands else "it doesn't stand"
                     case _:
-                        raise Malformed("a voter responded with an unexpected message")
+                        raise Malformed("a voter answered with another message")
         except (LinkClosed, Malformed, TimeoutError) as error:
             outcome = f"not known: {error!r}"
         self._events.record("handed-over", to=successor.host, term=str(term), outcome=outcome)
@@ -324,9 +324,9 @@
                 if expected_id and group == self._group_name:
                     self._replica.record_identity_mismatch(host, lease_now())
                     await self._complete_role_change()
-                raise LinkClosed(f"connected to replica {replica_id} of group {group}")
+                raise LinkClosed(f"replica {replica_id} of group {group} answers")
             case _:
-                raise Malformed("a member responded to a handshake with an unexpected message")
+                raise Malformed("a member answered a greeting with another message")
 
     async def _accept_handshake(self, link: Link) -> bool:
         """Respond to a handshake and return whether it is addressed to this replica."""
@@ -357,7 +357,7 @@
             await self._handle_reply(reply, sent_at)
             if not self._replica.is_behind(host):
                 await self._changed.wait(self._timing.heartbeat)
-        raise LinkClosed(f"replica {replica_id} is not the group member on host {host}")
+        raise LinkClosed(f"replica {replica_id} is not the member on {host}")
 
     async def _handle_reply(self, reply: object, sent_at: float) -> None:
         """Handle a member's reply, and sync and signal the changes that follow from it."""
@@ -370,7 +370,7 @@
             case VoteReply():
                 self._replica.handle_vote_reply(reply, lease_now())
             case _:
-                raise Malformed("a voter responded with an unexpected message")
+                raise Malformed("a voter answered with another message")
         await self._complete_role_change()
         index = self._replica.maintain_group(stamped_at=time.time(), now=lease_now())
         if index is not None:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -104,7 +104,7 @@
             case Floor() | AskLeader() as response:
                 return response
             case _:
-                raise Malformed("a replica responded to a floor request with an unexpected message")
+                raise Malformed("a replica answered a question for the floor with another message")
 
     async def _subscribe(self, address: Address) -> None:
         """Pull versions over one connection; each pull reports the version in force."""
@@ -143,7 +143,7 @@
             case ComeAgain(after=after):
                 await asyncio.sleep(after * self._rng.uniform(1, 2))
             case _:
-                raise Malformed("a replica responded to a pull with an unexpected message")
+                raise Malformed("a replica answered a pull with another message")
 
     def _report(self) -> Report:
         """Return the report of the version in force at this proxy."""
