--- a/cowslipvane/tasks/_event_copies.py
+++ b/cowslipvane/tasks/_event_copies.py
@@ -11,14 +11,14 @@
 from cowslipvane.types import Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
-# Time between copies; a process that crashes loses the refusals of at most this time.
+# Time between copies. A crash loses the refusals of this time, or more if no copy could be sent.
 COPY_INTERVAL: Seconds = 0.25
 RESPONSE_TIMEOUT: Seconds = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeepEvents:
-    """Requests a process to store copies of another process's events."""
+    """Asks a process to store copies of another process's events."""
 
     origin: Origin
     events: tuple[Event, ...]
--- a/cowslipvane/tasks/_gossip.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -69,7 +69,7 @@
         self._seeds = [address for address in seeds if address != self._membership.own.peers]
 
     def notify_neighbours(self) -> None:
-        """Send the changed own record to the neighbours without waiting for a heartbeat."""
+        """Send this process's changed record to the neighbours before the next heartbeat."""
         self._changed.send()
 
     async def run(self) -> None:
@@ -128,7 +128,7 @@
                 async with connect(member.peers, "/members") as link:
                     await self._run_exchanges(link, member)
             except (LinkClosed, Malformed):
-                # A neighbour that restarts closes its connections too, so retry once first.
+                # A restarting neighbour closes its connections too, so try to reconnect first.
                 await self._suspect_unless_reachable(member)
             await asyncio.sleep(self._interval)
 
--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -22,7 +22,7 @@
 # Mean time between two attempts to join; also the interval of the checks for a leader.
 RETRY_INTERVAL: Seconds = 0.3
 RESPONSE_TIMEOUT: Seconds = 2.0
-# A member without contact to a leader for this long asks to join again: it may have been removed.
+# A member without contact with a leader for this long asks to join again: it may have been removed.
 REJOIN_TIMEOUT: Seconds = 3.0
 
 
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NotTakenIn:
-    """The group was not changed; leader is the address to send the request to, if known."""
+    """The replica isn't known to be in the group; leader is the address to try next, if known."""
 
     reason: str
     leader: Address | None
@@ -100,7 +100,7 @@
                 return
 
     async def _is_isolated(self) -> bool:
-        """Return whether REJOIN_TIMEOUT passes without contact to a leader."""
+        """Return False on contact with a leader, or True after REJOIN_TIMEOUT without contact."""
         deadline = lease_now() + REJOIN_TIMEOUT
         while lease_now() < deadline:
             await asyncio.sleep(RETRY_INTERVAL)
@@ -117,7 +117,7 @@
                 return
 
     async def _handle_join(self, voter: Voter) -> TakenIn | NotTakenIn:
-        """Add a replica to the group if this one leads and the other isn't a member yet."""
+        """As leader, add a joining replica to the group, or replace the member on its host."""
         replica = self._replication.replica
         group = replica.group
         if isinstance(replica.role, Leader) and replica.check_identity(
@@ -140,7 +140,10 @@
                 return NotTakenIn(reason="the outcome isn't known yet", leader=None)
 
     async def _try_address(self, address: Address) -> bool:
-        """Request to join from a member or the leader that it names; return whether it accepts."""
+        """Send a join request to a member, and return whether it is accepted.
+
+        If the member names a leader, the request is sent to the leader too.
+        """
         response = await self._request_join(address)
         if isinstance(response, NotTakenIn) and response.leader is not None:
             response = await self._request_join(response.leader)
@@ -149,7 +152,7 @@
         return isinstance(response, TakenIn)
 
     async def _request_join(self, address: Address) -> TakenIn | NotTakenIn | None:
-        """Return the response of one process, None if there is none."""
+        """Return the response of one process to a join request, None if there is none."""
         replica = self._replication.replica
         own = Voter(replica.host, self._own_address, replica.replica_id)
         try:
@@ -163,7 +166,7 @@
         return None
 
     def _is_member(self) -> bool:
-        """Return whether the local log has this replica as a member, founders included."""
+        """Return whether the log has this replica id, or a founder without an id on this host."""
         replica = self._replication.replica
         member = replica.group.member(replica.host)
         return member is not None and member.replica_id in ("", replica.replica_id)
--- a/cowslipvane/tasks/_metrics_collector.py
+++ b/cowslipvane/tasks/_metrics_collector.py
@@ -74,7 +74,7 @@
         return [Sample("cowslipvane_members", count, state) for state, count in states.items()]
 
     def _event_samples(self) -> list[Sample]:
-        """Return the counts of the event log by what became of the events."""
+        """Return the counters of the event log."""
         counts = self._events.counts.items()
         return [Sample("cowslipvane_events", count, fate) for fate, count in counts]
 
@@ -101,7 +101,7 @@
 
 
 def count_states(membership: Membership, now: float) -> Counter[str]:
-    """Return the number of members in each state; one without a valid lease counts as silent."""
+    """Return the number of members in each state; a suspected or dead one counts as silent."""
     return Counter(
         member.state if membership.is_alive(member.host, now) else "silent"
         for member in membership.members
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -117,7 +117,7 @@
         }
 
     async def _register_worker(self, form: Any) -> web.Response:
-        """Register or deregister the worker on this host by its announcement."""
+        """Register or deregister the worker on this host, as it announces."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
         if isinstance(form, dict) and form.get("state") == "leaving":
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -85,7 +85,7 @@
 
     @property
     def pending_floor_requests(self) -> int:
-        """Return how many proxies wait for a leader to learn their minimum version."""
+        """Return how many requests for the minimum version wait until a leader is known."""
         return self._pending_floor_requests
 
     async def run(self) -> None:
@@ -193,7 +193,7 @@
             self._pending_floor_requests -= 1
 
     def _floor(self) -> Floor | AskLeader:
-        """Return the newest accepted version under a valid leader lease, else the leader."""
+        """Return the newest accepted version if the leader lease is held here, else the leader."""
         replica = self._replication.replica
         if self._replication.holds_lease:
             return Floor(version=replica.catalogue.version)
--- a/cowslipvane/tasks/_replica_api.py
+++ b/cowslipvane/tasks/_replica_api.py
@@ -45,7 +45,7 @@
         return web.json_response({"leader": replica.host, **group_form(replica.group)})
 
     async def _change_group(self, form: Any) -> web.Response:
-        """Change the group; the response tells whether the change was run."""
+        """Change the group; the response states whether the change was run."""
         match await self._replication.change_group(read_group_change(form)):
             case NotLeader(leader=leader):
                 return leader_redirect(self._membership, _PATH, leader)
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Unknown:
-    """The outcome of the change is unknown; retry it with the same operation id."""
+    """The outcome of the change is unknown; retry a write with the same operation id."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,7 +87,7 @@
 
 
 class Replication:
-    """Sends and receives the messages of one replica, and syncs its journal before responding."""
+    """Exchanges one replica's messages, and syncs its journal before replies that depend on it."""
 
     def __init__(
         self,
@@ -196,7 +196,11 @@
         return GroupChanged(group=self._replica.group) if self._replica.term == term else Unknown()
 
     async def hand_over(self) -> None:
-        """Transfer leadership to an up-to-date voter before the process stops."""
+        """Prepare for the stop of the process; as leader, transfer leadership to another voter.
+
+        The replica accepts no more writes and starts no pre-votes. The transfer is abandoned if no
+        other voter has the complete log within HAND_OVER_TIMEOUT.
+        """
         self._replica.stop_accepting_writes()
         term = self._replica.term
         deadline = lease_now() + HAND_OVER_TIMEOUT
@@ -220,10 +224,13 @@
             self._recorded_version = version
 
     async def _handle_pre_vote(self, request: PreVote) -> PreVoteReply:
-        """Return whether a vote would be granted; a reply that claims idleness is synced first."""
+        """Return whether a vote would be granted.
+
+        A reply that reports that this replica knows no leader is sent only after a sync.
+        """
         reply = self._replica.handle_pre_vote(request, lease_now())
         if reply.idle:
-            # Without the sync, a crash could make this replica forget the term and then lead it.
+            # Without a sync, this replica could forget the term in a crash and become its leader.
             await self._journal.sync()
         return reply
 
@@ -257,7 +264,7 @@
         return TakingOver(stands=stands)
 
     async def _send_take_over(self, successor: Voter, term: int) -> None:
-        """Request a voter to take over leadership, and record the outcome."""
+        """Ask a voter to take over leadership, and record the outcome."""
         try:
             async with (
                 asyncio.timeout(HAND_OVER_TIMEOUT),
@@ -295,7 +302,7 @@
             self._changed.send()
 
     async def _maintain_followers(self, tasks: asyncio.TaskGroup) -> None:
-        """Run one task per other group member; the task of a removed member returns by itself."""
+        """Run one connection task per other member; that of a removed member returns by itself."""
         followers: dict[HostName, asyncio.Task[None]] = {}
         while True:
             for member in self._replica.group.members:
@@ -305,7 +312,7 @@
             await self._changed.wait()
 
     async def _replicate_to(self, host: HostName) -> None:
-        """Keep a connection to a host and replicate over it while the host is a group member."""
+        """Keep a connection to a group member, and send it entries or requests for votes."""
         while (member := self._replica.group.member(host)) is not None:
             try:
                 async with connect(member.address, "/replica") as link:
@@ -343,7 +350,7 @@
         return accepted
 
     async def _send_requests(self, host: HostName, replica_id: ReplicaId, link: Link) -> None:
-        """Send one request at a time and handle its reply while the replica id is the member's."""
+        """Send one request at a time and handle its reply, while the host's member keeps its id."""
         while self._replica.check_identity(host, replica_id):
             request = self._replica.next_message_for(host) or self._replica.vote_request_for(host)
             if request is None:
@@ -380,7 +387,7 @@
             self._changed.send()
 
     async def _complete_role_change(self) -> None:
-        """Record and sync a change of role, once per term."""
+        """Record and sync that this replica became candidate or leader, once per role and term."""
         term = self._replica.term
         if isinstance(self._replica.role, Candidate) and self._candidate_term != term:
             self._candidate_term = term
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -117,12 +117,12 @@
         if tag.isdecimal():
             return Version(int(tag))
         if http.headers.get("If-None-Match", "").strip('"') == "*":
-            # An existing resource was written after version 0, so basing on 0 makes a conflict.
+            # An existing resource was written after version 0, so a change based on 0 conflicts.
             return Version(0) if key in self._catalogue.resources else self._catalogue.version
         return None
 
     async def _change(self, form: Any) -> web.Response:
-        """Handle a change of several resources; the response tells whether it was run."""
+        """Handle a change of several resources; the response states whether it was run."""
         change = read_change(form)
         if isinstance(change, Invalid):
             return _invalid_response(change.faults)
@@ -183,7 +183,7 @@
         return web.json_response(form, status=410)
 
     def _redirect(self, path: str, leader: HostName | None) -> web.Response:
-        """Redirect an operator to the leader, or respond when to retry."""
+        """Redirect an operator to the leader, or respond with 503 and Retry-After without one."""
         return leader_redirect(self._membership, path, leader)
 
 
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -29,7 +29,7 @@
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect
 
 INITIAL_BACKOFF: Seconds = 0.1
-# A replica may wait for a leader during this share of the time that a connection may be silent.
+# Share of a connection's silence timeout for which a replica may wait for a leader.
 FLOOR_WAIT_SHARE = 0.6
 
 
@@ -118,7 +118,7 @@
                 await self._handle_response(await link.receive(timeout=timeout))
 
     def _pull(self) -> Pull:
-        """Return a pull for the version after the one in force."""
+        """Return a pull from the version in force, or for a full snapshot after a rejection."""
         version = self._subscription.version
         return Pull(
             report=self._report(),
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -30,7 +30,7 @@
 
 
 class GossipTest(unittest.IsolatedAsyncioTestCase):
-    """Service of one connection."""
+    """Handling of one connection."""
 
     def setUp(self) -> None:
         """Create a member that knows only itself."""
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -23,7 +23,7 @@
             self.fleet.start_daemon(host)
 
     async def test_next_leader_is_elected_immediately(self) -> None:
-        """The stopping leader names its successor, which leads before the process has ended."""
+        """The stopping leader names its successor, which is then elected."""
         leader = (await self.fleet.until_leader())["host"]
         self.fleet.signal_daemon(leader, signal.SIGTERM)
         self.fleet.wait_daemon(leader)
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -31,7 +31,7 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on all the addresses."""
+    """Return a port that is free on the address of the first seed."""
     with socket.socket() as probe:
         probe.bind((SEED_IPS[0], 0))
         port: int = probe.getsockname()[1]
@@ -188,7 +188,7 @@
         self.assertEqual({voter.host for voter in group.voters}, set(SEED_IPS))
 
     async def test_removed_voter_rejoins(self) -> None:
-        """A voter that was removed while it was isolated can't see the removal in its own log."""
+        """A voter that was removed while it was down can't see the removal in its own log."""
         await self.start(JOINING_IP, first_start=True)
         await self.until(self.nodes[JOINING_IP].is_voter)
         with patch.object(_roles, "VOTER_REMOVAL_TIMEOUT", 0.5):
@@ -212,7 +212,7 @@
         clock.assert_called_once_with(time.CLOCK_BOOTTIME)
 
     async def test_suspended_leader_does_not_serve_the_newest_release(self) -> None:
-        """The monotonic clock stopped meanwhile, and another leader may have been elected."""
+        """The monotonic clock stops during a suspension, in which another leader can be elected."""
         await self.write("first")
         leader = next(n for n in self.nodes.values() if n.replica.holds_lease(lease_now()))
         releases = Releases(replication=leader.replication, events=leader.events)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -69,7 +69,11 @@
                 await asyncio.sleep(0.01)
 
     async def send_long(self, name: str, hosts: list[str]) -> None:
-        """Send a call through the given hosts that takes longer than all others."""
+        """Send a long call through hosts that keep running.
+
+        It outlasts the calls that enter at the stopping host, so that the worker of that host can
+        still be running a call from another host when its own last call ends.
+        """
         mark = f"long/{name}/{time.monotonic_ns()}"
         async with aiohttp.ClientSession() as session:
             headers = {"X-Mark": mark, "X-Work-Times": "1000"}
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -86,7 +86,7 @@
             self.assertEqual(in_force, new_release)
 
     def test_release_numbers_must_increase(self) -> None:
-        """The step may be of any size."""
+        """They needn't be consecutive."""
         self.assertIsInstance(self.put(release(2, 2), routed("b")), Invalid)
         self.assertIsInstance(self.put(release(90, 2), routed("b")), Accepted)
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -115,7 +115,7 @@
         self.assertEqual(reply, Stranger(group="g", replica_id=ReplicaId("id-a")))
 
     async def test_vote_is_sent_only_after_a_sync(self) -> None:
-        """A vote that a crash made the replica forget could be granted twice in one term."""
+        """A replica that lost its vote in a crash could vote for another candidate in that term."""
         await self.handshake()
         vote = Vote(term=2, candidate=HostName("b"), last_index=0, last_term=0)
         reply = await self.assert_blocked_until_sync(vote)
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -54,7 +54,7 @@
     """Base class that starts proxies, replicas and fake replicas."""
 
     async def asyncSetUp(self) -> None:
-        """Close everything that a test starts."""
+        """Create the stack that closes everything that a test starts."""
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
 
@@ -63,7 +63,7 @@
         return await self.stack.enter_async_context(SingleReplica(leads=leads, pull_wait=pull_wait))
 
     async def fake_replica(self, responder: Responder) -> Address:
-        """Start a fake replica that responds by a function; None stands for no response."""
+        """Start a fake replica that sends what a function returns, and nothing for None."""
 
         async def respond(connection: ServerConnection) -> None:
             link = Link(connection=connection, identity=anonymous_identity())
@@ -177,7 +177,7 @@
         self.assertIn("digest", rejected[0].report.rejected)
 
     async def test_receives_only_the_routes_of_its_hosts(self) -> None:
-        """Of changes to other hosts only the version comes into force."""
+        """A change that concerns only other hosts raises the version and adds no route."""
         replica = await self.replica(pull_wait=0.2)
         subscription = self.proxy(replica.address, hosts=("depot",))
         for host in ("depot", "shop"):
