--- a/cowslipvane/tasks/_event_copies.py
+++ b/cowslipvane/tasks/_event_copies.py
@@ -86,5 +86,10 @@
     if not candidates:
         return None
     return min(
-        candidates, key=lambda it: (it.data_centre != own.data_centre, it.host < own.host, it.host)
+        candidates,
+        key=lambda member: (
+            member.data_centre != own.data_centre,
+            member.host < own.host,
+            member.host,
+        ),
     )
--- a/cowslipvane/tasks/_gossip.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -30,7 +30,7 @@
 # Heartbeat interval of distant neighbours, as a multiple of the interval of near ones.
 DISTANT_HEARTBEAT_FACTOR = 10
 # A connection without a message for this many heartbeat intervals is closed.
-IDLE_HEARTBEATS = 4 * DISTANT_HEARTBEAT_FACTOR
+IDLE_TIMEOUT_HEARTBEATS = 4 * DISTANT_HEARTBEAT_FACTOR
 # Mean time between two synchronizations with a seed, as a multiple of the heartbeat interval.
 SEED_INTERVAL_FACTOR = 10
 # A synchronization with a seed ends after this many exchanges, complete or not.
@@ -55,7 +55,7 @@
         self._events = events
         self._changed = Signal()
         self._neighbours: dict[HostName, asyncio.Task[None]] = {}
-        self._frequent_neighbours: set[HostName] = set()
+        self._near_neighbours: set[HostName] = set()
         self._rng = random.Random()
         self._announced_revision = membership.revision
 
@@ -92,7 +92,7 @@
 
     async def _handle_exchanges(self, link: Link) -> None:
         """Handle exchanges; raise TimeoutError when none is received in time."""
-        timeout = self._interval * IDLE_HEARTBEATS
+        timeout = self._interval * IDLE_TIMEOUT_HEARTBEATS
         match await link.receive(timeout=timeout):
             case Hello(data_centre=data_centre, guest=guest):
                 feed = Feed(membership=self._membership, data_centre=data_centre, guest=guest)
@@ -101,8 +101,8 @@
         while True:
             match await link.receive(timeout=timeout):
                 case Exchange() | Compare() as message:
-                    reply, newer = feed.handle_message(message, time.monotonic())
-                    self._record_updates(newer)
+                    reply, updated_members = feed.handle_message(message, time.monotonic())
+                    self._record_updates(updated_members)
                     await link.send(reply)
                 case _:
                     return
@@ -114,7 +114,7 @@
             self._neighbours.pop(host).cancel()
         for host in neighbours.keys() - self._neighbours.keys():
             self._neighbours[host] = tasks.create_task(self._gossip_with(host))
-        self._frequent_neighbours = {
+        self._near_neighbours = {
             host for host, neighbour in neighbours.items() if neighbour.frequent_heartbeats
         }
 
@@ -161,9 +161,7 @@
 
     def _heartbeat_interval(self, host: HostName) -> Seconds:
         """Return the time between heartbeats to a neighbour."""
-        return self._interval * (
-            1 if host in self._frequent_neighbours else DISTANT_HEARTBEAT_FACTOR
-        )
+        return self._interval * (1 if host in self._near_neighbours else DISTANT_HEARTBEAT_FACTOR)
 
     async def _synchronize_with_seeds(self) -> None:
         """Synchronize with a random seed at intervals while the membership requires it."""
@@ -214,9 +212,9 @@
         self._events.record("member", member=host, state="suspected")
         self._changed.send()
 
-    def _record_updates(self, newer: Iterable[Member]) -> None:
+    def _record_updates(self, updated_members: Iterable[Member]) -> None:
         """Record updated members, and notify the neighbours if any record has changed."""
-        for member in newer:
+        for member in updated_members:
             state = "suspected" if member.suspected else member.state
             self._events.record("member", member=member.host, state=state)
         if self._membership.revision != self._announced_revision:
--- a/cowslipvane/tasks/_joining.py
+++ b/cowslipvane/tasks/_joining.py
@@ -89,17 +89,17 @@
                 await self._join()
                 await asyncio.sleep(RETRY_INTERVAL * self._rng.uniform(0.5, 1.5))
                 continue
-            if await self._is_isolated():
+            if await self._wait_for_isolation():
                 # It may have been removed while it was isolated, which its log can't show.
                 await self._join()
 
     async def _join(self) -> None:
         """Send a join request to one member after another until one accepts it."""
         for address in self._shuffled_addresses():
-            if await self._try_address(address):
+            if await self._join_through(address):
                 return
 
-    async def _is_isolated(self) -> bool:
+    async def _wait_for_isolation(self) -> bool:
         """Return False on contact with a leader, or True after REJOIN_TIMEOUT without contact."""
         deadline = lease_now() + REJOIN_TIMEOUT
         while lease_now() < deadline:
@@ -111,24 +111,26 @@
     async def serve(self, link: Link) -> None:
         """Handle one join request."""
         match await link.receive(timeout=RESPONSE_TIMEOUT):
-            case AskToJoin(group=group, replica=voter) if group == self._group_name:
-                await link.send(await self._handle_join(voter))
+            case AskToJoin(group=group, replica=joining) if group == self._group_name:
+                await link.send(await self._handle_join(joining))
             case _:
                 return
 
-    async def _handle_join(self, voter: Voter) -> TakenIn | NotTakenIn:
+    async def _handle_join(self, joining: Voter) -> TakenIn | NotTakenIn:
         """As leader, add a joining replica to the group, or replace the member on its host."""
         replica = self._replication.replica
         group = replica.group
         if isinstance(replica.role, Leader) and replica.check_identity(
-            voter.host, voter.replica_id
+            joining.host, joining.replica_id
         ):
             return TakenIn()
-        change = Add(learner=voter) if group.member(voter.host) is None else Replace(learner=voter)
+        change = (
+            Add(learner=joining) if group.member(joining.host) is None else Replace(learner=joining)
+        )
         match await self._replication.change_group(change):
             case GroupChanged():
                 self._events.record(
-                    "regrouped", host=voter.host, change=type(change).__name__.lower()
+                    "regrouped", host=joining.host, change=type(change).__name__.lower()
                 )
                 return TakenIn()
             case GroupChangeRefused(reason=reason):
@@ -139,7 +141,7 @@
             case Unknown():
                 return NotTakenIn(reason="the outcome isn't known yet", leader=None)
 
-    async def _try_address(self, address: Address) -> bool:
+    async def _join_through(self, address: Address) -> bool:
         """Send a join request to a member, and return whether it is accepted.
 
         If the member names a leader, the request is sent to the leader too.
--- a/cowslipvane/tasks/_metrics_collector.py
+++ b/cowslipvane/tasks/_metrics_collector.py
@@ -76,7 +76,7 @@
     def _event_samples(self) -> list[Sample]:
         """Return the counters of the event log."""
         counts = self._events.counts.items()
-        return [Sample("cowslipvane_events", count, fate) for fate, count in counts]
+        return [Sample("cowslipvane_events", count, name) for name, count in counts]
 
     def _replica_samples(self, replication: Replication) -> list[Sample]:
         """Return the replica's samples about versions, proxies and leadership."""
--- a/cowslipvane/tasks/_operator_api.py
+++ b/cowslipvane/tasks/_operator_api.py
@@ -25,51 +25,53 @@
         token: Token | None,
     ) -> None:
         self._token = token
-        self._process = process
-        self._resources = resources
-        self._replicas = replicas
+        self._process_api = process
+        self._resource_api = resources
+        self._replica_api = replicas
 
-    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request."""
-        if not self._is_authorized(http):
+        if not self._is_authorized(request):
             sentence = "show the token: name its file in COWSLIPVANE_TOKEN_FILE"
             unauthorized = error_response(401, f"not run: {sentence}")
             unauthorized.headers["WWW-Authenticate"] = "Bearer"
             return unauthorized
-        parts = http.path.strip("/").split("/")
+        parts = request.path.strip("/").split("/")
         if parts[0] == "v1":
             del parts[0]
         try:
-            response = await self._process.handle(http, parts)
-            if response is None and self._resources is not None:
-                response = await self._resources.handle(http, parts)
-            if response is None and self._replicas is not None:
-                response = await self._replicas.handle(http, parts)
+            response = await self._process_api.handle(request, parts)
+            if response is None and self._resource_api is not None:
+                response = await self._resource_api.handle(request, parts)
+            if response is None and self._replica_api is not None:
+                response = await self._replica_api.handle(request, parts)
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
             return error_response(400, f"not run: the request can't be read: {error!r}")
         if response is None:
-            return error_response(404, f"there is no {http.method} {http.path} at this process")
+            return error_response(
+                404, f"there is no {request.method} {request.path} at this process"
+            )
         return response
 
-    def _is_authorized(self, http: web.BaseRequest) -> bool:
+    def _is_authorized(self, request: web.BaseRequest) -> bool:
         """Return whether a request has the right token or needs none."""
-        if self._token is None or self._token.matches(http.headers.get(AUTHORIZATION)):
+        if self._token is None or self._token.matches(request.headers.get(AUTHORIZATION)):
             return True
         # The platform's worker has no token, but its requests come from this host's addresses.
-        return http.path == "/v1/worker" and _from_this_host(http)
+        return request.path == "/v1/worker" and _is_from_this_host(request)
 
 
-def _from_this_host(http: web.BaseRequest) -> bool:
+def _is_from_this_host(request: web.BaseRequest) -> bool:
     """Return whether a request comes from an address of this host."""
-    return _shares_address(http) or ipaddress.ip_address(http.remote or "0.0.0.0").is_loopback
+    return _shares_address(request) or ipaddress.ip_address(request.remote or "0.0.0.0").is_loopback
 
 
-def _shares_address(http: web.BaseRequest) -> bool:
+def _shares_address(request: web.BaseRequest) -> bool:
     """Return whether a request comes from the address that it was sent to."""
-    if http.transport is None:
+    if request.transport is None:
         return False
-    peer = http.transport.get_extra_info("peername")
-    own = http.transport.get_extra_info("sockname")
+    peer = request.transport.get_extra_info("peername")
+    own = request.transport.get_extra_info("sockname")
     return bool(peer and own and peer[0] == own[0])
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -46,17 +46,17 @@
         self._owner = owner
         self._drain = drain
 
-    async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
+    async def handle(self, request: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
         """Dispatch by method and path; return None for a path of another API."""
-        match http.method, parts:
+        match request.method, parts:
             case "GET", ["status"]:
                 return web.json_response(self._status())
             case "GET", ["events"]:
-                return web.json_response(self._events_form(http))
+                return web.json_response(self._events_form(request))
             case "GET", ["debug"]:
                 return web.json_response(self._debug())
             case "POST", ["worker"]:
-                return await self._register_worker(await http.json())
+                return await self._handle_announcement(await request.json())
             case "POST", ["drain"]:
                 self._drain()
                 return web.json_response({"state": "leaving"})
@@ -67,10 +67,12 @@
             case _:
                 return None
 
-    def _events_form(self, http: web.BaseRequest) -> dict[str, Any]:
+    def _events_form(self, request: web.BaseRequest) -> dict[str, Any]:
         """Return the events that match a query, and the counts of the event log."""
-        request, version = http.query.get("request", ""), int(http.query.get("version", "0"))
-        events = list(self._events.select(request=request, version=version))
+        request_id, version = request.query.get("request", ""), int(
+            request.query.get("version", "0")
+        )
+        events = list(self._events.select(request=request_id, version=version))
         return {"host": self._membership.own.host, "events": events, "counts": self._events.counts}
 
     def _status(self) -> dict[str, Any]:
@@ -116,7 +118,7 @@
             ],
         }
 
-    async def _register_worker(self, form: Any) -> web.Response:
+    async def _handle_announcement(self, form: Any) -> web.Response:
         """Register or deregister the worker on this host, as it announces."""
         if self._owner is None:
             return error_response(404, "this process is no proxy; announce to the one on this host")
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -158,7 +158,9 @@
         confirmed: dict[HostName, Report] = {}
         while self._leader_address() == leader:
             reports = dict(self._replication.replica.reports)
-            unconfirmed = {host: it for host, it in reports.items() if confirmed.get(host) != it}
+            unconfirmed = {
+                host: report for host, report in reports.items() if confirmed.get(host) != report
+            }
             if unconfirmed:
                 await link.send(Reports(reports=tuple(unconfirmed.values())))
                 response = await link.receive(timeout=LEADER_RESPONSE_TIMEOUT)
--- a/cowslipvane/tasks/_replica_api.py
+++ b/cowslipvane/tasks/_replica_api.py
@@ -27,13 +27,13 @@
         self._events = events
         self._replication = replication
 
-    async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
+    async def handle(self, request: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
         """Dispatch by method and path; return None for a path of another API."""
-        match http.method, parts:
+        match request.method, parts:
             case "GET", ["replicas"]:
                 return self._group()
             case "POST", ["replicas"]:
-                return await self._change_group(await http.json())
+                return await self._change_group(await request.json())
             case _:
                 return None
 
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -133,7 +133,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._journal.wait_for_failure())
             tasks.create_task(self._run_elections())
-            await self._maintain_followers(tasks)
+            await self._maintain_member_tasks(tasks)
 
     async def serve(self, link: Link) -> None:
         """Handle the requests of one member in order."""
@@ -301,17 +301,19 @@
             await self._complete_role_change()
             self._changed.send()
 
-    async def _maintain_followers(self, tasks: asyncio.TaskGroup) -> None:
+    async def _maintain_member_tasks(self, task_group: asyncio.TaskGroup) -> None:
         """Run one connection task per other member; that of a removed member returns by itself."""
-        followers: dict[HostName, asyncio.Task[None]] = {}
+        tasks_by_host: dict[HostName, asyncio.Task[None]] = {}
         while True:
             for member in self._replica.group.members:
-                follower = followers.get(member.host)
-                if member.host != self._replica.host and (follower is None or follower.done()):
-                    followers[member.host] = tasks.create_task(self._replicate_to(member.host))
+                task = tasks_by_host.get(member.host)
+                if member.host != self._replica.host and (task is None or task.done()):
+                    tasks_by_host[member.host] = task_group.create_task(
+                        self._keep_connection_to(member.host)
+                    )
             await self._changed.wait()
 
-    async def _replicate_to(self, host: HostName) -> None:
+    async def _keep_connection_to(self, host: HostName) -> None:
         """Keep a connection to a group member, and send it entries or requests for votes."""
         while (member := self._replica.group.member(host)) is not None:
             try:
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -49,25 +49,25 @@
         """Return the catalogue of this replica."""
         return self._replication.replica.catalogue
 
-    async def handle(self, http: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
+    async def handle(self, request: web.BaseRequest, parts: list[str]) -> web.StreamResponse | None:
         """Dispatch by method and path; return None for a path of another API."""
         if parts[0] not in ("resources", "changes", "history", "watch"):
             return None
         if not self._replication.holds_lease:
-            return self._redirect(http.path_qs, self._replication.replica.leader)
-        match http.method, parts:
+            return self._redirect(request.path_qs, self._replication.replica.leader)
+        match request.method, parts:
             case "GET", ["resources"]:
                 return self._resources()
             case "GET", ["resources", kind, name]:
                 return self._resource(Key(kind, name))
             case "PUT" | "DELETE", ["resources", kind, name]:
-                return await self._write(http, Key(kind, name))
+                return await self._write_resource(request, Key(kind, name))
             case "POST", ["changes"]:
-                return await self._change(await http.json())
+                return await self._handle_change(await request.json())
             case "GET", ["history"]:
-                return self._history(_requested_version(http))
+                return self._history(_requested_version(request))
             case "GET", ["watch"]:
-                return await self._watch(http)
+                return await self._watch(request)
             case _:
                 return None
 
@@ -94,16 +94,16 @@
         form = {**resource_form(resource), "status": status}
         return web.json_response(form, headers={"ETag": f'"{resource.version}"'})
 
-    async def _write(self, http: web.BaseRequest, key: Key) -> web.Response:
+    async def _write_resource(self, request: web.BaseRequest, key: Key) -> web.Response:
         """Write or delete one resource if it has not changed since the operator read it."""
-        operation_id = http.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
-        based_on = self._based_on(http, key)
+        operation_id = request.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
+        based_on = self._based_on(request, key)
         if based_on is None:
             sentence = 'not run: give If-Match with the ETag you saw, or If-None-Match: "*"'
             return error_response(428, sentence)
         puts: tuple[tuple[Key, Spec], ...] = ()
-        if http.method == "PUT":
-            spec = read_spec(key, await http.json())
+        if request.method == "PUT":
+            spec = read_spec(key, await request.json())
             if isinstance(spec, Invalid):
                 return _invalid_response(spec.faults)
             puts = ((key, spec),)
@@ -111,17 +111,17 @@
         change = Change(OperationId(operation_id), based_on, puts, deletes)
         return await self._write_change(change, conflict_status=412)
 
-    def _based_on(self, http: web.BaseRequest, key: Key) -> Version | None:
+    def _based_on(self, request: web.BaseRequest, key: Key) -> Version | None:
         """Return the version that a conditional write is based on, or None without a condition."""
-        tag = http.headers.get("If-Match", "").strip('"')
+        tag = request.headers.get("If-Match", "").strip('"')
         if tag.isdecimal():
             return Version(int(tag))
-        if http.headers.get("If-None-Match", "").strip('"') == "*":
+        if request.headers.get("If-None-Match", "").strip('"') == "*":
             # An existing resource was written after version 0, so a change based on 0 conflicts.
             return Version(0) if key in self._catalogue.resources else self._catalogue.version
         return None
 
-    async def _change(self, form: Any) -> web.Response:
+    async def _handle_change(self, form: Any) -> web.Response:
         """Handle a change of several resources; the response states whether it was run."""
         change = read_change(form)
         if isinstance(change, Invalid):
@@ -163,19 +163,19 @@
     def _history(self, version: Version) -> web.Response:
         """Return the accepted changes after a version."""
         if version < self._catalogue.oldest_version:
-            return self._gone()
+            return self._gone_response()
         changes = [change_form(change) for change in self._catalogue.history(version)]
         return web.json_response({"version": self._catalogue.version, "changes": changes})
 
-    async def _watch(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def _watch(self, request: web.BaseRequest) -> web.StreamResponse:
         """Stream the changes after a version if the history still reaches back to it."""
-        version = _requested_version(http)
+        version = _requested_version(request)
         if version < self._catalogue.oldest_version:
-            return self._gone()
+            return self._gone_response()
         watch = Watch(replication=self._replication, publisher=self._publisher, version=version)
-        return await watch.run(http)
+        return await watch.run(request)
 
-    def _gone(self) -> web.Response:
+    def _gone_response(self) -> web.Response:
         """Respond that the history doesn't reach back to the requested version."""
         oldest = self._catalogue.oldest_version
         sentence = f"the history begins at version {oldest}; read the resources, then go on"
@@ -187,9 +187,9 @@
         return leader_redirect(self._membership, path, leader)
 
 
-def _requested_version(http: web.BaseRequest) -> Version:
+def _requested_version(request: web.BaseRequest) -> Version:
     """Return the version that a request starts from."""
-    return Version(int(http.query.get("from", "0")))
+    return Version(int(request.query.get("from", "0")))
 
 
 def _invalid_response(faults: tuple[Fault, ...]) -> web.Response:
--- a/cowslipvane/tasks/_watch.py
+++ b/cowslipvane/tasks/_watch.py
@@ -25,10 +25,10 @@
         self._version = version
         self._progress: Any = None
 
-    async def run(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Send lines until the reader disconnects, the lease ends, or versions would be skipped."""
         stream = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
-        await stream.prepare(http)
+        await stream.prepare(request)
         while self._replication.holds_lease:
             if self._version < self._replication.replica.catalogue.oldest_version:
                 break
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -40,7 +40,7 @@
         self.gossip = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
 
-    async def test_exchange_is_answered_with_the_joint_digest(self) -> None:
+    async def test_exchange_reply_has_the_digest_of_both_records(self) -> None:
         """The sender's record is stored, and the reply has the digest of both records."""
         serving = asyncio.create_task(self.gossip.serve(cast(Link, self.pipe)))
         await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=DataCentre("here")))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -56,15 +56,15 @@
         servers = [part for address in self.fleet.operators() for part in ("--server", address)]
         await asyncio.to_thread(self.fleet.command, "apply", "-f", path, *servers)
 
-    async def load(self, name: int) -> None:
+    async def load(self, caller: int) -> None:
         """Send calls one after another through random proxies until the stop event is set."""
-        rng = random.Random(name)
+        rng = random.Random(caller)
         async with aiohttp.ClientSession() as session:
             for number in range(10**6):
                 if self.stop.is_set():
                     return
                 times = "300" if rng.random() < 0.02 else "1"
-                headers = {"X-Mark": f"{name}/{number}", "X-Work-Times": times}
+                headers = {"X-Mark": f"{caller}/{number}", "X-Work-Times": times}
                 await self.send(session, rng, headers)
                 await asyncio.sleep(0.01)
 
@@ -90,13 +90,13 @@
         for host in rng.sample(hosts, len(hosts)):
             url = f"http://{self.fleet.address(host, 'callers')}/stock/{headers['X-Mark']}"
             try:
-                async with session.post(url, headers=headers, data=b"line") as answer:
-                    form = await answer.json()
-                    whole = form.get("mark", headers["X-Mark"]) == headers["X-Mark"]
-                    verdict = form.get("verdict", "ran") if whole else "another's answer"
+                async with session.post(url, headers=headers, data=b"line") as response:
+                    form = await response.json()
+                    is_own_response = form.get("mark", headers["X-Mark"]) == headers["X-Mark"]
+                    verdict = form.get("verdict", "ran") if is_own_response else "another's answer"
                     code = form.get("code", "")
                     self.outcomes.append(
-                        CallOutcome(headers["X-Mark"], answer.status, verdict, code)
+                        CallOutcome(headers["X-Mark"], response.status, verdict, code)
                     )
                     return
             except aiohttp.ClientConnectorError:
@@ -105,7 +105,7 @@
                 self.outcomes.append(CallOutcome(headers["X-Mark"], 0, f"cut: {error!r}"))
                 return
 
-    def count(self, host: str) -> int:
+    def count_calls_run(self, host: str) -> int:
         """Return how many calls the worker of a host has run."""
         return len(self.fleet.ledger(host))
 
@@ -115,8 +115,8 @@
             url = f"http://{self.fleet.address(host, 'callers')}/stock/7"
             while True:
                 try:
-                    async with session.get(url) as answer:
-                        if answer.status == 200:
+                    async with session.get(url) as response:
+                        if response.status == 200:
                             return
                 except aiohttp.ClientError:
                     pass
@@ -130,22 +130,26 @@
         """
         if outcome.verdict in ("ran", "not run"):
             return False
-        request_line = f"POST /stock/{outcome.mark}"
+        method_and_path = f"POST /stock/{outcome.mark}"
         accepted = any(
-            event["detail"].get("asked") == request_line for event in self.fleet.events()
+            event["detail"].get("asked") == method_and_path for event in self.fleet.events()
         )
         return not outcome.verdict.startswith("cut") or accepted or ran[outcome.mark] > 0
 
-    def check(self) -> None:
+    def check_outcomes(self) -> None:
         """Compare the responses to callers with the ledgers of the workers."""
         ran = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
         served = [outcome.mark for outcome in self.outcomes if outcome.status == 200]
         self.assertGreater(len(served), 100)
-        unexplained = [it for it in self.outcomes if self.is_unexplained(it, ran)]
+        unexplained = [outcome for outcome in self.outcomes if self.is_unexplained(outcome, ran)]
         self.assertEqual(unexplained, [], [outcome.code for outcome in unexplained])
         self.assertEqual([mark for mark, count in ran.items() if count > 1], [])
         self.assertEqual([mark for mark in served if not ran[mark]], [])
-        false_refusals = [it for it in self.outcomes if it.verdict == "not run" and ran[it.mark]]
+        false_refusals = [
+            outcome
+            for outcome in self.outcomes
+            if outcome.verdict == "not run" and ran[outcome.mark]
+        ]
         self.assertEqual(false_refusals, [])
         over_capacity = [line for line in self.fleet.ledger() if line["what"] == "over"]
         self.assertEqual(over_capacity, [])
@@ -168,7 +172,7 @@
             await asyncio.wait_for(self.until_served(host), START_TIMEOUT_S)
         self.stop.set()
         await asyncio.gather(*callers)
-        self.check()
+        self.check_outcomes()
         self.assertEqual([event for event in self.fleet.events() if event["kind"] == "cut"], [])
 
     async def test_leaving_workers_receive_no_new_calls(self) -> None:
@@ -178,15 +182,15 @@
         await self.apply(str(upstream(self.fleet, "stock-3", "out")))
         self.fleet.signal_worker("stock-2", signal.SIGTERM)
         await asyncio.sleep(PROPAGATION_TIME_S)
-        before = {host: self.count(host) for host in HOSTS}
+        before = {host: self.count_calls_run(host) for host in HOSTS}
         await asyncio.sleep(0.7)
-        after = {host: self.count(host) for host in HOSTS}
+        after = {host: self.count_calls_run(host) for host in HOSTS}
         self.stop.set()
         await asyncio.gather(*callers)
         self.assertEqual(after["stock-3"], before["stock-3"])
         self.assertEqual(after["stock-2"], before["stock-2"])
         self.assertGreater(after["stock-1"], before["stock-1"])
-        self.check()
+        self.check_outcomes()
 
     async def test_second_signal_records_the_calls_that_it_cuts(self) -> None:
         """The process exits without waiting for running calls and records an event for each."""
@@ -211,7 +215,11 @@
         self.assertTrue(cut)
         self.assertEqual({event["detail"]["reason"] for event in cut}, {"a second signal"})
         ran = Counter(line["mark"] for line in self.fleet.ledger())
-        false_refusals = [it for it in self.outcomes if it.verdict == "not run" and ran[it.mark]]
+        false_refusals = [
+            outcome
+            for outcome in self.outcomes
+            if outcome.verdict == "not run" and ran[outcome.mark]
+        ]
         self.assertEqual(false_refusals, [])
 
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -92,7 +92,7 @@
 
     def test_invalid_routes_are_refused(self) -> None:
         """No part of such a release comes into force."""
-        bad: list[dict[Key, Spec]] = [
+        invalid: list[dict[Key, Spec]] = [
             routed("nobody"),
             routed("a", timeout=601.0),
             routed("a", timeout=1.0, goal=61.0),
@@ -100,7 +100,7 @@
             {**SERVICES, Key("route", "r"): Route(targets=(Target(ServiceName("a"), -1),))},
             {**SERVICES, Key("route", "r"): Route(targets=(Target(ServiceName("a")),), host="")},
         ]
-        for resources in bad:
+        for resources in invalid:
             self.assertIsInstance(self.put(release(3, 2), resources), Invalid, resources)
         in_force = release_in_force(self.catalogue)
         assert in_force is not None
@@ -112,8 +112,8 @@
         assert isinstance(snapshot, Snapshot)
         self.put(release(3, 2), routed("b"))
         delta = self.catalogue.update_since(Version(1))
-        for found in (snapshot.resources, delta.puts if not isinstance(delta, Snapshot) else ()):  # type: ignore
-            self.assertNotIn("release", {resource.key.kind for resource in found})
+        for sent in (snapshot.resources, delta.puts if not isinstance(delta, Snapshot) else ()):  # type: ignore
+            self.assertNotIn("release", {resource.key.kind for resource in sent})
         self.assertEqual(delta.deletes, ())  # type: ignore
 
 
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -44,14 +44,14 @@
         """Return status, JSON and ETag of a response."""
         headers = {name.replace("_", "-"): value for name, value in fields.items()}
         url = f"http://{self.fleet.address(self.leader, 'operators')}/v1/{path}"
-        async with self.session.request(method, url, json=form, headers=headers) as answer:
-            return answer.status, await answer.json(), answer.headers.get("ETag", "")
+        async with self.session.request(method, url, json=form, headers=headers) as response:
+            return response.status, await response.json(), response.headers.get("ETag", "")
 
     async def write(self, number: int) -> int:
         """Create one resource and return its version."""
         path = f"resources/traffic-policy/p{number}"
-        _, answer, _ = await self.request("PUT", path, {}, If_None_Match="*")
-        return int(answer["version"])
+        _, response, _ = await self.request("PUT", path, {}, If_None_Match="*")
+        return int(response["version"])
 
     async def test_single_resources_are_written_conditionally(self) -> None:
         """Each response has the documented status."""
@@ -95,25 +95,25 @@
     async def test_watch_continues_without_a_gap_after_leader_failure(self) -> None:
         """The watch yields each version once and in order."""
         versions: list[int] = []
-        last_version = 5
+        expected_last_version = 5
 
         async def watch() -> None:
             async with self.fleet.client() as client:
                 async for line in client.watch(0):
                     if "accepted" in line:
                         versions.append(line["accepted"])
-                    if len(versions) == last_version:
+                    if len(versions) == expected_last_version:
                         return
 
         task = asyncio.create_task(watch())
         self.addCleanup(task.cancel)
-        last = [await self.write(number) for number in range(3)][-1]
+        based_on = [await self.write(number) for number in range(3)][-1]
         self.fleet.kill_daemon(self.leader)
         async with self.fleet.client() as client:
-            form = {"operation_id": "later", "based_on": last, "resources": []}
-            answer = await client.change(form)
+            form = {"operation_id": "later", "based_on": based_on, "resources": []}
+            response = await client.change(form)
         await asyncio.wait_for(task, TIMEOUT_S)
-        self.assertEqual((answer["version"], versions), (last_version, [1, 2, 3, 4, 5]))
+        self.assertEqual((response["version"], versions), (expected_last_version, [1, 2, 3, 4, 5]))
 
     async def test_history_diff_and_get_commands(self) -> None:
         """The history command lists accepted changes, and diff applies nothing."""
@@ -149,12 +149,12 @@
         )
         for path in ("history", "watch"):
             request = make_mocked_request("GET", f"/v1/{path}?from=1")
-            answer = await api.handle(request, [path])
-            assert isinstance(answer, web.Response) and answer.text
-            self.assertEqual((answer.status, json.loads(answer.text)["oldest"]), (410, 2))
-        answer = await api.handle(make_mocked_request("GET", "/v1/history?from=2"), ["history"])
-        assert isinstance(answer, web.Response) and answer.text
-        changes = json.loads(answer.text)["changes"]
+            response = await api.handle(request, [path])
+            assert isinstance(response, web.Response) and response.text
+            self.assertEqual((response.status, json.loads(response.text)["oldest"]), (410, 2))
+        response = await api.handle(make_mocked_request("GET", "/v1/history?from=2"), ["history"])
+        assert isinstance(response, web.Response) and response.text
+        changes = json.loads(response.text)["changes"]
         self.assertEqual([change["accepted"] for change in changes], [3, 4])
 
 
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -73,8 +73,8 @@
                 headers = {"Authorization": f"Bearer {wrong}"} if wrong else {}
                 for path in ("status", "events", "debug", "metrics", "resources", "nothing"):
                     url = f"http://{self.fleet.address('stock-1', 'operators')}/v1/{path}"
-                    async with session.get(url, headers=headers) as answer:
-                        self.assertEqual(answer.status, 401, path)
+                    async with session.get(url, headers=headers) as response:
+                        self.assertEqual(response.status, 401, path)
         self.assertIsInstance(await self.exchange(SECRET), ExchangeReply)
         for host in HOSTS:
             async with self.client(self.fleet.address(host, "operators")) as client:
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -100,7 +100,7 @@
         return subscription
 
     @staticmethod
-    def has(subscription: Subscription, version: Version) -> bool:
+    def is_in_force(subscription: Subscription, version: Version) -> bool:
         """Return whether a proxy has a version in force."""
         return subscription.version == version
 
@@ -129,7 +129,7 @@
             leader.put(policy(timeout))
         received = []
 
-        def follower(message: object) -> object:
+        def respond(message: object) -> object:
             if isinstance(message, AskFloor):
                 return AskLeader(leader=leader.address)
             received.append(message)
@@ -137,7 +137,7 @@
             assert isinstance(update, Snapshot)
             return PullSnapshot(snapshot=update)
 
-        subscription = self.proxy(await self.fake_replica(follower))
+        subscription = self.proxy(await self.fake_replica(respond))
         await self.until(lambda: len(received) > 1)
         self.assertEqual((subscription.floor, subscription.version), (3, 0))
         assert isinstance(received[1], Pull)
@@ -152,25 +152,25 @@
 
     async def test_corrupt_delta_is_rejected_and_followed_by_a_snapshot(self) -> None:
         """The next pull reports the rejection and requests all resources."""
-        real = await self.replica()
-        real.put(policy(1.0))
+        replica = await self.replica()
+        replica.put(policy(1.0))
         pulls: list[Pull] = []
 
-        def answer(message: object) -> object:
+        def respond(message: object) -> object:
             if isinstance(message, AskFloor):
                 return Floor(version=Version(0))
             assert isinstance(message, Pull)
             pulls.append(message)
-            update = real.replica.catalogue.update_since(message.base)
+            update = replica.replica.catalogue.update_since(message.base)
             if isinstance(update, Snapshot):
                 return PullSnapshot(snapshot=update)
             assert isinstance(update, Delta)
             if not update.puts:
-                real.put(policy(2.0))
+                replica.put(policy(2.0))
                 return Current(version=Version(1))
             return PullDelta(delta=update._replace(puts=()))
 
-        subscription = self.proxy(await self.fake_replica(answer))
+        subscription = self.proxy(await self.fake_replica(respond))
         await self.until(lambda: subscription.version == 2)
         rejected = [item for item in pulls if item.report.rejected]
         self.assertEqual([(item.base, item.report.version) for item in rejected], [(0, 1)])
@@ -183,7 +183,7 @@
         for host in ("depot", "shop"):
             route = Route(targets=(Target(ServiceName(host)),), host=host)
             version = replica.put((Key("service", host), Service()), (Key("route", host), route))
-            await self.until(partial(self.has, subscription, version))
+            await self.until(partial(self.is_in_force, subscription, version))
         table, rng = subscription.table, random.Random(1)
         assert table is not None
         route_rules = [
@@ -194,13 +194,13 @@
 
     async def test_leaves_a_replica_without_contact_to_a_leader(self) -> None:
         """An isolated replica still responds to pulls, but never with a new version."""
-        leader, cut_off = await self.replica(), await self.replica(leads=False, pull_wait=0.1)
+        leader, isolated = await self.replica(), await self.replica(leads=False, pull_wait=0.1)
         leader.put(policy(1.0))
-        subscription = self.proxy(cut_off.address, leader.address)
+        subscription = self.proxy(isolated.address, leader.address)
         await self.until(lambda: subscription.version == 1)
         for version in (2, 3, 4):
             leader.put(policy(float(version)))
-            await self.until(partial(self.has, subscription, Version(version)))
+            await self.until(partial(self.is_in_force, subscription, Version(version)))
 
     async def test_leaves_a_silent_connection(self) -> None:
         """A floor request and a pull without a response are repeated over a new connection."""
@@ -208,7 +208,7 @@
         replica.put(policy(1.0))
         ignored: set[type] = set()
 
-        def answer(message: object) -> object:
+        def respond(message: object) -> object:
             if type(message) not in ignored:
                 ignored.add(type(message))
                 return None
@@ -218,7 +218,7 @@
             assert isinstance(update, Snapshot)
             return PullSnapshot(snapshot=update)
 
-        subscription = self.proxy(await self.fake_replica(answer))
+        subscription = self.proxy(await self.fake_replica(respond))
         await self.until(lambda: subscription.version == 1)
 
 
@@ -267,9 +267,9 @@
         await asyncio.sleep(0.1)
         self.assertFalse(waiting.done())
         replica.put(policy(2.0))
-        answer = await waiting
-        assert isinstance(answer, PullDelta)
-        self.assertEqual((answer.delta.base, answer.delta.version), (1, 2))
+        response = await waiting
+        assert isinstance(response, PullDelta)
+        self.assertEqual((response.delta.base, response.delta.version), (1, 2))
 
     async def test_concurrent_snapshots_are_limited(self) -> None:
         """Above the limit a proxy is asked to retry after a delay."""
@@ -281,8 +281,8 @@
             sending = replica.publisher._respond(BlockedLink(released), pull(0))
             self.stack.callback(asyncio.create_task(sending).cancel)
         await asyncio.sleep(0)
-        answer = await self.request_response(replica, pull(0))
-        self.assertEqual(answer, ComeAgain(after=_publisher.SNAPSHOT_RETRY_DELAY))
+        response = await self.request_response(replica, pull(0))
+        self.assertEqual(response, ComeAgain(after=_publisher.SNAPSHOT_RETRY_DELAY))
         released.set()
         await asyncio.sleep(0)
         self.assertIsInstance(await self.request_response(replica, pull(0)), PullSnapshot)
