--- a/cowslipvane/tasks/_operator_api.py
+++ b/cowslipvane/tasks/_operator_api.py
@@ -1,4 +1,4 @@
-"""The operators' listener: it hands each request to the API that answers it."""
+"""The operator API: dispatches each request to the API that handles its path."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class OperatorApi:
-    """Answers operators, and the worker on this host, as HTTP and JSON."""
+    """Serves operators, and the worker on this host, over HTTP with JSON."""
 
     def __init__(
         self,
@@ -25,51 +25,53 @@
         token: Token | None,
     ) -> None:
         self._token = token
-        self._process = process
-        self._resources = resources
-        self._replicas = replicas
+        self._process_api = process
+        self._resource_api = resources
+        self._replica_api = replicas
 
-    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request."""
-        if not self._may_ask(http):
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Respond to one request."""
+        if not self._is_authorized(request):
             sentence = "show the token: name its file in COWSLIPVANE_TOKEN_FILE"
-            response = error_response(401, f"not run: {sentence}")
-            response.headers["WWW-Authenticate"] = "Bearer"
-            return response
-        parts = http.path.strip("/").split("/")
+            unauthorized = error_response(401, f"not run: {sentence}")
+            unauthorized.headers["WWW-Authenticate"] = "Bearer"
+            return unauthorized
+        parts = request.path.strip("/").split("/")
         if parts[0] == "v1":
             del parts[0]
         try:
-            answer = await self._process.handle(http, parts)
-            if answer is None and self._resources is not None:
-                answer = await self._resources.handle(http, parts)
-            if answer is None and self._replicas is not None:
-                answer = await self._replicas.handle(http, parts)
+            response = await self._process_api.handle(request, parts)
+            if response is None and self._resource_api is not None:
+                response = await self._resource_api.handle(request, parts)
+            if response is None and self._replica_api is not None:
+                response = await self._replica_api.handle(request, parts)
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
             return error_response(400, f"not run: the request can't be read: {error!r}")
-        if answer is None:
-            return error_response(404, f"there is no {http.method} {http.path} at this process")
-        return answer
+        if response is None:
+            return error_response(
+                404, f"there is no {request.method} {request.path} at this process"
+            )
+        return response
 
-    def _may_ask(self, http: web.BaseRequest) -> bool:
-        """Return whether a request shows the token, or needs none."""
-        if self._token is None or self._token.matches(http.headers.get(AUTHORIZATION)):
+    def _is_authorized(self, request: web.BaseRequest) -> bool:
+        """Return whether a request has the right token or needs none."""
+        if self._token is None or self._token.matches(request.headers.get(AUTHORIZATION)):
             return True
-        # The platform's worker knows no token of ours; it shares this host's address.
-        return http.path == "/v1/worker" and _from_this_host(http)
+        # The platform's worker has no token, but its requests come from this host's addresses.
+        return request.path == "/v1/worker" and _is_from_this_host(request)
 
 
-def _from_this_host(http: web.BaseRequest) -> bool:
+def _is_from_this_host(request: web.BaseRequest) -> bool:
     """Return whether a request comes from an address of this host."""
-    return _shares_address(http) or ipaddress.ip_address(http.remote or "0.0.0.0").is_loopback
+    return _shares_address(request) or ipaddress.ip_address(request.remote or "0.0.0.0").is_loopback
 
 
-def _shares_address(http: web.BaseRequest) -> bool:
+def _shares_address(request: web.BaseRequest) -> bool:
     """Return whether a request comes from the address that it was sent to."""
-    if http.transport is None:
+    if request.transport is None:
         return False
-    peer = http.transport.get_extra_info("peername")
-    own = http.transport.get_extra_info("sockname")
+    peer = request.transport.get_extra_info("peername")
+    own = request.transport.get_extra_info("sockname")
     return bool(peer and own and peer[0] == own[0])
--- a/tests/test_verdicts_under_faults.py
+++ b/tests/test_verdicts_under_faults.py
@@ -50,7 +50,7 @@
         self.stop.set()
         await asyncio.gather(*callers)
         runs_by_mark = Counter(line["mark"] for line in self.fleet.ledger() if line["mark"])
-        successful = [response for response in self.told if response.status == 200]
+        successful = [response for response in self.outcomes if response.status == 200]
         self.assertGreater(len(successful), 100)
         self.assertEqual([mark for mark, count in runs_by_mark.items() if count > 1], [])
         self.assertEqual(
@@ -59,7 +59,7 @@
         self.assertEqual([response for response in successful if response.verdict != "ran"], [])
         incorrect = [
             response
-            for response in self.told
+            for response in self.outcomes
             if response.verdict == "not run" and runs_by_mark[response.mark]
         ]
         self.assertEqual(incorrect, [])
