Correct sentences of admission, routing, call and replica

"Idle" now says what handle_pre_vote checks, not that such a voter can lead only in a later term. Comments and docstrings only.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -22,7 +22,7 @@
 RETRY_AFTER: Seconds = 1.0
 # Lower limit of the retry delay for a request that is refused because it would miss its goal.
 MIN_RETRY_AFTER: Seconds = 0.05
-# One slot in this many, rounded up, is reserved for short work.
+# One slot in this many, rounded up, is reserved for short work; a single slot is not reserved.
 SLOTS_PER_RESERVED_SLOT = 3
 # Callers whose next fair queueing tag is kept; beyond this, those whose tag lies before the latest
 # offer are dropped.
@@ -75,7 +75,8 @@
 class _Waiting(NamedTuple):
     """Work in the queue, ordered by tag and then by arrival.
 
-    All tags are in time.monotonic seconds, so that work with and without a goal can be compared.
+    With Fair, all tags are in time.monotonic seconds, so that work with and without a goal can be
+    compared. With FirstComeFirstServed, all tags are 0, so that only the arrival counts.
     """
 
     tag: float
--- a/cowslipvane/call/_header_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -8,7 +8,10 @@
 
 
 class HeaderNames(NamedTuple):
-    """Names of header fields towards callers and workers; an empty name disables a field."""
+    """Names of header fields towards callers and workers.
+
+    origin_service, expected_instance, not_run and owner may be empty, which disables the field.
+    """
 
     # The request id; ids from callers are accepted only if accepts_request_ids is set.
     request_id: str = "X-Request-Id"
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -449,12 +449,13 @@
         return len(hosts & {voter.host for voter in self.group.voters}) >= self.group.majority
 
     def _start_election_if_granted(self, role: PreCandidate, now: float) -> None:
-        """Start an election once a majority grants it, or once no voter can hold a lease.
+        """Start an election once a majority grants it, or once all voters are idle.
 
         After a restart of all processes there is no leader for their vote leases to protect. A
-        voter that reports idle in this term can lead only in a later one. All replicas find that
-        out at the same time, so they start elections one after another: several candidates in a
-        term can split the vote.
+        voter that reports idle in this term doesn't lead, so it holds no lease, and had no message
+        from a leader within the last election timeout. All replicas find out at the same time that
+        all voters are idle, so they start elections one after another: several candidates in a term
+        can split the vote.
         """
         if role.idle >= {voter.host for voter in self.group.voters}:
             if role.first_candidate == self._host or self._has_deferred:
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -29,8 +29,9 @@
 class PreCandidate:
     """A replica that collects pre-votes for the next term, without disturbing a leader.
 
-    idle contains the voters that can no longer become leader in this term or an earlier one, and
-    replaced those of them whose disk was lost.
+    idle contains this replica, the voters of the same term that neither led nor had a message from
+    a leader within the last election timeout when they replied, and the voters in replaced. Those
+    can't lead, because their host responds with another identity, as after the loss of its disk.
     """
 
     votes: set[HostName]
--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -9,10 +9,10 @@
 # Share of the fleet's retry allowance that proxies may spend. The rest covers the nested calls that
 # a retried request repeats.
 SPENDABLE_SHARE = 0.75
-# Hedged requests allowed per call, and per second in addition.
+# Hedged requests that each proxy may send per call of a service, and per second in addition.
 HEDGE_SHARE = 0.05
 EXTRA_HEDGES_PER_S = 0.2
-# Capacity of the token bucket for hedged requests.
+# Capacity of the token bucket for hedged requests, which each proxy has for each service.
 _HEDGE_BUCKET_CAPACITY = 5.0
 
 
@@ -51,8 +51,9 @@
 class Budgets:
     """One proxy's part of the fleet's budgets for retries and hedged requests, by service.
 
-    Tokens earned by calls need no division, since each proxy counts its own calls. The slack, which
-    is allowed regardless of the number of calls, is divided evenly among the proxies.
+    Tokens earned by calls need no division, since each proxy counts its own calls. The slack for
+    retries, which is allowed regardless of the number of calls, is divided evenly among the
+    proxies. The extra hedged requests per second are not divided.
     """
 
     def __init__(self, *, retries: Retries = DEFAULT_RETRIES) -> None:
