Say which operators write which resources of a history

Nothing told why two of the keys are digits, or that only kill_leader_without_followers writes them. A comment only.

--- a/tests/histories.py
+++ b/tests/histories.py
@@ -10,6 +10,8 @@
 from tools.fleet import Fleet, example_hosts
 
 TIMING = {"election_timeout": 0.5, "heartbeat": 0.1}
+# Names of the resources: run_operator writes the first two, and kill_leader_without_followers in
+# test_leader_faults writes the others, which are the numbers of its operators.
 KEYS = ("p", "q", "7", "8")
 
 # A history is long enough to check once it has more accepted changes than this.
