Name the infrequent heartbeats of gossip after what they are

"Near" and "distant" read as data centres, but the set holds the neighbours with frequent heartbeats, to which gateways of other data centres belong. The name is used in tools/bench_members.py too, where only its uses change.

--- a/cowslipvane/tasks/_gossip.py
+++ b/cowslipvane/tasks/_gossip.py
@@ -27,10 +27,10 @@
 BATCH_DELAY: Seconds = 0.02
 # A neighbour is suspected when its reply takes longer than this many heartbeat intervals.
 REPLY_TIMEOUT_HEARTBEATS = 4
-# Heartbeat interval of distant neighbours, as a multiple of the interval of near ones.
-DISTANT_HEARTBEAT_FACTOR = 10
+# Heartbeat interval of neighbours without frequent heartbeats, as a multiple of the usual one.
+INFREQUENT_HEARTBEAT_FACTOR = 10
 # A connection without a message for this many heartbeat intervals is closed.
-IDLE_TIMEOUT_HEARTBEATS = 4 * DISTANT_HEARTBEAT_FACTOR
+IDLE_TIMEOUT_HEARTBEATS = 4 * INFREQUENT_HEARTBEAT_FACTOR
 # Mean time between two synchronizations with a seed, as a multiple of the heartbeat interval.
 SEED_INTERVAL_FACTOR = 10
 # A synchronization with a seed ends after this many exchanges, complete or not.
@@ -55,7 +55,7 @@
         self._events = events
         self._changed = Signal()
         self._neighbours: dict[HostName, asyncio.Task[None]] = {}
-        self._near_neighbours: set[HostName] = set()
+        self._frequent_heartbeat_hosts: set[HostName] = set()
         self._rng = random.Random()
         self._announced_revision = membership.revision
 
@@ -114,7 +114,7 @@
             self._neighbours.pop(host).cancel()
         for host in neighbours.keys() - self._neighbours.keys():
             self._neighbours[host] = tasks.create_task(self._gossip_with(host))
-        self._near_neighbours = {
+        self._frequent_heartbeat_hosts = {
             host for host, neighbour in neighbours.items() if neighbour.frequent_heartbeats
         }
 
@@ -161,7 +161,9 @@
 
     def _heartbeat_interval(self, host: HostName) -> Seconds:
         """Return the time between heartbeats to a neighbour."""
-        return self._interval * (1 if host in self._near_neighbours else DISTANT_HEARTBEAT_FACTOR)
+        return self._interval * (
+            1 if host in self._frequent_heartbeat_hosts else INFREQUENT_HEARTBEAT_FACTOR
+        )
 
     async def _synchronize_with_seeds(self) -> None:
         """Synchronize with a random seed at intervals while the membership requires it."""
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -20,7 +20,7 @@
 )
 from cowslipvane.tasks._gossip import (
     BATCH_DELAY,
-    DISTANT_HEARTBEAT_FACTOR,
+    INFREQUENT_HEARTBEAT_FACTOR,
     MAX_SEED_EXCHANGES,
     REPLY_TIMEOUT_HEARTBEATS,
     SEED_INTERVAL_FACTOR,
@@ -178,7 +178,7 @@
             membership=theirs or self.running[host], data_centre=own.data_centre, guest=guest
         )
         opener = Feed(membership=self.running[host], data_centre=centre)
-        beat = INTERVAL * (1 if near else DISTANT_HEARTBEAT_FACTOR)
+        beat = INTERVAL * (1 if near else INFREQUENT_HEARTBEAT_FACTOR)
         connection = Connection(opener=opener, server=server, beat=beat)
         connection.due = self.now + self.rng.uniform(0, INTERVAL)
         return connection
