--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -23,7 +23,10 @@
             self.fleet.start_daemon(host)
 
     async def test_next_leader_is_elected_immediately(self) -> None:
-        """The stopping leader names its successor, which is then elected."""
+        """The stopping leader names its successor, which is then elected.
+
+        The leader records the outcome of the hand-over before its process ends.
+        """
         leader = (await self.fleet.until_leader())["host"]
         self.fleet.signal_daemon(leader, signal.SIGTERM)
         self.fleet.wait_daemon(leader)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -64,7 +64,7 @@
     """Order of syncs and replies."""
 
     async def asyncSetUp(self) -> None:
-        """Serve one connection of a replica that was started long ago."""
+        """Serve one connection of a replica that may vote, since its start is long past."""
         self.journal = BlockingJournal()
         replica = Replica(
             host=HostName("a"),
@@ -74,6 +74,8 @@
             recovered=Recovered(Ballot(1, None), ()),
             election_timeout=1.0,
             rng=random.Random(1),
+            # For one election timeout after its start, a replica grants no vote, because a leader
+            # may still rely on a reply from before a restart.
             now=-100.0,
         )
         events = EventLog(origin=Origin(HostName("a"), DataCentre("x"), 1), clock=HybridClock())
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -82,6 +82,8 @@
                 debug = await client.request("GET", "/v1/debug")
                 self.assertNotIn(SECRET, str(debug))
         await asyncio.sleep(0.5)
+        # Each host has three files: events (.events), and the standard error (.err) of its daemon
+        # and of its worker.
         written = [path.read_text() for path in self.fleet.folder.glob("*.e*")]
         self.assertEqual(len(written), 9)
         self.assertNotIn(SECRET, "".join(written))
