--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -68,16 +68,16 @@
                 await self.send(session, rng, headers)
                 await asyncio.sleep(0.01)
 
-    async def send_long(self, name: str, hosts: list[str]) -> None:
+    async def send_long(self, stopping_host: str, hosts: list[str]) -> None:
         """Send a long call through hosts that keep running.
 
         It outlasts the calls that enter at the stopping host, so that the worker of that host can
         still be running a call from another host when its own last call ends.
         """
-        mark = f"long/{name}/{time.monotonic_ns()}"
+        mark = f"long/{stopping_host}/{time.monotonic_ns()}"
         async with aiohttp.ClientSession() as session:
             headers = {"X-Mark": mark, "X-Work-Times": "1000"}
-            await self.send(session, random.Random(name), headers, hosts)
+            await self.send(session, random.Random(stopping_host), headers, hosts)
 
     async def send(
         self,
@@ -91,10 +91,10 @@
             url = f"http://{self.fleet.address(host, 'callers')}/stock/{headers['X-Mark']}"
             try:
                 async with session.post(url, headers=headers, data=b"line") as response:
-                    form = await response.json()
-                    is_own_response = form.get("mark", headers["X-Mark"]) == headers["X-Mark"]
-                    verdict = form.get("verdict", "ran") if is_own_response else "another's answer"
-                    code = form.get("code", "")
+                    body = await response.json()
+                    is_own_response = body.get("mark", headers["X-Mark"]) == headers["X-Mark"]
+                    verdict = body.get("verdict", "ran") if is_own_response else "another's answer"
+                    code = body.get("code", "")
                     self.outcomes.append(
                         CallOutcome(headers["X-Mark"], response.status, verdict, code)
                     )
@@ -160,7 +160,7 @@
 
     async def test_rolling_restart_of_proxies_loses_no_call(self) -> None:
         """Each call has a complete response or a true refusal, and runs at most once."""
-        callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
+        callers = [asyncio.create_task(self.load(caller)) for caller in range(CALLERS)]
         for host in HOSTS:
             others = [other for other in HOSTS if other != host]
             callers += [asyncio.create_task(self.send_long(host, others)) for _ in range(3)]
@@ -177,7 +177,7 @@
 
     async def test_leaving_workers_receive_no_new_calls(self) -> None:
         """An operator takes one upstream out, and another worker announces that it is leaving."""
-        callers = [asyncio.create_task(self.load(name)) for name in range(CALLERS)]
+        callers = [asyncio.create_task(self.load(caller)) for caller in range(CALLERS)]
         await asyncio.sleep(0.3)
         await self.apply(str(upstream(self.fleet, "stock-3", "out")))
         self.fleet.signal_worker("stock-2", signal.SIGTERM)
