--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -11,8 +11,8 @@
 class Announcement(NamedTuple):
     """One announcement of a worker.
 
-    started_at is the start time of this incarnation of the worker, in any unit that increases, or 0
-    if unknown. sequence increases with each announcement of an incarnation.
+    started_at is the start time of this incarnation of the worker in milliseconds of wall time, or
+    0 if unknown. sequence increases with each announcement of an incarnation.
     """
 
     worker: Worker
@@ -81,7 +81,8 @@
         """Return whether an announcement is newer than the current one."""
         if candidate.started_at != current.started_at:
             return candidate.started_at > current.started_at
-        # Without start times, a new instance is newer, since its sequence starts again.
+        # Without start times, another instance counts as newer, since its sequence starts again;
+        # record has already ignored ended instances.
         return (
             candidate.worker.instance != current.worker.instance
             or candidate.sequence > current.sequence
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -10,7 +10,7 @@
 from cowslipvane.types import DataCentre, Digest, HostName, Seconds
 
 # After this many successive digest mismatches with no updates in flight, all records are compared.
-MAX_MISMATCHES = 2
+MISMATCHES_BEFORE_COMPARE = 2
 # The first delay between exchanges while the digests differ; it doubles with each exchange.
 INITIAL_MISMATCH_DELAY: Seconds = 0.1
 MAX_DELAY_DOUBLINGS = 10
@@ -26,16 +26,17 @@
         self, *, membership: Membership, data_centre: DataCentre | None, guest: bool = False
     ) -> None:
         self._membership = membership
-        # A guest only asks for the members of its data centre; its own record is not passed on.
+        # A guest only asks for members. Records of its data centre are ignored once the gateways of
+        # that data centre are known, so that others don't learn of every process that asks.
         self._guest_of = data_centre if guest else None
         self._same_data_centre = data_centre == membership.own.data_centre
         # Records from before the connection are sent by the first comparison.
         self._cursor = membership.revision
         self._peer_orders: dict[HostName, Order] = {}
         self._to_resend: set[HostName] = set()
-        self._mismatches = MAX_MISMATCHES - 1
+        self._idle_mismatches = MISMATCHES_BEFORE_COMPARE - 1
         # Successive exchanges after which the digests differed, with or without updates.
-        self._differing = 0
+        self._differing_exchanges = 0
         self._compared_at: float | None = None
 
     @property
@@ -48,23 +49,23 @@
         return (
             min(
                 heartbeat_interval,
-                INITIAL_MISMATCH_DELAY * 2 ** min(self._differing, MAX_DELAY_DOUBLINGS),
+                INITIAL_MISMATCH_DELAY * 2 ** min(self._differing_exchanges, MAX_DELAY_DOUBLINGS),
             )
-            if self._differing
+            if self._differing_exchanges
             else heartbeat_interval
         )
 
     @property
     def is_synchronized(self) -> bool:
         """Return whether both sides have compared their records and no update is due."""
-        compared = self._compared_at is not None or self._mismatches == 0
+        compared = self._compared_at is not None or self._idle_mismatches == 0
         return compared and not self.has_updates
 
     def next_message(self, now: float) -> Exchange | Compare:
         """Return the next message that the side that opened the connection sends."""
         if self._compare_is_due(now):
             self._compared_at = now
-            self._mismatches = 0
+            self._idle_mismatches = 0
             records = self._membership.members
             return Compare(
                 stamps=tuple(
@@ -105,26 +106,26 @@
         newer = self._merge_received(reply.members, now)
         self._to_resend.update(reply.wanted)
         if reply.digest == self._membership.digest:
-            self._mismatches = 0
-            self._differing = 0
+            self._idle_mismatches = 0
+            self._differing_exchanges = 0
         elif self._same_data_centre:
-            self._mismatches += idle
-            self._differing += 1
+            self._idle_mismatches += idle
+            self._differing_exchanges += 1
         return newer
 
     def _has_diverged(self) -> bool:
         """Return whether the digests keep differing although no updates are in flight."""
-        return self._same_data_centre and self._mismatches >= MAX_MISMATCHES
+        return self._same_data_centre and self._idle_mismatches >= MISMATCHES_BEFORE_COMPARE
 
     def _compare_is_due(self, now: float) -> bool:
-        """Return whether the next message has to list all records held here."""
+        """Return whether the next message has to be a Compare."""
         if self._same_data_centre:
             return self._has_diverged()
         return self._compared_at is None or now >= self._compared_at + REMOTE_COMPARE_INTERVAL
 
     def _merge_received(self, members: Iterable[Member], now: float) -> list[Member]:
-        """Merge received records, and resend those of which the other side holds an older one."""
-        received = [record for record in members if not self._is_of_guest(record)]
+        """Merge received records, and mark the hosts whose records here are newer for resending."""
+        received = [record for record in members if not self._is_ignorable(record)]
         newer = self._membership.merge(received, now)
         for record in received:
             held = self._membership.member(record.host)
@@ -133,8 +134,8 @@
                 self._to_resend.add(record.host)
         return newer
 
-    def _is_of_guest(self, record: Member) -> bool:
-        """Return whether a record of the guest can be ignored, as its data centre is reachable."""
+    def _is_ignorable(self, record: Member) -> bool:
+        """Return whether a record is ignored, as its guest's data centre has known gateways."""
         return (
             not self._same_data_centre
             and record.data_centre == self._guest_of
@@ -167,7 +168,7 @@
         else:
             changed = [
                 item
-                for item in self._remote_candidates()
+                for item in self._records_for_remote()
                 if self._may_send(item, self._peer_orders)
             ]
         return [item for item in changed if not self._peer_holds(item)]
@@ -177,8 +178,8 @@
         known = self._peer_orders.get(record.host)
         return known is not None and known >= record.order
 
-    def _remote_candidates(self) -> list[Member]:
-        """Return candidates for a remote data centre; dead members only if it knows them."""
+    def _records_for_remote(self) -> list[Member]:
+        """Return the records to consider for a remote peer; dead members only if it knows them."""
         records = {member.host: member for member in self._membership.members}
         for host in self._peer_orders:
             member = self._membership.member(host)
@@ -186,13 +187,13 @@
                 records[host] = member
         return list(records.values())
 
-    def _may_send(self, record: Member, listed: Iterable[HostName]) -> bool:
-        """Return whether a record is sent to the other side."""
+    def _may_send(self, record: Member, peer_hosts: Iterable[HostName]) -> bool:
+        """Return whether a record may be sent to the other side."""
         return (
             self._same_data_centre
             or record.data_centre != self._membership.own.data_centre
             or record.host in self._membership.exported_hosts
-            or record.host in listed
+            or record.host in peer_hosts
         )
 
 
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -43,7 +43,10 @@
 
 
 class Member(NamedTuple):
-    """A process of the system, as described by its newest record."""
+    """One record of a process: its own description, and whether others suspect it.
+
+    peers, operators and callers are the addresses on which it listens for them.
+    """
 
     host: HostName
     data_centre: DataCentre
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -22,7 +22,7 @@
 # The least time between two suspicions of one incarnation by the same process. It keeps a faulty
 # network path between two members from flooding all others with suspicions.
 SUSPICION_INTERVAL: Seconds = 10.0
-# A process that checks for a reply later than this after its deadline was stalled itself.
+# If a process checks for a reply this long after the reply was due, it was stalled itself.
 LOCAL_STALL_THRESHOLD: Seconds = 0.5
 # A new process sends only its own record to other data centres for this time, until it knows the
 # members of its own data centre.
@@ -132,7 +132,10 @@
         return now < due_at + LOCAL_STALL_THRESHOLD and self.suspect(host, now)
 
     def expire(self, now: float) -> list[Member]:
-        """Mark members that were suspected for too long as dead, and return them."""
+        """Mark members that were suspected for too long as dead, and return them.
+
+        Also remove dead records after their retention time, and end the export delay.
+        """
         expired = [
             host
             for host, since in self._suspected_since.items()
@@ -173,7 +176,10 @@
         return ring_neighbours(self._own.host, local) + remote
 
     def needs_seed(self) -> bool:
-        """Return whether this process has to ask a seed for members, being alone or a gateway."""
+        """Return whether this process is alone or a gateway, and so has to ask a seed.
+
+        It may not learn of some members otherwise.
+        """
         return self.is_alone() or self._own.host in gateways(self._live())[self._own.data_centre]
 
     def is_alone(self) -> bool:
