--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskFloor:
-    """Requests a minimum version: at least every version accepted before the request.
+    """Requests a floor: a version not older than any that was accepted before the request.
 
     wait is the longest time that the replica may hold the request while no leader is known.
     """
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskLeader:
-    """Redirects to the leader, which alone knows the minimum version, if its address is known."""
+    """Redirects to the leader, which alone knows the floor; None if its address is unknown."""
 
     leader: Address | None
 
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PullDelta:
-    """Responds with the delta from the version in force."""
+    """Responds with the delta from the base."""
 
     delta: Delta
 
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReportsTaken:
-    """Acknowledges reports."""
+    """Acknowledges that the reports are stored."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Lagging:
-    """Responds that this replica has no contact to a leader, so another one may be newer."""
+    """Responds that this replica has no contact with a leader; others may have newer versions."""
 
 
 PullReply = PullDelta | PullSnapshot | Current | ComeAgain | Lagging
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -9,7 +9,7 @@
 from cowslipvane.replica import Report
 from cowslipvane.types import NO_VERSION, HostName, Version
 
-# Versions for which the time when they were in force everywhere is kept.
+# The number of versions whose everywhere_at is kept.
 HISTORY_VERSIONS = 1000
 
 
@@ -21,7 +21,11 @@
 
 
 class Lag(NamedTuple):
-    """A live proxy on which a version is not in force, and the reason if it rejected it."""
+    """A live proxy on which a newer version is not in force.
+
+    version is the one in force, since the wall time in seconds from which the proxy lags, and
+    rejected the reason if it rejected a version.
+    """
 
     host: HostName
     version: Version
@@ -46,8 +50,8 @@
     def __init__(self) -> None:
         self._reports: dict[HostName, Report] = {}
         self._proxies = Proxies((), ())
-        self._versions: list[Version] = []
-        self._everywhere: dict[Version, float] = {}
+        self._versions_in_force: list[Version] = []
+        self._everywhere_at: dict[Version, float] = {}
         self._everywhere_version = NO_VERSION
 
     def observe(self, reports: Mapping[HostName, Report], proxies: Proxies, now: float) -> bool:
@@ -56,27 +60,27 @@
         if known == self._reports and proxies == self._proxies:
             return False
         self._reports, self._proxies = known, proxies
-        self._versions = sorted(self._version_of(host) for host in proxies.live)
-        if self._versions:
-            self._record_everywhere(self._versions[0], now)
+        self._versions_in_force = sorted(self._version_of(host) for host in proxies.live)
+        if self._versions_in_force:
+            self._record_everywhere(self._versions_in_force[0], now)
         return True
 
     @property
     def live_proxy_count(self) -> int:
         """Return the number of live proxies."""
-        return len(self._versions)
+        return len(self._versions_in_force)
 
     def in_force(self, version: Version) -> int:
         """Return the number of live proxies on which a version or a later one is in force."""
-        return len(self._versions) - bisect_left(self._versions, version)
+        return len(self._versions_in_force) - bisect_left(self._versions_in_force, version)
 
     def progress(self, version: Version, accepted_at: Mapping[Version, float]) -> Progress:
         """Return the progress of a version, with the proxies that lag and since when."""
-        behind = tuple(self._lags(version, accepted_at)) if self._versions else ()
+        behind = tuple(self._lags(version, accepted_at)) if self._versions_in_force else ()
         return Progress(
             version,
             self.in_force(version),
-            len(self._versions),
+            len(self._versions_in_force),
             self.everywhere_at(version),
             behind,
             self._proxies.silent,
@@ -84,7 +88,7 @@
 
     def everywhere_at(self, version: Version) -> float | None:
         """Return when a version was first known to be in force on every proxy live at that time."""
-        return self._everywhere.get(version)
+        return self._everywhere_at.get(version)
 
     def _version_of(self, host: HostName) -> Version:
         """Return the version in force on a live proxy."""
@@ -104,7 +108,7 @@
     def _record_everywhere(self, version: Version, now: float) -> None:
         """Record that all versions up to the given one are in force everywhere."""
         first = max(self._everywhere_version + 1, version - HISTORY_VERSIONS + 1)
-        self._everywhere.update((Version(number), now) for number in range(first, version + 1))
+        self._everywhere_at.update((Version(number), now) for number in range(first, version + 1))
         self._everywhere_version = max(self._everywhere_version, version)
-        for number in list(self._everywhere)[:-HISTORY_VERSIONS]:
-            del self._everywhere[number]
+        for number in list(self._everywhere_at)[:-HISTORY_VERSIONS]:
+            del self._everywhere_at[number]
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -37,8 +37,8 @@
     """The configuration in force on one proxy.
 
     A proxy stores no configuration on disk, so after a restart it doesn't know which version was in
-    force. It applies no version until it knows a floor, the minimum version: at least every version
-    that was accepted before the proxy requested it.
+    force. It applies no version until it knows a floor: a version not older than any that was
+    accepted before the proxy requested the floor.
     """
 
     def __init__(self) -> None:
@@ -78,10 +78,10 @@
             reason = f"the delta starts at {delta.base}, in force is {self._version}"
             return Rejected(version=delta.version, reason=reason)
         resources = dict(self._resources)
-        replaced = [resources.pop(key, None) for key in delta.deletes]
-        replaced += [resources.get(resource.key) for resource in delta.puts]
+        previous = [resources.pop(key, None) for key in delta.deletes]
+        previous += [resources.get(resource.key) for resource in delta.puts]
         resources.update((resource.key, resource) for resource in delta.puts)
-        digests = [-resource_digest(resource) for resource in replaced if resource is not None]
+        digests = [-resource_digest(resource) for resource in previous if resource is not None]
         digests += [resource_digest(resource) for resource in delta.puts]
         digest = combine_digests([self._digest, *digests])
         return self._apply(delta.version, resources, digest, delta.digest)
@@ -95,7 +95,7 @@
     def _apply(
         self, version: Version, resources: Mapping[Key, Resource], digest: Digest, expected: Digest
     ) -> Applied | Rejected:
-        """Build the new state and swap it in at once, unless a check fails."""
+        """Build the new state and replace the old one as a whole, unless a check fails."""
         reason = self._rejection_reason(version, resources, digest, expected)
         if reason:
             return Rejected(version=version, reason=reason)
