--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Conflict:
-    """Another change has written a resource of this change since the version it is based on."""
+    """Another change wrote one of the resources after the version this change is based on."""
 
     key: Key
     winner: OperationId
@@ -80,7 +80,7 @@
 
 
 class VersionNotReached(NamedTuple):
-    """The requested base is newer than the newest version here, which is given."""
+    """The requested base is newer than version, the newest one here."""
 
     version: Version
 
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -48,7 +48,7 @@
 
 
 def _is_root(resource: Resource, route_hosts: set[str]) -> bool:
-    """Return whether a proxy for some hosts needs a resource without a reference to it."""
+    """Return whether a proxy for some hosts needs a resource even if nothing refers to it."""
     match resource.spec:
         case Route(host=host):
             return host in route_hosts
--- a/cowslipvane/catalogue/_documents.py
+++ b/cowslipvane/catalogue/_documents.py
@@ -11,7 +11,7 @@
 
 
 class Piece(NamedTuple):
-    """A range of characters of the previous document, or new text if that isn't empty."""
+    """A range of characters of the previous document or, if text isn't empty, that text."""
 
     start: int
     length: int
@@ -26,8 +26,8 @@
     pieces: list[Piece] = []
     for _, chunk in _chunks(after):
         last = pieces[-1] if pieces else Piece(0, 0, "")
-        next_start = last.start + last.length
-        if not last.text and before.startswith(chunk, next_start):
+        copied_end = last.start + last.length
+        if not last.text and before.startswith(chunk, copied_end):
             extended = [Piece(last.start, last.length + len(chunk), "")]
             pieces[-1:] = extended
         elif chunk in starts:
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -1,4 +1,4 @@
-"""Releases: a complete configuration with a number of the operator, applied as one change."""
+"""Releases: a complete configuration that the operator has numbered, applied as one change."""
 
 from __future__ import annotations
 
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -39,9 +39,9 @@
 class Route:
     """A rule that sends matching requests to services, with optional limits of its own.
 
-    A field that is None is taken from the policies of the service. repeatable states whether a
-    request may run more than once. goal is the latency goal: a response that takes longer is worth
-    less. Requests of priority 0 go before those of priority 1.
+    repeatable, attempts and timeout are taken from the policies of the service if None. repeatable
+    states whether a request may run more than once. goal is the latency goal, None for none: a
+    response that takes longer is worth less. Requests of priority 0 go before those of priority 1.
     """
 
     targets: tuple[Target, ...]
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Release:
-    """A complete configuration that an operator applied under a number of its own.
+    """A complete configuration that the operator has numbered.
 
     The other resources are generated from the document, which is stored as the operator wrote it.
     In a change, the document may be given as pieces of the one that it replaces.
@@ -129,7 +129,7 @@
 
 
 class Fault(NamedTuple):
-    """One violation of a rule, and the path of the field that violates it."""
+    """One violation of a rule, and the path of the resource or field that violates it."""
 
     path: str
     message: str
