--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -28,7 +28,7 @@
         self.assertLess(len(pieces), 12)
 
     def test_pieces_restore_any_document(self) -> None:
-        """Pieces restore any document, with braces at any place or none."""
+        """Documents may have braces at any place, or none."""
         rng = random.Random(2)
         texts = ["", "}", "}}", "a", "{}", "a}b}", '{"a":"}"}']
         texts += ["".join(rng.choices("ab{}", k=rng.randrange(30))) for _ in range(60)]
--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -14,7 +14,7 @@
 
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
-    """A stopped or drained process among five real hosts of one data centre."""
+    """Five processes of one data centre, of which one is drained, killed or stopped."""
 
     async def asyncSetUp(self) -> None:
         """Start the hosts, and wait until one knows all of them."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -236,7 +236,7 @@
     """Many members over simulated time."""
 
     def converged(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
-        """Return members of data centres of some sizes, once they know each other."""
+        """Return a simulation of data centres of some sizes whose members know each other."""
         hosts = {f"dc{index}": names(f"dc{index}", size) for index, size in enumerate(sizes)}
         simulation = MembershipSimulation(
             names=hosts, seeds=[group[0] for group in hosts.values()], seed=seed
@@ -245,7 +245,7 @@
         return simulation
 
     def is_complete(self, simulation: MembershipSimulation, hosts: dict[str, list[str]]) -> bool:
-        """Return whether all members agree, know their data centre and some of the others."""
+        """Return whether all agree and know their own data centre and a member of each other."""
         for membership in simulation.running.values():
             known = [member.data_centre for member in membership.members]
             own = membership.own.data_centre
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,4 +1,4 @@
-"""Tests of the rollout, and of how reports reach the leader."""
+"""Tests of the rollout, and of which report of a proxy a replica keeps."""
 
 import unittest
 
