--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -13,7 +13,7 @@
     Release,
     Resource,
     Spec,
-    dangling_references,
+    reference_faults,
     spec_faults,
 )
 from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
@@ -168,8 +168,10 @@
         self._version = version
         self._resources = resources
         self._writers = writers
-        self._outcomes = {name: outcome for name, (outcome, _) in decisions.items()}
-        self._decided_at = {name: decided_at for name, (_, decided_at) in decisions.items()}
+        self._outcomes = {operation_id: outcome for operation_id, (outcome, _) in decisions.items()}
+        self._decided_at = {
+            operation_id: decided_at for operation_id, (_, decided_at) in decisions.items()
+        }
         self._history.clear()
         self._resource_digests.clear()
         self._host_closures.clear()
@@ -201,15 +203,15 @@
             faults.append(Fault("based_on", f"is newer than the newest version, {self._version}"))
         missing = [key for key in change.deletes if key not in self._resources]
         faults += [Fault(str(key), "can't be deleted: it does not exist") for key in missing]
-        faults += dangling_references(self._resources_after(change, self._version))
+        faults += reference_faults(self._resources_after(change, self._version))
         return tuple(faults)
 
     def effects(self, change: Change) -> tuple[Effect, ...]:
         """Return the effect of a change on each resource that it would alter."""
-        changed = self._resources_after(change, self._version)
+        resources_after = self._resources_after(change, self._version)
         altered = []
         for key in sorted(_written_keys(change)):
-            before, after = self._resources.get(key), changed.get(key)
+            before, after = self._resources.get(key), resources_after.get(key)
             effect = Effect(key, before and before.spec, after and after.spec)
             if effect.before != effect.after:
                 altered.append(effect)
@@ -241,12 +243,12 @@
             self._outcomes.setdefault(change.operation_id, outcome)
             return outcome
         version = Version(self._version + 1)
-        keys_written = _written_keys(change)
-        before = {key: self._resources.get(key) for key in keys_written}
+        written_keys = _written_keys(change)
+        before = {key: self._resources.get(key) for key in written_keys}
         self._history.append(HistoryEntry(version, accepted_at, change.operation_id, before))
         self._resources = self._resources_after(change, version)
         self._version = version
-        self._writers.update((key, (change.operation_id, version)) for key in keys_written)
+        self._writers.update((key, (change.operation_id, version)) for key in written_keys)
         del self._history[:-HISTORY_CHANGES]
         accepted = Accepted(version=version, accepted_at=accepted_at)
         self._outcomes[change.operation_id] = accepted
@@ -265,8 +267,8 @@
         before = self._changed_since(base)
         base_keys = closure(self._resources_before(before), hosts) if hosts else None
         if base_keys is None:
-            known = {key: old for key, old in before.items() if old is not None}
-            base_keys = (host_closure.keys - before.keys()) | closure(known, hosts)
+            previous = {key: old for key, old in before.items() if old is not None}
+            base_keys = (host_closure.keys - before.keys()) | closure(previous, hosts)
         puts = [key for key in host_closure.keys if key in before or key not in base_keys]
         return Delta(
             base,
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -33,12 +33,14 @@
     only the first is accepted.
     """
     current = release_in_force(catalogue)
-    number = current.number if current is not None else 0
-    if release.based_on != number:
+    current_number = current.number if current is not None else 0
+    if release.based_on != current_number:
         winner, version = catalogue.writers.get(RELEASE_KEY, (OperationId(""), NO_VERSION))
         return Conflict(key=RELEASE_KEY, winner=winner, version=version)
-    if release.number <= number:
-        fault = Fault("version", f"is {release.number}; it must be above the current {number}")
+    if release.number <= current_number:
+        fault = Fault(
+            "version", f"is {release.number}; it must be above the current {current_number}"
+        )
         return Invalid(faults=(fault,))
     puts = {
         key: spec
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -209,7 +209,7 @@
         yield Fault(f"{key}.attempts", f"is {attempts}; allowed is 1 to {MAX_ATTEMPTS}")
 
 
-def dangling_references(resources: Mapping[Key, Resource]) -> Iterator[Fault]:
+def reference_faults(resources: Mapping[Key, Resource]) -> Iterator[Fault]:
     """Yield a fault for each reference to a resource that doesn't exist."""
     for resource in resources.values():
         for reference in references(resource.spec):
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -11,7 +11,7 @@
     Resource,
     Snapshot,
     combine_digests,
-    dangling_references,
+    reference_faults,
     resource_digest,
 )
 from cowslipvane.routing import RoutingTable
@@ -115,5 +115,5 @@
             return f"it is older than version {floor}, under which this proxy may not go"
         if digest != expected:
             return f"its digest is {digest:016x}; {expected:016x} was promised"
-        faults = list(dangling_references(resources))
+        faults = list(reference_faults(resources))
         return f"{faults[0].path} {faults[0].message}" if faults else ""
