--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -135,7 +135,7 @@
         return newer
 
     def _is_ignorable(self, record: Member) -> bool:
-        """Return whether a record is ignored, as its guest's data centre has known gateways."""
+        """Return whether a record is ignored: its data centre's gateways are known here."""
         return (
             not self._same_data_centre
             and record.data_centre == self._guest_of
--- a/cowslipvane/membership/_topology.py
+++ b/cowslipvane/membership/_topology.py
@@ -49,16 +49,16 @@
 
 
 def gateway_neighbours(
-    own: Member, by_data_centre: dict[DataCentre, list[HostName]]
+    own: Member, gateways_by_data_centre: dict[DataCentre, list[HostName]]
 ) -> list[Neighbour]:
     """Return the remote gateways that this process connects to if it is a gateway itself."""
-    here = by_data_centre.get(own.data_centre, [])
-    if own.host not in here:
+    local_gateways = gateways_by_data_centre.get(own.data_centre, [])
+    if own.host not in local_gateways:
         return []
-    rank = here.index(own.host)
+    rank = local_gateways.index(own.host)
     return [
         Neighbour(hosts[rank % len(hosts)], True)
-        for data_centre, hosts in sorted(by_data_centre.items())
+        for data_centre, hosts in sorted(gateways_by_data_centre.items())
         if data_centre != own.data_centre
     ]
 
