--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -27,7 +27,7 @@
         """Start without a worker."""
         self.announcements = Announcements()
 
-    def state(self) -> str:
+    def instance_and_state(self) -> str:
         """Return the instance and state of the newest announcement."""
         newest = self.announcements.newest
         assert newest is not None
@@ -38,24 +38,24 @@
         self.announcements.record(announcement("a", 1, 5, "leaving"))
         self.assertFalse(self.announcements.record(announcement("a", 1, 4)))
         self.announcements.record(announcement("a", 1, 6))
-        self.assertEqual(self.state(), "a leaving")
+        self.assertEqual(self.instance_and_state(), "a leaving")
 
     def test_a_new_incarnation_restarts_the_sequence(self) -> None:
         """Late announcements of the previous one are ignored, whether or not its name is reused."""
         self.announcements.record(announcement("a", 1, 9, "leaving"))
         self.assertTrue(self.announcements.record(announcement("a", 2, 1)))
-        self.assertEqual(self.state(), "a ready")
+        self.assertEqual(self.instance_and_state(), "a ready")
         self.assertFalse(self.announcements.record(announcement("a", 1, 10, "leaving")))
         self.assertTrue(self.announcements.record(announcement("b", 3, 1)))
         self.assertFalse(self.announcements.record_departure("a", NOW_MS))
-        self.assertEqual(self.state(), "b ready")
+        self.assertEqual(self.instance_and_state(), "b ready")
 
     def test_a_departure_is_final(self) -> None:
         """A later announcement of the same incarnation does not revert it."""
         self.announcements.record(announcement("a", 1, 1))
         self.assertTrue(self.announcements.record_departure("a", NOW_MS))
         self.announcements.record(announcement("a", 1, 2))
-        self.assertEqual(self.state(), "a gone")
+        self.assertEqual(self.instance_and_state(), "a gone")
 
     def test_a_departure_may_precede_all_announcements(self) -> None:
         """A process that has just started may receive it before an earlier heartbeat."""
@@ -69,7 +69,7 @@
         self.announcements.record(announcement("a", 0, 9))
         self.assertTrue(self.announcements.record(announcement("b", 0, 1)))
         self.assertFalse(self.announcements.record(announcement("a", 0, 10)))
-        self.assertEqual(self.state(), "b ready")
+        self.assertEqual(self.instance_and_state(), "b ready")
 
 
 if __name__ == "__main__":
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -27,7 +27,7 @@
 def change(
     name: str, based_on: int, *puts: tuple[Key, Spec], deletes: tuple[Key, ...] = ()
 ) -> Change:
-    """Return a change."""
+    """Return a change of an operation of some name."""
     return Change(OperationId(name), Version(based_on), puts, deletes)
 
 
@@ -120,7 +120,7 @@
         self.assertEqual([c.version for c in self.catalogue.history(Version(1))], [2, 3])
 
     def test_an_outcome_is_kept_for_its_lifetime(self) -> None:
-        """Only the log's time stamps count, so that all replicas drop it at the same log entry."""
+        """Then all replicas drop it at the same log entry, as only the log's time stamps count."""
         catalogue = Catalogue()
         first = catalogue.apply(change("first", 0, service("s")), accepted_at=0.0)
         resent = catalogue.apply(
--- a/tests/test_closure.py
+++ b/tests/test_closure.py
@@ -49,8 +49,8 @@
         keys = [Key(rng.choice(kinds), str(rng.randrange(5))) for _ in range(rng.randint(1, 4))]
         deletes = {key for key in keys if rng.random() < 0.3}
         puts = {key: random_spec(key, rng) for key in keys if key not in deletes}
-        name = OperationId(str(rng.random()))
-        change = Change(name, version, tuple(puts.items()), tuple(deletes))
+        operation_id = OperationId(str(rng.random()))
+        change = Change(operation_id, version, tuple(puts.items()), tuple(deletes))
         catalogue.apply(change, accepted_at=1.0)
 
 
--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -14,7 +14,10 @@
 
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
-    """Five processes of one data centre, of which one is drained, killed or stopped."""
+    """Five processes of one data centre, of which one is drained, killed or stopped.
+
+    A stopped process neither answers nor closes its connections.
+    """
 
     async def asyncSetUp(self) -> None:
         """Start the hosts, and wait until one knows all of them."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of the membership: rules on records, and simulated rounds of many members."""
+"""Tests of the membership: rules on records, and simulations of many members."""
 
 import unittest
 
@@ -22,12 +22,14 @@
 STOCK = ServiceName("stock")
 
 
-def record(host: str, counter: int = 1, incarnation: int = 1, centre: DataCentre = LOCAL) -> Member:
+def record(
+    host: str, counter: int = 1, incarnation: int = 1, data_centre: DataCentre = LOCAL
+) -> Member:
     """Return the record of a host that serves stock."""
     address = Address("10.0.0.1", 1 + sum(host.encode()))
     worker = Worker(STOCK, address, 6, 110)
     name = HostName(host)
-    return Member(name, centre, incarnation, counter, address, address, address, "up", worker)
+    return Member(name, data_centre, incarnation, counter, address, address, address, "up", worker)
 
 
 def create_membership(*records: Member) -> Membership:
@@ -46,12 +48,12 @@
 
     def test_the_proxy_estimate_follows_the_members(self) -> None:
         """It counts the local proxies, including this process, times the data centres."""
-        held = create_membership()
-        self.assertEqual(held.estimated_proxy_count, 1)
-        held.merge([record("x"), record("y", centre=DataCentre("there"))], 0.0)
-        self.assertEqual(held.estimated_proxy_count, 4)
-        held.merge([record("x", counter=2)._replace(state="gone")], 0.0)
-        self.assertEqual(held.estimated_proxy_count, 2)
+        membership = create_membership()
+        self.assertEqual(membership.estimated_proxy_count, 1)
+        membership.merge([record("x"), record("y", data_centre=DataCentre("remote"))], 0.0)
+        self.assertEqual(membership.estimated_proxy_count, 4)
+        membership.merge([record("x", counter=2)._replace(state="gone")], 0.0)
+        self.assertEqual(membership.estimated_proxy_count, 2)
 
     def test_leaving_state_overrides_an_older_record_that_arrives_later(self) -> None:
         """The newest record of a host wins, in any order of arrival."""
@@ -96,11 +98,11 @@
 
     def test_a_restart_with_an_earlier_clock_overrides_the_former_record(self) -> None:
         """The restarted process raises its incarnation above the one that others still hold."""
-        reborn = Membership(own=record("b", 0, incarnation=5), now=0.0)
+        restarted = Membership(own=record("b", 0, incarnation=5), now=0.0)
         former = record("b", 7, incarnation=9)._replace(state="leaving")
         others = create_membership(former)
-        reborn.merge([former], 0.0)
-        others.merge([reborn.own], 0.0)
+        restarted.merge([former], 0.0)
+        others.merge([restarted.own], 0.0)
         self.assertEqual(self.hosts(others), ["a", "b"])
 
     def test_the_digest_identifies_the_set_of_records(self) -> None:
@@ -137,7 +139,7 @@
 
     def test_members_of_other_data_centres_are_not_suspected(self) -> None:
         """A partition between data centres would make all of them suspects."""
-        membership = create_membership(record("b", centre=REMOTE))
+        membership = create_membership(record("b", data_centre=REMOTE))
         self.assertFalse(membership.suspect(HostName("b"), 0.0))
 
 
@@ -190,7 +192,7 @@
 
     def test_lost_updates_for_a_remote_data_centre_are_sent_again(self) -> None:
         """Data centres compare their records periodically, as their digests always differ."""
-        one, other = create_membership(), Membership(own=record("x", centre=REMOTE), now=0.0)
+        one, other = create_membership(), Membership(own=record("x", data_centre=REMOTE), now=0.0)
         opener = Feed(membership=one, data_centre=REMOTE)
         server = Feed(membership=other, data_centre=LOCAL)
         self.exchange(opener, server, 4)
@@ -227,9 +229,9 @@
         self.assertEqual(exported_hosts(members, ()), {"h0", "h1", "h5", "h6"})
 
 
-def names(centre: str, count: int) -> list[str]:
+def names(data_centre: str, count: int) -> list[str]:
     """Return the names of hosts in a data centre."""
-    return [f"{centre}-{index:03}" for index in range(count)]
+    return [f"{data_centre}-{index:03}" for index in range(count)]
 
 
 class RoundsTest(unittest.TestCase):
@@ -263,8 +265,8 @@
         """Each member forwards it, and each hop halves the remaining distance in the ring."""
         simulation = self.converged(100)
         simulation.running[HostName("dc0-050")].leave("leaving", simulation.now)
-        time = simulation.until(lambda: simulation.all_know("dc0-050", "leaving"))
-        self.assertLess(time, 1.0)
+        elapsed_seconds = simulation.until(lambda: simulation.all_know("dc0-050", "leaving"))
+        self.assertLess(elapsed_seconds, 1.0)
 
     def test_members_stay_connected_after_all_seeds_die(self) -> None:
         """Seeds are needed only to join and to heal a partition."""
@@ -315,7 +317,7 @@
         self.assertEqual(alive, {True})
 
     def test_few_owners_are_exported_to_other_data_centres(self) -> None:
-        """Other owners replace exported ones that die."""
+        """Enough are exported to find one, and others replace exported ones that die."""
         simulation = self.converged(80, 6)
         remote = simulation.running[HostName("dc1-005")]
         service = ServiceName("service-3")
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -12,7 +12,7 @@
 
 
 def report(host: HostName, version: int, *, changed_at: float = 1.0, rejected: str = "") -> Report:
-    """Return a report."""
+    """Return the report of a host that applied a version at 1.0."""
     return Report(host, Version(version), 1.0, Address("127.0.0.1", 1), rejected, changed_at)
 
 
