--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -58,7 +58,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryPolicy:
-    """Which requests may be retried, and how often."""
+    """Which requests may be retried, and how often.
+
+    With idempotency_key, the method alone does not make a request repeatable.
+    """
 
     attempts: int = 2
     methods: tuple[str, ...] = ("GET", "HEAD")
--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -14,7 +14,7 @@
 
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
-    """Five processes of one data centre, of which one is drained, killed or stopped.
+    """Five processes of one data centre, some of which are drained, killed or stopped.
 
     A stopped process neither answers nor closes its connections.
     """
