Reword the demo, the test runner and the process tools in plain terms

Docstrings, comments, messages and private names used figurative words. Flags, ledger keys, stand-in response texts, the closing lines of the test runner and the demo, and names that scripts use stay.

--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,1 +1,1 @@
-"""Programs for the developers: the demo, the benchmark, the test runner."""
+"""Developer tools: the demo, the benchmarks, the test runner and the reference pages."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,4 +1,4 @@
-"""The demo: the whole path of both deployments, driven, failed, and checked."""
+"""Demo: run both example deployments end to end, inject faults and check every response."""
 
 from __future__ import annotations
 
@@ -16,50 +16,50 @@
 
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 
-CALLS_AT_ONCE = 8
+CONCURRENT_CALLERS = 8
 CALLS = 160
-# The brief allows an upstream that leaves to get new work for a few seconds.
-OUT_WITHIN_S = 2.0
+# The requirements allow new calls at an upstream for a few seconds after it was taken out.
+TAKE_OUT_DELAY_S = 2.0
 PATHS = {
     "quiros": ("/stock/7", "/manifests", "/invoices", "/empties"),
     "cerceve": ("/mouldings/7", "/deposits", "/cuts", "/collections"),
 }
 
 
-class Sent(NamedTuple):
-    """A call and what its caller was told."""
+class CallResult(NamedTuple):
+    """A call and the response that its caller received."""
 
     mark: str
     status: int
     code: str
     verdict: str
     request: str
-    whole: bool
-    once: bool
+    is_valid: bool
+    at_most_once: bool
 
 
 class Told:
-    """What the demo saw, and what was wrong with it."""
+    """Prints the observations of the demo and collects the failed checks."""
 
     def __init__(self) -> None:
         self.wrong: list[str] = []
 
     def say(self, text: str) -> None:
-        """Print a line at once."""
+        """Print a line and flush it."""
         print(f"  {text}", flush=True)
 
     def expect(self, holds: bool, text: str) -> None:
-        """Print a line, and keep it when it doesn't hold."""
+        """Print the result of a check, and collect its text if it failed."""
         self.say(f"{'ok' if holds else 'WRONG'}: {text}")
         if not holds:
             self.wrong.append(text)
 
 
-async def call(session: aiohttp.ClientSession, proxy: str, path: str) -> Sent:
-    """Send one call and return what came back."""
+async def call(session: aiohttp.ClientSession, proxy: str, path: str) -> CallResult:
+    """Send a call and return its result."""
     mark = uuid.uuid4().hex
     method = "GET" if path.endswith("/7") else "POST"
-    once = method == "POST"
+    at_most_once = method == "POST"
     body = b"" if method == "GET" else b"line\n" * 40
     url, headers = f"http://{proxy}{path}", {"X-Mark": mark}
     try:
@@ -67,64 +67,66 @@
             form = json.loads(await response.read())
             request = response.headers.get("X-Request-Id", "")
             if response.status == 200:
-                whole = form["mark"] == mark and form["received"] == len(body)
-                return Sent(mark, 200, "", "ran", request, whole, once)
+                is_valid = form["mark"] == mark and form["received"] == len(body)
+                return CallResult(mark, 200, "", "ran", request, is_valid, at_most_once)
             code, verdict = form["code"], form["verdict"]
-            return Sent(mark, response.status, code, verdict, request, True, once)
+            return CallResult(mark, response.status, code, verdict, request, True, at_most_once)
     except (aiohttp.ClientError, OSError) as error:
-        return Sent(mark, 0, type(error).__name__, "may have run", "", True, once)
+        return CallResult(mark, 0, type(error).__name__, "may have run", "", True, at_most_once)
 
 
-async def drive(fleet: Fleet, hosts: list[str], paths: tuple[str, ...], calls: int) -> list[Sent]:
-    """Send calls through some hosts' proxies, several at once."""
+async def drive(
+    fleet: Fleet, hosts: list[str], paths: tuple[str, ...], calls: int
+) -> list[CallResult]:
+    """Send calls through random proxies of the given hosts, several at a time."""
     rng = random.Random(calls)
     proxies = [fleet.address(host, "callers") for host in hosts]
-    sent: list[Sent] = []
+    sent: list[CallResult] = []
 
     async def one_caller(session: aiohttp.ClientSession) -> None:
-        for _ in range(calls // CALLS_AT_ONCE):
+        for _ in range(calls // CONCURRENT_CALLERS):
             sent.append(await call(session, rng.choice(proxies), rng.choice(paths)))
 
     async with aiohttp.ClientSession() as session:
-        await asyncio.gather(*(one_caller(session) for _ in range(CALLS_AT_ONCE)))
+        await asyncio.gather(*(one_caller(session) for _ in range(CONCURRENT_CALLERS)))
     return sent
 
 
-def check_ledger(told: Told, fleet: Fleet, sent: list[Sent]) -> None:
-    """Compare what callers were told with what the workers ran."""
+def check_ledger(told: Told, fleet: Fleet, sent: list[CallResult]) -> None:
+    """Check the responses to callers against the workers' ledgers."""
     ran = Counter(line["mark"] for line in fleet.ledger() if line["what"] == "ran")
     served = [item for item in sent if item.status == 200]
     refused = Counter(item.code for item in sent if item.status != 200)
     told.say(f"calls: {len(served)} served, refused by code: {dict(refused) or 'none'}")
-    doubled = sum(ran[item.mark] > 1 for item in sent if item.once)
-    again = sum(ran[item.mark] > 1 for item in sent if not item.once)
-    told.say(f"reads run again, as their retry policy allows: {again}")
+    duplicated = sum(ran[item.mark] > 1 for item in sent if item.at_most_once)
+    retried = sum(ran[item.mark] > 1 for item in sent if not item.at_most_once)
+    told.say(f"reads run more than once, as their retry policy allows: {retried}")
     lost = sum(ran[item.mark] == 0 for item in served)
-    untrue = sum(ran[item.mark] > 0 for item in sent if item.verdict == "not run")
-    mixed = sum(not item.whole for item in sent)
-    told.expect(doubled == 0, f"{doubled} calls doubled")
-    told.expect(lost == 0, f"{lost} calls lost")
-    told.expect(untrue == 0, f"{untrue} calls refused as not run that ran")
-    told.expect(mixed == 0, f"{mixed} wrong or partial answers")
+    false_verdicts = sum(ran[item.mark] > 0 for item in sent if item.verdict == "not run")
+    invalid = sum(not item.is_valid for item in sent)
+    told.expect(duplicated == 0, f"{duplicated} writes run more than once")
+    told.expect(lost == 0, f"{lost} calls served but not run")
+    told.expect(false_verdicts == 0, f"{false_verdicts} calls refused as not run but run")
+    told.expect(invalid == 0, f"{invalid} wrong or partial responses")
 
 
 async def apply(told: Told, fleet: Fleet, resources: Path, hosts: list[str]) -> None:
-    """Apply a file of resources and say how long it took to be in force."""
+    """Apply a file of resources and print how long it took to come into force."""
     servers = [part for address in fleet.operators() for part in ("--server", address)]
-    answer = json.loads(
+    response = json.loads(
         await asyncio.to_thread(fleet.command, "apply", "-f", str(resources), *servers)
     )
-    at = await fleet.until_in_force(answer["version"], hosts)
-    took = at - answer["accepted_at"]
+    in_force_at = await fleet.until_in_force(response["version"], hosts)
+    delay = in_force_at - response["accepted_at"]
     told.expect(
-        answer["outcome"] == "accepted",
-        f"version {answer['version']} is in force on {len(hosts)} proxies, {took:.3f} s after"
-        " it was stamped",
+        response["outcome"] == "accepted",
+        f"version {response['version']} is in force on {len(hosts)} proxies, {delay:.3f} s after"
+        " the leader stamped it",
     )
 
 
 def upstream(fleet: Fleet, host: str, state: str) -> Path:
-    """Return a file of resources that takes an upstream in or out."""
+    """Write a file of resources that sets the state of an upstream, and return its path."""
     path = fleet.folder / f"{host}-{state}.toml"
     path.write_text(
         f'[[resource]]\nkind = "upstream"\nname = "{host}"\nspec = {{ state = "{state}" }}\n'
@@ -133,7 +135,7 @@
 
 
 async def explain(told: Told, fleet: Fleet, host: str) -> None:
-    """Show a refusal, and that staff are told the same sentence."""
+    """Print a refusal and check that `explain` reports the same sentence."""
     async with aiohttp.ClientSession() as session:
         url = f"http://{fleet.address(host, 'callers')}/nothing-here"
         async with session.get(url) as response:
@@ -141,55 +143,55 @@
     servers = [part for address in fleet.operators() for part in ("--server", address)]
     text = await asyncio.to_thread(fleet.command, "explain", refusal["request"], *servers)
     told.say(f"refused: {refusal['sentence']}")
-    told.expect(
-        text.splitlines()[0] == refusal["sentence"], "explain gives staff the same sentence"
-    )
+    told.expect(text.splitlines()[0] == refusal["sentence"], "explain reports the same sentence")
 
 
-async def take_out(told: Told, fleet: Fleet, deployment: str, sent: list[Sent]) -> None:
-    """Take an upstream out, and see that it gets no new work."""
-    out = list(fleet.hosts)[-1]
-    await apply(told, fleet, upstream(fleet, out, "out"), fleet.alive)
-    await asyncio.sleep(OUT_WITHIN_S)
-    before = len(fleet.ledger(out))
+async def take_out(told: Told, fleet: Fleet, deployment: str, sent: list[CallResult]) -> None:
+    """Take an upstream out and check that it gets no new calls."""
+    host = list(fleet.hosts)[-1]
+    await apply(told, fleet, upstream(fleet, host, "out"), fleet.alive)
+    await asyncio.sleep(TAKE_OUT_DELAY_S)
+    before = len(fleet.ledger(host))
     sent += await drive(fleet, fleet.alive, PATHS[deployment], CALLS)
-    after = len(fleet.ledger(out))
-    told.expect(after == before, f"{after - before} new calls at {out}, which is out")
+    after = len(fleet.ledger(host))
+    told.expect(after == before, f"{after - before} new calls at {host}, which is out")
 
 
-async def kill_leader(told: Told, fleet: Fleet, deployment: str, sent: list[Sent]) -> None:
-    """Kill the host of the leader, apply again, and go on calling."""
+async def kill_leader(told: Told, fleet: Fleet, deployment: str, sent: list[CallResult]) -> None:
+    """Kill the leader's host while calls are running, apply a change and send more calls."""
     leader = (await fleet.until_leader())["host"]
     told.say(f"killing {leader}, the leader, with its proxy and its worker")
-    driving = asyncio.create_task(drive(fleet, fleet.alive, PATHS[deployment], CALLS))
+    calls = asyncio.create_task(drive(fleet, fleet.alive, PATHS[deployment], CALLS))
     await asyncio.sleep(0.1)
     fleet.kill(leader)
-    killed = time.monotonic()
-    out = list(fleet.hosts)[-1]
-    await apply(told, fleet, upstream(fleet, out, "in"), fleet.alive)
-    told.say(f"{time.monotonic() - killed:.2f} s from the kill until the next version was in force")
-    sent += await driving
+    killed_at = time.monotonic()
+    host = list(fleet.hosts)[-1]
+    await apply(told, fleet, upstream(fleet, host, "in"), fleet.alive)
+    told.say(
+        f"{time.monotonic() - killed_at:.2f} s from the kill until the next version was in force"
+    )
+    sent += await calls
     sent += await drive(fleet, fleet.alive, PATHS[deployment], CALLS)
 
 
-async def show(told: Told, deployment: str) -> None:
-    """Run one deployment's path from end to end."""
+async def run_deployment(told: Told, deployment: str) -> None:
+    """Run one deployment end to end."""
     print(f"{deployment}:", flush=True)
     with Fleet(hosts=example_hosts(deployment)) as fleet:
         fleet.create()
         fleet.start()
         await fleet.until_leader()
         status = await fleet.until_members(sum(bool(host.worker) for host in fleet.hosts.values()))
-        centres = {member["data_centre"] for member in status["members"]}
-        told.say(f"{len(status['members'])} hosts up in {len(centres)} data centres")
-        sent: list[Sent] = []
+        data_centres = {member["data_centre"] for member in status["members"]}
+        told.say(f"{len(status['members'])} hosts up in {len(data_centres)} data centres")
+        sent: list[CallResult] = []
         await apply(told, fleet, EXAMPLES / deployment / "resources.toml", fleet.alive)
         sent += await drive(fleet, fleet.alive, PATHS[deployment], CALLS)
         await explain(told, fleet, fleet.alive[0])
         await take_out(told, fleet, deployment, sent)
         await kill_leader(told, fleet, deployment, sent)
         codes = await asyncio.to_thread(fleet.stop)
-        told.expect(not any(codes.values()), f"{len(codes)} daemons stopped as planned")
+        told.expect(not any(codes.values()), f"{len(codes)} daemons stopped with exit code 0")
         check_ledger(told, fleet, sent)
         errors = fleet.errors()
         told.expect(not errors, f"{len(errors.splitlines())} lines on standard error")
@@ -197,10 +199,10 @@
 
 
 async def main() -> int:
-    """Run both deployments and say whether anything was wrong."""
+    """Run both deployments and return 1 if a check failed."""
     told = Told()
     for deployment in PATHS:
-        await show(told, deployment)
+        await run_deployment(told, deployment)
     print(f"wrong: {len(told.wrong)}")
     return 1 if told.wrong else 0
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of real processes on loopback: the hosts of an example, moved to free addresses."""
+"""Runs the hosts of an example deployment as local processes on free loopback addresses."""
 
 from __future__ import annotations
 
@@ -25,11 +25,11 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 _FIRST_PORT = 10_000
-_POLL_S = 0.02
+_POLL_INTERVAL_S = 0.02
 
 
 class Host(NamedTuple):
-    """A host of the fleet: its settings, and the stand-in worker beside it."""
+    """A host of the fleet: its settings, and the options of its stand-in worker."""
 
     name: str
     settings: dict[str, Any]
@@ -37,7 +37,7 @@
 
     @property
     def is_replica(self) -> bool:
-        """Return whether the host keeps the accepted configuration."""
+        """Return whether the host runs a replica."""
         return "replica" in self.settings["roles"]
 
 
@@ -52,7 +52,7 @@
 
 
 class Fleet:
-    """Starts, fails and stops the processes of some hosts."""
+    """Starts, stops and kills the processes of a set of hosts."""
 
     def __init__(self, *, hosts: Iterable[Host], timing: dict[str, float] | None = None) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="cowslipvane-")
@@ -61,7 +61,9 @@
         self._timing = timing or {}
         self._ip, self._next_port = _free_ip(), _FIRST_PORT
         self._addresses = {
-            host: {name: self._address() for name in ("callers", "operators", "peers", "worker")}
+            host: {
+                name: self._new_address() for name in ("callers", "operators", "peers", "worker")
+            }
             for host in self.hosts
         }
         self._daemons: dict[str, subprocess.Popen[bytes]] = {}
@@ -77,7 +79,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Leave no process and no file behind."""
+        """Kill the remaining processes and delete the files."""
         for process in [*self._daemons.values(), *self._workers.values()]:
             if process.poll() is None:
                 process.kill()
@@ -86,12 +88,12 @@
 
     @property
     def replicas(self) -> list[str]:
-        """Return the hosts that keep the accepted configuration."""
+        """Return the hosts that run a replica."""
         return [host.name for host in self.hosts.values() if host.is_replica]
 
     @property
     def alive(self) -> list[str]:
-        """Return the hosts whose daemon runs."""
+        """Return the hosts whose daemon is running."""
         return [host for host, daemon in self._daemons.items() if daemon.poll() is None]
 
     def address(self, host: str, listener: str) -> str:
@@ -107,26 +109,26 @@
         return tuple(self.address(host, "operators") for host in self.replicas)
 
     def client(self, timeout: float = 20.0) -> Client:
-        """Return an operator's client for the replicas."""
+        """Return an operator client that connects to the replicas."""
         return Client(servers=self.operators(), timeout=timeout)
 
     def create(self) -> None:
-        """Make the replicas' data folders part of one new group."""
+        """Create a new replica group in the data folders of the replicas."""
         voters = [f"--voter={host}={self.address(host, 'peers')}" for host in self.replicas]
         for host in self.replicas:
             settings = ["--settings", str(self._write_settings(host))]
             self.command("replica", "create", "--group", "fleet", *settings, *voters)
 
     def command(self, *arguments: str) -> str:
-        """Run the command line and return what it printed; raise when it fails."""
+        """Run a cowslipvane command and return its standard output; raise if it fails."""
         command = [sys.executable, "-m", "cowslipvane", *arguments]
-        done = subprocess.run(command, capture_output=True, text=True, check=False, cwd=ROOT)
-        if done.returncode:
-            raise RuntimeError(f"{' '.join(arguments)}: {done.stderr or done.stdout}")
-        return done.stdout
+        result = subprocess.run(command, capture_output=True, text=True, check=False, cwd=ROOT)
+        if result.returncode:
+            raise RuntimeError(f"{' '.join(arguments)}: {result.stderr or result.stdout}")
+        return result.stdout
 
     def start(self, *hosts: str) -> None:
-        """Start daemons and workers, of all hosts unless some are named."""
+        """Start the daemons and workers of the named hosts, or of all hosts by default."""
         for host in hosts or self.hosts:
             self.start_daemon(host)
         for host in hosts or self.hosts:
@@ -141,13 +143,13 @@
 
     def start_worker(self, host: str) -> None:
         """Start the stand-in worker of a host, if it has one."""
-        traits = self.hosts[host].worker
-        if not traits:
+        worker = self.hosts[host].worker
+        if not worker:
             return
         options = [
-            part
-            for name, value in traits.items()
-            for part in (f"--{name.replace('_', '-')}", str(value))
+            argument
+            for name, value in worker.items()
+            for argument in (f"--{name.replace('_', '-')}", str(value))
         ]
         self._workers[host] = self._spawn(
             f"{host}.worker",
@@ -183,15 +185,15 @@
         self._daemons[host].wait()
 
     def wait_daemon(self, host: str) -> int:
-        """Return the exit code of a host's daemon once it has ended."""
+        """Wait for a host's daemon to end and return its exit code."""
         return self._daemons[host].wait(STOP_TIMEOUT_S)
 
     def stop(self) -> dict[str, int]:
-        """Stop all daemons as planned, then the workers, and return the daemons' exit codes."""
-        live = self.alive
-        for host in live:
+        """Stop all daemons with SIGTERM, then the workers, and return the daemons' exit codes."""
+        running = self.alive
+        for host in running:
             self.signal_daemon(host, signal.SIGTERM)
-        codes = {host: self._daemons[host].wait(STOP_TIMEOUT_S) for host in live}
+        codes = {host: self._daemons[host].wait(STOP_TIMEOUT_S) for host in running}
         for worker in self._workers.values():
             if worker.poll() is None:
                 worker.terminate()
@@ -199,7 +201,7 @@
         return codes
 
     def ledger(self, *hosts: str) -> list[dict[str, Any]]:
-        """Return what the stand-in workers ran."""
+        """Return the ledger lines of the named hosts' workers, or of all hosts by default."""
         lines = []
         for host in hosts or self.hosts:
             path = self.folder / f"{host}.ledger"
@@ -208,74 +210,76 @@
         return lines
 
     def events(self) -> list[dict[str, Any]]:
-        """Return the events that all daemons wrote."""
-        found = []
+        """Return the events of all daemons in the order of their timestamps."""
+        events = []
         for host in self.hosts:
             path = self.folder / f"{host}.events"
             if path.exists():
-                found += [json.loads(line)["event"] for line in path.open() if line.endswith("\n")]
-        return sorted(found, key=lambda event: (event["wall"], event["logical"]))
+                events += [json.loads(line)["event"] for line in path.open() if line.endswith("\n")]
+        return sorted(events, key=lambda event: (event["wall"], event["logical"]))
 
     def errors(self) -> str:
-        """Return what the processes wrote to standard error."""
+        """Return the standard error of all processes."""
         texts = [path.read_text() for path in sorted(self.folder.glob("*.err"))]
         return "".join(texts)
 
     async def until_leader(self) -> dict[str, Any]:
-        """Return the status of the leader, once there is one."""
-        return await self._until(lambda status: status.get("replica", {}).get("holds_lease", False))
+        """Wait for a leader that holds its lease and return its status."""
+        return await self._wait_for_status(
+            lambda status: status.get("replica", {}).get("holds_lease", False)
+        )
 
     async def until_members(self, workers: int) -> dict[str, Any]:
-        """Return the leader's status once it knows of that many workers."""
+        """Wait until the leader knows that many workers and return its status."""
 
-        def all_there(status: dict[str, Any]) -> bool:
+        def all_registered(status: dict[str, Any]) -> bool:
             return sum(bool(member["service"]) for member in status["members"]) >= workers
 
-        return await self._until(all_there)
+        return await self._wait_for_status(all_registered)
 
     async def until_in_force(self, version: int, hosts: Iterable[str]) -> float:
-        """Return when a version was in force on the last of some hosts, as wall time."""
-        wanted = set(hosts)
+        """Wait until all given hosts have applied a version, and return when the last one did."""
+        expected = set(hosts)
 
-        def everywhere(status: dict[str, Any]) -> bool:
+        def on_all_hosts(status: dict[str, Any]) -> bool:
             reports = status.get("replica", {}).get("reports", [])
-            return wanted <= {item["host"] for item in reports if item["version"] >= version}
+            return expected <= {item["host"] for item in reports if item["version"] >= version}
 
-        status = await self._until(everywhere)
+        status = await self._wait_for_status(on_all_hosts)
         reports = status["replica"]["reports"]
-        return float(max(item["applied_at"] for item in reports if item["host"] in wanted))
+        return float(max(item["applied_at"] for item in reports if item["host"] in expected))
 
-    async def _until(self, holds: Any) -> dict[str, Any]:
-        """Return the leader's status once something holds of it."""
-        give_up = time.monotonic() + START_TIMEOUT_S
+    async def _wait_for_status(self, condition: Any) -> dict[str, Any]:
+        """Poll the leader's status until a condition holds, and return it."""
+        deadline = time.monotonic() + START_TIMEOUT_S
         status: dict[str, Any] = {}
         async with self.client(timeout=2.0) as client:
-            while time.monotonic() < give_up:
+            while time.monotonic() < deadline:
                 try:
                     status = await client.status()
-                    if holds(status):
+                    if condition(status):
                         return status
                 except Unreachable:
                     pass
-                await asyncio.sleep(_POLL_S)
-        raise TimeoutError(f"waited {START_TIMEOUT_S} s in vain; last seen: {status}")
+                await asyncio.sleep(_POLL_INTERVAL_S)
+        raise TimeoutError(f"condition not met within {START_TIMEOUT_S} s; last status: {status}")
 
     def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
-        """Start a Python process whose errors go to a file."""
+        """Start a Python process with its standard error in a file."""
         with (self.folder / f"{name}.err").open("ab") as errors:
             return subprocess.Popen([sys.executable, *arguments], stderr=errors, cwd=ROOT)
 
-    def _address(self) -> str:
-        """Return an address that nothing else listens on."""
+    def _new_address(self) -> str:
+        """Return an unused IP:PORT for a listener."""
         self._next_port += 1
         return f"{self._ip}:{self._next_port}"
 
     def _write_settings(self, host: str) -> Path:
         """Write a host's settings with the addresses of this fleet."""
-        mine = self._addresses[host]
+        addresses = self._addresses[host]
         settings = self.hosts[host].settings
         seeds = [self.address(replica, "peers") for replica in self.replicas]
-        listen = {name: mine[name] for name in ("callers", "operators", "peers")}
+        listen = {name: addresses[name] for name in ("callers", "operators", "peers")}
         lines = [
             f"host = {json.dumps(host)}",
             f"data_centre = {json.dumps(settings['data_centre'])}",
@@ -288,7 +292,10 @@
             "[timing]",
             *(f"{name} = {value}" for name, value in self._timing.items()),
             "[security]",
-            *(f"{name} = {json.dumps(it)}" for name, it in settings.get("security", {}).items()),
+            *(
+                f"{name} = {json.dumps(value)}"
+                for name, value in settings.get("security", {}).items()
+            ),
         ]
         path = self.folder / f"{host}.toml"
         path.write_text("\n".join(lines) + "\n")
@@ -296,8 +303,9 @@
 
 
 def _free_ip() -> str:
-    """Return a loopback address that no other fleet is likely to use."""
-    # Clients on loopback connect from 127.0.0.1, so their ports can't take a listener's.
+    """Return a random loopback address, so that fleets in parallel use different ones."""
+    # Connections to loopback originate from 127.0.0.1, so that their ephemeral ports cannot
+    # collide with the port of a listener on another address.
     rng = random.Random(os.urandom(8))
     while True:
         ip = f"127.{rng.randint(16, 250)}.{rng.randint(0, 250)}.{rng.randint(1, 250)}"
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,4 @@
-"""What the operating system says of a process."""
+"""Reads the resource usage of a process from /proc."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
 
 class Usage(NamedTuple):
-    """Processor time in seconds and resident memory in bytes of one process."""
+    """Processor time in seconds and resident memory in bytes of a process."""
 
     processor_s: float
     resident: int
 
 
 def usage(pid: int) -> Usage:
-    """Return what a process has used since its start."""
+    """Return the processor time since the start of a process, and its resident memory."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     ticks = int(fields[11]) + int(fields[12])
     status = Path(f"/proc/{pid}/status").read_text().splitlines()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,4 +1,4 @@
-"""Run the tests, module by module, and close with a line that counts them."""
+"""Run the test modules, each in its own process, and print a summary line at the end."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-MODULES_AT_ONCE = 4
-# A module that hangs fails, and doesn't hold the others up for ever.
+CONCURRENT_MODULES = 4
+# A module that hangs is killed and counts as failed, so that the run ends.
 MODULE_TIMEOUT_S = 300
-_MARK = "RESULT "
+_RESULT_PREFIX = "RESULT "
 
 
 class ModuleResult(TypedDict):
-    """What became of the tests of one module."""
+    """The number of tests that ran in one module, and the ids of those that failed."""
 
     run: int
     failed: list[str]
@@ -38,17 +38,17 @@
     """Run the tests of one module in this process."""
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    bad = [*result.failures, *result.errors]
-    failed = [test.id() for test, _ in bad]
+    failures = [*result.failures, *result.errors]
+    failed = [test.id() for test, _ in failures]
     failed += [test.id() for test in result.unexpectedSuccesses]
     return ModuleResult(run=result.testsRun, failed=failed)
 
 
-def spawn(name: str) -> tuple[str, ModuleResult, str]:
-    """Run the tests of one module in a process of their own."""
+def run_module_process(name: str) -> tuple[str, ModuleResult, str]:
+    """Run the tests of one module in a new process and return its name, result and output."""
     command = [sys.executable, "-m", "tools.run_tests", "--module", name]
     try:
-        done = subprocess.run(
+        process = subprocess.run(
             command,
             capture_output=True,
             text=True,
@@ -58,33 +58,33 @@
         )
     except subprocess.TimeoutExpired as error:
         return name, ModuleResult(run=1, failed=[name]), f"{name}: {error}\n"
-    marked = [line for line in done.stdout.splitlines() if line.startswith(_MARK)]
-    if not marked:
-        return name, ModuleResult(run=1, failed=[name]), done.stdout + done.stderr
-    result: ModuleResult = json.loads(marked[-1].removeprefix(_MARK))
-    return name, result, done.stderr if result["failed"] else ""
+    result_lines = [line for line in process.stdout.splitlines() if line.startswith(_RESULT_PREFIX)]
+    if not result_lines:
+        return name, ModuleResult(run=1, failed=[name]), process.stdout + process.stderr
+    result: ModuleResult = json.loads(result_lines[-1].removeprefix(_RESULT_PREFIX))
+    return name, result, process.stderr if result["failed"] else ""
 
 
 def main() -> int:
-    """Run all tests, or those of one module."""
+    """Run all tests, or those of one module, and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--module", help="run this module only, in this process")
+    parser.add_argument("--module", help="run only this module, in this process")
     module = parser.parse_args().module
     if module:
-        print(_MARK + json.dumps(run_module(module)))
+        print(_RESULT_PREFIX + json.dumps(run_module(module)))
         return 0
     names = [f"tests.{path.stem}" for path in sorted((ROOT / "tests").glob("test_*.py"))]
-    red = known_red()
+    known = known_red()
     run = 0
     failed: list[str] = []
-    with ThreadPoolExecutor(MODULES_AT_ONCE) as pool:
-        for name, result, output in pool.map(spawn, names):
+    with ThreadPoolExecutor(CONCURRENT_MODULES) as pool:
+        for name, result, output in pool.map(run_module_process, names):
             run += result["run"]
             failed += result["failed"]
             print(f"{name}: {result['run']} run, {len(result['failed'])} failed")
             print(output, end="")
-    new = [test for test in failed if test not in red]
-    for test in sorted(red):
+    new = [test for test in failed if test not in known]
+    for test in sorted(known):
         print(f"known red: {test}: {'failed again' if test in failed else 'passed this time'}")
     for test in new:
         print(f"FAILED: {test}")
--- a/tools/single_replica.py
+++ b/tools/single_replica.py
@@ -1,4 +1,4 @@
-"""A replica that is a group of its own, in this process and without a disk."""
+"""A replica group with one voter, in this process and without storage."""
 
 from __future__ import annotations
 
@@ -25,24 +25,24 @@
 
 
 class NullJournal:
-    """A journal that keeps nothing."""
+    """Journal that stores nothing."""
 
     def record_ballot(self, ballot: Ballot) -> None:
-        """Keep nothing."""
+        """Do nothing."""
 
     def record_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Keep nothing."""
+        """Do nothing."""
 
     def record_snapshot(
         self, snapshot: LogSnapshot, ballot: Ballot, entries: tuple[Entry, ...]
     ) -> None:
-        """Keep nothing."""
+        """Do nothing."""
 
     async def sync(self) -> None:
         """Return at once."""
 
     async def wait_for_failure(self) -> None:
-        """Return at once, since nothing can fail."""
+        """Return at once, since no write can fail."""
 
 
 def event_log(host: str = HOST) -> EventLog:
@@ -52,7 +52,7 @@
 
 
 class SingleReplica:
-    """Leads a group of one, or none when it is to follow, and publishes to proxies."""
+    """Publishes updates to proxies, as the leader by default and as a follower otherwise."""
 
     def __init__(self, *, leads: bool = True, pull_wait: float = 10.0) -> None:
         now = time.monotonic()
@@ -84,7 +84,7 @@
             self.lead()
 
     async def __aenter__(self) -> Self:
-        """Begin to listen."""
+        """Start the listener and the publisher."""
         self._server: Server = await serve(
             self._serve, IP, 0, compression=None, ping_interval=None
         ).__aenter__()
@@ -97,18 +97,18 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop listening."""
+        """Stop the listener and the publisher."""
         self._task.cancel()
         self.cut()
         await self._server.wait_closed()
 
     @property
     def address(self) -> Address:
-        """Return where the replica listens."""
+        """Return the address of the listener."""
         return Address(IP, next(iter(self._server.sockets)).getsockname()[1])
 
     def lead(self) -> None:
-        """Be elected, and tell the tasks that wait for it."""
+        """Win an election and notify the waiting tasks."""
         now = time.monotonic()
         self.replica.start_election(now)
         self.replica.record_own_vote(self.replica.term, now)
@@ -120,10 +120,10 @@
         self._server.close()
 
     def put(self, *puts: tuple[Key, Spec]) -> Version:
-        """Accept a change and wake the pulls."""
+        """Accept a change, notify the waiting pulls and return the new version."""
         catalogue = self.replica.catalogue
-        name = OperationId(str(catalogue.version))
-        change = Change(name, catalogue.version, puts)
+        operation_id = OperationId(str(catalogue.version))
+        change = Change(operation_id, catalogue.version, puts)
         index = self.replica.propose(change, stamped_at=time.time())
         assert index is not None
         self.replica.record_synced(index)
@@ -131,7 +131,7 @@
         return catalogue.version
 
     async def _serve(self, connection: ServerConnection) -> None:
-        """Serve one proxy."""
+        """Serve the connection of a proxy until it closes."""
         try:
             await self.publisher.serve(Link(connection=connection, identity=anonymous_identity()))
         except LinkClosed:
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -1,4 +1,4 @@
-"""A stand-in worker: slots, connections, slow spells, long work, and a ledger of what it ran."""
+"""Stand-in worker with limited slots, adjustable latency and a ledger of the requests it ran."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 import aiohttp
 from aiohttp import web
 
-ANNOUNCE_EVERY_S = 0.5
-# What runs may end within this time after SIGTERM.
-STOP_S = 10.0
+ANNOUNCE_INTERVAL_S = 0.5
+# Requests that are running at SIGTERM have this long to finish.
+STOP_TIMEOUT_S = 10.0
 
 
-class Traits(NamedTuple):
-    """How a stand-in worker behaves; times are in seconds."""
+class WorkerOptions(NamedTuple):
+    """Options of a stand-in worker; times are in seconds."""
 
     service: str
     slots: int = 6
@@ -31,103 +31,105 @@
 
 
 class Worker:
-    """Answers requests, never more at once than its slots, and writes down each that it runs."""
+    """Runs at most one request for each slot at once and records each in a ledger."""
 
-    def __init__(self, *, traits: Traits, address: str, proxy: str, ledger: Path) -> None:
-        self._traits = traits
+    def __init__(self, *, options: WorkerOptions, address: str, proxy: str, ledger: Path) -> None:
+        self._options = options
         self._address = address
         self._proxy = proxy
         self._ledger = os.open(ledger, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
         self._running = 0
-        self._slow = 1.0
+        self._work_factor = 1.0
         self._rng = random.Random(address)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
         stop = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-        await asyncio.sleep(self._traits.cold_start_s)
+        await asyncio.sleep(self._options.cold_start_s)
         server = web.Server(self._handle, access_log=None)
         ip, _, port = self._address.rpartition(":")
         listener = await asyncio.get_running_loop().create_server(server, ip, int(port))
-        announcing = asyncio.create_task(self._announce())
+        announcements = asyncio.create_task(self._announce())
         await stop.wait()
-        announcing.cancel()
-        await self._say_leaving()
+        announcements.cancel()
+        await self._announce_departure()
         listener.close()
-        await server.shutdown(timeout=STOP_S)
+        await server.shutdown(timeout=STOP_TIMEOUT_S)
 
-    async def _say_leaving(self) -> None:
-        """Tell the proxy on this host to start nothing more here."""
+    async def _announce_departure(self) -> None:
+        """Announce to the proxy on this host that this worker is leaving and takes no new work."""
         async with aiohttp.ClientSession() as session:
             with suppress(aiohttp.ClientError, OSError):
                 await session.post(f"http://{self._proxy}/v1/worker", json={"state": "leaving"})
 
     async def _announce(self) -> None:
-        """Announce this worker to the proxy on its host, again and again."""
+        """Announce this worker to the proxy on its host at each interval."""
         form = {
-            "service": self._traits.service,
+            "service": self._options.service,
             "address": self._address,
-            "slots": self._traits.slots,
-            "connections": self._traits.connections,
+            "slots": self._options.slots,
+            "connections": self._options.connections,
         }
         async with aiohttp.ClientSession() as session:
             while True:
                 with suppress(aiohttp.ClientError, OSError):
                     await session.post(f"http://{self._proxy}/v1/worker", json=form)
-                await asyncio.sleep(ANNOUNCE_EVERY_S)
+                await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
-    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Run one request."""
-        body = await http.read()
-        if http.path == "/_slow":
-            self._slow = float(http.query["times"])
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Run a request, or refuse it if all slots are busy."""
+        body = await request.read()
+        if request.path == "/_slow":
+            self._work_factor = float(request.query["times"])
             return web.Response(text="ok")
-        if self._running >= self._traits.slots:
-            self._write(http, "over")
+        if self._running >= self._options.slots:
+            self._record(request, "over")
             return web.Response(status=503, text="over the slots")
         self._running += 1
-        self._write(http, "ran")
+        self._record(request, "ran")
         try:
-            times = float(http.headers.get("X-Work-Times", "1"))
-            await asyncio.sleep(self._traits.work_s * times * self._slow)
+            times = float(request.headers.get("X-Work-Times", "1"))
+            await asyncio.sleep(self._options.work_s * times * self._work_factor)
         finally:
             self._running -= 1
-        size = int(http.headers.get("X-Answer-Bytes", "0"))
-        answer = {
-            "service": self._traits.service,
-            "path": http.path,
-            "mark": http.headers.get("X-Mark", ""),
+        size = int(request.headers.get("X-Answer-Bytes", "0"))
+        content = {
+            "service": self._options.service,
+            "path": request.path,
+            "mark": request.headers.get("X-Mark", ""),
             "received": len(body),
-            "cookie": http.headers.get("Cookie", ""),
+            "cookie": request.headers.get("Cookie", ""),
             "padding": "x" * size,
         }
-        if "X-Break-After" in http.headers:
-            return await self._break(http, int(http.headers["X-Break-After"]))
-        response = web.json_response(answer)
-        if "X-Set-Cookie" in http.headers:
-            response.headers["Set-Cookie"] = http.headers["X-Set-Cookie"]
+        if "X-Break-After" in request.headers:
+            return await self._break_off(request, int(request.headers["X-Break-After"]))
+        response = web.json_response(content)
+        if "X-Set-Cookie" in request.headers:
+            response.headers["Set-Cookie"] = request.headers["X-Set-Cookie"]
         return response
 
-    async def _break(self, http: web.BaseRequest, size: int) -> web.StreamResponse:
-        """Close the connection after a part of an answer."""
+    async def _break_off(self, request: web.BaseRequest, size: int) -> web.StreamResponse:
+        """Close the connection after the first `size` bytes of the response body."""
         response = web.StreamResponse()
-        if "X-Chunked" in http.headers:
+        if "X-Chunked" in request.headers:
             response.enable_chunked_encoding()
         else:
             response.content_length = 2 * size
-        await response.prepare(http)
+        await response.prepare(request)
         await response.write(b"x" * size)
-        assert http.transport is not None
-        http.transport.close()
-        raise ConnectionResetError("the answer is broken off on request")
-
-    def _write(self, http: web.BaseRequest, what: str) -> None:
-        """Write a line to the ledger at once, so that it outlives a kill."""
+        assert request.transport is not None
+        request.transport.close()
+        raise ConnectionResetError(
+            "connection closed before the end of the response, as X-Break-After requested"
+        )
+
+    def _record(self, request: web.BaseRequest, what: str) -> None:
+        """Append a line to the ledger, unbuffered so that it survives a kill."""
         line = {
             "what": what,
-            "mark": http.headers.get("X-Mark", ""),
-            "request": ",".join(http.headers.getall("X-Request-Id", [])),
+            "mark": request.headers.get("X-Mark", ""),
+            "request": ",".join(request.headers.getall("X-Request-Id", [])),
             "at": asyncio.get_running_loop().time(),
         }
         os.write(self._ledger, json.dumps(line).encode() + b"\n")
@@ -144,9 +146,20 @@
     parser.add_argument("--connections", type=int, default=110)
     parser.add_argument("--work-s", type=float, default=0.002)
     parser.add_argument("--cold-start-s", type=float, default=0.0)
-    given = parser.parse_args()
-    traits = Traits(given.service, given.slots, given.connections, given.work_s, given.cold_start_s)
-    worker = Worker(traits=traits, address=given.address, proxy=given.proxy, ledger=given.ledger)
+    arguments = parser.parse_args()
+    options = WorkerOptions(
+        arguments.service,
+        arguments.slots,
+        arguments.connections,
+        arguments.work_s,
+        arguments.cold_start_s,
+    )
+    worker = Worker(
+        options=options,
+        address=arguments.address,
+        proxy=arguments.proxy,
+        ledger=arguments.ledger,
+    )
     asyncio.run(worker.run())
 
 
