Reword the benchmarks and the capacity tool in plain terms

Names such as ways, arrivals, lives, beat and herd gave way to targets, apply times, incarnations, heartbeat interval and restarted hosts. Keys of recorded and printed JSON stay; the heading of bench_members and one printed line of bench changed.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,4 +1,4 @@
-"""Benchmarks: every figure stands beside a baseline of the same run."""
+"""Measure the latency that proxies add to a call, against direct calls in the same run."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Latency(NamedTuple):
-    """Latencies of one way in milliseconds."""
+    """Percentiles and mean of the latency of one target in milliseconds."""
 
     p50: float
     p99: float
@@ -27,30 +27,30 @@
 
 
 def latency(samples: list[float]) -> Latency:
-    """Return the percentiles of samples in seconds."""
-    cuts = statistics.quantiles(samples, n=100)
-    return Latency(cuts[49] * 1e3, cuts[98] * 1e3, statistics.fmean(samples) * 1e3)
+    """Return the latency figures of samples in seconds."""
+    quantiles = statistics.quantiles(samples, n=100)
+    return Latency(quantiles[49] * 1e3, quantiles[98] * 1e3, statistics.fmean(samples) * 1e3)
 
 
 async def open_loop(
-    ways: dict[str, Callable[[], Awaitable[None]]], *, calls: int, rate: float
+    targets: dict[str, Callable[[], Awaitable[None]]], *, calls: int, rate: float
 ) -> dict[str, list[float]]:
-    """Send calls at a rate in calls a second, each by a way drawn at random."""
+    """Send calls with Poisson arrivals at a rate per second, each to a random target."""
     rng = random.Random(1)
-    samples: dict[str, list[float]] = {way: [] for way in ways}
-    names = list(ways)
+    samples: dict[str, list[float]] = {name: [] for name in targets}
+    names = list(targets)
 
-    async def one(way: str) -> None:
-        begun = time.perf_counter()
-        await ways[way]()
-        samples[way].append(time.perf_counter() - begun)
+    async def call_target(name: str) -> None:
+        started = time.perf_counter()
+        await targets[name]()
+        samples[name].append(time.perf_counter() - started)
 
-    at = time.perf_counter()
+    send_at = time.perf_counter()
     running: set[asyncio.Task[None]] = set()
     for _ in range(calls):
-        at += rng.expovariate(rate)
-        await asyncio.sleep(max(0.0, at - time.perf_counter()))
-        task = asyncio.create_task(one(rng.choice(names)))
+        send_at += rng.expovariate(rate)
+        await asyncio.sleep(max(0.0, send_at - time.perf_counter()))
+        task = asyncio.create_task(call_target(rng.choice(names)))
         running.add(task)
         task.add_done_callback(running.discard)
     await asyncio.gather(*running)
@@ -58,11 +58,11 @@
 
 
 async def added_latency(calls: int, rate: float) -> None:
-    """Compare a direct call with one through the owner, and one through another proxy."""
+    """Compare direct calls with calls through the owner and through another proxy."""
     hosts = [host for host in example_hosts("quiros") if host.is_replica]
     hosts += [host for host in example_hosts("quiros") if host.name == "empties-1"]
-    # One worker of the service, so that the way of each call is known.
-    hosts = [host._replace(worker=_quick(host)) for host in hosts]
+    # Only one host has a worker of the service, so that the path of each call is known.
+    hosts = [host._replace(worker=_fast_worker(host)) for host in hosts]
     with Fleet(hosts=hosts) as fleet:
         fleet.create()
         fleet.start()
@@ -74,7 +74,7 @@
         gc.freeze()
         async with aiohttp.ClientSession() as session:
 
-            def way(address: str) -> Callable[[], Awaitable[None]]:
+            def target(address: str) -> Callable[[], Awaitable[None]]:
                 async def send() -> None:
                     async with session.get(f"http://{address}/stock/7") as response:
                         await response.read()
@@ -82,37 +82,37 @@
 
                 return send
 
-            ways = {
-                "direct": way(fleet.address("stock-1", "worker")),
-                "owner": way(fleet.address("stock-1", "callers")),
-                "hop": way(fleet.address("empties-1", "callers")),
+            targets = {
+                "direct": target(fleet.address("stock-1", "worker")),
+                "owner": target(fleet.address("stock-1", "callers")),
+                "hop": target(fleet.address("empties-1", "callers")),
             }
-            await open_loop(ways, calls=WARM_UP_CALLS, rate=rate)
-            found = {
+            await open_loop(targets, calls=WARM_UP_CALLS, rate=rate)
+            results = {
                 name: latency(samples)
-                for name, samples in (await open_loop(ways, calls=calls, rate=rate)).items()
+                for name, samples in (await open_loop(targets, calls=calls, rate=rate)).items()
             }
-    direct = found["direct"]
-    print(f"added latency at {rate:g} calls/s, {calls} calls, worker's work 0 ms; in ms")
-    for name, figures in found.items():
+    direct = results["direct"]
+    print(f"added latency at {rate:g} calls/s, {calls} calls, no work at the worker; in ms")
+    for name, figures in results.items():
         print(
             f"  {name:8} p50 {figures.p50:.2f} (+{figures.p50 - direct.p50:.2f})"
             f" p99 {figures.p99:.2f} (+{figures.p99 - direct.p99:.2f})"
         )
 
 
-def _quick(host: Host) -> dict[str, object]:
-    """Return a worker of one host that answers at once, and none of the others."""
+def _fast_worker(host: Host) -> dict[str, object]:
+    """Return the options of a worker that responds at once, or none for all hosts but one."""
     return {**host.worker, "work_s": 0.0, "slots": 60} if host.name == "stock-1" else {}
 
 
 def main() -> None:
-    """Run a benchmark from the command line."""
+    """Run the benchmark from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--calls", type=int, default=6000)
     parser.add_argument("--rate", type=float, default=300.0)
-    given = parser.parse_args()
-    asyncio.run(added_latency(given.calls, given.rate))
+    arguments = parser.parse_args()
+    asyncio.run(added_latency(arguments.calls, arguments.rate))
 
 
 if __name__ == "__main__":
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -1,4 +1,4 @@
-"""Measure distribution: one replica in this process, and many proxies' subscribers."""
+"""Measure the distribution of updates from one replica to many subscribers in this process."""
 
 from __future__ import annotations
 
@@ -24,69 +24,69 @@
 
 CHANGES = 20
 IDLE_S = 12.0
-NOWHERE = Address("127.0.0.1", 1)
-# Bytes of a websocket frame's header for messages under 64 KiB, from a client and from a server.
+UNUSED_ADDRESS = Address("127.0.0.1", 1)
+# Size of a WebSocket frame header of messages under 64 KiB; only clients send a masking key.
 CLIENT_HEADER_BYTES = 8
 SERVER_HEADER_BYTES = 4
 
 
 class CountingLink(Link):
-    """A link whose process counts the payload and the frame headers that it sends."""
+    """Link that counts the payload and frame header bytes that this process sends."""
 
     sent_bytes = 0
 
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
-        """Count a message and send it."""
+        """Count the bytes of a message and send it."""
         CountingLink.sent_bytes += len(encoded) + (CLIENT_HEADER_BYTES + SERVER_HEADER_BYTES) // 2
         await super().send_encoded(kind, encoded)
 
 
-class Arrivals(EventLog):
-    """Notes when proxies apply a version."""
+class ApplyTimes(EventLog):
+    """Records when proxies apply a version."""
 
-    def __init__(self, *, proxies: int) -> None:
+    def __init__(self, *, proxy_count: int) -> None:
         origin = Origin(HostName("bench"), DataCentre("here"), 1)
         super().__init__(origin=origin, clock=HybridClock())
-        self._proxies = proxies
+        self._proxy_count = proxy_count
         self._times: dict[int, list[float]] = defaultdict(list)
-        self._all: dict[int, asyncio.Event] = defaultdict(asyncio.Event)
+        self._all_applied: dict[int, asyncio.Event] = defaultdict(asyncio.Event)
 
     def record(
         self, kind: EventKind, *, request: str = "", version: int = 0, **detail: str
     ) -> None:
-        """Note when a version was applied."""
+        """Record the time at which a proxy applied a version."""
         if kind == "applied":
             self._times[version].append(time.monotonic())
-            if len(self._times[version]) == self._proxies:
-                self._all[version].set()
+            if len(self._times[version]) == self._proxy_count:
+                self._all_applied[version].set()
 
-    async def everywhere(self, version: Version) -> list[float]:
-        """Return when each proxy applied a version, once all have."""
-        await self._all[version].wait()
+    async def wait_for_all(self, version: Version) -> list[float]:
+        """Wait until all proxies have applied a version, and return when each did."""
+        await self._all_applied[version].wait()
         return self._times[version]
 
 
-def start_proxy(number: int, seed: Address, arrivals: Arrivals) -> asyncio.Task[None]:
+def start_proxy(number: int, seed: Address, apply_times: ApplyTimes) -> asyncio.Task[None]:
     """Start the subscriber of one proxy."""
     settings = Settings(
         host=HostName(f"proxy-{number}"),
         data_centre=DataCentre("here"),
         roles=("proxy",),
-        listen=Listen(operators=NOWHERE, peers=NOWHERE, callers=NOWHERE),
+        listen=Listen(operators=UNUSED_ADDRESS, peers=UNUSED_ADDRESS, callers=UNUSED_ADDRESS),
         seeds=(seed,),
         timing=Timing(),
     )
     rng = random.Random(number)
     subscriber = Subscriber(
-        subscription=Subscription(), settings=settings, events=arrivals, rng=rng
+        subscription=Subscription(), settings=settings, events=apply_times, rng=rng
     )
     return asyncio.create_task(subscriber.run())
 
 
-def resources(number: int) -> list[tuple[Key, Spec]]:
-    """Return services and routes, two resources for each."""
+def generate_puts(count: int) -> list[tuple[Key, Spec]]:
+    """Return `count` resources, half of them services and half routes to them."""
     puts: list[tuple[Key, Spec]] = []
-    for index in range(number // 2):
+    for index in range(count // 2):
         name = f"service-{index}"
         target = Target(ServiceName(name))
         puts.append((Key("service", name), Service()))
@@ -94,18 +94,22 @@
     return puts
 
 
-async def measure(proxy_number: int, resource_number: int, idle: float) -> dict[str, float | int]:
-    """Return the figures for some proxies and a catalogue of some size."""
-    arrivals = Arrivals(proxies=proxy_number)
+async def measure_distribution(
+    proxy_count: int, resource_count: int, idle_s: float
+) -> dict[str, float | int]:
+    """Return the figures for a number of proxies and of resources."""
+    apply_times = ApplyTimes(proxy_count=proxy_count)
     async with AsyncExitStack() as stack:
         stack.enter_context(patch("cowslipvane.wire._link.Link", CountingLink))
         stack.enter_context(patch("tools.single_replica.Link", CountingLink))
         replica = await stack.enter_async_context(SingleReplica())
-        version = replica.put(*resources(resource_number))
-        begun = time.monotonic()
-        proxies = [start_proxy(number, replica.address, arrivals) for number in range(proxy_number)]
+        version = replica.put(*generate_puts(resource_count))
+        started = time.monotonic()
+        proxies = [
+            start_proxy(number, replica.address, apply_times) for number in range(proxy_count)
+        ]
         stack.callback(lambda: [proxy.cancel() for proxy in proxies])
-        storm = max(await arrivals.everywhere(version)) - begun
+        storm = max(await apply_times.wait_for_all(version)) - started
         storm_bytes = CountingLink.sent_bytes
         delays, change_bytes = [], []
         for number in range(CHANGES):
@@ -114,18 +118,20 @@
             policy = TrafficPolicy(timeout=1.0 + number)
             put_at = time.monotonic()
             version = replica.put((Key("traffic-policy", "bench"), policy))
-            delays += [done - put_at for done in await arrivals.everywhere(version)]
+            delays += [
+                applied_at - put_at for applied_at in await apply_times.wait_for_all(version)
+            ]
             await asyncio.sleep(0.2)
-            change_bytes.append((CountingLink.sent_bytes - before) / proxy_number)
+            change_bytes.append((CountingLink.sent_bytes - before) / proxy_count)
         before = CountingLink.sent_bytes
-        await asyncio.sleep(idle)
-        idle_bytes = (CountingLink.sent_bytes - before) / proxy_number / idle if idle else -1.0
+        await asyncio.sleep(idle_s)
+        idle_bytes = (CountingLink.sent_bytes - before) / proxy_count / idle_s if idle_s else -1.0
     quantiles = statistics.quantiles(delays, n=100)
     return {
-        "proxies": proxy_number,
-        "resources": resource_number,
+        "proxies": proxy_count,
+        "resources": resource_count,
         "storm_s": round(storm, 3),
-        "storm_bytes_each": round(storm_bytes / proxy_number),
+        "storm_bytes_each": round(storm_bytes / proxy_count),
         "in_force_p50_ms": round(quantiles[49] * 1000, 1),
         "in_force_p99_ms": round(quantiles[98] * 1000, 1),
         "change_bytes_each": round(statistics.median(change_bytes)),
@@ -134,14 +140,19 @@
 
 
 def main() -> None:
-    """Print one line of figures for each size."""
+    """Print the figures for each number of resources as a line of JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--proxies", type=int, default=500)
     parser.add_argument("--resources", type=int, nargs="+", default=[100])
-    parser.add_argument("--idle", type=float, default=IDLE_S, help="seconds to measure idle bytes")
+    parser.add_argument(
+        "--idle", type=float, default=IDLE_S, help="seconds without changes in which to count bytes"
+    )
     options = parser.parse_args()
     for number in options.resources:
-        print(json.dumps(asyncio.run(measure(options.proxies, number, options.idle))), flush=True)
+        print(
+            json.dumps(asyncio.run(measure_distribution(options.proxies, number, options.idle))),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -1,4 +1,4 @@
-"""Measure the cost and the speed of membership, with many members in one process."""
+"""Simulate many members in one process, and measure the cost and speed of membership."""
 
 from __future__ import annotations
 
@@ -31,27 +31,27 @@
 INTERVAL: Seconds = 0.5
 SERVICES = 10
 HEADING = (
-    "members   settled  idle B/s mean/most  msg/s  churn B/s  leave known  herd settled  full B/s"
+    "members converged  idle B/s mean/max  msg/s  churn B/s  leave known  mass restart  full B/s"
 )
 _FRAME_BYTES = 6
-_BASELINE_SEEDS = 3
+_FULL_TABLE_SEEDS = 3
 
 
 class Connection:
-    """A connection between two members: what each side has told the other."""
+    """A connection between two members, with the feed of each side."""
 
-    def __init__(self, *, opener: Feed, server: Feed, beat: Seconds) -> None:
+    def __init__(self, *, opener: Feed, server: Feed, heartbeat_interval: Seconds) -> None:
         self.opener = opener
         self.server = server
-        self.beat = beat
-        self.due = 0.0
-        self.gathering = False
-        self.overdue = False
+        self.heartbeat_interval = heartbeat_interval
+        self.due_at = 0.0
+        self.is_batching = False
+        self.reply_overdue = False
         self.closed = False
 
 
 class MembershipSimulation:
-    """Members whose messages are handed over at once, in rounds of the gathering time."""
+    """Simulates members in steps of the batch delay, with messages delivered at once."""
 
     def __init__(
         self, *, names: Mapping[str, Sequence[str]], seeds: Iterable[str], seed: int
@@ -61,31 +61,33 @@
         self.is_partitioned: Callable[[Member, Member], bool] = lambda one, other: False
         self.running: dict[HostName, Membership] = {}
         self.silent: set[HostName] = set()
-        self.bytes_of: Counter[HostName] = Counter()
-        self.messages_of: Counter[HostName] = Counter()
+        self.sent_bytes: Counter[HostName] = Counter()
+        self.sent_messages: Counter[HostName] = Counter()
         self.counts_bytes = False
-        centres = {host: centre for centre, hosts in names.items() for host in hosts}
-        self._addresses = {host: Address("10.0.0.1", at) for at, host in enumerate(centres, 1)}
-        self._centres = centres
+        data_centres = {host: centre for centre, hosts in names.items() for host in hosts}
+        self._addresses = {
+            host: Address("10.0.0.1", port) for port, host in enumerate(data_centres, 1)
+        }
+        self._data_centres = data_centres
         self._seeds = [HostName(host) for host in seeds]
         self._connections: dict[HostName, dict[HostName, Connection]] = {}
-        self._arranged: dict[HostName, int] = {}
-        self._seed_due: dict[HostName, float] = {}
-        self._lives = 0
-        for host in centres:
+        self._connected_revisions: dict[HostName, int] = {}
+        self._seed_due_at: dict[HostName, float] = {}
+        self._starts = 0
+        for host in data_centres:
             self.start(host)
 
     def start(self, host: str, incarnation: int | None = None) -> Membership:
-        """Start a member, as a new life of its host."""
-        self._lives += 1
+        """Start a member, by default as a new incarnation of its host."""
+        self._starts += 1
         name = HostName(host)
         address = self._addresses[host]
         worker = Worker(ServiceName(f"service-{address.port % SERVICES}"), address, 6, 110)
-        life = self._lives if incarnation is None else incarnation
+        own_incarnation = self._starts if incarnation is None else incarnation
         own = Member(
             name,
-            DataCentre(self._centres[host]),
-            life,
+            DataCentre(self._data_centres[host]),
+            own_incarnation,
             0,
             address,
             address,
@@ -95,18 +97,18 @@
         )
         seeds = [self._addresses[seed] for seed in self._seeds]
         self.running[name] = Membership(own=own, now=self.now, seeds=seeds)
-        self._seed_due[name] = self.now + self.rng.uniform(0, INTERVAL)
+        self._seed_due_at[name] = self.now + self.rng.uniform(0, INTERVAL)
         self._drop_connections(name)
         return self.running[name]
 
     def kill(self, *hosts: str) -> None:
-        """End members without a word."""
+        """End members without an announcement."""
         for host in hosts:
             del self.running[HostName(host)]
             self._drop_connections(HostName(host))
 
     def run(self, time: Seconds) -> None:
-        """Let some time pass."""
+        """Advance the simulated time."""
         end = self.now + time
         while self.now < end:
             self.now += BATCH_DELAY
@@ -114,98 +116,102 @@
                 if host not in self.silent:
                     self._step(host)
 
-    def until(self, holds: Callable[[], bool], limit: Seconds = 60.0) -> Seconds:
-        """Let time pass until something holds, and return how long that took."""
-        begun = self.now
-        while not holds():
-            if self.now > begun + limit:
-                raise TimeoutError(f"didn't hold within {limit} s")
+    def until(self, condition: Callable[[], bool], limit: Seconds = 60.0) -> Seconds:
+        """Advance the time until a condition holds, and return the simulated duration."""
+        started_at = self.now
+        while not condition():
+            if self.now > started_at + limit:
+                raise TimeoutError(f"condition not met within {limit} s")
             self.run(BATCH_DELAY)
-        return self.now - begun
+        return self.now - started_at
 
     def all_agree(self) -> bool:
-        """Return whether all members of each data centre hold the same records."""
+        """Return whether the members of each data centre all hold the same records."""
         digests: dict[DataCentre, set[int]] = {}
         for member in self.running.values():
             digests.setdefault(member.own.data_centre, set()).add(member.digest)
-        return all(len(found) == 1 for found in digests.values())
+        return all(len(distinct) == 1 for distinct in digests.values())
 
     def all_know(self, host: str, state: str) -> bool:
-        """Return whether all members of a host's data centre hold a state of it."""
-        centre = self._centres[host]
-        held = [
+        """Return whether all members of a host's data centre record that state for it."""
+        data_centre = self._data_centres[host]
+        records = [
             membership.member(HostName(host))
             for membership in self.running.values()
-            if membership.own.data_centre == centre
+            if membership.own.data_centre == data_centre
         ]
-        return all(record is not None and record.state == state for record in held)
+        return all(record is not None and record.state == state for record in records)
 
     def _step(self, host: HostName) -> None:
-        """Let one member do what is due."""
+        """Run the due actions of one member."""
         membership = self.running[host]
         membership.expire(self.now)
-        if self._arranged.get(host) != membership.revision:
-            self._arrange(host, membership)
+        if self._connected_revisions.get(host) != membership.revision:
+            self._update_connections(host, membership)
         for other, connection in list(self._connections[host].items()):
-            # News is gathered for one round before it is passed on.
-            if self.now >= connection.due or connection.gathering:
-                connection.gathering = False
-                self._talk(host, other, connection)
+            # Updates are batched for one step before they are sent.
+            if self.now >= connection.due_at or connection.is_batching:
+                connection.is_batching = False
+                self._exchange_or_suspect(host, other, connection)
             else:
-                connection.gathering = connection.opener.has_updates
-        if self._seeds and self.now >= self._seed_due[host]:
-            self._ask_seed(host, membership)
-
-    def _arrange(self, host: HostName, membership: Membership) -> None:
-        """Open and close connections, so that they are those to the neighbours."""
-        self._arranged[host] = membership.revision
-        wanted = {
+                connection.is_batching = connection.opener.has_updates
+        if self._seeds and self.now >= self._seed_due_at[host]:
+            self._exchange_with_seed(host, membership)
+
+    def _update_connections(self, host: HostName, membership: Membership) -> None:
+        """Open connections to new neighbours and close those to former ones."""
+        self._connected_revisions[host] = membership.revision
+        neighbours = {
             neighbour.host: neighbour.frequent_heartbeats for neighbour in membership.neighbours()
         }
         before = self._connections.get(host, {})
         self._connections[host] = {
-            other: before.get(other) or self._open(host, other, near)
-            for other, near in wanted.items()
+            other: before.get(other) or self._open(host, other, frequent_heartbeats)
+            for other, frequent_heartbeats in neighbours.items()
         }
 
-    def _open(self, host: HostName, other: HostName, near: bool, guest: bool = False) -> Connection:
-        """Return a new connection, and count its greeting."""
+    def _open(
+        self, host: HostName, other: HostName, frequent_heartbeats: bool, guest: bool = False
+    ) -> Connection:
+        """Open a connection, and count its handshake message."""
         own = self.running[host].own
         self._count(host, Hello(sender=host, data_centre=own.data_centre, guest=guest))
-        theirs = self.running.get(other)
-        centre = DataCentre(self._centres[other])
+        remote = self.running.get(other)
+        data_centre = DataCentre(self._data_centres[other])
         server = Feed(
-            membership=theirs or self.running[host], data_centre=own.data_centre, guest=guest
+            membership=remote or self.running[host], data_centre=own.data_centre, guest=guest
         )
-        opener = Feed(membership=self.running[host], data_centre=centre)
-        beat = INTERVAL * (1 if near else DISTANT_HEARTBEAT_FACTOR)
-        connection = Connection(opener=opener, server=server, beat=beat)
-        connection.due = self.now + self.rng.uniform(0, INTERVAL)
+        opener = Feed(membership=self.running[host], data_centre=data_centre)
+        interval = INTERVAL * (1 if frequent_heartbeats else DISTANT_HEARTBEAT_FACTOR)
+        connection = Connection(opener=opener, server=server, heartbeat_interval=interval)
+        connection.due_at = self.now + self.rng.uniform(0, INTERVAL)
         return connection
 
-    def _talk(self, host: HostName, other: HostName, connection: Connection) -> None:
-        """Exchange once, or suspect the other side."""
-        connection.due = self.now + connection.beat
+    def _exchange_or_suspect(self, host: HostName, other: HostName, connection: Connection) -> None:
+        """Exchange messages once, or suspect the other member if it is unreachable."""
+        connection.due_at = self.now + connection.heartbeat_interval
         if self._reaches(host, other):
             if connection.closed:
-                connection = self._open(host, other, connection.beat == INTERVAL)
+                connection = self._open(host, other, connection.heartbeat_interval == INTERVAL)
                 self._connections[host][other] = connection
             self._exchange(host, other, connection)
-            connection.due = self.now + connection.opener.next_exchange_delay(connection.beat)
+            connection.due_at = self.now + connection.opener.next_exchange_delay(
+                connection.heartbeat_interval
+            )
             return
         if other in self.silent:
-            # A silent process is noticed only once its reply is overdue.
-            connection.due = self.now + INTERVAL * REPLY_TIMEOUT_HEARTBEATS
-            if not connection.overdue:
-                connection.overdue = True
+            # A silent process is suspected only once its reply is overdue.
+            connection.due_at = self.now + INTERVAL * REPLY_TIMEOUT_HEARTBEATS
+            if not connection.reply_overdue:
+                connection.reply_overdue = True
                 return
         connection.closed = True
         self.running[host].suspect(other, self.now)
 
-    def _ask_seed(self, host: HostName, membership: Membership) -> None:
-        """Exchange records with a seed drawn at random, if the member needs one."""
-        pause = 1 if membership.is_alone() else SEED_INTERVAL_FACTOR
-        self._seed_due[host] = self.now + INTERVAL * pause * self.rng.uniform(0.5, 1.5)
+    def _exchange_with_seed(self, host: HostName, membership: Membership) -> None:
+        """Exchange records with a random seed, if the member needs one."""
+        factor = 1 if membership.is_alone() else SEED_INTERVAL_FACTOR
+        self._seed_due_at[host] = self.now + INTERVAL * factor * self.rng.uniform(0.5, 1.5)
         others = [seed for seed in self._seeds if seed != host]
         if not others or not membership.needs_seed():
             return
@@ -219,7 +225,7 @@
                 return
 
     def _exchange(self, host: HostName, other: HostName, connection: Connection) -> None:
-        """Hand a message over and its reply back."""
+        """Deliver a message and its reply."""
         message = connection.opener.next_message(self.now)
         reply, _ = connection.server.handle_message(message, self.now)
         connection.opener.handle_reply(message, reply, self.now)
@@ -228,30 +234,30 @@
 
     def _reaches(self, host: HostName, other: HostName) -> bool:
         """Return whether a message from one member reaches another."""
-        theirs = self.running.get(other)
-        if theirs is None or other in self.silent:
+        remote = self.running.get(other)
+        if remote is None or other in self.silent:
             return False
-        return not self.is_partitioned(self.running[host].own, theirs.own)
+        return not self.is_partitioned(self.running[host].own, remote.own)
 
     def _count(self, sender: HostName, message: Exchange | Compare | ExchangeReply | Hello) -> None:
-        """Count a message for its sender."""
-        self.messages_of[sender] += 1
+        """Count a message and its bytes for its sender."""
+        self.sent_messages[sender] += 1
         if self.counts_bytes:
-            self.bytes_of[sender] += len(encode(message)) + _FRAME_BYTES
+            self.sent_bytes[sender] += len(encode(message)) + _FRAME_BYTES
 
     def _drop_connections(self, host: HostName) -> None:
-        """Forget the connections of a process that has ended."""
+        """Drop the connections of a member that has ended, and mark those to it as closed."""
         self._connections.pop(host, None)
-        self._arranged.pop(host, None)
+        self._connected_revisions.pop(host, None)
         for others in self._connections.values():
             connection = others.get(host)
             if connection is not None:
-                connection.due = self.now
+                connection.due_at = self.now
                 connection.closed = True
 
 
 class Cost(NamedTuple):
-    """What a member sent, in bytes and messages a second: the mean and the most."""
+    """Bytes and messages that a member sent per second: mean and maximum over the members."""
 
     mean_bytes: float
     most_bytes: float
@@ -259,76 +265,76 @@
 
 
 def cost(
-    rounds: MembershipSimulation, time: Seconds, act: Callable[[], None] = lambda: None
+    simulation: MembershipSimulation, time: Seconds, act: Callable[[], None] = lambda: None
 ) -> Cost:
-    """Return what the members send while some time passes."""
-    rounds.bytes_of.clear()
-    rounds.messages_of.clear()
-    rounds.counts_bytes = True
+    """Return what the members send in the given time after an action."""
+    simulation.sent_bytes.clear()
+    simulation.sent_messages.clear()
+    simulation.counts_bytes = True
     act()
-    rounds.run(time)
-    rounds.counts_bytes = False
-    count = len(rounds.running)
+    simulation.run(time)
+    simulation.counts_bytes = False
+    count = len(simulation.running)
     return Cost(
-        sum(rounds.bytes_of.values()) / count / time,
-        max(rounds.bytes_of.values()) / time,
-        sum(rounds.messages_of.values()) / count / time,
+        sum(simulation.sent_bytes.values()) / count / time,
+        max(simulation.sent_bytes.values()) / time,
+        sum(simulation.sent_messages.values()) / count / time,
     )
 
 
-def full_tables(rounds: MembershipSimulation) -> Cost:
-    """Return the cost if each member sent all records to three seeds at each interval."""
-    records = next(iter(rounds.running.values())).members
+def full_tables(simulation: MembershipSimulation) -> Cost:
+    """Return the cost of sending all records to three seeds at each interval, as a baseline."""
+    records = next(iter(simulation.running.values())).members
     size = len(encode(ExchangeReply(digest=0, members=records))) + _FRAME_BYTES
-    rate = _BASELINE_SEEDS / INTERVAL
+    rate = _FULL_TABLE_SEEDS / INTERVAL
     count = len(records)
     return Cost(size * rate, size * count / INTERVAL, rate)
 
 
 def main() -> None:
-    """Print cost and speed for growing numbers of members."""
+    """Print cost and speed for each number of members."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("sizes", nargs="*", type=int, default=[20, 50, 100, 200, 400])
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     print(HEADING)
     for size in options.sizes:
-        print(line(size, options.seed))
+        print(table_row(size, options.seed))
 
 
-def line(size: int, seed: int) -> str:
-    """Return the figures of one size as a line."""
-    hosts = [HostName(f"host-{at:04}") for at in range(size)]
-    rounds = MembershipSimulation(names={"one": hosts}, seeds=hosts[:3], seed=seed)
-    settled = rounds.until(
-        lambda: len(rounds.running[hosts[0]].members) == size and rounds.all_agree()
+def table_row(size: int, seed: int) -> str:
+    """Return the table row for a number of members."""
+    hosts = [HostName(f"host-{number:04}") for number in range(size)]
+    simulation = MembershipSimulation(names={"one": hosts}, seeds=hosts[:3], seed=seed)
+    converged = simulation.until(
+        lambda: len(simulation.running[hosts[0]].members) == size and simulation.all_agree()
     )
-    rounds.run(5.0)
-    idle = cost(rounds, 20.0)
-    churn = cost(rounds, 10.0, lambda: restart(rounds, hosts[-1:]))
-    rounds.running[hosts[size // 2]].leave("leaving", rounds.now)
-    leave = rounds.until(lambda: rounds.all_know(hosts[size // 2], "leaving"))
-    herd = hosts[size // 2 :]
-    rounds.kill(*herd)
-    rounds.run(10.0)
-    for host in herd:
-        rounds.start(host)
-    again = rounds.until(
-        lambda: len(rounds.running[hosts[0]].members) == size and rounds.all_agree(), 120.0
+    simulation.run(5.0)
+    idle = cost(simulation, 20.0)
+    churn = cost(simulation, 10.0, lambda: restart(simulation, hosts[-1:]))
+    simulation.running[hosts[size // 2]].leave("leaving", simulation.now)
+    leave = simulation.until(lambda: simulation.all_know(hosts[size // 2], "leaving"))
+    restarted = hosts[size // 2 :]
+    simulation.kill(*restarted)
+    simulation.run(10.0)
+    for host in restarted:
+        simulation.start(host)
+    rejoin = simulation.until(
+        lambda: len(simulation.running[hosts[0]].members) == size and simulation.all_agree(), 120.0
     )
-    full = full_tables(rounds)
+    full = full_tables(simulation)
     return (
-        f"{size:7}  {settled:6.2f} s  {idle.mean_bytes:8.0f} /{idle.most_bytes:7.0f}  "
-        f"{idle.mean_messages:5.1f}  {churn.mean_bytes:9.0f}  {leave:9.2f} s  {again:10.2f} s  "
+        f"{size:7}  {converged:6.2f} s  {idle.mean_bytes:8.0f} /{idle.most_bytes:7.0f}  "
+        f"{idle.mean_messages:5.1f}  {churn.mean_bytes:9.0f}  {leave:9.2f} s  {rejoin:10.2f} s  "
         f"{full.mean_bytes:8.0f}"
     )
 
 
-def restart(rounds: MembershipSimulation, hosts: list[HostName]) -> None:
-    """Kill members and start them again at once."""
-    rounds.kill(*hosts)
+def restart(simulation: MembershipSimulation, hosts: list[HostName]) -> None:
+    """Kill members and restart them at once."""
+    simulation.kill(*hosts)
     for host in hosts:
-        rounds.start(host)
+        simulation.start(host)
 
 
 if __name__ == "__main__":
