--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,4 +1,4 @@
-"""The reference pages, written from the code so that they can't drift from it."""
+"""Generates the reference pages from the code, so that they always match it."""
 
 from __future__ import annotations
 
@@ -17,64 +17,68 @@
 
 _SETTINGS_HEAD = """# Settings
 
-A process reads one TOML file. `cowslipvane check --settings FILE` reports every fault at once and
-prints the settings in effect. `make docs` writes this page from the code.
+A process reads one TOML file. `cowslipvane check --settings FILE` reports all errors in a file and
+prints the effective settings. `make docs` generates this page from the code.
 
-| key | default | allowed | unit | what it is for |
+| key | default | allowed | unit | description |
 | --- | --- | --- | --- | --- |
 """
 _COMMANDS_HEAD = """# Commands
 
-`make docs` writes this page from the code.
+`make docs` generates this page from the code.
 
-Exit codes: 0, it was done; 1, it was refused, or nobody who could do it answered; 2, the command
-line or a file is at fault, and nothing was sent. Errors go to standard error, one line for each.
-Tables are for people: programs use `--output json`. Colours and progress appear on a terminal only.
+Exit codes: 0, success; 1, the request was refused, or no process that can handle it responded; 2,
+the command line or a file is invalid, and nothing was sent. Errors go to standard error, one line
+each. Tables are meant for people, and programs use `--output json`. Colours and progress messages
+appear only on a terminal.
 
-`COWSLIPVANE_SERVERS` stands for `--server`, with spaces between several. `COWSLIPVANE_TOKEN_FILE`
-names the file with the token, where the settings of the processes name one. For completion in the
-shell, add `eval "$(cowslipvane completion bash)"` to its start file.
+`COWSLIPVANE_SERVERS` sets `--server`, with several addresses separated by spaces.
+`COWSLIPVANE_TOKEN_FILE` names the file that holds the token, if the settings of the processes
+name a token file. For shell completion, add `eval "$(cowslipvane completion bash)"` to the start
+file of the shell.
 """
 
 
 _METRICS_HEAD = """# Metrics
 
-Every process answers `GET /metrics` at its operators' listener, in the text form that Prometheus
-reads. Counters end in `_total` there. Besides these, the interpreter's own metrics are there
-(`process_`, `python_`). No label holds anything of a caller, so the number of series doesn't grow
-with callers. `make docs` writes this page from the code.
+Every process serves `GET /metrics` at its operators' listener, in the text format of Prometheus.
+The names of counters end in `_total` there. The response also contains the metrics of the
+interpreter (`process_`, `python_`). No label holds data from a caller, so that the number of series
+doesn't grow with the number of callers. `make docs` generates this page from the code.
 
-The four measures of the users: convergence time is `cowslipvane_convergence_seconds` and control
-bytes are `cowslipvane_sent_bytes` without the messages of calls (Offer, Answer, Chunk, Refused,
-Cancel); service at the crest is `cowslipvane_calls`; waiting of short work behind long work shows
-in `cowslipvane_queue` with `cowslipvane_running`; the tail is `cowslipvane_call_seconds`.
+The users judge the system by four measures. Convergence time is `cowslipvane_convergence_seconds`,
+and control bytes are `cowslipvane_sent_bytes` without the messages of calls (Offer, Answer, Chunk,
+Refused, Cancel). Service at peak load is `cowslipvane_calls`. Head-of-line blocking of short
+requests by long ones shows in `cowslipvane_queue` and `cowslipvane_running`. Tail latency is
+`cowslipvane_call_seconds`.
 
-| metric | kind | label | what it tells |
+| metric | kind | label | description |
 | --- | --- | --- | --- |
 """
 
 
 def metrics_page() -> str:
-    """Return the page of all metrics."""
+    """Return the reference page of the metrics."""
     rows = [
-        f"| `{it.name}` | {it.kind} | {it.label or '-'} | {it.description} |" for it in FAMILIES
+        f"| `{family.name}` | {family.kind} | {family.label or '-'} | {family.description} |"
+        for family in FAMILIES
     ]
     return _METRICS_HEAD + "\n".join(rows) + "\n"
 
 
 def settings_page() -> str:
-    """Return the page of all settings."""
+    """Return the reference page of the settings."""
     rows = [f"| {' | '.join(cells)} |" for cells in _setting_rows("", Settings)]
     return _SETTINGS_HEAD + "\n".join(rows) + "\n"
 
 
 def commands_page() -> str:
-    """Return the page of all commands."""
+    """Return the reference page of the commands."""
     return _COMMANDS_HEAD + "".join(_command_sections("cowslipvane", root))
 
 
 def _setting_rows(path: str, kind: Any) -> Iterator[tuple[str, ...]]:
-    """Yield a row for each setting, those of its tables after them."""
+    """Yield the cells of a row for each setting, including those of nested tables."""
     hints = get_type_hints(kind)
     for field in dataclasses.fields(kind):
         key = f"{path}{field.name}"
@@ -82,33 +86,33 @@
             yield from _setting_rows(f"{key}.", hints[field.name])
             continue
         match field.metadata.get("allowed") or field.metadata["described"]:
-            case NumberRange(low=low, high=high, unit=unit, description=about):
-                yield f"`{key}`", f"{field.default:g}", f"{low:g} to {high:g}", unit, about
-            case ValueDescription(values=values, description=about):
-                yield f"`{key}`", _default(field.default), values, "", about
+            case NumberRange(low=low, high=high, unit=unit, description=description):
+                yield f"`{key}`", f"{field.default:g}", f"{low:g} to {high:g}", unit, description
+            case ValueDescription(values=values, description=description):
+                yield f"`{key}`", _default(field.default), values, "", description
 
 
 def _default(default: Any) -> str:
-    """Return a default as the page shows it."""
+    """Format the default value of a setting."""
     if default is dataclasses.MISSING:
-        return "none, it is needed"
+        return "none (required)"
     if isinstance(default, bool):
         return str(default).lower()
     return str(default) if default else "empty"
 
 
 def _command_sections(path: str, command: click.Command) -> Iterator[str]:
-    """Yield a section for each command below a group."""
+    """Yield a section for a command, or for each command of a group."""
     if isinstance(command, click.Group):
         for name in sorted(command.commands):
             yield from _command_sections(f"{path} {name}", command.commands[name])
         return
-    arguments = [item for item in command.params if isinstance(item, click.Argument)]
+    arguments = [param for param in command.params if isinstance(param, click.Argument)]
     usage = " ".join(
         [path, *(argument.make_metavar(click.Context(command)) for argument in arguments)]
     )
     yield f"\n## {usage}\n\n{command.help}\n"
-    options = [item for item in command.params if isinstance(item, click.Option)]
+    options = [param for param in command.params if isinstance(param, click.Option)]
     if options:
         yield "\n"
     for option in options:
@@ -116,17 +120,17 @@
 
 
 def _option_line(option: click.Option) -> str:
-    """Return an option with its value and its help."""
+    """Return the line of an option: its names, its marks and its help text."""
     names = ", ".join([*option.opts, *option.secondary_opts])
-    marks = [mark for mark, holds in _marks(option).items() if holds]
-    marked = f" ({', '.join(marks)})" if marks else ""
+    marks = [mark for mark, applies in _marks(option).items() if applies]
+    suffix = f" ({', '.join(marks)})" if marks else ""
     text = option.help or "The file."
-    return f"`{names}`{marked}: {text}"
+    return f"`{names}`{suffix}: {text}"
 
 
 def _marks(option: click.Option) -> dict[str, bool]:
-    """Return what is said of an option in brackets, and whether it holds."""
-    return {"needed": option.required, "may be repeated": option.multiple}
+    """Return the marks that an option can have, and whether each applies."""
+    return {"required": option.required, "may be repeated": option.multiple}
 
 
 def pages() -> dict[str, str]:
@@ -139,7 +143,7 @@
 
 
 def main() -> None:
-    """Write the pages."""
+    """Write the reference pages to the docs folder."""
     for name, text in pages().items():
         (DOCS / name).write_text(text, encoding="utf-8")
 
