Reword the tests of the path and of the operations and reference pages

Test names and docstrings now state the failure that each test guards against. Checks are unchanged.

--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -1,6 +1,7 @@
-"""Tests that docs/OPERATIONS.md leads from a request's id to its cause, over real processes' files.
+"""Tests that the procedure in docs/OPERATIONS.md finds the cause of a failure by request id.
 
-Each test makes one kind of failed request, and then has only the event files, as an engineer has.
+Each test causes one kind of failed or late request on real processes, and then uses only their
+event files, as an engineer on call would.
 """
 
 import asyncio
@@ -15,27 +16,28 @@
 from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
 from tools.fleet import Host
 
-PATIENCE_S = 20.0
-# The only upstream is on the first host, so that calls which enter at the second cross over.
-OWNER, ENTRY = "stock-1", "stock-2"
+EVENT_TIMEOUT_S = 20.0
+# The only upstream is on the first host, so that the second host dispatches its calls to the first.
+OWNER, ENTRY_PROXY = "stock-1", "stock-2"
 SLOTS = 1
+# Latency goal of the route.
 GOAL_S = 0.2
-# A call takes this many times the stand-in's 2 ms.
-SLOW_TIMES = 300
+# Factor on the 2 ms that a call takes at the stand-in worker.
+WORK_FACTOR = 300
 
 
 class OperationsPageTest(ThreeHostsTestCase):
-    """One slow upstream with one slot, behind a route that has a goal."""
+    """One slow upstream with one slot, behind a route with a latency goal."""
 
     @classmethod
     def customize_host(cls, host: Host) -> Host:
-        """Return a host with the one upstream, or with none."""
+        """Return the owner with a worker that has one slot, and other hosts without a worker."""
         worker = {**host.worker, "slots": SLOTS} if host.name == OWNER else {}
         return host._replace(worker=worker)
 
     @classmethod
     def resources(cls) -> Path:
-        """Return the example's resources with a goal for the route."""
+        """Return the example's resources with a latency goal for the route."""
         text = super().resources().read_text()
         route = 'path_prefix = "/stock", '
         assert route in text
@@ -44,21 +46,21 @@
         return path
 
     async def call(self, session: aiohttp.ClientSession, **headers: str) -> tuple[int, str]:
-        """Send a call through the entry and return the answer's status and the request's id."""
-        url = f"http://{self.fleet.address(ENTRY, 'callers')}/stock/7"
-        async with session.get(url, headers=headers) as answer:
-            await answer.read()
-            return answer.status, answer.headers["X-Request-Id"]
+        """Send a call through the entry proxy, and return its status and request id."""
+        url = f"http://{self.fleet.address(ENTRY_PROXY, 'callers')}/stock/7"
+        async with session.get(url, headers=headers) as response:
+            await response.read()
+            return response.status, response.headers["X-Request-Id"]
 
-    def files(self) -> list[Path]:
+    def event_files(self) -> list[Path]:
         """Return the event files of all processes."""
         return [self.fleet.folder / f"{host}.events" for host in HOSTS]
 
-    async def account(self, request: str, wanted: str) -> dict[str, Any]:
-        """Return what the files tell of a request, once they hold an event of a kind."""
-        arguments = [f"--file={path}" for path in self.files()]
-        give_up = time.monotonic() + PATIENCE_S
-        while time.monotonic() < give_up:
+    async def account(self, request: str, kind: str) -> dict[str, Any]:
+        """Return the account of a request, once the files hold an event of that kind for it."""
+        arguments = [f"--file={path}" for path in self.event_files()]
+        deadline = time.monotonic() + EVENT_TIMEOUT_S
+        while time.monotonic() < deadline:
             try:
                 text = await asyncio.to_thread(
                     self.fleet.command, "explain", request, "--output", "json", *arguments
@@ -66,32 +68,33 @@
             except RuntimeError:
                 continue
             account: dict[str, Any] = json.loads(text)
-            if any(event["kind"] == wanted for event in account["events"]):
+            if any(event["kind"] == kind for event in account["events"]):
                 return account
-        raise AssertionError(f"the files hold no {wanted} of {request}")
+        raise AssertionError(f"no event of kind {kind} for request {request} in the event files")
 
     def event(self, account: dict[str, Any], kind: str) -> dict[str, Any]:
-        """Return the one event of a kind."""
+        """Return the only event of a kind."""
         (event,) = [event for event in account["events"] if event["kind"] == kind]
         return dict(event)
 
-    async def test_a_refusal_at_a_crest_leads_to_the_owner_and_its_load(self) -> None:
-        """Its event names the owner that was tried, and how busy that was."""
+    async def test_a_refusal_under_overload_names_the_owner_and_its_load(self) -> None:
+        """The refusal event names the owner that was tried and the load that it reported."""
         async with aiohttp.ClientSession() as session:
-            # The owner learns how long this takes, and then what can't reach its goal.
-            await self.call(session, **{"X-Work-Times": str(SLOW_TIMES)})
-            calls = [self.call(session, **{"X-Work-Times": str(SLOW_TIMES)}) for _ in range(8)]
+            # The owner measures the service time of this call, and then refuses calls that would
+            # miss the goal.
+            await self.call(session, **{"X-Work-Times": str(WORK_FACTOR)})
+            calls = [self.call(session, **{"X-Work-Times": str(WORK_FACTOR)}) for _ in range(8)]
             refused = [id_ for status, id_ in await asyncio.gather(*calls) if status == 503]
         self.assertTrue(refused)
         account = await self.account(refused[0], "refusal")
         self.assertEqual(account["verdict"], "not run")
-        told = self.event(account, "refusal")["detail"]
-        self.assertEqual(told["code"], "overloaded")
-        self.assertEqual((told["tried"], told["in_force"]), (OWNER, "1"))
-        self.assertRegex(told["load"], rf"^1 running and \d+ waiting for {SLOTS} slots$")
+        detail = self.event(account, "refusal")["detail"]
+        self.assertEqual(detail["code"], "overloaded")
+        self.assertEqual((detail["tried"], detail["in_force"]), (OWNER, "1"))
+        self.assertRegex(detail["load"], rf"^1 running and \d+ waiting for {SLOTS} slots$")
 
-    async def test_an_answer_that_was_lost_leads_to_the_owner_and_the_reason(self) -> None:
-        """The owner's event of the same request says what became of the connection."""
+    async def test_a_lost_response_names_the_owner_and_the_reason(self) -> None:
+        """The owner's event for the request records that the worker broke off its response."""
         async with aiohttp.ClientSession() as session:
             status, request = await self.call(session, **{"X-Break-After": "10"})
         self.assertEqual(status, 502)
@@ -101,17 +104,17 @@
         self.assertEqual(lost["host"], OWNER)
         self.assertIn("AnswerBroken", lost["detail"]["reason"])
 
-    async def test_a_late_answer_leads_to_the_slow_upstream(self) -> None:
-        """Its event tells how long it took, by which owner, and how busy that was."""
+    async def test_a_late_response_names_the_slow_upstream(self) -> None:
+        """The event of a response after its goal records the owner and the time that it took."""
         async with aiohttp.ClientSession() as session:
-            times = {"X-Work-Times": str(SLOW_TIMES)}
-            status, request = await self.call(session, **times)
+            headers = {"X-Work-Times": str(WORK_FACTOR)}
+            status, request = await self.call(session, **headers)
         self.assertEqual(status, 200)
         account = await self.account(request, "late")
-        told = self.event(account, "late")["detail"]
-        self.assertEqual((told["owner"], told["goal"]), (OWNER, f"{GOAL_S:.3f}"))
-        self.assertGreater(float(told["took"]), GOAL_S)
-        self.assertIn(f"after {told['took']} s", account["sentence"])
+        detail = self.event(account, "late")["detail"]
+        self.assertEqual((detail["owner"], detail["goal"]), (OWNER, f"{GOAL_S:.3f}"))
+        self.assertGreater(float(detail["took"]), GOAL_S)
+        self.assertIn(f"after {detail['took']} s", account["sentence"])
 
 
 if __name__ == "__main__":
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,4 +1,4 @@
-"""Tests of the whole path, over real processes."""
+"""End-to-end tests over real processes: from an accepted change to the calls that workers run."""
 
 import asyncio
 import json
@@ -10,10 +10,10 @@
 
 
 class PathTest(unittest.IsolatedAsyncioTestCase):
-    """From a worker's announcement to a caller's answer."""
+    """The hosts of one example deployment, each with a stand-in worker."""
 
     async def asyncSetUp(self) -> None:
-        """Start the hosts of one deployment."""
+        """Start the processes, and wait for a leader and all workers."""
         self.fleet = Fleet(hosts=example_hosts("quiros"))
         self.addCleanup(self.fleet.__exit__, None, None, None)
         self.fleet.create()
@@ -22,27 +22,27 @@
         await self.fleet.until_members(len(self.fleet.hosts))
 
     async def apply(self, *options: str) -> dict[str, object]:
-        """Apply the deployment's resources and return the answer."""
+        """Apply the deployment's resources and return the response."""
         servers = [part for address in self.fleet.operators() for part in ("--server", address)]
         path = str(EXAMPLES / "quiros" / "resources.toml")
         text = await asyncio.to_thread(self.fleet.command, "apply", "-f", path, *servers, *options)
-        answer: dict[str, object] = json.loads(text)
-        return answer
-
-    async def test_a_change_comes_into_force_and_calls_are_served(self) -> None:
-        """Every proxy serves every service, each call once."""
-        before = await drive(self.fleet, self.fleet.alive, PATHS["quiros"], 16)
-        self.assertEqual({item.code for item in before}, {"no-configuration"})
-        answer = await self.apply()
-        self.assertEqual((answer["outcome"], answer["version"]), ("accepted", 1))
+        response: dict[str, object] = json.loads(text)
+        return response
+
+    async def test_calls_are_served_once_a_change_is_in_force(self) -> None:
+        """Proxies refuse calls before the first version, then serve all, each run exactly once."""
+        refused = await drive(self.fleet, self.fleet.alive, PATHS["quiros"], 16)
+        self.assertEqual({item.code for item in refused}, {"no-configuration"})
+        response = await self.apply()
+        self.assertEqual((response["outcome"], response["version"]), ("accepted", 1))
         await self.fleet.until_in_force(1, self.fleet.alive)
         sent = await drive(self.fleet, self.fleet.alive, PATHS["quiros"], 200)
         self.assertEqual({item.status for item in sent}, {200})
         ran = Counter(line["mark"] for line in self.fleet.ledger())
         self.assertEqual(ran, Counter(item.mark for item in sent))
 
-    async def test_a_resent_operation_is_not_run_twice(self) -> None:
-        """The second answer is the first one again."""
+    async def test_a_resent_operation_is_applied_once(self) -> None:
+        """The second request with the same operation id gets the first response again."""
         first = await self.apply("--operation-id", "mine", "--based-on", "0")
         second = await self.apply("--operation-id", "mine", "--based-on", "0")
         self.assertEqual(first, second)
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -1,4 +1,4 @@
-"""Tests that the reference pages say what the code does."""
+"""Tests that the generated reference pages are up to date."""
 
 import unittest
 
@@ -6,10 +6,10 @@
 
 
 class ReferenceTest(unittest.TestCase):
-    """Each page is the one that `make docs` would write."""
+    """Compares each page in the docs folder with the text that `make docs` generates."""
 
-    def test_no_page_has_drifted(self) -> None:
-        """A command, option, setting or metric that is added is on its page."""
+    def test_pages_match_the_code(self) -> None:
+        """A page is outdated if a command, setting or metric changed without `make docs`."""
         for name, text in pages().items():
             with self.subTest(name):
                 self.assertEqual((DOCS / name).read_text(), text, "run make docs")
