--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Named chores. `make test` and `make demo` need nothing but python3.11 and make.
+# `make test` and `make demo` require only python3.11 and make.
 
 PYTHON ?= python3.11
 VENV ?= .venv
@@ -6,7 +6,7 @@
 
 .PHONY: help env test check format docs demo bench capacity clean
 
-help:  ## List the chores.
+help:  ## List the targets.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 $(VENV)/.done: requirements.txt requirements-dev.txt pyproject.toml
@@ -25,24 +25,24 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 
-format: env  ## Format the code and mend what the linter can mend.
+format: env  ## Format the code and apply the fixes of the linter.
 	$(BIN)/ruff check --fix .
 	$(BIN)/black .
 
-docs: env  ## Write the reference pages from the code.
+docs: env  ## Generate the reference pages from the code.
 	$(BIN)/python -m tools.reference
 
-demo: env  ## Start the whole path, drive it, and print what it saw.
+demo: env  ## Run the example deployments end to end and check every response.
 	$(BIN)/python -m tools.demo
 
-bench: env  ## Measure, as ratios within one run.
+bench: env  ## Run the benchmarks, against baselines of the same run.
 	$(BIN)/python -m tools.bench
 	$(BIN)/python -m tools.bench_acceptance
 	$(BIN)/python -m tools.bench_distribution
 	$(BIN)/python -m tools.bench_members
 
-capacity: env  ## Measure the slopes of docs/CAPACITY.md again, and record them.
+capacity: env  ## Measure the figures of docs/CAPACITY.md and record them.
 	$(BIN)/python -m tools.capacity --record docs/capacity.json
 
-clean:  ## Remove what the chores made.
+clean:  ## Remove the environment, caches and build output.
 	rm -rf $(VENV) .mypy_cache .ruff_cache build *.egg-info
