--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -1,4 +1,4 @@
-"""The names of all metrics, with what each one tells."""
+"""The metric families, each with its description."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Family(NamedTuple):
-    """A metric: its name, its kind, the label that parts it, and what it tells."""
+    """A metric family; label is the name of its one label, or empty."""
 
     name: str
     kind: Literal["counter", "gauge", "histogram"]
@@ -14,7 +14,8 @@
     description: str
 
 
-# No label holds anything of a caller: every label has a closed set of values.
+# Every label has a closed set of values, none of which comes from a caller, so that the number of
+# series stays bounded.
 FAMILIES = (
     Family("cowslipvane_calls", "counter", "outcome", "calls that ended, served or by refusal"),
     Family("cowslipvane_call_seconds", "histogram", "", "time from a call's head to its end"),
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,4 @@
-"""Tests of the tasks that spread membership, over links in memory."""
+"""Tests of the gossip task over links in memory."""
 
 import asyncio
 import unittest
@@ -7,43 +7,43 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange, ExchangeReply, Hello, Membership
 from cowslipvane.tasks._gossip import Gossip
-from cowslipvane.types import DataCentre, HostName
+from cowslipvane.types import HostName
 from cowslipvane.wire import Link
-from tests.test_membership import record
+from tests.test_membership import LOCAL, record
 
 
 class Pipe:
-    """A link whose other side is the test."""
+    """A link in memory whose other side is the test."""
 
     def __init__(self) -> None:
         self.incoming: asyncio.Queue[Any] = asyncio.Queue()
         self.sent: asyncio.Queue[Any] = asyncio.Queue()
 
     async def send(self, message: Any) -> None:
-        """Keep what is sent."""
+        """Record a sent message."""
         await self.sent.put(message)
 
     async def receive(self, *, timeout: float | None = None) -> Any:
-        """Return what the test has put in, or raise TimeoutError."""
+        """Return the next message of the test, or raise TimeoutError."""
         async with asyncio.timeout(timeout):
             return await self.incoming.get()
 
 
-class MembersTaskTest(unittest.IsolatedAsyncioTestCase):
-    """One connection, served."""
+class GossipTest(unittest.IsolatedAsyncioTestCase):
+    """Handling of one connection."""
 
     def setUp(self) -> None:
-        """Begin with a member that knows only itself."""
-        centre = DataCentre("here")
+        """Create a member that knows only itself."""
+        centre = LOCAL
         events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
-        self.members = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
+        self.gossip = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
         self.pipe = Pipe()
 
-    async def test_an_exchange_is_answered(self) -> None:
-        """The opener's record is taken in, and the reply tells the digest of both."""
-        serving = asyncio.create_task(self.members.serve(cast(Link, self.pipe)))
-        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=DataCentre("here")))
+    async def test_exchange_reply_has_the_digest_of_both_records(self) -> None:
+        """The sender's record is stored, and the reply has the digest of both records."""
+        serving = asyncio.create_task(self.gossip.serve(cast(Link, self.pipe)))
+        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
         await self.pipe.incoming.put(Exchange(digest=0, members=(record("b"),)))
         reply = await self.pipe.sent.get()
         self.assertEqual(reply, ExchangeReply(digest=self.membership.digest, members=()))
@@ -51,14 +51,12 @@
         await self.pipe.incoming.put("something else")
         await serving
 
-    async def test_a_silent_opener_holds_no_task(self) -> None:
-        """The task of a connection ends when nothing comes over it."""
+    async def test_silent_connection_ends_its_task(self) -> None:
+        """The task ends when no message is received, before and after the handshake."""
         async with asyncio.timeout(10):
-            await self.members.serve(cast(Link, self.pipe))
-            await self.pipe.incoming.put(
-                Hello(sender=HostName("b"), data_centre=DataCentre("here"))
-            )
-            await self.members.serve(cast(Link, self.pipe))
+            await self.gossip.serve(cast(Link, self.pipe))
+            await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
+            await self.gossip.serve(cast(Link, self.pipe))
 
 
 if __name__ == "__main__":
