--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,4 +1,4 @@
-"""Generates the reference pages from the code, so that they always match it."""
+"""Generate the reference pages from the code, so that they always match it."""
 
 from __future__ import annotations
 
@@ -38,19 +38,24 @@
 file of the shell.
 """
 
+# Only the option for the resource file has no help text.
+_DEFAULT_OPTION_HELP = "The file."
 
 _METRICS_HEAD = """# Metrics
 
 Every process serves `GET /metrics` at its operators' listener, in the text format of Prometheus.
 The names of counters end in `_total` there. The response also contains the metrics of the
-interpreter (`process_`, `python_`). No label holds data from a caller, so that the number of series
+interpreter (`process_`, `python_`). No label holds data from a caller, so the number of series
 doesn't grow with the number of callers. `make docs` generates this page from the code.
 
-The users judge the system by four measures. Convergence time is `cowslipvane_convergence_seconds`,
-and control bytes are `cowslipvane_sent_bytes` without the messages of calls (Offer, Answer, Chunk,
-Refused, Cancel). Service at peak load is `cowslipvane_calls`. Head-of-line blocking of short
-requests by long ones shows in `cowslipvane_queue` and `cowslipvane_running`. Tail latency is
-`cowslipvane_call_seconds`.
+Four measures summarize the service to its users:
+
+1. Convergence and its cost: `cowslipvane_convergence_seconds`, and the control bytes, which are
+   `cowslipvane_sent_bytes` without the messages of calls (Offer, Answer, Chunk, Refused, Cancel).
+2. Service at peak load: `cowslipvane_calls`.
+3. Head-of-line blocking of short requests by long ones: `cowslipvane_queue` together with
+   `cowslipvane_running`.
+4. Tail latency: `cowslipvane_call_seconds`.
 
 | metric | kind | label | description |
 | --- | --- | --- | --- |
@@ -77,10 +82,10 @@
     return _COMMANDS_HEAD + "".join(_command_sections("cowslipvane", root))
 
 
-def _setting_rows(path: str, kind: Any) -> Iterator[tuple[str, ...]]:
+def _setting_rows(path: str, settings_class: Any) -> Iterator[tuple[str, ...]]:
     """Yield the cells of a row for each setting, including those of nested tables."""
-    hints = get_type_hints(kind)
-    for field in dataclasses.fields(kind):
+    hints = get_type_hints(settings_class)
+    for field in dataclasses.fields(settings_class):
         key = f"{path}{field.name}"
         if dataclasses.is_dataclass(hints[field.name]):
             yield from _setting_rows(f"{key}.", hints[field.name])
@@ -124,7 +129,7 @@
     names = ", ".join([*option.opts, *option.secondary_opts])
     marks = [mark for mark, applies in _marks(option).items() if applies]
     suffix = f" ({', '.join(marks)})" if marks else ""
-    text = option.help or "The file."
+    text = option.help or _DEFAULT_OPTION_HELP
     return f"`{names}`{suffix}: {text}"
 
 
