--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 demo: env  ## Run the example deployments end to end and check every response.
 	$(BIN)/python -m tools.demo
 
-bench: env  ## Run the benchmarks, against baselines of the same run.
+bench: env  ## Run the benchmarks.
 	$(BIN)/python -m tools.bench
 	$(BIN)/python -m tools.bench_acceptance
 	$(BIN)/python -m tools.bench_distribution
