--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,4 +1,4 @@
-"""End-to-end tests over real processes: from an accepted change to the calls that workers run."""
+"""End-to-end tests over real processes: from worker announcements to the responses to callers."""
 
 import asyncio
 import json
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -21,13 +21,13 @@
 class Latency(NamedTuple):
     """Percentiles and mean of the latency of one target in milliseconds."""
 
-    p50: float
-    p99: float
-    mean: float
+    p50_ms: float
+    p99_ms: float
+    mean_ms: float
 
 
 def latency(samples: list[float]) -> Latency:
-    """Return the latency figures of samples in seconds."""
+    """Return the percentiles and the mean, in milliseconds, of samples in seconds."""
     quantiles = statistics.quantiles(samples, n=100)
     return Latency(quantiles[49] * 1e3, quantiles[98] * 1e3, statistics.fmean(samples) * 1e3)
 
@@ -35,7 +35,10 @@
 async def open_loop(
     targets: dict[str, Callable[[], Awaitable[None]]], *, calls: int, rate: float
 ) -> dict[str, list[float]]:
-    """Send calls with Poisson arrivals at a rate per second, each to a random target."""
+    """Send calls with Poisson arrivals at a rate per second, each to a random target.
+
+    Return the latencies in seconds by target name.
+    """
     rng = random.Random(1)
     samples: dict[str, list[float]] = {name: [] for name in targets}
     names = list(targets)
@@ -85,7 +88,7 @@
             targets = {
                 "direct": target(fleet.address("stock-1", "worker")),
                 "owner": target(fleet.address("stock-1", "callers")),
-                "hop": target(fleet.address("empties-1", "callers")),
+                "other proxy": target(fleet.address("empties-1", "callers")),
             }
             await open_loop(targets, calls=WARM_UP_CALLS, rate=rate)
             results = {
@@ -96,13 +99,13 @@
     print(f"added latency at {rate:g} calls/s, {calls} calls, no work at the worker; in ms")
     for name, figures in results.items():
         print(
-            f"  {name:8} p50 {figures.p50:.2f} (+{figures.p50 - direct.p50:.2f})"
-            f" p99 {figures.p99:.2f} (+{figures.p99 - direct.p99:.2f})"
+            f"  {name:11} p50 {figures.p50_ms:.2f} (+{figures.p50_ms - direct.p50_ms:.2f})"
+            f" p99 {figures.p99_ms:.2f} (+{figures.p99_ms - direct.p99_ms:.2f})"
         )
 
 
 def _fast_worker(host: Host) -> dict[str, object]:
-    """Return the options of a worker that responds at once, or none for all hosts but one."""
+    """Return the options of a worker that responds at once for stock-1; none for other hosts."""
     return {**host.worker, "work_s": 0.0, "slots": 60} if host.name == "stock-1" else {}
 
 
--- a/tools/bench_acceptance.py
+++ b/tools/bench_acceptance.py
@@ -21,14 +21,14 @@
 POLL_INTERVAL_S = 0.01
 
 
-def change_form(number: int, based_on: int) -> dict[str, Any]:
+def change_body(number: int, based_on: int) -> dict[str, Any]:
     """Return the request body of a change to one small resource."""
     spec = {"max_body_bytes": number}
     resource = {"kind": "traffic-policy", "name": "bench", "spec": spec}
     return {"operation_id": f"b{number}", "based_on": based_on, "resources": [resource]}
 
 
-async def change(fleet: Fleet, number: int, based_on: int) -> None:
+async def send_change_until_accepted(fleet: Fleet, number: int, based_on: int) -> None:
     """Send a change to one replica after another until it is accepted."""
     timeout = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -36,7 +36,7 @@
             for server in fleet.operators():
                 url = f"http://{server}/v1/changes"
                 try:
-                    async with session.post(url, json=change_form(number, based_on)) as response:
+                    async with session.post(url, json=change_body(number, based_on)) as response:
                         if response.status == HTTPStatus.OK:
                             return
                 except (aiohttp.ClientError, TimeoutError):
@@ -52,18 +52,18 @@
         version = int((await client.resources())["version"])
         for number in range(CHANGES):
             started = time.monotonic()
-            response = await client.change(change_form(number, version))
+            response = await client.change(change_body(number, version))
             durations.append(time.monotonic() - started)
             version = response["version"]
     return durations
 
 
-async def measure_recovery(fleet: Fleet, number: int, version: int) -> float:
+async def measure_recovery(fleet: Fleet, number: int, based_on: int) -> float:
     """Return the time in seconds from the kill of the leader to the next accepted change."""
     leader = (await fleet.until_leader())["host"]
     fleet.kill_daemon(leader)
     killed_at = time.monotonic()
-    await change(fleet, number, version)
+    await send_change_until_accepted(fleet, number, based_on)
     recovery = time.monotonic() - killed_at
     fleet.start_daemon(leader)
     return recovery
@@ -78,6 +78,7 @@
         durations = await measure_changes(fleet)
         recoveries = []
         for number in range(kills):
+            # Each accepted change adds one version, so the current version is CHANGES + number.
             recoveries.append(await measure_recovery(fleet, CHANGES + number, CHANGES + number))
             await asyncio.sleep(2.0)
     quantiles = statistics.quantiles(durations, n=100)
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -37,6 +37,7 @@
 
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
         """Count the bytes of a message and send it."""
+        # Both ends of each connection use this class, so the mean of their header sizes counts.
         CountingLink.sent_bytes += len(encoded) + (CLIENT_HEADER_BYTES + SERVER_HEADER_BYTES) // 2
         await super().send_encoded(kind, encoded)
 
@@ -66,17 +67,17 @@
         return self._times[version]
 
 
-def start_proxy(number: int, seed: Address, apply_times: ApplyTimes) -> asyncio.Task[None]:
+def start_proxy(index: int, seed: Address, apply_times: ApplyTimes) -> asyncio.Task[None]:
     """Start the subscriber of one proxy."""
     settings = Settings(
-        host=HostName(f"proxy-{number}"),
+        host=HostName(f"proxy-{index}"),
         data_centre=DataCentre("here"),
         roles=("proxy",),
         listen=Listen(operators=UNUSED_ADDRESS, peers=UNUSED_ADDRESS, callers=UNUSED_ADDRESS),
         seeds=(seed,),
         timing=Timing(),
     )
-    rng = random.Random(number)
+    rng = random.Random(index)
     subscriber = Subscriber(
         subscription=Subscription(), settings=settings, events=apply_times, rng=rng
     )
@@ -105,12 +106,10 @@
         replica = await stack.enter_async_context(SingleReplica())
         version = replica.put(*generate_puts(resource_count))
         started = time.monotonic()
-        proxies = [
-            start_proxy(number, replica.address, apply_times) for number in range(proxy_count)
-        ]
+        proxies = [start_proxy(index, replica.address, apply_times) for index in range(proxy_count)]
         stack.callback(lambda: [proxy.cancel() for proxy in proxies])
-        storm = max(await apply_times.wait_for_all(version)) - started
-        storm_bytes = CountingLink.sent_bytes
+        startup_s = max(await apply_times.wait_for_all(version)) - started
+        startup_bytes = CountingLink.sent_bytes
         delays, change_bytes = [], []
         for number in range(CHANGES):
             await asyncio.sleep(0.2)
@@ -125,13 +124,15 @@
             change_bytes.append((CountingLink.sent_bytes - before) / proxy_count)
         before = CountingLink.sent_bytes
         await asyncio.sleep(idle_s)
+        # -1: not measured
         idle_bytes = (CountingLink.sent_bytes - before) / proxy_count / idle_s if idle_s else -1.0
     quantiles = statistics.quantiles(delays, n=100)
     return {
         "proxies": proxy_count,
         "resources": resource_count,
-        "storm_s": round(storm, 3),
-        "storm_bytes_each": round(storm_bytes / proxy_count),
+        # storm: all proxies start at once. It ends when all have applied the first version.
+        "storm_s": round(startup_s, 3),
+        "storm_bytes_each": round(startup_bytes / proxy_count),
         "in_force_p50_ms": round(quantiles[49] * 1000, 1),
         "in_force_p99_ms": round(quantiles[98] * 1000, 1),
         "change_bytes_each": round(statistics.median(change_bytes)),
@@ -147,10 +148,10 @@
     parser.add_argument(
         "--idle", type=float, default=IDLE_S, help="seconds without changes in which to count bytes"
     )
-    options = parser.parse_args()
-    for number in options.resources:
+    arguments = parser.parse_args()
+    for count in arguments.resources:
         print(
-            json.dumps(asyncio.run(measure_distribution(options.proxies, number, options.idle))),
+            json.dumps(asyncio.run(measure_distribution(arguments.proxies, count, arguments.idle))),
             flush=True,
         )
 
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -28,12 +28,12 @@
 from cowslipvane.types import Address, DataCentre, HostName, Seconds, ServiceName
 from cowslipvane.wire import encode
 
-INTERVAL: Seconds = 0.5
+HEARTBEAT_INTERVAL: Seconds = 0.5
 SERVICES = 10
 HEADING = (
     "members converged  idle B/s mean/max  msg/s  churn B/s  leave known  mass restart  full B/s"
 )
-_FRAME_BYTES = 6
+_MEAN_FRAME_HEADER_BYTES = 6  # 8 bytes from a client, 4 bytes from a server
 _FULL_TABLE_SEEDS = 3
 
 
@@ -46,8 +46,8 @@
         self.heartbeat_interval = heartbeat_interval
         self.due_at = 0.0
         self.is_batching = False
-        self.reply_overdue = False
-        self.closed = False
+        self.is_reply_overdue = False
+        self.is_closed = False
 
 
 class MembershipSimulation:
@@ -60,18 +60,20 @@
         self.rng = random.Random(seed)
         self.is_partitioned: Callable[[Member, Member], bool] = lambda one, other: False
         self.running: dict[HostName, Membership] = {}
+        # Members that run but respond to nothing.
         self.silent: set[HostName] = set()
         self.sent_bytes: Counter[HostName] = Counter()
         self.sent_messages: Counter[HostName] = Counter()
         self.counts_bytes = False
-        data_centres = {host: centre for centre, hosts in names.items() for host in hosts}
+        data_centres = {host: data_centre for data_centre, hosts in names.items() for host in hosts}
         self._addresses = {
             host: Address("10.0.0.1", port) for port, host in enumerate(data_centres, 1)
         }
         self._data_centres = data_centres
         self._seeds = [HostName(host) for host in seeds]
         self._connections: dict[HostName, dict[HostName, Connection]] = {}
-        self._connected_revisions: dict[HostName, int] = {}
+        # The revision of each membership when its connections were last updated.
+        self._revisions_at_update: dict[HostName, int] = {}
         self._seed_due_at: dict[HostName, float] = {}
         self._starts = 0
         for host in data_centres:
@@ -97,7 +99,7 @@
         )
         seeds = [self._addresses[seed] for seed in self._seeds]
         self.running[name] = Membership(own=own, now=self.now, seeds=seeds)
-        self._seed_due_at[name] = self.now + self.rng.uniform(0, INTERVAL)
+        self._seed_due_at[name] = self.now + self.rng.uniform(0, HEARTBEAT_INTERVAL)
         self._drop_connections(name)
         return self.running[name]
 
@@ -107,21 +109,21 @@
             del self.running[HostName(host)]
             self._drop_connections(HostName(host))
 
-    def run(self, time: Seconds) -> None:
-        """Advance the simulated time."""
-        end = self.now + time
+    def run(self, duration: Seconds) -> None:
+        """Advance the simulated time by a duration."""
+        end = self.now + duration
         while self.now < end:
             self.now += BATCH_DELAY
             for host in list(self.running):
                 if host not in self.silent:
                     self._step(host)
 
-    def until(self, condition: Callable[[], bool], limit: Seconds = 60.0) -> Seconds:
+    def until(self, condition: Callable[[], bool], timeout: Seconds = 60.0) -> Seconds:
         """Advance the time until a condition holds, and return the simulated duration."""
         started_at = self.now
         while not condition():
-            if self.now > started_at + limit:
-                raise TimeoutError(f"condition not met within {limit} s")
+            if self.now > started_at + timeout:
+                raise TimeoutError(f"condition not met within {timeout} s")
             self.run(BATCH_DELAY)
         return self.now - started_at
 
@@ -146,7 +148,7 @@
         """Run the due actions of one member."""
         membership = self.running[host]
         membership.expire(self.now)
-        if self._connected_revisions.get(host) != membership.revision:
+        if self._revisions_at_update.get(host) != membership.revision:
             self._update_connections(host, membership)
         for other, connection in list(self._connections[host].items()):
             # Updates are batched for one step before they are sent.
@@ -160,7 +162,7 @@
 
     def _update_connections(self, host: HostName, membership: Membership) -> None:
         """Open connections to new neighbours and close those to former ones."""
-        self._connected_revisions[host] = membership.revision
+        self._revisions_at_update[host] = membership.revision
         neighbours = {
             neighbour.host: neighbour.frequent_heartbeats for neighbour in membership.neighbours()
         }
@@ -178,21 +180,24 @@
         self._count(host, Hello(sender=host, data_centre=own.data_centre, guest=guest))
         remote = self.running.get(other)
         data_centre = DataCentre(self._data_centres[other])
+        # A stopped member gets a placeholder membership; no message is delivered to it.
         server = Feed(
             membership=remote or self.running[host], data_centre=own.data_centre, guest=guest
         )
         opener = Feed(membership=self.running[host], data_centre=data_centre)
-        interval = INTERVAL * (1 if frequent_heartbeats else DISTANT_HEARTBEAT_FACTOR)
+        interval = HEARTBEAT_INTERVAL * (1 if frequent_heartbeats else DISTANT_HEARTBEAT_FACTOR)
         connection = Connection(opener=opener, server=server, heartbeat_interval=interval)
-        connection.due_at = self.now + self.rng.uniform(0, INTERVAL)
+        connection.due_at = self.now + self.rng.uniform(0, HEARTBEAT_INTERVAL)
         return connection
 
     def _exchange_or_suspect(self, host: HostName, other: HostName, connection: Connection) -> None:
         """Exchange messages once, or suspect the other member if it is unreachable."""
         connection.due_at = self.now + connection.heartbeat_interval
         if self._reaches(host, other):
-            if connection.closed:
-                connection = self._open(host, other, connection.heartbeat_interval == INTERVAL)
+            if connection.is_closed:
+                connection = self._open(
+                    host, other, connection.heartbeat_interval == HEARTBEAT_INTERVAL
+                )
                 self._connections[host][other] = connection
             self._exchange(host, other, connection)
             connection.due_at = self.now + connection.opener.next_exchange_delay(
@@ -200,18 +205,20 @@
             )
             return
         if other in self.silent:
-            # A silent process is suspected only once its reply is overdue.
-            connection.due_at = self.now + INTERVAL * REPLY_TIMEOUT_HEARTBEATS
-            if not connection.reply_overdue:
-                connection.reply_overdue = True
+            # An unresponsive process is suspected only once its reply is overdue.
+            connection.due_at = self.now + HEARTBEAT_INTERVAL * REPLY_TIMEOUT_HEARTBEATS
+            if not connection.is_reply_overdue:
+                connection.is_reply_overdue = True
                 return
-        connection.closed = True
+        connection.is_closed = True
         self.running[host].suspect(other, self.now)
 
     def _exchange_with_seed(self, host: HostName, membership: Membership) -> None:
         """Exchange records with a random seed, if the member needs one."""
         factor = 1 if membership.is_alone() else SEED_INTERVAL_FACTOR
-        self._seed_due_at[host] = self.now + INTERVAL * factor * self.rng.uniform(0.5, 1.5)
+        self._seed_due_at[host] = self.now + HEARTBEAT_INTERVAL * factor * self.rng.uniform(
+            0.5, 1.5
+        )
         others = [seed for seed in self._seeds if seed != host]
         if not others or not membership.needs_seed():
             return
@@ -243,17 +250,17 @@
         """Count a message and its bytes for its sender."""
         self.sent_messages[sender] += 1
         if self.counts_bytes:
-            self.sent_bytes[sender] += len(encode(message)) + _FRAME_BYTES
+            self.sent_bytes[sender] += len(encode(message)) + _MEAN_FRAME_HEADER_BYTES
 
     def _drop_connections(self, host: HostName) -> None:
         """Drop the connections of a member that has ended, and mark those to it as closed."""
         self._connections.pop(host, None)
-        self._connected_revisions.pop(host, None)
+        self._revisions_at_update.pop(host, None)
         for others in self._connections.values():
             connection = others.get(host)
             if connection is not None:
                 connection.due_at = self.now
-                connection.closed = True
+                connection.is_closed = True
 
 
 class Cost(NamedTuple):
@@ -265,30 +272,33 @@
 
 
 def cost(
-    simulation: MembershipSimulation, time: Seconds, act: Callable[[], None] = lambda: None
+    simulation: MembershipSimulation, duration: Seconds, act: Callable[[], None] = lambda: None
 ) -> Cost:
-    """Return what the members send in the given time after an action."""
+    """Perform an action, run for a duration, and return the rates at which the members send."""
     simulation.sent_bytes.clear()
     simulation.sent_messages.clear()
     simulation.counts_bytes = True
     act()
-    simulation.run(time)
+    simulation.run(duration)
     simulation.counts_bytes = False
     count = len(simulation.running)
     return Cost(
-        sum(simulation.sent_bytes.values()) / count / time,
-        max(simulation.sent_bytes.values()) / time,
-        sum(simulation.sent_messages.values()) / count / time,
+        sum(simulation.sent_bytes.values()) / count / duration,
+        max(simulation.sent_bytes.values()) / duration,
+        sum(simulation.sent_messages.values()) / count / duration,
     )
 
 
 def full_tables(simulation: MembershipSimulation) -> Cost:
-    """Return the cost of sending all records to three seeds at each interval, as a baseline."""
+    """Return the cost if each member sent all records to three seeds at each interval.
+
+    It is a baseline; the maximum is that of a seed that replies to every member.
+    """
     records = next(iter(simulation.running.values())).members
-    size = len(encode(ExchangeReply(digest=0, members=records))) + _FRAME_BYTES
-    rate = _FULL_TABLE_SEEDS / INTERVAL
+    size = len(encode(ExchangeReply(digest=0, members=records))) + _MEAN_FRAME_HEADER_BYTES
+    rate = _FULL_TABLE_SEEDS / HEARTBEAT_INTERVAL
     count = len(records)
-    return Cost(size * rate, size * count / INTERVAL, rate)
+    return Cost(size * rate, size * count / HEARTBEAT_INTERVAL, rate)
 
 
 def main() -> None:
@@ -296,36 +306,37 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("sizes", nargs="*", type=int, default=[20, 50, 100, 200, 400])
     parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
+    arguments = parser.parse_args()
     print(HEADING)
-    for size in options.sizes:
-        print(table_row(size, options.seed))
+    for size in arguments.sizes:
+        print(table_row(size, arguments.seed))
 
 
 def table_row(size: int, seed: int) -> str:
     """Return the table row for a number of members."""
     hosts = [HostName(f"host-{number:04}") for number in range(size)]
     simulation = MembershipSimulation(names={"one": hosts}, seeds=hosts[:3], seed=seed)
-    converged = simulation.until(
+    convergence_s = simulation.until(
         lambda: len(simulation.running[hosts[0]].members) == size and simulation.all_agree()
     )
     simulation.run(5.0)
     idle = cost(simulation, 20.0)
     churn = cost(simulation, 10.0, lambda: restart(simulation, hosts[-1:]))
     simulation.running[hosts[size // 2]].leave("leaving", simulation.now)
-    leave = simulation.until(lambda: simulation.all_know(hosts[size // 2], "leaving"))
+    leave_s = simulation.until(lambda: simulation.all_know(hosts[size // 2], "leaving"))
     restarted = hosts[size // 2 :]
     simulation.kill(*restarted)
     simulation.run(10.0)
     for host in restarted:
         simulation.start(host)
-    rejoin = simulation.until(
+    rejoin_s = simulation.until(
         lambda: len(simulation.running[hosts[0]].members) == size and simulation.all_agree(), 120.0
     )
     full = full_tables(simulation)
     return (
-        f"{size:7}  {converged:6.2f} s  {idle.mean_bytes:8.0f} /{idle.most_bytes:7.0f}  "
-        f"{idle.mean_messages:5.1f}  {churn.mean_bytes:9.0f}  {leave:9.2f} s  {rejoin:10.2f} s  "
+        f"{size:7}  {convergence_s:6.2f} s  {idle.mean_bytes:8.0f} /"
+        f"{idle.most_bytes:7.0f}  {idle.mean_messages:5.1f}  "
+        f"{churn.mean_bytes:9.0f}  {leave_s:9.2f} s  {rejoin_s:10.2f} s  "
         f"{full.mean_bytes:8.0f}"
     )
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,4 +1,7 @@
-"""Measure the costs by number of resources, proxies and calls for the capacity page."""
+"""Measure how costs grow with resources, proxies and calls, for docs/CAPACITY.md.
+
+The costs are memory, bytes sent, delays and processor time. Each result is a line fitted to points.
+"""
 
 from __future__ import annotations
 
@@ -26,8 +29,9 @@
 
 PROXIES = (50, 150, 300, 500)
 RESOURCES = (100, 1_000, 10_000)
-RATES = (50, 100, 200)
-CALLS_S = 8.0
+DISTRIBUTED_RESOURCES = 14
+CALLS_PER_S = (50, 100, 200)
+RATE_DURATION_S = 8.0
 IDLE_S = 10.0
 
 
@@ -41,7 +45,7 @@
 
 
 class Point(NamedTuple):
-    """One measured point."""
+    """A measured value `y` at a count or a rate `x`."""
 
     x: float
     y: float
@@ -72,23 +76,23 @@
 
 
 def measure_resources() -> dict[str, Line]:
-    """Measure the memory and build time of a catalogue and a routing table by resources."""
+    """Measure the memory of a catalogue and a routing table, and the table's build time."""
     catalogue_bytes, table_bytes, table_ms = [], [], []
-    for number in RESOURCES:
+    for count in RESOURCES:
         tracemalloc.start()
         catalogue = Catalogue()
-        change = Change(OperationId("all"), Version(0), generate_puts(number))
+        change = Change(OperationId("all"), Version(0), generate_puts(count))
         catalogue.apply(change, accepted_at=0.0)
-        in_catalogue, _ = tracemalloc.get_traced_memory()
+        catalogue_size, _ = tracemalloc.get_traced_memory()
         tracemalloc.reset_peak()
         table = RoutingTable(version=Version(1), resources=catalogue.resources.values())
-        in_both, _ = tracemalloc.get_traced_memory()
+        total_size, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         started = time.perf_counter()
         RoutingTable(version=table.version, resources=catalogue.resources.values())
-        table_ms.append(Point(number, (time.perf_counter() - started) * 1e3))
-        catalogue_bytes.append(Point(number, in_catalogue))
-        table_bytes.append(Point(number, in_both - in_catalogue))
+        table_ms.append(Point(count, (time.perf_counter() - started) * 1e3))
+        catalogue_bytes.append(Point(count, catalogue_size))
+        table_bytes.append(Point(count, total_size - catalogue_size))
     return {
         "catalogue_bytes_by_resource": fit_line("bytes", catalogue_bytes),
         "table_bytes_by_resource": fit_line("bytes", table_bytes),
@@ -97,16 +101,19 @@
 
 
 def measure_proxies() -> dict[str, Line]:
-    """Measure the bytes and delays of a replica and its subscribers by number of proxies."""
-    storm, idle, change, delay = [], [], [], []
-    for number in PROXIES:
-        figures = asyncio.run(measure_distribution(number, 14, IDLE_S))
-        storm.append(Point(number, float(figures["storm_s"])))
-        idle.append(Point(number, float(figures["idle_bytes_per_s_each"]) * number))
-        change.append(Point(number, float(figures["change_bytes_each"]) * number))
-        delay.append(Point(number, float(figures["in_force_p99_ms"])))
+    """Measure the bytes and delays of a replica and its subscribers by number of proxies.
+
+    The replica and the subscribers all run in this process, so the figures include both ends.
+    """
+    startup, idle, change, delay = [], [], [], []
+    for count in PROXIES:
+        figures = asyncio.run(measure_distribution(count, DISTRIBUTED_RESOURCES, IDLE_S))
+        startup.append(Point(count, float(figures["storm_s"])))
+        idle.append(Point(count, float(figures["idle_bytes_per_s_each"]) * count))
+        change.append(Point(count, float(figures["change_bytes_each"]) * count))
+        delay.append(Point(count, float(figures["in_force_p99_ms"])))
     return {
-        "storm_s_by_proxy": fit_line("s", storm),
+        "storm_s_by_proxy": fit_line("s", startup),
         "idle_bytes_per_s_by_proxy": fit_line("bytes/s", idle),
         "change_bytes_by_proxy": fit_line("bytes", change),
         "in_force_p99_ms_by_proxy": fit_line("ms", delay),
@@ -114,12 +121,15 @@
 
 
 def fast_worker(host: Host) -> dict[str, object]:
-    """Return the options of a worker that responds at once, or none for all hosts but one."""
+    """Return the options of a worker that responds at once for stock-1; none for other hosts."""
     return {**host.worker, "work_s": 0.0, "slots": 60} if host.name == "stock-1" else {}
 
 
 async def measure_calls() -> tuple[dict[str, Line], int]:
-    """Measure the processor time of owner and entry proxy by calls, and the latter's memory."""
+    """Measure the processor use of the owner and the entry proxy by call rate.
+
+    Also return the resident memory of the entry proxy in bytes.
+    """
     names = ("stock-1", "stock-2", "stock-3", "empties-1")
     hosts = [host for host in example_hosts("quiros") if host.name in names]
     with Fleet(hosts=[host._replace(worker=fast_worker(host)) for host in hosts]) as fleet:
@@ -142,9 +152,9 @@
                 async with session.get(url) as response:
                     await response.read()
 
-            for rate in RATES:
+            for rate in CALLS_PER_S:
                 before_calls, started = (usage(owner), usage(entry)), time.monotonic()
-                await open_loop({"hop": send}, calls=int(rate * CALLS_S), rate=rate)
+                await open_loop({"other proxy": send}, calls=int(rate * RATE_DURATION_S), rate=rate)
                 elapsed_s = time.monotonic() - started
                 at_owner.append(
                     Point(rate, _core_percent(before_calls[0], usage(owner), elapsed_s))
@@ -152,12 +162,12 @@
                 at_entry.append(
                     Point(rate, _core_percent(before_calls[1], usage(entry), elapsed_s))
                 )
-        resident = usage(entry).resident
+        resident_bytes = usage(entry).resident_bytes
     lines = {
         "owner_core_percent_by_call_per_s": fit_line("% of a core", at_owner),
         "entry_core_percent_by_call_per_s": fit_line("% of a core", at_entry),
     }
-    return lines, resident
+    return lines, resident_bytes
 
 
 def _core_percent(before: Usage, after: Usage, elapsed_s: float) -> float:
@@ -171,12 +181,12 @@
     parser.add_argument("--record", type=Path, required=True, help="JSON file to write")
     record = parser.parse_args().record
     random.seed(1)
-    calls, resident = asyncio.run(measure_calls())
+    calls, resident_bytes = asyncio.run(measure_calls())
     lines = {**measure_resources(), **measure_proxies(), **calls}
-    figures = {"cores": os.cpu_count(), "proxy_resident_bytes": resident, "lines": lines}
+    figures = {"cores": os.cpu_count(), "proxy_resident_bytes": resident_bytes, "lines": lines}
     record.write_text(json.dumps(figures, indent=1) + "\n")
     for name, item in lines.items():
-        print(f"{name}: {item['slope']:.4g} {item['unit']} each, from {item['intercept']:.4g}")
+        print(f"{name}: slope {item['slope']:.4g} {item['unit']}, at zero {item['intercept']:.4g}")
 
 
 if __name__ == "__main__":
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -33,7 +33,7 @@
     status: int
     code: str
     verdict: str
-    request: str
+    request_id: str
     is_valid: bool
     at_most_once: bool
 
@@ -64,13 +64,13 @@
     url, headers = f"http://{proxy}{path}", {"X-Mark": mark}
     try:
         async with session.request(method, url, data=body, headers=headers) as response:
-            form = json.loads(await response.read())
-            request = response.headers.get("X-Request-Id", "")
+            content = json.loads(await response.read())
+            request_id = response.headers.get("X-Request-Id", "")
             if response.status == 200:
-                is_valid = form["mark"] == mark and form["received"] == len(body)
-                return CallResult(mark, 200, "", "ran", request, is_valid, at_most_once)
-            code, verdict = form["code"], form["verdict"]
-            return CallResult(mark, response.status, code, verdict, request, True, at_most_once)
+                is_valid = content["mark"] == mark and content["received"] == len(body)
+                return CallResult(mark, 200, "", "ran", request_id, is_valid, at_most_once)
+            code, verdict = content["code"], content["verdict"]
+            return CallResult(mark, response.status, code, verdict, request_id, True, at_most_once)
     except (aiohttp.ClientError, OSError) as error:
         return CallResult(mark, 0, type(error).__name__, "may have run", "", True, at_most_once)
 
@@ -106,7 +106,10 @@
     invalid = sum(not item.is_valid for item in sent)
     told.expect(duplicated == 0, f"{duplicated} writes run more than once")
     told.expect(lost == 0, f"{lost} calls served but not run")
-    told.expect(false_verdicts == 0, f"{false_verdicts} calls refused as not run but run")
+    told.expect(
+        false_verdicts == 0,
+        f"{false_verdicts} calls refused with the verdict 'not run' that did run",
+    )
     told.expect(invalid == 0, f"{invalid} wrong or partial responses")
 
 
@@ -121,7 +124,7 @@
     told.expect(
         response["outcome"] == "accepted",
         f"version {response['version']} is in force on {len(hosts)} proxies, {delay:.3f} s after"
-        " the leader stamped it",
+        " the leader accepted it",
     )
 
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,4 +1,4 @@
-"""Runs the hosts of an example deployment as local processes on free loopback addresses."""
+"""Run the hosts of an example deployment as local processes on free loopback addresses."""
 
 from __future__ import annotations
 
@@ -19,12 +19,13 @@
 from typing import Any, NamedTuple, Self
 
 from cowslipvane.client import Client, Unreachable
+from cowslipvane.types import Seconds
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
-_FIRST_PORT = 10_000
+_BASE_PORT = 10_000
 _POLL_INTERVAL_S = 0.02
 
 
@@ -59,7 +60,7 @@
         self.folder = Path(self._folder.name)
         self.hosts = {host.name: host for host in hosts}
         self._timing = timing or {}
-        self._ip, self._next_port = _free_ip(), _FIRST_PORT
+        self._ip, self._next_port = _free_ip(), _BASE_PORT
         self._addresses = {
             host: {
                 name: self._new_address() for name in ("callers", "operators", "peers", "worker")
@@ -108,7 +109,7 @@
         """Return the operators' addresses of the replicas."""
         return tuple(self.address(host, "operators") for host in self.replicas)
 
-    def client(self, timeout: float = 20.0) -> Client:
+    def client(self, timeout: Seconds = 20.0) -> Client:
         """Return an operator client that connects to the replicas."""
         return Client(servers=self.operators(), timeout=timeout)
 
@@ -229,16 +230,19 @@
             lambda status: status.get("replica", {}).get("holds_lease", False)
         )
 
-    async def until_members(self, workers: int) -> dict[str, Any]:
-        """Wait until the leader knows that many workers and return its status."""
+    async def until_members(self, count: int) -> dict[str, Any]:
+        """Wait until the status lists at least `count` workers, and return the status."""
 
         def all_registered(status: dict[str, Any]) -> bool:
-            return sum(bool(member["service"]) for member in status["members"]) >= workers
+            return sum(bool(member["service"]) for member in status["members"]) >= count
 
         return await self._wait_for_status(all_registered)
 
     async def until_in_force(self, version: int, hosts: Iterable[str]) -> float:
-        """Wait until all given hosts have applied a version, and return when the last one did."""
+        """Wait until all given hosts have applied a version.
+
+        Return the wall-clock time in seconds since the epoch at which the last one applied it.
+        """
         expected = set(hosts)
 
         def on_all_hosts(status: dict[str, Any]) -> bool:
@@ -250,7 +254,10 @@
         return float(max(item["applied_at"] for item in reports if item["host"] in expected))
 
     async def _wait_for_status(self, condition: Any) -> dict[str, Any]:
-        """Poll the leader's status until a condition holds, and return it."""
+        """Poll the status of the leader, or else of any replica, until a condition holds.
+
+        Return the status that meets the condition.
+        """
         deadline = time.monotonic() + START_TIMEOUT_S
         status: dict[str, Any] = {}
         async with self.client(timeout=2.0) as client:
@@ -303,7 +310,7 @@
 
 
 def _free_ip() -> str:
-    """Return a random loopback address, so that fleets in parallel use different ones."""
+    """Return a random loopback address that no other fleet is likely to use."""
     # Connections to loopback originate from 127.0.0.1, so that their ephemeral ports cannot
     # collide with the port of a listener on another address.
     rng = random.Random(os.urandom(8))
@@ -311,7 +318,7 @@
         ip = f"127.{rng.randint(16, 250)}.{rng.randint(0, 250)}.{rng.randint(1, 250)}"
         with socket.socket() as probe:
             try:
-                probe.bind((ip, _FIRST_PORT + 1))
+                probe.bind((ip, _BASE_PORT + 1))
             except OSError:
                 continue
             return ip
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,4 @@
-"""Reads the resource usage of a process from /proc."""
+"""Read the resource usage of a process from /proc."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     """Processor time in seconds and resident memory in bytes of a process."""
 
     processor_s: float
-    resident: int
+    resident_bytes: int
 
 
 def usage(pid: int) -> Usage:
@@ -22,5 +22,5 @@
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     ticks = int(fields[11]) + int(fields[12])
     status = Path(f"/proc/{pid}/status").read_text().splitlines()
-    resident = next(line for line in status if line.startswith("VmRSS:"))
-    return Usage(ticks / _TICKS_PER_S, int(resident.split()[1]) * _BYTES_PER_KIB)
+    resident_line = next(line for line in status if line.startswith("VmRSS:"))
+    return Usage(ticks / _TICKS_PER_S, int(resident_line.split()[1]) * _BYTES_PER_KIB)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -83,13 +83,13 @@
             failed += result["failed"]
             print(f"{name}: {result['run']} run, {len(result['failed'])} failed")
             print(output, end="")
-    new = [test for test in failed if test not in known]
+    new_failures = [test for test in failed if test not in known]
     for test in sorted(known):
         print(f"known red: {test}: {'failed again' if test in failed else 'passed this time'}")
-    for test in new:
+    for test in new_failures:
         print(f"FAILED: {test}")
-    print(f"{run - len(failed)} passed, {len(new)} failed")
-    return 1 if new or run == 0 else 0
+    print(f"{run - len(failed)} passed, {len(new_failures)} failed")
+    return 1 if new_failures or run == 0 else 0
 
 
 if __name__ == "__main__":
--- a/tools/single_replica.py
+++ b/tools/single_replica.py
@@ -17,11 +17,19 @@
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import Replication
-from cowslipvane.types import Address, DataCentre, HostName, OperationId, ReplicaId, Version
+from cowslipvane.types import (
+    Address,
+    DataCentre,
+    HostName,
+    OperationId,
+    ReplicaId,
+    Seconds,
+    Version,
+)
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 
 IP = "127.0.0.1"
-HOST = HostName("lone")
+HOST = HostName("single")
 
 
 class NullJournal:
@@ -42,7 +50,7 @@
         """Return at once."""
 
     async def wait_for_failure(self) -> None:
-        """Return at once, since no write can fail."""
+        """Return without raising, since no write can fail."""
 
 
 def event_log(host: str = HOST) -> EventLog:
@@ -54,12 +62,12 @@
 class SingleReplica:
     """Publishes updates to proxies, as the leader by default and as a follower otherwise."""
 
-    def __init__(self, *, leads: bool = True, pull_wait: float = 10.0) -> None:
+    def __init__(self, *, leads: bool = True, pull_wait: Seconds = 10.0) -> None:
         now = time.monotonic()
         self.replica = Replica(
             host=HOST,
-            replica_id=ReplicaId("lone"),
-            founders=(Voter(HOST, Address(IP, 1), ReplicaId("lone")),),
+            replica_id=ReplicaId("single"),
+            founders=(Voter(HOST, Address(IP, 1), ReplicaId("single")),),
             journal=NullJournal(),
             recovered=Recovered(Ballot(0, None), ()),
             election_timeout=1.0,
@@ -68,7 +76,7 @@
         )
         self.replication = Replication(
             replica=self.replica,
-            group_name="lone",
+            group_name="single",
             journal=NullJournal(),
             timing=Timing(),
             events=event_log(),
@@ -99,7 +107,7 @@
     ) -> None:
         """Stop the listener and the publisher."""
         self._task.cancel()
-        self.cut()
+        self.close()
         await self._server.wait_closed()
 
     @property
@@ -115,7 +123,7 @@
         self.replica.record_synced(self.replica.last_index)
         self.replication.changed.send()
 
-    def cut(self) -> None:
+    def close(self) -> None:
         """Close the listener and every connection."""
         self._server.close()
 
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -33,10 +33,12 @@
 class Worker:
     """Runs at most one request for each slot at once and records each in a ledger."""
 
-    def __init__(self, *, options: WorkerOptions, address: str, proxy: str, ledger: Path) -> None:
+    def __init__(
+        self, *, options: WorkerOptions, address: str, proxy_address: str, ledger: Path
+    ) -> None:
         self._options = options
         self._address = address
-        self._proxy = proxy
+        self._proxy_address = proxy_address
         self._ledger = os.open(ledger, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
         self._running = 0
         self._work_factor = 1.0
@@ -61,11 +63,13 @@
         """Announce to the proxy on this host that this worker is leaving and takes no new work."""
         async with aiohttp.ClientSession() as session:
             with suppress(aiohttp.ClientError, OSError):
-                await session.post(f"http://{self._proxy}/v1/worker", json={"state": "leaving"})
+                await session.post(
+                    f"http://{self._proxy_address}/v1/worker", json={"state": "leaving"}
+                )
 
     async def _announce(self) -> None:
         """Announce this worker to the proxy on its host at each interval."""
-        form = {
+        announcement = {
             "service": self._options.service,
             "address": self._address,
             "slots": self._options.slots,
@@ -74,7 +78,7 @@
         async with aiohttp.ClientSession() as session:
             while True:
                 with suppress(aiohttp.ClientError, OSError):
-                    await session.post(f"http://{self._proxy}/v1/worker", json=form)
+                    await session.post(f"http://{self._proxy_address}/v1/worker", json=announcement)
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -157,7 +161,7 @@
     worker = Worker(
         options=options,
         address=arguments.address,
-        proxy=arguments.proxy,
+        proxy_address=arguments.proxy,
         ledger=arguments.ledger,
     )
     asyncio.run(worker.run())
