Name the fleet's and the simulation's public names for what they hold

until_members counts members that have a worker: until_workers. START_TIMEOUT_S limits every wait for a status: STATUS_TIMEOUT_S. silent: unresponsive. The rates of Cost carry 'per_s', and names is hosts_by_data_centre. Uses in tests follow; no check differs.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -31,7 +31,7 @@
         cls.fleet.create()
         cls.fleet.start()
         await cls.fleet.until_leader()
-        await cls.fleet.until_members(1)
+        await cls.fleet.until_workers(1)
         servers = [part for address in cls.fleet.operators() for part in ("--server", address)]
         resources = str(EXAMPLES / "quiros" / "resources.toml")
         cls.fleet.command("apply", "-f", resources, *servers)
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -6,7 +6,7 @@
 from cowslipvane.client import Client, Unreachable
 from cowslipvane.replica._replica import COMPACT_AFTER_ENTRIES
 from tests.histories import HistoryTestCase
-from tools.fleet import START_TIMEOUT_S
+from tools.fleet import STATUS_TIMEOUT_S
 
 OPERATOR_COUNT = 30
 CHANGES_PER_OPERATOR = COMPACT_AFTER_ENTRIES // OPERATOR_COUNT + 2
@@ -61,7 +61,7 @@
             before = await client.resources()
             self.fleet.start_daemon(restarted)
             await client.change(change_form(0, CHANGES_PER_OPERATOR, before["version"]))
-            async with asyncio.timeout(START_TIMEOUT_S):
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
                 await self.until_snapshot(leader)
                 await self.until_applied(restarted, before["version"] + 1)
             # Only the leader and the restarted replica start again, so the group depends on their
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -81,7 +81,7 @@
     async def prepare(cls) -> None:
         """Wait for the processes and apply the resources."""
         await cls.fleet.until_leader()
-        await cls.fleet.until_members(len(HOSTS))
+        await cls.fleet.until_workers(len(HOSTS))
         servers = [f"--server={address}" for address in cls.fleet.operators()]
         path = str(EXAMPLES / "quiros" / "resources.toml")
         cls.fleet.command("apply", "-f", path, *servers)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -45,7 +45,7 @@
         self.fleet.create()
         self.fleet.start()
         await self.fleet.until_leader()
-        await self.fleet.until_members(len(HOSTS))
+        await self.fleet.until_workers(len(HOSTS))
         await self.apply(str(EXAMPLES / "quiros" / "resources.toml"))
         await self.fleet.until_in_force(1, HOSTS)
         self.outcomes: list[CallOutcome] = []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -239,7 +239,7 @@
         """Return members of data centres of some sizes, once they know each other."""
         hosts = {f"dc{index}": names(f"dc{index}", size) for index, size in enumerate(sizes)}
         simulation = MembershipSimulation(
-            names=hosts, seeds=[group[0] for group in hosts.values()], seed=seed
+            hosts_by_data_centre=hosts, seeds=[group[0] for group in hosts.values()], seed=seed
         )
         simulation.until(lambda: self.is_complete(simulation, hosts))
         return simulation
@@ -256,8 +256,8 @@
     def test_idle_cost_per_member_is_independent_of_their_number(self) -> None:
         """With five times the members, each sends at most a fifth more messages."""
         small, large = (cost(self.converged(size), 20.0) for size in (20, 100))
-        self.assertLess(large.mean_messages, small.mean_messages * 1.2)
-        self.assertLess(large.most_bytes, 1000)
+        self.assertLess(large.mean_messages_per_s, small.mean_messages_per_s * 1.2)
+        self.assertLess(large.max_bytes_per_s, 1000)
 
     def test_a_leaving_state_reaches_all_members_within_a_second(self) -> None:
         """Each member forwards it, and each hop halves the remaining distance in the ring."""
@@ -354,11 +354,11 @@
         """Its next record makes it alive for the others again."""
         simulation = self.converged(12)
         host = HostName("dc0-005")
-        simulation.silent.add(host)
+        simulation.unresponsive.add(host)
         simulation.run(10.0)
         others = [membership for name, membership in simulation.running.items() if name != host]
         self.assertFalse(any(membership.is_alive(host, simulation.now) for membership in others))
-        simulation.silent.clear()
+        simulation.unresponsive.clear()
         simulation.until(
             lambda: all(membership.is_alive(host, simulation.now) for membership in others)
         )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -19,7 +19,7 @@
         self.fleet.create()
         self.fleet.start()
         await self.fleet.until_leader()
-        await self.fleet.until_members(len(self.fleet.hosts))
+        await self.fleet.until_workers(len(self.fleet.hosts))
 
     async def apply(self, *options: str) -> dict[str, object]:
         """Apply the deployment's resources and return the response."""
--- a/tests/three_hosts_case.py
+++ b/tests/three_hosts_case.py
@@ -31,7 +31,7 @@
     async def apply_resources(cls, workers: int) -> None:
         """Wait for the processes and apply the first version."""
         await cls.fleet.until_leader()
-        await cls.fleet.until_members(workers)
+        await cls.fleet.until_workers(workers)
         cls.fleet.command("apply", "-f", str(cls.resources()), *cls.servers)
         await cls.fleet.until_in_force(1, HOSTS)
 
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -54,18 +54,22 @@
     """Simulates members in steps of the batch delay, with messages delivered at once."""
 
     def __init__(
-        self, *, names: Mapping[str, Sequence[str]], seeds: Iterable[str], seed: int
+        self, *, hosts_by_data_centre: Mapping[str, Sequence[str]], seeds: Iterable[str], seed: int
     ) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
         self.is_partitioned: Callable[[Member, Member], bool] = lambda one, other: False
         self.running: dict[HostName, Membership] = {}
         # Members that run but respond to nothing.
-        self.silent: set[HostName] = set()
+        self.unresponsive: set[HostName] = set()
         self.sent_bytes: Counter[HostName] = Counter()
         self.sent_messages: Counter[HostName] = Counter()
         self.counts_bytes = False
-        data_centres = {host: data_centre for data_centre, hosts in names.items() for host in hosts}
+        data_centres = {
+            host: data_centre
+            for data_centre, hosts in hosts_by_data_centre.items()
+            for host in hosts
+        }
         self._addresses = {
             host: Address("10.0.0.1", port) for port, host in enumerate(data_centres, 1)
         }
@@ -115,7 +119,7 @@
         while self.now < end:
             self.now += BATCH_DELAY
             for host in list(self.running):
-                if host not in self.silent:
+                if host not in self.unresponsive:
                     self._step(host)
 
     def until(self, condition: Callable[[], bool], timeout: Seconds = 60.0) -> Seconds:
@@ -204,7 +208,7 @@
                 connection.heartbeat_interval
             )
             return
-        if other in self.silent:
+        if other in self.unresponsive:
             # An unresponsive process is suspected only once its reply is overdue.
             connection.due_at = self.now + HEARTBEAT_INTERVAL * REPLY_TIMEOUT_HEARTBEATS
             if not connection.is_reply_overdue:
@@ -242,7 +246,7 @@
     def _reaches(self, host: HostName, other: HostName) -> bool:
         """Return whether a message from one member reaches another."""
         remote = self.running.get(other)
-        if remote is None or other in self.silent:
+        if remote is None or other in self.unresponsive:
             return False
         return not self.is_partitioned(self.running[host].own, remote.own)
 
@@ -266,9 +270,9 @@
 class Cost(NamedTuple):
     """Bytes and messages that a member sent per second: mean and maximum over the members."""
 
-    mean_bytes: float
-    most_bytes: float
-    mean_messages: float
+    mean_bytes_per_s: float
+    max_bytes_per_s: float
+    mean_messages_per_s: float
 
 
 def cost(
@@ -315,7 +319,9 @@
 def table_row(size: int, seed: int) -> str:
     """Return the table row for a number of members."""
     hosts = [HostName(f"host-{number:04}") for number in range(size)]
-    simulation = MembershipSimulation(names={"one": hosts}, seeds=hosts[:3], seed=seed)
+    simulation = MembershipSimulation(
+        hosts_by_data_centre={"one": hosts}, seeds=hosts[:3], seed=seed
+    )
     convergence_s = simulation.until(
         lambda: len(simulation.running[hosts[0]].members) == size and simulation.all_agree()
     )
@@ -334,10 +340,10 @@
     )
     full = full_tables(simulation)
     return (
-        f"{size:7}  {convergence_s:6.2f} s  {idle.mean_bytes:8.0f} /"
-        f"{idle.most_bytes:7.0f}  {idle.mean_messages:5.1f}  "
-        f"{churn.mean_bytes:9.0f}  {leave_s:9.2f} s  {rejoin_s:10.2f} s  "
-        f"{full.mean_bytes:8.0f}"
+        f"{size:7}  {convergence_s:6.2f} s  {idle.mean_bytes_per_s:8.0f} /"
+        f"{idle.max_bytes_per_s:7.0f}  {idle.mean_messages_per_s:5.1f}  "
+        f"{churn.mean_bytes_per_s:9.0f}  {leave_s:9.2f} s  {rejoin_s:10.2f} s  "
+        f"{full.mean_bytes_per_s:8.0f}"
     )
 
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -136,7 +136,7 @@
         fleet.create()
         fleet.start()
         await fleet.until_leader()
-        await fleet.until_members(1)
+        await fleet.until_workers(1)
         servers = [part for address in fleet.operators() for part in ("--server", address)]
         fleet.command("apply", "-f", str(EXAMPLES / "quiros" / "resources.toml"), *servers)
         await fleet.until_in_force(1, fleet.alive)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -184,7 +184,7 @@
         fleet.create()
         fleet.start()
         await fleet.until_leader()
-        status = await fleet.until_members(sum(bool(host.worker) for host in fleet.hosts.values()))
+        status = await fleet.until_workers(sum(bool(host.worker) for host in fleet.hosts.values()))
         data_centres = {member["data_centre"] for member in status["members"]}
         told.say(f"{len(status['members'])} hosts up in {len(data_centres)} data centres")
         sent: list[CallResult] = []
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -23,7 +23,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
-START_TIMEOUT_S = 30.0
+STATUS_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 _BASE_PORT = 10_000
 _POLL_INTERVAL_S = 0.02
@@ -230,7 +230,7 @@
             lambda status: status.get("replica", {}).get("holds_lease", False)
         )
 
-    async def until_members(self, count: int) -> dict[str, Any]:
+    async def until_workers(self, count: int) -> dict[str, Any]:
         """Wait until the status lists at least `count` workers, and return the status."""
 
         def all_registered(status: dict[str, Any]) -> bool:
@@ -258,7 +258,7 @@
 
         Return the status that meets the condition.
         """
-        deadline = time.monotonic() + START_TIMEOUT_S
+        deadline = time.monotonic() + STATUS_TIMEOUT_S
         status: dict[str, Any] = {}
         async with self.client(timeout=2.0) as client:
             while time.monotonic() < deadline:
@@ -269,7 +269,7 @@
                 except Unreachable:
                     pass
                 await asyncio.sleep(_POLL_INTERVAL_S)
-        raise TimeoutError(f"condition not met within {START_TIMEOUT_S} s; last status: {status}")
+        raise TimeoutError(f"condition not met within {STATUS_TIMEOUT_S} s; last status: {status}")
 
     def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
         """Start a Python process with its standard error in a file."""
