--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -32,7 +32,12 @@
 
 
 def decode_configuration(body: bytes) -> DecodedConfiguration:
-    """Return the configuration in a body; raise ValueError if any part of it can't be decoded."""
+    """Return the configuration in a body.
+
+    Raise ValueError for an invalid value, and in place of LookupError, TypeError, AttributeError
+    and RecursionError. OverflowError isn't converted: an infinite number where an integer is
+    expected raises it, and so does a time whose integer is too large for a float.
+    """
     try:
         form = json.loads(body)
         number = _parse_version(form["version"])
@@ -124,14 +129,17 @@
 
 
 def _weight(value: Any) -> int:
-    """Return a weight; raise ValueError if it isn't a whole number."""
+    """Return a weight; raise ValueError if it isn't a whole number, OverflowError if infinite."""
     if type(value) not in (int, float) or value != int(value):
         raise ValueError(f"found weight {value!r}; allowed is a whole number")
     return int(value)
 
 
 def _seconds(value: Any) -> float:
-    """Return a time in seconds; raise ValueError if it isn't a finite number."""
+    """Return a time in seconds; raise ValueError if it isn't a finite number.
+
+    An integer that is too large for a float raises OverflowError.
+    """
     if type(value) not in (int, float) or not math.isfinite(value):
         raise ValueError(f"found {value!r:.80}; allowed is a time in seconds")
     return float(value)
