Say what formation.first_start does

The description was a riddle: only this flag makes a seed with an empty data folder a founder. The key stays; the settings page is written anew.

--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -176,15 +176,20 @@
 class Formation:
     """How the group of replicas is formed: automatically, or by commands.
 
-    With automatic formation the seeds form the group at the first start, each host is named by its
-    IP address, and a replica that starts later with an empty disk replaces the former replica of
-    its host.
+    With automatic formation each host is named by its IP address. If first_start is set, seeds
+    with an empty data folder form a new group. Any other replica with an empty data folder joins
+    the group and replaces the former replica of its host.
     """
 
     automatic: bool = value_field(
         "true or false", "form and repair the group without commands", False
     )
-    first_start: bool = value_field("true or false", "the system starts for the first time", False)
+    first_start: bool = value_field(
+        "true or false",
+        "form a new group of the seeds if the data folder is empty;"
+        " set only at the first start of the system",
+        False,
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
