--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -63,7 +63,7 @@
 
 
 class HostileTest(unittest.TestCase):
-    """Three processes that receive malformed input, while other connections are served."""
+    """Three processes; the first receives malformed input while other connections are served."""
 
     fleet: ClassVar[Fleet]
 
