Name acceptance times and the gossip simulation tests after what they hold

Catalogue.accepted_at() and the mappings passed on from it have the same name as the time of one version; they are now acceptance_times. The JSON keys accepted_at stay. RoundsTest named no concept of the code: it tests the gossip of a MembershipSimulation.

--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -217,7 +217,7 @@
                 altered.append(effect)
         return tuple(altered)
 
-    def accepted_at(self) -> dict[Version, float]:
+    def acceptance_times(self) -> dict[Version, float]:
         """Return when each version in the history was accepted, as wall time."""
         return {entry.version: entry.accepted_at for entry in self._history}
 
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -74,9 +74,9 @@
         """Return the number of live proxies on which a version or a later one is in force."""
         return len(self._versions_in_force) - bisect_left(self._versions_in_force, version)
 
-    def progress(self, version: Version, accepted_at: Mapping[Version, float]) -> Progress:
+    def progress(self, version: Version, acceptance_times: Mapping[Version, float]) -> Progress:
         """Return the progress of a version, with the proxies that lag and since when."""
-        behind = tuple(self._lags(version, accepted_at)) if self._versions_in_force else ()
+        behind = tuple(self._lags(version, acceptance_times)) if self._versions_in_force else ()
         return Progress(
             version,
             self.in_force(version),
@@ -95,14 +95,14 @@
         report = self._reports.get(host)
         return report.version if report else NO_VERSION
 
-    def _lags(self, version: Version, accepted_at: Mapping[Version, float]) -> Iterable[Lag]:
+    def _lags(self, version: Version, acceptance_times: Mapping[Version, float]) -> Iterable[Lag]:
         """Yield the live proxies on which an older version is in force."""
         for host in self._proxies.live:
             version_in_force = self._version_of(host)
             if version_in_force < version:
                 report = self._reports.get(host)
                 # A proxy lags from the time when the version after its own was accepted.
-                since = accepted_at.get(Version(version_in_force + 1))
+                since = acceptance_times.get(Version(version_in_force + 1))
                 yield Lag(host, version_in_force, since, report.rejected if report else "")
 
     def _record_everywhere(self, version: Version, now: float) -> None:
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -74,10 +74,10 @@
     def _resources(self) -> web.Response:
         """Return all accepted resources, each with its rollout status."""
         rollout = self._publisher.rollout
-        accepted_at = self._catalogue.accepted_at()
-        progress = rollout.progress(self._catalogue.version, accepted_at)
+        acceptance_times = self._catalogue.acceptance_times()
+        progress = rollout.progress(self._catalogue.version, acceptance_times)
         resources = [
-            {**resource_form(item), "status": status_form(item.version, accepted_at, rollout)}
+            {**resource_form(item), "status": status_form(item.version, acceptance_times, rollout)}
             for item in self._catalogue.resources.values()
         ]
         return web.json_response({**progress_form(progress), "resources": resources})
@@ -87,9 +87,9 @@
         resource = self._catalogue.resources.get(key)
         if resource is None:
             return error_response(404, f"there is no {key}")
-        accepted_at = self._catalogue.accepted_at()
-        progress = self._publisher.rollout.progress(resource.version, accepted_at)
-        status = status_form(resource.version, accepted_at, self._publisher.rollout)
+        acceptance_times = self._catalogue.acceptance_times()
+        progress = self._publisher.rollout.progress(resource.version, acceptance_times)
+        status = status_form(resource.version, acceptance_times, self._publisher.rollout)
         status["behind"] = progress_form(progress)["behind"]
         form = {**resource_form(resource), "status": status}
         return web.json_response(form, headers={"ETag": f'"{resource.version}"'})
--- a/cowslipvane/tasks/_watch.py
+++ b/cowslipvane/tasks/_watch.py
@@ -43,7 +43,7 @@
         updates: list[Any] = [change_form(change) for change in catalogue.history(self._version)]
         self._version = max(self._version, catalogue.version)
         progress = progress_form(
-            self._publisher.rollout.progress(catalogue.version, catalogue.accepted_at())
+            self._publisher.rollout.progress(catalogue.version, catalogue.acceptance_times())
         )
         if progress != self._progress:
             self._progress = progress
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -117,11 +117,11 @@
 
 
 def status_form(
-    version: Version, accepted_at: dict[Version, float], rollout: Rollout
+    version: Version, acceptance_times: dict[Version, float], rollout: Rollout
 ) -> StatusForm:
     """Return the rollout status of the version that last changed a resource as JSON."""
     return StatusForm(
-        accepted_at=accepted_at.get(version),
+        accepted_at=acceptance_times.get(version),
         in_force=rollout.in_force(version),
         proxies=rollout.live_proxy_count,
         everywhere_at=rollout.everywhere_at(version),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -234,7 +234,7 @@
     return [f"{data_centre}-{index:03}" for index in range(count)]
 
 
-class RoundsTest(unittest.TestCase):
+class GossipSimulationTest(unittest.TestCase):
     """Many members over simulated time."""
 
     def converged(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -8,7 +8,7 @@
 from tools.single_replica import SingleReplica
 
 A, B, C = HostName("a"), HostName("b"), HostName("c")
-ACCEPTED_AT = {Version(1): 10.0, Version(2): 20.0, Version(3): 30.0}
+ACCEPTANCE_TIMES = {Version(1): 10.0, Version(2): 20.0, Version(3): 30.0}
 
 
 def report(host: HostName, version: int, *, changed_at: float = 1.0, rejected: str = "") -> Report:
@@ -28,7 +28,7 @@
 
     def test_counts_live_proxies_and_lists_those_that_lag(self) -> None:
         """A proxy lags from the time when the version after its own was accepted."""
-        progress = self.rollout.progress(Version(3), ACCEPTED_AT)
+        progress = self.rollout.progress(Version(3), ACCEPTANCE_TIMES)
         self.assertEqual((progress.in_force, progress.proxies), (1, 2))
         self.assertEqual(progress.behind, (Lag(B, Version(1), 20.0, "why"),))
         self.assertEqual((progress.silent, progress.everywhere_at), ((C,), None))
@@ -36,7 +36,7 @@
     def test_a_proxy_that_never_reported_counts_as_lagging(self) -> None:
         """A missing report is not a success."""
         self.rollout.observe({A: report(A, 3)}, self.proxies, 41.0)
-        progress = self.rollout.progress(Version(1), ACCEPTED_AT)
+        progress = self.rollout.progress(Version(1), ACCEPTANCE_TIMES)
         self.assertEqual((progress.in_force, progress.proxies), (1, 2))
         self.assertEqual([lag.host for lag in progress.behind], [B])
 
@@ -45,7 +45,7 @@
         self.assertEqual(self.rollout.everywhere_at(Version(1)), 40.0)
         self.rollout.observe({A: report(A, 3), B: report(B, 3)}, self.proxies, 50.0)
         self.rollout.observe({A: report(A, 0), B: report(B, 3)}, self.proxies, 60.0)
-        times = [self.rollout.everywhere_at(version) for version in ACCEPTED_AT]
+        times = [self.rollout.everywhere_at(version) for version in ACCEPTANCE_TIMES]
         self.assertEqual(times, [40.0, 50.0, 50.0])
 
     def test_observe_returns_whether_anything_changed(self) -> None:
