--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -36,7 +36,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Accepted:
-    """The change was applied and created this version."""
+    """The change was applied and created this version.
+
+    accepted_at is the time stamp of its entry in the log, in seconds of wall time.
+    """
 
     version: Version
     accepted_at: float
@@ -218,7 +221,7 @@
         return tuple(altered)
 
     def acceptance_times(self) -> dict[Version, float]:
-        """Return when each version in the history was accepted, as wall time."""
+        """Return when each version in the history was accepted, in seconds of wall time."""
         return {entry.version: entry.accepted_at for entry in self._history}
 
     def apply(self, change: Change, *, accepted_at: float) -> Outcome:
@@ -267,6 +270,7 @@
         before = self._changed_since(base)
         base_keys = closure(self._resources_before(before), hosts) if hosts else None
         if base_keys is None:
+            # The closure of all hosts contains each unchanged resource that is no release.
             previous = {key: old for key, old in before.items() if old is not None}
             base_keys = (host_closure.keys - before.keys()) | closure(previous, hosts)
         puts = [key for key in host_closure.keys if key in before or key not in base_keys]
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -60,7 +60,7 @@
 class RetryPolicy:
     """Which requests may be retried, and how often.
 
-    With idempotency_key, the method alone does not make a request repeatable.
+    With idempotency_key, methods don't make a request repeatable, only its route does.
     """
 
     attempts: int = 2
@@ -175,7 +175,7 @@
                     f"{names} is not idempotent; set idempotency_key = true or leave it out",
                 )
         case TrafficPolicy(timeout=timeout, max_body_bytes=max_body_bytes):
-            # Written so that NaN is refused too.
+            # NaN fails each comparison, so it is refused too.
             if not 0 < timeout <= MAX_TIMEOUT:
                 limit = f"more than 0 and at most {MAX_TIMEOUT:g}"
                 yield Fault(f"{key}.timeout", f"is {timeout} s; allowed is {limit}")
--- a/cowslipvane/catalogue/_state.py
+++ b/cowslipvane/catalogue/_state.py
@@ -18,7 +18,7 @@
 
 
 class Decision(NamedTuple):
-    """The outcome of an operation, and when it was decided, as wall time."""
+    """The outcome of an operation, and when it was decided, in seconds of wall time."""
 
     operation_id: OperationId
     outcome: Outcome
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -59,8 +59,8 @@
         """Record that an instance is gone; return whether it was the current one.
 
         After a restart, a process may receive a departure before any announcement of the instance.
-        In that case every incarnation that started before wall_ms, the wall time in milliseconds,
-        has ended.
+        In that case every incarnation that started by wall_ms, the wall time in milliseconds, has
+        ended.
         """
         current = self._newest
         if current is None or current.worker.instance != instance:
--- a/cowslipvane/membership/_feed.py
+++ b/cowslipvane/membership/_feed.py
@@ -11,8 +11,10 @@
 
 # After this many successive digest mismatches with no updates in flight, all records are compared.
 MISMATCHES_BEFORE_COMPARE = 2
-# The first delay between exchanges while the digests differ; it doubles with each exchange.
-INITIAL_MISMATCH_DELAY: Seconds = 0.1
+# While the digests differ, the delay between exchanges is this, doubled once for each successive
+# exchange after which they differed, but never longer than the interval between heartbeats.
+BASE_MISMATCH_DELAY: Seconds = 0.1
+# Keeps the power of two within the range of a float.
 MAX_DELAY_DOUBLINGS = 10
 # Data centres hold different sets of records, so their digests always differ: they compare
 # periodically instead.
@@ -28,7 +30,7 @@
         self._membership = membership
         # A guest only asks for members. Records of its data centre are ignored once the gateways of
         # that data centre are known, so that others don't learn of every process that asks.
-        self._guest_of = data_centre if guest else None
+        self._guest_data_centre = data_centre if guest else None
         self._same_data_centre = data_centre == membership.own.data_centre
         # Records from before the connection are sent by the first comparison.
         self._cursor = membership.revision
@@ -49,7 +51,7 @@
         return (
             min(
                 heartbeat_interval,
-                INITIAL_MISMATCH_DELAY * 2 ** min(self._differing_exchanges, MAX_DELAY_DOUBLINGS),
+                BASE_MISMATCH_DELAY * 2 ** min(self._differing_exchanges, MAX_DELAY_DOUBLINGS),
             )
             if self._differing_exchanges
             else heartbeat_interval
@@ -125,7 +127,7 @@
 
     def _merge_received(self, members: Iterable[Member], now: float) -> list[Member]:
         """Merge received records, and mark the hosts whose records here are newer for resending."""
-        received = [record for record in members if not self._is_ignorable(record)]
+        received = [record for record in members if not self._is_ignored(record)]
         newer = self._membership.merge(received, now)
         for record in received:
             held = self._membership.member(record.host)
@@ -134,11 +136,11 @@
                 self._to_resend.add(record.host)
         return newer
 
-    def _is_ignorable(self, record: Member) -> bool:
-        """Return whether a record is ignored: its data centre's gateways are known here."""
+    def _is_ignored(self, record: Member) -> bool:
+        """Return whether to ignore a guest's record, as its data centre's gateways are known."""
         return (
             not self._same_data_centre
-            and record.data_centre == self._guest_of
+            and record.data_centre == self._guest_data_centre
             and self._membership.member(record.host) is None
             and self._membership.knows_gateways(record.data_centre)
         )
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -13,7 +13,9 @@
 class Worker(NamedTuple):
     """The description that an upstream announces to the proxy on its host.
 
-    instance identifies one incarnation of the upstream; it is empty if the upstream gives none.
+    slots is the number of requests that it runs at the same time, connections the number that it
+    accepts, 0 if it announces none. instance is the name that the upstream gives to itself, empty
+    if it gives none; a later incarnation may reuse it.
     """
 
     service: ServiceName
@@ -45,7 +47,8 @@
 class Member(NamedTuple):
     """One record of a process: its own description, and whether others suspect it.
 
-    peers, operators and callers are the addresses on which it listens for them.
+    peers, operators and callers are the addresses on which it listens for them; callers is None if
+    it accepts no requests of callers.
     """
 
     host: HostName
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -196,7 +196,7 @@
         return [self._members[host] for host, _ in recent]
 
     def newer_than(self, stamps: Iterable[Stamp]) -> list[Member]:
-        """Return the records that are newer than the given stamps or missing from them."""
+        """Return the records newer than the given stamps, and the live ones missing from them."""
         theirs: dict[HostName, Order] = {stamp.host: stamp.order for stamp in stamps}
         return [
             record
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -32,7 +32,7 @@
         return Announcement(
             worker=worker,
             state="leaving" if phase in _LEAVING_PHASES else "ready",
-            # The start of this worker instance, in milliseconds of Unix time.
+            # The start of this incarnation of the worker, in milliseconds of Unix time.
             started_at=_count(form.get("born", 0), 1 << 62, minimum=0),
             sequence=_count(status["sequence"], 1 << 62, minimum=0),
         )
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AskLeader:
-    """Redirects to the leader, which alone knows the floor; None if its address is unknown."""
+    """Redirects to the leader, which alone knows the floor; leader is None if unknown here."""
 
     leader: Address | None
 
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_rollout.py
@@ -34,7 +34,11 @@
 
 
 class Progress(NamedTuple):
-    """The progress of one version's rollout."""
+    """The progress of one version's rollout.
+
+    in_force counts the live proxies on which the version or a later one is in force, and proxies
+    all live ones. everywhere_at is the wall time in seconds when it was in force on all of them.
+    """
 
     version: Version
     in_force: int
--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -1,4 +1,4 @@
-"""Tests of stalled processes: they are suspected, and return once they run again."""
+"""Tests of stopped processes: they are suspected, and return once they run again."""
 
 import asyncio
 import signal
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -235,7 +235,7 @@
 
 
 class GossipSimulationTest(unittest.TestCase):
-    """Many members over simulated time."""
+    """Many members that exchange records over simulated time."""
 
     def converged(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
         """Return a simulation of data centres of some sizes whose members know each other."""
