--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -234,8 +234,8 @@
     return [f"{data_centre}-{index:03}" for index in range(count)]
 
 
-class RoundsTest(unittest.TestCase):
-    """Many members over simulated time."""
+class GossipSimulationTest(unittest.TestCase):
+    """Many members that exchange records over simulated time."""
 
     def converged(self, *sizes: int, seed: int = 1) -> MembershipSimulation:
         """Return a simulation of data centres of some sizes whose members know each other."""
