--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,9 +7,9 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange, ExchangeReply, Hello, Membership
 from cowslipvane.tasks._gossip import Gossip
-from cowslipvane.types import HostName
+from cowslipvane.types import DataCentre, HostName
 from cowslipvane.wire import Link
-from tests.test_membership import LOCAL, record
+from tests.test_membership import record
 
 
 class Pipe:
@@ -34,7 +34,8 @@
 
     def setUp(self) -> None:
         """Create a member that knows only itself."""
-        centre = LOCAL
+        # The data centre of the records of tests.test_membership.
+        centre = DataCentre("local")
         events = EventLog(origin=Origin(HostName("a"), centre, 1), clock=HybridClock())
         self.membership = Membership(own=record("a"), now=0.0)
         self.gossip = Gossip(membership=self.membership, seeds=(), interval=0.005, events=events)
@@ -43,7 +44,7 @@
     async def test_exchange_reply_has_the_digest_of_both_records(self) -> None:
         """The sender's record is stored, and the reply has the digest of both records."""
         serving = asyncio.create_task(self.gossip.serve(cast(Link, self.pipe)))
-        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
+        await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=DataCentre("local")))
         await self.pipe.incoming.put(Exchange(digest=0, members=(record("b"),)))
         reply = await self.pipe.sent.get()
         self.assertEqual(reply, ExchangeReply(digest=self.membership.digest, members=()))
@@ -55,7 +56,9 @@
         """The task ends when no message is received, before and after the handshake."""
         async with asyncio.timeout(10):
             await self.gossip.serve(cast(Link, self.pipe))
-            await self.pipe.incoming.put(Hello(sender=HostName("b"), data_centre=LOCAL))
+            await self.pipe.incoming.put(
+                Hello(sender=HostName("b"), data_centre=DataCentre("local"))
+            )
             await self.gossip.serve(cast(Link, self.pipe))
 
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -29,7 +29,6 @@
 
 PROXIES = (50, 150, 300, 500)
 RESOURCES = (100, 1_000, 10_000)
-DISTRIBUTED_RESOURCES = 14
 CALLS_PER_S = (50, 100, 200)
 RATE_DURATION_S = 8.0
 IDLE_S = 10.0
@@ -107,7 +106,8 @@
     """
     startup, idle, change, delay = [], [], [], []
     for count in PROXIES:
-        figures = asyncio.run(measure_distribution(count, DISTRIBUTED_RESOURCES, IDLE_S))
+        # 14 is the number of resources in the catalogue that is distributed.
+        figures = asyncio.run(measure_distribution(count, 14, IDLE_S))
         startup.append(Point(count, float(figures["storm_s"])))
         idle.append(Point(count, float(figures["idle_bytes_per_s_each"]) * count))
         change.append(Point(count, float(figures["change_bytes_each"]) * count))
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -38,8 +38,6 @@
 file of the shell.
 """
 
-# Only the option for the resource file has no help text.
-_DEFAULT_OPTION_HELP = "The file."
 
 _METRICS_HEAD = """# Metrics
 
@@ -129,7 +127,8 @@
     names = ", ".join([*option.opts, *option.secondary_opts])
     marks = [mark for mark, applies in _marks(option).items() if applies]
     suffix = f" ({', '.join(marks)})" if marks else ""
-    text = option.help or _DEFAULT_OPTION_HELP
+    # Only the option for the resource file has no help text.
+    text = option.help or "The file."
     return f"`{names}`{suffix}: {text}"
 
 
