--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -37,7 +37,7 @@
 
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
         """Count the bytes of a message and send it."""
-        # Both ends of each connection use this class, so the mean of their header sizes counts.
+        # Both ends of each connection use this class, so it counts the mean header size.
         CountingLink.sent_bytes += len(encoded) + (CLIENT_HEADER_BYTES + SERVER_HEADER_BYTES) // 2
         await super().send_encoded(kind, encoded)
 
@@ -55,7 +55,7 @@
     def record(
         self, kind: EventKind, *, request: str = "", version: int = 0, **detail: str
     ) -> None:
-        """Record the time at which a proxy applied a version."""
+        """Record the time at which a proxy applied a version; ignore other events."""
         if kind == "applied":
             self._times[version].append(time.monotonic())
             if len(self._times[version]) == self._proxy_count:
--- a/tools/bench_members.py
+++ b/tools/bench_members.py
@@ -51,7 +51,10 @@
 
 
 class MembershipSimulation:
-    """Simulates members in steps of the batch delay, with messages delivered at once."""
+    """Simulates members in steps of the batch delay, with messages delivered at once.
+
+    `seeds` are the hosts that serve as seeds; `seed` initializes the random number generator.
+    """
 
     def __init__(
         self, *, hosts_by_data_centre: Mapping[str, Sequence[str]], seeds: Iterable[str], seed: int
@@ -257,7 +260,7 @@
             self.sent_bytes[sender] += len(encode(message)) + _MEAN_FRAME_HEADER_BYTES
 
     def _drop_connections(self, host: HostName) -> None:
-        """Drop the connections of a member that has ended, and mark those to it as closed."""
+        """Drop the connections of a member that ends or restarts, and mark those to it closed."""
         self._connections.pop(host, None)
         self._revisions_at_update.pop(host, None)
         for others in self._connections.values():
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -27,7 +27,11 @@
 
 
 class CallResult(NamedTuple):
-    """A call and the response that its caller received."""
+    """A call and the response that its caller received.
+
+    The mark identifies the call in the workers' ledgers. The status is 0 if no complete response
+    arrived.
+    """
 
     mark: str
     status: int
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -20,6 +20,7 @@
 def usage(pid: int) -> Usage:
     """Return the processor time since the start of a process, and its resident memory."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    # Fields 14 and 15 of proc(5), counted from 1: user time and system time.
     ticks = int(fields[11]) + int(fields[12])
     status = Path(f"/proc/{pid}/status").read_text().splitlines()
     resident_line = next(line for line in status if line.startswith("VmRSS:"))
--- a/tools/worker.py
+++ b/tools/worker.py
@@ -82,7 +82,10 @@
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Run a request, or refuse it if all slots are busy."""
+        """Run a request, or refuse it if all slots are busy.
+
+        A request for the path /_slow instead sets the work factor of the requests that follow.
+        """
         body = await request.read()
         if request.path == "/_slow":
             self._work_factor = float(request.query["times"])
