--- a/tests/test_frozen_member.py
+++ b/tests/test_frozen_member.py
@@ -1,4 +1,4 @@
-"""Tests of stalled processes: they are suspected, and return once they run again."""
+"""Tests of stopped processes: they are suspected, and return once they run again."""
 
 import asyncio
 import signal
@@ -14,7 +14,10 @@
 
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
-    """A stopped or drained process among five real hosts of one data centre."""
+    """Five processes of one data centre, some of which are drained, killed or stopped.
+
+    A stopped process neither answers nor closes its connections.
+    """
 
     async def asyncSetUp(self) -> None:
         """Start the hosts, and wait until one knows all of them."""
