Tell in the events what delays a version at a proxy

Change: applied has the sender's time, the size, and the time from first to last frame, for decoding and for applying; an event loop that is late by over 0.1 s gets an event stalled, on every process.

--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -37,6 +37,7 @@
     "rejected",
     "release",
     "reloaded",
+    "stalled",
     "started",
     "stopped",
     "verdict",
--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
@@ -15,6 +16,8 @@
 
 # Interval at which new events are written to the event file and to standard output.
 WRITE_INTERVAL: Seconds = 0.2
+# An event loop that is late by more than this gets an event.
+MIN_RECORDED_STALL: Seconds = 0.1
 # Events kept in memory by default; older ones are dropped and counted.
 DEFAULT_EVENTS_IN_MEMORY = 4000
 # Copies in memory of events of other processes, and of this host's process before it restarted.
@@ -87,11 +90,18 @@
         """Write new events periodically, so that recording one never waits."""
         try:
             while True:
+                due_at = time.monotonic() + WRITE_INTERVAL
                 await asyncio.sleep(WRITE_INTERVAL)
+                self._record_stall(time.monotonic() - due_at)
                 self.write()
         finally:
             self.write()
 
+    def _record_stall(self, stall: Seconds) -> None:
+        """Record how late the event loop is, which tells a slow process from a slow peer."""
+        if stall > MIN_RECORDED_STALL:
+            self.record("stalled", seconds=f"{stall:.3f}")
+
     def write(self) -> None:
         """Write the events that were recorded since the last write."""
         new_count = min(self._recorded - self._written, len(self._events))
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -26,7 +26,7 @@
 )
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, Seconds
-from cowslipvane.wire import Link, LinkClosed, Malformed, connect
+from cowslipvane.wire import Link, LinkClosed, Malformed, Reception, connect
 
 INITIAL_BACKOFF: Seconds = 0.1
 # Share of a connection's silence timeout for which a replica may wait for a leader.
@@ -115,7 +115,8 @@
                 await self._fetch_floor(link)
             while True:
                 await link.send(self._pull())
-                await self._handle_response(await link.receive(timeout=timeout))
+                response = await link.receive(timeout=timeout)
+                await self._handle_response(response, link.reception)
 
     def _pull(self) -> Pull:
         """Return a pull from the version in force, or for a full snapshot after a rejection."""
@@ -127,13 +128,16 @@
             hosts=self._settings.route_hosts,
         )
 
-    async def _handle_response(self, response: object) -> None:
+    async def _handle_response(self, response: object, reception: Reception | None) -> None:
         """Apply a response to a pull; raise _UnusableReplica if another replica should be tried."""
+        began_at = time.monotonic()
         match response:
             case PullDelta(delta=delta):
-                self._record_result(self._subscription.apply_delta(delta))
+                result = self._subscription.apply_delta(delta)
+                self._record_result(result, reception, time.monotonic() - began_at)
             case PullSnapshot(snapshot=snapshot):
-                self._record_result(self._subscription.apply_snapshot(snapshot))
+                result = self._subscription.apply_snapshot(snapshot)
+                self._record_result(result, reception, time.monotonic() - began_at)
             case Current(version=version):
                 self._backoff.reset()
                 if version < (self._subscription.floor or NO_VERSION):
@@ -156,7 +160,9 @@
             self._changed_at,
         )
 
-    def _record_result(self, result: Applied | Rejected) -> None:
+    def _record_result(
+        self, result: Applied | Rejected, reception: Reception | None, applying: Seconds
+    ) -> None:
         """Record whether a version was applied; raise _UnusableReplica if it was rejected."""
         self._changed_at = time.time()
         match result:
@@ -166,9 +172,23 @@
                 self._needs_snapshot = False
                 self._backoff.reset()
                 self._configuration_applied.send()
-                self._events.record("applied", version=version)
+                detail = _describe(reception, applying)
+                self._events.record("applied", version=version, **detail)
             case Rejected(version=version, reason=reason):
                 self._rejection = f"version {version}: {reason}"
                 self._needs_snapshot = True
                 self._events.record("rejected", version=version, reason=reason)
                 raise _UnusableReplica(reason)
+
+
+def _describe(reception: Reception | None, applying: Seconds) -> dict[str, str]:
+    """Return when an update was sent, and what its way into force took, for the event log."""
+    if reception is None:
+        return {}
+    return {
+        "sent_at": f"{reception.sent_at:.3f}",
+        "bytes": str(reception.size),
+        "transfer": f"{reception.transfer:.3f}",
+        "decoding": f"{reception.decoding:.3f}",
+        "applying": f"{applying:.3f}",
+    }
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -8,6 +8,7 @@
 import struct
 import sys
 import termios
+import time
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
@@ -76,6 +77,19 @@
     traffic: Traffic
 
 
+class Reception(NamedTuple):
+    """How a message arrived.
+
+    sent_at is the wall time at the sender in seconds, size in bytes. transfer is the time from the
+    first of its frames to the last one, 0 for a message in one frame.
+    """
+
+    sent_at: float
+    size: int
+    transfer: Seconds
+    decoding: Seconds
+
+
 # The identity of the process whose tasks run in this context, for the links that they open.
 link_identity: ContextVar[LinkIdentity | None] = ContextVar("link_identity", default=None)
 
@@ -128,6 +142,13 @@
         return is_delivering or is_receiving
 
 
+class _Received(NamedTuple):
+    """The bytes of a message, and the time from the first of its frames to the last one."""
+
+    data: bytes
+    transfer: Seconds
+
+
 class Link:
     """One connection to a peer, for messages in both directions."""
 
@@ -136,6 +157,12 @@
         self._clock = identity.clock
         self._traffic = identity.traffic
         self._sent_bytes = 0
+        self._reception: Reception | None = None
+
+    @property
+    def reception(self) -> Reception | None:
+        """Return how the message that was received last has arrived, None before the first."""
+        return self._reception
 
     @property
     def sent_bytes(self) -> int:
@@ -189,27 +216,34 @@
         """
         try:
             if timeout is None:
-                data = await self._connection.recv(decode=False)
+                received = _Received(await self._connection.recv(decode=False), 0.0)
             else:
-                data = await self._receive_in_time(timeout)
+                received = await self._receive_in_time(timeout)
         except websockets.ConnectionClosed as error:
             raise _link_closed(error) from error
+        data = received.data
         if len(data) < _STAMP.size:
             raise Malformed("a message without a stamp")
+        decoding_since = time.monotonic()
         message = decode(data[: -_STAMP.size])
+        decoding = time.monotonic() - decoding_since
+        stamp = Stamp(*_STAMP.unpack(data[-_STAMP.size :]))
         self._traffic.count_received(type(message).__name__, len(data))
-        self._clock.observe(Stamp(*_STAMP.unpack(data[-_STAMP.size :])))
+        self._clock.observe(stamp)
+        self._reception = Reception(stamp.wall, len(data), received.transfer, decoding)
         return message
 
-    async def _receive_in_time(self, timeout: Seconds) -> bytes:
+    async def _receive_in_time(self, timeout: Seconds) -> _Received:
         """Return the next message as bytes; raise TimeoutError if a frame of it is late."""
         frames: list[bytes] = []
+        receiving_since = 0.0
         # Unlike wait_for, this doesn't lose a cancellation that coincides with a message.
         async with ResponseTimeout(timeout, has_progress=self._delivery().has_progress) as limit:
             async for frame in self._connection.recv_streaming(decode=False):
+                receiving_since = receiving_since or time.monotonic()
                 frames.append(frame)
                 limit.restart()
-        return b"".join(frames)
+        return _Received(b"".join(frames), time.monotonic() - receiving_since)
 
     async def probe(self, timeout: Seconds) -> None:
         """Ping the peer and await the pong; raise LinkClosed if it is late or the link closed.
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,5 +1,6 @@
 """Tests of the events: their order, the limits on their number, and their file."""
 
+import asyncio
 import math
 import tempfile
 import unittest
@@ -16,6 +17,7 @@
     rotated_path,
 )
 from cowslipvane.types import DataCentre, HostName
+from tests.stall import stall
 
 ORIGIN = Origin(HostName("a"), DataCentre("east"), 7)
 
@@ -46,6 +48,22 @@
         self.assertEqual(clock.refused, 4)
 
 
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    """A late event loop is recorded."""
+
+    async def test_a_stalled_event_loop_gets_an_event(self) -> None:
+        """The event tells for how long no other task ran."""
+        log = new_log()
+        task = asyncio.create_task(log.run())
+        await asyncio.sleep(0)
+        stall(0.5)
+        await asyncio.sleep(0.05)
+        task.cancel()
+        stalls = [float(event["detail"]["seconds"]) for event in log.select()]
+        self.assertEqual(len(stalls), 1)
+        self.assertGreater(stalls[0], 0.2)
+
+
 class LogTest(unittest.TestCase):
     """Memory is bounded, and lost events are counted."""
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -101,8 +101,9 @@
             route_hosts=hosts,
             timing=Timing(pull_wait=pull_wait, silence=silence),
         )
+        self.events = event_log()
         subscriber = Subscriber(
-            subscription=subscription, settings=settings, events=event_log(), rng=random.Random(3)
+            subscription=subscription, settings=settings, events=self.events, rng=random.Random(3)
         )
         task = asyncio.create_task(subscriber.run())
         self.stack.callback(task.cancel)
@@ -201,6 +202,19 @@
         ]
         self.assertEqual([rules and rules.service for rules in route_rules], ["depot", None])
 
+    async def test_the_event_of_a_version_tells_what_took_its_time(self) -> None:
+        """A version that is late at a proxy can be traced to its link or its processor."""
+        replica = await self.replica()
+        subscription = self.proxy(replica.address)
+        sent_after = time.time()
+        replica.put(policy(1.0))
+        await self.until(lambda: subscription.version == 1)
+        [applied] = [event for event in self.events.select() if event["kind"] == "applied"]
+        detail = {name: float(value) for name, value in applied["detail"].items()}
+        self.assertGreater(detail["sent_at"], sent_after - 0.001)
+        self.assertGreater(detail["bytes"], 0)
+        self.assertEqual(set(detail), {"sent_at", "bytes", "transfer", "decoding", "applying"})
+
     async def test_leaves_a_replica_without_contact_to_a_leader(self) -> None:
         """An isolated replica still responds to pulls, but never with a new version."""
         leader, isolated = await self.replica(), await self.replica(leads=False, pull_wait=0.1)
