Send each new version to a proxy without waiting for its next pull

Cause: a replica answered a pull, with a version or every 0.4 s with a heartbeat, and then waited for the next one. On a link that calls fill, the answer is 0.5 s on its way, so that a version that is accepted meanwhile is sent that much later. Change: after its first pull a proxy is sent each version from the one that was sent before; further pulls report what is in force. Proxies stay as they are, so that either side may be of an earlier build in this.

--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from typing import NamedTuple
 
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot, VersionNotReached
@@ -48,13 +51,53 @@
 
 
 class _EncodedResponse(NamedTuple):
-    """An encoded response to a pull."""
+    """An encoded response to a pull, and the version that the proxy has once it has applied it."""
 
     kind: str
     data: bytes
+    version: Version
     is_snapshot: bool
 
 
+class _Subscriber:
+    """One proxy that is sent each new version, and what it has or will have once that arrives."""
+
+    def __init__(self, *, link: Link, pull: Pull) -> None:
+        self._link = link
+        self._pull = pull
+        self._sent_version = pull.base
+        self._pulled = Signal()
+
+    @property
+    def link(self) -> Link:
+        """Return the connection to the proxy."""
+        return self._link
+
+    @property
+    def newest_pull(self) -> Pull:
+        """Return the newest pull."""
+        return self._pull
+
+    @property
+    def next_pull(self) -> Pull:
+        """Return the newest pull, from the version that was sent if the proxy hasn't it yet."""
+        return dataclasses.replace(self._pull, base=max(self._pull.base, self._sent_version))
+
+    def record_pull(self, pull: Pull) -> None:
+        """Record another pull, by which the proxy reports the version in force on it."""
+        self._pull = pull
+        self._pulled.send()
+
+    def record_sent(self, version: Version) -> None:
+        """Record that an update to a version is on its way."""
+        self._sent_version = version
+
+    async def wait_for_pull_after(self, pull: Pull) -> None:
+        """Return once there is a newer pull than the given one."""
+        while self._pull is pull:
+            await self._pulled.wait()
+
+
 class Publisher:
     """Serves the pulls of proxies from the replica's catalogue."""
 
@@ -108,20 +151,51 @@
                 self._rollout_changed.send()
 
     async def serve(self, link: Link) -> None:
-        """Handle the requests of one proxy in order."""
-        while True:
-            match await link.receive():
-                case Pull() as pull:
-                    self._record_report(pull.report)
-                    await self._respond(link, pull)
-                case AskFloor(wait=wait):
-                    await link.send(await self._resolve_floor(min(wait, MAX_FLOOR_WAIT)))
-                case Reports(reports=reports):
-                    for report in reports:
-                        self._record_report(report)
-                    await link.send(ReportsTaken())
-                case _:
-                    return
+        """Handle the requests of one proxy; after its first pull, send it each new version."""
+        subscriber: _Subscriber | None = None
+        async with AsyncExitStack() as stack:
+            while True:
+                match await link.receive():
+                    case Pull() as pull:
+                        self._record_report(pull.report)
+                        if subscriber is None:
+                            subscriber = _Subscriber(link=link, pull=pull)
+                            await stack.enter_async_context(self._sending_updates(subscriber))
+                        else:
+                            subscriber.record_pull(pull)
+                    case AskFloor(wait=wait):
+                        await link.send(await self._resolve_floor(min(wait, MAX_FLOOR_WAIT)))
+                    case Reports(reports=reports):
+                        for report in reports:
+                            self._record_report(report)
+                        await link.send(ReportsTaken())
+                    case _:
+                        return
+
+    @asynccontextmanager
+    async def _sending_updates(self, subscriber: _Subscriber) -> AsyncIterator[None]:
+        """Send updates to a proxy in a task of their own, until the context ends."""
+        task = asyncio.create_task(self._send_updates(subscriber))
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _send_updates(self, subscriber: _Subscriber) -> None:
+        """Send each new version, and heartbeats in between, until the connection is closed.
+
+        A pull isn't waited for: on a busy link it may be on its way for long, and a version that is
+        accepted meanwhile would be late by that.
+        """
+        with suppress(LinkClosed):
+            while True:
+                newest_pull = subscriber.newest_pull
+                version = await self._respond(subscriber.link, subscriber.next_pull)
+                if version is None:
+                    await subscriber.wait_for_pull_after(newest_pull)
+                else:
+                    subscriber.record_sent(version)
 
     async def _maintain_rollout(self) -> None:
         """Update the rollout from the proxies' reports and from which proxies are alive."""
@@ -208,8 +282,11 @@
         addresses = {voter.host: voter.address for voter in replica.group.voters}
         return addresses.get(replica.leader) if replica.leader else None
 
-    async def _respond(self, link: Link, pull: Pull) -> None:
-        """Wait for a version that the proxy can apply, and send it."""
+    async def _respond(self, link: Link, pull: Pull) -> Version | None:
+        """Wait for a version that the proxy can apply, and send it.
+
+        Return the version that the proxy has then, or None if it has to pull again.
+        """
         # A proxy that is ahead of this replica waits until the replica has caught up.
         required = max(pull.floor, Version(pull.base + 1))
         if not await self._wait_for(required):
@@ -218,17 +295,18 @@
                 await link.send(Current(version=replica.catalogue.version))
             else:
                 await link.send(Lagging())
-            return
+            return pull.base
         response = self._encode(pull)
         if response.is_snapshot and not self._may_send_snapshot(len(response.data)):
             await link.send(ComeAgain(after=SNAPSHOT_RETRY_DELAY))
-            return
+            return None
         snapshot_bytes = len(response.data) if response.is_snapshot else 0
         self._snapshot_bytes_in_flight += snapshot_bytes
         try:
             await link.send_encoded(response.kind, response.data)
         finally:
             self._snapshot_bytes_in_flight -= snapshot_bytes
+        return response.version
 
     def _may_send_snapshot(self, size: int) -> bool:
         """Return whether there is memory for another snapshot of some size in bytes."""
@@ -262,9 +340,10 @@
     match update:
         case Delta():
             data = compress(encode(PullDelta(delta=update)))
-            return _EncodedResponse(PullDelta.__name__, data, False)
+            return _EncodedResponse(PullDelta.__name__, data, update.version, False)
         case Snapshot():
             data = compress(encode(PullSnapshot(snapshot=update)))
-            return _EncodedResponse(PullSnapshot.__name__, data, True)
+            return _EncodedResponse(PullSnapshot.__name__, data, update.version, True)
         case VersionNotReached(version=version):
-            return _EncodedResponse(Current.__name__, encode(Current(version=version)), False)
+            data = encode(Current(version=version))
+            return _EncodedResponse(Current.__name__, data, version, False)
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -29,6 +29,7 @@
     Subscription,
 )
 from cowslipvane.tasks import _publisher
+from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity, connect
@@ -294,6 +295,43 @@
         assert isinstance(response, PullDelta)
         self.assertEqual((response.delta.base, response.delta.version), (1, 2))
 
+    # Guards against proxies that act on an old version for too long, since a new one waits until
+    # their next pull has come over a busy link (issue 23, CONFIG).
+    async def test_new_versions_are_sent_without_another_pull(self) -> None:
+        """A proxy that has received a heartbeat or an update needn't pull again first."""
+        replica = await self.replica(pull_wait=0.1)
+        replica.put(policy(1.0))
+        link = await self.stack.enter_async_context(connect(replica.address, "/subscribe"))
+        await link.send(pull(1))
+        self.assertEqual(await link.receive(timeout=TIMEOUT_S), Current(version=Version(1)))
+        replica.put(policy(2.0))
+        # A pull that was on its way doesn't lead to the same version again.
+        await link.send(pull(1))
+        self.assertEqual(await self.next_delta(link), (1, 2))
+        replica.put(policy(3.0))
+        self.assertEqual(await self.next_delta(link), (2, 3))
+
+    async def next_delta(self, link: Link) -> tuple[int, int]:
+        """Return the base and the version of the next delta, after any heartbeats."""
+        while isinstance(response := await link.receive(timeout=TIMEOUT_S), Current):
+            pass
+        assert isinstance(response, PullDelta)
+        return response.delta.base, response.delta.version
+
+    async def test_a_proxy_that_has_to_come_again_is_asked_once_for_each_pull(self) -> None:
+        """It is sent nothing more before it does."""
+        replica = await self.replica(pull_wait=0.1)
+        replica.put(policy(1.0))
+        link = await self.stack.enter_async_context(connect(replica.address, "/subscribe"))
+        with mock.patch.object(Publisher, "_may_send_snapshot", return_value=False):
+            for _ in range(2):
+                await link.send(pull(0))
+                self.assertIsInstance(await link.receive(timeout=TIMEOUT_S), ComeAgain)
+                with self.assertRaises(TimeoutError):
+                    await asyncio.wait_for(link.receive(), 0.3)
+        await link.send(pull(0))
+        self.assertIsInstance(await link.receive(timeout=TIMEOUT_S), PullSnapshot)
+
     async def test_accepted_is_recorded_before_a_pull_is_answered(self) -> None:
         """A pull right after the commit would else put 'applied' first in the time line."""
         events = event_log()
