Refuse a request at its owner if a newer version routes it elsewhere

Cause: only the entry proxy looked at the route, by the version it had. An owner with a newer version passed the request on all the same. Class: a decision on old state that isn't checked where newer state is at hand. Change: an offer names the version by which it was routed. An owner with a newer one refuses as not run what doesn't lead to its service any more, when it comes and before it starts; the entry proxy waits for that version, for at most half of the call's time, and routes the request again.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -12,7 +12,7 @@
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull, Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Seconds, ServiceName, Verdict
+from cowslipvane.types import Seconds, ServiceName, Verdict, Version
 
 # Queue capacity for each slot, divided evenly among the callers that have queued requests.
 QUEUE_CAPACITY_PER_SLOT = 20
@@ -36,7 +36,8 @@
 
     deadline and goal are in time.monotonic seconds. The goal is the latency goal: the time until
     which an answer is worth most. nested means that an upstream made the call while handling
-    another request, which fails if this call fails.
+    another request, which fails if this call fails. version is that of the configuration by which
+    the call was routed, None if it isn't known.
     """
 
     attempt: AttemptId
@@ -47,6 +48,7 @@
     goal: float | None = None
     kind: str = ""
     nested: bool = False
+    version: Version | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from cowslipvane.call._messages import Request
-from cowslipvane.refusal import OwnerUnreachable, Refusal, explain, reached_upstream
+from cowslipvane.refusal import OwnerUnreachable, Refusal, RouteOutdated, explain, reached_upstream
 from cowslipvane.routing import Load, ServiceRules
-from cowslipvane.types import HostName, RequestId, Seconds, Verdict
+from cowslipvane.types import HostName, RequestId, Seconds, Verdict, Version
 
 # Owners that a call is offered to if each refuses it; the others are probably overloaded too.
 MAX_OFFERS = 3
@@ -24,7 +24,9 @@
         caller: str = "",
         goal: float | None = None,
         nested: bool = False,
+        version: Version | None = None,
     ) -> None:
+        self._version = version
         self._nested = nested
         self._goal = goal
         self._request_id = request_id
@@ -63,6 +65,11 @@
         """Return whether an upstream made the call while handling another request."""
         return self._nested
 
+    @property
+    def version(self) -> Version | None:
+        """Return the version of the configuration by which the call was routed, if known."""
+        return self._version
+
     @property
     def tried_hosts(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
@@ -116,6 +123,8 @@
 
     def may_try_again(self, refusal: Refusal) -> bool:
         """Return whether another attempt is allowed after a refusal."""
+        if isinstance(refusal, RouteOutdated):
+            return False
         if not reached_upstream(refusal):
             # The limit avoids offering the call to every owner of an overloaded service.
             return isinstance(refusal, OwnerUnreachable) or self._refusal_count + 1 < MAX_OFFERS
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.refusal import Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Headers, HostName, Seconds, ServiceName
+from cowslipvane.types import Headers, HostName, Seconds, ServiceName, Version
 
 
 class AttemptId(NamedTuple):
@@ -43,7 +43,8 @@
     """Offer an attempt to the owner of an upstream.
 
     goal is the time remaining until the latency goal; kind identifies calls with similar service
-    times. nested means that an upstream made the call while handling another request.
+    times. nested means that an upstream made the call while handling another request. version is
+    that of the configuration by which the call was routed, None if it isn't known.
     """
 
     attempt: AttemptId
@@ -56,6 +57,7 @@
     goal: Seconds | None = None
     kind: str = ""
     nested: bool = False
+    version: Version | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from cowslipvane.types import HostName, Seconds, ServiceName, Verdict
+from cowslipvane.types import HostName, Seconds, ServiceName, Verdict, Version
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,6 +21,13 @@
     path: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouteOutdated:
+    """The request was routed by an older version, and the newer one doesn't lead to the service."""
+
+    version: Version
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MalformedRequest:
     """The head of the request can't be forwarded faithfully."""
@@ -136,6 +143,7 @@
 Refusal = (
     NoConfiguration
     | NoRoute
+    | RouteOutdated
     | MalformedRequest
     | NoUpstream
     | Draining
@@ -205,6 +213,9 @@
             return "no-configuration", 503, cause, not_run, SHORT_RETRY_DELAY
         case NoRoute(host=host, path=path):
             return "no-route", 404, f"No route serves {path} on {host}.", not_run, None
+        case RouteOutdated(version=version):
+            cause = f"This proxy has not yet received version {version} of the configuration."
+            return "route-outdated", 503, cause, not_run, SHORT_RETRY_DELAY
         case MalformedRequest(reason=reason):
             cause = f"The request can't be passed on: {reason}."
             return "malformed-request", 400, cause, not_run, None
--- a/cowslipvane/routing/_host_routes.py
+++ b/cowslipvane/routing/_host_routes.py
@@ -72,6 +72,15 @@
             _has_field(headers, required.name, required.value) for required in self.headers
         )
 
+    def leads_to(self, service: ServiceName) -> bool:
+        """Return whether a service gets a share of the requests."""
+        below = 0
+        for rules, cumulative_weight in zip(self.rules, self.cumulative_weights, strict=True):
+            if rules.service == service and cumulative_weight > below:
+                return True
+            below = cumulative_weight
+        return False
+
     def draw(self, rng: random.Random) -> ServiceRules:
         """Return one of the services at random, by weight."""
         if len(self.rules) == 1:
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -20,6 +20,7 @@
     ANY,
     CompiledRoute,
     HostRoutes,
+    RouteEntry,
     ServiceRules,
     compile_route,
     normalize_host,
@@ -74,13 +75,25 @@
         self, *, host: str, path: str, method: str, headers: Headers, rng: random.Random
     ) -> ServiceRules | None:
         """Return the service for a request, drawn by weight, or None if no route matches."""
+        route_entry = self._find(host, path, method, headers)
+        return None if route_entry is None else route_entry.draw(rng)
+
+    def leads_to(
+        self, service: ServiceName, *, host: str, path: str, method: str, headers: Headers
+    ) -> bool:
+        """Return whether a request may be routed to a service."""
+        route_entry = self._find(host, path, method, headers)
+        return route_entry is not None and route_entry.leads_to(service)
+
+    def _find(self, host: str, path: str, method: str, headers: Headers) -> RouteEntry | None:
+        """Return the most specific route that matches a request, or None."""
         path = normalize_path(path)
         # A route for the host takes precedence over a wildcard route with a longer prefix.
         for name in (normalize_host(host), ANY):
             routes = self._hosts.get(name)
             route_entry = routes.find(path, method, headers) if routes else None
             if route_entry is not None:
-                return route_entry.draw(rng)
+                return route_entry
         return None
 
     def _compile(
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 from aiohttp import HttpVersion11, web
 
@@ -42,6 +42,7 @@
     ProxyFailed,
     ProxyLeaving,
     Refusal,
+    RouteOutdated,
     explain,
 )
 from cowslipvane.routing import Load, RoutingTable, ServiceRules
@@ -63,13 +64,15 @@
 )
 from cowslipvane.tasks._request_body import RequestBodies
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Headers, RequestId, Seconds, Verdict
+from cowslipvane.types import RequestId, Seconds, Verdict, Version
 
 # A proxy has its first configuration within this time of its start, unless it is partitioned.
 FIRST_CONFIGURATION_TIMEOUT: Seconds = 2.0
 # The share of a caller's timeout that is spent waiting for the first configuration; the rest is
 # left for the work, or for a retry.
 FIRST_CONFIGURATION_SHARE = 0.5
+# The share of a call's remaining time that is spent waiting for a version that its owner has.
+NEWER_VERSION_SHARE = 0.5
 # Bytes of a response that are held back until it is complete while other requests wait behind it.
 MAX_HELD_BYTES = 1 << 20
 # Time in which owners say, before the process exits, which calls have not run.
@@ -96,6 +99,13 @@
     close: bool = False
 
 
+class _Routed(NamedTuple):
+    """The table that a request was routed by, and the service that this led to."""
+
+    table: RoutingTable
+    rules: ServiceRules
+
+
 class Callers:
     """Receives callers' requests, dispatches them to owners, and responds."""
 
@@ -333,11 +343,9 @@
         table = await self._first_table(http, arrived_at)
         if table is None:
             return CallRefusal(exchange=exchange, refusal=NoConfiguration())
-        headers = end_to_end_headers(http.headers.items())
-        rules = self._route(table, http, headers)
+        rules = self._route(table, http)
         if rules is None:
-            host = http.headers.get("Host", "")
-            return CallRefusal(exchange=exchange, refusal=NoRoute(host=host, path=http.path))
+            return CallRefusal(exchange=exchange, refusal=_no_route(http))
         deadline = self._deadline(http, rules, arrived_at)
         match await self._bodies.receive(http, exchange, rules, deadline):
             case bytes(body):
@@ -346,25 +354,68 @@
                 # After a body that was received whole, the requests behind it can be read.
                 close = not http.content.is_eof()
                 return CallRefusal(exchange=exchange, refusal=refusal, close=close)
-        request_id = exchange.request_id
+        return await self._dispatch(http, exchange, _Routed(table, rules), body, arrived_at)
+
+    async def _dispatch(
+        self,
+        http: web.BaseRequest,
+        exchange: Exchange,
+        routed: _Routed,
+        body: bytes,
+        arrived_at: float,
+    ) -> CallResponse | CallRefusal:
+        """Dispatch a call, and route it again whenever an owner has a newer version."""
+        while True:
+            call = exchange.call = self._new_call(http, exchange, routed, body, arrived_at)
+            match await self._dispatcher.dispatch(call):
+                case StartedResponse() as started:
+                    exchange.response_begun = True
+                    self._record_late(call, started, arrived_at)
+                    return CallResponse(exchange=exchange, call=call, started=started)
+                case RouteOutdated(version=version) as outdated:
+                    table = await self._table_of_version(version, call)
+                    if table is None:
+                        return CallRefusal(exchange=exchange, refusal=outdated)
+                    rules = self._route(table, http)
+                    if rules is None:
+                        return CallRefusal(exchange=exchange, refusal=_no_route(http))
+                    routed = _Routed(table, rules)
+                case refusal:
+                    return CallRefusal(exchange=exchange, refusal=refusal)
+
+    def _new_call(
+        self,
+        http: web.BaseRequest,
+        exchange: Exchange,
+        routed: _Routed,
+        body: bytes,
+        arrived_at: float,
+    ) -> Call:
+        """Return the call for a request that has been received and routed."""
+        request_id, rules = exchange.request_id, routed.rules
+        headers = end_to_end_headers(http.headers.items())
         forwarded = self._header_names.headers_to_owner(headers, request_id, self._origin_service)
-        call = Call(
+        return Call(
             request_id=request_id,
             request=Request(http.method, http.raw_path, forwarded, body),
             rules=rules,
-            deadline=deadline,
+            deadline=self._deadline(http, rules, arrived_at),
             caller=http.remote or "",
             goal=None if rules.goal is None else arrived_at + rules.goal,
             nested=self._is_nested(request_id),
+            version=routed.table.version,
         )
-        exchange.call = call
-        match await self._dispatcher.dispatch(call):
-            case StartedResponse() as started:
-                exchange.response_begun = True
-                self._record_late(call, started, arrived_at)
-                return CallResponse(exchange=exchange, call=call, started=started)
-            case refusal:
-                return CallRefusal(exchange=exchange, refusal=refusal)
+
+    async def _table_of_version(self, version: Version, call: Call) -> RoutingTable | None:
+        """Return the table once a version is in force, None if that takes too long for a call."""
+        now = time.monotonic()
+        give_up_at = now + call.time_remaining(now) * NEWER_VERSION_SHARE
+        while self._subscription.version < version:
+            remaining = give_up_at - time.monotonic()
+            if remaining <= 0:
+                return None
+            await self._configuration_applied.wait(remaining)
+        return self._subscription.table
 
     def _record_late(self, call: Call, started: StartedResponse, arrived_at: float) -> None:
         """Record a response that begins after the latency goal of its call.
@@ -419,10 +470,9 @@
             case CallRefusal():
                 return self._refusal_response(http, outcome)
 
-    def _route(
-        self, table: RoutingTable, http: web.BaseRequest, headers: Headers
-    ) -> ServiceRules | None:
+    def _route(self, table: RoutingTable, http: web.BaseRequest) -> ServiceRules | None:
         """Return the service that a request is routed to, with its rules."""
+        headers = end_to_end_headers(http.headers.items())
         host, path = http.headers.get("Host", ""), http.rel_url.raw_path
         return table.route(host=host, path=path, method=http.method, headers=headers, rng=self._rng)
 
@@ -568,6 +618,11 @@
         return response
 
 
+def _no_route(http: web.BaseRequest) -> NoRoute:
+    """Return the refusal of a request that no route matches."""
+    return NoRoute(host=http.headers.get("Host", ""), path=http.path)
+
+
 def _describe_load(load: Load | None) -> str:
     """Return an owner's load in words, an empty string if no owner has reported it."""
     if load is None:
--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -273,6 +273,7 @@
             goal=call.goal_remaining(time.monotonic()),
             kind=call.rules.kind,
             nested=call.is_nested,
+            version=call.version,
         )
         try:
             async with self._timeout(time_remaining):
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -23,6 +23,7 @@
     Offer,
     OwnerMessage,
     Refused,
+    Request,
     Running,
     SendReply,
 )
@@ -36,6 +37,7 @@
     NoUpstream,
     Refusal,
     Rejected,
+    RouteOutdated,
     UpstreamLost,
     Withdrawn,
 )
@@ -45,7 +47,7 @@
 from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, ResponseHead, WorkerUnreachable
 from cowslipvane.tasks._worker_http import NotRun, SlotConnection, response_headers
-from cowslipvane.types import Seconds, ServiceName, Verdict
+from cowslipvane.types import Seconds, ServiceName, Verdict, Version
 
 CHUNK_BYTES = 64 << 10
 # How much of an answer is read for nobody, which is more than is stored of it to be sent again.
@@ -270,6 +272,9 @@
             return NoUpstream(service=offer.service)
         if self._is_out:
             return Draining(service=offer.service)
+        outdated = self._check_route(offer.request, offer.service, offer.version)
+        if outdated is not None:
+            return outdated
         now = time.monotonic()
         deadline = now + offer.timeout
         goal = None if offer.goal is None else now + offer.goal
@@ -282,12 +287,37 @@
             goal,
             offer.kind or request_kind(offer.request),
             offer.nested,
+            offer.version,
         )
         refusal = self._admission.offer(work, now)
         if refusal is None:
             self._work_available.send()
         return refusal
 
+    def _check_route(
+        self, request: Request, service: ServiceName, version: Version | None
+    ) -> RouteOutdated | None:
+        """Refuse a request that was routed by an older version, if the newer one leads elsewhere.
+
+        An entry proxy acts on an older version until the update has come over its link.
+        """
+        table = self._subscription.table
+        if table is None or version is None or version >= table.version:
+            return None
+        is_current = table.leads_to(
+            service,
+            host=request.header("Host") or "",
+            path=request.path,
+            method=request.method,
+            headers=request.headers,
+        )
+        return None if is_current else RouteOutdated(version=table.version)
+
+    def _check_start(self, admission: Admission, work: Work) -> Refusal | None:
+        """Return the refusal of work that can't be started any more."""
+        refusal = admission.check_deadline(work, time.monotonic())
+        return refusal or self._check_route(work.request, admission.service, work.version)
+
     def _abort(self, attempt: AttemptId, reason: str) -> None:
         """Abort an attempt at the worker, if it is idempotent and its timeout hasn't expired."""
         timeout = self._timeouts.get(attempt)
@@ -419,7 +449,7 @@
                 if work is None:
                     await work_available.wait()
                     continue
-                refusal = admission.check_deadline(work, time.monotonic())
+                refusal = self._check_start(admission, work)
                 if refusal is not None:
                     admission.finish(work, time.monotonic(), ran=False)
                     await self._refuse(work.attempt, refusal)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -180,7 +180,14 @@
         return explain(message.refusal).verdict
 
 
-def offer(serial: int, path: str, *, method: str = "PUT", timeout: float = 5.0) -> Offer:
+def offer(
+    serial: int,
+    path: str,
+    *,
+    method: str = "PUT",
+    timeout: float = 5.0,
+    version: Version | None = None,
+) -> Offer:
     """Return an offer; GET counts as idempotent."""
     return Offer(
         attempt=AttemptId(HostName("a"), 1, serial),
@@ -189,11 +196,12 @@
         timeout=timeout,
         idempotent=method == "GET",
         caller="c",
+        version=version,
     )
 
 
-class OwnerTest(unittest.IsolatedAsyncioTestCase):
-    """The owner's handling of attempts."""
+class OwnerTestCase(unittest.IsolatedAsyncioTestCase):
+    """An owner with a scripted worker; a base for tests."""
 
     async def asyncSetUp(self) -> None:
         """Start an owner whose worker has one slot."""
@@ -213,6 +221,10 @@
         await self.owner.offer(given, self.inbox.reply)
         await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
 
+
+class OwnerTest(OwnerTestCase):
+    """The owner's handling of attempts."""
+
     def cancel(self, given: Offer) -> Cancel:
         """Return the message that cancels an offer."""
         return Cancel(attempt=given.attempt, incarnation=1)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -21,11 +21,12 @@
     QueueFull,
     Refusal,
     Rejected,
+    RouteOutdated,
     UpstreamLost,
     Withdrawn,
     explain,
 )
-from cowslipvane.types import HostName, ServiceName, Verdict
+from cowslipvane.types import HostName, ServiceName, Verdict, Version
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "REFUSALS.md"
 SERVICE = ServiceName("SERVICE")
@@ -33,6 +34,7 @@
 EXAMPLES: tuple[Refusal, ...] = (
     NoConfiguration(),
     NoRoute(host="HOST", path="PATH"),
+    RouteOutdated(version=Version(7)),
     MalformedRequest(reason="REASON"),
     NoUpstream(service=SERVICE),
     Draining(service=SERVICE),
