Compress the entries that a leader sends to its followers

Cause: a leader sends one request at a time, and an entry with many routes takes longer than the election timeout.

--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -370,7 +370,8 @@
                 await self._changed.wait(self._timing.heartbeat)
                 continue
             sent_at = lease_now()
-            await link.send(request)
+            # The next heartbeat waits for the reply, so an entry mustn't be long on its way.
+            await link.send_compressed(request)
             reply = await link.receive(timeout=self._timing.election_timeout)
             if not self._replica.check_identity(host, replica_id):
                 break
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -25,7 +25,7 @@
 from cowslipvane.response_timeout import ResponseTimeout
 from cowslipvane.settings import Token
 from cowslipvane.types import Address, Seconds
-from cowslipvane.wire._codec import Malformed, Message, decode, encode
+from cowslipvane.wire._codec import Malformed, Message, compress, decode, encode
 
 CONNECT_TIMEOUT: Seconds = 0.7
 # The kernel closes a connection whose peer hasn't acknowledged data for this long.
@@ -182,6 +182,10 @@
         """Send one message."""
         await self.send_encoded(type(message).__name__, encode(message))
 
+    async def send_compressed(self, message: Message) -> None:
+        """Send one message, compressed if it is large; it should be of text, such as resources."""
+        await self.send_encoded(type(message).__name__, compress(encode(message)))
+
     async def send_encoded(self, kind: str, encoded: bytes) -> None:
         """Send an encoded message; kind is its class name. Several peers may share its bytes."""
         wall, logical = self._clock.now()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import random
+import time
 import unittest
+from contextlib import AsyncExitStack, suppress
 from typing import Any, cast
 
+from websockets.asyncio.server import ServerConnection, serve
+
 from cowslipvane.catalogue import Change, Key, Service
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog, HybridClock, Origin
@@ -23,8 +27,10 @@
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._replication import Greeting, Replication, Stranger, Welcome
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, OperationId, ReplicaId
-from cowslipvane.wire import Link
-from tools.single_replica import NullJournal
+from cowslipvane.wire import Link, LinkClosed, anonymous_identity
+from tests.test_busy_link import SERVICES, many_routes
+from tools.relay import LinkCondition, Relay
+from tools.single_replica import IP, NullJournal, event_log
 
 FOUNDERS = tuple(
     Voter(HostName(host), Address("127.0.0.1", 1), ReplicaId(f"id-{host}")) for host in "abc"
@@ -32,6 +38,9 @@
 CHANGE = Change(OperationId("o"), NO_VERSION, ((Key("service", "s"), Service()),))
 
 
+ELECTION_TIMEOUT_S = 0.6
+
+
 class BlockingJournal(NullJournal):
     """A journal whose syncs block until the test releases the disk, and whose disk can fail."""
 
@@ -194,5 +203,76 @@
         self.assertIsNotNone(raised.exception.subgroup(OSError))
 
 
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A leader whose link to the other replica of its group is slow."""
+
+    async def asyncSetUp(self) -> None:
+        """Lead a group of two, whose other member is behind a relay and follows."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        server = await self.stack.enter_async_context(serve(self.follow, IP, 0, ping_interval=None))
+        relay = Relay()
+        self.stack.push_async_callback(relay.close)
+        self.stack.enter_context(relay.condition((IP,), LinkCondition(bytes_per_s=200_000)))
+        follower = Address(IP, next(iter(server.sockets)).getsockname()[1])
+        relayed = await relay.listen(Address(IP, 0), follower)
+        founders = (FOUNDERS[0], FOUNDERS[1]._replace(address=relayed))
+        self.replica = Replica(
+            host=founders[0].host,
+            replica_id=founders[0].replica_id,
+            founders=founders,
+            journal=NullJournal(),
+            recovered=Recovered(Ballot(0, None), ()),
+            election_timeout=ELECTION_TIMEOUT_S,
+            rng=random.Random(1),
+            now=-100.0,
+        )
+        self.replication = Replication(
+            replica=self.replica,
+            group_name="g",
+            journal=NullJournal(),
+            timing=Timing(heartbeat=0.02, election_timeout=ELECTION_TIMEOUT_S),
+            events=event_log(),
+        )
+        task = asyncio.create_task(self.replication._keep_connection_to(founders[1].host))
+        self.stack.callback(task.cancel)
+
+    async def follow(self, connection: ServerConnection) -> None:
+        """Grant each vote, and confirm all entries."""
+        link = Link(connection=connection, identity=anonymous_identity())
+        voter = FOUNDERS[1].host
+        with suppress(LinkClosed):
+            while True:
+                match await link.receive():
+                    case Greeting():
+                        await link.send(Welcome(replica_id=FOUNDERS[1].replica_id))
+                    case Vote(term=term):
+                        await link.send(VoteReply(term=term, voter=voter, granted=True))
+                    case Append(term=term, previous_index=index, entries=entries):
+                        index += len(entries)
+                        reply = AppendReply(term=term, voter=voter, matched=True, index=index)
+                        await link.send(reply)
+
+    async def lead(self) -> None:
+        """Win an election."""
+        now = lease_now()
+        self.replica.start_election(now)
+        self.replica.record_own_vote(self.replica.term, now)
+        while not self.replication.holds_lease:
+            await self.replication.changed.wait(0.05)
+
+    # Guards against leaders that lose their quorum to a large configuration, since no heartbeat is
+    # sent while its entry is on its way.
+    async def test_a_large_entry_leaves_time_for_heartbeats(self) -> None:
+        """It is accepted within an election timeout."""
+        await asyncio.wait_for(self.lead(), 5.0)
+        routes = [route for seed in (1, 2) for route in many_routes(random.Random(seed))]
+        services = [(Key("service", name), Service()) for name in SERVICES]
+        change = Change(OperationId("o"), NO_VERSION, (*services, *routes))
+        began_at = time.monotonic()
+        await asyncio.wait_for(self.replication.write(change), 5.0)
+        self.assertLess(time.monotonic() - began_at, ELECTION_TIMEOUT_S)
+
+
 if __name__ == "__main__":
     unittest.main()
