Try the replica that failed last after the others

Change: the replica that failed last comes last in the next round. Result: test_subscriber.SubscriberTest.test_tries_the_replica_that_failed_last_after_the_others failed before; 20 tests of the module pass.

--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -73,17 +73,24 @@
 
     async def run(self) -> None:
         """Subscribe to one replica after another, in random order, until cancelled."""
+        failed: Address | None = None
         while True:
-            seeds = list(self._seeds)
-            self._rng.shuffle(seeds)
+            seeds = self._shuffled_seeds(failed)
             if not seeds:
                 await asyncio.sleep(self._backoff.next_delay())
             for address in seeds:
                 try:
                     await self._subscribe(address)
                 except (LinkClosed, Malformed, TimeoutError, _UnusableReplica):
+                    failed = address
                     await asyncio.sleep(self._backoff.next_delay())
 
+    def _shuffled_seeds(self, failed: Address | None) -> list[Address]:
+        """Return the replicas in random order, the one that has failed last at the end."""
+        seeds = list(self._seeds)
+        self._rng.shuffle(seeds)
+        return sorted(seeds, key=lambda address: address == failed)
+
     async def _fetch_floor(self, link: Link) -> None:
         """Fetch the minimum version from this replica, or from the leader that it names."""
         response = await self._request_floor(link)
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -19,6 +19,7 @@
 from cowslipvane.subscription import (
     AskFloor,
     AskLeader,
+    Backoff,
     ComeAgain,
     Current,
     Floor,
@@ -226,6 +227,28 @@
             leader.put(policy(float(version)))
             await self.until(partial(self.is_in_force, subscription, Version(version)))
 
+    # Guards against proxies that get a new version late, since they first connect once more to the
+    # replica that has just failed (issue 23, CONFIG).
+    async def test_tries_the_replica_that_failed_last_after_the_others(self) -> None:
+        """Connecting to a host without power takes as long as a timeout."""
+        tried: list[Address] = []
+
+        async def fail(address: Address) -> None:
+            tried.append(address)
+            raise LinkClosed("no power")
+
+        seeds = tuple(Address(IP, port) for port in range(1, 4))
+        with (
+            mock.patch.object(Subscriber, "_subscribe", side_effect=fail),
+            mock.patch.object(Backoff, "next_delay", return_value=0.0),
+        ):
+            self.proxy(*seeds)
+            await self.until(lambda: len(tried) >= 12)
+        rounds = [tried[start : start + 3] for start in range(0, 12, 3)]
+        self.assertEqual([set(each) for each in rounds], [set(seeds)] * 4)
+        for earlier, later in zip(rounds, rounds[1:], strict=False):
+            self.assertEqual(later[-1], earlier[-1])
+
     async def test_leaves_a_silent_connection(self) -> None:
         """A floor request and a pull without a response are repeated over a new connection."""
         replica = await self.replica()
