Keep to the requests a second that a worker names

Cause: no code read the field, and an owner starts as many requests as its worker has slots. Change: the owner, which passes on each request to its worker, starts no more requests a second than the worker names, by a token bucket of a quarter of a second; it lifts the limit with the first answer that names none, to a request that was sent later. What can't be answered in time at that rate is refused at once as not run, and the load that entry proxies choose by counts only the slots that the rate fills, so that calls go where there is room.

--- a/cowslipvane/admission/__init__.py
+++ b/cowslipvane/admission/__init__.py
@@ -1,6 +1,15 @@
 """Admission control at the owner: the upstream's slots, their queue, and draining."""
 
 from cowslipvane.admission._admission import Admission, Fair, FirstComeFirstServed, Policy, Work
+from cowslipvane.admission._rate_limit import RateLimit
 from cowslipvane.admission._service_times import request_kind
 
-__all__ = ["Admission", "Fair", "FirstComeFirstServed", "Policy", "Work", "request_kind"]
+__all__ = [
+    "Admission",
+    "Fair",
+    "FirstComeFirstServed",
+    "Policy",
+    "RateLimit",
+    "Work",
+    "request_kind",
+]
--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cowslipvane.admission._rate_limit import RateLimit
 from cowslipvane.admission._service_times import ServiceTimes
 from cowslipvane.call import AttemptId, Request
 from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull, Refusal
@@ -113,6 +114,7 @@
         self._latest_offer_at = 0.0
         self._next_tags: dict[str, float] = {}
         self._running: dict[AttemptId, _Running] = {}
+        self._rate_limit: RateLimit | None = None
         self._draining = False
 
     @property
@@ -128,8 +130,26 @@
     @property
     def load(self) -> Load:
         """Return the slots, the running and queued requests, and the typical service time."""
-        running, waiting = len(self._running), len(self._waiting)
-        return Load(self._slots, running, waiting, self._times.typical)
+        running, waiting, typical = len(self._running), len(self._waiting), self._times.typical
+        slots = self._slots
+        if self._rate_limit is not None:
+            # More are of no use at this rate, and would draw calls that have to wait for a token.
+            slots = min(slots, self._rate_limit.slots(typical))
+        return Load(slots, running, waiting, typical)
+
+    @property
+    def requests_per_s(self) -> float | None:
+        """Return the requests a second that the upstream takes, None if it names no limit."""
+        return None if self._rate_limit is None else self._rate_limit.requests_per_s
+
+    def limit_rate(self, requests_per_s: float | None, now: float) -> None:
+        """Start no more requests a second than the upstream takes; None lifts the limit."""
+        if requests_per_s is None:
+            self._rate_limit = None
+        elif self._rate_limit is None:
+            self._rate_limit = RateLimit(requests_per_s=requests_per_s, now=now)
+        else:
+            self._rate_limit.change(requests_per_s, now)
 
     @property
     def is_idle(self) -> bool:
@@ -169,7 +189,7 @@
         ready = [self._short] if self._prune_head(self._short) else []
         if self._prune_head(self._long) and self._long_may_start():
             ready.append(self._long)
-        if not ready:
+        if not ready or not self._take_token(now):
             return None
         waiting = self._pop(min(ready, key=lambda heap: heap[0]), now)
         self._dequeue(waiting)
@@ -177,6 +197,16 @@
         self._running[waiting.work.attempt] = _Running(waiting.work.kind, long, now)
         return waiting.work
 
+    def _take_token(self, now: float) -> bool:
+        """Return whether the upstream's rate limit, if any, lets another request start."""
+        return self._rate_limit is None or self._rate_limit.take(now)
+
+    def start_delay(self, now: float) -> Seconds | None:
+        """Return the time until queued work has a token, None if it waits for none."""
+        if self._rate_limit is None or not self._waiting or len(self._running) >= self._slots:
+            return None
+        return self._rate_limit.delay(now)
+
     def check_deadline(self, work: Work, now: float) -> Refusal | None:
         """Return the refusal of work that can no longer end before its deadline."""
         if now >= work.deadline:
@@ -192,6 +222,8 @@
         running = self._running.pop(work.attempt)
         if ran:
             self._times.add(running.kind, now - running.started_at, now)
+        elif self._rate_limit is not None:
+            self._rate_limit.give_back()
 
     def withdraw(self, attempt: AttemptId) -> Work | None:
         """Remove work from the queue and return it, or return None if it isn't queued."""
@@ -285,13 +317,23 @@
         slots = self._max_long_slots() if long else self._slots - self._long_running()
         same_class = [running for running in self._running.values() if running.long == long]
         ahead = [other.cost for other in heap if self._is_ahead(other, waiting)]
+        wait_for_token = self._expected_wait_for_token(waiting, now)
         if not ahead and len(same_class) < slots:
-            return 0.0
+            return wait_for_token
         remaining = sum(
             max(0.0, self._times.estimate(running.kind, now) - (now - running.started_at))
             for running in same_class
         )
-        return (sum(ahead) + remaining) / max(1, slots)
+        return max((sum(ahead) + remaining) / max(1, slots), wait_for_token)
+
+    def _expected_wait_for_token(self, waiting: _Waiting, now: float) -> Seconds:
+        """Return the estimated time until work has a token of the upstream's rate limit."""
+        if self._rate_limit is None:
+            return 0.0
+        ahead = sum(
+            self._is_ahead(other, waiting) for heap in (self._short, self._long) for other in heap
+        )
+        return self._rate_limit.delay(now, ahead=ahead)
 
     def _is_ahead(self, other: _Waiting, waiting: _Waiting) -> bool:
         """Return whether other work is still queued and is to start earlier."""
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -25,6 +25,7 @@
     "late",
     "leader",
     "leaving",
+    "limited",
     "lost",
     "malformed",
     "member",
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -31,6 +31,7 @@
     expected_instance="Expected-Instance",
     workers_echo_ids=True,
     not_run="Not-Executed",
+    rate_limit="Server-Limit",
     owner="",
 )
 _CONFIG_REPLACE_PATH = "/api/Config.Replace"
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterable
 from contextlib import closing
+from functools import partial
 
 from cowslipvane.admission import Admission, Work, request_kind
 from cowslipvane.call import (
@@ -46,7 +47,7 @@
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, ResponseHead, WorkerUnreachable
-from cowslipvane.tasks._worker_http import NotRun, SlotConnection, response_headers
+from cowslipvane.tasks._worker_http import NotRun, SlotConnection, WorkerState, response_headers
 from cowslipvane.types import Seconds, ServiceName, Verdict, Version
 
 CHUNK_BYTES = 64 << 10
@@ -99,6 +100,9 @@
         self._running_requests: dict[AttemptId, str] = {}
         self._draining = False
         self._failed_connections = 0
+        # When the worker last named a rate limit, in time.monotonic seconds.
+        self._limit_named_at = 0.0
+        self._token_timer: asyncio.TimerHandle | None = None
 
     @property
     def load(self) -> Load:
@@ -443,9 +447,15 @@
         if previous_slots:
             # A worker that announced new properties still runs the requests of its old slots.
             await asyncio.wait(previous_slots)
-        with closing(SlotConnection(worker=worker, header_names=self._header_names)) as connection:
+        connection = SlotConnection(
+            worker=worker,
+            header_names=self._header_names,
+            report_state=partial(self._handle_state, admission, worker, work_available),
+        )
+        with closing(connection):
             while not admission.is_draining:
                 work = admission.start_next(time.monotonic())
+                self._wake_for_token(admission, work_available)
                 if work is None:
                     await work_available.wait()
                     continue
@@ -464,6 +474,45 @@
                     # another slot was idle; wake that slot now, since this work has ended.
                     work_available.send()
 
+    def _wake_for_token(self, admission: Admission, work_available: LifoSignal) -> None:
+        """Wake a slot once the rate limit of the worker lets queued work start."""
+        delay = admission.start_delay(time.monotonic())
+        loop = asyncio.get_running_loop()
+        if delay is None or (self._token_timer and self._token_timer.when() > loop.time()):
+            return
+        self._token_timer = loop.call_later(delay, work_available.send)
+
+    def _handle_state(
+        self, admission: Admission, worker: Worker, work_available: LifoSignal, state: WorkerState
+    ) -> None:
+        """Keep to the rate that the worker says it takes."""
+        if self._worker is None or self._worker.instance != worker.instance:
+            return
+        self._update_rate_limit(admission, work_available, state)
+
+    def _update_rate_limit(
+        self, admission: Admission, work_available: LifoSignal, state: WorkerState
+    ) -> None:
+        """Apply the rate limit of an answer, or lift it if the worker names none any more."""
+        now = time.monotonic()
+        current = admission.requests_per_s
+        if state.requests_per_s is not None:
+            self._limit_named_at = now
+            admission.limit_rate(state.requests_per_s, now)
+            if current is None:
+                self._record_limit(admission, f"{state.requests_per_s:g}")
+        elif current is not None and state.asked_at > self._limit_named_at:
+            # Answers to requests that were sent earlier may be older than the limit.
+            admission.limit_rate(None, now)
+            self._record_limit(admission, "none")
+            for _ in self._slots:
+                work_available.send()
+
+    def _record_limit(self, admission: Admission, requests_per_s: str) -> None:
+        """Record that the worker names a rate limit, or none any more."""
+        service = admission.service
+        self._events.record("limited", service=service, requests_per_s=requests_per_s)
+
     async def _run(self, work: Work, worker: Worker, connection: SlotConnection) -> None:
         """Run one request at the worker and send its response back."""
         self._running_requests[work.attempt] = self._request_id(work)
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import time
+from collections.abc import Callable
 from http import HTTPStatus
+from typing import NamedTuple
 
 from cowslipvane.call import HeaderNames, Request, end_to_end_headers
 from cowslipvane.membership import Worker
@@ -23,6 +27,18 @@
 REFUSAL_BODY_TIMEOUT: Seconds = 0.1
 # Refusals on one connection, after which it isn't reused.
 MAX_REFUSALS = 256
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
+
+class WorkerState(NamedTuple):
+    """What a worker says of itself in an answer to a request.
+
+    asked_at is when the request was sent, in time.monotonic seconds; requests_per_s is None if the
+    worker names no limit.
+    """
+
+    asked_at: float
+    requests_per_s: float | None
 
 
 class NotRun(Exception):
@@ -32,7 +48,15 @@
 class SlotConnection:
     """The connection of one slot to the worker, opened on demand."""
 
-    def __init__(self, *, worker: Worker, header_names: HeaderNames) -> None:
+    def __init__(
+        self,
+        *,
+        worker: Worker,
+        header_names: HeaderNames,
+        report_state: Callable[[WorkerState], None] | None = None,
+    ) -> None:
+        """Report what the worker says of itself in each answer to a function, if there is one."""
+        self._report_state = report_state
         self._worker = worker
         self._header_names = header_names
         self._connection: WorkerConnection | None = None
@@ -56,12 +80,15 @@
         is_fresh = connection is None or not self._may_reuse(connection, request)
         if connection is None or is_fresh:
             connection = await self._open()
+        asked_at = time.monotonic()
         response = await connection.send_request(
             head, request.body, has_body=request.method != "HEAD"
         )
         response = await self._skip_strays(connection, response, request)
         if not self._is_proven(response, is_first=is_fresh and not self._has_stray):
             raise AnswerBroken("the answer on a kept connection names no request")
+        if self._report_state is not None and not self._is_misdirected(response):
+            self._report_state(self._worker_state(response, asked_at))
         if self._is_not_run(response):
             self._refused_ids.add(self._request_id(request))
             await self._finish_refusal(response)
@@ -133,11 +160,20 @@
 
     def _is_not_run(self, response: ResponseHead) -> bool:
         """Return whether the worker did not run the request, or is another instance."""
-        if response.field(self._header_names.not_run) is not None:
-            return True
+        return response.field(self._header_names.not_run) is not None or self._is_misdirected(
+            response
+        )
+
+    def _is_misdirected(self, response: ResponseHead) -> bool:
+        """Return whether another instance answers at the worker's address."""
         instance_expected = bool(self._header_names.expected_instance and self._worker.instance)
         return instance_expected and response.status == HTTPStatus.MISDIRECTED_REQUEST
 
+    def _worker_state(self, response: ResponseHead, asked_at: float) -> WorkerState:
+        """Return what the worker says of itself in a response."""
+        limit = response.field(self._header_names.rate_limit)
+        return WorkerState(asked_at, _parse_rate(limit))
+
     def _names_another(self, response: ResponseHead, request: Request) -> bool:
         """Return whether a response names another request."""
         named = response.field(self._header_names.request_id)
@@ -157,6 +193,13 @@
         return request.header(self._header_names.request_id) or ""
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return the requests a second in a field, None if it is absent or no such number."""
+    if text is None or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 async def _skip_body(response: ResponseHead) -> None:
     """Read a body to its end; raise AnswerBroken if it is too large or incomplete."""
     skipped_bytes = 0
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -10,12 +10,14 @@
 from websockets.frames import CloseCode
 
 from cowslipvane.call import (
+    DEFAULT_HEADER_NAMES,
     Answer,
     AttemptId,
     Call,
     Cancel,
     Chunk,
     Fence,
+    HeaderNames,
     Offer,
     OwnerMessage,
     Refused,
@@ -135,7 +137,11 @@
 
 
 def make_owner(
-    own: Member, subscription: Subscription | None = None, *, worker_lease: float = 60.0
+    own: Member,
+    subscription: Subscription | None = None,
+    *,
+    worker_lease: float = 60.0,
+    header_names: HeaderNames = DEFAULT_HEADER_NAMES,
 ) -> Owner:
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
@@ -145,6 +151,7 @@
         subscription=subscription or Subscription(),
         events=events(),
         worker_lease=worker_lease,
+        header_names=header_names,
     )
 
 
