Send no more requests to a worker that says in an answer that it leaves

Cause: only announcements were heeded; no code read the field. Change: an owner deregisters its worker at the first such answer, as if it had announced it, and refuses what is queued as not run; an announcement of the same instance that was on its way doesn't bring it back. Result: test_worker_state's two tests of it fail without the check. 43 tests of it, test_platform, test_announcements and test_owner pass.

--- a/cowslipvane/call/_header_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -10,8 +10,8 @@
 class HeaderNames(NamedTuple):
     """Names of header fields towards callers and workers.
 
-    origin_service, expected_instance, not_run, rate_limit and owner may be empty, which disables
-    the field.
+    origin_service, expected_instance, not_run, rate_limit, leaving and owner may be empty, which
+    disables the field.
     """
 
     # The request id; ids from callers are accepted only if accepts_request_ids is set.
@@ -30,6 +30,8 @@
     not_run: str = "X-Not-Run"
     # Set in a worker's answers while it takes only so many requests a second, from all proxies.
     rate_limit: str = ""
+    # Set in a worker's answers once it is leaving and takes no new requests.
+    leaving: str = ""
     # The address of the proxy that owns the upstream; callers that connect to it save a hop.
     owner: str = "X-Cowslipvane-Owner"
 
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -55,6 +55,12 @@
         self._newest = announcement
         return True
 
+    def record_leaving(self, instance: str) -> None:
+        """Record that an instance says it is leaving, other than in an announcement."""
+        current = self._newest
+        if current is not None and current.worker.instance == instance and current.state == "ready":
+            self._newest = current._replace(state="leaving")
+
     def record_departure(self, instance: str, wall_ms: int) -> bool:
         """Record that an instance is gone; return whether it was the current one.
 
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -32,6 +32,7 @@
     workers_echo_ids=True,
     not_run="Not-Executed",
     rate_limit="Server-Limit",
+    leaving="Server-Leaving",
     owner="",
 )
 _CONFIG_REPLACE_PATH = "/api/Config.Replace"
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -103,6 +103,7 @@
         # When the worker last named a rate limit, in time.monotonic seconds.
         self._limit_named_at = 0.0
         self._token_timer: asyncio.TimerHandle | None = None
+        self._removals: set[asyncio.Task[None]] = set()
 
     @property
     def load(self) -> Load:
@@ -485,10 +486,21 @@
     def _handle_state(
         self, admission: Admission, worker: Worker, work_available: LifoSignal, state: WorkerState
     ) -> None:
-        """Keep to the rate that the worker says it takes."""
+        """Keep to the rate that the worker says it takes, and deregister it if it is leaving."""
         if self._worker is None or self._worker.instance != worker.instance:
             return
         self._update_rate_limit(admission, work_available, state)
+        if state.is_leaving:
+            self._announcements.record_leaving(worker.instance)
+            # The answer isn't held up by the refusals of queued work.
+            removal = asyncio.create_task(self._remove_leaving(worker))
+            self._removals.add(removal)
+            removal.add_done_callback(self._removals.discard)
+
+    async def _remove_leaving(self, worker: Worker) -> None:
+        """Deregister a worker that says it is leaving, unless another one has replaced it."""
+        if self._worker is not None and self._worker.instance == worker.instance:
+            await self.deregister_worker()
 
     def _update_rate_limit(
         self, admission: Admission, work_available: LifoSignal, state: WorkerState
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -27,6 +27,8 @@
 REFUSAL_BODY_TIMEOUT: Seconds = 0.1
 # Refusals on one connection, after which it isn't reused.
 MAX_REFUSALS = 256
+# The value of the field that a worker sets once it is leaving.
+_IS_LEAVING = "1"
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -39,6 +41,7 @@
 
     asked_at: float
     requests_per_s: float | None
+    is_leaving: bool
 
 
 class NotRun(Exception):
@@ -172,7 +175,8 @@
     def _worker_state(self, response: ResponseHead, asked_at: float) -> WorkerState:
         """Return what the worker says of itself in a response."""
         limit = response.field(self._header_names.rate_limit)
-        return WorkerState(asked_at, _parse_rate(limit))
+        leaving = response.field(self._header_names.leaving)
+        return WorkerState(asked_at, _parse_rate(limit), leaving == _IS_LEAVING)
 
     def _names_another(self, response: ResponseHead, request: Request) -> bool:
         """Return whether a response names another request."""
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -1,4 +1,4 @@
-"""Tests of what a worker says of itself in its answers: a rate limit."""
+"""Tests of what a worker says of itself in its answers: a rate limit, or that it is leaving."""
 
 import asyncio
 import random
@@ -15,7 +15,7 @@
 from tests.test_owner import NOWHERE, make_owner, member, stop
 
 SERVICE = ServiceName("stock")
-NAMES = HeaderNames(rate_limit="X-Rate-Limit", workers_echo_ids=True)
+NAMES = HeaderNames(rate_limit="X-Rate-Limit", leaving="X-Leaving", workers_echo_ids=True)
 SLOTS = 6
 WORK_S = 0.02
 TIMEOUT_S = 5.0
@@ -175,6 +175,31 @@
             self.assertIsInstance(await self.reply(), Answer)
             self.assertEqual(self.owner.load.slots, SLOTS)
 
+    # Guards against requests that reach a worker after it has said in an answer that it leaves
+    # (issue 23, DRAIN).
+    async def test_worker_that_says_it_leaves_gets_nothing_more(self) -> None:
+        """The answer itself is passed on, and what is queued is refused as not run."""
+        self.worker.fields = "X-Leaving: 1\r\n"
+        for _ in range(4 * SLOTS):
+            await self.offer()
+        replies = [await asyncio.wait_for(self.replies.get(), TIMEOUT_S) for _ in range(4 * SLOTS)]
+        refused = [reply for reply in replies if isinstance(reply, Refused)]
+        self.assertEqual(len(self.worker.arrivals), 4 * SLOTS - len(refused))
+        self.assertLess(len(self.worker.arrivals), 3 * SLOTS)
+        for reply in [*refused, await self.reply()]:
+            assert isinstance(reply, Refused)
+            self.assertIs(explain(reply.refusal).verdict, Verdict.NOT_RUN)
+
+    async def test_announcement_on_its_way_does_not_bring_a_leaving_worker_back(self) -> None:
+        """Another instance at its address is taken."""
+        self.worker.fields = "X-Leaving: 1\r\n"
+        self.assertIsInstance(await self.reply(), Answer)
+        self.worker.fields = ""
+        await self.owner.handle_announcement(self.announcement(sequence=2))
+        self.assertIsInstance(await self.reply(), Refused)
+        await self.owner.handle_announcement(self.announcement(sequence=1, instance="i-2"))
+        self.assertIsInstance(await self.reply(), Answer)
+
 
 class RateLimitTest(unittest.TestCase):
     """The token bucket of a rate limit."""
