Ignore odd records of hosts, and refuse odd announcements of workers

It could happen here: a record of a host with a port out of range, once a process chose that host as its neighbour, ended its gossip with ValueError('Port out of range 0-65535'), and so the process; gossip brings the record to all. A record of a process itself with a counter near 2^63 made it publish one that others can't read (KeyError by overflow of 64 bits), so that they closed each connection to it. Heartbeats with such ports or deep nesting were refused, but addresses as 0.0.0.0, ports in other digits, lone surrogates and names of 100,000 characters were taken and spread. Class: entries of other writers are used as if this product had written them. Change: a membership ignores records that can't be used, and takes those beside them; an address that is none is unreachable, like a host that is down; both announcements check the worker by one rule.

--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -10,6 +10,12 @@
 _HASH_BYTES = 8
 
 
+MAX_NAME_CHARACTERS = 256
+_ALLOWED_NAME = f"a text of 1 to {MAX_NAME_CHARACTERS} characters"
+# Incarnations and counters are raised by one, and have to stay within 64 bits.
+MAX_ORDER = 1 << 62
+
+
 class Worker(NamedTuple):
     """The description that an upstream announces to the proxy on its host.
 
@@ -24,6 +30,17 @@
     connections: int
     instance: str = ""
 
+    @property
+    def fault(self) -> str:
+        """Return why the description names no worker to use, or an empty text."""
+        if not _is_name(self.service):
+            return f"found service {self.service!r:.80}; allowed is {_ALLOWED_NAME}"
+        if self.instance and not _is_name(self.instance):
+            return f"found instance {self.instance!r:.80}; allowed is {_ALLOWED_NAME}"
+        if not self.address.is_sound:
+            return f"found address {self.address!s:.80}; allowed is that of one host"
+        return "" if self.slots > 0 else f"found {self.slots} slots; allowed is 1 and more"
+
 
 class Order(NamedTuple):
     """The order of the records of one host: the greater one is newer.
@@ -67,6 +84,27 @@
         """Return the position of this record among those of the same host."""
         return Order(self.incarnation, self.counter, self.suspected)
 
+    @property
+    def is_sound(self) -> bool:
+        """Return whether other processes can use the record."""
+        addresses = [self.peers, self.operators, self.callers]
+        return (
+            _is_name(self.host)
+            and all(address.is_sound for address in addresses if address is not None)
+            and 0 <= self.incarnation < MAX_ORDER
+            and 0 <= self.counter < MAX_ORDER
+            and (self.worker is None or not self.worker.fault)
+        )
+
+
+def _is_name(text: str) -> bool:
+    """Return whether a text can be used as a name, which has a UTF-8 form."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return 0 < len(text) <= MAX_NAME_CHARACTERS
+
 
 def record_hash(member: Member) -> int:
     """Return a hash of the host and order of a record."""
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -102,12 +102,18 @@
         self._publish(self._own._replace(state=state), now)
 
     def merge(self, records: Iterable[Member], now: float) -> list[Member]:
-        """Store the records that are newer than those held, and return them."""
+        """Store the records that are newer than those held, and return them.
+
+        A record that can't be used is ignored; acting on it would end this process, or keep others
+        from reading its messages.
+        """
         newer = []
         for record in records:
+            if not self._is_newer(record) or not record.is_sound:
+                continue
             if record.host == self._own.host:
                 self._refute(record, now)
-            elif self._is_newer(record):
+            else:
                 self._store(record, now)
                 newer.append(record)
         return newer
@@ -227,10 +233,8 @@
         return held is None or record.order > held.order
 
     def _refute(self, record: Member, now: float) -> None:
-        """Publish a record of this host that is newer than a conflicting one held by others."""
+        """Publish a record of this host that is newer than the given one, which others hold."""
         own = self._own
-        if record.order <= own.order:
-            return
         incarnation = own.incarnation
         if record.incarnation > incarnation:
             # The wall clock went back between two incarnations of this process.
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -26,6 +26,8 @@
             0,
             instance,
         )
+        if not instance or worker.fault:
+            raise ValueError(worker.fault or "the path names no instance")
         phase = _text(status["phase"])
         if phase != "ready" and phase not in _LEAVING_PHASES:
             raise ValueError(f"found phase {phase!r}")
--- a/cowslipvane/tasks/_process_api.py
+++ b/cowslipvane/tasks/_process_api.py
@@ -140,4 +140,7 @@
         raise ValueError(f"found slots {slots!r}; allowed is 1 to {MAX_SLOTS}")
     if type(connections) is not int or not 0 < connections <= MAX_CONNECTIONS:
         raise ValueError(f"found connections {connections!r}; allowed is 1 to {MAX_CONNECTIONS}")
-    return Worker(ServiceName(form["service"]), address, slots, connections)
+    worker = Worker(ServiceName(form["service"]), address, slots, connections)
+    if worker.fault:
+        raise ValueError(worker.fault)
+    return worker
--- a/cowslipvane/tasks/_worker_connection.py
+++ b/cowslipvane/tasks/_worker_connection.py
@@ -91,7 +91,8 @@
         try:
             async with ResponseTimeout(CONNECT_TIMEOUT):
                 _, connection = await loop.create_connection(cls, address.ip, address.port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # ValueError and OverflowError: the address is none.
             raise WorkerUnreachable(f"{address}: {error}") from error
         return connection
 
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -4,6 +4,7 @@
 
 import enum
 import ipaddress
+import re
 from typing import Annotated, NamedTuple, NewType
 
 HostName = NewType("HostName", str)
@@ -18,6 +19,8 @@
 
 NO_VERSION = Version(0)
 MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,9}")
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 
 class Address(NamedTuple):
@@ -36,13 +39,26 @@
         ip = ip.strip("[]")
         try:
             ipaddress.ip_address(ip)
-            number = int(port)
         except ValueError:
             raise ValueError(f"found {text!r:.80}; {allowed}") from None
+        # int() takes blanks, signs, underscores and digits of other scripts, too.
+        if not _PORT.fullmatch(port):
+            raise ValueError(f"found {text!r:.80}; {allowed}")
+        number = int(port)
         if not 0 < number <= MAX_PORT:
             raise ValueError(f"found port {number}; allowed is 1 to {MAX_PORT}")
         return cls(ip, number)
 
+    @property
+    def is_sound(self) -> bool:
+        """Return whether it may be the address of one host; one from elsewhere may be odd."""
+        try:
+            ip = ipaddress.ip_address(self.ip)
+        except ValueError:
+            return False
+        is_of_one_host = not (ip.is_unspecified or ip.is_multicast or ip == _BROADCAST)
+        return is_of_one_host and 0 <= self.port <= MAX_PORT
+
     def __str__(self) -> str:
         """Return the form IP:PORT that settings and URLs use, with brackets around IPv6."""
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -323,7 +323,8 @@
             )
     except TimeoutError as error:
         raise LinkClosed(f"{address} didn't accept a link within {CONNECT_TIMEOUT} s") from error
-    except (OSError, websockets.WebSocketException) as error:
+    except (OSError, ValueError, OverflowError, websockets.WebSocketException) as error:
+        # ValueError and OverflowError: the address is none.
         raise LinkClosed(f"{address} can't be reached: {error}") from error
     enable_keepalive(connection)
     try:
