Refuse a call whose body ends after the lame duck time of a stop

Evidence: test_stopping.StoppingTest.test_a_call_whose_body_ends_after_the_lame_duck_time_is_refused, over real processes: 502 and may have run before, at the end of the grace period; now 503 and not run, and the worker ran nothing. Change: a call is checked again right before it is passed on.

--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -366,6 +366,10 @@
     ) -> CallResponse | CallRefusal:
         """Dispatch a call, and route it again whenever an owner has a newer version."""
         while True:
+            # The lame duck time may have ended while the body came, or a newer version.
+            if not self._accepts_calls:
+                leaving = ProxyLeaving(verdict=Verdict.NOT_RUN)
+                return CallRefusal(exchange=exchange, refusal=leaving)
             call = exchange.call = self._new_call(http, exchange, routed, body, arrived_at)
             match await self._dispatcher.dispatch(call):
                 case StartedResponse() as started:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -13,6 +13,7 @@
 SHORTLY_AFTER_LAME_DUCK_S = 0.7
 # In thousandths of a second at the workers of these tests.
 LONG_WORK = 6000
+BODY_BYTES = 64
 
 
 class StoppingTest(OneWorkerTestCase):
@@ -30,6 +31,19 @@
         self.assertEqual((response.status, response.body["verdict"]), (503, "not run"))
         self.assertEqual(self.ran(), [])
 
+    # Guards against a late request of a planned stop that is passed on and cut at the end of the
+    # grace period (issue 23).
+    async def test_a_call_whose_body_ends_after_the_lame_duck_time_is_refused(self) -> None:
+        """Its head came before, but only a whole request is passed on."""
+        connection = await self.connect()
+        self.fleet.signal_daemon(ENTRY, signal.SIGTERM)
+        connection.send_head("slow", LONG_WORK, BODY_BYTES)
+        await asyncio.sleep(SHORTLY_AFTER_LAME_DUCK_S)
+        connection.send_body(BODY_BYTES)
+        response = await connection.response()
+        self.assertEqual((response.status, response.body["verdict"]), (503, "not run"))
+        self.assertEqual(self.ran(), [])
+
     async def test_a_call_that_waits_for_a_slot_at_the_exit_is_refused(self) -> None:
         """Its connection was closed without an answer, although the call had not been started.
 
