Read rate limits of many digits, and wake a slot by the newest rate

Found when the diff was read: a limit with more than nine digits behind its point was taken for none, so that LIMIT would have been broken by it; and a timer for the next token that was set at a low rate held up queued work after the rate was raised.

--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -478,10 +478,11 @@
     def _wake_for_token(self, admission: Admission, work_available: LifoSignal) -> None:
         """Wake a slot once the rate limit of the worker lets queued work start."""
         delay = admission.start_delay(time.monotonic())
-        loop = asyncio.get_running_loop()
-        if delay is None or (self._token_timer and self._token_timer.when() > loop.time()):
+        if delay is None:
             return
-        self._token_timer = loop.call_later(delay, work_available.send)
+        if self._token_timer is not None:
+            self._token_timer.cancel()
+        self._token_timer = asyncio.get_running_loop().call_later(delay, work_available.send)
 
     def _handle_state(
         self, admission: Admission, worker: Worker, work_available: LifoSignal, state: WorkerState
--- a/cowslipvane/tasks/_worker_http.py
+++ b/cowslipvane/tasks/_worker_http.py
@@ -29,7 +29,7 @@
 MAX_REFUSALS = 256
 # The value of the field that a worker sets once it is leaving.
 _IS_LEAVING = "1"
-_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,30})?")
 
 
 class WorkerState(NamedTuple):
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -168,6 +168,12 @@
         recent = [arrival for arrival in self.worker.arrivals if arrival > time.monotonic() - 0.9]
         self.assertGreater(len(recent), 2 * LIMIT)
 
+    async def test_rate_may_have_many_digits(self) -> None:
+        """A fraction may be written as exactly as a float holds it."""
+        self.worker.fields = f"X-Rate-Limit: {LIMIT + 1 / 3!r}\r\n"
+        await self.reply()
+        self.assertEqual(self.owner.load.slots, 1)
+
     async def test_values_that_are_no_rate_are_ignored(self) -> None:
         """They neither limit the worker nor end the connection."""
         for value in ("", "-1", "nan", "inf", "1e999", "many", "1" * 400):
