Pass a received request and its route as two values through the callers' interface

A test of test_stopping is renamed to what it guards. 51 tests of test_worker_state, test_stopping, test_outdated_routes, test_owner and test_callers pass.

--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -99,6 +99,15 @@
     close: bool = False
 
 
+class _Received(NamedTuple):
+    """A request that was received whole, and when it arrived in time.monotonic seconds."""
+
+    http: web.BaseRequest
+    exchange: Exchange
+    arrived_at: float
+    body: bytes
+
+
 class _Routed(NamedTuple):
     """The table that a request was routed by, and the service that this led to."""
 
@@ -354,48 +363,40 @@
                 # After a body that was received whole, the requests behind it can be read.
                 close = not http.content.is_eof()
                 return CallRefusal(exchange=exchange, refusal=refusal, close=close)
-        return await self._dispatch(http, exchange, _Routed(table, rules), body, arrived_at)
+        received = _Received(http, exchange, arrived_at, body)
+        match await self._dispatch(received, _Routed(table, rules)):
+            case CallResponse() as response:
+                return response
+            case refusal:
+                return CallRefusal(exchange=exchange, refusal=refusal)
 
-    async def _dispatch(
-        self,
-        http: web.BaseRequest,
-        exchange: Exchange,
-        routed: _Routed,
-        body: bytes,
-        arrived_at: float,
-    ) -> CallResponse | CallRefusal:
+    async def _dispatch(self, received: _Received, routed: _Routed) -> CallResponse | Refusal:
         """Dispatch a call, and route it again whenever an owner has a newer version."""
+        exchange = received.exchange
         while True:
             # The lame duck time may have ended while the body came, or a newer version.
             if not self._accepts_calls:
-                leaving = ProxyLeaving(verdict=Verdict.NOT_RUN)
-                return CallRefusal(exchange=exchange, refusal=leaving)
-            call = exchange.call = self._new_call(http, exchange, routed, body, arrived_at)
+                return ProxyLeaving(verdict=Verdict.NOT_RUN)
+            call = exchange.call = self._new_call(received, routed)
             match await self._dispatcher.dispatch(call):
                 case StartedResponse() as started:
                     exchange.response_begun = True
-                    self._record_late(call, started, arrived_at)
+                    self._record_late(call, started, received.arrived_at)
                     return CallResponse(exchange=exchange, call=call, started=started)
                 case RouteOutdated(version=version) as outdated:
                     table = await self._table_of_version(version, call)
                     if table is None:
-                        return CallRefusal(exchange=exchange, refusal=outdated)
-                    rules = self._route(table, http)
+                        return outdated
+                    rules = self._route(table, received.http)
                     if rules is None:
-                        return CallRefusal(exchange=exchange, refusal=_no_route(http))
+                        return _no_route(received.http)
                     routed = _Routed(table, rules)
                 case refusal:
-                    return CallRefusal(exchange=exchange, refusal=refusal)
+                    return refusal
 
-    def _new_call(
-        self,
-        http: web.BaseRequest,
-        exchange: Exchange,
-        routed: _Routed,
-        body: bytes,
-        arrived_at: float,
-    ) -> Call:
+    def _new_call(self, received: _Received, routed: _Routed) -> Call:
         """Return the call for a request that has been received and routed."""
+        http, exchange, arrived_at, body = received
         request_id, rules = exchange.request_id, routed.rules
         headers = end_to_end_headers(http.headers.items())
         forwarded = self._header_names.headers_to_owner(headers, request_id, self._origin_service)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -33,7 +33,7 @@
 
     # Guards against a late request of a planned stop that is passed on and cut at the end of the
     # grace period (issue 23).
-    async def test_a_call_whose_body_ends_after_the_lame_duck_time_is_refused(self) -> None:
+    async def test_a_call_whose_body_ends_late_in_a_planned_stop_is_refused(self) -> None:
         """Its head came before, but only a whole request is passed on."""
         connection = await self.connect()
         self.fleet.signal_daemon(ENTRY, signal.SIGTERM)
