--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -374,9 +374,6 @@
         """Dispatch a call, and route it again whenever an owner has a newer version."""
         exchange = received.exchange
         while True:
-            # The lame duck time may have ended while the body came, or a newer version.
-            if not self._accepts_calls:
-                return ProxyLeaving(verdict=Verdict.NOT_RUN)
             call = exchange.call = self._new_call(received, routed)
             match await self._dispatcher.dispatch(call):
                 case StartedResponse() as started:
