Connect each proxy to two replicas

Cause: the leader is frozen at 2.5 s. A proxy that is subscribed to it finds out after 1 s; its link is busy, so that connecting to another replica takes longer than the 0.7 s that a connection may take, again and again. Class: a reserve that is only fetched when it is needed, over the path that is short then. Change: a proxy is connected to two replicas; the second one tells it the numbers of versions, and takes over when the first one is lost or late. Opening a connection to a replica may take 1.5 s. The event unsubscribed tells why one ended.

--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -41,6 +41,7 @@
     "stalled",
     "started",
     "stopped",
+    "unsubscribed",
     "verdict",
     "worker",
     "worker-leaving",
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -2,6 +2,7 @@
 
 from cowslipvane.subscription._backoff import Backoff
 from cowslipvane.subscription._messages import (
+    WATCH_ONLY,
     AskFloor,
     AskLeader,
     ComeAgain,
@@ -19,6 +20,7 @@
 from cowslipvane.subscription._subscription import Applied, Rejected, Subscription
 
 __all__ = [
+    "WATCH_ONLY",
     "Applied",
     "AskFloor",
     "AskLeader",
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -33,12 +33,16 @@
     leader: Address | None
 
 
+# The base of a pull that requests no updates, only the number of the newest version.
+WATCH_ONLY = Version(1 << 62)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pull:
     """Reports the version in force on the proxy, and requests the changes after its base.
 
     The replica holds the request until it has a version of at least the floor. hosts are the route
-    hosts that the proxy serves.
+    hosts that the proxy serves. With WATCH_ONLY as its base, it requests no changes.
     """
 
     report: Report
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -13,6 +13,7 @@
 from cowslipvane.membership import Membership
 from cowslipvane.replica import Leader, Report
 from cowslipvane.subscription import (
+    WATCH_ONLY,
     AskFloor,
     AskLeader,
     ComeAgain,
@@ -65,7 +66,8 @@
     def __init__(self, *, link: Link, pull: Pull) -> None:
         self._link = link
         self._pull = pull
-        self._sent_version = pull.base
+        self._sent_version = NO_VERSION
+        self._announced_version = NO_VERSION
         self._pulled = Signal()
 
     @property
@@ -73,6 +75,11 @@
         """Return the connection to the proxy."""
         return self._link
 
+    @property
+    def pulled(self) -> Signal:
+        """Return the signal for further pulls."""
+        return self._pulled
+
     @property
     def newest_pull(self) -> Pull:
         """Return the newest pull."""
@@ -83,14 +90,28 @@
         """Return the newest pull, from the version that was sent if the proxy hasn't it yet."""
         return dataclasses.replace(self._pull, base=max(self._pull.base, self._sent_version))
 
+    @property
+    def only_watches(self) -> bool:
+        """Return whether the proxy requests no updates, but gets them from another replica."""
+        return self._pull.base >= WATCH_ONLY
+
+    @property
+    def known_version(self) -> Version:
+        """Return the newest version whose number the proxy knows."""
+        return max(self._pull.report.version, self._announced_version)
+
+    def record_announced(self, version: Version) -> None:
+        """Record that the number of a version is on its way."""
+        self._announced_version = version
+
     def record_pull(self, pull: Pull) -> None:
         """Record another pull, by which the proxy reports the version in force on it."""
         self._pull = pull
         self._pulled.send()
 
     def record_sent(self, version: Version) -> None:
-        """Record that an update to a version is on its way."""
-        self._sent_version = version
+        """Record that an update to a version is on its way; NO_VERSION stands for none."""
+        self._sent_version = max(self._sent_version, version)
 
     async def wait_for_pull_after(self, pull: Pull) -> None:
         """Return once there is a newer pull than the given one."""
@@ -141,10 +162,10 @@
 
     async def _notify_pulls(self) -> None:
         """Wake the waiting pulls at each new version, but not at other changes of the replica."""
-        announced = self._replication.replica.catalogue.version
+        announced = self._newest_version
         while True:
             await self._replication.changed.wait()
-            newest = self._replication.replica.catalogue.version
+            newest = self._newest_version
             if newest != announced:
                 announced = newest
                 self._accepted.send()
@@ -191,6 +212,9 @@
         with suppress(LinkClosed):
             while True:
                 newest_pull = subscriber.newest_pull
+                if subscriber.only_watches:
+                    await self._announce(subscriber)
+                    continue
                 version = await self._respond(subscriber.link, subscriber.next_pull)
                 if version is None:
                     await subscriber.wait_for_pull_after(newest_pull)
@@ -282,20 +306,36 @@
         addresses = {voter.host: voter.address for voter in replica.group.voters}
         return addresses.get(replica.leader) if replica.leader else None
 
+    @property
+    def _newest_version(self) -> Version:
+        """Return the newest version that is accepted here."""
+        return self._replication.replica.catalogue.version
+
+    async def _announce(self, subscriber: _Subscriber) -> None:
+        """Send the number of a version that the proxy doesn't know, or a heartbeat after a while.
+
+        Send nothing to a proxy that requests updates meanwhile.
+        """
+        deadline = time.monotonic() + self._pull_wait
+        while self._newest_version <= subscriber.known_version and subscriber.only_watches:
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                break
+            await Signal.wait_any(self._accepted, subscriber.pulled, timeout=remaining)
+        if subscriber.only_watches:
+            subscriber.record_announced(self._newest_version)
+            await subscriber.link.send(self._heartbeat())
+
     async def _respond(self, link: Link, pull: Pull) -> Version | None:
-        """Wait for a version that the proxy can apply, and send it.
+        """Wait for a version that the proxy can apply, and send it, or else a heartbeat.
 
-        Return the version that the proxy has then, or None if it has to pull again.
+        Return the version that was sent, or None if the proxy has to pull again.
         """
         # A proxy that is ahead of this replica waits until the replica has caught up.
         required = max(pull.floor, Version(pull.base + 1))
         if not await self._wait_for(required):
-            replica = self._replication.replica
-            if self._replication.is_current:
-                await link.send(Current(version=replica.catalogue.version))
-            else:
-                await link.send(Lagging())
-            return pull.base
+            await link.send(self._heartbeat())
+            return NO_VERSION
         response = self._encode(pull)
         if response.is_snapshot and not self._may_send_snapshot(len(response.data)):
             await link.send(ComeAgain(after=SNAPSHOT_RETRY_DELAY))
@@ -308,6 +348,12 @@
             self._snapshot_bytes_in_flight -= snapshot_bytes
         return response.version
 
+    def _heartbeat(self) -> Current | Lagging:
+        """Return the newest version, unless this replica can't tell whether it is the newest."""
+        if not self._replication.is_current:
+            return Lagging()
+        return Current(version=self._newest_version)
+
     def _may_send_snapshot(self, size: int) -> bool:
         """Return whether there is memory for another snapshot of some size in bytes."""
         in_flight = self._snapshot_bytes_in_flight
@@ -316,7 +362,7 @@
     async def _wait_for(self, version: Version) -> bool:
         """Return whether a version is accepted before the wait of a pull times out."""
         deadline = time.monotonic() + self._pull_wait
-        while self._replication.replica.catalogue.version < version:
+        while self._newest_version < version:
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 return False
--- a/cowslipvane/tasks/_signal.py
+++ b/cowslipvane/tasks/_signal.py
@@ -22,8 +22,14 @@
 
     async def wait(self, timeout: Seconds | None = None) -> None:
         """Return at the next send, or after the timeout in seconds."""
+        await self.wait_any(self, timeout=timeout)
+
+    @staticmethod
+    async def wait_any(*signals: Signal, timeout: Seconds | None = None) -> None:
+        """Return at the next send of one of the signals, or after the timeout in seconds."""
         future = asyncio.get_running_loop().create_future()
-        self._waiting.add(future)
+        for signal in signals:
+            signal._waiting.add(future)
         try:
             # Unlike asyncio.wait_for, asyncio.timeout doesn't lose a cancellation that coincides
             # with the wake-up.
@@ -32,7 +38,8 @@
         except TimeoutError:
             return
         finally:
-            self._waiting.discard(future)
+            for signal in signals:
+                signal._waiting.discard(future)
 
 
 class LifoSignal:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -6,10 +6,12 @@
 import random
 import time
 
+from cowslipvane.catalogue import Delta, Snapshot
 from cowslipvane.events import EventLog
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings
 from cowslipvane.subscription import (
+    WATCH_ONLY,
     Applied,
     AskFloor,
     AskLeader,
@@ -25,10 +27,18 @@
     Subscription,
 )
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import NO_VERSION, Address, Seconds
+from cowslipvane.types import NO_VERSION, Address, Seconds, Version
 from cowslipvane.wire import Link, LinkClosed, Malformed, Reception, connect
 
 INITIAL_BACKOFF: Seconds = 0.1
+# A busy link takes a while for the round trips in which a connection is opened. Another replica is
+# connected meanwhile.
+SUBSCRIBE_TIMEOUT: Seconds = 1.5
+# How often the second subscription looks for a replica that the first one doesn't use.
+FREE_REPLICA_INTERVAL: Seconds = 1.0
+# How long a version may be later from one replica than its number from the other, before it is
+# requested from that.
+TAKE_OVER_DELAY: Seconds = 0.2
 # Share of a connection's silence timeout for which a replica may wait for a leader.
 FLOOR_WAIT_SHARE = 0.6
 
@@ -38,7 +48,12 @@
 
 
 class Subscriber:
-    """Keeps the proxy's configuration at the newest version that a replica serves."""
+    """Keeps the proxy's configuration at the newest version that a replica serves.
+
+    It is connected to two replicas. One, which is active, sends the versions; the other sends their
+    numbers, and takes over when the active one is silent or late. Connecting only then would take
+    several round trips, which are long when the proxy's link is busy.
+    """
 
     def __init__(
         self,
@@ -57,6 +72,8 @@
         self._changed_at = time.time()
         self._rejection = ""
         self._configuration_applied = Signal()
+        self._active: Link | None = None
+        self._replicas_in_use: set[Address] = set()
         # After a rejection the next pull requests a full snapshot.
         self._needs_snapshot = False
         max_delay = settings.timing.longest_backoff
@@ -72,18 +89,34 @@
         self._seeds = seeds
 
     async def run(self) -> None:
+        """Keep two subscriptions, the second one from the first version on, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._keep_subscribed())
+            while not self._subscription.is_ready:
+                await self._configuration_applied.wait()
+            tasks.create_task(self._keep_subscribed())
+
+    async def _keep_subscribed(self) -> None:
         """Subscribe to one replica after another, in random order, until cancelled."""
         failed: Address | None = None
+        untried: list[Address] = []
         while True:
-            seeds = self._shuffled_seeds(failed)
-            if not seeds:
-                await asyncio.sleep(self._backoff.next_delay())
-            for address in seeds:
-                try:
-                    await self._subscribe(address)
-                except (LinkClosed, Malformed, TimeoutError, _UnusableReplica):
-                    failed = address
-                    await asyncio.sleep(self._backoff.next_delay())
+            address = self._take_free(untried)
+            if address is None:
+                untried = self._shuffled_seeds(failed)
+                address = self._take_free(untried)
+            if address is None:
+                await asyncio.sleep(FREE_REPLICA_INTERVAL)
+                continue
+            self._replicas_in_use.add(address)
+            try:
+                await self._subscribe(address)
+            except (LinkClosed, Malformed, TimeoutError, _UnusableReplica) as error:
+                self._record_end(address, error, after=failed)
+                failed = address
+            finally:
+                self._replicas_in_use.discard(address)
+            await asyncio.sleep(self._backoff.next_delay())
 
     def _shuffled_seeds(self, failed: Address | None) -> list[Address]:
         """Return the replicas in random order, the one that has failed last at the end."""
@@ -91,6 +124,14 @@
         self._rng.shuffle(seeds)
         return sorted(seeds, key=lambda address: address == failed)
 
+    def _take_free(self, untried: list[Address]) -> Address | None:
+        """Take the first replica that isn't in use from a list, or None if there is none."""
+        while untried:
+            address = untried.pop(0)
+            if address not in self._replicas_in_use:
+                return address
+        return None
+
     async def _fetch_floor(self, link: Link) -> None:
         """Fetch the minimum version from this replica, or from the leader that it names."""
         response = await self._request_floor(link)
@@ -113,32 +154,50 @@
             case _:
                 raise Malformed("a replica answered a question for the floor with another message")
 
+    def _record_end(self, address: Address, error: Exception, *, after: Address | None) -> None:
+        """Record why a subscription has ended, once for each replica that fails in succession."""
+        if address != after:
+            self._events.record("unsubscribed", replica=str(address), reason=repr(error))
+
     async def _subscribe(self, address: Address) -> None:
         """Pull versions over one connection; each pull reports the version in force."""
         # A replica responds to each pull within the pull's wait, so this detects a dead connection.
         timeout = self._settings.timing.pull_wait + self._settings.timing.silence
-        async with connect(address, "/subscribe") as link:
+        async with connect(address, "/subscribe", timeout=SUBSCRIBE_TIMEOUT) as link:
             if self._subscription.floor is None:
                 await self._fetch_floor(link)
-            while True:
-                await link.send(self._pull())
-                response = await link.receive(timeout=timeout)
-                await self._handle_response(response, link.reception)
-
-    def _pull(self) -> Pull:
-        """Return a pull from the version in force, or for a full snapshot after a rejection."""
-        version = self._subscription.version
+            try:
+                while True:
+                    self._active = self._active or link
+                    await link.send(self._pull(is_active=self._active is link))
+                    response = await link.receive(timeout=timeout)
+                    await self._handle_response(response, link)
+            finally:
+                if self._active is link:
+                    self._active = None
+
+    def _pull(self, *, is_active: bool) -> Pull:
+        """Return a pull from the version in force, or for a full snapshot after a rejection.
+
+        The replica that isn't active is asked for the numbers of versions alone.
+        """
+        base = NO_VERSION if self._needs_snapshot else self._subscription.version
         return Pull(
             report=self._report(),
-            base=NO_VERSION if self._needs_snapshot else version,
+            base=base if is_active else WATCH_ONLY,
             floor=self._subscription.floor or NO_VERSION,
             hosts=self._settings.route_hosts,
         )
 
-    async def _handle_response(self, response: object, reception: Reception | None) -> None:
+    async def _handle_response(self, response: object, link: Link) -> None:
         """Apply a response to a pull; raise _UnusableReplica if another replica should be tried."""
-        began_at = time.monotonic()
+        began_at, reception = time.monotonic(), link.reception
         match response:
+            case PullDelta(delta=Delta(version=version)) | PullSnapshot(
+                snapshot=Snapshot(version=version)
+            ) if (version <= self._subscription.version):
+                # The other replica was faster.
+                return
             case PullDelta(delta=delta):
                 result = self._subscription.apply_delta(delta)
                 self._record_result(result, reception, time.monotonic() - began_at)
@@ -149,6 +208,8 @@
                 self._backoff.reset()
                 if version < (self._subscription.floor or NO_VERSION):
                     raise _UnusableReplica("the replica lags behind this proxy")
+                if self._active is not link and version > self._subscription.version:
+                    await self._take_over(link, version)
             case Lagging():
                 raise _UnusableReplica("the replica has no contact with a leader")
             case ComeAgain(after=after):
@@ -156,6 +217,12 @@
             case _:
                 raise Malformed("a replica answered a pull with another message")
 
+    async def _take_over(self, link: Link, version: Version) -> None:
+        """Let a connection be the active one, unless a version comes soon over the other one."""
+        await self._configuration_applied.wait(TAKE_OVER_DELAY)
+        if version > self._subscription.version:
+            self._active = link
+
     def _report(self) -> Report:
         """Return the report of the version in force at this proxy."""
         return Report(
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -305,11 +305,13 @@
 
 
 @asynccontextmanager
-async def connect(address: Address, path: str) -> AsyncIterator[Link]:
+async def connect(
+    address: Address, path: str, *, timeout: Seconds = CONNECT_TIMEOUT
+) -> AsyncIterator[Link]:
     """Connect to a path of a peer; raise LinkClosed if it can't be reached."""
     identity = link_identity.get() or anonymous_identity()
     try:
-        async with ResponseTimeout(CONNECT_TIMEOUT):
+        async with ResponseTimeout(timeout):
             connection = await websocket_connect(
                 f"ws://{address}{path}",
                 create_connection=_OpenedConnection,
@@ -322,7 +324,7 @@
                 additional_headers=identity.token.headers if identity.token else None,
             )
     except TimeoutError as error:
-        raise LinkClosed(f"{address} didn't accept a link within {CONNECT_TIMEOUT} s") from error
+        raise LinkClosed(f"{address} didn't accept a link within {timeout} s") from error
     except (OSError, ValueError, OverflowError, websockets.WebSocketException) as error:
         # ValueError and OverflowError: the address is none.
         raise LinkClosed(f"{address} can't be reached: {error}") from error
