Don't refuse a request for lack of a route while a newer version is known

Cause: a proxy says that no route matches by the version that it has, also when it knows that there is a newer one. Change: it waits for that version, at most for half of the caller's timeout, and says otherwise that it lacks the version (route-outdated, not run).

--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -57,6 +57,7 @@
     def __init__(self) -> None:
         self._floor: Version | None = None
         self._version = NO_VERSION
+        self._newest_known = NO_VERSION
         self._resources: Mapping[Key, Resource] = {}
         self._digest = 0
         self._table: RoutingTable | None = None
@@ -66,6 +67,11 @@
         """Return the version in force."""
         return self._version
 
+    @property
+    def newest_known(self) -> Version:
+        """Return the newest version that is known to be accepted, here or elsewhere."""
+        return max(self._newest_known, self._version)
+
     @property
     def floor(self) -> Version | None:
         """Return the minimum version that may be applied, None while it is unknown."""
@@ -85,6 +91,10 @@
         """Refuse every version below a floor from now on; a lower floor has no effect."""
         self._floor = max(floor, self._floor or NO_VERSION)
 
+    def record_accepted(self, version: Version) -> None:
+        """Record that a version is accepted, whose update may not have come yet."""
+        self._newest_known = max(self._newest_known, version)
+
     def apply_delta(self, delta: Delta) -> Applied | Rejected:
         """Apply a delta to the version in force."""
         if delta.base != self._version:
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -71,8 +71,10 @@
 # The share of a caller's timeout that is spent waiting for the first configuration; the rest is
 # left for the work, or for a retry.
 FIRST_CONFIGURATION_SHARE = 0.5
-# The share of a call's remaining time that is spent waiting for a version that its owner has.
+# The share of a call's remaining time that is spent waiting for a version that isn't here yet.
 NEWER_VERSION_SHARE = 0.5
+# The timeout of a call that no route matches, if its caller sent none.
+NEWER_VERSION_TIMEOUT: Seconds = 2.0
 # Bytes of a response that are held back until it is complete while other requests wait behind it.
 MAX_HELD_BYTES = 1 << 20
 # Time in which owners say, before the process exits, which calls have not run.
@@ -352,9 +354,11 @@
         table = await self._first_table(http, arrived_at)
         if table is None:
             return CallRefusal(exchange=exchange, refusal=NoConfiguration())
-        rules = self._route(table, http)
-        if rules is None:
-            return CallRefusal(exchange=exchange, refusal=_no_route(http))
+        match await self._find_route(http, table, arrived_at):
+            case _Routed() as routed:
+                rules = routed.rules
+            case refusal:
+                return CallRefusal(exchange=exchange, refusal=refusal)
         deadline = self._deadline(http, rules, arrived_at)
         match await self._bodies.receive(http, exchange, rules, deadline):
             case bytes(body):
@@ -364,12 +368,30 @@
                 close = not http.content.is_eof()
                 return CallRefusal(exchange=exchange, refusal=refusal, close=close)
         received = _Received(http, exchange, arrived_at, body)
-        match await self._dispatch(received, _Routed(table, rules)):
+        match await self._dispatch(received, routed):
             case CallResponse() as response:
                 return response
             case refusal:
                 return CallRefusal(exchange=exchange, refusal=refusal)
 
+    async def _find_route(
+        self, http: web.BaseRequest, table: RoutingTable, arrived_at: float
+    ) -> _Routed | Refusal:
+        """Route a request by the version in force, or by a newer one if none of its routes match.
+
+        A refusal for lack of a route would be untrue if a version that is known to be accepted has
+        one.
+        """
+        rules = self._route(table, http)
+        newest = self._subscription.newest_known
+        if rules is None and newest > table.version:
+            timeout = self._caller_timeout(http) or NEWER_VERSION_TIMEOUT
+            newer = await self._table_of_version(newest, arrived_at + timeout * NEWER_VERSION_SHARE)
+            if newer is None:
+                return RouteOutdated(version=newest)
+            table, rules = newer, self._route(newer, http)
+        return _no_route(http) if rules is None else _Routed(table, rules)
+
     async def _dispatch(self, received: _Received, routed: _Routed) -> CallResponse | Refusal:
         """Dispatch a call, and route it again whenever an owner has a newer version."""
         exchange = received.exchange
@@ -381,7 +403,9 @@
                     self._record_late(call, started, received.arrived_at)
                     return CallResponse(exchange=exchange, call=call, started=started)
                 case RouteOutdated(version=version) as outdated:
-                    table = await self._table_of_version(version, call)
+                    now = time.monotonic()
+                    give_up_at = now + call.time_remaining(now) * NEWER_VERSION_SHARE
+                    table = await self._table_of_version(version, give_up_at)
                     if table is None:
                         return outdated
                     rules = self._route(table, received.http)
@@ -408,10 +432,8 @@
             version=routed.table.version,
         )
 
-    async def _table_of_version(self, version: Version, call: Call) -> RoutingTable | None:
-        """Return the table once a version is in force, None if that takes too long for a call."""
-        now = time.monotonic()
-        give_up_at = now + call.time_remaining(now) * NEWER_VERSION_SHARE
+    async def _table_of_version(self, version: Version, give_up_at: float) -> RoutingTable | None:
+        """Return the table once a version is in force, None if it isn't by a time."""
         while self._subscription.version < version:
             remaining = give_up_at - time.monotonic()
             if remaining <= 0:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -206,6 +206,7 @@
                 self._record_result(result, reception, time.monotonic() - began_at)
             case Current(version=version):
                 self._backoff.reset()
+                self._subscription.record_accepted(version)
                 if version < (self._subscription.floor or NO_VERSION):
                     raise _UnusableReplica("the replica lags behind this proxy")
                 if self._active is not link and version > self._subscription.version:
--- a/tests/test_outdated_routes.py
+++ b/tests/test_outdated_routes.py
@@ -125,6 +125,36 @@
         routed = [(call.rules.service, call.version) for call in dispatcher.calls]
         self.assertEqual(routed, [(SERVICE, 1), (OTHER, 2)])
 
+    # Guards against a 404 for a route that has been added, from a proxy that has the version late
+    # (issue 23, CONFIG).
+    async def test_request_without_a_route_waits_for_a_version_that_is_known(self) -> None:
+        """The proxy has heard of the version, whose update is on its way."""
+        self.dispatch(refused=lambda: None)
+        apply(self.subscription, 3)
+        self.subscription.record_accepted(Version(4))
+        asyncio.get_running_loop().call_later(0.1, self.apply_fourth)
+        self.assertEqual(await self.code(), "no-upstream")
+        self.assertEqual(self.subscription.version, 4)
+
+    def apply_fourth(self) -> None:
+        """Put a version in force that adds a route."""
+        apply(self.subscription, 4, Target(OTHER))
+        self.configuration_applied.send()
+
+    async def test_request_without_a_route_is_not_refused_for_that_if_the_version_is_late(
+        self,
+    ) -> None:
+        """The caller is told that the proxy lacks a version, and to come again."""
+        self.dispatch(refused=lambda: None)
+        apply(self.subscription, 3)
+        self.subscription.record_accepted(Version(4))
+        header = {"X-Request-Timeout-Ms": "400"}
+        async with asyncio.timeout(0.4):
+            self.assertEqual(await self.code(**header), "route-outdated")
+        self.subscription.record_accepted(Version(3))
+        apply(self.subscription, 4)
+        self.assertEqual(await self.code(), "no-route")
+
     async def test_request_is_refused_if_the_newer_version_does_not_come(self) -> None:
         """The caller is told that the request was not run, and early enough for a retry."""
         dispatcher = self.dispatch(refused=lambda: None)
