Don't wait longer for the first replica of a proxy that starts

And a version that is late by less than the queue of a busy link was requested from both replicas; 0.4 s in place of 0.2 s leave room for it within the 2 s that the users allow.

--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -28,7 +28,7 @@
 )
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, Seconds, Version
-from cowslipvane.wire import Link, LinkClosed, Malformed, Reception, connect
+from cowslipvane.wire import CONNECT_TIMEOUT, Link, LinkClosed, Malformed, Reception, connect
 
 INITIAL_BACKOFF: Seconds = 0.1
 # A busy link takes a while for the round trips in which a connection is opened. Another replica is
@@ -38,7 +38,7 @@
 FREE_REPLICA_INTERVAL: Seconds = 1.0
 # How long a version may be later from one replica than its number from the other, before it is
 # requested from that.
-TAKE_OVER_DELAY: Seconds = 0.2
+TAKE_OVER_DELAY: Seconds = 0.4
 # Share of a connection's silence timeout for which a replica may wait for a leader.
 FLOOR_WAIT_SHARE = 0.6
 
@@ -159,11 +159,16 @@
         if address != after:
             self._events.record("unsubscribed", replica=str(address), reason=repr(error))
 
+    @property
+    def _connect_timeout(self) -> Seconds:
+        """Return how long a connection may take; before the first version, no other one is there."""
+        return SUBSCRIBE_TIMEOUT if self._subscription.is_ready else CONNECT_TIMEOUT
+
     async def _subscribe(self, address: Address) -> None:
         """Pull versions over one connection; each pull reports the version in force."""
         # A replica responds to each pull within the pull's wait, so this detects a dead connection.
         timeout = self._settings.timing.pull_wait + self._settings.timing.silence
-        async with connect(address, "/subscribe", timeout=SUBSCRIBE_TIMEOUT) as link:
+        async with connect(address, "/subscribe", timeout=self._connect_timeout) as link:
             if self._subscription.floor is None:
                 await self._fetch_floor(link)
             try:
@@ -193,9 +198,9 @@
         """Apply a response to a pull; raise _UnusableReplica if another replica should be tried."""
         began_at, reception = time.monotonic(), link.reception
         match response:
-            case PullDelta(delta=Delta(version=version)) | PullSnapshot(
-                snapshot=Snapshot(version=version)
-            ) if (version <= self._subscription.version):
+            case PullDelta(delta=Delta() as update) | PullSnapshot(
+                snapshot=Snapshot() as update
+            ) if (update.version <= self._subscription.version):
                 # The other replica was faster.
                 return
             case PullDelta(delta=delta):
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -30,6 +30,7 @@
 )
 from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
 from cowslipvane.wire._link import (
+    CONNECT_TIMEOUT,
     Link,
     LinkClosed,
     LinkIdentity,
@@ -41,6 +42,7 @@
 )
 
 __all__ = [
+    "CONNECT_TIMEOUT",
     "ChangeForm",
     "EffectForm",
     "FaultForm",
