--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -161,7 +161,7 @@
 
     @property
     def _connect_timeout(self) -> Seconds:
-        """Return how long a connection may take; before the first version, no other one is there."""
+        """Return how long a connection may take; before the first version, there is no other."""
         return SUBSCRIBE_TIMEOUT if self._subscription.is_ready else CONNECT_TIMEOUT
 
     async def _subscribe(self, address: Address) -> None:
