--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -17,6 +17,8 @@
 # Calls up to the end of the grace period.
 LATE_CALLS = 16
 LATE_CALL_INTERVAL_S = 0.15
+# The entry runs again after it should have exited, and before its grace period is over.
+PAUSED_UNTIL_S = 2.3
 
 
 class StoppingTest(OneWorkerTestCase):
@@ -52,6 +54,24 @@
         self.assertGreater(refused, 0)
         self.assertEqual(self.ran(), [])
 
+    # Guards against a connection that is reset at the exit with a request in it that was never
+    # read, since the process did not run from the end of its lame duck time on (issue 23, LOST).
+    async def test_a_call_that_comes_while_a_stopping_process_is_paused_is_refused(self) -> None:
+        """It arrived long before the exit, and its caller can't tell that it was not run."""
+        kept = await self.connect()
+        self.fleet.signal_daemon(ENTRY, signal.SIGTERM)
+        await asyncio.sleep(LAME_DUCK_S / 2)
+        self.fleet.signal_daemon(ENTRY, signal.SIGSTOP)
+        connections = [kept, *[await self.connect() for _ in range(LATE_CALLS)]]
+        for number, connection in enumerate(connections):
+            connection.send(f"late-{number}", LONG_WORK)
+        await asyncio.sleep(PAUSED_UNTIL_S - LAME_DUCK_S / 2)
+        self.fleet.signal_daemon(ENTRY, signal.SIGCONT)
+        for connection in connections:
+            response = await connection.response()
+            self.assertEqual((response.status, response.body["verdict"]), (503, "not run"))
+        self.assertEqual(self.ran(), [])
+
     async def test_a_call_that_waits_for_a_slot_at_the_exit_is_refused(self) -> None:
         """Its connection was closed without an answer, although the call had not been started.
 
