Serve a connection that is accepted just before its listener closes

Cause: asyncio sets up an accepted connection some iterations after it has accepted it, and fails with an assertion if the listener was closed meanwhile. The connection is then neither served nor closed, until the process exits with the request unread. So no load is needed, only a connection that comes within one iteration of the end of the lame duck time.

Change: a listener stops accepting first, and closes once what it has accepted is set up.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -219,7 +219,7 @@
         if self._callers_listener is not None:
             # A caller whose connection is refused tries another proxy; one whose connection is cut
             # doesn't know the outcome of its request.
-            self._callers_listener.stop_listening()
+            await self._callers_listener.stop_listening()
         idle = asyncio.create_task(self._wait_idle(self._callers, self._owner))
         exit_now = asyncio.create_task(self._wait_exit_now())
         try:
--- a/cowslipvane/tasks/_http.py
+++ b/cowslipvane/tasks/_http.py
@@ -19,6 +19,8 @@
 # Time to finish pending responses on closing. It is short, since an exit closes several listeners
 # in sequence.
 CLOSE_TIMEOUT: Seconds = 0.1
+# Iterations of the event loop in which it sets up a connection that it has accepted.
+ITERATIONS_TO_SET_UP = 3
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -75,10 +77,18 @@
         self._address = address
         self._listener: asyncio.Server | None = None
 
-    def stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
         """Accept no new connections; open ones continue."""
-        if self._listener is not None:
-            self._listener.close()
+        if self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        for listening in listener.sockets:
+            asyncio.get_running_loop().remove_reader(listening)
+        # An accepted connection is lost, and never closed, if its listener closes before the event
+        # loop has set it up.
+        for _ in range(ITERATIONS_TO_SET_UP):
+            await asyncio.sleep(0)
+        listener.close()
 
     async def finish(self) -> None:
         """Close the idle connections, and each of the others after its response."""
@@ -100,7 +110,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Close the listener and its connections."""
-        self.stop_listening()
+        await self.stop_listening()
         await self._server.shutdown(timeout=CLOSE_TIMEOUT)
 
 
--- a/tests/test_planned_close.py
+++ b/tests/test_planned_close.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import errno
+import socket
 import unittest
+from contextlib import suppress
 from unittest.mock import patch
 
+from tests.callers_case import LISTENER
 from tests.connections_case import ConnectionsTestCase, answer
 
 LENGTH_FIELD = "Content-Length: 10\r\n"
@@ -13,6 +16,12 @@
 LARGE_BODY = b"x" * (3 << 20)
 # Longer than the event loop takes to act on what it has received.
 PAUSE_S = 0.05
+# A connection is accepted, and its task has begun, within these iterations of the event loop.
+MAX_ITERATIONS_TO_ACCEPT = 8
+# A connection is accepted in the second one.
+ITERATIONS_TO_ACCEPT = 2
+END_TIMEOUT_S = 1.0
+MAX_RESPONSE_BYTES = 1000
 
 
 class BodyInTransitTest(ConnectionsTestCase):
@@ -27,7 +36,7 @@
     async def finish(self) -> "asyncio.Task[None]":
         """Let the connections finish, and return the task that waits for that."""
         self.callers.stop()
-        self.listener.stop_listening()
+        await self.listener.stop_listening()
         finishing = asyncio.create_task(self.listener.finish())
         await asyncio.sleep(PAUSE_S)
         return finishing
@@ -70,6 +79,53 @@
         await asyncio.wait_for(finishing, 1.0)
 
 
+class NewConnectionTest(ConnectionsTestCase):
+    """A connection is accepted at the moment at which the listener stops."""
+
+    async def accept(self, iterations: int) -> socket.socket:
+        """Return a connection with which the event loop has got so far, and stop listening."""
+        await self.stack.aclose()
+        await self.stack.enter_async_context(self.listener)
+        caller = socket.create_connection((LISTENER.ip, LISTENER.port))
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        await self.listener.stop_listening()
+        return caller
+
+    async def receive(self, caller: socket.socket) -> bytes:
+        """Return what arrives next, nothing once the connection has ended."""
+        receiving = asyncio.get_running_loop().sock_recv(caller, MAX_RESPONSE_BYTES)
+        with suppress(ConnectionResetError):
+            return await asyncio.wait_for(receiving, END_TIMEOUT_S)
+        return b""
+
+    # Guards against a request that is neither answered nor has its connection closed until the
+    # process exits (issue 23, LOST).
+    async def test_connection_that_was_accepted_is_served(self) -> None:
+        """One that waits in the kernel is reset at once, so that its caller goes elsewhere."""
+        self.script.send("/1", *[answer(b"one")] * MAX_ITERATIONS_TO_ACCEPT)
+        served = 0
+        for iterations in range(MAX_ITERATIONS_TO_ACCEPT):
+            with self.subTest(iterations=iterations):
+                caller = await self.accept(iterations)
+                with suppress(ConnectionError):
+                    caller.send(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                response = await self.receive(caller)
+                self.assertIn(response[:12], (b"", b"HTTP/1.1 200"))
+                served += bool(response)
+        self.assertGreaterEqual(served, MAX_ITERATIONS_TO_ACCEPT - ITERATIONS_TO_ACCEPT)
+
+    async def test_connection_without_a_request_is_closed(self) -> None:
+        """It ends at once, also if its task had not begun to wait for requests."""
+        for iterations in range(MAX_ITERATIONS_TO_ACCEPT):
+            with self.subTest(iterations=iterations):
+                caller = await self.accept(iterations)
+                await asyncio.wait_for(self.listener.finish(), END_TIMEOUT_S)
+                self.assertEqual(await self.receive(caller), b"")
+
+
 class LastResponseTest(ConnectionsTestCase):
     """A caller receives the last response of a connection, slowly if it is large."""
 
