Go on with idempotent work for a moment after its entry proxy's link is lost

Cause, by the events of both proxies: the link between them was lost; the entry proxy asked for the outcome over its next link after some milliseconds, since the route allowed no second attempt; but the owner had aborted the request at once, by moving its deadline to now, and so told that the deadline had passed.

Change: the task of a lost link withdraws what is queued, and waits 0.4 s before it abandons what runs; a fence that comes over the next link meanwhile takes the answer over. Work that is aborted ends with answer-lost, whose outcome is just as unknown, and no longer with deadline-passed.

--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -92,6 +92,11 @@
         """Record that an attempt has started."""
         self._live[attempt].started = True
 
+    def is_running(self, attempt: AttemptId) -> bool:
+        """Return whether an attempt has started and not ended."""
+        live = self._live.get(attempt)
+        return live is not None and live.started
+
     def store_part(self, attempt: AttemptId, part: OwnerMessage) -> None:
         """Store a part of the answer, so that it can be fetched again."""
         live = self._live[attempt]
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -96,6 +96,8 @@
         self._attempts = Attempts(incarnation=gossip.membership.own.incarnation)
         self._replies: dict[AttemptId, SendReply] = {}
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
+        # The attempts that were aborted before their deadline.
+        self._aborted: set[AttemptId] = set()
         # The ids of the requests that the worker runs.
         self._running_requests: dict[AttemptId, str] = {}
         self._draining = False
@@ -227,6 +229,11 @@
             case ended:
                 await self._reply_ended(attempt, ended, reply)
 
+    def abandon_queued(self, attempt: AttemptId, reply: SendReply) -> None:
+        """Withdraw an attempt whose link was lost, if it hasn't started."""
+        if not self._attempts.is_running(attempt):
+            self.abandon(attempt, reply)
+
     def abandon(self, attempt: AttemptId, reply: SendReply) -> None:
         """Cancel an attempt whose link was lost, unless a fence arrived over another link.
 
@@ -328,6 +335,7 @@
         timeout = self._timeouts.get(attempt)
         aborts = timeout is not None and timeout.when() is not None and not timeout.expired()
         if timeout is not None and aborts:
+            self._aborted.add(attempt)
             timeout.reschedule(asyncio.get_running_loop().time())
         request_id = self._running_requests.get(attempt, "")
         state = "running, aborted" if aborts else "running, left to end"
@@ -575,6 +583,8 @@
             return Rejected(service=service, retry_after=REJECTED_RETRY_AFTER)
         except TimeoutError:
             connection.close()
+            if work.attempt in self._aborted:
+                return AnswerLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
             return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
         except (AnswerBroken, OSError, ValueError) as error:
             # A peer's offer may hold a request that can't be sent; this must not end the slot's
@@ -586,6 +596,7 @@
             return UpstreamLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
         finally:
             self._timeouts.pop(work.attempt, None)
+            self._aborted.discard(work.attempt)
         return None
 
     async def _forward(self, work: Work, connection: SlotConnection) -> None:
--- a/cowslipvane/tasks/_peers.py
+++ b/cowslipvane/tasks/_peers.py
@@ -47,6 +47,9 @@
 MAX_RECONNECT_DELAY: Seconds = 1.0
 # After this time without a connection, one is opened again only when a call needs it.
 STOP_RECONNECTING_AFTER: Seconds = 60.0
+# How long an owner goes on with the idempotent work of an entry proxy whose connection was lost. It
+# connects again at once if it still waits for the outcome.
+ENTRY_RETURN_TIME: Seconds = 0.4
 # Retry-After of an offer that exceeded the total size of the bodies that are being received.
 OVERFLOW_RETRY_AFTER: Seconds = 1.0
 
@@ -299,6 +302,12 @@
                     await owner.cancel(cancel, reply)
                 case _:
                     return
+    except LinkClosed as closed:
+        for attempt in in_flight:
+            owner.abandon_queued(attempt, reply)
+        if in_flight and not closed.going_away:
+            await asyncio.sleep(ENTRY_RETURN_TIME)
+        raise
     finally:
         for attempt in in_flight:
             owner.abandon(attempt, reply)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -41,7 +41,7 @@
 from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._owner import Owner
-from cowslipvane.tasks._peers import Peers, serve_calls
+from cowslipvane.tasks._peers import ENTRY_RETURN_TIME, Peers, serve_calls
 from cowslipvane.types import (
     Address,
     DataCentre,
@@ -60,6 +60,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 LEASE_S = 0.8
 TIMEOUT_S = 5.0
+# Longer than it takes to end a request at the worker.
+ABORT_TIME_S = 0.5
 
 
 class ScriptedWorker:
@@ -409,11 +411,9 @@
         self.closes_after_first_message = False
         self.sends_body_first = False
         self.cancels: asyncio.Queue[object] = asyncio.Queue()
-        self.server = server = await serve(self._serve, "127.0.0.1", 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        peers = Address("127.0.0.1", next(iter(server.sockets)).getsockname()[1])
-        record = member("b", peers, announced)
+        self.port = 0
+        await self.listen()
+        record = member("b", Address("127.0.0.1", self.port), announced)
         self.owner = make_owner(record._replace(worker=None))
         await self.owner.register_worker(announced)
         self.owner_task = asyncio.create_task(self.owner.run())
@@ -434,6 +434,13 @@
             events=events(),
         )
 
+    async def listen(self) -> None:
+        """Listen for links, again at the same port."""
+        self.server = server = await serve(self._serve, "127.0.0.1", self.port)
+        self.port = next(iter(server.sockets)).getsockname()[1]
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one link."""
         self.connections.append(connection)
@@ -455,12 +462,12 @@
         except LinkClosed:
             return
 
-    def call(self, path: str, timeout: float) -> Call:
-        """Return a call that may run only once."""
-        retry = RetryPolicy(attempts=1, methods=())
+    def call(self, path: str, timeout: float, *, method: str = "POST") -> Call:
+        """Return a call with one attempt; only one with GET is idempotent."""
+        retry = RetryPolicy(attempts=1, methods=("GET",))
         return Call(
             request_id=RequestId(path),
-            request=Request("POST", path, (), b""),
+            request=Request(method, path, (), b""),
             rules=ServiceRules(SERVICE, retry, TrafficPolicy()),
             deadline=time.monotonic() + timeout,
         )
@@ -475,6 +482,38 @@
         self.assertIsInstance(await dispatching, StartedResponse)
         self.assertEqual(self.worker.received, ["/wait"])
 
+    # Guards against a request that its worker completes while its caller is told, long before the
+    # deadline, that the deadline has passed (issue 23, LOST).
+    async def test_broken_link_does_not_abort_an_idempotent_call(self) -> None:
+        """The owner gives the entry proxy time to ask for the outcome over its next link."""
+        call = self.call("/wait", TIMEOUT_S, method="GET")
+        dispatching = asyncio.create_task(self.dispatcher.dispatch(call))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
+        self.connections[0].transport.abort()
+        await asyncio.sleep(0.05)
+        self.worker.release.set()
+        self.assertIsInstance(await dispatching, StartedResponse)
+        self.assertEqual(self.worker.received, ["/wait"])
+
+    async def test_entry_proxy_that_does_not_come_back_has_its_idempotent_call_aborted(
+        self,
+    ) -> None:
+        """Its worker is free again soon, and a late question has a true answer."""
+        call = self.call("/wait", TIMEOUT_S, method="GET")
+        dispatching = asyncio.create_task(self.dispatcher.dispatch(call))
+        await asyncio.wait_for(self.worker.arrived.wait(), TIMEOUT_S)
+        with patch("cowslipvane.tasks._dispatcher.FENCE_RETRY_DELAY", 2 * ENTRY_RETURN_TIME):
+            self.server.close(close_connections=False)
+            self.connections[0].transport.abort()
+            async with asyncio.timeout(ENTRY_RETURN_TIME + ABORT_TIME_S):
+                while not self.worker.aborted:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+            await self.listen()
+            refusal = await dispatching
+        self.assertIsInstance(refusal, AnswerLost)
+        assert isinstance(refusal, AnswerLost)
+        self.assertEqual(explain(refusal).verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_small_call_does_not_wait_for_the_body_of_a_large_one(self) -> None:
         """Both share a link, and the small one is complete at the owner first."""
         arrived: list[str] = []
