Read route types that the platform adds as such that run once at most

No request of further/ was served: each configuration was refused, the first one too, for the type upload of one route (found type 'upload'; allowed are idempotent and non_idempotent).

Class: a word that the pages add later takes down all that stands around it.

Tests: test_requests_of_added_types_run_once_at_most fails before (ValueError).

--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -20,6 +20,8 @@
 
 _VERSION_DIGITS = 8
 _HEXADECIMAL = 16
+# Requests of all other types, such as non_idempotent and upload, may run once at most.
+_REPEATABLE_TYPE = "idempotent"
 # All services share one traffic policy, which holds the limits of the configuration.
 _POLICY_NAME = "limits"
 
@@ -107,14 +109,13 @@
 
 
 def _repeatable(kind: Any) -> bool:
-    """Return whether requests of a type may run more than once."""
-    match kind:
-        case "idempotent":
-            return True
-        case "non_idempotent":
-            return False
-        case _:
-            raise ValueError(f"found type {kind!r}; allowed are idempotent and non_idempotent")
+    """Return whether requests of a type may run more than once.
+
+    The platform adds types, all of which may be run once at most.
+    """
+    if not kind:
+        raise ValueError(f"found type {kind!r}; allowed is a text")
+    return _text(kind) == _REPEATABLE_TYPE
 
 
 def _text(value: Any) -> str:
