Keep what a full disk doesn't take, and leave the lead to others meanwhile

A replica whose disk refuses a write ended, and ended again with its next write for as long as the disk was full: each error of a write counted as one after which the file's content is unknown.

Change: a write that finds no room (ENOSPC, EDQUOT) is undone by truncating the file, and what was recorded stays queued for the next sync. JournalFull ends the connection or the question that needed the sync, so nothing is acknowledged. The leader hands over, and doesn't stand for election until a write has succeeded, which is tried every 0.2 s. A failed sync still ends the process, since the kernel may have dropped the pages.

--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -15,6 +15,7 @@
     "cancelled",
     "candidate",
     "cut",
+    "disk",
     "eased",
     "failed",
     "fence",
--- a/cowslipvane/replica/__init__.py
+++ b/cowslipvane/replica/__init__.py
@@ -10,7 +10,7 @@
     Replace,
     Voter,
 )
-from cowslipvane.replica._journal import Ballot, Journal, Recovered
+from cowslipvane.replica._journal import Ballot, Journal, JournalFull, Recovered
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
@@ -46,6 +46,7 @@
     "GroupChangeRefused",
     "Install",
     "Journal",
+    "JournalFull",
     "Leader",
     "LogSnapshot",
     "Noop",
--- a/cowslipvane/replica/_journal.py
+++ b/cowslipvane/replica/_journal.py
@@ -30,6 +30,10 @@
         return self.snapshot.position if self.snapshot else 0
 
 
+class JournalFull(Exception):
+    """The disk has no room for what was recorded, which is kept until there is some."""
+
+
 class Journal(Protocol):
     """The durable record of ballot and log entries; nothing is durable before sync returns."""
 
@@ -45,7 +49,13 @@
         """Replace the journal by a snapshot, a ballot and the entries after the snapshot."""
 
     async def sync(self) -> None:
-        """Wait until everything recorded before the call is on disk; raise if a write failed."""
+        """Wait until everything recorded before the call is on disk; raise if a write failed.
+
+        JournalFull means that a later call may succeed, and any other exception that none will.
+        """
 
     async def wait_for_failure(self) -> None:
         """Wait for a failed write, then raise so that the process stops."""
+
+    async def wait_until_full(self) -> None:
+        """Wait until a write has found the disk full."""
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -73,6 +73,7 @@
         self._election_timer = ElectionTimer(election_timeout=election_timeout, rng=rng, now=now)
         self._reports: dict[HostName, Report] = {}
         self._is_stopping = False
+        self._is_disk_full = False
         self._has_deferred = False
 
     @property
@@ -186,7 +187,7 @@
     def start_pre_vote(self, now: float) -> None:
         """Start collecting pre-votes, which leaves the current term unchanged."""
         self._election_timer.reset(now)
-        if not self.is_voter or self._is_stopping:
+        if not self.is_voter or self._is_stopping or self._is_disk_full:
             return
         # A replica that has just started may have granted a leader a vote lease.
         votes = set() if self._election_timer.has_granted_lease(now) else {self._host}
@@ -203,6 +204,16 @@
         """Refuse changes and start no pre-vote from now on, because the process is stopping."""
         self._is_stopping = True
 
+    def set_disk_full(self, is_full: bool) -> None:
+        """Start no pre-vote while the disk takes no more, since nothing could be acknowledged."""
+        self._is_disk_full = is_full
+
+    def resign(self, now: float) -> None:
+        """Step down, if this replica leads, without a successor."""
+        if isinstance(self._role, Leader):
+            self._role = Follower()
+            self._election_timer.reset(now)
+
     def hand_over(self, now: float) -> Voter | None:
         """Step down in favour of a voter with the complete log; return it, or None without one.
 
@@ -220,6 +231,8 @@
         """Start an election if the leader of this term requests it; return whether it did."""
         if request.term != self._term or not isinstance(self._role, Follower) or not self.is_voter:
             return False
+        if self._is_disk_full:
+            return False
         self.start_election(now, released=True)
         return True
 
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -126,10 +126,15 @@
 def write_file_atomically(path: Path, data: bytes) -> None:
     """Replace a file atomically and sync it: a crash leaves either the old or the new content."""
     temporary = path.with_suffix(".new")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
+    try:
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+    except OSError:
+        # It may be what fills the disk.
+        temporary.unlink(missing_ok=True)
+        raise
     temporary.replace(path)
     sync_folder(path.parent)
 
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import re
 import struct
@@ -17,7 +18,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered
+from cowslipvane.replica import Ballot, Entry, JournalFull, LogSnapshot, Recovered
 from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_file_atomically
 from cowslipvane.wire import decode_as, encode_untagged
 
@@ -38,6 +39,10 @@
 _RECORD_START = re.compile(rb"(?=[\x00-\x0f].{7}[" + b"".join(_KINDS) + rb"])", re.DOTALL)
 
 
+# The errors of a write that finds no room on the disk.
+_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
 class JournalFailed(Exception):
     """A write or sync failed, so the content of the file on disk is unknown."""
 
@@ -65,6 +70,7 @@
         self._dropped_bytes = 0
         self._failure: OSError | None = None
         self._failed = asyncio.Event()
+        self._full = asyncio.Event()
         # A single thread writes, so that records reach the file in the order of the calls.
         self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
 
@@ -127,22 +133,34 @@
         self._recorded_count += 1
 
     async def sync(self) -> None:
-        """Wait until everything recorded before the call is on disk; raise if a write failed."""
+        """Wait until everything recorded before the call is on disk.
+
+        Raise JournalFull if there is no room for it now, and JournalFailed if the journal can't be
+        written any more.
+        """
         recorded_count = self._recorded_count
         if self._failure is None and self._synced_count >= recorded_count:
             return
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(self._writer, self._write_pending)
+        except JournalFull:
+            self._full.set()
+            raise
         except OSError as error:
             self._failed.set()
             raise JournalFailed(f"{self._path}: {error}") from error
+        self._full.clear()
 
     async def wait_for_failure(self) -> None:
         """Wait for a failed write, then raise so that the process stops."""
         await self._failed.wait()
         raise JournalFailed(f"{self._path}: {self._failure}; the process must stop")
 
+    async def wait_until_full(self) -> None:
+        """Wait until a write has found the disk full."""
+        await self._full.wait()
+
     def close(self) -> None:
         """Wait for running writes and close the file."""
         self._writer.shutdown()
@@ -173,17 +191,37 @@
                     case _:
                         bodies.append(item)
             if bodies:
-                write_all(self._file, _encode_batch(bodies))
+                self._append(_encode_batch(bodies))
             os.fdatasync(self._file)
+        except JournalFull:
+            self._pending.extendleft(reversed(pending))
+            raise
         except OSError as error:
             self._failure = error
             raise
         self._synced_count += len(pending)
 
+    def _append(self, record: bytes) -> None:
+        """Write a record at the end of the file, or nothing of it if there is no room for all."""
+        end = os.lseek(self._file, 0, os.SEEK_END)
+        try:
+            write_all(self._file, record)
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            os.ftruncate(self._file, end)
+            os.lseek(self._file, end, os.SEEK_SET)
+            raise JournalFull(f"{self._path}: {error}") from error
+
     def _compact(self, compaction: _Compaction) -> None:
         """Replace the snapshot, then the journal, so that a crash in between loses no entries."""
-        write_file_atomically(self._snapshot_path, compaction.snapshot)
-        self._replace(compaction.records)
+        try:
+            write_file_atomically(self._snapshot_path, compaction.snapshot)
+            self._replace(compaction.records)
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            raise JournalFull(f"{self._path}: {error}") from error
 
     def _replace(self, records: bytes) -> None:
         """Replace the journal by other records."""
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 
 from cowslipvane.catalogue import Change, Outcome
@@ -18,6 +19,7 @@
     GroupChangeRefused,
     Install,
     Journal,
+    JournalFull,
     Leader,
     PreVote,
     PreVoteReply,
@@ -39,6 +41,8 @@
 WRITE_TIMEOUT: Seconds = 5.0
 # Bounds both waits of a stopping leader: for a voter with the complete log, and for its response.
 HAND_OVER_TIMEOUT: Seconds = 1.0
+# How often a replica whose disk is full tries to write again.
+ROOM_CHECK_INTERVAL: Seconds = 0.2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,13 +136,19 @@
         """Run the replication tasks until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._journal.wait_for_failure())
+            tasks.create_task(self._watch_disk())
             tasks.create_task(self._run_elections())
             await self._maintain_member_tasks(tasks)
 
     async def serve(self, link: Link) -> None:
-        """Handle the requests of one member in order."""
+        """Handle the requests of one member in order; end the connection if the disk is full."""
         if not await self._accept_handshake(link):
             return
+        with suppress(JournalFull):
+            await self._handle_requests(link)
+
+    async def _handle_requests(self, link: Link) -> None:
+        """Handle the requests of one member until it sends an unknown one."""
         while True:
             match await link.receive():
                 case PreVote() as request:
@@ -164,7 +174,9 @@
             return NotLeader(leader=self._replica.leader)
         term = self._replica.term
         self._changed.send()
-        await self._sync_leader_log(index, term)
+        with suppress(JournalFull):
+            # Without this disk, the others are a majority that can accept the change.
+            await self._sync_leader_log(index, term)
         deadline = lease_now() + WRITE_TIMEOUT
         while lease_now() < deadline:
             outcome = self._replica.catalogue.outcome(change.operation_id)
@@ -186,7 +198,8 @@
             return index
         term = self._replica.term
         self._changed.send()
-        await self._sync_leader_log(index, term)
+        with suppress(JournalFull):
+            await self._sync_leader_log(index, term)
         deadline = lease_now() + WRITE_TIMEOUT
         while self._replica.commit_index < index:
             remaining = deadline - lease_now()
@@ -202,8 +215,12 @@
         other voter has the complete log within HAND_OVER_TIMEOUT.
         """
         self._replica.mark_stopping()
+        await self._hand_over_within(HAND_OVER_TIMEOUT)
+
+    async def _hand_over_within(self, timeout: Seconds) -> None:
+        """As leader, transfer leadership to a voter that has the complete log by a timeout."""
         term = self._replica.term
-        deadline = lease_now() + HAND_OVER_TIMEOUT
+        deadline = lease_now() + timeout
         while isinstance(self._replica.role, Leader):
             successor = self._replica.hand_over(lease_now())
             if successor is not None:
@@ -309,8 +326,31 @@
                 )
                 continue
             self._replica.start_pre_vote(now)
-            await self._complete_role_change()
+            with suppress(JournalFull):
+                await self._complete_role_change()
+            self._changed.send()
+
+    async def _watch_disk(self) -> None:
+        """Leave the lead to others while the disk is full, and try it until there is room again."""
+        while True:
+            await self._journal.wait_until_full()
+            self._events.record("disk", state="full")
+            self._replica.set_disk_full(True)
+            await self._hand_over_within(HAND_OVER_TIMEOUT)
+            self._replica.resign(lease_now())
             self._changed.send()
+            await self._wait_for_room()
+            self._replica.set_disk_full(False)
+            self._events.record("disk", state="has room")
+
+    async def _wait_for_room(self) -> None:
+        """Wait until what was recorded is on disk."""
+        while True:
+            try:
+                await self._journal.sync()
+                return
+            except JournalFull:
+                await asyncio.sleep(ROOM_CHECK_INTERVAL)
 
     async def _maintain_member_tasks(self, task_group: asyncio.TaskGroup) -> None:
         """Run one connection task per other member; that of a removed member returns by itself."""
@@ -331,7 +371,7 @@
                 async with connect(member.address, "/replica") as link:
                     replica_id = await self._handshake(link, host, member.replica_id)
                     await self._send_requests(host, replica_id, link)
-            except (LinkClosed, Malformed, TimeoutError):
+            except (LinkClosed, Malformed, TimeoutError, JournalFull):
                 await asyncio.sleep(self._timing.heartbeat)
 
     async def _handshake(self, link: Link, host: HostName, expected_id: ReplicaId) -> ReplicaId:
--- a/tests/simulated_journal.py
+++ b/tests/simulated_journal.py
@@ -3,6 +3,7 @@
 Nothing waits for real: a sync takes time of the scheduler.
 """
 
+import asyncio
 import heapq
 import random
 from collections.abc import Callable
@@ -151,6 +152,10 @@
         """Fail: no write fails here, and no task waits for it."""
         raise NotImplementedError
 
+    async def wait_until_full(self) -> None:
+        """Wait for ever, since there is always room."""
+        await asyncio.Event().wait()
+
     def when_synced(self, callback: Callable[[], None]) -> None:
         """Call back once everything that was recorded is durable."""
         if not self._queued and not self._is_writing:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,7 +9,15 @@
 from unittest import mock
 
 from cowslipvane.catalogue import Catalogue, export_state
-from cowslipvane.replica import Ballot, Entry, Group, LogSnapshot, Noop, Recovered
+from cowslipvane.replica import (
+    Ballot,
+    Entry,
+    Group,
+    JournalFull,
+    LogSnapshot,
+    Noop,
+    Recovered,
+)
 from cowslipvane.storage import (
     DataFolder,
     FileJournal,
@@ -19,6 +27,7 @@
     _journal,
 )
 from cowslipvane.types import HostName, ReplicaId
+from tests.full_disk import FullDisk
 
 BALLOT = Ballot(3, HostName("a"))
 ENTRIES = tuple(Entry(index, 3, Noop(), 1.0) for index in range(1, 6))
@@ -153,6 +162,45 @@
         with self.assertRaises(JournalFailed):
             await self.journal.wait_for_failure()
 
+    # Guards against a replica that ends again and again while its disk is full, or that
+    # acknowledges what it can't keep.
+    async def test_full_disk_keeps_what_is_recorded_until_there_is_room(self) -> None:
+        """Nothing of it is left in the file meanwhile, whatever part of it was written."""
+        complete = self.path.read_bytes()
+        more = tuple(Entry(index, 3, Noop(), 1.0) for index in range(6, 9))
+        for room in (0, 1, 11, 25):
+            disk = FullDisk(root=self.path.parent, room=room)
+            journal = self.open()
+            journal.recover()
+            with disk.installed():
+                disk.is_full = True
+                for entry in more:
+                    journal.record_entries((entry,))
+                    with self.assertRaises(JournalFull):
+                        await journal.sync()
+                    self.assertEqual(self.path.read_bytes(), complete)
+                await asyncio.wait_for(journal.wait_until_full(), 1.0)
+                self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES))
+                disk.is_full = False
+                await journal.sync()
+            self.assertEqual(self.open().recover(), Recovered(BALLOT, (*ENTRIES, *more)))
+            self.path.write_bytes(complete)
+
+    async def test_full_disk_puts_off_a_compaction(self) -> None:
+        """The journal stays as it is, and no half of a snapshot takes up room."""
+        disk = FullDisk(root=self.path.parent)
+        names = set(os.listdir(self.path.parent))
+        with disk.installed():
+            disk.is_full = True
+            self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[3:])
+            with self.assertRaises(JournalFull):
+                await self.journal.sync()
+            self.assertEqual(set(os.listdir(self.path.parent)), names)
+            self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES))
+            disk.is_full = False
+            await self.journal.sync()
+        self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES[3:], SNAPSHOT))
+
     async def test_a_cancelled_sync_loses_no_record(self) -> None:
         """The next sync writes the records of the cancelled one."""
         fdatasync, disk_ready = os.fdatasync, threading.Event()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,5 +1,6 @@
 """Tests of the rules of a replica, with an in-memory journal."""
 
+import asyncio
 import random
 import unittest
 
@@ -84,6 +85,10 @@
     async def wait_for_failure(self) -> None:
         """Return at once."""
 
+    async def wait_until_full(self) -> None:
+        """Wait for ever, since there is always room."""
+        await asyncio.Event().wait()
+
 
 def make_replica(
     host: HostName = A,
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -57,6 +57,10 @@
         await self.failed.wait()
         raise OSError("no disk")
 
+    async def wait_until_full(self) -> None:
+        """Wait for ever, since there is always room."""
+        await asyncio.Event().wait()
+
 
 class Pipe:
     """The two directions of a connection."""
--- a/tools/single_replica.py
+++ b/tools/single_replica.py
@@ -52,6 +52,10 @@
     async def wait_for_failure(self) -> None:
         """Return without raising, since no write can fail."""
 
+    async def wait_until_full(self) -> None:
+        """Wait for ever, since there is always room."""
+        await asyncio.Event().wait()
+
 
 def event_log(host: str = HOST) -> EventLog:
     """Return an event log that writes to no file."""
