--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,8 +107,9 @@
         for missing in CONFIGURATION:
             form = {name: value for name, value in CONFIGURATION.items() if name != missing}
             bodies.append(json.dumps(form).encode())
-        values = (("type", ""), ("type", None), ("type", 7), ("match", {}), ("action", None))
-        for name, value in (*values, ("priority", "x"), ("action", {"redirect": "wuno"})):
+        values: list[tuple[str, Any]] = [("type", ""), ("type", None), ("type", 7), ("match", {})]
+        values += [("action", None), ("action", {"redirect": "wuno"}), ("priority", "x")]
+        for name, value in values:
             form = copy.deepcopy(CONFIGURATION)
             form["listeners"][0]["route_rules"][0][name] = value
             bodies.append(json.dumps(form).encode())
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -184,6 +184,7 @@
             await self.offer()
         await self.owner.wait_idle()
         self.assertLess(self.worker.arrived_before_answer, SLOTS / 2)
+        self.worker.work = SLOW_WORK_S
         for _ in range(SLOTS):
             await self.offer()
         await self.owner.wait_idle()
