Take versions from a replica of the own data centre

Change: replicas of the own data centre, which the membership tells of, are tried first by the first subscription, and last by the second one; the first one is active whenever nothing is missing. The one that only watches gets heartbeats at a quarter of the rate: a new version is told at once in any case, so that taking over takes as long as before.

Result: test_versions_come_from_a_replica_of_the_own_data_centre; test_silent_replica and test_busy_link hold.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -330,7 +330,11 @@
             retries=self._settings.retries,
         )
         self._subscriber = Subscriber(
-            subscription=subscription, settings=self._settings, events=self._events, rng=self._rng
+            subscription=subscription,
+            settings=self._settings,
+            membership=self._gossip.membership,
+            events=self._events,
+            rng=self._rng,
         )
         self._callers = Callers(
             subscription=subscription,
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -47,6 +47,7 @@
         self._last_suspicions: dict[HostName, tuple[int, float]] = {}
         self._owners: dict[ServiceName, list[Member]] = {}
         self._exported_hosts: frozenset[HostName] | None = None
+        self._local_addresses: frozenset[Address] | None = None
         self._proxy_count: int | None = None
         self._export_at = now + EXPORT_DELAY
         self._exports_others = False
@@ -175,6 +176,16 @@
             self._owners[service] = owners
         return owners
 
+    def replica_addresses(self) -> list[Address]:
+        """Return where the members of this data centre listen that are replicas alone."""
+        return [member.peers for member in self._live_local() if member.callers is None]
+
+    def is_local(self, peers: Address) -> bool:
+        """Return whether a member of this data centre listens for peers at an address."""
+        if self._local_addresses is None:
+            self._local_addresses = frozenset(member.peers for member in self._live_local())
+        return peers in self._local_addresses
+
     def neighbours(self) -> list[Neighbour]:
         """Return the members that this process keeps connections to."""
         local = [member.host for member in self._live_local()]
@@ -289,6 +300,7 @@
         """Clear the values derived from the records."""
         self._owners.clear()
         self._exported_hosts = None
+        self._local_addresses = None
         self._proxy_count = None
 
 
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -3,6 +3,7 @@
 from cowslipvane.subscription._backoff import Backoff
 from cowslipvane.subscription._messages import (
     WATCH_ONLY,
+    WATCH_WAIT_FACTOR,
     AskFloor,
     AskLeader,
     ComeAgain,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "WATCH_ONLY",
+    "WATCH_WAIT_FACTOR",
     "Applied",
     "AskFloor",
     "AskLeader",
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -35,6 +35,9 @@
 
 # The base of a pull that requests no updates, only the number of the newest version.
 WATCH_ONLY = Version(1 << 62)
+# The wait of such a pull, as a multiple of that of others: its heartbeats only show that the
+# replica could take over.
+WATCH_WAIT_FACTOR = 4
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -14,6 +14,7 @@
 from cowslipvane.replica import Leader, Report
 from cowslipvane.subscription import (
     WATCH_ONLY,
+    WATCH_WAIT_FACTOR,
     AskFloor,
     AskLeader,
     ComeAgain,
@@ -316,7 +317,7 @@
 
         Send nothing to a proxy that requests updates meanwhile.
         """
-        deadline = time.monotonic() + self._pull_wait
+        deadline = time.monotonic() + self._pull_wait * WATCH_WAIT_FACTOR
         while self._newest_version <= subscriber.known_version and subscriber.only_watches:
             remaining = deadline - time.monotonic()
             if remaining <= 0:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -5,13 +5,16 @@
 import asyncio
 import random
 import time
+from typing import NamedTuple
 
 from cowslipvane.catalogue import Delta, Snapshot
 from cowslipvane.events import EventLog
+from cowslipvane.membership import Membership
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings
 from cowslipvane.subscription import (
     WATCH_ONLY,
+    WATCH_WAIT_FACTOR,
     Applied,
     AskFloor,
     AskLeader,
@@ -43,6 +46,13 @@
 FLOOR_WAIT_SHARE = 0.6
 
 
+class _Replica(NamedTuple):
+    """The connection to a replica, and whether that is in the data centre of this proxy."""
+
+    link: Link
+    is_local: bool
+
+
 class _UnusableReplica(Exception):
     """The replica can't serve a usable version; try another one."""
 
@@ -52,7 +62,9 @@
 
     It is connected to two replicas. One, which is active, sends the versions; the other sends their
     numbers, and takes over when the active one is silent or late. Connecting only then would take
-    several round trips, which are long when the proxy's link is busy.
+    several round trips, which are long when the proxy's link is busy. The first one is in the
+    proxy's data centre if there is one there, and active whenever it can be, since traffic between
+    data centres is expensive; the second one is in another, which isn't lost at the same time.
     """
 
     def __init__(
@@ -60,11 +72,13 @@
         *,
         subscription: Subscription,
         settings: Settings,
+        membership: Membership,
         events: EventLog,
         rng: random.Random,
     ) -> None:
         self._subscription = subscription
         self._settings = settings
+        self._membership = membership
         self._seeds = settings.seeds
         self._events = events
         self._rng = rng
@@ -72,7 +86,7 @@
         self._changed_at = time.time()
         self._rejection = ""
         self._configuration_applied = Signal()
-        self._active: Link | None = None
+        self._active: _Replica | None = None
         self._replicas_in_use: set[Address] = set()
         # After a rejection the next pull requests a full snapshot.
         self._needs_snapshot = False
@@ -91,19 +105,19 @@
     async def run(self) -> None:
         """Keep two subscriptions, the second one from the first version on, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._keep_subscribed())
+            tasks.create_task(self._keep_subscribed(prefers_local=True))
             while not self._subscription.is_ready:
                 await self._configuration_applied.wait()
-            tasks.create_task(self._keep_subscribed())
+            tasks.create_task(self._keep_subscribed(prefers_local=False))
 
-    async def _keep_subscribed(self) -> None:
-        """Subscribe to one replica after another, in random order, until cancelled."""
+    async def _keep_subscribed(self, *, prefers_local: bool) -> None:
+        """Subscribe to one replica after another until cancelled, those preferred first."""
         failed: Address | None = None
         untried: list[Address] = []
         while True:
             address = self._take_free(untried)
             if address is None:
-                untried = self._shuffled_seeds(failed)
+                untried = self._ordered_replicas(failed, prefers_local=prefers_local)
                 address = self._take_free(untried)
             if address is None:
                 await asyncio.sleep(FREE_REPLICA_INTERVAL)
@@ -118,11 +132,20 @@
                 self._replicas_in_use.discard(address)
             await asyncio.sleep(self._backoff.next_delay())
 
-    def _shuffled_seeds(self, failed: Address | None) -> list[Address]:
-        """Return the replicas in random order, the one that has failed last at the end."""
-        seeds = list(self._seeds)
-        self._rng.shuffle(seeds)
-        return sorted(seeds, key=lambda address: address == failed)
+    def _ordered_replicas(self, failed: Address | None, *, prefers_local: bool) -> list[Address]:
+        """Return the known replicas: those preferred first, and the one that has failed last.
+
+        Replicas that are alike come in random order.
+        """
+        replicas = sorted({*self._seeds, *self._membership.replica_addresses()})
+        self._rng.shuffle(replicas)
+        return sorted(
+            replicas,
+            key=lambda address: (
+                address == failed,
+                self._membership.is_local(address) is not prefers_local,
+            ),
+        )
 
     def _take_free(self, untried: list[Address]) -> Address | None:
         """Take the first replica that isn't in use from a list, or None if there is none."""
@@ -166,21 +189,33 @@
 
     async def _subscribe(self, address: Address) -> None:
         """Pull versions over one connection; each pull reports the version in force."""
-        # A replica responds to each pull within the pull's wait, so this detects a dead connection.
-        timeout = self._settings.timing.pull_wait + self._settings.timing.silence
+        timing = self._settings.timing
         async with connect(address, "/subscribe", timeout=self._connect_timeout) as link:
             if self._subscription.floor is None:
                 await self._fetch_floor(link)
+            replica = _Replica(link, self._membership.is_local(address))
             try:
                 while True:
-                    self._active = self._active or link
-                    await link.send(self._pull(is_active=self._active is link))
-                    response = await link.receive(timeout=timeout)
-                    await self._handle_response(response, link)
+                    if self._should_be_active(replica):
+                        self._active = replica
+                    is_active = self._active is replica
+                    await link.send(self._pull(is_active=is_active))
+                    # A replica responds within the wait of a pull, so this detects a dead
+                    # connection.
+                    wait = timing.pull_wait * (1 if is_active else WATCH_WAIT_FACTOR)
+                    response = await link.receive(timeout=wait + timing.silence)
+                    await self._handle_response(response, replica)
             finally:
-                if self._active is link:
+                if self._active is replica:
                     self._active = None
 
+    def _should_be_active(self, replica: _Replica) -> bool:
+        """Return whether a replica takes over: from none, or from one in another data centre."""
+        if self._active is None:
+            return True
+        is_current = self._subscription.newest_known <= self._subscription.version
+        return replica.is_local and not self._active.is_local and is_current
+
     def _pull(self, *, is_active: bool) -> Pull:
         """Return a pull from the version in force, or for a full snapshot after a rejection.
 
@@ -194,9 +229,9 @@
             hosts=self._settings.route_hosts,
         )
 
-    async def _handle_response(self, response: object, link: Link) -> None:
+    async def _handle_response(self, response: object, replica: _Replica) -> None:
         """Apply a response to a pull; raise _UnusableReplica if another replica should be tried."""
-        began_at, reception = time.monotonic(), link.reception
+        began_at, reception = time.monotonic(), replica.link.reception
         match response:
             case PullDelta(delta=Delta() as update) | PullSnapshot(
                 snapshot=Snapshot() as update
@@ -214,8 +249,8 @@
                 self._subscription.record_accepted(version)
                 if version < (self._subscription.floor or NO_VERSION):
                     raise _UnusableReplica("the replica lags behind this proxy")
-                if self._active is not link and version > self._subscription.version:
-                    await self._take_over(link, version)
+                if self._active is not replica and version > self._subscription.version:
+                    await self._take_over(replica, version)
             case Lagging():
                 raise _UnusableReplica("the replica has no contact with a leader")
             case ComeAgain(after=after):
@@ -223,11 +258,11 @@
             case _:
                 raise Malformed("a replica answered a pull with another message")
 
-    async def _take_over(self, link: Link, version: Version) -> None:
-        """Let a connection be the active one, unless a version comes soon over the other one."""
+    async def _take_over(self, replica: _Replica, version: Version) -> None:
+        """Let a replica be the active one, unless a version comes soon from the other one."""
         await self._configuration_applied.wait(TAKE_OVER_DELAY)
         if version > self._subscription.version:
-            self._active = link
+            self._active = replica
 
     def _report(self) -> Report:
         """Return the report of the version in force at this proxy."""
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -13,6 +13,7 @@
 
 from cowslipvane.catalogue import Delta, Key, Route, Service, Snapshot, Target, TrafficPolicy
 from cowslipvane.events import EventLog
+from cowslipvane.membership import Member
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
@@ -34,7 +35,7 @@
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity, connect
-from tools.single_replica import IP, SingleReplica, event_log
+from tools.single_replica import IP, SingleReplica, event_log, lone_membership
 
 Responder = Callable[[object], object]
 UNUSED_ADDRESS = Address(IP, 1)
@@ -91,6 +92,7 @@
         pull_wait: float = 0.2,
         silence: float = SILENCE_S,
         hosts: tuple[str, ...] = (),
+        members: tuple[Member, ...] = (),
     ) -> Subscription:
         """Start a proxy's subscriber and return its subscription."""
         subscription = Subscription()
@@ -104,8 +106,14 @@
             timing=Timing(pull_wait=pull_wait, silence=silence),
         )
         self.events = event_log()
+        self.membership = lone_membership(settings)
+        self.membership.merge(members, time.monotonic())
         subscriber = Subscriber(
-            subscription=subscription, settings=settings, events=self.events, rng=random.Random(3)
+            subscription=subscription,
+            settings=settings,
+            membership=self.membership,
+            events=self.events,
+            rng=random.Random(3),
         )
         task = asyncio.create_task(subscriber.run())
         self.stack.callback(task.cancel)
@@ -249,6 +257,31 @@
         for earlier, later in zip(rounds, rounds[1:], strict=False):
             self.assertEqual(later[-1], earlier[-1])
 
+    # Guards against updates and heartbeats from other data centres, whose traffic is expensive.
+    async def test_versions_come_from_a_replica_of_the_own_data_centre(self) -> None:
+        """The membership tells of it; one elsewhere, which is a seed, only sends their numbers."""
+        remote, local = [await self.replica(pull_wait=0.1) for _ in range(2)]
+        for replica in (remote, local):
+            replica.put(policy(1.0))
+        subscription = self.proxy(remote.address, pull_wait=0.1)
+        await self.until(partial(self.is_in_force, subscription, Version(1)))
+        address = local.address
+        here = Member(
+            HostName("r"), DataCentre("here"), 1, 1, address, UNUSED_ADDRESS, None, "up", None
+        )
+        self.membership.merge([here], time.monotonic())
+        await self.until(lambda: local.replica.reports)
+        # Long enough for some pulls.
+        await asyncio.sleep(0.5)
+        # The replicas differ, so that it can be told which of them sent a version.
+        remote.put(policy(2.0))
+        local.put(policy(3.0))
+        await self.until(partial(self.is_in_force, subscription, Version(2)))
+        assert subscription.table is not None
+        spec = subscription._resources[POLICY].spec
+        assert isinstance(spec, TrafficPolicy)
+        self.assertEqual(spec.timeout, 3.0)
+
     async def test_leaves_a_silent_connection(self) -> None:
         """A floor request and a pull without a response are repeated over a new connection."""
         replica = await self.replica()
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -20,7 +20,7 @@
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link
-from tools.single_replica import SingleReplica
+from tools.single_replica import SingleReplica, lone_membership
 
 CHANGES = 20
 IDLE_S = 12.0
@@ -79,7 +79,11 @@
     )
     rng = random.Random(index)
     subscriber = Subscriber(
-        subscription=Subscription(), settings=settings, events=apply_times, rng=rng
+        subscription=Subscription(),
+        settings=settings,
+        membership=lone_membership(settings),
+        events=apply_times,
+        rng=rng,
     )
     return asyncio.create_task(subscriber.run())
 
--- a/tools/single_replica.py
+++ b/tools/single_replica.py
@@ -14,7 +14,7 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered, Replica, Voter
-from cowslipvane.settings import Timing
+from cowslipvane.settings import Settings, Timing
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import (
@@ -57,6 +57,23 @@
         await asyncio.Event().wait()
 
 
+def lone_membership(settings: Settings) -> Membership:
+    """Return the membership of a process that knows no other."""
+    listen = settings.listen
+    own = Member(
+        settings.host,
+        settings.data_centre,
+        1,
+        1,
+        listen.peers,
+        listen.operators,
+        listen.callers,
+        "up",
+        None,
+    )
+    return Membership(own=own, now=time.monotonic())
+
+
 def event_log(host: str = HOST) -> EventLog:
     """Return an event log that writes to no file."""
     origin = Origin(HostName(host), DataCentre("here"), 1)
