--- a/review/lab.py
+++ b/review/lab.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -20,7 +21,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from wire import (
     CALLERS_PORT,
@@ -35,6 +36,11 @@
 ZONES = ("north", "south", "east")
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.5
+# Answers that end an order.
+CLEAR_ANSWERS = frozenset({200, 400, 409, 412, 413, 422})
+LONGEST_BACKOFF_S = 1.0
+READ_INTERVAL_S = 0.25
+Document = dict[str, Any]
 _SEEDS_SECTION = re.compile(r"\{\{#seeds\}\}.*\{\{/seeds\}\}")
 
 
@@ -103,6 +109,12 @@
         path = self._folder / f"{self.machine.name}.err"
         return path.read_text(errors="replace") if path.exists() else ""
 
+    @property
+    def events(self) -> list[str]:
+        """Return the lines that the process wrote to standard output."""
+        path = self._folder / f"{self.machine.name}.log"
+        return path.read_text(errors="replace").splitlines() if path.exists() else []
+
     async def start(self, *, first: bool = False) -> None:
         """Write the settings and start the process."""
         role = "proxy" if self.machine.service else "replica"
@@ -144,6 +156,10 @@
         if self._watch is not None:
             await self._watch
 
+    def lose_disk(self) -> None:
+        """Delete what the machine has on its disk, while no process runs there."""
+        shutil.rmtree(self._folder / f"{self.machine.name}.disk", ignore_errors=True)
+
     async def stop(self) -> int | None:
         """Send SIGTERM, and SIGKILL after the grace period; return the exit code."""
         self._is_wanted = False
@@ -251,7 +267,7 @@
         self.cores = [Process(machine, self.folder, cores, record) for machine in cores]
         self.sides = [Process(machine, self.folder, cores, record) for machine in sides]
         self.workers = {m.name: WorkerProcess(m, self.folder, record) for m in sides}
-        self._version = 0
+        self.version = 0
         self._clients: list[asyncio.subprocess.Process] = []
         self._answers: list[Path] = []
 
@@ -276,23 +292,52 @@
 
     async def configure(self, *, timeout_s: float, goal_s: float) -> None:
         """Send a configuration until it is acknowledged."""
-        base, self._version = self._version, self._version + 1
-        document = self._document(self._version, base, timeout_s, goal_s)
-        body = json.dumps(document).encode()
-        deadline = time.monotonic() + 15
+        base, self.version = self.version, self.version + 1
+        document = self.document(self.version, base, timeout_s, goal_s)
+        if await self.order(document, 15.0) != 200:
+            raise TimeoutError("the configuration wasn't acknowledged")
+
+    async def order(self, document: Document, seconds: float, text: str = "") -> int:
+        """Send an order as the operator does, until there is a clear answer; return its status.
+
+        It goes to any daemon, and to another one after a failure, with increasing backoff. The text
+        is the form of the document that is sent, if it matters.
+        """
+        body = (text or json.dumps(document)).encode()
+        deadline, backoff = time.monotonic() + seconds, 0.1
         while time.monotonic() < deadline:
-            address = random.choice(self.cores).machine.ip, CONTROL_PORT
-            for _ in range(3):
-                head, _ = await call("POST", address, "/api/Config.Replace", body, 1.0)
-                if head is None or head.status != 307:
-                    break
-                ip, _, port = head.fields["location"].split("/")[2].partition(":")
-                address = ip, int(port)
-            if head is not None and head.status == 200:
-                self.record.note("configuration-acknowledged", version=self._version)
-                return
-            await asyncio.sleep(0.2)
-        raise TimeoutError("the configuration wasn't acknowledged")
+            first = random.choice(self.cores).machine.ip
+            status = await self._order_once((first, CONTROL_PORT), body)
+            self.record.note("order", version=document["version"], to=first, status=status)
+            if status in CLEAR_ANSWERS:
+                return status
+            await asyncio.sleep(backoff)
+            backoff = min(backoff * 2, LONGEST_BACKOFF_S)
+        return 0
+
+    async def _order_once(self, address: tuple[str, int], body: bytes) -> int:
+        """Send an order once, and follow a 307 twice; return the status, 0 without an answer."""
+        for _ in range(3):
+            head, _ = await call("POST", address, "/api/Config.Replace", body, 1.0)
+            if head is None or head.status != 307:
+                return head.status if head else 0
+            address = _address_in(head.fields["location"])
+        return 0
+
+    async def read(self) -> Document | None:
+        """Read the configuration once, at any daemon that serves control."""
+        address = random.choice(self.cores).machine.ip, CONTROL_PORT
+        for _ in range(3):
+            head, body = await call("GET", address, "/api/Config.Get", b"", 1.0)
+            if head is None or head.status != 307:
+                break
+            address = _address_in(head.fields["location"])
+        document: Document | None = None
+        if head is not None and head.status == 200:
+            document = json.loads(body)
+        version = document["version"] if document else None
+        self.record.note("read", at=address[0], status=head and head.status, version=version)
+        return document
 
     async def _until_ready(self, side: Process) -> None:
         """Ask for the readiness of a process until it is ready."""
@@ -307,7 +352,7 @@
         head, _ = await call("GET", address, "/api/readyz", b"", 1.0)
         return head is not None and head.status == 200
 
-    def _document(self, version: int, base: int, timeout_s: float, goal_s: float) -> object:
+    def document(self, version: int, base: int, timeout_s: float, goal_s: float) -> Document:
         """Return a configuration with two routes for each service."""
         return {
             "version": f"{version:08x}",
@@ -385,6 +430,16 @@
         outcomes = [Outcome(**json.loads(line)) for line in lines if line]
         return sorted(outcomes, key=lambda outcome: outcome.sent_at)
 
+    async def read_within(self, seconds: float) -> Document | None:
+        """Read the configuration, repeatedly until it comes or a time is over."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            document = await self.read()
+            if document is not None:
+                return document
+            await asyncio.sleep(READ_INTERVAL_S)
+        return None
+
     def runs(self) -> list[dict[str, object]]:
         """Return what the workers recorded, in the order of time."""
         lines = [
@@ -421,6 +476,12 @@
                 await client.wait()
 
 
+def _address_in(location: str) -> tuple[str, int]:
+    """Return the address in the Location of a redirect."""
+    ip, _, port = location.split("/")[2].partition(":")
+    return ip, int(port)
+
+
 def _free_prefix() -> str:
     """Return the first three numbers of loopback addresses whose ports are free."""
     while True:
