--- a/review/lab.py
+++ b/review/lab.py
@@ -220,10 +220,11 @@
         """Return the path of the log of its runs."""
         return self._folder / f"{self.machine.name}.runs"
 
-    async def start(self, slots: int, work_ms: float) -> None:
-        """Start a new lifetime."""
+    async def start(self, slots: int, work_ms: float, *, keeps_id: bool = False) -> None:
+        """Start a new lifetime, which has a new id unless it keeps the former one."""
         machine = self.machine
-        self.instance = f"i-{machine.name}-{next(self._lifetimes)}"
+        if not keeps_id:
+            self.instance = f"i-{machine.name}-{next(self._lifetimes)}"
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "review" / "worker.py"),
--- a/review/worker.py
+++ b/review/worker.py
@@ -56,6 +56,7 @@
     async def run(self) -> None:
         """Serve and announce until the process ends."""
         server = await asyncio.start_server(self._serve, self._ip, WORKER_PORT)
+        self._record("born", born=self._born)
         async with server:
             await asyncio.gather(self._announce(), self._take_orders())
 
