--- a/review/lab.py
+++ b/review/lab.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import atexit
 import itertools
 import json
 import os
@@ -258,6 +259,7 @@
     def __init__(self, services: Iterable[str], record: Record) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="cowslipvane-review-"))
+        atexit.register(shutil.rmtree, self.folder, ignore_errors=True)
         prefix = _free_prefix()
         cores = [Machine(f"core-{n}", f"{prefix}.{10 + n}", ZONES[n], "") for n in range(3)]
         sides = [
