Show the memory that a replica's log takes

The log now knows the memory of each entry, counted when it is added, and the gauge cowslipvane_log_bytes shows the sum.

--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -38,6 +38,7 @@
         " while one is behind",
     ),
     Family("cowslipvane_leader", "gauge", "", "1 at the replica that holds the leader's lease"),
+    Family("cowslipvane_log_bytes", "gauge", "", "memory of the log behind the last snapshot"),
     Family("cowslipvane_term", "gauge", "", "term of this replica"),
     Family("cowslipvane_members", "gauge", "state", "processes known: up, leaving, gone, silent"),
     Family("cowslipvane_sent_bytes", "counter", "message", "bytes sent to peers by message"),
--- a/cowslipvane/replica/_log.py
+++ b/cowslipvane/replica/_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cowslipvane.memory_size import memory_size
 from cowslipvane.replica._messages import Entry
 
 
@@ -12,6 +13,8 @@
         self._base_index = base_index
         self._base_term = base_term
         self._entries = list(entries)
+        # The memory of each entry, in bytes.
+        self._sizes = [memory_size(entry) for entry in entries]
 
     @property
     def base_index(self) -> int:
@@ -28,6 +31,11 @@
         """Return the term of the last entry."""
         return self.term_of(self.last_index)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory of the entries, in bytes."""
+        return sum(self._sizes)
+
     def entry(self, index: int) -> Entry:
         """Return the entry at an index, which must not be compacted away."""
         return self._entries[index - self._base_index - 1]
@@ -36,6 +44,10 @@
         """Return the term of the entry at an index, from the base index to the last."""
         return self.entry(index).term if index > self._base_index else self._base_term
 
+    def size_of(self, index: int) -> int:
+        """Return the memory of the entry at an index, in bytes."""
+        return self._sizes[index - self._base_index - 1]
+
     def entries_after(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
         """Return the entries after an index, up to a limit."""
         first = index - self._base_index
@@ -52,11 +64,13 @@
         """Append the next entry."""
         assert entry.position == self.last_index + 1
         self._entries.append(entry)
+        self._sizes.append(memory_size(entry))
 
     def compact(self, index: int, term: int) -> None:
         """Drop the entries up to an index, or all if the log doesn't match the term there."""
         matches = index <= self.last_index and self.term_of(index) == term
-        self._entries = list(self.entries_after(index)) if matches else []
+        kept_from = index - self._base_index if matches else len(self._entries)
+        del self._entries[:kept_from], self._sizes[:kept_from]
         self._base_index = index
         self._base_term = term
 
@@ -67,7 +81,9 @@
                 continue
             if entry.position <= self.last_index and self.term_of(entry.position) == entry.term:
                 continue
-            del self._entries[entry.position - self._base_index - 1 :]
-            self._entries.extend(entries[number:])
+            first = entry.position - self._base_index - 1
+            del self._entries[first:], self._sizes[first:]
+            for new in entries[number:]:
+                self.append(new)
             return entries[number:]
         return ()
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -130,6 +130,11 @@
         """Return the index of the last entry of the log."""
         return self._state.last_index
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the memory of the log's entries, in bytes."""
+        return self._state.log_bytes
+
     @property
     def election_due_at(self) -> float:
         """Return when to start a pre-vote if no message from a leader arrives before."""
--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -64,6 +64,11 @@
         """Return the index up to which the log is synced to this replica's disk."""
         return self._synced_index
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the memory of the log's entries, in bytes."""
+        return self._log.memory_bytes
+
     @property
     def base_index(self) -> int:
         """Return the index of the last entry that was compacted away, 0 for none."""
--- a/cowslipvane/tasks/_metrics_collector.py
+++ b/cowslipvane/tasks/_metrics_collector.py
@@ -91,6 +91,7 @@
             Sample("cowslipvane_version_accepted", accepted),
             Sample("cowslipvane_proxies", len(reports)),
             Sample("cowslipvane_proxies_behind", behind),
+            Sample("cowslipvane_log_bytes", replica.log_bytes),
             Sample("cowslipvane_term", replica.term),
             Sample("cowslipvane_leader", replication.holds_lease),
         ]
