Compact a replica's log by its memory, not only by its number of entries

A limit that counts things and not what they take.

Change: the applied entries are also replaced once they take 16 MiB, which is counted in memory, for any form of the data: text of documents, routes, wide characters. It is checked after each entry, since a start and a follower may apply many at once.

--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -38,6 +38,9 @@
 
 # Number of applied entries after which a snapshot replaces them.
 COMPACT_AFTER_ENTRIES = 1000
+# Memory of applied entries after which a snapshot replaces them, however few they are. A replica
+# that is over its host's memory ends, and again at each start.
+COMPACT_AFTER_BYTES = 16 << 20
 
 
 class Replica:
@@ -55,6 +58,7 @@
         rng: random.Random,
         now: float,
         compact_after_entries: int = COMPACT_AFTER_ENTRIES,
+        compact_after_bytes: int = COMPACT_AFTER_BYTES,
     ) -> None:
         self._host = host
         self._replica_id = replica_id
@@ -66,6 +70,7 @@
             journal=journal,
             recovered=recovered,
             compact_after_entries=compact_after_entries,
+            compact_after_bytes=compact_after_bytes,
         )
         self._identities = {host: replica_id}
         self._is_founder = any(founder.host == host for founder in founders)
--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -19,9 +19,11 @@
         journal: Journal,
         recovered: Recovered,
         compact_after_entries: int,
+        compact_after_bytes: int,
     ) -> None:
         self._journal = journal
         self._compact_after_entries = compact_after_entries
+        self._compact_after_bytes = compact_after_bytes
         self._catalogue = Catalogue()
         base = recovered.snapshot or LogSnapshot(
             0, 0, Group(founders), export_state(self._catalogue)
@@ -33,6 +35,8 @@
         self._synced_index = self.last_index
         self._commit_index = base.position
         self._applied_index = base.position
+        # Memory of the applied entries that are still in the log.
+        self._applied_bytes = 0
 
     @property
     def catalogue(self) -> Catalogue:
@@ -126,25 +130,20 @@
         self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
         self._record_groups(self._log.entries_after(snapshot.position))
         self._commit_index = self._applied_index = snapshot.position
+        self._applied_bytes = 0
         self._synced_index = min(self._synced_index, self.last_index)
         self._record_snapshot(snapshot, ballot)
 
     def commit_to(self, index: int, ballot: Ballot) -> None:
-        """Apply the log to the catalogue up to a committed index, and compact it when it is long.
+        """Apply the log to the catalogue up to a committed index, and compact it when it is large.
 
         Compaction replaces the journal, so the ballot is recorded again.
         """
         self._commit_index = max(self._commit_index, index)
         while self._applied_index < self._commit_index:
-            self._applied_index += 1
-            entry = self._log.entry(self._applied_index)
-            match entry.command:
-                case Write(change=change):
-                    self._catalogue.apply(change, accepted_at=entry.stamped_at)
-                case Noop() | Regroup():
-                    pass
-        if self._applied_index - self._log.base_index >= self._compact_after_entries:
-            self._compact(ballot)
+            self._apply_next()
+            if self._is_large:
+                self._compact(ballot)
 
     def record_synced(self, index: int) -> None:
         """Record that the log is synced up to an index."""
@@ -159,11 +158,32 @@
             export_state(self._catalogue),
         )
 
+    @property
+    def _is_large(self) -> bool:
+        """Return whether there are so many or so large applied entries that they are compacted."""
+        applied_count = self._applied_index - self._log.base_index
+        return (
+            applied_count >= self._compact_after_entries
+            or self._applied_bytes >= self._compact_after_bytes
+        )
+
+    def _apply_next(self) -> None:
+        """Apply the first entry that isn't applied yet."""
+        self._applied_index += 1
+        self._applied_bytes += self._log.size_of(self._applied_index)
+        entry = self._log.entry(self._applied_index)
+        match entry.command:
+            case Write(change=change):
+                self._catalogue.apply(change, accepted_at=entry.stamped_at)
+            case Noop() | Regroup():
+                pass
+
     def _compact(self, ballot: Ballot) -> None:
         """Replace the applied entries by a snapshot."""
         snapshot = self.snapshot()
         self._log.compact(snapshot.position, snapshot.term)
         self._groups.compact(snapshot.position)
+        self._applied_bytes = 0
         self._record_snapshot(snapshot, ballot)
 
     def _record_snapshot(self, snapshot: LogSnapshot, ballot: Ballot) -> None:
