Bound the catalogue's history by its memory, not by characters of documents

Only the characters of release documents were bounded (16 Mi). A document with one character beyond the Basic Multilingual Plane takes four bytes for each of its characters, so 64 MiB, and a change without a document, as the resource API makes them, counted nothing at all, however many resources it replaced.

Change: each change in the history knows the memory of what it replaced, and the oldest are dropped above 16 MiB of that. A proxy that lags further gets a whole version, as before.

--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -16,13 +16,14 @@
     new_reference_faults,
     spec_faults,
 )
+from cowslipvane.memory_size import memory_size
 from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
 
 # Accepted changes that are kept to compute deltas; a proxy that lags further gets a snapshot.
 HISTORY_CHANGES = 1000
-# Characters of the replaced releases' documents that the history keeps at most; the oldest changes
-# are dropped above that. A replica with full memory would end, and again after each restart.
-MAX_HISTORY_DOCUMENT_CHARS = 16 << 20
+# Memory of the replaced resources that the history keeps at most; the oldest changes are dropped
+# above that. A replica with full memory would end, and again after each restart.
+MAX_HISTORY_BYTES = 16 << 20
 
 # How long the outcome of an operation is kept, in seconds by the time stamps of the log.
 OUTCOME_LIFETIME_SECONDS = 24 * 3600.0
@@ -92,12 +93,16 @@
 
 
 class HistoryEntry(NamedTuple):
-    """One accepted change: each key that it wrote or deleted, with its resource before it."""
+    """One accepted change: each key that it wrote or deleted, with its resource before it.
+
+    memory_bytes is the memory of those.
+    """
 
     version: Version
     accepted_at: float
     operation_id: OperationId
     before: dict[Key, Resource | None]
+    memory_bytes: int
 
 
 class AcceptedChange(NamedTuple):
@@ -135,7 +140,7 @@
         self._outcomes: dict[OperationId, Outcome] = {}
         self._decided_at: dict[OperationId, float] = {}
         self._history: list[HistoryEntry] = []
-        self._history_document_chars = 0
+        self._history_bytes = 0
         # Caches of derived values: the digest of each resource, the closure of each set of hosts.
         self._resource_digests: dict[Key, tuple[Version, int]] = {}
         self._host_closures: dict[RouteHosts, _HostClosure] = {}
@@ -180,7 +185,7 @@
             operation_id: decided_at for operation_id, (_, decided_at) in decisions.items()
         }
         self._history.clear()
-        self._history_document_chars = 0
+        self._history_bytes = 0
         self._resource_digests.clear()
         self._host_closures.clear()
 
@@ -257,7 +262,8 @@
         version = Version(self._version + 1)
         written_keys = _written_keys(change)
         before = {key: self._resources.get(key) for key in written_keys}
-        self._record_history(HistoryEntry(version, accepted_at, change.operation_id, before))
+        size = memory_size(before)
+        self._record_history(HistoryEntry(version, accepted_at, change.operation_id, before, size))
         self._resources = self._resources_after(change, version)
         self._version = version
         self._writers.update((key, (change.operation_id, version)) for key in written_keys)
@@ -268,12 +274,9 @@
     def _record_history(self, entry: HistoryEntry) -> None:
         """Add a change to the history, and drop the oldest changes above its limits."""
         self._history.append(entry)
-        self._history_document_chars += _document_chars(entry)
-        while (
-            len(self._history) > HISTORY_CHANGES
-            or self._history_document_chars > MAX_HISTORY_DOCUMENT_CHARS
-        ):
-            self._history_document_chars -= _document_chars(self._history.pop(0))
+        self._history_bytes += entry.memory_bytes
+        while len(self._history) > HISTORY_CHANGES or self._history_bytes > MAX_HISTORY_BYTES:
+            self._history_bytes -= self._history.pop(0).memory_bytes
 
     def update_since(
         self, base: Version, hosts: RouteHosts = ()
@@ -373,15 +376,6 @@
                 return spec
 
 
-def _document_chars(entry: HistoryEntry) -> int:
-    """Return the length of the release document that a change replaced, 0 if it replaced none."""
-    return sum(
-        len(resource.spec.document)
-        for resource in entry.before.values()
-        if resource is not None and isinstance(resource.spec, Release)
-    )
-
-
 def _written_keys(change: Change) -> frozenset[Key]:
     """Return the keys that a change writes or deletes."""
     return frozenset([key for key, _ in change.puts]) | frozenset(change.deletes)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -20,7 +20,8 @@
     release_change,
     release_in_force,
 )
-from cowslipvane.catalogue._catalogue import MAX_HISTORY_DOCUMENT_CHARS
+from cowslipvane.catalogue._catalogue import MAX_HISTORY_BYTES
+from cowslipvane.memory_size import memory_size
 from cowslipvane.types import OperationId, ServiceName, Version
 
 SERVICES: dict[Key, Spec] = {Key("service", "a"): Service(), Key("service", "b"): Service()}
@@ -110,7 +111,7 @@
 
     def test_large_documents_do_not_fill_the_memory(self) -> None:
         """Each replica would end at its memory limit, and again when it has restarted."""
-        padding = "x" * (MAX_HISTORY_DOCUMENT_CHARS // 10)
+        padding = "x" * (MAX_HISTORY_BYTES // 10)
         for number in range(3, 43):
             new_release = Release(number=number, based_on=number - 1, document=f"{number}{padding}")
             self.assertIsInstance(self.put(new_release, routed("a")), Accepted)
@@ -120,11 +121,41 @@
             for resource in entry.before.values()
             if resource is not None and isinstance(resource.spec, Release)
         )
-        self.assertLessEqual(kept_chars, MAX_HISTORY_DOCUMENT_CHARS)
+        self.assertLessEqual(kept_chars, MAX_HISTORY_BYTES)
         newest = self.catalogue.version
         self.assertIsInstance(self.catalogue.update_since(Version(newest - 5)), Delta)
         self.assertIsInstance(self.catalogue.update_since(Version(newest - 20)), Snapshot)
 
+    def history_bytes(self) -> int:
+        """Return the memory of the replaced resources in the history."""
+        return sum(memory_size(entry.before) for entry in self.catalogue._history)
+
+    # Guards against replicas that end at their memory limit because of texts whose characters
+    # take four bytes each.
+    def test_documents_of_wide_characters_do_not_fill_the_memory(self) -> None:
+        """Their number of characters says little of their memory."""
+        text = "\N{GRINNING FACE}" + "x" * (MAX_HISTORY_BYTES // 20)
+        for number in range(3, 33):
+            new_release = Release(number=number, based_on=number - 1, document=f"{number}{text}")
+            self.assertIsInstance(self.put(new_release, routed("a")), Accepted)
+            self.assertLessEqual(self.history_bytes(), MAX_HISTORY_BYTES)
+
+    # Guards against replicas that end at their memory limit because of changes that have no
+    # document, such as those of the resource API.
+    def test_changes_of_many_resources_do_not_fill_the_memory(self) -> None:
+        """The history holds every resource that they replaced."""
+        paths = [f"/{number:01000}/" for number in range(200)]
+        targets = (Target(ServiceName("a")),)
+        for number in range(60):
+            routes = [
+                (Key("route", path), Route(targets=targets, path_prefix=path, timeout=1.0 + number))
+                for path in paths
+            ]
+            version = self.catalogue.version
+            change = Change(OperationId(f"many-{number}"), version, tuple(routes))
+            self.assertIsInstance(self.catalogue.apply(change, accepted_at=1.0), Accepted)
+            self.assertLessEqual(self.history_bytes(), MAX_HISTORY_BYTES)
+
     def test_documents_are_not_sent_to_proxies(self) -> None:
         """Neither a snapshot nor a delta contains them."""
         snapshot = self.catalogue.update_since(Version(0))
