Cut the long texts of events

An operator's tool that goes on sending a configuration of 6,000 routes, each with a fault, leaves 227 kB a send in every replica that decides it (test_long_texts_are_cut, before: 226,888 characters), so some hundreds of sends fill its memory. The response to the operator lists them all, as before.

Change: texts of events end after 2,000 characters, marked so. Request ids aren't cut, since events are found by them; the listener bounds their length.

--- a/cowslipvane/events/_log.py
+++ b/cowslipvane/events/_log.py
@@ -20,6 +20,9 @@
 MIN_RECORDED_STALL: Seconds = 0.1
 # Events kept in memory by default; older ones are dropped and counted.
 DEFAULT_EVENTS_IN_MEMORY = 4000
+# A longer text of an event, such as all faults of a large configuration, is cut.
+MAX_TEXT_CHARACTERS = 2000
+_CUT_MARK = " ..."
 # Copies in memory of events of other processes, and of this host's process before it restarted.
 MAX_COPIED_EVENTS = 1000
 # Refusals queued to be copied to another process; when full, the oldest are dropped and counted.
@@ -76,8 +79,9 @@
     def record(
         self, kind: EventKind, *, request: str = "", version: int = 0, **detail: str
     ) -> None:
-        """Record an event."""
-        event = Event(kind, self._clock.now(), request, version, detail)
+        """Record an event, whose texts are cut if they are long."""
+        texts = {name: _cut(text) for name, text in detail.items()}
+        event = Event(kind, self._clock.now(), request, version, texts)
         self._events.append(event)
         self._recorded += 1
         if self._observer is not None:
@@ -150,6 +154,13 @@
             self._clock.observe(Stamp(form["wall"], form["logical"]))
 
 
+def _cut(text: str) -> str:
+    """Return a text, without its end and marked so if it is long."""
+    if len(text) <= MAX_TEXT_CHARACTERS:
+        return text
+    return text[: MAX_TEXT_CHARACTERS - len(_CUT_MARK)] + _CUT_MARK
+
+
 def _matches(request: str, version: int, request_filter: str, version_filter: int) -> bool:
     """Return whether an event passes both filters; an empty text and 0 let all events pass."""
     return request_filter in ("", request) and version_filter in (0, version)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -16,6 +16,7 @@
     read_events,
     rotated_path,
 )
+from cowslipvane.events._log import MAX_TEXT_CHARACTERS
 from cowslipvane.types import DataCentre, HostName
 from tests.stall import stall
 
@@ -48,6 +49,24 @@
         self.assertEqual(clock.refused, 4)
 
 
+class TextTest(unittest.TestCase):
+    """Limits on the texts of events."""
+
+    # Guards against processes that end at their memory limit because thousands of events each list
+    # the faults of a large configuration.
+    def test_long_texts_are_cut(self) -> None:
+        """A reason may name every route of a configuration; a shorter text is kept whole."""
+        log = new_log()
+        reason = "; ".join(f"route/{number}.timeout is over the limit" for number in range(6000))
+        log.record("release", outcome="invalid", reason=reason)
+        (event,) = log.select()
+        kept = event["detail"]["reason"]
+        self.assertLessEqual(len(kept), MAX_TEXT_CHARACTERS)
+        self.assertTrue(kept.endswith(" ..."))
+        self.assertTrue(reason.startswith(kept.removesuffix(" ...")))
+        self.assertEqual(event["detail"]["outcome"], "invalid")
+
+
 class StallTest(unittest.IsolatedAsyncioTestCase):
     """A late event loop is recorded."""
 
