Keep only the newest compaction while a disk is full

Change: when a write finds the disk full, the records before the last compaction are dropped, since it contains them. They count as written, which no caller can take for its own: whoever calls sync later waits for the compaction too.

--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -194,7 +194,9 @@
                 self._append(_encode_batch(bodies))
             os.fdatasync(self._file)
         except JournalFull:
-            self._pending.extendleft(reversed(pending))
+            kept = _from_last_compaction(pending)
+            self._pending.extendleft(reversed(kept))
+            self._synced_count += len(pending) - len(kept)
             raise
         except OSError as error:
             self._failure = error
@@ -276,6 +278,12 @@
         self._dropped_bytes = len(data) - end
 
 
+def _from_last_compaction(pending: list[bytes | _Compaction]) -> list[bytes | _Compaction]:
+    """Return the records without those that a later compaction contains."""
+    compactions = [at for at, item in enumerate(pending) if isinstance(item, _Compaction)]
+    return pending[compactions[-1] :] if compactions else pending
+
+
 def write_all(file: int, data: bytes) -> None:
     """Write all of the data, also if the system call writes only a part at a time."""
     remaining = memoryview(data)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -201,6 +201,26 @@
             await self.journal.sync()
         self.assertEqual(self.open().recover(), Recovered(BALLOT, ENTRIES[3:], SNAPSHOT))
 
+    # Guards against a replica that ends at its memory limit while its disk is full, since each
+    # snapshot that it takes meanwhile is kept with all that it replaces.
+    async def test_full_disk_keeps_no_more_than_the_newest_compaction(self) -> None:
+        """The records after it are kept, and all of them are written once there is room."""
+        disk = FullDisk(root=self.path.parent)
+        with disk.installed():
+            disk.is_full = True
+            for number in range(6, 60):
+                snapshot = SNAPSHOT._replace(position=number)
+                self.journal.record_snapshot(snapshot, BALLOT, ())
+                self.journal.record_entries((Entry(number + 1, 3, Noop(), 1.0),))
+                with self.assertRaises(JournalFull):
+                    await self.journal.sync()
+                self.assertLessEqual(len(self.journal._pending), 2)
+            disk.is_full = False
+            await self.journal.sync()
+        newest = Entry(60, 3, Noop(), 1.0)
+        recovered = Recovered(BALLOT, (newest,), SNAPSHOT._replace(position=59))
+        self.assertEqual(self.open().recover(), recovered)
+
     async def test_a_cancelled_sync_loses_no_record(self) -> None:
         """The next sync writes the records of the cancelled one."""
         fdatasync, disk_ready = os.fdatasync, threading.Event()
