--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import NamedTuple
+from typing import BinaryIO, NamedTuple
 
 from cowslipvane.replica import Ballot, Entry, JournalFull, LogSnapshot, Recovered
 from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_file_atomically
@@ -85,26 +85,28 @@
         A process that was killed between a write and its sync leaves records that the next power
         loss can take, and the replica relies on everything that is recovered.
         """
-        data = self._path.read_bytes()
         snapshot = self._recover_snapshot()
         ballot = Ballot(0, None)
         entries: list[Entry] = []
         snapshot_position = end = 0
-        for record_end, kind, body in _read_records(data):
-            end = record_end
-            if kind == _BALLOT:
-                ballot = decode_as(Ballot, body)
-                continue
-            if kind == _SNAPSHOT_POSITION:
-                snapshot_position = decode_as(int, body)
-                self._check_snapshot(snapshot, snapshot_position)
-                continue
-            entry = decode_as(Entry, body)
-            while entries and entries[-1].position >= entry.position:
-                entries.pop()
-            entries.append(entry)
-        if end < len(data):
-            self._truncate_tail(data, end)
+        with self._path.open("rb") as file:
+            for record_end, kind, body in _read_records(file):
+                end = record_end
+                if kind == _BALLOT:
+                    ballot = decode_as(Ballot, body)
+                    continue
+                if kind == _SNAPSHOT_POSITION:
+                    snapshot_position = decode_as(int, body)
+                    self._check_snapshot(snapshot, snapshot_position)
+                    continue
+                entry = decode_as(Entry, body)
+                while entries and entries[-1].position >= entry.position:
+                    entries.pop()
+                entries.append(entry)
+            file.seek(end)
+            tail = file.read()
+        if tail:
+            self._truncate_tail(tail, end)
         os.fsync(self._file)
         os.lseek(self._file, end, os.SEEK_SET)
         later = self._entries_after_snapshot(entries, snapshot)
@@ -270,12 +272,12 @@
             raise FolderDamaged(f"{self._path} lacks entries after {base}; replace this replica")
         return later
 
-    def _truncate_tail(self, data: bytes, end: int) -> None:
+    def _truncate_tail(self, tail: bytes, end: int) -> None:
         """Truncate an incomplete last record; raise FolderDamaged if the damage is elsewhere."""
-        if _has_record_after(data, end):
+        if _has_record_after_start(tail):
             raise FolderDamaged(f"{self._path} is damaged at byte {end}; replace this replica")
         os.ftruncate(self._file, end)
-        self._dropped_bytes = len(data) - end
+        self._dropped_bytes = len(tail)
 
 
 def _from_last_compaction(pending: list[bytes | _Compaction]) -> list[bytes | _Compaction]:
@@ -337,17 +339,33 @@
     return body if zlib.crc32(body) == checksum else None
 
 
-def _read_records(data: bytes) -> Iterator[tuple[int, bytes, bytes]]:
-    """Yield the end, kind and content of each item, up to the first invalid record."""
-    start = 0
-    while (body := _read_record(memoryview(data), start)) is not None:
-        start += _HEADER.size + len(body)
-        for item in _read_items(bytes(body)):
-            yield start, item[:1], item[1:]
+def _read_records(file: BinaryIO) -> Iterator[tuple[int, bytes, bytes]]:
+    """Yield the end, kind and content of each item, up to the first invalid record.
 
+    One record at a time is in memory.
+    """
+    size = os.fstat(file.fileno()).st_size
+    end = 0
+    while (body := _read_next_record(file, size - end)) is not None:
+        end += _HEADER.size + len(body)
+        for item in _read_items(body):
+            yield end, item[:1], item[1:]
 
-def _has_record_after(data: bytes, end: int) -> bool:
-    """Return whether a valid record follows a damaged one."""
+
+def _read_next_record(file: BinaryIO, remaining: int) -> bytes | None:
+    """Return the body of the next record, or None if it isn't complete and valid."""
+    header = file.read(_HEADER.size)
+    if len(header) < _HEADER.size:
+        return None
+    length, _ = _HEADER.unpack(header)
+    if _HEADER.size + length > remaining:
+        return None
+    body = _read_record(memoryview(header + file.read(length)), 0)
+    return None if body is None else bytes(body)
+
+
+def _has_record_after_start(data: bytes) -> bool:
+    """Return whether a valid record follows a damaged one at the start."""
     view = memoryview(data)
-    starts = (match.start() for match in _RECORD_START.finditer(data, end + 1))
+    starts = (match.start() for match in _RECORD_START.finditer(data, 1))
     return any(_read_record(view, start) is not None for start in starts)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,11 +4,13 @@
 import os
 import tempfile
 import threading
+import tracemalloc
 import unittest
 from pathlib import Path
 from unittest import mock
 
-from cowslipvane.catalogue import Catalogue, export_state
+from cowslipvane.catalogue import RELEASE_KEY, Catalogue, Change, Release, export_state
+from cowslipvane.memory_size import memory_size
 from cowslipvane.replica import (
     Ballot,
     Entry,
@@ -17,6 +19,7 @@
     LogSnapshot,
     Noop,
     Recovered,
+    Write,
 )
 from cowslipvane.storage import (
     DataFolder,
@@ -26,7 +29,7 @@
     JournalFailed,
     _journal,
 )
-from cowslipvane.types import HostName, ReplicaId
+from cowslipvane.types import HostName, OperationId, ReplicaId, Version
 from tests.full_disk import FullDisk
 
 BALLOT = Ballot(3, HostName("a"))
@@ -244,6 +247,26 @@
         await self.journal.sync()
         self.assertEqual(self.open().recover().ballot, Ballot(4, None))
 
+    # Guards against a replica whose journal fits into memory, but not while it starts.
+    async def test_a_start_reads_one_record_at_a_time(self) -> None:
+        """It takes little more memory than the entries that it recovers."""
+        text = "x" * 1_000_000
+        entries = []
+        for number in range(6, 46):
+            release = Release(number=number, based_on=number - 1, document=f"{number}{text}")
+            puts = ((RELEASE_KEY, release),)
+            change = Change(OperationId(str(number)), Version(0), puts)
+            entries.append(Entry(number, 3, Write(change=change), 1.0))
+            self.journal.record_entries(tuple(entries[-1:]))
+            await self.journal.sync()
+        size = memory_size(tuple(entries))
+        del entries
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        recovered = self.open().recover()
+        self.assertEqual(recovered.last_index, 45)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 1.5 * size)
+
     async def compact(self) -> None:
         """Record a snapshot up to entry 3, with entries 4 and 5 after it."""
         self.journal.record_snapshot(SNAPSHOT, BALLOT, ENTRIES[3:])
