Refuse a change before it is written to the log

Change: a leader with its lease evaluates a change against what is committed and answers a refusal at once. The log still decides those that race. A refused operation leaves nothing behind, so a resend under the same id is decided anew: it gets the same conflict, and is accepted once what it lacked is there (docs/API.md).

test_refused_changes failed before: 40 refused changes left 40 entries (last index 42 for 2) and their outcomes. tests.test_resource_api, test_replication, test_leader_faults, test_operation, test_cmdline: 26 passed.

--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -165,10 +165,16 @@
                     return
 
     async def write(self, change: Change) -> Outcome | NotLeader | Unknown:
-        """Replicate a change and return its outcome once a majority has synced it."""
+        """Replicate a change and return its outcome once a majority has synced it.
+
+        A change that is refused already now isn't replicated, so that it leaves nothing behind.
+        """
         known = self._replica.catalogue.outcome(change.operation_id)
         if known is not None:
             return known
+        refused = self._replica.catalogue.evaluate(change) if self.holds_lease else None
+        if refused is not None:
+            return refused
         index = self._replica.propose(change, stamped_at=time.time())
         if index is None:
             return NotLeader(leader=self._replica.leader)
