Write no number to the log that can't be read back

Cause: the decoder of messages and journals takes whole numbers of 64 bits and finite numbers only; the encoder takes any, and no rule of the catalogue bounded a priority. A value that is written and can't be read back.

The platform names no limit for a rank, so there one beyond the last counts as the last, and the configuration is acknowledged.

Addresses in group changes are checked where they are read. Numbers of heartbeats, members and reports aren't in the log.

--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -12,6 +12,7 @@
     Outcome,
     Snapshot,
     VersionNotReached,
+    change_faults,
 )
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._releases import (
@@ -76,6 +77,7 @@
     "Upstream",
     "VersionNotReached",
     "Writer",
+    "change_faults",
     "closure",
     "combine_digests",
     "export_state",
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -8,6 +8,7 @@
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._documents import apply_pieces
 from cowslipvane.catalogue._resources import (
+    OUT_OF_RANGE,
     Fault,
     Key,
     Release,
@@ -17,7 +18,7 @@
     spec_faults,
 )
 from cowslipvane.memory_size import memory_size
-from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
+from cowslipvane.types import NO_VERSION, Digest, OperationId, Version, fits_int64
 
 # Accepted changes that are kept to compute deltas; a proxy that lags further gets a snapshot.
 HISTORY_CHANGES = 1000
@@ -211,7 +212,7 @@
 
     def faults(self, change: Change) -> tuple[Fault, ...]:
         """Return all faults of a change, and of the catalogue that would result from it."""
-        faults = [fault for key, spec in change.puts for fault in spec_faults(key, spec)]
+        faults = change_faults(change)
         if change.based_on > self._version:
             faults.append(Fault("based_on", f"is newer than the newest version, {self._version}"))
         missing = [key for key in change.deletes if key not in self._resources]
@@ -376,6 +377,14 @@
                 return spec
 
 
+def change_faults(change: Change) -> list[Fault]:
+    """Return the faults that a change has by itself, whatever resources it is applied to."""
+    faults = [fault for key, spec in change.puts for fault in spec_faults(key, spec)]
+    if not fits_int64(change.based_on):
+        faults.append(Fault("based_on", OUT_OF_RANGE))
+    return faults
+
+
 def _written_keys(change: Change) -> frozenset[Key]:
     """Return the keys that a change writes or deletes."""
     return frozenset([key for key, _ in change.puts]) | frozenset(change.deletes)
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -7,7 +7,7 @@
 from typing import Literal, NamedTuple
 
 from cowslipvane.catalogue._documents import Piece
-from cowslipvane.types import Header, Seconds, ServiceName, Version
+from cowslipvane.types import Header, Seconds, ServiceName, Version, fits_int64
 
 DEFAULT_TIMEOUT: Seconds = 5.0
 DEFAULT_MAX_BODY_BYTES = 1 << 20
@@ -18,6 +18,7 @@
 MAX_BODY_BYTES_LIMIT = 1 << 30
 MAX_ATTEMPTS = 10
 MAX_WEIGHT = 1_000_000
+OUT_OF_RANGE = "is out of range; allowed is a whole number of 64 bits"
 
 
 class Target(NamedTuple):
@@ -183,10 +184,22 @@
             if not 0 <= max_body_bytes <= MAX_BODY_BYTES_LIMIT:
                 limit = f"0 to {MAX_BODY_BYTES_LIMIT}"
                 yield Fault(f"{key}.max_body_bytes", f"is {max_body_bytes}; allowed is {limit}")
-        case Service() | Upstream() | Release():
+        case Release() as release:
+            yield from _release_faults(key, release)
+        case Service() | Upstream():
             return
 
 
+def _release_faults(key: Key, release: Release) -> Iterator[Fault]:
+    """Yield the faults of a release's numbers."""
+    for name, number in (("number", release.number), ("based_on", release.based_on)):
+        if not fits_int64(number):
+            yield Fault(f"{key}.{name}", OUT_OF_RANGE)
+    for at, piece in enumerate(release.pieces):
+        if not fits_int64(piece.start) or not fits_int64(piece.length):
+            yield Fault(f"{key}.pieces[{at}]", OUT_OF_RANGE)
+
+
 def _match_faults(key: Key, route: Route) -> Iterator[Fault]:
     """Yield the faults of a route's match conditions and targets."""
     weights = [target.weight for target in route.targets]
@@ -211,6 +224,8 @@
         yield Fault(f"{key}.goal", f"is {goal} s; allowed is {limit}")
     if attempts is not None and not 1 <= attempts <= MAX_ATTEMPTS:
         yield Fault(f"{key}.attempts", f"is {attempts}; allowed is 1 to {MAX_ATTEMPTS}")
+    if not fits_int64(route.priority):
+        yield Fault(f"{key}.priority", OUT_OF_RANGE)
 
 
 def new_reference_faults(
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -16,7 +16,7 @@
     Target,
     TrafficPolicy,
 )
-from cowslipvane.types import ServiceName
+from cowslipvane.types import MAX_INT64, MIN_INT64, ServiceName
 
 _VERSION_DIGITS = 8
 _HEXADECIMAL = 16
@@ -93,10 +93,15 @@
         attempts=min(max(int(action["attempts"]), 1), MAX_ATTEMPTS),
         timeout=_seconds(action["timeout_s"]),
         goal=None if goal is None else _seconds(goal),
-        priority=int(rule.get("priority", 0)),
+        priority=_rank(rule.get("priority", 0)),
     )
 
 
+def _rank(value: Any) -> int:
+    """Return the rank of a route, the lowest or highest that there is for one beyond it."""
+    return min(max(int(value), MIN_INT64), MAX_INT64)
+
+
 def _targets(action: dict[str, Any]) -> tuple[Target, ...]:
     """Return the target services of a route, one or several by weight."""
     clusters = action.get("weighted_clusters")
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from cowslipvane.catalogue import Change, Outcome
+from cowslipvane.catalogue import Change, Invalid, Outcome, change_faults
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
 from cowslipvane.replica import (
@@ -172,7 +172,7 @@
         known = self._replica.catalogue.outcome(change.operation_id)
         if known is not None:
             return known
-        refused = self._replica.catalogue.evaluate(change) if self.holds_lease else None
+        refused = self._evaluate(change)
         if refused is not None:
             return refused
         index = self._replica.propose(change, stamped_at=time.time())
@@ -193,6 +193,14 @@
             await self._changed.wait(deadline - lease_now())
         return Unknown()
 
+    def _evaluate(self, change: Change) -> Outcome | None:
+        """Return why a change is refused as far as it is known here, None if it may be accepted."""
+        if self.holds_lease:
+            return self._replica.catalogue.evaluate(change)
+        # Without the lease the resources here may be outdated.
+        faults = change_faults(change)
+        return Invalid(faults=tuple(faults)) if faults else None
+
     async def change_group(
         self, change: GroupChange
     ) -> GroupChanged | GroupChangeRefused | NotLeader | Unknown:
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -19,10 +19,17 @@
 
 NO_VERSION = Version(0)
 MAX_PORT = 65_535
+_INT64_LIMIT = 1 << 63
+MIN_INT64, MAX_INT64 = -_INT64_LIMIT, _INT64_LIMIT - 1
 _PORT = re.compile(r"[0-9]{1,9}")
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 
+def fits_int64(number: int) -> bool:
+    """Return whether a whole number fits into 64 bits, as all in messages and journals do."""
+    return MIN_INT64 <= number <= MAX_INT64
+
+
 class Address(NamedTuple):
     """An IP address and a port."""
 
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -12,11 +12,10 @@
 import cbor2
 from cattrs import BaseConverter, Converter
 
-from cowslipvane.types import Digest
+from cowslipvane.types import Digest, fits_int64
 
 Message = Any
 T = TypeVar("T")
-_INT64_LIMIT = 1 << 63
 _UINT128_LIMIT = 1 << 128
 # In place of the class name, this marks a message that is sent compressed.
 _COMPRESSED_TAG = "compressed"
@@ -48,7 +47,7 @@
         # NaN is unordered: one such deadline would corrupt the event loop's heap of timers.
         if kind is float and not math.isfinite(value):
             raise Malformed("found a number that is not finite")
-        if kind is int and not -_INT64_LIMIT <= value < _INT64_LIMIT:
+        if kind is int and not fits_int64(value):
             raise Malformed("found an integer of more than 64 bits")
         return kind(value)
 
