Say why a replica doesn't start when it can't read a record

Change: such a folder is refused as FolderUnreadable, with the event and a sentence that says what to do. It isn't set aside as a damaged one, since its bytes are what was written and may have been acknowledged. The exceptions of the folder have one base class, so that the places that report them don't list them.

test_an_unreadable_record_is_told_and_kept (before: Malformed, no event). tests.test_recovery, test_journal, test_power_loss: 30 passed.

--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -10,7 +10,7 @@
 from cowslipvane.client import Client, Unreachable
 from cowslipvane.commands._errors import CommandFailed, open_client
 from cowslipvane.settings import Settings, TokenFault, load
-from cowslipvane.storage import FolderBusy, FolderDamaged, FolderEmpty
+from cowslipvane.storage import FolderRefused
 from cowslipvane.types import Seconds
 
 # Time between status requests to a process that is being drained.
@@ -31,7 +31,7 @@
     """Run a daemon until it is stopped; raise CommandFailed if it can't start."""
     try:
         asyncio.run(_run(settings))
-    except (FolderBusy, FolderDamaged, FolderEmpty) as error:
+    except FolderRefused as error:
         raise CommandFailed(str(error)) from error
     except TokenFault as error:
         raise CommandFailed(str(error)) from error
--- a/cowslipvane/storage/__init__.py
+++ b/cowslipvane/storage/__init__.py
@@ -5,6 +5,8 @@
     FolderBusy,
     FolderDamaged,
     FolderEmpty,
+    FolderRefused,
+    FolderUnreadable,
     Identity,
 )
 from cowslipvane.storage._journal import FileJournal, JournalFailed
@@ -15,6 +17,8 @@
     "FolderBusy",
     "FolderDamaged",
     "FolderEmpty",
+    "FolderRefused",
+    "FolderUnreadable",
     "Identity",
     "JournalFailed",
 ]
--- a/cowslipvane/storage/_folder.py
+++ b/cowslipvane/storage/_folder.py
@@ -14,18 +14,26 @@
 from cowslipvane.wire import decode_as, encode_untagged
 
 
-class FolderBusy(Exception):
+class FolderRefused(Exception):
+    """The data folder can't be used; the text tells why and what to do."""
+
+
+class FolderBusy(FolderRefused):
     """The data folder is in use by another process, or already belongs to a group."""
 
 
-class FolderEmpty(Exception):
+class FolderEmpty(FolderRefused):
     """The data folder was never created as part of a group."""
 
 
-class FolderDamaged(Exception):
+class FolderDamaged(FolderRefused):
     """A file of the data folder is missing, or its content isn't what was written."""
 
 
+class FolderUnreadable(FolderRefused):
+    """A file of the data folder is whole, but this build can't read what it holds."""
+
+
 class Identity(NamedTuple):
     """The replica that the data folder belongs to, and the founders of its group."""
 
--- a/cowslipvane/storage/_journal.py
+++ b/cowslipvane/storage/_journal.py
@@ -19,8 +19,13 @@
 from typing import BinaryIO, NamedTuple
 
 from cowslipvane.replica import Ballot, Entry, JournalFull, LogSnapshot, Recovered
-from cowslipvane.storage._folder import FolderDamaged, sync_folder, write_file_atomically
-from cowslipvane.wire import decode_as, encode_untagged
+from cowslipvane.storage._folder import (
+    FolderDamaged,
+    FolderUnreadable,
+    sync_folder,
+    write_file_atomically,
+)
+from cowslipvane.wire import Malformed, decode_as, encode_untagged
 
 # A record is the length and CRC-32 of its body, then the body: a letter for the kind, and CBOR.
 _HEADER = struct.Struct(">II")
@@ -83,8 +88,19 @@
         """Read the snapshot and the journal, truncate an incomplete last record, and sync the rest.
 
         A process that was killed between a write and its sync leaves records that the next power
-        loss can take, and the replica relies on everything that is recovered.
+        loss can take, and the replica relies on everything that is recovered. Raise FolderDamaged
+        if bytes have changed, and FolderUnreadable if a whole record has no known meaning.
         """
+        try:
+            return self._recover()
+        except Malformed as error:
+            raise FolderUnreadable(
+                f"{self._path} holds a record that this build can't read ({error}); start the"
+                " build that wrote it, or replace this replica"
+            ) from error
+
+    def _recover(self) -> Recovered:
+        """Return the state that recover reads."""
         snapshot = self._recover_snapshot()
         ballot = Ballot(0, None)
         entries: list[Entry] = []
--- a/cowslipvane/tasks/_recovery.py
+++ b/cowslipvane/tasks/_recovery.py
@@ -12,9 +12,8 @@
 from cowslipvane.storage import (
     DataFolder,
     FileJournal,
-    FolderBusy,
     FolderDamaged,
-    FolderEmpty,
+    FolderRefused,
     Identity,
 )
 from cowslipvane.tasks._joining import new_identity
@@ -32,7 +31,7 @@
     """Open the data folder and recover its state; record and raise why it can't be used."""
     try:
         return _open(settings, events, stack)
-    except (FolderBusy, FolderDamaged, FolderEmpty) as error:
+    except FolderRefused as error:
         fault = type(error).__name__
         events.record("folder-refused", folder=settings.data_folder, fault=fault, reason=str(error))
         # The process is about to end, so no task will write the event.
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,7 +8,13 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.replica import Ballot, Entry, Noop, Recovered
 from cowslipvane.settings import Formation, Listen, Settings
-from cowslipvane.storage import DataFolder, FolderBusy, FolderDamaged, FolderEmpty
+from cowslipvane.storage import (
+    DataFolder,
+    FolderBusy,
+    FolderDamaged,
+    FolderEmpty,
+    FolderUnreadable,
+)
 from cowslipvane.tasks._recovery import OpenReplica, open_replica
 from cowslipvane.types import Address, DataCentre, HostName
 
@@ -100,6 +106,23 @@
         }
         self.assertEqual(self.last_event(), ("folder-refused", detail))
 
+    # Guards against processes that end at each start without a line in their log.
+    async def test_an_unreadable_record_is_told_and_kept(self) -> None:
+        """Its bytes are as they were written, so another build may still read them."""
+        await self.write_entries()
+        path = self.folder / "journal"
+        entry = Entry(4, 2**64, Noop(), 1.0)
+        with ExitStack() as stack:
+            journal = open_replica(self.settings(), self.events, stack).journal
+            journal.record_entries((entry,))
+            await journal.sync()
+        written = path.read_bytes()
+        with self.assertRaises(FolderUnreadable):
+            self.open()
+        kind, detail = self.last_event()
+        self.assertEqual((kind, detail["fault"]), ("folder-refused", "FolderUnreadable"))
+        self.assertEqual(path.read_bytes(), written)
+
 
 class DamageTest(RecoveryTestCase):
     """Data folders that are damaged."""
