Bound a message of log entries by their memory, not by their number of resources

Cause: a message to a follower carries up to 200 entries, bounded by the resources that they change. A release is one resource, and holds all of its document's text if nothing of the one before it can be used again. Above 16 MiB the follower refuses the message and closes the connection; the leader connects and sends the same again, for ever.

Evidence: the follower's events, 'malformed: no known message: incomplete, or over bytes', once for each connection of the leader; a message for 50 missed documents of 0.3 MB has 15,005,721 bytes (test, before).

Change: a message carries the entries that take up to 400 KiB in memory, or one larger entry. That replaces the limit of 500 resources, since so many take about as much.

Why it works: an entry is at most as large as the operators' listener lets in, so no message comes near 16 MiB, however long the follower was away and whatever the entries hold.

--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -100,6 +100,10 @@
         """Return the entries after an index, up to a limit."""
         return self._log.entries_after(index, limit)
 
+    def entry_bytes(self, index: int) -> int:
+        """Return the memory of the entry at an index, in bytes."""
+        return self._log.size_of(index)
+
     def first_index_of_term(self, index: int) -> int:
         """Return the first index in the log with the same term as the entry at an index."""
         return self._log.first_index_of_term(index)
--- a/cowslipvane/replica/_roles.py
+++ b/cowslipvane/replica/_roles.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cowslipvane.replica._group import Group, Voter
-from cowslipvane.replica._messages import Append, Entry, Install, Noop, Regroup, Write
+from cowslipvane.replica._messages import Append, Entry, Install
 from cowslipvane.replica._replicated_state import ReplicatedState
 from cowslipvane.types import HostName, Seconds
 
@@ -20,9 +20,9 @@
 # is promoted.
 REPLACED_VOTER_TIMEOUT: Seconds = 1.5
 MAX_APPEND_ENTRIES = 200
-# An entry that changes more resources is sent alone, so that a message's size and the time that a
-# member needs for it don't grow with what it lacks.
-MAX_APPEND_RESOURCES = 500
+# A larger entry, by its memory, is sent alone, so that a message's size and the time that a member
+# needs for it don't grow with what it lacks.
+MAX_APPEND_BYTES = 400 << 10
 
 
 @dataclass(slots=True, kw_only=True)
@@ -88,7 +88,7 @@
             leader=leader,
             previous_index=first - 1,
             previous_term=state.term_of(first - 1),
-            entries=_first_entries(state.entries_after(first - 1, MAX_APPEND_ENTRIES)),
+            entries=_next_entries(state, first),
             commit=state.commit_index,
         )
 
@@ -172,23 +172,15 @@
         return state.synced_index if voter.host == own else self.matched_index(voter.host)
 
 
-def _first_entries(entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
-    """Return the first of some entries, as many as one message may carry."""
-    changed = 0
+def _next_entries(state: ReplicatedState, first: int) -> tuple[Entry, ...]:
+    """Return the entries from an index on, as many as one message may carry."""
+    entries = state.entries_after(first - 1, MAX_APPEND_ENTRIES)
+    size = 0
     for count, entry in enumerate(entries):
-        changed += _changed_resources(entry)
-        if count and changed > MAX_APPEND_RESOURCES:
+        size += state.entry_bytes(entry.position)
+        if count and size > MAX_APPEND_BYTES:
             return entries[:count]
     return entries
 
 
-def _changed_resources(entry: Entry) -> int:
-    """Return the number of resources that an entry changes."""
-    match entry.command:
-        case Write(change=change):
-            return len(change.puts) + len(change.deletes)
-        case Noop() | Regroup():
-            return 0
-
-
 Role = Follower | PreCandidate | Candidate | Leader
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,8 +3,18 @@
 import asyncio
 import random
 import unittest
-
-from cowslipvane.catalogue import Accepted, Change, Key, Service, export_state
+from collections.abc import Callable
+from functools import partial
+
+from cowslipvane.catalogue import (
+    Accepted,
+    Change,
+    Key,
+    Release,
+    Service,
+    export_state,
+    release_change,
+)
 from cowslipvane.replica import (
     Add,
     Append,
@@ -45,6 +55,7 @@
 # Their entries together are larger than any message may be.
 LARGE_CHANGES = 200
 NAME_CHARS = 300
+DOCUMENT_CHARS = 300_000
 
 
 def replica_id(host: str) -> ReplicaId:
@@ -147,6 +158,15 @@
     return Change(OperationId(str(version)), Version(version), puts)
 
 
+def document_change(leader: Replica, number: int, *, wide: str = "") -> Change:
+    """Return the next release, whose document shares nothing with the one before it."""
+    document = f"{number} {wide}" + "xy"[number % 2] * DOCUMENT_CHARS
+    release = Release(number=number + 1, based_on=number, document=document)
+    change = release_change(leader.catalogue, release, {})
+    assert isinstance(change, Change)
+    return change
+
+
 class VotingTest(unittest.TestCase):
     """Rules for granting and counting votes."""
 
@@ -448,6 +468,31 @@
             Accepted(version=Version(1), accepted_at=5.0),
         )
 
+    def catch_up(self, change: Callable[[Replica, int], Change], count: int) -> None:
+        """Let a follower catch up with many changes that it has missed, in small messages."""
+        leader, follower = make_replica(), make_replica(B)
+        elect(leader, C, now=2.0)
+        for number in range(count):
+            index = leader.propose(change(leader, number), stamped_at=2.0)
+            assert index is not None
+            leader.record_synced(index)
+            leader.handle_append_reply(matched(C, leader.term, index), sent_at=2.0)
+        self.assertEqual(leader.commit_index, leader.last_index)
+        while follower.last_index < leader.last_index:
+            append = leader.next_message_for(B)
+            assert isinstance(append, Append)
+            self.assertLess(len(encode(append)), MAX_MESSAGE_BYTES / 16)
+            leader.handle_append_reply(follower.handle_append(append, 2.0), sent_at=2.0)
+
+    # Guards against a replica that never catches up with changes that are large by their text, so
+    # that the next lost disk takes the majority.
+    def test_missed_documents_are_sent_in_messages_of_bounded_size(self) -> None:
+        """Each shares nothing with the one before it, and changes a single resource."""
+        for wide in ("", "\N{LATIN SMALL LETTER E WITH ACUTE}", "\N{GRINNING FACE}"):
+            with self.subTest(wide=wide):
+                # No more than a log keeps, at one to four bytes for each character.
+                self.catch_up(partial(document_change, wide=wide), 12 if wide > "\xff" else 50)
+
     # Guards against a replica that never catches up, since what it lacks fits into no message.
     def test_what_a_follower_lacks_is_sent_in_messages_of_bounded_size(self) -> None:
         """Their size doesn't grow with the number of large changes that it has missed."""
