--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -1,17 +1,19 @@
 """The catalogue: resources, the rules that they have to satisfy, and their accepted versions."""
 
 from cowslipvane.catalogue._catalogue import (
-    Accepted,
     AcceptedChange,
     Catalogue,
-    Change,
-    Conflict,
     Delta,
     Effect,
-    Invalid,
-    Outcome,
     Snapshot,
     VersionNotReached,
+)
+from cowslipvane.catalogue._changes import (
+    Accepted,
+    Change,
+    Conflict,
+    Invalid,
+    Outcome,
     change_faults,
 )
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -2,23 +2,30 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import NamedTuple
 
+from cowslipvane.catalogue._changes import (
+    Accepted,
+    Change,
+    Conflict,
+    Invalid,
+    Outcome,
+    change_faults,
+)
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._documents import apply_pieces
+from cowslipvane.catalogue._outcomes import OUTCOME_LIFETIME_SECONDS, Decided, Outcomes
 from cowslipvane.catalogue._resources import (
-    OUT_OF_RANGE,
     Fault,
     Key,
     Release,
     Resource,
     Spec,
     new_reference_faults,
-    spec_faults,
 )
-from cowslipvane.memory_size import memory_size
-from cowslipvane.types import NO_VERSION, Digest, OperationId, Version, fits_int64
+from cowslipvane.catalogue._writers import LastWrite, Writers
+from cowslipvane.sizes import memory_size, message_size
+from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
 
 # Accepted changes that are kept to compute deltas; a proxy that lags further gets a snapshot.
 HISTORY_CHANGES = 1000
@@ -26,47 +33,9 @@
 # above that. A replica with full memory would end, and again after each restart.
 MAX_HISTORY_BYTES = 16 << 20
 
-# How long the outcome of an operation is kept, in seconds by the time stamps of the log.
-OUTCOME_LIFETIME_SECONDS = 24 * 3600.0
-
-
-class Change(NamedTuple):
-    """A change that an operator requests, based on the version that the operator saw."""
-
-    operation_id: OperationId
-    based_on: Version
-    puts: tuple[tuple[Key, Spec], ...]
-    deletes: tuple[Key, ...] = ()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Accepted:
-    """The change was applied and created this version.
-
-    accepted_at is the time stamp of its entry in the log, in seconds of wall time.
-    """
-
-    version: Version
-    accepted_at: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Conflict:
-    """Another change wrote one of the resources after the version this change is based on."""
-
-    key: Key
-    winner: OperationId
-    version: Version
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Invalid:
-    """The change violates rules; no part of it is applied."""
-
-    faults: tuple[Fault, ...]
-
-
-Outcome = Accepted | Conflict | Invalid
+# Size of all resources and their last writers in a snapshot, which a follower takes in one message
+# together with what outcomes and deleted resources take.
+MAX_KEPT_BYTES = 9 << 20
 
 
 class Delta(NamedTuple):
@@ -137,13 +106,14 @@
     def __init__(self) -> None:
         self._version = NO_VERSION
         self._resources: dict[Key, Resource] = {}
-        self._writers: dict[Key, tuple[OperationId, Version]] = {}
-        self._outcomes: dict[OperationId, Outcome] = {}
-        self._decided_at: dict[OperationId, float] = {}
+        self._writers = Writers()
+        self._outcomes = Outcomes()
         self._history: list[HistoryEntry] = []
         self._history_bytes = 0
-        # Caches of derived values: the digest of each resource, the closure of each set of hosts.
+        # Caches of derived values: the digest of each resource and the size of it and its writer,
+        # the closure of each set of hosts.
         self._resource_digests: dict[Key, tuple[Version, int]] = {}
+        self._kept_sizes: dict[Key, tuple[Version, int]] = {}
         self._host_closures: dict[RouteHosts, _HostClosure] = {}
 
     @property
@@ -157,37 +127,32 @@
         return self._resources
 
     @property
-    def writers(self) -> dict[Key, tuple[OperationId, Version]]:
-        """Return the operation that last wrote or deleted each resource, and its version."""
-        return self._writers
+    def writers(self) -> dict[Key, LastWrite]:
+        """Return the last write of each resource, also of those that were deleted lately."""
+        return self._writers.export()
 
     @property
-    def decisions(self) -> dict[OperationId, tuple[Outcome, float]]:
-        """Return the outcomes that are kept and when they were decided, the oldest first."""
-        return {
-            operation_id: (self._outcomes[operation_id], decided_at)
-            for operation_id, decided_at in self._decided_at.items()
-        }
+    def outcomes(self) -> dict[OperationId, Decided]:
+        """Return the outcomes that are kept, the oldest first."""
+        return self._outcomes.export()
 
     def restore(
         self,
         *,
         version: Version,
         resources: dict[Key, Resource],
-        writers: dict[Key, tuple[OperationId, Version]],
-        decisions: dict[OperationId, tuple[Outcome, float]],
+        writers: dict[Key, LastWrite],
+        outcomes: dict[OperationId, Decided],
     ) -> None:
         """Replace the state by that of another catalogue, with an empty history."""
         self._version = version
         self._resources = resources
-        self._writers = writers
-        self._outcomes = {operation_id: outcome for operation_id, (outcome, _) in decisions.items()}
-        self._decided_at = {
-            operation_id: decided_at for operation_id, (_, decided_at) in decisions.items()
-        }
+        self._writers.restore(writers, resources)
+        self._outcomes.restore(outcomes)
         self._history.clear()
         self._history_bytes = 0
         self._resource_digests.clear()
+        self._kept_sizes.clear()
         self._host_closures.clear()
 
     @property
@@ -199,6 +164,21 @@
         """Return the outcome of an operation, None if it is undecided or no longer kept."""
         return self._outcomes.get(operation_id)
 
+    def last_write(self, key: Key) -> LastWrite:
+        """Return the last write of a resource, or of any that may have been the last."""
+        return self._writers.last_write(key)
+
+    def check(self, change: Change) -> Outcome | None:
+        """Return the known outcome or why a change is refused, None if it may be replicated.
+
+        What is in the log already counts even if there is no room for it.
+        """
+        outcome = self.evaluate(change)
+        if outcome is not None:
+            return outcome
+        fault = self._size_fault(change)
+        return None if fault is None else Invalid(faults=(fault,))
+
     def evaluate(self, change: Change) -> Outcome | None:
         """Return the known outcome or the reason for refusing a change, None if acceptable."""
         known = self._outcomes.get(change.operation_id)
@@ -240,25 +220,16 @@
         return {entry.version: entry.accepted_at for entry in self._history}
 
     def apply(self, change: Change, *, accepted_at: float) -> Outcome:
-        """Decide a change, and drop outcomes whose lifetime has passed."""
-        self._drop_outcomes_before(accepted_at - OUTCOME_LIFETIME_SECONDS)
+        """Decide a change, and forget outcomes whose lifetime has passed."""
+        self._outcomes.forget_before(accepted_at - OUTCOME_LIFETIME_SECONDS)
         outcome = self._decide(change, accepted_at=accepted_at)
-        self._decided_at.setdefault(change.operation_id, accepted_at)
+        self._outcomes.record(change.operation_id, Decided(outcome, accepted_at))
         return outcome
 
-    def _drop_outcomes_before(self, cutoff: float) -> None:
-        """Drop the outcomes decided before a time, by the time stamps of the log alone."""
-        while self._decided_at:
-            operation_id, decided_at = next(iter(self._decided_at.items()))
-            if decided_at >= cutoff:
-                return
-            del self._decided_at[operation_id], self._outcomes[operation_id]
-
     def _decide(self, change: Change, *, accepted_at: float) -> Outcome:
         """Decide a change and, if it is accepted, apply it as the next version."""
         outcome = self.evaluate(change)
         if outcome is not None:
-            self._outcomes.setdefault(change.operation_id, outcome)
             return outcome
         version = Version(self._version + 1)
         written_keys = _written_keys(change)
@@ -267,10 +238,18 @@
         self._record_history(HistoryEntry(version, accepted_at, change.operation_id, before, size))
         self._resources = self._resources_after(change, version)
         self._version = version
-        self._writers.update((key, (change.operation_id, version)) for key in written_keys)
-        accepted = Accepted(version=version, accepted_at=accepted_at)
-        self._outcomes[change.operation_id] = accepted
-        return accepted
+        self._record_writes(written_keys, LastWrite(change.operation_id, version))
+        return Accepted(version=version, accepted_at=accepted_at)
+
+    def _record_writes(self, keys: frozenset[Key], write: LastWrite) -> None:
+        """Record the writer of resources, and drop the cached values of those that it deleted."""
+        for key in sorted(keys):
+            if key in self._resources:
+                self._writers.record_put(key, write)
+                continue
+            self._writers.record_delete(key, write)
+            self._resource_digests.pop(key, None)
+            self._kept_sizes.pop(key, None)
 
     def _record_history(self, entry: HistoryEntry) -> None:
         """Add a change to the history, and drop the oldest changes above its limits."""
@@ -349,10 +328,33 @@
             self._resource_digests[resource.key] = resource.version, digest
         return digest
 
+    def _size_fault(self, change: Change) -> Fault | None:
+        """Return the fault of a change after which the resources would take too much room."""
+        before = sum(self._kept_size(key) for key in self._resources)
+        after = before + sum(
+            message_size((key, self._with_document(key, spec), self._version, key))
+            + message_size((change.operation_id, self._version))
+            for key, spec in change.puts
+        )
+        after -= sum(self._kept_size(key) for key in _written_keys(change) & self._resources.keys())
+        if after <= max(before, MAX_KEPT_BYTES):
+            return None
+        limit = f"{MAX_KEPT_BYTES} bytes"
+        return Fault("resources", f"would take {after} bytes in all; allowed are {limit}")
+
+    def _kept_size(self, key: Key) -> int:
+        """Return the size of a resource and its writer in a snapshot."""
+        resource = self._resources[key]
+        version, size = self._kept_sizes.get(key, (NO_VERSION, 0))
+        if version != resource.version:
+            size = message_size((*resource, key, self._writers.last_write(key)))
+            self._kept_sizes[key] = resource.version, size
+        return size
+
     def _conflict(self, change: Change) -> Conflict | None:
         """Return the first conflict of a change with a version later than its base."""
         for key in sorted(_written_keys(change)):
-            winner, version = self._writers.get(key, (OperationId(""), NO_VERSION))
+            winner, version = self._writers.last_write(key)
             if version > change.based_on:
                 return Conflict(key=key, winner=winner, version=version)
         return None
@@ -377,14 +379,6 @@
                 return spec
 
 
-def change_faults(change: Change) -> list[Fault]:
-    """Return the faults that a change has by itself, whatever resources it is applied to."""
-    faults = [fault for key, spec in change.puts for fault in spec_faults(key, spec)]
-    if not fits_int64(change.based_on):
-        faults.append(Fault("based_on", OUT_OF_RANGE))
-    return faults
-
-
 def _written_keys(change: Change) -> frozenset[Key]:
     """Return the keys that a change writes or deletes."""
     return frozenset([key for key, _ in change.puts]) | frozenset(change.deletes)
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -4,10 +4,11 @@
 
 import hashlib
 
-from cowslipvane.catalogue._catalogue import Catalogue, Change, Conflict, Invalid
+from cowslipvane.catalogue._catalogue import Catalogue
+from cowslipvane.catalogue._changes import Change, Conflict, Invalid
 from cowslipvane.catalogue._documents import diff_documents
 from cowslipvane.catalogue._resources import Fault, Key, Release, Spec, Upstream
-from cowslipvane.types import NO_VERSION, OperationId
+from cowslipvane.types import OperationId
 
 RELEASE_KEY = Key("release", "current")
 
@@ -35,7 +36,7 @@
     current = release_in_force(catalogue)
     current_number = current.number if current is not None else 0
     if release.based_on != current_number:
-        winner, version = catalogue.writers.get(RELEASE_KEY, (OperationId(""), NO_VERSION))
+        winner, version = catalogue.last_write(RELEASE_KEY)
         return Conflict(key=RELEASE_KEY, winner=winner, version=version)
     if release.number <= current_number:
         fault = Fault(
--- a/cowslipvane/catalogue/_state.py
+++ b/cowslipvane/catalogue/_state.py
@@ -4,8 +4,11 @@
 
 from typing import NamedTuple
 
-from cowslipvane.catalogue._catalogue import Catalogue, Outcome
+from cowslipvane.catalogue._catalogue import Catalogue
+from cowslipvane.catalogue._changes import Outcome
+from cowslipvane.catalogue._outcomes import Decided
 from cowslipvane.catalogue._resources import Key, Resource
+from cowslipvane.catalogue._writers import LastWrite
 from cowslipvane.types import OperationId, Version
 
 
@@ -39,7 +42,7 @@
     writers = tuple(Writer(key, *writer) for key, writer in catalogue.writers.items())
     decisions = tuple(
         Decision(operation_id, outcome, decided_at)
-        for operation_id, (outcome, decided_at) in catalogue.decisions.items()
+        for operation_id, (outcome, decided_at) in catalogue.outcomes.items()
     )
     resources = tuple(catalogue.resources.values())
     return CatalogueState(catalogue.version, resources, writers, decisions)
@@ -50,9 +53,11 @@
     catalogue.restore(
         version=state.version,
         resources={resource.key: resource for resource in state.resources},
-        writers={writer.key: (writer.operation_id, writer.version) for writer in state.writers},
-        decisions={
-            decision.operation_id: (decision.outcome, decision.decided_at)
+        writers={
+            writer.key: LastWrite(writer.operation_id, writer.version) for writer in state.writers
+        },
+        outcomes={
+            decision.operation_id: Decided(decision.outcome, decision.decided_at)
             for decision in state.decisions
         },
     )
--- a/cowslipvane/replica/_log.py
+++ b/cowslipvane/replica/_log.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from cowslipvane.memory_size import memory_size
 from cowslipvane.replica._messages import Entry
+from cowslipvane.sizes import memory_size
 
 
 class Log:
--- a/cowslipvane/tasks/_releases.py
+++ b/cowslipvane/tasks/_releases.py
@@ -75,9 +75,6 @@
         change = release_change(self._catalogue, release, resources)
         if not isinstance(change, Change):
             return change
-        refused = self._catalogue.evaluate(change)
-        if refused is not None:
-            return refused
         return await self._replication.write(change)
 
     @property
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -196,7 +196,7 @@
     def _evaluate(self, change: Change) -> Outcome | None:
         """Return why a change is refused as far as it is known here, None if it may be accepted."""
         if self.holds_lease:
-            return self._replica.catalogue.evaluate(change)
+            return self._replica.catalogue.check(change)
         # Without the lease the resources here may be outdated.
         faults = change_faults(change)
         return Invalid(faults=tuple(faults)) if faults else None
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -132,7 +132,7 @@
 
     def _dry_run(self, change: Change) -> web.Response:
         """Return the outcome that a change would have, without running it."""
-        match self._catalogue.evaluate(change):
+        match self._catalogue.check(change):
             case None:
                 effects = [effect_form(effect) for effect in self._catalogue.effects(change)]
                 return web.json_response({"outcome": "valid", "effects": effects})
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -197,7 +197,7 @@
                 winner=winner,
                 version=version,
                 sentence=(
-                    f"not run: {key} was changed by operation {winner} in version {version};"
+                    f"not run: {_conflict_reason(key, winner, version)};"
                     " read it again and base the change on that version"
                 ),
             )
@@ -209,6 +209,13 @@
             )
 
 
+def _conflict_reason(key: Key, winner: OperationId, version: Version) -> str:
+    """Return why a change conflicts with a version."""
+    if winner:
+        return f"{key} was changed by operation {winner} in version {version}"
+    return f"it isn't known any more whether {key} was deleted up to version {version}"
+
+
 def fault_forms(faults: tuple[Fault, ...]) -> list[FaultForm]:
     """Return faults as JSON."""
     return [FaultForm(path=fault.path, message=fault.message) for fault in faults]
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -24,7 +24,7 @@
     new_reference_faults,
     reference_faults,
 )
-from cowslipvane.catalogue._catalogue import OUTCOME_LIFETIME_SECONDS
+from cowslipvane.catalogue._outcomes import OUTCOME_LIFETIME_SECONDS
 from cowslipvane.types import OperationId, ServiceName, Version
 
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,6 @@
 from unittest import mock
 
 from cowslipvane.catalogue import RELEASE_KEY, Catalogue, Change, Release, export_state
-from cowslipvane.memory_size import memory_size
 from cowslipvane.replica import (
     Ballot,
     Entry,
@@ -21,6 +20,7 @@
     Recovered,
     Write,
 )
+from cowslipvane.sizes import memory_size
 from cowslipvane.storage import (
     DataFolder,
     FileJournal,
--- a/tests/test_refused_changes.py
+++ b/tests/test_refused_changes.py
@@ -3,7 +3,7 @@
 import unittest
 
 from cowslipvane.catalogue import Accepted, Change, Conflict, Invalid, Key, Route, Service, Target
-from cowslipvane.memory_size import memory_size
+from cowslipvane.sizes import memory_size
 from cowslipvane.types import NO_VERSION, OperationId, ServiceName, Version
 from tools.single_replica import SingleReplica
 
@@ -32,7 +32,7 @@
     async def test_refused_changes_leave_nothing_behind(self) -> None:
         """Each sender gets the reason all the same, also when it sends the same again."""
         last_index = self.single.replica.last_index
-        size = memory_size(self.catalogue.decisions)
+        size = memory_size(self.catalogue.outcomes)
         for number in range(20):
             for _ in range(2):
                 outcome = await self.single.replication.write(faulty_change(f"invalid-{number}"))
@@ -41,7 +41,7 @@
             late = Change(OperationId(f"late-{number}"), NO_VERSION, ((SERVICE, Service()),))
             self.assertIsInstance(await self.single.replication.write(late), Conflict)
         self.assertEqual(self.single.replica.last_index, last_index)
-        self.assertEqual(memory_size(self.catalogue.decisions), size)
+        self.assertEqual(memory_size(self.catalogue.outcomes), size)
 
     async def test_a_refused_change_can_be_sent_again_once_it_is_valid(self) -> None:
         """Its operation was not run, so its id isn't used up."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -21,7 +21,7 @@
     release_in_force,
 )
 from cowslipvane.catalogue._catalogue import MAX_HISTORY_BYTES
-from cowslipvane.memory_size import memory_size
+from cowslipvane.sizes import memory_size
 from cowslipvane.types import OperationId, ServiceName, Version
 
 SERVICES: dict[Key, Spec] = {Key("service", "a"): Service(), Key("service", "b"): Service()}
