Refuse a host of a configuration that is too long for one

A configuration of 1,048,097 bytes with a host of 500,000 characters and 3,000 routes takes 1,436 MiB at the peak while it is decoded (tracemalloc, without the limit); a host of the platform has 296 MB. It wasn't run against a process with that limit.

Change: a host of more than 1,024 characters is refused as unreadable, the limit that operators' texts have elsewhere. Paths and services are written out for each route, so they can't be repeated like this.

test_a_host_is_not_repeated_without_end failed before (ValueError not raised). tests.test_platform passes.

--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -19,6 +19,7 @@
 from cowslipvane.types import MAX_INT64, MIN_INT64, ServiceName
 
 _VERSION_DIGITS = 8
+_MAX_HOST_CHARACTERS = 1024
 _HEXADECIMAL = 16
 # Requests of all other types, such as non_idempotent and upload, may run once at most.
 _REPEATABLE_TYPE = "idempotent"
@@ -74,7 +75,7 @@
 
 def _routes(listener: dict[str, Any]) -> list[tuple[Key, Spec]]:
     """Return the routes of one host."""
-    host = _text(listener["host"])
+    host = _host(listener["host"])
     return [
         (Key("route", f"{host} {_text(rule['match']['path_prefix'])}"), _route(host, rule))
         for rule in listener["route_rules"]
@@ -130,6 +131,14 @@
     return value
 
 
+def _host(value: Any) -> str:
+    """Return a host; raise ValueError if it is too long for one, since each route repeats it."""
+    host = _text(value)
+    if len(host) > _MAX_HOST_CHARACTERS:
+        raise ValueError(f"found host {host!r:.80}; allowed are {_MAX_HOST_CHARACTERS} characters")
+    return host
+
+
 def _weight(value: Any) -> int:
     """Return a weight; raise ValueError if it isn't a whole number, OverflowError if infinite."""
     if type(value) not in (int, float) or value != int(value):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import copy
 import json
 import math
+import tracemalloc
 import unittest
 from typing import Any
 
@@ -26,6 +27,8 @@
     "listeners": [{"host": "jepu.example", "route_rules": [RULE]}],
     "clusters": [{"name": "wuno", "max_connections": 120}, {"name": "huvo"}],
 }
+# What the platform gives a host that keeps the configuration.
+MEMORY_BYTES = 296 << 20
 ROUTE_KEY = Key("route", "jepu.example /puka/")
 HEARTBEAT: dict[str, Any] = {
     "address": "10.128.0.9:8080",
@@ -117,6 +120,18 @@
             with self.assertRaises(ValueError, msg=body[:80]):
                 decode_configuration(body)
 
+    # Guards against a process that ends at its memory limit because of one configuration of 1 MiB.
+    def test_a_host_is_not_repeated_without_end(self) -> None:
+        """Each route's name holds the host, which the configuration names once."""
+        rules = [RULE | {"match": {"path_prefix": f"/{number}/"}} for number in range(3000)]
+        listeners = [{"host": "h" * 500_000, "route_rules": rules}]
+        body = json.dumps(CONFIGURATION | {"listeners": listeners}).encode()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(ValueError):
+            decode_configuration(body)
+        self.assertLess(tracemalloc.get_traced_memory()[1], MEMORY_BYTES // 3)
+
     def test_a_number_out_of_range_is_refused(self) -> None:
         """An operator would else get 500 for it, and send the same again to every replica."""
         action = CONFIGURATION["listeners"][0]["route_rules"][0]["action"]
