End an owner's queued work before anything is awaited

Cause: what is to be done is read, then other tasks run, then it is done. A draining owner took the queued work out and started a task for each refusal; those run in the next turn of the event loop. A caller who leaves, a deadline that passes, a fence or a lost link in that turn ends the same attempt, and the refusal then finds none: KeyError, which leaves the drain, and the process takes it for a bug and ends at once.

Evidence: KeyError: AttemptId(...) from Attempts.store_part on standard error of each such stop; test_owner_races makes every way to refuse the queue meet every way to end one attempt, in both orders: 18 of 30 raise that KeyError before.

Change: all attempts are ended first, without an await, and the refusals are sent after that, concurrently as before. A task that ends the same attempt later gets the stored refusal, 'not run'.

Why it works: between taking work out of the queue and ending it no other task can run.

Related paths, all with the same change: the stop of the process (drain and exit), a worker that leaves or is silent (Owner.run, where it would have ended a process that nobody stopped), a worker that changes, an upstream that the operator takes out. The same wait was in register_worker, between the retirement of the old slots and the new ones: a second announcement meanwhile left slots that wait for each other (load of 2 slots for 3, no answer), and a worker that left meanwhile came back (2 tests, failed before). It switches workers without an await now.

tests.test_owner_races and tests.test_owner: 27 passed.

--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from contextlib import closing
 from functools import partial
+from typing import NamedTuple
 
 from cowslipvane.admission import Admission, FirstAnswer, Work, request_kind
 from cowslipvane.call import (
@@ -67,6 +68,13 @@
 _ENTRY_LOST = "the connection to its entry proxy was lost"
 
 
+class _DueRefusal(NamedTuple):
+    """The refusal of an attempt that has ended, and where to send it if anybody waits for it."""
+
+    message: Refused
+    reply: SendReply | None
+
+
 class Owner:
     """Controls access to the worker on this host: every request to it passes through here."""
 
@@ -127,7 +135,8 @@
         self._lease_renewed_at = time.monotonic()
         if worker == self._worker or self._draining:
             return
-        await self._retire_slots()
+        # No other task runs until the new slots are in place; the refusals are sent after that.
+        refused = self._retire_slots()
         previous_slots = tuple(self._slots)
         if self._worker is not None and worker.instance != self._worker.instance:
             # The previous instance has ended, so the new one needn't wait for its slots.
@@ -146,6 +155,7 @@
         self._events.record("worker", service=worker.service, address=str(worker.address))
         self._gossip.membership.set_worker(worker, time.monotonic())
         self._gossip.notify_neighbours()
+        await self._send_refusals(refused)
 
     async def handle_announcement(self, announcement: Announcement) -> None:
         """Handle an announcement of a worker, unless a newer one was received earlier."""
@@ -176,14 +186,18 @@
                 due_at = time.monotonic() + interval
                 await asyncio.sleep(interval)
                 self._extend_lease(time.monotonic() - due_at)
-                if self._is_out and self._admission is not None:
-                    await self._refuse_queued(self._admission.clear_queue())
+                await self._refuse_if_out()
                 if self._worker and time.monotonic() > self._lease_renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
                     await self._remove_worker()
         finally:
             await self._stop_slots()
 
+    async def _refuse_if_out(self) -> None:
+        """Refuse all queued work if the operator has taken the upstream out."""
+        if self._is_out and self._admission is not None:
+            await self._send_refusals(self._end_queued(self._admission.clear_queue()))
+
     def _extend_lease(self, stall: Seconds) -> None:
         """Don't count the time in which this process didn't run and read no announcement."""
         self._lease_renewed_at = min(self._lease_renewed_at + stall, time.monotonic())
@@ -257,7 +271,7 @@
         self._gossip.membership.leave("leaving", time.monotonic())
         self._gossip.notify_neighbours()
         self._events.record("leaving")
-        await self._drain_admission()
+        await self._send_refusals(self._drain_admission())
 
     def is_running(self, request_id: str) -> bool:
         """Return whether the local worker is running a request."""
@@ -394,35 +408,50 @@
         if reply is not None:
             await reply(message)
 
-    async def _refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
-        """End an attempt without a complete response."""
+    def _end_refused(self, attempt: AttemptId, refusal: Refusal) -> _DueRefusal:
+        """End an attempt without a complete response, and return the refusal to send for it.
+
+        Nothing is awaited, since another task may end it meanwhile, as when its caller leaves.
+        """
         message = Refused(attempt=attempt, refusal=refusal, load=self.load)
         self._attempts.store_part(attempt, message)
         self._attempts.end(attempt, time.monotonic())
-        reply = self._replies.pop(attempt, None)
-        if reply is not None:
-            await reply(message)
-        self._attempt_ended.send()
+        return _DueRefusal(message, self._replies.pop(attempt, None))
 
-    async def _drain_admission(self) -> None:
-        """Stop the admission, and refuse all queued work as not run."""
-        if self._admission is None:
-            return
-        await self._refuse_queued(self._admission.drain())
+    def _end_all_refused(
+        self, attempts: Iterable[AttemptId], refusal: Refusal
+    ) -> list[_DueRefusal]:
+        """End attempts for the same reason."""
+        return [self._end_refused(attempt, refusal) for attempt in attempts]
 
-    async def _refuse_queued(self, queued: list[Work]) -> None:
-        """Refuse the given work as not run, with Draining."""
+    def _end_queued(self, queued: list[Work]) -> list[_DueRefusal]:
+        """End work that was taken out of the queue as not run."""
         refusal = Draining(service=self._service)
-        await self._refuse_all([work.attempt for work in queued], refusal)
+        return self._end_all_refused([work.attempt for work in queued], refusal)
+
+    async def _refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
+        """End an attempt without a complete response, and send its refusal."""
+        await self._send_refusal(self._end_refused(attempt, refusal))
+
+    async def _send_refusals(self, refusals: Iterable[_DueRefusal]) -> None:
+        """Send refusals concurrently, since a peer that is cut off may stall its reply."""
+        await asyncio.gather(*(self._send_refusal(refusal) for refusal in refusals))
+
+    async def _send_refusal(self, refusal: _DueRefusal) -> None:
+        """Send a refusal to its entry proxy, if that still waits for one."""
+        if refusal.reply is not None:
+            await refusal.reply(refusal.message)
+        self._attempt_ended.send()
 
-    async def _refuse_all(self, attempts: Iterable[AttemptId], refusal: Refusal) -> None:
-        """Refuse attempts concurrently, since a peer that is cut off may stall its reply."""
-        await asyncio.gather(*(self._refuse(attempt, refusal) for attempt in attempts))
+    def _drain_admission(self) -> list[_DueRefusal]:
+        """Stop the admission, and end all queued work as not run."""
+        return [] if self._admission is None else self._end_queued(self._admission.drain())
 
-    async def _retire_slots(self) -> None:
+    def _retire_slots(self) -> list[_DueRefusal]:
         """Start no more work at the current worker; its slots finish their running requests."""
-        await self._drain_admission()
+        refused = self._drain_admission()
         self._wake_slots(self._work_available)
+        return refused
 
     def _wake_slots(self, work_available: LifoSignal) -> None:
         """Let each slot look for work."""
@@ -434,7 +463,7 @@
         self._worker = None
         self._gossip.membership.set_worker(None, time.monotonic())
         self._gossip.notify_neighbours()
-        await self._retire_slots()
+        await self._send_refusals(self._retire_slots())
 
     async def _stop_slots(self) -> None:
         """Cancel the tasks of the slots and the requests that they run.
@@ -443,13 +472,13 @@
         its attempt was never started.
         """
         self._draining = True
-        await self._drain_admission()
+        await self._send_refusals(self._drain_admission())
         slots, self._slots = self._slots, []
         for slot in slots:
             slot.cancel()
         await asyncio.gather(*slots, return_exceptions=True)
         refusal = UpstreamLost(service=self._service, verdict=Verdict.MAY_HAVE_RUN)
-        await self._refuse_all(self._attempts.in_flight, refusal)
+        await self._send_refusals(self._end_all_refused(self._attempts.in_flight, refusal))
 
     async def _serve_slot(
         self,
