Bound what waits of all responses for callers who don't read

Reported by operators of systems like ours: a faulty worker sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients on it ended too.

Whether it can happen here: yes, in bodies, if the worker is beside another host and its callers don't read. Each such response was given up at 8 MiB, but nothing bounded them together, and what waited was kept until its caller read on. test_endless_bytes runs real processes with a worker that sends a head, a body without a length, with one, or in chunks, all without end, to 40 callers who read or who don't, beside that host or on another one, and requests of others meanwhile.

Cause: a limit for each connection where many share one memory. The link of an owner isn't held back for one slow caller, since that would hold up the others.

Change: the mailboxes of a process share 32 MiB. Beyond that the response of which most waits is given up: what waits is dropped, its caller gets a refusal or a reset, and its owner is told to stop at once, so that it doesn't fill the link until the deadline. From 16 MiB on the local owner waits for each part to be taken. Nothing is refused that hasn't begun.

--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 
 from cowslipvane.call import (
     Answer,
@@ -35,7 +36,7 @@
 from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._mailbox import LinkLost, Mailbox
+from cowslipvane.tasks._mailbox import LinkLost, Mailbox, UnreadResponses
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers
 from cowslipvane.types import Seconds, Verdict
@@ -85,6 +86,9 @@
         # The timeouts of the attempts that have no response yet.
         self._timeouts: set[asyncio.Timeout] = set()
         self._is_leaving = False
+        self._unread = UnreadResponses()
+        # Tasks that cancel attempts at owners whose responses were given up.
+        self._cancellations: set[asyncio.Task[None]] = set()
 
     async def dispatch(self, call: Call) -> StartedResponse | Refusal:
         """Return the start of the response, or the refusal of the last attempt.
@@ -127,13 +131,16 @@
         """Cancel an attempt at its owner, because the rest of its response isn't needed."""
         owner, attempt = started.owner, started.answer.attempt
         started.mailbox.close()
-        await self._send(owner, Cancel(attempt=attempt, incarnation=owner.incarnation), None)
+        await self._cancel(owner, attempt)
 
     async def next_part(self, call: Call, started: StartedResponse) -> Chunk | Refusal:
         """Return the next part of a response, or the refusal that it breaks with."""
         match await started.mailbox.get():
             case Chunk() as part:
                 return part
+            case broken:
+                started.mailbox.close()
+        match broken:
             case Refused(refusal=refusal):
                 return refusal
             case LinkLost():
@@ -212,12 +219,16 @@
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
             number=str(len(call.tried_hosts)),
         )
-        mailbox = Mailbox(service=call.rules.service)
+        mailbox = Mailbox(
+            service=call.rules.service,
+            unread=self._unread,
+            on_give_up=partial(self._start_cancel, owner, attempt),
+        )
         self._chooser.begin(owner.host)
         started_at = time.monotonic()
         load: Load | None = None
         result = AttemptResult.ABANDONED
-        replied = False
+        replied = started = False
         try:
             first = await self._first_message(call, owner, attempt, mailbox)
             replied = True
@@ -225,6 +236,7 @@
                 case Answer(status=status, load=load):
                     result = AttemptResult.ANSWERED
                     self._record_verdict(call, owner, Verdict.RAN, str(status))
+                    started = True
                     return StartedResponse(answer=first, owner=owner, mailbox=mailbox)
                 case Refused(refusal=refusal, load=load):
                     result = AttemptResult.of_refusal(refusal)
@@ -243,10 +255,20 @@
             if load is not None:
                 call.record_load(load)
             self._chooser.end(owner.host, result, load, now - started_at, now)
-            if not replied:
+            if not started:
                 mailbox.close()
-                cancel = Cancel(attempt=attempt, incarnation=owner.incarnation)
-                await self._send(owner, cancel, None)
+            if not replied:
+                await self._cancel(owner, attempt)
+
+    def _start_cancel(self, owner: Member, attempt: AttemptId) -> None:
+        """Start to cancel an attempt whose response is given up, without waiting for its owner."""
+        task = asyncio.create_task(self._cancel(owner, attempt))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+    async def _cancel(self, owner: Member, attempt: AttemptId) -> None:
+        """Cancel an attempt at its owner, whose verdict isn't needed."""
+        await self._send(owner, Cancel(attempt=attempt, incarnation=owner.incarnation), None)
 
     def _record_verdict(self, call: Call, owner: Member, verdict: Verdict, outcome: str) -> None:
         """Record whether an attempt ran, with the response's status or the refusal's code."""
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -8,17 +8,17 @@
 
 from websockets.asyncio.server import ServerConnection, serve
 
-from cowslipvane.call import Call, Chunk, Request
+from cowslipvane.call import AttemptId, Call, Chunk, Refused, Request
 from cowslipvane.catalogue import RetryPolicy, TrafficPolicy
 from cowslipvane.membership import Member, Membership, Worker
 from cowslipvane.refusal import AnswerLost
 from cowslipvane.routing import Chooser, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
-from cowslipvane.tasks._mailbox import MAX_UNREAD_BYTES
+from cowslipvane.tasks._mailbox import MAX_UNREAD_BYTES, Mailbox, UnreadResponses
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import Peers, serve_calls
-from cowslipvane.types import Address, RequestId
+from cowslipvane.types import Address, HostName, RequestId
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 from tests.endless_worker import Endless, Heartbeat, Sender
 from tests.test_owner import CENTRE, NOWHERE, SERVICE, events, make_owner, member, stop
@@ -28,6 +28,8 @@
 MAX_PART_BYTES = 1 << 20
 UNREAD_TIME_S = 0.5
 TIMEOUT_S = 5.0
+PART_BYTES = 1000
+ATTEMPT = AttemptId(HostName("a"), 1, 1)
 # What waits in the mailbox, in the buffers of the sockets and in the parser.
 MAX_MEMORY_GROWTH_BYTES = 32 << 20
 
@@ -164,5 +166,77 @@
         await asyncio.wait_for(self.sender.closed.wait(), UNREAD_TIME_S)
 
 
+class UnreadResponsesTest(unittest.IsolatedAsyncioTestCase):
+    """The limit on what waits in all mailboxes of a process."""
+
+    async def asyncSetUp(self) -> None:
+        """Share a limit of ten parts among some mailboxes."""
+        self.unread = UnreadResponses(max_bytes=10 * PART_BYTES)
+        self.given_up: list[str] = []
+
+    def mailbox(self, name: str) -> Mailbox:
+        """Return a mailbox whose end is recorded."""
+        return Mailbox(
+            service=SERVICE, unread=self.unread, on_give_up=lambda: self.given_up.append(name)
+        )
+
+    def put(self, mailbox: Mailbox, count: int) -> None:
+        """Put parts into a mailbox, after which more will come."""
+        for _ in range(count):
+            mailbox.put_nowait(Chunk(attempt=ATTEMPT, body=bytes(PART_BYTES), more=True))
+
+    async def test_the_largest_is_given_up_and_the_others_stay_whole(self) -> None:
+        """Its caller gets a refusal at once, and what waited of it is dropped."""
+        small, large = self.mailbox("small"), self.mailbox("large")
+        self.put(small, 3)
+        self.put(large, 7)
+        self.assertEqual(self.given_up, [])
+        self.put(small, 1)
+        self.assertEqual(self.given_up, ["large"])
+        self.assertIsInstance(await large.get(), Refused)
+        for _ in range(4):
+            self.assertIsInstance(await small.get(), Chunk)
+        self.put(large, 20)
+        self.assertEqual(self.given_up, ["large"])
+
+    # Guards against sound responses that are given up for good, since what nobody reads any more
+    # was still counted.
+    async def test_what_was_taken_or_dropped_counts_no_more(self) -> None:
+        """Many responses come and go, some of them closed, others given up."""
+        for number in range(30):
+            taken, closed, given_up = (self.mailbox("") for _ in range(3))
+            self.put(taken, 2)
+            self.put(closed, 3)
+            self.put(given_up, 4)
+            closed.close()
+            self.put(closed, 3)
+            given_up.give_up()
+            for _ in range(2):
+                self.assertIsInstance(await taken.get(), Chunk)
+            self.assertEqual(len(self.given_up), number + 1)
+        self.assertFalse(self.unread.are_many)
+
+    async def test_local_owner_waits_while_much_waits(self) -> None:
+        """A response of the host's own worker is held back, and not given up."""
+        other, local = self.mailbox("other"), self.mailbox("local")
+        self.put(other, 6)
+        part = Chunk(attempt=ATTEMPT, body=bytes(PART_BYTES), more=True)
+        putting = asyncio.create_task(local.put(part))
+        await asyncio.sleep(0.01)
+        self.assertFalse(putting.done())
+        self.assertIsInstance(await local.get(), Chunk)
+        await asyncio.wait_for(putting, TIMEOUT_S)
+        self.assertEqual(self.given_up, [])
+
+    async def test_a_waiting_reader_gets_the_refusal(self) -> None:
+        """It is woken by a part that is dropped before it runs."""
+        mailbox = self.mailbox("read")
+        reading = asyncio.create_task(mailbox.get())
+        await asyncio.sleep(0)
+        self.put(mailbox, 1)
+        mailbox.give_up()
+        self.assertIsInstance(await asyncio.wait_for(reading, TIMEOUT_S), Refused)
+
+
 if __name__ == "__main__":
     unittest.main()
