Bound what is held back of all responses together

Callers who pipeline requests at a worker that sends bytes without end take 1 MiB each.

Change: all connections hold back 16 MiB together; beyond that a response is sent as it arrives, as one of over 1 MiB is. It counts until it was sent or its caller is gone, as request bodies do. No call is refused for it.

--- a/cowslipvane/call/_byte_limit.py
+++ b/cowslipvane/call/_byte_limit.py
@@ -10,6 +10,11 @@
         self._max_bytes = max_bytes
         self._held_bytes = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much is held."""
+        return self._held_bytes
+
     @property
     def is_exceeded(self) -> bool:
         """Return whether more is held than the limit."""
--- a/cowslipvane/call/_exchange.py
+++ b/cowslipvane/call/_exchange.py
@@ -22,7 +22,8 @@
     """One request of a caller and its response.
 
     call is None before the request is routed. has_ended means that an event tells how it ended.
-    body_bytes is the part of the request's body that has been received.
+    body_bytes is the part of the request's body that has been received, held_bytes the part of the
+    response's that is held back for requests behind it.
     """
 
     request_id: RequestId
@@ -30,6 +31,7 @@
     target: str
     call: Call | None = None
     body_bytes: int = 0
+    held_bytes: int = 0
     response_begun: bool = False
     has_ended: bool = False
 
--- a/cowslipvane/tasks/_callers.py
+++ b/cowslipvane/tasks/_callers.py
@@ -9,6 +9,7 @@
 import uuid
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
@@ -16,6 +17,7 @@
 
 from cowslipvane.call import (
     DEFAULT_HEADER_NAMES,
+    ByteLimit,
     Call,
     Chunk,
     ClosedByCaller,
@@ -77,6 +79,8 @@
 NEWER_VERSION_TIMEOUT: Seconds = 2.0
 # Bytes of a response that are held back until it is complete while other requests wait behind it.
 MAX_HELD_BYTES = 1 << 20
+# Bytes that are held back so of all responses; beyond that a response is sent as it arrives.
+MAX_ALL_HELD_BYTES = 16 << 20
 # Time in which owners say, before the process exits, which calls have not run.
 GIVE_UP_TIMEOUT: Seconds = 0.3
 
@@ -145,6 +149,7 @@
         self._rng = rng
         self._in_flight: set[Exchange] = set()
         self._bodies = RequestBodies()
+        self._held = ByteLimit(max_bytes=MAX_ALL_HELD_BYTES)
         self._call_ended = Signal()
         self._stopping = False
         self._accepts_calls = True
@@ -294,6 +299,8 @@
         """Count a request as ended."""
         self._in_flight.discard(exchange)
         self._bodies.release(exchange)
+        self._held.remove(exchange.held_bytes)
+        exchange.held_bytes = 0
         self._call_ended.send()
 
     def _request_id(self, http: web.BaseRequest) -> RequestId:
@@ -521,12 +528,19 @@
         if is_last_in_progress(http):
             return outcome
         call, exchange = outcome.call, outcome.exchange
-        match await self._dispatcher.hold(call, outcome.started, MAX_HELD_BYTES):
+        may_hold = partial(self._may_hold, exchange)
+        match await self._dispatcher.hold(call, outcome.started, may_hold):
             case StartedResponse() as started:
                 return CallResponse(exchange=exchange, call=call, started=started)
             case refusal:
                 return CallRefusal(exchange=exchange, refusal=refusal)
 
+    def _may_hold(self, exchange: Exchange, size: int) -> bool:
+        """Count the bytes that are held of a response, and return whether more of it may be."""
+        self._held.add(size - exchange.held_bytes)
+        exchange.held_bytes = size
+        return size < MAX_HELD_BYTES and not self._held.is_exceeded
+
     def _whole_response(self, http: web.BaseRequest, outcome: CallResponse) -> web.Response:
         """Return the upstream's response, whose body is complete."""
         answer = outcome.started.answer
--- a/cowslipvane/tasks/_dispatcher.py
+++ b/cowslipvane/tasks/_dispatcher.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -154,16 +154,18 @@
         return asyncio.timeout(call.time_remaining(time.monotonic()) + VERDICT_TIMEOUT)
 
     async def hold(
-        self, call: Call, started: StartedResponse, max_bytes: int
+        self, call: Call, started: StartedResponse, may_hold: Callable[[int], bool]
     ) -> StartedResponse | Refusal:
-        """Return a response with the rest of its body, or with at least max_bytes of it.
+        """Return a response with the rest of its body, or with as much of it as may be held.
+
+        may_hold gets the bytes that are held so far, and returns whether more may be.
 
         If it breaks before, or isn't complete after the deadline, return its refusal.
         """
         body, more = bytearray(started.answer.body), started.answer.more
         try:
             async with self.rest_timeout(call):
-                while more and len(body) < max_bytes:
+                while may_hold(len(body)) and more:
                     match await self.next_part(call, started):
                         case Chunk(body=part, more=more):
                             body += part
--- a/tests/connections_case.py
+++ b/tests/connections_case.py
@@ -11,7 +11,7 @@
 from cowslipvane.refusal import Refusal, UpstreamLost
 from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
 from cowslipvane.tasks._http import HttpListener
-from cowslipvane.tasks._mailbox import Mailbox
+from cowslipvane.tasks._mailbox import Mailbox, UnreadResponses
 from cowslipvane.tasks._pipeline import Prefetcher
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Verdict
 from tests.callers_case import LISTENER, LOAD, OWNER, CallersTestCase
@@ -49,6 +49,7 @@
         self.cancelled: list[str] = []
         self.abandoned = 0
         self._mailboxes: dict[str, Mailbox] = {}
+        self._unread = UnreadResponses()
         self._failures: dict[str, Exception] = {}
 
     def send(self, path: str, *messages: OwnerMessage) -> None:
@@ -92,7 +93,8 @@
 
     def _mailbox(self, path: str) -> Mailbox:
         """Return the mailbox of a path."""
-        return self._mailboxes.setdefault(path, Mailbox(service=ServiceName("stock")))
+        mailbox = Mailbox(service=ServiceName("stock"), unread=self._unread)
+        return self._mailboxes.setdefault(path, mailbox)
 
 
 class ConnectionsTestCase(CallersTestCase):
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -45,6 +45,26 @@
                 await asyncio.sleep(0.001)
         self.assertLess(heartbeat.memory_growth_bytes, MAX_MEMORY_GROWTH_BYTES)
 
+    # Guards against responses that are never held back again, since those that were sent, or whose
+    # callers are gone, still count.
+    async def test_what_was_sent_or_lost_is_not_held(self) -> None:
+        """Half of the callers read their responses, the others leave."""
+        for number in range(2 * PARTS):
+            await self.connect()
+            held, behind = f"/{number}/held", f"/{number}/behind"
+            self.send(held, behind)
+            await self.until_passed_on(2 * (number + 1))
+            self.script.send(held, answer(b"", more=True), *(part() for _ in range(PARTS - 2)))
+            await self.until(lambda: self.callers._held.held_bytes)
+            if number % 2:
+                self.writer.transport.abort()
+            else:
+                self.script.send(held, part(more=False))
+                self.script.send(behind, answer(b"second"))
+                self.assertEqual(len((await self.response())[2]), (PARTS - 1) * len(PART))
+                self.assertEqual((await self.response())[2], b"second")
+            await self.until(lambda: not self.callers._held.held_bytes)
+
 
 if __name__ == "__main__":
     unittest.main()
