Keep the departure of a worker for the successors of its proxy

Cause: that an incarnation has ended was only in the memory of the process that was told (Announcements._ended).

Change: a departure is an entry of the replicas' log (`Depart`), which the proxy has a majority sync before it acknowledges it, and a process asks the leader at its start for all that are kept for its host. It registers a worker at once, as before, and deregisters it if the answer says that it has left. Departure, draining and what a response says of leaving are one fact, so all three are kept; so is that another incarnation replaced one. Without start times a successor that hasn't asked yet can't tell the late announcement of a former worker from a new one; it ends neither then, since the one that goes on announcing itself has to win.

Why it works: the leader's answer under its lease has every departure that was acknowledged before the question, and the log is on the disks of a majority of the core, whoever was killed.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -16,7 +16,7 @@
 from cowslipvane.call import DEFAULT_HEADER_NAMES
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventFile, EventLog, EventStream, HybridClock, Origin
-from cowslipvane.membership import Member, Membership
+from cowslipvane.membership import Announcements, Member, Membership
 from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
 from cowslipvane.routing import Chooser
@@ -24,6 +24,7 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
 from cowslipvane.tasks._debug import debug_form
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._dispatcher import Dispatcher
 from cowslipvane.tasks._event_copies import EventCopies
 from cowslipvane.tasks._front_end import Components, FrontEnd
@@ -312,10 +313,14 @@
         """Build the proxy's components and return their tasks."""
         subscription = Subscription()
         self._subscription = subscription
+        announcements = Announcements(may_have_predecessor=True)
+        departure_keeper = DepartureKeeper(host=self._settings.host, announcements=announcements)
         self._owner = Owner(
             gossip=self._gossip,
             subscription=subscription,
             events=self._events,
+            announcements=announcements,
+            departure_keeper=departure_keeper,
             worker_lease=self._settings.timing.worker_lease,
             header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
@@ -335,6 +340,7 @@
             membership=self._gossip.membership,
             events=self._events,
             rng=self._rng,
+            departure_keeper=departure_keeper,
         )
         self._callers = Callers(
             subscription=subscription,
@@ -347,7 +353,7 @@
             origin_service=self._settings.service,
             header_names=self._header_names,
         )
-        return [self._owner.run(), self._subscriber.run()]
+        return [self._owner.run(), self._subscriber.run(), departure_keeper.run()]
 
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections.abc import Iterable
 from typing import Literal, NamedTuple
 
+from cowslipvane.membership._departures import Departure, Departures
 from cowslipvane.membership._member import Worker
 
 
@@ -20,38 +21,60 @@
     started_at: int
     sequence: int
 
+    @property
+    def departure(self) -> Departure:
+        """Return the departure of this incarnation."""
+        return Departure(self.worker.instance, self.started_at)
+
 
 # Ended worker instances that a host remembers, so that their late announcements are ignored.
 MAX_ENDED_INSTANCES = 64
 
 
 class Announcements:
-    """The newest announcement on one host; ignores late ones and those of earlier incarnations."""
+    """The newest announcement on one host; ignores late ones and those of earlier incarnations.
+
+    may_have_predecessor tells that an earlier process on the host may have been told of departures
+    that aren't known here until learn is called.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_have_predecessor: bool = False) -> None:
         self._newest: Announcement | None = None
-        # The latest start time among the ended incarnations of each instance.
-        self._ended: OrderedDict[str, int] = OrderedDict()
+        self._awaits_predecessors = may_have_predecessor
+        self._ended = Departures(limit=MAX_ENDED_INSTANCES)
+        # The departures that nobody but this process is known to keep.
+        self._unkept = Departures(limit=MAX_ENDED_INSTANCES)
 
     @property
     def newest(self) -> Announcement | None:
         """Return the newest announcement, None before the first."""
         return self._newest
 
+    @property
+    def awaits_predecessors(self) -> bool:
+        """Return whether it isn't known yet which departures earlier processes were told of."""
+        return self._awaits_predecessors
+
+    @property
+    def unkept(self) -> tuple[Departure, ...]:
+        """Return the departures that would be lost with this process, the oldest first."""
+        return self._unkept.all
+
+    def is_kept(self, departure: Departure) -> bool:
+        """Return whether a departure is known here and would outlive this process."""
+        return self._ended.covers(departure) and not self._unkept.covers(departure)
+
     def record(self, announcement: Announcement) -> bool:
         """Store an announcement if it is newer than the current one; return whether it is."""
         current = self._newest
-        instance = announcement.worker.instance
-        if instance in self._ended and announcement.started_at <= self._ended[instance]:
+        if self._ended.covers(announcement.departure):
             return False
         if current is not None and not self._is_newer(announcement, current):
             return False
-        if current is not None and self._incarnation(current) == self._incarnation(announcement):
-            if current.state != "ready":
-                # A worker that is leaving or gone can't become ready again in one incarnation.
-                announcement = announcement._replace(state=current.state)
-        elif current is not None:
-            self._record_end(current.worker.instance, current.started_at)
+        if current is not None:
+            self._end_replaced(current, announcement)
+        if announcement.state != "ready":
+            self._end(announcement.departure)
         self._newest = announcement
         return True
 
@@ -60,9 +83,10 @@
         current = self._newest
         if current is not None and current.worker.instance == instance and current.state == "ready":
             self._newest = current._replace(state="leaving")
+            self._end(current.departure)
 
-    def record_departure(self, instance: str, wall_ms: int) -> bool:
-        """Record that an instance is gone; return whether it was the current one.
+    def departure_of(self, instance: str, wall_ms: int) -> Departure:
+        """Return the departure of an instance that doesn't tell when it started.
 
         After a restart, a process may receive a departure before any announcement of the instance.
         In that case every incarnation that started by wall_ms, the wall time in milliseconds, has
@@ -70,17 +94,62 @@
         """
         current = self._newest
         if current is None or current.worker.instance != instance:
-            self._record_end(instance, wall_ms)
+            return Departure(instance, wall_ms)
+        return current.departure
+
+    def record_departure(self, instance: str, wall_ms: int) -> bool:
+        """Record that an instance is gone; return whether it was the current one."""
+        return self.record_end(self.departure_of(instance, wall_ms))
+
+    def record_end(self, departure: Departure) -> bool:
+        """Record a departure; return whether the current incarnation has ended by it."""
+        self._end(departure)
+        current = self._newest
+        if current is None or current.worker.instance != departure.instance:
             return False
-        self._record_end(instance, current.started_at)
         self._newest = current._replace(state="gone")
         return True
 
-    def _record_end(self, instance: str, started_at: int) -> None:
+    def record_kept(self, departures: Iterable[Departure]) -> None:
+        """Record that departures would outlive this process."""
+        for departure in departures:
+            self._unkept.discard(departure)
+
+    def learn(self, departures: Iterable[Departure]) -> bool:
+        """Take over departures that outlived earlier processes, or that were kept for this one.
+
+        Return whether the current worker was ready and has left by one of them.
+        """
+        self._awaits_predecessors = False
+        for departure in departures:
+            self._ended.add(departure)
+            self._unkept.discard(departure)
+        current = self._newest
+        if current is None or current.state != "ready":
+            return False
+        if not self._ended.covers(current.departure):
+            return False
+        self._newest = current._replace(state="leaving")
+        return True
+
+    def _end(self, departure: Departure) -> None:
         """Remember that the incarnations of an instance up to a start time have ended."""
-        self._ended[instance] = max(started_at, self._ended.pop(instance, 0))
-        if len(self._ended) > MAX_ENDED_INSTANCES:
-            self._ended.popitem(last=False)
+        if not self._ended.covers(departure):
+            self._ended.add(departure)
+            self._unkept.add(departure)
+
+    def _end_replaced(self, current: Announcement, announcement: Announcement) -> None:
+        """Remember that the current incarnation has ended, if another one replaces it.
+
+        Without start times, a late announcement can't be told from that of a new instance before
+        the departures of earlier processes are known; the worker that goes on announcing itself
+        has to win then.
+        """
+        if current.departure == announcement.departure:
+            return
+        if self._awaits_predecessors and announcement.started_at == current.started_at:
+            return
+        self._end(current.departure)
 
     @staticmethod
     def _is_newer(candidate: Announcement, current: Announcement) -> bool:
@@ -93,8 +162,3 @@
             candidate.worker.instance != current.worker.instance
             or candidate.sequence > current.sequence
         )
-
-    @staticmethod
-    def _incarnation(announcement: Announcement) -> tuple[str, int]:
-        """Return what identifies the incarnation of the worker."""
-        return announcement.worker.instance, announcement.started_at
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -33,9 +33,9 @@
     @property
     def fault(self) -> str:
         """Return why the description names no worker to use, or an empty text."""
-        if not _is_name(self.service):
+        if not is_name(self.service):
             return f"found service {self.service!r:.80}; allowed is {_ALLOWED_NAME}"
-        if self.instance and not _is_name(self.instance):
+        if self.instance and not is_name(self.instance):
             return f"found instance {self.instance!r:.80}; allowed is {_ALLOWED_NAME}"
         if not self.address.is_sound:
             return f"found address {self.address!s:.80}; allowed is that of one host"
@@ -89,7 +89,7 @@
         """Return whether other processes can use the record."""
         addresses = [self.peers, self.operators, self.callers]
         return (
-            _is_name(self.host)
+            is_name(self.host)
             and all(address.is_sound for address in addresses if address is not None)
             and 0 <= self.incarnation < MAX_ORDER
             and 0 <= self.counter < MAX_ORDER
@@ -97,7 +97,7 @@
         )
 
 
-def _is_name(text: str) -> bool:
+def is_name(text: str) -> bool:
     """Return whether a text can be used as a name, which has a UTF-8 form."""
     try:
         text.encode()
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -40,6 +40,9 @@
 _READINESS_PATH = "/api/readyz"
 _HEARTBEAT_PATH = "/api/Instances.Heartbeat/"
 _DEREGISTER_PATH = "/api/Instances.Deregister/"
+_NOT_KEPT = (
+    "the worker gets no new work, but no majority of the replicas has recorded it; repeat it"
+)
 
 
 class PlatformFrontEnd:
@@ -102,8 +105,7 @@
                         owner, http, path.removeprefix(_HEARTBEAT_PATH)
                     )
                 case "POST", path if path.startswith(_DEREGISTER_PATH) and owner is not None:
-                    await owner.handle_departure(path.removeprefix(_DEREGISTER_PATH))
-                    return web.Response()
+                    return await self._handle_departure(owner, path.removeprefix(_DEREGISTER_PATH))
                 case _:
                     return web.Response(status=404)
         except web.HTTPRequestEntityTooLarge:
@@ -148,9 +150,17 @@
         self, owner: Owner, http: web.BaseRequest, instance: str
     ) -> web.StreamResponse:
         """Handle a worker's heartbeat."""
-        await owner.handle_announcement(decode_announcement(instance, await http.read()))
+        announcement = decode_announcement(instance, await http.read())
+        if not await owner.handle_announcement(announcement):
+            return _failure(503, _NOT_KEPT)
         return web.json_response({})
 
+    async def _handle_departure(self, owner: Owner, instance: str) -> web.StreamResponse:
+        """Handle a worker's report that it leaves."""
+        if not await owner.handle_departure(instance):
+            return _failure(503, _NOT_KEPT)
+        return web.Response()
+
     def _redirect(self, http: web.BaseRequest, leader: HostName | None) -> web.StreamResponse:
         """Redirect to the leader, or fail so that the sender tries another process."""
         if leader is None or leader == self._address.ip:
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from cowslipvane.membership import Announcement, Worker
+from cowslipvane.membership import MAX_ORDER, Announcement, Worker
 from cowslipvane.types import Address, ServiceName
 
 # Each slot costs tasks and connections, so the number that a worker may announce is limited.
@@ -35,8 +35,8 @@
             worker=worker,
             state="leaving" if phase in _LEAVING_PHASES else "ready",
             # The start of this incarnation of the worker, in milliseconds of Unix time.
-            started_at=_count(form.get("born", 0), 1 << 62, minimum=0),
-            sequence=_count(status["sequence"], 1 << 62, minimum=0),
+            started_at=_count(form.get("born", 0), MAX_ORDER, minimum=0),
+            sequence=_count(status["sequence"], MAX_ORDER, minimum=0),
         )
     except (LookupError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"the heartbeat can't be read: {error!r}") from error
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cowslipvane.catalogue import CatalogueState, Change
+from cowslipvane.membership import HostDepartures
 from cowslipvane.replica._group import Group
 from cowslipvane.types import Address, HostName, Version
 
@@ -29,7 +30,14 @@
     group: Group
 
 
-Command = Noop | Write | Regroup
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Depart:
+    """Entry that records workers of a host that take no new work any more."""
+
+    departures: HostDepartures
+
+
+Command = Noop | Write | Regroup | Depart
 
 
 class Entry(NamedTuple):
@@ -48,6 +56,7 @@
     term: int
     group: Group
     catalogue: CatalogueState
+    departures: tuple[HostDepartures, ...] = ()
 
 
 class Report(NamedTuple):
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -5,6 +5,7 @@
 import random
 
 from cowslipvane.catalogue import Catalogue, Change
+from cowslipvane.membership import DepartureRegister, HostDepartures
 from cowslipvane.replica._election_timer import ElectionTimer
 from cowslipvane.replica._group import (
     UNKNOWN_REPLICA_ID,
@@ -21,6 +22,7 @@
     Append,
     AppendReply,
     Command,
+    Depart,
     Install,
     Noop,
     PreVote,
@@ -125,6 +127,11 @@
         """Return the catalogue after applying the committed log."""
         return self._state.catalogue
 
+    @property
+    def departures(self) -> DepartureRegister:
+        """Return the departures of workers after applying the committed log."""
+        return self._state.departures
+
     @property
     def commit_index(self) -> int:
         """Return the index up to which the log is committed."""
@@ -495,6 +502,12 @@
             return None
         return self._append_command(Write(change=change), stamped_at)
 
+    def propose_departures(self, departures: HostDepartures, *, stamped_at: float) -> int | None:
+        """Append departures and return their index, or None as for a change."""
+        if not isinstance(self._role, Leader) or self._is_stopping:
+            return None
+        return self._append_command(Depart(departures=departures), stamped_at)
+
     def record_synced(self, index: int) -> None:
         """Record that this replica's own log is synced up to an index."""
         self._state.record_synced(index)
--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -1,16 +1,25 @@
-"""The log of a replica, and the group and the catalogue that result from it."""
+"""The log of a replica, and the group, the catalogue and the departures that result from it."""
 
 from __future__ import annotations
 
 from cowslipvane.catalogue import Catalogue, export_state, import_state
+from cowslipvane.membership import DepartureRegister
 from cowslipvane.replica._group import Group, GroupHistory, Voter
 from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._log import Log
-from cowslipvane.replica._messages import Command, Entry, LogSnapshot, Noop, Regroup, Write
+from cowslipvane.replica._messages import (
+    Command,
+    Depart,
+    Entry,
+    LogSnapshot,
+    Noop,
+    Regroup,
+    Write,
+)
 
 
 class ReplicatedState:
-    """Log, group and catalogue, kept consistent with each other and with the journal."""
+    """Log, group, catalogue and departures, consistent with each other and with the journal."""
 
     def __init__(
         self,
@@ -29,6 +38,8 @@
             0, 0, Group(founders), export_state(self._catalogue)
         )
         import_state(self._catalogue, base.catalogue)
+        self._departures = DepartureRegister()
+        self._departures.restore(base.departures)
         self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
         self._groups = GroupHistory(index=base.position, group=base.group)
         self._record_groups(recovered.entries)
@@ -43,6 +54,11 @@
         """Return the catalogue after applying the committed log."""
         return self._catalogue
 
+    @property
+    def departures(self) -> DepartureRegister:
+        """Return the departures of workers after applying the committed log."""
+        return self._departures
+
     @property
     def group(self) -> Group:
         """Return the group in force, whose entry may be uncommitted."""
@@ -130,6 +146,7 @@
         if snapshot.position <= self._commit_index:
             return
         import_state(self._catalogue, snapshot.catalogue)
+        self._departures.restore(snapshot.departures)
         self._log.compact(snapshot.position, snapshot.term)
         self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
         self._record_groups(self._log.entries_after(snapshot.position))
@@ -139,7 +156,7 @@
         self._record_snapshot(snapshot, ballot)
 
     def commit_to(self, index: int, ballot: Ballot) -> None:
-        """Apply the log to the catalogue up to a committed index, and compact it when it is large.
+        """Apply the log up to a committed index, and compact it when it is large.
 
         Compaction replaces the journal, so the ballot is recorded again.
         """
@@ -160,6 +177,7 @@
             self._log.term_of(self._applied_index),
             self._groups.in_force_at(self._applied_index),
             export_state(self._catalogue),
+            self._departures.export(),
         )
 
     @property
@@ -179,6 +197,8 @@
         match entry.command:
             case Write(change=change):
                 self._catalogue.apply(change, accepted_at=entry.stamped_at)
+            case Depart(departures=departures):
+                self._departures.record(departures)
             case Noop() | Regroup():
                 pass
 
@@ -200,5 +220,5 @@
             match entry.command:
                 case Regroup(group=group):
                     self._groups.add(entry.position, group)
-                case Write() | Noop():
+                case Write() | Depart() | Noop():
                     pass
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot
+from cowslipvane.membership import HostDepartures
 from cowslipvane.replica import Report
 from cowslipvane.types import Address, Seconds, Version
 
@@ -33,6 +34,25 @@
     leader: Address | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeepDepartures:
+    """Requests that departures are kept, and all that are kept for their host.
+
+    There is no response while no leader can be asked. is_forwarded tells that a replica sent it on
+    to the leader.
+    """
+
+    departures: HostDepartures
+    is_forwarded: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeparturesKept:
+    """The leader's response: the departures of a host, with all that were kept before."""
+
+    departures: HostDepartures
+
+
 # The base of a pull that requests no updates, only the number of the newest version.
 WATCH_ONLY = Version(1 << 62)
 # The wait of such a pull, as a multiple of that of others: its heartbeats only show that the
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from contextlib import closing
 from functools import partial
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from cowslipvane.admission import Admission, FirstAnswer, Work, request_kind
 from cowslipvane.call import (
@@ -30,7 +30,7 @@
     SendReply,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.membership import Announcement, Announcements, Worker
+from cowslipvane.membership import Announcement, Announcements, Departure, Worker
 from cowslipvane.refusal import (
     AnswerLost,
     CallerGone,
@@ -45,6 +45,7 @@
 )
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, ResponseHead, WorkerUnreachable
@@ -62,6 +63,8 @@
 OUT_CHECK_INTERVAL: Seconds = 0.25
 # Consecutive failures to connect after which a worker is deregistered.
 MAX_FAILED_CONNECTIONS = 3
+# How long the acknowledgement of a departure waits for refusals, which a slow peer may hold up.
+REFUSALS_TIMEOUT: Seconds = 0.1
 _NO_LOAD = Load(0, 0, 0)
 _NO_SERVICE = ServiceName("")
 _WITHDRAWN = "its entry proxy withdrew it"
@@ -84,13 +87,16 @@
         gossip: Gossip,
         subscription: Subscription,
         events: EventLog,
+        announcements: Announcements,
+        departure_keeper: DepartureKeeper,
         worker_lease: Seconds,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = DEFAULT_LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
         self._header_names = header_names
-        self._announcements = Announcements()
+        self._announcements = announcements
+        self._departure_keeper = departure_keeper
         self._gossip = gossip
         self._subscription = subscription
         self._events = events
@@ -120,6 +126,11 @@
         """Return the load of the upstream."""
         return self._admission.load if self._admission else _NO_LOAD
 
+    @property
+    def announcements(self) -> Announcements:
+        """Return what the worker has announced."""
+        return self._announcements
+
     @property
     def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
@@ -157,20 +168,39 @@
         self._gossip.notify_neighbours()
         await self._send_refusals(refused)
 
-    async def handle_announcement(self, announcement: Announcement) -> None:
-        """Handle an announcement of a worker, unless a newer one was received earlier."""
-        if not self._announcements.record(announcement):
-            return
-        match self._announcements.newest:
-            case Announcement(state="ready", worker=worker):
-                await self.register_worker(worker)
-            case _:
-                await self.deregister_worker()
+    async def handle_announcement(self, announcement: Announcement) -> bool:
+        """Handle an announcement of a worker, unless a newer one was received earlier.
 
-    async def handle_departure(self, instance: str) -> None:
-        """Deregister an instance that reports its end, unless another announced itself since."""
-        if self._announcements.record_departure(instance, time.time_ns() // 1_000_000):
-            await self.deregister_worker()
+        Return whether it may be acknowledged: that a worker leaves, once it would outlive this
+        process.
+        """
+        is_newer = self._announcements.record(announcement)
+        self._departure_keeper.notify()
+        if announcement.state != "ready":
+            return await self._handle_end(announcement.departure, is_current=is_newer)
+        if is_newer:
+            await self.register_worker(announcement.worker)
+        return True
+
+    async def handle_departure(self, instance: str) -> bool:
+        """Deregister an instance that reports its end, unless another announced itself since.
+
+        Return whether it may be acknowledged, as for an announcement; raise ValueError if it names
+        no instance.
+        """
+        departure = self._announcements.departure_of(instance, time.time_ns() // 1_000_000)
+        if not departure.is_sound:
+            raise ValueError(f"the departure names no instance: {departure!r:.200}")
+        is_current = self._announcements.record_end(departure)
+        return await self._handle_end(departure, is_current=is_current)
+
+    async def _handle_end(self, departure: Departure, *, is_current: bool) -> bool:
+        """Deregister the worker if it is the one that ends; return whether the end is kept."""
+        removal = self._start_removal(self.deregister_worker()) if is_current else None
+        is_kept = await self._departure_keeper.wait_until_kept(departure)
+        if removal is not None:
+            await asyncio.wait({removal}, timeout=REFUSALS_TIMEOUT)
+        return is_kept
 
     async def deregister_worker(self) -> None:
         """Deregister the worker because it announced that it is leaving."""
@@ -184,8 +214,9 @@
         try:
             while True:
                 due_at = time.monotonic() + interval
-                await asyncio.sleep(interval)
-                self._extend_lease(time.monotonic() - due_at)
+                await self._departure_keeper.worker_left.wait(interval)
+                self._extend_lease(max(0.0, time.monotonic() - due_at))
+                await self._remove_left()
                 await self._refuse_if_out()
                 if self._worker and time.monotonic() > self._lease_renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
@@ -193,6 +224,12 @@
         finally:
             await self._stop_slots()
 
+    async def _remove_left(self) -> None:
+        """Deregister a worker that has left, as an earlier process of this host was told."""
+        match self._announcements.newest:
+            case Announcement(state="leaving" | "gone", worker=worker) if worker == self._worker:
+                await self.deregister_worker()
+
     async def _refuse_if_out(self) -> None:
         """Refuse all queued work if the operator has taken the upstream out."""
         if self._is_out and self._admission is not None:
@@ -539,10 +576,16 @@
         self._update_rate_limit(admission, work_available, state)
         if state.is_leaving:
             self._announcements.record_leaving(worker.instance)
+            self._departure_keeper.notify()
             # The answer isn't held up by the refusals of queued work.
-            removal = asyncio.create_task(self._remove_leaving(worker))
-            self._removals.add(removal)
-            removal.add_done_callback(self._removals.discard)
+            self._start_removal(self._remove_leaving(worker))
+
+    def _start_removal(self, removal: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Deregister a worker in a task of its own."""
+        task = asyncio.create_task(removal)
+        self._removals.add(task)
+        task.add_done_callback(self._removals.discard)
+        return task
 
     async def _remove_leaving(self, worker: Worker) -> None:
         """Deregister a worker that says it is leaving, unless another one has replaced it."""
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -11,7 +11,7 @@
 
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot, VersionNotReached
 from cowslipvane.membership import Membership
-from cowslipvane.replica import Leader, Report
+from cowslipvane.replica import Report
 from cowslipvane.subscription import (
     WATCH_ONLY,
     WATCH_WAIT_FACTOR,
@@ -19,7 +19,9 @@
     AskLeader,
     ComeAgain,
     Current,
+    DeparturesKept,
     Floor,
+    KeepDepartures,
     Lagging,
     Proxies,
     Pull,
@@ -29,6 +31,7 @@
     ReportsTaken,
     Rollout,
 )
+from cowslipvane.tasks._departure_records import DepartureRecords
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, HostName, Seconds, Version
@@ -37,6 +40,7 @@
 register(AskFloor, AskLeader, ComeAgain, Current, Floor, Lagging)
 register(Pull, PullDelta, PullSnapshot)
 register(Reports, ReportsTaken)
+register(KeepDepartures, DeparturesKept)
 
 # Total size of the snapshots that are being sent, unless it is a single one; further proxies are
 # asked to retry. Each is held in memory until its proxy has received it.
@@ -129,6 +133,7 @@
         self._replication = replication
         self._membership = membership
         self._pull_wait = pull_wait
+        self._departures = DepartureRecords(replication=replication)
         self._accepted = Signal()
         self._reported = Signal()
         self._rollout_changed = Signal()
@@ -187,6 +192,10 @@
                             subscriber.record_pull(pull)
                     case AskFloor(wait=wait):
                         await link.send(await self._resolve_floor(min(wait, MAX_FLOOR_WAIT)))
+                    case KeepDepartures() as request:
+                        kept = await self._departures.keep(request)
+                        if kept is not None:
+                            await link.send(kept)
                     case Reports(reports=reports):
                         for report in reports:
                             self._record_report(report)
@@ -241,7 +250,7 @@
     async def _forward_reports(self) -> None:
         """Forward reports received here to the current leader."""
         while True:
-            leader = self._leader_address()
+            leader = self._replication.leader_address
             if leader is None:
                 await self._replication.changed.wait(LEADER_RETRY_DELAY)
                 continue
@@ -254,7 +263,7 @@
     async def _send_reports(self, link: Link, leader: Address) -> None:
         """Send each report that this leader hasn't confirmed yet, while it is the leader."""
         confirmed: dict[HostName, Report] = {}
-        while self._leader_address() == leader:
+        while self._replication.leader_address == leader:
             reports = dict(self._replication.replica.reports)
             unconfirmed = {
                 host: report for host, report in reports.items() if confirmed.get(host) != report
@@ -297,15 +306,7 @@
         replica = self._replication.replica
         if self._replication.holds_lease:
             return Floor(version=replica.catalogue.version)
-        return AskLeader(leader=self._leader_address())
-
-    def _leader_address(self) -> Address | None:
-        """Return the address of the leader, None if it is unknown or this replica."""
-        replica = self._replication.replica
-        if isinstance(replica.role, Leader):
-            return None
-        addresses = {voter.host: voter.address for voter in replica.group.voters}
-        return addresses.get(replica.leader) if replica.leader else None
+        return AskLeader(leader=self._replication.leader_address)
 
     @property
     def _newest_version(self) -> Version:
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -10,6 +10,7 @@
 from cowslipvane.catalogue import Change, Invalid, Outcome, change_faults
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
+from cowslipvane.membership import HostDepartures
 from cowslipvane.replica import (
     Append,
     AppendReply,
@@ -32,7 +33,7 @@
 )
 from cowslipvane.settings import Timing
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import HostName, ReplicaId, Seconds
+from cowslipvane.types import Address, HostName, ReplicaId, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
 
 register(Append, AppendReply, Install, PreVote, PreVoteReply, Vote, VoteReply)
@@ -122,6 +123,15 @@
         """Return the signal for changes of the log, the commit index or the role."""
         return self._changed
 
+    @property
+    def leader_address(self) -> Address | None:
+        """Return the address of the leader, None if it is unknown or this replica."""
+        replica = self._replica
+        if isinstance(replica.role, Leader):
+            return None
+        addresses = {voter.host: voter.address for voter in replica.group.voters}
+        return addresses.get(replica.leader) if replica.leader else None
+
     @property
     def holds_lease(self) -> bool:
         """Return whether the leader lease is valid, so that no other replica can be leader."""
@@ -210,6 +220,26 @@
             return NotLeader(leader=self._replica.leader)
         if isinstance(index, GroupChangeRefused):
             return index
+        is_accepted = await self._replicate(index)
+        return GroupChanged(group=self._replica.group) if is_accepted else Unknown()
+
+    async def keep_departures(self, departures: HostDepartures) -> HostDepartures | None:
+        """Replicate departures, and return all that are kept for their host.
+
+        Return None if this isn't the leader, or may not be any more: others may be kept then.
+        """
+        host, missing = departures.host, self._replica.departures.missing(departures)
+        if missing:
+            proposed = HostDepartures(host, missing)
+            index = self._replica.propose_departures(proposed, stamped_at=time.time())
+            if index is None or not await self._replicate(index):
+                return None
+        if not self.holds_lease:
+            return None
+        return HostDepartures(host, self._replica.departures.of(host))
+
+    async def _replicate(self, index: int) -> bool:
+        """Return whether a majority syncs the log of this leader up to an index in time."""
         term = self._replica.term
         self._changed.send()
         with suppress(JournalFull):
@@ -218,9 +248,9 @@
         while self._replica.commit_index < index:
             remaining = deadline - lease_now()
             if remaining <= 0 or self._replica.term != term:
-                return Unknown()
+                return False
             await self._changed.wait(remaining)
-        return GroupChanged(group=self._replica.group) if self._replica.term == term else Unknown()
+        return self._replica.term == term
 
     async def hand_over(self) -> None:
         """Prepare for the stop of the process; as leader, transfer leadership to another voter.
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -21,6 +21,7 @@
     Backoff,
     ComeAgain,
     Current,
+    DeparturesKept,
     Floor,
     Lagging,
     Pull,
@@ -29,6 +30,7 @@
     Rejected,
     Subscription,
 )
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, Seconds, Version
 from cowslipvane.wire import CONNECT_TIMEOUT, Link, LinkClosed, Malformed, Reception, connect
@@ -75,7 +77,9 @@
         membership: Membership,
         events: EventLog,
         rng: random.Random,
+        departure_keeper: DepartureKeeper,
     ) -> None:
+        self._departure_keeper = departure_keeper
         self._subscription = subscription
         self._settings = settings
         self._membership = membership
@@ -195,20 +199,30 @@
                 await self._fetch_floor(link)
             replica = _Replica(link, self._membership.is_local(address))
             try:
-                while True:
-                    if self._should_be_active(replica):
-                        self._active = replica
-                    is_active = self._active is replica
-                    await link.send(self._pull(is_active=is_active))
-                    # A replica responds within the wait of a pull, so this detects a dead
-                    # connection.
-                    wait = timing.pull_wait * (1 if is_active else WATCH_WAIT_FACTOR)
-                    response = await link.receive(timeout=wait + timing.silence)
-                    await self._handle_response(response, replica)
+                with self._departure_keeper.using(link):
+                    while True:
+                        if self._should_be_active(replica):
+                            self._active = replica
+                        is_active = self._active is replica
+                        await link.send(self._pull(is_active=is_active))
+                        # A replica responds within the wait of a pull, so this detects a dead
+                        # connection.
+                        wait = timing.pull_wait * (1 if is_active else WATCH_WAIT_FACTOR)
+                        response = await self._receive(link, wait + timing.silence)
+                        await self._handle_response(response, replica)
             finally:
                 if self._active is replica:
                     self._active = None
 
+    async def _receive(self, link: Link, timeout: Seconds) -> object:
+        """Return the next message of a replica about versions, and handle others before it."""
+        while True:
+            match await link.receive(timeout=timeout):
+                case DeparturesKept() as response:
+                    self._departure_keeper.handle(response)
+                case response:
+                    return response
+
     def _should_be_active(self, replica: _Replica) -> bool:
         """Return whether a replica takes over: from none, or from one in another data centre."""
         if self._active is None:
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -142,16 +142,30 @@
     return tuple((name, hints[name]) for name in names)
 
 
+def _required_count(kind: type) -> int:
+    """Return how many fields a record has up to the last one without a default."""
+    if dataclasses.is_dataclass(kind):
+        defaults = [field.default is not dataclasses.MISSING for field in dataclasses.fields(kind)]
+    else:
+        names: tuple[str, ...] = kind._fields  # type: ignore[attr-defined]
+        defaults = [name in kind._field_defaults for name in names]  # type: ignore[attr-defined]
+    return max((index + 1 for index, default in enumerate(defaults) if not default), default=0)
+
+
 def _record_structure_hook(converter: BaseConverter, kind: type) -> Callable[[Any, Any], Any]:
-    """Return a hook that decodes a record from the list of its fields."""
+    """Return a hook that decodes a record from the list of its fields.
+
+    The last fields may be missing if they have defaults, as in what an earlier build has stored.
+    """
     fields = _field_types(kind)
+    required_count = _required_count(kind)
     hooks = tuple((name, field, converter.get_structure_hook(field)) for name, field in fields)
 
     def structure(value: Any, _: Any) -> Any:
-        if not isinstance(value, list | tuple) or len(value) != len(hooks):
+        if not isinstance(value, list | tuple) or not required_count <= len(value) <= len(hooks):
             raise Malformed(f"expected the {len(hooks)} fields of {kind.__name__}")
         values = {
-            name: hook(item, field) for (name, field, hook), item in zip(hooks, value, strict=True)
+            name: hook(item, field) for (name, field, hook), item in zip(hooks, value, strict=False)
         }
         return kind(**values)
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -3,10 +3,23 @@
 import unittest
 from typing import Literal
 
-from cowslipvane.membership import Announcement, Announcements, Worker
-from cowslipvane.types import Address, ServiceName
+from cowslipvane.membership import (
+    MAX_HOST_DEPARTURES,
+    Announcement,
+    Announcements,
+    Departure,
+    DepartureRegister,
+    HostDepartures,
+    Worker,
+)
+from cowslipvane.membership._departures import MAX_DEPARTURE_BYTES
+from cowslipvane.types import Address, HostName, ServiceName
+from cowslipvane.wire import encode_untagged
 
 NOW_MS = 1000
+BORN_MS = 1_796_537_690_892
+# Hosts at the size to design for (docs/CAPACITY.md).
+FLEET = 5_167
 
 
 def announcement(
@@ -71,6 +84,116 @@
         self.assertFalse(self.announcements.record(announcement("a", 0, 10)))
         self.assertEqual(self.instance_and_state(), "b ready")
 
+    def test_announcements_of_one_incarnation_do_not_end_it(self) -> None:
+        """Only another incarnation replaces the current one."""
+        for sequence in (1, 2, 3):
+            self.assertTrue(self.announcements.record(announcement("a", 1, sequence)))
+        self.assertEqual(self.announcements.unkept, ())
+
+
+class SuccessorTest(unittest.TestCase):
+    """What a process learns of the departures that its predecessors acknowledged."""
+
+    def setUp(self) -> None:
+        """Start a successor, which knows nothing yet."""
+        self.announcements = Announcements(may_have_predecessor=True)
+
+    # Guards against a successor that takes a late announcement for new (issue 37, DRAIN).
+    def test_a_late_announcement_counts_until_the_departure_is_learnt(self) -> None:
+        """A sound worker would have to wait otherwise; one that has left is deregistered then."""
+        self.assertTrue(self.announcements.awaits_predecessors)
+        self.assertTrue(self.announcements.record(announcement("a", 1, 5)))
+        self.assertTrue(self.announcements.learn([Departure("a", 1)]))
+        self.assertFalse(self.announcements.awaits_predecessors)
+        self.assertFalse(self.announcements.record(announcement("a", 1, 6)))
+        self.assertTrue(self.announcements.record(announcement("a", 2, 1)))
+
+    def test_learning_what_is_known_deregisters_nobody(self) -> None:
+        """The worker that is ready isn't one of those that have left."""
+        self.announcements.record(announcement("b", 2, 1))
+        self.assertFalse(self.announcements.learn([Departure("a", 1)]))
+        self.assertFalse(self.announcements.learn([Departure("a", 1), Departure("b", 1)]))
+
+    def test_a_departure_is_kept_once_it_is_learnt_back(self) -> None:
+        """What was sent isn't known to be kept before."""
+        self.announcements.record(announcement("a", 1, 1))
+        self.announcements.record_departure("a", NOW_MS)
+        self.assertEqual(self.announcements.unkept, (Departure("a", 1),))
+        self.assertFalse(self.announcements.is_kept(Departure("a", 1)))
+        self.announcements.learn([Departure("a", 1)])
+        self.assertTrue(self.announcements.is_kept(Departure("a", 1)))
+        self.assertFalse(self.announcements.is_kept(Departure("a", 2)))
+
+    # Guards against a sound worker that is never served again: a late announcement of the one
+    # before it, whose start time isn't known, replaced it and ended it for good.
+    def test_a_late_announcement_without_start_time_ends_no_sound_worker(self) -> None:
+        """The worker that goes on announcing itself wins."""
+        self.announcements.record(announcement("b", 0, 1))
+        self.announcements.record(announcement("a", 0, 9))
+        self.assertTrue(self.announcements.record(announcement("b", 0, 2)))
+        self.assertEqual(self.announcements.unkept, ())
+        self.announcements.learn([Departure("a", 0)])
+        self.assertFalse(self.announcements.record(announcement("a", 0, 10)))
+        newest = self.announcements.newest
+        assert newest is not None
+        self.assertEqual((newest.worker.instance, newest.state), ("b", "ready"))
+
+    def test_replaced_instances_are_to_be_kept(self) -> None:
+        """A successor couldn't tell their late announcements from new ones."""
+        self.announcements.learn([])
+        self.announcements.record(announcement("a", 0, 9))
+        self.announcements.record(announcement("b", 0, 1))
+        self.assertEqual(self.announcements.unkept, (Departure("a", 0),))
+
+
+class RegisterTest(unittest.TestCase):
+    """The departures of all hosts, as the replicas keep them."""
+
+    def setUp(self) -> None:
+        """Start with an empty register."""
+        self.register = DepartureRegister()
+
+    def record(self, host: str, *departures: Departure) -> None:
+        """Record departures of a host."""
+        self.register.record(HostDepartures(HostName(host), departures))
+
+    def test_the_newest_departures_of_a_host_are_kept(self) -> None:
+        """A later one of an instance takes the place of the earlier one."""
+        for number in range(MAX_HOST_DEPARTURES + 3):
+            self.record("p", Departure(f"i-{number}", number))
+        self.record("p", Departure("i-5", 100), Departure("i-5", 99))
+        kept = self.register.of(HostName("p"))
+        self.assertEqual(len(kept), MAX_HOST_DEPARTURES)
+        self.assertEqual((kept[0].instance, kept[-1]), ("i-3", Departure("i-5", 100)))
+
+    def test_only_what_is_missing_and_sound_is_to_be_recorded(self) -> None:
+        """An unsound one would keep others from reading the log."""
+        self.record("p", Departure("a", 5))
+        asked = (Departure("a", 5), Departure("a", 6), Departure("", 1), Departure("b", -1))
+        missing = self.register.missing(HostDepartures(HostName("p"), asked))
+        self.assertEqual(missing, (Departure("a", 6),))
+
+    # Guards against replicas whose memory grows with every host that there ever was.
+    def test_its_size_is_bounded(self) -> None:
+        """It has room for a departure of each host at the size to design for."""
+        for number in range(2 * FLEET):
+            self.record(
+                f"10.{number >> 8}.{number & 255}.1", Departure(f"i-{number:010x}", BORN_MS)
+            )
+        newest = 2 * FLEET - 1
+        for number in range(newest - FLEET + 1, newest + 1):
+            self.assertTrue(self.register.of(HostName(f"10.{number >> 8}.{number & 255}.1")))
+        self.assertLess(len(encode_untagged(self.register.export())), MAX_DEPARTURE_BYTES)
+        self.assertEqual(self.register.of(HostName("10.0.0.1")), ())
+
+    def test_restores_what_it_exports(self) -> None:
+        """Also in which order the hosts are forgotten."""
+        for number in range(5):
+            self.record(f"p-{number % 3}", Departure(f"i-{number}", number))
+        copy = DepartureRegister()
+        copy.restore(self.register.export())
+        self.assertEqual(copy.export(), self.register.export())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from typing import Any
 from unittest.mock import patch
 
 from websockets.asyncio.server import ServerConnection, serve
@@ -34,10 +35,11 @@
     resource_digest,
 )
 from cowslipvane.events import EventLog, HybridClock, Origin
-from cowslipvane.membership import Member, Membership, Worker
+from cowslipvane.membership import Announcements, Member, Membership, Worker
 from cowslipvane.refusal import AnswerLost, OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
 from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._owner import Owner
@@ -148,16 +150,19 @@
     """Return an owner without a worker."""
     membership = Membership(own=own, now=0.0)
     gossip = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
+    announcements = Announcements()
     return Owner(
         gossip=gossip,
         subscription=subscription or Subscription(),
         events=events(),
+        announcements=announcements,
+        departure_keeper=DepartureKeeper(host=own.host, announcements=announcements),
         worker_lease=worker_lease,
         header_names=header_names,
     )
 
 
-async def stop(task: asyncio.Task[None]) -> None:
+async def stop(task: asyncio.Task[Any]) -> None:
     """Cancel a task and wait until it has ended."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_owner_races.py
+++ b/tests/test_owner_races.py
@@ -103,7 +103,7 @@
         self.held = HeldReply()
         await self.owner.offer(QUEUED, self.held)
 
-    def announce(self, slots: int, sequence: int, *, leaves: bool = False) -> asyncio.Task[None]:
+    def announce(self, slots: int, sequence: int, *, leaves: bool = False) -> asyncio.Task[bool]:
         """Let the owner handle an announcement."""
         worker = Worker(SERVICE, self.address, slots, 10, "w")
         state: Any = "leaving" if leaves else "ready"
@@ -112,7 +112,7 @@
         self.addAsyncCleanup(stop, task)
         return task
 
-    async def release(self, first: asyncio.Task[None]) -> None:
+    async def release(self, first: asyncio.Task[bool]) -> None:
         """Let the first announcement's refusals be sent."""
         await asyncio.sleep(0.05)
         self.held.released.set()
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -13,7 +13,7 @@
 
 from cowslipvane.catalogue import Delta, Key, Route, Service, Snapshot, Target, TrafficPolicy
 from cowslipvane.events import EventLog
-from cowslipvane.membership import Member
+from cowslipvane.membership import Announcements, Member
 from cowslipvane.replica import Report
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
@@ -31,6 +31,7 @@
     Subscription,
 )
 from cowslipvane.tasks import _publisher
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
@@ -114,6 +115,7 @@
             membership=self.membership,
             events=self.events,
             rng=random.Random(3),
+            departure_keeper=DepartureKeeper(host=settings.host, announcements=Announcements()),
         )
         task = asyncio.create_task(subscriber.run())
         self.stack.callback(task.cancel)
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.admission import RateLimit
 from cowslipvane.call import Answer, AttemptId, HeaderNames, Offer, OwnerMessage, Refused, Request
-from cowslipvane.membership import Announcement, Worker
+from cowslipvane.membership import Announcement, Departure, Worker
 from cowslipvane.refusal import Overloaded, explain
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.types import Address, Header, HostName, ServiceName, Verdict
@@ -241,6 +241,13 @@
             assert isinstance(reply, Refused)
             self.assertIs(explain(reply.refusal).verdict, Verdict.NOT_RUN)
 
+    # Guards against a successor that sends requests to a worker that has said it leaves (issue 37).
+    async def test_that_a_worker_says_it_leaves_is_to_outlive_the_owner(self) -> None:
+        """It is as binding as an announcement, though nothing acknowledges it."""
+        self.worker.fields = "X-Leaving: 1\r\n"
+        self.assertIsInstance(await self.reply(), Answer)
+        self.assertEqual(self.owner.announcements.unkept, (Departure("i-1", 0),))
+
     async def test_announcement_on_its_way_does_not_bring_a_leaving_worker_back(self) -> None:
         """Another instance at its address is taken."""
         self.worker.fields = "X-Leaving: 1\r\n"
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -14,9 +14,11 @@
 
 from cowslipvane.catalogue import Key, Route, Service, Spec, Target, TrafficPolicy
 from cowslipvane.events import EventKind, EventLog, HybridClock, Origin
+from cowslipvane.membership import Announcements
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import Subscription
+from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link
@@ -84,6 +86,7 @@
         membership=lone_membership(settings),
         events=apply_times,
         rng=rng,
+        departure_keeper=DepartureKeeper(host=settings.host, announcements=Announcements()),
     )
     return asyncio.create_task(subscriber.run())
 
