Take a worker that comes after one that has left, whatever its start time

What callers would see: no requests at a sound worker. Its host's clock went back after its predecessor had started, so its start time is the earlier one, and its announcements counted as late for as long as the proxy ran.

Cause: start times were compared even if the current incarnation has left, when nothing that is known to have ended may come back. Evidence: found by test_departures, whose workers at first had such start times; test_announcements has it as a test, which fails without the change. Change: after a departure any announcement is newer that isn't of an ended incarnation. Not changed: while the current worker is only silent, a start time before its own still counts as late.

--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -154,6 +154,9 @@
     @staticmethod
     def _is_newer(candidate: Announcement, current: Announcement) -> bool:
         """Return whether an announcement is newer than the current one."""
+        if current.state != "ready":
+            # It is of none that has ended. Its host's clock may have gone back since.
+            return True
         if candidate.started_at != current.started_at:
             return candidate.started_at > current.started_at
         # Without start times, another instance counts as newer, since its sequence starts again;
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -90,6 +90,15 @@
             self.assertTrue(self.announcements.record(announcement("a", 1, sequence)))
         self.assertEqual(self.announcements.unkept, ())
 
+    # Guards against a sound worker that is never served, since the clock of its host went back.
+    def test_a_worker_may_come_after_one_that_has_left_with_an_earlier_start_time(self) -> None:
+        """A late announcement is of one that has ended."""
+        self.announcements.record(announcement("a", 5, 1))
+        self.announcements.record_departure("a", NOW_MS)
+        self.assertTrue(self.announcements.record(announcement("b", 3, 1)))
+        self.assertFalse(self.announcements.record(announcement("a", 5, 2)))
+        self.assertEqual(self.instance_and_state(), "b ready")
+
 
 class SuccessorTest(unittest.TestCase):
     """What a process learns of the departures that its predecessors acknowledged."""
