Heed that a worker leaves whatever the sequence of its announcement

What callers would see: requests at a worker whose proxy has acknowledged that it drains (DRAIN). The heartbeat that says so is overtaken by one as ready with a higher sequence, or is of an incarnation that isn't the current one.

Cause: such an announcement was ignored as late, and acknowledged all the same. A worker doesn't become ready again in one lifetime. Evidence: by reading, while looking for what is acknowledged; two tests of test_announcements fail without the change. Change: it ends its incarnation, and counts for the current worker if that is it. Why it works: whatever is acknowledged is now also recorded as a departure, and so is kept for successors.

--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -69,12 +69,15 @@
         current = self._newest
         if self._ended.covers(announcement.departure):
             return False
-        if current is not None and not self._is_newer(announcement, current):
-            return False
-        if current is not None:
-            self._end_replaced(current, announcement)
-        if announcement.state != "ready":
+        is_current = current is not None and current.departure == announcement.departure
+        is_leaving = announcement.state != "ready"
+        if is_leaving:
             self._end(announcement.departure)
+        # Nothing that an incarnation said before it left counts any more, whatever its sequence.
+        if current is not None and not (is_leaving and is_current):
+            if not self._is_newer(announcement, current):
+                return False
+            self._end_replaced(current, announcement)
         self._newest = announcement
         return True
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -99,6 +99,19 @@
         self.assertFalse(self.announcements.record(announcement("a", 5, 2)))
         self.assertEqual(self.instance_and_state(), "b ready")
 
+    # Guards against requests to a worker whose draining was acknowledged, but not heeded.
+    def test_leaving_counts_whatever_its_sequence(self) -> None:
+        """An announcement as ready that was sent before may have overtaken it."""
+        self.announcements.record(announcement("a", 1, 7))
+        self.assertTrue(self.announcements.record(announcement("a", 1, 6, "leaving")))
+        self.assertEqual(self.instance_and_state(), "a leaving")
+
+    def test_leaving_counts_for_an_incarnation_that_is_not_current(self) -> None:
+        """Its later announcements as ready are late ones."""
+        self.announcements.record(announcement("b", 2, 1))
+        self.assertFalse(self.announcements.record(announcement("a", 1, 6, "leaving")))
+        self.assertEqual(self.announcements.unkept, (Departure("a", 1),))
+
 
 class SuccessorTest(unittest.TestCase):
     """What a process learns of the departures that its predecessors acknowledged."""
