Read from a worker's departure which of its lives has ended

What callers would see: no requests at a worker that came back under its name, since a departure of its earlier life, late by some seconds, ended the current one; or requests at one that left, since the proxy's clock, which stood in for the start time, was behind.

Cause: the start time that a worker gives in all that it says was read from announcements only. Evidence: by reading; test_announcements has the rule as a test, test_platform the decoding. Change: a departure that names a start time ends the incarnations up to it; the proxy's clock stands in only for one that names none and of an unknown instance. Why it works: start times of one instance are compared with each other, not with another clock.

--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -110,6 +110,8 @@
         current = self._newest
         if current is None or current.worker.instance != departure.instance:
             return False
+        if current.started_at > departure.started_at:
+            return False
         self._newest = current._replace(state="gone")
         return True
 
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -10,7 +10,7 @@
 from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release
 from cowslipvane.platform._configuration import decode_configuration
 from cowslipvane.platform._settings import PlatformSettings, file_stamp, load
-from cowslipvane.platform._workers import decode_announcement
+from cowslipvane.platform._workers import decode_announcement, decode_start
 from cowslipvane.settings import Settings
 from cowslipvane.tasks import (
     Components,
@@ -105,7 +105,9 @@
                         owner, http, path.removeprefix(_HEARTBEAT_PATH)
                     )
                 case "POST", path if path.startswith(_DEREGISTER_PATH) and owner is not None:
-                    return await self._handle_departure(owner, path.removeprefix(_DEREGISTER_PATH))
+                    return await self._handle_departure(
+                        owner, http, path.removeprefix(_DEREGISTER_PATH)
+                    )
                 case _:
                     return web.Response(status=404)
         except web.HTTPRequestEntityTooLarge:
@@ -155,9 +157,11 @@
             return _failure(503, _NOT_KEPT)
         return web.json_response({})
 
-    async def _handle_departure(self, owner: Owner, instance: str) -> web.StreamResponse:
+    async def _handle_departure(
+        self, owner: Owner, http: web.BaseRequest, instance: str
+    ) -> web.StreamResponse:
         """Handle a worker's report that it leaves."""
-        if not await owner.handle_departure(instance):
+        if not await owner.handle_departure(instance, decode_start(await http.read())):
             return _failure(503, _NOT_KEPT)
         return web.Response()
 
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -42,6 +42,14 @@
         raise ValueError(f"the heartbeat can't be read: {error!r}") from error
 
 
+def decode_start(body: bytes) -> int | None:
+    """Return when the worker started that reports its end, None if it doesn't tell."""
+    try:
+        return _count(json.loads(body)["born"], MAX_ORDER, minimum=0)
+    except (LookupError, TypeError, RecursionError, ValueError):
+        return None
+
+
 def _text(value: Any) -> str:
     """Return a text unchanged; raise ValueError if it is empty or of another type."""
     if not isinstance(value, str) or not value:
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -182,13 +182,17 @@
             await self.register_worker(announcement.worker)
         return True
 
-    async def handle_departure(self, instance: str) -> bool:
+    async def handle_departure(self, instance: str, started_at: int | None) -> bool:
         """Deregister an instance that reports its end, unless another announced itself since.
 
-        Return whether it may be acknowledged, as for an announcement; raise ValueError if it names
-        no instance.
+        Return whether it may be acknowledged, as for an announcement. started_at is None if the
+        departure doesn't tell it; raise ValueError if it names no instance.
         """
-        departure = self._announcements.departure_of(instance, time.time_ns() // 1_000_000)
+        departure = (
+            self._announcements.departure_of(instance, time.time_ns() // 1_000_000)
+            if started_at is None
+            else Departure(instance, started_at)
+        )
         if not departure.is_sound:
             raise ValueError(f"the departure names no instance: {departure!r:.200}")
         is_current = self._announcements.record_end(departure)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -112,6 +112,15 @@
         self.assertFalse(self.announcements.record(announcement("a", 1, 6, "leaving")))
         self.assertEqual(self.announcements.unkept, (Departure("a", 1),))
 
+    # Guards against a worker that gets no requests since an earlier one of its name ended late.
+    def test_a_late_departure_does_not_end_a_later_incarnation(self) -> None:
+        """It tells the start time of the incarnation that it ends."""
+        self.announcements.record(announcement("a", 1, 1))
+        self.announcements.record(announcement("a", 2, 1))
+        self.assertFalse(self.announcements.record_end(Departure("a", 1)))
+        self.assertEqual(self.instance_and_state(), "a ready")
+        self.assertTrue(self.announcements.record_end(Departure("a", 2)))
+
 
 class SuccessorTest(unittest.TestCase):
     """What a process learns of the departures that its predecessors acknowledged."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 
 from cowslipvane.catalogue import Key, Route, Target, TrafficPolicy
 from cowslipvane.platform._configuration import decode_configuration
-from cowslipvane.platform._workers import decode_announcement
+from cowslipvane.platform._workers import decode_announcement, decode_start
 from cowslipvane.types import Address, ServiceName
 
 RULE: dict[str, Any] = {
@@ -166,6 +166,20 @@
         form["status"]["phase"] = "draining"
         self.assertEqual(decode_announcement("i", json.dumps(form).encode()).state, "leaving")
 
+    def test_a_departure_may_tell_when_the_worker_started(self) -> None:
+        """One that can't be read is heeded like one that tells nothing."""
+        self.assertEqual(decode_start(b'{"born": 1796537690892}'), 1796537690892)
+        for body in (
+            b"",
+            b"{}",
+            b"[1]",
+            b"no",
+            b'{"born": "1"}',
+            b'{"born": -1}',
+            b'{"born": true}',
+        ):
+            self.assertIsNone(decode_start(body), body)
+
     def test_malformed_heartbeats_are_refused(self) -> None:
         """Fields that are missing or of another type, and unknown phases, raise ValueError."""
         bodies: list[bytes] = [b"", b"\xff\xfe", b"[]", b"7"]
