--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -15,6 +15,7 @@
     "cancelled",
     "candidate",
     "cut",
+    "departure",
     "disk",
     "eased",
     "failed",
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -204,12 +204,14 @@
         is_kept = await self._departure_keeper.wait_until_kept(departure)
         if removal is not None:
             await asyncio.wait({removal}, timeout=REFUSALS_TIMEOUT)
+        kept = "yes" if is_kept else "not yet, so it isn't acknowledged"
+        self._events.record("departure", instance=departure.instance, kept=kept)
         return is_kept
 
-    async def deregister_worker(self) -> None:
-        """Deregister the worker because it announced that it is leaving."""
+    async def deregister_worker(self, *, told: str = "this process") -> None:
+        """Deregister the worker because it announced that it is leaving, and record to whom."""
         if self._worker is not None:
-            self._events.record("worker-leaving", service=self._worker.service)
+            self._events.record("worker-leaving", service=self._worker.service, told=told)
             await self._remove_worker()
 
     async def run(self) -> None:
@@ -232,7 +234,7 @@
         """Deregister a worker that has left, as an earlier process of this host was told."""
         match self._announcements.newest:
             case Announcement(state="leaving" | "gone", worker=worker) if worker == self._worker:
-                await self.deregister_worker()
+                await self.deregister_worker(told="an earlier process")
 
     async def _refuse_if_out(self) -> None:
         """Refuse all queued work if the operator has taken the upstream out."""
