Keep the rate limit that a worker names for whoever owns it next

Cause: the limit was in the owner's memory alone. A successor starts two requests, and twice as many each 0.1 s without an answer. Change: what the replicas keep of a host has the limit beside the departures, so the names are of facts now (FactKeeper, FactRegister, HostFacts, RecordFacts, KeepFacts). It is sent when first named, when it differs by a factor of two or ends, at most every 10 s. A successor starts one request at once and others at that rate until the first answer. A slot with work that waits for a token and for the first answer is woken for the later of the two. Why it works: nothing of it is in the memory of the process that was killed. Fences and verdicts need no such record: docs/DESIGN.md.

--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -163,6 +163,11 @@
         else:
             self._rate_limit.change(requests_per_s, now)
 
+    def expect_rate(self, requests_per_s: float, now: float) -> None:
+        """Start no more than this rate until the upstream answers; its first request starts now."""
+        if self._first_answer is not None:
+            self._rate_limit = RateLimit(requests_per_s=requests_per_s, now=now, tokens=1.0)
+
     @property
     def awaits_first_answer(self) -> bool:
         """Return whether the upstream hasn't answered a request yet."""
@@ -234,10 +239,13 @@
         """Return the time until queued work may start though none ends, None if it may not."""
         if not self._waiting or len(self._running) >= self._slots:
             return None
+        delays = []
         if self._first_answer is not None:
             may_start = len(self._running) < self._first_answer.slots(now)
-            return 0.0 if may_start else self._first_answer.delay(now)
-        return None if self._rate_limit is None else self._rate_limit.delay(now)
+            delays.append(0.0 if may_start else self._first_answer.delay(now))
+        if self._rate_limit is not None:
+            delays.append(self._rate_limit.delay(now))
+        return max(delays, default=None)
 
     def check_deadline(self, work: Work, now: float) -> Refusal | None:
         """Return the refusal of work that can no longer end before its deadline."""
--- a/cowslipvane/admission/_rate_limit.py
+++ b/cowslipvane/admission/_rate_limit.py
@@ -19,8 +19,8 @@
     Times are in time.monotonic seconds.
     """
 
-    def __init__(self, *, requests_per_s: float, now: float) -> None:
-        self._tokens = 0.0
+    def __init__(self, *, requests_per_s: float, now: float, tokens: float = 0.0) -> None:
+        self._tokens = tokens
         self._filled_at = now
         self._requests_per_s = max(requests_per_s, MIN_REQUESTS_PER_S)
 
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -24,9 +24,9 @@
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._callers import Callers
 from cowslipvane.tasks._debug import debug_form
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
 from cowslipvane.tasks._dispatcher import Dispatcher
 from cowslipvane.tasks._event_copies import EventCopies
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._front_end import Components, FrontEnd
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._http import HttpListener
@@ -314,13 +314,13 @@
         subscription = Subscription()
         self._subscription = subscription
         announcements = Announcements(may_have_predecessor=True)
-        departure_keeper = DepartureKeeper(host=self._settings.host, announcements=announcements)
+        fact_keeper = FactKeeper(host=self._settings.host, announcements=announcements)
         self._owner = Owner(
             gossip=self._gossip,
             subscription=subscription,
             events=self._events,
             announcements=announcements,
-            departure_keeper=departure_keeper,
+            fact_keeper=fact_keeper,
             worker_lease=self._settings.timing.worker_lease,
             header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
@@ -340,7 +340,7 @@
             membership=self._gossip.membership,
             events=self._events,
             rng=self._rng,
-            departure_keeper=departure_keeper,
+            fact_keeper=fact_keeper,
         )
         self._callers = Callers(
             subscription=subscription,
@@ -353,7 +353,7 @@
             origin_service=self._settings.service,
             header_names=self._header_names,
         )
-        return [self._owner.run(), self._subscriber.run(), departure_keeper.run()]
+        return [self._owner.run(), self._subscriber.run(), fact_keeper.run()]
 
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
--- a/cowslipvane/membership/__init__.py
+++ b/cowslipvane/membership/__init__.py
@@ -1,11 +1,12 @@
 """Membership: which processes are up, leaving or gone, and how their records spread."""
 
 from cowslipvane.membership._announcements import Announcement, Announcements
-from cowslipvane.membership._departures import (
+from cowslipvane.membership._facts import (
     MAX_HOST_DEPARTURES,
     Departure,
-    DepartureRegister,
-    HostDepartures,
+    FactRegister,
+    HostFacts,
+    WorkerLimit,
 )
 from cowslipvane.membership._feed import Feed
 from cowslipvane.membership._member import MAX_ORDER, Member, Order, Stamp, Worker
@@ -21,16 +22,17 @@
     "Announcements",
     "Compare",
     "Departure",
-    "DepartureRegister",
+    "FactRegister",
     "Exchange",
     "ExchangeReply",
     "Feed",
     "Hello",
-    "HostDepartures",
+    "HostFacts",
     "Member",
     "Membership",
     "Neighbour",
     "Order",
     "Stamp",
     "Worker",
+    "WorkerLimit",
 ]
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Literal, NamedTuple
 
-from cowslipvane.membership._departures import Departure, Departures
+from cowslipvane.membership._facts import Departure, Departures
 from cowslipvane.membership._member import Worker
 
 
--- a/cowslipvane/replica/_messages.py
+++ b/cowslipvane/replica/_messages.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cowslipvane.catalogue import CatalogueState, Change
-from cowslipvane.membership import HostDepartures
+from cowslipvane.membership import HostFacts
 from cowslipvane.replica._group import Group
 from cowslipvane.types import Address, HostName, Version
 
@@ -31,13 +31,13 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Depart:
+class RecordFacts:
     """Entry that records workers of a host that take no new work any more."""
 
-    departures: HostDepartures
+    facts: HostFacts
 
 
-Command = Noop | Write | Regroup | Depart
+Command = Noop | Write | Regroup | RecordFacts
 
 
 class Entry(NamedTuple):
@@ -56,7 +56,7 @@
     term: int
     group: Group
     catalogue: CatalogueState
-    departures: tuple[HostDepartures, ...] = ()
+    facts: tuple[HostFacts, ...] = ()
 
 
 class Report(NamedTuple):
--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -5,7 +5,7 @@
 import random
 
 from cowslipvane.catalogue import Catalogue, Change
-from cowslipvane.membership import DepartureRegister, HostDepartures
+from cowslipvane.membership import FactRegister, HostFacts
 from cowslipvane.replica._election_timer import ElectionTimer
 from cowslipvane.replica._group import (
     UNKNOWN_REPLICA_ID,
@@ -22,11 +22,11 @@
     Append,
     AppendReply,
     Command,
-    Depart,
     Install,
     Noop,
     PreVote,
     PreVoteReply,
+    RecordFacts,
     Regroup,
     Report,
     TakeOver,
@@ -128,9 +128,9 @@
         return self._state.catalogue
 
     @property
-    def departures(self) -> DepartureRegister:
-        """Return the departures of workers after applying the committed log."""
-        return self._state.departures
+    def facts(self) -> FactRegister:
+        """Return what is kept of workers, after applying the committed log."""
+        return self._state.facts
 
     @property
     def commit_index(self) -> int:
@@ -502,11 +502,11 @@
             return None
         return self._append_command(Write(change=change), stamped_at)
 
-    def propose_departures(self, departures: HostDepartures, *, stamped_at: float) -> int | None:
-        """Append departures and return their index, or None as for a change."""
+    def propose_facts(self, facts: HostFacts, *, stamped_at: float) -> int | None:
+        """Append facts and return their index, or None as for a change."""
         if not isinstance(self._role, Leader) or self._is_stopping:
             return None
-        return self._append_command(Depart(departures=departures), stamped_at)
+        return self._append_command(RecordFacts(facts=facts), stamped_at)
 
     def record_synced(self, index: int) -> None:
         """Record that this replica's own log is synced up to an index."""
--- a/cowslipvane/replica/_replicated_state.py
+++ b/cowslipvane/replica/_replicated_state.py
@@ -1,25 +1,25 @@
-"""The log of a replica, and the group, the catalogue and the departures that result from it."""
+"""The log of a replica, and the group, the catalogue and the facts that result from it."""
 
 from __future__ import annotations
 
 from cowslipvane.catalogue import Catalogue, export_state, import_state
-from cowslipvane.membership import DepartureRegister
+from cowslipvane.membership import FactRegister
 from cowslipvane.replica._group import Group, GroupHistory, Voter
 from cowslipvane.replica._journal import Ballot, Journal, Recovered
 from cowslipvane.replica._log import Log
 from cowslipvane.replica._messages import (
     Command,
-    Depart,
     Entry,
     LogSnapshot,
     Noop,
+    RecordFacts,
     Regroup,
     Write,
 )
 
 
 class ReplicatedState:
-    """Log, group, catalogue and departures, consistent with each other and with the journal."""
+    """Log, group, catalogue and facts, consistent with each other and with the journal."""
 
     def __init__(
         self,
@@ -38,8 +38,8 @@
             0, 0, Group(founders), export_state(self._catalogue)
         )
         import_state(self._catalogue, base.catalogue)
-        self._departures = DepartureRegister()
-        self._departures.restore(base.departures)
+        self._facts = FactRegister()
+        self._facts.restore(base.facts)
         self._log = Log(base_index=base.position, base_term=base.term, entries=recovered.entries)
         self._groups = GroupHistory(index=base.position, group=base.group)
         self._record_groups(recovered.entries)
@@ -55,9 +55,9 @@
         return self._catalogue
 
     @property
-    def departures(self) -> DepartureRegister:
-        """Return the departures of workers after applying the committed log."""
-        return self._departures
+    def facts(self) -> FactRegister:
+        """Return what is kept of workers, after applying the committed log."""
+        return self._facts
 
     @property
     def group(self) -> Group:
@@ -146,7 +146,7 @@
         if snapshot.position <= self._commit_index:
             return
         import_state(self._catalogue, snapshot.catalogue)
-        self._departures.restore(snapshot.departures)
+        self._facts.restore(snapshot.facts)
         self._log.compact(snapshot.position, snapshot.term)
         self._groups = GroupHistory(index=snapshot.position, group=snapshot.group)
         self._record_groups(self._log.entries_after(snapshot.position))
@@ -177,7 +177,7 @@
             self._log.term_of(self._applied_index),
             self._groups.in_force_at(self._applied_index),
             export_state(self._catalogue),
-            self._departures.export(),
+            self._facts.export(),
         )
 
     @property
@@ -197,8 +197,8 @@
         match entry.command:
             case Write(change=change):
                 self._catalogue.apply(change, accepted_at=entry.stamped_at)
-            case Depart(departures=departures):
-                self._departures.record(departures)
+            case RecordFacts(facts=facts):
+                self._facts.record(facts)
             case Noop() | Regroup():
                 pass
 
@@ -220,5 +220,5 @@
             match entry.command:
                 case Regroup(group=group):
                     self._groups.add(entry.position, group)
-                case Write() | Depart() | Noop():
+                case Write() | RecordFacts() | Noop():
                     pass
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot
-from cowslipvane.membership import HostDepartures
+from cowslipvane.membership import HostFacts
 from cowslipvane.replica import Report
 from cowslipvane.types import Address, Seconds, Version
 
@@ -35,22 +35,22 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class KeepDepartures:
-    """Requests that departures are kept, and all that are kept for their host.
+class KeepFacts:
+    """Requests that facts of a host are kept, and all that are kept of it.
 
     There is no response while no leader can be asked. is_forwarded tells that a replica sent it on
     to the leader.
     """
 
-    departures: HostDepartures
+    facts: HostFacts
     is_forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DeparturesKept:
-    """The leader's response: the departures of a host, with all that were kept before."""
+class FactsKept:
+    """The leader's response: all facts of the host, with those that were kept before."""
 
-    departures: HostDepartures
+    facts: HostFacts
 
 
 # The base of a pull that requests no updates, only the number of the newest version.
--- a/cowslipvane/tasks/_departure_records.py
+++ b/cowslipvane/tasks/_fact_records.py
@@ -1,11 +1,11 @@
-"""The replica's side of departures: the leader records them, other replicas send them on."""
+"""The replica's side of facts of workers: the leader records them, others send them on."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
 
-from cowslipvane.subscription import DeparturesKept, KeepDepartures
+from cowslipvane.subscription import FactsKept, KeepFacts
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.types import Address, Seconds
 from cowslipvane.wire import LinkClosed, Malformed, connect
@@ -15,13 +15,13 @@
 RECORD_TIMEOUT: Seconds = 1.0
 
 
-class DepartureRecords:
-    """Keeps the departures of workers by way of the leader."""
+class FactRecords:
+    """Keeps facts of workers by way of the leader."""
 
     def __init__(self, *, replication: Replication) -> None:
         self._replication = replication
 
-    async def keep(self, request: KeepDepartures) -> DeparturesKept | None:
+    async def keep(self, request: KeepFacts) -> FactsKept | None:
         """Return the leader's response to a request, None if there is none in time."""
         leader = self._replication.leader_address
         try:
@@ -34,17 +34,17 @@
             pass
         return None
 
-    async def _keep_here(self, request: KeepDepartures) -> DeparturesKept | None:
-        """Record departures as the leader."""
-        kept = await self._replication.keep_departures(request.departures)
-        return None if kept is None else DeparturesKept(departures=kept)
+    async def _keep_here(self, request: KeepFacts) -> FactsKept | None:
+        """Record facts as the leader."""
+        kept = await self._replication.keep_facts(request.facts)
+        return None if kept is None else FactsKept(facts=kept)
 
-    async def _forward(self, request: KeepDepartures, leader: Address) -> DeparturesKept | None:
+    async def _forward(self, request: KeepFacts, leader: Address) -> FactsKept | None:
         """Send a request on to the leader."""
         async with connect(leader, "/subscribe") as link:
             await link.send(dataclasses.replace(request, is_forwarded=True))
             match await link.receive(timeout=RECORD_TIMEOUT):
-                case DeparturesKept() as response:
+                case FactsKept() as response:
                     return response
                 case _:
-                    raise Malformed("the leader answered departures with another message")
+                    raise Malformed("the leader answered facts with another message")
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -30,7 +30,7 @@
     SendReply,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.membership import Announcement, Announcements, Departure, Worker
+from cowslipvane.membership import Announcement, Announcements, Departure, Worker, WorkerLimit
 from cowslipvane.refusal import (
     AnswerLost,
     CallerGone,
@@ -45,7 +45,7 @@
 )
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._signal import LifoSignal, Signal
 from cowslipvane.tasks._worker_connection import AnswerBroken, ResponseHead, WorkerUnreachable
@@ -88,7 +88,7 @@
         subscription: Subscription,
         events: EventLog,
         announcements: Announcements,
-        departure_keeper: DepartureKeeper,
+        fact_keeper: FactKeeper,
         worker_lease: Seconds,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = DEFAULT_LEFT_TO_END,
@@ -96,7 +96,7 @@
         self._left_to_end = left_to_end
         self._header_names = header_names
         self._announcements = announcements
-        self._departure_keeper = departure_keeper
+        self._fact_keeper = fact_keeper
         self._gossip = gossip
         self._subscription = subscription
         self._events = events
@@ -156,6 +156,7 @@
         self._admission = Admission(
             service=worker.service, slots=worker.slots, first_answer=FirstAnswer()
         )
+        self._expect_kept_limit()
         self._work_available = LifoSignal()
         slots = [
             self._serve_slot(self._admission, worker, self._work_available, previous_slots)
@@ -175,7 +176,7 @@
         process.
         """
         is_newer = self._announcements.record(announcement)
-        self._departure_keeper.notify()
+        self._fact_keeper.notify()
         if announcement.state != "ready":
             return await self._handle_end(announcement.departure, is_current=is_newer)
         if is_newer:
@@ -201,7 +202,7 @@
     async def _handle_end(self, departure: Departure, *, is_current: bool) -> bool:
         """Deregister the worker if it is the one that ends; return whether the end is kept."""
         removal = self._start_removal(self.deregister_worker()) if is_current else None
-        is_kept = await self._departure_keeper.wait_until_kept(departure)
+        is_kept = await self._fact_keeper.wait_until_kept(departure)
         if removal is not None:
             await asyncio.wait({removal}, timeout=REFUSALS_TIMEOUT)
         kept = "yes" if is_kept else "not yet, so it isn't acknowledged"
@@ -220,9 +221,10 @@
         try:
             while True:
                 due_at = time.monotonic() + interval
-                await self._departure_keeper.worker_left.wait(interval)
+                await self._fact_keeper.learnt.wait(interval)
                 self._extend_lease(max(0.0, time.monotonic() - due_at))
                 await self._remove_left()
+                self._expect_kept_limit()
                 await self._refuse_if_out()
                 if self._worker and time.monotonic() > self._lease_renewed_at + self._worker_lease:
                     self._events.record("worker-silent", service=self._worker.service)
@@ -236,6 +238,25 @@
             case Announcement(state="leaving" | "gone", worker=worker) if worker == self._worker:
                 await self.deregister_worker(told="an earlier process")
 
+    def _expect_kept_limit(self) -> None:
+        """Keep to the rate that the worker named to an earlier process, until it answers."""
+        admission, kept = self._admission, self._fact_keeper.kept_limit
+        if admission is None or not admission.awaits_first_answer or kept is None:
+            return
+        is_limited = admission.requests_per_s is not None
+        if is_limited or kept.requests_per_s == 0 or kept[:2] != self._incarnation:
+            return
+        admission.expect_rate(kept.requests_per_s, time.monotonic())
+        self._record_limit(admission, f"{kept.requests_per_s:g}", told="an earlier process")
+
+    @property
+    def _incarnation(self) -> Departure | None:
+        """Return what its departure will name of the worker, None if it isn't known."""
+        newest = self._announcements.newest
+        if newest is None or newest.worker != self._worker:
+            return None
+        return newest.departure
+
     async def _refuse_if_out(self) -> None:
         """Refuse all queued work if the operator has taken the upstream out."""
         if self._is_out and self._admission is not None:
@@ -582,7 +603,7 @@
         self._update_rate_limit(admission, work_available, state)
         if state.is_leaving:
             self._announcements.record_leaving(worker.instance)
-            self._departure_keeper.notify()
+            self._fact_keeper.notify()
             # The answer isn't held up by the refusals of queued work.
             self._start_removal(self._remove_leaving(worker))
 
@@ -609,16 +630,26 @@
             admission.limit_rate(state.requests_per_s, now)
             if current is None:
                 self._record_limit(admission, f"{state.requests_per_s:g}")
+            self._keep_limit(state.requests_per_s)
         elif current is not None and state.asked_at > self._limit_named_at:
             # Answers to requests that were sent earlier may be older than the limit.
             admission.limit_rate(None, now)
             self._record_limit(admission, "none")
+            self._keep_limit(0.0)
             self._wake_slots(work_available)
 
-    def _record_limit(self, admission: Admission, requests_per_s: str) -> None:
-        """Record that the worker names a rate limit, or none any more."""
+    def _keep_limit(self, requests_per_s: float) -> None:
+        """Have the limit kept for whoever owns the worker after this process; 0 stands for none."""
+        incarnation = self._incarnation
+        if incarnation is not None:
+            self._fact_keeper.note_limit(WorkerLimit(*incarnation, requests_per_s))
+
+    def _record_limit(
+        self, admission: Admission, requests_per_s: str, *, told: str = "this process"
+    ) -> None:
+        """Record that the worker names a rate limit, or none any more, and to whom."""
         service = admission.service
-        self._events.record("limited", service=service, requests_per_s=requests_per_s)
+        self._events.record("limited", service=service, requests_per_s=requests_per_s, told=told)
 
     async def _run(self, work: Work, worker: Worker, connection: SlotConnection) -> None:
         """Run one request at the worker and send its response back."""
--- a/cowslipvane/tasks/_publisher.py
+++ b/cowslipvane/tasks/_publisher.py
@@ -19,9 +19,9 @@
     AskLeader,
     ComeAgain,
     Current,
-    DeparturesKept,
+    FactsKept,
     Floor,
-    KeepDepartures,
+    KeepFacts,
     Lagging,
     Proxies,
     Pull,
@@ -31,7 +31,7 @@
     ReportsTaken,
     Rollout,
 )
-from cowslipvane.tasks._departure_records import DepartureRecords
+from cowslipvane.tasks._fact_records import FactRecords
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, HostName, Seconds, Version
@@ -40,7 +40,7 @@
 register(AskFloor, AskLeader, ComeAgain, Current, Floor, Lagging)
 register(Pull, PullDelta, PullSnapshot)
 register(Reports, ReportsTaken)
-register(KeepDepartures, DeparturesKept)
+register(KeepFacts, FactsKept)
 
 # Total size of the snapshots that are being sent, unless it is a single one; further proxies are
 # asked to retry. Each is held in memory until its proxy has received it.
@@ -133,7 +133,7 @@
         self._replication = replication
         self._membership = membership
         self._pull_wait = pull_wait
-        self._departures = DepartureRecords(replication=replication)
+        self._facts = FactRecords(replication=replication)
         self._accepted = Signal()
         self._reported = Signal()
         self._rollout_changed = Signal()
@@ -192,8 +192,8 @@
                             subscriber.record_pull(pull)
                     case AskFloor(wait=wait):
                         await link.send(await self._resolve_floor(min(wait, MAX_FLOOR_WAIT)))
-                    case KeepDepartures() as request:
-                        kept = await self._departures.keep(request)
+                    case KeepFacts() as request:
+                        kept = await self._facts.keep(request)
                         if kept is not None:
                             await link.send(kept)
                     case Reports(reports=reports):
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -10,7 +10,7 @@
 from cowslipvane.catalogue import Change, Invalid, Outcome, change_faults
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
-from cowslipvane.membership import HostDepartures
+from cowslipvane.membership import HostFacts
 from cowslipvane.replica import (
     Append,
     AppendReply,
@@ -223,20 +223,19 @@
         is_accepted = await self._replicate(index)
         return GroupChanged(group=self._replica.group) if is_accepted else Unknown()
 
-    async def keep_departures(self, departures: HostDepartures) -> HostDepartures | None:
-        """Replicate departures, and return all that are kept for their host.
+    async def keep_facts(self, facts: HostFacts) -> HostFacts | None:
+        """Replicate facts of a host, and return all that are kept of it.
 
         Return None if this isn't the leader, or may not be any more: others may be kept then.
         """
-        host, missing = departures.host, self._replica.departures.missing(departures)
-        if missing:
-            proposed = HostDepartures(host, missing)
-            index = self._replica.propose_departures(proposed, stamped_at=time.time())
+        missing = self._replica.facts.missing(facts)
+        if not missing.is_empty:
+            index = self._replica.propose_facts(missing, stamped_at=time.time())
             if index is None or not await self._replicate(index):
                 return None
         if not self.holds_lease:
             return None
-        return HostDepartures(host, self._replica.departures.of(host))
+        return self._replica.facts.of(facts.host)
 
     async def _replicate(self, index: int) -> bool:
         """Return whether a majority syncs the log of this leader up to an index in time."""
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -21,7 +21,7 @@
     Backoff,
     ComeAgain,
     Current,
-    DeparturesKept,
+    FactsKept,
     Floor,
     Lagging,
     Pull,
@@ -30,7 +30,7 @@
     Rejected,
     Subscription,
 )
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import NO_VERSION, Address, Seconds, Version
 from cowslipvane.wire import CONNECT_TIMEOUT, Link, LinkClosed, Malformed, Reception, connect
@@ -77,9 +77,9 @@
         membership: Membership,
         events: EventLog,
         rng: random.Random,
-        departure_keeper: DepartureKeeper,
+        fact_keeper: FactKeeper,
     ) -> None:
-        self._departure_keeper = departure_keeper
+        self._fact_keeper = fact_keeper
         self._subscription = subscription
         self._settings = settings
         self._membership = membership
@@ -199,7 +199,7 @@
                 await self._fetch_floor(link)
             replica = _Replica(link, self._membership.is_local(address))
             try:
-                with self._departure_keeper.using(link):
+                with self._fact_keeper.using(link):
                     while True:
                         if self._should_be_active(replica):
                             self._active = replica
@@ -218,8 +218,8 @@
         """Return the next message of a replica about versions, and handle others before it."""
         while True:
             match await link.receive(timeout=timeout):
-                case DeparturesKept() as response:
-                    self._departure_keeper.handle(response)
+                case FactsKept() as response:
+                    self._fact_keeper.handle(response)
                 case response:
                     return response
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -8,11 +8,12 @@
     Announcement,
     Announcements,
     Departure,
-    DepartureRegister,
-    HostDepartures,
+    FactRegister,
+    HostFacts,
     Worker,
+    WorkerLimit,
 )
-from cowslipvane.membership._departures import MAX_DEPARTURE_BYTES
+from cowslipvane.membership._facts import MAX_FACT_BYTES
 from cowslipvane.types import Address, HostName, ServiceName
 from cowslipvane.wire import encode_untagged
 
@@ -182,18 +183,18 @@
 
     def setUp(self) -> None:
         """Start with an empty register."""
-        self.register = DepartureRegister()
+        self.register = FactRegister()
 
     def record(self, host: str, *departures: Departure) -> None:
         """Record departures of a host."""
-        self.register.record(HostDepartures(HostName(host), departures))
+        self.register.record(HostFacts(HostName(host), departures))
 
     def test_the_newest_departures_of_a_host_are_kept(self) -> None:
         """A later one of an instance takes the place of the earlier one."""
         for number in range(MAX_HOST_DEPARTURES + 3):
             self.record("p", Departure(f"i-{number}", number))
         self.record("p", Departure("i-5", 100), Departure("i-5", 99))
-        kept = self.register.of(HostName("p"))
+        kept = self.register.of(HostName("p")).departures
         self.assertEqual(len(kept), MAX_HOST_DEPARTURES)
         self.assertEqual((kept[0].instance, kept[-1]), ("i-3", Departure("i-5", 100)))
 
@@ -201,8 +202,8 @@
         """An unsound one would keep others from reading the log."""
         self.record("p", Departure("a", 5))
         asked = (Departure("a", 5), Departure("a", 6), Departure("", 1), Departure("b", -1))
-        missing = self.register.missing(HostDepartures(HostName("p"), asked))
-        self.assertEqual(missing, (Departure("a", 6),))
+        missing = self.register.missing(HostFacts(HostName("p"), asked))
+        self.assertEqual(missing.departures, (Departure("a", 6),))
 
     # Guards against replicas whose memory grows with every host that there ever was.
     def test_its_size_is_bounded(self) -> None:
@@ -213,15 +214,29 @@
             )
         newest = 2 * FLEET - 1
         for number in range(newest - FLEET + 1, newest + 1):
-            self.assertTrue(self.register.of(HostName(f"10.{number >> 8}.{number & 255}.1")))
-        self.assertLess(len(encode_untagged(self.register.export())), MAX_DEPARTURE_BYTES)
-        self.assertEqual(self.register.of(HostName("10.0.0.1")), ())
+            self.assertTrue(
+                self.register.of(HostName(f"10.{number >> 8}.{number & 255}.1")).departures
+            )
+        self.assertLess(len(encode_untagged(self.register.export())), MAX_FACT_BYTES)
+        self.assertEqual(self.register.of(HostName("10.0.0.1")).departures, ())
+
+    def test_the_newest_limit_of_a_host_is_kept(self) -> None:
+        """One that was recorded before, or is none, isn't recorded again."""
+        host, limit = HostName("p"), WorkerLimit("a", 1, 2.5)
+        self.register.record(HostFacts(host, (), limit))
+        self.record("p", Departure("b", 1))
+        self.assertEqual(self.register.of(host).limit, limit)
+        unsound = WorkerLimit("a", 1, -1.0)
+        for known in (None, limit, unsound):
+            self.assertTrue(self.register.missing(HostFacts(host, (), known)).is_empty)
+        newer = HostFacts(host, (), limit._replace(requests_per_s=1.0))
+        self.assertEqual(self.register.missing(newer), newer)
 
     def test_restores_what_it_exports(self) -> None:
         """Also in which order the hosts are forgotten."""
         for number in range(5):
             self.record(f"p-{number % 3}", Departure(f"i-{number}", number))
-        copy = DepartureRegister()
+        copy = FactRegister()
         copy.restore(self.register.export())
         self.assertEqual(copy.export(), self.register.export())
 
--- a/tests/test_kept_departures.py
+++ b/tests/test_kept_facts.py
@@ -10,7 +10,14 @@
 import cbor2
 
 from cowslipvane.catalogue import Catalogue, export_state
-from cowslipvane.membership import Announcement, Announcements, Departure, HostDepartures, Worker
+from cowslipvane.membership import (
+    Announcement,
+    Announcements,
+    Departure,
+    HostFacts,
+    Worker,
+    WorkerLimit,
+)
 from cowslipvane.replica import (
     Ballot,
     Entry,
@@ -23,8 +30,9 @@
 )
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
-from cowslipvane.subscription import DeparturesKept, KeepDepartures, Subscription
-from cowslipvane.tasks._departure_keeper import KEEP_TIMEOUT, RESEND_INTERVAL, DepartureKeeper
+from cowslipvane.subscription import FactsKept, KeepFacts, Subscription
+from cowslipvane.tasks import _fact_keeper
+from cowslipvane.tasks._fact_keeper import KEEP_TIMEOUT, RESEND_INTERVAL, FactKeeper
 from cowslipvane.tasks._replication import Replication
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ReplicaId, ServiceName
@@ -88,26 +96,26 @@
                 journal = RecordingJournal()
                 replica = make_replica(journal, compact_after_entries=compact_after_entries)
                 lead(replica)
-                departures = HostDepartures(HOST, (GONE,))
-                index = replica.propose_departures(departures, stamped_at=1.0)
+                departures = HostFacts(HOST, (GONE,), WorkerLimit("i-2", 5, 1.5))
+                index = replica.propose_facts(departures, stamped_at=1.0)
                 assert index is not None
-                self.assertEqual(replica.departures.of(HOST), ())
+                self.assertEqual(replica.facts.of(HOST).departures, ())
                 replica.record_synced(index)
-                self.assertEqual(replica.departures.of(HOST), (GONE,))
+                self.assertEqual(replica.facts.of(HOST).departures, (GONE,))
                 restarted = make_replica(journal, compact_after_entries=compact_after_entries)
                 lead(restarted)
-                self.assertEqual(restarted.departures.of(HOST), (GONE,))
-                self.assertEqual(restarted.departures.of(OTHER), ())
+                self.assertEqual(restarted.facts.of(HOST), departures)
+                self.assertEqual(restarted.facts.of(OTHER).departures, ())
 
     def test_a_follower_gets_them_with_a_snapshot(self) -> None:
         """Those that it had before are replaced."""
         journal = RecordingJournal()
         replica = make_replica(journal, compact_after_entries=1000)
         snapshot = LogSnapshot(
-            9, 1, Group(()), export_state(Catalogue()), (HostDepartures(HOST, (GONE,)),)
+            9, 1, Group(()), export_state(Catalogue()), (HostFacts(HOST, (GONE,)),)
         )
         replica.handle_install(Install(term=1, leader=OTHER, snapshot=snapshot), 10.0)
-        self.assertEqual(replica.departures.of(HOST), (GONE,))
+        self.assertEqual(replica.facts.of(HOST).departures, (GONE,))
 
     # Guards against replicas that don't start after an update, since their snapshot is of an
     # earlier build.
@@ -129,7 +137,7 @@
         self.addAsyncCleanup(self.stack.aclose)
         self.leader = await self.stack.enter_async_context(SingleReplica(pull_wait=0.2))
         self.announcements = Announcements(may_have_predecessor=True)
-        self.keeper = DepartureKeeper(host=HOST, announcements=self.announcements)
+        self.keeper = FactKeeper(host=HOST, announcements=self.announcements)
         worker = Worker(ServiceName("stock"), UNUSED_ADDRESS, 6, 0, GONE.instance)
         self.announcements.record(Announcement(worker, "ready", GONE.started_at, 1))
 
@@ -149,14 +157,14 @@
             membership=lone_membership(settings),
             events=event_log(),
             rng=random.Random(3),
-            departure_keeper=self.keeper,
+            fact_keeper=self.keeper,
         )
         for coroutine in (subscriber.run(), self.keeper.run()):
             self.stack.callback(asyncio.create_task(coroutine).cancel)
 
     def kept(self) -> tuple[Departure, ...]:
         """Return the departures that the leader keeps."""
-        return self.leader.replica.departures.of(HOST)
+        return self.leader.replica.facts.of(HOST).departures
 
     async def test_a_departure_is_kept_by_the_leader(self) -> None:
         """An end that is kept already costs no further entry of the log."""
@@ -169,6 +177,19 @@
         self.assertTrue(await self.keeper.wait_until_kept(GONE))
         self.assertEqual(self.leader.replica.last_index, last_index)
 
+    async def test_a_limit_is_kept_when_it_differs_by_much(self) -> None:
+        """A worker may name another one in each answer."""
+        self.start(self.leader.address)
+        for requests_per_s, kept in ((10.0, 10.0), (15.0, 10.0), (5.1, 10.0), (1.0, 10.0)):
+            self.keeper.note_limit(WorkerLimit(*GONE, requests_per_s))
+            await asyncio.sleep(0.2)
+            limit = self.leader.replica.facts.of(HOST).limit
+            self.assertEqual(limit, WorkerLimit(*GONE, kept))
+        with mock.patch.object(_fact_keeper, "LIMIT_INTERVAL", 0.0):
+            self.keeper.note_limit(WorkerLimit(*GONE, 0.0))
+            await asyncio.sleep(0.2)
+        self.assertEqual(self.leader.replica.facts.of(HOST).limit, WorkerLimit(*GONE, 0.0))
+
     async def test_nothing_is_kept_while_nobody_answers(self) -> None:
         """It is kept later, without another call."""
         self.announcements.record_end(GONE)
@@ -180,11 +201,11 @@
 
     async def test_a_successor_learns_that_the_current_worker_has_left(self) -> None:
         """It asks as soon as it is connected, though it has nothing to be kept."""
-        departures = HostDepartures(HOST, (GONE,))
-        index = self.leader.replica.propose_departures(departures, stamped_at=1.0)
+        departures = HostFacts(HOST, (GONE,))
+        index = self.leader.replica.propose_facts(departures, stamped_at=1.0)
         assert index is not None
         self.leader.replication.record_synced(index)
-        told = asyncio.create_task(self.keeper.worker_left.wait(TIMEOUT_S))
+        told = asyncio.create_task(self.keeper.learnt.wait(TIMEOUT_S))
         await asyncio.sleep(0)
         self.start(self.leader.address)
         await told
@@ -195,8 +216,8 @@
     async def request(self, replica: SingleReplica, *, is_forwarded: bool) -> object:
         """Return the response of a replica to a departure, None if there is none."""
         async with connect(replica.address, "/subscribe") as link:
-            departures = HostDepartures(HOST, (GONE,))
-            await link.send(KeepDepartures(departures=departures, is_forwarded=is_forwarded))
+            departures = HostFacts(HOST, (GONE,))
+            await link.send(KeepFacts(facts=departures, is_forwarded=is_forwarded))
             try:
                 return await link.receive(timeout=RESEND_INTERVAL)
             except TimeoutError:
@@ -213,7 +234,7 @@
             self.assertIsNone(await self.request(follower, is_forwarded=True))
             self.assertEqual(self.kept(), ())
             response = await self.request(follower, is_forwarded=False)
-        expected = DeparturesKept(departures=HostDepartures(HOST, (GONE,)))
+        expected = FactsKept(facts=HostFacts(HOST, (GONE,)))
         self.assertEqual(response, expected)
         self.assertEqual(self.kept(), (GONE,))
 
@@ -225,11 +246,11 @@
     async def test_the_next_replica_is_asked_when_one_is_silent(self) -> None:
         """The first one may be frozen."""
         silent, answering = mock.AsyncMock(), mock.AsyncMock()
-        sent: list[KeepDepartures] = []
+        sent: list[KeepFacts] = []
 
-        async def answer(message: KeepDepartures) -> None:
+        async def answer(message: KeepFacts) -> None:
             sent.append(message)
-            self.keeper.handle(DeparturesKept(departures=message.departures))
+            self.keeper.handle(FactsKept(facts=message.facts))
 
         answering.send.side_effect = answer
         self.announcements.record_end(GONE)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -35,12 +35,12 @@
     resource_digest,
 )
 from cowslipvane.events import EventLog, HybridClock, Origin
-from cowslipvane.membership import Announcements, Member, Membership, Worker
+from cowslipvane.membership import Announcements, HostFacts, Member, Membership, Worker
 from cowslipvane.refusal import AnswerLost, OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
-from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
+from cowslipvane.subscription import FactsKept, Subscription
 from cowslipvane.tasks._dispatcher import Dispatcher, StartedResponse
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._peers import ENTRY_RETURN_TIME, Peers, serve_calls
@@ -146,17 +146,21 @@
     *,
     worker_lease: float = 60.0,
     header_names: HeaderNames = DEFAULT_HEADER_NAMES,
+    kept: HostFacts | None = None,
 ) -> Owner:
-    """Return an owner without a worker."""
+    """Return an owner without a worker, which knows what the replicas keep."""
     membership = Membership(own=own, now=0.0)
     gossip = Gossip(membership=membership, seeds=(), interval=1.0, events=events())
     announcements = Announcements()
+    fact_keeper = FactKeeper(host=own.host, announcements=announcements)
+    if kept is not None:
+        fact_keeper.handle(FactsKept(facts=kept))
     return Owner(
         gossip=gossip,
         subscription=subscription or Subscription(),
         events=events(),
         announcements=announcements,
-        departure_keeper=DepartureKeeper(host=own.host, announcements=announcements),
+        fact_keeper=fact_keeper,
         worker_lease=worker_lease,
         header_names=header_names,
     )
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -31,7 +31,7 @@
     Subscription,
 )
 from cowslipvane.tasks import _publisher
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import NO_VERSION, Address, DataCentre, HostName, ServiceName, Version
@@ -115,7 +115,7 @@
             membership=self.membership,
             events=self.events,
             rng=random.Random(3),
-            departure_keeper=DepartureKeeper(host=settings.host, announcements=Announcements()),
+            fact_keeper=FactKeeper(host=settings.host, announcements=Announcements()),
         )
         task = asyncio.create_task(subscriber.run())
         self.stack.callback(task.cancel)
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.admission import RateLimit
 from cowslipvane.call import Answer, AttemptId, HeaderNames, Offer, OwnerMessage, Refused, Request
-from cowslipvane.membership import Announcement, Departure, Worker
+from cowslipvane.membership import Announcement, Departure, HostFacts, Worker, WorkerLimit
 from cowslipvane.refusal import Overloaded, explain
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.types import Address, Header, HostName, ServiceName, Verdict
@@ -93,9 +93,9 @@
         self.replies: asyncio.Queue[OwnerMessage] = asyncio.Queue()
         self.serial = 0
 
-    def make_owner(self) -> Owner:
+    def make_owner(self, kept: HostFacts | None = None) -> Owner:
         """Return an owner that reads the fields."""
-        return make_owner(member("a", NOWHERE, None), header_names=NAMES)
+        return make_owner(member("a", NOWHERE, None), header_names=NAMES, kept=kept)
 
     def announcement(self, *, sequence: int, instance: str = "i-1") -> Announcement:
         """Return an announcement of the worker as ready."""
@@ -178,6 +178,39 @@
         arrivals = [at for at in self.worker.arrivals if at > time.monotonic() - WINDOW_S]
         self.assertLessEqual(len(arrivals), LOW_LIMIT * WINDOW_S * 1.5 + 5)
 
+    # Guards against the same with a worker that takes long: proxies that restarted more than once
+    # had each started a few requests, and more and more while they waited (issue 37, LIMIT).
+    async def test_restarted_owner_keeps_to_the_limit_that_was_kept(self) -> None:
+        """It starts one request at once, and others at the rate of the limit."""
+        self.worker.work = SLOW_WORK_S
+        for restart in range(4):
+            kept = HostFacts(HostName("a"), (), WorkerLimit("i-1", 0, LOW_LIMIT))
+            self.owner = self.make_owner(kept)
+            self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
+            await self.owner.handle_announcement(self.announcement(sequence=2))
+            for _ in range(2 * SLOTS):
+                await self.offer()
+            await asyncio.sleep(SLOW_WORK_S / 2)
+            self.assertEqual(len(self.worker.arrivals), restart + 1)
+
+    async def test_kept_limit_of_another_incarnation_is_none(self) -> None:
+        """Nor does a worker that named none any more start with one."""
+        for limit in (WorkerLimit("i-1", 5, LOW_LIMIT), WorkerLimit("i-1", 0, 0.0)):
+            owner = self.make_owner(HostFacts(HostName("a"), (), limit))
+            await owner.handle_announcement(self.announcement(sequence=2))
+            self.assertEqual(owner.load.slots, SLOTS)
+
+    async def test_kept_limit_that_is_over_ends_with_the_first_answer(self) -> None:
+        """Other requests wait no longer than that."""
+        kept = HostFacts(HostName("a"), (), WorkerLimit("i-1", 0, LOW_LIMIT))
+        self.owner = self.make_owner(kept)
+        self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
+        await self.owner.handle_announcement(self.announcement(sequence=2))
+        for _ in range(SLOTS):
+            await self.offer()
+        await asyncio.wait_for(self.owner.wait_idle(), TIMEOUT_S)
+        self.assertLess(self.worker.arrivals[-1] - self.worker.arrivals[0], LOW_LIMIT / 2)
+
     async def test_first_answer_frees_all_slots(self) -> None:
         """A worker that names no limit gets as many requests at once as it has slots."""
         for _ in range(SLOTS):
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -18,7 +18,7 @@
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._departure_keeper import DepartureKeeper
+from cowslipvane.tasks._fact_keeper import FactKeeper
 from cowslipvane.tasks._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Version
 from cowslipvane.wire import Link
@@ -86,7 +86,7 @@
         membership=lone_membership(settings),
         events=apply_times,
         rng=rng,
-        departure_keeper=DepartureKeeper(host=settings.host, announcements=Announcements()),
+        fact_keeper=FactKeeper(host=settings.host, announcements=Announcements()),
     )
     return asyncio.create_task(subscriber.run())
 
