Answer fences that name the incarnation that others know an owner by

What callers would see: after a restart of a proxy whose clock had gone back, each call whose link to it broke ended with "may have run", though it hadn't; and work went on there for callers that had left (GONE).

Cause: such a process has an incarnation below its predecessor's, sees that in the others' records and raises its own. The record of its attempts knew only the first one, so that it took all that was offered to it for its predecessor's. (Also found: abandon used the raised one already, and so did nothing.) Evidence: by reading, while looking for what a successor must know of fences; the test gets "may have run" for queued work without it. Change: the attempts know the last 8 incarnations of the process. Why it works: its predecessor's is none of them, as a raised one is above it; so what was offered to the predecessor still may have run.

--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -1,6 +1,13 @@
 """Calls, their attempts and verdicts, and the messages between entry proxies and owners."""
 
-from cowslipvane.call._attempts import Attempts, Ended, Forgotten, NeverStarted, Running
+from cowslipvane.call._attempts import (
+    Attempts,
+    Ended,
+    FenceOutcome,
+    Forgotten,
+    NeverStarted,
+    Running,
+)
 from cowslipvane.call._body import Incomplete, OfferAssembler, Overflow, split_offer
 from cowslipvane.call._byte_limit import ByteLimit
 from cowslipvane.call._call import Call
@@ -47,6 +54,7 @@
     "ConnectionEnd",
     "Exchange",
     "Fence",
+    "FenceOutcome",
     "Forgotten",
     "HandlerFailed",
     "HeaderNames",
--- a/cowslipvane/call/_attempts.py
+++ b/cowslipvane/call/_attempts.py
@@ -11,6 +11,9 @@
 # How long, and how many, ended or fenced attempts are remembered.
 RETENTION_TIME: Seconds = 120.0
 MAX_REMEMBERED = 8192
+# How many incarnations of one process are remembered. It has more than one if the clock has gone
+# back since the process before it was started.
+MAX_INCARNATIONS = 8
 # Size limits of one stored answer and of all together. Stored answers can be fetched again. An
 # answer beyond the first limit is not stored; beyond the second, the oldest ones are discarded.
 MAX_ANSWER_BYTES = 64 << 10
@@ -69,7 +72,8 @@
     """The attempts that were offered to this incarnation of the owner, or fenced at it."""
 
     def __init__(self, *, incarnation: int) -> None:
-        self._incarnation = incarnation
+        # The newest comes last.
+        self._incarnations = [incarnation]
         self._live: dict[AttemptId, _LiveAttempt] = {}
         self._past: OrderedDict[AttemptId, _PastAttempt] = OrderedDict()
         self._stored_bytes = 0
@@ -81,6 +85,11 @@
         """Return the attempts that are queued or running."""
         return tuple(self._live)
 
+    def record_incarnation(self, incarnation: int) -> None:
+        """Record the incarnation that others know this process by, which may have been raised."""
+        if incarnation not in self._incarnations:
+            self._incarnations = [*self._incarnations, incarnation][-MAX_INCARNATIONS:]
+
     def admit(self, attempt: AttemptId) -> bool:
         """Add a new attempt; return False if it may not be started."""
         if attempt in self._live or attempt in self._past or self._is_forgotten(attempt):
@@ -117,7 +126,7 @@
 
     def fence(self, attempt: AttemptId, incarnation: int, now: float) -> FenceOutcome:
         """Return the outcome of an attempt, and prevent it from starting if it has not started."""
-        if incarnation != self._incarnation:
+        if incarnation not in self._incarnations:
             # The attempt was offered to an earlier process, whose records are lost.
             return Forgotten()
         live = self._live.get(attempt)
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -19,6 +19,7 @@
     Chunk,
     Ended,
     Fence,
+    FenceOutcome,
     Forgotten,
     HeaderNames,
     NeverStarted,
@@ -30,7 +31,14 @@
     SendReply,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.membership import Announcement, Announcements, Departure, Worker, WorkerLimit
+from cowslipvane.membership import (
+    Announcement,
+    Announcements,
+    Departure,
+    Membership,
+    Worker,
+    WorkerLimit,
+)
 from cowslipvane.refusal import (
     AnswerLost,
     CallerGone,
@@ -126,6 +134,11 @@
         """Return the load of the upstream."""
         return self._admission.load if self._admission else _NO_LOAD
 
+    @property
+    def membership(self) -> Membership:
+        """Return the membership in which the worker is published."""
+        return self._gossip.membership
+
     @property
     def announcements(self) -> Announcements:
         """Return what the worker has announced."""
@@ -165,7 +178,7 @@
         self._slots = [slot for slot in self._slots if not slot.done()]
         self._slots += [asyncio.create_task(slot) for slot in slots]
         self._events.record("worker", service=worker.service, address=str(worker.address))
-        self._gossip.membership.set_worker(worker, time.monotonic())
+        self.membership.set_worker(worker, time.monotonic())
         self._gossip.notify_neighbours()
         await self._send_refusals(refused)
 
@@ -280,12 +293,12 @@
     async def fence(self, fence: Fence, reply: SendReply) -> None:
         """Reply with the outcome of an attempt, and bar it from starting if it hasn't started."""
         attempt = fence.attempt
-        match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
+        match self._fence(attempt, fence.incarnation):
             case Running(parts=list(parts)):
                 # Without a reply function, new parts are only kept, so that all are sent in order.
                 self._replies.pop(attempt, None)
                 await self._replay(parts, reply)
-                match self._attempts.fence(attempt, fence.incarnation, time.monotonic()):
+                match self._fence(attempt, fence.incarnation):
                     case Running(parts=current) if current is parts:
                         self._replies[attempt] = reply
                     case Ended(parts=current) if current is parts:
@@ -300,7 +313,7 @@
     async def cancel(self, cancel: Cancel, reply: SendReply) -> None:
         """Cancel an attempt that is queued or running, and reply whether it may have run."""
         attempt = cancel.attempt
-        match self._attempts.fence(attempt, cancel.incarnation, time.monotonic()):
+        match self._fence(attempt, cancel.incarnation):
             case Running():
                 self._replies.pop(attempt, None)
                 self._abort(attempt, _WITHDRAWN)
@@ -309,6 +322,11 @@
             case ended:
                 await self._reply_ended(attempt, ended, reply)
 
+    def _fence(self, attempt: AttemptId, incarnation: int) -> FenceOutcome:
+        """Return the outcome of an attempt that was offered to an incarnation."""
+        self._attempts.record_incarnation(self.membership.own.incarnation)
+        return self._attempts.fence(attempt, incarnation, time.monotonic())
+
     def abandon_queued(self, attempt: AttemptId, reply: SendReply) -> None:
         """Withdraw an attempt whose link was lost, if it hasn't started."""
         if not self._attempts.is_running(attempt):
@@ -322,8 +340,8 @@
         if self._replies.get(attempt) is not reply:
             return
         self._replies.pop(attempt)
-        incarnation = self._gossip.membership.own.incarnation
-        match self._attempts.fence(attempt, incarnation, time.monotonic()):
+        incarnation = self.membership.own.incarnation
+        match self._fence(attempt, incarnation):
             case Running():
                 self._abort(attempt, _ENTRY_LOST)
             case NeverStarted():
@@ -332,7 +350,7 @@
     async def drain(self) -> None:
         """Start no more attempts, and refuse the queued ones as not run."""
         self._draining = True
-        self._gossip.membership.leave("leaving", time.monotonic())
+        self.membership.leave("leaving", time.monotonic())
         self._gossip.notify_neighbours()
         self._events.record("leaving")
         await self._send_refusals(self._drain_admission())
@@ -351,7 +369,7 @@
     def _is_out(self) -> bool:
         """Return whether the operator has taken the upstream out."""
         table = self._subscription.table
-        return table is not None and table.is_out_of_service(self._gossip.membership.own.host)
+        return table is not None and table.is_out_of_service(self.membership.own.host)
 
     @property
     def _service(self) -> ServiceName:
@@ -525,7 +543,7 @@
     async def _remove_worker(self) -> None:
         """Remove the worker from membership, and let its slots finish their running requests."""
         self._worker = None
-        self._gossip.membership.set_worker(None, time.monotonic())
+        self.membership.set_worker(None, time.monotonic())
         self._gossip.notify_neighbours()
         await self._send_refusals(self._retire_slots())
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -314,6 +314,23 @@
         await self.begin(offer(3, "/ok/3"))
         self.assertEqual(self.worker.received, ["/wait", "/ok/3"])
 
+    # Guards against work for callers that are gone, and calls whose outcome stays unknown, at a
+    # process whose clock went back since its predecessor started (issue 37).
+    async def test_an_owner_knows_the_incarnation_that_others_know_it_by(self) -> None:
+        """What was offered to the process before may have run, whatever its incarnation."""
+        own = self.owner.membership.own
+        self.owner.membership.merge([own._replace(incarnation=7)], 0.0)
+        self.assertEqual(self.owner.membership.own.incarnation, 8)
+        await self.begin(offer(1, "/wait"))
+        await self.owner.offer(offer(2, "/ok"), self.inbox.reply)
+        cancelled = offer(2, "/ok").attempt
+        await self.owner.cancel(Cancel(attempt=cancelled, incarnation=7), self.inbox.reply)
+        self.assertEqual(await self.inbox.verdict(), Verdict.MAY_HAVE_RUN)
+        await self.owner.cancel(Cancel(attempt=cancelled, incarnation=8), self.inbox.reply)
+        self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
+        await self.owner.cancel(self.cancel(offer(3, "/ok")), self.inbox.reply)
+        self.assertEqual(await self.inbox.verdict(), Verdict.NOT_RUN)
+
     async def test_a_stalled_peer_delays_no_refusal_of_queued_work(self) -> None:
         """A peer that was cut off held up the verdicts of the others when their owner drained."""
         await self.begin(offer(1, "/wait"))
