--- a/cowslipvane/tasks/__init__.py
+++ b/cowslipvane/tasks/__init__.py
@@ -4,7 +4,7 @@
 from cowslipvane.tasks._http import HttpListener
 from cowslipvane.tasks._owner import Owner
 from cowslipvane.tasks._releases import NoRelease, Releases
-from cowslipvane.tasks._replication import NotLeader, Unknown
+from cowslipvane.tasks._replication_messages import NotLeader, Unknown
 
 __all__ = [
     "Components",
--- a/cowslipvane/tasks/_releases.py
+++ b/cowslipvane/tasks/_releases.py
@@ -19,7 +19,8 @@
     release_operation_id,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.tasks._replication_messages import NotLeader, Unknown
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/tasks/_replica_api.py
+++ b/cowslipvane/tasks/_replica_api.py
@@ -11,7 +11,8 @@
 from cowslipvane.replica import GroupChangeRefused
 from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._redirect import leader_redirect
-from cowslipvane.tasks._replication import GroupChanged, NotLeader, Replication, Unknown
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.tasks._replication_messages import GroupChanged, NotLeader, Unknown
 from cowslipvane.wire import group_form, read_group_change
 
 _PATH = "/v1/replicas"
--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from contextlib import suppress
-from dataclasses import dataclass
 
 from cowslipvane.catalogue import Change, Invalid, Outcome, change_faults
 from cowslipvane.clock import lease_now
@@ -15,7 +14,6 @@
     Append,
     AppendReply,
     Candidate,
-    Group,
     GroupChange,
     GroupChangeRefused,
     Install,
@@ -32,6 +30,14 @@
     VoteReply,
 )
 from cowslipvane.settings import Timing
+from cowslipvane.tasks._replication_messages import (
+    Greeting,
+    GroupChanged,
+    NotLeader,
+    Stranger,
+    Unknown,
+    Welcome,
+)
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Address, HostName, ReplicaId, Seconds
 from cowslipvane.wire import Link, LinkClosed, Malformed, connect, register
@@ -46,51 +52,6 @@
 ROOM_CHECK_INTERVAL: Seconds = 0.2
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NotLeader:
-    """The change was not run here; send it to the leader, which is None while unknown."""
-
-    leader: HostName | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Unknown:
-    """The outcome of the change is unknown; retry a write with the same operation id."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupChanged:
-    """The group change is accepted; a learner is promoted to voter once its log is complete."""
-
-    group: Group
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Greeting:
-    """Opens a connection: the group, and the expected replica id, empty while it is unknown."""
-
-    group: str
-    wanted: ReplicaId
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Welcome:
-    """Accepts a handshake and returns the replica id of the local data folder."""
-
-    replica_id: ReplicaId
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Stranger:
-    """Rejects a handshake that is addressed to another group or another data folder."""
-
-    group: str
-    replica_id: ReplicaId
-
-
-register(Greeting, Welcome, Stranger)
-
-
 class Replication:
     """Exchanges one replica's messages, and syncs its journal before replies that depend on it."""
 
--- a/cowslipvane/tasks/_resource_api.py
+++ b/cowslipvane/tasks/_resource_api.py
@@ -13,7 +13,8 @@
 from cowslipvane.tasks._http import error_response
 from cowslipvane.tasks._publisher import Publisher
 from cowslipvane.tasks._redirect import leader_redirect
-from cowslipvane.tasks._replication import NotLeader, Replication, Unknown
+from cowslipvane.tasks._replication import Replication
+from cowslipvane.tasks._replication_messages import NotLeader, Unknown
 from cowslipvane.tasks._watch import Watch
 from cowslipvane.types import HostName, OperationId, Version
 from cowslipvane.wire import (
