Deregister only the worker whose departure was handled

What callers would see: no requests at a sound worker until its next heartbeat, since the departure of the one before it was handled in the same turn of the event loop as its first announcement.

Evidence: found by reading the diff; the test fails without the change (the worker is None). Change: the task is for the worker that was registered when the departure was recorded.

--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from contextlib import closing
 from functools import partial
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from cowslipvane.admission import Admission, FirstAnswer, Work, request_kind
 from cowslipvane.call import (
@@ -214,10 +214,12 @@
 
     async def _handle_end(self, departure: Departure, *, is_current: bool) -> bool:
         """Deregister the worker if it is the one that ends; return whether the end is kept."""
-        removal = self._start_removal(self.deregister_worker()) if is_current else None
+        removals = []
+        if is_current and self._worker is not None:
+            removals.append(self._start_removal(self._worker))
         is_kept = await self._fact_keeper.wait_until_kept(departure)
-        if removal is not None:
-            await asyncio.wait({removal}, timeout=REFUSALS_TIMEOUT)
+        if removals:
+            await asyncio.wait(removals, timeout=REFUSALS_TIMEOUT)
         kept = "yes" if is_kept else "not yet, so it isn't acknowledged"
         self._events.record("departure", instance=departure.instance, kept=kept)
         return is_kept
@@ -623,11 +625,11 @@
             self._announcements.record_leaving(worker.instance)
             self._fact_keeper.notify()
             # The answer isn't held up by the refusals of queued work.
-            self._start_removal(self._remove_leaving(worker))
+            self._start_removal(worker)
 
-    def _start_removal(self, removal: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Deregister a worker in a task of its own."""
-        task = asyncio.create_task(removal)
+    def _start_removal(self, worker: Worker) -> asyncio.Task[None]:
+        """Deregister a worker that says it is leaving, in a task of its own."""
+        task = asyncio.create_task(self._remove_leaving(worker))
         self._removals.add(task)
         task.add_done_callback(self._removals.discard)
         return task
--- a/tests/test_owner_races.py
+++ b/tests/test_owner_races.py
@@ -147,6 +147,19 @@
         self.assertIn("draining", explain(message.refusal).code)
         self.assertIsNone(self.owner._worker)
 
+    # Guards against a worker that gets no requests until it announces itself again, since the
+    # departure of the one before it was handled at the same moment.
+    async def test_a_worker_that_comes_as_another_departs_stays(self) -> None:
+        """The departure ends only the one that it names."""
+        self.held.released.set()
+        await asyncio.wait_for(self.announce(2, 1), TIMEOUT_S)
+        departing = asyncio.create_task(self.owner.handle_departure("w", None))
+        worker = Worker(SERVICE, self.address, 3, 10, "next")
+        announcement = Announcement(worker, "ready", 2, 1)
+        coming = asyncio.create_task(self.owner.handle_announcement(announcement))
+        await asyncio.wait_for(asyncio.gather(departing, coming), TIMEOUT_S)
+        self.assertEqual(self.owner._worker, worker)
+
 
 if __name__ == "__main__":
     unittest.main()
