Measure other requests in a process without the threads of the load

Trace: asyncio's debug mode names the test's own task in that run, just before the failure: it took 0.267 s for one step, and 0.108 to 0.361 s for 8 others. Each step has to wait for the interpreter's lock, which each thread may keep for 5 ms. So the test was wrong where it measured. It keeps its bounds, its kinds of bytes, its callers and its slots; worker and callers run in a process of their own (tests/endless_load.py).

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -1,89 +1,55 @@
 """Tests of real processes with a worker that sends bytes without end, and many callers of it."""
 
 import asyncio
-import contextlib
-import socket
-import threading
+import sys
 import time
 import unittest
 from pathlib import Path
+from typing import Self
 
 import aiohttp
 
-from tests.endless_worker import Endless
+from tests.endless_load import KINDS, SLOTS
 from tests.one_worker_case import ENTRY, OneWorkerTestCase
+from tools.fleet import ROOT
 
 # The host beside the faulty worker, which has no other.
 FAULTY = "stock-3"
-HEAD = b"HTTP/1.1 200 OK\r\n"
-CHUNK = b"ffff\r\n" + bytes(0xFFFF) + b"\r\n"
-KINDS = (
-    Endless("head", HEAD, b"A: " + b"b" * 1000 + b"\r\n"),
-    Endless("body without a length", HEAD + b"\r\n", bytes(1 << 16)),
-    Endless("body with a length", HEAD + b"Content-Length: 1000000000000\r\n\r\n", bytes(1 << 16)),
-    Endless("body in chunks", HEAD + b"Transfer-Encoding: chunked\r\n\r\n", CHUNK),
-)
-CALLERS = 40
-SLOTS = 64
 CALLERS_FOR_S = 1.5
 # What the users' platform gives a host beside a worker at least.
 MAX_RESIDENT_BYTES = 200 << 20
 # Other requests take a few milliseconds; this leaves them most of their latency goal.
 MAX_OTHER_S = 0.25
 ANNOUNCE_INTERVAL_S = 0.5
-RECEIVE_BYTES = 1 << 16
 
 
-class EndlessWorker:
-    """Sends bytes without end to each request, from threads of its own."""
+class Load:
+    """A process with the faulty worker and its callers."""
 
-    def __init__(self) -> None:
-        self.endless = KINDS[0]
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=SLOTS)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        threading.Thread(target=self._accept, daemon=True).start()
+    def __init__(self, process: asyncio.subprocess.Process, address: str) -> None:
+        self._process = process
+        self.address = address
 
-    def close(self) -> None:
-        """Stop listening."""
-        self._listener.close()
+    @classmethod
+    async def start(cls) -> Self:
+        """Start the process."""
+        pipe = asyncio.subprocess.PIPE
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "tests.endless_load", stdin=pipe, stdout=pipe, cwd=ROOT
+        )
+        assert process.stdout is not None
+        return cls(process, (await process.stdout.readline()).decode().strip())
 
-    def _accept(self) -> None:
-        """Accept connections until the listener is closed."""
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        """Send until the connection is closed."""
-        with connection, contextlib.suppress(OSError):
-            connection.recv(RECEIVE_BYTES)
-            connection.sendall(self.endless.start)
-            while True:
-                connection.sendall(self.endless.repeated)
-
-
-class Caller:
-    """A connection with one request, whose answer is read by a thread or by nobody."""
-
-    def __init__(self, *, address: str, reads: bool) -> None:
-        ip, _, port = address.rpartition(":")
-        self._socket = socket.create_connection((ip, int(port)))
-        self._socket.sendall(b"GET /empties HTTP/1.1\r\nHost: shop\r\n\r\n")
-        if reads:
-            threading.Thread(target=self._read, daemon=True).start()
-
-    def close(self) -> None:
-        """Close the connection."""
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
+    async def run(self, command: str) -> None:
+        """Return once the process has run a command."""
+        assert self._process.stdin is not None and self._process.stdout is not None
+        self._process.stdin.write(f"{command}\n".encode())
+        assert await self._process.stdout.readline() == b"done\n"
 
-    def _read(self) -> None:
-        """Read until the connection ends."""
-        with contextlib.suppress(OSError):
-            while self._socket.recv(RECEIVE_BYTES):
-                pass
+    async def stop(self) -> None:
+        """End the process."""
+        self._process.kill()
+        await self._process.wait()
 
 
 class EndlessBytesTest(OneWorkerTestCase):
@@ -94,14 +60,14 @@
     async def asyncSetUp(self) -> None:
         """Start the processes and the faulty worker."""
         await super().asyncSetUp()
-        self.worker = EndlessWorker()
-        self.addCleanup(self.worker.close)
+        self.load = await Load.start()
+        self.addAsyncCleanup(self.load.stop)
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
 
     async def announce(self, host: str, state: str = "ready") -> None:
         """Announce the faulty worker at the proxy of a host."""
-        form = {"service": "empties", "address": self.worker.address, "state": state}
+        form = {"service": "empties", "address": self.load.address, "state": state}
         form |= {"slots": SLOTS, "connections": SLOTS}  # type: ignore[dict-item]
         url = f"http://{self.fleet.address(host, 'operators')}/v1/worker"
         async with self.session.post(url, json=form) as response:
@@ -141,7 +107,7 @@
     async def check(self, owner: str, *, reads: bool) -> None:
         """Call the faulty worker by many callers, and check what others and the hosts see."""
         address = self.fleet.address(ENTRY, "callers")
-        callers = [Caller(address=address, reads=reads) for _ in range(CALLERS)]
+        await self.load.run(f"call {address} {reads:d}")
         until = time.monotonic() + CALLERS_FOR_S
         slowest, largest = 0.0, 0
         try:
@@ -150,8 +116,7 @@
                 largest = max(largest, *(self.resident_bytes(host) for host in (ENTRY, owner)))
                 await asyncio.sleep(0.01)
         finally:
-            for caller in callers:
-                caller.close()
+            await self.load.run("close")
         self.assertLess(largest, MAX_RESIDENT_BYTES)
         self.assertLess(slowest, MAX_OTHER_S)
 
@@ -160,10 +125,10 @@
         announcing = asyncio.create_task(self.keep_announced(owner))
         try:
             await self.until_called()
-            for endless in KINDS:
+            for number, endless in enumerate(KINDS):
                 for reads in (False, True):
                     with self.subTest(endless.label, reads=reads):
-                        self.worker.endless = endless
+                        await self.load.run(f"worker {number}")
                         await self.check(owner, reads=reads)
                         await asyncio.sleep(0.2)
         finally:
