--- a/review/lab2/machines.py
+++ b/review/lab2/machines.py
@@ -33,7 +33,7 @@
         prefix = f"127.{random.randint(30, 220)}.{random.randint(1, 250)}"
         try:
             for port in (CALLERS_PORT, READINESS_PORT, CONTROL_PORT, WORKER_PORT, PEERS_PORT):
-                for last in range(1, 12):
+                for last in range(1, 21):
                     with socket.socket() as probe:
                         probe.bind((f"{prefix}.{last}", port))
             return prefix
