--- a/review/lab2/worker.py
+++ b/review/lab2/worker.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -28,6 +29,9 @@
     daemon_threads = True
     worker: Worker
 
+    def handle_error(self, *_: object) -> None:
+        """Ignore a connection that the daemon has closed, as when it aborts a request."""
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -44,8 +48,26 @@
             return
         worker.record(request_id, self.path)
         time.sleep(worker.work_s)
+        if worker.large_bytes and self.path.startswith("/large/"):
+            self._send_large(worker, request_id)
+            return
         self._answer(200, f"{worker.service} ran {request_id}".encode(), request_id, signed=True)
 
+    def _send_large(self, worker: Worker, request_id: str) -> None:
+        """Send a large answer, and break it off two thirds through if the worker is faulty."""
+        size = worker.large_bytes
+        self.send_response(200)
+        self.send_header("Attempt-Id", request_id)
+        self.send_header("Response-Signature", f"sig-{request_id}")
+        self.send_header("Content-Length", str(size))
+        self.end_headers()
+        self.wfile.write(b"l" * (2 * size // 3))
+        if worker.breaks_off:
+            self.connection.shutdown(socket.SHUT_RDWR)
+            self.close_connection = True
+            return
+        self.wfile.write(b"l" * (size - 2 * size // 3))
+
     do_GET = do_POST = do_PUT = do_DELETE = handle_any  # noqa: N815
 
     def _answer(self, status: int, body: bytes, request_id: str, *, signed: bool) -> None:
@@ -71,6 +93,8 @@
         self, *, lab: Lab, machine: Machine, instance: str, runs: list[Run], work_s: float = 0.05
     ) -> None:
         self.instance, self.service, self.work_s = instance, machine.service, work_s
+        # The size of answers below /large/, 0 for usual ones, and whether they break off.
+        self.large_bytes, self.breaks_off = 0, False
         self._lab, self._machine, self._runs = lab, machine, runs
         self._born = int(time.time() * 1000)
         self._sequence = 0
