--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lab2.consumer import ask  # noqa: E402
+from lab2.consumer import ask, is_served  # noqa: E402
 from lab2.machines import CONTROL_PORT, Lab, Machine  # noqa: E402
 from lab2.operator import configuration, replace  # noqa: E402
 from lab2.worker import Run, Worker  # noqa: E402
@@ -63,7 +63,10 @@
     form = configuration(1, 0, {"/b/": "bodega", "/c/": "carga"})
     if replace(lab, lab.seeds, form, 15.0) != 200:
         return NOT_RUN
-    time.sleep(4.0)
+    paths = ("/b/1", "/c/1")
+    if not all(is_served(lab, side, path) for side in sides for path in paths):
+        return NOT_RUN
+    time.sleep(2.0)
     before = served_share(lab, sides)
     if before < SERVED_SHARE:
         return NOT_RUN
--- a/review/lab2/consumer.py
+++ b/review/lab2/consumer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import time
 import uuid
 from typing import NamedTuple
 
@@ -52,3 +53,13 @@
         connection.close()
     lab.note(f"consumer at {machine.name} got {answer.status} for {request_id}")
     return answer
+
+
+def is_served(lab: Lab, machine: Machine, path: str, *, timeout_s: float = 20.0) -> bool:
+    """Send requests until one is served; return False if none is before the timeout."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if ask(lab, machine, path).status == 200:
+            return True
+        time.sleep(0.3)
+    return False
