--- a/review/lab2/worker.py
+++ b/review/lab2/worker.py
@@ -48,7 +48,7 @@
             return
         worker.record(request_id, self.path)
         time.sleep(worker.work_s)
-        if worker.large_bytes and self.path.startswith("/large/"):
+        if worker.large_bytes and "/large/" in self.path:
             self._send_large(worker, request_id)
             return
         self._answer(200, f"{worker.service} ran {request_id}".encode(), request_id, signed=True)
