--- a/review/lab2/machines.py
+++ b/review/lab2/machines.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -41,6 +42,11 @@
             continue
 
 
+def _exit(*_: object) -> None:
+    """End the script as one that couldn't run."""
+    sys.exit(2)
+
+
 class Machine:
     """One machine with one process of the system; service is empty on a core machine."""
 
@@ -138,6 +144,8 @@
     """The machines of one script, and its record."""
 
     def __init__(self, *, folder: str) -> None:
+        # A script that is stopped ends the processes that it has started.
+        signal.signal(signal.SIGTERM, _exit)
         self._began_at = time.monotonic()
         self._record = (Path(folder) / "record.txt").open("w")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
