Tell proxies and replicas of the replicas in all data centres

Cause: a process knew as replicas the seeds of its settings and those of its own data centre. The records of other replicas weren't sent to other data centres, so the second subscription, and a replica that has to join again, found nobody once the seeds were gone.

Change: the gateways export the records of all members that are replicas alone; replica_addresses returns those of all data centres, seeds that aren't members are tried last, and a replica that joins asks the members too. Why it works: the record of a successor spreads while the seeds are still there, and its death is known like that of any other member.

Related paths looked at: the fact keeper asks over the subscriptions, so it finds the new replicas with them; gossip asks seeds only when alone or a gateway, which a running process rarely is. A process that starts while all seeds of its settings are gone still finds nobody.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -46,7 +46,7 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
-from cowslipvane.types import Seconds
+from cowslipvane.types import Address, Seconds
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
 # Time kept free at the end of the grace period for listeners and links to close, each within a time
@@ -302,13 +302,18 @@
                 replication=self._replication,
                 group_name=identity.group,
                 own_address=self._settings.listen.peers,
-                peer_addresses=lambda: self._settings.seeds,
+                peer_addresses=self._replica_addresses,
                 events=self._events,
                 rng=self._rng,
             )
             tasks.append(self._group_joiner.run())
         return tasks
 
+    def _replica_addresses(self) -> tuple[Address, ...]:
+        """Return where replicas may listen: the seeds, and those that this process knows."""
+        known = self._gossip.membership.replica_addresses()
+        return tuple({*self._settings.seeds, *known})
+
     def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
         """Build the proxy's components and return their tasks."""
         subscription = Subscription()
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -84,6 +84,11 @@
         """Return the position of this record among those of the same host."""
         return Order(self.incarnation, self.counter, self.suspected)
 
+    @property
+    def is_replica_alone(self) -> bool:
+        """Return whether the process takes no callers, which it would as a proxy."""
+        return self.callers is None
+
     @property
     def is_sound(self) -> bool:
         """Return whether other processes can use the record."""
--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -177,8 +177,8 @@
         return owners
 
     def replica_addresses(self) -> list[Address]:
-        """Return where the members of this data centre listen that are replicas alone."""
-        return [member.peers for member in self._live_local() if member.callers is None]
+        """Return where the known members listen that are replicas alone."""
+        return [member.peers for member in self._live() if member.is_replica_alone]
 
     def is_local(self, peers: Address) -> bool:
         """Return whether a member of this data centre listens for peers at an address."""
--- a/cowslipvane/membership/_topology.py
+++ b/cowslipvane/membership/_topology.py
@@ -66,7 +66,7 @@
 def exported_hosts(live: Sequence[Member], seeds: Collection[Address]) -> frozenset[HostName]:
     """Return the members of a data centre whose records are sent to other data centres."""
     hosts = sorted(member.host for member in live)[:GATEWAYS_PER_DATA_CENTRE]
-    hosts += [member.host for member in live if member.peers in seeds]
+    hosts += [member.host for member in live if member.peers in seeds or member.is_replica_alone]
     owners: dict[ServiceName, list[HostName]] = defaultdict(list)
     for member in live:
         if member.worker is not None and member.state == "up" and not member.suspected:
--- a/cowslipvane/tasks/_subscriber.py
+++ b/cowslipvane/tasks/_subscriber.py
@@ -139,15 +139,18 @@
     def _ordered_replicas(self, failed: Address | None, *, prefers_local: bool) -> list[Address]:
         """Return the known replicas: those preferred first, and the one that has failed last.
 
+        Seeds that aren't known as members come after those that are, since they may be gone.
         Replicas that are alike come in random order.
         """
-        replicas = sorted({*self._seeds, *self._membership.replica_addresses()})
+        members = set(self._membership.replica_addresses())
+        replicas = sorted({*self._seeds, *members})
         self._rng.shuffle(replicas)
         return sorted(
             replicas,
             key=lambda address: (
                 address == failed,
                 self._membership.is_local(address) is not prefers_local,
+                address not in members,
             ),
         )
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -218,6 +218,16 @@
         membership.expire(EXPORT_DELAY + SUSPICION_TIMEOUT)
         self.assertTrue(feed.has_updates)
 
+    # Guards against proxies that know no replica of other data centres once the seeds of their
+    # settings are gone (review/9).
+    def test_all_replicas_are_exported(self) -> None:
+        """They needn't be seeds or gateways, nor serve callers."""
+        members = [record(f"h{index}") for index in range(5)]
+        members.append(record("r9")._replace(callers=None, worker=None))
+        self.assertIn("r9", exported_hosts(members, ()))
+        membership = create_membership(record("z", data_centre=REMOTE)._replace(callers=None))
+        self.assertEqual(membership.replica_addresses(), [record("z").peers])
+
     def test_leaving_and_suspected_owners_are_not_exported(self) -> None:
         """The next owners in line are exported instead."""
         members = [record(f"h{index}") for index in range(8)]
--- a/tests/test_silent_replica.py
+++ b/tests/test_silent_replica.py
@@ -6,8 +6,9 @@
 import unittest
 from functools import partial
 
+from cowslipvane.membership import Member
 from cowslipvane.subscription import WATCH_ONLY, Current, PullDelta
-from cowslipvane.types import Address, Seconds, Version
+from cowslipvane.types import Address, DataCentre, HostName, Seconds, Version
 from cowslipvane.wire import connect
 from tests.test_busy_link import PROPAGATION_TIME
 from tests.test_subscriber import TIMEOUT_S, SubscriptionTestCase, policy, pull
@@ -105,5 +106,43 @@
         self.assertEqual(response.delta.base, 1)
 
 
+class ReplacedSeedsTest(SubscriptionTestCase):
+    """All seeds of the settings are gone; a proxy knows their successors as members."""
+
+    # Guards against proxies that stay at the old version while the replica of their data centre is
+    # frozen, since they know no other one (review/9, CONFIG).
+    async def test_version_is_in_force_in_time_without_the_local_replica(self) -> None:
+        """The proxy is connected to a replica of another data centre."""
+        local, remote = [await self.replica(pull_wait=0.2) for _ in range(2)]
+        relay = Relay()
+        self.stack.push_async_callback(relay.close)
+        local_address = await relay.listen(Address(IP, 0), local.address)
+        members = tuple(
+            replica_record(host, data_centre, address)
+            for host, data_centre, address in (
+                ("local", "here", local_address),
+                ("remote", "there", remote.address),
+            )
+        )
+        for replica in (local, remote):
+            replica.put(policy(1.0))
+        gone = [Address(IP, port) for port in (1, 2, 3)]
+        subscription = self.proxy(*gone, silence=SILENCE, members=members)
+        await self.until(lambda: subscription.version == 1)
+        await self.until(lambda: bool(remote.replica.reports))
+        with relay.condition((IP,), CUT):
+            accepted_at = time.monotonic()
+            for replica in (local, remote):
+                replica.put(policy(2.0))
+            await self.until(lambda: subscription.version == 2)
+            self.assertLess(time.monotonic() - accepted_at, PROPAGATION_TIME)
+
+
+def replica_record(host: str, data_centre: str, address: Address) -> Member:
+    """Return the record of a process that is a replica alone."""
+    centre = DataCentre(data_centre)
+    return Member(HostName(host), centre, 1, 1, address, address, None, "up", None)
+
+
 if __name__ == "__main__":
     unittest.main()
