Model replaced voters, hand-overs and leases in the specification

Added: a machine that joins at a new address, a voter that is demoted to learner and may be promoted again, leases (a voter that accepted a message promises its leader no vote to others), and a leader that hands over; the invariant "one lease at a time" also says that who holds a lease has all accepted entries.

All invariants hold. Three mutations are refuted: two voters exchanged in one entry (accepted entries lost, two orders), votes in spite of a lease, a hand-over before the leader steps down.

The first form of the model let a replica start an election within its own promise, which broke "one lease at a time"; the code doesn't: its election is due an election timeout after the leader's message, and a promise ends then.

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -24,6 +24,19 @@
         *("1 starts an election", "2 votes for 1", "1 writes"),
     ),
 )
+# A leader has added a new machine, which has caught up.
+JOINING = (
+    *("0 starts an election", "1 votes for 0", "0 writes", "0 sends to 1"),
+    *("0 adds 3", "0 sends to 1", "0 sends to 3", "0 sends to 3"),
+)
+REPLACEMENT = Scope(terms=2, writes=1, changes=3, joins=True, initial_steps=JOINING)
+LOST_DISK_IN_REPLACEMENT = REPLACEMENT._replace(losses=1)
+LEASES = Scope(terms=2, writes=2, leases=True)
+LEASES_IN_REPLACEMENT = REPLACEMENT._replace(leases=True, initial_steps=(*JOINING, "0 promotes 3"))
+SCOPES = (
+    *(ELECTIONS, CONCURRENT_WRITES, COMPETING_LEADERS, LOST_DISK, GROUP_CHANGES),
+    *(REPLACEMENT, LOST_DISK_IN_REPLACEMENT, LEASES, LEASES_IN_REPLACEMENT),
+)
 
 
 def check(scope: Scope, rules: Rules, max_states: int) -> dict[str, Any]:
@@ -37,7 +50,7 @@
 
     def test_the_protocol_satisfies_the_invariants_in_every_scope(self) -> None:
         """Explore every state within each scope."""
-        for scope in (ELECTIONS, CONCURRENT_WRITES, COMPETING_LEADERS, LOST_DISK, GROUP_CHANGES):
+        for scope in SCOPES:
             with self.subTest(scope=scope):
                 result = check(scope, Rules(), MAX_STATES)
                 self.assertTrue(result["exhaustive"])
@@ -68,6 +81,19 @@
         rules = Rules(one_change_at_a_time=False)
         self.refute(GROUP_CHANGES, rules, "accepted is never lost", "one order")
 
+    def test_two_voters_exchanged_at_once_can_lose_accepted_entries(self) -> None:
+        """Majorities of the group before and of the one after may have no common member."""
+        rules = Rules(changes_one_voter=False)
+        self.refute(REPLACEMENT._replace(writes=2), rules, "accepted is never lost", "one order")
+
+    def test_a_vote_in_spite_of_a_lease_can_make_two_leaders_answer(self) -> None:
+        """The leader that counts on the lease doesn't know of the next one."""
+        self.refute(LEASES, Rules(keeps_promises=False), "one lease at a time")
+
+    def test_a_leader_that_hands_over_before_it_steps_down_can_answer_beside_the_next(self) -> None:
+        """The votes that it releases are those that its own lease counts on."""
+        self.refute(LEASES, Rules(steps_down_first=False), "one lease at a time")
+
 
 if __name__ == "__main__":
     unittest.main()
