Let another writer's announcement end no sound worker

Cause: any service was taken, and several fields weren't read. The incarnation with the later start time, and the announcement with the higher sequence, won for good. And that another incarnation had announced itself was taken for proof that the one before had ended, which the replicas kept, so that each successor ended it again.

Evidence: events of the daemon in the case on: worker bodega, 3.6 s later worker otra, 6.1 s later worker-silent otra, nothing more. New event ignored, since nothing told that announcements were.

Change: the adapter checks all fields of a heartbeat and the address against its host, and the body of a deregistration; the owner refuses a service that neither the settings, the configuration nor the current worker name. An incarnation that was replaced isn't recorded as ended. One that is late or was replaced counts again after three announcements over 2.5 s without a word of the current one, one that seems to have left after 60 s. Leaving under another name doesn't deregister the worker.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -46,7 +46,7 @@
 from cowslipvane.tasks._resource_api import ResourceApi
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks._subscriber import Subscriber
-from cowslipvane.types import Address, Seconds
+from cowslipvane.types import Address, Seconds, ServiceName
 from cowslipvane.wire import LinkIdentity, Traffic, link_identity
 
 # Time kept free at the end of the grace period for listeners and links to close, each within a time
@@ -328,6 +328,7 @@
             announcements=announcements,
             fact_keeper=fact_keeper,
             worker_lease=self._settings.timing.worker_lease,
+            service=ServiceName(self._settings.service),
             header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
         )
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -24,6 +24,7 @@
     "folder-refused",
     "folder-set-aside",
     "handed-over",
+    "ignored",
     "late",
     "leader",
     "leaving",
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -7,19 +7,22 @@
 
 from cowslipvane.membership._facts import Departure, Departures
 from cowslipvane.membership._member import Worker
+from cowslipvane.types import Seconds
 
 
 class Announcement(NamedTuple):
     """One announcement of a worker.
 
     started_at is the start time of this incarnation of the worker in milliseconds of wall time, or
-    0 if unknown. sequence increases with each announcement of an incarnation.
+    0 if unknown. sequence increases with each announcement of an incarnation. received_at is in
+    seconds of a steady clock.
     """
 
     worker: Worker
     state: Literal["ready", "leaving", "gone"]
     started_at: int
     sequence: int
+    received_at: float = 0.0
 
     @property
     def departure(self) -> Departure:
@@ -29,13 +32,47 @@
 
 # Ended worker instances that a host remembers, so that their late announcements are ignored.
 MAX_ENDED_INSTANCES = 64
+# Late announcements come singly, or many at a time. What an incarnation says in a series of this
+# length, and over the times below, isn't late.
+MIN_SERIES = 3
+# Time over which an incarnation that another one has replaced must go on announcing itself, without
+# a word of that one, to replace it in turn.
+RETURN_TIME: Seconds = 2.5
+# The same for one that has left. A departed worker may live on for many seconds.
+RESCIND_TIME: Seconds = 60.0
+
+
+class _Series(NamedTuple):
+    """Announcements of an incarnation that isn't current, with increasing sequences."""
+
+    departure: Departure
+    first_at: float
+    last: Announcement
+    length: int
+
+    def extended(self, announcement: Announcement) -> _Series:
+        """Return the series with a further announcement, or the new one that starts with it."""
+        if announcement.departure != self.departure or announcement.sequence <= self.last.sequence:
+            return _new_series(announcement)
+        return self._replace(last=announcement, length=self.length + 1)
+
+    def lasts(self, duration: Seconds) -> bool:
+        """Return whether the incarnation goes on announcing itself for a time."""
+        return self.length >= MIN_SERIES and self.last.received_at - self.first_at >= duration
+
+
+def _new_series(announcement: Announcement) -> _Series:
+    """Return the series that starts with an announcement."""
+    return _Series(announcement.departure, announcement.received_at, announcement, 1)
 
 
 class Announcements:
     """The newest announcement on one host; ignores late ones and those of earlier incarnations.
 
-    may_have_predecessor tells that an earlier process on the host may have been told of departures
-    that aren't known here until learn is called.
+    An incarnation that goes on announcing itself is never ignored for good, since whatever seemed
+    to replace or to end it may have been a message of another writer. may_have_predecessor tells
+    that an earlier process on the host may have been told of departures that aren't known here
+    until learn is called.
     """
 
     def __init__(self, *, may_have_predecessor: bool = False) -> None:
@@ -44,6 +81,11 @@
         self._ended = Departures(limit=MAX_ENDED_INSTANCES)
         # The departures that nobody but this process is known to keep.
         self._unkept = Departures(limit=MAX_ENDED_INSTANCES)
+        # Those that turned out not to have ended, though a departure of theirs may be kept.
+        self._rescinded = Departures(limit=MAX_ENDED_INSTANCES)
+        # The incarnations that others have replaced. They aren't known to have ended.
+        self._replaced = Departures(limit=MAX_ENDED_INSTANCES)
+        self._series: _Series | None = None
 
     @property
     def newest(self) -> Announcement | None:
@@ -65,20 +107,28 @@
         return self._ended.covers(departure) and not self._unkept.covers(departure)
 
     def record(self, announcement: Announcement) -> bool:
-        """Store an announcement if it is newer than the current one; return whether it is."""
-        current = self._newest
+        """Store an announcement if it counts as the newest; return whether it does."""
+        if announcement.state != "ready":
+            return self._record_leaving(announcement)
         if self._ended.covers(announcement.departure):
+            if not self._lasts(announcement, RESCIND_TIME):
+                return False
+            self._rescind(announcement.departure)
+        elif not self._is_newer(announcement) and not self._lasts(announcement, RETURN_TIME):
+            return False
+        self._replace_newest(announcement)
+        return True
+
+    def _record_leaving(self, announcement: Announcement) -> bool:
+        """Record that an incarnation says it leaves; return whether it is the current one now."""
+        departure, current = announcement.departure, self._newest
+        if self._ended.covers(departure):
             return False
-        is_current = current is not None and current.departure == announcement.departure
-        is_leaving = announcement.state != "ready"
-        if is_leaving:
-            self._end(announcement.departure)
+        self._end(departure)
         # Nothing that an incarnation said before it left counts any more, whatever its sequence.
-        if current is not None and not (is_leaving and is_current):
-            if not self._is_newer(announcement, current):
-                return False
-            self._end_replaced(current, announcement)
-        self._newest = announcement
+        if current is not None and current.departure != departure:
+            return False
+        self._replace_newest(announcement)
         return True
 
     def record_leaving(self, instance: str) -> None:
@@ -127,8 +177,9 @@
         """
         self._awaits_predecessors = False
         for departure in departures:
-            self._ended.add(departure)
             self._unkept.discard(departure)
+            if not self._rescinded.covers(departure):
+                self._ended.add(departure)
         current = self._newest
         if current is None or current.state != "ready":
             return False
@@ -139,34 +190,49 @@
 
     def _end(self, departure: Departure) -> None:
         """Remember that the incarnations of an instance up to a start time have ended."""
+        self._rescinded.remove(departure.instance)
         if not self._ended.covers(departure):
             self._ended.add(departure)
             self._unkept.add(departure)
 
-    def _end_replaced(self, current: Announcement, announcement: Announcement) -> None:
-        """Remember that the current incarnation has ended, if another one replaces it.
+    def _rescind(self, departure: Departure) -> None:
+        """Forget that an incarnation has ended, since it hasn't."""
+        ended = self._ended.remove(departure.instance)
+        self._unkept.remove(departure.instance)
+        if ended is not None:
+            self._rescinded.add(ended)
+
+    def _lasts(self, announcement: Announcement, duration: Seconds) -> bool:
+        """Return whether an incarnation that isn't current goes on announcing itself for a time."""
+        series = self._series
+        self._series = (
+            _new_series(announcement) if series is None else series.extended(announcement)
+        )
+        return self._series.lasts(duration)
+
+    def _replace_newest(self, announcement: Announcement) -> None:
+        """Store an announcement as the newest, and remember an incarnation that it replaces.
 
         Without start times, a late announcement can't be told from that of a new instance before
         the departures of earlier processes are known; the worker that goes on announcing itself
         has to win then.
         """
-        if current.departure == announcement.departure:
+        current, self._newest, self._series = self._newest, announcement, None
+        self._replaced.remove(announcement.worker.instance)
+        if current is None or current.departure == announcement.departure:
             return
-        if self._awaits_predecessors and announcement.started_at == current.started_at:
-            return
-        self._end(current.departure)
+        if not self._awaits_predecessors or announcement.started_at != current.started_at:
+            self._replaced.add(current.departure)
 
-    @staticmethod
-    def _is_newer(candidate: Announcement, current: Announcement) -> bool:
-        """Return whether an announcement is newer than the current one."""
-        if current.state != "ready":
+    def _is_newer(self, candidate: Announcement) -> bool:
+        """Return whether an announcement is newer than the current one, if there is one."""
+        current = self._newest
+        if current is None or current.state != "ready":
             # It is of none that has ended. Its host's clock may have gone back since.
             return True
-        if candidate.started_at != current.started_at:
-            return candidate.started_at > current.started_at
-        # Without start times, another instance counts as newer, since its sequence starts again;
-        # record has already ignored ended instances.
-        return (
-            candidate.worker.instance != current.worker.instance
-            or candidate.sequence > current.sequence
-        )
+        if candidate.departure == current.departure:
+            return candidate.sequence > current.sequence
+        if self._replaced.covers(candidate.departure):
+            return False
+        # Without start times, another instance counts as newer, since its sequence starts again.
+        return candidate.started_at >= current.started_at
--- a/cowslipvane/membership/_facts.py
+++ b/cowslipvane/membership/_facts.py
@@ -98,6 +98,11 @@
         if len(self._started_at) > self._limit:
             self._started_at.popitem(last=False)
 
+    def remove(self, instance: str) -> Departure | None:
+        """Forget the departure of an instance, and return it if there was one."""
+        started_at = self._started_at.pop(instance, None)
+        return None if started_at is None else Departure(instance, started_at)
+
     def discard(self, departure: Departure) -> None:
         """Forget the departure of an instance, unless a later one is known."""
         if self._started_at.get(departure.instance, MAX_ORDER + 1) <= departure.started_at:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -76,7 +76,11 @@
 
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners of the process's roles."""
-        control = _Control(components=components, address=self._settings.control)
+        control = _Control(
+            components=components,
+            address=self._settings.control,
+            own_ip=self.settings.listen.peers.ip,
+        )
         listeners = [HttpListener(handler=control.handle, address=self._settings.control)]
         readiness = self._settings.readiness
         if readiness is not None:
@@ -87,9 +91,10 @@
 class _Control:
     """Serves the platform's control API."""
 
-    def __init__(self, *, components: Components, address: Address) -> None:
+    def __init__(self, *, components: Components, address: Address, own_ip: str) -> None:
         self._components = components
         self._address = address
+        self._own_ip = own_ip
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request by method and path."""
@@ -153,6 +158,9 @@
     ) -> web.StreamResponse:
         """Handle a worker's heartbeat."""
         announcement = decode_announcement(instance, await http.read())
+        address = announcement.worker.address
+        if address.ip != self._own_ip:
+            raise ValueError(f"found address {address}; allowed is one of this host")
         if not await owner.handle_announcement(announcement):
             return _failure(503, _NOT_KEPT)
         return web.json_response({})
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from cowslipvane.membership import MAX_ORDER, Announcement, Worker
@@ -15,7 +16,10 @@
 
 
 def decode_announcement(instance: str, body: bytes) -> Announcement:
-    """Return the announcement in a heartbeat; raise ValueError if it describes no valid worker."""
+    """Return the announcement in a heartbeat; raise ValueError if it describes no valid worker.
+
+    All fields are checked, since one that is odd tells that the heartbeat isn't a worker's.
+    """
     try:
         form = json.loads(body)
         info, status = form["info"], form["status"]
@@ -28,6 +32,9 @@
         )
         if not instance or worker.fault:
             raise ValueError(worker.fault or "the path names no instance")
+        _text(info["version"])
+        _text(info["zone"])
+        _check_seconds(status["cold_remaining_s"])
         phase = _text(status["phase"])
         if phase != "ready" and phase not in _LEAVING_PHASES:
             raise ValueError(f"found phase {phase!r}")
@@ -43,11 +50,19 @@
 
 
 def decode_start(body: bytes) -> int | None:
-    """Return when the worker started that reports its end, None if it doesn't tell."""
-    try:
-        return _count(json.loads(body)["born"], MAX_ORDER, minimum=0)
-    except (LookupError, TypeError, RecursionError, ValueError):
+    """Return when the worker started that reports its end, None if it doesn't tell.
+
+    Raise ValueError if the report can't be read.
+    """
+    if not body:
         return None
+    try:
+        form = json.loads(body)
+    except RecursionError as error:
+        raise ValueError(f"the report can't be read: {error!r}") from error
+    if not isinstance(form, dict):
+        raise ValueError(f"found {form!r:.80}; allowed is an object")
+    return _count(form["born"], MAX_ORDER, minimum=0) if "born" in form else None
 
 
 def _text(value: Any) -> str:
@@ -57,6 +72,12 @@
     return value
 
 
+def _check_seconds(value: Any) -> None:
+    """Raise ValueError if a value is no time in seconds."""
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise ValueError(f"found {value!r:.80}; allowed is a time of 0 and more")
+
+
 def _count(value: Any, maximum: int, minimum: int = 1) -> int:
     """Return a whole number; raise ValueError if it is out of range or of another type."""
     if type(value) is not int or not minimum <= value <= maximum:
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -67,6 +67,10 @@
         """Return the version of the configuration that the table was built from."""
         return self._version
 
+    def has_service(self, service: ServiceName) -> bool:
+        """Return whether the configuration names a service."""
+        return service in self._rules
+
     def is_out_of_service(self, host: HostName) -> bool:
         """Return whether an operator has taken the upstream on a host out of service."""
         return host in self._out_of_service
--- a/cowslipvane/tasks/_owner.py
+++ b/cowslipvane/tasks/_owner.py
@@ -74,7 +74,7 @@
 # How long the acknowledgement of a departure waits for refusals, which a slow peer may hold up.
 REFUSALS_TIMEOUT: Seconds = 0.1
 _NO_LOAD = Load(0, 0, 0)
-_NO_SERVICE = ServiceName("")
+NO_SERVICE = ServiceName("")
 _WITHDRAWN = "its entry proxy withdrew it"
 _ENTRY_LOST = "the connection to its entry proxy was lost"
 
@@ -98,10 +98,12 @@
         announcements: Announcements,
         fact_keeper: FactKeeper,
         worker_lease: Seconds,
+        service: ServiceName = NO_SERVICE,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = DEFAULT_LEFT_TO_END,
     ) -> None:
         self._left_to_end = left_to_end
+        self._own_service = service
         self._header_names = header_names
         self._announcements = announcements
         self._fact_keeper = fact_keeper
@@ -128,6 +130,8 @@
         self._limit_named_at = 0.0
         self._token_timer: asyncio.TimerHandle | None = None
         self._removals: set[asyncio.Task[None]] = set()
+        # The incarnation and state of the last announcement that didn't count.
+        self._last_ignored: tuple[Departure, str] | None = None
 
     @property
     def load(self) -> Load:
@@ -183,19 +187,45 @@
         await self._send_refusals(refused)
 
     async def handle_announcement(self, announcement: Announcement) -> bool:
-        """Handle an announcement of a worker, unless a newer one was received earlier.
+        """Handle an announcement of a worker, unless it is late or another worker is current.
 
         Return whether it may be acknowledged: that a worker leaves, once it would outlive this
-        process.
+        process. Raise ValueError if it names no worker to use.
         """
-        is_newer = self._announcements.record(announcement)
+        worker = announcement.worker
+        if not self._is_known(worker.service):
+            raise ValueError(f"nothing names the service {worker.service!r:.80}")
+        received = announcement._replace(received_at=time.monotonic())
+        is_newer = self._announcements.record(received)
         self._fact_keeper.notify()
+        if not is_newer:
+            self._record_ignored(announcement)
         if announcement.state != "ready":
             return await self._handle_end(announcement.departure, is_current=is_newer)
         if is_newer:
             await self.register_worker(announcement.worker)
         return True
 
+    def _is_known(self, service: ServiceName) -> bool:
+        """Return whether the settings, the configuration or the current worker name a service."""
+        newest = self._announcements.newest
+        if service == self._own_service or (newest and service == newest.worker.service):
+            return True
+        table = self._subscription.table
+        return table.has_service(service) if table else self._own_service == NO_SERVICE
+
+    def _record_ignored(self, announcement: Announcement) -> None:
+        """Record that an announcement doesn't count, once for several of an incarnation."""
+        ignored = announcement.departure, announcement.state
+        if ignored != self._last_ignored:
+            self._last_ignored = ignored
+            self._events.record(
+                "ignored",
+                instance=announcement.worker.instance,
+                started_at=str(announcement.started_at),
+                state=announcement.state,
+            )
+
     async def handle_departure(self, instance: str, started_at: int | None) -> bool:
         """Deregister an instance that reports its end, unless another announced itself since.
 
@@ -376,7 +406,7 @@
     @property
     def _service(self) -> ServiceName:
         """Return the service of the upstream, or an empty name when no worker is registered."""
-        return self._admission.service if self._admission else _NO_SERVICE
+        return self._admission.service if self._admission else NO_SERVICE
 
     def _admit(self, offer: Offer) -> Refusal | None:
         """Queue an attempt, or return the reason for refusing it."""
