Let a host override a record of it that has the greatest numbers

Cause: Membership._refute raised the number that the odd record had, without regard to the bound.

Change: a counter that can't be raised begins anew under the next incarnation, and if the incarnation can't be raised, the counter is. Why it works: one of both can still grow. Not covered: a record in which both have the greatest value, after which there is none. Who sends to the peers' listener is trusted (docs/DESIGN.md, Bad input).

--- a/cowslipvane/membership/_membership.py
+++ b/cowslipvane/membership/_membership.py
@@ -6,7 +6,14 @@
 from itertools import takewhile
 from typing import Literal
 
-from cowslipvane.membership._member import Member, Order, Stamp, Worker, record_hash
+from cowslipvane.membership._member import (
+    MAX_ORDER,
+    Member,
+    Order,
+    Stamp,
+    Worker,
+    record_hash,
+)
 from cowslipvane.membership._topology import (
     GATEWAYS_PER_DATA_CENTRE,
     Neighbour,
@@ -251,11 +258,15 @@
     def _refute(self, record: Member, now: float) -> None:
         """Publish a record of this host that is newer than the given one, which others hold."""
         own = self._own
-        incarnation = own.incarnation
+        incarnation, counter = own.incarnation, max(own.counter, record.counter)
         if record.incarnation > incarnation:
             # The wall clock went back between two incarnations of this process.
             incarnation = record.incarnation + 1
-        counter = max(own.counter, record.counter)
+        if counter >= MAX_ORDER - 1:
+            # The counter can't be raised any more.
+            incarnation, counter = incarnation + 1, 0
+        # If the incarnation can't be raised, the counter is.
+        incarnation = min(incarnation, MAX_ORDER - 1)
         self._publish(own._replace(incarnation=incarnation, counter=counter), now)
 
     def _publish(self, own: Member, now: float) -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from cowslipvane.events import EventLog, HybridClock, Origin
-from cowslipvane.membership import Member, Membership
+from cowslipvane.membership import MAX_ORDER, Member, Membership
 from cowslipvane.platform._workers import decode_announcement
 from cowslipvane.tasks._gossip import Gossip
 from cowslipvane.tasks._worker_connection import WorkerConnection, WorkerUnreachable
@@ -133,6 +133,26 @@
             own = self.membership.own
             self.assertEqual(decode_as(Member, encode_untagged(own)), own)
 
+    # Guards against a host whose own record nobody takes any more, since no greater order was left
+    # after one odd record of it.
+    def test_the_own_record_overrides_one_of_the_greatest_order(self) -> None:
+        """One of both numbers can still be raised."""
+        greatest = MAX_ORDER - 1
+        for odd in (
+            record("a", counter=greatest),
+            record("a", incarnation=greatest),
+            record("a", counter=greatest, incarnation=greatest - 1),
+            record("a", counter=greatest - 1, incarnation=greatest),
+        ):
+            with self.subTest(order=odd.order):
+                membership = Membership(own=record("a"), now=0.0)
+                other = Membership(own=record("b"), now=0.0)
+                self.assertEqual(
+                    other.merge([odd._replace(state="gone")], 0.0), [odd._replace(state="gone")]
+                )
+                membership.merge([odd], 0.0)
+                self.assertEqual(other.merge([membership.own], 0.0), [membership.own])
+
     async def test_an_odd_address_can_not_be_reached(self) -> None:
         """Connecting to it fails like connecting to a host that is down."""
         for address in ODD_ADDRESSES:
