Excuse a request that a killed process takes before it has ended

Cause, by the line itself: the caller sent its request 4 ms after the soak had sent SIGKILL to the proxy, and the check excused only kills at or after that moment.

A new test shows that a request after the end isn't excused.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,6 +116,16 @@
                 lifetimes = [life(host, signals)]
                 self.assertEqual(self.rules(calls=[call(CUT)], lifetimes=lifetimes), expected)
 
+    # Guards against a finding where a caller sent a request 4 ms after the SIGKILL of its proxy.
+    def test_a_killed_process_may_cut_requests_until_it_has_ended(self) -> None:
+        """What comes after its end goes to its successor."""
+        for ended_at, expected in ((100.0, []), (99.9, ["LOST"])):
+            with self.subTest(ended_at=ended_at):
+                killed = life("p", {"SIGKILL": 99.8})
+                killed.ended_at = ended_at
+                lifetimes = [killed, life("p", {"SIGTERM": 150.0})]
+                self.assertEqual(self.rules(calls=[call(CUT)], lifetimes=lifetimes), expected)
+
     def test_work_that_lasts_as_long_as_the_grace_period_may_be_cut(self) -> None:
         """A request that was sent more than 3 s after SIGTERM may not."""
         runs = [run(Dropped(), ended_at=104.0)]
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -353,9 +353,13 @@
 
 
 def _was_disturbed(lifetimes: list[Lifetime], host: str, start: float, end: float) -> bool:
-    """Return whether a process was killed during a request, or disturbed not long before."""
+    """Return whether a process was killed during a request, or disturbed not long before.
+
+    A killed process may take a request until it has ended.
+    """
     return any(
         life.was_sent(_SIGKILL, start, end + _CLOSE_NOTICE_TIME)
+        or (life.ended_at >= start and life.was_sent(_SIGKILL, life.started_at, start))
         or any(life.was_sent(name, start - TOUCH, end) for name in _DISTURBANCES)
         for life in lifetimes
         if life.host == host
