--- a/cowslipvane/replica/_replica.py
+++ b/cowslipvane/replica/_replica.py
@@ -1,4 +1,4 @@
-"""The replica: rules of elections, replication, commitment and group changes."""
+"""The replica: rules of replication, commitment and group changes; the root of its aggregate."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from cowslipvane.catalogue import Catalogue, Change
 from cowslipvane.membership import FactRegister, HostFacts
 from cowslipvane.replica._election_timer import ElectionTimer
+from cowslipvane.replica._elections import Elections
 from cowslipvane.replica._group import (
-    UNKNOWN_REPLICA_ID,
     Demote,
     Group,
     GroupChange,
@@ -18,13 +18,13 @@
     Voter,
     apply_group_change,
 )
-from cowslipvane.replica._journal import Ballot, Journal, Recovered
+from cowslipvane.replica._identities import Identities
+from cowslipvane.replica._journal import Journal, Recovered
 from cowslipvane.replica._messages import (
     Append,
     AppendReply,
     Command,
     Install,
-    Noop,
     PreVote,
     PreVoteReply,
     RecordFacts,
@@ -37,7 +37,7 @@
 )
 from cowslipvane.replica._reconfiguration import MIN_VOTERS, Situation, due_change
 from cowslipvane.replica._replicated_state import ReplicatedState
-from cowslipvane.replica._roles import Candidate, Follower, Leader, PreCandidate, Role
+from cowslipvane.replica._roles import Leader, Role
 from cowslipvane.types import DataCentre, HostName, ReplicaId, Seconds
 
 NO_DATA_CENTRES: Mapping[HostName, DataCentre] = MappingProxyType({})
@@ -66,10 +66,6 @@
         compact_after_bytes: int = COMPACT_AFTER_BYTES,
     ) -> None:
         self._host = host
-        self._replica_id = replica_id
-        self._journal = journal
-        self._term = recovered.ballot.term
-        self._voted_for = recovered.ballot.voted_for
         self._state = ReplicatedState(
             founders=founders,
             journal=journal,
@@ -77,14 +73,17 @@
             compact_after_entries=compact_after_entries,
             compact_after_bytes=compact_after_bytes,
         )
-        self._identities = {host: replica_id}
-        self._is_founder = any(founder.host == host for founder in founders)
-        self._role: Role = Follower()
-        self._election_timer = ElectionTimer(election_timeout=election_timeout, rng=rng, now=now)
+        is_founder = any(founder.host == host for founder in founders)
+        self._identities = Identities(host=host, replica_id=replica_id, is_founder=is_founder)
+        self._elections = Elections(
+            host=host,
+            identities=self._identities,
+            state=self._state,
+            journal=journal,
+            ballot=recovered.ballot,
+            timer=ElectionTimer(election_timeout=election_timeout, rng=rng, now=now),
+        )
         self._reports: dict[HostName, Report] = {}
-        self._is_stopping = False
-        self._is_disk_full = False
-        self._has_deferred = False
 
     @property
     def host(self) -> HostName:
@@ -94,12 +93,12 @@
     @property
     def replica_id(self) -> ReplicaId:
         """Return the identity of this replica's data folder."""
-        return self._replica_id
+        return self._identities.replica_id
 
     @property
     def is_founder(self) -> bool:
         """Return whether this replica is one of those that founded the group."""
-        return self._is_founder
+        return self._identities.is_founder
 
     @property
     def group(self) -> Group:
@@ -108,12 +107,8 @@
 
     @property
     def is_voter(self) -> bool:
-        """Return whether the group has this replica's host and identity as a voter.
-
-        A founder whose identity isn't recorded in the log yet counts too.
-        """
-        own = self.group.voter(self._host)
-        return own is not None and self.matches_identity(own.replica_id)
+        """Return whether the group has this replica's host and identity as a voter."""
+        return self._identities.is_voter(self.group)
 
     @property
     def may_be_replaced(self) -> bool:
@@ -124,12 +119,12 @@
     @property
     def role(self) -> Role:
         """Return the role of the replica in its term."""
-        return self._role
+        return self._elections.role
 
     @property
     def term(self) -> int:
         """Return the current term."""
-        return self._term
+        return self._elections.term
 
     @property
     def catalogue(self) -> Catalogue:
@@ -159,7 +154,7 @@
     @property
     def election_due_at(self) -> float:
         """Return when to start a pre-vote if no message from a leader arrives before."""
-        return self._election_timer.election_due_at
+        return self._elections.timer.election_due_at
 
     @property
     def reports(self) -> dict[HostName, Report]:
@@ -169,170 +164,91 @@
     @property
     def leader(self) -> HostName | None:
         """Return the leader of the term, or None while it is unknown."""
-        match self._role:
-            case Leader():
-                return self._host
-            case Follower(leader=leader):
-                return leader
-            case PreCandidate() | Candidate():
-                return None
+        return self._elections.leader
 
     def holds_lease(self, now: float) -> bool:
-        """Return whether this leader's lease is valid, so that no later leader can exist yet.
-
-        Before an entry of its term is committed, the catalogue may lack accepted changes, so the
-        lease doesn't count yet.
-        """
-        if not isinstance(self._role, Leader) or not self._state.has_committed_in(self._term):
-            return False
-        return (
-            now
-            < self._role.quorum_contact(self.group, self._host, now)
-            + self._election_timer.leader_lease
-        )
+        """Return whether this leader's lease is valid, so that no later leader can exist yet."""
+        return self._elections.holds_lease(now)
 
     def is_current(self, now: float) -> bool:
         """Return whether this replica's committed state is at most one election timeout old."""
-        match self._role:
-            case Leader():
-                return self.holds_lease(now)
-            case _:
-                return self._election_timer.is_following(now)
+        return self._elections.is_current(now)
 
     def check_quorum(self, now: float) -> bool:
         """Step down if removed or without contact with a quorum; return whether it did."""
-        if not isinstance(self._role, Leader):
-            return False
-        removed = not self.is_voter and self._state.group_is_committed
-        if not removed and self._has_quorum_contact(self._role, now):
-            return False
-        self._role = Follower()
-        self._election_timer.reset(now)
-        return True
+        return self._elections.check_quorum(now)
 
     def start_pre_vote(self, now: float) -> None:
         """Start collecting pre-votes, which leaves the current term unchanged."""
-        self._election_timer.reset(now)
-        if not self.is_voter or self._is_stopping or self._is_disk_full:
-            return
-        # A replica that has just started may have granted a leader a vote lease.
-        votes = set() if self._election_timer.has_granted_lease(now) else {self._host}
-        self._role = PreCandidate(votes=votes, idle={self._host})
-        self._start_election_if_granted(self._role, now)
+        self._elections.start_pre_vote(now)
 
     def start_election(self, now: float, *, released: bool = False) -> None:
         """Become a candidate in a new term; released is as in a Vote message."""
-        self._set_ballot(Ballot(self._term + 1, self._host))
-        self._role = Candidate(votes=set(), released=released)
-        self._election_timer.reset(now)
+        self._elections.start_election(now, released=released)
 
     def mark_stopping(self) -> None:
         """Refuse changes and start no pre-vote from now on, because the process is stopping."""
-        self._is_stopping = True
+        self._elections.mark_stopping()
 
     def set_disk_full(self, is_full: bool) -> None:
         """Start no pre-vote while the disk takes no more, since nothing could be acknowledged."""
-        self._is_disk_full = is_full
+        self._elections.set_disk_full(is_full)
 
     def resign(self, now: float) -> None:
         """Step down, if this replica leads, without a successor."""
-        if isinstance(self._role, Leader):
-            self._role = Follower()
-            self._election_timer.reset(now)
+        self._elections.resign(now)
 
     def hand_over(self, now: float) -> Voter | None:
-        """Step down in favour of a voter with the complete log; return it, or None without one.
-
-        This ends the lease, so that the voters need not wait until it expires.
-        """
-        if not isinstance(self._role, Leader):
-            return None
-        successor = self._role.successor(self._state, own=self._host)
-        if successor is not None:
-            self._role = Follower()
-            self._election_timer.reset(now)
-        return successor
+        """Step down in favour of a voter with the complete log; return it, or None without one."""
+        return self._elections.hand_over(now)
 
     def take_over(self, request: TakeOver, now: float) -> bool:
         """Start an election if the leader of this term requests it; return whether it did."""
-        if request.term != self._term or not isinstance(self._role, Follower) or not self.is_voter:
-            return False
-        if self._is_disk_full:
-            return False
-        self.start_election(now, released=True)
-        return True
+        return self._elections.take_over(request, now)
 
     def handle_pre_vote(self, request: PreVote, now: float) -> PreVoteReply:
         """Return whether a vote would be granted, without any change of state."""
-        is_eligible = (
-            request.term > self._term
-            and (request.last_term, request.last_index) >= self._last_position
-        )
-        # A candidate may still become leader in this term.
-        may_lead = isinstance(self._role, Leader | Candidate)
-        knows_leader = may_lead or self._election_timer.is_following(now)
-        return PreVoteReply(
-            term=self._term,
-            proposed=request.term,
-            voter=self._host,
-            granted=is_eligible and not self._must_refuse_votes(now),
-            idle=is_eligible and not knows_leader,
-        )
+        return self._elections.handle_pre_vote(request, now)
 
     def handle_pre_vote_reply(self, reply: PreVoteReply, now: float) -> None:
         """Count a pre-vote, and start an election once a majority has granted theirs."""
-        self._observe_term(reply.term)
-        if not isinstance(self._role, PreCandidate) or reply.proposed != self._term + 1:
-            return
-        if reply.granted:
-            self._role.votes.add(reply.voter)
-        # A voter in an earlier term could still become leader in that term.
-        if reply.idle and reply.term == self._term:
-            self._role.idle.add(reply.voter)
-        self._start_election_if_granted(self._role, now)
+        self._elections.handle_pre_vote_reply(reply, now)
 
     def record_identity_mismatch(self, voter: HostName, now: float) -> None:
         """Record that a voter can't lead, because its host responds with another identity."""
-        if isinstance(self._role, PreCandidate):
-            self._role.idle.add(voter)
-            self._role.replaced.add(voter)
-            self._start_election_if_granted(self._role, now)
+        self._elections.record_identity_mismatch(voter, now)
 
     def record_own_vote(self, term: int, now: float) -> None:
         """Count this replica's vote for itself, once its ballot is synced."""
-        self.handle_vote_reply(VoteReply(term=term, voter=self._host, granted=True), now)
+        self._elections.record_own_vote(term, now)
 
     def handle_vote(self, request: Vote, now: float) -> VoteReply:
         """Grant or refuse a vote; the reply may be sent only after a sync."""
-        # A released vote belongs to the term after that of the leader that gave up its lease, and
-        # that leader was elected after all leases of earlier terms had ended.
-        released = request.released and request.term > self._term
-        if self._must_refuse_votes(now) and not released:
-            return VoteReply(term=self._term, voter=self._host, granted=False)
-        self._observe_term(request.term)
-        granted = (
-            request.term == self._term
-            and self._voted_for in (None, request.candidate)
-            and (request.last_term, request.last_index) >= self._last_position
-        )
-        if granted:
-            self._set_ballot(Ballot(self._term, request.candidate))
-            self._role = Follower()
-            self._election_timer.reset(now)
-        return VoteReply(term=self._term, voter=self._host, granted=granted)
+        return self._elections.handle_vote(request, now)
 
     def handle_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a vote, and become the leader once a majority has granted theirs."""
-        self._observe_term(reply.term)
-        if not isinstance(self._role, Candidate) or reply.term != self._term or not reply.granted:
-            return
-        self._role.votes.add(reply.voter)
-        if self._is_quorum(self._role.votes):
-            self._become_leader(now)
+        self._elections.handle_vote_reply(reply, now)
+
+    def vote_request_for(self, voter: HostName) -> PreVote | Vote | None:
+        """Return the pre-vote or vote request that a voter hasn't granted yet, or None."""
+        return self._elections.vote_request_for(voter)
+
+    def check_identity(self, host: HostName, replica_id: ReplicaId) -> bool:
+        """Return whether the member on a host has the given identity."""
+        return self._identities.check(self.group, host, replica_id)
+
+    def matches_identity(self, recorded_id: ReplicaId) -> bool:
+        """Return whether this replica is the member that a log records for this host."""
+        return self._identities.matches(recorded_id)
+
+    def has_taken_in(self, joining: Voter, *, is_founder: bool) -> bool:
+        """Return whether a replica that asks to join is a member already."""
+        return self._identities.has_taken_in(self.group, joining, is_founder=is_founder)
 
     def handle_append(self, append: Append, now: float) -> AppendReply:
         """Accept entries from the leader; the reply may be sent only after a sync."""
-        if not self._follow(append.term, append.leader, now):
+        if not self._elections.follow(append.term, append.leader, now):
             return self._append_reply(matched=False, index=0)
         if append.previous_index > self.last_index:
             return self._append_reply(matched=False, index=self.last_index)
@@ -352,87 +268,36 @@
 
     def handle_install(self, install: Install, now: float) -> AppendReply:
         """Accept a snapshot from the leader; the reply may be sent only after a sync."""
-        if not self._follow(install.term, install.leader, now):
+        if not self._elections.follow(install.term, install.leader, now):
             return self._append_reply(matched=False, index=0)
-        self._state.install_snapshot(install.snapshot, self._ballot)
+        self._state.install_snapshot(install.snapshot, self._elections.ballot)
         return self._append_reply(matched=True, index=install.snapshot.position)
 
     def next_message_for(self, host: HostName) -> Append | Install | None:
         """Return the next message for the member on a host, or None if this isn't the leader."""
-        if not isinstance(self._role, Leader):
+        if not isinstance(self.role, Leader):
             return None
-        return self._role.next_message(host, self._state, leader=self._host, term=self._term)
-
-    def vote_request_for(self, voter: HostName) -> PreVote | Vote | None:
-        """Return the pre-vote or vote request that a voter hasn't granted yet, or None."""
-        last_term, last_index = self._last_position
-        match self._role:
-            case PreCandidate(votes=votes) if voter not in votes:
-                return PreVote(
-                    term=self._term + 1,
-                    candidate=self._host,
-                    last_index=last_index,
-                    last_term=last_term,
-                )
-            # A candidate requests no vote before its own ballot is synced. Otherwise a crash could
-            # make it a candidate in the same term again, with another log.
-            case Candidate(votes=votes) if voter not in votes and self._host in votes:
-                return Vote(
-                    term=self._term,
-                    candidate=self._host,
-                    last_index=last_index,
-                    last_term=last_term,
-                    released=self._role.released,
-                )
-            case _:
-                return None
+        return self.role.next_message(host, self._state, leader=self._host, term=self.term)
 
     def is_behind(self, host: HostName) -> bool:
         """Return whether the member on a host lacks entries or the commit index of this leader."""
-        return isinstance(self._role, Leader) and self._role.is_behind(host, self._state)
+        return isinstance(self.role, Leader) and self.role.is_behind(host, self._state)
 
     def handle_append_reply(self, reply: AppendReply, *, sent_at: float) -> None:
         """Record what a member has synced, and commit what a majority has synced."""
-        self._observe_term(reply.term)
-        if not isinstance(self._role, Leader) or reply.term != self._term:
+        self._elections.observe_term(reply.term)
+        if not isinstance(self.role, Leader) or reply.term != self.term:
             return
-        self._role.record_contact(reply.voter, sent_at)
+        self.role.record_contact(reply.voter, sent_at)
         if not reply.matched:
-            self._role.record_mismatch(reply.voter, min(reply.index, self.last_index - 1))
+            self.role.record_mismatch(reply.voter, min(reply.index, self.last_index - 1))
             return
-        self._role.record_match(reply.voter, reply.index)
+        self.role.record_match(reply.voter, reply.index)
         self._commit_majority()
 
-    def check_identity(self, host: HostName, replica_id: ReplicaId) -> bool:
-        """Return whether the member on a host has the given identity.
-
-        The first identity with which a founder connects is recorded as its own.
-        """
-        member = self.group.member(host)
-        if member is None:
-            return False
-        return replica_id == (member.replica_id or self._identities.setdefault(host, replica_id))
-
-    def matches_identity(self, recorded_id: ReplicaId) -> bool:
-        """Return whether this replica is the member that a log records for this host.
-
-        A founder's identity may not be recorded yet. A replica that joins in its place, after the
-        loss of its disk, isn't that founder, and would otherwise vote without what it had.
-        """
-        if recorded_id == UNKNOWN_REPLICA_ID:
-            return self._is_founder
-        return recorded_id == self._replica_id
-
-    def has_taken_in(self, joining: Voter, *, is_founder: bool) -> bool:
-        """Return whether a replica that asks to join is a member already."""
-        member = self.group.member(joining.host)
-        if member is not None and member.replica_id == UNKNOWN_REPLICA_ID and not is_founder:
-            return False
-        return self.check_identity(joining.host, joining.replica_id)
-
     def change_group(self, change: GroupChange, *, stamped_at: float) -> int | GroupChangeRefused:
         """Append a group change, unless another is uncommitted, and return its index."""
-        if not isinstance(self._role, Leader):
+        if not isinstance(self.role, Leader):
             return GroupChangeRefused(reason="this replica doesn't lead")
         group = apply_group_change(self.group, change, position=self.last_index + 1)
         if isinstance(group, GroupChangeRefused):
@@ -443,13 +308,13 @@
             return GroupChangeRefused(reason="another change of the group is under way; try again")
         # Until an entry of its own term is committed, a leader can't know whether an earlier
         # leader's change was committed, and two changes at once may have disjoint quorums.
-        if not self._state.has_committed_in(self._term):
+        if not self._state.has_committed_in(self.term):
             return GroupChangeRefused(
                 reason="this leader has committed nothing of its term yet; try again"
             )
         for member in self.group.members:
             if group.member(member.host) != member:
-                self._role.forget_progress(member.host)
+                self.role.forget_progress(member.host)
         return self._append_command(Regroup(group=group), stamped_at)
 
     def maintain_group(
@@ -464,17 +329,17 @@
         The identities of founders are recorded, and members become voters or stop being voters.
         data_centres has the known data centres of the members.
         """
-        if not isinstance(self._role, Leader):
+        if not isinstance(self.role, Leader):
             return None
         # An identity changes no majority, so it is recorded even on top of an uncommitted change,
         # which may need the founder's acknowledgement to be committed.
-        identified = self.group.with_identities(self._identities)
+        identified = self.group.with_identities(self._identities.known)
         if (
             identified != self.group
             and sum(bool(v.replica_id) for v in identified.voters) >= identified.majority
         ):
             return self._append_command(Regroup(group=identified), stamped_at)
-        change = self._due_group_change(self._role, now, data_centres)
+        change = self._due_group_change(self.role, now, data_centres)
         if change is None or change == Demote(host=self._host):
             return None
         changed = self.change_group(change, stamped_at=stamped_at)
@@ -482,30 +347,30 @@
 
     def should_hand_over(self, now: float, data_centres: Mapping[HostName, DataCentre]) -> bool:
         """Return whether this leader is the voter that the group should do without."""
-        if not isinstance(self._role, Leader):
+        if not isinstance(self.role, Leader):
             return False
-        return self._due_group_change(self._role, now, data_centres) == Demote(host=self._host)
+        return self._due_group_change(self.role, now, data_centres) == Demote(host=self._host)
 
     def is_released(self, host: HostName, now: float) -> bool:
         """Return whether the member on a host may stop: the group has, or can't get, a substitute.
 
         A group that did without it in an uncommitted entry might need it again.
         """
-        if not isinstance(self._role, Leader):
+        if not isinstance(self.role, Leader):
             return False
         if self.group.voter(host) is None and self._state.group_is_committed:
             return True
-        return not self._situation(self._role, now, NO_DATA_CENTRES).may_do_without(host)
+        return not self._situation(self.role, now, NO_DATA_CENTRES).may_do_without(host)
 
     def record_leaving(self, host: HostName) -> None:
         """Record that the process of a member is stopping."""
-        if isinstance(self._role, Leader):
-            self._role.leaving.add(host)
+        if isinstance(self.role, Leader):
+            self.role.leaving.add(host)
 
     def record_start(self, host: HostName) -> None:
         """Record that a connection to the process of a member was opened, so that it runs."""
-        if isinstance(self._role, Leader):
-            self._role.leaving.discard(host)
+        if isinstance(self.role, Leader):
+            self.role.leaving.discard(host)
 
     def _due_group_change(
         self, role: Leader, now: float, data_centres: Mapping[HostName, DataCentre]
@@ -524,7 +389,7 @@
             leader=self._host,
             now=now,
             elected_at=role.elected_at,
-            reply_timeout=self._election_timer.election_timeout,
+            reply_timeout=self._elections.timer.election_timeout,
             statuses={
                 member.host: role.member_status(member.host, self.commit_index)
                 for member in self.group.members
@@ -534,20 +399,20 @@
 
     def propose(self, change: Change, *, stamped_at: float) -> int | None:
         """Append a change and return its index, or None if this isn't the leader or is stopping."""
-        if not isinstance(self._role, Leader) or self._is_stopping:
+        if not isinstance(self.role, Leader) or self._elections.is_stopping:
             return None
         return self._append_command(Write(change=change), stamped_at)
 
     def propose_facts(self, facts: HostFacts, *, stamped_at: float) -> int | None:
         """Append facts and return their index, or None as for a change."""
-        if not isinstance(self._role, Leader) or self._is_stopping:
+        if not isinstance(self.role, Leader) or self._elections.is_stopping:
             return None
         return self._append_command(RecordFacts(facts=facts), stamped_at)
 
     def record_synced(self, index: int) -> None:
         """Record that this replica's own log is synced up to an index."""
         self._state.record_synced(index)
-        if isinstance(self._role, Leader):
+        if isinstance(self.role, Leader):
             self._commit_majority()
 
     def record_report(self, report: Report) -> None:
@@ -556,100 +421,23 @@
         if known is None or report.changed_at >= known.changed_at:
             self._reports[report.host] = report
 
-    @property
-    def _last_position(self) -> tuple[int, int]:
-        """Return the term and index of the last entry, by which elections compare logs."""
-        return self._state.last_position
-
-    @property
-    def _ballot(self) -> Ballot:
-        """Return the current ballot."""
-        return Ballot(self._term, self._voted_for)
-
-    def _is_quorum(self, hosts: set[HostName]) -> bool:
-        """Return whether hosts include a majority of the voters."""
-        return len(hosts & {voter.host for voter in self.group.voters}) >= self.group.majority
-
-    def _start_election_if_granted(self, role: PreCandidate, now: float) -> None:
-        """Start an election once a majority grants it, or once all voters are idle.
-
-        After a restart of all processes there is no leader for their vote leases to protect. A
-        voter that reports idle in this term doesn't lead, so it holds no lease, and had no message
-        from a leader within the last election timeout. All replicas find out at the same time that
-        all voters are idle, so they start elections one after another: several candidates in a term
-        can split the vote.
-        """
-        if role.idle >= {voter.host for voter in self.group.voters}:
-            if role.first_candidate == self._host or self._has_deferred:
-                self.start_election(now, released=True)
-            else:
-                self._has_deferred = True
-                self._role = Follower()
-                self._election_timer.defer(now)
-        elif self._is_quorum(role.votes):
-            self.start_election(now)
-
-    def _has_quorum_contact(self, role: Leader, now: float) -> bool:
-        """Return whether a majority replied to this leader within the election timeout."""
-        return (
-            now
-            < max(role.elected_at, role.quorum_contact(self.group, self._host, now))
-            + self._election_timer.election_timeout
-        )
-
-    def _must_refuse_votes(self, now: float) -> bool:
-        """Return whether to refuse votes that aren't released.
-
-        A leader does so while it has contact with a quorum, any other replica while a leader may
-        rely on its vote lease.
-        """
-        if isinstance(self._role, Leader):
-            return self._has_quorum_contact(self._role, now)
-        return self._election_timer.has_granted_lease(now)
-
-    def _set_ballot(self, ballot: Ballot) -> None:
-        """Set the ballot and record it in the journal."""
-        if ballot != self._ballot:
-            self._term, self._voted_for = ballot
-            self._journal.record_ballot(ballot)
-
-    def _observe_term(self, term: int) -> None:
-        """Become a follower in a later term, if another replica is in one."""
-        if term > self._term:
-            self._set_ballot(Ballot(term, None))
-            self._role = Follower()
-
-    def _follow(self, term: int, leader: HostName, now: float) -> bool:
-        """Follow a leader; return False if its term is over."""
-        self._observe_term(term)
-        if term < self._term:
-            return False
-        self._role = Follower(leader=leader)
-        self._election_timer.record_leader_contact(now)
-        return True
-
-    def _become_leader(self, now: float) -> None:
-        """Become the leader and append the first entry of the term."""
-        self._role = Leader(elected_at=now)
-        self._append_command(Noop(), now)
-
     def _append_command(self, command: Command, stamped_at: float) -> int:
         """Append a command of this leader to its log."""
-        return self._state.append(self._term, command, stamped_at)
+        return self._state.append(self.term, command, stamped_at)
 
     def _append_reply(self, *, matched: bool, index: int) -> AppendReply:
         """Return the reply to an Append or Install message."""
-        return AppendReply(term=self._term, voter=self._host, matched=matched, index=index)
+        return AppendReply(term=self.term, voter=self._host, matched=matched, index=index)
 
     def _commit_majority(self) -> None:
         """Commit what a majority has synced, if its last entry is of this term."""
-        assert isinstance(self._role, Leader)
-        index = self._role.synced_by_majority(self._state, own=self._host)
+        assert isinstance(self.role, Leader)
+        index = self.role.synced_by_majority(self._state, own=self._host)
         # An entry of an older term commits only together with one of this term, because a later
         # leader could otherwise replace it although a majority has it.
-        if index > self.commit_index and self._state.term_of(index) == self._term:
+        if index > self.commit_index and self._state.term_of(index) == self.term:
             self._commit_to(index)
 
     def _commit_to(self, index: int) -> None:
         """Apply the log to the catalogue up to a committed index."""
-        self._state.commit_to(index, self._ballot)
+        self._state.commit_to(index, self._elections.ballot)
