--- a/cowslipvane/tasks/_replication.py
+++ b/cowslipvane/tasks/_replication.py
@@ -27,10 +27,10 @@
     TakeOver,
     TakingOver,
     Vote,
-    Voter,
     VoteReply,
 )
 from cowslipvane.settings import Timing
+from cowslipvane.tasks._hand_over import LEAVE_TIMEOUT, HandOver, greet
 from cowslipvane.tasks._replication_messages import (
     Greeting,
     GroupChanged,
@@ -49,10 +49,6 @@
 register(TakeOver, TakingOver)
 
 WRITE_TIMEOUT: Seconds = 5.0
-# Bounds both waits of a stopping leader: for a voter with the complete log, and for its response.
-HAND_OVER_TIMEOUT: Seconds = 1.0
-# How long a stopping member waits for the group to do without its vote.
-LEAVE_TIMEOUT: Seconds = 1.0
 # How often a replica whose disk is full tries to write again.
 ROOM_CHECK_INTERVAL: Seconds = 0.2
 
@@ -84,6 +80,13 @@
         self._timing = timing
         self._events = events
         self._changed = Signal()
+        self._hand_over = HandOver(
+            replica=replica,
+            group_name=group_name,
+            changed=self._changed,
+            timing=timing,
+            events=events,
+        )
         self._candidate_term = 0
         self._leader_term = 0
         self._recorded_version = replica.catalogue.version
@@ -146,7 +149,9 @@
                     await link.send(await self._handle_append(install))
                 case TakeOver() as request:
                     await link.send(await self._handle_take_over(request))
-                case Leave(host=host) if await self._release(host):
+                case Leave(host=host):
+                    if not await self._release(host):
+                        return
                     await link.send(MayLeave())
                 case _:
                     return
@@ -229,33 +234,13 @@
         return self._replica.term == term
 
     async def hand_over(self) -> None:
-        """Prepare for the stop of the process: transfer leadership, and leave the vote to others.
+        """Prepare for the stop of the process: pass on the lead and the vote.
 
-        The replica accepts no more writes and starts no pre-votes. The transfer is abandoned if no
-        other voter has the complete log within HAND_OVER_TIMEOUT.
+        The replica accepts no more writes and starts no pre-votes.
         """
         self._replica.mark_stopping()
-        await self._hand_over_within(HAND_OVER_TIMEOUT)
-        if self._replica.may_be_replaced:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(LEAVE_TIMEOUT):
-                    await self._leave()
-
-    async def _hand_over_within(self, timeout: Seconds) -> None:
-        """As leader, transfer leadership to a voter that has the complete log by a timeout."""
-        term = self._replica.term
-        deadline = lease_now() + timeout
-        while isinstance(self._replica.role, Leader):
-            successor = self._replica.hand_over(lease_now())
-            if successor is not None:
-                self._changed.send()
-                await self._send_take_over(successor, term)
-                return
-            remaining = deadline - lease_now()
-            if remaining <= 0:
-                self._events.record("handed-over", outcome="no voter holds the whole log")
-                return
-            await self._changed.wait(min(remaining, self._timing.heartbeat))
+        await self._hand_over.pass_lead()
+        await self._hand_over.pass_vote()
 
     def record_synced(self, index: int) -> None:
         """Count the leader's own log, synced up to an index, towards the majority."""
@@ -315,49 +300,6 @@
             self._changed.send()
         return TakingOver(stands=stands)
 
-    async def _send_take_over(self, successor: Voter, term: int) -> None:
-        """Ask a voter to take over leadership, and record the outcome."""
-        try:
-            async with (
-                asyncio.timeout(HAND_OVER_TIMEOUT),
-                connect(successor.address, "/replica") as link,
-            ):
-                await self._handshake(link, successor.host, successor.replica_id)
-                await link.send(TakeOver(term=term))
-                match await link.receive():
-                    case TakingOver(stands=stands):
-                        outcome = "it stands" if stands else "it doesn't stand"
-                    case _:
-                        raise Malformed("a voter answered with another message")
-        except (LinkClosed, Malformed, TimeoutError) as error:
-            outcome = f"not known: {error!r}"
-        self._events.record("handed-over", to=successor.host, term=str(term), outcome=outcome)
-
-    async def _leave(self) -> None:
-        """Ask leaders to do without this replica's vote until one has replied."""
-        while True:
-            leader = self._replica.leader
-            member = self._replica.group.member(leader) if leader is not None else None
-            if member is None or member.host == self._replica.host:
-                await self._changed.wait(self._timing.heartbeat)
-                continue
-            try:
-                await self._ask_to_leave(member)
-                return
-            except (LinkClosed, Malformed, TimeoutError):
-                await asyncio.sleep(self._timing.heartbeat)
-
-    async def _ask_to_leave(self, leader: Voter) -> None:
-        """Tell the leader that this process is stopping, and wait until it may."""
-        async with connect(leader.address, "/replica") as link:
-            await self._handshake(link, leader.host, leader.replica_id)
-            await link.send(Leave(host=self._replica.host))
-            match await link.receive(timeout=LEAVE_TIMEOUT):
-                case MayLeave():
-                    return
-                case _:
-                    raise Malformed("the leader answered a departure with another message")
-
     async def _release(self, host: HostName) -> bool:
         """As leader, wait until the group does without a member's vote, unless it can't.
 
@@ -384,7 +326,7 @@
                     self._events.record("no-quorum", term=str(self._replica.term))
                     self._changed.send()
                 elif self._replica.should_hand_over(now, self._data_centres):
-                    await self._hand_over_within(HAND_OVER_TIMEOUT)
+                    await self._hand_over.pass_lead()
                 await asyncio.sleep(self._timing.heartbeat)
                 continue
             if now < self._replica.election_due_at:
@@ -404,7 +346,7 @@
             await self._journal.wait_until_full()
             self._events.record("disk", state="full")
             self._replica.set_disk_full(True)
-            await self._hand_over_within(HAND_OVER_TIMEOUT)
+            await self._hand_over.pass_lead()
             self._replica.resign(lease_now())
             self._changed.send()
             await self._wait_for_room()
@@ -445,8 +387,8 @@
 
     async def _handshake(self, link: Link, host: HostName, expected_id: ReplicaId) -> ReplicaId:
         """Return the responding replica id; raise LinkClosed if the handshake is rejected."""
-        await link.send(Greeting(group=self._group_name, wanted=expected_id))
-        match await link.receive(timeout=self._timing.election_timeout):
+        timeout = self._timing.election_timeout
+        match await greet(link, group=self._group_name, expected_id=expected_id, timeout=timeout):
             case Welcome(replica_id=replica_id):
                 return replica_id
             case Stranger(group=group, replica_id=replica_id):
@@ -454,8 +396,6 @@
                     self._replica.record_identity_mismatch(host, lease_now())
                     await self._complete_role_change()
                 raise LinkClosed(f"replica {replica_id} of group {group} answers")
-            case _:
-                raise Malformed("a member answered a greeting with another message")
 
     async def _accept_handshake(self, link: Link) -> bool:
         """Respond to a handshake and return whether it is addressed to this replica."""
