--- a/tests/test_kept_facts.py
+++ b/tests/test_kept_facts.py
@@ -31,7 +31,7 @@
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import FactsKept, KeepFacts, Subscription
-from cowslipvane.tasks import _fact_keeper
+from cowslipvane.tasks.distribution import _fact_keeper
 from cowslipvane.tasks.distribution._fact_keeper import KEEP_TIMEOUT, RESEND_INTERVAL, FactKeeper
 from cowslipvane.tasks.distribution._subscriber import Subscriber
 from cowslipvane.tasks.replication._replication import Replication
--- a/tests/test_kept_state.py
+++ b/tests/test_kept_state.py
@@ -22,7 +22,8 @@
 )
 from cowslipvane.replica import Group, Install, LogSnapshot
 from cowslipvane.subscription import PullSnapshot
-from cowslipvane.tasks import _publisher, _replication  # noqa: F401  # Register the messages.
+from cowslipvane.tasks.distribution import _publisher  # noqa: F401  # Registers the messages.
+from cowslipvane.tasks.replication import _replication  # noqa: F401  # Registers the messages.
 from cowslipvane.types import HostName, OperationId, ServiceName, Version
 from cowslipvane.wire import compress, decode, encode, outcome_form
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,7 @@
 
 from cowslipvane.call import AttemptId, Cancel
 from cowslipvane.membership import Member
-from cowslipvane.tasks import _peers
+from cowslipvane.tasks.peers import _links
 from cowslipvane.tasks.peers._links import Peers
 from cowslipvane.tasks.peers._mailbox import LinkLost, Mailbox
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
@@ -55,7 +55,7 @@
     async def test_links_are_closed_concurrently(self) -> None:
         """Closing one after another could take longer than the time for the exit."""
         SlowClosingLink.barrier = asyncio.Barrier(len(HOSTS))
-        with patch.object(_peers, "PeerLink", SlowClosingLink):
+        with patch.object(_links, "PeerLink", SlowClosingLink):
             peers = Peers(events=event_log())
             for host in HOSTS:
                 peers.link(owner(host))
@@ -125,10 +125,10 @@
         await self.until(lambda: self.connections)
         cancel = Cancel(attempt=AttemptId(HostName("x"), 1, 1), incarnation=1)
         await self.peers.link(owner("a")).send(cancel, None)
-        await asyncio.sleep(2 * _peers.PROBE_INTERVAL)
+        await asyncio.sleep(2 * _links.PROBE_INTERVAL)
         server.close(close_connections=False)
         self.connections[0].transport.pause_reading()
-        await asyncio.sleep(_peers.PROBE_INTERVAL + _peers.PROBE_TIMEOUT)
+        await asyncio.sleep(_links.PROBE_INTERVAL + _links.PROBE_TIMEOUT)
         self.assertTrue(self.peers.is_reachable(owner("a")))
         await self.send(owner("a"))
         self.assertEqual(await self.mailbox.get(), LinkLost(outcome_unknown=True))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -44,7 +44,7 @@
     VoteReply,
 )
 from cowslipvane.replica._reconfiguration import REPLACED_VOTER_TIMEOUT, VOTER_REMOVAL_TIMEOUT
-from cowslipvane.tasks import _replication  # noqa: F401  # Registers the messages.
+from cowslipvane.tasks.replication import _replication  # noqa: F401  # Registers the messages.
 from cowslipvane.types import Address, HostName, OperationId, ReplicaId, Version
 from cowslipvane.wire import encode
 from cowslipvane.wire._link import MAX_MESSAGE_BYTES
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -9,7 +9,7 @@
 from cowslipvane.events import HybridClock
 from cowslipvane.membership import Exchange, ExchangeReply, Hello
 from cowslipvane.settings import Token
-from cowslipvane.tasks import _gossip  # noqa: F401  # Registers the messages.
+from cowslipvane.tasks.peers import _gossip  # noqa: F401  # Registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import LinkClosed, LinkIdentity, Traffic, connect, link_identity
 from tools.fleet import Fleet, example_hosts
--- a/tests/test_slow_peer.py
+++ b/tests/test_slow_peer.py
@@ -11,7 +11,7 @@
 from cowslipvane.call import Answer, AttemptId, Chunk, Offer, Request
 from cowslipvane.membership import Member
 from cowslipvane.routing import Load
-from cowslipvane.tasks import _peers
+from cowslipvane.tasks.peers import _links
 from cowslipvane.tasks.peers._links import Peers
 from cowslipvane.tasks.peers._mailbox import LinkLost, Mailbox
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName
@@ -44,7 +44,7 @@
             ("PROBE_TIMEOUT", PROBE_TIMEOUT_S),
             ("LOSS_TIMEOUT", LOSS_TIMEOUT_S),
         ):
-            self.stack.enter_context(mock.patch.object(_peers, name, value))
+            self.stack.enter_context(mock.patch.object(_links, name, value))
         # The relay shares the process, which may not run for longer on a busy machine.
         self.stack.enter_context(mock.patch.object(_link, "USER_TIMEOUT_MS", USER_TIMEOUT_MS))
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -30,7 +30,7 @@
     PullSnapshot,
     Subscription,
 )
-from cowslipvane.tasks import _publisher
+from cowslipvane.tasks.distribution import _publisher
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
 from cowslipvane.tasks.distribution._publisher import Publisher
 from cowslipvane.tasks.distribution._subscriber import Subscriber
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -17,7 +17,7 @@
 from cowslipvane.commands._timeline import merge
 from cowslipvane.events import EventForm, EventLog, HybridClock, Origin
 from cowslipvane.membership import Exchange
-from cowslipvane.tasks import _gossip  # noqa: F401  # Registers the messages.
+from cowslipvane.tasks.peers import _gossip  # noqa: F401  # Registers the messages.
 from cowslipvane.types import Address, DataCentre, HostName
 from cowslipvane.wire import (
     Link,
