Split the owner by what its parts do

No rule is changed; each moved method was compared by reading. Tests take the event log by the constructor and ask Replies for a reply function; no assertion changed.

--- a/tests/test_cancelled_events.py
+++ b/tests/test_cancelled_events.py
@@ -36,8 +36,8 @@
         self.worker = ScriptedWorker()
         address = await self.worker.start()
         self.addAsyncCleanup(self.worker.stop)
-        self.owner = make_owner(member("a", NOWHERE, None))
-        self.events = self.owner._events = events()
+        self.events = events()
+        self.owner = make_owner(member("a", NOWHERE, None), log=self.events)
         await self.owner.register_worker(Worker(SERVICE, address, 1, 10))
         self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
         await asyncio.sleep(0)
@@ -80,7 +80,9 @@
         await self.owner.offer(named(2, "/queued"), self.inbox.reply)
         for serial in (2, 1):
             attempt = offer(serial, "").attempt
-            self.owner.abandon(attempt, self.owner._replies[attempt])
+            reply = self.owner._replies.function_of(attempt)
+            assert reply is not None
+            self.owner.abandon(attempt, reply)
         reason = "the connection to its entry proxy was lost"
         expected = {"/queued": reason, "/wait/1": reason}
         self.assertEqual(self.details("cancelled", "reason"), expected)
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -7,7 +7,7 @@
 from cowslipvane.call import Answer, Cancel, Chunk, Offer, OwnerMessage, Refused
 from cowslipvane.membership import Worker
 from cowslipvane.refusal import explain
-from cowslipvane.tasks.upstreams._owner import _read_chunk
+from cowslipvane.tasks.upstreams._runner import _read_chunk
 from cowslipvane.tasks.upstreams._worker_http import _skip_body
 from cowslipvane.types import Address, Verdict
 from tests.endless_worker import Endless, Heartbeat, Sender
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -148,6 +148,7 @@
     worker_lease: float = 60.0,
     header_names: HeaderNames = DEFAULT_HEADER_NAMES,
     kept: HostFacts | None = None,
+    log: EventLog | None = None,
 ) -> Owner:
     """Return an owner without a worker, which knows what the replicas keep."""
     membership = Membership(own=own, now=0.0)
@@ -159,7 +160,7 @@
     return Owner(
         gossip=gossip,
         subscription=subscription or Subscription(),
-        events=events(),
+        events=log or events(),
         announcements=announcements,
         fact_keeper=fact_keeper,
         worker_lease=worker_lease,
