Split the callers' interface into routing, responses and events

Methods are moved as they were. The tests build their callers by a function of the case, since the dispatcher has two users now.

--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -80,9 +80,18 @@
         self.dispatcher = RefusingDispatcher()
         self.events = event_log()
         self.owner = StubOwner()
-        self.callers = Callers(
+        self.callers = self.make_callers(cast(Dispatcher, self.dispatcher))
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        listener = HttpListener(handler=self.callers.handle, address=LISTENER)
+        await self.stack.enter_async_context(listener)
+        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
+
+    def make_callers(self, dispatcher: Dispatcher) -> Callers:
+        """Return the interface of a proxy whose calls go to a dispatcher."""
+        return Callers(
             subscription=self.subscription,
-            dispatcher=cast(Dispatcher, self.dispatcher),
+            dispatcher=dispatcher,
             events=self.events,
             rng=random.Random(1),
             metrics=Metrics(),
@@ -90,11 +99,6 @@
             owner=cast(Owner, self.owner),
             header_names=HEADER_NAMES,
         )
-        self.stack = AsyncExitStack()
-        self.addAsyncCleanup(self.stack.aclose)
-        listener = HttpListener(handler=self.callers.handle, address=LISTENER)
-        await self.stack.enter_async_context(listener)
-        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
 
     async def code(self, **headers: str) -> str:
         """Send a call and return the code of its refusal."""
--- a/tests/connections_case.py
+++ b/tests/connections_case.py
@@ -107,7 +107,7 @@
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.script = ScriptedDispatcher()
-        self.callers._dispatcher = cast(Dispatcher, self.script)
+        self.callers = self.make_callers(cast(Dispatcher, self.script))
         self.listener = HttpListener(
             handler=self.callers.handle,
             address=LISTENER,
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -55,7 +55,7 @@
             self.send(held, behind)
             await self.until_passed_on(2 * (number + 1))
             self.script.send(held, answer(b"", more=True), *(part() for _ in range(PARTS - 2)))
-            await self.until(lambda: self.callers._held.held_bytes)
+            await self.until(lambda: self.callers._responder.held_bytes)
             if number % 2:
                 self.writer.transport.abort()
             else:
@@ -63,7 +63,7 @@
                 self.script.send(behind, answer(b"second"))
                 self.assertEqual(len((await self.response())[2]), (PARTS - 1) * len(PART))
                 self.assertEqual((await self.response())[2], b"second")
-            await self.until(lambda: not self.callers._held.held_bytes)
+            await self.until(lambda: not self.callers._responder.held_bytes)
 
 
 if __name__ == "__main__":
--- a/tests/test_shared_connection.py
+++ b/tests/test_shared_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from cowslipvane.tasks.callers._callers import MAX_HELD_BYTES
+from cowslipvane.tasks.callers._responder import MAX_HELD_BYTES
 from tests.callers_case import MAX_BODY_BYTES
 from tests.connections_case import PART, ConnectionsTestCase, answer, chunk, lost
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest.mock import patch
 
-from cowslipvane.tasks import _callers
+from cowslipvane.tasks.callers import _router
 from tests.callers_case import CallersTestCase
 
 LONG_TIMEOUT_S = 60.0
@@ -24,7 +24,7 @@
 
     async def test_call_waits_for_the_first_configuration(self) -> None:
         """It isn't refused, but routed once the configuration is in force."""
-        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
+        with patch.object(_router, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
             refusal_code_task = asyncio.create_task(self.code())
             await self.until_in_flight()
             self.apply()
@@ -32,12 +32,12 @@
 
     async def test_call_with_a_short_timeout_is_refused_before_it_expires(self) -> None:
         """Its refusal arrives early enough for a retry, here or at another proxy."""
-        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
+        with patch.object(_router, "FIRST_CONFIGURATION_TIMEOUT", LONG_TIMEOUT_S):
             self.assertEqual(await self.code(**{"X-Request-Timeout-Ms": "60"}), "no-configuration")
 
     async def test_call_is_refused_at_once_long_after_the_start(self) -> None:
         """A partitioned proxy doesn't delay its callers."""
-        with patch.object(_callers, "FIRST_CONFIGURATION_TIMEOUT", 0.0):
+        with patch.object(_router, "FIRST_CONFIGURATION_TIMEOUT", 0.0):
             self.assertEqual(await self.code(), "no-configuration")
 
 
