--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -144,7 +144,7 @@
         return await self._request_until_final("GET", f"/v1/history?from={version}", None)
 
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
-        """Yield each change accepted after a version once, and the rollout progress of the newest.
+        """Yield each change accepted after a version once, and the progress of the newest.
 
         Raise HistoryUnavailable if the servers no longer hold the changes after the version.
         """
--- a/cowslipvane/cmdline/_resources.py
+++ b/cowslipvane/cmdline/_resources.py
@@ -42,7 +42,7 @@
 @server_option
 @click.argument("resource", default="")
 def get(servers: tuple[str, ...], resource: str) -> None:
-    """Print all accepted resources, or the one named KIND/NAME, with their rollout status."""
+    """Print all accepted resources, or the one named KIND/NAME, with their convergence status."""
     click.echo(json.dumps(run_command(commands.get(servers, resource)), indent=2))
 
 
@@ -77,7 +77,7 @@
     "--from", "version", type=int, default=0, help="Print only changes after this version."
 )
 def watch(servers: tuple[str, ...], version: int) -> None:
-    """Print a line for each accepted change, and for the rollout progress of the newest."""
+    """Print a line for each accepted change, and for the progress of the newest."""
     run_command(commands.watch(servers, version, click.echo))
 
 
--- a/cowslipvane/commands/_resources.py
+++ b/cowslipvane/commands/_resources.py
@@ -34,7 +34,7 @@
 
 
 async def get(servers: tuple[str, ...], resource: str) -> dict[str, Any]:
-    """Return all accepted resources, or the one named KIND/NAME, with their rollout status."""
+    """Return all accepted resources, or the one named KIND/NAME, with their convergence status."""
     kind, _, name = resource.partition("/")
     async with open_client(servers) as client:
         if not resource:
@@ -75,7 +75,7 @@
 
 
 async def watch(servers: tuple[str, ...], version: int, show: Callable[[str], Any]) -> None:
-    """Show a line for each accepted change, and for the rollout progress of the newest."""
+    """Show a line for each accepted change, and for the progress of the newest."""
     try:
         async with open_client(servers) as client:
             async for line in client.watch(version):
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -1,6 +1,7 @@
 """Subscriptions: the configuration version in force on each proxy, and its updates."""
 
 from cowslipvane.subscription._backoff import Backoff
+from cowslipvane.subscription._convergence import Convergence, Lag, Progress, Proxies
 from cowslipvane.subscription._messages import (
     WATCH_ONLY,
     WATCH_WAIT_FACTOR,
@@ -19,7 +20,6 @@
     Reports,
     ReportsTaken,
 )
-from cowslipvane.subscription._rollout import Lag, Progress, Proxies, Rollout
 from cowslipvane.subscription._subscription import Applied, Rejected, Subscription
 
 __all__ = [
@@ -45,6 +45,6 @@
     "Rejected",
     "Reports",
     "ReportsTaken",
-    "Rollout",
+    "Convergence",
     "Subscription",
 ]
--- a/cowslipvane/subscription/_rollout.py
+++ b/cowslipvane/subscription/_convergence.py
@@ -1,4 +1,4 @@
-"""The rollout: on which proxies each version is in force, according to their reports."""
+"""Convergence: on which proxies each version is in force, according to their reports."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class Progress(NamedTuple):
-    """The progress of one version's rollout.
+    """The progress of one version towards all proxies.
 
     in_force counts the live proxies on which the version or a later one is in force, and proxies
     all live ones. everywhere_at is the wall time in seconds when it was in force on all of them.
@@ -48,7 +48,7 @@
     silent: tuple[HostName, ...]
 
 
-class Rollout:
+class Convergence:
     """The versions in force on the proxies, as known to one replica."""
 
     def __init__(self) -> None:
--- a/cowslipvane/tasks/distribution/_publisher.py
+++ b/cowslipvane/tasks/distribution/_publisher.py
@@ -18,6 +18,7 @@
     AskFloor,
     AskLeader,
     ComeAgain,
+    Convergence,
     Current,
     FactsKept,
     Floor,
@@ -29,7 +30,6 @@
     PullSnapshot,
     Reports,
     ReportsTaken,
-    Rollout,
 )
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks.replication import FactRecords, Replication
@@ -47,7 +47,7 @@
 SNAPSHOT_RETRY_DELAY: Seconds = 0.5
 # Reports that arrive within this time are processed and forwarded as one batch.
 BATCH_DELAY: Seconds = 0.02
-# The rollout is updated at least this often, because proxies can fail without a new report.
+# The convergence is updated at least this often, because proxies can fail without a new report.
 OBSERVE_INTERVAL: Seconds = 1.0
 # Upper bound for the time that a request for the minimum version may wait for a leader.
 MAX_FLOOR_WAIT: Seconds = 10.0
@@ -136,7 +136,7 @@
         self._accepted = Signal()
         self._reported = Signal()
         self._rollout_changed = Signal()
-        self._rollout = Rollout()
+        self._convergence = Convergence()
         self._snapshot_bytes_in_flight = 0
         self._pending_floor_requests = 0
         # Responses that lead to the newest version, encoded once for all proxies with equal pulls.
@@ -149,9 +149,9 @@
         return self._rollout_changed
 
     @property
-    def rollout(self) -> Rollout:
+    def convergence(self) -> Convergence:
         """Return which versions are in force at which proxies; complete only on the leader."""
-        return self._rollout
+        return self._convergence
 
     @property
     def pending_floor_requests(self) -> int:
@@ -162,7 +162,7 @@
         """Run the tasks that are shared by all proxy connections."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._notify_pulls())
-            tasks.create_task(self._maintain_rollout())
+            tasks.create_task(self._maintain_convergence())
             tasks.create_task(self._forward_reports())
 
     async def _notify_pulls(self) -> None:
@@ -230,11 +230,11 @@
                 else:
                     subscriber.record_sent(version)
 
-    async def _maintain_rollout(self) -> None:
-        """Update the rollout from the proxies' reports and from which proxies are alive."""
+    async def _maintain_convergence(self) -> None:
+        """Update the convergence from the proxies' reports and from which proxies are alive."""
         while True:
             reports = self._replication.replica.reports
-            if self._rollout.observe(reports, self._proxies(), time.time()):
+            if self._convergence.observe(reports, self._proxies(), time.time()):
                 self._rollout_changed.send()
             await self._reported.wait(OBSERVE_INTERVAL)
             await asyncio.sleep(BATCH_DELAY)
--- a/cowslipvane/tasks/distribution/_watch.py
+++ b/cowslipvane/tasks/distribution/_watch.py
@@ -17,7 +17,7 @@
 
 
 class Watch:
-    """Sends each accepted version once, in order, and the rollout progress of the newest."""
+    """Sends each accepted version once, in order, and the progress of the newest."""
 
     def __init__(self, *, replication: Replication, publisher: Publisher, version: Version) -> None:
         self._replication = replication
@@ -43,7 +43,7 @@
         updates: list[Any] = [change_form(change) for change in catalogue.history(self._version)]
         self._version = max(self._version, catalogue.version)
         progress = progress_form(
-            self._publisher.rollout.progress(catalogue.version, catalogue.acceptance_times())
+            self._publisher.convergence.progress(catalogue.version, catalogue.acceptance_times())
         )
         if progress != self._progress:
             self._progress = progress
--- a/cowslipvane/tasks/operators/_resource_api.py
+++ b/cowslipvane/tasks/operators/_resource_api.py
@@ -71,12 +71,15 @@
                 return None
 
     def _resources(self) -> web.Response:
-        """Return all accepted resources, each with its rollout status."""
-        rollout = self._publisher.rollout
+        """Return all accepted resources, each with its convergence status."""
+        convergence = self._publisher.convergence
         acceptance_times = self._catalogue.acceptance_times()
-        progress = rollout.progress(self._catalogue.version, acceptance_times)
+        progress = convergence.progress(self._catalogue.version, acceptance_times)
         resources = [
-            {**resource_form(item), "status": status_form(item.version, acceptance_times, rollout)}
+            {
+                **resource_form(item),
+                "status": status_form(item.version, acceptance_times, convergence),
+            }
             for item in self._catalogue.resources.values()
         ]
         return web.json_response({**progress_form(progress), "resources": resources})
@@ -87,8 +90,8 @@
         if resource is None:
             return error_response(404, f"there is no {key}")
         acceptance_times = self._catalogue.acceptance_times()
-        progress = self._publisher.rollout.progress(resource.version, acceptance_times)
-        status = status_form(resource.version, acceptance_times, self._publisher.rollout)
+        progress = self._publisher.convergence.progress(resource.version, acceptance_times)
+        status = status_form(resource.version, acceptance_times, self._publisher.convergence)
         status["behind"] = progress_form(progress)["behind"]
         form = {**resource_form(resource), "status": status}
         return web.json_response(form, headers={"ETag": f'"{resource.version}"'})
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -26,7 +26,7 @@
     Spec,
     Target,
 )
-from cowslipvane.subscription import Progress, Rollout
+from cowslipvane.subscription import Convergence, Progress
 from cowslipvane.types import Header, OperationId, Version
 
 MAX_TEXT_CHARACTERS = 1024
@@ -70,7 +70,7 @@
 
 
 class StatusForm(TypedDict, total=False):
-    """The rollout status of the version that last changed a resource."""
+    """The convergence status of the version that last changed a resource."""
 
     accepted_at: float | None
     in_force: int
@@ -80,7 +80,7 @@
 
 
 class ProgressForm(TypedDict):
-    """The rollout progress of a version."""
+    """The convergence progress of a version."""
 
     version: int
     in_force: int
@@ -117,19 +117,19 @@
 
 
 def status_form(
-    version: Version, acceptance_times: dict[Version, float], rollout: Rollout
+    version: Version, acceptance_times: dict[Version, float], convergence: Convergence
 ) -> StatusForm:
-    """Return the rollout status of the version that last changed a resource as JSON."""
+    """Return the convergence status of the version that last changed a resource as JSON."""
     return StatusForm(
         accepted_at=acceptance_times.get(version),
-        in_force=rollout.in_force(version),
-        proxies=rollout.live_proxy_count,
-        everywhere_at=rollout.everywhere_at(version),
+        in_force=convergence.in_force(version),
+        proxies=convergence.live_proxy_count,
+        everywhere_at=convergence.everywhere_at(version),
     )
 
 
 def progress_form(progress: Progress) -> ProgressForm:
-    """Return the rollout progress of a version as JSON."""
+    """Return the progress of a version as JSON."""
     return ProgressForm(
         version=progress.version,
         in_force=progress.in_force,
