--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -5,7 +5,15 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 
-from cowslipvane.catalogue._resources import Key, Release, Resource, Route, Upstream, references
+from cowslipvane.catalogue._resources import (
+    Key,
+    Release,
+    Resource,
+    Rollout,
+    Route,
+    Upstream,
+    references,
+)
 
 # Route hosts that a proxy serves; none means all of them.
 RouteHosts = tuple[str, ...]
@@ -15,7 +23,7 @@
 
 
 def closure(resources: Mapping[Key, Resource], hosts: RouteHosts) -> frozenset[Key]:
-    """Return the routes of some hosts, all resources that they refer to, and every upstream.
+    """Return the routes of some hosts, all resources that they refer to, upstreams and rollouts.
 
     Releases are left out: a proxy only uses the resources that were made from one.
     """
@@ -52,8 +60,8 @@
     match resource.spec:
         case Route(host=host):
             return host in route_hosts
-        case Upstream():
-            # No route refers to an upstream, since upstreams announce themselves.
+        case Upstream() | Rollout():
+            # Nothing refers to them: upstreams announce themselves, and a rollout is of those.
             return True
         case _:
             return False
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -7,7 +7,7 @@
 from cowslipvane.catalogue._catalogue import Catalogue
 from cowslipvane.catalogue._changes import Change, Conflict, Invalid
 from cowslipvane.catalogue._documents import diff_documents
-from cowslipvane.catalogue._resources import Fault, Key, Release, Spec, Upstream
+from cowslipvane.catalogue._resources import Fault, Key, Release, Rollout, Spec, Upstream
 from cowslipvane.types import OperationId
 
 RELEASE_KEY = Key("release", "current")
@@ -48,11 +48,10 @@
         for key, spec in resources.items()
         if key not in catalogue.resources or catalogue.resources[key].spec != spec
     }
-    # The state of upstreams is managed separately from releases.
     deletes = [
         key
         for key, resource in catalogue.resources.items()
-        if key not in resources and not isinstance(resource.spec, Release | Upstream)
+        if key not in resources and _is_replaced(key, resource.spec, resources)
     ]
     return Change(
         release_operation_id(release),
@@ -62,6 +61,18 @@
     )
 
 
+def _is_replaced(key: Key, spec: Spec, resources: dict[Key, Spec]) -> bool:
+    """Return whether a release that lacks a resource removes it."""
+    match spec:
+        case Release() | Upstream():
+            # The state of upstreams is managed separately from releases.
+            return False
+        case Rollout():
+            return Key("service", key.name) not in resources
+        case _:
+            return True
+
+
 def _with_pieces(current: Release | None, release: Release) -> Release:
     """Return a release whose document is given as pieces of the one in force."""
     if current is None or not release.document:
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
@@ -18,9 +19,14 @@
 MAX_BODY_BYTES_LIMIT = 1 << 30
 MAX_ATTEMPTS = 10
 MAX_WEIGHT = 1_000_000
+MAX_ROLLOUT_TIME: Seconds = 86400.0
+MAX_UPSTREAM_VERSION_CHARACTERS = 256
 OUT_OF_RANGE = "is out of range; allowed is a whole number of 64 bits"
 
 
+RolloutPhase = Literal["running", "completed", "rolled-back"]
+
+
 class Target(NamedTuple):
     """A service that receives a share of a route's requests, by weight."""
 
@@ -98,7 +104,23 @@
     pieces: tuple[Piece, ...] = ()
 
 
-Spec = Service | Route | RetryPolicy | TrafficPolicy | Upstream | Release
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rollout:
+    """The move of a service's requests to upstreams of another version; its name is the service's.
+
+    While it is running, upstreams of the target version get a share of the requests. ordered_at is
+    in seconds of wall time, 0 until its first step. An operator gives target_version and duration.
+    """
+
+    target_version: str
+    duration: Seconds
+    ordered_at: float = 0.0
+    phase: RolloutPhase = "running"
+    share: float = 0.0
+    reason: str = ""
+
+
+Spec = Service | Route | RetryPolicy | TrafficPolicy | Upstream | Release | Rollout
 
 KINDS: dict[str, type[Spec]] = {
     "service": Service,
@@ -107,6 +129,7 @@
     "traffic-policy": TrafficPolicy,
     "upstream": Upstream,
     "release": Release,
+    "rollout": Rollout,
 }
 _KIND_NAMES = {spec: kind for kind, spec in KINDS.items()}
 _ROUTE_KIND = _KIND_NAMES[Route]
@@ -156,7 +179,7 @@
         case Route(targets=targets):
             for target in targets:
                 yield Key("service", target.service)
-        case RetryPolicy() | TrafficPolicy() | Upstream() | Release():
+        case RetryPolicy() | TrafficPolicy() | Upstream() | Release() | Rollout():
             return
 
 
@@ -186,6 +209,8 @@
                 yield Fault(f"{key}.max_body_bytes", f"is {max_body_bytes}; allowed is {limit}")
         case Release() as release:
             yield from _release_faults(key, release)
+        case Rollout() as rollout:
+            yield from _rollout_faults(key, rollout)
         case Service() | Upstream():
             return
 
@@ -200,6 +225,21 @@
             yield Fault(f"{key}.pieces[{at}]", OUT_OF_RANGE)
 
 
+def _rollout_faults(key: Key, rollout: Rollout) -> Iterator[Fault]:
+    """Yield the faults of a rollout's fields."""
+    if not 0 < len(rollout.target_version) <= MAX_UPSTREAM_VERSION_CHARACTERS:
+        limit = f"a text of 1 to {MAX_UPSTREAM_VERSION_CHARACTERS} characters"
+        yield Fault(f"{key}.target_version", f"has a wrong length; allowed is {limit}")
+    # NaN fails each comparison, so it is refused too.
+    if not 0 < rollout.duration <= MAX_ROLLOUT_TIME:
+        limit = f"more than 0 and at most {MAX_ROLLOUT_TIME:g}"
+        yield Fault(f"{key}.duration", f"is {rollout.duration} s; allowed is {limit}")
+    if not 0 <= rollout.share <= 1:
+        yield Fault(f"{key}.share", f"is {rollout.share}; allowed is 0 to 1")
+    if not 0 <= rollout.ordered_at < math.inf:
+        yield Fault(f"{key}.ordered_at", f"is {rollout.ordered_at}; allowed is a time")
+
+
 def _match_faults(key: Key, route: Route) -> Iterator[Fault]:
     """Yield the faults of a route's match conditions and targets."""
     weights = [target.weight for target in route.targets]
--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -143,6 +143,17 @@
         """Return the changes accepted after a version."""
         return await self._request_until_final("GET", f"/v1/history?from={version}", None)
 
+    async def start_rollout(
+        self, service: str, target_version: str, duration: float
+    ) -> dict[str, Any]:
+        """Order a rollout, and return its state or why it was refused."""
+        form = {"service": service, "target_version": target_version, "duration": duration}
+        return await self._request_until_final("POST", "/v1/rollouts", form)
+
+    async def rollout(self, service: str) -> dict[str, Any]:
+        """Return the newest rollout of a service."""
+        return await self._request_until_final("GET", f"/v1/rollouts/{quote(service)}", None)
+
     async def watch(self, version: int) -> AsyncIterator[dict[str, Any]]:
         """Yield each change accepted after a version once, and the progress of the newest.
 
--- a/cowslipvane/cmdline/_main.py
+++ b/cowslipvane/cmdline/_main.py
@@ -8,6 +8,7 @@
 from cowslipvane.cmdline._process import check, completion, debug, drain, run, status
 from cowslipvane.cmdline._replica import replica
 from cowslipvane.cmdline._resources import apply, diff, get, history, watch
+from cowslipvane.cmdline._rollouts import rollout
 
 
 @click.group()
@@ -27,6 +28,7 @@
     get,
     history,
     replica,
+    rollout,
     run,
     status,
     timeline,
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -27,6 +27,7 @@
     read_resources,
     watch,
 )
+from cowslipvane.commands._rollouts import show_rollout, start_rollout
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
@@ -63,6 +64,8 @@
     "read_settings",
     "remove_replica",
     "run",
+    "show_rollout",
+    "start_rollout",
     "status",
     "add_or_replace_replica",
     "timeline_from_files",
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -19,13 +19,20 @@
 from cowslipvane.membership import Announcements, Member, Membership
 from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
+from cowslipvane.rollout import Observations, Plan
 from cowslipvane.routing import Chooser
 from cowslipvane.settings import Settings, SettingsFault, read_token
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._front_end import Components, FrontEnd
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks.callers import Callers, Dispatcher
-from cowslipvane.tasks.distribution import FactKeeper, Publisher, Subscriber
+from cowslipvane.tasks.distribution import (
+    AnswerReporter,
+    FactKeeper,
+    Publisher,
+    Rollouts,
+    Subscriber,
+)
 from cowslipvane.tasks.http import HttpListener, Prefetcher
 from cowslipvane.tasks.operators import (
     MetricsCollector,
@@ -33,6 +40,7 @@
     ProcessApi,
     ReplicaApi,
     ResourceApi,
+    RolloutApi,
     debug_form,
 )
 from cowslipvane.tasks.peers import CALLS_PATH, EventCopies, Gossip, Handler, PeerListener, Peers
@@ -107,6 +115,7 @@
         self._subscription: Subscription | None = None
         self._subscriber: Subscriber | None = None
         self._releases: Releases | None = None
+        self._rollouts: Rollouts | None = None
         self._group_joiner: GroupJoiner | None = None
         self._peers = Peers(events=self._events)
 
@@ -283,13 +292,22 @@
             events=self._events,
             data_centre_of=self._gossip.membership.data_centre_of,
         )
+        observations = Observations()
         self._publisher = Publisher(
             replication=self._replication,
             membership=self._gossip.membership,
             pull_wait=self._settings.timing.pull_wait,
+            observations=observations,
         )
         self._releases = Releases(replication=self._replication, events=self._events)
-        tasks = [self._replication.run(), self._publisher.run()]
+        self._rollouts = Rollouts(
+            replication=self._replication,
+            publisher=self._publisher,
+            observations=observations,
+            plan=Plan(exposure=self._settings.rollouts.exposure),
+            events=self._events,
+        )
+        tasks = [self._replication.run(), self._publisher.run(), self._rollouts.run()]
         if self._settings.formation.automatic:
             self._group_joiner = GroupJoiner(
                 replication=self._replication,
@@ -331,8 +349,11 @@
             peers=self._peers,
             chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
             events=self._events,
+            rng=self._rng,
             retries=self._settings.retries,
         )
+        owner = self._owner
+        answer_reporter = AnswerReporter(get_answers=lambda: owner.answers)
         self._subscriber = Subscriber(
             subscription=subscription,
             settings=self._settings,
@@ -340,6 +361,7 @@
             events=self._events,
             rng=self._rng,
             fact_keeper=fact_keeper,
+            answer_reporter=answer_reporter,
         )
         self._callers = Callers(
             subscription=subscription,
@@ -352,7 +374,12 @@
             origin_service=self._settings.service,
             header_names=self._header_names,
         )
-        return [self._owner.run(), self._subscriber.run(), fact_keeper.run()]
+        return [
+            self._owner.run(),
+            self._subscriber.run(),
+            fact_keeper.run(),
+            answer_reporter.run(),
+        ]
 
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
@@ -373,7 +400,9 @@
             )
             await stack.enter_async_context(self._callers_listener)
         if self._front_end is not None:
-            components = Components(self._releases, self._owner, lambda: self.is_ready)
+            components = Components(
+                self._releases, self._rollouts, self._owner, lambda: self.is_ready
+            )
             for listener in self._front_end.listeners(components):
                 await stack.enter_async_context(listener)
 
@@ -397,8 +426,10 @@
                 owner=self._owner,
             ),
         )
-        if self._replication is None or self._publisher is None:
-            return OperatorApi(process=process, resources=None, replicas=None, token=self._token)
+        if self._replication is None or self._publisher is None or self._rollouts is None:
+            return OperatorApi(
+                process=process, resources=None, replicas=None, rollouts=None, token=self._token
+            )
         resources = ResourceApi(
             membership=self._gossip.membership,
             events=self._events,
@@ -410,8 +441,13 @@
             events=self._events,
             replication=self._replication,
         )
+        rollouts = RolloutApi(membership=self._gossip.membership, rollouts=self._rollouts)
         return OperatorApi(
-            process=process, resources=resources, replicas=replicas, token=self._token
+            process=process,
+            resources=resources,
+            replicas=replicas,
+            rollouts=rollouts,
+            token=self._token,
         )
 
     def _debug(self, peers: PeerListener) -> dict[str, Any]:
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -41,6 +41,7 @@
     "rejected",
     "release",
     "reloaded",
+    "rollout",
     "stalled",
     "started",
     "stopped",
--- a/cowslipvane/membership/_announcements.py
+++ b/cowslipvane/membership/_announcements.py
@@ -15,7 +15,7 @@
 
     started_at is the start time of this incarnation of the worker in milliseconds of wall time, or
     0 if unknown. sequence increases with each announcement of an incarnation. received_at is in
-    seconds of a steady clock.
+    seconds of a steady clock. cold_for is how much longer the worker is slow after its start.
     """
 
     worker: Worker
@@ -23,6 +23,7 @@
     started_at: int
     sequence: int
     received_at: float = 0.0
+    cold_for: Seconds = 0.0
 
     @property
     def departure(self) -> Departure:
--- a/cowslipvane/membership/_member.py
+++ b/cowslipvane/membership/_member.py
@@ -21,7 +21,7 @@
 
     slots is the number of requests that it runs at the same time, connections the number that it
     accepts, 0 if it announces none. instance is the name that the upstream gives to itself, empty
-    if it gives none; a later incarnation may reuse it.
+    if it gives none; a later incarnation may reuse it. version is that of its software.
     """
 
     service: ServiceName
@@ -29,6 +29,7 @@
     slots: int
     connections: int
     instance: str = ""
+    version: str = ""
 
     @property
     def fault(self) -> str:
@@ -37,6 +38,8 @@
             return f"found service {self.service!r:.80}; allowed is {_ALLOWED_NAME}"
         if self.instance and not is_name(self.instance):
             return f"found instance {self.instance!r:.80}; allowed is {_ALLOWED_NAME}"
+        if self.version and not is_name(self.version):
+            return f"found version {self.version!r:.80}; allowed is {_ALLOWED_NAME}"
         if not self.address.is_sound:
             return f"found address {self.address!s:.80}; allowed is that of one host"
         return "" if self.slots > 0 else f"found {self.slots} slots; allowed is 1 and more"
--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -37,6 +37,7 @@
         "time from the newest version's acceptance until the last proxy had it in force; it grows"
         " while one is behind",
     ),
+    Family("cowslipvane_rollouts", "gauge", "phase", "services by the phase of their last rollout"),
     Family("cowslipvane_leader", "gauge", "", "1 at the replica that holds the leader's lease"),
     Family("cowslipvane_log_bytes", "gauge", "", "memory of the log behind the last snapshot"),
     Family("cowslipvane_term", "gauge", "", "term of this replica"),
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -22,7 +22,7 @@
 _MAX_HOST_CHARACTERS = 1024
 _HEXADECIMAL = 16
 # Requests of all other types, such as non_idempotent and upload, may run once at most.
-_REPEATABLE_TYPE = "idempotent"
+_REPEATABLE_TYPES = frozenset({"idempotent", "download"})
 # All services share one traffic policy, which holds the limits of the configuration.
 _POLICY_NAME = "limits"
 
@@ -121,7 +121,7 @@
     """
     if not kind:
         raise ValueError(f"found type {kind!r}; allowed is a text")
-    return _text(kind) == _REPEATABLE_TYPE
+    return _text(kind) in _REPEATABLE_TYPES
 
 
 def _text(value: Any) -> str:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -7,21 +7,26 @@
 from aiohttp import web
 
 from cowslipvane.call import HeaderNames
-from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release
+from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release, Rollout
 from cowslipvane.platform._configuration import decode_configuration
+from cowslipvane.platform._rollouts import decode_rollout, rollout_form
 from cowslipvane.platform._settings import PlatformSettings, file_stamp, load
 from cowslipvane.platform._workers import decode_announcement, decode_start
 from cowslipvane.settings import Settings
 from cowslipvane.tasks import (
     Components,
     HttpListener,
+    InProgress,
     NoRelease,
+    NoRollout,
+    NoService,
     NotLeader,
     Owner,
     Releases,
+    Rollouts,
     Unknown,
 )
-from cowslipvane.types import Address, HostName
+from cowslipvane.types import Address, HostName, ServiceName
 
 HEADER_NAMES = HeaderNames(
     request_id="Attempt-Id",
@@ -37,6 +42,8 @@
 )
 _CONFIG_REPLACE_PATH = "/api/Config.Replace"
 _CONFIG_GET_PATH = "/api/Config.Get"
+_ROLLOUT_START_PATH = "/api/Rollouts.Start"
+_ROLLOUT_GET_PATH = "/api/Rollouts.Get/"
 _READINESS_PATH = "/api/readyz"
 _HEARTBEAT_PATH = "/api/Instances.Heartbeat/"
 _DEREGISTER_PATH = "/api/Instances.Deregister/"
@@ -98,13 +105,19 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request by method and path."""
-        releases, owner = self._components.releases, self._components.owner
+        releases, rollouts = self._components.releases, self._components.rollouts
+        owner = self._components.owner
         try:
             match http.method, http.path:
                 case "POST", path if path == _CONFIG_REPLACE_PATH and releases is not None:
                     return await self._replace_configuration(releases, http)
                 case "GET", path if path == _CONFIG_GET_PATH and releases is not None:
                     return self._get_configuration(releases, http)
+                case "POST", path if path == _ROLLOUT_START_PATH and rollouts is not None:
+                    return await self._start_rollout(rollouts, http)
+                case "GET", path if path.startswith(_ROLLOUT_GET_PATH) and rollouts is not None:
+                    service = ServiceName(path.removeprefix(_ROLLOUT_GET_PATH))
+                    return self._get_rollout(rollouts, http, service)
                 case "POST", path if path.startswith(_HEARTBEAT_PATH) and owner is not None:
                     return await self._handle_heartbeat(
                         owner, http, path.removeprefix(_HEARTBEAT_PATH)
@@ -153,6 +166,37 @@
             case NotLeader(leader=leader):
                 return self._redirect(http, leader)
 
+    async def _start_rollout(self, rollouts: Rollouts, http: web.BaseRequest) -> web.StreamResponse:
+        """Begin a rollout, or acknowledge it again."""
+        order = decode_rollout(await http.read())
+        match await rollouts.start(
+            order.service, target_version=order.target_version, duration=order.duration
+        ):
+            case Rollout():
+                return web.Response()
+            case InProgress(rollout=running):
+                return _failure(409, f"the rollout of {running.target_version} is running")
+            case NoService():
+                return _failure(400, f"no service {order.service!r:.80} is known")
+            case Invalid(faults=faults):
+                return _failure(400, "; ".join(f"{fault.path} {fault.message}" for fault in faults))
+            case NotLeader(leader=leader):
+                return self._redirect(http, leader)
+            case Unknown():
+                return _failure(503, "the outcome isn't known yet; send the same again")
+
+    def _get_rollout(
+        self, rollouts: Rollouts, http: web.BaseRequest, service: ServiceName
+    ) -> web.StreamResponse:
+        """Return the newest rollout of a service."""
+        match rollouts.get(service):
+            case Rollout() as rollout:
+                return web.json_response(rollout_form(rollout))
+            case NoRollout():
+                return _failure(404, f"there was no rollout of {service!r:.80}")
+            case NotLeader(leader=leader):
+                return self._redirect(http, leader)
+
     async def _handle_heartbeat(
         self, owner: Owner, http: web.BaseRequest, instance: str
     ) -> web.StreamResponse:
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tomllib
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -51,6 +52,15 @@
         raise SettingsFault(faults=(f"{path}: can't be read: {error!r}",)) from error
 
 
+def _bounds(text: object) -> dict[str, Any]:
+    """Return the bounds of the deployment, none if they aren't rendered."""
+    try:
+        bounds = json.loads(text) if isinstance(text, str) else {}
+    except ValueError:
+        return {}
+    return bounds if isinstance(bounds, dict) else {}
+
+
 def _decode(values: dict[str, Any], platform: dict[str, Any], source: str) -> PlatformSettings:
     """Return the product's settings, with the addresses derived from the platform's table."""
     first_port = int(platform["internal_ports"][0])
@@ -65,6 +75,9 @@
     if platform.get("callers"):
         listen["callers"] = platform["callers"]
     values["listen"] = listen
+    exposure = _bounds(platform.get("bounds")).get("exposure_share")
+    if exposure is not None:
+        values["rollouts"] = {"exposure": exposure}
     readiness = platform.get("readiness")
     return PlatformSettings(
         parse(values, source),
--- a/cowslipvane/platform/_workers.py
+++ b/cowslipvane/platform/_workers.py
@@ -29,12 +29,11 @@
             _count(info["max_concurrency"], _MAX_SLOTS),
             0,
             instance,
+            _text(info["version"]),
         )
         if not instance or worker.fault:
             raise ValueError(worker.fault or "the path names no instance")
-        _text(info["version"])
         _text(info["zone"])
-        _check_seconds(status["cold_remaining_s"])
         phase = _text(status["phase"])
         if phase != "ready" and phase not in _LEAVING_PHASES:
             raise ValueError(f"found phase {phase!r}")
@@ -44,8 +43,9 @@
             # The start of this incarnation of the worker, in milliseconds of Unix time.
             started_at=_count(form.get("born", 0), MAX_ORDER, minimum=0),
             sequence=_count(status["sequence"], MAX_ORDER, minimum=0),
+            cold_for=_seconds(status["cold_remaining_s"]),
         )
-    except (LookupError, TypeError, AttributeError, RecursionError) as error:
+    except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         raise ValueError(f"the heartbeat can't be read: {error!r}") from error
 
 
@@ -72,10 +72,11 @@
     return value
 
 
-def _check_seconds(value: Any) -> None:
-    """Raise ValueError if a value is no time in seconds."""
+def _seconds(value: Any) -> float:
+    """Return a time in seconds; raise ValueError if a value is none."""
     if type(value) not in (int, float) or not 0 <= value < math.inf:
         raise ValueError(f"found {value!r:.80}; allowed is a time of 0 and more")
+    return float(value)
 
 
 def _count(value: Any, maximum: int, minimum: int = 1) -> int:
--- a/cowslipvane/routing/__init__.py
+++ b/cowslipvane/routing/__init__.py
@@ -6,5 +6,15 @@
 from cowslipvane.routing._host_routes import ServiceRules
 from cowslipvane.routing._owner_view import AttemptResult, Load
 from cowslipvane.routing._table import RoutingTable
+from cowslipvane.routing._versions import UpstreamVersions
 
-__all__ = ["Budgets", "Chooser", "Hedging", "Load", "AttemptResult", "RoutingTable", "ServiceRules"]
+__all__ = [
+    "AttemptResult",
+    "Budgets",
+    "Chooser",
+    "Hedging",
+    "Load",
+    "RoutingTable",
+    "ServiceRules",
+    "UpstreamVersions",
+]
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -10,6 +10,7 @@
     Key,
     Resource,
     RetryPolicy,
+    Rollout,
     Route,
     Service,
     Spec,
@@ -61,6 +62,9 @@
             for key, spec in by_key.items()
             if isinstance(spec, Upstream) and spec.state == "out"
         )
+        self._rollouts = {
+            ServiceName(key.name): spec for key, spec in by_key.items() if isinstance(spec, Rollout)
+        }
 
     @property
     def version(self) -> Version:
@@ -71,6 +75,10 @@
         """Return whether the configuration names a service."""
         return service in self._rules
 
+    def rollout(self, service: ServiceName) -> Rollout | None:
+        """Return the newest rollout of a service, None if there was none."""
+        return self._rollouts.get(service)
+
     def is_out_of_service(self, host: HostName) -> bool:
         """Return whether an operator has taken the upstream on a host out of service."""
         return host in self._out_of_service
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -19,13 +19,14 @@
     NumberRange,
     Retries,
     Role,
+    Rollouts,
     Security,
     Settings,
     Timing,
 )
 from cowslipvane.types import Address
 
-T = TypeVar("T", Timing, Limits, Retries)
+T = TypeVar("T", Timing, Limits, Retries, Rollouts)
 
 
 class SettingsFault(Exception):
@@ -175,7 +176,7 @@
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(bool, _structure_flag)
     converter.register_structure_hook_func(lambda kind: kind == Role, _structure_role)
-    for numbers in (Timing, Limits, Retries):
+    for numbers in (Timing, Limits, Retries, Rollouts):
         converter.register_structure_hook(numbers, _structure_numbers)
     for kind in (Listen, Security, Formation, Settings):
         get_type_hints(kind)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -172,6 +172,19 @@
 DEFAULT_RETRIES = Retries()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rollouts:
+    """How services are moved to upstreams of another version."""
+
+    exposure: float = number_field(
+        0.1,
+        low=0.001,
+        high=0.9,
+        unit="of its requests",
+        description="share of a service's requests that a bad version may get",
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Formation:
     """How the group of replicas is formed: automatically, or by commands.
@@ -235,6 +248,7 @@
     timing: Timing = table_field(Timing, "timeouts and intervals of the process")
     limits: Limits = table_field(Limits, "limits on the events that the process keeps")
     retries: Retries = table_field(Retries, "retry budget of each service, over the whole fleet")
+    rollouts: Rollouts = table_field(Rollouts, "how services move to upstreams of another version")
     formation: Formation = table_field(Formation, "how the group of replicas is formed")
     security: Security = table_field(
         Security, "who may connect to the listeners for operators and peers"
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -17,6 +17,7 @@
     PullDelta,
     PullReply,
     PullSnapshot,
+    ReportAnswers,
     Reports,
     ReportsTaken,
 )
@@ -43,6 +44,7 @@
     "PullReply",
     "PullSnapshot",
     "Rejected",
+    "ReportAnswers",
     "Reports",
     "ReportsTaken",
     "Convergence",
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -7,6 +7,7 @@
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot
 from cowslipvane.membership import HostFacts
 from cowslipvane.replica import Report
+from cowslipvane.rollout import WorkerAnswers
 from cowslipvane.types import Address, Seconds, Version
 
 
@@ -100,6 +101,14 @@
     """Forwards to the leader the reports that proxies sent to another replica."""
 
     reports: tuple[Report, ...]
+    answers: tuple[WorkerAnswers, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportAnswers:
+    """Reports the answers of the upstream on the proxy's host while its service is rolled out."""
+
+    answers: WorkerAnswers
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -7,6 +7,7 @@
 
 from cowslipvane.call import HeaderNames
 from cowslipvane.settings import Settings
+from cowslipvane.tasks.distribution import Rollouts
 from cowslipvane.tasks.http import HttpListener
 from cowslipvane.tasks.replication import Releases
 from cowslipvane.tasks.upstreams import Owner
@@ -16,6 +17,7 @@
     """The components of a process that a front end may call; those of absent roles are None."""
 
     releases: Releases | None
+    rollouts: Rollouts | None
     owner: Owner | None
     is_ready: Callable[[], bool]
 
--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+import random
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -33,7 +34,7 @@
     Refusal,
     explain,
 )
-from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load
+from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load, UpstreamVersions
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks.peers import LinkLost, Mailbox, Peers, UnreadResponses
@@ -71,6 +72,7 @@
         peers: Peers,
         chooser: Chooser,
         events: EventLog,
+        rng: random.Random,
         retries: Retries = DEFAULT_RETRIES,
     ) -> None:
         self._subscription = subscription
@@ -81,6 +83,7 @@
         self._events = events
         self._own = membership.own
         self._serials = itertools.count(1)
+        self._versions = UpstreamVersions(rng=rng)
         self._budgets = Budgets(retries=retries)
         # The timeouts of the attempts that have no response yet.
         self._timeouts: set[asyncio.Timeout] = set()
@@ -183,13 +186,26 @@
         """Return the owner for the next attempt."""
         table = self._subscription.table
         owners = self._membership.owners(call.rules.service, time.monotonic())
-        allowed = [
-            owner
-            for owner in owners
-            if (table is None or not table.is_out_of_service(owner.host)) and self._can_reach(owner)
-        ]
+        groups = self._versions.candidates(
+            call.rules.service,
+            owners,
+            None if table is None else table.rollout(call.rules.service),
+            time.monotonic(),
+            wall_time=time.time(),
+            is_first=not call.tried_hosts,
+        )
         small = len(call.request.body) < SMALL_BODY_BYTES
-        chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=small)
+        chosen = None
+        for group in groups:
+            allowed = [
+                owner
+                for owner in group
+                if (table is None or not table.is_out_of_service(owner.host))
+                and self._can_reach(owner)
+            ]
+            chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=small)
+            if chosen is not None:
+                break
         self._record_ejections()
         return chosen
 
--- a/cowslipvane/tasks/distribution/_publisher.py
+++ b/cowslipvane/tasks/distribution/_publisher.py
@@ -12,6 +12,7 @@
 from cowslipvane.catalogue import Delta, RouteHosts, Snapshot, VersionNotReached
 from cowslipvane.membership import Membership
 from cowslipvane.replica import Report
+from cowslipvane.rollout import Observations, WorkerAnswers
 from cowslipvane.subscription import (
     WATCH_ONLY,
     WATCH_WAIT_FACTOR,
@@ -28,6 +29,7 @@
     Pull,
     PullDelta,
     PullSnapshot,
+    ReportAnswers,
     Reports,
     ReportsTaken,
 )
@@ -38,7 +40,7 @@
 
 register(AskFloor, AskLeader, ComeAgain, Current, Floor, Lagging)
 register(Pull, PullDelta, PullSnapshot)
-register(Reports, ReportsTaken)
+register(ReportAnswers, Reports, ReportsTaken)
 register(KeepFacts, FactsKept)
 
 # Total size of the snapshots that are being sent, unless it is a single one; further proxies are
@@ -127,15 +129,21 @@
     """Serves the pulls of proxies from the replica's catalogue."""
 
     def __init__(
-        self, *, replication: Replication, membership: Membership, pull_wait: Seconds
+        self,
+        *,
+        replication: Replication,
+        membership: Membership,
+        pull_wait: Seconds,
+        observations: Observations,
     ) -> None:
         self._replication = replication
+        self._observations = observations
         self._membership = membership
         self._pull_wait = pull_wait
         self._facts = FactRecords(replication=replication)
         self._accepted = Signal()
         self._reported = Signal()
-        self._rollout_changed = Signal()
+        self._convergence_changed = Signal()
         self._convergence = Convergence()
         self._snapshot_bytes_in_flight = 0
         self._pending_floor_requests = 0
@@ -144,9 +152,9 @@
         self._responses_version = NO_VERSION
 
     @property
-    def rollout_changed(self) -> Signal:
+    def convergence_changed(self) -> Signal:
         """Return the signal for versions that are accepted or come into force."""
-        return self._rollout_changed
+        return self._convergence_changed
 
     @property
     def convergence(self) -> Convergence:
@@ -174,7 +182,7 @@
             if newest != announced:
                 announced = newest
                 self._accepted.send()
-                self._rollout_changed.send()
+                self._convergence_changed.send()
 
     async def serve(self, link: Link) -> None:
         """Handle the requests of one proxy; after its first pull, send it each new version."""
@@ -195,9 +203,12 @@
                         kept = await self._facts.keep(request)
                         if kept is not None:
                             await link.send(kept)
-                    case Reports(reports=reports):
+                    case ReportAnswers(answers=answers):
+                        self._record_answers((answers,))
+                    case Reports(reports=reports, answers=answers):
                         for report in reports:
                             self._record_report(report)
+                        self._record_answers(answers)
                         await link.send(ReportsTaken())
                     case _:
                         return
@@ -235,7 +246,7 @@
         while True:
             reports = self._replication.replica.reports
             if self._convergence.observe(reports, self._proxies(), time.time()):
-                self._rollout_changed.send()
+                self._convergence_changed.send()
             await self._reported.wait(OBSERVE_INTERVAL)
             await asyncio.sleep(BATCH_DELAY)
 
@@ -262,17 +273,25 @@
     async def _send_reports(self, link: Link, leader: Address) -> None:
         """Send each report that this leader hasn't confirmed yet, while it is the leader."""
         confirmed: dict[HostName, Report] = {}
+        confirmed_answers: dict[HostName, WorkerAnswers] = {}
         while self._replication.leader_address == leader:
             reports = dict(self._replication.replica.reports)
             unconfirmed = {
                 host: report for host, report in reports.items() if confirmed.get(host) != report
             }
-            if unconfirmed:
-                await link.send(Reports(reports=tuple(unconfirmed.values())))
+            answers = {
+                newest.host: newest
+                for newest in self._observations.reports
+                if confirmed_answers.get(newest.host) != newest
+            }
+            if unconfirmed or answers:
+                reported = tuple(unconfirmed.values())
+                await link.send(Reports(reports=reported, answers=tuple(answers.values())))
                 response = await link.receive(timeout=LEADER_RESPONSE_TIMEOUT)
                 if not isinstance(response, ReportsTaken):
                     raise Malformed("the leader answered reports with another message")
                 confirmed.update(unconfirmed)
+                confirmed_answers.update(answers)
             await self._reported.wait(OBSERVE_INTERVAL)
             await asyncio.sleep(BATCH_DELAY)
 
@@ -283,6 +302,11 @@
             replica.record_report(report)
             self._reported.send()
 
+    def _record_answers(self, answers: tuple[WorkerAnswers, ...]) -> None:
+        """Store what owners observed, and wake the task that forwards it if any of it is new."""
+        if self._observations.record(answers, time.monotonic()):
+            self._reported.send()
+
     async def _resolve_floor(self, wait: Seconds) -> Floor | AskLeader:
         """Return the minimum version, or the leader to ask; wait for a leader if none is known."""
         deadline = time.monotonic() + wait
--- a/cowslipvane/tasks/distribution/_subscriber.py
+++ b/cowslipvane/tasks/distribution/_subscriber.py
@@ -31,6 +31,7 @@
     Subscription,
 )
 from cowslipvane.tasks._signal import Signal
+from cowslipvane.tasks.distribution._answer_reporter import AnswerReporter
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
 from cowslipvane.types import NO_VERSION, Address, Seconds, Version
 from cowslipvane.wire import CONNECT_TIMEOUT, Link, LinkClosed, Malformed, Reception, connect
@@ -78,8 +79,10 @@
         events: EventLog,
         rng: random.Random,
         fact_keeper: FactKeeper,
+        answer_reporter: AnswerReporter,
     ) -> None:
         self._fact_keeper = fact_keeper
+        self._answer_reporter = answer_reporter
         self._subscription = subscription
         self._settings = settings
         self._membership = membership
@@ -202,7 +205,7 @@
                 await self._fetch_floor(link)
             replica = _Replica(link, self._membership.is_local(address))
             try:
-                with self._fact_keeper.using(link):
+                with self._fact_keeper.using(link), self._answer_reporter.using(link):
                     while True:
                         if self._should_be_active(replica):
                             self._active = replica
--- a/cowslipvane/tasks/distribution/_watch.py
+++ b/cowslipvane/tasks/distribution/_watch.py
@@ -34,7 +34,7 @@
                 break
             lines = [json.dumps(form).encode() + b"\n" for form in self._updates()]
             await stream.write(b"".join(lines) or b"\n")
-            await self._publisher.rollout_changed.wait(HEARTBEAT_INTERVAL)
+            await self._publisher.convergence_changed.wait(HEARTBEAT_INTERVAL)
         return stream
 
     def _updates(self) -> list[Any]:
--- a/cowslipvane/tasks/operators/__init__.py
+++ b/cowslipvane/tasks/operators/__init__.py
@@ -6,6 +6,7 @@
 from cowslipvane.tasks.operators._process_api import ProcessApi
 from cowslipvane.tasks.operators._replica_api import ReplicaApi
 from cowslipvane.tasks.operators._resource_api import ResourceApi
+from cowslipvane.tasks.operators._rollout_api import RolloutApi
 
 __all__ = [
     "MetricsCollector",
@@ -13,5 +14,6 @@
     "ProcessApi",
     "ReplicaApi",
     "ResourceApi",
+    "RolloutApi",
     "debug_form",
 ]
--- a/cowslipvane/tasks/operators/_metrics_collector.py
+++ b/cowslipvane/tasks/operators/_metrics_collector.py
@@ -4,7 +4,9 @@
 
 import time
 from collections import Counter
+from typing import get_args
 
+from cowslipvane.catalogue import Rollout, RolloutPhase
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
 from cowslipvane.metrics import Metrics, Sample
@@ -95,6 +97,14 @@
             Sample("cowslipvane_term", replica.term),
             Sample("cowslipvane_leader", replication.holds_lease),
         ]
+        phases = Counter(
+            resource.spec.phase
+            for resource in replica.catalogue.resources.values()
+            if isinstance(resource.spec, Rollout)
+        )
+        samples += [
+            Sample("cowslipvane_rollouts", phases[phase], phase) for phase in get_args(RolloutPhase)
+        ]
         lag = self._metrics.convergence(accepted, in_force, time.time())
         if lag is not None:
             samples.append(Sample("cowslipvane_convergence_seconds", lag))
--- a/cowslipvane/tasks/operators/_operator_api.py
+++ b/cowslipvane/tasks/operators/_operator_api.py
@@ -11,6 +11,7 @@
 from cowslipvane.tasks.operators._process_api import ProcessApi
 from cowslipvane.tasks.operators._replica_api import ReplicaApi
 from cowslipvane.tasks.operators._resource_api import ResourceApi
+from cowslipvane.tasks.operators._rollout_api import RolloutApi
 
 
 class OperatorApi:
@@ -22,12 +23,14 @@
         process: ProcessApi,
         resources: ResourceApi | None,
         replicas: ReplicaApi | None,
+        rollouts: RolloutApi | None,
         token: Token | None,
     ) -> None:
         self._token = token
         self._process_api = process
         self._resource_api = resources
         self._replica_api = replicas
+        self._rollout_api = rollouts
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request."""
@@ -45,6 +48,8 @@
                 response = await self._resource_api.handle(request, parts)
             if response is None and self._replica_api is not None:
                 response = await self._replica_api.handle(request, parts)
+            if response is None and self._rollout_api is not None:
+                response = await self._rollout_api.handle(request, parts)
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
--- a/cowslipvane/tasks/operators/_process_api.py
+++ b/cowslipvane/tasks/operators/_process_api.py
@@ -140,7 +140,11 @@
         raise ValueError(f"found slots {slots!r}; allowed is 1 to {MAX_SLOTS}")
     if type(connections) is not int or not 0 < connections <= MAX_CONNECTIONS:
         raise ValueError(f"found connections {connections!r}; allowed is 1 to {MAX_CONNECTIONS}")
-    worker = Worker(ServiceName(form["service"]), address, slots, connections)
+    version = form.get("version", "")
+    if not isinstance(version, str):
+        raise ValueError(f"found version {version!r:.80}; allowed is a text")
+    service = ServiceName(form["service"])
+    worker = Worker(service, address, slots, connections, version=version)
     if worker.fault:
         raise ValueError(worker.fault)
     return worker
--- a/cowslipvane/tasks/upstreams/_owner.py
+++ b/cowslipvane/tasks/upstreams/_owner.py
@@ -18,7 +18,6 @@
     HeaderNames,
     NeverStarted,
     Offer,
-    Request,
     Running,
     SendReply,
 )
@@ -36,21 +35,23 @@
     Draining,
     NoUpstream,
     Refusal,
-    RouteOutdated,
     UpstreamLost,
     Withdrawn,
 )
+from cowslipvane.rollout import WorkerAnswers
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks.distribution import FactKeeper
 from cowslipvane.tasks.peers import Gossip
 from cowslipvane.tasks.upstreams._registration import NO_SERVICE, Registration
 from cowslipvane.tasks.upstreams._replies import DueRefusal, Replies
+from cowslipvane.tasks.upstreams._route_check import outdated_route
 from cowslipvane.tasks.upstreams._runner import DEFAULT_LEFT_TO_END, Runner
 from cowslipvane.tasks.upstreams._slots import Slots
+from cowslipvane.tasks.upstreams._worker_answers import WorkerAnswerLog
 from cowslipvane.tasks.upstreams._worker_http import WorkerState
 from cowslipvane.tasks.upstreams._worker_limit import WorkerLimits
-from cowslipvane.types import Seconds, ServiceName, Verdict, Version
+from cowslipvane.types import Seconds, ServiceName, Verdict
 
 # How often an owner checks whether the operator has taken its upstream out.
 OUT_CHECK_INTERVAL: Seconds = 0.25
@@ -86,12 +87,17 @@
         self._admission: Admission | None = None
         self._attempts = Attempts(incarnation=gossip.membership.own.incarnation)
         self._replies = Replies(attempts=self._attempts, get_load=self._get_load)
+        own = gossip.membership.own
+        self._answers = WorkerAnswerLog(
+            host=own.host, incarnation=own.incarnation, subscription=subscription
+        )
         self._runner = Runner(
             replies=self._replies,
             events=events,
             header_names=header_names,
             left_to_end=left_to_end,
             get_load=self._get_load,
+            record_answer=self._answers.record,
         )
         self._limits = WorkerLimits(
             fact_keeper=fact_keeper, events=events, incarnation=self._incarnation
@@ -132,6 +138,11 @@
         """Return what the worker has announced."""
         return self._announcements
 
+    @property
+    def answers(self) -> WorkerAnswers | None:
+        """Return the counts of the worker's answers while a rollout of its service runs."""
+        return self._answers.report(self.load)
+
     @property
     def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
@@ -156,6 +167,7 @@
             service=worker.service, slots=worker.slots, first_answer=FirstAnswer()
         )
         self._limits.expect_kept(self._admission)
+        self._answers.begin(worker)
         self._slots.begin(self._admission, worker, waits_for_previous=is_same)
         self._events.record("worker", service=worker.service, address=str(worker.address))
         self.membership.set_worker(worker, time.monotonic())
@@ -168,6 +180,7 @@
         Return whether it may be acknowledged: that a worker leaves, once it would outlive this
         process. Raise ValueError if it names no worker to use.
         """
+        self._answers.expect_cold(announcement.cold_for)
         return await self._registration.handle_announcement(announcement)
 
     async def handle_departure(self, instance: str, started_at: int | None) -> bool:
@@ -316,9 +329,10 @@
 
     @property
     def _is_out(self) -> bool:
-        """Return whether the operator has taken the upstream out."""
+        """Return whether the operator has taken the upstream out, or its version is barred."""
         table = self._subscription.table
-        return table is not None and table.is_out_of_service(self.membership.own.host)
+        is_out = table is not None and table.is_out_of_service(self.membership.own.host)
+        return is_out or self._answers.is_barred
 
     @property
     def _service(self) -> ServiceName:
@@ -331,7 +345,8 @@
             return NoUpstream(service=offer.service)
         if self._is_out:
             return Draining(service=offer.service)
-        outdated = self._check_route(offer.request, offer.service, offer.version)
+        table = self._subscription.table
+        outdated = outdated_route(table, offer.request, offer.service, offer.version)
         if outdated is not None:
             return outdated
         now = time.monotonic()
@@ -353,29 +368,11 @@
             self._slots.wake_one()
         return refusal
 
-    def _check_route(
-        self, request: Request, service: ServiceName, version: Version | None
-    ) -> RouteOutdated | None:
-        """Refuse a request that was routed by an older version, if the newer one leads elsewhere.
-
-        An entry proxy acts on an older version until the update has come over its link.
-        """
-        table = self._subscription.table
-        if table is None or version is None or version >= table.version:
-            return None
-        is_current = table.leads_to(
-            service,
-            host=request.header("Host") or "",
-            path=request.path,
-            method=request.method,
-            headers=request.headers,
-        )
-        return None if is_current else RouteOutdated(version=table.version)
-
     def _check_start(self, admission: Admission, work: Work) -> Refusal | None:
         """Return the refusal of work that can't be started any more."""
         refusal = admission.check_deadline(work, time.monotonic())
-        return refusal or self._check_route(work.request, admission.service, work.version)
+        table = self._subscription.table
+        return refusal or outdated_route(table, work.request, admission.service, work.version)
 
     def _abort(self, attempt: AttemptId, reason: str) -> None:
         """Abort an attempt at the worker if it may be, and record that nobody waits for it."""
--- a/cowslipvane/tasks/upstreams/_runner.py
+++ b/cowslipvane/tasks/upstreams/_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 from cowslipvane.admission import Work
 from cowslipvane.call import Answer, AttemptId, Chunk, HeaderNames
@@ -30,6 +31,11 @@
 REJECTED_RETRY_AFTER: Seconds = 0.1
 
 
+# Gets work that the worker has answered or failed to answer, the time to the answer, and whether it
+# failed.
+RecordAnswer = Callable[[Work, Seconds, bool], None]
+
+
 class Runner:
     """Runs the requests of all slots at the worker, and knows which of them are running."""
 
@@ -41,12 +47,14 @@
         header_names: HeaderNames,
         left_to_end: Seconds,
         get_load: Callable[[], Load],
+        record_answer: RecordAnswer,
     ) -> None:
         self._replies = replies
         self._events = events
         self._header_names = header_names
         self._left_to_end = left_to_end
         self._get_load = get_load
+        self._record_answer = record_answer
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
         # The attempts that were aborted before their deadline.
         self._aborted: set[AttemptId] = set()
@@ -87,12 +95,13 @@
     ) -> Refusal | None:
         """Forward a request; return a refusal if its response isn't complete."""
         service = worker.service
+        started_at = time.monotonic()
         give_up_at = work.deadline if work.idempotent else work.deadline + self._left_to_end
         try:
             async with asyncio.timeout_at(give_up_at) as timeout:
                 if work.idempotent:
                     self._timeouts[work.attempt] = timeout
-                await self._forward(work, connection)
+                response, took = await self._forward(work, connection)
         except WorkerUnreachable:
             return UpstreamLost(service=service, verdict=Verdict.NOT_RUN)
         except NotRun:
@@ -101,11 +110,13 @@
             connection.close()
             if work.attempt in self._aborted:
                 return AnswerLost(service=service, verdict=Verdict.MAY_HAVE_RUN)
+            self._record_answer(work, time.monotonic() - started_at, True)
             return DeadlinePassed(service=service, verdict=Verdict.MAY_HAVE_RUN)
         except (AnswerBroken, OSError, ValueError) as error:
             # A peer's offer may hold a request that can't be sent; this must not end the slot's
             # task.
             connection.close()
+            self._record_answer(work, time.monotonic() - started_at, True)
             self._events.record(
                 "lost", request=self.request_id(work), service=service, reason=repr(error)
             )
@@ -113,13 +124,22 @@
         finally:
             self._timeouts.pop(work.attempt, None)
             self._aborted.discard(work.attempt)
+        has_failed = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._record_answer(work, took, has_failed)
         return None
 
-    async def _forward(self, work: Work, connection: SlotConnection) -> None:
-        """Send a request to the worker and pass its response on in chunks."""
+    async def _forward(
+        self, work: Work, connection: SlotConnection
+    ) -> tuple[ResponseHead, Seconds]:
+        """Send a request to the worker and pass its response on in chunks.
+
+        Return its head, and the time until that came.
+        """
         request = work.request
         remaining_ms = max(0, round((work.deadline - time.monotonic()) * 1000))
+        sent_at = time.monotonic()
         response = await connection.send_request(request, remaining_ms)
+        took = time.monotonic() - sent_at
         body, more = await _read_chunk(response)
         await self._replies.send(
             Answer(
@@ -140,6 +160,7 @@
             if unwanted_bytes > MAX_UNWANTED_BYTES:
                 raise AnswerBroken(f"nobody received {MAX_UNWANTED_BYTES} bytes of the answer")
         connection.keep_alive(response)
+        return response, took
 
 
 async def _read_chunk(response: ResponseHead) -> tuple[bytes, bool]:
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -26,6 +26,7 @@
     read_change,
     read_spec,
     resource_form,
+    rollout_form,
     status_form,
 )
 from cowslipvane.wire._group_forms import GroupForm, MemberForm, group_form, read_group_change
@@ -63,6 +64,7 @@
     "read_change",
     "read_spec",
     "resource_form",
+    "rollout_form",
     "anonymous_identity",
     "status_form",
     "Link",
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -1,4 +1,4 @@
-"""JSON forms of resources, changes and rollouts, for operators."""
+"""JSON forms of resources, changes, convergence and rollouts, for operators."""
 
 from __future__ import annotations
 
@@ -23,6 +23,7 @@
     Key,
     Outcome,
     Resource,
+    Rollout,
     Spec,
     Target,
 )
@@ -107,6 +108,18 @@
     resources: list[ChangedForm]
 
 
+class RolloutForm(TypedDict):
+    """A rollout; times are in seconds, ordered_at is wall time."""
+
+    service: str
+    target_version: str
+    duration: float
+    ordered_at: float
+    phase: str
+    share: float
+    reason: str
+
+
 class EffectForm(TypedDict):
     """The specification of a resource before and after a change; None if there is no resource."""
 
@@ -166,6 +179,19 @@
     )
 
 
+def rollout_form(service: str, rollout: Rollout) -> RolloutForm:
+    """Return a rollout of a service as JSON."""
+    return RolloutForm(
+        service=service,
+        target_version=rollout.target_version,
+        duration=rollout.duration,
+        ordered_at=rollout.ordered_at,
+        phase=rollout.phase,
+        share=rollout.share,
+        reason=rollout.reason,
+    )
+
+
 def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
     """Return a specification as JSON, or None if there is none."""
     form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -145,6 +145,7 @@
             owner=cast(Owner, None),
             peers=cast(Peers, peers),
             chooser=Chooser(data_centre=DataCentre("here"), rng=random.Random(1)),
+            rng=random.Random(1),
             events=EventLog(
                 origin=Origin(HostName("a"), DataCentre("here"), 1), clock=HybridClock()
             ),
--- a/tests/test_kept_facts.py
+++ b/tests/test_kept_facts.py
@@ -31,7 +31,7 @@
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import FactsKept, KeepFacts, Subscription
-from cowslipvane.tasks.distribution import _fact_keeper
+from cowslipvane.tasks.distribution import AnswerReporter, _fact_keeper
 from cowslipvane.tasks.distribution._fact_keeper import KEEP_TIMEOUT, RESEND_INTERVAL, FactKeeper
 from cowslipvane.tasks.distribution._subscriber import Subscriber
 from cowslipvane.tasks.replication._replication import Replication
@@ -158,6 +158,7 @@
             events=event_log(),
             rng=random.Random(3),
             fact_keeper=self.keeper,
+            answer_reporter=AnswerReporter(get_answers=lambda: None),
         )
         for coroutine in (subscriber.run(), self.keeper.run()):
             self.stack.callback(asyncio.create_task(coroutine).cancel)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -61,6 +61,7 @@
 CENTRE = DataCentre("north")
 NOWHERE = Address("127.0.0.1", 1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+ERROR = OK.replace(b"200 OK", b"500 Internal Server Error")
 LEASE_S = 0.8
 TIMEOUT_S = 5.0
 # Longer than it takes to end a request at the worker.
@@ -68,7 +69,7 @@
 
 
 class ScriptedWorker:
-    """Responds to /ok at once and to /wait when released; closes the connection on /drop."""
+    """Responds to /ok at once, to /wait when released, to /error with 500; closes on /drop."""
 
     def __init__(self) -> None:
         self.received: list[str] = []
@@ -115,7 +116,7 @@
                     break
                 if path.startswith("/wait"):
                     await self._wait(reader, path)
-                writer.write(OK)
+                writer.write(ERROR if path.startswith("/error") else OK)
         finally:
             writer.close()
 
@@ -459,6 +460,7 @@
             owner=make_owner(entry),
             peers=self.peers,
             chooser=Chooser(data_centre=CENTRE, rng=rng),
+            rng=random.Random(1),
             events=events(),
         )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,8 +7,9 @@
 import unittest
 from typing import Any
 
-from cowslipvane.catalogue import Key, Route, Target, TrafficPolicy
+from cowslipvane.catalogue import Key, Rollout, Route, Target, TrafficPolicy
 from cowslipvane.platform._configuration import decode_configuration
+from cowslipvane.platform._rollouts import decode_rollout, rollout_form
 from cowslipvane.platform._workers import decode_announcement, decode_start
 from cowslipvane.types import Address, ServiceName
 
@@ -76,6 +77,13 @@
             assert isinstance(route, Route)
             self.assertIs(route.repeatable, repeatable)
 
+    def test_large_responses_may_be_requested_again(self) -> None:
+        """They are read as requests that may run more than once."""
+        body = json.dumps(CONFIGURATION | with_rule(type="download")).encode()
+        route = decode_configuration(body).resources[ROUTE_KEY]
+        assert isinstance(route, Route)
+        self.assertTrue(route.repeatable)
+
     def test_added_fields_are_ignored(self) -> None:
         """At each level of a configuration and of a heartbeat."""
         added = {"added": {"deep": [1]}}
@@ -149,6 +157,41 @@
                 decode_configuration(body)
 
 
+class RolloutTest(unittest.TestCase):
+    """Orders to move a service to another version of its workers."""
+
+    def test_an_order_is_decoded(self) -> None:
+        """Each field is read."""
+        order = decode_rollout(b'{"service":"huvo","target_version":"v2","duration_s":12}')
+        self.assertEqual(order, ("huvo", "v2", 12.0))
+
+    def test_an_order_that_can_not_be_read_is_refused(self) -> None:
+        """With a reason, and nothing else."""
+        bodies = (
+            b"",
+            b"[]",
+            b"null",
+            b'{"service":"huvo","target_version":"v2"}',
+            b'{"service":"huvo","target_version":2,"duration_s":12}',
+            b'{"service":"","target_version":"v2","duration_s":12}',
+            b'{"service":"huvo","target_version":"v2","duration_s":"12"}',
+            b'{"service":"huvo","target_version":"v2","duration_s":true}',
+            b'{"service":"huvo","target_version":"v2","duration_s":NaN}',
+            b'{"service":"huvo","target_version":"v2","duration_s":1' + b"0" * 400 + b"}",
+            b"\xff",
+            b"[" * 100_000,
+        )
+        for body in bodies:
+            with self.subTest(body=body[:60]), self.assertRaises(ValueError):
+                decode_rollout(body)
+
+    def test_the_phases_have_the_platforms_words(self) -> None:
+        """Ours differ by a hyphen."""
+        for phase, word in (("running",) * 2, ("completed",) * 2, ("rolled-back", "rolled_back")):
+            rollout = Rollout(target_version="v2", duration=1.0, phase=phase)  # type: ignore[arg-type]
+            self.assertEqual(rollout_form(rollout), {"phase": word, "target_version": "v2"})
+
+
 class HeartbeatTest(unittest.TestCase):
     """A heartbeat becomes an announcement, or is refused."""
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -30,7 +30,7 @@
     PullSnapshot,
     Subscription,
 )
-from cowslipvane.tasks.distribution import _publisher
+from cowslipvane.tasks.distribution import AnswerReporter, _publisher
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
 from cowslipvane.tasks.distribution._publisher import Publisher
 from cowslipvane.tasks.distribution._subscriber import Subscriber
@@ -116,6 +116,7 @@
             events=self.events,
             rng=random.Random(3),
             fact_keeper=FactKeeper(host=settings.host, announcements=Announcements()),
+            answer_reporter=AnswerReporter(get_answers=lambda: None),
         )
         task = asyncio.create_task(subscriber.run())
         self.stack.callback(task.cancel)
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -101,6 +101,7 @@
             owner=owner,
             peers=peers,
             chooser=Chooser(data_centre=CENTRE, rng=random.Random(1)),
+            rng=random.Random(1),
             events=events(),
         )
 
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -18,6 +18,7 @@
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import Subscription
+from cowslipvane.tasks.distribution import AnswerReporter
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
 from cowslipvane.tasks.distribution._subscriber import Subscriber
 from cowslipvane.types import Address, DataCentre, HostName, ServiceName, Version
@@ -87,6 +88,7 @@
         events=apply_times,
         rng=rng,
         fact_keeper=FactKeeper(host=settings.host, announcements=Announcements()),
+        answer_reporter=AnswerReporter(get_answers=lambda: None),
     )
     return asyncio.create_task(subscriber.run())
 
--- a/tools/single_replica.py
+++ b/tools/single_replica.py
@@ -14,6 +14,7 @@
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.membership import Member, Membership
 from cowslipvane.replica import Ballot, Entry, LogSnapshot, Recovered, Replica, Voter
+from cowslipvane.rollout import Observations
 from cowslipvane.settings import Settings, Timing
 from cowslipvane.tasks.distribution._publisher import Publisher
 from cowslipvane.tasks.replication._replication import Replication
@@ -106,8 +107,12 @@
             HOST, DataCentre("here"), 1, 0, Address(IP, 1), Address(IP, 1), None, "up", None
         )
         self.membership = Membership(own=own, now=now)
+        self.observations = Observations()
         self.publisher = Publisher(
-            replication=self.replication, membership=self.membership, pull_wait=pull_wait
+            replication=self.replication,
+            membership=self.membership,
+            pull_wait=pull_wait,
+            observations=self.observations,
         )
         if leads:
             self.lead()
