--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -9,6 +9,7 @@
     Running,
 )
 from cowslipvane.call._body import Incomplete, OfferAssembler, Overflow, split_offer
+from cowslipvane.call._body_account import DEFAULT_BODY_BYTES, MAX_SMALL_BODY_BYTES, BodyAccount
 from cowslipvane.call._byte_limit import ByteLimit
 from cowslipvane.call._call import Call
 from cowslipvane.call._exchange import (
@@ -24,6 +25,7 @@
 from cowslipvane.call._head import head_fault
 from cowslipvane.call._header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from cowslipvane.call._headers import end_to_end_headers
+from cowslipvane.call._held_bodies import HeldBodies
 from cowslipvane.call._messages import (
     Answer,
     AttemptId,
@@ -46,7 +48,11 @@
     "Answer",
     "AttemptId",
     "Attempts",
+    "BodyAccount",
     "ByteLimit",
+    "DEFAULT_BODY_BYTES",
+    "MAX_SMALL_BODY_BYTES",
+    "HeldBodies",
     "Call",
     "Cancel",
     "Chunk",
--- a/cowslipvane/call/_byte_limit.py
+++ b/cowslipvane/call/_byte_limit.py
@@ -20,6 +20,10 @@
         """Return whether more is held than the limit."""
         return self._held_bytes > self._max_bytes
 
+    def has_room(self, size: int) -> bool:
+        """Return whether bytes may be added without exceeding the limit."""
+        return self._held_bytes + size <= self._max_bytes
+
     def add(self, size: int) -> None:
         """Add bytes that are held from now on."""
         self._held_bytes += size
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -44,7 +44,8 @@
 
     goal is the time remaining until the latency goal; kind identifies calls with similar service
     times. nested means that an upstream made the call while handling another request. version is
-    that of the configuration by which the call was routed, None if it isn't known.
+    that of the configuration by which the call was routed, None if it isn't known. length is that
+    of the whole body, of which further parts may follow.
     """
 
     attempt: AttemptId
@@ -58,6 +59,7 @@
     kind: str = ""
     nested: bool = False
     version: Version | None = None
+    length: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from cowslipvane.call import DEFAULT_HEADER_NAMES
+from cowslipvane.call import DEFAULT_HEADER_NAMES, BodyAccount
 from cowslipvane.clock import lease_now
 from cowslipvane.events import EventFile, EventLog, EventStream, HybridClock, Origin
 from cowslipvane.membership import Announcements, Member, Membership
@@ -330,6 +330,7 @@
         subscription = Subscription()
         self._subscription = subscription
         announcements = Announcements(may_have_predecessor=True)
+        bodies = BodyAccount(max_bytes=int(self._settings.limits.body_bytes))
         fact_keeper = FactKeeper(host=self._settings.host, announcements=announcements)
         self._owner = Owner(
             gossip=self._gossip,
@@ -341,6 +342,7 @@
             service=ServiceName(self._settings.service),
             header_names=self._header_names,
             left_to_end=self._settings.timing.left_to_end,
+            bodies=bodies,
         )
         dispatcher = Dispatcher(
             subscription=subscription,
@@ -373,6 +375,7 @@
             owner=self._owner,
             origin_service=self._settings.service,
             header_names=self._header_names,
+            bodies=bodies,
         )
         return [
             self._owner.run(),
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """Limits on the events that the process keeps."""
+    """Limits on what the process keeps in memory and in its event file."""
 
     event_file_bytes: float = number_field(
         16e6,
@@ -144,6 +144,13 @@
         unit="events",
         description="events kept in memory; older ones are dropped",
     )
+    body_bytes: float = number_field(
+        64e6,
+        low=1e6,
+        high=1e12,
+        unit="bytes",
+        description="request bodies held at once; a larger one is taken when it is alone",
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -246,7 +253,7 @@
         "a list of texts", "route hosts whose routes the proxy pulls; all if empty", default=()
     )
     timing: Timing = table_field(Timing, "timeouts and intervals of the process")
-    limits: Limits = table_field(Limits, "limits on the events that the process keeps")
+    limits: Limits = table_field(Limits, "limits on what the process keeps")
     retries: Retries = table_field(Retries, "retry budget of each service, over the whole fleet")
     rollouts: Rollouts = table_field(Rollouts, "how services move to upstreams of another version")
     formation: Formation = table_field(Formation, "how the group of replicas is formed")
--- a/cowslipvane/tasks/callers/_callers.py
+++ b/cowslipvane/tasks/callers/_callers.py
@@ -13,6 +13,7 @@
 
 from cowslipvane.call import (
     DEFAULT_HEADER_NAMES,
+    BodyAccount,
     Call,
     ConnectionEnd,
     Exchange,
@@ -76,7 +77,9 @@
         owner: Owner,
         origin_service: str = "",
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
+        bodies: BodyAccount | None = None,
     ) -> None:
+        """Without an account of bodies, those of these callers have one of their own."""
         self._owner = owner
         self._origin_service = origin_service
         self._header_names = header_names
@@ -93,7 +96,7 @@
             dispatcher=dispatcher, call_log=self._call_log, header_names=header_names
         )
         self._in_flight: set[Exchange] = set()
-        self._bodies = RequestBodies()
+        self._bodies = RequestBodies(account=bodies or BodyAccount())
         self._call_ended = Signal()
         self._accepts_calls = True
 
--- a/cowslipvane/tasks/callers/_request_body.py
+++ b/cowslipvane/tasks/callers/_request_body.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from cowslipvane.call import ByteLimit, Exchange
+from cowslipvane.call import MAX_SMALL_BODY_BYTES, BodyAccount, Exchange
 from cowslipvane.refusal import (
     BodyTooLarge,
     DeadlinePassed,
@@ -20,18 +20,15 @@
 from cowslipvane.tasks.http import MalformedBody
 from cowslipvane.types import Seconds, Verdict
 
-# Bytes of request bodies that a process holds. A host has 200 MB, and a body may be held twice: by
-# its call and by the connection to the worker.
-MAX_BODY_BYTES = 64 << 20
 # Retry-After of a request whose body exceeds them.
 BODY_RETRY_AFTER: Seconds = 0.3
 
 
 class RequestBodies:
-    """The request bodies that a process holds, which share a limit."""
+    """The request bodies of this process's callers, which share an account with others."""
 
-    def __init__(self) -> None:
-        self._limit = ByteLimit(max_bytes=MAX_BODY_BYTES)
+    def __init__(self, *, account: BodyAccount) -> None:
+        self._account = account
 
     async def receive(
         self, http: web.BaseRequest, exchange: Exchange, rules: ServiceRules, deadline: float
@@ -42,6 +39,8 @@
             return b""
         if (http.content_length or 0) > limit:
             return BodyTooLarge(limit=limit)
+        if not self._account.may_hold("callers", http.content_length or 0):
+            return QueueFull(service=rules.service, retry_after=BODY_RETRY_AFTER)
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
                 return await self._receive_all(http, exchange, rules)
@@ -52,7 +51,7 @@
 
     def release(self, exchange: Exchange) -> None:
         """Count the body of a request as held no more."""
-        self._limit.remove(exchange.body_bytes)
+        self._account.remove("callers", exchange.body_bytes)
         exchange.body_bytes = 0
 
     async def _receive_all(
@@ -67,13 +66,20 @@
         # Its value isn't a copy, for which a large body would need as much memory again.
         body = io.BytesIO()
         while chunk := await http.content.readany():
-            body.write(chunk)
-            exchange.body_bytes += len(chunk)
-            self._limit.add(len(chunk))
-            if exchange.body_bytes > limit:
+            if exchange.body_bytes + len(chunk) > limit:
                 return BodyTooLarge(limit=limit)
-            if self._limit.is_exceeded:
+            if not self._has_room(exchange, len(chunk)):
                 # At once, so that the bodies that are received beside it have room.
                 self.release(exchange)
                 return QueueFull(service=rules.service, retry_after=BODY_RETRY_AFTER)
+            body.write(chunk)
+            exchange.body_bytes += len(chunk)
+            self._account.add("callers", len(chunk))
         return body.getvalue()
+
+    def _has_room(self, exchange: Exchange, size: int) -> bool:
+        """Return whether there is room for a further part of a body."""
+        if exchange.body_bytes + size <= MAX_SMALL_BODY_BYTES:
+            return True
+        is_alone = self._account.held_bytes == exchange.body_bytes
+        return is_alone or self._account.has_room("callers", size)
--- a/cowslipvane/tasks/callers/_responder.py
+++ b/cowslipvane/tasks/callers/_responder.py
@@ -79,7 +79,7 @@
             if http.writer.output_size:
                 end = HandlerFailed(request_id=outcome.exchange.request_id, error=repr(error))
                 self._call_log.record_end(outcome.exchange, end)
-                reset_connection(http, end)
+                await reset_connection(http, end)
                 return web.Response()
             await self.abandon(outcome)
             withdraw_parts(http)
@@ -159,7 +159,7 @@
             reason = explain(refusal).sentence
             end = ResponseBroken(request_id=exchange.request_id, reason=reason)
             self._call_log.record_end(exchange, end)
-            reset_connection(http, end)
+            await reset_connection(http, end)
             return stream
         await stream.write_eof()
         end_parts(http)
--- a/cowslipvane/tasks/http/_pipeline.py
+++ b/cowslipvane/tasks/http/_pipeline.py
@@ -16,6 +16,7 @@
 from cowslipvane.call import ClosedByCaller, ConnectionEnd, ProcessExited, head_fault
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.types import Seconds
+from cowslipvane.wire import unsent_bytes
 
 # Requests of one connection whose responses are prefetched concurrently; later ones wait.
 MAX_PREFETCHED = 16
@@ -29,6 +30,9 @@
 MAX_FRAMING_BYTES = 128 << 10
 # How long a caller has for closing its side of a connection, after its last response.
 LINGER_TIMEOUT: Seconds = 1.0
+# How long the caller has for receiving what was written, before its connection is reset.
+DELIVERY_TIMEOUT: Seconds = 2.0
+DELIVERY_CHECK_INTERVAL: Seconds = 0.01
 
 
 class MalformedBody(Exception):
@@ -188,6 +192,22 @@
         self._is_reset = True
         _reset(self.transport)
 
+    async def reset_after_delivery(self, end: ConnectionEnd) -> None:
+        """Reset the connection once the caller has what was written before, or after a timeout.
+
+        A reset drops what the kernel hasn't sent yet, also of whole responses before a broken one.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        self.stop_prefetching()
+        self._end = end
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DELIVERY_TIMEOUT):
+                while not transport.is_closing() and unsent_bytes(transport):
+                    await self._progressed.wait(DELIVERY_CHECK_INTERVAL)
+        self.reset(end)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the prefetching tasks, and discard the responses that are ready."""
         self._is_flushed = exc is None and not self._is_reset
@@ -349,11 +369,11 @@
             return _CLOSED_BY_CALLER
 
 
-def reset_connection(http: web.BaseRequest, end: ConnectionEnd) -> None:
-    """Reset the connection of a request."""
+async def reset_connection(http: web.BaseRequest, end: ConnectionEnd) -> None:
+    """Reset the connection of a request, once what was written has been received."""
     match http.protocol:
         case PipelinedConnection() as connection:
-            connection.reset(end)
+            await connection.reset_after_delivery(end)
         case _ if http.transport is not None:
             _reset(http.transport)
 
--- a/cowslipvane/tasks/peers/_links.py
+++ b/cowslipvane/tasks/peers/_links.py
@@ -111,6 +111,9 @@
         match message:
             case Offer():
                 for part in split_offer(message):
+                    if message.attempt not in self._mailboxes:
+                        # The owner has refused it, and drops what still comes of its body.
+                        return
                     await link.send(part)
                     # Without this, a send that doesn't block would let no other task run.
                     await asyncio.sleep(0)
--- a/cowslipvane/tasks/upstreams/_owner.py
+++ b/cowslipvane/tasks/upstreams/_owner.py
@@ -10,12 +10,14 @@
     DEFAULT_HEADER_NAMES,
     AttemptId,
     Attempts,
+    BodyAccount,
     Cancel,
     Ended,
     Fence,
     FenceOutcome,
     Forgotten,
     HeaderNames,
+    HeldBodies,
     NeverStarted,
     Offer,
     Running,
@@ -75,7 +77,9 @@
         service: ServiceName = NO_SERVICE,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         left_to_end: Seconds = DEFAULT_LEFT_TO_END,
+        bodies: BodyAccount | None = None,
     ) -> None:
+        """Without an account of bodies, the owner has one of its own."""
         self._announcements = announcements
         self._fact_keeper = fact_keeper
         self._gossip = gossip
@@ -86,7 +90,10 @@
         self._lease_renewed_at = 0.0
         self._admission: Admission | None = None
         self._attempts = Attempts(incarnation=gossip.membership.own.incarnation)
-        self._replies = Replies(attempts=self._attempts, get_load=self._get_load)
+        self._held_bodies = HeldBodies(account=bodies or BodyAccount())
+        self._replies = Replies(
+            attempts=self._attempts, held_bodies=self._held_bodies, get_load=self._get_load
+        )
         own = gossip.membership.own
         self._answers = WorkerAnswerLog(
             host=own.host, incarnation=own.incarnation, subscription=subscription
@@ -143,6 +150,11 @@
         """Return the counts of the worker's answers while a rollout of its service runs."""
         return self._answers.report(self.load)
 
+    @property
+    def held_bodies(self) -> HeldBodies:
+        """Return the bodies that are held for other proxies."""
+        return self._held_bodies
+
     @property
     def in_flight(self) -> tuple[AttemptId, ...]:
         """Return the attempts that are queued or running."""
@@ -240,6 +252,7 @@
     async def offer(self, offer: Offer, reply: SendReply) -> None:
         """Queue an attempt, or refuse it at once."""
         if not self._attempts.admit(offer.attempt):
+            self._held_bodies.release(offer.attempt)
             withdrawn = Withdrawn(service=offer.service)
             await self._replies.reply_refused(offer.attempt, withdrawn, reply)
             return
@@ -382,6 +395,7 @@
 
     def _withdraw(self, attempt: AttemptId, reason: str) -> None:
         """Remove an attempt from the queue, if it is queued."""
+        self._held_bodies.release(attempt)
         work = None if self._admission is None else self._admission.withdraw(attempt)
         if work is not None:
             self._record_cancelled(attempt, self._runner.request_id(work), "queued", reason)
--- a/cowslipvane/tasks/upstreams/_replies.py
+++ b/cowslipvane/tasks/upstreams/_replies.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from cowslipvane.call import AttemptId, Attempts, OwnerMessage, Refused, SendReply
+from cowslipvane.call import AttemptId, Attempts, HeldBodies, OwnerMessage, Refused, SendReply
 from cowslipvane.refusal import Refusal
 from cowslipvane.routing import Load
 from cowslipvane.tasks._signal import Signal
@@ -23,8 +23,11 @@
 class Replies:
     """Sends messages about attempts to the entry proxies that wait for them."""
 
-    def __init__(self, *, attempts: Attempts, get_load: Callable[[], Load]) -> None:
+    def __init__(
+        self, *, attempts: Attempts, held_bodies: HeldBodies, get_load: Callable[[], Load]
+    ) -> None:
         self._attempts = attempts
+        self._held_bodies = held_bodies
         self._get_load = get_load
         self._waiting: dict[AttemptId, SendReply] = {}
         self._attempt_ended = Signal()
@@ -71,6 +74,7 @@
     def end(self, attempt: AttemptId) -> None:
         """End an attempt whose response is complete."""
         self._attempts.end(attempt, time.monotonic())
+        self._held_bodies.release(attempt)
         self._waiting.pop(attempt, None)
         self._attempt_ended.send()
 
@@ -82,6 +86,7 @@
         message = Refused(attempt=attempt, refusal=refusal, load=self._get_load())
         self._attempts.store_part(attempt, message)
         self._attempts.end(attempt, time.monotonic())
+        self._held_bodies.release(attempt)
         return DueRefusal(message, self._waiting.pop(attempt, None))
 
     def end_all_refused(self, attempts: Iterable[AttemptId], refusal: Refusal) -> list[DueRefusal]:
--- a/cowslipvane/tasks/upstreams/_serve_calls.py
+++ b/cowslipvane/tasks/upstreams/_serve_calls.py
@@ -33,7 +33,7 @@
 async def serve_calls(link: Link, owner: Owner) -> None:
     """Receive one proxy's attempts, and send the owner's replies back."""
     in_flight: set[AttemptId] = set()
-    assembler = OfferAssembler()
+    assembler = OfferAssembler(held=owner.held_bodies)
     reply = _reply_function(link, in_flight)
     try:
         while True:
@@ -59,6 +59,7 @@
             await asyncio.sleep(ENTRY_RETURN_TIME)
         raise
     finally:
+        assembler.drop_all()
         for attempt in in_flight:
             owner.abandon(attempt, reply)
 
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -40,6 +40,7 @@
     anonymous_identity,
     connect,
     link_identity,
+    unsent_bytes,
 )
 
 __all__ = [
@@ -67,6 +68,7 @@
     "rollout_form",
     "anonymous_identity",
     "status_form",
+    "unsent_bytes",
     "Link",
     "LinkClosed",
     "LinkIdentity",
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -270,8 +270,7 @@
     def acknowledged_bytes(self) -> int:
         """Return the bytes that the kernel of the peer has acknowledged so far."""
         transport = self._connection.transport
-        unsent = transport.get_write_buffer_size()
-        return self._sent_bytes - unsent - _unacknowledged_bytes(transport)
+        return self._sent_bytes - unsent_bytes(transport)
 
     def abort(self) -> None:
         """Close the connection at once; a closing handshake would wait for a silent peer."""
@@ -288,6 +287,11 @@
         yield memoryview(data)[start : start + FRAME_BYTES]
 
 
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that were written and that the kernel of the peer hasn't acknowledged."""
+    return transport.get_write_buffer_size() + _unacknowledged_bytes(transport)
+
+
 def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that the kernel holds until the peer acknowledges them, 0 if not known."""
     tcp_socket = transport.get_extra_info("socket")
--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from cowslipvane.call import DEFAULT_HEADER_NAMES, Call
+from cowslipvane.call import DEFAULT_HEADER_NAMES, BodyAccount, Call
 from cowslipvane.catalogue import (
     Key,
     Resource,
@@ -72,6 +72,7 @@
     """A listener for callers whose dispatcher and owner are stubs; a base for tests."""
 
     max_body_bytes = MAX_BODY_BYTES
+    bodies: BodyAccount | None = None
 
     async def asyncSetUp(self) -> None:
         """Start the listener without a configuration in force."""
@@ -98,6 +99,7 @@
             configuration_applied=self.configuration_applied,
             owner=cast(Owner, self.owner),
             header_names=HEADER_NAMES,
+            bodies=self.bodies,
         )
 
     async def code(self, **headers: str) -> str:
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -5,7 +5,9 @@
 
 from cowslipvane.call import (
     AttemptId,
+    BodyAccount,
     Chunk,
+    HeldBodies,
     Incomplete,
     Offer,
     OfferAssembler,
@@ -31,6 +33,11 @@
     )
 
 
+def held(max_bytes: int = 64 << 20) -> HeldBodies:
+    """Return the bodies that an owner holds, with room for some."""
+    return HeldBodies(account=BodyAccount(max_bytes=max_bytes))
+
+
 class BodyTest(unittest.TestCase):
     """Tests of splitting and assembling bodies."""
 
@@ -45,7 +52,8 @@
             2 * PART_BYTES,
             3 * PART_BYTES + 7,
         ):
-            assembler, sent, other = OfferAssembler(), offer(1, size), offer(2, 2 * PART_BYTES + 5)
+            assembler = OfferAssembler(held=held())
+            sent, other = offer(1, size), offer(2, 2 * PART_BYTES + 5)
             first, *rest = split_offer(sent)
             other_first, *other_rest = split_offer(other)
             assert isinstance(first, Offer)
@@ -68,7 +76,7 @@
 
     def test_parts_of_a_dropped_offer_are_ignored(self) -> None:
         """The offer was fenced or cancelled while its body was in transit."""
-        assembler = OfferAssembler()
+        assembler = OfferAssembler(held=held())
         first, second = split_offer(offer(1, PART_BYTES + 1))
         assert isinstance(first, Offer)
         assert isinstance(second, Chunk)
@@ -79,7 +87,7 @@
     def test_total_of_incomplete_bodies_is_bounded(self) -> None:
         """An offer beyond the limit is dropped, and the others can be completed."""
         with patch("cowslipvane.call._body.MAX_INCOMPLETE_BYTES", 3 * PART_BYTES):
-            assembler = OfferAssembler()
+            assembler = OfferAssembler(held=held())
             sent = [offer(serial, 2 * PART_BYTES) for serial in (1, 2)]
             parts = [list(split_offer(item)) for item in sent]
             for first, _ in parts:
@@ -94,6 +102,46 @@
             self.assertIsInstance(assembler.add(seconds[0]), Overflow)
             self.assertEqual(assembler.add(seconds[1]), sent[1])
 
+    # Guards against an owner that is killed at the memory limit of its host by bodies that several
+    # entry proxies send, each within its own limit.
+    def test_bodies_of_several_connections_share_a_limit(self) -> None:
+        """A body is refused before its second part, and taken once there is room again."""
+        size = 4 * PART_BYTES
+        bodies = held(max_bytes=16 * PART_BYTES)
+        assemblers = [OfferAssembler(held=bodies) for _ in range(3)]
+        firsts = [next(iter(split_offer(offer(serial, size)))) for serial in (1, 2, 3)]
+        assert all(isinstance(first, Offer) for first in firsts)
+        results = [
+            assembler.begin(first)  # type: ignore[arg-type]
+            for assembler, first in zip(assemblers, firsts, strict=True)
+        ]
+        self.assertIsInstance(results[0], Incomplete)
+        self.assertIsInstance(results[1], Overflow)
+        self.assertIsInstance(results[2], Overflow)
+        assemblers[0].drop_all()
+        self.assertIsInstance(assemblers[2].begin(firsts[2]), Incomplete)  # type: ignore[arg-type]
+
+    def test_a_single_body_is_taken_whatever_its_size(self) -> None:
+        """A route may allow bodies that are larger than the limit."""
+        bodies = held(max_bytes=PART_BYTES)
+        assembler = OfferAssembler(held=bodies)
+        first, *rest = split_offer(offer(1, 5 * PART_BYTES))
+        assert isinstance(first, Offer)
+        self.assertIsInstance(assembler.begin(first), Incomplete)
+        for part in rest:
+            assert isinstance(part, Chunk)
+            result = assembler.add(part)
+        self.assertEqual(result, offer(1, 5 * PART_BYTES))
+
+    def test_small_bodies_always_have_room(self) -> None:
+        """Others fill the limit."""
+        bodies = held(max_bytes=PART_BYTES)
+        assembler = OfferAssembler(held=bodies)
+        large, small = next(iter(split_offer(offer(1, 5 * PART_BYTES)))), offer(2, 10_000)
+        assert isinstance(large, Offer)
+        assembler.begin(large)
+        self.assertEqual(assembler.begin(small), small)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -3,8 +3,8 @@
 import asyncio
 import tracemalloc
 import unittest
-from unittest.mock import patch
 
+from cowslipvane.call import BodyAccount
 from tests.connections_case import ConnectionsTestCase, answer
 from tests.endless_worker import Heartbeat
 from tests.worker_case import WorkerCase, read_head, request, response
@@ -25,8 +25,8 @@
 
     async def asyncSetUp(self) -> None:
         """Switch off the debug mode of asyncio, which slows each turn of the loop."""
-        with patch("cowslipvane.tasks.callers._request_body.MAX_BODY_BYTES", MAX_BODY_BYTES):
-            await super().asyncSetUp()
+        self.bodies = BodyAccount(max_bytes=MAX_BODY_BYTES)
+        await super().asyncSetUp()
         asyncio.get_running_loop().set_debug(False)
         self.body = bytes(BODY_BYTES)
 
