--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -14,6 +14,7 @@
     DEFAULT_HEADER_NAMES,
     Answer,
     AttemptId,
+    BodyAccount,
     Call,
     Cancel,
     Chunk,
@@ -150,6 +151,7 @@
     header_names: HeaderNames = DEFAULT_HEADER_NAMES,
     kept: HostFacts | None = None,
     log: EventLog | None = None,
+    bodies: BodyAccount | None = None,
 ) -> Owner:
     """Return an owner without a worker, which knows what the replicas keep."""
     membership = Membership(own=own, now=0.0)
@@ -166,6 +168,7 @@
         fact_keeper=fact_keeper,
         worker_lease=worker_lease,
         header_names=header_names,
+        bodies=bodies,
     )
 
 
