Count a worker's response without a status of HTTP as broken

Cause: the parser takes statuses from 0 to 999, and all below 200 counted as interim ones.

Change: a status outside 100 to 599 breaks the connection: 502, may have run, or another attempt where the request may be repeated; routing counts a lost attempt.

--- a/cowslipvane/tasks/upstreams/_worker_connection.py
+++ b/cowslipvane/tasks/upstreams/_worker_connection.py
@@ -35,6 +35,8 @@
 MAX_UNREAD_RESPONSES = 4
 # The largest body that is joined with its head, to be sent in one segment if it is small.
 MAX_JOINED_BYTES = 64 << 10
+# Statuses that a response may have, by RFC 9110.
+STATUSES = range(100, 600)
 # The part of a parser's error that is reported; it quotes what was received.
 MAX_REASON_CHARS = 160
 # An idle connection is reused within this time, unless the worker announces a shorter one.
@@ -251,6 +253,9 @@
             return False
         completed = False
         for message, payload in messages:
+            if message.code not in STATUSES:
+                self._fail(f"the worker sent the status {message.code}")
+                return False
             if _is_interim(message):
                 self._interim_responses += 1
             elif self._parser is not None:
