Choose an owner from a look at two, whatever their number

Change: the owners of a service are kept with their views while their members stay the same; two are drawn, by how far each has ramped up against the one that has furthest. All are looked at when both are overloaded, after a refusal, and for outliers, when an answer shows that there may be one or after 0.25 s.

--- a/cowslipvane/routing/_owner_view.py
+++ b/cowslipvane/routing/_owner_view.py
@@ -77,6 +77,16 @@
         self._consecutive_losses = 0
         self._ejected_until = now
         self._ejection_count = 0
+        self._slow_limit: Seconds = 0.0
+
+    @property
+    def may_be_outlier(self) -> bool:
+        """Return whether the owner loses attempts, or is slower than the limit that was set."""
+        return self.loses_attempts or (self.latency or 0.0) > self._slow_limit
+
+    def set_slow_limit(self, limit: Seconds) -> None:
+        """Set the median latency above which the owner is slow."""
+        self._slow_limit = limit
 
     @property
     def latency(self) -> Seconds | None:
--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -34,7 +34,14 @@
     Refusal,
     explain,
 )
-from cowslipvane.routing import AttemptResult, Budgets, Chooser, Load, UpstreamVersions
+from cowslipvane.routing import (
+    AttemptResult,
+    Budgets,
+    Chooser,
+    Load,
+    RoutingTable,
+    UpstreamVersions,
+)
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks.peers import LinkLost, Mailbox, Peers, UnreadResponses
@@ -194,21 +201,25 @@
             wall_time=time.time(),
             is_first=not call.tried_hosts,
         )
-        small = len(call.request.body) < SMALL_BODY_BYTES
         chosen = None
         for group in groups:
-            allowed = [
-                owner
-                for owner in group
-                if (table is None or not table.is_out_of_service(owner.host))
-                and self._can_reach(owner)
-            ]
-            chosen = self._chooser.choose(allowed, call.tried_hosts, time.monotonic(), small=small)
+            chosen = self._chooser.choose(
+                group,
+                call.tried_hosts,
+                time.monotonic(),
+                small=len(call.request.body) < SMALL_BODY_BYTES,
+                is_usable=partial(self._is_usable, table),
+            )
             if chosen is not None:
                 break
         self._record_ejections()
         return chosen
 
+    def _is_usable(self, table: RoutingTable | None, owner: Member) -> bool:
+        """Return whether an owner may be sent a call."""
+        is_out = table is not None and table.is_out_of_service(owner.host)
+        return not is_out and self._can_reach(owner)
+
     def _record_ejections(self) -> None:
         """Record the owners that were ejected for losing calls or for being slow."""
         for ejection in self._chooser.take_ejections():
