Encode tuples of numbers and texts as they are

Cause: each header field of an offer and an answer went through a hook for the record and one for each field.

Change: what holds only numbers, texts and bytes is left to the CBOR library; records read their fields in one call; a record of texts is decoded by one check of its types. The bytes on the wire are the same.

--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -7,7 +7,17 @@
 import types
 import zlib
 from collections.abc import Callable
-from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+from operator import attrgetter
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    TypeVar,
+    Union,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 import cbor2
 from cattrs import BaseConverter, Converter
@@ -24,12 +34,43 @@
 # Compresses a configuration to a fifth in little processor time.
 _COMPRESSION_LEVEL = 1
 MAX_DECOMPRESSED_BYTES = 16 << 20
+_PLAIN_TYPES = frozenset({int, float, bool, bytes, str, type(None)})
 
 
 class Malformed(ValueError):
     """Raised for bytes or values that are not a message of this protocol."""
 
 
+def _base_type(kind: Any) -> Any:
+    """Return the type behind a new name or an annotation."""
+    while hasattr(kind, "__supertype__"):
+        kind = kind.__supertype__
+    return kind.__origin__ if get_origin(kind) is Annotated else kind
+
+
+def _is_plain(kind: Any) -> bool:
+    """Return whether CBOR can encode values of a type as they are.
+
+    These are numbers, texts and bytes, and tuples and NamedTuples that hold nothing else.
+    """
+    kind = _base_type(kind)
+    if kind in _PLAIN_TYPES:
+        return True
+    origin = get_origin(kind)
+    if origin is Literal:
+        return all(type(value) in _PLAIN_TYPES for value in get_args(kind))
+    if origin in (Union, types.UnionType, tuple):
+        return all(member is Ellipsis or _is_plain(member) for member in get_args(kind))
+    if isinstance(kind, type) and issubclass(kind, tuple) and hasattr(kind, "_fields"):
+        return all(_is_plain(field) for _, field in _field_types(kind))
+    return False
+
+
+def _is_variadic_tuple(kind: Any) -> bool:
+    """Return whether a type is a tuple of any length, such as tuple[str, ...]."""
+    return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
+
+
 def _union_members(kind: Any) -> tuple[type, ...]:
     """Return the members of a union of data classes, or () for any other type."""
     if get_origin(kind) not in (Union, types.UnionType):
@@ -160,8 +201,15 @@
     fields = _field_types(kind)
     required_count = _required_count(kind)
     hooks = tuple((name, field, converter.get_structure_hook(field)) for name, field in fields)
+    make_of_texts = _make_of_texts(kind, fields)
 
     def structure(value: Any, _: Any) -> Any:
+        if (
+            make_of_texts is not None
+            and type(value) is list
+            and tuple(map(type, value)) == (str,) * len(hooks)
+        ):
+            return make_of_texts(value)
         if not isinstance(value, list | tuple) or not required_count <= len(value) <= len(hooks):
             raise Malformed(f"expected the {len(hooks)} fields of {kind.__name__}")
         values = {
@@ -172,11 +220,47 @@
     return structure
 
 
+def _make_of_texts(kind: type, fields: tuple[tuple[str, Any], ...]) -> Callable[[Any], Any] | None:
+    """Return the constructor of a NamedTuple of texts, such as a header field, None for others."""
+    if not issubclass(kind, tuple) or any(_base_type(field) is not str for _, field in fields):
+        return None
+    return kind._make  # type: ignore[attr-defined, no-any-return]
+
+
 def _record_unstructure_hook(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
     """Return a hook that encodes a record as the list of its fields."""
     fields = _field_types(kind)
-    hooks = tuple((name, converter.get_unstructure_hook(field)) for name, field in fields)
-    return lambda value: [hook(getattr(value, name)) for name, hook in hooks]
+    if len(fields) == 1:
+        ((name, field),) = fields
+        hook = converter.get_unstructure_hook(field)
+        return lambda value: [hook(getattr(value, name))]
+    get_fields = attrgetter(*(name for name, _ in fields)) if fields else lambda _: ()
+    converted = tuple(
+        (index, converter.get_unstructure_hook(field))
+        for index, (_, field) in enumerate(fields)
+        if not _is_plain(field)
+    )
+
+    def unstructure(value: Any) -> Any:
+        values = list(get_fields(value))
+        for index, hook in converted:
+            values[index] = hook(values[index])
+        return values
+
+    return unstructure
+
+
+def _sequence_structure_hook(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
+    """Return a hook that decodes a tuple of any length."""
+    item_type = get_args(kind)[0]
+    hook = converter.get_structure_hook(item_type)
+
+    def structure(value: Any, _: Any) -> Any:
+        if type(value) not in (list, tuple):
+            raise Malformed(f"found {type(value).__name__}, expected a list")
+        return tuple([hook(item, item_type) for item in value])
+
+    return structure
 
 
 def _make_converter() -> Converter:
@@ -194,6 +278,10 @@
     converter.register_unstructure_hook_factory(
         _is_record, lambda kind: _record_unstructure_hook(converter, kind)
     )
+    converter.register_structure_hook_factory(
+        _is_variadic_tuple, lambda kind: _sequence_structure_hook(converter, kind)
+    )
+    converter.register_unstructure_hook_func(_is_plain, lambda value: value)
     converter.register_structure_hook_factory(
         lambda kind: bool(_union_members(kind)), lambda kind: _union_structure_hook(converter, kind)
     )
