Let a new leader observe a rollout before it moves it

Cause: a leader elected after the trial time knew none of the answers so far and moved every request to the version at once, because too few answers isn't Bad. Change: the assessor tells for how long it has observed the order; the plan moves after 3 s of that (a quarter of a short rollout) and rolls back at the deadline what nobody could judge. Rollouts are compared by value.

--- a/cowslipvane/rollout/_assessor.py
+++ b/cowslipvane/rollout/_assessor.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from cowslipvane.catalogue import Rollout
 from cowslipvane.rollout._comparison import Comparison
 from cowslipvane.rollout._judgement import Judgement, judge, judge_speed
 from cowslipvane.rollout._observations import Observations
-from cowslipvane.types import ServiceName
+from cowslipvane.types import Seconds, ServiceName
+
+
+class _Case(NamedTuple):
+    """The evidence about the rollout that was ordered at a time, and since when it is kept."""
+
+    ordered_at: float
+    began_at: float
+    comparison: Comparison
+
+
+class Assessment(NamedTuple):
+    """A judgement, and how long the rollout has been observed for it."""
+
+    judgement: Judgement
+    observed_for: Seconds
 
 
 class Assessor:
@@ -14,23 +31,18 @@
 
     def __init__(self, *, observations: Observations) -> None:
         self._observations = observations
-        self._comparisons: dict[ServiceName, tuple[float, Comparison]] = {}
+        self._cases: dict[ServiceName, _Case] = {}
 
-    def assess(self, service: ServiceName, rollout: Rollout, now: float) -> Judgement:
+    def assess(self, service: ServiceName, rollout: Rollout, now: float) -> Assessment:
         """Take in what is known of a rollout now, and judge its version."""
         reports = self._observations.of_service(service)
         tried = [report for report in reports if report.version == rollout.target_version]
         others = [report for report in reports if report.version != rollout.target_version]
-        comparison = self._comparison(service, rollout)
-        comparison.update(tried, others, now)
+        case = self._cases.get(service)
+        if case is None or case.ordered_at != rollout.ordered_at:
+            case = self._cases[service] = _Case(rollout.ordered_at, now, Comparison())
+        case.comparison.update(tried, others, now)
         recent = self._observations.recent
         slow = judge_speed([recent(one) for one in tried], [recent(one) for one in others])
-        return slow or judge(comparison, upstreams=len(tried))
-
-    def _comparison(self, service: ServiceName, rollout: Rollout) -> Comparison:
-        """Return the comparison of a rollout, a new one for a new order."""
-        ordered_at, comparison = self._comparisons.get(service, (0.0, Comparison()))
-        if ordered_at != rollout.ordered_at:
-            comparison = Comparison()
-        self._comparisons[service] = rollout.ordered_at, comparison
-        return comparison
+        judgement = slow or judge(case.comparison, upstreams=len(tried))
+        return Assessment(judgement, now - case.began_at)
--- a/cowslipvane/rollout/_plan.py
+++ b/cowslipvane/rollout/_plan.py
@@ -17,6 +17,10 @@
 MOVE_TIME_SHARE = 0.1
 # The trial takes at least this part of a short rollout.
 MIN_TRIAL_PART = 0.5
+# A leader moves a service once it has observed it for this time, or for this part of a short
+# rollout. One that has just been elected knows nothing of what was observed before.
+MIN_OBSERVATION: Seconds = 3.0
+MIN_OBSERVED_PART = 0.25
 # Time before the deadline at which a rollout is completed, whatever is missing.
 LAST_MOMENT: Seconds = 0.5
 
@@ -24,12 +28,14 @@
 class RolloutView(NamedTuple):
     """What the leader knows of a rollout.
 
-    now is wall time in seconds. is_everywhere tells that all live proxies have the last step in
-    force; running counts the requests that upstreams of other versions run or have waiting.
+    now is wall time in seconds, observed_for how long this leader has observed the rollout.
+    is_everywhere tells that all live proxies have the last step in force; running counts the
+    requests that upstreams of other versions run or have waiting.
     """
 
     now: float
     judgement: Judgement
+    observed_for: Seconds
     is_everywhere: bool
     running: int
 
@@ -63,15 +69,25 @@
             case Bad(reason=reason):
                 return dataclasses.replace(rollout, phase="rolled-back", share=0.0, reason=reason)
         elapsed = view.now - rollout.ordered_at
+        is_due = elapsed >= rollout.duration - LAST_MOMENT
         if rollout.share < 1:
-            if elapsed < self._trial_time(rollout.duration):
-                return None
-            return dataclasses.replace(rollout, share=1.0)
-        is_moved = view.is_everywhere and not view.running
-        if is_moved or elapsed >= rollout.duration - LAST_MOMENT:
+            return self._step_of_trial(rollout, view, elapsed, is_due=is_due)
+        if is_due or (view.is_everywhere and not view.running):
             return dataclasses.replace(rollout, phase="completed")
         return None
 
+    def _step_of_trial(
+        self, rollout: Rollout, view: RolloutView, elapsed: Seconds, *, is_due: bool
+    ) -> Rollout | None:
+        """Return the rollout after its trial, None while that lasts."""
+        needed = min(MIN_OBSERVATION, MIN_OBSERVED_PART * rollout.duration)
+        if view.observed_for >= needed and elapsed >= self._trial_time(rollout.duration):
+            return dataclasses.replace(rollout, share=1.0)
+        if is_due:
+            reason = "no leader has observed it for long enough to judge it"
+            return dataclasses.replace(rollout, phase="rolled-back", share=0.0, reason=reason)
+        return None
+
     def _trial_time(self, duration: Seconds) -> Seconds:
         """Return how long a trial lasts."""
         move_time = max(MIN_MOVE_TIME, MOVE_TIME_SHARE * duration)
--- a/cowslipvane/tasks/distribution/_rollouts.py
+++ b/cowslipvane/tasks/distribution/_rollouts.py
@@ -134,9 +134,11 @@
         reports = self._observations.of_service(service)
         others = [report for report in reports if report.version != rollout.target_version]
         convergence = self._publisher.convergence
+        assessment = self._assessor.assess(service, rollout, time.monotonic())
         return RolloutView(
             now=time.time(),
-            judgement=self._assessor.assess(service, rollout, time.monotonic()),
+            judgement=assessment.judgement,
+            observed_for=assessment.observed_for,
             is_everywhere=convergence.in_force(version) >= convergence.live_proxy_count,
             running=sum(report.running for report in others),
         )
--- a/cowslipvane/tasks/upstreams/_worker_answers.py
+++ b/cowslipvane/tasks/upstreams/_worker_answers.py
@@ -64,7 +64,7 @@
             case Rollout(phase="rolled-back", target_version=version):
                 return self._version == version
             case rollout:
-                return rollout is not None and rollout is self._paused_in
+                return rollout is not None and rollout == self._paused_in
 
     def report(self, load: Load) -> WorkerAnswers | None:
         """Return what is counted while a rollout of the worker's service runs, or None."""
@@ -81,7 +81,7 @@
             version=self._version,
             counts=self._log.counts,
             running=load.running + load.queued,
-            is_paused=self._paused_in is rollout,
+            is_paused=self._paused_in == rollout,
         )
 
     @property
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -167,8 +167,8 @@
 
     def _view(self, at: float) -> RolloutView:
         """Return what the leader knows."""
-        judgement = self._assessor.assess(SERVICE, self._rollout, at)
-        return RolloutView(1000.0 + at, judgement, is_everywhere=True, running=0)
+        assessment = self._assessor.assess(SERVICE, self._rollout, at)
+        return RolloutView(1000.0 + at, *assessment, is_everywhere=True, running=0)
 
 
 def running(share: float) -> Rollout:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,7 +5,14 @@
 
 from cowslipvane.catalogue import Rollout
 from cowslipvane.membership import Member
-from cowslipvane.rollout import AnswerLog, Observations, Plan, WorkerAnswers
+from cowslipvane.rollout import (
+    AnswerLog,
+    Observations,
+    Plan,
+    RolloutView,
+    Sound,
+    WorkerAnswers,
+)
 from cowslipvane.routing import UpstreamVersions
 from cowslipvane.types import HostName
 from tests.rollout_simulation import (
@@ -194,6 +201,33 @@
         begun = self.plan.begin(target_version=NEW, duration=16.0, now=5.0)
         self.assertLess(begun.share, EXPOSURE)
 
+    def step(self, elapsed: float, *, observed_for: float, share: float = 0.08) -> Rollout | None:
+        """Return the step of a rollout of 16 s at a time after the order."""
+        view = RolloutView(1.0 + elapsed, Sound(answers=99), observed_for, False, 3)
+        return self.plan.next_step(running(share), view)
+
+    # Guards against a version that is moved to by a leader that was elected just before.
+    def test_a_new_leader_observes_before_it_moves(self) -> None:
+        """It knows nothing of the answers so far."""
+        self.assertIsNone(self.step(13.0, observed_for=2.9))
+        moved = self.step(13.0, observed_for=3.0)
+        assert moved is not None
+        self.assertEqual((moved.phase, moved.share), ("running", 1.0))
+
+    def test_a_version_that_could_not_be_judged_in_time_is_rolled_back(self) -> None:
+        """Leaders came and went."""
+        rolled_back = self.step(15.6, observed_for=1.0)
+        assert rolled_back is not None
+        self.assertEqual(rolled_back.phase, "rolled-back")
+        self.assertIn("judge", rolled_back.reason)
+
+    def test_a_move_is_completed_at_the_last_moment(self) -> None:
+        """A data centre is cut off, and upstreams of the other version still have work."""
+        self.assertIsNone(self.step(15.0, observed_for=15.0, share=1.0))
+        completed = self.step(15.6, observed_for=15.0, share=1.0)
+        assert completed is not None
+        self.assertEqual(completed.phase, "completed")
+
 
 class VersionsTest(unittest.TestCase):
     """Which owners may get a request."""
