--- a/cowslipvane/admission/_admission.py
+++ b/cowslipvane/admission/_admission.py
@@ -11,10 +11,11 @@
 from cowslipvane.admission._first_answer import FirstAnswer
 from cowslipvane.admission._rate_limit import RateLimit
 from cowslipvane.admission._service_times import ServiceTimes
-from cowslipvane.call import AttemptId, Request
+from cowslipvane.admission._work import Work
+from cowslipvane.call import AttemptId
 from cowslipvane.refusal import DeadlinePassed, Draining, Overloaded, QueueFull, Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Seconds, ServiceName, Verdict, Version
+from cowslipvane.types import Seconds, ServiceName, Verdict
 
 # Queue capacity for each slot, divided evenly among the callers that have queued requests.
 QUEUE_CAPACITY_PER_SLOT = 20
@@ -33,26 +34,6 @@
 MIN_COST: Seconds = 0.001
 
 
-class Work(NamedTuple):
-    """An attempt that is queued or running.
-
-    deadline and goal are in time.monotonic seconds. The goal is the latency goal: the time until
-    which an answer is worth most. nested means that an upstream made the call while handling
-    another request, which fails if this call fails. version is that of the configuration by which
-    the call was routed, None if it isn't known.
-    """
-
-    attempt: AttemptId
-    request: Request
-    deadline: float
-    idempotent: bool
-    caller: str
-    goal: float | None = None
-    kind: str = ""
-    nested: bool = False
-    version: Version | None = None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FirstComeFirstServed:
     """Start work in the order of arrival; a baseline for measurements."""
--- a/cowslipvane/tasks/upstreams/_owner.py
+++ b/cowslipvane/tasks/upstreams/_owner.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from cowslipvane.admission import Admission, FirstAnswer, Work, request_kind
+from cowslipvane.admission import Admission, FirstAnswer, Work
 from cowslipvane.call import (
     DEFAULT_HEADER_NAMES,
     AttemptId,
@@ -363,20 +363,7 @@
         if outdated is not None:
             return outdated
         now = time.monotonic()
-        deadline = now + offer.timeout
-        goal = None if offer.goal is None else now + offer.goal
-        work = Work(
-            offer.attempt,
-            offer.request,
-            deadline,
-            offer.idempotent,
-            offer.caller,
-            goal,
-            offer.kind or request_kind(offer.request),
-            offer.nested,
-            offer.version,
-        )
-        refusal = self._admission.offer(work, now)
+        refusal = self._admission.offer(Work.offered(offer, now), now)
         if refusal is None:
             self._slots.wake_one()
         return refusal
