Let small messages pass the parts of large bodies between proxies

Cause: all parts that were due on a connection were written at once, and the kernel took megabytes of them, so that a small call waited behind all bodies on its connection. Change: parts of bodies take turns on their connection, and the kernel takes at most 32 KiB that it hasn't sent. The relay of the tests has small receive buffers in both directions.

--- a/cowslipvane/tasks/peers/_links.py
+++ b/cowslipvane/tasks/peers/_links.py
@@ -114,7 +114,11 @@
                     if message.attempt not in self._mailboxes:
                         # The owner has refused it, and drops what still comes of its body.
                         return
-                    await link.send(part)
+                    match part:
+                        case Offer(more=False):
+                            await link.send(part)
+                        case _:
+                            await link.send_bulk(part)
                     # Without this, a send that doesn't block would let no other task run.
                     await asyncio.sleep(0)
             case Fence() | Cancel():
--- a/cowslipvane/tasks/peers/_listener.py
+++ b/cowslipvane/tasks/peers/_listener.py
@@ -16,7 +16,7 @@
 from cowslipvane.settings import AUTHORIZATION
 from cowslipvane.types import Address
 from cowslipvane.wire import Link, LinkClosed, LinkIdentity, Malformed
-from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, enable_keepalive
+from cowslipvane.wire._link import CLOSE_TIMEOUT, MAX_MESSAGE_BYTES, configure_socket
 
 Handler = Callable[[Link], Awaitable[None]]
 # Maximum number of characters of an untrusted text, such as a path, in an event.
@@ -75,7 +75,7 @@
 
     async def _serve(self, connection: ServerConnection) -> None:
         """Serve one connection until it closes or sends a malformed message."""
-        enable_keepalive(connection)
+        configure_socket(connection)
         assert connection.request is not None
         path = connection.request.path
         self._connections[path] += 1
--- a/cowslipvane/tasks/upstreams/_serve_calls.py
+++ b/cowslipvane/tasks/upstreams/_serve_calls.py
@@ -86,7 +86,11 @@
             case Refused() | Answer(more=False) | Chunk(more=False):
                 in_flight.discard(message.attempt)
         try:
-            await link.send(message)
+            match message:
+                case Chunk() | Answer(more=True):
+                    await link.send_bulk(message)
+                case _:
+                    await link.send(message)
         except LinkClosed:
             return
 
--- a/cowslipvane/wire/_link.py
+++ b/cowslipvane/wire/_link.py
@@ -37,6 +37,9 @@
 MAX_MESSAGE_BYTES = 16 << 20
 # Larger messages are sent in frames of this size, so that a slow one can be told from silence.
 FRAME_BYTES = 16 << 10
+# Bytes that the kernel takes before it has sent those before them, so that a message which is
+# written later doesn't wait for long.
+MAX_KERNEL_UNSENT_BYTES = 32 << 10
 # Each message ends with its sender's hybrid clock stamp: wall time in seconds, logical counter.
 _STAMP = struct.Struct(">dI")
 _MAX_LOGICAL = 2**32 - 1
@@ -158,6 +161,7 @@
         self._traffic = identity.traffic
         self._sent_bytes = 0
         self._reception: Reception | None = None
+        self._bulk_turn = asyncio.Lock()
 
     @property
     def reception(self) -> Reception | None:
@@ -182,6 +186,14 @@
         """Send one message."""
         await self.send_encoded(type(message).__name__, encode(message))
 
+    async def send_bulk(self, message: Message) -> None:
+        """Send a message of a large transfer, once those before it have been written.
+
+        All other messages pass it while it waits for its turn.
+        """
+        async with self._bulk_turn:
+            await self.send(message)
+
     async def send_compressed(self, message: Message) -> None:
         """Send one message, compressed if it is large; it should be of text, such as resources."""
         await self.send_encoded(type(message).__name__, compress(encode(message)))
@@ -332,16 +344,18 @@
     except (OSError, ValueError, OverflowError, websockets.WebSocketException) as error:
         # ValueError and OverflowError: the address is none.
         raise LinkClosed(f"{address} can't be reached: {error}") from error
-    enable_keepalive(connection)
+    configure_socket(connection)
     try:
         yield Link(connection=connection, identity=identity)
     finally:
         await connection.close()
 
 
-def enable_keepalive(connection: Connection) -> None:
-    """Let the kernel close a connection whose peer no longer acknowledges data."""
+def configure_socket(connection: Connection) -> None:
+    """Let the kernel hold little unsent, and close a connection that isn't acknowledged."""
     tcp_socket = connection.transport.get_extra_info("socket")
+    unsent = MAX_KERNEL_UNSENT_BYTES
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, unsent)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -116,7 +116,7 @@
         assert task is not None
         opener = writer.get_extra_info("peername")[0]
         try:
-            from_target, to_target = await asyncio.open_connection(*target)
+            from_target, to_target = await _connect(target)
         except OSError:
             writer.transport.abort()
             return
@@ -176,3 +176,16 @@
                 or any(condition.cuts_in for condition in self._of(receiver))
             ):
                 await self._changed.wait()
+
+
+async def _connect(target: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect to a host, with a small receive buffer, too."""
+    connection = socket.socket()
+    try:
+        connection.setblocking(False)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        await asyncio.get_running_loop().sock_connect(connection, target)
+    except BaseException:
+        connection.close()
+        raise
+    return await asyncio.open_connection(sock=connection, limit=_PART_BYTES)
