Judge and move no version that has no upstreams

Cause: an order arrives before the upstreams of its version have started. By reading: at the end of the trial all requests would have moved to a version without upstreams. Change: a version without medians isn't slow, one without upstreams is tried on, and rolled back at the deadline.

--- a/cowslipvane/rollout/_assessor.py
+++ b/cowslipvane/rollout/_assessor.py
@@ -20,10 +20,11 @@
 
 
 class Assessment(NamedTuple):
-    """A judgement, and how long the rollout has been observed for it."""
+    """A judgement, how long the rollout has been observed for it, and at how many upstreams."""
 
     judgement: Judgement
     observed_for: Seconds
+    upstreams: int
 
 
 class Assessor:
@@ -45,4 +46,4 @@
         recent = self._observations.recent
         slow = judge_speed([recent(one) for one in tried], [recent(one) for one in others])
         judgement = slow or judge(case.comparison, upstreams=len(tried))
-        return Assessment(judgement, now - case.began_at)
+        return Assessment(judgement, now - case.began_at, len(tried))
--- a/cowslipvane/rollout/_judgement.py
+++ b/cowslipvane/rollout/_judgement.py
@@ -70,7 +70,7 @@
 ) -> Bad | None:
     """Judge a version by the medians of its upstreams in the same time; None if it isn't slow."""
     times, usual = _medians(tried), _medians(others)
-    if len(times) < min(MIN_HEARD, len(tried)) or len(usual) < 2:
+    if not times or len(times) < min(MIN_HEARD, len(tried)) or len(usual) < 2:
         return None
     slowest = usual[min(int(len(usual) * SLOW_QUANTILE), len(usual) - 1)]
     median = statistics.median_low(times)
--- a/cowslipvane/rollout/_plan.py
+++ b/cowslipvane/rollout/_plan.py
@@ -28,14 +28,16 @@
 class RolloutView(NamedTuple):
     """What the leader knows of a rollout.
 
-    now is wall time in seconds, observed_for how long this leader has observed the rollout.
-    is_everywhere tells that all live proxies have the last step in force; running counts the
-    requests that upstreams of other versions run or have waiting.
+    now is wall time in seconds, observed_for how long this leader has observed the rollout, and
+    upstreams how many of the version it hears of now. is_everywhere tells that all live proxies
+    have the last step in force; running counts the requests that upstreams of other versions run
+    or have waiting.
     """
 
     now: float
     judgement: Judgement
     observed_for: Seconds
+    upstreams: int
     is_everywhere: bool
     running: int
 
@@ -81,10 +83,11 @@
     ) -> Rollout | None:
         """Return the rollout after its trial, None while that lasts."""
         needed = min(MIN_OBSERVATION, MIN_OBSERVED_PART * rollout.duration)
-        if view.observed_for >= needed and elapsed >= self._trial_time(rollout.duration):
+        is_tried = elapsed >= self._trial_time(rollout.duration)
+        if is_tried and view.observed_for >= needed and view.upstreams:
             return dataclasses.replace(rollout, share=1.0)
         if is_due:
-            reason = "no leader has observed it for long enough to judge it"
+            reason = "no leader has observed upstreams of it for long enough to judge it"
             return dataclasses.replace(rollout, phase="rolled-back", share=0.0, reason=reason)
         return None
 
--- a/cowslipvane/tasks/distribution/_rollouts.py
+++ b/cowslipvane/tasks/distribution/_rollouts.py
@@ -139,6 +139,7 @@
             now=time.time(),
             judgement=assessment.judgement,
             observed_for=assessment.observed_for,
+            upstreams=assessment.upstreams,
             is_everywhere=convergence.in_force(version) >= convergence.live_proxy_count,
             running=sum(report.running for report in others),
         )
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,6 +6,7 @@
 from cowslipvane.catalogue import Rollout
 from cowslipvane.membership import Member
 from cowslipvane.rollout import (
+    AnswerCounts,
     AnswerLog,
     Observations,
     Plan,
@@ -13,6 +14,7 @@
     Sound,
     WorkerAnswers,
 )
+from cowslipvane.rollout._judgement import judge_speed
 from cowslipvane.routing import UpstreamVersions
 from cowslipvane.types import HostName
 from tests.rollout_simulation import (
@@ -189,6 +191,25 @@
         self.assert_completed(sound, requests_per_s=10.0)
 
 
+class SpeedTest(unittest.TestCase):
+    """The speed of a version is judged while some or all of its upstreams are missing."""
+
+    # The leader's process ended with an error, and the next one's, too.
+    def test_a_version_without_upstreams_is_not_slow(self) -> None:
+        """An order may arrive before the first of them has started."""
+        self.assertIsNone(judge_speed([], [counts_of(20), counts_of(20), counts_of(20)]))
+
+    def test_upstreams_without_answers_are_not_slow(self) -> None:
+        """Nor are those that haven't been sent a request yet."""
+        others = [counts_of(20), counts_of(20), counts_of(20)]
+        self.assertIsNone(judge_speed([(), ()], others))
+
+
+def counts_of(answers: int) -> tuple[AnswerCounts, ...]:
+    """Return the counts of an upstream whose answers took 1 ms each at most."""
+    return (AnswerCounts("stock", answers, 0, (answers,)),)
+
+
 class PlanTest(unittest.TestCase):
     """Steps that don't depend on the answers."""
 
@@ -201,9 +222,11 @@
         begun = self.plan.begin(target_version=NEW, duration=16.0, now=5.0)
         self.assertLess(begun.share, EXPOSURE)
 
-    def step(self, elapsed: float, *, observed_for: float, share: float = 0.08) -> Rollout | None:
+    def step(
+        self, elapsed: float, *, observed_for: float, share: float = 0.08, upstreams: int = 2
+    ) -> Rollout | None:
         """Return the step of a rollout of 16 s at a time after the order."""
-        view = RolloutView(1.0 + elapsed, Sound(answers=99), observed_for, False, 3)
+        view = RolloutView(1.0 + elapsed, Sound(answers=99), observed_for, upstreams, False, 3)
         return self.plan.next_step(running(share), view)
 
     # Guards against a version that is moved to by a leader that was elected just before.
@@ -221,6 +244,14 @@
         self.assertEqual(rolled_back.phase, "rolled-back")
         self.assertIn("judge", rolled_back.reason)
 
+    # All requests of the service would have been refused.
+    def test_nothing_is_moved_to_a_version_without_upstreams(self) -> None:
+        """They may be about to start; if none has, the rollout ends as rolled back."""
+        self.assertIsNone(self.step(13.0, observed_for=9.0, upstreams=0))
+        rolled_back = self.step(15.6, observed_for=9.0, upstreams=0)
+        assert rolled_back is not None
+        self.assertEqual(rolled_back.phase, "rolled-back")
+
     def test_a_move_is_completed_at_the_last_moment(self) -> None:
         """A data centre is cut off, and upstreams of the other version still have work."""
         self.assertIsNone(self.step(15.0, observed_for=15.0, share=1.0))
