Tell that a request hasn't run if its owner was lost before it had the body

Cause: an owner starts complete requests only, but the entry proxy took every request on a lost connection for one that may have run, so that an upload wasn't sent again. Change: a connection knows which offers lack parts; these didn't run and may go elsewhere.

--- a/cowslipvane/tasks/peers/_links.py
+++ b/cowslipvane/tasks/peers/_links.py
@@ -62,6 +62,8 @@
         self._failed = False
         self._silent = False
         self._mailboxes: dict[AttemptId, Mailbox] = {}
+        # Attempts whose offer lacks parts yet; an owner starts none of them.
+        self._incomplete: set[AttemptId] = set()
         # Sent when a reply becomes outstanding.
         self._reply_expected = Signal()
         # Sent when an attempt to connect has succeeded or failed.
@@ -104,16 +106,21 @@
             await self._send_parts(self._link, message)
         except LinkClosed as closed:
             if mailbox is not None and self._mailboxes.pop(message.attempt, None) is not None:
-                mailbox.put_nowait(LinkLost(outcome_unknown=not closed.going_away))
+                mailbox.put_nowait(self._lost(message.attempt, going_away=closed.going_away))
+        finally:
+            self._incomplete.discard(message.attempt)
 
     async def _send_parts(self, link: Link, message: Offer | Fence | Cancel) -> None:
         """Send a message, an offer in parts that are interleaved with other calls' messages."""
         match message:
             case Offer():
+                self._incomplete.add(message.attempt)
                 for part in split_offer(message):
                     if message.attempt not in self._mailboxes:
                         # The owner has refused it, and drops what still comes of its body.
                         return
+                    if not part.more:
+                        self._incomplete.discard(message.attempt)
                     match part:
                         case Offer(more=False):
                             await link.send(part)
@@ -124,6 +131,10 @@
             case Fence() | Cancel():
                 await link.send(message)
 
+    def _lost(self, attempt: AttemptId, *, going_away: bool) -> LinkLost:
+        """Return what is known of an attempt whose connection is lost."""
+        return LinkLost(outcome_unknown=not going_away and attempt not in self._incomplete)
+
     def start_closing(self) -> None:
         """Start closing the connection without waiting for it."""
         self._task.cancel()
@@ -147,7 +158,7 @@
                         pass
                 await asyncio.sleep(self._backoff.next_delay())
         finally:
-            self._fail_pending(outcome_unknown=True)
+            self._fail_pending()
 
     async def _connect_once(self) -> _End:
         """Connect, receive messages until the connection ends, and return how it ended."""
@@ -158,7 +169,7 @@
             connected = self._link is not None
             going_away = isinstance(error, LinkClosed) and error.going_away
             # After a reset, a new connection is likely to succeed; after silence, it isn't.
-            self._fail_pending(outcome_unknown=not going_away, failed=not connected or self._silent)
+            self._fail_pending(going_away=going_away, failed=not connected or self._silent)
             self._record_unreachable(str(error))
             if going_away:
                 return _End.GOING_AWAY
@@ -190,13 +201,13 @@
             self._events.record("peer", peer=self._member.host, state="lost", reason=reason)
         self._recorded_lost = self._failed
 
-    def _fail_pending(self, *, outcome_unknown: bool, failed: bool = True) -> None:
+    def _fail_pending(self, *, going_away: bool = False, failed: bool = True) -> None:
         """Put LinkLost into all mailboxes; if failed, senders don't wait for a new connection."""
         self._link = None
         self._failed = failed
         self._connect_attempted.send()
-        for mailbox in self._mailboxes.values():
-            mailbox.put_nowait(LinkLost(outcome_unknown=outcome_unknown))
+        for attempt, mailbox in self._mailboxes.items():
+            mailbox.put_nowait(self._lost(attempt, going_away=going_away))
         self._mailboxes.clear()
 
     async def _watch(self, link: Link) -> None:
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -25,7 +25,8 @@
 
     async def asyncSetUp(self) -> None:
         """Switch off the debug mode of asyncio, which slows each turn of the loop."""
-        self.bodies = BodyAccount(max_bytes=MAX_BODY_BYTES)
+        self.account = BodyAccount(max_bytes=MAX_BODY_BYTES)
+        self.bodies = self.account
         await super().asyncSetUp()
         asyncio.get_running_loop().set_debug(False)
         self.body = bytes(BODY_BYTES)
@@ -59,6 +60,17 @@
         self.script.send("/again", answer(b""))
         self.assertEqual(await self.call("/again"), 200)
 
+    # Guards against bodies that take up room for ever once their callers have left.
+    async def test_a_caller_that_leaves_in_the_middle_of_its_body_frees_its_room(self) -> None:
+        """Its request isn't passed on."""
+        await self.connect()
+        self.send("/left", method="POST", fields=FIELDS)
+        self.writer.write(self.body[: BODY_BYTES // 2])
+        await self.until(lambda: self.account.held_bytes == BODY_BYTES // 2)
+        self.writer.close()
+        await self.until(lambda: not self.account.held_bytes)
+        self.assertEqual(self.script.arrived, [])
+
     @property
     def passed_on(self) -> int:
         """Return how many requests were passed on."""
@@ -74,6 +86,26 @@
 class WorkerBodyTest(WorkerCase):
     """A worker receives a large body slowly."""
 
+    async def test_a_worker_that_responds_before_it_has_read_the_body(self) -> None:
+        """Its response is passed on at once, and the next request isn't taken for the body."""
+        has_response = asyncio.Event()
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await read_head(reader):
+                size = LARGE_BODY_BYTES if not has_response.is_set() else 0
+                writer.write(response("1" if size else "2", b"early" if size else b"next"))
+                await has_response.wait()
+                await reader.readexactly(size)
+
+        self.script = script
+        large = request("1", method="POST")._replace(body=bytes(LARGE_BODY_BYTES))
+        async with asyncio.timeout(10):
+            early = await self.connection.send_request(large, 1000)
+            self.assertEqual(await early.body.read(), b"early")
+            self.connection.keep_alive(early)
+            has_response.set()
+            self.assertEqual(await self.fetch("2"), b"next")
+
     # It was copied three times, twice of that for a moment.
     async def test_large_body_is_copied_once(self) -> None:
         """The copy waits in the connection, so that all of it is sent."""
--- a/tests/test_slow_peer.py
+++ b/tests/test_slow_peer.py
@@ -74,6 +74,28 @@
 
         self.assertEqual(await self.call(send_body, body=b""), BODY)
 
+    # The request was said to have run perhaps, so that nobody sent it again.
+    async def test_an_owner_that_is_lost_before_it_has_the_body_has_not_run_it(self) -> None:
+        """An owner starts what is complete only."""
+
+        async def receive_half(link: Link) -> None:
+            await link.receive()
+            await link.receive()
+            link.abort()
+
+        self.assertEqual(await self.lost(receive_half), LinkLost(outcome_unknown=False))
+
+    async def test_an_owner_that_is_lost_with_the_body_may_have_run_it(self) -> None:
+        """Its outcome has to be asked for."""
+
+        async def receive_body(link: Link) -> None:
+            part = await link.receive()
+            while part.more:
+                part = await link.receive()
+            link.abort()
+
+        self.assertEqual(await self.lost(receive_body), LinkLost(outcome_unknown=True))
+
     # Guards against a replica that never gets a large snapshot, since its reply comes late.
     async def test_reply_is_not_late_before_its_request_is_delivered(self) -> None:
         """It is awaited for a time that is shorter than the delivery."""
@@ -90,6 +112,26 @@
 
     async def call(self, serve_call: Callable[[Link], Awaitable[None]], *, body: bytes) -> bytes:
         """Send a call to an owner behind a slow link, and return the body of its response."""
+        mailbox = await self.offer(serve_call, body=body)
+        received = b""
+        while True:
+            match await asyncio.wait_for(mailbox.get(), TIMEOUT_S):
+                case Answer(body=part, more=more) | Chunk(body=part, more=more):
+                    received += part
+                    if not more:
+                        return received
+                case LinkLost():
+                    self.fail(f"the link was lost after {len(received)} bytes")
+
+    async def lost(self, serve_call: Callable[[Link], Awaitable[None]]) -> LinkLost:
+        """Send a call to an owner that is lost; return what is known of the call."""
+        mailbox = await self.offer(serve_call, body=BODY)
+        message = await asyncio.wait_for(mailbox.get(), TIMEOUT_S)
+        assert isinstance(message, LinkLost)
+        return message
+
+    async def offer(self, serve_call: Callable[[Link], Awaitable[None]], *, body: bytes) -> Mailbox:
+        """Send a call to an owner behind a slow link, and return its mailbox."""
         peers = Peers(events=event_log())
         self.addAsyncCleanup(peers.close)
         mailbox = Mailbox(service=STOCK)
@@ -102,15 +144,7 @@
             caller="",
         )
         await peers.link(await self.owner(serve_call)).send(offer, mailbox)
-        received = b""
-        while True:
-            match await asyncio.wait_for(mailbox.get(), TIMEOUT_S):
-                case Answer(body=part, more=more) | Chunk(body=part, more=more):
-                    received += part
-                    if not more:
-                        return received
-                case LinkLost():
-                    self.fail(f"the link was lost after {len(received)} bytes")
+        return mailbox
 
     async def owner(self, serve_call: Callable[[Link], Awaitable[None]]) -> Member:
         """Start an owner, and return it with the address of a slow relay to it."""
