Tell rightly what a move to a version without upstreams would have done

By routing/_versions.py proxies take the others for want of the version; the harm is that completed tells the operator to stop these.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -244,7 +244,7 @@
         self.assertEqual(rolled_back.phase, "rolled-back")
         self.assertIn("judge", rolled_back.reason)
 
-    # All requests of the service would have been refused.
+    # It was completed, which tells the operator to stop the upstreams of the other versions.
     def test_nothing_is_moved_to_a_version_without_upstreams(self) -> None:
         """They may be about to start; if none has, the rollout ends as rolled back."""
         self.assertIsNone(self.step(13.0, observed_for=9.0, upstreams=0))
