Name the fields of a configuration that aren't acted on

The fault is of a class: a field that isn't read is dropped in silence.

Change: one table in the adapter tells of each field whether it is read, deliberately not used, or not served; the last and unknown fields are named without their values in the answer to the operator, in the event release (unread) and by their number in a metric. So are entries that later ones of the same name replace, and names that an object has twice. What is served, and an event without such parts, is as before. test_numbers_out_of_range unpacks the third value of a decoded configuration; its checks are unchanged.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -23,7 +23,7 @@
 from cowslipvane.routing import Chooser
 from cowslipvane.settings import Settings, SettingsFault, read_token
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks._front_end import Components, FrontEnd
+from cowslipvane.tasks._front_end import Components, FrontEnd, settings_detail
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks.callers import Callers, Dispatcher
 from cowslipvane.tasks.distribution import (
@@ -168,7 +168,8 @@
         if self._subscriber is not None:
             self._subscriber.update_seeds(settings.seeds)
         seeds = " ".join(str(seed) for seed in settings.seeds)
-        self._events.record("reloaded", outcome="taken", seeds=seeds)
+        unread = settings_detail(self._front_end)
+        self._events.record("reloaded", outcome="taken", seeds=seeds, **unread)
 
     async def _watch_settings(self, front_end: FrontEnd) -> None:
         """Reload the settings when their file has changed, also without a signal."""
@@ -184,7 +185,7 @@
 
     async def _serve(self, tasks: list[Coroutine[Any, Any, None]], stack: AsyncExitStack) -> None:
         """Run the tasks of the roles until the process has stopped, or one of them fails."""
-        self._events.record("started")
+        self._events.record("started", **settings_detail(self._front_end))
         running = [asyncio.ensure_future(task) for task in tasks]
         leaving = asyncio.create_task(self._leave())
         try:
--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -37,6 +37,12 @@
         "time from the newest version's acceptance until the last proxy had it in force; it grows"
         " while one is behind",
     ),
+    Family(
+        "cowslipvane_unread_parts",
+        "gauge",
+        "",
+        "parts of the release last accepted here that this build should act on and doesn't",
+    ),
     Family("cowslipvane_rollouts", "gauge", "phase", "services by the phase of their last rollout"),
     Family("cowslipvane_leader", "gauge", "", "1 at the replica that holds the leader's lease"),
     Family("cowslipvane_log_bytes", "gauge", "", "memory of the log behind the last snapshot"),
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -7,7 +7,7 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-from cowslipvane.events import Event
+from cowslipvane.events import Event, count_unread
 from cowslipvane.types import Seconds, Version
 
 # Upper bounds of the histogram buckets for call durations, in seconds.
@@ -35,6 +35,8 @@
         self._call_seconds_sum = 0.0
         # The version last accepted here, and the wall-clock time of its acceptance in seconds.
         self._last_accepted: tuple[Version, float] = (Version(0), 0.0)
+        # None before a release was accepted here.
+        self._unread_parts: int | None = None
 
     @property
     def call_buckets(self) -> list[int]:
@@ -61,6 +63,9 @@
                 self._calls[event.detail["code"]] += 1
             case "applied" | "rejected":
                 self._versions[event.kind] += 1
+            case "release":
+                if event.detail["outcome"] == "accepted":
+                    self._unread_parts = count_unread(event.detail)
             case "accepted":
                 self._last_accepted = (Version(event.version), event.stamp.wall)
 
@@ -86,13 +91,16 @@
 
     def samples(self) -> list[Sample]:
         """Return the current values of the counters."""
-        return [
+        samples = [
             *_by_label("cowslipvane_calls", self._calls),
             *_by_label("cowslipvane_verdicts", self._verdicts),
             *_by_label("cowslipvane_versions", self._versions),
             Sample("cowslipvane_attempts", self._attempts),
             Sample("cowslipvane_retries", self._retries),
         ]
+        if self._unread_parts is not None:
+            samples.append(Sample("cowslipvane_unread_parts", self._unread_parts))
+        return samples
 
 
 def _by_label(name: str, counts: Counter[str]) -> list[Sample]:
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import json
 import math
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 from cowslipvane.catalogue import (
@@ -16,6 +16,9 @@
     Target,
     TrafficPolicy,
 )
+from cowslipvane.platform._fields import listed_parts
+from cowslipvane.platform._known_fields import unread_in_configuration
+from cowslipvane.platform._lost_parts import load_document, lost_parts
 from cowslipvane.types import MAX_INT64, MIN_INT64, ServiceName
 
 _VERSION_DIGITS = 8
@@ -24,33 +27,41 @@
 # Requests of all other types, such as non_idempotent and upload, may run once at most.
 _REPEATABLE_TYPES = frozenset({"idempotent", "download"})
 # All services share one traffic policy, which holds the limits of the configuration.
-_POLICY_NAME = "limits"
+_POLICY_KEY = Key("traffic-policy", "limits")
 
 
 class DecodedConfiguration(NamedTuple):
-    """A configuration as a release and resources of the product."""
+    """A configuration as a release and resources of the product.
+
+    unread are the parts of its document that should be acted on and aren't, without their values.
+    """
 
     release: Release
     resources: dict[Key, Spec]
+    unread: tuple[str, ...]
 
 
 def decode_configuration(body: bytes) -> DecodedConfiguration:
     """Return the configuration in a body; raise ValueError if it can't be read in full."""
     try:
-        form = json.loads(body)
+        document = load_document(body)
+        form = document.form
         number = _parse_version(form["version"])
         release = Release(
             number=number,
             based_on=_parse_version(form["base_version"]),
             document=body.decode("utf-8"),
         )
-        resources = dict(_services(form))
-        for listener in form["listeners"]:
-            resources.update(_routes(listener))
+        entries = [*_services(form), *_routes(form)]
+        unread = [
+            *unread_in_configuration(form),
+            *lost_parts(document, [key for key, _ in entries]),
+        ]
+        resources = {_POLICY_KEY: _policy(form), **dict(entries)}
     except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         # OverflowError: an infinite number for a whole one, or a number too large for a float.
         raise ValueError(f"the configuration can't be read: {error!r}") from error
-    return DecodedConfiguration(release, resources)
+    return DecodedConfiguration(release, resources, listed_parts(unread))
 
 
 def _parse_version(text: Any) -> int:
@@ -62,24 +73,24 @@
     return int(text, _HEXADECIMAL)
 
 
-def _services(form: dict[str, Any]) -> list[tuple[Key, Spec]]:
-    """Return the services, and the traffic policy that they share."""
-    policy = TrafficPolicy(max_body_bytes=int(form["limits"]["max_body_bytes"]))
-    resources: list[tuple[Key, Spec]] = [(Key("traffic-policy", _POLICY_NAME), policy)]
+def _policy(form: dict[str, Any]) -> TrafficPolicy:
+    """Return the traffic policy that all services share."""
+    return TrafficPolicy(max_body_bytes=int(form["limits"]["max_body_bytes"]))
+
+
+def _services(form: dict[str, Any]) -> Iterator[tuple[Key, Spec]]:
+    """Yield the services, in the order of the clusters."""
     for cluster in form["clusters"]:
-        resources.append(
-            (Key("service", _text(cluster["name"])), Service(traffic_policy=_POLICY_NAME))
-        )
-    return resources
+        yield Key("service", _text(cluster["name"])), Service(traffic_policy=_POLICY_KEY.name)
 
 
-def _routes(listener: dict[str, Any]) -> list[tuple[Key, Spec]]:
-    """Return the routes of one host."""
-    host = _host(listener["host"])
-    return [
-        (Key("route", f"{host} {_text(rule['match']['path_prefix'])}"), _route(host, rule))
-        for rule in listener["route_rules"]
-    ]
+def _routes(form: dict[str, Any]) -> Iterator[tuple[Key, Spec]]:
+    """Yield the routes, in the order of the hosts and their rules."""
+    for listener in form["listeners"]:
+        host = _host(listener["host"])
+        for rule in listener["route_rules"]:
+            prefix = _text(rule["match"]["path_prefix"])
+            yield Key("route", f"{host} {prefix}"), _route(host, rule)
 
 
 def _route(host: str, rule: dict[str, Any]) -> Route:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -70,6 +70,11 @@
         """Return the header names of the platform."""
         return HEADER_NAMES
 
+    @property
+    def unread_settings(self) -> tuple[str, ...]:
+        """Return the bounds and parts of the rules that this build doesn't keep to."""
+        return self._settings.unread
+
     def has_new_settings(self) -> bool:
         """Return whether the settings file was written since it was last read."""
         return file_stamp(self._path) != self._stamp
@@ -144,9 +149,9 @@
     ) -> web.StreamResponse:
         """Replace the whole configuration."""
         decoded = decode_configuration(await http.read())
-        match await releases.put(decoded.release, decoded.resources):
+        match await releases.put(decoded.release, decoded.resources, unread=decoded.unread):
             case Accepted():
-                return web.Response()
+                return _acknowledgement(decoded.unread)
             case Conflict():
                 return _failure(412, "another version is in place")
             case Invalid(faults=faults):
@@ -226,6 +231,11 @@
         return web.Response(status=307, headers={"Location": location})
 
 
+def _acknowledgement(unread: tuple[str, ...]) -> web.Response:
+    """Return a response that names the parts of a configuration that aren't acted on, if any."""
+    return web.json_response({"unread": unread}) if unread else web.Response()
+
+
 def _failure(status: int, reason: str) -> web.Response:
     """Return an error response with its reason."""
     return web.json_response({"reason": reason}, status=status)
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from cowslipvane.platform._known_fields import unread_terms
 from cowslipvane.settings import Settings, SettingsFault, parse
 from cowslipvane.types import Address
 
@@ -31,6 +32,8 @@
     control: Address
     # The platform checks the readiness of a proxy at this address; None on a replica.
     readiness: Address | None
+    # Bounds and parts of the rules that this build should keep to and doesn't.
+    unread: tuple[str, ...]
 
 
 def file_stamp(path: Path) -> FileStamp | None:
@@ -54,13 +57,24 @@
 
 def _bounds(text: object) -> dict[str, Any]:
     """Return the bounds of the deployment, none if they aren't rendered."""
-    try:
-        bounds = json.loads(text) if isinstance(text, str) else {}
-    except ValueError:
-        return {}
+    bounds = _rendered(text)
     return bounds if isinstance(bounds, dict) else {}
 
 
+def _contracts(text: object) -> list[Any]:
+    """Return the parts of the rules that are in force, none if they aren't rendered."""
+    contracts = _rendered(text)
+    return contracts if isinstance(contracts, list) else []
+
+
+def _rendered(text: object) -> Any:
+    """Return a value that is rendered as JSON, None if it isn't."""
+    try:
+        return json.loads(text) if isinstance(text, str) else None
+    except (ValueError, RecursionError):
+        return None
+
+
 def _decode(values: dict[str, Any], platform: dict[str, Any], source: str) -> PlatformSettings:
     """Return the product's settings, with the addresses derived from the platform's table."""
     first_port = int(platform["internal_ports"][0])
@@ -75,12 +89,14 @@
     if platform.get("callers"):
         listen["callers"] = platform["callers"]
     values["listen"] = listen
-    exposure = _bounds(platform.get("bounds")).get("exposure_share")
-    if exposure is not None:
+    bounds = _bounds(platform.get("bounds"))
+    exposure = bounds.get("exposure_share")
+    if exposure is not None and "replica" in values["roles"]:
         values["rollouts"] = {"exposure": exposure}
     readiness = platform.get("readiness")
     return PlatformSettings(
         parse(values, source),
         Address.parse(platform["control"]),
         Address.parse(readiness) if readiness else None,
+        unread_terms(bounds, _contracts(platform.get("contracts"))),
     )
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from cowslipvane.call import HeaderNames
+from cowslipvane.events import UnreadDetail, unread_detail
 from cowslipvane.settings import Settings
 from cowslipvane.tasks.distribution import Rollouts
 from cowslipvane.tasks.http import HttpListener
@@ -29,6 +30,10 @@
     def header_names(self) -> HeaderNames:
         """Return the names of the header fields used with callers and workers."""
 
+    @property
+    def unread_settings(self) -> tuple[str, ...]:
+        """Return the settings that this build should act on and doesn't, without their values."""
+
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners that translate requests into calls of the components."""
 
@@ -37,3 +42,8 @@
 
     def reload(self) -> Settings:
         """Reload the settings; raise SettingsFault when they are invalid."""
+
+
+def settings_detail(front_end: FrontEnd | None) -> UnreadDetail:
+    """Return the detail of events that names the settings that this build doesn't act on."""
+    return unread_detail(front_end.unread_settings) if front_end is not None else UnreadDetail()
--- a/cowslipvane/tasks/replication/_releases.py
+++ b/cowslipvane/tasks/replication/_releases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from cowslipvane.catalogue import (
@@ -18,7 +19,7 @@
     release_in_force,
     release_operation_id,
 )
-from cowslipvane.events import EventLog
+from cowslipvane.events import EventLog, unread_detail
 from cowslipvane.tasks.replication._messages import NotLeader, Unknown
 from cowslipvane.tasks.replication._replication import Replication
 
@@ -45,11 +46,12 @@
         return release_in_force(replica.catalogue) or NoRelease()
 
     async def put(
-        self, release: Release, resources: dict[Key, Spec]
+        self, release: Release, resources: dict[Key, Spec], *, unread: Sequence[str] = ()
     ) -> Accepted | Conflict | Invalid | NotLeader | Unknown:
         """Replace the release in force by a new one, or return why it isn't replaced.
 
-        A release that was already accepted is acknowledged again.
+        A release that was already accepted is acknowledged again. unread are the parts of its
+        document that the front end should act on and doesn't.
         """
         async with self._lock:
             outcome = await self._decide(release, resources)
@@ -60,6 +62,7 @@
             based_on=str(release.based_on),
             outcome=type(outcome).__name__.lower(),
             reason=_reason(outcome),
+            **unread_detail(unread),
         )
         return outcome
 
--- a/tests/test_numbers_out_of_range.py
+++ b/tests/test_numbers_out_of_range.py
@@ -135,7 +135,7 @@
                 "base_version": f"{number - 1 if number > 12 else 0:08x}",
             }
             body = json.dumps(CONFIGURATION | changed).encode()
-            release, resources = decode_configuration(body)
+            release, resources, _ = decode_configuration(body)
             self.assertIsInstance(await releases.put(release, resources), Accepted, rank)
             self.assertEqual(releases.newest(), release)
             self.assertEqual(self.open().recover().last_index, self.replica.last_index)
@@ -155,7 +155,7 @@
             ):
                 body = json.dumps(CONFIGURATION | {"base_version": "00000000"} | changed).encode()
                 try:
-                    release, resources = decode_configuration(body)
+                    release, resources, _ = decode_configuration(body)
                 except ValueError:
                     continue
                 await releases.put(release, resources)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -39,6 +39,9 @@
 class ProxyCase(unittest.TestCase):
     """A proxy that runs as a separate process."""
 
+    # Lines at the end of its settings.
+    extra = ""
+
     def setUp(self) -> None:
         """Start a proxy."""
         folder = tempfile.TemporaryDirectory(prefix="cowslipvane-")
@@ -62,7 +65,7 @@
         """Replace the settings file by one with the given seeds."""
         seed_list = ", ".join(f'"{seed}"' for seed in seeds)
         new_file = self.path.with_suffix(".new")
-        new_file.write_text(SETTINGS.format(ip=IP, seeds=seed_list))
+        new_file.write_text(SETTINGS.format(ip=IP, seeds=seed_list) + self.extra)
         new_file.replace(self.path)
 
     def next_event(self, kind: str) -> Any:
@@ -90,6 +93,20 @@
         self.next_event("started")
 
 
+class UnreadSettingsTest(ProxyCase):
+    """A proxy whose settings have a bound that this build doesn't keep to."""
+
+    extra = 'bounds = \'{"grace_period_s": 6, "quota_slack": 4711}\'\n'
+
+    # Guards against a part of the rules that is in force and not kept to, while nobody is told
+    # (issue 52).
+    def test_a_start_and_a_reload_name_it(self) -> None:
+        """Without its value."""
+        self.assertEqual(self.next_event("started"), {"unread": "bounds.quota_slack"})
+        self.write("10.0.0.2:1")
+        self.assertEqual(self.next_event("reloaded")["unread"], "bounds.quota_slack")
+
+
 class ReloadTest(ProxyCase):
     """A proxy whose settings file changes while it runs."""
 
