Tell in events by which version a request was routed, and whether credentials go along

Cause of this change: no event could tell the hypotheses of docs/incidents/team-keys.md apart. Change: attempt events get routed_by and credentials (none, passed on); what the field holds is never recorded. Nothing of what is served changes.

--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -56,6 +56,8 @@
 SMALL_BODY_BYTES = 1024
 # How long an entry proxy waits after the deadline for the owner's verdict on an attempt.
 VERDICT_TIMEOUT: Seconds = 0.2
+# The field in which callers show who they are; events tell only whether it is passed on.
+CREDENTIALS_FIELD = "Authorization"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -246,6 +248,8 @@
             owner=owner.host,
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
             number=str(len(call.tried_hosts)),
+            routed_by=str(call.version or ""),
+            credentials="none" if call.request.header(CREDENTIALS_FIELD) is None else "passed on",
         )
         mailbox = Mailbox(
             service=call.rules.service,
