Split the decoding of the platform's configuration by job

Cause: _configuration.py held the document, its routes and the checks of single values, and teams are to be added.

Change: routes are decoded in _routes.py, values are checked in _values.py; the functions are moved and renamed, and what they do is unchanged.

--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -2,30 +2,18 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from cowslipvane.catalogue import (
-    MAX_ATTEMPTS,
-    Key,
-    Release,
-    Route,
-    Service,
-    Spec,
-    Target,
-    TrafficPolicy,
-)
+from cowslipvane.catalogue import Key, Release, Service, Spec, TrafficPolicy
 from cowslipvane.platform._fields import listed_parts
 from cowslipvane.platform._known_fields import unread_in_configuration
 from cowslipvane.platform._lost_parts import load_document, lost_parts
-from cowslipvane.types import MAX_INT64, MIN_INT64, ServiceName
+from cowslipvane.platform._routes import decode_routes
+from cowslipvane.platform._values import read_text
 
 _VERSION_DIGITS = 8
-_MAX_HOST_CHARACTERS = 1024
 _HEXADECIMAL = 16
-# Requests of all other types, such as non_idempotent and upload, may run once at most.
-_REPEATABLE_TYPES = frozenset({"idempotent", "download"})
 # All services share one traffic policy, which holds the limits of the configuration.
 _POLICY_KEY = Key("traffic-policy", "limits")
 
@@ -46,13 +34,12 @@
     try:
         document = load_document(body)
         form = document.form
-        number = _parse_version(form["version"])
         release = Release(
-            number=number,
+            number=_parse_version(form["version"]),
             based_on=_parse_version(form["base_version"]),
             document=body.decode("utf-8"),
         )
-        entries = [*_services(form), *_routes(form)]
+        entries: list[tuple[Key, Spec]] = [*_services(form), *decode_routes(form)]
         unread = [
             *unread_in_configuration(form),
             *lost_parts(document, [key for key, _ in entries]),
@@ -78,90 +65,7 @@
     return TrafficPolicy(max_body_bytes=int(form["limits"]["max_body_bytes"]))
 
 
-def _services(form: dict[str, Any]) -> Iterator[tuple[Key, Spec]]:
+def _services(form: dict[str, Any]) -> Iterator[tuple[Key, Service]]:
     """Yield the services, in the order of the clusters."""
     for cluster in form["clusters"]:
-        yield Key("service", _text(cluster["name"])), Service(traffic_policy=_POLICY_KEY.name)
-
-
-def _routes(form: dict[str, Any]) -> Iterator[tuple[Key, Spec]]:
-    """Yield the routes, in the order of the hosts and their rules."""
-    for listener in form["listeners"]:
-        host = _host(listener["host"])
-        for rule in listener["route_rules"]:
-            prefix = _text(rule["match"]["path_prefix"])
-            yield Key("route", f"{host} {prefix}"), _route(host, rule)
-
-
-def _route(host: str, rule: dict[str, Any]) -> Route:
-    """Return one route."""
-    action = rule["action"]
-    goal = rule.get("target_latency_s")
-    return Route(
-        targets=_targets(action),
-        host=host,
-        path_prefix=_text(rule["match"]["path_prefix"]),
-        repeatable=_repeatable(rule["type"]),
-        attempts=min(max(int(action["attempts"]), 1), MAX_ATTEMPTS),
-        timeout=_seconds(action["timeout_s"]),
-        goal=None if goal is None else _seconds(goal),
-        priority=_rank(rule.get("priority", 0)),
-    )
-
-
-def _rank(value: Any) -> int:
-    """Return the rank of a route, the lowest or highest that there is for one beyond it."""
-    return min(max(int(value), MIN_INT64), MAX_INT64)
-
-
-def _targets(action: dict[str, Any]) -> tuple[Target, ...]:
-    """Return the target services of a route, one or several by weight."""
-    clusters = action.get("weighted_clusters")
-    if not clusters:
-        return (Target(ServiceName(_text(action["service"]))),)
-    return tuple(
-        Target(ServiceName(_text(cluster["service"])), _weight(cluster["weight"]))
-        for cluster in clusters
-    )
-
-
-def _repeatable(kind: Any) -> bool:
-    """Return whether requests of a type may run more than once.
-
-    The platform adds types, all of which may be run once at most.
-    """
-    if not kind:
-        raise ValueError(f"found type {kind!r}; allowed is a text")
-    return _text(kind) in _REPEATABLE_TYPES
-
-
-def _text(value: Any) -> str:
-    """Return a text unchanged; raise ValueError for any other type."""
-    if not isinstance(value, str):
-        raise ValueError(f"found {value!r:.80}; allowed is a text")
-    return value
-
-
-def _host(value: Any) -> str:
-    """Return a host; raise ValueError if it is too long for one, since each route repeats it."""
-    host = _text(value)
-    if len(host) > _MAX_HOST_CHARACTERS:
-        raise ValueError(f"found host {host!r:.80}; allowed are {_MAX_HOST_CHARACTERS} characters")
-    return host
-
-
-def _weight(value: Any) -> int:
-    """Return a weight; raise ValueError if it isn't a whole number, OverflowError if infinite."""
-    if type(value) not in (int, float) or value != int(value):
-        raise ValueError(f"found weight {value!r}; allowed is a whole number")
-    return int(value)
-
-
-def _seconds(value: Any) -> float:
-    """Return a time in seconds; raise ValueError if it isn't a finite number.
-
-    An integer that is too large for a float raises OverflowError.
-    """
-    if type(value) not in (int, float) or not math.isfinite(value):
-        raise ValueError(f"found {value!r:.80}; allowed is a time in seconds")
-    return float(value)
+        yield Key("service", read_text(cluster["name"])), Service(traffic_policy=_POLICY_KEY.name)
