Refuse numbers and versions of a configuration that can't be read in full

Cause: attempts, priority and max_body_bytes went through int(), so that 2.7 became 2, true 1 and "2" 2, and a version could be written as 0x00000c: a value was changed in silence, though docs/PLATFORM.md says that one of another type is refused.

Change: these have to be whole numbers, as weights already had to, and a version eight hexadecimal digits. Whole numbers written as 2.0 are taken as before, also those out of range, which tests ask for.

Measured: the two new tests fail on the code before and pass now; 41 tests of the platform pass, black, ruff and mypy are clean.

--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -10,9 +11,9 @@
 from cowslipvane.platform._known_fields import unread_in_configuration
 from cowslipvane.platform._lost_parts import load_document, lost_parts
 from cowslipvane.platform._routes import decode_routes
-from cowslipvane.platform._values import read_text
+from cowslipvane.platform._values import read_text, read_whole
 
-_VERSION_DIGITS = 8
+_VERSION = re.compile(r"[0-9a-fA-F]{8}")
 _HEXADECIMAL = 16
 # All services share one traffic policy, which holds the limits of the configuration.
 _POLICY_KEY = Key("traffic-policy", "limits")
@@ -53,16 +54,14 @@
 
 def _parse_version(text: Any) -> int:
     """Return the number of a version, which is written in hexadecimal digits."""
-    if not isinstance(text, str) or len(text) != _VERSION_DIGITS:
-        raise ValueError(
-            f"found version {text!r}; allowed are {_VERSION_DIGITS} hexadecimal digits"
-        )
+    if not isinstance(text, str) or not _VERSION.fullmatch(text):
+        raise ValueError(f"found version {text!r:.80}; allowed are 8 hexadecimal digits")
     return int(text, _HEXADECIMAL)
 
 
 def _policy(form: dict[str, Any]) -> TrafficPolicy:
     """Return the traffic policy that all services share."""
-    return TrafficPolicy(max_body_bytes=int(form["limits"]["max_body_bytes"]))
+    return TrafficPolicy(max_body_bytes=read_whole(form["limits"]["max_body_bytes"]))
 
 
 def _services(form: dict[str, Any]) -> Iterator[tuple[Key, Service]]:
--- a/cowslipvane/platform/_routes.py
+++ b/cowslipvane/platform/_routes.py
@@ -11,7 +11,7 @@
     read_rank,
     read_seconds,
     read_text,
-    read_weight,
+    read_whole,
 )
 from cowslipvane.types import ServiceName
 
@@ -37,7 +37,7 @@
         host=host,
         path_prefix=prefix,
         repeatable=_repeatable(rule["type"]),
-        attempts=min(max(int(action["attempts"]), 1), MAX_ATTEMPTS),
+        attempts=min(max(read_whole(action["attempts"]), 1), MAX_ATTEMPTS),
         timeout=read_seconds(action["timeout_s"]),
         goal=None if goal is None else read_seconds(goal),
         priority=read_rank(rule.get("priority", 0)),
@@ -50,7 +50,7 @@
     if not clusters:
         return (Target(ServiceName(read_text(action["service"]))),)
     return tuple(
-        Target(ServiceName(read_text(cluster["service"])), read_weight(cluster["weight"]))
+        Target(ServiceName(read_text(cluster["service"])), read_whole(cluster["weight"]))
         for cluster in clusters
     )
 
--- a/cowslipvane/platform/_values.py
+++ b/cowslipvane/platform/_values.py
@@ -27,13 +27,13 @@
 
 def read_rank(value: Any) -> int:
     """Return the rank of a route, the lowest or highest that there is for one beyond it."""
-    return min(max(int(value), MIN_INT64), MAX_INT64)
+    return min(max(read_whole(value), MIN_INT64), MAX_INT64)
 
 
-def read_weight(value: Any) -> int:
-    """Return a weight; raise ValueError if it isn't a whole number, OverflowError if infinite."""
+def read_whole(value: Any) -> int:
+    """Return a whole number; raise ValueError for any other value, OverflowError if infinite."""
     if type(value) not in (int, float) or value != int(value):
-        raise ValueError(f"found weight {value!r}; allowed is a whole number")
+        raise ValueError(f"found {value!r:.80}; allowed is a whole number")
     return int(value)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,6 +128,28 @@
             with self.assertRaises(ValueError, msg=body[:80]):
                 decode_configuration(body)
 
+    # Guards against a number that is changed in silence: 2.7 attempts were read as 2, true as 1.
+    def test_a_number_that_is_not_whole_is_refused(self) -> None:
+        """Also a text, which may be meant for another field."""
+        action = CONFIGURATION["listeners"][0]["route_rules"][0]["action"]
+        for value in (2.7, "2", True, None, [2], math.nan):
+            for changed in (
+                {"limits": {"max_body_bytes": value}},
+                with_rule(priority=value),
+                with_rule(action={**action, "attempts": value}),
+            ):
+                body = json.dumps(CONFIGURATION | changed).encode()
+                with self.assertRaises(ValueError, msg=body):
+                    decode_configuration(body)
+
+    # Guards against two texts for one version, only one of which is read back.
+    def test_a_version_has_eight_digits_and_nothing_else(self) -> None:
+        """The same holds for the version that a configuration is based on."""
+        for text in ("0x00000c", "+000000c", " 000000c", "0_0000_c", "c", "0000000g", 12):
+            for name in ("version", "base_version"):
+                with self.assertRaises(ValueError, msg=text):
+                    decode_configuration(json.dumps(CONFIGURATION | {name: text}).encode())
+
     # Guards against a process that ends at its memory limit because of one configuration of 1 MiB.
     def test_a_host_is_not_repeated_without_end(self) -> None:
         """Each route's name holds the host, which the configuration names once."""
