--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -1,6 +1,7 @@
 """Tests that nothing of what the platform's operators ask for is dropped in silence."""
 
 import copy
+import inspect
 import json
 import math
 import tempfile
@@ -12,6 +13,7 @@
 from unittest import mock
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -21,9 +23,11 @@
 from cowslipvane.platform._configuration import decode_configuration
 from cowslipvane.platform._fields import listed_parts
 from cowslipvane.platform._front_end import PlatformFrontEnd, _Control
+from cowslipvane.platform._known_fields import _KEPT_IDLE_S, _MAX_HEAD_LINE_BYTES
 from cowslipvane.platform._settings import load
 from cowslipvane.tasks import Components, Releases
 from cowslipvane.tasks._front_end import settings_detail
+from cowslipvane.tasks.http._listener import MAX_FIELD_BYTES
 from cowslipvane.tasks.replication._replication import Replication
 from cowslipvane.types import Address, DataCentre, HostName, Version
 from tests.test_platform import CONFIGURATION, RULE, with_rule
@@ -145,6 +149,12 @@
         expected = ("clusters[].protocol", "clusters[].tls")
         self.assertEqual(found, (*expected, "limits.idle_timeout_s", "limits.max_header_bytes"))
 
+    def test_the_limits_that_are_kept_are_those_of_the_listener(self) -> None:
+        """Guards against another listener that refuses what the table says is taken."""
+        keep_alive = inspect.signature(RequestHandler).parameters["keepalive_timeout"].default
+        self.assertLessEqual(_KEPT_IDLE_S, keep_alive)
+        self.assertEqual(_MAX_HEAD_LINE_BYTES, MAX_FIELD_BYTES)
+
     def test_their_number_and_length_is_limited(self) -> None:
         """The event that names them is kept in memory and sent to operators."""
         form = WHOLE | {f"f{number}": 1 for number in range(500)} | {"x" * 500: 1, "a b\n": 1}
