Extract the processes of the departure tests into a base class

Tests of keys need processes of the platform's program behind a relay, too, and the lines of a head as they were sent, since a dict of fields hides one that comes twice.

--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -5,7 +5,8 @@
 import unittest
 from typing import Any
 
-from tests.departures_case import OPERATORS_PORT, SERVICE, DeparturesCase
+from tests.departures_case import DeparturesCase
+from tests.processes_case import OPERATORS_PORT, SERVICE
 from tools.soak._hosts import WORKER_PORT
 
 BORN = 1_000_000
--- a/tools/http_messages.py
+++ b/tools/http_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from typing import NamedTuple
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -25,12 +26,21 @@
         return self.fields.get("connection", "").lower() == "close"
 
 
+async def read_head_lines(reader: asyncio.StreamReader) -> list[str]:
+    """Read a head, one line each; raise IncompleteReadError if the connection ends before it."""
+    data = await reader.readuntil(b"\r\n\r\n")
+    return data.decode("latin-1").removesuffix("\r\n\r\n").split("\r\n")
+
+
+def parse_head(lines: Sequence[str]) -> Head:
+    """Return the head with these lines."""
+    pairs = (line.partition(":") for line in lines[1:])
+    return Head(lines[0], {name.lower(): value.strip() for name, _, value in pairs})
+
+
 async def read_head(reader: asyncio.StreamReader) -> Head:
     """Read the head of a message; raise IncompleteReadError if the connection ends before it."""
-    data = await reader.readuntil(b"\r\n\r\n")
-    start_line, *lines = data.decode("latin-1").removesuffix("\r\n\r\n").split("\r\n")
-    pairs = (line.partition(":") for line in lines)
-    return Head(start_line, {name.lower(): value.strip() for name, _, value in pairs})
+    return parse_head(await read_head_lines(reader))
 
 
 async def read_body(reader: asyncio.StreamReader, head: Head) -> bytes:
