--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -30,6 +30,7 @@
 from cowslipvane.tasks.callers._dispatcher import Dispatcher
 from cowslipvane.tasks.http._listener import HttpListener
 from cowslipvane.tasks.upstreams._owner import Owner
+from cowslipvane.tasks.upstreams._runner import RunningRequest
 from cowslipvane.types import Address, HostName, ServiceName, Version
 from tools.single_replica import event_log
 
@@ -63,9 +64,9 @@
     def __init__(self) -> None:
         self.running: set[str] = set()
 
-    def is_running(self, request_id: str) -> bool:
-        """Return whether a request is running."""
-        return request_id in self.running
+    def running_request(self, request_id: str) -> RunningRequest | None:
+        """Return a request if it is running."""
+        return RunningRequest(request_id, None) if request_id in self.running else None
 
 
 class CallersTestCase(unittest.IsolatedAsyncioTestCase):
