--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -11,6 +11,7 @@
 from cowslipvane.platform._known_fields import unread_in_configuration
 from cowslipvane.platform._lost_parts import load_document, lost_parts
 from cowslipvane.platform._routes import decode_routes
+from cowslipvane.platform._teams import decode_teams
 from cowslipvane.platform._values import read_text, read_whole
 
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
@@ -45,7 +46,7 @@
             *unread_in_configuration(form),
             *lost_parts(document, [key for key, _ in entries]),
         ]
-        resources = {_POLICY_KEY: _policy(form), **dict(entries)}
+        resources = {_POLICY_KEY: _policy(form), **decode_teams(form), **dict(entries)}
     except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         # OverflowError: an infinite number for a whole one, or a number too large for a float.
         raise ValueError(f"the configuration can't be read: {error!r}") from error
--- a/cowslipvane/platform/_known_fields.py
+++ b/cowslipvane/platform/_known_fields.py
@@ -22,7 +22,7 @@
 _MAX_HEAD_LINE_BYTES = 16 << 10
 # Connections of callers that are idle for less are kept open.
 _KEPT_IDLE_S = 3600
-_NO_KEYS = "keys aren't checked, and upstreams don't learn the team"
+_NO_QUOTAS = "requests of a team aren't counted"
 
 _LIMITS: Fields = {
     "max_body_bytes": Read(),
@@ -38,7 +38,7 @@
     "type": Read(),
     "target_latency_s": Read(),
     "priority": Read(),
-    "public": Unserved(reason=_NO_KEYS),
+    "public": Read(),
     "match": Inner(fields={"path_prefix": Read()}),
     "action": Inner(
         fields={
@@ -49,6 +49,13 @@
         }
     ),
 }
+_TENANT: Fields = {
+    "name": Read(),
+    "api_keys": Read(),
+    "priority": Unserved(reason="only routes have a rank"),
+    "rate_per_s": Unserved(reason=_NO_QUOTAS, unless=(0, None)),
+    "burst": Unserved(reason=_NO_QUOTAS, unless=(0, None)),
+}
 _CLUSTER: Fields = {
     "name": Read(),
     "health_path": Unused(reason="heartbeats and answers tell whether a worker is well"),
@@ -62,7 +69,7 @@
     "version": Read(),
     "base_version": Read(),
     "limits": Inner(fields=_LIMITS),
-    "tenants": Unserved(reason=_NO_KEYS),
+    "tenants": Inner(fields=_TENANT, is_list=True),
     "listeners": Inner(
         fields={"host": Read(), "route_rules": Inner(fields=_RULE, is_list=True)}, is_list=True
     ),
@@ -71,7 +78,6 @@
 
 _JUDGED = "tells how rules are judged, and asks for nothing"
 _FIXED = "the times of this build are fixed, and meant for this value and more"
-_NO_QUOTAS = "requests of a team aren't counted"
 _BOUNDS: Fields = {
     "grace_period_s": Read(),
     "retry_budget_ratio": Read(),
@@ -91,15 +97,18 @@
     "propagation_s": Within(reason=_FIXED, low=2),
     "recovery_s": Within(reason=_FIXED, low=15),
     "rollback_s": Within(reason=_FIXED, low=5),
-    "revoke_s": Unserved(reason=_NO_KEYS),
-    "revoke_when_partitioned": Unserved(reason=_NO_KEYS, unless=(False,)),
+    # A key is withdrawn by a version, so this one follows from propagation_s.
+    "revoke_s": Within(reason=_FIXED, low=2),
+    "revoke_when_partitioned": Unserved(
+        reason="keys go on counting at a proxy that is cut off", unless=(False,)
+    ),
     "quota_window_s": Unserved(reason=_NO_QUOTAS),
     "quota_overshoot": Unserved(reason=_NO_QUOTAS),
     "quota_slack": Unserved(reason=_NO_QUOTAS),
 }
 # The parts of the platform's rules that this build keeps to.
 _KEPT_CONTRACTS = frozenset(
-    {"base", "config", "cost", "drain", "health", "pool", "recover", "retry", "rollout"}
+    {"base", "config", "cost", "drain", "health", "pool", "recover", "retry", "rollout", "tenants"}
 )
 
 _CONFIGURATION_LEVEL = make_level(_CONFIGURATION)
--- a/cowslipvane/platform/_routes.py
+++ b/cowslipvane/platform/_routes.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from cowslipvane.catalogue import MAX_ATTEMPTS, Key, Route, Target
+from cowslipvane.platform._teams import decode_key_use
 from cowslipvane.platform._values import (
     read_host,
     read_rank,
@@ -25,10 +26,10 @@
         host = read_host(listener["host"])
         for rule in listener["route_rules"]:
             prefix = read_text(rule["match"]["path_prefix"])
-            yield Key("route", f"{host} {prefix}"), _route(host, prefix, rule)
+            yield Key("route", f"{host} {prefix}"), _route(form, host, prefix, rule)
 
 
-def _route(host: str, prefix: str, rule: dict[str, Any]) -> Route:
+def _route(form: dict[str, Any], host: str, prefix: str, rule: dict[str, Any]) -> Route:
     """Return one route."""
     action = rule["action"]
     goal = rule.get("target_latency_s")
@@ -41,6 +42,7 @@
         timeout=read_seconds(action["timeout_s"]),
         goal=None if goal is None else read_seconds(goal),
         priority=read_rank(rule.get("priority", 0)),
+        access_keys=decode_key_use(form, rule),
     )
 
 
