Name routes whose hosts callers can't tell apart

Cause: routing takes a host without regard to case, a port or a dot at its end, but parts that take each other's place were found by the key of the resource, so that of a.example and A.example:80 one route got no request and nobody was told.

Change: the places of a configuration are compared by what routing compares. What is served is unchanged.

--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -42,10 +42,7 @@
             document=body.decode("utf-8"),
         )
         entries: list[tuple[Key, Spec]] = [*_services(form), *decode_routes(form)]
-        unread = [
-            *unread_in_configuration(form),
-            *lost_parts(document, [key for key, _ in entries]),
-        ]
+        unread = [*unread_in_configuration(form), *lost_parts(document, entries)]
         resources = {_POLICY_KEY: _policy(form), **decode_teams(form), **dict(entries)}
     except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         # OverflowError: an infinite number for a whole one, or a number too large for a float.
--- a/cowslipvane/platform/_lost_parts.py
+++ b/cowslipvane/platform/_lost_parts.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
-from cowslipvane.catalogue import Key
+from cowslipvane.catalogue import Key, Route, Spec
 from cowslipvane.platform._fields import shown_name
+from cowslipvane.routing import normalize_host
 
 
 class Document(NamedTuple):
@@ -33,17 +34,18 @@
     return Document(form, frozenset(repeated))
 
 
-def lost_parts(document: Document, keys: Sequence[Key]) -> Iterator[str]:
+def lost_parts(document: Document, entries: Sequence[tuple[Key, Spec]]) -> Iterator[str]:
     """Yield the parts of a configuration that others take the place of.
 
-    keys are those of its resources in the order of the document, clusters first.
+    entries are its resources in the order of the document, clusters first.
     """
     for name in document.repeated_names:
         yield f"{shown_name(name)} (one object has it more than once)"
     if _has_unused_service(document.form):
         yield "listeners[].route_rules[].action.service (weighted_clusters takes its place)"
-    if len(set(keys)) < len(keys):
-        yield from _replaced(zip(_places(document.form), keys, strict=True))
+    identities = [_identity(key, spec) for key, spec in entries]
+    if len(set(identities)) < len(identities):
+        yield from _repeated(zip(_places(document.form), identities, strict=True))
 
 
 def _has_unused_service(form: Any) -> bool:
@@ -55,13 +57,22 @@
     )
 
 
-def _replaced(entries: Iterable[tuple[str, Key]]) -> Iterator[str]:
-    """Yield the places whose key another place has further on."""
-    places: dict[Key, str] = {}
-    for place, key in entries:
-        if key in places:
-            yield f"{places[key]} ({place} takes its place)"
-        places[key] = place
+def _identity(key: Key, spec: Spec) -> tuple[str, ...]:
+    """Return what only one resource in force can have: of routes, the host that callers name."""
+    match spec:
+        case Route(host=host, path_prefix=prefix):
+            return (key.kind, normalize_host(host), prefix)
+        case _:
+            return key
+
+
+def _repeated(entries: Iterable[tuple[str, tuple[str, ...]]]) -> Iterator[str]:
+    """Yield the places whose identity an earlier place has, too."""
+    places: dict[tuple[str, ...], str] = {}
+    for place, identity in entries:
+        earlier = places.setdefault(identity, place)
+        if earlier != place:
+            yield f"{place} (of the same name as {earlier})"
 
 
 def _places(form: Any) -> Iterator[str]:
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -192,11 +192,19 @@
         form["listeners"].append({"host": "jepu.example", "route_rules": [RULE | {"type": "x"}]})
         form["clusters"].append(form["clusters"][0])
         expected = (
-            "clusters[0] (clusters[2] takes its place)",
-            "listeners[0].route_rules[0] (listeners[1].route_rules[0] takes its place)",
+            "clusters[2] (of the same name as clusters[0])",
+            "listeners[1].route_rules[0] (of the same name as listeners[0].route_rules[0])",
         )
         self.assertEqual(unread(form), expected)
 
+    # Guards against a route that gets no request, since another one has the same callers.
+    def test_hosts_that_callers_can_not_tell_apart_are_told(self) -> None:
+        """Routing takes a host without regard to case, a port or a dot at its end."""
+        for host in ("JEPU.example", "jepu.example.", "jepu.example:8080"):
+            listeners = [*WHOLE["listeners"], WHOLE["listeners"][0] | {"host": host}]
+            part = "listeners[1].route_rules[0] (of the same name as listeners[0].route_rules[0])"
+            self.assertEqual(unread(WHOLE | {"listeners": listeners}), (part,))
+
     def test_a_service_beside_weighted_ones_is_told(self) -> None:
         """Requests go to the weighted ones alone."""
         weighted = {"weighted_clusters": [{"service": "huvo", "weight": 1}]}
