Add teams and the access of routes to the catalogue and the routing table

Change: aggregate access (digests of keys, the holder of a key, the decision about one request), resource team, Route.access_keys. No two teams may have a key in common. The last fields of a data class are left out of messages while they have their defaults, and the digest of a route without keys is that of earlier builds, so that builds beside each other still read each other's messages.

--- a/cowslipvane/catalogue/_catalogue.py
+++ b/cowslipvane/catalogue/_catalogue.py
@@ -23,6 +23,7 @@
     Spec,
     new_reference_faults,
 )
+from cowslipvane.catalogue._teams import shared_key_faults
 from cowslipvane.catalogue._writers import LastWrite, Writers
 from cowslipvane.sizes import memory_size, message_size
 from cowslipvane.types import NO_VERSION, Digest, OperationId, Version
@@ -197,11 +198,10 @@
             faults.append(Fault("based_on", f"is newer than the newest version, {self._version}"))
         missing = [key for key in change.deletes if key not in self._resources]
         faults += [Fault(str(key), "can't be deleted: it does not exist") for key in missing]
-        faults += new_reference_faults(
-            self._resources_after(change, self._version),
-            puts=[key for key, _ in change.puts],
-            deletes=change.deletes,
-        )
+        resources = self._resources_after(change, self._version)
+        puts = [key for key, _ in change.puts]
+        faults += new_reference_faults(resources, puts=puts, deletes=change.deletes)
+        faults += shared_key_faults(resources, puts=puts)
         return tuple(faults)
 
     def effects(self, change: Change) -> tuple[Effect, ...]:
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -11,6 +11,7 @@
     Resource,
     Rollout,
     Route,
+    Team,
     Upstream,
     references,
 )
@@ -23,7 +24,7 @@
 
 
 def closure(resources: Mapping[Key, Resource], hosts: RouteHosts) -> frozenset[Key]:
-    """Return the routes of some hosts, all resources that they refer to, upstreams and rollouts.
+    """Return the routes of some hosts, what they refer to, and upstreams, rollouts and teams.
 
     Releases are left out: a proxy only uses the resources that were made from one.
     """
@@ -46,6 +47,9 @@
     """Return the digest of one resource; all processes of one software version agree on it."""
     # The representation of a specification names each field, so it is unambiguous.
     data = repr(tuple(resource)).encode()
+    match resource.spec:
+        case Route(access_keys=use) if use != "ignored":
+            data += use.encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest(), "big")
 
 
@@ -60,8 +64,9 @@
     match resource.spec:
         case Route(host=host):
             return host in route_hosts
-        case Upstream() | Rollout():
-            # Nothing refers to them: upstreams announce themselves, and a rollout is of those.
+        case Upstream() | Rollout() | Team():
+            # Nothing refers to them: upstreams announce themselves, a rollout is of those, and
+            # requests of any route may be of any team.
             return True
         case _:
             return False
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
+from cowslipvane.access import KeyUse
 from cowslipvane.catalogue._documents import Piece
-from cowslipvane.types import Header, Seconds, ServiceName, Version, fits_int64
+from cowslipvane.types import Header, KeyDigest, Seconds, ServiceName, Version, fits_int64
 
 DEFAULT_TIMEOUT: Seconds = 5.0
 DEFAULT_MAX_BODY_BYTES = 1 << 20
@@ -21,8 +23,12 @@
 MAX_WEIGHT = 1_000_000
 MAX_ROLLOUT_TIME: Seconds = 86400.0
 MAX_UPSTREAM_VERSION_CHARACTERS = 256
+MAX_TEAM_NAME_CHARACTERS = 256
 OUT_OF_RANGE = "is out of range; allowed is a whole number of 64 bits"
 
+# Upstreams get the name of a team in a header field.
+_TEAM_NAME = re.compile(r"[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?")
+_KEY_DIGEST = re.compile(r"[0-9a-f]{32}")
 
 RolloutPhase = Literal["running", "completed", "rolled-back"]
 
@@ -49,6 +55,7 @@
     repeatable, attempts and timeout are taken from the policies of the service if None. repeatable
     states whether a request may run more than once. goal is the latency goal, None for none: a
     response that takes longer is worth less. Requests of priority 0 go before those of priority 1.
+    access_keys tells whether requests need a key of a team.
     """
 
     targets: tuple[Target, ...]
@@ -61,6 +68,15 @@
     timeout: Seconds | None = None
     goal: Seconds | None = None
     priority: int = 0
+    # Builds that know no teams compute the digest of a route from the representation without it.
+    access_keys: KeyUse = field(default="ignored", repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Team:
+    """A team of callers, and the digests of the keys that its requests show."""
+
+    key_digests: tuple[KeyDigest, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,7 +136,7 @@
     reason: str = ""
 
 
-Spec = Service | Route | RetryPolicy | TrafficPolicy | Upstream | Release | Rollout
+Spec = Service | Route | RetryPolicy | TrafficPolicy | Upstream | Release | Rollout | Team
 
 KINDS: dict[str, type[Spec]] = {
     "service": Service,
@@ -130,6 +146,7 @@
     "upstream": Upstream,
     "release": Release,
     "rollout": Rollout,
+    "team": Team,
 }
 _KIND_NAMES = {spec: kind for kind, spec in KINDS.items()}
 _ROUTE_KIND = _KIND_NAMES[Route]
@@ -179,7 +196,7 @@
         case Route(targets=targets):
             for target in targets:
                 yield Key("service", target.service)
-        case RetryPolicy() | TrafficPolicy() | Upstream() | Release() | Rollout():
+        case RetryPolicy() | TrafficPolicy() | Upstream() | Release() | Rollout() | Team():
             return
 
 
@@ -211,6 +228,8 @@
             yield from _release_faults(key, release)
         case Rollout() as rollout:
             yield from _rollout_faults(key, rollout)
+        case Team() as team:
+            yield from _team_faults(key, team)
         case Service() | Upstream():
             return
 
@@ -240,6 +259,15 @@
         yield Fault(f"{key}.ordered_at", f"is {rollout.ordered_at}; allowed is a time")
 
 
+def _team_faults(key: Key, team: Team) -> Iterator[Fault]:
+    """Yield the faults of a team's name and of the digests of its keys."""
+    if not _TEAM_NAME.fullmatch(key.name) or len(key.name) > MAX_TEAM_NAME_CHARACTERS:
+        limit = f"1 to {MAX_TEAM_NAME_CHARACTERS} visible ASCII characters"
+        yield Fault(str(key), f"has a name that no header field can hold; allowed are {limit}")
+    if not all(_KEY_DIGEST.fullmatch(digest) for digest in team.key_digests):
+        yield Fault(f"{key}.key_digests", "has an odd digest; allowed are 32 hexadecimal digits")
+
+
 def _match_faults(key: Key, route: Route) -> Iterator[Fault]:
     """Yield the faults of a route's match conditions and targets."""
     weights = [target.weight for target in route.targets]
--- a/cowslipvane/routing/__init__.py
+++ b/cowslipvane/routing/__init__.py
@@ -3,7 +3,7 @@
 from cowslipvane.routing._budget import Budgets
 from cowslipvane.routing._choice import Chooser
 from cowslipvane.routing._hedging import Hedging
-from cowslipvane.routing._host_routes import ServiceRules
+from cowslipvane.routing._host_routes import RouteEntry, ServiceRules
 from cowslipvane.routing._owner_view import AttemptResult, Load
 from cowslipvane.routing._table import RoutingTable
 from cowslipvane.routing._versions import UpstreamVersions
@@ -14,6 +14,7 @@
     "Chooser",
     "Hedging",
     "Load",
+    "RouteEntry",
     "RoutingTable",
     "ServiceRules",
     "UpstreamVersions",
--- a/cowslipvane/routing/_host_routes.py
+++ b/cowslipvane/routing/_host_routes.py
@@ -11,6 +11,7 @@
 
 from yarl import URL
 
+from cowslipvane.access import KeyUse
 from cowslipvane.catalogue import RetryPolicy, Route, TrafficPolicy
 from cowslipvane.types import Header, Headers, Seconds, ServiceName
 
@@ -36,7 +37,8 @@
     """A service and the policies that apply to requests for it.
 
     repeatable tells whether a request may run more than once; if it is None, the retry policy
-    decides. goal is the latency goal: the time within which an answer is worth most.
+    decides. goal is the latency goal: the time within which an answer is worth most. key_use tells
+    whether requests need a key of a team.
     """
 
     service: ServiceName
@@ -46,6 +48,7 @@
     goal: Seconds | None = None
     # Identifies the route of requests with a goal, for separate service time estimates.
     kind: str = ""
+    key_use: KeyUse = "ignored"
 
     def with_route(self, route: Route) -> ServiceRules:
         """Return the rules with the service's policies overridden by those of a route."""
@@ -55,7 +58,9 @@
         if route.timeout is not None:
             traffic = _with_timeout(traffic, route.timeout)
         kind = f"{route.host}{route.path_prefix}" if route.goal is not None else ""
-        return ServiceRules(self.service, retry, traffic, route.repeatable, route.goal, kind)
+        return ServiceRules(
+            self.service, retry, traffic, route.repeatable, route.goal, kind, route.access_keys
+        )
 
 
 class RouteEntry(NamedTuple):
@@ -65,6 +70,7 @@
     headers: tuple[Header, ...]
     rules: tuple[ServiceRules, ...]
     cumulative_weights: tuple[int, ...]
+    key_use: KeyUse
 
     def matches(self, method: str, headers: Headers) -> bool:
         """Return whether the method and the headers of a request match."""
@@ -110,6 +116,7 @@
         route.headers,
         tuple(rules[target.service].with_route(route) for target in route.targets),
         tuple(accumulate(target.weight for target in route.targets)),
+        route.access_keys,
     )
     return CompiledRoute(
         route,
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 from operator import attrgetter
 
+from cowslipvane.access import TeamKeys
 from cowslipvane.catalogue import (
     Key,
     Resource,
@@ -14,6 +15,7 @@
     Route,
     Service,
     Spec,
+    Team,
     TrafficPolicy,
     Upstream,
 )
@@ -27,7 +29,7 @@
     normalize_host,
     normalize_path,
 )
-from cowslipvane.types import Headers, HostName, ServiceName, Version
+from cowslipvane.types import Headers, HostName, ServiceName, TeamName, Version
 
 _NO_RETRY = RetryPolicy(attempts=1, methods=())
 
@@ -42,7 +44,7 @@
         resources: Iterable[Resource],
         previous: RoutingTable | None = None,
     ) -> None:
-        """Build the table, and reuse the routes whose specification is that of a previous one."""
+        """Build the table, and reuse what is the same as in a previous one."""
         self._version = version
         by_key = {resource.key: resource.spec for resource in resources}
         self._rules = {
@@ -65,12 +67,25 @@
         self._rollouts = {
             ServiceName(key.name): spec for key, spec in by_key.items() if isinstance(spec, Rollout)
         }
+        self._team_keys = TeamKeys(
+            digests={
+                TeamName(key.name): spec.key_digests
+                for key, spec in by_key.items()
+                if isinstance(spec, Team)
+            },
+            previous=None if previous is None else previous.team_keys,
+        )
 
     @property
     def version(self) -> Version:
         """Return the version of the configuration that the table was built from."""
         return self._version
 
+    @property
+    def team_keys(self) -> TeamKeys:
+        """Return the keys of the teams."""
+        return self._team_keys
+
     def has_service(self, service: ServiceName) -> bool:
         """Return whether the configuration names a service."""
         return service in self._rules
@@ -87,17 +102,10 @@
         self, *, host: str, path: str, method: str, headers: Headers, rng: random.Random
     ) -> ServiceRules | None:
         """Return the service for a request, drawn by weight, or None if no route matches."""
-        route_entry = self._find(host, path, method, headers)
+        route_entry = self.find(host=host, path=path, method=method, headers=headers)
         return None if route_entry is None else route_entry.draw(rng)
 
-    def leads_to(
-        self, service: ServiceName, *, host: str, path: str, method: str, headers: Headers
-    ) -> bool:
-        """Return whether a request may be routed to a service."""
-        route_entry = self._find(host, path, method, headers)
-        return route_entry is not None and route_entry.leads_to(service)
-
-    def _find(self, host: str, path: str, method: str, headers: Headers) -> RouteEntry | None:
+    def find(self, *, host: str, path: str, method: str, headers: Headers) -> RouteEntry | None:
         """Return the most specific route that matches a request, or None."""
         path = normalize_path(path)
         # A route for the host takes precedence over a wildcard route with a longer prefix.
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -13,6 +13,9 @@
 RequestId = NewType("RequestId", str)
 OperationId = NewType("OperationId", str)
 ReplicaId = NewType("ReplicaId", str)
+TeamName = NewType("TeamName", str)
+# The digest of a key of a team, in hexadecimal digits.
+KeyDigest = NewType("KeyDigest", str)
 Version = NewType("Version", int)
 Digest = Annotated[int, "a hash of up to 128 bits over some content"]
 Seconds = float
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -228,7 +228,11 @@
 
 
 def _record_unstructure_hook(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
-    """Return a hook that encodes a record as the list of its fields."""
+    """Return a hook that encodes a record as the list of its fields.
+
+    The last fields of a data class are left out while they have their defaults, so that builds
+    that don't know them can read the rest.
+    """
     fields = _field_types(kind)
     if len(fields) == 1:
         ((name, field),) = fields
@@ -240,16 +244,28 @@
         for index, (_, field) in enumerate(fields)
         if not _is_plain(field)
     )
+    defaults = _defaults(kind)
+    required_count = _required_count(kind) if defaults else len(fields)
 
     def unstructure(value: Any) -> Any:
         values = list(get_fields(value))
+        while len(values) > required_count and values[-1] == defaults[len(values) - 1]:
+            values.pop()
         for index, hook in converted:
-            values[index] = hook(values[index])
+            if index < len(values):
+                values[index] = hook(values[index])
         return values
 
     return unstructure
 
 
+def _defaults(kind: type) -> list[Any]:
+    """Return the defaults of a data class's fields; a NamedTuple is always sent whole."""
+    if not dataclasses.is_dataclass(kind):
+        return []
+    return [field.default for field in dataclasses.fields(kind)]
+
+
 def _sequence_structure_hook(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
     """Return a hook that decodes a tuple of any length."""
     item_type = get_args(kind)[0]
