--- a/cowslipvane/admission/_work.py
+++ b/cowslipvane/admission/_work.py
@@ -6,7 +6,7 @@
 
 from cowslipvane.admission._service_times import request_kind
 from cowslipvane.call import AttemptId, Offer, Request
-from cowslipvane.types import Version
+from cowslipvane.types import KeyDigest, TeamName, Version
 
 
 class Work(NamedTuple):
@@ -15,7 +15,8 @@
     deadline and goal are in time.monotonic seconds. The goal is the latency goal: the time until
     which an answer is worth most. nested means that an upstream made the call while handling
     another request, which fails if this call fails. version is that of the configuration by which
-    the call was routed, None if it isn't known.
+    the call was routed, None if it isn't known. team is the one that the request is for, and key
+    the digest of the key that it showed.
     """
 
     attempt: AttemptId
@@ -27,6 +28,8 @@
     kind: str = ""
     nested: bool = False
     version: Version | None = None
+    team: TeamName | None = None
+    key: KeyDigest | None = None
 
     @classmethod
     def offered(cls, offer: Offer, now: float) -> Work:
@@ -41,4 +44,6 @@
             kind=offer.kind or request_kind(offer.request),
             nested=offer.nested,
             version=offer.version,
+            team=offer.team,
+            key=offer.key,
         )
--- a/cowslipvane/call/__init__.py
+++ b/cowslipvane/call/__init__.py
@@ -23,7 +23,7 @@
     describe_end,
 )
 from cowslipvane.call._head import head_fault
-from cowslipvane.call._header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from cowslipvane.call._header_names import DEFAULT_HEADER_NAMES, KEY_FIELD, HeaderNames
 from cowslipvane.call._headers import end_to_end_headers
 from cowslipvane.call._held_bodies import HeldBodies
 from cowslipvane.call._messages import (
@@ -51,6 +51,7 @@
     "BodyAccount",
     "ByteLimit",
     "DEFAULT_BODY_BYTES",
+    "KEY_FIELD",
     "MAX_SMALL_BODY_BYTES",
     "HeldBodies",
     "Call",
--- a/cowslipvane/call/_call.py
+++ b/cowslipvane/call/_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cowslipvane.access import Admitted, Unchecked
 from cowslipvane.call._messages import Request
 from cowslipvane.refusal import OwnerUnreachable, Refusal, RouteOutdated, explain, reached_upstream
 from cowslipvane.routing import Load, ServiceRules
@@ -25,8 +26,11 @@
         goal: float | None = None,
         nested: bool = False,
         version: Version | None = None,
+        access: Admitted | None = None,
     ) -> None:
+        """Without a decision about its access, the call is for no team."""
         self._version = version
+        self._access = access or Unchecked()
         self._nested = nested
         self._goal = goal
         self._request_id = request_id
@@ -70,6 +74,11 @@
         """Return the version of the configuration by which the call was routed, if known."""
         return self._version
 
+    @property
+    def access(self) -> Admitted:
+        """Return by what the call was admitted, and for which team."""
+        return self._access
+
     @property
     def tried_hosts(self) -> tuple[HostName, ...]:
         """Return the hosts of the attempts so far."""
--- a/cowslipvane/call/_header_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -4,8 +4,12 @@
 
 from typing import NamedTuple
 
+from cowslipvane.access import Admitted, Unchecked, team_of
 from cowslipvane.types import Header, Headers
 
+# Where callers show the keys of their teams (RFC 6750).
+KEY_FIELD = "Authorization"
+
 
 class HeaderNames(NamedTuple):
     """Names of header fields towards callers and workers.
@@ -22,6 +26,8 @@
     # The service on the host that sent the request. It is always set by the proxy, so that callers
     # can't forge it.
     origin_service: str = ""
+    # The team whose key a request shows. It is always set by the proxy, too.
+    team: str = "X-Team"
     # The worker instance that a request is for; other instances refuse it without running it.
     expected_instance: str = ""
     # Whether workers name the request in each answer, so that one without an id belongs to none.
@@ -37,15 +43,28 @@
 
     def without_proxy_fields(self, headers: Headers) -> Headers:
         """Return the fields of a request without those that the proxy sets."""
-        own = {self.request_id, self.timeout_ms, self.origin_service, self.expected_instance}
-        lower = {name.lower() for name in own}
-        return tuple(header for header in headers if header.name.lower() not in lower)
+        own = {
+            self.request_id,
+            self.timeout_ms,
+            self.origin_service,
+            self.expected_instance,
+            self.team,
+        }
+        return _without(headers, own)
 
-    def headers_to_owner(self, headers: Headers, request_id: str, origin_service: str) -> Headers:
+    def headers_to_owner(
+        self, headers: Headers, request_id: str, origin_service: str, access: Admitted
+    ) -> Headers:
         """Return the fields of a request that an entry proxy sends to an owner."""
-        fields = [*self.without_proxy_fields(headers), Header(self.request_id, request_id)]
+        kept = self.without_proxy_fields(headers)
+        if not isinstance(access, Unchecked):
+            kept = _without(kept, {KEY_FIELD})
+        fields = [*kept, Header(self.request_id, request_id)]
         if self.origin_service:
             fields.append(Header(self.origin_service, origin_service))
+        team = team_of(access)
+        if team is not None:
+            fields.append(Header(self.team, team))
         return tuple(fields)
 
     def headers_to_worker(self, headers: Headers, remaining_ms: int, instance: str) -> Headers:
@@ -56,4 +75,10 @@
         return tuple(fields)
 
 
+def _without(headers: Headers, names: set[str]) -> Headers:
+    """Return header fields without those of some names, in any spelling."""
+    lower = {name.lower() for name in names}
+    return tuple(header for header in headers if header.name.lower() not in lower)
+
+
 DEFAULT_HEADER_NAMES = HeaderNames()
--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.refusal import Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Headers, HostName, Seconds, ServiceName, Version
+from cowslipvane.types import Headers, HostName, KeyDigest, Seconds, ServiceName, TeamName, Version
 
 
 class AttemptId(NamedTuple):
@@ -45,7 +45,8 @@
     goal is the time remaining until the latency goal; kind identifies calls with similar service
     times. nested means that an upstream made the call while handling another request. version is
     that of the configuration by which the call was routed, None if it isn't known. length is that
-    of the whole body, of which further parts may follow.
+    of the whole body, of which further parts may follow. team is the one that the request is for,
+    and key the digest of the key that it showed; the key itself isn't sent.
     """
 
     attempt: AttemptId
@@ -60,6 +61,8 @@
     nested: bool = False
     version: Version | None = None
     length: int = 0
+    team: TeamName | None = None
+    key: KeyDigest | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/platform/_configuration.py
+++ b/cowslipvane/platform/_configuration.py
@@ -16,6 +16,7 @@
     Target,
     TrafficPolicy,
 )
+from cowslipvane.platform._teams import decode_key_use, decode_teams
 from cowslipvane.types import MAX_INT64, MIN_INT64, ServiceName
 
 _VERSION_DIGITS = 8
@@ -45,8 +46,9 @@
             document=body.decode("utf-8"),
         )
         resources = dict(_services(form))
+        resources.update(decode_teams(form))
         for listener in form["listeners"]:
-            resources.update(_routes(listener))
+            resources.update(_routes(form, listener))
     except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         # OverflowError: an infinite number for a whole one, or a number too large for a float.
         raise ValueError(f"the configuration can't be read: {error!r}") from error
@@ -73,16 +75,16 @@
     return resources
 
 
-def _routes(listener: dict[str, Any]) -> list[tuple[Key, Spec]]:
+def _routes(form: dict[str, Any], listener: dict[str, Any]) -> list[tuple[Key, Spec]]:
     """Return the routes of one host."""
     host = _host(listener["host"])
     return [
-        (Key("route", f"{host} {_text(rule['match']['path_prefix'])}"), _route(host, rule))
+        (Key("route", f"{host} {_text(rule['match']['path_prefix'])}"), _route(form, host, rule))
         for rule in listener["route_rules"]
     ]
 
 
-def _route(host: str, rule: dict[str, Any]) -> Route:
+def _route(form: dict[str, Any], host: str, rule: dict[str, Any]) -> Route:
     """Return one route."""
     action = rule["action"]
     goal = rule.get("target_latency_s")
@@ -95,6 +97,7 @@
         timeout=_seconds(action["timeout_s"]),
         goal=None if goal is None else _seconds(goal),
         priority=_rank(rule.get("priority", 0)),
+        access_keys=decode_key_use(form, rule),
     )
 
 
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -33,6 +33,7 @@
     accepts_request_ids=True,
     timeout_ms="Deadline-Ms",
     origin_service="Caller-Service",
+    team="Tenant",
     expected_instance="Expected-Instance",
     workers_echo_ids=True,
     not_run="Not-Executed",
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cowslipvane.access import KeyFault
 from cowslipvane.types import HostName, Seconds, ServiceName, Verdict, Version
 
 
@@ -28,6 +29,14 @@
     version: Version
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyRefused:
+    """The route needs the key of a team, and in this version the request shows none."""
+
+    fault: KeyFault
+    version: Version
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MalformedRequest:
     """The head of the request can't be forwarded faithfully."""
@@ -144,6 +153,7 @@
     NoConfiguration
     | NoRoute
     | RouteOutdated
+    | KeyRefused
     | MalformedRequest
     | NoUpstream
     | Draining
@@ -204,6 +214,17 @@
     return (503, RETRY_DELAY_AFTER_LOSS) if verdict is Verdict.NOT_RUN else (502, None)
 
 
+def _key_cause(fault: KeyFault, version: Version) -> str:
+    """Return why the key of a request, or the lack of one, doesn't admit it."""
+    match fault:
+        case "missing":
+            return "The route needs the key of a team, and the request shows none."
+        case "unreadable":
+            return "The request's Authorization field doesn't hold exactly one bearer key."
+        case "unknown":
+            return f"No team has the request's key in version {version} of the configuration."
+
+
 def _table_row(refusal: Refusal) -> tuple[str, int, str, Verdict, Seconds | None]:
     """Return code, HTTP status, cause, verdict and retry delay of a refusal."""
     not_run = Verdict.NOT_RUN
@@ -216,6 +237,8 @@
         case RouteOutdated(version=version):
             cause = f"This proxy has not yet received version {version} of the configuration."
             return "route-outdated", 503, cause, not_run, SHORT_RETRY_DELAY
+        case KeyRefused(fault=fault, version=version):
+            return f"key-{fault}", 401, _key_cause(fault, version), not_run, None
         case MalformedRequest(reason=reason):
             cause = f"The request can't be passed on: {reason}."
             return "malformed-request", 400, cause, not_run, None
--- a/cowslipvane/tasks/callers/_callers.py
+++ b/cowslipvane/tasks/callers/_callers.py
@@ -38,7 +38,7 @@
 from cowslipvane.tasks.callers._outcomes import CallRefusal, CallResponse
 from cowslipvane.tasks.callers._request_body import RequestBodies
 from cowslipvane.tasks.callers._responder import Responder
-from cowslipvane.tasks.callers._router import Routed, Router
+from cowslipvane.tasks.callers._router import Arrival, Routed, Router
 from cowslipvane.tasks.http import (
     connection_end,
     is_closed,
@@ -46,7 +46,7 @@
     linger,
     pop_prefetched,
 )
-from cowslipvane.tasks.upstreams import Owner
+from cowslipvane.tasks.upstreams import Owner, RunningRequest
 from cowslipvane.types import RequestId, Seconds, Verdict
 
 # Time in which owners say, before the process exits, which calls have not run.
@@ -54,12 +54,12 @@
 
 
 class _Received(NamedTuple):
-    """A request that was received whole, and when it arrived in time.monotonic seconds."""
+    """A request that was received whole."""
 
-    http: web.BaseRequest
+    arrival: Arrival
     exchange: Exchange
-    arrived_at: float
     body: bytes
+    is_nested: bool
 
 
 class Callers:
@@ -214,13 +214,13 @@
             return RequestId(request_id)
         return RequestId(uuid.uuid4().hex)
 
-    def _is_nested(self, request_id: RequestId) -> bool:
-        """Return whether a call was made by the local worker for a request that it is running.
+    def _parent(self, request_id: RequestId) -> RunningRequest | None:
+        """Return the request that the local worker is running and made a call for, if it did.
 
         The id of such a call is the id of that request, a dot, and a suffix unique to the call.
         """
         parent, separator, _ = request_id.rpartition(".")
-        return bool(separator) and self._owner.is_running(parent)
+        return self._owner.running_request(parent) if separator else None
 
     async def _fetch(self, http: web.BaseRequest, exchange: Exchange) -> CallResponse | CallRefusal:
         """Route a request, and dispatch or refuse it."""
@@ -237,7 +237,9 @@
         if not self._accepts_calls:
             leaving = ProxyLeaving(verdict=Verdict.NOT_RUN)
             return CallRefusal(exchange=exchange, refusal=leaving)
-        match await self._router.find(http, arrived_at):
+        parent = self._parent(exchange.request_id)
+        arrival = Arrival(http, arrived_at, None if parent is None else parent.team)
+        match await self._router.find(arrival):
             case Routed() as routed:
                 rules = routed.rules
             case refusal:
@@ -250,7 +252,7 @@
                 # After a body that was received whole, the requests behind it can be read.
                 close = not http.content.is_eof()
                 return CallRefusal(exchange=exchange, refusal=refusal, close=close)
-        received = _Received(http, exchange, arrived_at, body)
+        received = _Received(arrival, exchange, body, parent is not None)
         match await self._dispatch(received, routed):
             case CallResponse() as response:
                 return response
@@ -265,11 +267,11 @@
             match await self._dispatcher.dispatch(call):
                 case StartedResponse() as started:
                     exchange.response_begun = True
-                    self._call_log.record_late(call, started, received.arrived_at)
+                    self._call_log.record_late(call, started, received.arrival.arrived_at)
                     return CallResponse(exchange=exchange, call=call, started=started)
                 case RouteOutdated() as outdated:
                     remaining = call.time_remaining(time.monotonic())
-                    match await self._router.find_again(received.http, outdated, remaining):
+                    match await self._router.find_again(received.arrival, outdated, remaining):
                         case Routed() as routed:
                             pass
                         case refusal:
@@ -279,17 +281,22 @@
 
     def _new_call(self, received: _Received, routed: Routed) -> Call:
         """Return the call for a request that has been received and routed."""
-        http, exchange, arrived_at, body = received
-        request_id, rules = exchange.request_id, routed.rules
-        headers = end_to_end_headers(http.headers.items())
-        forwarded = self._header_names.headers_to_owner(headers, request_id, self._origin_service)
+        http, arrived_at, _ = received.arrival
+        request_id, rules = received.exchange.request_id, routed.rules
+        forwarded = self._header_names.headers_to_owner(
+            end_to_end_headers(http.headers.items()),
+            request_id,
+            self._origin_service,
+            routed.access,
+        )
         return Call(
             request_id=request_id,
-            request=Request(http.method, http.raw_path, forwarded, body),
+            request=Request(http.method, http.raw_path, forwarded, received.body),
             rules=rules,
             deadline=self._router.deadline(http, rules, arrived_at),
             caller=http.remote or "",
             goal=None if rules.goal is None else arrived_at + rules.goal,
-            nested=self._is_nested(request_id),
+            nested=received.is_nested,
             version=routed.table.version,
+            access=routed.access,
         )
--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass
 from functools import partial
 
+from cowslipvane.access import key_of, team_of
 from cowslipvane.call import (
+    KEY_FIELD,
     Answer,
     AttemptId,
     Call,
@@ -56,8 +58,6 @@
 SMALL_BODY_BYTES = 1024
 # How long an entry proxy waits after the deadline for the owner's verdict on an attempt.
 VERDICT_TIMEOUT: Seconds = 0.2
-# The field in which callers show who they are; events tell only whether it is passed on.
-CREDENTIALS_FIELD = "Authorization"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -249,7 +249,8 @@
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
             number=str(len(call.tried_hosts)),
             routed_by=str(call.version or ""),
-            credentials="none" if call.request.header(CREDENTIALS_FIELD) is None else "passed on",
+            team=team_of(call.access) or "",
+            credentials="none" if call.request.header(KEY_FIELD) is None else "passed on",
         )
         mailbox = Mailbox(
             service=call.rules.service,
@@ -328,6 +329,8 @@
             kind=call.rules.kind,
             nested=call.is_nested,
             version=call.version,
+            team=team_of(call.access),
+            key=key_of(call.access),
         )
         try:
             async with self._timeout(time_remaining):
--- a/cowslipvane/tasks/callers/_responder.py
+++ b/cowslipvane/tasks/callers/_responder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from http import HTTPStatus
 from typing import TypeVar
 
 from aiohttp import web
@@ -222,6 +223,8 @@
         response.headers[self._header_names.request_id] = request_id
         if explanation.retry_after is not None:
             response.headers["Retry-After"] = _retry_after(explanation.retry_after)
+        if explanation.status == HTTPStatus.UNAUTHORIZED:
+            response.headers["WWW-Authenticate"] = "Bearer"
         if outcome.close:
             _close_after(http, response)
         return self._close_if_stopping(http, response)
--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -8,12 +8,13 @@
 
 from aiohttp import web
 
-from cowslipvane.call import HeaderNames, end_to_end_headers
-from cowslipvane.refusal import NoConfiguration, NoRoute, Refusal, RouteOutdated
+from cowslipvane.access import Admitted, Denied, NoKey, decide_access, read_key
+from cowslipvane.call import KEY_FIELD, HeaderNames, end_to_end_headers
+from cowslipvane.refusal import KeyRefused, NoConfiguration, NoRoute, Refusal, RouteOutdated
 from cowslipvane.routing import RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Seconds, Version
+from cowslipvane.types import Seconds, TeamName, Version
 
 # A proxy has its first configuration within this time of its start, unless it is partitioned.
 FIRST_CONFIGURATION_TIMEOUT: Seconds = 2.0
@@ -26,11 +27,23 @@
 NEWER_VERSION_TIMEOUT: Seconds = 2.0
 
 
+class Arrival(NamedTuple):
+    """A request as it arrived, in time.monotonic seconds.
+
+    parent is the team of the request that a nested call is made for, None for any other request.
+    """
+
+    http: web.BaseRequest
+    arrived_at: float
+    parent: TeamName | None = None
+
+
 class Routed(NamedTuple):
-    """The table that a request was routed by, and the service that this led to."""
+    """The table that a request was routed by, the service that this led to, and its access."""
 
     table: RoutingTable
     rules: ServiceRules
+    access: Admitted
 
 
 class Router:
@@ -50,23 +63,20 @@
         self._rng = rng
         self._started_at = time.monotonic()
 
-    async def find(self, http: web.BaseRequest, arrived_at: float) -> Routed | Refusal:
+    async def find(self, arrival: Arrival) -> Routed | Refusal:
         """Route a request that has just arrived."""
-        table = await self._first_table(http, arrived_at)
+        table = await self._first_table(arrival)
         if table is None:
             return NoConfiguration()
-        return await self._find_route(http, table, arrived_at)
+        return await self._find_route(arrival, table)
 
     async def find_again(
-        self, http: web.BaseRequest, outdated: RouteOutdated, time_remaining: Seconds
+        self, arrival: Arrival, outdated: RouteOutdated, time_remaining: Seconds
     ) -> Routed | Refusal:
         """Route a request by a newer version, which an owner has; refuse it if that is late."""
         give_up_at = time.monotonic() + time_remaining * NEWER_VERSION_SHARE
         table = await self._table_of_version(outdated.version, give_up_at)
-        if table is None:
-            return outdated
-        rules = self._route(table, http)
-        return _no_route(http) if rules is None else Routed(table, rules)
+        return outdated if table is None else self._route(table, arrival)
 
     def deadline(self, http: web.BaseRequest, rules: ServiceRules, arrived_at: float) -> float:
         """Return the deadline of a request: the earlier of the caller's and the route's."""
@@ -76,35 +86,33 @@
             route_timeout if caller_timeout is None else min(caller_timeout, route_timeout)
         )
 
-    async def _first_table(self, http: web.BaseRequest, arrived_at: float) -> RoutingTable | None:
+    async def _first_table(self, arrival: Arrival) -> RoutingTable | None:
         """Return the routing table; a proxy that has just started waits for its first one."""
         if self._subscription.table is not None:
             return self._subscription.table
         give_up_at = self._started_at + FIRST_CONFIGURATION_TIMEOUT
-        caller_timeout = self._caller_timeout(http)
+        caller_timeout = self._caller_timeout(arrival.http)
         if caller_timeout is not None:
-            give_up_at = min(give_up_at, arrived_at + caller_timeout * FIRST_CONFIGURATION_SHARE)
+            share = caller_timeout * FIRST_CONFIGURATION_SHARE
+            give_up_at = min(give_up_at, arrival.arrived_at + share)
         while self._subscription.table is None and (remaining := give_up_at - time.monotonic()) > 0:
             await self._configuration_applied.wait(remaining)
         return self._subscription.table
 
-    async def _find_route(
-        self, http: web.BaseRequest, table: RoutingTable, arrived_at: float
-    ) -> Routed | Refusal:
-        """Route a request by the version in force, or by a newer one if none of its routes match.
+    async def _find_route(self, arrival: Arrival, table: RoutingTable) -> Routed | Refusal:
+        """Route a request by the version in force, or by a newer one if that refuses it.
 
-        A refusal for lack of a route would be untrue if a version that is known to be accepted has
-        one.
+        A refusal for lack of a route or a key would be untrue if a version that is known to be
+        accepted has it.
         """
-        rules = self._route(table, http)
+        found = self._route(table, arrival)
         newest = self._subscription.newest_known
-        if rules is None and newest > table.version:
-            timeout = self._caller_timeout(http) or NEWER_VERSION_TIMEOUT
-            newer = await self._table_of_version(newest, arrived_at + timeout * NEWER_VERSION_SHARE)
-            if newer is None:
-                return RouteOutdated(version=newest)
-            table, rules = newer, self._route(newer, http)
-        return _no_route(http) if rules is None else Routed(table, rules)
+        if isinstance(found, Routed) or newest <= table.version:
+            return found
+        timeout = self._caller_timeout(arrival.http) or NEWER_VERSION_TIMEOUT
+        give_up_at = arrival.arrived_at + timeout * NEWER_VERSION_SHARE
+        newer = await self._table_of_version(newest, give_up_at)
+        return RouteOutdated(version=newest) if newer is None else self._route(newer, arrival)
 
     async def _table_of_version(self, version: Version, give_up_at: float) -> RoutingTable | None:
         """Return the table once a version is in force, None if it isn't by a time."""
@@ -115,18 +123,27 @@
             await self._configuration_applied.wait(remaining)
         return self._subscription.table
 
-    def _route(self, table: RoutingTable, http: web.BaseRequest) -> ServiceRules | None:
-        """Return the service that a request is routed to, with its rules."""
-        headers = end_to_end_headers(http.headers.items())
-        host, path = http.headers.get("Host", ""), http.rel_url.raw_path
-        return table.route(host=host, path=path, method=http.method, headers=headers, rng=self._rng)
+    def _route(self, table: RoutingTable, arrival: Arrival) -> Routed | Refusal:
+        """Return the service that a request is routed to and its access, or why there is none."""
+        http = arrival.http
+        rules = table.route(
+            host=http.headers.get("Host", ""),
+            path=http.rel_url.raw_path,
+            method=http.method,
+            headers=end_to_end_headers(http.headers.items()),
+            rng=self._rng,
+        )
+        if rules is None:
+            return NoRoute(host=http.headers.get("Host", ""), path=http.path)
+        is_read = rules.key_use != "ignored"
+        presented = read_key(http.headers.getall(KEY_FIELD, ())) if is_read else NoKey()
+        match decide_access(rules.key_use, presented, table.team_keys, parent=arrival.parent):
+            case Denied(fault=fault):
+                return KeyRefused(fault=fault, version=table.version)
+            case access:
+                return Routed(table, rules, access)
 
     def _caller_timeout(self, http: web.BaseRequest) -> Seconds | None:
         """Return the timeout that a caller sent, None if it sent none."""
         timeout_ms = http.headers.get(self._header_names.timeout_ms, "")
         return float(timeout_ms) / 1000 if timeout_ms.isdecimal() else None
-
-
-def _no_route(http: web.BaseRequest) -> NoRoute:
-    """Return the refusal of a request that no route matches."""
-    return NoRoute(host=http.headers.get("Host", ""), path=http.path)
--- a/cowslipvane/tasks/upstreams/_owner.py
+++ b/cowslipvane/tasks/upstreams/_owner.py
@@ -48,7 +48,7 @@
 from cowslipvane.tasks.upstreams._registration import NO_SERVICE, Registration
 from cowslipvane.tasks.upstreams._replies import DueRefusal, Replies
 from cowslipvane.tasks.upstreams._route_check import outdated_route
-from cowslipvane.tasks.upstreams._runner import DEFAULT_LEFT_TO_END, Runner
+from cowslipvane.tasks.upstreams._runner import DEFAULT_LEFT_TO_END, Runner, RunningRequest
 from cowslipvane.tasks.upstreams._slots import Slots
 from cowslipvane.tasks.upstreams._worker_answers import WorkerAnswerLog
 from cowslipvane.tasks.upstreams._worker_http import WorkerState
@@ -326,9 +326,9 @@
         self._events.record("leaving")
         await self._replies.send_refusals(self._drain_admission())
 
-    def is_running(self, request_id: str) -> bool:
-        """Return whether the local worker is running a request."""
-        return self._runner.is_running(request_id)
+    def running_request(self, request_id: str) -> RunningRequest | None:
+        """Return a request that the local worker is running, None if it isn't."""
+        return self._runner.running_request(request_id)
 
     def record_exit(self, reason: str) -> None:
         """Record each attempt in flight as one that the exit of the process cuts off."""
@@ -358,8 +358,7 @@
             return NoUpstream(service=offer.service)
         if self._is_out:
             return Draining(service=offer.service)
-        table = self._subscription.table
-        outdated = outdated_route(table, offer.request, offer.service, offer.version)
+        outdated = outdated_route(self._subscription.table, offer, offer.service)
         if outdated is not None:
             return outdated
         now = time.monotonic()
@@ -371,8 +370,7 @@
     def _check_start(self, admission: Admission, work: Work) -> Refusal | None:
         """Return the refusal of work that can't be started any more."""
         refusal = admission.check_deadline(work, time.monotonic())
-        table = self._subscription.table
-        return refusal or outdated_route(table, work.request, admission.service, work.version)
+        return refusal or outdated_route(self._subscription.table, work, admission.service)
 
     def _abort(self, attempt: AttemptId, reason: str) -> None:
         """Abort an attempt at the worker if it may be, and record that nobody waits for it."""
--- a/cowslipvane/tasks/upstreams/_route_check.py
+++ b/cowslipvane/tasks/upstreams/_route_check.py
@@ -1,27 +1,46 @@
-"""Whether a request that an entry proxy has routed still leads to the service of the upstream."""
+"""Whether a request still leads to the service of the upstream, for the same team."""
 
 from __future__ import annotations
 
-from cowslipvane.call import Request
+from cowslipvane.access import Denied, NoKey, ShownKey, Unchecked, decide_access, team_of
+from cowslipvane.admission import Work
+from cowslipvane.call import KEY_FIELD, Offer
 from cowslipvane.refusal import RouteOutdated
-from cowslipvane.routing import RoutingTable
-from cowslipvane.types import ServiceName, Version
+from cowslipvane.routing import RouteEntry, RoutingTable
+from cowslipvane.types import ServiceName
 
 
 def outdated_route(
-    table: RoutingTable | None, request: Request, service: ServiceName, version: Version | None
+    table: RoutingTable | None, routed: Offer | Work, service: ServiceName
 ) -> RouteOutdated | None:
-    """Refuse a request that was routed by an older version, if the newer one leads elsewhere.
+    """Refuse a request that was routed by an older version, if the newer one treats it otherwise.
 
     An entry proxy acts on an older version until the update has come over its link.
     """
-    if table is None or version is None or version >= table.version:
+    if table is None or routed.version is None or routed.version >= table.version:
         return None
-    is_current = table.leads_to(
-        service,
+    request = routed.request
+    entry = table.find(
         host=request.header("Host") or "",
         path=request.path,
         method=request.method,
         headers=request.headers,
     )
-    return None if is_current else RouteOutdated(version=table.version)
+    if entry is not None and entry.leads_to(service) and _has_same_team(table, entry, routed):
+        return None
+    return RouteOutdated(version=table.version)
+
+
+def _has_same_team(table: RoutingTable, entry: RouteEntry, routed: Offer | Work) -> bool:
+    """Return whether a newer version admits a request for the team that the older one did."""
+    presented = NoKey() if routed.key is None else ShownKey(digest=routed.key)
+    parent = routed.team if routed.key is None else None
+    match decide_access(entry.key_use, presented, table.team_keys, parent=parent):
+        case Denied():
+            return False
+        case Unchecked():
+            return routed.team is None
+        case access:
+            # By a route that ignored keys, the key itself came along.
+            is_withheld = routed.request.header(KEY_FIELD) is None
+            return is_withheld and team_of(access) == routed.team
--- a/cowslipvane/tasks/upstreams/_runner.py
+++ b/cowslipvane/tasks/upstreams/_runner.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import NamedTuple
 
 from cowslipvane.admission import Work
 from cowslipvane.call import Answer, AttemptId, Chunk, HeaderNames
@@ -20,7 +21,7 @@
     WorkerUnreachable,
 )
 from cowslipvane.tasks.upstreams._worker_http import NotRun, SlotConnection, response_headers
-from cowslipvane.types import Seconds, Verdict
+from cowslipvane.types import Seconds, TeamName, Verdict
 
 CHUNK_BYTES = 64 << 10
 # How much of an answer is read for nobody, which is more than is stored of it to be sent again.
@@ -31,6 +32,13 @@
 REJECTED_RETRY_AFTER: Seconds = 0.1
 
 
+class RunningRequest(NamedTuple):
+    """A request that the worker is running, and the team that it is for."""
+
+    request_id: str
+    team: TeamName | None
+
+
 # Gets work that the worker has answered or failed to answer, the time to the answer, and whether it
 # failed.
 RecordAnswer = Callable[[Work, Seconds, bool], None]
@@ -58,16 +66,17 @@
         self._timeouts: dict[AttemptId, asyncio.Timeout] = {}
         # The attempts that were aborted before their deadline.
         self._aborted: set[AttemptId] = set()
-        # The ids of the requests that the worker runs.
-        self._running_requests: dict[AttemptId, str] = {}
+        self._running_requests: dict[AttemptId, RunningRequest] = {}
 
-    def is_running(self, request_id: str) -> bool:
-        """Return whether the worker is running a request."""
-        return request_id in self._running_requests.values()
+    def running_request(self, request_id: str) -> RunningRequest | None:
+        """Return a request that the worker is running, None if it isn't."""
+        running = self._running_requests.values()
+        return next((request for request in running if request.request_id == request_id), None)
 
     def request_id_of(self, attempt: AttemptId) -> str:
         """Return the id of the request of a running attempt, an empty text for any other."""
-        return self._running_requests.get(attempt, "")
+        running = self._running_requests.get(attempt)
+        return "" if running is None else running.request_id
 
     def request_id(self, work: Work) -> str:
         """Return the request id of some work, or an empty string if it has none."""
@@ -84,7 +93,7 @@
 
     async def run(self, work: Work, worker: Worker, connection: SlotConnection) -> Refusal | None:
         """Run a request and send its response; return a refusal if that isn't complete."""
-        self._running_requests[work.attempt] = self.request_id(work)
+        self._running_requests[work.attempt] = RunningRequest(self.request_id(work), work.team)
         try:
             return await self._try_to_forward(work, worker, connection)
         finally:
