Leave only added fields out of messages, not every default

Cause: the codec left out all last fields with their defaults, so an offer without a team wasn't the bytes of earlier builds, and a stored resource would have changed with a build of another default (Service() was sent and stored as an empty list). Change: only fields that are marked as added are left out: Offer.team, Offer.key and Route.access_keys.

--- a/cowslipvane/call/_messages.py
+++ b/cowslipvane/call/_messages.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from cowslipvane.refusal import Refusal
 from cowslipvane.routing import Load
-from cowslipvane.types import Headers, HostName, KeyDigest, Seconds, ServiceName, TeamName, Version
+from cowslipvane.types import (
+    ADDED_FIELD,
+    Headers,
+    HostName,
+    KeyDigest,
+    Seconds,
+    ServiceName,
+    TeamName,
+    Version,
+)
 
 
 class AttemptId(NamedTuple):
@@ -61,8 +70,8 @@
     nested: bool = False
     version: Version | None = None
     length: int = 0
-    team: TeamName | None = None
-    key: KeyDigest | None = None
+    team: TeamName | None = field(default=None, metadata=ADDED_FIELD)
+    key: KeyDigest | None = field(default=None, metadata=ADDED_FIELD)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -10,7 +10,15 @@
 
 from cowslipvane.access import KeyUse
 from cowslipvane.catalogue._documents import Piece
-from cowslipvane.types import Header, KeyDigest, Seconds, ServiceName, Version, fits_int64
+from cowslipvane.types import (
+    ADDED_FIELD,
+    Header,
+    KeyDigest,
+    Seconds,
+    ServiceName,
+    Version,
+    fits_int64,
+)
 
 DEFAULT_TIMEOUT: Seconds = 5.0
 DEFAULT_MAX_BODY_BYTES = 1 << 20
@@ -69,7 +77,7 @@
     goal: Seconds | None = None
     priority: int = 0
     # Builds that know no teams compute the digest of a route from the representation without it.
-    access_keys: KeyUse = field(default="ignored", repr=False)
+    access_keys: KeyUse = field(default="ignored", repr=False, metadata=ADDED_FIELD)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -5,6 +5,7 @@
 import enum
 import ipaddress
 import re
+from types import MappingProxyType
 from typing import Annotated, NamedTuple, NewType
 
 HostName = NewType("HostName", str)
@@ -20,6 +21,10 @@
 Digest = Annotated[int, "a hash of up to 128 bits over some content"]
 Seconds = float
 
+# Metadata of a field of a data class that earlier builds don't know: messages leave it out while it
+# has its default.
+ADDED_FIELD = MappingProxyType({"added": True})
+
 NO_VERSION = Version(0)
 MAX_PORT = 65_535
 _INT64_LIMIT = 1 << 63
--- a/cowslipvane/wire/_codec.py
+++ b/cowslipvane/wire/_codec.py
@@ -7,6 +7,7 @@
 import types
 import zlib
 from collections.abc import Callable
+from itertools import takewhile
 from operator import attrgetter
 from typing import (
     Annotated,
@@ -22,7 +23,7 @@
 import cbor2
 from cattrs import BaseConverter, Converter
 
-from cowslipvane.types import Digest, fits_int64
+from cowslipvane.types import ADDED_FIELD, Digest, fits_int64
 
 Message = Any
 T = TypeVar("T")
@@ -230,8 +231,9 @@
 def _record_unstructure_hook(converter: BaseConverter, kind: type) -> Callable[[Any], Any]:
     """Return a hook that encodes a record as the list of its fields.
 
-    The last fields of a data class are left out while they have their defaults, so that builds
-    that don't know them can read the rest.
+    The last fields of a data class that are marked as added are left out while they have their
+    defaults, so that builds that don't know them can read the rest. All other fields are sent: a
+    default that a later build changes must not change what was sent or stored.
     """
     fields = _field_types(kind)
     if len(fields) == 1:
@@ -244,12 +246,13 @@
         for index, (_, field) in enumerate(fields)
         if not _is_plain(field)
     )
-    defaults = _defaults(kind)
-    required_count = _required_count(kind) if defaults else len(fields)
+    added_defaults = _added_defaults(kind)
 
     def unstructure(value: Any) -> Any:
         values = list(get_fields(value))
-        while len(values) > required_count and values[-1] == defaults[len(values) - 1]:
+        for default in added_defaults:
+            if values[-1] != default:
+                break
             values.pop()
         for index, hook in converted:
             if index < len(values):
@@ -259,11 +262,17 @@
     return unstructure
 
 
-def _defaults(kind: type) -> list[Any]:
-    """Return the defaults of a data class's fields; a NamedTuple is always sent whole."""
+def _added_defaults(kind: type) -> tuple[Any, ...]:
+    """Return the defaults of the last fields that are marked as added, the last one first."""
     if not dataclasses.is_dataclass(kind):
-        return []
-    return [field.default for field in dataclasses.fields(kind)]
+        return ()
+    fields = reversed(dataclasses.fields(kind))
+    return tuple(field.default for field in takewhile(_is_added, fields))
+
+
+def _is_added(field: dataclasses.Field[Any]) -> bool:
+    """Return whether a field is marked as one that earlier builds don't know."""
+    return ADDED_FIELD.keys() <= field.metadata.keys()
 
 
 def _sequence_structure_hook(converter: BaseConverter, kind: Any) -> Callable[[Any, Any], Any]:
