--- a/cowslipvane/access/_keys.py
+++ b/cowslipvane/access/_keys.py
@@ -13,6 +13,8 @@
 _DIGEST_BYTES = 16
 # Keeps these digests apart from others of the same text.
 _DIGEST_PURPOSE = b"team-key"
+# Blanks around a field's value aren't part of it (RFC 9110, section 5.5).
+_FIELD_BLANKS = " \t"
 # RFC 6750 gives the form; schemes are compared without regard to case (RFC 9110, section 11.1).
 _BEARER = re.compile(r"bearer +([\x21-\x7e]+)", re.IGNORECASE | re.ASCII)
 
@@ -50,7 +52,7 @@
     """Return the key in the values of the Authorization fields of a request."""
     if not values:
         return NoKey()
-    found = _BEARER.fullmatch(values[0].strip())
+    found = _BEARER.fullmatch(values[0].strip(_FIELD_BLANKS))
     if len(values) > 1 or found is None or len(found[1]) > MAX_KEY_CHARACTERS:
         return OddKey()
     return ShownKey(digest=key_digest(found[1]))
