Refuse for lack of a key or a route only by the newest version that is known

Cause: a request that had waited for a version, or that an owner had refused, was refused by that version even if a newer one had become known meanwhile, so that a key that is there got 401. StubOwner still had is_running, which Owner has no more. Change: the router waits again, within the same time.

--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -68,7 +68,9 @@
         table = await self._first_table(arrival)
         if table is None:
             return NoConfiguration()
-        return await self._find_route(arrival, table)
+        timeout = self._caller_timeout(arrival.http) or NEWER_VERSION_TIMEOUT
+        give_up_at = arrival.arrived_at + timeout * NEWER_VERSION_SHARE
+        return await self._find_route(arrival, table, give_up_at)
 
     async def find_again(
         self, arrival: Arrival, outdated: RouteOutdated, time_remaining: Seconds
@@ -76,7 +78,9 @@
         """Route a request by a newer version, which an owner has; refuse it if that is late."""
         give_up_at = time.monotonic() + time_remaining * NEWER_VERSION_SHARE
         table = await self._table_of_version(outdated.version, give_up_at)
-        return outdated if table is None else self._route(table, arrival)
+        if table is None:
+            return outdated
+        return await self._find_route(arrival, table, give_up_at)
 
     def deadline(self, http: web.BaseRequest, rules: ServiceRules, arrived_at: float) -> float:
         """Return the deadline of a request: the earlier of the caller's and the route's."""
@@ -99,20 +103,23 @@
             await self._configuration_applied.wait(remaining)
         return self._subscription.table
 
-    async def _find_route(self, arrival: Arrival, table: RoutingTable) -> Routed | Refusal:
+    async def _find_route(
+        self, arrival: Arrival, table: RoutingTable, give_up_at: float
+    ) -> Routed | Refusal:
         """Route a request by the version in force, or by a newer one if that refuses it.
 
         A refusal for lack of a route or a key would be untrue if a version that is known to be
-        accepted has it.
+        accepted has it. Further versions may become known while one is awaited.
         """
-        found = self._route(table, arrival)
-        newest = self._subscription.newest_known
-        if isinstance(found, Routed) or newest <= table.version:
-            return found
-        timeout = self._caller_timeout(arrival.http) or NEWER_VERSION_TIMEOUT
-        give_up_at = arrival.arrived_at + timeout * NEWER_VERSION_SHARE
-        newer = await self._table_of_version(newest, give_up_at)
-        return RouteOutdated(version=newest) if newer is None else self._route(newer, arrival)
+        while True:
+            found = self._route(table, arrival)
+            newest = self._subscription.newest_known
+            if isinstance(found, Routed) or newest <= table.version:
+                return found
+            newer = await self._table_of_version(newest, give_up_at)
+            if newer is None:
+                return RouteOutdated(version=newest)
+            table = newer
 
     async def _table_of_version(self, version: Version, give_up_at: float) -> RoutingTable | None:
         """Return the table once a version is in force, None if it isn't by a time."""
--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -29,8 +29,9 @@
 from cowslipvane.tasks.callers._callers import Callers
 from cowslipvane.tasks.callers._dispatcher import Dispatcher
 from cowslipvane.tasks.http._listener import HttpListener
+from cowslipvane.tasks.upstreams import RunningRequest
 from cowslipvane.tasks.upstreams._owner import Owner
-from cowslipvane.types import Address, HostName, ServiceName, Version
+from cowslipvane.types import Address, HostName, ServiceName, TeamName, Version
 from tools.single_replica import event_log
 
 # Test modules run concurrently, each in a process of its own, so each needs its own address.
@@ -58,14 +59,16 @@
 
 
 class StubOwner:
-    """Stands in for an owner whose worker runs the requests that a test sets."""
+    """Stands in for an owner whose worker runs the requests that a test sets, by their teams."""
 
     def __init__(self) -> None:
-        self.running: set[str] = set()
+        self.running: dict[str, TeamName | None] = {}
 
-    def is_running(self, request_id: str) -> bool:
-        """Return whether a request is running."""
-        return request_id in self.running
+    def running_request(self, request_id: str) -> RunningRequest | None:
+        """Return a request that is running, None if it isn't."""
+        if request_id not in self.running:
+            return None
+        return RunningRequest(request_id, self.running[request_id])
 
 
 class CallersTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_goals.py
+++ b/tests/test_goals.py
@@ -21,7 +21,7 @@
 
     async def test_call_from_the_local_upstream_is_nested(self) -> None:
         """Its request id starts with that of a request that the upstream is running."""
-        self.owner.running.add("parent")
+        self.owner.running["parent"] = None
         await self.code(**{"X-Request-Id": "parent.1"})
         self.assertTrue(self.dispatcher.calls[-1].is_nested)
 
