Add a model of the decisions about keys

Cause: keys move and routes change while requests are decided, queued, retried and nested, and no test plays all orders of that. Change: spec/keys.py, with an entry proxy, two owners, versions at their own pace, restarts, a retry and a nested call; four properties, four mutations that break them, and three limits of the design.

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -1,11 +1,14 @@
-"""Model checks of the specification of acceptance, exhaustive within small scopes."""
+"""Model checks of the specifications of acceptance and of keys, exhaustive in small scopes."""
 
+import itertools
 import unittest
 from typing import Any
 
 from minicheck import check_safety  # type: ignore[import-untyped]
 
+from spec import keys
 from spec.acceptance import INVARIANTS, Rules, Scope, make_protocol
+from spec.keys import Config
 
 MAX_STATES = 200_000
 # One bad state refutes a mutation, so its search need not be exhaustive.
@@ -95,5 +98,89 @@
         self.refute(LEASES, Rules(steps_down_first=False), "one lease at a time")
 
 
+# What a version may say. The teams differ only in name, so the first version needs just one.
+FIRST_CONFIGS = tuple(
+    Config(use, holder)
+    for use in ("ignored", "optional", "required")
+    for holder in (keys.NO_TEAM, "mill")
+)
+CONFIGS = (*FIRST_CONFIGS, *(Config(use, "bakery") for use in ("ignored", "optional", "required")))
+# A key that is added, moved and withdrawn; a route that changes its use of keys and goes back.
+MOVED_KEY = tuple(Config("required", holder) for holder in (keys.NO_TEAM, "mill", "bakery"))
+MOVED_AND_BACK = (MOVED_KEY[1], MOVED_KEY[2], MOVED_KEY[1])
+WITHDRAWN_KEY = (MOVED_KEY[1], MOVED_KEY[0], MOVED_KEY[2])
+SWITCHED_ROUTE = tuple(Config(use, "mill") for use in ("ignored", "required", "optional"))
+SWITCHED_BACK = tuple(Config(use, "mill") for use in ("required", "optional", "required"))
+TEAMS_TAKEN_OUT = (Config("optional", "mill"), Config("required", "bakery"), Config("ignored"))
+SEQUENCES = (
+    *(MOVED_KEY, MOVED_AND_BACK, WITHDRAWN_KEY),
+    *(SWITCHED_ROUTE, SWITCHED_BACK, TEAMS_TAKEN_OUT),
+)
+PUBLIC_ROUTE_CLOSED = (Config("optional", "mill"), Config("required", "bakery"))
+KEY_SCOPES = (
+    *(keys.Scope(pair, nested=True) for pair in itertools.product(FIRST_CONFIGS, CONFIGS)),
+    *(keys.Scope(sequence, restarts=1) for sequence in SEQUENCES),
+    keys.Scope(PUBLIC_ROUTE_CLOSED, shows=False, restarts=1),
+    keys.Scope(PUBLIC_ROUTE_CLOSED, nested=True, restarts=1),
+    keys.Scope(PUBLIC_ROUTE_CLOSED[::-1], nested=True, restarts=1),
+    keys.Scope((Config("ignored"), *PUBLIC_ROUTE_CLOSED), nested=True),
+)
+
+
+class KeysSpecTest(unittest.TestCase):
+    """The decisions about keys satisfy the properties, and each rule is necessary."""
+
+    def check(self, scope: keys.Scope, rules: keys.Rules, properties: keys.Properties) -> set[str]:
+        """Return the names of the properties that are violated within a scope."""
+        protocol = keys.make_protocol(scope, rules, properties)
+        result: dict[str, Any] = check_safety(protocol, max_states=MAX_STATES)
+        self.assertTrue(result["exhaustive"])
+        return {name for name, item in result["properties"].items() if item["holds"] is False}
+
+    def test_the_decisions_satisfy_the_properties_in_every_scope(self) -> None:
+        """Explore every state within each scope."""
+        for scope in KEY_SCOPES:
+            with self.subTest(scope=scope):
+                self.assertEqual(self.check(scope, keys.Rules(), keys.PROPERTIES), set())
+
+    def refute(self, configs: tuple[Config, ...], rules: keys.Rules, name: str) -> None:
+        """Check that a mutation violates a property, with a nested call."""
+        scope = keys.Scope(configs, nested=True)
+        self.assertIn(name, self.check(scope, rules, keys.PROPERTIES))
+
+    # Guards against a model that finds nothing.
+    def test_without_the_owners_decision_withdrawn_keys_start(self) -> None:
+        """So do moved ones, requests without a key, and those that have the key with them."""
+        rules = keys.Rules(owner_decides_again=False)
+        name = "no start that the owner's version refuses"
+        for configs in (WITHDRAWN_KEY[:2], PUBLIC_ROUTE_CLOSED):
+            self.refute(configs, rules, name)
+        self.refute(SWITCHED_ROUTE[:2], rules, "no key goes along by the newer version")
+
+    def test_a_refusal_after_one_wait_can_be_by_a_replaced_version(self) -> None:
+        """Another version may become known while the request waits for one."""
+        configs = (MOVED_KEY[0], MOVED_KEY[0], MOVED_KEY[1])
+        name = "no refusal by a version known to be replaced"
+        self.refute(configs, keys.Rules(waits_for_newest=False), name)
+
+    def test_a_key_that_is_not_withheld_reaches_an_upstream(self) -> None:
+        """The entry proxy alone drops it."""
+        rules = keys.Rules(withholds_keys=False)
+        self.refute(MOVED_KEY, rules, "no key goes along by the newer version")
+
+    def test_a_nested_call_could_pass_where_a_key_is_needed(self) -> None:
+        """The id of its parent isn't proof of a key."""
+        rules = keys.Rules(nested_needs_public_route=False)
+        self.refute(MOVED_KEY[1:], rules, "runs only for a team of the versions in between")
+
+    # Guards against a page that promises more than the design does.
+    def test_limits_of_the_design_are_found(self) -> None:
+        """Each is violated in some scope; one that no longer is belongs to the properties."""
+        violated: set[str] = set()
+        for scope in KEY_SCOPES:
+            violated |= self.check(scope, keys.Rules(), keys.LIMITS)
+        self.assertEqual(violated, keys.LIMITS.keys())
+
+
 if __name__ == "__main__":
     unittest.main()
