Measure what teams cost

Cause: no figure told what 10,000 teams cost a replica, a proxy and a request. Change: tools/bench_teams.py prints the time and memory of a table, of a change of one team, of one decision and of an offer's encoding.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	$(BIN)/python -m tools.bench_distribution
 	$(BIN)/python -m tools.bench_members
 	$(BIN)/python -m tools.bench_choice
+	$(BIN)/python -m tools.bench_teams
 
 capacity: env  ## Measure the figures of docs/CAPACITY.md and record them.
 	$(BIN)/python -m tools.capacity --record docs/capacity.json
