Tell owners the digest of a key that no team has

Cause: an offer of a public route's request had no digest of a key that was unknown to the entry proxy, so that an owner whose version gives the key to a team ran the request for no team (found by spec/keys.py: a start that differs from the owner's version). Change: Anonymous and Inherited carry the digest; an owner with a newer version refuses, and the entry proxy routes the request again.

--- a/cowslipvane/access/_decision.py
+++ b/cowslipvane/access/_decision.py
@@ -22,7 +22,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Anonymous:
-    """The route needs no key, and the request shows none that a team holds."""
+    """The route needs no key, and the request shows none that a team holds.
+
+    digest is that of the key that it shows, if any, which a newer version may know.
+    """
+
+    digest: KeyDigest | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,9 +40,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Inherited:
-    """A nested call without a key, made for a request of a team."""
+    """A nested call without a key that a team holds, made for a request of a team."""
 
     team: TeamName
+    digest: KeyDigest | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,7 +70,10 @@
         case ShownKey(digest=digest) if (team := keys.holder(digest)) is not None:
             return OfTeam(team=team, digest=digest)
         case _ if use == "optional":
-            return Anonymous() if parent is None else Inherited(team=parent)
+            unknown = presented.digest if isinstance(presented, ShownKey) else None
+            if parent is None:
+                return Anonymous(digest=unknown)
+            return Inherited(team=parent, digest=unknown)
         case NoKey():
             return Denied(fault="missing")
         case OddKey():
@@ -83,9 +92,12 @@
 
 
 def key_of(access: Access) -> KeyDigest | None:
-    """Return the digest of the key by which a request was admitted, None if by none."""
+    """Return the digest of the key that an admitted request shows, whether a team holds it or not.
+
+    It is None if the request shows none, or keys are ignored.
+    """
     match access:
-        case OfTeam(digest=digest):
+        case OfTeam(digest=digest) | Anonymous(digest=digest) | Inherited(digest=digest):
             return digest
-        case Unchecked() | Anonymous() | Inherited() | Denied():
+        case Unchecked() | Denied():
             return None
--- a/tests/test_outdated_keys.py
+++ b/tests/test_outdated_keys.py
@@ -5,7 +5,7 @@
 import unittest
 from collections.abc import Callable
 
-from cowslipvane.access import KeyUse, OfTeam, key_digest
+from cowslipvane.access import KeyUse, OfTeam, key_digest, key_of, team_of
 from cowslipvane.call import KEY_FIELD, Answer, Call, Offer, Refused
 from cowslipvane.catalogue import (
     Key,
@@ -66,6 +66,11 @@
         """Return an offer of a request for no team; it is the same if keys were ignored."""
         return offer(serial, "/ok", version=Version(1))
 
+    @staticmethod
+    def unknown(serial: int) -> Offer:
+        """Return an offer by a public route of a request with a key that no team has."""
+        return dataclasses.replace(Offered.anonymous(serial), key=key_digest(KEY))
+
     @staticmethod
     def unchecked(serial: int) -> Offer:
         """Return an offer by a route that ignored keys, so that the key itself comes along."""
@@ -91,6 +96,14 @@
     "a public route needs keys now": (Offered.anonymous, "required", MILL, False),
     "a public route is still public": (Offered.anonymous, "optional", MILL, True),
     "a public route ignores keys now": (Offered.anonymous, "ignored", None, True),
+    "a public route, and the unknown key is a team's now": (
+        Offered.unknown,
+        "optional",
+        MILL,
+        False,
+    ),
+    "a public route, and the key is still unknown": (Offered.unknown, "optional", None, True),
+    "a closed route, and the unknown key is a team's": (Offered.unknown, "required", MILL, False),
     "the key came along, and keys are needed now": (Offered.unchecked, "required", MILL, False),
     "the key came along, and is read now": (Offered.unchecked, "optional", MILL, False),
     "the key came along, and is unknown now": (Offered.unchecked, "optional", None, False),
@@ -270,6 +283,17 @@
             refused = await self.get(**{"X-Request-Timeout-Ms": "300"})
         self.assertEqual(refused[:2], (503, "no-configuration"))
 
+    # Guards against UNASKED: a public route's request that runs for no team, though a team has its
+    # key in the version of the owner, which wasn't told of the key.
+    async def test_unknown_key_of_a_public_request_is_told_to_the_owner(self) -> None:
+        """The request isn't held up for it; a key that can't be read has no digest."""
+        self.apply(use="optional", held=False)
+        self.subscription.record_accepted(Version(2))
+        await self.get()
+        await self.get(Authorization=f"Basic {KEY}")
+        keys = [(team_of(call.access), key_of(call.access)) for call in self.recording.calls]
+        self.assertEqual(keys, [(None, key_digest(KEY)), (None, None)])
+
     # Guards against a key that is hidden from the decision, and one that is passed on after it.
     async def test_connection_field_that_names_the_key_changes_nothing(self) -> None:
         """The key is read, and neither field goes on."""
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -168,6 +168,12 @@
         rules = keys.Rules(withholds_keys=False)
         self.refute(MOVED_KEY, rules, "no key goes along by the newer version")
 
+    def test_an_owner_that_is_not_told_of_unknown_keys_runs_them_for_no_team(self) -> None:
+        """A public route's request has a key that only the owner's version knows."""
+        configs = (Config("optional"), Config("optional", "mill"))
+        name = "a key that was unknown runs for its team in the owner's version"
+        self.refute(configs, keys.Rules(sends_unknown_keys=False), name)
+
     def test_a_nested_call_could_pass_where_a_key_is_needed(self) -> None:
         """The id of its parent isn't proof of a key."""
         rules = keys.Rules(nested_needs_public_route=False)
