Bound the wait of a refused request for a newer version

Change: a longer timeout counts as 5 s. A test shows that prefetched requests are decided by the version at their head, too.

--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -25,6 +25,9 @@
 NEWER_VERSION_SHARE = 0.5
 # The timeout of a call that no route matches, if its caller sent none.
 NEWER_VERSION_TIMEOUT: Seconds = 2.0
+# A longer timeout of a caller counts as this one. Callers without a key, or with no route, must not
+# hold requests for as long as they like at a proxy that is cut off.
+MAX_NEWER_VERSION_TIMEOUT: Seconds = 5.0
 
 
 class Arrival(NamedTuple):
@@ -69,6 +72,7 @@
         if table is None:
             return NoConfiguration()
         timeout = self._caller_timeout(arrival.http) or NEWER_VERSION_TIMEOUT
+        timeout = min(timeout, MAX_NEWER_VERSION_TIMEOUT)
         give_up_at = arrival.arrived_at + timeout * NEWER_VERSION_SHARE
         return await self._find_route(arrival, table, give_up_at)
 
--- a/tests/test_outdated_keys.py
+++ b/tests/test_outdated_keys.py
@@ -4,6 +4,7 @@
 import dataclasses
 import unittest
 from collections.abc import Callable
+from unittest.mock import patch
 
 from cowslipvane.access import KeyUse, OfTeam, key_digest, key_of, team_of
 from cowslipvane.call import KEY_FIELD, Answer, Call, Offer, Refused
@@ -22,7 +23,7 @@
 from cowslipvane.refusal import NoUpstream, Refusal, RouteOutdated
 from cowslipvane.subscription import Subscription
 from cowslipvane.types import Header, TeamName, Version
-from tests.callers_case import URL, CallersTestCase
+from tests.callers_case import LISTENER, URL, CallersTestCase
 from tests.test_owner import SERVICE, OwnerTestCase, offer
 
 KEY = "the-key-of-a-team"
@@ -255,6 +256,17 @@
         self.assertEqual(refused[:2], (503, "route-outdated"))
         self.assertEqual(self.routed(), [])
 
+    # Guards against callers without a key whose requests a proxy that is cut off holds for as long
+    # as they like.
+    async def test_caller_with_a_long_timeout_is_refused_in_time(self) -> None:
+        """The wait is no longer than for a call with the usual timeout."""
+        self.apply(held=False)
+        self.subscription.record_accepted(Version(2))
+        with patch("cowslipvane.tasks.callers._router.MAX_NEWER_VERSION_TIMEOUT", 0.4):
+            async with asyncio.timeout(0.4):
+                refused = await self.get(**{"X-Request-Timeout-Ms": "1000000000"})
+        self.assertEqual(refused[:2], (503, "route-outdated"))
+
     # Guards against a refusal that names another version than the one that lacks the key, and one
     # that repeats the key to whoever reads the logs.
     async def test_refusal_tells_the_version_and_not_the_key(self) -> None:
@@ -305,6 +317,29 @@
         self.assertFalse(names & {"authorization", "connection"})
         self.assertEqual(call.request.header("X-Team"), MILL)
 
+    # Guards against a connection whose later requests pass with a key that was withdrawn after its
+    # first one.
+    async def test_each_request_of_a_connection_is_decided_by_the_version_at_its_head(self) -> None:
+        """Prefetched requests are decided about when they arrive, behind one that is answered."""
+        self.apply()
+        reader, writer = await asyncio.open_connection(*LISTENER)
+        head = f"GET /stock HTTP/1.1\r\nHost: h\r\n{KEY_FIELD}: {BEARER}\r\n\r\n".encode()
+        writer.write(head * 3)
+        await self.until_received(reader, b"no-upstream", 3)
+        self.apply(2, held=False)
+        writer.write(head * 2)
+        await self.until_received(reader, b"key-unknown", 2)
+        writer.close()
+        self.assertEqual(self.routed(), [(1, True)] * 3)
+
+    async def until_received(self, reader: asyncio.StreamReader, code: bytes, count: int) -> None:
+        """Read the refusals of pipelined requests."""
+        received = b""
+        async with asyncio.timeout(5):
+            while received.count(code) < count:
+                received += await reader.readuntil(b"}")
+        self.assertEqual(received.count(b"HTTP/1.1 "), count)
+
     # Guards against a nested call that gets past a route which needs keys by its id alone.
     async def test_nested_call_needs_a_public_route(self) -> None:
         """There it gets the team of the request that the upstream runs."""
