Test that teams of a configuration that an earlier build stored come into force

Callers see: after all processes were replaced by this build, requests without a key, or with one that no team has, still run, the key goes along and no team is named (UNASKED, ROUTE), until the operator sends another version. Sending the same configuration again is answered with 200 and changes nothing.

Cause: only Config.Replace decodes a document (platform/_front_end.py, _replace_configuration).

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -1,6 +1,9 @@
 """Tests of faults that the review of issue 52 found."""
 
 import unittest
+from asyncio.subprocess import Process, create_subprocess_exec
+from typing import Any
+from unittest.mock import patch
 
 from tests.teams_case import (
     CLOSED,
@@ -10,12 +13,15 @@
     TEAM,
     TeamsCase,
     bearer,
+    configuration,
     team,
 )
 from tools.soak._hosts import HostProcess
 
 RED_KEY, BLUE_KEY = "key-of-red-4711", "key-of-blue-0815"
 TEAMS = (team("red", RED_KEY), team("blue", BLUE_KEY))
+# An acknowledged version is in force everywhere within 2 s.
+CONVERGENCE_TIMEOUT_S = 4.0
 
 
 class TrailersTest(TeamsCase):
@@ -77,5 +83,61 @@
                     self.assertEqual(ids, {f"{ONCE}1": ["first"], f"{CLOSED}2": ["second"]})
 
 
+# The program as it was when it didn't read the teams of a configuration: it stores none.
+BUILD_WITHOUT_TEAMS = """
+from cowslipvane.platform import _teams
+_teams.decode_teams = lambda form: {}
+_teams.decode_key_use = lambda form, rule: "ignored"
+from tools.behind_relay import main
+raise SystemExit(main())
+"""
+
+
+async def start_build_without_teams(python: str, *arguments: str, **options: Any) -> Process:
+    """Start a process of that build, in place of this one's."""
+    _, _, *addresses = arguments
+    return await create_subprocess_exec(python, "-c", BUILD_WITHOUT_TEAMS, *addresses, **options)
+
+
+class StoredConfigurationTest(TeamsCase):
+    """A build without teams has acknowledged a configuration with teams; then comes this build."""
+
+    async def asyncSetUp(self) -> None:
+        """Let that build store it, and restart all processes with this build."""
+        with patch("asyncio.create_subprocess_exec", start_build_without_teams):
+            await super().asyncSetUp()
+            await self.start_serving(TEAMS)
+        self.assertFalse(await self.is_checked())
+        await self.kill(*self.processes)
+        await self.start(*self.processes)
+
+        async def is_serving() -> bool:
+            statuses = [await self.status(proxy) for proxy in self.proxies]
+            return all(
+                status.get("in_force") and self.lists_worker(status, self.owner)
+                for status in statuses
+            )
+
+        await self.until(is_serving)
+
+    async def is_checked(self) -> bool:
+        """Return whether a key that no team has is refused."""
+        answer = await self.ask(self.entry, "unknown-key", f"{CLOSED}1", bearer("of-nobody"))
+        return answer.status == 401
+
+    # Guards against UNASKED after an upgrade: an acknowledged configuration is served without its
+    # teams, as the build before read it, though the document that is kept has them.
+    async def test_teams_of_a_stored_configuration_come_into_force(self) -> None:
+        """No operator has to send another version for it."""
+        await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
+
+    # Guards against another acknowledgement of a configuration whose teams aren't in force, since
+    # an earlier build has accepted it without them.
+    async def test_teams_of_a_configuration_that_is_sent_again_come_into_force(self) -> None:
+        """The operator sends the same document, and gets a 200."""
+        self.assertEqual(await self.replace(configuration(1, TEAMS)), 200)
+        await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
+
+
 if __name__ == "__main__":
     unittest.main()
