Test that a trailer is no field of the next request of an operator

Operators see: a PUT or DELETE without a condition, which is to be refused with 428, runs by the If-Match in the trailer of the request before it on the connection; the same with Idempotency-Key and Authorization.

Cause: as for callers, aiohttp's parser carries the last trailer over. HttpListener uses its server unchanged for operators and for the platform's control API, so a mend of PipelinedConnection alone would leave these.

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -1,11 +1,18 @@
 """Tests of faults that the review of issue 52 found."""
 
+import asyncio
 import unittest
 from asyncio.subprocess import Process, create_subprocess_exec
 from typing import Any
 from unittest.mock import patch
 
+from aiohttp import web
+
+from cowslipvane.tasks.http import HttpListener
+from cowslipvane.types import Address
+from tests.replica_node import free_port
 from tests.teams_case import (
+    ANSWER_TIMEOUT_S,
     CLOSED,
     HOST,
     ONCE,
@@ -83,6 +90,40 @@
                     self.assertEqual(ids, {f"{ONCE}1": ["first"], f"{CLOSED}2": ["second"]})
 
 
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """The listener of operators and of the platform's control API."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen, and record the If-Match fields of each request."""
+        self.conditions: list[list[str]] = []
+        address = Address("127.0.0.1", free_port())
+        listener = HttpListener(handler=self.handle, address=address)
+        await listener.__aenter__()
+        self.addAsyncCleanup(listener.__aexit__, None, None, None)
+        self.reader, self.writer = await asyncio.open_connection(address.ip, address.port)
+        self.addCleanup(self.writer.close)
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Record a request, and answer it."""
+        await http.read()
+        self.conditions.append(http.headers.getall("If-Match", []))
+        return web.Response(text="end")
+
+    # Guards against a write of an operator that runs by the condition in the trailer of the request
+    # before it on the connection, where it has none and is to be refused with 428.
+    async def test_a_condition_in_a_trailer_is_not_that_of_a_later_request(self) -> None:
+        """The later request has no such field."""
+        self.writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b'3\r\nabc\r\n0\r\nIf-Match: "1"\r\n\r\n'
+        )
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            await self.reader.readuntil(b"end")
+            self.writer.write(b"PUT /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            await self.reader.readuntil(b"end")
+        self.assertEqual(self.conditions, [[], []])
+
+
 # The program as it was when it didn't read the teams of a configuration: it stores none.
 BUILD_WITHOUT_TEAMS = """
 from cowslipvane.platform import _teams
