Write the reports of failed commands and the collection of events once

Cause: three commands repeated how a failure is reported, seven how JSON is printed, two options stood twice, and explain chose between files and processes by code of its own beside that of timeline. Change: report_failure, report_bad_input and print_json in cmdline; explain collects events as timeline does; options and errors of the client have one place. No behaviour changes, but that explain reports its progress in the words that it had.

--- a/cowslipvane/client.py
+++ b/cowslipvane/client.py
@@ -131,7 +131,7 @@
             if status != _OK:
                 raise Unreachable(f"{server}: {response.get('sentence', f'HTTP status {status}')}")
             return dict(response)
-        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
+        raise self._no_answer()
 
     async def resource(self, kind: str, name: str) -> dict[str, Any]:
         """Return one accepted resource with its status."""
@@ -171,7 +171,7 @@
                 except (aiohttp.ClientError, TimeoutError, OSError):
                     continue
             await asyncio.sleep(RETRY_DELAY)
-        raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
+        raise self._no_leader()
 
     async def _stream(self, server: str, version: int) -> AsyncIterator[dict[str, Any]]:
         """Yield the lines of one server's stream until it ends."""
@@ -198,7 +198,7 @@
             return statuses
         if responses:
             raise Unreachable(str(responses[0][1].get("sentence", responses[0])))
-        raise Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
+        raise self._no_answer()
 
     async def _request_until_final(
         self, method: str, path: str, form: dict[str, Any] | None
@@ -217,7 +217,7 @@
                 if status not in (503, 504):
                     return dict(response)
             await asyncio.sleep(RETRY_DELAY)
-        raise Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
+        raise self._no_leader()
 
     async def _send(
         self, method: str, server: str, path: str, form: dict[str, Any] | None
@@ -233,3 +233,11 @@
                     return response.status, await response.json(content_type=None)
                 url = url.join(URL(response.headers["Location"]))
         return _NO_LEADER, {"sentence": "not run: each replica named another as the leader"}
+
+    def _no_answer(self) -> Unreachable:
+        """Return the error for servers of which none responds."""
+        return Unreachable(f"no answer from {', '.join(self._servers)}; name others by --server")
+
+    def _no_leader(self) -> Unreachable:
+        """Return the error for servers that give no final response in time."""
+        return Unreachable(f"no leader answered at {', '.join(self._servers)}; try again")
--- a/cowslipvane/cmdline/_explain.py
+++ b/cowslipvane/cmdline/_explain.py
@@ -72,11 +72,8 @@
     servers: tuple[str, ...], files: tuple[Path, ...], request: str
 ) -> commands.Account:
     """Return the account of a request from the files if any are given, else from processes."""
-    if files:
-        return commands.explain_from_files(files, request)
-    if servers:
-        return await commands.explain(servers, request)
-    raise commands.CommandFailed(NO_SOURCE_MESSAGE)
+    merged = await _collect(servers, files, commands.Filter(request=request))
+    return commands.build_account(request, merged)
 
 
 @click.command()
--- a/cowslipvane/cmdline/_options.py
+++ b/cowslipvane/cmdline/_options.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -40,12 +41,29 @@
 
 def run_command(coroutine: Coroutine[Any, Any, T]) -> T:
     """Run a command, and report its failure as one line."""
-    try:
+    with report_failure():
         return asyncio.run(coroutine)
+
+
+@contextmanager
+def report_failure() -> Iterator[None]:
+    """Report the failure of a command as one line, and exit with 1."""
+    try:
+        yield
     except commands.CommandFailed as error:
         raise click.ClickException(str(error)) from error
 
 
+@contextmanager
+def report_bad_input() -> Iterator[None]:
+    """Report the failure of a command as one line, and exit with 2."""
+    try:
+        yield
+    except commands.CommandFailed as error:
+        click.echo(str(error), err=True)
+        raise SystemExit(EXIT_BAD_INPUT) from None
+
+
 def read_settings(path: Path) -> Settings:
     """Return the settings in a file, or print a line for each fault and exit."""
     try:
--- a/cowslipvane/cmdline/_output.py
+++ b/cowslipvane/cmdline/_output.py
@@ -19,9 +19,17 @@
 T = TypeVar("T")
 
 
+def print_json(form: Any) -> None:
+    """Print a form as JSON over several lines."""
+    click.echo(json.dumps(form, indent=2))
+
+
 def print_result(form: Any, output: str, text: str) -> None:
     """Print a form as JSON or as text, according to the output option."""
-    click.echo(json.dumps(form, indent=2) if output == "json" else text)
+    if output == "json":
+        print_json(form)
+    else:
+        click.echo(text)
 
 
 def table(headers: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
--- a/cowslipvane/cmdline/_process.py
+++ b/cowslipvane/cmdline/_process.py
@@ -14,21 +14,21 @@
     EXIT_BAD_INPUT,
     output_option,
     read_settings,
+    report_failure,
     run_command,
     server_option,
     settings_option,
 )
-from cowslipvane.cmdline._output import print_result, table, with_progress
+from cowslipvane.cmdline._output import print_json, print_result, table, with_progress
 
 
 @click.command()
 @settings_option
 def run(path: Path) -> None:
     """Run the process of this host."""
-    try:
-        commands.run(read_settings(path))
-    except commands.CommandFailed as error:
-        raise click.ClickException(str(error)) from error
+    settings = read_settings(path)
+    with report_failure():
+        commands.run(settings)
 
 
 @click.command()
@@ -54,10 +54,10 @@
         raise click.UsageError("name files to check by --settings or --file")
     report = commands.check(settings, resources)
     if output == "json":
-        click.echo(json.dumps(report._asdict(), indent=2))
+        print_json(report._asdict())
     else:
         for settings_in_effect in report.effective:
-            click.echo(json.dumps(settings_in_effect, indent=2))
+            print_json(settings_in_effect)
         for fault in report.faults:
             click.echo(fault, err=True)
     if report.faults:
--- a/cowslipvane/cmdline/_replica.py
+++ b/cowslipvane/cmdline/_replica.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import read_settings, run_command, server_option, settings_option
+from cowslipvane.cmdline._options import (
+    read_settings,
+    report_failure,
+    run_command,
+    server_option,
+    settings_option,
+)
+from cowslipvane.cmdline._output import print_json
 
 id_option = click.option(
     "--id", "replica_id", required=True, help="The identity that 'replica join' printed."
@@ -32,10 +38,9 @@
 )
 def create(path: Path, group: str, voters: tuple[str, ...]) -> None:
     """Initialize the data folder for a new group; run this once on the host of each member."""
-    try:
-        commands.create_replica(read_settings(path), group, voters)
-    except commands.CommandFailed as error:
-        raise click.ClickException(str(error)) from error
+    settings = read_settings(path)
+    with report_failure():
+        commands.create_replica(settings, group, voters)
 
 
 @replica.command()
@@ -43,17 +48,16 @@
 @click.option("--group", required=True, help="The name under which the group was created.")
 def join(path: Path, group: str) -> None:
     """Initialize an empty data folder for a group; print the id for 'replica add' or 'replace'."""
-    try:
-        click.echo(commands.join_replica(read_settings(path), group))
-    except commands.CommandFailed as error:
-        raise click.ClickException(str(error)) from error
+    settings = read_settings(path)
+    with report_failure():
+        click.echo(commands.join_replica(settings, group))
 
 
 @replica.command(name="list")
 @server_option
 def list_(servers: tuple[str, ...]) -> None:
     """Print the group of replicas."""
-    click.echo(json.dumps(run_command(commands.list_replicas(servers)), indent=2))
+    print_json(run_command(commands.list_replicas(servers)))
 
 
 @replica.command()
@@ -63,7 +67,7 @@
 def add(servers: tuple[str, ...], replica_id: str, member: str) -> None:
     """Add a replica, MEMBER as HOST=IP:PORT, and wait until it is a voter."""
     group = run_command(commands.add_or_replace_replica(servers, "add", member, replica_id))
-    click.echo(json.dumps(group, indent=2))
+    print_json(group)
 
 
 @replica.command()
@@ -73,7 +77,7 @@
 def replace(servers: tuple[str, ...], replica_id: str, member: str) -> None:
     """Replace the replica on a host that lost its disk, MEMBER as HOST=IP:PORT."""
     group = run_command(commands.add_or_replace_replica(servers, "replace", member, replica_id))
-    click.echo(json.dumps(group, indent=2))
+    print_json(group)
 
 
 @replica.command()
@@ -81,4 +85,4 @@
 @click.argument("host")
 def remove(servers: tuple[str, ...], host: str) -> None:
     """Remove the replica on a host from the group."""
-    click.echo(json.dumps(run_command(commands.remove_replica(servers, host)), indent=2))
+    print_json(run_command(commands.remove_replica(servers, host)))
--- a/cowslipvane/cmdline/_resources.py
+++ b/cowslipvane/cmdline/_resources.py
@@ -10,12 +10,25 @@
 import click
 
 from cowslipvane import commands
-from cowslipvane.cmdline._options import EXIT_BAD_INPUT, run_command, server_option
+from cowslipvane.cmdline._options import (
+    EXIT_BAD_INPUT,
+    report_bad_input,
+    run_command,
+    server_option,
+)
+from cowslipvane.cmdline._output import print_json
+
+resource_file_option = click.option(
+    "-f", "--file", "path", required=True, type=click.Path(path_type=Path)
+)
+from_option = click.option(
+    "--from", "version", type=int, default=0, help="Print only changes after this version."
+)
 
 
 @click.command()
 @server_option
-@click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
+@resource_file_option
 @click.option(
     "--based-on", type=int, help="The version that the change is based on; the newest by default."
 )
@@ -43,12 +56,12 @@
 @click.argument("resource", default="")
 def get(servers: tuple[str, ...], resource: str) -> None:
     """Print all accepted resources, or the one named KIND/NAME, with their convergence status."""
-    click.echo(json.dumps(run_command(commands.get(servers, resource)), indent=2))
+    print_json(run_command(commands.get(servers, resource)))
 
 
 @click.command()
 @server_option
-@click.option("-f", "--file", "path", required=True, type=click.Path(path_type=Path))
+@resource_file_option
 def diff(servers: tuple[str, ...], path: Path) -> None:
     """Print what applying a TOML or JSON file would change; exit with 1 if there are changes."""
     response = run_command(commands.diff(servers, _read(path)))
@@ -62,9 +75,7 @@
 
 @click.command()
 @server_option
-@click.option(
-    "--from", "version", type=int, default=0, help="Print only changes after this version."
-)
+@from_option
 def history(servers: tuple[str, ...], version: int) -> None:
     """Print a line for each change that was accepted after a version."""
     for change in run_command(commands.history(servers, version)):
@@ -73,9 +84,7 @@
 
 @click.command()
 @server_option
-@click.option(
-    "--from", "version", type=int, default=0, help="Print only changes after this version."
-)
+@from_option
 def watch(servers: tuple[str, ...], version: int) -> None:
     """Print a line for each accepted change, and for the progress of the newest."""
     run_command(commands.watch(servers, version, click.echo))
@@ -83,11 +92,8 @@
 
 def _read(path: Path) -> dict[str, Any]:
     """Return the resources in a file, or print the error in one line and exit."""
-    try:
+    with report_bad_input():
         return commands.read_resources(path)
-    except commands.CommandFailed as error:
-        click.echo(str(error), err=True)
-        raise SystemExit(EXIT_BAD_INPUT) from None
 
 
 def _show_faults(path: Path, response: dict[str, Any]) -> None:
--- a/cowslipvane/cmdline/_rollouts.py
+++ b/cowslipvane/cmdline/_rollouts.py
@@ -8,6 +8,7 @@
 
 from cowslipvane import commands
 from cowslipvane.cmdline._options import run_command, server_option
+from cowslipvane.cmdline._output import print_json
 
 
 @click.group()
@@ -33,4 +34,4 @@
 @click.argument("service")
 def show(servers: tuple[str, ...], service: str) -> None:
     """Print the phase, the share and the reason of the newest rollout of SERVICE."""
-    click.echo(json.dumps(run_command(commands.show_rollout(servers, service)), indent=2))
+    print_json(run_command(commands.show_rollout(servers, service)))
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -2,7 +2,7 @@
 
 from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._explain import Account, build_account, explain, explain_from_files
+from cowslipvane.commands._explain import Account, build_account
 from cowslipvane.commands._process import (
     debug,
     drain,
@@ -51,8 +51,6 @@
     "debug",
     "effective_settings",
     "drain",
-    "explain",
-    "explain_from_files",
     "get",
     "join_replica",
     "list_replicas",
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -3,17 +3,10 @@
 from __future__ import annotations
 
 import json
-from pathlib import Path
 from typing import NamedTuple
 
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._timeline import (
-    Filter,
-    Timeline,
-    format_event,
-    timeline_from_files,
-    timeline_from_processes,
-)
+from cowslipvane.commands._timeline import Timeline, format_event
 from cowslipvane.events import EventForm
 from cowslipvane.types import Verdict
 
@@ -52,16 +45,6 @@
         return "\n".join([*lines, *(f"  {format_event(event)}" for event in self.events)])
 
 
-async def explain(servers: tuple[str, ...], request: str) -> Account:
-    """Return the account of a request from the events of all processes."""
-    return build_account(request, await timeline_from_processes(servers, Filter(request=request)))
-
-
-def explain_from_files(paths: tuple[Path, ...], request: str) -> Account:
-    """Return the account of a request from event files or logs."""
-    return build_account(request, timeline_from_files(paths, Filter(request=request)))
-
-
 def build_account(request: str, timeline: Timeline) -> Account:
     """Build the account of a request from its events; raise CommandFailed if there are none."""
     if not timeline.events:
--- a/cowslipvane/commands/_process.py
+++ b/cowslipvane/commands/_process.py
@@ -31,9 +31,7 @@
     """Run a daemon until it is stopped; raise CommandFailed if it can't start."""
     try:
         asyncio.run(_run(settings))
-    except FolderRefused as error:
-        raise CommandFailed(str(error)) from error
-    except TokenFault as error:
+    except (FolderRefused, TokenFault) as error:
         raise CommandFailed(str(error)) from error
     except OSError as error:
         raise CommandFailed(f"host {settings.host} can't run: {error}") from error
