Add the command team digest, which makes digests of keys

Cause: operators of the product's own interface write the digests of a team's keys and had no way to make one that keeps the key out of the shell's history and the list of processes. Change: `cowslipvane team digest` reads one key a line from standard input or a file and prints one digest a line; at a terminal it asks without showing the key. A line that no request could show as a key is named by its number alone, and nothing else is printed.

--- a/cowslipvane/access/__init__.py
+++ b/cowslipvane/access/__init__.py
@@ -20,6 +20,7 @@
     OddKey,
     PresentedKey,
     ShownKey,
+    is_key,
     key_digest,
     read_key,
 )
@@ -42,6 +43,7 @@
     "TeamKeys",
     "Unchecked",
     "decide_access",
+    "is_key",
     "key_digest",
     "key_of",
     "read_key",
--- a/cowslipvane/access/_keys.py
+++ b/cowslipvane/access/_keys.py
@@ -15,6 +15,7 @@
 _DIGEST_PURPOSE = b"team-key"
 # RFC 6750 gives the form; schemes are compared without regard to case (RFC 9110, section 11.1).
 _BEARER = re.compile(r"bearer +([\x21-\x7e]+)", re.IGNORECASE | re.ASCII)
+_KEY = re.compile(r"[\x21-\x7e]+")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,6 +38,11 @@
 PresentedKey = NoKey | OddKey | ShownKey
 
 
+def is_key(text: str) -> bool:
+    """Return whether a request can show a text as its key."""
+    return len(text) <= MAX_KEY_CHARACTERS and _KEY.fullmatch(text) is not None
+
+
 def key_digest(key: str) -> KeyDigest:
     """Return the digest of a key.
 
--- a/cowslipvane/cmdline/_main.py
+++ b/cowslipvane/cmdline/_main.py
@@ -9,6 +9,7 @@
 from cowslipvane.cmdline._replica import replica
 from cowslipvane.cmdline._resources import apply, diff, get, history, watch
 from cowslipvane.cmdline._rollouts import rollout
+from cowslipvane.cmdline._teams import team
 
 
 @click.group()
@@ -31,6 +32,7 @@
     rollout,
     run,
     status,
+    team,
     timeline,
     watch,
 )
--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -28,6 +28,7 @@
     watch,
 )
 from cowslipvane.commands._rollouts import show_rollout, start_rollout
+from cowslipvane.commands._teams import digest_keys
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
@@ -49,6 +50,7 @@
     "check",
     "create_replica",
     "debug",
+    "digest_keys",
     "effective_settings",
     "drain",
     "get",
