Keep the document of a release, and keys in place of digests, out of what operators see

Cause: the users' operators send keys in plain text in a release, and get, history, watch and dry runs showed that document whole. Faults of a team showed what stood in place of a digest or of the list of digests, such as the key itself. Change: forms have the length and the digest of the document in its place; faults name the type of a value that should be a list or an object, and show nothing in place of a digest. The pieces of a document are no part of the JSON form any more: the digest of a release made of one character of the document in force would have told that character. Checked besides: debug shows settings and counts only, events of releases have numbers and faults, and closures leave releases out, so that proxies get none (test_releases). The platform reads a release back from the replica itself.

--- a/cowslipvane/catalogue/__init__.py
+++ b/cowslipvane/catalogue/__init__.py
@@ -19,6 +19,7 @@
 from cowslipvane.catalogue._closure import RouteHosts, closure, combine_digests, resource_digest
 from cowslipvane.catalogue._releases import (
     RELEASE_KEY,
+    document_digest,
     release_change,
     release_in_force,
     release_operation_id,
@@ -88,6 +89,7 @@
     "change_faults",
     "closure",
     "combine_digests",
+    "document_digest",
     "export_state",
     "import_state",
     "kind_of",
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -21,8 +21,12 @@
 
 def release_operation_id(release: Release) -> OperationId:
     """Return the operation id of a release; equal numbers and documents have equal ids."""
-    digest = hashlib.blake2b(release.document.encode(), digest_size=16).hexdigest()
-    return OperationId(f"release-{release.number}-{digest}")
+    return OperationId(f"release-{release.number}-{document_digest(release)}")
+
+
+def document_digest(release: Release) -> str:
+    """Return the digest of a release's document, in hexadecimal digits."""
+    return hashlib.blake2b(release.document.encode(), digest_size=16).hexdigest()
 
 
 def release_change(
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -10,6 +10,7 @@
     namedtuple_dict_unstructure_factory,
 )
 from cattrs.errors import ForbiddenExtraKeysError, IterableValidationError, IterableValidationNote
+from cattrs.gen import make_dict_structure_fn, override
 
 from cowslipvane.catalogue import (
     KINDS,
@@ -22,13 +23,15 @@
     Invalid,
     Key,
     Outcome,
+    Release,
     Resource,
     Rollout,
     Spec,
     Target,
+    document_digest,
 )
 from cowslipvane.subscription import Convergence, Progress
-from cowslipvane.types import Header, OperationId, Version
+from cowslipvane.types import Header, KeyDigest, OperationId, Version
 
 MAX_TEXT_CHARACTERS = 1024
 
@@ -42,6 +45,15 @@
     version: int
 
 
+class ReleaseForm(TypedDict):
+    """A release without its document, in which operators of the platform send keys."""
+
+    number: int
+    based_on: int
+    document_characters: int
+    document_digest: str
+
+
 class FaultForm(TypedDict):
     """A fault in a change or a specification, with its path."""
 
@@ -194,8 +206,27 @@
 
 def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
     """Return a specification as JSON, or None if there is none."""
-    form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
-    return form
+    return None if spec is None else _form_of(spec)
+
+
+def _form_of(spec: Spec) -> dict[str, Any]:
+    """Return a specification as JSON; of a release, its document and pieces are left out."""
+    match spec:
+        case Release() as release:
+            return {**_release_form(release)}
+        case _:
+            form: dict[str, Any] = _CONVERTER.unstructure(spec)
+            return form
+
+
+def _release_form(release: Release) -> ReleaseForm:
+    """Return a release as JSON."""
+    return ReleaseForm(
+        number=release.number,
+        based_on=release.based_on,
+        document_characters=len(release.document),
+        document_digest=document_digest(release),
+    )
 
 
 def resource_form(resource: Resource) -> ResourceForm:
@@ -203,7 +234,7 @@
     return ResourceForm(
         kind=resource.key.kind,
         name=resource.key.name,
-        spec=_CONVERTER.unstructure(resource.spec),
+        spec=_form_of(resource.spec),
         version=resource.version,
     )
 
@@ -330,7 +361,7 @@
 def _read_spec(key: Key, form: Any, faults: list[Fault]) -> Spec | None:
     """Parse a specification, and append its faults to `faults`."""
     if not isinstance(form, dict):
-        faults.append(Fault(str(key), f"found {form!r:.80}; allowed is an object of fields"))
+        faults.append(Fault(str(key), f"{_found_type(form)}; allowed is an object of fields"))
         return None
     try:
         spec: Spec = _CONVERTER.structure(form, KINDS[key.kind])
@@ -372,6 +403,18 @@
     return str(value)
 
 
+def _found_type(value: Any) -> str:
+    """Return what was found in place of an object or a list, without what may be a key."""
+    return f"found a value of type {type(value).__name__}"
+
+
+def _structure_key_digest(value: Any, _: Any) -> KeyDigest:
+    """Return a text that may be a digest unchanged; the ValueError for others doesn't show them."""
+    if not _is_text(value):
+        raise ValueError("is no digest of a key; 'cowslipvane team digest' prints digests")
+    return KeyDigest(value)
+
+
 def _is_variadic_tuple(kind: Any) -> bool:
     """Return whether a type is a tuple of variable length, such as tuple[str, ...]."""
     return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
@@ -384,7 +427,7 @@
 
     def structure(value: Any, _: Any) -> Any:
         if not isinstance(value, list):
-            raise ValueError(f"found {value!r:.80}; allowed is a list")
+            raise ValueError(f"{_found_type(value)}; allowed is a list")
         faults: list[Exception] = []
         items = []
         for position, element in enumerate(value):
@@ -406,6 +449,8 @@
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict_hook(int))
     converter.register_structure_hook(str, _structure_text)
+    # An operator may have put the key itself in place of its digest.
+    converter.register_structure_hook_func(lambda kind: kind is KeyDigest, _structure_key_digest)
     converter.register_structure_hook_factory(
         _is_variadic_tuple, lambda kind: _sequence_hook(converter, kind)
     )
@@ -418,6 +463,11 @@
         converter.register_unstructure_hook(
             kind, namedtuple_dict_unstructure_factory(kind, converter)
         )
+    # The digest of a document that an operator makes of pieces of another would tell its text.
+    read_release = make_dict_structure_fn(
+        Release, converter, pieces=override(omit=True), _cattrs_forbid_extra_keys=True
+    )
+    converter.register_structure_hook(Release, read_release)
     return converter
 
 
