--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -28,6 +28,7 @@
     Rollout,
     Spec,
     Target,
+    Team,
     document_digest,
 )
 from cowslipvane.subscription import Convergence, Progress
@@ -361,7 +362,8 @@
 def _read_spec(key: Key, form: Any, faults: list[Fault]) -> Spec | None:
     """Parse a specification, and append its faults to `faults`."""
     if not isinstance(form, dict):
-        faults.append(Fault(str(key), f"{_found_type(form)}; allowed is an object of fields"))
+        found = _found(form, is_secret=KINDS[key.kind] is Team)
+        faults.append(Fault(str(key), f"{found}allowed is an object of fields"))
         return None
     try:
         spec: Spec = _CONVERTER.structure(form, KINDS[key.kind])
@@ -403,18 +405,18 @@
     return str(value)
 
 
-def _found_type(value: Any) -> str:
-    """Return what was found in place of an object or a list, without what may be a key."""
-    return f"found a value of type {type(value).__name__}"
-
-
 def _structure_key_digest(value: Any, _: Any) -> KeyDigest:
-    """Return a text that may be a digest unchanged; the ValueError for others doesn't show them."""
+    """Return a text unchanged; raise ValueError for other values, which may hold a key."""
     if not _is_text(value):
-        raise ValueError("is no digest of a key; 'cowslipvane team digest' prints digests")
+        raise ValueError("allowed is a digest in hexadecimal digits")
     return KeyDigest(value)
 
 
+def _found(value: Any, *, is_secret: bool) -> str:
+    """Return the beginning of a fault that tells what was found, unless that may hold a key."""
+    return "" if is_secret else f"found {value!r:.80}; "
+
+
 def _is_variadic_tuple(kind: Any) -> bool:
     """Return whether a type is a tuple of variable length, such as tuple[str, ...]."""
     return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
@@ -427,7 +429,8 @@
 
     def structure(value: Any, _: Any) -> Any:
         if not isinstance(value, list):
-            raise ValueError(f"{_found_type(value)}; allowed is a list")
+            found = _found(value, is_secret=item_type is KeyDigest)
+            raise ValueError(f"{found}allowed is a list")
         faults: list[Exception] = []
         items = []
         for position, element in enumerate(value):
@@ -449,8 +452,7 @@
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict_hook(int))
     converter.register_structure_hook(str, _structure_text)
-    # An operator may have put the key itself in place of its digest.
-    converter.register_structure_hook_func(lambda kind: kind is KeyDigest, _structure_key_digest)
+    converter.register_structure_hook(KeyDigest, _structure_key_digest)
     converter.register_structure_hook_factory(
         _is_variadic_tuple, lambda kind: _sequence_hook(converter, kind)
     )
