Tell in the event of a refusal for a key which route and version decided

Cause: the event of a 401 named neither the route that needs a key nor, for a missing one, the version; the version in force may be a newer one. Change: KeyRefused has the route; refusal events have route and routed_by, which are empty for other refusals, and explain says "refused as key-unknown by route NAME of version 7". Result: tests.test_refusal_events, test_refusals, test_timeline and test_routing pass; test_operations_page makes the three refusals on real processes, follows the page with their event files alone, and finds neither the keys nor their digests in these files.

--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -45,6 +45,13 @@
         return "\n".join([*lines, *(f"  {format_event(event)}" for event in self.events)])
 
 
+def _place(detail: dict[str, str]) -> str:
+    """Return by which route and version a request was refused, an empty text if none decided."""
+    if not detail.get("route"):
+        return ""
+    return f" by route {detail['route']} of version {detail['routed_by']}"
+
+
 def build_account(request: str, timeline: Timeline) -> Account:
     """Build the account of a request from its events; raise CommandFailed if there are none."""
     if not timeline.events:
@@ -60,7 +67,7 @@
         case [first, *_], _:
             # The caller received this refusal, so it takes precedence over all other events.
             detail = first["detail"]
-            decision = f"refused as {detail['code']}"
+            decision = f"refused as {detail['code']}{_place(detail)}"
             verdict, sentence = detail["verdict"], detail["sentence"]
         case [], [*_, {"kind": "late", "detail": detail}]:
             owner, status = detail["owner"], detail["status"]
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -35,6 +35,7 @@
 
     fault: KeyFault
     version: Version
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cowslipvane/routing/_host_routes.py
+++ b/cowslipvane/routing/_host_routes.py
@@ -38,7 +38,7 @@
 
     repeatable tells whether a request may run more than once; if it is None, the retry policy
     decides. goal is the latency goal: the time within which an answer is worth most. key_use tells
-    whether requests need a key of a team.
+    whether requests need a key of a team, route is the name of the route.
     """
 
     service: ServiceName
@@ -49,8 +49,9 @@
     # Identifies the route of requests with a goal, for separate service time estimates.
     kind: str = ""
     key_use: KeyUse = "ignored"
+    route: str = ""
 
-    def with_route(self, route: Route) -> ServiceRules:
+    def with_route(self, name: str, route: Route) -> ServiceRules:
         """Return the rules with the service's policies overridden by those of a route."""
         retry, traffic = self.retry, self.traffic
         if route.attempts is not None:
@@ -59,7 +60,14 @@
             traffic = _with_timeout(traffic, route.timeout)
         kind = f"{route.host}{route.path_prefix}" if route.goal is not None else ""
         return ServiceRules(
-            self.service, retry, traffic, route.repeatable, route.goal, kind, route.access_keys
+            self.service,
+            retry,
+            traffic,
+            route.repeatable,
+            route.goal,
+            kind,
+            route.access_keys,
+            name,
         )
 
 
@@ -114,7 +122,7 @@
     entry = RouteEntry(
         route.method,
         route.headers,
-        tuple(rules[target.service].with_route(route) for target in route.targets),
+        tuple(rules[target.service].with_route(name, route) for target in route.targets),
         tuple(accumulate(target.weight for target in route.targets)),
         route.access_keys,
     )
--- a/cowslipvane/tasks/callers/_call_log.py
+++ b/cowslipvane/tasks/callers/_call_log.py
@@ -5,6 +5,7 @@
 import time
 import traceback
 from pathlib import Path
+from typing import NamedTuple
 
 from cowslipvane.call import (
     Call,
@@ -15,13 +16,27 @@
     describe_end,
 )
 from cowslipvane.events import EventLog
-from cowslipvane.refusal import CallerGone, Explanation, ProxyFailed, Refusal, explain
+from cowslipvane.refusal import (
+    CallerGone,
+    Explanation,
+    KeyRefused,
+    ProxyFailed,
+    Refusal,
+    explain,
+)
 from cowslipvane.routing import Load
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks.callers._dispatcher import StartedResponse
 from cowslipvane.tasks.callers._outcomes import CallRefusal
 
 
+class _Decision(NamedTuple):
+    """The route that refused a request, and the version that this route is of."""
+
+    route: str
+    routed_by: str
+
+
 class CallLog:
     """Records what becomes of calls."""
 
@@ -67,6 +82,7 @@
     def record_refusal(self, exchange: Exchange, refusal: Refusal) -> Explanation:
         """Record a refusal and return its explanation."""
         explanation = explain(refusal)
+        decision = _decision(refusal)
         call = exchange.call
         self._events.record(
             "refusal",
@@ -80,6 +96,8 @@
             sentence=explanation.sentence,
             verdict=explanation.verdict.value,
             progress=exchange.progress.value,
+            route=decision.route,
+            routed_by=decision.routed_by,
         )
         return explanation
 
@@ -103,6 +121,15 @@
             )
 
 
+def _decision(refusal: Refusal) -> _Decision:
+    """Return which route refused a request for its key; the texts are empty for other refusals."""
+    match refusal:
+        case KeyRefused(route=route, version=version):
+            return _Decision(route, str(version))
+        case _:
+            return _Decision("", "")
+
+
 def _describe_load(load: Load | None) -> str:
     """Return an owner's load in words, an empty string if no owner has reported it."""
     if load is None:
--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -139,7 +139,7 @@
         presented = read_key(http.headers.getall(KEY_FIELD, ())) if is_read else NoKey()
         match decide_access(rules.key_use, presented, table.team_keys, parent=arrival.parent):
             case Denied(fault=fault):
-                return KeyRefused(fault=fault, version=table.version)
+                return KeyRefused(fault=fault, version=table.version, route=rules.route)
             case access:
                 return Routed(table, rules, access)
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -13,7 +13,16 @@
 
 import aiohttp
 
-from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
+from cowslipvane.access import key_digest
+from tests.three_hosts_case import (
+    HOSTS,
+    TEAM,
+    TEAM_KEY,
+    TEAM_PATH,
+    TEAM_ROUTE,
+    ThreeHostsTestCase,
+    team_resources,
+)
 from tools.fleet import Host
 
 EVENT_TIMEOUT_S = 20.0
@@ -24,6 +33,8 @@
 GOAL_S = 0.2
 # Factor on the 2 ms that a call takes at the stand-in worker.
 WORK_FACTOR = 300
+# A key that no team has.
+OTHER_KEY = "key-of-nobody"
 
 
 class OperationsPageTest(ThreeHostsTestCase):
@@ -37,17 +48,18 @@
 
     @classmethod
     def resources(cls) -> Path:
-        """Return the example's resources with a latency goal for the route."""
+        """Return the example's resources with a goal for the route, and with a team."""
         text = super().resources().read_text()
         route = 'path_prefix = "/stock", '
         assert route in text
-        path = cls.fleet.folder / "resources.toml"
-        path.write_text(text.replace(route, f"{route}goal = {GOAL_S}, "))
-        return path
+        text = text.replace(route, f"{route}goal = {GOAL_S}, ")
+        return cls.write_resources(text + team_resources())
 
-    async def call(self, session: aiohttp.ClientSession, **headers: str) -> tuple[int, str]:
+    async def call(
+        self, session: aiohttp.ClientSession, path: str = "/stock/7", **headers: str
+    ) -> tuple[int, str]:
         """Send a call through the entry proxy, and return its status and request id."""
-        url = f"http://{self.fleet.address(ENTRY_PROXY, 'callers')}/stock/7"
+        url = f"http://{self.fleet.address(ENTRY_PROXY, 'callers')}{path}"
         async with session.get(url, headers=headers) as response:
             await response.read()
             return response.status, response.headers["X-Request-Id"]
@@ -116,6 +128,35 @@
         self.assertGreater(float(detail["took"]), GOAL_S)
         self.assertIn(f"after {detail['took']} s", account["sentence"])
 
+    async def test_a_refusal_for_a_key_names_the_fault_the_route_and_the_version(self) -> None:
+        """The files have the key nowhere, nor its digest."""
+        shown = {
+            "key-missing": {},
+            "key-unreadable": {"Authorization": OTHER_KEY},
+            "key-unknown": {"Authorization": f"Bearer {OTHER_KEY}"},
+        }
+        async with aiohttp.ClientSession() as session:
+            for code, headers in shown.items():
+                status, request = await self.call(session, TEAM_PATH, **headers)
+                self.assertEqual(status, 401)
+                account = await self.account(request, "refusal")
+                self.assertEqual(
+                    account["decision"], f"refused as {code} by route {TEAM_ROUTE} of version 1"
+                )
+                self.assertEqual(account["verdict"], "not run")
+                self.assertEqual(self.event(account, "refusal")["host"], ENTRY_PROXY)
+            status, request = await self.call(
+                session, TEAM_PATH, Authorization=f"Bearer {TEAM_KEY}"
+            )
+        self.assertEqual(status, 200)
+        account = await self.account(request, "attempt")
+        detail = self.event(account, "attempt")["detail"]
+        self.assertEqual((detail["team"], detail["credentials"]), (TEAM, "none"))
+        logged = "".join(path.read_text() for path in self.event_files())
+        for key in (TEAM_KEY, OTHER_KEY):
+            self.assertNotIn(key, logged)
+            self.assertNotIn(key_digest(key), logged)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -10,6 +10,7 @@
     CallerGone,
     DeadlinePassed,
     Draining,
+    KeyRefused,
     MalformedRequest,
     NoConfiguration,
     NoRoute,
@@ -34,6 +35,9 @@
 EXAMPLES: tuple[Refusal, ...] = (
     NoConfiguration(),
     NoRoute(host="HOST", path="PATH"),
+    KeyRefused(fault="missing", version=Version(7)),
+    KeyRefused(fault="unreadable", version=Version(7)),
+    KeyRefused(fault="unknown", version=Version(7)),
     RouteOutdated(version=Version(7)),
     MalformedRequest(reason="REASON"),
     NoUpstream(service=SERVICE),
--- a/tests/three_hosts_case.py
+++ b/tests/three_hosts_case.py
@@ -5,9 +5,13 @@
 from pathlib import Path
 from typing import ClassVar
 
+from cowslipvane.access import key_digest
 from tools.fleet import EXAMPLES, Fleet, Host, example_hosts
 
 HOSTS = ("stock-1", "stock-2", "stock-3")
+# A team, its key, and a route whose requests need that.
+TEAM, TEAM_KEY = "night", "key-of-the-night-shift"
+TEAM_ROUTE, TEAM_PATH = "stock-of-teams", "/stock/of-teams"
 
 
 class ThreeHostsTestCase(unittest.IsolatedAsyncioTestCase):
@@ -44,3 +48,21 @@
     def resources(cls) -> Path:
         """Return the file of resources to apply."""
         return EXAMPLES / "quiros" / "resources.toml"
+
+    @classmethod
+    def write_resources(cls, text: str) -> Path:
+        """Write a file of resources, and return its path."""
+        path = cls.fleet.folder / "resources.toml"
+        path.write_text(text)
+        return path
+
+
+def team_resources() -> str:
+    """Return a team and the route that needs its key, as TOML."""
+    targets = '[{ service = "stock", weight = 1 }]'
+    route = f'path_prefix = "{TEAM_PATH}", access_keys = "required", targets = {targets}'
+    return (
+        f'\n[[resource]]\nkind = "team"\nname = "{TEAM}"\n'
+        f'spec = {{ key_digests = ["{key_digest(TEAM_KEY)}"] }}\n'
+        f'\n[[resource]]\nkind = "route"\nname = "{TEAM_ROUTE}"\nspec = {{ {route} }}\n'
+    )
