Count requests by team, and name the teams with the most

Cause: on call, one can't see whether a team's requests get through, or which team sends many. Change: first attempts are counted by the team in their events. cowslipvane_team_requests names the 50 teams with the most at a proxy, cowslipvane_all_team_requests counts all, so that both only grow; the counts of at most 10,000 teams are kept. test_operation sends a request of a team, since it asks that each documented metric is exported. Result: tests.test_metrics and test_operation pass; without that request test_operation failed, as it should.

--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -14,14 +14,26 @@
     description: str
 
 
-# Every label has a closed set of values, none of which comes from a caller, so that the number of
-# series stays bounded.
+# No label's values come from a caller, and those of each label are a closed set or bounded in
+# number, so that the number of series stays bounded.
 FAMILIES = (
     Family("cowslipvane_calls", "counter", "outcome", "calls that ended, served or by refusal"),
     Family("cowslipvane_call_seconds", "histogram", "", "time from a call's head to its end"),
     Family("cowslipvane_attempts", "counter", "", "attempts at owners"),
     Family("cowslipvane_retries", "counter", "", "attempts after the first of a call"),
     Family("cowslipvane_verdicts", "counter", "verdict", "attempts by whether they ran"),
+    Family(
+        "cowslipvane_team_requests",
+        "counter",
+        "team",
+        "first attempts of the 50 teams with the most at this proxy",
+    ),
+    Family(
+        "cowslipvane_all_team_requests",
+        "counter",
+        "",
+        "first attempts of all teams; what exceeds the sum of those named is of other teams",
+    ),
     Family("cowslipvane_slots", "gauge", "", "requests that the upstream here runs at once"),
     Family("cowslipvane_running", "gauge", "", "requests that the upstream here runs now"),
     Family("cowslipvane_queue", "gauge", "", "requests that wait for the upstream here"),
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -13,6 +13,11 @@
 # Upper bounds of the histogram buckets for call durations, in seconds.
 CALL_SECONDS_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
+# The teams that the metrics name, of those with requests, and the teams whose requests are counted
+# each by itself. Names are those of the configuration, whose number callers can't raise.
+MAX_NAMED_TEAMS = 50
+MAX_COUNTED_TEAMS = 10_000
+
 
 class Sample(NamedTuple):
     """The current value of a metric for one label value; label is empty if there is no label."""
@@ -29,6 +34,8 @@
         self._calls: Counter[str] = Counter()
         self._verdicts: Counter[str] = Counter()
         self._versions: Counter[str] = Counter()
+        self._requests_by_team: Counter[str] = Counter()
+        self._requests_of_teams = 0
         self._attempts = 0
         self._retries = 0
         self._bucket_counts = [0] * (len(CALL_SECONDS_BUCKETS) + 1)
@@ -51,7 +58,10 @@
         match event.kind:
             case "attempt":
                 self._attempts += 1
-                self._retries += event.detail["number"] != "1"
+                if event.detail["number"] != "1":
+                    self._retries += 1
+                elif team := event.detail.get("team"):
+                    self._count_request(team)
             case "verdict":
                 verdict = event.detail["verdict"]
                 self._verdicts[verdict] += 1
@@ -64,6 +74,12 @@
             case "accepted":
                 self._last_accepted = (Version(event.version), event.stamp.wall)
 
+    def _count_request(self, team: str) -> None:
+        """Count the first attempt of a team's request."""
+        self._requests_of_teams += 1
+        if team in self._requests_by_team or len(self._requests_by_team) < MAX_COUNTED_TEAMS:
+            self._requests_by_team[team] += 1
+
     def record_call(self, seconds: Seconds) -> None:
         """Record the duration of a call that has ended."""
         self._bucket_counts[bisect.bisect_left(CALL_SECONDS_BUCKETS, seconds)] += 1
@@ -90,10 +106,16 @@
             *_by_label("cowslipvane_calls", self._calls),
             *_by_label("cowslipvane_verdicts", self._verdicts),
             *_by_label("cowslipvane_versions", self._versions),
+            *_by_label("cowslipvane_team_requests", self._largest_teams()),
+            Sample("cowslipvane_all_team_requests", self._requests_of_teams),
             Sample("cowslipvane_attempts", self._attempts),
             Sample("cowslipvane_retries", self._retries),
         ]
 
+    def _largest_teams(self) -> Counter[str]:
+        """Return the requests of the teams that have the most."""
+        return Counter(dict(self._requests_by_team.most_common(MAX_NAMED_TEAMS)))
+
 
 def _by_label(name: str, counts: Counter[str]) -> list[Sample]:
     """Return a sample for each label value."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,19 +6,25 @@
 
 from cowslipvane.events import EventLog, HybridClock, Origin
 from cowslipvane.metrics import FAMILIES, Metrics, Sample
+from cowslipvane.metrics._metrics import MAX_COUNTED_TEAMS, MAX_NAMED_TEAMS
 from cowslipvane.metrics._render import render
 from cowslipvane.types import DataCentre, HostName, Version
 
 PREFIX = "cowslipvane_"
 
 
-def metrics_after(count: int) -> Metrics:
-    """Return metrics that have recorded the calls of a number of callers."""
-    metrics = Metrics()
+def log_into(metrics: Metrics) -> EventLog:
+    """Return an event log whose events are counted in metrics."""
     origin = Origin(HostName("a"), DataCentre("b"), 1)
-    log = EventLog(
+    return EventLog(
         origin=origin, clock=HybridClock(wall=lambda: 100.0), observer=metrics.record_event
     )
+
+
+def metrics_after(count: int) -> Metrics:
+    """Return metrics that have recorded the calls of a number of callers."""
+    metrics = Metrics()
+    log = log_into(metrics)
     for number in range(count):
         request = f"caller-{number}"
         log.record("attempt", request=request, owner="a", number="1")
@@ -47,6 +53,38 @@
         sizes = {len(metrics_after(count).samples()) for count in (1, 1000)}
         self.assertEqual(len(sizes), 1)
 
+    def test_requests_are_counted_by_team(self) -> None:
+        """A retry is no request of its own, and a request of no team is counted for none."""
+        metrics = Metrics()
+        log = log_into(metrics)
+        for team, number in (("a", "1"), ("a", "2"), ("b", "1"), ("a", "1"), ("", "1")):
+            log.record("attempt", owner="o", number=number, team=team)
+        counts = {(it.name, it.label): it.value for it in metrics.samples()}
+        self.assertEqual(counts["cowslipvane_team_requests", "a"], 2)
+        self.assertEqual(counts["cowslipvane_team_requests", "b"], 1)
+        self.assertNotIn(("cowslipvane_team_requests", ""), counts)
+        self.assertEqual(counts["cowslipvane_all_team_requests", ""], 3)
+
+    # Guards against a series for each of 10,000 teams at each of 5,000 proxies, and against memory
+    # that grows for as long as teams are renamed.
+    def test_the_teams_with_the_most_requests_are_named(self) -> None:
+        """Their number is bounded; the requests of the others are in the sum."""
+        metrics = Metrics()
+        log = log_into(metrics)
+        busy = {f"busy-{number}" for number in range(MAX_NAMED_TEAMS)}
+        for number in range(MAX_COUNTED_TEAMS - MAX_NAMED_TEAMS):
+            log.record("attempt", owner="o", number="1", team=f"calm-{number}")
+        for team in [*busy, *busy]:
+            log.record("attempt", owner="o", number="1", team=team)
+        log.record("attempt", owner="o", number="1", team="one-too-many")
+        samples = [it for it in metrics.samples() if it.name == "cowslipvane_team_requests"]
+        self.assertEqual({it.label for it in samples}, busy)
+        self.assertEqual({it.value for it in samples}, {2})
+        counts = {it.name: it.value for it in metrics.samples() if not it.label}
+        expected = MAX_COUNTED_TEAMS + MAX_NAMED_TEAMS + 1
+        self.assertEqual(counts["cowslipvane_all_team_requests"], expected)
+        self.assertEqual(len(metrics._requests_by_team), MAX_COUNTED_TEAMS)
+
     def test_a_long_call_is_in_the_last_bucket_only(self) -> None:
         """Buckets are cumulative, and the last one counts all calls."""
         metrics = metrics_after(3)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -4,13 +4,14 @@
 import json
 import time
 import unittest
+from pathlib import Path
 from typing import Any
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families as parse
 
 from cowslipvane.metrics import FAMILIES
-from tests.three_hosts_case import HOSTS, ThreeHostsTestCase
+from tests.three_hosts_case import HOSTS, TEAM_KEY, TEAM_PATH, ThreeHostsTestCase, team_resources
 
 TIMEOUT_S = 20.0
 
@@ -18,6 +19,11 @@
 class OperationTest(ThreeHostsTestCase):
     """Three processes with one configuration in force."""
 
+    @classmethod
+    def resources(cls) -> Path:
+        """Return the example's resources with a team."""
+        return cls.write_resources(super().resources().read_text() + team_resources())
+
     async def restart(self, host: str) -> None:
         """Start a daemon that has ended, and wait until it has applied the configuration."""
         started_at = time.time()
@@ -104,12 +110,15 @@
                 return form
 
     async def test_every_documented_metric_is_exported(self) -> None:
-        """After a call and a refusal, the processes together export each metric family."""
+        """After two calls and a refusal, the processes together export each metric family."""
         await self.provoke_refusal("stock-1")
         async with aiohttp.ClientSession() as session:
-            url = f"http://{self.fleet.address('stock-1', 'callers')}/stock/7"
-            async with session.get(url) as response:
-                self.assertEqual(response.status, 200)
+            # Requests are counted by team, too.
+            headers = {"Authorization": f"Bearer {TEAM_KEY}"}
+            for path in ("/stock/7", TEAM_PATH):
+                url = f"http://{self.fleet.address('stock-1', 'callers')}{path}"
+                async with session.get(url, headers=headers) as response:
+                    self.assertEqual(response.status, 200)
             exported: set[str] = set()
             for host in HOSTS:
                 url = f"http://{self.fleet.address(host, 'operators')}/metrics"
