Test the commands on teams over real processes

Cause: get, apply, dry runs, diff, history and watch had no test with a team. Change: one test writes a team, adds a key and reads both everywhere; another one has a second team with the same key refused, with both names and without the digest.

--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+from collections.abc import Sequence
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, main
 from unittest.mock import patch
@@ -11,6 +12,7 @@
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
+from cowslipvane.access import key_digest
 from cowslipvane.catalogue import Key, Service, _catalogue
 from cowslipvane.commands import diff_lines
 from cowslipvane.tasks.operators._resource_api import ResourceApi
@@ -18,6 +20,7 @@
 from tools.single_replica import SingleReplica, event_log
 
 TIMEOUT_S = 20.0
+DIGESTS = [key_digest("first-key"), key_digest("second-key")]
 
 
 class ResourceApiTest(IsolatedAsyncioTestCase):
@@ -92,6 +95,48 @@
         self.assertEqual((form["version"], form["status"]["behind"]), (version, []))
         self.assertGreaterEqual(form["status"]["everywhere_at"], form["status"]["accepted_at"])
 
+    def team_file(self, name: str, digests: Sequence[str]) -> str:
+        """Write a file with one team, and return its path."""
+        path = self.fleet.folder / f"{name}.json"
+        resource = {"kind": "team", "name": name, "spec": {"key_digests": digests}}
+        path.write_text(json.dumps({"resource": [resource]}))
+        return str(path)
+
+    async def test_commands_on_teams(self) -> None:
+        """A team is tried, applied, read, watched and changed like any other resource."""
+        file = self.team_file("night", DIGESTS[:1])
+        run = self.fleet.command
+        with self.assertRaisesRegex(RuntimeError, r"^diff [^\n]*: \+ team/night\n"):
+            run("diff", "-f", file, *self.servers)
+        tried = json.loads(run("apply", "--dry-run", "-f", file, *self.servers))
+        (effect,) = tried["effects"]
+        self.assertEqual((tried["outcome"], effect["before"]), ("valid", None))
+        self.assertEqual(json.loads(run("apply", "-f", file, *self.servers))["version"], 2)
+        self.assertEqual(run("diff", "-f", file, *self.servers), "")
+        await self.fleet.until_in_force(2, self.fleet.alive)
+        found = json.loads(run("get", "team/night", *self.servers))
+        self.assertEqual(found["spec"], {"key_digests": DIGESTS[:1]})
+        run("apply", "-f", self.team_file("night", DIGESTS), *self.servers)
+        lines = [json.loads(line) for line in run("history", *self.servers).splitlines()]
+        written = [change["resources"][0]["spec"] for change in lines[1:]]
+        self.assertEqual(written, [{"key_digests": DIGESTS[:1]}, {"key_digests": DIGESTS}])
+        async with self.fleet.client() as client:
+            async for line in client.watch(2):
+                if line.get("accepted") == 3:
+                    self.assertEqual(line["resources"][0]["spec"], {"key_digests": DIGESTS})
+                    break
+
+    # Guards against a key that belongs to two teams, and against its digest in what a command
+    # prints on standard error.
+    async def test_a_second_team_with_the_same_key_is_refused(self) -> None:
+        """The fault names both teams and not the digest."""
+        self.fleet.command("apply", "-f", self.team_file("day", DIGESTS), *self.servers)
+        with self.assertRaises(RuntimeError) as raised:
+            self.fleet.command("apply", "-f", self.team_file("night", DIGESTS[1:]), *self.servers)
+        self.assertIn("team/night: has a key of team/day", str(raised.exception))
+        self.assertNotIn(DIGESTS[1], str(raised.exception))
+        self.assertEqual((await self.request("GET", "resources/team/night"))[0], 404)
+
     async def test_watch_continues_without_a_gap_after_leader_failure(self) -> None:
         """The watch yields each version once and in order."""
         versions: list[int] = []
