--- a/tools/demo.py
+++ b/tools/demo.py
@@ -9,6 +9,7 @@
 import time
 import uuid
 from collections import Counter
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -24,6 +25,9 @@
     "quiros": ("/stock/7", "/manifests", "/invoices", "/empties"),
     "cerceve": ("/mouldings/7", "/deposits", "/cuts", "/collections"),
 }
+# The deployment with a team, the path of its route, and the team's key.
+TEAM_DEPLOYMENT, TEAM_PATH = "cerceve", "/statements"
+TEAM_KEY = "example-key-of-the-treasurers"
 
 
 class CallResult(NamedTuple):
@@ -153,6 +157,19 @@
     told.expect(text.splitlines()[0] == refusal["sentence"], "explain reports the same sentence")
 
 
+async def show_key(told: Told, fleet: Fleet, host: str) -> None:
+    """Check that a route of a team serves a request with the team's key, and no other."""
+    url = f"http://{fleet.address(host, 'callers')}{TEAM_PATH}"
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as response:
+            refusal: dict[str, Any] = await response.json()
+        told.say(f"refused: {refusal['sentence']}")
+        told.expect(refusal["code"] == "key-missing", "a request without a key is refused")
+        headers = {"Authorization": f"Bearer {TEAM_KEY}"}
+        async with session.get(url, headers=headers) as response:
+            told.expect(response.status == HTTPStatus.OK, "a request with the key is served")
+
+
 async def take_out(told: Told, fleet: Fleet, deployment: str, sent: list[CallResult]) -> None:
     """Take an upstream out and check that it gets no new calls."""
     host = list(fleet.hosts)[-1]
@@ -195,6 +212,8 @@
         await apply(told, fleet, EXAMPLES / deployment / "resources.toml", fleet.alive)
         sent += await drive(fleet, fleet.alive, PATHS[deployment], CALLS)
         await explain(told, fleet, fleet.alive[0])
+        if deployment == TEAM_DEPLOYMENT:
+            await show_key(told, fleet, fleet.alive[0])
         await take_out(told, fleet, deployment, sent)
         await kill_leader(told, fleet, deployment, sent)
         codes = await asyncio.to_thread(fleet.stop)
