Don't repeat the body of a request that can't be decoded

Cause: the operators' interface answered a change that isn't UTF-8 with repr() of the error, which holds the whole body; one with a key by mistake would have had it in the output of a command. Change: the answer has the error's type and text. Result: UnreadableBodyTest in tests.test_resource_api passes, and fails with repr().

--- a/cowslipvane/tasks/operators/_operator_api.py
+++ b/cowslipvane/tasks/operators/_operator_api.py
@@ -53,7 +53,9 @@
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
-            return error_response(400, f"not run: the request can't be read: {error!r}")
+            # repr() of a decoding error has the whole body, which may hold a key by mistake.
+            reason = f"{type(error).__name__}: {error}"
+            return error_response(400, f"not run: the request can't be read: {reason}")
         if response is None:
             return error_response(
                 404, f"there is no {request.method} {request.path} at this process"
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -4,18 +4,18 @@
 import json
 import signal
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, cast
 from unittest import IsolatedAsyncioTestCase, main
 from unittest.mock import patch
 
 import aiohttp
 from aiohttp import web
-from aiohttp.test_utils import make_mocked_request
+from aiohttp.test_utils import RawTestServer, TestClient, make_mocked_request
 
 from cowslipvane.access import key_digest
 from cowslipvane.catalogue import Key, Service, _catalogue
 from cowslipvane.commands import diff_lines
-from cowslipvane.tasks.operators._resource_api import ResourceApi
+from cowslipvane.tasks.operators import OperatorApi, ProcessApi, ResourceApi
 from tools.fleet import EXAMPLES, Fleet, example_hosts
 from tools.single_replica import SingleReplica, event_log
 
@@ -203,5 +203,42 @@
         self.assertEqual([change["accepted"] for change in changes], [3, 4])
 
 
+class NoProcessApi:
+    """Stands in for the API of a process, and handles no path."""
+
+    async def handle(self, request: web.BaseRequest, parts: list[str]) -> None:
+        """Leave the request to the other APIs."""
+
+
+class UnreadableBodyTest(IsolatedAsyncioTestCase):
+    """Bodies of changes that can't be read."""
+
+    # Guards against a key in the output of a command because the file around it isn't UTF-8.
+    async def test_response_does_not_repeat_the_body(self) -> None:
+        """It tells why the body can't be read."""
+        replica = SingleReplica()
+        resources = ResourceApi(
+            membership=replica.membership,
+            events=event_log(),
+            replication=replica.replication,
+            publisher=replica.publisher,
+        )
+        api = OperatorApi(
+            process=cast(ProcessApi, NoProcessApi()),
+            resources=resources,
+            replicas=None,
+            rollouts=None,
+            token=None,
+        )
+        client: TestClient[Any, Any] = TestClient(RawTestServer(api.handle))
+        async with client:
+            for body in (b'{"spec": "first-key \xff"}', b'{"spec": "first-key"', b"first-key"):
+                async with client.post("/v1/changes", data=body) as response:
+                    sentence = (await response.json())["sentence"]
+                self.assertEqual(response.status, 400)
+                self.assertIn("can't be read: ", sentence)
+                self.assertNotIn("first-key", sentence)
+
+
 if __name__ == "__main__":
     main()
