--- a/tests/test_team_commands.py
+++ b/tests/test_team_commands.py
@@ -1,6 +1,10 @@
 """Tests that operators get digests of keys, and that no command shows a key."""
 
 import json
+import os
+import pty
+import select
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -12,6 +16,18 @@
 
 KEYS = ("first-key-of-the-night-shift", "second/key+of~the=night-shift")
 EXIT_BAD_INPUT = 2
+TIMEOUT_S = 20.0
+READ_BYTES = 4096
+
+
+def read_until(terminal: int, text: bytes) -> bytes:
+    """Return what is shown at a terminal up to some text."""
+    shown = b""
+    while text not in shown:
+        ready, _, _ = select.select([terminal], [], [], TIMEOUT_S)
+        assert ready, shown
+        shown += os.read(terminal, READ_BYTES)
+    return shown
 
 
 class TeamCommandsTest(unittest.TestCase):
@@ -50,6 +66,20 @@
         result = self.run_command("team", "digest", "--file", str(path))
         self.assertEqual(result.stdout.splitlines(), [key_digest(key) for key in KEYS])
 
+    # Guards against a key on the screen, and in the record of a session, of who types it.
+    def test_a_terminal_does_not_show_the_key(self) -> None:
+        """The command asks for one key, and prints its digest."""
+        pid, terminal = pty.fork()
+        if pid == 0:
+            arguments = [sys.executable, "-m", "cowslipvane", "team", "digest"]
+            os.execv(sys.executable, arguments)
+        self.addCleanup(os.close, terminal)
+        shown = read_until(terminal, b"Key: ")
+        os.write(terminal, f"{KEYS[0]}\n".encode())
+        shown += read_until(terminal, key_digest(KEYS[0]).encode())
+        self.assertNotIn(KEYS[0].encode(), shown)
+        self.assertEqual(os.waitpid(pid, 0), (pid, 0))
+
     # Guards against digests of texts that no request can show, and against keys on a terminal or
     # in a log of commands because a character was wrong.
     def test_odd_lines_are_named_by_number_alone(self) -> None:
