--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -35,10 +35,10 @@
 EXAMPLES: tuple[Refusal, ...] = (
     NoConfiguration(),
     NoRoute(host="HOST", path="PATH"),
+    RouteOutdated(version=Version(7)),
     KeyRefused(fault="missing", version=Version(7)),
     KeyRefused(fault="unreadable", version=Version(7)),
     KeyRefused(fault="unknown", version=Version(7)),
-    RouteOutdated(version=Version(7)),
     MalformedRequest(reason="REASON"),
     NoUpstream(service=SERVICE),
     Draining(service=SERVICE),
