--- a/cowslipvane/platform/_teams.py
+++ b/cowslipvane/platform/_teams.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
-from cowslipvane.access import MAX_KEY_CHARACTERS, KeyUse, is_key, key_digest
+from cowslipvane.access import MAX_KEY_CHARACTERS, KeyUse, key_digest
 from cowslipvane.catalogue import Key, Team
 from cowslipvane.types import KeyDigest
 
+# What an Authorization field can hold as a bearer key.
+_KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARACTERS}}}")
+
 
 def decode_teams(form: dict[str, Any]) -> dict[Key, Team]:
     """Return the teams of a configuration; raise ValueError, which names no key, for odd ones."""
@@ -37,7 +41,7 @@
 def _digests(keys: Any, place: str) -> tuple[KeyDigest, ...]:
     """Return the digests of a team's keys, each once."""
     for at, key in enumerate(_list(keys, place)):
-        if not isinstance(key, str) or not is_key(key):
+        if not isinstance(key, str) or not _KEY.fullmatch(key):
             limit = f"1 to {MAX_KEY_CHARACTERS} visible ASCII characters"
             raise ValueError(f"{place}[{at}] can't be sent as a bearer key; allowed are {limit}")
     return tuple(sorted({key_digest(key) for key in keys}))
