--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -2,7 +2,7 @@
 
 from cowslipvane.commands._check import CheckReport, check
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._explain import Account, build_account, explain, explain_from_files
+from cowslipvane.commands._explain import Account, build_account
 from cowslipvane.commands._process import (
     debug,
     drain,
@@ -28,6 +28,7 @@
     watch,
 )
 from cowslipvane.commands._rollouts import show_rollout, start_rollout
+from cowslipvane.commands._teams import digest_keys
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
@@ -49,10 +50,9 @@
     "check",
     "create_replica",
     "debug",
+    "digest_keys",
     "effective_settings",
     "drain",
-    "explain",
-    "explain_from_files",
     "get",
     "join_replica",
     "list_replicas",
--- a/cowslipvane/commands/_explain.py
+++ b/cowslipvane/commands/_explain.py
@@ -3,17 +3,10 @@
 from __future__ import annotations
 
 import json
-from pathlib import Path
 from typing import NamedTuple
 
 from cowslipvane.commands._errors import CommandFailed
-from cowslipvane.commands._timeline import (
-    Filter,
-    Timeline,
-    format_event,
-    timeline_from_files,
-    timeline_from_processes,
-)
+from cowslipvane.commands._timeline import Timeline, format_event
 from cowslipvane.events import EventForm
 from cowslipvane.types import Verdict
 
@@ -52,14 +45,11 @@
         return "\n".join([*lines, *(f"  {format_event(event)}" for event in self.events)])
 
 
-async def explain(servers: tuple[str, ...], request: str) -> Account:
-    """Return the account of a request from the events of all processes."""
-    return build_account(request, await timeline_from_processes(servers, Filter(request=request)))
-
-
-def explain_from_files(paths: tuple[Path, ...], request: str) -> Account:
-    """Return the account of a request from event files or logs."""
-    return build_account(request, timeline_from_files(paths, Filter(request=request)))
+def _place(detail: dict[str, str]) -> str:
+    """Return by which route and version a request was refused, an empty text if none decided."""
+    if not detail.get("route"):
+        return ""
+    return f" by route {detail['route']} of version {detail['routed_by']}"
 
 
 def build_account(request: str, timeline: Timeline) -> Account:
@@ -77,7 +67,7 @@
         case [first, *_], _:
             # The caller received this refusal, so it takes precedence over all other events.
             detail = first["detail"]
-            decision = f"refused as {detail['code']}"
+            decision = f"refused as {detail['code']}{_place(detail)}"
             verdict, sentence = detail["verdict"], detail["sentence"]
         case [], [*_, {"kind": "late", "detail": detail}]:
             owner, status = detail["owner"], detail["status"]
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -10,6 +10,7 @@
     namedtuple_dict_unstructure_factory,
 )
 from cattrs.errors import ForbiddenExtraKeysError, IterableValidationError, IterableValidationNote
+from cattrs.gen import make_dict_structure_fn, override
 
 from cowslipvane.catalogue import (
     KINDS,
@@ -22,11 +23,13 @@
     Invalid,
     Key,
     Outcome,
+    Release,
     Resource,
     Rollout,
     Spec,
     Target,
     Team,
+    document_digest,
 )
 from cowslipvane.subscription import Convergence, Progress
 from cowslipvane.types import Header, KeyDigest, OperationId, Version
@@ -43,6 +46,15 @@
     version: int
 
 
+class ReleaseForm(TypedDict):
+    """A release without its document, in which operators of the platform send keys."""
+
+    number: int
+    based_on: int
+    document_characters: int
+    document_digest: str
+
+
 class FaultForm(TypedDict):
     """A fault in a change or a specification, with its path."""
 
@@ -195,8 +207,27 @@
 
 def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
     """Return a specification as JSON, or None if there is none."""
-    form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
-    return form
+    return None if spec is None else _form_of(spec)
+
+
+def _form_of(spec: Spec) -> dict[str, Any]:
+    """Return a specification as JSON; of a release, its document and pieces are left out."""
+    match spec:
+        case Release() as release:
+            return {**_release_form(release)}
+        case _:
+            form: dict[str, Any] = _CONVERTER.unstructure(spec)
+            return form
+
+
+def _release_form(release: Release) -> ReleaseForm:
+    """Return a release as JSON."""
+    return ReleaseForm(
+        number=release.number,
+        based_on=release.based_on,
+        document_characters=len(release.document),
+        document_digest=document_digest(release),
+    )
 
 
 def resource_form(resource: Resource) -> ResourceForm:
@@ -204,7 +235,7 @@
     return ResourceForm(
         kind=resource.key.kind,
         name=resource.key.name,
-        spec=_CONVERTER.unstructure(resource.spec),
+        spec=_form_of(resource.spec),
         version=resource.version,
     )
 
@@ -434,6 +465,11 @@
         converter.register_unstructure_hook(
             kind, namedtuple_dict_unstructure_factory(kind, converter)
         )
+    # The digest of a document that an operator makes of pieces of another would tell its text.
+    read_release = make_dict_structure_fn(
+        Release, converter, pieces=override(omit=True), _cattrs_forbid_extra_keys=True
+    )
+    converter.register_structure_hook(Release, read_release)
     return converter
 
 
