--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -42,8 +42,7 @@
         self._call_seconds_sum = 0.0
         # The version last accepted here, and the wall-clock time of its acceptance in seconds.
         self._last_accepted: tuple[Version, float] = (Version(0), 0.0)
-        # None before a release was accepted here.
-        self._unread_parts: int | None = None
+        self._unread_parts = 0
 
     @property
     def call_buckets(self) -> list[int]:
@@ -107,7 +106,7 @@
 
     def samples(self) -> list[Sample]:
         """Return the current values of the counters."""
-        samples = [
+        return [
             *_by_label("cowslipvane_calls", self._calls),
             *_by_label("cowslipvane_verdicts", self._verdicts),
             *_by_label("cowslipvane_versions", self._versions),
@@ -115,10 +114,8 @@
             Sample("cowslipvane_all_team_requests", self._requests_of_teams),
             Sample("cowslipvane_attempts", self._attempts),
             Sample("cowslipvane_retries", self._retries),
+            Sample("cowslipvane_unread_parts", self._unread_parts),
         ]
-        if self._unread_parts is not None:
-            samples.append(Sample("cowslipvane_unread_parts", self._unread_parts))
-        return samples
 
     def _largest_teams(self) -> Counter[str]:
         """Return the requests of the teams that have the most."""
--- a/cowslipvane/platform/_teams.py
+++ b/cowslipvane/platform/_teams.py
@@ -5,15 +5,13 @@
 import re
 from typing import Any
 
-from cowslipvane.access import MAX_KEY_CHARACTERS, KeyUse, key_digest
+from cowslipvane.access import MAX_KEY_CHARACTERS, KeyUse, is_key, key_digest
 from cowslipvane.catalogue import Key, Team
 from cowslipvane.types import KeyDigest
 
 _MAX_NAME_CHARACTERS = 256
 # What a header field can hold as its whole value.
 _NAME = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
-# What an Authorization field can hold as a bearer key.
-_KEY = re.compile(r"[\x21-\x7e]+")
 
 
 def decode_teams(form: dict[str, Any]) -> dict[Key, Team]:
@@ -58,7 +56,7 @@
 def _digests(keys: Any, place: str) -> tuple[KeyDigest, ...]:
     """Return the digests of a team's keys, each once."""
     for at, key in enumerate(_list(keys, place)):
-        if not isinstance(key, str) or len(key) > MAX_KEY_CHARACTERS or not _KEY.fullmatch(key):
+        if not isinstance(key, str) or not is_key(key):
             limit = f"1 to {MAX_KEY_CHARACTERS} visible ASCII characters"
             raise ValueError(f"{place}[{at}] can't be sent as a bearer key; allowed are {limit}")
     return tuple(sorted({key_digest(key) for key in keys}))
