Lend a team to nested calls only if all running requests of the parent's id share it

What callers could see: an upstream runs a nested call for the team of another caller's request (UNASKED), if two callers chose one id. Cause: of several running requests with one id, the first one's team was taken. Change: the parent has no team then.

--- a/cowslipvane/tasks/upstreams/_runner.py
+++ b/cowslipvane/tasks/upstreams/_runner.py
@@ -69,9 +69,15 @@
         self._running_requests: dict[AttemptId, RunningRequest] = {}
 
     def running_request(self, request_id: str) -> RunningRequest | None:
-        """Return a request that the worker is running, None if it isn't."""
+        """Return a request that the worker is running, None if it isn't.
+
+        Callers choose ids. If requests of several teams have this one, the result has no team.
+        """
         running = self._running_requests.values()
-        return next((request for request in running if request.request_id == request_id), None)
+        found = {request for request in running if request.request_id == request_id}
+        if len(found) > 1:
+            return RunningRequest(request_id, None)
+        return next(iter(found), None)
 
     def request_id_of(self, attempt: AttemptId) -> str:
         """Return the id of the request of a running attempt, an empty text for any other."""
