Test that a route which another spelling of its prefix replaces is named

Operators see: a configuration with routes for /closed/ and /%63losed/ is acknowledged and nothing in it is named as unread, but only one of the two gets requests, by the order of their names.

Cause: lost_parts compares prefixes as they are written (platform/_lost_parts.py, _identity), and the routing table as normalize_path returns them (routing/_host_routes.py, compile_route).

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -1,6 +1,7 @@
 """Tests of faults that the review of issue 52 found."""
 
 import asyncio
+import json
 import unittest
 from asyncio.subprocess import Process, create_subprocess_exec
 from typing import Any
@@ -8,6 +9,7 @@
 
 from aiohttp import web
 
+from cowslipvane.platform._configuration import decode_configuration
 from cowslipvane.tasks.http import HttpListener
 from cowslipvane.tasks.upstreams._worker_connection import AnswerBroken
 from cowslipvane.types import Address
@@ -166,6 +168,24 @@
         self.assertEqual(await self.fetch("2"), b"two")
 
 
+class SamePrefixTest(unittest.TestCase):
+    """Two routes of a host have prefixes that are written differently and match the same paths."""
+
+    # Guards against a route that is replaced in silence, here by a public one, so that requests
+    # without a key run.
+    def test_a_route_that_gets_no_requests_is_named(self) -> None:
+        """As a route is that has the very prefix of another one."""
+        for prefixes in (("/closed/", "/%63losed/"), ("/a%2Fb/", "/a%2fb/")):
+            with self.subTest(prefixes):
+                form = configuration(1, TEAMS)
+                rule = form["listeners"][0]["route_rules"][0]
+                form["listeners"][0]["route_rules"] = [
+                    {**rule, "match": {"path_prefix": prefix}} for prefix in prefixes
+                ]
+                unread = decode_configuration(json.dumps(form).encode()).unread
+                self.assertIn("listeners[0].route_rules[1]", " ".join(unread))
+
+
 # The program as it was when it didn't read the teams of a configuration: it stores none.
 BUILD_WITHOUT_TEAMS = """
 from cowslipvane.platform import _teams
