Add the settings of revocation, and fill them from the bounds of the platform

A deployment may ask that withdrawn keys are accepted nowhere without contact to the replicas (revoke_when_partitioned, revoke_s). The table [revocation] takes a flag and a time, so tables of numbers may hold flags now.

--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -13,6 +13,8 @@
 # Offsets in the range of ports that the platform reserves for the processes of the system.
 _PEERS_PORT_OFFSET = 0
 _OPERATORS_PORT_OFFSET = 1
+# The bounds that the settings of revocation come from.
+_REVOCATION_BOUNDS = {"when_partitioned": "revoke_when_partitioned", "timeout": "revoke_s"}
 
 
 class FileStamp(NamedTuple):
@@ -75,9 +77,14 @@
     if platform.get("callers"):
         listen["callers"] = platform["callers"]
     values["listen"] = listen
-    exposure = _bounds(platform.get("bounds")).get("exposure_share")
+    bounds = _bounds(platform.get("bounds"))
+    exposure = bounds.get("exposure_share")
     if exposure is not None:
         values["rollouts"] = {"exposure": exposure}
+    if bounds.get("revoke_when_partitioned"):
+        values["revocation"] = {
+            name: bounds[bound] for name, bound in _REVOCATION_BOUNDS.items() if bound in bounds
+        }
     readiness = platform.get("readiness")
     return PlatformSettings(
         parse(values, source),
--- a/cowslipvane/settings/__init__.py
+++ b/cowslipvane/settings/__init__.py
@@ -3,11 +3,13 @@
 from cowslipvane.settings._load import SettingsFault, load, parse
 from cowslipvane.settings._settings import (
     DEFAULT_RETRIES,
+    DEFAULT_REVOCATION,
     Formation,
     Limits,
     Listen,
     NumberRange,
     Retries,
+    Revocation,
     Security,
     Settings,
     Timing,
@@ -18,11 +20,13 @@
 __all__ = [
     "AUTHORIZATION",
     "DEFAULT_RETRIES",
+    "DEFAULT_REVOCATION",
     "Formation",
     "Limits",
     "Listen",
     "NumberRange",
     "Retries",
+    "Revocation",
     "Security",
     "Settings",
     "SettingsFault",
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -18,15 +18,17 @@
     Listen,
     NumberRange,
     Retries,
+    Revocation,
     Role,
     Rollouts,
     Security,
     Settings,
     Timing,
+    ValueDescription,
 )
 from cowslipvane.types import Address
 
-T = TypeVar("T", Timing, Limits, Retries, Rollouts)
+T = TypeVar("T", Timing, Limits, Retries, Rollouts, Revocation)
 
 
 class SettingsFault(Exception):
@@ -119,25 +121,41 @@
     return value
 
 
-def _structure_numbers(value: Any, kind: type[T]) -> T:
-    """Return a table of numbers.
+def _structure_values(value: Any, kind: type[T]) -> T:
+    """Return a table of numbers and flags.
 
     Raise ValueError if the value isn't a table, and ExceptionGroup with a fault for each invalid
     key.
     """
     table = kind.__name__.lower()
-    fields = {field.name: field.metadata["allowed"] for field in dataclasses.fields(kind)}
+    fields = {
+        field.name: field.metadata.get("allowed") or field.metadata["described"]
+        for field in dataclasses.fields(kind)
+    }
     if not isinstance(value, dict):
         raise ValueError(f"found {value!r}; allowed is a table")
     faults = [
         ValueError(f"{table}.{name}: no such key is known") for name in value if name not in fields
     ]
     for name in value.keys() & fields.keys():
-        if not _in_range(value[name], fields[name]):
-            faults.append(ValueError(f"{table}.{name}: {_range_fault(value[name], fields[name])}"))
+        fault = _value_fault(value[name], fields[name])
+        if fault:
+            faults.append(ValueError(f"{table}.{name}: {fault}"))
     if faults:
         raise ExceptionGroup(table, faults)
-    return kind(**{name: float(item) for name, item in value.items()})
+    values: dict[str, Any] = {
+        name: item if isinstance(item, bool) else float(item) for name, item in value.items()
+    }
+    return kind(**values)
+
+
+def _value_fault(value: Any, allowed: NumberRange | ValueDescription) -> str:
+    """Return why a number or a flag isn't allowed, or an empty text."""
+    match allowed:
+        case NumberRange():
+            return "" if _in_range(value, allowed) else _range_fault(value, allowed)
+        case ValueDescription(values=values):
+            return "" if isinstance(value, bool) else f"found {value!r}; allowed is {values}"
 
 
 def _in_range(value: Any, allowed: NumberRange) -> bool:
@@ -176,8 +194,8 @@
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(bool, _structure_flag)
     converter.register_structure_hook_func(lambda kind: kind == Role, _structure_role)
-    for numbers in (Timing, Limits, Retries, Rollouts):
-        converter.register_structure_hook(numbers, _structure_numbers)
+    for values in (Timing, Limits, Retries, Rollouts, Revocation):
+        converter.register_structure_hook(values, _structure_values)
     for kind in (Listen, Security, Formation, Settings):
         get_type_hints(kind)
         hook = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -192,6 +192,26 @@
     )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Revocation:
+    """Whether keys that were withdrawn may still be accepted without contact to the replicas."""
+
+    when_partitioned: bool = value_field(
+        "true or false", "accept no key without recent contact to the group of replicas", False
+    )
+    timeout: Seconds = number_field(
+        5.0,
+        low=0.5,
+        high=3600,
+        unit="s",
+        description="time after which a withdrawn key is accepted nowhere,"
+        " if revocation.when_partitioned is true",
+    )
+
+
+DEFAULT_REVOCATION = Revocation()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Formation:
     """How the group of replicas is formed: automatically, or by commands.
@@ -256,6 +276,9 @@
     limits: Limits = table_field(Limits, "limits on what the process keeps")
     retries: Retries = table_field(Retries, "retry budget of each service, over the whole fleet")
     rollouts: Rollouts = table_field(Rollouts, "how services move to upstreams of another version")
+    revocation: Revocation = table_field(
+        Revocation, "whether withdrawn keys are accepted without contact to the replicas"
+    )
     formation: Formation = table_field(Formation, "how the group of replicas is formed")
     security: Security = table_field(
         Security, "who may connect to the listeners for operators and peers"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,10 +2,22 @@
 
 import dataclasses
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
 
-from cowslipvane.settings import Limits, Listen, Security, Settings, SettingsFault, Timing, load
+from cowslipvane.settings import (
+    DEFAULT_REVOCATION,
+    Limits,
+    Listen,
+    Revocation,
+    Security,
+    Settings,
+    SettingsFault,
+    Timing,
+    load,
+    parse,
+)
 from tools.fleet import EXAMPLES
 
 GOOD = """
@@ -85,9 +97,28 @@
             found, ("security.allow_unauthenticated: found 'no'; allowed is true or false",)
         )
 
+    # Guards against deployments in which callers are refused without contact, though nobody asked
+    # for that, or in which withdrawn keys are accepted, though somebody did.
+    def test_revocation_takes_a_flag_and_a_time(self) -> None:
+        """Without the table, keys are accepted without contact."""
+        self.assertFalse(DEFAULT_REVOCATION.when_partitioned)
+        values = tomllib.loads(GOOD)
+        self.assertEqual(parse(values, "").revocation, DEFAULT_REVOCATION)
+        values["revocation"] = {"when_partitioned": True, "timeout": 7}
+        expected = Revocation(when_partitioned=True, timeout=7.0)
+        self.assertEqual(parse(values, "").revocation, expected)
+
+    def test_faults_of_a_table_with_a_flag_are_reported_together(self) -> None:
+        """A number is no flag, and a flag no number."""
+        table = "[revocation]\nwhen_partitioned = 1\ntimeout = true\nkeys = 2\n"
+        [fault] = self.faults(GOOD + table)
+        self.assertIn("revocation.when_partitioned: found 1; allowed is true or false", fault)
+        self.assertIn("revocation.timeout: found True; allowed is 0.5 to 3600 s", fault)
+        self.assertIn("revocation.keys: no such key is known", fault)
+
     def test_every_setting_has_a_description(self) -> None:
         """No field has an empty description."""
-        for kind in (Settings, Listen, Timing, Limits, Security):
+        for kind in (Settings, Listen, Timing, Limits, Revocation, Security):
             for field in dataclasses.fields(kind):
                 described = field.metadata.get("allowed") or field.metadata["described"]
                 self.assertTrue(described.description, field.name)
