Let proxies prove up to when their version was the newest accepted one

A proxy without contact can't know which keys were withdrawn. Heartbeats of pulls prove nothing: they are sent without waiting for a pull, so one that is read after a freeze is old, and a replica takes itself for current by the arrival of a message that may be late. So proxies with when_partitioned ask: only a leader that holds its lease answers by itself, other replicas with the age of what it told them. The time at which the question was sent counts, by the clock that counts a suspension, and only once the version is in force. A pull's response now has to come in time whatever else is received before it.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -327,7 +327,7 @@
 
     def _start_proxy(self) -> list[Coroutine[Any, Any, None]]:
         """Build the proxy's components and return their tasks."""
-        subscription = Subscription()
+        subscription = Subscription(revocation=self._settings.revocation)
         self._subscription = subscription
         announcements = Announcements(may_have_predecessor=True)
         bodies = BodyAccount(max_bytes=int(self._settings.limits.body_bytes))
--- a/cowslipvane/events/_event.py
+++ b/cowslipvane/events/_event.py
@@ -14,6 +14,7 @@
     "broken",
     "cancelled",
     "candidate",
+    "contact",
     "cut",
     "departure",
     "disk",
--- a/cowslipvane/subscription/__init__.py
+++ b/cowslipvane/subscription/__init__.py
@@ -1,18 +1,21 @@
 """Subscriptions: the configuration version in force on each proxy, and its updates."""
 
 from cowslipvane.subscription._backoff import Backoff
+from cowslipvane.subscription._contact import Contact, Proof
 from cowslipvane.subscription._convergence import Convergence, Lag, Progress, Proxies
 from cowslipvane.subscription._messages import (
     WATCH_ONLY,
     WATCH_WAIT_FACTOR,
     AskFloor,
     AskLeader,
+    AskNewest,
     ComeAgain,
     Current,
     FactsKept,
     Floor,
     KeepFacts,
     Lagging,
+    Newest,
     Pull,
     PullDelta,
     PullReply,
@@ -29,15 +32,19 @@
     "Applied",
     "AskFloor",
     "AskLeader",
+    "AskNewest",
     "Backoff",
     "ComeAgain",
+    "Contact",
     "Current",
     "FactsKept",
     "Floor",
     "KeepFacts",
     "Lag",
     "Lagging",
+    "Newest",
     "Progress",
+    "Proof",
     "Proxies",
     "Pull",
     "PullDelta",
--- a/cowslipvane/subscription/_messages.py
+++ b/cowslipvane/subscription/_messages.py
@@ -35,6 +35,28 @@
     leader: Address | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskNewest:
+    """Requests the newest accepted version; sent_at is in seconds of the sender's own clock.
+
+    There is no response while the replica knows no leader.
+    """
+
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Newest:
+    """Responds with the newest version that was accepted until some time before the response.
+
+    age is that time in seconds, 0 at a leader that holds its lease. sent_at is that of the request.
+    """
+
+    sent_at: float
+    version: Version
+    age: Seconds
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeepFacts:
     """Requests that facts of a host are kept, and all that are kept of it.
--- a/cowslipvane/subscription/_subscription.py
+++ b/cowslipvane/subscription/_subscription.py
@@ -18,6 +18,8 @@
     resource_digest,
 )
 from cowslipvane.routing import RoutingTable
+from cowslipvane.settings import DEFAULT_REVOCATION, Revocation
+from cowslipvane.subscription._contact import Contact, Proof
 from cowslipvane.types import NO_VERSION, Digest, Version
 
 
@@ -54,7 +56,8 @@
     accepted before the proxy requested the floor.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, revocation: Revocation = DEFAULT_REVOCATION) -> None:
+        self._contact = Contact(revocation=revocation)
         self._floor: Version | None = None
         self._version = NO_VERSION
         self._newest_known = NO_VERSION
@@ -87,6 +90,15 @@
         """Return the routing table in force, None before the first version."""
         return self._table
 
+    def accepts_keys(self, now: float) -> bool:
+        """Return whether a key may be accepted at a time of lease_now() by the version in force."""
+        return self._contact.accepts_keys(now)
+
+    def record_proof(self, proof: Proof) -> None:
+        """Record up to when a version is known to be the newest accepted one."""
+        self._contact.record(proof, self._version)
+        self.record_accepted(proof.version)
+
     def raise_floor(self, floor: Version) -> None:
         """Refuse every version below a floor from now on; a lower floor has no effect."""
         self._floor = max(floor, self._floor or NO_VERSION)
@@ -128,6 +140,7 @@
         table = RoutingTable(version=version, resources=resources.values(), previous=self._table)
         self._table, self._resources = table, resources
         self._version, self._digest = version, candidate.digest
+        self._contact.record_in_force(version)
         return Applied(version=version)
 
     def _rejection_reason(self, candidate: _Candidate) -> str:
--- a/cowslipvane/tasks/distribution/_publisher.py
+++ b/cowslipvane/tasks/distribution/_publisher.py
@@ -18,6 +18,7 @@
     WATCH_WAIT_FACTOR,
     AskFloor,
     AskLeader,
+    AskNewest,
     ComeAgain,
     Convergence,
     Current,
@@ -25,6 +26,7 @@
     Floor,
     KeepFacts,
     Lagging,
+    Newest,
     Proxies,
     Pull,
     PullDelta,
@@ -34,11 +36,13 @@
     ReportsTaken,
 )
 from cowslipvane.tasks._signal import Signal
+from cowslipvane.tasks.distribution._group_contact import GroupContact
 from cowslipvane.tasks.replication import FactRecords, Replication
 from cowslipvane.types import NO_VERSION, Address, HostName, Seconds, Version
 from cowslipvane.wire import Link, LinkClosed, Malformed, compress, connect, encode, register
 
 register(AskFloor, AskLeader, ComeAgain, Current, Floor, Lagging)
+register(AskNewest, Newest)
 register(Pull, PullDelta, PullSnapshot)
 register(ReportAnswers, Reports, ReportsTaken)
 register(KeepFacts, FactsKept)
@@ -141,6 +145,7 @@
         self._membership = membership
         self._pull_wait = pull_wait
         self._facts = FactRecords(replication=replication)
+        self._contact = GroupContact(replication=replication)
         self._accepted = Signal()
         self._reported = Signal()
         self._convergence_changed = Signal()
@@ -172,6 +177,7 @@
             tasks.create_task(self._notify_pulls())
             tasks.create_task(self._maintain_convergence())
             tasks.create_task(self._forward_reports())
+            tasks.create_task(self._contact.run())
 
     async def _notify_pulls(self) -> None:
         """Wake the waiting pulls at each new version, but not at other changes of the replica."""
@@ -199,6 +205,10 @@
                             subscriber.record_pull(pull)
                     case AskFloor(wait=wait):
                         await link.send(await self._resolve_floor(min(wait, MAX_FLOOR_WAIT)))
+                    case AskNewest() as question:
+                        newest = self._contact.answer(question)
+                        if newest is not None:
+                            await link.send(newest)
                     case KeepFacts() as request:
                         kept = await self._facts.keep(request)
                         if kept is not None:
--- a/cowslipvane/tasks/distribution/_subscriber.py
+++ b/cowslipvane/tasks/distribution/_subscriber.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 import time
+from contextlib import AsyncExitStack
 from typing import NamedTuple
 
 from cowslipvane.catalogue import Delta, Snapshot
+from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
 from cowslipvane.replica import Report
@@ -24,6 +26,8 @@
     FactsKept,
     Floor,
     Lagging,
+    Newest,
+    Proof,
     Pull,
     PullDelta,
     PullSnapshot,
@@ -32,6 +36,7 @@
 )
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks.distribution._answer_reporter import AnswerReporter
+from cowslipvane.tasks.distribution._contact_keeper import ContactKeeper
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
 from cowslipvane.types import NO_VERSION, Address, Seconds, Version
 from cowslipvane.wire import CONNECT_TIMEOUT, Link, LinkClosed, Malformed, Reception, connect
@@ -83,6 +88,9 @@
     ) -> None:
         self._fact_keeper = fact_keeper
         self._answer_reporter = answer_reporter
+        self._contact_keeper = ContactKeeper(
+            subscription=subscription, revocation=settings.revocation, events=events
+        )
         self._subscription = subscription
         self._settings = settings
         self._membership = membership
@@ -112,6 +120,8 @@
     async def run(self) -> None:
         """Keep two subscriptions, the second one from the first version on, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
+            if self._settings.revocation.when_partitioned:
+                tasks.create_task(self._contact_keeper.run())
             tasks.create_task(self._keep_subscribed(prefers_local=True))
             while not self._subscription.is_ready:
                 await self._configuration_applied.wait()
@@ -166,7 +176,11 @@
         return None
 
     async def _fetch_floor(self, link: Link) -> None:
-        """Fetch the minimum version from this replica, or from the leader that it names."""
+        """Fetch the minimum version from this replica, or from the leader that it names.
+
+        No version after it was accepted before the request, so it is a proof of contact too.
+        """
+        asked_at = lease_now()
         response = await self._request_floor(link)
         if isinstance(response, AskLeader) and response.leader is not None:
             async with connect(response.leader, "/subscribe") as leader:
@@ -174,6 +188,7 @@
         if not isinstance(response, Floor):
             raise _UnusableReplica("the replica knows no leader")
         self._subscription.raise_floor(response.version)
+        self._subscription.record_proof(Proof(response.version, asked_at))
         self._events.record("floor", version=response.version)
         self._backoff.reset()
 
@@ -205,7 +220,10 @@
                 await self._fetch_floor(link)
             replica = _Replica(link, self._membership.is_local(address))
             try:
-                with self._fact_keeper.using(link), self._answer_reporter.using(link):
+                async with AsyncExitStack() as stack:
+                    stack.enter_context(self._fact_keeper.using(link))
+                    stack.enter_context(self._answer_reporter.using(link))
+                    await stack.enter_async_context(self._contact_keeper.using(link))
                     while True:
                         if self._should_be_active(replica):
                             self._active = replica
@@ -222,10 +240,13 @@
 
     async def _receive(self, link: Link, timeout: Seconds) -> object:
         """Return the next message of a replica about versions, and handle others before it."""
+        deadline = time.monotonic() + timeout
         while True:
-            match await link.receive(timeout=timeout):
+            match await link.receive(timeout=max(0.0, deadline - time.monotonic())):
                 case FactsKept() as response:
                     self._fact_keeper.handle(response)
+                case Newest() as response:
+                    self._contact_keeper.handle(response)
                 case response:
                     return response
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -15,7 +15,7 @@
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Announcements, Member
 from cowslipvane.replica import Report
-from cowslipvane.settings import Settings, Timing
+from cowslipvane.settings import DEFAULT_REVOCATION, Revocation, Settings, Timing
 from cowslipvane.settings._settings import Listen
 from cowslipvane.subscription import (
     AskFloor,
@@ -94,9 +94,10 @@
         silence: float = SILENCE_S,
         hosts: tuple[str, ...] = (),
         members: tuple[Member, ...] = (),
+        revocation: Revocation = DEFAULT_REVOCATION,
     ) -> Subscription:
         """Start a proxy's subscriber and return its subscription."""
-        subscription = Subscription()
+        subscription = Subscription(revocation=revocation)
         settings = Settings(
             host=HostName("p"),
             data_centre=DataCentre("here"),
@@ -105,6 +106,7 @@
             seeds=seeds,
             route_hosts=hosts,
             timing=Timing(pull_wait=pull_wait, silence=silence),
+            revocation=revocation,
         )
         self.events = event_log()
         self.membership = lone_membership(settings)
