Refuse requests that show a key while contact to the replicas isn't proved

With revocation.when_partitioned, the entry refuses such a request on a route that reads keys (keys-unconfirmed, 503, not run); others go on. The owner asks the same of itself at the offer and before the start, since a request may wait on its way or in the queue of a paused owner for longer than the timeout.

--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -37,6 +37,13 @@
     version: Version
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeysUnconfirmed:
+    """The proxy on a host can't tell whether the request's key was withdrawn."""
+
+    host: HostName
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MalformedRequest:
     """The head of the request can't be forwarded faithfully."""
@@ -154,6 +161,7 @@
     | NoRoute
     | RouteOutdated
     | KeyRefused
+    | KeysUnconfirmed
     | MalformedRequest
     | NoUpstream
     | Draining
@@ -239,6 +247,9 @@
             return "route-outdated", 503, cause, not_run, SHORT_RETRY_DELAY
         case KeyRefused(fault=fault, version=version):
             return f"key-{fault}", 401, _key_cause(fault, version), not_run, None
+        case KeysUnconfirmed(host=host):
+            cause = f"The proxy on host {host} could not confirm in time which keys are valid."
+            return "keys-unconfirmed", 503, cause, not_run, SHORT_RETRY_DELAY
         case MalformedRequest(reason=reason):
             cause = f"The request can't be passed on: {reason}."
             return "malformed-request", 400, cause, not_run, None
--- a/cowslipvane/tasks/callers/_callers.py
+++ b/cowslipvane/tasks/callers/_callers.py
@@ -86,6 +86,7 @@
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._router = Router(
+            host=events.origin.host,
             subscription=subscription,
             configuration_applied=configuration_applied,
             header_names=header_names,
--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -8,13 +8,21 @@
 
 from aiohttp import web
 
-from cowslipvane.access import Admitted, Denied, NoKey, decide_access, read_key
+from cowslipvane.access import Admitted, Denied, NoKey, ShownKey, decide_access, read_key
 from cowslipvane.call import KEY_FIELD, HeaderNames, end_to_end_headers
-from cowslipvane.refusal import KeyRefused, NoConfiguration, NoRoute, Refusal, RouteOutdated
+from cowslipvane.clock import lease_now
+from cowslipvane.refusal import (
+    KeyRefused,
+    KeysUnconfirmed,
+    NoConfiguration,
+    NoRoute,
+    Refusal,
+    RouteOutdated,
+)
 from cowslipvane.routing import RoutingTable, ServiceRules
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._signal import Signal
-from cowslipvane.types import Seconds, TeamName, Version
+from cowslipvane.types import HostName, Seconds, TeamName, Version
 
 # A proxy has its first configuration within this time of its start, unless it is partitioned.
 FIRST_CONFIGURATION_TIMEOUT: Seconds = 2.0
@@ -52,11 +60,13 @@
     def __init__(
         self,
         *,
+        host: HostName,
         subscription: Subscription,
         configuration_applied: Signal,
         header_names: HeaderNames,
         rng: random.Random,
     ) -> None:
+        self._host = host
         self._subscription = subscription
         self._configuration_applied = configuration_applied
         self._header_names = header_names
@@ -137,6 +147,8 @@
             return NoRoute(host=http.headers.get("Host", ""), path=http.path)
         is_read = rules.key_use != "ignored"
         presented = read_key(http.headers.getall(KEY_FIELD, ())) if is_read else NoKey()
+        if isinstance(presented, ShownKey) and not self._subscription.accepts_keys(lease_now()):
+            return KeysUnconfirmed(host=self._host)
         match decide_access(rules.key_use, presented, table.team_keys, parent=arrival.parent):
             case Denied(fault=fault):
                 return KeyRefused(fault=fault, version=table.version)
--- a/cowslipvane/tasks/upstreams/_owner.py
+++ b/cowslipvane/tasks/upstreams/_owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 from cowslipvane.admission import Admission, FirstAnswer, Work
 from cowslipvane.call import (
@@ -47,7 +48,7 @@
 from cowslipvane.tasks.peers import Gossip
 from cowslipvane.tasks.upstreams._registration import NO_SERVICE, Registration
 from cowslipvane.tasks.upstreams._replies import DueRefusal, Replies
-from cowslipvane.tasks.upstreams._route_check import outdated_route
+from cowslipvane.tasks.upstreams._route_check import recheck
 from cowslipvane.tasks.upstreams._runner import DEFAULT_LEFT_TO_END, Runner, RunningRequest
 from cowslipvane.tasks.upstreams._slots import Slots
 from cowslipvane.tasks.upstreams._worker_answers import WorkerAnswerLog
@@ -95,6 +96,7 @@
             attempts=self._attempts, held_bodies=self._held_bodies, get_load=self._get_load
         )
         own = gossip.membership.own
+        self._recheck = partial(recheck, subscription, host=own.host)
         self._answers = WorkerAnswerLog(
             host=own.host, incarnation=own.incarnation, subscription=subscription
         )
@@ -358,9 +360,9 @@
             return NoUpstream(service=offer.service)
         if self._is_out:
             return Draining(service=offer.service)
-        outdated = outdated_route(self._subscription.table, offer, offer.service)
-        if outdated is not None:
-            return outdated
+        refused = self._recheck(offer, offer.service)
+        if refused is not None:
+            return refused
         now = time.monotonic()
         refusal = self._admission.offer(Work.offered(offer, now), now)
         if refusal is None:
@@ -370,7 +372,7 @@
     def _check_start(self, admission: Admission, work: Work) -> Refusal | None:
         """Return the refusal of work that can't be started any more."""
         refusal = admission.check_deadline(work, time.monotonic())
-        return refusal or outdated_route(self._subscription.table, work, admission.service)
+        return refusal or self._recheck(work, admission.service)
 
     def _abort(self, attempt: AttemptId, reason: str) -> None:
         """Abort an attempt at the worker if it may be, and record that nobody waits for it."""
--- a/cowslipvane/tasks/upstreams/_route_check.py
+++ b/cowslipvane/tasks/upstreams/_route_check.py
@@ -1,13 +1,27 @@
-"""Whether a request still leads to the service of the upstream, for the same team."""
+"""Whether a request still leads to the service of the upstream, for the same team and key."""
 
 from __future__ import annotations
 
 from cowslipvane.access import Denied, NoKey, ShownKey, Unchecked, decide_access, team_of
 from cowslipvane.admission import Work
 from cowslipvane.call import KEY_FIELD, Offer
-from cowslipvane.refusal import RouteOutdated
+from cowslipvane.clock import lease_now
+from cowslipvane.refusal import KeysUnconfirmed, RouteOutdated
 from cowslipvane.routing import RouteEntry, RoutingTable
-from cowslipvane.types import ServiceName
+from cowslipvane.subscription import Subscription
+from cowslipvane.types import HostName, ServiceName
+
+
+def recheck(
+    subscription: Subscription, admitted: Offer | Work, service: ServiceName, *, host: HostName
+) -> RouteOutdated | KeysUnconfirmed | None:
+    """Refuse a request that this proxy wouldn't admit now, though its entry proxy has earlier.
+
+    It may have waited on its way, or here while this process was paused.
+    """
+    if admitted.key is not None and not subscription.accepts_keys(lease_now()):
+        return KeysUnconfirmed(host=host)
+    return outdated_route(subscription.table, admitted, service)
 
 
 def outdated_route(
--- a/tests/callers_case.py
+++ b/tests/callers_case.py
@@ -24,6 +24,7 @@
 from cowslipvane.metrics import Metrics
 from cowslipvane.refusal import NoUpstream
 from cowslipvane.routing import Load
+from cowslipvane.settings import DEFAULT_REVOCATION
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._signal import Signal
 from cowslipvane.tasks.callers._callers import Callers
@@ -73,10 +74,11 @@
 
     max_body_bytes = MAX_BODY_BYTES
     bodies: BodyAccount | None = None
+    revocation = DEFAULT_REVOCATION
 
     async def asyncSetUp(self) -> None:
         """Start the listener without a configuration in force."""
-        self.subscription = Subscription()
+        self.subscription = Subscription(revocation=self.revocation)
         self.configuration_applied = Signal()
         self.dispatcher = RefusingDispatcher()
         self.events = event_log()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -39,6 +39,7 @@
 from cowslipvane.membership import Announcements, HostFacts, Member, Membership, Worker
 from cowslipvane.refusal import AnswerLost, OwnerUnreachable, explain
 from cowslipvane.routing import Chooser, ServiceRules
+from cowslipvane.settings import DEFAULT_REVOCATION
 from cowslipvane.subscription import FactsKept, Subscription
 from cowslipvane.tasks.callers._dispatcher import Dispatcher, StartedResponse
 from cowslipvane.tasks.distribution._fact_keeper import FactKeeper
@@ -227,12 +228,14 @@
 class OwnerTestCase(unittest.IsolatedAsyncioTestCase):
     """An owner with a scripted worker; a base for tests."""
 
+    revocation = DEFAULT_REVOCATION
+
     async def asyncSetUp(self) -> None:
         """Start an owner whose worker has one slot."""
         self.worker = ScriptedWorker()
         self.address = await self.worker.start()
         self.addAsyncCleanup(self.worker.stop)
-        self.subscription = Subscription()
+        self.subscription = Subscription(revocation=self.revocation)
         self.owner = make_owner(member("a", NOWHERE, None), self.subscription)
         await self.owner.register_worker(Worker(SERVICE, self.address, 1, 10))
         self.addAsyncCleanup(stop, asyncio.create_task(self.owner.run()))
