--- a/cowslipvane/platform/_known_fields.py
+++ b/cowslipvane/platform/_known_fields.py
@@ -99,9 +99,7 @@
     "rollback_s": Within(reason=_FIXED, low=5),
     # A key is withdrawn by a version, so this one follows from propagation_s.
     "revoke_s": Within(reason=_FIXED, low=2),
-    "revoke_when_partitioned": Unserved(
-        reason="keys go on counting at a proxy that is cut off", unless=(False,)
-    ),
+    "revoke_when_partitioned": Read(),
     "quota_window_s": Unserved(reason=_NO_QUOTAS),
     "quota_overshoot": Unserved(reason=_NO_QUOTAS),
     "quota_slack": Unserved(reason=_NO_QUOTAS),
