Bring teams into force that an earlier build left out of an accepted configuration

What callers saw: after all processes were replaced by this build, requests without a key still ran, with the key passed on and for no team, until the operator sent another version; the same version sent again was acknowledged and changed nothing. Cause: a document is decoded only when it is sent, and the resources that an earlier build had derived from it are kept. Change: a leader derives a release again that this process hasn't derived, and adds its teams and the access of its routes if no resource in force has any; so does a release that is sent again. Nothing else that operators have changed is touched.

--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 
 from cowslipvane.catalogue._catalogue import Catalogue
 from cowslipvane.catalogue._changes import Change, Conflict, Invalid
 from cowslipvane.catalogue._documents import diff_documents
-from cowslipvane.catalogue._resources import Fault, Key, Release, Rollout, Spec, Upstream
+from cowslipvane.catalogue._resources import (
+    Fault,
+    Key,
+    Release,
+    Rollout,
+    Route,
+    Spec,
+    Team,
+    Upstream,
+)
 from cowslipvane.types import OperationId
 
 RELEASE_KEY = Key("release", "current")
@@ -65,6 +75,42 @@
     )
 
 
+def missing_access(catalogue: Catalogue, resources: dict[Key, Spec]) -> Change | None:
+    """Return the change that adds teams to the release in force, None if it needs none.
+
+    A build that knew no teams derived the resources without them, though the document has them.
+    resources are those that this build derives from it.
+    """
+    if any(_is_of_access(resource.spec) for resource in catalogue.resources.values()):
+        return None
+    puts: list[tuple[Key, Spec]] = []
+    for key, spec in resources.items():
+        current = catalogue.resources.get(key)
+        match spec:
+            case Team():
+                puts.append((key, spec))
+            case Route(access_keys=use) if current is not None and _is_of_access(spec):
+                # Whatever else an operator has changed in a route stays.
+                assert isinstance(current.spec, Route)
+                puts.append((key, dataclasses.replace(current.spec, access_keys=use)))
+    if not puts:
+        return None
+    digest = hashlib.blake2b(repr((catalogue.version, puts)).encode(), digest_size=16)
+    operation_id = OperationId(f"teams-{digest.hexdigest()}")
+    return Change(operation_id, catalogue.version, tuple(puts))
+
+
+def _is_of_access(spec: Spec) -> bool:
+    """Return whether a resource is a team, or a route that reads keys."""
+    match spec:
+        case Team():
+            return True
+        case Route(access_keys=use):
+            return use != "ignored"
+        case _:
+            return False
+
+
 def _is_replaced(key: Key, spec: Spec, resources: dict[Key, Spec]) -> bool:
     """Return whether a release that lacks a resource removes it."""
     match spec:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from cowslipvane.call import HeaderNames
-from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release, Rollout
+from cowslipvane.catalogue import Accepted, Conflict, Invalid, Key, Release, Rollout, Spec
 from cowslipvane.platform._configuration import decode_configuration
 from cowslipvane.platform._rollouts import decode_rollout, rollout_form
 from cowslipvane.platform._settings import PlatformSettings, file_stamp, load
@@ -87,6 +87,10 @@
         self._settings = load(self._path)
         return self._settings.product
 
+    def derive(self, document: str) -> dict[Key, Spec]:
+        """Return the resources of a configuration, which an earlier build may have accepted."""
+        return decode_configuration(document.encode()).resources
+
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners of the process's roles."""
         control = _Control(
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from cowslipvane.call import HeaderNames
+from cowslipvane.catalogue import Key, Spec
 from cowslipvane.events import UnreadDetail, unread_detail
 from cowslipvane.settings import Settings
 from cowslipvane.tasks.distribution import Rollouts
@@ -34,6 +35,9 @@
     def unread_settings(self) -> tuple[str, ...]:
         """Return the settings that this build should act on and doesn't, without their values."""
 
+    def derive(self, document: str) -> dict[Key, Spec]:
+        """Return the resources that a release's document leads to; raise ValueError if odd."""
+
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners that translate requests into calls of the components."""
 
--- a/cowslipvane/tasks/replication/_releases.py
+++ b/cowslipvane/tasks/replication/_releases.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from cowslipvane.catalogue import (
@@ -15,6 +15,7 @@
     Key,
     Release,
     Spec,
+    missing_access,
     release_change,
     release_in_force,
     release_operation_id,
@@ -22,6 +23,13 @@
 from cowslipvane.events import EventLog, unread_detail
 from cowslipvane.tasks.replication._messages import NotLeader, Unknown
 from cowslipvane.tasks.replication._replication import Replication
+from cowslipvane.types import Seconds
+
+# How often a leader checks whether there is a release that this process hasn't derived.
+DERIVATION_CHECK_INTERVAL: Seconds = 1.0
+
+# Returns the resources that a front end derives from the document of a release.
+Derive = Callable[[str], dict[Key, Spec]]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,9 +40,15 @@
 class Releases:
     """Handles the releases that operators send to this replica."""
 
-    def __init__(self, *, replication: Replication, events: EventLog) -> None:
+    def __init__(
+        self, *, replication: Replication, events: EventLog, derive: Derive | None = None
+    ) -> None:
+        """Without a front end that derives resources, those of releases stay as they are."""
         self._replication = replication
         self._events = events
+        self._derive = derive
+        # The release in force whose resources are known to be those that this build derives.
+        self._derived: Release | None = None
         # Serializes releases, since one may be based on another that is still being written.
         self._lock = asyncio.Lock()
 
@@ -55,6 +69,8 @@
         """
         async with self._lock:
             outcome = await self._decide(release, resources)
+            if isinstance(outcome, Accepted):
+                self._derived = release_in_force(self._catalogue)
         self._events.record(
             "release",
             version=self._catalogue.version,
@@ -75,12 +91,64 @@
             return NotLeader(leader=replica.leader)
         known = self._catalogue.outcome(release_operation_id(release))
         if isinstance(known, Accepted):
-            return known
+            return await self._acknowledge_again(release, resources, known)
         change = release_change(self._catalogue, release, resources)
         if not isinstance(change, Change):
             return change
         return await self._replication.write(change)
 
+    async def _acknowledge_again(
+        self, release: Release, resources: dict[Key, Spec], known: Accepted
+    ) -> Accepted | NotLeader | Unknown:
+        """Return that a release was accepted, after adding what an earlier build left out of it."""
+        current = release_in_force(self._catalogue)
+        if current is None or current.document != release.document:
+            return known
+        match await self._add_teams(resources):
+            case NotLeader() | Unknown() as outcome:
+                return outcome
+            case _:
+                return known
+
+    async def run(self) -> None:
+        """Add the teams that an earlier build left out of the release in force, while leading."""
+        while self._derive is not None:
+            await asyncio.sleep(DERIVATION_CHECK_INTERVAL)
+            async with self._lock:
+                await self._check_derivation(self._derive)
+
+    async def _check_derivation(self, derive: Derive) -> None:
+        """Derive the release in force again, unless this process knows what that leads to."""
+        release = self.newest()
+        if not isinstance(release, Release) or release is self._derived:
+            return
+        try:
+            resources = derive(release.document)
+        except ValueError as error:
+            # An earlier build has accepted what this one refuses, so there is nothing to add.
+            self._record_derivation("refused", str(error))
+            self._derived = release
+            return
+        outcome = await self._add_teams(resources)
+        if outcome is None or isinstance(outcome, Accepted):
+            self._derived = release
+
+    async def _add_teams(
+        self, resources: dict[Key, Spec]
+    ) -> Accepted | Conflict | Invalid | NotLeader | Unknown | None:
+        """Add the teams that an earlier build left out; return None if there are none."""
+        change = missing_access(self._catalogue, resources)
+        if change is None:
+            return None
+        outcome = await self._replication.write(change)
+        self._record_derivation(type(outcome).__name__.lower(), _reason(outcome))
+        return outcome
+
+    def _record_derivation(self, outcome: str, reason: str) -> None:
+        """Record what became of teams that an earlier build left out."""
+        version = self._catalogue.version
+        self._events.record("release", version=version, outcome=f"teams {outcome}", reason=reason)
+
     @property
     def _catalogue(self) -> Catalogue:
         """Return the catalogue of this replica."""
