Name routes whose prefixes are other spellings of one path

What operators saw: of /closed/ and /%63losed/ only one gets requests, here the public one, and nothing said so. Cause: the report compared prefixes as they are written, and the routing table compares them normalized. Change: the report asks the table's rule.

--- a/cowslipvane/platform/_lost_parts.py
+++ b/cowslipvane/platform/_lost_parts.py
@@ -9,7 +9,7 @@
 
 from cowslipvane.catalogue import Key, Route, Spec
 from cowslipvane.platform._fields import shown_name
-from cowslipvane.routing import normalize_host
+from cowslipvane.routing import normalize_host, normalize_path
 
 
 class Document(NamedTuple):
@@ -58,10 +58,10 @@
 
 
 def _identity(key: Key, spec: Spec) -> tuple[str, ...]:
-    """Return what only one resource in force can have: of routes, the host that callers name."""
+    """Return what only one resource in force can have: of routes, the host and path that callers name."""
     match spec:
         case Route(host=host, path_prefix=prefix):
-            return (key.kind, normalize_host(host), prefix)
+            return (key.kind, normalize_host(host), normalize_path(prefix))
         case _:
             return key
 
--- a/cowslipvane/routing/__init__.py
+++ b/cowslipvane/routing/__init__.py
@@ -3,7 +3,12 @@
 from cowslipvane.routing._budget import Budgets
 from cowslipvane.routing._choice import Chooser
 from cowslipvane.routing._hedging import Hedging
-from cowslipvane.routing._host_routes import RouteEntry, ServiceRules, normalize_host
+from cowslipvane.routing._host_routes import (
+    RouteEntry,
+    ServiceRules,
+    normalize_host,
+    normalize_path,
+)
 from cowslipvane.routing._owner_view import AttemptResult, Load
 from cowslipvane.routing._table import RoutingTable
 from cowslipvane.routing._versions import UpstreamVersions
@@ -19,4 +24,5 @@
     "ServiceRules",
     "UpstreamVersions",
     "normalize_host",
+    "normalize_path",
 ]
