--- a/cowslipvane/platform/_lost_parts.py
+++ b/cowslipvane/platform/_lost_parts.py
@@ -58,7 +58,7 @@
 
 
 def _identity(key: Key, spec: Spec) -> tuple[str, ...]:
-    """Return what only one resource in force can have: of routes, the host and path that callers name."""
+    """Return what only one resource in force can have: of routes, host and path."""
     match spec:
         case Route(host=host, path_prefix=prefix):
             return (key.kind, normalize_host(host), normalize_path(prefix))
--- a/cowslipvane/tasks/replication/_releases.py
+++ b/cowslipvane/tasks/replication/_releases.py
@@ -69,8 +69,6 @@
         """
         async with self._lock:
             outcome = await self._decide(release, resources)
-            if isinstance(outcome, Accepted):
-                self._derived = release_in_force(self._catalogue)
         self._events.record(
             "release",
             version=self._catalogue.version,
@@ -95,7 +93,10 @@
         change = release_change(self._catalogue, release, resources)
         if not isinstance(change, Change):
             return change
-        return await self._replication.write(change)
+        outcome = await self._replication.write(change)
+        if isinstance(outcome, Accepted):
+            self._derived = release_in_force(self._catalogue)
+        return outcome
 
     async def _acknowledge_again(
         self, release: Release, resources: dict[Key, Spec], known: Accepted
