Keep deriving releases only where a front end can, and tell once what can't be derived

Cause: started a task that ended at once in processes without a front end, and the end of a task ends the process: 8 test modules failed for want of a leader. An invalid derivation was tried and recorded again each second. Change: the task exists with a front end alone; an invalid derivation is remembered.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -300,11 +300,7 @@
             pull_wait=self._settings.timing.pull_wait,
             observations=observations,
         )
-        self._releases = Releases(
-            replication=self._replication,
-            events=self._events,
-            derive=self._front_end.derive if self._front_end else None,
-        )
+        self._releases = Releases(replication=self._replication, events=self._events)
         self._rollouts = Rollouts(
             replication=self._replication,
             publisher=self._publisher,
@@ -312,12 +308,9 @@
             plan=Plan(exposure=self._settings.rollouts.exposure),
             events=self._events,
         )
-        tasks = [
-            self._replication.run(),
-            self._publisher.run(),
-            self._rollouts.run(),
-            self._releases.run(),
-        ]
+        tasks = [self._replication.run(), self._publisher.run(), self._rollouts.run()]
+        if self._front_end is not None:
+            tasks.append(self._releases.keep_derived(self._front_end.derive))
         if self._settings.formation.automatic:
             self._group_joiner = GroupJoiner(
                 replication=self._replication,
--- a/cowslipvane/tasks/replication/_releases.py
+++ b/cowslipvane/tasks/replication/_releases.py
@@ -40,13 +40,9 @@
 class Releases:
     """Handles the releases that operators send to this replica."""
 
-    def __init__(
-        self, *, replication: Replication, events: EventLog, derive: Derive | None = None
-    ) -> None:
-        """Without a front end that derives resources, those of releases stay as they are."""
+    def __init__(self, *, replication: Replication, events: EventLog) -> None:
         self._replication = replication
         self._events = events
-        self._derive = derive
         # The release in force whose resources are known to be those that this build derives.
         self._derived: Release | None = None
         # Serializes releases, since one may be based on another that is still being written.
@@ -111,12 +107,12 @@
             case _:
                 return known
 
-    async def run(self) -> None:
+    async def keep_derived(self, derive: Derive) -> None:
         """Add the teams that an earlier build left out of the release in force, while leading."""
-        while self._derive is not None:
+        while True:
             await asyncio.sleep(DERIVATION_CHECK_INTERVAL)
             async with self._lock:
-                await self._check_derivation(self._derive)
+                await self._check_derivation(derive)
 
     async def _check_derivation(self, derive: Derive) -> None:
         """Derive the release in force again, unless this process knows what that leads to."""
@@ -131,7 +127,7 @@
             self._derived = release
             return
         outcome = await self._add_teams(resources)
-        if outcome is None or isinstance(outcome, Accepted):
+        if outcome is None or isinstance(outcome, Accepted | Invalid):
             self._derived = release
 
     async def _add_teams(
