Test that a changed setting which takes no effect is named at a reload

Operators see: reloaded with outcome=taken after a change of any setting, though only the seeds are applied (daemon.py, reload). A deployment that turns on revoke_when_partitioned while proxies run is told nothing, and they go on to accept withdrawn keys without contact until their next start.

Cause: Daemon.reload reads all settings and compares none of them; what it names as unread are only bounds that the build doesn't serve at all. Since it replaces self._settings, a few others do take effect later (timing.grace, timing.lame_duck), by chance.

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -26,6 +26,7 @@
     configuration,
     team,
 )
+from tests.test_platform_process import ProxyCase
 from tests.worker_case import WorkerCase, read_head, response
 from tools.soak._hosts import HostProcess
 
@@ -186,6 +187,20 @@
                 self.assertIn("listeners[0].route_rules[1]", " ".join(unread))
 
 
+class ReloadedSettingsTest(ProxyCase):
+    """A proxy whose settings file changes in more than the seeds while it runs."""
+
+    # Guards against a change of the settings that is taken in silence and not acted on, here one
+    # by which keys that were withdrawn are to be refused without contact to the replicas.
+    def test_a_changed_setting_that_takes_no_effect_is_named(self) -> None:
+        """Only seeds are applied before the next start."""
+        self.next_event("started")
+        self.extra = 'bounds = \'{"revoke_when_partitioned": true, "revoke_s": 5}\'\n'
+        self.write("10.0.0.2:1")
+        reloaded = self.next_event("reloaded")
+        self.assertIn("revo", " ".join([reloaded.get("unread", ""), reloaded.get("reason", "")]))
+
+
 # The program as it was when it didn't read the teams of a configuration: it stores none.
 BUILD_WITHOUT_TEAMS = """
 from cowslipvane.platform import _teams
