Test that unread parts of the configuration in force are exported after a restart

Operators see: cowslipvane_unread_parts is 0 at every replica after a restart or a change of the leader, though the configuration in force still asks for what this build doesn't do; so the metric says that nothing is unread.

Cause: Metrics counts what the event of an accepted release names (metrics/_metrics.py), which only the replica that took Config.Replace records; the document that is kept is not decoded again. A decoding at the start of a leadership would mend this and the teams of stored configurations.

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import unittest
 from asyncio.subprocess import Process, create_subprocess_exec
 from typing import Any
@@ -13,6 +14,7 @@
 from cowslipvane.tasks.http import HttpListener
 from cowslipvane.tasks.upstreams._worker_connection import AnswerBroken
 from cowslipvane.types import Address
+from tests.processes_case import OPERATORS_PORT
 from tests.replica_node import free_port
 from tests.teams_case import (
     ANSWER_TIMEOUT_S,
@@ -36,6 +38,7 @@
 CONVERGENCE_TIMEOUT_S = 4.0
 # So that a stray answer is read before the next one comes.
 STRAY_TIME_S = 0.02
+UNREAD_PARTS = re.compile(r"^cowslipvane_unread_parts ([0-9.e+]+)$", re.MULTILINE)
 
 
 class TrailersTest(TeamsCase):
@@ -257,5 +260,38 @@
         await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
 
 
+class UnreadAfterRestartTest(TeamsCase):
+    """A configuration asks for something that this build doesn't do, and all processes restart."""
+
+    async def unread_parts(self) -> float:
+        """Return the largest number of unread parts that a replica exports."""
+        found = []
+        for replica in self.core:
+            url = f"http://{replica.host.ip}:{OPERATORS_PORT}/metrics"
+            async with self.session.get(url) as response:
+                found += UNREAD_PARTS.findall(await response.text())
+        return max(map(float, found), default=0.0)
+
+    # Guards against an operator who is told that nothing is unread, after a restart or a change of
+    # the leader, while the same configuration is in force.
+    async def test_unread_parts_are_exported_after_a_restart(self) -> None:
+        """By any of the replicas."""
+        form = configuration(1, TEAMS)
+        form["clusters"][0]["tls"] = True
+        await self.put_in_force(form)
+        self.end_formation()
+        before = await self.unread_parts()
+        self.assertGreater(before, 0)
+        await self.kill(*self.core)
+        await self.start(*self.core)
+
+        async def is_led() -> bool:
+            statuses = [(await self.status(replica)).get("replica", {}) for replica in self.core]
+            return any(status.get("leader") and status.get("accepted") for status in statuses)
+
+        await self.until(is_led)
+        self.assertEqual(await self.unread_parts(), before)
+
+
 if __name__ == "__main__":
     unittest.main()
