Test that a stored configuration which can't be derived is told once

The document is decoded each time too: 0.16 s for 10,000 teams, measured on this machine. Meanwhile the requests go on without teams and with the keys, and sending the same configuration again is answered with 200.

Cause: Releases._check_derivation remembers a release only if its teams were accepted or it had none, not if the change is Invalid (tasks/replication/_releases.py); _acknowledge_again returns the old acknowledgement for every outcome but NotLeader and Unknown.

--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -5,7 +5,7 @@
 import re
 import unittest
 from asyncio.subprocess import Process, create_subprocess_exec
-from typing import Any
+from typing import Any, ClassVar
 from unittest.mock import patch
 
 from aiohttp import web
@@ -38,6 +38,8 @@
 CONVERGENCE_TIMEOUT_S = 4.0
 # So that a stray answer is read before the next one comes.
 STRAY_TIME_S = 0.02
+# Several times the interval at which a leader checks the release in force.
+REPETITIONS_S = 4.0
 UNREAD_PARTS = re.compile(r"^cowslipvane_unread_parts ([0-9.e+]+)$", re.MULTILINE)
 
 
@@ -220,14 +222,16 @@
     return await create_subprocess_exec(python, "-c", BUILD_WITHOUT_TEAMS, *addresses, **options)
 
 
-class StoredConfigurationTest(TeamsCase):
+class StoredConfigurationCase(TeamsCase):
     """A build without teams has acknowledged a configuration with teams; then comes this build."""
 
+    teams: ClassVar[tuple[dict[str, Any], ...]] = TEAMS
+
     async def asyncSetUp(self) -> None:
         """Let that build store it, and restart all processes with this build."""
         with patch("asyncio.create_subprocess_exec", start_build_without_teams):
             await super().asyncSetUp()
-            await self.start_serving(TEAMS)
+            await self.start_serving(self.teams)
         self.assertFalse(await self.is_checked())
         await self.kill(*self.processes)
         await self.start(*self.processes)
@@ -246,6 +250,10 @@
         answer = await self.ask(self.entry, "unknown-key", f"{CLOSED}1", bearer("of-nobody"))
         return answer.status == 401
 
+
+class StoredConfigurationTest(StoredConfigurationCase):
+    """The configuration is one that this build accepts, too."""
+
     # Guards against UNASKED after an upgrade: an acknowledged configuration is served without its
     # teams, as the build before read it, though the document that is kept has them.
     async def test_teams_of_a_stored_configuration_come_into_force(self) -> None:
@@ -260,6 +268,29 @@
         await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
 
 
+class StoredFaultTest(StoredConfigurationCase):
+    """The configuration is one that this build refuses, since two teams have one key."""
+
+    teams = (team("red", RED_KEY), team("blue", RED_KEY))
+
+    # Guards against a leader that derives and refuses the same stored configuration once a second
+    # for as long as it leads, and fills the event log with that.
+    async def test_a_stored_configuration_that_is_refused_is_told_once(self) -> None:
+        """By each process that leads."""
+        await asyncio.sleep(REPETITIONS_S)
+        events = [
+            json.loads(line)["event"]
+            for replica in self.core
+            for line in (self.folder / f"{replica.host.name}.events").read_text().splitlines()
+        ]
+        refused = [
+            event["host"]
+            for event in events
+            if event["kind"] == "release" and "has a key of" in event["detail"]["reason"]
+        ]
+        self.assertEqual(len(refused), len(set(refused)), refused)
+
+
 class UnreadAfterRestartTest(TeamsCase):
     """A configuration asks for something that this build doesn't do, and all processes restart."""
 
