--- a/tests/test_review_52.py
+++ b/tests/test_review_52.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+import re
 import unittest
 from asyncio.subprocess import Process, create_subprocess_exec
-from typing import Any
+from typing import Any, ClassVar
 from unittest.mock import patch
 
 from aiohttp import web
@@ -13,6 +14,7 @@
 from cowslipvane.tasks.http import HttpListener
 from cowslipvane.tasks.upstreams._worker_connection import AnswerBroken
 from cowslipvane.types import Address
+from tests.processes_case import OPERATORS_PORT
 from tests.replica_node import free_port
 from tests.teams_case import (
     ANSWER_TIMEOUT_S,
@@ -26,6 +28,7 @@
     configuration,
     team,
 )
+from tests.test_platform_process import ProxyCase
 from tests.worker_case import WorkerCase, read_head, response
 from tools.soak._hosts import HostProcess
 
@@ -35,6 +38,9 @@
 CONVERGENCE_TIMEOUT_S = 4.0
 # So that a stray answer is read before the next one comes.
 STRAY_TIME_S = 0.02
+# Several times the interval at which a leader checks the release in force.
+REPETITIONS_S = 4.0
+UNREAD_PARTS = re.compile(r"^cowslipvane_unread_parts ([0-9.e+]+)$", re.MULTILINE)
 
 
 class TrailersTest(TeamsCase):
@@ -186,6 +192,20 @@
                 self.assertIn("listeners[0].route_rules[1]", " ".join(unread))
 
 
+class ReloadedSettingsTest(ProxyCase):
+    """A proxy whose settings file changes in more than the seeds while it runs."""
+
+    # Guards against a change of the settings that is taken in silence and not acted on, here one
+    # by which keys that were withdrawn are to be refused without contact to the replicas.
+    def test_a_changed_setting_that_takes_no_effect_is_named(self) -> None:
+        """Only seeds are applied before the next start."""
+        self.next_event("started")
+        self.extra = 'bounds = \'{"revoke_when_partitioned": true, "revoke_s": 5}\'\n'
+        self.write("10.0.0.2:1")
+        reloaded = self.next_event("reloaded")
+        self.assertIn("revo", " ".join([reloaded.get("unread", ""), reloaded.get("reason", "")]))
+
+
 # The program as it was when it didn't read the teams of a configuration: it stores none.
 BUILD_WITHOUT_TEAMS = """
 from cowslipvane.platform import _teams
@@ -202,14 +222,16 @@
     return await create_subprocess_exec(python, "-c", BUILD_WITHOUT_TEAMS, *addresses, **options)
 
 
-class StoredConfigurationTest(TeamsCase):
+class StoredConfigurationCase(TeamsCase):
     """A build without teams has acknowledged a configuration with teams; then comes this build."""
 
+    teams: ClassVar[tuple[dict[str, Any], ...]] = TEAMS
+
     async def asyncSetUp(self) -> None:
         """Let that build store it, and restart all processes with this build."""
         with patch("asyncio.create_subprocess_exec", start_build_without_teams):
             await super().asyncSetUp()
-            await self.start_serving(TEAMS)
+            await self.start_serving(self.teams)
         self.assertFalse(await self.is_checked())
         await self.kill(*self.processes)
         await self.start(*self.processes)
@@ -228,6 +250,10 @@
         answer = await self.ask(self.entry, "unknown-key", f"{CLOSED}1", bearer("of-nobody"))
         return answer.status == 401
 
+
+class StoredConfigurationTest(StoredConfigurationCase):
+    """The configuration is one that this build accepts, too."""
+
     # Guards against UNASKED after an upgrade: an acknowledged configuration is served without its
     # teams, as the build before read it, though the document that is kept has them.
     async def test_teams_of_a_stored_configuration_come_into_force(self) -> None:
@@ -242,5 +268,61 @@
         await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
 
 
+class StoredFaultTest(StoredConfigurationCase):
+    """The configuration is one that this build refuses, since two teams have one key."""
+
+    teams = (team("red", RED_KEY), team("blue", RED_KEY))
+
+    # Guards against a leader that derives and refuses the same stored configuration once a second
+    # for as long as it leads, and fills the event log with that.
+    async def test_a_stored_configuration_that_is_refused_is_told_once(self) -> None:
+        """By each process that leads."""
+        await asyncio.sleep(REPETITIONS_S)
+        events = [
+            json.loads(line)["event"]
+            for replica in self.core
+            for line in (self.folder / f"{replica.host.name}.events").read_text().splitlines()
+        ]
+        refused = [
+            event["host"]
+            for event in events
+            if event["kind"] == "release" and "has a key of" in event["detail"]["reason"]
+        ]
+        self.assertEqual(len(refused), len(set(refused)), refused)
+
+
+class UnreadAfterRestartTest(TeamsCase):
+    """A configuration asks for something that this build doesn't do, and all processes restart."""
+
+    async def unread_parts(self) -> float:
+        """Return the largest number of unread parts that a replica exports."""
+        found = []
+        for replica in self.core:
+            url = f"http://{replica.host.ip}:{OPERATORS_PORT}/metrics"
+            async with self.session.get(url) as response:
+                found += UNREAD_PARTS.findall(await response.text())
+        return max(map(float, found), default=0.0)
+
+    # Guards against an operator who is told that nothing is unread, after a restart or a change of
+    # the leader, while the same configuration is in force.
+    async def test_unread_parts_are_exported_after_a_restart(self) -> None:
+        """By any of the replicas."""
+        form = configuration(1, TEAMS)
+        form["clusters"][0]["tls"] = True
+        await self.put_in_force(form)
+        self.end_formation()
+        before = await self.unread_parts()
+        self.assertGreater(before, 0)
+        await self.kill(*self.core)
+        await self.start(*self.core)
+
+        async def is_led() -> bool:
+            statuses = [(await self.status(replica)).get("replica", {}) for replica in self.core]
+            return any(status.get("leader") and status.get("accepted") for status in statuses)
+
+        await self.until(is_led)
+        self.assertEqual(await self.unread_parts(), before)
+
+
 if __name__ == "__main__":
     unittest.main()
