Name changed settings that take effect only at the next start

What operators saw: a reload told all changes as taken, though only seeds, timing.grace and timing.lame_duck are acted on; turning on revocation.when_partitioned had no effect and nothing said so. Cause: a reload records what it applies, and nothing of the rest. Change: the event names settings that differ from those of the start. Result: ReloadedSettingsTest failed before and passes now, with test_platform_process, test_settings and test_platform_fields.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -21,7 +21,7 @@
 from cowslipvane.replica import Replica
 from cowslipvane.rollout import Observations, Plan
 from cowslipvane.routing import Chooser
-from cowslipvane.settings import Settings, SettingsFault, read_token
+from cowslipvane.settings import Settings, SettingsFault, pending_settings, read_token
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks._front_end import Components, FrontEnd, settings_detail
 from cowslipvane.tasks._signal import Signal
@@ -65,7 +65,7 @@
     """Runs one process with the roles that its settings name."""
 
     def __init__(self, *, settings: Settings, front_end: FrontEnd | None = None) -> None:
-        self._settings = settings
+        self._settings = self._started_with = settings
         self._front_end = front_end
         self._header_names = front_end.header_names if front_end else DEFAULT_HEADER_NAMES
         self._rng = random.Random()
@@ -168,8 +168,8 @@
         if self._subscriber is not None:
             self._subscriber.update_seeds(settings.seeds)
         seeds = " ".join(str(seed) for seed in settings.seeds)
-        unread = settings_detail(self._front_end)
-        self._events.record("reloaded", outcome="taken", seeds=seeds, **unread)
+        detail = settings_detail(self._front_end, pending_settings(self._started_with, settings))
+        self._events.record("reloaded", outcome="taken", seeds=seeds, **detail)
 
     async def _watch_settings(self, front_end: FrontEnd) -> None:
         """Reload the settings when their file has changed, also without a signal."""
--- a/cowslipvane/settings/__init__.py
+++ b/cowslipvane/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of a process, read from TOML and validated as a whole."""
 
+from cowslipvane.settings._changes import pending_settings
 from cowslipvane.settings._load import SettingsFault, load, parse
 from cowslipvane.settings._settings import (
     DEFAULT_RETRIES,
@@ -36,5 +37,6 @@
     "ValueDescription",
     "load",
     "parse",
+    "pending_settings",
     "read_token",
 ]
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol, TypedDict
 
 from cowslipvane.call import HeaderNames
 from cowslipvane.catalogue import Key, Spec
-from cowslipvane.events import UnreadDetail, unread_detail
 from cowslipvane.settings import Settings
 from cowslipvane.tasks.distribution import Rollouts
 from cowslipvane.tasks.http import HttpListener
@@ -24,6 +23,13 @@
     is_ready: Callable[[], bool]
 
 
+class SettingsDetail(TypedDict, total=False):
+    """The detail that names settings without an effect."""
+
+    unread: str
+    reason: str
+
+
 class FrontEnd(Protocol):
     """An additional external interface of a process."""
 
@@ -48,6 +54,14 @@
         """Reload the settings; raise SettingsFault when they are invalid."""
 
 
-def settings_detail(front_end: FrontEnd | None) -> UnreadDetail:
-    """Return the detail of events that names the settings that this build doesn't act on."""
-    return unread_detail(front_end.unread_settings) if front_end is not None else UnreadDetail()
+def settings_detail(front_end: FrontEnd | None, pending: Sequence[str] = ()) -> SettingsDetail:
+    """Return the detail of events that names the settings that this process doesn't act on.
+
+    Those that are pending have changed, and take effect at the next start.
+    """
+    detail = SettingsDetail()
+    if front_end is not None and front_end.unread_settings:
+        detail["unread"] = ", ".join(front_end.unread_settings)
+    if pending:
+        detail["reason"] = f"takes effect at the next start: {', '.join(pending)}"
+    return detail
