--- a/tests/teams_case.py
+++ b/tests/teams_case.py
@@ -19,8 +19,12 @@
 # and those that don't.
 CLOSED, ONCE, OPEN = "/closed/", "/once/", "/open/"
 ANSWER_TIMEOUT_S = 5.0
+# The time between an early response and the reading of the body.
+_EARLY_TIME_S = 0.1
 _HEARTBEAT_INTERVAL_S = 0.5
 _TIMEOUT_S = 5.0
+# The time between an early response and the reading of the body.
+_EARLY_TIME_S = 0.1
 # Names of fields in lower case.
 KEY, TEAM, REQUEST_ID = "authorization", "tenant", "attempt-id"
 
@@ -53,7 +57,7 @@
         self._host = host
         self._sequence = 0
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.StreamWriter] = set()
+        self._connections: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
         self._heartbeats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -66,9 +70,10 @@
         assert self._server is not None and self._heartbeats is not None
         self._heartbeats.cancel()
         self._server.close()
-        for writer in self._connections:
+        self.may_end.set()
+        for writer in self._connections.values():
             writer.transport.abort()
-        await asyncio.gather(self._heartbeats, return_exceptions=True)
+        await asyncio.gather(self._heartbeats, *self._connections, return_exceptions=True)
 
     async def _announce(self) -> None:
         """Send a heartbeat at each interval."""
@@ -97,11 +102,13 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the requests of one connection, one after another."""
-        self._connections.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[task] = writer
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 await self._serve_one(reader, writer)
-        self._connections.discard(writer)
+        del self._connections[task]
         writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -113,6 +120,7 @@
             return
         if self.is_early:
             writer.write(self._response(head, 200))
+            await asyncio.sleep(_EARLY_TIME_S)
         body = await read_body(reader, head)
         if self.refusals:
             writer.write(self._response(head, self.refusals.pop(0), {"Not-Executed": "1"}))
