--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass
 from functools import partial
 
+from cowslipvane.access import key_of, team_of
 from cowslipvane.call import (
+    KEY_FIELD,
     Answer,
     AttemptId,
     Call,
@@ -246,6 +248,9 @@
             owner=owner.host,
             asked=f"{call.request.method} {call.request.path.partition('?')[0]}",
             number=str(len(call.tried_hosts)),
+            routed_by=str(call.version or ""),
+            team=team_of(call.access) or "",
+            credentials="none" if call.request.header(KEY_FIELD) is None else "passed on",
         )
         mailbox = Mailbox(
             service=call.rules.service,
@@ -324,6 +329,8 @@
             kind=call.rules.kind,
             nested=call.is_nested,
             version=call.version,
+            team=team_of(call.access),
+            key=key_of(call.access),
         )
         try:
             async with self._timeout(time_remaining):
