--- a/cowslipvane/tasks/http/_listener.py
+++ b/cowslipvane/tasks/http/_listener.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
+from cowslipvane.tasks.http._connection import HttpConnection
 from cowslipvane.tasks.http._pipeline import PipelinedConnection, Prefetcher
 from cowslipvane.types import Address, Seconds
 
@@ -27,6 +28,14 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class _Server(web.Server):
+    """A server whose connections don't quote requests that can't be read."""
+
+    def __call__(self) -> HttpConnection:
+        """Return the protocol for a new connection."""
+        return HttpConnection(self, loop=self._loop, **self._kwargs)
+
+
 class _CallersServer(web.Server):
     """A server whose connections prefetch the responses to pipelined requests."""
 
@@ -65,7 +74,7 @@
             "max_field_size": MAX_FIELD_BYTES,
         }
         if prefetcher is None:
-            self._server = web.Server(handler, **options)
+            self._server: web.Server = _Server(handler, **options)
         else:
             self._server = _CallersServer(
                 handler,
