--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import Any, TypedDict, get_args, get_origin
 
 from cattrs import Converter, transform_error
@@ -22,6 +23,7 @@
     Invalid,
     Key,
     Outcome,
+    Release,
     Resource,
     Rollout,
     Spec,
@@ -31,6 +33,7 @@
 from cowslipvane.types import Header, OperationId, Version
 
 MAX_TEXT_CHARACTERS = 1024
+_DIGEST_BYTES = 16
 
 
 class ResourceForm(TypedDict):
@@ -163,7 +166,11 @@
         accepted_at=change.accepted_at,
         operation_id=change.operation_id,
         resources=[
-            ChangedForm(kind=key.kind, name=key.name, spec=_spec_form(resource and resource.spec))
+            ChangedForm(
+                kind=key.kind,
+                name=key.name,
+                spec=None if resource is None else _spec_form(resource.spec),
+            )
             for key, resource in sorted(change.after.items())
         ],
     )
@@ -174,8 +181,8 @@
     return EffectForm(
         kind=effect.key.kind,
         name=effect.key.name,
-        before=_spec_form(effect.before),
-        after=_spec_form(effect.after),
+        before=None if effect.before is None else _spec_form(effect.before),
+        after=None if effect.after is None else _spec_form(effect.after),
     )
 
 
@@ -192,10 +199,15 @@
     )
 
 
-def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
-    """Return a specification as JSON, or None if there is none."""
-    form: dict[str, Any] | None = _CONVERTER.unstructure(spec)
-    return form
+def _spec_form(spec: Spec) -> dict[str, Any]:
+    """Return a specification as JSON, without the document of a release, which has keys in it."""
+    match spec:
+        case Release(number=number, based_on=based_on, document=document):
+            digest = hashlib.blake2b(document.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+            return {"number": number, "based_on": based_on, "document_digest": digest}
+        case _:
+            form: dict[str, Any] = _CONVERTER.unstructure(spec)
+            return form
 
 
 def resource_form(resource: Resource) -> ResourceForm:
@@ -203,7 +215,7 @@
     return ResourceForm(
         kind=resource.key.kind,
         name=resource.key.name,
-        spec=_CONVERTER.unstructure(resource.spec),
+        spec=_spec_form(resource.spec),
         version=resource.version,
     )
 
