--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -213,6 +213,80 @@
         both = [*changes, Change(6, 3, 3.0, 4.0, 200)]
         self.assertEqual(self.rules(changes=both, final_reading=Reading(10.0, 10.1, 6)), ["CONFIG"])
 
+    def test_requests_run_for_the_team_of_their_key(self) -> None:
+        """The team is that of a version that may be in force, and the key doesn't come along."""
+        changes = [
+            Change(3, 0, 1.0, 2.0, 200, {"k": "red", "lasting": "blue"}),
+            Change(5, 3, 3.0, 4.0, 412, {"k": "green"}),
+            Change(6, 3, 100.2, None, None, {"k": "blue", "lasting": "blue"}),
+        ]
+        for key, needs_key, team, expected in (
+            ("k", True, "red", []),
+            ("k", True, "green", ["UNASKED"]),
+            ("k", True, "blue", ["UNASKED"]),
+            ("k", True, "", ["UNASKED"]),
+            ("k", False, "", ["UNASKED"]),
+            ("k", False, "red", []),
+            ("", True, "", ["UNASKED"]),
+            ("other", True, "red", ["UNASKED"]),
+            ("other", False, "", []),
+            ("", False, "red", ["UNASKED"]),
+        ):
+            with self.subTest(key=key, needs_key=needs_key, team=team):
+                sent = call(GOOD, key=key, needs_key=needs_key)
+                ran = run(Completed(), team=team)
+                problems = self.rules(calls=[sent], runs=[ran], changes=changes)
+                self.assertEqual(problems, expected)
+        shown = run(Completed(), team="red", shows_key=True)
+        sent = call(GOOD, key="k", needs_key=True)
+        self.assertEqual(self.rules(calls=[sent], runs=[shown], changes=changes), ["UNASKED"])
+
+    def test_a_key_that_all_versions_hold_is_not_refused(self) -> None:
+        """A request without a key isn't either, on a route that needs none."""
+        changes = [
+            Change(3, 0, 1.0, 2.0, 200, {"k": "red", "lasting": "blue"}),
+            Change(5, 3, 100.8, None, None, {"lasting": "blue"}),
+        ]
+        unknown = call(Answered(status=401, signature="", digest=""), ended_at=100.9)
+        for key, needs_key, expected in (
+            ("lasting", True, ["CONFIG"]),
+            ("k", True, []),
+            ("k", False, ["CONFIG"]),
+            ("", True, []),
+            ("", False, ["CONFIG"]),
+        ):
+            with self.subTest(key=key, needs_key=needs_key):
+                refused = unknown._replace(key=key, needs_key=needs_key)
+                self.assertEqual(self.rules(calls=[refused], changes=changes), expected)
+
+    def test_a_key_is_withdrawn_within_the_propagation_time(self) -> None:
+        """Unless the host, or what it gets versions from, was disturbed since."""
+        changes = [
+            Change(3, 0, 1.0, 2.0, 200, {"k": "red"}),
+            Change(5, 3, 97.0, 97.9, 200, {}),
+        ]
+        reading = Reading(97.7, 97.8, 5)
+        ran = run(Completed(), team="red")
+        for sent_at, signals, readings, expected in (
+            (100.0, {}, [reading], ["UNASKED"]),
+            (99.8, {}, [reading], []),
+            (100.0, {"SIGSTOP": 96.0}, [reading], []),
+            (100.0, {"SIGSTOP": 90.0}, [reading], ["UNASKED"]),
+            (100.0, {}, [], []),
+        ):
+            for host in ("p", "replica-0"):
+                with self.subTest(sent_at=sent_at, signals=signals, host=host):
+                    sent = call(GOOD, key="k", needs_key=True, sent_at=sent_at)
+                    problems = self.rules(
+                        calls=[sent],
+                        runs=[ran],
+                        changes=changes,
+                        readings=readings,
+                        lifetimes=[life(host, {"SIGTERM": 150.0, **signals})],
+                        final_reading=Reading(1000.0, 1000.0, 5),
+                    )
+                    self.assertEqual(problems, expected)
+
     def test_a_majority_serves_within_the_recovery_time(self) -> None:
         """A failed reading isn't one that is served."""
         spans = [Span(0.0, 20.0)]
--- a/tools/soak/_caller.py
+++ b/tools/soak/_caller.py
@@ -12,6 +12,7 @@
 from cowslipvane.types import Seconds
 from tools.http_messages import encode_chunk, encode_head, read_body, read_head
 from tools.soak._hosts import CALLERS_PORT, Host
+from tools.soak._keys import TEAMS, draw_key
 from tools.soak._records import Answered, CallOutcome, CallRecord, Cut, Left, Silent, Unread
 from tools.soak._worker import digest
 
@@ -27,6 +28,9 @@
 _HALF_CLOSED_SHARE = 0.4
 _MAX_PIPELINED = 5
 _BODY_SIZES = (0, 40, 3_000, 60_000)
+_PUBLIC_SHARE = 0.2
+# The share of requests that name a team themselves.
+_FORGED_SHARE = 0.1
 _UNSAFE_METHODS = ("POST", "PUT", "DELETE")
 
 
@@ -119,23 +123,31 @@
         idempotent = self._habit is Habit.PIPELINED or self._rng.random() < 0.5
         method = "GET" if idempotent else self._rng.choice(_UNSAFE_METHODS)
         service = self._rng.choice(self._services)
+        is_public = idempotent and self._rng.random() < _PUBLIC_SHARE
+        key = draw_key(self._rng)
         fields = {
             "Host": f"{service}.example",
             "Attempt-Id": request_id,
             "Deadline-Ms": str(round(TIMEOUT * 1000)),
         }
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
+        if self._rng.random() < _FORGED_SHARE:
+            fields[self._rng.choice(("Tenant", "tenant"))] = self._rng.choice(TEAMS)
         body = b"" if idempotent else b"b" * self._rng.choice(_BODY_SIZES)
         if body and self._rng.random() < 0.3:
             fields["Transfer-Encoding"] = "chunked"
             body = encode_chunk(body) + encode_chunk(b"")
         elif not idempotent:
             fields["Content-Length"] = str(len(body))
-        path = f"/{'safe' if idempotent else 'unsafe'}/{request_id}"
+        prefix = "open" if is_public else "safe" if idempotent else "unsafe"
+        path = f"/{prefix}/{request_id}"
         writer.write(encode_head(f"{method} {path} HTTP/1.1", fields) + body)
         now = time.monotonic()
-        return CallRecord(
+        record = CallRecord(
             request_id, self._host.name, method, idempotent, is_pipelined, now, now + TIMEOUT
         )
+        return record._replace(key=key, needs_key=not is_public)
 
     async def _read_responses(self, reader: asyncio.StreamReader, sent: list[CallRecord]) -> bool:
         """Read and record one outcome for each request; return whether the connection is usable."""
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -8,6 +8,7 @@
 
 from cowslipvane.types import Seconds
 from tools.soak._hosts import GRACE
+from tools.soak._keys import POSSIBLE_STATUSES, allowed_teams
 from tools.soak._records import (
     HARMED_LINK,
     PROCESSOR_WAIT,
@@ -45,6 +46,8 @@
 SERVED_SHARE = 0.25
 # A process that gets SIGTERM within this time of its start may not handle signals yet.
 STARTUP: Seconds = 5.0
+# The configuration is read several times in this time.
+_READING_TIME: Seconds = 1.0
 _PROMISES = frozenset({408, 421, 429, 503})
 _SIGKILL, _SIGTERM, _SIGSTOP = "SIGKILL", "SIGTERM", "SIGSTOP"
 _DISTURBANCES = (_SIGSTOP, signal.SIGCONT.name, PROCESSOR_WAIT, HARMED_LINK)
@@ -68,6 +71,7 @@
         *check_promises(history.calls, runs),
         *check_answers(history, runs),
         *check_origins(history.runs, history.services),
+        *check_teams(history, runs),
         *check_configurations(history),
         *check_recovery(history),
         *check_acknowledgements(history),
@@ -225,6 +229,60 @@
             yield Problem("UNASKED", run.began_at, f"{run.request_id} from {run.origin_service!r}")
 
 
+def check_teams(history: History, runs: Runs) -> Iterator[Problem]:
+    """Find keys at workers, runs for a wrong team or without a key, and needless 401s."""
+    for call in history.calls:
+        own_runs = runs.get(call.request_id, [])
+        for run in own_runs:
+            text = f"for {run.team!r} by {call.key!r}: {_describe(call, own_runs, [])}"
+            if run.shows_key:
+                yield Problem("UNASKED", run.began_at, f"the key is at the worker, {text}")
+            if run.team not in allowed_teams(call, _possible_changes(history, call, run.began_at)):
+                yield Problem("UNASKED", run.began_at, text)
+        match call.outcome:
+            case Answered(status=401):
+                possible = _possible_changes(history, call, call.ended_at)
+                if None not in allowed_teams(call, possible):
+                    text = f"401 for {call.key!r}: {_describe(call, own_runs, [])}"
+                    yield Problem("CONFIG", call.ended_at, text)
+
+
+def _possible_changes(history: History, call: CallRecord, until: float) -> list[Change]:
+    """Return the changes that may be in force at a request's host until some time."""
+    oldest = 0
+    if _is_in_touch(history, call):
+        oldest = _newest_acknowledged(history.changes, call.sent_at - PROPAGATION)
+    return [
+        change
+        for change in history.changes
+        if change.status in POSSIBLE_STATUSES and change.sent_at <= until
+        if change.version >= oldest
+    ]
+
+
+def _is_in_touch(history: History, call: CallRecord) -> bool:
+    """Return whether nothing kept new versions from a request's host before it was sent.
+
+    A reading tells that there was a leader: a version may be acknowledged right before its loss.
+    """
+    start = call.sent_at - PROPAGATION
+    lifetimes = history.lifetimes
+    hosts = {call.host, *(life.host for life in lifetimes if life.is_replica)}
+    has_changed = any(
+        life.host in hosts and start - TOUCH < at < call.sent_at
+        for life in lifetimes
+        for at in (life.started_at, life.ended_at)
+    )
+    has_leader = any(
+        reading.version is not None
+        and start - _READING_TIME < reading.sent_at
+        and reading.answered_at < start
+        for reading in history.readings
+    )
+    is_disturbed = any(_was_disturbed(lifetimes, host, start, call.sent_at) for host in hosts)
+    return has_leader and not has_changed and not is_disturbed
+
+
 def check_configurations(history: History) -> Iterator[Problem]:
     """Find acknowledged configurations that were lost, and readings that are old or altered."""
     sent = {change.version: change for change in history.changes}
--- a/tools/soak/_operator.py
+++ b/tools/soak/_operator.py
@@ -6,12 +6,14 @@
 import json
 import random
 import time
+from collections.abc import Mapping
 from contextlib import suppress
 
 import aiohttp
 
 from cowslipvane.types import Seconds
 from tools.soak._hosts import CONTROL_PORT, Host
+from tools.soak._keys import Keyring, team_forms
 from tools.soak._records import Change, History, Reading
 
 _ANSWER_TIMEOUT: Seconds = 1.0
@@ -39,6 +41,7 @@
         self._replicas = replicas
         self._services = services
         self._rng = rng
+        self._keyring = Keyring(rng=rng)
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=_ANSWER_TIMEOUT))
 
     async def close(self) -> None:
@@ -54,13 +57,15 @@
             newest = reading.version
         highest = max((item.version for item in self._changes), default=0)
         version = max(newest, highest) + self._rng.randint(1, _MAX_VERSION_STEP)
-        self._documents[version] = self._document(version, newest)
+        holders = self._keyring.draw()
+        self._documents[version] = self._document(version, newest, holders)
         body = json.dumps(self._documents[version]).encode()
         index = len(self._changes)
         sent_at = time.monotonic()
-        self._changes.append(Change(version, newest, sent_at, None, None))
+        change = Change(version, newest, sent_at, None, None, holders)
+        self._changes.append(change)
         status = await self._resend(body)
-        self._changes[index] = Change(version, newest, sent_at, time.monotonic(), status)
+        self._changes[index] = change._replace(answered_at=time.monotonic(), status=status)
         return self._changes[index]
 
     async def read(self) -> Reading:
@@ -120,7 +125,9 @@
                     url = response.headers["Location"]
         return None, b""
 
-    def _document(self, version: int, based_on: int) -> dict[str, object]:
+    def _document(
+        self, version: int, based_on: int, holders: Mapping[str, str]
+    ) -> dict[str, object]:
         """Return a configuration; the routes that callers use are in each one."""
         return {
             "version": f"{version:08x}",
@@ -136,6 +143,7 @@
                     "host": f"{service}.example",
                     "route_rules": [
                         _rule(service, "safe", "idempotent"),
+                        _rule(service, "open", "idempotent") | {"public": True},
                         _rule(service, "unsafe", "non_idempotent"),
                         # Distinguishes the version.
                         _rule(service, f"extra-{version}", "idempotent"),
@@ -151,6 +159,7 @@
                 {"name": name, "health_path": "/healthz", "max_connections": 60}
                 for name in self._services
             ],
+            "tenants": team_forms(holders),
         }
 
 
--- a/tools/soak/_records.py
+++ b/tools/soak/_records.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cowslipvane.types import Seconds
@@ -57,6 +59,9 @@
     deadline: float
     ended_at: float = math.inf
     outcome: CallOutcome = Silent()
+    # Empty if the request showed none.
+    key: str = ""
+    needs_key: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,6 +94,9 @@
     answer: Answered
     ended_at: float = math.inf
     outcome: RunOutcome = BrokenOff()
+    # Empty if the request came without a team.
+    team: str = ""
+    shows_key: bool = False
 
 
 class WorkerRefusal(NamedTuple):
@@ -140,6 +148,8 @@
     sent_at: float
     answered_at: float | None
     status: int | None
+    # The team that holds each key.
+    holders: Mapping[str, str] = MappingProxyType({})
 
 
 class Reading(NamedTuple):
--- a/tools/soak/_worker.py
+++ b/tools/soak/_worker.py
@@ -16,6 +16,7 @@
 from cowslipvane.types import Seconds
 from tools.http_messages import Head, encode_chunk, encode_head, read_body, read_head
 from tools.soak._hosts import CONTROL_PORT, WORKER_PORT, Host
+from tools.soak._keys import shows_key
 from tools.soak._records import (
     Answered,
     BrokenOff,
@@ -231,6 +232,7 @@
         now = time.monotonic()
         due_at = now + min(work, time_left)
         run = RunRecord(request_id, self._host.name, origin, now, due_at, answer)
+        run = run._replace(team=head.fields.get("tenant", ""), shows_key=shows_key(head.fields))
         outcome: RunOutcome = BrokenOff()
         try:
             if await _is_closed_within(reader, min(work, time_left)):
