--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import Any, TypedDict, get_args, get_origin
 
 from cattrs import Converter, transform_error
@@ -11,6 +10,7 @@
     namedtuple_dict_unstructure_factory,
 )
 from cattrs.errors import ForbiddenExtraKeysError, IterableValidationError, IterableValidationNote
+from cattrs.gen import make_dict_structure_fn, override
 
 from cowslipvane.catalogue import (
     KINDS,
@@ -28,12 +28,13 @@
     Rollout,
     Spec,
     Target,
+    Team,
+    document_digest,
 )
 from cowslipvane.subscription import Convergence, Progress
-from cowslipvane.types import Header, OperationId, Version
+from cowslipvane.types import Header, KeyDigest, OperationId, Version
 
 MAX_TEXT_CHARACTERS = 1024
-_DIGEST_BYTES = 16
 
 
 class ResourceForm(TypedDict):
@@ -45,6 +46,15 @@
     version: int
 
 
+class ReleaseForm(TypedDict):
+    """A release without its document, in which operators of the platform send keys."""
+
+    number: int
+    based_on: int
+    document_characters: int
+    document_digest: str
+
+
 class FaultForm(TypedDict):
     """A fault in a change or a specification, with its path."""
 
@@ -166,11 +176,7 @@
         accepted_at=change.accepted_at,
         operation_id=change.operation_id,
         resources=[
-            ChangedForm(
-                kind=key.kind,
-                name=key.name,
-                spec=None if resource is None else _spec_form(resource.spec),
-            )
+            ChangedForm(kind=key.kind, name=key.name, spec=_spec_form(resource and resource.spec))
             for key, resource in sorted(change.after.items())
         ],
     )
@@ -181,8 +187,8 @@
     return EffectForm(
         kind=effect.key.kind,
         name=effect.key.name,
-        before=None if effect.before is None else _spec_form(effect.before),
-        after=None if effect.after is None else _spec_form(effect.after),
+        before=_spec_form(effect.before),
+        after=_spec_form(effect.after),
     )
 
 
@@ -199,23 +205,37 @@
     )
 
 
-def _spec_form(spec: Spec) -> dict[str, Any]:
-    """Return a specification as JSON, without the document of a release, which has keys in it."""
+def _spec_form(spec: Spec | None) -> dict[str, Any] | None:
+    """Return a specification as JSON, or None if there is none."""
+    return None if spec is None else _form_of(spec)
+
+
+def _form_of(spec: Spec) -> dict[str, Any]:
+    """Return a specification as JSON; of a release, its document and pieces are left out."""
     match spec:
-        case Release(number=number, based_on=based_on, document=document):
-            digest = hashlib.blake2b(document.encode(), digest_size=_DIGEST_BYTES).hexdigest()
-            return {"number": number, "based_on": based_on, "document_digest": digest}
+        case Release() as release:
+            return {**_release_form(release)}
         case _:
             form: dict[str, Any] = _CONVERTER.unstructure(spec)
             return form
 
 
+def _release_form(release: Release) -> ReleaseForm:
+    """Return a release as JSON."""
+    return ReleaseForm(
+        number=release.number,
+        based_on=release.based_on,
+        document_characters=len(release.document),
+        document_digest=document_digest(release),
+    )
+
+
 def resource_form(resource: Resource) -> ResourceForm:
     """Return a resource as JSON."""
     return ResourceForm(
         kind=resource.key.kind,
         name=resource.key.name,
-        spec=_spec_form(resource.spec),
+        spec=_form_of(resource.spec),
         version=resource.version,
     )
 
@@ -342,7 +362,8 @@
 def _read_spec(key: Key, form: Any, faults: list[Fault]) -> Spec | None:
     """Parse a specification, and append its faults to `faults`."""
     if not isinstance(form, dict):
-        faults.append(Fault(str(key), f"found {form!r:.80}; allowed is an object of fields"))
+        found = _found(form, is_secret=KINDS[key.kind] is Team)
+        faults.append(Fault(str(key), f"{found}allowed is an object of fields"))
         return None
     try:
         spec: Spec = _CONVERTER.structure(form, KINDS[key.kind])
@@ -384,6 +405,18 @@
     return str(value)
 
 
+def _structure_key_digest(value: Any, _: Any) -> KeyDigest:
+    """Return a text unchanged; raise ValueError for other values, which may hold a key."""
+    if not _is_text(value):
+        raise ValueError("allowed is a digest in hexadecimal digits")
+    return KeyDigest(value)
+
+
+def _found(value: Any, *, is_secret: bool) -> str:
+    """Return the beginning of a fault that tells what was found, unless that may hold a key."""
+    return "" if is_secret else f"found {value!r:.80}; "
+
+
 def _is_variadic_tuple(kind: Any) -> bool:
     """Return whether a type is a tuple of variable length, such as tuple[str, ...]."""
     return get_origin(kind) is tuple and get_args(kind)[-1] is Ellipsis
@@ -396,7 +429,8 @@
 
     def structure(value: Any, _: Any) -> Any:
         if not isinstance(value, list):
-            raise ValueError(f"found {value!r:.80}; allowed is a list")
+            found = _found(value, is_secret=item_type is KeyDigest)
+            raise ValueError(f"{found}allowed is a list")
         faults: list[Exception] = []
         items = []
         for position, element in enumerate(value):
@@ -418,6 +452,7 @@
     converter = Converter(detailed_validation=True, forbid_extra_keys=True)
     converter.register_structure_hook(int, _strict_hook(int))
     converter.register_structure_hook(str, _structure_text)
+    converter.register_structure_hook(KeyDigest, _structure_key_digest)
     converter.register_structure_hook_factory(
         _is_variadic_tuple, lambda kind: _sequence_hook(converter, kind)
     )
@@ -430,6 +465,11 @@
         converter.register_unstructure_hook(
             kind, namedtuple_dict_unstructure_factory(kind, converter)
         )
+    # The digest of a document that an operator makes of pieces of another would tell its text.
+    read_release = make_dict_structure_fn(
+        Release, converter, pieces=override(omit=True), _cattrs_forbid_extra_keys=True
+    )
+    converter.register_structure_hook(Release, read_release)
     return converter
 
 
