--- a/tests/test_team_key_changes.py
+++ b/tests/test_team_key_changes.py
@@ -20,7 +20,7 @@
 )
 from tools.http_messages import encode_chunk
 from tools.relay import LinkCondition
-from tools.soak._hosts import CONTROL_PORT
+from tools.soak._hosts import CONTROL_PORT, HostProcess
 
 RED_KEY, BLUE_KEY, LATE_KEY = "key-of-red-4711", "key-of-blue-0815", "key-added-later-99"
 RED, BLUE = team("red", RED_KEY), team("blue", BLUE_KEY)
@@ -106,12 +106,35 @@
 
     # Guards against work by a withdrawn key that an entry proxy without the version accepts.
     async def test_an_owner_runs_nothing_by_a_key_withdrawn_in_its_version(self) -> None:
-        """The entry proxy misses a version, and can't get it since the replica is gone."""
-        with self.relay.condition([self.entry.host.ip], CUT):
-            await self.put_in_force(configuration(2, [BLUE]), self.owner)
+        """Nor for a team that held the key before; the entry proxy misses that version."""
+        moved = team("blue", BLUE_KEY, LATE_KEY)
+        await self.put_in_force(configuration(2, [team("red", RED_KEY, LATE_KEY), BLUE]))
+        connection = await self.separate(self.entry, configuration(3, [moved]), self.owner)
+        for request_id, key in (("withdrawn", RED_KEY), ("moved", LATE_KEY)):
+            connection.send(request_id, f"{ONCE}1", bearer(key))
+            self.assertEqual((await connection.answer()).status, 503)
+            self.assertEqual(self.runs(request_id), [])
+
+    # Guards against a key that is refused since an owner hasn't heard of it yet.
+    async def test_an_owner_that_misses_a_version_runs_what_its_entry_proxy_admits(self) -> None:
+        """The team is the one that the entry proxy knows."""
+        form = configuration(2, [team("red", LATE_KEY), team("blue", BLUE_KEY, RED_KEY)])
+        connection = await self.separate(self.owner, form, self.entry)
+        await self.check(connection, "added", LATE_KEY, "red")
+        await self.check(connection, "moved", RED_KEY, "blue")
+
+    async def separate(
+        self, behind: HostProcess, form: dict[str, Any], *ahead: HostProcess
+    ) -> Connection:
+        """Let a proxy miss a version for good; return a connection to the entry proxy.
+
+        It has reached the owner, by a key that both versions give to one team.
+        """
+        with self.relay.condition([behind.host.ip], CUT):
+            await self.put_in_force(form, *ahead)
             await self.kill(*self.core)
-            # The relay holds what it received for the entry proxy, and would pass it on now.
-            self.relay.reset([self.entry.host.ip])
+            # The relay holds what it received for that proxy, and would pass it on now.
+            self.relay.reset([behind.host.ip])
         connection = await self.connect(self.entry)
 
         async def has_link() -> bool:
@@ -119,9 +142,7 @@
             return (await connection.answer()).status == 200
 
         await self.until(has_link)
-        connection.send("withdrawn", f"{ONCE}1", bearer(RED_KEY))
-        self.assertEqual((await connection.answer()).status, 503)
-        self.assertEqual(self.runs("withdrawn"), [])
+        return connection
 
     # Guards against two versions of which one half is in force: keys are accepted whole or not.
     async def test_a_configuration_with_odd_teams_is_refused_whole(self) -> None:
