Refuse requests without an id on the platform, whose workers serve none that a proxy made up

What callers could see: a request without an id ran under one that nobody had sent (UNASKED), though workers there refuse requests without one. Cause: a proxy makes up an id wherever callers may choose theirs. Change: header names tell whether an id is required; the platform's do. Two stray lines of a merge in teams_case are gone. Result: the new test of test_faithful_forwarding failed before (200 for 400), and passes now with its module, test_goals and test_platform.

--- a/cowslipvane/call/_header_names.py
+++ b/cowslipvane/call/_header_names.py
@@ -21,6 +21,9 @@
     # The request id; ids from callers are accepted only if accepts_request_ids is set.
     request_id: str = "X-Request-Id"
     accepts_request_ids: bool = False
+    # Whether a request without an id is refused, since upstreams serve none that its caller didn't
+    # choose.
+    requires_request_id: bool = False
     # The caller's timeout, and the time remaining for a worker, in milliseconds.
     timeout_ms: str = "X-Request-Timeout-Ms"
     # The service on the host that sent the request. It is always set by the proxy, so that callers
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -31,6 +31,7 @@
 HEADER_NAMES = HeaderNames(
     request_id="Attempt-Id",
     accepts_request_ids=True,
+    requires_request_id=True,
     timeout_ms="Deadline-Ms",
     origin_service="Caller-Service",
     team="Tenant",
--- a/cowslipvane/tasks/callers/_callers.py
+++ b/cowslipvane/tasks/callers/_callers.py
@@ -223,14 +223,21 @@
         parent, separator, _ = request_id.rpartition(".")
         return self._owner.running_request(parent) if separator else None
 
-    async def _fetch(self, http: web.BaseRequest, exchange: Exchange) -> CallResponse | CallRefusal:
-        """Route a request, and dispatch or refuse it."""
-        arrived_at = time.monotonic()
-        fault = head_fault(
+    def _head_fault(self, http: web.BaseRequest) -> str | None:
+        """Return why a request can't be passed on, or None if it can."""
+        names = self._header_names
+        if names.requires_request_id and not http.headers.get(names.request_id):
+            return f"it has no {names.request_id} field"
+        return head_fault(
             target=http.raw_path,
             http_1_1=http.version >= HttpVersion11,
             fields=http.headers.items(),
         )
+
+    async def _fetch(self, http: web.BaseRequest, exchange: Exchange) -> CallResponse | CallRefusal:
+        """Route a request, and dispatch or refuse it."""
+        arrived_at = time.monotonic()
+        fault = self._head_fault(http)
         if fault is not None:
             return CallRefusal(
                 exchange=exchange, refusal=MalformedRequest(reason=fault), close=True
--- a/tests/teams_case.py
+++ b/tests/teams_case.py
@@ -19,8 +19,6 @@
 # and those that don't.
 CLOSED, ONCE, OPEN = "/closed/", "/once/", "/open/"
 ANSWER_TIMEOUT_S = 5.0
-# The time between an early response and the reading of the body.
-_EARLY_TIME_S = 0.1
 _HEARTBEAT_INTERVAL_S = 0.5
 _TIMEOUT_S = 5.0
 # The time between an early response and the reading of the body.
--- a/tests/test_faithful_forwarding.py
+++ b/tests/test_faithful_forwarding.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from tests.processes_case import SERVICE
-from tests.teams_case import ENTRY_SERVICE, OPEN, REQUEST_ID, Connection, TeamsCase
+from tests.teams_case import ENTRY_SERVICE, HOST, OPEN, REQUEST_ID, Connection, TeamsCase
 from tools.http_messages import encode_chunk
 from tools.soak._hosts import HostProcess
 
@@ -59,6 +59,17 @@
                         connection.send(request_id, target, fields, method)
                         await self.check(connection, request_id, method, target, b"")
 
+    # Guards against work under an id that no caller sent (issue 52, UNASKED).
+    async def test_a_request_without_an_id_is_refused(self) -> None:
+        """It doesn't run under an id that the proxy makes up, whether it has an empty one or none."""
+        for hop in self.hops:
+            for field in ("", f"{REQUEST_ID}: \r\n"):
+                connection = await self.connect(hop.process)
+                head = f"GET {OPEN}1 HTTP/1.1\r\nHost: {HOST}\r\n{field}\r\n"
+                connection.writer.write(head.encode())
+                self.assertEqual((await connection.answer()).status, 400, (hop.name, field))
+        self.assertEqual(self.worker.received, [])
+
     # Guards against a body that is cut, doubled or framed wrongly on its way.
     async def test_bodies_arrive_unchanged(self) -> None:
         """They come with a length, or in chunks of any size."""
