Say that a nested call's team is that of its parent, and why routes may require a key of it

Result: names and comments only; test_access, test_outdated_keys, test_outdated_routes and test_closure pass.

--- a/cowslipvane/access/_decision.py
+++ b/cowslipvane/access/_decision.py
@@ -58,11 +58,12 @@
 
 
 def decide_access(
-    use: KeyUse, presented: PresentedKey, keys: TeamKeys, *, parent: TeamName | None = None
+    use: KeyUse, presented: PresentedKey, keys: TeamKeys, *, parent_team: TeamName | None = None
 ) -> Access:
-    """Decide about a request; parent is the team of the request that a nested call is made for.
+    """Decide about a request; parent_team is that of the request that a nested call is made for.
 
-    A nested call without a key passes where any call without one does: its id alone proves nothing.
+    A route that requires a key requires it of nested calls, too: a call counts as nested by its id,
+    which any caller could have chosen.
     """
     if use == "ignored":
         return Unchecked()
@@ -71,9 +72,9 @@
             return OfTeam(team=team, digest=digest)
         case _ if use == "optional":
             unknown = presented.digest if isinstance(presented, ShownKey) else None
-            if parent is None:
+            if parent_team is None:
                 return Anonymous(digest=unknown)
-            return Inherited(team=parent, digest=unknown)
+            return Inherited(team=parent_team, digest=unknown)
         case NoKey():
             return Denied(fault="missing")
         case OddKey():
--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -47,6 +47,7 @@
     """Return the digest of one resource; all processes of one software version agree on it."""
     # The representation of a specification names each field, so it is unambiguous.
     data = repr(tuple(resource)).encode()
+    # A route that ignores keys has the digest that builds without teams compute.
     match resource.spec:
         case Route(access_keys=use) if use != "ignored":
             data += use.encode()
--- a/cowslipvane/tasks/callers/_router.py
+++ b/cowslipvane/tasks/callers/_router.py
@@ -41,12 +41,12 @@
 class Arrival(NamedTuple):
     """A request as it arrived, in time.monotonic seconds.
 
-    parent is the team of the request that a nested call is made for, None for any other request.
+    parent_team is that of the request that a nested call is made for, None for other requests.
     """
 
     http: web.BaseRequest
     arrived_at: float
-    parent: TeamName | None = None
+    parent_team: TeamName | None = None
 
 
 class Routed(NamedTuple):
@@ -160,7 +160,9 @@
         presented = read_key(http.headers.getall(KEY_FIELD, ())) if is_read else NoKey()
         if isinstance(presented, ShownKey) and not self._subscription.accepts_keys(lease_now()):
             return KeysUnconfirmed(host=self._host)
-        match decide_access(rules.key_use, presented, table.team_keys, parent=arrival.parent):
+        match decide_access(
+            rules.key_use, presented, table.team_keys, parent_team=arrival.parent_team
+        ):
             case Denied(fault=fault):
                 return KeyRefused(fault=fault, version=table.version, route=rules.route)
             case access:
--- a/cowslipvane/tasks/upstreams/_route_check.py
+++ b/cowslipvane/tasks/upstreams/_route_check.py
@@ -48,8 +48,9 @@
 def _has_same_team(table: RoutingTable, entry: RouteEntry, routed: Offer | Work) -> bool:
     """Return whether a newer version admits a request for the team that the older one did."""
     presented = NoKey() if routed.key is None else ShownKey(digest=routed.key)
-    parent = routed.team if routed.key is None else None
-    match decide_access(entry.key_use, presented, table.team_keys, parent=parent):
+    # Without a key, only a nested call is for a team.
+    parent_team = routed.team if routed.key is None else None
+    match decide_access(entry.key_use, presented, table.team_keys, parent_team=parent_team):
         case Denied():
             return False
         case Unchecked():
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -187,7 +187,7 @@
         }
         for (use, presented), (nested, other) in table.items():
             with self.subTest(use=use, presented=presented):
-                self.assertEqual(decide_access(use, presented, KEYS, parent=PARENT), nested)
+                self.assertEqual(decide_access(use, presented, KEYS, parent_team=PARENT), nested)
                 self.assertEqual(decide_access(use, presented, KEYS), other)
 
     def test_team_and_key_of_each_decision(self) -> None:
--- a/tests/test_faithful_forwarding.py
+++ b/tests/test_faithful_forwarding.py
@@ -61,7 +61,7 @@
 
     # Guards against work under an id that no caller sent (issue 52, UNASKED).
     async def test_a_request_without_an_id_is_refused(self) -> None:
-        """It doesn't run under an id that the proxy makes up, whether it has an empty one or none."""
+        """It doesn't run under an id that the proxy makes up; an empty one is none."""
         for hop in self.hops:
             for field in ("", f"{REQUEST_ID}: \r\n"):
                 connection = await self.connect(hop.process)
