Count the unread parts of the release in force, whichever process has accepted it

What operators saw: cowslipvane_unread_parts was 0 after a restart or a change of the leader, while the same configuration was in force. Cause: it counted what the process had accepted itself.

--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -300,7 +300,11 @@
             pull_wait=self._settings.timing.pull_wait,
             observations=observations,
         )
-        self._releases = Releases(replication=self._replication, events=self._events)
+        self._releases = Releases(
+            replication=self._replication,
+            events=self._events,
+            derive=self._front_end.derive if self._front_end else None,
+        )
         self._rollouts = Rollouts(
             replication=self._replication,
             publisher=self._publisher,
@@ -308,9 +312,8 @@
             plan=Plan(exposure=self._settings.rollouts.exposure),
             events=self._events,
         )
-        tasks = [self._replication.run(), self._publisher.run(), self._rollouts.run()]
-        if self._front_end is not None:
-            tasks.append(self._releases.keep_derived(self._front_end.derive))
+        tasks = [part.run() for part in (self._replication, self._publisher, self._rollouts)]
+        tasks.append(self._releases.run())
         if self._settings.formation.automatic:
             self._group_joiner = GroupJoiner(
                 replication=self._replication,
@@ -428,6 +431,7 @@
                 events=self._events,
                 traffic=self._traffic,
                 replication=self._replication,
+                releases=self._releases,
                 subscription=self._subscription,
                 owner=self._owner,
             ),
--- a/cowslipvane/events/__init__.py
+++ b/cowslipvane/events/__init__.py
@@ -5,7 +5,7 @@
 from cowslipvane.events._file import EventFile, read_events, rotated_path
 from cowslipvane.events._log import EventLog
 from cowslipvane.events._stream import EventStream
-from cowslipvane.events._unread import UnreadDetail, count_unread, unread_detail
+from cowslipvane.events._unread import UnreadDetail, unread_detail
 
 __all__ = [
     "EVENT_KINDS",
@@ -19,7 +19,6 @@
     "Origin",
     "Stamp",
     "UnreadDetail",
-    "count_unread",
     "event_form",
     "read_events",
     "rotated_path",
--- a/cowslipvane/events/_unread.py
+++ b/cowslipvane/events/_unread.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import TypedDict
 
-_SEPARATOR = ", "
-
 
 class UnreadDetail(TypedDict, total=False):
     """The detail that names parts of a document or of settings."""
@@ -16,9 +14,4 @@
 
 def unread_detail(parts: Sequence[str]) -> UnreadDetail:
     """Return the detail that names some parts, an empty one if there are none."""
-    return UnreadDetail(unread=_SEPARATOR.join(parts)) if parts else UnreadDetail()
-
-
-def count_unread(detail: Mapping[str, str]) -> int:
-    """Return how many parts the detail of an event names."""
-    return len(detail["unread"].split(_SEPARATOR)) if "unread" in detail else 0
+    return UnreadDetail(unread=", ".join(parts)) if parts else UnreadDetail()
--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -53,7 +53,7 @@
         "cowslipvane_unread_parts",
         "gauge",
         "",
-        "parts of the release last accepted here that this build should act on and doesn't",
+        "parts of the release in force that this build should act on and doesn't",
     ),
     Family("cowslipvane_rollouts", "gauge", "phase", "services by the phase of their last rollout"),
     Family("cowslipvane_leader", "gauge", "", "1 at the replica that holds the leader's lease"),
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -7,7 +7,7 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-from cowslipvane.events import Event, count_unread
+from cowslipvane.events import Event
 from cowslipvane.types import Seconds, Version
 
 # Upper bounds of the histogram buckets for call durations, in seconds.
@@ -42,7 +42,6 @@
         self._call_seconds_sum = 0.0
         # The version last accepted here, and the wall-clock time of its acceptance in seconds.
         self._last_accepted: tuple[Version, float] = (Version(0), 0.0)
-        self._unread_parts = 0
 
     @property
     def call_buckets(self) -> list[int]:
@@ -72,9 +71,6 @@
                 self._calls[event.detail["code"]] += 1
             case "applied" | "rejected":
                 self._versions[event.kind] += 1
-            case "release":
-                if event.detail["outcome"] == "accepted":
-                    self._unread_parts = count_unread(event.detail)
             case "accepted":
                 self._last_accepted = (Version(event.version), event.stamp.wall)
 
@@ -114,7 +110,6 @@
             Sample("cowslipvane_all_team_requests", self._requests_of_teams),
             Sample("cowslipvane_attempts", self._attempts),
             Sample("cowslipvane_retries", self._retries),
-            Sample("cowslipvane_unread_parts", self._unread_parts),
         ]
 
     def _largest_teams(self) -> Counter[str]:
--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from cowslipvane.call import HeaderNames
-from cowslipvane.catalogue import Accepted, Conflict, Invalid, Key, Release, Rollout, Spec
+from cowslipvane.catalogue import Accepted, Conflict, Invalid, Release, Rollout
 from cowslipvane.platform._configuration import decode_configuration
 from cowslipvane.platform._rollouts import decode_rollout, rollout_form
 from cowslipvane.platform._settings import PlatformSettings, file_stamp, load
@@ -15,6 +15,7 @@
 from cowslipvane.settings import Settings
 from cowslipvane.tasks import (
     Components,
+    Derivation,
     HttpListener,
     InProgress,
     NoRelease,
@@ -88,9 +89,10 @@
         self._settings = load(self._path)
         return self._settings.product
 
-    def derive(self, document: str) -> dict[Key, Spec]:
-        """Return the resources of a configuration, which an earlier build may have accepted."""
-        return decode_configuration(document.encode()).resources
+    def derive(self, document: str) -> Derivation:
+        """Decode a configuration again, which an earlier build may have accepted."""
+        decoded = decode_configuration(document.encode())
+        return Derivation(decoded.resources, decoded.unread)
 
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners of the process's roles."""
--- a/cowslipvane/tasks/__init__.py
+++ b/cowslipvane/tasks/__init__.py
@@ -3,11 +3,12 @@
 from cowslipvane.tasks._front_end import Components, FrontEnd
 from cowslipvane.tasks.distribution import InProgress, NoRollout, NoService, Rollouts
 from cowslipvane.tasks.http import HttpListener
-from cowslipvane.tasks.replication import NoRelease, NotLeader, Releases, Unknown
+from cowslipvane.tasks.replication import Derivation, NoRelease, NotLeader, Releases, Unknown
 from cowslipvane.tasks.upstreams import Owner
 
 __all__ = [
     "Components",
+    "Derivation",
     "FrontEnd",
     "HttpListener",
     "InProgress",
--- a/cowslipvane/tasks/_front_end.py
+++ b/cowslipvane/tasks/_front_end.py
@@ -6,11 +6,10 @@
 from typing import NamedTuple, Protocol, TypedDict
 
 from cowslipvane.call import HeaderNames
-from cowslipvane.catalogue import Key, Spec
 from cowslipvane.settings import Settings
 from cowslipvane.tasks.distribution import Rollouts
 from cowslipvane.tasks.http import HttpListener
-from cowslipvane.tasks.replication import Releases
+from cowslipvane.tasks.replication import Derivation, Releases
 from cowslipvane.tasks.upstreams import Owner
 
 
@@ -41,8 +40,8 @@
     def unread_settings(self) -> tuple[str, ...]:
         """Return the settings that this build should act on and doesn't, without their values."""
 
-    def derive(self, document: str) -> dict[Key, Spec]:
-        """Return the resources that a release's document leads to; raise ValueError if odd."""
+    def derive(self, document: str) -> Derivation:
+        """Return what a release's document leads to; raise ValueError if it isn't accepted."""
 
     def listeners(self, components: Components) -> list[HttpListener]:
         """Return the listeners that translate requests into calls of the components."""
--- a/cowslipvane/tasks/operators/_metrics_collector.py
+++ b/cowslipvane/tasks/operators/_metrics_collector.py
@@ -11,7 +11,7 @@
 from cowslipvane.membership import Membership
 from cowslipvane.metrics import Metrics, Sample
 from cowslipvane.subscription import Subscription
-from cowslipvane.tasks.replication import Replication
+from cowslipvane.tasks.replication import Releases, Replication
 from cowslipvane.tasks.upstreams import Owner
 from cowslipvane.types import Version
 from cowslipvane.wire import Traffic
@@ -28,6 +28,7 @@
         events: EventLog,
         traffic: Traffic,
         replication: Replication | None,
+        releases: Releases | None,
         subscription: Subscription | None,
         owner: Owner | None,
     ) -> None:
@@ -36,6 +37,7 @@
         self._events = events
         self._traffic = traffic
         self._replication = replication
+        self._releases = releases
         self._subscription = subscription
         self._owner = owner
 
@@ -59,6 +61,8 @@
             samples.append(Sample("cowslipvane_queue", load.queued))
         if self._replication is not None:
             samples += self._replica_samples(self._replication)
+        if self._releases is not None:
+            samples.append(Sample("cowslipvane_unread_parts", self._releases.unread_parts))
         return samples
 
     def _link_samples(self) -> list[Sample]:
--- a/cowslipvane/tasks/replication/__init__.py
+++ b/cowslipvane/tasks/replication/__init__.py
@@ -4,10 +4,11 @@
 from cowslipvane.tasks.replication._joining import GroupJoiner
 from cowslipvane.tasks.replication._messages import GroupChanged, NotLeader, Unknown
 from cowslipvane.tasks.replication._recovery import open_replica
-from cowslipvane.tasks.replication._releases import NoRelease, Releases
+from cowslipvane.tasks.replication._releases import Derivation, NoRelease, Releases
 from cowslipvane.tasks.replication._replication import Replication
 
 __all__ = [
+    "Derivation",
     "FactRecords",
     "GroupChanged",
     "GroupJoiner",
--- a/cowslipvane/tasks/replication/_releases.py
+++ b/cowslipvane/tasks/replication/_releases.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from cowslipvane.catalogue import (
     Accepted,
@@ -28,8 +29,16 @@
 # How often a leader checks whether there is a release that this process hasn't derived.
 DERIVATION_CHECK_INTERVAL: Seconds = 1.0
 
-# Returns the resources that a front end derives from the document of a release.
-Derive = Callable[[str], dict[Key, Spec]]
+
+class Derivation(NamedTuple):
+    """What a front end makes of a document: resources, and the parts that it should act on."""
+
+    resources: dict[Key, Spec]
+    unread: tuple[str, ...]
+
+
+# Raises ValueError if the document is none that the front end accepts.
+Derive = Callable[[str], Derivation]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,9 +49,15 @@
 class Releases:
     """Handles the releases that operators send to this replica."""
 
-    def __init__(self, *, replication: Replication, events: EventLog) -> None:
+    def __init__(
+        self, *, replication: Replication, events: EventLog, derive: Derive | None = None
+    ) -> None:
+        """Without a front end that derives resources, there are no releases."""
         self._replication = replication
         self._events = events
+        self._derive = derive
+        # The release in force whose unread parts were counted last, and their number.
+        self._counted: tuple[Release | None, int] = (None, 0)
         # The release in force whose resources are known to be those that this build derives.
         self._derived: Release | None = None
         # Serializes releases, since one may be based on another that is still being written.
@@ -55,6 +70,21 @@
             return NotLeader(leader=replica.leader)
         return release_in_force(replica.catalogue) or NoRelease()
 
+    @property
+    def unread_parts(self) -> int:
+        """Return how many parts of the release in force this build should act on and doesn't."""
+        release = release_in_force(self._catalogue)
+        if release is None or self._derive is None:
+            return 0
+        if release is not self._counted[0]:
+            try:
+                unread = self._derive(release.document).unread
+            except ValueError:
+                # An earlier build has accepted it; what became of that is in the event log.
+                unread = ()
+            self._counted = (release, len(unread))
+        return self._counted[1]
+
     async def put(
         self, release: Release, resources: dict[Key, Spec], *, unread: Sequence[str] = ()
     ) -> Accepted | Conflict | Invalid | NotLeader | Unknown:
@@ -107,20 +137,20 @@
             case _:
                 return known
 
-    async def keep_derived(self, derive: Derive) -> None:
+    async def run(self) -> None:
         """Add the teams that an earlier build left out of the release in force, while leading."""
         while True:
             await asyncio.sleep(DERIVATION_CHECK_INTERVAL)
             async with self._lock:
-                await self._check_derivation(derive)
+                await self._check_derivation()
 
-    async def _check_derivation(self, derive: Derive) -> None:
+    async def _check_derivation(self) -> None:
         """Derive the release in force again, unless this process knows what that leads to."""
         release = self.newest()
-        if not isinstance(release, Release) or release is self._derived:
+        if not isinstance(release, Release) or release is self._derived or self._derive is None:
             return
         try:
-            resources = derive(release.document)
+            resources = self._derive(release.document).resources
         except ValueError as error:
             # An earlier build has accepted what this one refuses, so there is nothing to add.
             self._record_derivation("refused", str(error))
