Drop the trailers of requests, so that none is a field of the next request

Callers saw: the last trailer field of a chunked request counted as the first field of the next request on the connection. A key in it let a request run for a team whose key it never showed; a request id let one run, and be answered, under an id that nobody sent.

Cause: aiohttp 3.14.5's C parser keeps name and value of the last trailer, and adds them to the fields of the next message. The listeners of operators and of the control API had the fault, too.

Change: every connection of HttpListener wraps aiohttp's parser in RequestParser. It feeds one head, then the body of that request, and follows the framing of a chunked body itself (ChunkedBody), which passes on no trailer (RFC 9110 section 6.5.1 allows that). It stands in place of the parser, not in data_received, because aiohttp also parses the bytes behind a declined upgrade without data_received. The next head waits until the parser has completed the request before it and the queue has room; that is where aiohttp pauses, too, and it asks again with no data. If the parser begins or ends a request anywhere else, or a size line is odd, the connection receives no more.

Behaviour that differs otherwise: chunk sizes of more than 16 digits and lines in a body of more than 16 KiB are refused; a trailer named Host isn't; requests behind one that asks for an unknown protocol are answered (aiohttp lost those in the same segment).

--- a/cowslipvane/tasks/http/_listener.py
+++ b/cowslipvane/tasks/http/_listener.py
@@ -12,6 +12,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from cowslipvane.tasks.http._pipeline import PipelinedConnection, Prefetcher
+from cowslipvane.tasks.http._request_parser import RequestConnection
 from cowslipvane.types import Address, Seconds
 
 # Maximum size of a line or a field in the head of a request.
@@ -27,7 +28,15 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class _CallersServer(web.Server):
+class _Server(web.Server):
+    """A server on whose connections nothing of one request reaches another."""
+
+    def __call__(self) -> RequestConnection:
+        """Return the protocol for a new connection."""
+        return RequestConnection(self, loop=self._loop, **self._kwargs)
+
+
+class _CallersServer(_Server):
     """A server whose connections prefetch the responses to pipelined requests."""
 
     def __init__(self, handler: Handler, *, prefetcher: Prefetcher, **options: Any) -> None:
@@ -65,7 +74,7 @@
             "max_field_size": MAX_FIELD_BYTES,
         }
         if prefetcher is None:
-            self._server = web.Server(handler, **options)
+            self._server: _Server = _Server(handler, **options)
         else:
             self._server = _CallersServer(
                 handler,
--- a/cowslipvane/tasks/http/_pipeline.py
+++ b/cowslipvane/tasks/http/_pipeline.py
@@ -11,10 +11,10 @@
 
 from aiohttp import EMPTY_PAYLOAD, HttpVersion11, StreamReader, web
 from aiohttp.http import RawRequestMessage, StreamWriter
-from aiohttp.web_protocol import RequestHandler
 
 from cowslipvane.call import ClosedByCaller, ConnectionEnd, ProcessExited, head_fault
 from cowslipvane.tasks._signal import Signal
+from cowslipvane.tasks.http._request_parser import RequestConnection
 from cowslipvane.types import Seconds
 from cowslipvane.wire import unsent_bytes
 
@@ -54,7 +54,7 @@
     discard: Callable[[Any, ConnectionEnd], Coroutine[Any, Any, None]]
 
 
-class PipelinedConnection(RequestHandler):
+class PipelinedConnection(RequestConnection):
     """Prefetches responses; the connection's task sends them in the order of the requests."""
 
     def __init__(self, manager: web.Server, *, prefetcher: Prefetcher, **options: Any) -> None:
--- a/tests/test_review_52.py
+++ b/tests/test_trailers.py
@@ -1,4 +1,4 @@
-"""Tests of faults that the review of issue 52 found."""
+"""Tests of real processes: a trailer of one request is no field of the next one."""
 
 import unittest
 
