--- a/cowslipvane/tasks/http/_connection.py
+++ b/cowslipvane/tasks/http/_connection.py
@@ -1,13 +1,22 @@
-"""Connections that don't quote a request that can't be read."""
+"""Connections of listeners: what they read, and what they say of what can't be read."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from cowslipvane.tasks.http._request_parser import RequestParser
+
 
 class HttpConnection(RequestHandler):
-    """A connection of a listener."""
+    """A connection on which nothing of one request reaches another."""
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, **options)
+        assert self._parser is not None
+        self._parser = RequestParser(parser=self._parser)  # type: ignore[assignment]
 
     def handle_error(
         self,
--- a/cowslipvane/tasks/http/_listener.py
+++ b/cowslipvane/tasks/http/_listener.py
@@ -29,14 +29,14 @@
 
 
 class _Server(web.Server):
-    """A server whose connections don't quote requests that can't be read."""
+    """A server on whose connections nothing of one request reaches another."""
 
     def __call__(self) -> HttpConnection:
         """Return the protocol for a new connection."""
         return HttpConnection(self, loop=self._loop, **self._kwargs)
 
 
-class _CallersServer(web.Server):
+class _CallersServer(_Server):
     """A server whose connections prefetch the responses to pipelined requests."""
 
     def __init__(self, handler: Handler, *, prefetcher: Prefetcher, **options: Any) -> None:
@@ -74,7 +74,7 @@
             "max_field_size": MAX_FIELD_BYTES,
         }
         if prefetcher is None:
-            self._server: web.Server = _Server(handler, **options)
+            self._server: _Server = _Server(handler, **options)
         else:
             self._server = _CallersServer(
                 handler,
