--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -38,9 +38,11 @@
 from cowslipvane.tasks.http._listener import MAX_FIELD_BYTES
 from cowslipvane.tasks.replication._replication import Replication
 from cowslipvane.types import Address, DataCentre, HostName, Version
+from tests.teams_case import configuration, team
 from tests.test_platform import CONFIGURATION, RULE, with_rule
 from tools.fleet import ROOT
 
+TEAMS = (team("red", "key-of-red-4711"), team("blue", "key-of-blue-0815"))
 SECRET = "4cc0unt-k3y"
 TEAM: dict[str, Any] = {"name": "pulo", "api_keys": [SECRET]}
 # All fields that a site without teams sends.
@@ -366,5 +368,23 @@
         self.assertEqual(listed_parts(["b", "a", "b"]), ("a", "b"))
 
 
+class SamePrefixTest(unittest.TestCase):
+    """Two routes of a host have prefixes that are written differently and match the same paths."""
+
+    # Guards against a route that is replaced in silence, here by a public one, so that requests
+    # without a key run.
+    def test_a_route_that_gets_no_requests_is_named(self) -> None:
+        """As a route is that has the very prefix of another one."""
+        for prefixes in (("/closed/", "/%63losed/"), ("/a%2Fb/", "/a%2fb/")):
+            with self.subTest(prefixes):
+                form = configuration(1, TEAMS)
+                rule = form["listeners"][0]["route_rules"][0]
+                form["listeners"][0]["route_rules"] = [
+                    {**rule, "match": {"path_prefix": prefix}} for prefix in prefixes
+                ]
+                unread = decode_configuration(json.dumps(form).encode()).unread
+                self.assertIn("listeners[0].route_rules[1]", " ".join(unread))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -141,5 +141,19 @@
             self.assertEqual(self.next_event("reloaded")["outcome"], "refused")
 
 
+class ReloadedSettingsTest(ProxyCase):
+    """A proxy whose settings file changes in more than the seeds while it runs."""
+
+    # Guards against a change of the settings that is taken in silence and not acted on, here one
+    # by which keys that were withdrawn are to be refused without contact to the replicas.
+    def test_a_changed_setting_that_takes_no_effect_is_named(self) -> None:
+        """Only seeds are applied before the next start."""
+        self.next_event("started")
+        self.extra = 'bounds = \'{"revoke_when_partitioned": true, "revoke_s": 5}\'\n'
+        self.write("10.0.0.2:1")
+        reloaded = self.next_event("reloaded")
+        self.assertIn("revo", " ".join([reloaded.get("unread", ""), reloaded.get("reason", "")]))
+
+
 if __name__ == "__main__":
     unittest.main()
