Name the fields of a known table in plain words

Cause: a newcomer stumbled over Standing, Level and silent. Change: FieldUse, KnownTable, unreported. Result: names only; test_platform_fields and test_platform pass.

--- a/cowslipvane/platform/_fields.py
+++ b/cowslipvane/platform/_fields.py
@@ -50,59 +50,59 @@
     high: float = float("inf")
 
 
-Standing = Read | Inner | Unused | Unserved | Within
-Fields = Mapping[str, Standing]
+FieldUse = Read | Inner | Unused | Unserved | Within
+Fields = Mapping[str, FieldUse]
 
 
-class Level(NamedTuple):
+class KnownTable(NamedTuple):
     """The fields of one table, sorted by what has to be done about each.
 
-    Nothing has to be done about silent ones. A large configuration has ten thousand tables, so that
-    these are told apart by one operation on sets.
+    Fields that are never reported are told apart by one operation on sets, since a large
+    configuration has ten thousand tables.
     """
 
     path: str
-    silent: frozenset[str]
-    inner: dict[str, Level]
+    unreported: frozenset[str]
+    inner: dict[str, KnownTable]
     checked: dict[str, Unserved | Within]
 
 
-def make_level(fields: Fields, path: str = "") -> Level:
+def make_known_table(fields: Fields, path: str = "") -> KnownTable:
     """Return the fields of a table, sorted; path is put before their names."""
-    silent: set[str] = set()
-    inner: dict[str, Level] = {}
+    unreported: set[str] = set()
+    inner: dict[str, KnownTable] = {}
     checked: dict[str, Unserved | Within] = {}
-    for name, standing in fields.items():
-        match standing:
+    for name, use in fields.items():
+        match use:
             case Read() | Unused():
-                silent.add(name)
+                unreported.add(name)
             case Inner(fields=inner_fields, is_list=is_list):
                 suffix = "[]." if is_list else "."
-                inner[name] = make_level(inner_fields, f"{path}{name}{suffix}")
+                inner[name] = make_known_table(inner_fields, f"{path}{name}{suffix}")
             case Unserved() | Within():
-                checked[name] = standing
-    return Level(path, frozenset(silent), inner, checked)
+                checked[name] = use
+    return KnownTable(path, frozenset(unreported), inner, checked)
 
 
-def unread_fields(form: Mapping[str, Any], level: Level) -> set[str]:
+def unread_fields(form: Mapping[str, Any], known: KnownTable) -> set[str]:
     """Return the paths of the fields of a table that should be acted on and aren't.
 
     A field of many tables in a list has one path. No value is returned, since it could be a key.
     """
     found: set[str] = set()
-    _collect_unread(form, level, found)
+    _collect_unread(form, known, found)
     return found
 
 
-def _collect_unread(form: Mapping[str, Any], level: Level, found: set[str]) -> None:
+def _collect_unread(form: Mapping[str, Any], known: KnownTable, found: set[str]) -> None:
     """Add the paths of the unread fields of a table."""
-    for name in form.keys() - level.silent:
-        inner = level.inner.get(name)
+    for name in form.keys() - known.unreported:
+        inner = known.inner.get(name)
         if inner is not None:
             for table in _tables(form[name]):
                 _collect_unread(table, inner, found)
-        elif name not in level.checked or _asks_for_more(level.checked[name], form[name]):
-            found.add(f"{level.path}{shown_name(name)}")
+        elif name not in known.checked or _asks_for_more(known.checked[name], form[name]):
+            found.add(f"{known.path}{shown_name(name)}")
 
 
 def _tables(value: object) -> list[dict[str, Any]]:
@@ -116,9 +116,9 @@
             return []
 
 
-def _asks_for_more(standing: Unserved | Within, value: object) -> bool:
+def _asks_for_more(use: Unserved | Within, value: object) -> bool:
     """Return whether the value of a field asks for more than this build does."""
-    match standing:
+    match use:
         case Unserved(unless=unless):
             return value not in unless
         case Within(low=low, high=high):
--- a/cowslipvane/platform/_known_fields.py
+++ b/cowslipvane/platform/_known_fields.py
@@ -13,7 +13,7 @@
     Unused,
     Within,
     listed_parts,
-    make_level,
+    make_known_table,
     shown_name,
     unread_fields,
 )
@@ -109,17 +109,17 @@
     {"base", "config", "cost", "drain", "health", "pool", "recover", "retry", "rollout", "tenants"}
 )
 
-_CONFIGURATION_LEVEL = make_level(_CONFIGURATION)
-_BOUNDS_LEVEL = make_level(_BOUNDS, "bounds.")
+_CONFIGURATION_TABLE = make_known_table(_CONFIGURATION)
+_BOUNDS_TABLE = make_known_table(_BOUNDS, "bounds.")
 
 
 def unread_in_configuration(form: Mapping[str, Any]) -> set[str]:
     """Return the paths of the fields of a configuration that should be acted on and aren't."""
-    return unread_fields(form, _CONFIGURATION_LEVEL)
+    return unread_fields(form, _CONFIGURATION_TABLE)
 
 
 def unread_terms(bounds: Mapping[str, Any], contracts: Iterable[Any]) -> tuple[str, ...]:
     """Return the bounds and parts of the rules that this build doesn't keep to."""
     unkept_names = {str(name) for name in contracts} - _KEPT_CONTRACTS
     unkept = (f"contracts.{shown_name(name)}" for name in unkept_names)
-    return listed_parts([*unread_fields(bounds, _BOUNDS_LEVEL), *unkept])
+    return listed_parts([*unread_fields(bounds, _BOUNDS_TABLE), *unkept])
