--- a/tests/test_revocation_processes.py
+++ b/tests/test_revocation_processes.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 import unittest
+import uuid
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -151,7 +152,7 @@
 
     async def fetch(self, path: str, key: str | None) -> Outcome:
         """Send a request to the proxy."""
-        headers = {"Host": "shop.example"}
+        headers = {"Host": "shop.example", "Attempt-Id": uuid.uuid4().hex}
         if key is not None:
             headers["Authorization"] = f"Bearer {key}"
         url = f"http://{self.host.ip}:{CALLERS_PORT}{path}"
