Record who made an attempt, and count the attempts of teams by that

Callers of a team got more than its quota, and our records couldn't tell what had used it up: first attempts, our own retries, or calls that upstreams made. `attempt` says who made it, and `cowslipvane_team_attempts` counts first, repeated and nested ones. No decision has changed. test_metrics: the new test fails without the change (KeyError), and passes with it.

--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -34,6 +34,12 @@
         "",
         "first attempts of all teams; what exceeds the sum of those named is of other teams",
     ),
+    Family(
+        "cowslipvane_team_attempts",
+        "counter",
+        "kind",
+        "attempts for teams: first, repeated, and those of calls that upstreams made",
+    ),
     Family("cowslipvane_slots", "gauge", "", "requests that the upstream here runs at once"),
     Family("cowslipvane_running", "gauge", "", "requests that the upstream here runs now"),
     Family("cowslipvane_queue", "gauge", "", "requests that wait for the upstream here"),
--- a/cowslipvane/metrics/_metrics.py
+++ b/cowslipvane/metrics/_metrics.py
@@ -4,6 +4,7 @@
 
 import bisect
 from collections import Counter
+from collections.abc import Mapping
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -36,6 +37,7 @@
         self._versions: Counter[str] = Counter()
         self._requests_by_team: Counter[str] = Counter()
         self._requests_of_teams = 0
+        self._team_attempts: Counter[str] = Counter()
         self._attempts = 0
         self._retries = 0
         self._bucket_counts = [0] * (len(CALL_SECONDS_BUCKETS) + 1)
@@ -57,11 +59,7 @@
         """Update the counters that an event affects."""
         match event.kind:
             case "attempt":
-                self._attempts += 1
-                if event.detail["number"] != "1":
-                    self._retries += 1
-                elif team := event.detail.get("team"):
-                    self._count_request(team)
+                self._record_attempt(event.detail)
             case "verdict":
                 verdict = event.detail["verdict"]
                 self._verdicts[verdict] += 1
@@ -74,6 +72,20 @@
             case "accepted":
                 self._last_accepted = (Version(event.version), event.stamp.wall)
 
+    def _record_attempt(self, detail: Mapping[str, str]) -> None:
+        """Count an attempt, and that of a team's request by what it adds to the team's use."""
+        self._attempts += 1
+        is_first = detail["number"] == "1"
+        if not is_first:
+            self._retries += 1
+        team = detail.get("team")
+        if not team:
+            return
+        if is_first:
+            self._count_request(team)
+        is_nested = detail.get("made_by") == "upstream"
+        self._team_attempts["nested" if is_nested else "first" if is_first else "repeated"] += 1
+
     def _count_request(self, team: str) -> None:
         """Count the first attempt of a team's request."""
         self._requests_of_teams += 1
@@ -108,6 +120,7 @@
             *_by_label("cowslipvane_versions", self._versions),
             *_by_label("cowslipvane_team_requests", self._largest_teams()),
             Sample("cowslipvane_all_team_requests", self._requests_of_teams),
+            *_by_label("cowslipvane_team_attempts", self._team_attempts),
             Sample("cowslipvane_attempts", self._attempts),
             Sample("cowslipvane_retries", self._retries),
         ]
--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -250,6 +250,7 @@
             number=str(len(call.tried_hosts)),
             routed_by=str(call.version or ""),
             team=team_of(call.access) or "",
+            made_by="upstream" if call.is_nested else "caller",
             credentials="none" if call.request.header(KEY_FIELD) is None else "passed on",
         )
         mailbox = Mailbox(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,6 +11,7 @@
 from cowslipvane.types import DataCentre, HostName, Version
 
 PREFIX = "cowslipvane_"
+_KINDS = ("first", "repeated", "nested")
 
 
 def log_into(metrics: Metrics) -> EventLog:
@@ -53,6 +54,20 @@
         sizes = {len(metrics_after(count).samples()) for count in (1, 1000)}
         self.assertEqual(len(sizes), 1)
 
+    # Guards against records that can't tell what has used up a team's quota (issue 55).
+    def test_attempts_of_teams_are_counted_by_who_made_them(self) -> None:
+        """Attempts of no team aren't, and a repeated nested call is a nested call."""
+        metrics = Metrics()
+        log = log_into(metrics)
+        for team, number, made_by in (
+            *(("a", "1", "caller"), ("a", "2", "caller"), ("b", "1", "caller")),
+            *(("a", "1", "upstream"), ("a", "2", "upstream"), ("", "1", "caller")),
+        ):
+            log.record("attempt", request="r", owner="o", number=number, team=team, made_by=made_by)
+        counts = {(it.name, it.label): it.value for it in metrics.samples()}
+        kinds = {kind: counts["cowslipvane_team_attempts", kind] for kind in _KINDS}
+        self.assertEqual(kinds, {"first": 2, "repeated": 1, "nested": 2})
+
     def test_requests_are_counted_by_team(self) -> None:
         """A retry is no request of its own, and a request of no team is counted for none."""
         metrics = Metrics()
