--- a/tests/processes_case.py
+++ b/tests/processes_case.py
@@ -36,11 +36,21 @@
         self.folder = Path(folder.name)
         prefix = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
         replicas = [
-            Host(f"replica-{index}", f"{prefix}.{10 + index}", _DATA_CENTRES[index], "")
+            Host(
+                f"replica-{index}",
+                f"{prefix}.{10 + index}",
+                _DATA_CENTRES[index % len(_DATA_CENTRES)],
+                "",
+            )
             for index in range(self.replica_count)
         ]
         proxies = [
-            Host(f"proxy-{index}", f"{prefix}.{100 + index}", _DATA_CENTRES[index], service)
+            Host(
+                f"proxy-{index}",
+                f"{prefix}.{100 + index}",
+                _DATA_CENTRES[index % len(_DATA_CENTRES)],
+                service,
+            )
             for index, service in enumerate(self.services)
         ]
         self.processes = [
--- a/tests/teams_case.py
+++ b/tests/teams_case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from typing import Any, ClassVar, NamedTuple, Self
@@ -28,12 +29,16 @@
 
 
 class Received(NamedTuple):
-    """A request that the worker ran, with the names of its fields in lower case."""
+    """A request that the worker ran, with the names of its fields in lower case.
+
+    at is when it was received, in time.monotonic seconds.
+    """
 
     method: str
     target: str
     fields: tuple[tuple[str, str], ...]
     body: bytes
+    at: float
 
     def values(self, name: str) -> list[str]:
         """Return the values of all fields of a name, in lower case."""
@@ -142,7 +147,7 @@
     method, target, _ = lines[0].split(" ")
     pairs = (line.partition(":") for line in lines[1:])
     fields = tuple((name.lower(), value.strip()) for name, _, value in pairs)
-    return Received(method, target, fields, body)
+    return Received(method, target, fields, body, time.monotonic())
 
 
 class Answer(NamedTuple):
