--- a/cowslipvane/routing/_budget.py
+++ b/cowslipvane/routing/_budget.py
@@ -4,7 +4,8 @@
 
 from cowslipvane.refusal import Draining, NoUpstream, Overloaded, QueueFull, Refusal, Withdrawn
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
-from cowslipvane.types import Seconds, ServiceName
+from cowslipvane.token_bucket import TokenBucket
+from cowslipvane.types import ServiceName
 
 # Share of the fleet's retry allowance that proxies may spend. The rest covers the nested calls that
 # a retried request repeats.
@@ -16,44 +17,6 @@
 _HEDGE_BUCKET_CAPACITY = 5.0
 
 
-class TokenBucket:
-    """A token bucket that is refilled by calls and by time, and used up by extra attempts."""
-
-    def __init__(
-        self, *, tokens_per_call: float, tokens_per_s: float, capacity: float, now: float
-    ) -> None:
-        self._tokens_per_call = tokens_per_call
-        self._tokens_per_s = tokens_per_s
-        self._capacity = capacity
-        self._tokens = capacity
-        self._filled_at = now
-
-    def earn(self) -> None:
-        """Add the tokens for one call."""
-        self._tokens = min(self._tokens + self._tokens_per_call, self._capacity)
-
-    def resize(self, *, tokens_per_s: float, capacity: float, now: float) -> None:
-        """Set the tokens per second and the capacity, and discard the tokens above it."""
-        self._fill(now)
-        self._tokens_per_s = tokens_per_s
-        self._capacity = capacity
-        self._tokens = min(self._tokens, capacity)
-
-    def spend(self, now: float) -> bool:
-        """Take a token; return False if there is none."""
-        self._fill(now)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-    def _fill(self, now: float) -> None:
-        """Add the tokens earned by time since the last call."""
-        elapsed: Seconds = max(now - self._filled_at, 0.0)
-        self._tokens = min(self._tokens + elapsed * self._tokens_per_s, self._capacity)
-        self._filled_at = now
-
-
 class Budgets:
     """One proxy's part of the fleet's budgets for retries and hedged requests, by service.
 
@@ -81,21 +44,18 @@
     def record_call(self, service: ServiceName, now: float) -> None:
         """Add the tokens for a new call."""
         if service not in self._retry_buckets:
-            tokens_per_call = self._allowance.share * SPENDABLE_SHARE
             self._retry_buckets[service] = TokenBucket(
-                tokens_per_call=tokens_per_call,
                 tokens_per_s=self._slack_tokens_per_s,
                 capacity=self._slack_capacity,
                 now=now,
             )
             self._hedge_buckets[service] = TokenBucket(
-                tokens_per_call=HEDGE_SHARE,
                 tokens_per_s=EXTRA_HEDGES_PER_S,
                 capacity=_HEDGE_BUCKET_CAPACITY,
                 now=now,
             )
-        self._retry_buckets[service].earn()
-        self._hedge_buckets[service].earn()
+        self._retry_buckets[service].add(self._allowance.share * SPENDABLE_SHARE)
+        self._hedge_buckets[service].add(HEDGE_SHARE)
 
     def allow_retry(self, service: ServiceName, refusal: Refusal, now: float) -> bool:
         """Return whether a refused call may be retried, and count the retry."""
