--- a/cowslipvane/catalogue/_closure.py
+++ b/cowslipvane/catalogue/_closure.py
@@ -7,6 +7,7 @@
 
 from cowslipvane.catalogue._resources import (
     Key,
+    QuotaDivision,
     Release,
     Resource,
     Rollout,
@@ -24,7 +25,7 @@
 
 
 def closure(resources: Mapping[Key, Resource], hosts: RouteHosts) -> frozenset[Key]:
-    """Return the routes of some hosts, what they refer to, and upstreams, rollouts and teams.
+    """Return the routes of some hosts, what they refer to, and what is of all hosts.
 
     Releases are left out: a proxy only uses the resources that were made from one.
     """
@@ -47,10 +48,13 @@
     """Return the digest of one resource; all processes of one software version agree on it."""
     # The representation of a specification names each field, so it is unambiguous.
     data = repr(tuple(resource)).encode()
-    # A route that ignores keys has the digest that builds without teams compute.
+    # A route that ignores keys has the digest that builds without teams compute, and a team without
+    # a quota that of builds without quotas.
     match resource.spec:
         case Route(access_keys=use) if use != "ignored":
             data += use.encode()
+        case Team(rate=rate, burst=burst) if rate or burst:
+            data += f"{rate!r} {burst!r}".encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest(), "big")
 
 
@@ -65,9 +69,9 @@
     match resource.spec:
         case Route(host=host):
             return host in route_hosts
-        case Upstream() | Rollout() | Team():
+        case Upstream() | Rollout() | Team() | QuotaDivision():
             # Nothing refers to them: upstreams announce themselves, a rollout is of those, and
-            # requests of any route may be of any team.
+            # requests of any route may be of any team, whose quotas are divided.
             return True
         case _:
             return False
--- a/cowslipvane/catalogue/_releases.py
+++ b/cowslipvane/catalogue/_releases.py
@@ -11,6 +11,7 @@
 from cowslipvane.catalogue._resources import (
     Fault,
     Key,
+    QuotaDivision,
     Release,
     Rollout,
     Route,
@@ -76,13 +77,30 @@
 
 
 def missing_access(catalogue: Catalogue, resources: dict[Key, Spec]) -> Change | None:
-    """Return the change that adds teams to the release in force, None if it needs none.
+    """Return the change that adds teams or quotas to the release in force, None if it needs none.
 
-    A build that knew no teams derived the resources without them, though the document has them.
-    resources are those that this build derives from it.
+    A build that knew no teams, or no quotas, derived the resources without them, though the
+    document has them. resources are those that this build derives from it.
     """
-    if any(_is_of_access(resource.spec) for resource in catalogue.resources.values()):
+    current = [resource.spec for resource in catalogue.resources.values()]
+    if not any(_is_of_access(spec) for spec in current):
+        puts = _missing_teams(catalogue, resources)
+    elif not any(_has_quota(spec) for spec in current):
+        puts = _missing_quotas(catalogue, resources)
+    else:
         return None
+    if not puts:
+        return None
+    # A representation leaves out quotas.
+    quotas = [(spec.rate, spec.burst) for _, spec in puts if isinstance(spec, Team)]
+    text = repr((catalogue.version, puts, quotas))
+    digest = hashlib.blake2b(text.encode(), digest_size=16)
+    operation_id = OperationId(f"teams-{digest.hexdigest()}")
+    return Change(operation_id, catalogue.version, tuple(puts))
+
+
+def _missing_teams(catalogue: Catalogue, resources: dict[Key, Spec]) -> list[tuple[Key, Spec]]:
+    """Return the teams, and the routes that read keys, which a build without teams left out."""
     puts: list[tuple[Key, Spec]] = []
     for key, spec in resources.items():
         current = catalogue.resources.get(key)
@@ -93,11 +111,23 @@
                 # Whatever else an operator has changed in a route stays.
                 assert isinstance(current.spec, Route)
                 puts.append((key, dataclasses.replace(current.spec, access_keys=use)))
-    if not puts:
-        return None
-    digest = hashlib.blake2b(repr((catalogue.version, puts)).encode(), digest_size=16)
-    operation_id = OperationId(f"teams-{digest.hexdigest()}")
-    return Change(operation_id, catalogue.version, tuple(puts))
+    return puts
+
+
+def _missing_quotas(catalogue: Catalogue, resources: dict[Key, Spec]) -> list[tuple[Key, Spec]]:
+    """Return the teams in force with the quotas that a build without quotas left out."""
+    puts: list[tuple[Key, Spec]] = []
+    for key, spec in resources.items():
+        current = catalogue.resources.get(key)
+        match spec, current and current.spec:
+            case Team(rate=rate, burst=burst), Team() as team if _has_quota(spec):
+                puts.append((key, dataclasses.replace(team, rate=rate, burst=burst)))
+    return puts
+
+
+def _has_quota(spec: Spec) -> bool:
+    """Return whether a resource is a team with a quota."""
+    return isinstance(spec, Team) and spec.rate > 0
 
 
 def _is_of_access(spec: Spec) -> bool:
@@ -114,8 +144,8 @@
 def _is_replaced(key: Key, spec: Spec, resources: dict[Key, Spec]) -> bool:
     """Return whether a release that lacks a resource removes it."""
     match spec:
-        case Release() | Upstream():
-            # The state of upstreams is managed separately from releases.
+        case Release() | Upstream() | QuotaDivision():
+            # The state of upstreams and the division of quotas are managed separately.
             return False
         case Rollout():
             return Key("service", key.name) not in resources
--- a/cowslipvane/catalogue/_resources.py
+++ b/cowslipvane/catalogue/_resources.py
@@ -13,6 +13,7 @@
 from cowslipvane.types import (
     ADDED_FIELD,
     Header,
+    HostName,
     KeyDigest,
     Seconds,
     ServiceName,
@@ -32,6 +33,8 @@
 MAX_ROLLOUT_TIME: Seconds = 86400.0
 MAX_UPSTREAM_VERSION_CHARACTERS = 256
 MAX_TEAM_NAME_CHARACTERS = 256
+# Requests a second, and requests at once.
+MAX_QUOTA = 1e9
 OUT_OF_RANGE = "is out of range; allowed is a whole number of 64 bits"
 
 # Upstreams get the name of a team in a header field.
@@ -82,9 +85,36 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Team:
-    """A team of callers, and the digests of the keys that its requests show."""
+    """A team of callers, and the digests of the keys that its requests show.
+
+    It may send rate requests a second, counted over all proxies, and burst more at once. A rate of
+    0 is no limit.
+    """
 
     key_digests: tuple[KeyDigest, ...] = ()
+    # Builds without quotas compute the digest of a team from the representation without them.
+    rate: float = field(default=0.0, repr=False, metadata=ADDED_FIELD)
+    burst: float = field(default=0.0, repr=False, metadata=ADDED_FIELD)
+
+
+class QuotaHolder(NamedTuple):
+    """A replica that grants requests of teams, and where it listens for peers, as IP:PORT."""
+
+    host: HostName
+    address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaDivision:
+    """Among which replicas the quotas of teams are divided; the leader writes it.
+
+    Each holder grants one of parts equal parts of each quota. former are the hosts that may still
+    act on the division before.
+    """
+
+    holders: tuple[QuotaHolder, ...] = ()
+    parts: int = 0
+    former: tuple[HostName, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -144,7 +174,17 @@
     reason: str = ""
 
 
-Spec = Service | Route | RetryPolicy | TrafficPolicy | Upstream | Release | Rollout | Team
+Spec = (
+    Service
+    | Route
+    | RetryPolicy
+    | TrafficPolicy
+    | Upstream
+    | Release
+    | Rollout
+    | Team
+    | QuotaDivision
+)
 
 KINDS: dict[str, type[Spec]] = {
     "service": Service,
@@ -155,7 +195,10 @@
     "release": Release,
     "rollout": Rollout,
     "team": Team,
+    "quota-division": QuotaDivision,
 }
+# The kinds that replicas write by themselves; operators only read them.
+SYSTEM_KINDS = frozenset({"quota-division"})
 _KIND_NAMES = {spec: kind for kind, spec in KINDS.items()}
 _ROUTE_KIND = _KIND_NAMES[Route]
 
@@ -204,7 +247,7 @@
         case Route(targets=targets):
             for target in targets:
                 yield Key("service", target.service)
-        case RetryPolicy() | TrafficPolicy() | Upstream() | Release() | Rollout() | Team():
+        case _:
             return
 
 
@@ -238,6 +281,9 @@
             yield from _rollout_faults(key, rollout)
         case Team() as team:
             yield from _team_faults(key, team)
+        case QuotaDivision(holders=holders, parts=parts):
+            if len(holders) > parts:
+                yield Fault(f"{key}.parts", f"is {parts}; allowed is one for each holder and more")
         case Service() | Upstream():
             return
 
@@ -268,12 +314,21 @@
 
 
 def _team_faults(key: Key, team: Team) -> Iterator[Fault]:
-    """Yield the faults of a team's name and of the digests of its keys."""
+    """Yield the faults of a team's name, of the digests of its keys, and of its quota."""
     if not _TEAM_NAME.fullmatch(key.name) or len(key.name) > MAX_TEAM_NAME_CHARACTERS:
         limit = f"1 to {MAX_TEAM_NAME_CHARACTERS} visible ASCII characters"
         yield Fault(str(key), f"has a name that no header field can hold; allowed are {limit}")
     if not all(_KEY_DIGEST.fullmatch(digest) for digest in team.key_digests):
         yield Fault(f"{key}.key_digests", "has an odd digest; allowed are 32 hexadecimal digits")
+    yield from _quota_faults(key, team)
+
+
+def _quota_faults(key: Key, team: Team) -> Iterator[Fault]:
+    """Yield the faults of a team's quota."""
+    for name, value in (("rate", team.rate), ("burst", team.burst)):
+        # NaN fails each comparison, so it is refused too.
+        if not 0 <= value <= MAX_QUOTA:
+            yield Fault(f"{key}.{name}", f"is {value}; allowed is 0 to {MAX_QUOTA:g}")
 
 
 def _match_faults(key: Key, route: Route) -> Iterator[Fault]:
--- a/cowslipvane/clock.py
+++ b/cowslipvane/clock.py
@@ -11,3 +11,7 @@
     With a clock that stops during suspension, an expired lease would still look valid.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# When this process started, in seconds of lease_now().
+STARTED_AT = lease_now()
--- a/cowslipvane/settings/__init__.py
+++ b/cowslipvane/settings/__init__.py
@@ -3,12 +3,14 @@
 from cowslipvane.settings._changes import pending_settings
 from cowslipvane.settings._load import SettingsFault, load, parse
 from cowslipvane.settings._settings import (
+    DEFAULT_QUOTAS,
     DEFAULT_RETRIES,
     DEFAULT_REVOCATION,
     Formation,
     Limits,
     Listen,
     NumberRange,
+    Quotas,
     Retries,
     Revocation,
     Security,
@@ -20,12 +22,14 @@
 
 __all__ = [
     "AUTHORIZATION",
+    "DEFAULT_QUOTAS",
     "DEFAULT_RETRIES",
     "DEFAULT_REVOCATION",
     "Formation",
     "Limits",
     "Listen",
     "NumberRange",
+    "Quotas",
     "Retries",
     "Revocation",
     "Security",
--- a/cowslipvane/settings/_load.py
+++ b/cowslipvane/settings/_load.py
@@ -17,6 +17,7 @@
     Limits,
     Listen,
     NumberRange,
+    Quotas,
     Retries,
     Revocation,
     Role,
@@ -28,7 +29,7 @@
 )
 from cowslipvane.types import Address
 
-T = TypeVar("T", Timing, Limits, Retries, Rollouts, Revocation)
+T = TypeVar("T", Timing, Limits, Retries, Rollouts, Revocation, Quotas)
 
 
 class SettingsFault(Exception):
@@ -194,7 +195,7 @@
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(bool, _structure_flag)
     converter.register_structure_hook_func(lambda kind: kind == Role, _structure_role)
-    for values in (Timing, Limits, Retries, Rollouts, Revocation):
+    for values in (Timing, Limits, Retries, Rollouts, Revocation, Quotas):
         converter.register_structure_hook(values, _structure_values)
     for kind in (Listen, Security, Formation, Settings):
         get_type_hints(kind)
--- a/cowslipvane/settings/_settings.py
+++ b/cowslipvane/settings/_settings.py
@@ -212,6 +212,44 @@
 DEFAULT_REVOCATION = Revocation()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Quotas:
+    """How the quotas of teams are divided among replicas, and how far they may be exceeded."""
+
+    lease: Seconds = number_field(
+        60.0,
+        low=1,
+        high=86400,
+        unit="s",
+        description="time for which a replica that is cut off goes on to grant its part of quotas;"
+        " others get the part after that",
+    )
+    overshoot: float = number_field(
+        0.1,
+        low=0,
+        high=10,
+        unit="of a quota",
+        description="what a team may send beyond its quota while replicas can't be reached",
+    )
+    slack: float = number_field(
+        20,
+        low=0,
+        high=1e6,
+        unit="requests",
+        description="requests that a team may send beyond that in each window",
+    )
+    window: Seconds = number_field(
+        5,
+        low=0.1,
+        high=600,
+        unit="s",
+        description="length of the window to which the slack applies",
+    )
+
+
+DEFAULT_QUOTAS = Quotas()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Formation:
     """How the group of replicas is formed: automatically, or by commands.
@@ -279,6 +317,9 @@
     revocation: Revocation = table_field(
         Revocation, "whether withdrawn keys are accepted without contact to the replicas"
     )
+    quotas: Quotas = table_field(
+        Quotas, "how quotas of teams are divided, and how far they may be exceeded"
+    )
     formation: Formation = table_field(Formation, "how the group of replicas is formed")
     security: Security = table_field(
         Security, "who may connect to the listeners for operators and peers"
--- a/cowslipvane/types.py
+++ b/cowslipvane/types.py
@@ -79,6 +79,13 @@
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
 
+class Quota(NamedTuple):
+    """How many requests a second a team may send, and how many more at once."""
+
+    rate: float
+    burst: float
+
+
 class Verdict(enum.Enum):
     """Whether a request was run by an upstream."""
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -183,7 +183,7 @@
             added += sum(marks)
             for field, is_added in zip(dataclasses.fields(kind), marks, strict=True):
                 self.assertFalse(is_added and field.default is dataclasses.MISSING, field.name)
-        self.assertEqual(added, 3)
+        self.assertEqual(added, 5)
 
 
 # Computed on d54efe0, which knows no teams.
--- a/tools/soak/_windows.py
+++ b/tools/soak/_windows.py
@@ -20,7 +20,7 @@
     """The window in which most requests were both sent and run."""
 
     begin: float
-    count: int
+    uses: int
 
 
 def busiest_window(uses: Iterable[Use], length: Seconds) -> Busiest:
@@ -31,6 +31,6 @@
     for use in sorted(uses, reverse=True):
         insort(begins, use.began_at)
         count = bisect_right(begins, use.sent_at + length)
-        if count > busiest.count:
+        if count > busiest.uses:
             busiest = Busiest(use.sent_at, count)
     return busiest
