Count the requests of teams over all proxies, and refuse those beyond their quotas

A team got whatever it asked for (QUOTA: 401 of its requests ran in 5 s, 141 are allowed), at the cost of all others, and a lowered quota changed nothing (301 of 57). Cause: nothing read rate_per_s and burst, while the configuration was acknowledged. Now each replica grants its share of each quota: an entry proxy takes a token before the first attempt of a request, and another before one that follows an attempt that may have run; what surely didn't run is given back. Beyond the quota 429 (over-quota) at once, with a Retry-After by what was refused lately; 503 (quota-unconfirmed) if replicas can't be asked and what the others have is used up. A team's quota that is no number is refused with the configuration. Quotas of a configuration that an earlier build has accepted come into force once a replica of this build leads. Operators see shares and use: /v1/quotas, `cowslipvane team quotas`, metrics, events quota-share, quota-division and quota-holder. test_quotas failed before and passes; test_quota_failures: replicas frozen, killed in turn and at once, cut off, a leader changed, a disk lost, proxies frozen and killed. The test of what is below the quota holds each request against one bucket now: on a busy machine its callers are late and send what is due at once, beyond the burst, which it took for a fault.

--- a/cowslipvane/commands/__init__.py
+++ b/cowslipvane/commands/__init__.py
@@ -28,7 +28,7 @@
     watch,
 )
 from cowslipvane.commands._rollouts import show_rollout, start_rollout
-from cowslipvane.commands._teams import digest_keys
+from cowslipvane.commands._teams import QuotaReport, TeamTotal, digest_keys, show_quotas
 from cowslipvane.commands._timeline import (
     Filter,
     Timeline,
@@ -50,7 +50,10 @@
     "check",
     "create_replica",
     "debug",
+    "QuotaReport",
+    "TeamTotal",
     "digest_keys",
+    "show_quotas",
     "effective_settings",
     "drain",
     "get",
--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -38,12 +38,14 @@
     MetricsCollector,
     OperatorApi,
     ProcessApi,
+    QuotaApi,
     ReplicaApi,
     ResourceApi,
     RolloutApi,
     debug_form,
 )
 from cowslipvane.tasks.peers import CALLS_PATH, EventCopies, Gossip, Handler, PeerListener, Peers
+from cowslipvane.tasks.quotas import QUOTA_PATH, QuotaClient, QuotaKeeper
 from cowslipvane.tasks.replication import GroupJoiner, Releases, Replication, open_replica
 from cowslipvane.tasks.upstreams import Owner, serve_calls
 from cowslipvane.types import Address, Seconds, ServiceName
@@ -116,6 +118,7 @@
         self._subscriber: Subscriber | None = None
         self._releases: Releases | None = None
         self._rollouts: Rollouts | None = None
+        self._quota_keeper: QuotaKeeper | None = None
         self._group_joiner: GroupJoiner | None = None
         self._peers = Peers(events=self._events)
 
@@ -313,7 +316,10 @@
             events=self._events,
         )
         tasks = [part.run() for part in (self._replication, self._publisher, self._rollouts)]
-        tasks.append(self._releases.run())
+        self._quota_keeper = QuotaKeeper(
+            replication=self._replication, settings=self._settings.quotas, events=self._events
+        )
+        tasks += [self._releases.run(), self._quota_keeper.run()]
         if self._settings.formation.automatic:
             self._group_joiner = GroupJoiner(
                 replication=self._replication,
@@ -350,16 +356,6 @@
             left_to_end=self._settings.timing.left_to_end,
             bodies=bodies,
         )
-        dispatcher = Dispatcher(
-            subscription=subscription,
-            membership=self._gossip.membership,
-            owner=self._owner,
-            peers=self._peers,
-            chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
-            events=self._events,
-            rng=self._rng,
-            retries=self._settings.retries,
-        )
         owner = self._owner
         answer_reporter = AnswerReporter(get_answers=lambda: owner.answers)
         self._subscriber = Subscriber(
@@ -371,6 +367,23 @@
             fact_keeper=fact_keeper,
             answer_reporter=answer_reporter,
         )
+        quotas = QuotaClient(
+            subscription=subscription,
+            configuration_applied=self._subscriber.configuration_applied,
+            events=self._events,
+            rng=self._rng,
+        )
+        dispatcher = Dispatcher(
+            subscription=subscription,
+            membership=self._gossip.membership,
+            owner=self._owner,
+            peers=self._peers,
+            quotas=quotas,
+            chooser=Chooser(data_centre=self._settings.data_centre, rng=self._rng),
+            events=self._events,
+            rng=self._rng,
+            retries=self._settings.retries,
+        )
         self._callers = Callers(
             subscription=subscription,
             dispatcher=dispatcher,
@@ -388,6 +401,7 @@
             self._subscriber.run(),
             fact_keeper.run(),
             answer_reporter.run(),
+            quotas.run(),
         ]
 
     async def _listen(self, stack: AsyncExitStack) -> None:
@@ -432,14 +446,13 @@
                 traffic=self._traffic,
                 replication=self._replication,
                 releases=self._releases,
+                quotas=self._quota_keeper,
                 subscription=self._subscription,
                 owner=self._owner,
             ),
         )
         if self._replication is None or self._publisher is None or self._rollouts is None:
-            return OperatorApi(
-                process=process, resources=None, replicas=None, rollouts=None, token=self._token
-            )
+            return OperatorApi(process=process, token=self._token)
         resources = ResourceApi(
             membership=self._gossip.membership,
             events=self._events,
@@ -457,6 +470,7 @@
             resources=resources,
             replicas=replicas,
             rollouts=rollouts,
+            quotas=None if self._quota_keeper is None else QuotaApi(quotas=self._quota_keeper),
             token=self._token,
         )
 
@@ -478,6 +492,8 @@
         }
         if self._replication is not None:
             handlers["/replica"] = self._replication.serve
+        if self._quota_keeper is not None:
+            handlers[QUOTA_PATH] = self._quota_keeper.serve
         if self._group_joiner is not None:
             handlers["/join"] = self._group_joiner.serve
         if self._publisher is not None:
--- a/cowslipvane/metrics/_families.py
+++ b/cowslipvane/metrics/_families.py
@@ -40,6 +40,29 @@
         "kind",
         "attempts for teams: first, repeated, and those of calls that upstreams made",
     ),
+    Family(
+        "cowslipvane_quota_share", "gauge", "", "part of all quotas that this replica may grant"
+    ),
+    Family(
+        "cowslipvane_quota_granted",
+        "counter",
+        "team",
+        "requests of the 50 teams with the most here that this replica's part of a quota covered",
+    ),
+    Family(
+        "cowslipvane_quota_refused",
+        "counter",
+        "team",
+        "the same teams' questions for which this replica had no token left; another may have had",
+    ),
+    Family("cowslipvane_all_quota_granted", "counter", "", "the same of all teams, granted"),
+    Family("cowslipvane_all_quota_refused", "counter", "", "the same of all teams, refused"),
+    Family(
+        "cowslipvane_quota_stood_in",
+        "counter",
+        "",
+        "requests granted beyond this replica's part, for replicas that couldn't be asked",
+    ),
     Family("cowslipvane_slots", "gauge", "", "requests that the upstream here runs at once"),
     Family("cowslipvane_running", "gauge", "", "requests that the upstream here runs now"),
     Family("cowslipvane_queue", "gauge", "", "requests that wait for the upstream here"),
--- a/cowslipvane/platform/_known_fields.py
+++ b/cowslipvane/platform/_known_fields.py
@@ -22,7 +22,6 @@
 _MAX_HEAD_LINE_BYTES = 16 << 10
 # Connections of callers that are idle for less are kept open.
 _KEPT_IDLE_S = 3600
-_NO_QUOTAS = "requests of a team aren't counted"
 
 _LIMITS: Fields = {
     "max_body_bytes": Read(),
@@ -53,8 +52,8 @@
     "name": Read(),
     "api_keys": Read(),
     "priority": Unserved(reason="only routes have a rank"),
-    "rate_per_s": Unserved(reason=_NO_QUOTAS, unless=(0, None)),
-    "burst": Unserved(reason=_NO_QUOTAS, unless=(0, None)),
+    "rate_per_s": Read(),
+    "burst": Read(),
 }
 _CLUSTER: Fields = {
     "name": Read(),
@@ -100,13 +99,16 @@
     # A key is withdrawn by a version, so this one follows from propagation_s.
     "revoke_s": Within(reason=_FIXED, low=2),
     "revoke_when_partitioned": Read(),
-    "quota_window_s": Unserved(reason=_NO_QUOTAS),
-    "quota_overshoot": Unserved(reason=_NO_QUOTAS),
-    "quota_slack": Unserved(reason=_NO_QUOTAS),
+    "quota_window_s": Read(),
+    "quota_overshoot": Read(),
+    "quota_slack": Read(),
 }
 # The parts of the platform's rules that this build keeps to.
 _KEPT_CONTRACTS = frozenset(
-    {"base", "config", "cost", "drain", "health", "pool", "recover", "retry", "rollout", "tenants"}
+    {
+        *("base", "config", "cost", "drain", "health", "pool"),
+        *("quota", "recover", "retry", "rollout", "tenants"),
+    }
 )
 
 _CONFIGURATION_TABLE = make_known_table(_CONFIGURATION)
--- a/cowslipvane/platform/_settings.py
+++ b/cowslipvane/platform/_settings.py
@@ -16,6 +16,12 @@
 _OPERATORS_PORT_OFFSET = 1
 # The bounds that the settings of revocation come from.
 _REVOCATION_BOUNDS = {"when_partitioned": "revoke_when_partitioned", "timeout": "revoke_s"}
+# The bounds that the settings of quotas come from.
+_QUOTA_BOUNDS = {
+    "window": "quota_window_s",
+    "overshoot": "quota_overshoot",
+    "slack": "quota_slack",
+}
 
 
 class FileStamp(NamedTuple):
@@ -63,6 +69,11 @@
     return bounds if isinstance(bounds, dict) else {}
 
 
+def _in_settings(bounds: dict[str, Any], names: dict[str, str]) -> dict[str, Any]:
+    """Return the settings that some bounds give, by their names there."""
+    return {name: bounds[bound] for name, bound in names.items() if bound in bounds}
+
+
 def _contracts(text: object) -> list[Any]:
     """Return the parts of the rules that are in force, none if they aren't rendered."""
     contracts = _rendered(text)
@@ -96,9 +107,9 @@
     if exposure is not None and "replica" in values["roles"]:
         values["rollouts"] = {"exposure": exposure}
     if bounds.get("revoke_when_partitioned"):
-        values["revocation"] = {
-            name: bounds[bound] for name, bound in _REVOCATION_BOUNDS.items() if bound in bounds
-        }
+        values["revocation"] = _in_settings(bounds, _REVOCATION_BOUNDS)
+    if "replica" in values["roles"]:
+        values["quotas"] = _in_settings(bounds, _QUOTA_BOUNDS)
     readiness = platform.get("readiness")
     return PlatformSettings(
         parse(values, source),
--- a/cowslipvane/platform/_teams.py
+++ b/cowslipvane/platform/_teams.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cowslipvane.access import MAX_KEY_CHARACTERS, KeyUse, is_key, key_digest
-from cowslipvane.catalogue import Key, Team
+from cowslipvane.catalogue import MAX_QUOTA, Key, Team
 from cowslipvane.types import KeyDigest
 
 _MAX_NAME_CHARACTERS = 256
@@ -30,7 +30,11 @@
         if key in teams:
             raise ValueError(f"{place} has the name of {places[key]}")
         places[key] = place
-        teams[key] = Team(key_digests=_digests(tenant.get("api_keys"), f"{place}.api_keys"))
+        teams[key] = Team(
+            key_digests=_digests(tenant.get("api_keys"), f"{place}.api_keys"),
+            rate=_amount(tenant, "rate_per_s", place),
+            burst=_amount(tenant, "burst", place),
+        )
     return teams
 
 
@@ -44,6 +48,16 @@
     return "optional" if is_public else "required"
 
 
+def _amount(tenant: dict[str, Any], field: str, place: str) -> float:
+    """Return a number of a team's quota, 0 if it is left out; raise ValueError for an odd one."""
+    value = tenant.get(field, 0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{place}.{field} is no number")
+    if not 0 <= value <= MAX_QUOTA:
+        raise ValueError(f"{place}.{field} is out of range; allowed is 0 to {MAX_QUOTA:g}")
+    return float(value)
+
+
 def _name(value: Any, place: str) -> str:
     """Return the name of a team; raise ValueError if no header field can hold it."""
     if not isinstance(value, str) or not _NAME.fullmatch(value[: _MAX_NAME_CHARACTERS + 1]):
--- a/cowslipvane/refusal/_refusals.py
+++ b/cowslipvane/refusal/_refusals.py
@@ -6,7 +6,15 @@
 from typing import NamedTuple
 
 from cowslipvane.access import KeyFault
-from cowslipvane.types import HostName, Seconds, ServiceName, Verdict, Version
+from cowslipvane.types import (
+    HostName,
+    Quota,
+    Seconds,
+    ServiceName,
+    TeamName,
+    Verdict,
+    Version,
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,6 +53,25 @@
     host: HostName
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OverQuota:
+    """The team has used up its quota, over all proxies together."""
+
+    team: TeamName
+    quota: Quota
+    version: Version
+    retry_after: Seconds
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaUnconfirmed:
+    """Too few of the replicas that count the team's requests could be asked."""
+
+    team: TeamName
+    version: Version
+    retry_after: Seconds
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MalformedRequest:
     """The head of the request can't be forwarded faithfully."""
@@ -163,6 +190,8 @@
     | RouteOutdated
     | KeyRefused
     | KeysUnconfirmed
+    | OverQuota
+    | QuotaUnconfirmed
     | MalformedRequest
     | NoUpstream
     | Draining
@@ -251,6 +280,13 @@
         case KeysUnconfirmed(host=host):
             cause = f"The proxy on host {host} could not confirm in time which keys are valid."
             return "keys-unconfirmed", 503, cause, not_run, SHORT_RETRY_DELAY
+        case OverQuota(team=team, quota=quota, retry_after=retry_after):
+            amounts = f"{quota.rate:g} requests a second and {quota.burst:g} at once"
+            cause = f"Team {team} has used up its quota of {amounts}."
+            return "over-quota", 429, cause, not_run, retry_after
+        case QuotaUnconfirmed(team=team, retry_after=retry_after):
+            cause = f"It could not be confirmed in time that team {team} is within its quota."
+            return "quota-unconfirmed", 503, cause, not_run, retry_after
         case MalformedRequest(reason=reason):
             cause = f"The request can't be passed on: {reason}."
             return "malformed-request", 400, cause, not_run, None
--- a/cowslipvane/routing/_table.py
+++ b/cowslipvane/routing/_table.py
@@ -9,6 +9,8 @@
 from cowslipvane.access import TeamKeys
 from cowslipvane.catalogue import (
     Key,
+    QuotaDivision,
+    QuotaHolder,
     Resource,
     RetryPolicy,
     Rollout,
@@ -29,7 +31,7 @@
     normalize_host,
     normalize_path,
 )
-from cowslipvane.types import Headers, HostName, ServiceName, TeamName, Version
+from cowslipvane.types import Headers, HostName, Quota, ServiceName, TeamName, Version
 
 _NO_RETRY = RetryPolicy(attempts=1, methods=())
 
@@ -76,6 +78,18 @@
             previous=None if previous is None else previous.team_keys,
         )
 
+        self._quotas = {
+            TeamName(key.name): Quota(spec.rate, spec.burst)
+            for key, spec in by_key.items()
+            if isinstance(spec, Team) and spec.rate > 0
+        }
+        self._quota_holders = tuple(
+            holder
+            for spec in by_key.values()
+            if isinstance(spec, QuotaDivision)
+            for holder in spec.holders
+        )
+
     @property
     def version(self) -> Version:
         """Return the version of the configuration that the table was built from."""
@@ -86,6 +100,15 @@
         """Return the keys of the teams."""
         return self._team_keys
 
+    @property
+    def quota_holders(self) -> tuple[QuotaHolder, ...]:
+        """Return the replicas that grant requests of teams with quotas."""
+        return self._quota_holders
+
+    def quota(self, team: TeamName) -> Quota | None:
+        """Return the quota of a team, None if its requests aren't counted."""
+        return self._quotas.get(team)
+
     def has_service(self, service: ServiceName) -> bool:
         """Return whether the configuration names a service."""
         return service in self._rules
--- a/cowslipvane/tasks/callers/_dispatcher.py
+++ b/cowslipvane/tasks/callers/_dispatcher.py
@@ -47,6 +47,7 @@
 from cowslipvane.settings import DEFAULT_RETRIES, Retries
 from cowslipvane.subscription import Subscription
 from cowslipvane.tasks.peers import LinkLost, Mailbox, Peers, UnreadResponses
+from cowslipvane.tasks.quotas import CallToken, QuotaClient
 from cowslipvane.tasks.upstreams import Owner
 from cowslipvane.types import Seconds, Verdict
 
@@ -79,11 +80,13 @@
         membership: Membership,
         owner: Owner,
         peers: Peers,
+        quotas: QuotaClient,
         chooser: Chooser,
         events: EventLog,
         rng: random.Random,
         retries: Retries = DEFAULT_RETRIES,
     ) -> None:
+        self._quotas = quotas
         self._subscription = subscription
         self._membership = membership
         self._local_owner = owner
@@ -107,28 +110,44 @@
         If an earlier attempt ran or may have run, its refusal is returned instead, so that a later
         one can't hide it.
         """
-        refusal: Refusal = NoUpstream(service=call.rules.service)
         now = time.monotonic()
         self._budgets.set_proxy_count(self._membership.estimated_proxy_count, now)
         self._budgets.record_call(call.rules.service, now)
-        while call.time_remaining(time.monotonic()) > 0:
+        token = self._quotas.token_for(call.access)
+        try:
+            match await self._try_owners(call, token):
+                case StartedResponse() as started:
+                    return started
+                case refusal:
+                    return call.unknown_outcome or refusal
+        finally:
+            token.release()
+
+    async def _try_owners(self, call: Call, token: CallToken) -> StartedResponse | Refusal:
+        """Return the start of the response, or the refusal that ends the call."""
+        refusal: Refusal = NoUpstream(service=call.rules.service)
+        while (remaining := call.time_remaining(time.monotonic())) > 0:
             if self._is_leaving:
-                refusal = ProxyLeaving(verdict=Verdict.NOT_RUN)
-                break
+                return ProxyLeaving(verdict=Verdict.NOT_RUN)
+            uncounted = await token.hold(remaining)
+            if uncounted is not None:
+                return uncounted
             owner = self._choose(call)
             if owner is None:
-                break
+                return refusal
+            spent = token.spend()
             match await self._attempt(call, owner):
                 case StartedResponse() as started:
                     return started
                 case refused:
                     refusal = refused
+            token.keep(spent, explain(refusal).verdict)
             if not call.may_try_again(refusal):
-                break
+                return refusal
             call.record_refusal(refusal)
             if not self._budgets.allow_retry(call.rules.service, refusal, time.monotonic()):
-                break
-        return call.unknown_outcome or refusal
+                return refusal
+        return refusal
 
     def give_up(self) -> None:
         """Cancel the attempts that have no response yet, and begin no more, before the exit."""
--- a/cowslipvane/tasks/operators/_metrics_collector.py
+++ b/cowslipvane/tasks/operators/_metrics_collector.py
@@ -4,13 +4,16 @@
 
 import time
 from collections import Counter
+from heapq import nlargest
 from typing import get_args
 
 from cowslipvane.catalogue import Rollout, RolloutPhase
+from cowslipvane.clock import lease_now
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
-from cowslipvane.metrics import Metrics, Sample
+from cowslipvane.metrics import MAX_NAMED_TEAMS, Metrics, Sample
 from cowslipvane.subscription import Subscription
+from cowslipvane.tasks.quotas import QuotaKeeper
 from cowslipvane.tasks.replication import Releases, Replication
 from cowslipvane.tasks.upstreams import Owner
 from cowslipvane.types import Version
@@ -29,6 +32,7 @@
         traffic: Traffic,
         replication: Replication | None,
         releases: Releases | None,
+        quotas: QuotaKeeper | None,
         subscription: Subscription | None,
         owner: Owner | None,
     ) -> None:
@@ -38,6 +42,7 @@
         self._traffic = traffic
         self._replication = replication
         self._releases = releases
+        self._quotas = quotas
         self._subscription = subscription
         self._owner = owner
 
@@ -63,6 +68,8 @@
             samples += self._replica_samples(self._replication)
         if self._releases is not None:
             samples.append(Sample("cowslipvane_unread_parts", self._releases.unread_parts))
+        if self._quotas is not None:
+            samples += _quota_samples(self._quotas)
         return samples
 
     def _link_samples(self) -> list[Sample]:
@@ -115,6 +122,20 @@
         return samples
 
 
+def _quota_samples(quotas: QuotaKeeper) -> list[Sample]:
+    """Return what a replica has counted, by team for those that have asked for most."""
+    uses = quotas.uses
+    named = nlargest(MAX_NAMED_TEAMS, uses, key=lambda use: use.granted + use.refused)
+    return [
+        Sample("cowslipvane_quota_share", quotas.share.part(lease_now())),
+        *(Sample("cowslipvane_quota_granted", use.granted, use.team) for use in named),
+        *(Sample("cowslipvane_quota_refused", use.refused, use.team) for use in named),
+        Sample("cowslipvane_all_quota_granted", sum(use.granted for use in uses)),
+        Sample("cowslipvane_all_quota_refused", sum(use.refused for use in uses)),
+        Sample("cowslipvane_quota_stood_in", sum(use.stood_in for use in uses)),
+    ]
+
+
 def count_states(membership: Membership, now: float) -> Counter[str]:
     """Return the number of members in each state; a suspected or dead one counts as silent."""
     return Counter(
--- a/cowslipvane/tasks/operators/_operator_api.py
+++ b/cowslipvane/tasks/operators/_operator_api.py
@@ -9,6 +9,7 @@
 from cowslipvane.settings import AUTHORIZATION, Token
 from cowslipvane.tasks.http import error_response
 from cowslipvane.tasks.operators._process_api import ProcessApi
+from cowslipvane.tasks.operators._quota_api import QuotaApi
 from cowslipvane.tasks.operators._replica_api import ReplicaApi
 from cowslipvane.tasks.operators._resource_api import ResourceApi
 from cowslipvane.tasks.operators._rollout_api import RolloutApi
@@ -21,16 +22,16 @@
         self,
         *,
         process: ProcessApi,
-        resources: ResourceApi | None,
-        replicas: ReplicaApi | None,
-        rollouts: RolloutApi | None,
         token: Token | None,
+        resources: ResourceApi | None = None,
+        replicas: ReplicaApi | None = None,
+        rollouts: RolloutApi | None = None,
+        quotas: QuotaApi | None = None,
     ) -> None:
         self._token = token
-        self._process_api = process
-        self._resource_api = resources
-        self._replica_api = replicas
-        self._rollout_api = rollouts
+        # A process serves those parts that its roles have.
+        parts = (process, resources, replicas, rollouts, quotas)
+        self._parts = [part for part in parts if part is not None]
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request."""
@@ -43,24 +44,17 @@
         if parts[0] == "v1":
             del parts[0]
         try:
-            response = await self._process_api.handle(request, parts)
-            if response is None and self._resource_api is not None:
-                response = await self._resource_api.handle(request, parts)
-            if response is None and self._replica_api is not None:
-                response = await self._replica_api.handle(request, parts)
-            if response is None and self._rollout_api is not None:
-                response = await self._rollout_api.handle(request, parts)
+            for part in self._parts:
+                response = await part.handle(request, parts)
+                if response is not None:
+                    return response
         except web.HTTPRequestEntityTooLarge:
             return error_response(413, "not run: the body is too large; split the change")
         except (ValueError, LookupError, TypeError, RecursionError) as error:
             # repr() of a decoding error has the whole body, which may hold a key by mistake.
             reason = f"{type(error).__name__}: {error}"
             return error_response(400, f"not run: the request can't be read: {reason}")
-        if response is None:
-            return error_response(
-                404, f"there is no {request.method} {request.path} at this process"
-            )
-        return response
+        return error_response(404, f"there is no {request.method} {request.path} at this process")
 
     def _is_authorized(self, request: web.BaseRequest) -> bool:
         """Return whether a request has the right token or needs none."""
--- a/cowslipvane/tasks/operators/_resource_api.py
+++ b/cowslipvane/tasks/operators/_resource_api.py
@@ -7,7 +7,17 @@
 
 from aiohttp import web
 
-from cowslipvane.catalogue import Accepted, Catalogue, Change, Conflict, Fault, Invalid, Key, Spec
+from cowslipvane.catalogue import (
+    SYSTEM_KINDS,
+    Accepted,
+    Catalogue,
+    Change,
+    Conflict,
+    Fault,
+    Invalid,
+    Key,
+    Spec,
+)
 from cowslipvane.events import EventLog
 from cowslipvane.membership import Membership
 from cowslipvane.tasks.distribution import Publisher, Watch
@@ -98,6 +108,8 @@
 
     async def _write_resource(self, request: web.BaseRequest, key: Key) -> web.Response:
         """Write or delete one resource if it has not changed since the operator read it."""
+        if key.kind in SYSTEM_KINDS:
+            return _invalid_response((Fault(str(key), "is written by replicas alone"),))
         operation_id = request.headers.get("Idempotency-Key", "") or uuid.uuid4().hex
         based_on = self._based_on(request, key)
         if based_on is None:
--- a/cowslipvane/wire/__init__.py
+++ b/cowslipvane/wire/__init__.py
@@ -42,6 +42,7 @@
     link_identity,
     unsent_bytes,
 )
+from cowslipvane.wire._quota_forms import QuotasForm, TeamUseForm, quotas_form
 
 __all__ = [
     "CONNECT_TIMEOUT",
@@ -49,6 +50,9 @@
     "EffectForm",
     "FaultForm",
     "GroupForm",
+    "QuotasForm",
+    "TeamUseForm",
+    "quotas_form",
     "MemberForm",
     "group_form",
     "read_group_change",
--- a/cowslipvane/wire/_forms.py
+++ b/cowslipvane/wire/_forms.py
@@ -14,6 +14,7 @@
 
 from cowslipvane.catalogue import (
     KINDS,
+    SYSTEM_KINDS,
     Accepted,
     AcceptedChange,
     Change,
@@ -23,6 +24,7 @@
     Invalid,
     Key,
     Outcome,
+    QuotaHolder,
     Release,
     Resource,
     Rollout,
@@ -351,6 +353,9 @@
     if not isinstance(kind, str) or kind not in KINDS:
         faults.append(Fault(f"{path}.kind", f"found {kind!r}; allowed are {', '.join(KINDS)}"))
         return None
+    if kind in SYSTEM_KINDS:
+        faults.append(Fault(f"{path}.kind", f"found {kind}, which replicas write by themselves"))
+        return None
     if not _is_text(name) or not name or "/" in name:
         faults.append(Fault(f"{path}.name", f"found {name!r:.80}; allowed is a text without /"))
         return None
@@ -458,7 +463,7 @@
     )
     converter.register_structure_hook(bool, _strict_hook(bool))
     converter.register_structure_hook(float, _strict_hook(float, int))
-    for kind in (Target, Header):
+    for kind in (Target, Header, QuotaHolder):
         converter.register_structure_hook(
             kind, namedtuple_dict_structure_factory(kind, converter, "from_converter", True)
         )
--- a/tests/processes_case.py
+++ b/tests/processes_case.py
@@ -22,6 +22,11 @@
 _DATA_CENTRES = ("north", "south", "east")
 
 
+def data_centre(index: int) -> str:
+    """Return the data centre of a host, by its number."""
+    return _DATA_CENTRES[index % len(_DATA_CENTRES)]
+
+
 class ProcessesCase(unittest.IsolatedAsyncioTestCase):
     """Replicas and proxies, without workers and callers; their links pass through a relay."""
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -21,6 +21,7 @@
 from cowslipvane.tasks.upstreams._owner import Owner
 from cowslipvane.types import DataCentre, HostName, RequestId, ServiceName, Verdict
 from tests.test_membership import record
+from tests.uncounted import uncounted
 
 STOCK = ServiceName("stock")
 ALLOWED = Retries()
@@ -144,6 +145,7 @@
             membership=membership,
             owner=cast(Owner, None),
             peers=cast(Peers, peers),
+            quotas=uncounted(),
             chooser=Chooser(data_centre=DataCentre("here"), rng=random.Random(1)),
             rng=random.Random(1),
             events=EventLog(
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -58,6 +58,7 @@
 )
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 from tests.stall import stall
+from tests.uncounted import uncounted
 
 SERVICE = ServiceName("stock")
 CENTRE = DataCentre("north")
@@ -465,6 +466,7 @@
             membership=membership,
             owner=make_owner(entry),
             peers=self.peers,
+            quotas=uncounted(),
             chooser=Chooser(data_centre=CENTRE, rng=rng),
             rng=random.Random(1),
             events=events(),
--- a/tests/test_platform_teams.py
+++ b/tests/test_platform_teams.py
@@ -71,6 +71,28 @@
         resources = self.decode(tenants=[TEAM | {"api_keys": []}]).resources
         self.assertEqual(resources[Key("team", "pulo")], Team())
 
+    # Guards against quotas that are acknowledged and not kept (issue 55).
+    def test_a_team_has_its_quota(self) -> None:
+        """A rate of 0, or none, is no limit."""
+        for quota, expected in (
+            ({"rate_per_s": 8, "burst": 9}, (8.0, 9.0)),
+            ({"rate_per_s": 2.5}, (2.5, 0.0)),
+            ({"rate_per_s": 0, "burst": 0}, (0.0, 0.0)),
+            ({}, (0.0, 0.0)),
+        ):
+            team = self.decode(tenants=[TEAM | quota]).resources[Key("team", "pulo")]
+            assert isinstance(team, Team)
+            self.assertEqual((team.rate, team.burst), expected)
+
+    # Guards against a configuration that can't be read in full and is in force (issue 55).
+    def test_odd_quotas_are_refused_with_a_place(self) -> None:
+        """No number is made of a text, a flag or a list, and none is negative or endless."""
+        odd_values: list[Any] = ["many", "8", None, True, [], {}, -1, -0.5, 1e300]
+        for field in ("rate_per_s", "burst"):
+            for value in odd_values:
+                found = self.refusal(tenants=[TEAM, TEAM | {"name": "b", field: value}])
+                self.assertIn(f"tenants[1].{field}", found)
+
     # Guards against a key that is dropped or changed in silence, so that its callers are refused.
     def test_teams_that_can_not_be_read_are_refused_with_a_place(self) -> None:
         """Whole, and without the value of a key."""
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -17,10 +17,12 @@
     NoRoute,
     NoUpstream,
     Overloaded,
+    OverQuota,
     OwnerUnreachable,
     ProxyFailed,
     ProxyLeaving,
     QueueFull,
+    QuotaUnconfirmed,
     Refusal,
     Rejected,
     RouteOutdated,
@@ -28,10 +30,11 @@
     Withdrawn,
     explain,
 )
-from cowslipvane.types import HostName, ServiceName, Verdict, Version
+from cowslipvane.types import HostName, Quota, ServiceName, TeamName, Verdict, Version
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "REFUSALS.md"
 SERVICE = ServiceName("SERVICE")
+TEAM = TeamName("TEAM")
 UNKNOWN = Verdict.MAY_HAVE_RUN
 EXAMPLES: tuple[Refusal, ...] = (
     NoConfiguration(),
@@ -41,6 +44,8 @@
     KeyRefused(fault="unreadable", version=Version(7)),
     KeyRefused(fault="unknown", version=Version(7)),
     KeysUnconfirmed(host=HostName("HOST")),
+    OverQuota(team=TEAM, quota=Quota(20, 10), version=Version(7), retry_after=1.0),
+    QuotaUnconfirmed(team=TEAM, version=Version(7), retry_after=1.0),
     MalformedRequest(reason="REASON"),
     NoUpstream(service=SERVICE),
     Draining(service=SERVICE),
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -23,6 +23,7 @@
 from cowslipvane.wire import Link, LinkClosed, anonymous_identity
 from tests.endless_worker import Endless, Heartbeat, Sender
 from tests.test_owner import CENTRE, NOWHERE, SERVICE, events, make_owner, member, stop
+from tests.uncounted import uncounted
 
 ENDLESS = Endless("success", b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1000)
 FINITE_BYTES = 6 << 20
@@ -100,6 +101,7 @@
             membership=membership,
             owner=owner,
             peers=peers,
+            quotas=uncounted(),
             chooser=Chooser(data_centre=CENTRE, rng=random.Random(1)),
             rng=random.Random(1),
             events=events(),
