--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,16 @@
 from typing import Any
 
 from tools.soak import KINDS, Result, Soak, SoakOptions, find_problems
-from tools.soak._checks import check_cut_calls, majority_spans
+from tools.soak._checks import (
+    QUOTA_OVERSHOOT,
+    QUOTA_SLACK,
+    QUOTA_WINDOW,
+    check_cut_calls,
+    check_quotas,
+    majority_spans,
+)
 from tools.soak._hosts import Host, HostProcess
+from tools.soak._keys import QUOTAS
 from tools.soak._records import (
     HARMED_LINK,
     PROCESSOR_WAIT,
@@ -241,6 +249,21 @@
         sent = call(GOOD, key="k", needs_key=True)
         self.assertEqual(self.rules(calls=[sent], runs=[shown], changes=changes), ["UNASKED"])
 
+    # Guards against a soak that lets a team have more than its quota (issue 55).
+    def test_a_team_gets_no_more_than_its_quota_in_any_window(self) -> None:
+        """What was run after the window doesn't count, and all runs of one request do."""
+        quota = QUOTAS["red"]
+        allowed = (quota.rate * QUOTA_WINDOW + quota.burst) * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+        ran = run(Completed(), team="red")
+        for count, began_at, expected in (
+            (int(allowed), 101.0, []),
+            (int(allowed) + 1, 101.0, ["QUOTA"]),
+            (int(allowed) + 1, 100.1 + QUOTA_WINDOW, []),
+        ):
+            runs = [ran._replace(began_at=began_at) for _ in range(count)]
+            problems = check_quotas(history(calls=[call(GOOD)], runs=runs))
+            self.assertEqual([problem.rule for problem in problems], expected)
+
     def test_a_key_that_all_versions_hold_is_not_refused(self) -> None:
         """A request without a key isn't either, on a route that needs none."""
         changes = [
--- a/tests/test_stored_configurations.py
+++ b/tests/test_stored_configurations.py
@@ -1,6 +1,7 @@
 """Tests with real processes of a configuration that was stored before a restart or an upgrade."""
 
 import asyncio
+import itertools
 import json
 import re
 import unittest
@@ -81,6 +82,23 @@
         await self.until(self.is_checked, timeout=CONVERGENCE_TIMEOUT_S)
 
 
+class StoredQuotaTest(StoredConfigurationCase):
+    """The build before knew no quotas either, and has acknowledged one."""
+
+    teams = (team("red", RED_KEY) | {"rate_per_s": 0.001, "burst": 1},)
+
+    # Guards against quotas that are acknowledged and not kept after an upgrade (issue 55).
+    async def test_quotas_of_a_stored_configuration_come_into_force(self) -> None:
+        """No operator has to send another version for it."""
+        serials = itertools.count()
+
+        async def is_refused() -> bool:
+            answer = await self.ask(self.entry, f"r{next(serials)}", f"{CLOSED}1", bearer(RED_KEY))
+            return answer.status == 429
+
+        await self.until(is_refused, timeout=CONVERGENCE_TIMEOUT_S * 2)
+
+
 class StoredFaultTest(StoredConfigurationCase):
     """The configuration is one that this build refuses, since two teams have one key."""
 
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -8,7 +8,7 @@
 
 from cowslipvane.types import Seconds
 from tools.soak._hosts import GRACE
-from tools.soak._keys import POSSIBLE_STATUSES, allowed_teams
+from tools.soak._keys import POSSIBLE_STATUSES, QUOTAS, allowed_teams
 from tools.soak._records import (
     HARMED_LINK,
     PROCESSOR_WAIT,
@@ -28,6 +28,7 @@
     Silent,
     Span,
 )
+from tools.soak._windows import Use, busiest_window
 
 # A request that is sent within this time before its connection closes may cross the close.
 LOSS_SLACK: Seconds = 0.2
@@ -38,6 +39,10 @@
 FEW = 3
 OVERSTAYED_SHARE = 0.25
 PROPAGATION: Seconds = 2.0
+# In a window, a team may get this part of its quota and so many requests more than that.
+QUOTA_WINDOW: Seconds = 5.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 20
 RECOVERY: Seconds = 15.0
 # A request that is sent within EARLY of SIGTERM may be cut if its worker still works at LATE_WORK.
 EARLY: Seconds = 3.0
@@ -72,6 +77,7 @@
         *check_answers(history, runs),
         *check_origins(history.runs, history.services),
         *check_teams(history, runs),
+        *check_quotas(history),
         *check_configurations(history),
         *check_recovery(history),
         *check_acknowledgements(history),
@@ -247,6 +253,25 @@
                     yield Problem("CONFIG", call.ended_at, text)
 
 
+def check_quotas(history: History) -> Iterator[Problem]:
+    """Find windows in which more of a team's requests were sent and run than its quota allows.
+
+    Every run counts, those of one request, too; quotas don't change, and no fault excuses anything.
+    """
+    sent_at = {call.request_id: call.sent_at for call in history.calls}
+    for team, quota in QUOTAS.items():
+        uses = [
+            Use(sent_at[run.request_id], run.began_at)
+            for run in history.runs
+            if run.team == team and run.request_id in sent_at
+        ]
+        busiest = busiest_window(uses, QUOTA_WINDOW)
+        allowed = (quota.rate * QUOTA_WINDOW + quota.burst) * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+        if busiest.uses > allowed:
+            text = f"{busiest.uses} of {team} in {QUOTA_WINDOW:g} s from here, {allowed:g} allowed"
+            yield Problem("QUOTA", busiest.begin, text)
+
+
 def _possible_changes(history: History, call: CallRecord, until: float) -> list[Change]:
     """Return the changes that may be in force at a request's host until some time."""
     oldest = 0
--- a/tools/soak/_keys.py
+++ b/tools/soak/_keys.py
@@ -6,9 +6,13 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
+from cowslipvane.types import Quota
 from tools.soak._records import CallRecord, Change
 
 TEAMS = ("red", "blue", "green")
+# The requests a second and at once that a team may send; callers send far more.
+QUOTAS = {"red": Quota(30, 15), "green": Quota(8, 4)}
+_NO_QUOTA = Quota(0, 0)
 _PREFIX = "soak-key-"
 # Each team holds one of these all the while; the others come, go and move from team to team.
 _LASTING = {f"{_PREFIX}lasting-{team}": team for team in TEAMS}
@@ -43,10 +47,18 @@
     keys = defaultdict(list)
     for key, team in holders.items():
         keys[team].append(key)
-    return [
-        {"name": team, "api_keys": held, "priority": 1, "rate_per_s": 0, "burst": 0}
-        for team, held in keys.items()
-    ]
+    return [_team_form(team, held, QUOTAS.get(team, _NO_QUOTA)) for team, held in keys.items()]
+
+
+def _team_form(team: str, keys: list[str], quota: Quota) -> dict[str, object]:
+    """Return one team of a configuration."""
+    return {
+        "name": team,
+        "api_keys": keys,
+        "priority": 1,
+        "rate_per_s": quota.rate,
+        "burst": quota.burst,
+    }
 
 
 def draw_key(rng: random.Random) -> str:
