Keep what a team has used of its quota while a version lacks the team

A team that was taken out of the configuration and put back a moment later had its whole burst again, found by reading: a holder dropped its account with the version in between. The account stays. The new test of test_quota_shares failed before (granted) and passes.

--- a/cowslipvane/quotas/_ledger.py
+++ b/cowslipvane/quotas/_ledger.py
@@ -152,7 +152,7 @@
                 self._accounts.pop(want.team, None)
                 return Grant("no quota", now)
             case UnknownTeam():
-                self._accounts.pop(want.team, None)
+                # Its account stays: the team may come back before what it has used is earned again.
                 return Grant("unknown team", now)
 
     def _account(self, team: TeamName, quota: Quota, now: float) -> _Account:
--- a/tests/test_quota_shares.py
+++ b/tests/test_quota_shares.py
@@ -154,7 +154,7 @@
     """The ledgers of all holders, each with an equal part."""
 
     def __init__(self, quota: QuotaOfTeam = QUOTA) -> None:
-        self.quota = quota
+        self.quota: QuotaOfTeam = quota
         self.each = [
             QuotaLedger(settings=SETTINGS, quota_of=lambda _: self.quota) for _ in range(HOLDERS)
         ]
@@ -242,6 +242,17 @@
         self.assertEqual(ledgers.take(0, 50.0).state, "refused")
         self.assertEqual(ledgers.take(0, 50.2).state, "granted")
 
+    # Guards against a team that is taken out and put back, and has its whole burst again.
+    def test_a_team_that_comes_back_has_what_it_had_left(self) -> None:
+        """A version without it may be in force for a moment only."""
+        ledgers = Ledgers()
+        while ledgers.take(0, 0.0).state == "granted":
+            pass
+        ledgers.quota = UnknownTeam()
+        ledgers.take(0, 0.0)
+        ledgers.quota = QUOTA
+        self.assertEqual(ledgers.take(0, 0.0).state, "refused")
+
     def test_teams_without_a_quota_or_unknown_ones_are_told_apart(self) -> None:
         """An unknown team is one of a newer version, which another holder may have."""
         self.assertEqual(Ledgers(NoQuota()).take(0, 0.0).state, "no quota")
