--- a/cowslipvane/daemon.py
+++ b/cowslipvane/daemon.py
@@ -15,7 +15,7 @@
 
 from cowslipvane.call import DEFAULT_HEADER_NAMES, BodyAccount
 from cowslipvane.clock import lease_now
-from cowslipvane.events import EventFile, EventLog, EventStream, HybridClock, Origin
+from cowslipvane.events import EventLog, EventStream, HybridClock, Origin, open_event_file
 from cowslipvane.membership import Announcements, Member, Membership
 from cowslipvane.metrics import Metrics
 from cowslipvane.replica import Replica
@@ -80,7 +80,7 @@
         self._events = EventLog(
             origin=Origin(settings.host, settings.data_centre, os.getpid()),
             clock=self._clock,
-            file=_event_file(settings),
+            file=open_event_file(settings),
             stream=EventStream() if settings.log_events else None,
             max_events=int(settings.limits.events_in_memory),
             observer=self._metrics.record_event,
@@ -407,9 +407,8 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         """Open the listeners for peers, operators and callers."""
         listen = self._settings.listen
-        peers = PeerListener(
-            handlers=self._peer_handlers(), identity=self._identity, events=self._events
-        )
+        handlers = self._peer_handlers()
+        peers = PeerListener(handlers=handlers, identity=self._identity, events=self._events)
         self._peer_listener = peers
         await stack.enter_async_context(peers.listen(listen.peers))
         await stack.enter_async_context(
@@ -431,8 +430,9 @@
 
     def _operator_api(self, peers: PeerListener) -> OperatorApi:
         """Return the API that serves operators."""
+        membership = self._gossip.membership
         process = ProcessApi(
-            membership=self._gossip.membership,
+            membership=membership,
             events=self._events,
             replication=self._replication,
             subscription=self._subscription,
@@ -441,7 +441,7 @@
             debug=partial(self._debug, peers),
             metrics_collector=MetricsCollector(
                 metrics=self._metrics,
-                membership=self._gossip.membership,
+                membership=membership,
                 events=self._events,
                 traffic=self._traffic,
                 replication=self._replication,
@@ -454,17 +454,15 @@
         if self._replication is None or self._publisher is None or self._rollouts is None:
             return OperatorApi(process=process, token=self._token)
         resources = ResourceApi(
-            membership=self._gossip.membership,
+            membership=membership,
             events=self._events,
             replication=self._replication,
             publisher=self._publisher,
         )
         replicas = ReplicaApi(
-            membership=self._gossip.membership,
-            events=self._events,
-            replication=self._replication,
+            membership=membership, events=self._events, replication=self._replication
         )
-        rollouts = RolloutApi(membership=self._gossip.membership, rollouts=self._rollouts)
+        rollouts = RolloutApi(membership=membership, rollouts=self._rollouts)
         return OperatorApi(
             process=process,
             resources=resources,
@@ -490,22 +488,13 @@
             "/members": self._gossip.serve,
             "/events": self._event_copies.serve,
         }
-        if self._replication is not None:
-            handlers["/replica"] = self._replication.serve
-        if self._quota_keeper is not None:
-            handlers[QUOTA_PATH] = self._quota_keeper.serve
-        if self._group_joiner is not None:
-            handlers["/join"] = self._group_joiner.serve
-        if self._publisher is not None:
-            handlers["/subscribe"] = self._publisher.serve
+        parts = {
+            "/replica": self._replication,
+            "/join": self._group_joiner,
+            "/subscribe": self._publisher,
+            QUOTA_PATH: self._quota_keeper,
+        }
+        handlers |= {path: part.serve for path, part in parts.items() if part is not None}
         if self._owner is not None:
             handlers[CALLS_PATH] = partial(serve_calls, owner=self._owner)
         return handlers
-
-
-def _event_file(settings: Settings) -> EventFile | None:
-    """Open the event file, if the settings name one."""
-    if not settings.event_file:
-        return None
-    max_bytes = int(settings.limits.event_file_bytes)
-    return EventFile(path=Path(settings.event_file), max_bytes=max_bytes)
--- a/cowslipvane/events/__init__.py
+++ b/cowslipvane/events/__init__.py
@@ -2,7 +2,7 @@
 
 from cowslipvane.events._clock import HybridClock, Stamp
 from cowslipvane.events._event import EVENT_KINDS, Event, EventForm, EventKind, Origin, event_form
-from cowslipvane.events._file import EventFile, read_events, rotated_path
+from cowslipvane.events._file import EventFile, open_event_file, read_events, rotated_path
 from cowslipvane.events._log import EventLog
 from cowslipvane.events._stream import EventStream
 from cowslipvane.events._unread import UnreadDetail, unread_detail
@@ -23,4 +23,5 @@
     "read_events",
     "rotated_path",
     "unread_detail",
+    "open_event_file",
 ]
--- a/cowslipvane/events/_file.py
+++ b/cowslipvane/events/_file.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from cowslipvane.events._event import EventForm
+from cowslipvane.settings import Settings
 
 # Bytes to read for each event at the end of a file; events are about half as long.
 _BYTES_PER_EVENT = 1024
@@ -121,3 +122,11 @@
         return 0
     with path.open("rb") as lines:
         return sum(1 for _ in lines)
+
+
+def open_event_file(settings: Settings) -> EventFile | None:
+    """Open the event file that the settings of a process name, if they name one."""
+    if not settings.event_file:
+        return None
+    max_bytes = int(settings.limits.event_file_bytes)
+    return EventFile(path=Path(settings.event_file), max_bytes=max_bytes)
