Name the fields of an order for a rollout that nothing acts on

The acknowledgement names such fields, as that of a configuration does. test_platform's new test failed before (no such attribute) and passes.

--- a/cowslipvane/platform/_front_end.py
+++ b/cowslipvane/platform/_front_end.py
@@ -186,7 +186,7 @@
             order.service, target_version=order.target_version, duration=order.duration
         ):
             case Rollout():
-                return web.Response()
+                return _acknowledgement(order.unread)
             case InProgress(rollout=running):
                 return _failure(409, f"the rollout of {running.target_version} is running")
             case NoService():
@@ -240,7 +240,7 @@
 
 
 def _acknowledgement(unread: tuple[str, ...]) -> web.Response:
-    """Return a response that names the parts of a configuration that aren't acted on, if any."""
+    """Return a response that names the parts of a document that aren't acted on, if any."""
     return web.json_response({"unread": unread}) if unread else web.Response()
 
 
--- a/cowslipvane/platform/_known_fields.py
+++ b/cowslipvane/platform/_known_fields.py
@@ -75,6 +75,8 @@
     "clusters": Inner(fields=_CLUSTER, is_list=True),
 }
 
+_ORDER: Fields = {"service": Read(), "target_version": Read(), "duration_s": Read()}
+
 _JUDGED = "tells how rules are judged, and asks for nothing"
 _FIXED = "the times of this build are fixed, and meant for this value and more"
 _BOUNDS: Fields = {
@@ -112,6 +114,7 @@
 )
 
 _CONFIGURATION_TABLE = make_known_table(_CONFIGURATION)
+_ORDER_TABLE = make_known_table(_ORDER)
 _BOUNDS_TABLE = make_known_table(_BOUNDS, "bounds.")
 
 
@@ -120,6 +123,11 @@
     return unread_fields(form, _CONFIGURATION_TABLE)
 
 
+def unread_in_order(form: Mapping[str, Any]) -> tuple[str, ...]:
+    """Return the fields of an order for a rollout that should be acted on and aren't."""
+    return listed_parts(unread_fields(form, _ORDER_TABLE))
+
+
 def unread_terms(bounds: Mapping[str, Any], contracts: Iterable[Any]) -> tuple[str, ...]:
     """Return the bounds and parts of the rules that this build doesn't keep to."""
     unkept_names = {str(name) for name in contracts} - _KEPT_CONTRACTS
--- a/cowslipvane/platform/_rollouts.py
+++ b/cowslipvane/platform/_rollouts.py
@@ -7,17 +7,22 @@
 from typing import Any, NamedTuple, TypedDict
 
 from cowslipvane.catalogue import Rollout
+from cowslipvane.platform._known_fields import unread_in_order
 from cowslipvane.types import Seconds, ServiceName
 
 _PHASES = {"running": "running", "completed": "completed", "rolled-back": "rolled_back"}
 
 
 class RolloutOrder(NamedTuple):
-    """An order to move a service's requests to upstreams of a version within a time."""
+    """An order to move a service's requests to upstreams of a version within a time.
+
+    unread are the fields of its document that should be acted on and aren't.
+    """
 
     service: ServiceName
     target_version: str
     duration: Seconds
+    unread: tuple[str, ...] = ()
 
 
 class RolloutForm(TypedDict):
@@ -35,6 +40,7 @@
             ServiceName(_text(form["service"])),
             _text(form["target_version"]),
             _seconds(form["duration_s"]),
+            unread_in_order(form),
         )
     except (LookupError, TypeError, RecursionError, OverflowError) as error:
         raise ValueError(f"the order can't be read: {error!r}") from error
