--- a/tests/teams_case.py
+++ b/tests/teams_case.py
@@ -289,11 +289,15 @@
     async def put_in_force(self, form: Mapping[str, Any], *processes: HostProcess) -> None:
         """Let a configuration be accepted, and be in force on some proxies, by default on all."""
         self.assertEqual(await self.replace(form), 200)
-        accepted = [(await self.status(replica))["replica"]["accepted"] for replica in self.core]
 
         async def is_in_force() -> bool:
+            replicas = [await self.status(replica) for replica in self.core]
+            if not all("replica" in status for status in replicas):
+                # One of them hasn't opened its listeners yet.
+                return False
+            accepted = max(status["replica"]["accepted"] for status in replicas)
             statuses = [await self.status(proxy) for proxy in processes or self.proxies]
-            return all(status.get("in_force", 0) >= max(accepted) for status in statuses)
+            return all(status.get("in_force", 0) >= accepted for status in statuses)
 
         await self.until(is_in_force)
 
