Take back tokens of a full bucket, and none of another bucket

A token that was taken from a full bucket and not used was lost, since the bucket counted as full since then: teams below their quotas lost what the overloaded upstreams refused. And a holder that restarted took back what its process before had granted, one token too many each. Both new tests of test_token_bucket failed before; the random acts of the same module hold as before.

--- a/cowslipvane/token_bucket.py
+++ b/cowslipvane/token_bucket.py
@@ -15,8 +15,9 @@
         self._capacity = capacity
         self._tokens = capacity if tokens is None else min(tokens, capacity)
         self._filled_at = now
-        # When it was full for the last time, as far as it has been looked at.
-        self._full_at = now if self._tokens >= capacity else float("-inf")
+        # When it was full for the last time, as far as it has been looked at. What was taken before
+        # it began was taken from another bucket.
+        self._full_at = now
 
     @property
     def tokens(self) -> float:
@@ -48,7 +49,7 @@
         A bucket that was full after the token was taken would be no fuller without the taking.
         """
         self.fill(now)
-        if self._full_at < taken_at:
+        if self._full_at <= taken_at:
             self.add(1.0)
             self._note_if_full(now)
 
--- a/tests/test_token_bucket.py
+++ b/tests/test_token_bucket.py
@@ -39,6 +39,21 @@
         bucket.give_back(0.0, 0.1)
         self.assertTrue(bucket.spend(0.1))
 
+    # Guards against tokens that are lost whenever they come back to a bucket that was full.
+    def test_a_token_of_a_full_bucket_can_be_taken_again(self) -> None:
+        """The bucket wasn't full since then."""
+        bucket = make_bucket()
+        self.assertTrue(bucket.spend(5.0))
+        bucket.give_back(5.0, 5.1)
+        self.assertEqual([bucket.spend(5.1) for _ in range(4)], [True] * 3 + [False])
+
+    # Guards against a process that takes back what the one before it has granted.
+    def test_a_token_of_another_bucket_is_worth_nothing(self) -> None:
+        """It was taken before this one began."""
+        bucket = TokenBucket(tokens_per_s=RATE, capacity=CAPACITY, now=8.0, tokens=0.0)
+        bucket.give_back(7.9, 8.0)
+        self.assertFalse(bucket.spend(8.0))
+
     # Guards against a quota that is exceeded by tokens whose place has been filled since.
     def test_a_token_is_worth_nothing_once_the_bucket_was_full_without_it(self) -> None:
         """Spent and given back around a time when the bucket was full."""
