Follow each change of the holders, also while a connection to a former one closes

Found by reading the diff. A proxy waited for the connection to a former holder to close, and missed a version that came meanwhile: it asked the former holders until the next version. It doesn't wait any more.

--- a/cowslipvane/tasks/quotas/_client.py
+++ b/cowslipvane/tasks/quotas/_client.py
@@ -63,7 +63,7 @@
         """Keep a connection to each holder, until cancelled."""
         try:
             while True:
-                await self._connect_holders()
+                self._connect_holders()
                 await self._configuration_applied.wait()
         finally:
             await asyncio.gather(*(link.close() for link in self._links.values()))
@@ -154,18 +154,17 @@
             retry_after=UNCONFIRMED_RETRY_DELAY * self._rng.uniform(1.0, RETRY_SPREAD),
         )
 
-    async def _connect_holders(self) -> None:
+    def _connect_holders(self) -> None:
         """Connect to the holders of the version in force, and to no others."""
         table = self._subscription.table
         holders = () if table is None else table.quota_holders
-        gone = [holder for holder in self._links if holder not in holders]
-        closing = [self._links.pop(holder) for holder in gone]
+        for holder in [holder for holder in self._links if holder not in holders]:
+            self._links.pop(holder).start_closing()
         for holder in holders:
             if holder not in self._links:
                 self._links[holder] = HolderLink(
                     holder=holder, events=self._events, usable=self._usable
                 )
-        await asyncio.gather(*(link.close() for link in closing))
 
 
 class CallToken:
--- a/cowslipvane/tasks/quotas/_holder_link.py
+++ b/cowslipvane/tasks/quotas/_holder_link.py
@@ -80,6 +80,10 @@
             self._unused.append(unused)
             self._wanted.send()
 
+    def start_closing(self) -> None:
+        """Start closing the connection without waiting for it."""
+        self._task.cancel()
+
     async def close(self) -> None:
         """Close the connection."""
         self._task.cancel()
